Workspace, shared types and inner messages

Purpose: one vocabulary (names, versions, classes, outcome of a request) and the inner protocol's messages stand before the packages that use them, so that these can be written side by side. Weighed: one crate for everything against packages by concern; the second, as every decision is then tested without I/O. Measured: nothing yet.

--- /dev/null
+++ b/bin/ctl/src/main.rs
@@ -0,0 +1,3 @@
+//! Binary of hornbeamrock.
+
+fn main() {}
--- /dev/null
+++ b/components/claims/src/lib.rs
@@ -0,0 +1,1 @@
+//! Package `claims` of hornbeamrock.
--- /dev/null
+++ b/components/config/src/lib.rs
@@ -0,0 +1,1 @@
+//! Package `config` of hornbeamrock.
--- /dev/null
+++ b/components/gateway/src/lib.rs
@@ -0,0 +1,1 @@
+//! Package `gateway` of hornbeamrock.
--- /dev/null
+++ b/components/leaving/src/lib.rs
@@ -0,0 +1,1 @@
+//! Package `leaving` of hornbeamrock.
--- /dev/null
+++ b/components/limits/src/lib.rs
@@ -0,0 +1,1 @@
+//! Package `limits` of hornbeamrock.
--- /dev/null
+++ b/components/link/src/lib.rs
@@ -0,0 +1,1 @@
+//! Package `link` of hornbeamrock.
--- /dev/null
+++ b/components/membership/src/lib.rs
@@ -0,0 +1,1 @@
+//! Package `membership` of hornbeamrock.
--- /dev/null
+++ b/components/platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! Package `platform` of hornbeamrock.
--- /dev/null
+++ b/components/quarantine/src/lib.rs
@@ -0,0 +1,1 @@
+//! Package `quarantine` of hornbeamrock.
--- /dev/null
+++ b/components/recovery/src/lib.rs
@@ -0,0 +1,1 @@
+//! Package `recovery` of hornbeamrock.
--- /dev/null
+++ b/components/routing/src/lib.rs
@@ -0,0 +1,1 @@
+//! Package `routing` of hornbeamrock.
--- /dev/null
+++ b/components/samples/src/lib.rs
@@ -0,0 +1,1 @@
+//! Package `samples` of hornbeamrock.
--- /dev/null
+++ b/components/settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! Package `settings` of hornbeamrock.
--- /dev/null
+++ b/components/sidecar/src/lib.rs
@@ -0,0 +1,1 @@
+//! Package `sidecar` of hornbeamrock.
--- /dev/null
+++ b/components/telemetry/src/lib.rs
@@ -0,0 +1,1 @@
+//! Package `telemetry` of hornbeamrock.
--- /dev/null
+++ b/components/types/src/lib.rs
@@ -0,0 +1,14 @@
+//! Words that every package of hornbeamrock shares: names, versions, classes and
+//! the outcome of a request. No I/O, no clock, no policy.
+
+mod class;
+mod id;
+mod name;
+mod outcome;
+mod weight;
+
+pub use class::{Class, Role};
+pub use id::{CallId, Incarnation, NodeId};
+pub use name::{CustomerName, FailureDomain, NameError, Region, ServiceName};
+pub use outcome::{Cause, Failure, RunState};
+pub use weight::{VersionError, WeightVersion};
--- /dev/null
+++ b/components/weights/src/lib.rs
@@ -0,0 +1,1 @@
+//! Package `weights` of hornbeamrock.
--- /dev/null
+++ b/dev/proof/src/lib.rs
@@ -0,0 +1,1 @@
+//! Package `proof` of hornbeamrock.
--- /dev/null
+++ b/dev/standins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Package `standins` of hornbeamrock.
