--- /dev/null
+++ b/components/settings/src/agent.rs
@@ -0,0 +1,111 @@
+//! Settings of `hornbeamrock-agent`.
+
+use std::net::SocketAddr;
+
+use clap::{ArgMatches, Command};
+use types::ServiceName;
+
+use crate::SettingsError;
+use crate::check::{address, word};
+use crate::common::{CommonSettings, flag, optional_name, with_common};
+
+const KIND: &str = "model or plain";
+const FENCING: &str = "checked or ignored";
+const POOL: &str = "a name of a-z, 0-9 and '-'";
+
+/// What the endpoint beside the agent is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EndpointKind {
+    /// A model engine.
+    Model,
+    /// A plain service.
+    Plain,
+}
+
+/// Whether the engine checks the fencing number of an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fencing {
+    /// It refuses an order with an old number.
+    Checked,
+    /// It takes every order.
+    Ignored,
+}
+
+/// Checked settings of an agent.
+#[derive(Clone, Debug)]
+pub struct AgentSettings {
+    /// What entry and agent share.
+    pub common: CommonSettings,
+    /// Address of the endpoint beside the agent.
+    pub endpoint: SocketAddr,
+    /// What the endpoint is.
+    pub endpoint_kind: EndpointKind,
+    /// Pool that the endpoint belongs to; services of that pool are hosted here.
+    pub pool: ServiceName,
+    /// Whether the engine checks fencing numbers.
+    pub fencing: Fencing,
+}
+
+/// The command line of an agent.
+pub fn agent_command() -> Command {
+    let command = Command::new("hornbeamrock-agent")
+        .version(env!("CARGO_PKG_VERSION"))
+        .about("Stands beside one endpoint: takes calls from entries and drives the endpoint")
+        .arg(flag(
+            "endpoint",
+            "IP:PORT",
+            "Address of the endpoint beside this agent",
+        ))
+        .arg(flag("endpoint-kind", "KIND", "model or plain").default_value("model"))
+        .arg(flag("pool", "NAME", "Pool that the endpoint belongs to"))
+        .arg(
+            flag(
+                "fencing",
+                "HOW",
+                "Whether the engine checks fencing numbers: checked or ignored",
+            )
+            .default_value("ignored"),
+        );
+    with_common(command)
+}
+
+impl AgentSettings {
+    /// Checks all settings. The error names the flag, its value and what is allowed.
+    pub fn from_matches(matches: &ArgMatches) -> Result<Self, SettingsError> {
+        let endpoint_kind = word(matches, "endpoint-kind", KIND, parse_kind)?;
+        let fencing = word(matches, "fencing", FENCING, parse_fencing)?;
+        if endpoint_kind == EndpointKind::Plain && fencing == Fencing::Checked {
+            let value = "checked".to_owned();
+            return Err(SettingsError::Clash(
+                "fencing",
+                value,
+                "endpoint-kind",
+                "a plain service takes no orders",
+            ));
+        }
+        let pool = optional_name(matches, "pool")?;
+        Ok(Self {
+            common: CommonSettings::from_matches(matches)?,
+            endpoint: address(matches, "endpoint")?,
+            endpoint_kind,
+            pool: pool.ok_or(SettingsError::Missing("pool", POOL))?,
+            fencing,
+        })
+    }
+}
+
+fn parse_kind(text: &str) -> Option<EndpointKind> {
+    match text {
+        "model" => Some(EndpointKind::Model),
+        "plain" => Some(EndpointKind::Plain),
+        _ => None,
+    }
+}
+
+fn parse_fencing(text: &str) -> Option<Fencing> {
+    match text {
+        "checked" => Some(Fencing::Checked),
+        "ignored" => Some(Fencing::Ignored),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/components/settings/src/check.rs
@@ -0,0 +1,70 @@
+//! Checks of single values.
+
+use std::net::SocketAddr;
+use std::ops::RangeInclusive;
+
+use clap::ArgMatches;
+
+use crate::SettingsError;
+
+/// What an address may be.
+const ADDRESS: &str = "an IP number with a port, such as 127.0.0.1:7100";
+
+/// The text of a flag, from the command line or the environment.
+pub(crate) fn text<'a>(matches: &'a ArgMatches, flag: &'static str) -> Option<&'a str> {
+    matches.get_one::<String>(flag).map(String::as_str)
+}
+
+/// The text of a flag that must be set.
+pub(crate) fn required<'a>(
+    matches: &'a ArgMatches,
+    flag: &'static str,
+    allowed: &'static str,
+) -> Result<&'a str, SettingsError> {
+    text(matches, flag).ok_or(SettingsError::Missing(flag, allowed))
+}
+
+/// An address of IP number and port; names are not resolved. Errors when missing or not one.
+pub fn address(matches: &ArgMatches, flag: &'static str) -> Result<SocketAddr, SettingsError> {
+    let value = required(matches, flag, ADDRESS)?;
+    parse_address(value, flag)
+}
+
+/// An address that need not be set.
+pub(crate) fn optional_address(
+    matches: &ArgMatches,
+    flag: &'static str,
+) -> Result<Option<SocketAddr>, SettingsError> {
+    text(matches, flag)
+        .map(|value| parse_address(value, flag))
+        .transpose()
+}
+
+fn parse_address(value: &str, flag: &'static str) -> Result<SocketAddr, SettingsError> {
+    let bad = || SettingsError::Bad(flag, value.to_owned(), ADDRESS);
+    value.parse().map_err(|_| bad())
+}
+
+/// A time in milliseconds within bounds. Errors when it is no number or outside.
+pub fn milliseconds(
+    matches: &ArgMatches,
+    flag: &'static str,
+    bounds: RangeInclusive<u64>,
+    allowed: &'static str,
+) -> Result<u64, SettingsError> {
+    let value = required(matches, flag, allowed)?;
+    let bad = || SettingsError::Bad(flag, value.to_owned(), allowed);
+    let number: u64 = value.parse().map_err(|_| bad())?;
+    bounds.contains(&number).then_some(number).ok_or_else(bad)
+}
+
+/// A value that one of a few words names.
+pub(crate) fn word<T>(
+    matches: &ArgMatches,
+    flag: &'static str,
+    allowed: &'static str,
+    parse: impl FnOnce(&str) -> Option<T>,
+) -> Result<T, SettingsError> {
+    let value = required(matches, flag, allowed)?;
+    parse(value).ok_or_else(|| SettingsError::Bad(flag, value.to_owned(), allowed))
+}
--- a/components/settings/src/lib.rs
+++ b/components/settings/src/lib.rs
@@ -1,1 +1,16 @@
-//! Package `settings` of hornbeamrock.
+//! Settings of the binaries: flags and environment variables, all checked before a
+//! process does anything else.
+
+mod agent;
+mod check;
+mod common;
+mod entry;
+mod error;
+mod keys;
+
+pub use agent::{AgentSettings, EndpointKind, Fencing, agent_command};
+pub use check::{address, milliseconds};
+pub use common::{CommonSettings, ENV_PREFIX, flag};
+pub use entry::{EntrySettings, entry_command};
+pub use error::{EXIT_SETTINGS, SettingsError};
+pub use keys::{KEY_BYTES, KEYS_MAX, SharedKey, parse_keys, read_keys};
--- a/components/telemetry/src/lib.rs
+++ b/components/telemetry/src/lib.rs
@@ -1,1 +1,10 @@
-//! Package `telemetry` of hornbeamrock.
+//! What a process tells its operators: one logfmt line an event, counters and
+//! histograms by customer and class.
+
+mod logs;
+mod metrics;
+mod table;
+
+pub use logs::{LogGuard, LogLevel, LogsError, start_logs};
+pub use metrics::{Label, Metrics, MetricsError, MetricsSettings};
+pub use table::{Row, SERIES_MAX};
--- /dev/null
+++ b/components/telemetry/src/logs.rs
@@ -0,0 +1,89 @@
+//! Log lines: logfmt on standard error, written by a thread of their own.
+//!
+//! A full queue drops lines and never holds up a request: whoever reads standard error
+//! may stall for any length of time.
+
+use logforth::append::Stderr;
+use logforth::append::asynchronous::AsyncBuilder;
+use logforth::layout::LogfmtLayout;
+use quick_error::quick_error;
+
+/// Lines that wait for the writing thread at most.
+const BUFFERED_LINES_MAX: usize = 8_192;
+
+quick_error! {
+    /// Why the log can't be set up.
+    #[derive(Debug)]
+    pub enum LogsError {
+        /// A logger stands already.
+        Twice(reason: logforth::Error) {
+            display("the log cannot be set up: {}", reason)
+        }
+    }
+}
+
+/// Least severe level that is written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LogLevel {
+    /// Faults only.
+    Error,
+    /// Faults and what may become one.
+    Warn,
+    /// One line for every request and change of state.
+    Info,
+    /// Everything.
+    Debug,
+}
+
+impl LogLevel {
+    /// The words that settings allow.
+    pub const WORDS: [&'static str; 4] = ["error", "warn", "info", "debug"];
+
+    /// The level with this word.
+    pub fn parse(text: &str) -> Option<LogLevel> {
+        let levels = [
+            LogLevel::Error,
+            LogLevel::Warn,
+            LogLevel::Info,
+            LogLevel::Debug,
+        ];
+        let at = Self::WORDS.iter().position(|word| *word == text)?;
+        levels.get(at).copied()
+    }
+
+    fn filter(self) -> log::LevelFilter {
+        match self {
+            LogLevel::Error => log::LevelFilter::Error,
+            LogLevel::Warn => log::LevelFilter::Warn,
+            LogLevel::Info => log::LevelFilter::Info,
+            LogLevel::Debug => log::LevelFilter::Debug,
+        }
+    }
+}
+
+/// Writes out what is buffered when it goes.
+pub struct LogGuard(());
+
+impl Drop for LogGuard {
+    fn drop(&mut self) {
+        log::logger().flush();
+    }
+}
+
+/// Sets up the process's log. Errors when one stands already.
+pub fn start_logs(level: LogLevel) -> Result<LogGuard, LogsError> {
+    let stderr = Stderr::default().with_layout(LogfmtLayout::default());
+    let queued = AsyncBuilder::new("log")
+        .buffered_lines_limit(Some(BUFFERED_LINES_MAX))
+        .overflow_drop_incoming()
+        .append(stderr)
+        .build();
+    logforth::starter_log::builder()
+        .dispatch(|dispatch| dispatch.append(queued))
+        .try_apply()
+        .map_err(LogsError::Twice)?;
+    // The filter stands here and not in the dispatch, so that a line below the level
+    // costs its caller one load of an atomic.
+    log::set_max_level(level.filter());
+    Ok(LogGuard(()))
+}
--- /dev/null
+++ b/components/telemetry/src/table.rs
@@ -0,0 +1,127 @@
+//! Series of numbers by name, customer and class, bounded in their count.
+
+use std::collections::HashMap;
+
+use hdrhistogram::Histogram;
+use serde::Serialize;
+
+/// Series that one process keeps at most; later ones are counted under customer `other`.
+pub const SERIES_MAX: usize = 2_048;
+
+/// Name under which the series of customers beyond [`SERIES_MAX`] are added up.
+const OTHER: &str = "other";
+
+/// Greatest value that a histogram tells apart; a greater one counts as this.
+const VALUE_MAX: u64 = 3_600_000;
+const SIGNIFICANT_DIGITS: u8 = 2;
+
+/// What identifies a series.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub(crate) struct Series {
+    pub(crate) name: &'static str,
+    pub(crate) customer: String,
+    pub(crate) class: &'static str,
+}
+
+enum Numbers {
+    Count(u64),
+    Level(u64),
+    Spread(Box<Histogram<u64>>),
+}
+
+/// One series as it stands.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Row {
+    /// Name of the metric; its unit is its suffix.
+    pub name: &'static str,
+    /// Customer, or empty.
+    pub customer: String,
+    /// Class, or empty.
+    pub class: &'static str,
+    /// Count of events, last level, or count of recorded values.
+    pub count: u64,
+    /// Median of recorded values; 0 for counts and levels.
+    pub p50: u64,
+    /// 99th percentile.
+    pub p99: u64,
+    /// 99.9th percentile.
+    pub p999: u64,
+    /// Greatest recorded value.
+    pub max: u64,
+}
+
+/// All series of a process. Owned by one thread.
+#[derive(Default)]
+pub(crate) struct Table {
+    rows: HashMap<Series, Numbers>,
+}
+
+impl Table {
+    pub(crate) fn count(&mut self, series: Series, by: u64) {
+        if let Numbers::Count(sum) = self.numbers(series, || Numbers::Count(0)) {
+            *sum += by;
+        }
+    }
+
+    pub(crate) fn level(&mut self, series: Series, value: u64) {
+        if let Numbers::Level(last) = self.numbers(series, || Numbers::Level(0)) {
+            *last = value;
+        }
+    }
+
+    pub(crate) fn record(&mut self, series: Series, value: u64) {
+        if let Numbers::Spread(histogram) = self.numbers(series, empty_spread) {
+            histogram.saturating_record(value);
+        }
+    }
+
+    fn numbers(&mut self, mut series: Series, fresh: impl FnOnce() -> Numbers) -> &mut Numbers {
+        let known = self.rows.contains_key(&series);
+        if !known && self.rows.len() >= SERIES_MAX {
+            // Names and classes are few and fixed, so only customers can fill the
+            // table; the rows named `other` are as many as names times classes.
+            series.customer = OTHER.to_owned();
+        }
+        self.rows.entry(series).or_insert_with(fresh)
+    }
+
+    pub(crate) fn rows(&self) -> Vec<Row> {
+        let mut sorted: Vec<_> = self.rows.iter().collect();
+        sorted.sort_by_key(|(series, _)| *series);
+        sorted
+            .into_iter()
+            .map(|(series, numbers)| row(series, numbers))
+            .collect()
+    }
+}
+
+fn empty_spread() -> Numbers {
+    // The bounds are constants that the library allows; a plain count stands in, so
+    // that no branch of this can end the process.
+    Histogram::new_with_bounds(1, VALUE_MAX, SIGNIFICANT_DIGITS)
+        .map_or(Numbers::Count(0), |empty| Numbers::Spread(Box::new(empty)))
+}
+
+fn row(series: &Series, numbers: &Numbers) -> Row {
+    let mut row = Row {
+        name: series.name,
+        customer: series.customer.clone(),
+        class: series.class,
+        count: 0,
+        p50: 0,
+        p99: 0,
+        p999: 0,
+        max: 0,
+    };
+    match numbers {
+        Numbers::Count(value) | Numbers::Level(value) => row.count = *value,
+        Numbers::Spread(histogram) => {
+            row.count = histogram.len();
+            row.p50 = histogram.value_at_quantile(0.5);
+            row.p99 = histogram.value_at_quantile(0.99);
+            row.p999 = histogram.value_at_quantile(0.999);
+            row.max = histogram.max();
+        }
+    }
+    row
+}
