Adapters to the outside systems

The processes need one place that speaks HTTP to the log, the VM list, the weight store, engines, scorers and endpoints, and that says exactly whether a request may have reached the other side.

hyper-util's pooled client was ruled out: it repeats a request by itself when a reused connection closes. Connections are made by hyper's own client module and kept in a few swapped slots; one that missed its deadline is closed with the idle ones beside it. A request that hyper hands back unwritten may take another connection, since no byte of it left; nothing else is sent twice.

A body ends whole only at its stated length or chunked end, and a completions stream only with finish reason and terminator (platform::sse).

--- /dev/null
+++ b/components/platform/src/endpoint.rs
@@ -0,0 +1,346 @@
+//! Calls to one address over HTTP/1.1, their answers streamed back.
+//!
+//! Each exchange has a deadline that covers its connection, its head and its body. A
+//! connection is used again only after an exchange that ended at its stated end; one
+//! that missed a deadline never is, and takes the idle ones with it: whatever lost
+//! track of it between the two ends has most likely lost track of them too.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use derive::value;
+use http::header::{CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
+use http::{HeaderMap, HeaderName, HeaderValue, Method, Uri};
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Body as _, Incoming};
+use tokio::time::{Instant, timeout_at};
+
+use crate::connection::{Connection, Message, Sent};
+use crate::error::{ConnectFault, Loss, PlatformError};
+use crate::headers::{end_to_end, is_hop_by_hop};
+use crate::idle::Idle;
+
+/// Limits of the exchanges with one address.
+#[value]
+pub struct EndpointSettings {
+    /// Longest time to connect.
+    pub connect_timeout_ms: u64,
+    /// Longest time without a byte inside a begun answer.
+    pub silence_ms: u64,
+    /// Largest body of an answer.
+    pub body_bytes_max: usize,
+    /// Idle connections kept at most.
+    pub idle_max: usize,
+    /// Longest time that a connection is kept idle.
+    pub idle_for_ms: u64,
+}
+
+impl Default for EndpointSettings {
+    fn default() -> Self {
+        Self {
+            connect_timeout_ms: 1_000,
+            silence_ms: 30_000,
+            body_bytes_max: 64 << 20,
+            idle_max: 16,
+            idle_for_ms: 5_000,
+        }
+    }
+}
+
+/// A request for an endpoint.
+#[value]
+pub struct Request {
+    /// HTTP method.
+    pub method: String,
+    /// Path with query.
+    pub path: String,
+    /// Headers; hop-by-hop ones and the length are left out or set anew.
+    pub headers: Vec<(String, String)>,
+    /// Whole body.
+    pub body: Bytes,
+    /// Whether an idle connection may carry it. The other side may close an idle
+    /// connection just as the request is written, and then nobody knows whether it ran:
+    /// a call that must not run twice is better off with a fresh one.
+    pub reuse: bool,
+}
+
+impl Request {
+    /// A request without headers and body, on an idle connection if there is one.
+    pub fn new(method: impl Into<String>, path: impl Into<String>) -> Request {
+        Request {
+            method: method.into(),
+            path: path.into(),
+            headers: Vec::new(),
+            body: Bytes::new(),
+            reuse: true,
+        }
+    }
+}
+
+/// Status and headers of an answer.
+#[value]
+pub struct AnswerHead {
+    /// HTTP status.
+    pub status: u16,
+    /// End-to-end headers, names in lower case.
+    pub headers: Vec<(String, String)>,
+}
+
+impl AnswerHead {
+    /// First value of a header, by its name in lower case.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let mut headers = self.headers.iter();
+        headers
+            .find(|(other, _)| other == name)
+            .map(|(_, value)| value.as_str())
+    }
+}
+
+/// An answer whose body is still to be read.
+pub struct Response {
+    /// Status and headers.
+    pub head: AnswerHead,
+    /// The body.
+    pub body: Body,
+}
+
+/// How the end of a body shows.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum End {
+    Stated,
+    Unstated,
+}
+
+/// Body of an answer. Dropped before its end, it closes the connection, by which the
+/// endpoint sees that the call was given up.
+pub struct Body {
+    incoming: Incoming,
+    connection: Option<Connection>,
+    endpoint: Endpoint,
+    end: End,
+    deadline: Instant,
+    bytes_left: usize,
+}
+
+impl Body {
+    /// The next bytes; `None` only at the stated end of a whole body.
+    pub async fn next(&mut self) -> Result<Option<Bytes>, PlatformError> {
+        loop {
+            if self.connection.is_none() {
+                return Ok(None);
+            }
+            let silence = Duration::from_millis(self.endpoint.inner.settings.silence_ms);
+            let wait_until = self.deadline.min(Instant::now() + silence);
+            let frame = match timeout_at(wait_until, self.incoming.frame()).await {
+                Ok(Some(Ok(frame))) => frame,
+                Ok(Some(Err(_))) => return self.lost(Loss::ClosedMidAnswer),
+                Ok(None) => return self.ended(),
+                Err(_) => return self.late(wait_until),
+            };
+            if let Ok(bytes) = frame.into_data() {
+                return self.taken(bytes);
+            }
+        }
+    }
+
+    /// The rest of the body, whole.
+    pub async fn whole(mut self) -> Result<Bytes, PlatformError> {
+        let mut all = Vec::new();
+        while let Some(bytes) = self.next().await? {
+            all.extend_from_slice(&bytes);
+        }
+        Ok(Bytes::from(all))
+    }
+
+    fn taken(&mut self, bytes: Bytes) -> Result<Option<Bytes>, PlatformError> {
+        match self.bytes_left.checked_sub(bytes.len()) {
+            Some(left) => {
+                self.bytes_left = left;
+                Ok(Some(bytes))
+            }
+            None => {
+                self.connection = None;
+                Err(PlatformError::TooLarge(
+                    self.endpoint.inner.settings.body_bytes_max,
+                ))
+            }
+        }
+    }
+
+    fn ended(&mut self) -> Result<Option<Bytes>, PlatformError> {
+        if self.end == End::Unstated {
+            return self.lost(Loss::NoStatedEnd);
+        }
+        if let Some(connection) = self.connection.take() {
+            self.endpoint.inner.idle.keep(connection.now_idle());
+        }
+        Ok(None)
+    }
+
+    fn late(&mut self, wait_until: Instant) -> Result<Option<Bytes>, PlatformError> {
+        self.endpoint.inner.idle.clear();
+        let loss = if wait_until == self.deadline {
+            Loss::DeadlinePassed
+        } else {
+            Loss::Silent
+        };
+        self.lost(loss)
+    }
+
+    fn lost(&mut self, loss: Loss) -> Result<Option<Bytes>, PlatformError> {
+        self.connection = None;
+        Err(PlatformError::Unknown(loss))
+    }
+}
+
+struct Inner {
+    address: SocketAddr,
+    settings: EndpointSettings,
+    idle: Idle,
+}
+
+/// One address that calls go to; a clone shares its connections.
+#[derive(Clone)]
+pub struct Endpoint {
+    inner: Arc<Inner>,
+}
+
+impl Endpoint {
+    /// An endpoint at `address`; nothing is connected yet.
+    pub fn new(address: SocketAddr, settings: EndpointSettings) -> Endpoint {
+        let idle = Idle::new(settings.idle_max);
+        let inner = Inner {
+            address,
+            settings,
+            idle,
+        };
+        Endpoint {
+            inner: Arc::new(inner),
+        }
+    }
+
+    /// Address of the endpoint.
+    pub fn address(&self) -> SocketAddr {
+        self.inner.address
+    }
+
+    /// Sends a request once and waits for the head of its answer, of any status.
+    ///
+    /// [`PlatformError::NotSent`] means that no byte was written; any other error, that
+    /// the request may have reached the endpoint.
+    pub async fn send(
+        &self,
+        request: Request,
+        deadline_ms: u64,
+    ) -> Result<Response, PlatformError> {
+        let deadline = Instant::now() + Duration::from_millis(deadline_ms);
+        if deadline_ms == 0 {
+            return Err(PlatformError::NotSent(ConnectFault::DeadlinePassed));
+        }
+        let reuse = request.reuse;
+        let message = self.message(request)?;
+        let (connection, answer) = self.exchange(message, reuse, deadline).await?;
+        self.response(connection, answer, deadline)
+    }
+
+    async fn exchange(
+        &self,
+        message: Message,
+        reuse: bool,
+        deadline: Instant,
+    ) -> Result<(Connection, http::Response<Incoming>), PlatformError> {
+        let mut message = message;
+        while let Some(mut connection) = self.idle_connection(reuse).await {
+            match connection.send(message, deadline).await {
+                Sent::Answer(answer) => return Ok((connection, answer)),
+                // Closed while idle and no byte written: taking another connection
+                // repeats nothing.
+                Sent::Unsent(back) => message = back,
+                Sent::Failed(error) => return Err(self.failed(error)),
+            }
+        }
+        let connect_timeout = Duration::from_millis(self.inner.settings.connect_timeout_ms);
+        let mut connection =
+            Connection::open(self.inner.address, connect_timeout, deadline).await?;
+        match connection.send(message, deadline).await {
+            Sent::Answer(answer) => Ok((connection, answer)),
+            Sent::Unsent(_) => Err(PlatformError::NotSent(ConnectFault::Unreachable)),
+            Sent::Failed(error) => Err(self.failed(error)),
+        }
+    }
+
+    async fn idle_connection(&self, reuse: bool) -> Option<Connection> {
+        if !reuse {
+            return None;
+        }
+        let idle_for = Duration::from_millis(self.inner.settings.idle_for_ms);
+        while let Some(mut connection) = self.inner.idle.take() {
+            if connection.is_usable(idle_for).await {
+                return Some(connection);
+            }
+        }
+        None
+    }
+
+    fn failed(&self, error: PlatformError) -> PlatformError {
+        if error == PlatformError::Unknown(Loss::DeadlinePassed) {
+            self.inner.idle.clear();
+        }
+        error
+    }
+
+    fn message(&self, request: Request) -> Result<Message, PlatformError> {
+        build(request, self.inner.address).ok_or(PlatformError::NotSent(ConnectFault::BadRequest))
+    }
+
+    fn response(
+        &self,
+        connection: Connection,
+        answer: http::Response<Incoming>,
+        deadline: Instant,
+    ) -> Result<Response, PlatformError> {
+        let (head, incoming) = answer.into_parts();
+        let body = Body {
+            end: end_of(&head.headers, &incoming),
+            incoming,
+            connection: Some(connection),
+            endpoint: self.clone(),
+            deadline,
+            bytes_left: self.inner.settings.body_bytes_max,
+        };
+        let head = AnswerHead {
+            status: head.status.as_u16(),
+            headers: end_to_end(&head.headers)?,
+        };
+        Ok(Response { head, body })
+    }
+}
+
+fn end_of(headers: &HeaderMap, incoming: &Incoming) -> End {
+    let chunked = headers.contains_key(TRANSFER_ENCODING);
+    let stated = chunked || incoming.is_end_stream() || incoming.size_hint().exact().is_some();
+    if stated { End::Stated } else { End::Unstated }
+}
+
+fn build(request: Request, address: SocketAddr) -> Option<Message> {
+    let method = Method::from_bytes(request.method.as_bytes()).ok()?;
+    if !request.path.starts_with('/') {
+        return None;
+    }
+    let uri = Uri::try_from(request.path).ok()?;
+    let mut message = http::Request::new(Full::new(request.body));
+    *message.method_mut() = method;
+    *message.uri_mut() = uri;
+    let headers = message.headers_mut();
+    headers.insert(HOST, HeaderValue::try_from(address.to_string()).ok()?);
+    for (name, value) in &request.headers {
+        let name = HeaderName::from_bytes(name.as_bytes()).ok()?;
+        if is_hop_by_hop(name.as_str()) || name == CONTENT_LENGTH {
+            continue;
+        }
+        headers.append(name, HeaderValue::from_bytes(value.as_bytes()).ok()?);
+    }
+    Some(message)
+}
--- a/components/platform/src/lib.rs
+++ b/components/platform/src/lib.rs
@@ -1,1 +1,32 @@
-//! Package `platform` of hornbeamrock.
+//! Adapters to the systems outside hornbeamrock: the log, the VM list, the weight
+//! store, model engines, scorers and the endpoints that calls go to.
+//!
+//! No adapter tries anything twice. An error says exactly whether the request may have
+//! reached the other side ([`PlatformError`]); whoever called decides on a retry.
+
+mod client;
+mod connection;
+mod endpoint;
+mod engine;
+mod error;
+mod headers;
+mod idle;
+mod log;
+mod prefix;
+mod scorer;
+pub mod sse;
+mod store;
+mod vms;
+
+pub use client::ClientSettings;
+pub use endpoint::{AnswerHead, Body, Endpoint, EndpointSettings, Request, Response};
+pub use engine::{
+    CacheEvent, CacheEventKind, CachePage, Engine, EngineModel, EngineState, LoadReport,
+};
+pub use error::{ConnectFault, Loss, MalformedPart, PlatformError};
+pub use headers::end_to_end;
+pub use log::{LogClient, LogPage, LogRecord};
+pub use prefix::{BLOCK_BYTES, prefix_blocks};
+pub use scorer::Scorer;
+pub use store::WeightStore;
+pub use vms::{Vm, VmList, VmRole, VmState};
--- /dev/null
+++ b/components/platform/src/sse.rs
@@ -0,0 +1,225 @@
+//! Incremental reading of a completions stream (server-sent events).
+//!
+//! A chunked body may end properly though the engine died in the middle of the answer.
+//! A stream is whole only when it gave a finish reason of a completion that ran to its
+//! end and, after it, the terminator `[DONE]`. Bytes may be split anywhere.
+
+use derive::{key, value};
+use quick_error::quick_error;
+use serde::Deserialize;
+use types::{VersionError, WeightVersion};
+
+quick_error! {
+    /// Why a stream is not a completions stream.
+    #[value]
+    pub enum SseError {
+        /// A line over its limit.
+        LineTooLong(limit_bytes: usize) {
+            display("a line of the stream has more than {} bytes", limit_bytes)
+        }
+        /// The text over its limit.
+        TextTooLong(limit_bytes: usize) {
+            display("the completion has more than {} bytes", limit_bytes)
+        }
+        /// A data line that is no chunk of a completion.
+        BadChunk {
+            display("a data line is no chunk of a completion")
+        }
+        /// A stamp that is no version.
+        BadStamp(err: VersionError) {
+            display("bad weight version in a chunk: {}", err)
+            from()
+        }
+        /// A chunk after the terminator.
+        AfterDone {
+            display("data after the terminator")
+        }
+    }
+}
+
+/// Why a completion ended.
+#[key]
+pub enum Finish {
+    /// The model ended it.
+    Stop,
+    /// It reached the limit of its tokens.
+    Length,
+    /// Anything else: cancelled, aborted. Not a whole answer.
+    Other,
+}
+
+impl Finish {
+    /// The finish reason with this word.
+    pub fn parse(word: &str) -> Finish {
+        match word {
+            "stop" => Finish::Stop,
+            "length" => Finish::Length,
+            _ => Finish::Other,
+        }
+    }
+
+    /// Whether the completion ran to its end.
+    pub fn is_whole(self) -> bool {
+        self != Finish::Other
+    }
+}
+
+/// One chunk of a stream.
+#[value]
+pub struct Piece {
+    /// Text that the chunk adds.
+    pub text: String,
+    /// Ids of the tokens that the chunk adds, where the engine gives them.
+    pub token_ids: Vec<u32>,
+    /// Version that made the chunk, where the engine stamped it.
+    pub version: Option<WeightVersion>,
+    /// Finish reason, in the last chunk.
+    pub finish: Option<Finish>,
+}
+
+/// Reads a stream piece by piece and tells whether it is whole.
+#[value]
+pub struct Parser {
+    line: Vec<u8>,
+    line_bytes_max: usize,
+    finish: Option<Finish>,
+    done: bool,
+}
+
+impl Parser {
+    /// A parser that refuses lines of more than `line_bytes_max` bytes.
+    pub fn new(line_bytes_max: usize) -> Parser {
+        Parser {
+            line: Vec::new(),
+            line_bytes_max,
+            finish: None,
+            done: false,
+        }
+    }
+
+    /// Takes the next bytes in and gives each piece that they complete to `on_piece`.
+    pub fn push(
+        &mut self,
+        bytes: &[u8],
+        mut on_piece: impl FnMut(Piece) -> Result<(), SseError>,
+    ) -> Result<(), SseError> {
+        let mut rest = bytes;
+        while let Some(end) = rest.iter().position(|&byte| byte == b'\n') {
+            self.extend(&rest[..end])?;
+            rest = &rest[end + 1..];
+            let line = std::mem::take(&mut self.line);
+            if let Some(piece) = self.line(&line)? {
+                on_piece(piece)?;
+            }
+        }
+        self.extend(rest)
+    }
+
+    /// Whether the stream gave a finish reason of a whole completion and its terminator.
+    pub fn is_whole(&self) -> bool {
+        self.done && self.finish.is_some_and(Finish::is_whole)
+    }
+
+    /// The finish reason, once it came.
+    pub fn finish(&self) -> Option<Finish> {
+        self.finish
+    }
+
+    fn extend(&mut self, bytes: &[u8]) -> Result<(), SseError> {
+        if self.line.len() + bytes.len() > self.line_bytes_max {
+            return Err(SseError::LineTooLong(self.line_bytes_max));
+        }
+        self.line.extend_from_slice(bytes);
+        Ok(())
+    }
+
+    fn line(&mut self, line: &[u8]) -> Result<Option<Piece>, SseError> {
+        let line = line.strip_suffix(b"\r").unwrap_or(line);
+        // Blank lines end an event; comments and other fields carry nothing here.
+        let Some(data) = line.strip_prefix(b"data:") else {
+            return Ok(None);
+        };
+        if self.done {
+            return Err(SseError::AfterDone);
+        }
+        let data = data.trim_ascii();
+        if data == b"[DONE]" {
+            self.done = true;
+            return Ok(None);
+        }
+        let chunk: Chunk = serde_json::from_slice(data).map_err(|_| SseError::BadChunk)?;
+        let piece = chunk.into_piece()?;
+        self.finish = piece.finish.or(self.finish);
+        Ok(Some(piece))
+    }
+}
+
+#[derive(Deserialize)]
+struct Chunk {
+    choices: Vec<Choice>,
+    weight_version: Option<String>,
+}
+
+#[derive(Deserialize)]
+struct Choice {
+    #[serde(default)]
+    text: String,
+    #[serde(default)]
+    token_ids: Vec<u32>,
+    finish_reason: Option<String>,
+}
+
+impl Chunk {
+    fn into_piece(self) -> Result<Piece, SseError> {
+        let version = self.weight_version.as_deref().map(str::parse).transpose()?;
+        // A chunk with usage alone has no choice.
+        let choice = self.choices.into_iter().next().unwrap_or(Choice {
+            text: String::new(),
+            token_ids: Vec::new(),
+            finish_reason: None,
+        });
+        Ok(Piece {
+            text: choice.text,
+            token_ids: choice.token_ids,
+            version,
+            finish: choice.finish_reason.as_deref().map(Finish::parse),
+        })
+    }
+}
+
+/// A completion put together from its pieces.
+#[value]
+#[derive(Default)]
+pub struct Transcript {
+    /// The text so far.
+    pub text: String,
+    /// Ids of its tokens, where the engine gives them.
+    pub token_ids: Vec<u32>,
+    /// Pieces that added text; about the tokens, for engines that give no ids.
+    pub pieces: u32,
+    /// Versions on the pieces, each once, in the order of their first piece.
+    pub versions: Vec<WeightVersion>,
+    /// Whether a piece with text had no stamp, so that the versions are not known.
+    pub unstamped: bool,
+}
+
+impl Transcript {
+    /// Adds a piece; refuses to grow over `text_bytes_max`.
+    pub fn add(&mut self, piece: &Piece, text_bytes_max: usize) -> Result<(), SseError> {
+        if self.text.len() + piece.text.len() > text_bytes_max {
+            return Err(SseError::TextTooLong(text_bytes_max));
+        }
+        if piece.text.is_empty() && piece.token_ids.is_empty() {
+            return Ok(());
+        }
+        self.text.push_str(&piece.text);
+        self.token_ids.extend_from_slice(&piece.token_ids);
+        self.pieces += 1;
+        match piece.version {
+            Some(version) if self.versions.contains(&version) => {}
+            Some(version) => self.versions.push(version),
+            None => self.unstamped = true,
+        }
+        Ok(())
+    }
+}
