Link and protocol: API skeleton and shared keys

Cause: entry and agent are built on the calls of package link at the same time as it. Change: signatures of link; keys of the inner protocol with short ids, two valid at a time. Bodies of link are empty.

--- a/components/link/src/lib.rs
+++ b/components/link/src/lib.rs
@@ -1,1 +1,22 @@
-//! Package `link` of hornbeamrock.
+//! Calls between the system's own processes over TCP, and datagrams over UDP.
+//!
+//! A call survives a cut or silent connection: the caller connects anew and takes the call
+//! up again by its identity. All decisions are in package `recovery`; here are sockets,
+//! tasks and channels.
+
+mod answer;
+mod call;
+mod links;
+mod server;
+mod settings;
+mod traffic;
+mod udp;
+
+pub use answer::{Answer, Incoming};
+pub use call::{Call, CallEvent};
+pub use links::Links;
+pub use protocol::{Key, KeyError, Keys};
+pub use server::serve;
+pub use settings::LinkSettings;
+pub use traffic::Traffic;
+pub use udp::Udp;
--- a/components/protocol/src/datagram.rs
+++ b/components/protocol/src/datagram.rs
@@ -101,6 +101,11 @@
     /// Tells a process that another life at its address is known, so that it takes a
     /// higher number.
     Incarnation(Incarnation),
+    /// The newest read of the log's configuration by any process that the sender knows of.
+    ConfigRead {
+        /// How long ago that read was, in milliseconds.
+        age_ms: u32,
+    },
 }
 
 /// One datagram.
--- a/components/protocol/src/lib.rs
+++ b/components/protocol/src/lib.rs
@@ -3,6 +3,8 @@
 
 mod datagram;
 mod frame;
+mod key;
 
 pub use datagram::{ConfigDigest, Datagram, Hosted, Load, News, ProcessRole, Status};
 pub use frame::{Frame, Head, Hello, Open};
+pub use key::{KEY_BYTES, KEY_ID_BYTES, KEYS_MAX, Key, KeyError, KeyId, Keys};
