weights: authority, reconciliation, turns at the store

Purpose: every replica reaches the version that the trainer announced, without a lease or a coordinator, and late news changes nothing. Weighed: a lease on each engine (lapses while its holder is paused) against one agent that reads the state back after each order; only what was read counts, so lost answers, refused fences and old orders are one case.

--- a/components/weights/src/lib.rs
+++ b/components/weights/src/lib.rs
@@ -1,1 +1,14 @@
-//! Package `weights` of hornbeamrock.
+//! Weight versions: which one is in force, and how each agent brings its own engine
+//! there. Events and the time go in, actions come out.
+
+mod authority;
+mod backoff;
+mod order;
+mod reconcile;
+mod turn;
+
+pub use authority::{AnnounceError, Announcement, Announcer, Authority, ModelKey, Target};
+pub use backoff::Backoff;
+pub use order::{EngineState, Order, OrderId, OrderKind, OrderOutcome};
+pub use reconcile::{Reconcile, ReconcileSettings, Status};
+pub use turn::{StoreRate, Turn, store_rate_needed_bytes_per_s, turn};
--- /dev/null
+++ b/components/weights/src/reconcile.rs
@@ -0,0 +1,354 @@
+//! An agent brings its own engine to the wanted version.
+//!
+//! One order is in flight at most: load first, then switch. After each order the state
+//! is read back, whatever the engine answered, and only what was read counts. So a lost
+//! answer, a failed swap, a refused fencing number and an old order that slips in at an
+//! engine that ignores the number are all the same case: the state differs from the
+//! wanted one, and the next order follows. No lease is needed, because nobody else
+//! orders this engine, and an order carries a number that grows with (epoch, version).
+//!
+//! The engine serves its old version while it loads, so every replica of a service may
+//! be behind its turn at the store and the service still answers. How old that version
+//! is stands in [`Status`].
+
+use derive::value;
+use types::WeightVersion;
+
+use crate::authority::Target;
+use crate::backoff::Backoff;
+use crate::order::{EngineState, Order, OrderId, OrderKind, OrderOutcome};
+
+/// How the agent paces itself.
+#[value]
+pub struct ReconcileSettings {
+    /// Between two looks at an engine that is as wanted.
+    pub watch_ms: u64,
+    /// A state read longer ago than this is read again before any order.
+    pub belief_ms: u64,
+    /// An order without an answer for this long is over, its outcome unknown.
+    pub order_timeout_ms: u64,
+    /// After a failed order or read.
+    pub backoff: Backoff,
+    /// Versions that samples may lag behind.
+    pub staleness_bound: u64,
+}
+
+impl Default for ReconcileSettings {
+    fn default() -> Self {
+        Self {
+            watch_ms: 1_000,
+            belief_ms: 500,
+            order_timeout_ms: 60_000,
+            backoff: Backoff {
+                first_ms: 200,
+                max_ms: 10_000,
+            },
+            staleness_bound: 0,
+        }
+    }
+}
+
+/// State of the engine for people and peers.
+#[value]
+pub struct Status {
+    /// Version that was last read from the engine.
+    pub serving: Option<WeightVersion>,
+    /// Version that is wanted.
+    pub wanted: Option<WeightVersion>,
+    /// How long ago the state was read.
+    pub read_age_ms: Option<u64>,
+    /// Versions between serving and wanted; `None` across epochs or when unknown.
+    pub behind: Option<u64>,
+    /// The engine's version is too old for samples.
+    pub too_old: bool,
+    /// The engine knows something newer than this agent: ask the peers.
+    pub news_missing: bool,
+    /// Failures in a row.
+    pub failures: u32,
+    /// Whether an order is in flight.
+    pub ordering: bool,
+}
+
+#[value]
+struct Belief {
+    state: EngineState,
+    read_ms: u64,
+}
+
+#[value]
+struct Unproved {
+    kind: OrderKind,
+    /// Its failure has been counted already.
+    counted: bool,
+}
+
+#[value]
+struct InFlight {
+    order: Order,
+    sent_ms: u64,
+}
+
+/// State machine of one model at one engine.
+#[derive(Clone, Debug)]
+pub struct Reconcile {
+    settings: ReconcileSettings,
+    target: Option<Target>,
+    /// Earliest time of the load: the replica's turn at the store.
+    load_after_ms: u64,
+    belief: Option<Belief>,
+    /// The belief may have been overtaken by an order; read before the next one.
+    belief_open: bool,
+    in_flight: Option<InFlight>,
+    /// The last change; the next read says whether it took effect.
+    unproved: Option<Unproved>,
+    read_after_ms: u64,
+    change_after_ms: u64,
+    failures: u32,
+    fence_refused: bool,
+    earlier_cancelled: bool,
+    next_id: u64,
+}
+
+impl Reconcile {
+    /// An agent that has just started beside an engine that may have lived on.
+    pub fn new(settings: ReconcileSettings) -> Self {
+        Self {
+            settings,
+            target: None,
+            load_after_ms: 0,
+            belief: None,
+            belief_open: true,
+            in_flight: None,
+            unproved: None,
+            read_after_ms: 0,
+            change_after_ms: 0,
+            failures: 0,
+            fence_refused: false,
+            earlier_cancelled: false,
+            next_id: 1,
+        }
+    }
+
+    /// The target is news; `turn_delay_ms` is this replica's wait at the store.
+    pub fn want(&mut self, target: Target, turn_delay_ms: u64, now_ms: u64) {
+        if self.target == Some(target) {
+            return;
+        }
+        let load_is_news = self.target.is_none_or(|old| old.load != target.load);
+        if load_is_news {
+            self.load_after_ms = now_ms + turn_delay_ms;
+        }
+        self.target = Some(target);
+        self.fence_refused = false;
+        // Failures with an older version say nothing of this one.
+        self.failures = 0;
+        self.change_after_ms = now_ms;
+    }
+
+    /// The next order, if one is due. `random_permille` is 0 to 999.
+    pub fn poll(&mut self, now_ms: u64, random_permille: u64) -> Option<Order> {
+        self.drop_overdue(now_ms, random_permille);
+        if self.in_flight.is_some() {
+            return None;
+        }
+        let kind = self.next_kind(now_ms)?;
+        Some(self.send(kind, now_ms))
+    }
+
+    /// When `poll` is next worth a call, if nothing else happens.
+    pub fn next_due_ms(&self, now_ms: u64) -> u64 {
+        if let Some(in_flight) = &self.in_flight {
+            return in_flight.sent_ms + self.settings.order_timeout_ms;
+        }
+        let Some(belief) = self.belief.as_ref().filter(|_| !self.belief_open) else {
+            return self.read_after_ms.max(now_ms);
+        };
+        let watch_ms = self
+            .read_after_ms
+            .max(belief.read_ms + self.settings.watch_ms);
+        let change_ms = self
+            .wanted_order(&belief.state)
+            .map(|kind| self.due_ms(kind));
+        change_ms
+            .map_or(watch_ms, |ms| ms.min(watch_ms))
+            .max(now_ms)
+    }
+
+    /// An order ended. An id that is not in flight belongs to an order given up on and
+    /// is ignored: the read after it already tells the truth.
+    pub fn ended(&mut self, id: OrderId, outcome: OrderOutcome, now_ms: u64, random_permille: u64) {
+        let Some(in_flight) = self.in_flight.take_if(|f| f.order.id == id) else {
+            return;
+        };
+        match in_flight.order.kind {
+            OrderKind::CancelEarlier => self.earlier_cancelled = true,
+            OrderKind::Read => self.read_ended(outcome, in_flight.sent_ms, now_ms, random_permille),
+            kind => self.change_ended(kind, outcome, now_ms, random_permille),
+        }
+    }
+
+    /// State for people and peers.
+    pub fn status(&self, now_ms: u64) -> Status {
+        let serving = self.belief.as_ref().and_then(|belief| belief.state.version);
+        let wanted = self.target.map(|target| target.serve);
+        let behind = serving.zip(wanted).and_then(|(s, w)| behind(s, w));
+        let judged = serving.is_some() && wanted.is_some();
+        Status {
+            serving,
+            wanted,
+            read_age_ms: self
+                .belief
+                .as_ref()
+                .map(|b| now_ms.saturating_sub(b.read_ms)),
+            behind,
+            too_old: judged && behind.is_none_or(|lag| lag > self.settings.staleness_bound),
+            news_missing: self.fence_refused || serving > wanted,
+            failures: self.failures,
+            ordering: self.in_flight.is_some(),
+        }
+    }
+
+    fn next_kind(&self, now_ms: u64) -> Option<OrderKind> {
+        if !self.earlier_cancelled {
+            return Some(OrderKind::CancelEarlier);
+        }
+        let may_read = now_ms >= self.read_after_ms;
+        let read = may_read.then_some(OrderKind::Read);
+        let Some(belief) = self.belief.as_ref().filter(|_| !self.belief_open) else {
+            return read;
+        };
+        let age_ms = now_ms.saturating_sub(belief.read_ms);
+        let change = self.wanted_order(&belief.state);
+        match change.filter(|&kind| now_ms >= self.due_ms(kind)) {
+            // A frozen process wakes with an old belief: another life of the engine or a
+            // switch may have come since. Read first, then decide again.
+            Some(_) if age_ms > self.settings.belief_ms => read,
+            Some(kind) => Some(kind),
+            None => read.filter(|_| age_ms >= self.settings.watch_ms),
+        }
+    }
+
+    /// What brings the engine nearer to the target, whenever its time is.
+    fn wanted_order(&self, state: &EngineState) -> Option<OrderKind> {
+        let target = self.target?;
+        // Serving something newer means that this agent has missed news. Versions only
+        // go up; going back here would undo a roll-back.
+        if state.version > Some(target.serve) {
+            return None;
+        }
+        let serves = state.version == Some(target.serve);
+        if !serves && state.holds(target.serve) {
+            return Some(OrderKind::Switch(target.serve));
+        }
+        if !serves {
+            return Some(OrderKind::Load(target.serve));
+        }
+        let prepared = state.holds(target.load);
+        (!prepared).then_some(OrderKind::Load(target.load))
+    }
+
+    /// When this change may be ordered.
+    fn due_ms(&self, kind: OrderKind) -> u64 {
+        match kind {
+            OrderKind::Load(_) => self.change_after_ms.max(self.load_after_ms),
+            _ => self.change_after_ms,
+        }
+    }
+
+    fn send(&mut self, kind: OrderKind, now_ms: u64) -> Order {
+        let order = Order {
+            id: OrderId(self.next_id),
+            kind,
+            send_before_ms: now_ms + self.settings.belief_ms,
+        };
+        self.next_id += 1;
+        self.in_flight = Some(InFlight {
+            order,
+            sent_ms: now_ms,
+        });
+        order
+    }
+
+    fn drop_overdue(&mut self, now_ms: u64, random_permille: u64) {
+        let timeout_ms = self.settings.order_timeout_ms;
+        let overdue = |f: &InFlight| now_ms.saturating_sub(f.sent_ms) >= timeout_ms;
+        if let Some(id) = self
+            .in_flight
+            .as_ref()
+            .filter(|f| overdue(f))
+            .map(|f| f.order.id)
+        {
+            self.ended(id, OrderOutcome::Unknown, now_ms, random_permille);
+        }
+    }
+
+    fn read_ended(&mut self, outcome: OrderOutcome, sent_ms: u64, now_ms: u64, random: u64) {
+        let OrderOutcome::State(state) = outcome else {
+            self.failures = self.failures.saturating_add(1);
+            self.read_after_ms = now_ms + self.settings.backoff.wait_ms(self.failures, random);
+            return;
+        };
+        self.prove_last_change(&state, now_ms, random);
+        // The age counts from the question: the answer may have been long on its way.
+        self.belief = Some(Belief {
+            state,
+            read_ms: sent_ms,
+        });
+        self.belief_open = false;
+    }
+
+    /// Only the state says whether a change took effect. An engine that answers "done"
+    /// and does nothing is backed off from like one that fails; a change whose answer was
+    /// lost counts as done if it shows.
+    fn prove_last_change(&mut self, state: &EngineState, now_ms: u64, random_permille: u64) {
+        let Some(unproved) = self.unproved.take() else {
+            return;
+        };
+        let shows = match unproved.kind {
+            OrderKind::Load(version) => state.holds(version),
+            OrderKind::Switch(version) => state.version == Some(version),
+            OrderKind::CancelEarlier | OrderKind::Read => true,
+        };
+        if shows {
+            self.failures = 0;
+            self.change_after_ms = now_ms;
+        } else if !unproved.counted {
+            self.change_failed(now_ms, random_permille);
+        }
+    }
+
+    fn change_ended(&mut self, kind: OrderKind, outcome: OrderOutcome, now_ms: u64, random: u64) {
+        self.belief_open = true;
+        // The read that follows an order is never put off.
+        self.read_after_ms = now_ms;
+        let done = outcome == OrderOutcome::Done;
+        self.unproved = Some(Unproved {
+            kind,
+            counted: !done,
+        });
+        self.fence_refused = outcome == OrderOutcome::OldFence;
+        if !done {
+            self.change_failed(now_ms, random);
+        }
+        if let OrderOutcome::StoreBusy {
+            retry_after_ms: Some(asked_ms),
+        } = outcome
+        {
+            self.change_after_ms = self.change_after_ms.max(now_ms + asked_ms);
+        }
+    }
+
+    fn change_failed(&mut self, now_ms: u64, random_permille: u64) {
+        self.failures = self.failures.saturating_add(1);
+        let wait_ms = self
+            .settings
+            .backoff
+            .wait_ms(self.failures, random_permille);
+        self.change_after_ms = now_ms + wait_ms;
+    }
+}
+
+fn behind(serving: WeightVersion, wanted: WeightVersion) -> Option<u64> {
+    let same_epoch = serving.epoch == wanted.epoch;
+    same_epoch.then(|| wanted.version.saturating_sub(serving.version))
+}
