--- /dev/null
+++ b/components/routing/src/latency.rs
@@ -0,0 +1,105 @@
+//! Latencies of finished calls, for the time at which a call counts as a straggler.
+//!
+//! Buckets grow by a quarter of a power of two, so a quantile is at most a quarter too
+//! high. All counters are atomics. Two windows alternate: the older is cleared when its
+//! time comes round again, so a quantile follows a change within two windows.
+
+use std::array;
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+
+const STEPS_PER_OCTAVE: u32 = 4;
+const BUCKETS: usize = 96;
+const WINDOWS: usize = 2;
+
+/// Latencies of one service, in milliseconds.
+#[derive(Debug)]
+pub struct Latencies {
+    window_ms: u64,
+    /// Number of the window that is filled now.
+    filling: AtomicU64,
+    windows: [[AtomicU32; BUCKETS]; WINDOWS],
+}
+
+impl Latencies {
+    /// No latencies yet; those older than two windows are forgotten.
+    pub fn new(window_ms: u64) -> Self {
+        Self {
+            window_ms: window_ms.max(1),
+            filling: AtomicU64::new(0),
+            windows: array::from_fn(|_| array::from_fn(|_| AtomicU32::new(0))),
+        }
+    }
+
+    /// Counts one finished call.
+    pub fn record(&self, latency_ms: u64, now_ms: u64) {
+        let number = now_ms / self.window_ms;
+        self.turn_to(number);
+        let window = self.windows.get(number as usize % WINDOWS);
+        if let Some(count) = window.and_then(|window| window.get(bucket(latency_ms))) {
+            count.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+
+    /// Upper bound of the latency that `permille` of the calls kept, or `None` while
+    /// fewer than `calls_min` are known.
+    pub fn quantile(&self, permille: u32, calls_min: u32) -> Option<u64> {
+        let sums: [u64; BUCKETS] = array::from_fn(|at| self.sum(at));
+        let total: u64 = sums.iter().sum();
+        if total == 0 || total < u64::from(calls_min) {
+            return None;
+        }
+        let wanted = (total * u64::from(permille)).div_ceil(1_000);
+        let mut seen = 0;
+        let found = sums.iter().position(|count| {
+            seen += count;
+            seen >= wanted
+        });
+        found.map(bucket_end_ms)
+    }
+
+    fn sum(&self, at: usize) -> u64 {
+        let counts = self.windows.iter().filter_map(|window| window.get(at));
+        counts
+            .map(|count| u64::from(count.load(Ordering::Relaxed)))
+            .sum()
+    }
+
+    fn turn_to(&self, number: u64) {
+        let filling = self.filling.load(Ordering::Relaxed);
+        if number <= filling {
+            return;
+        }
+        let turned =
+            self.filling
+                .compare_exchange(filling, number, Ordering::Relaxed, Ordering::Relaxed);
+        if turned.is_err() {
+            return;
+        }
+        self.clear(number);
+        if number > filling + 1 {
+            self.clear(number + 1);
+        }
+    }
+
+    fn clear(&self, number: u64) {
+        let window = self.windows.get(number as usize % WINDOWS);
+        for count in window.into_iter().flatten() {
+            count.store(0, Ordering::Relaxed);
+        }
+    }
+}
+
+fn bucket(latency_ms: u64) -> usize {
+    let value = latency_ms.max(1);
+    let octave = value.ilog2();
+    let within = ((value - (1 << octave)) * u64::from(STEPS_PER_OCTAVE)) >> octave;
+    let at = u64::from(octave * STEPS_PER_OCTAVE) + within;
+    (at as usize).min(BUCKETS - 1)
+}
+
+fn bucket_end_ms(at: usize) -> u64 {
+    let octave = at as u32 / STEPS_PER_OCTAVE;
+    let within = at as u64 % u64::from(STEPS_PER_OCTAVE);
+    let start = 1_u64 << octave;
+    start + start * (within + 1) / u64::from(STEPS_PER_OCTAVE)
+}
--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -1,1 +1,31 @@
-//! Package `routing` of hornbeamrock.
+//! Choice of the replica that runs a call.
+//!
+//! An entry keeps one immutable [`Table`] for each service and swaps it when
+//! membership or a load report changes. Counters that a request changes are atomics
+//! shared by successive tables, so the path of a request takes no lock. Time and
+//! random numbers are passed in.
+
+mod choose;
+mod counters;
+mod ejection;
+pub mod hedge;
+mod history;
+mod latency;
+mod prefix;
+mod random;
+mod replica;
+mod score;
+mod settings;
+mod subset;
+mod table;
+
+pub use choose::{Ask, Choice, NoChoice, choose};
+pub use counters::{Counters, Outstanding, Work};
+pub use ejection::Outcome;
+pub use latency::Latencies;
+pub use prefix::{BlockEvent, Blocks, Match, Matches, PrefixId, Prefixes};
+pub use random::Draws;
+pub use replica::{Locality, Replica, Report};
+pub use settings::{Policy, Settings};
+pub use subset::subset;
+pub use table::{Slot, Table};
