samples: cursor, ledger of a step, dispatch, homes

Purpose: every sample once, young enough and with its true versions, while VMs die. Weighed: a ledger in the log (one append a fetch, waits through an outage; kept as fetch_log for trainers that can't carry a cursor) against the cursor (no append, waits for nothing). A fresh race against each long run was ruled out, because it favours short texts; hedges share the sample's seed and only slow or silent runs are late. A scorer that fails as a whole costs no run; a sample that alone can't be scored is run again.

--- /dev/null
+++ b/components/samples/src/distribution.rs
@@ -0,0 +1,74 @@
+//! Running distribution of a step's figures, in buckets of at most an eighth apart.
+
+const SUB_BITS: u32 = 3;
+const SUB: u64 = 1 << SUB_BITS;
+const BUCKETS: usize = ((u64::BITS - SUB_BITS + 1) as usize) << SUB_BITS;
+const PERMILLE: u64 = 1_000;
+
+/// Counts of numbers by size.
+#[derive(Clone, Debug)]
+pub struct Distribution {
+    counts: Box<[u32]>,
+    total: u64,
+}
+
+impl Default for Distribution {
+    fn default() -> Self {
+        Self {
+            counts: vec![0; BUCKETS].into_boxed_slice(),
+            total: 0,
+        }
+    }
+}
+
+impl Distribution {
+    /// Empty.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Counts a number.
+    pub fn record(&mut self, number: u64) {
+        self.counts[bucket(number)] += 1;
+        self.total += 1;
+    }
+
+    /// Numbers counted.
+    pub fn total(&self) -> u64 {
+        self.total
+    }
+
+    /// Smallest bucket's upper end that at least `permille` of the numbers do not exceed;
+    /// `None` while nothing is counted.
+    pub fn quantile(&self, permille: u64) -> Option<u64> {
+        if self.total == 0 {
+            return None;
+        }
+        let rank = (self.total * permille).div_ceil(PERMILLE).max(1);
+        let mut seen = 0;
+        let reaches = |&count: &u32| {
+            seen += u64::from(count);
+            seen >= rank
+        };
+        self.counts.iter().position(reaches).map(upper_end)
+    }
+}
+
+fn bucket(number: u64) -> usize {
+    if number < SUB {
+        return number as usize;
+    }
+    let exponent = number.ilog2() - SUB_BITS;
+    let sub = (number >> exponent) - SUB;
+    ((u64::from(exponent + 1) << SUB_BITS) + sub) as usize
+}
+
+fn upper_end(bucket: usize) -> u64 {
+    let bucket = bucket as u64;
+    if bucket < SUB {
+        return bucket;
+    }
+    let exponent = (bucket >> SUB_BITS) - 1;
+    let start = (SUB + bucket % SUB) << exponent;
+    start + ((1 << exponent) - 1)
+}
--- /dev/null
+++ b/components/samples/src/home.rs
@@ -0,0 +1,59 @@
+//! Which entries hold a step.
+//!
+//! Rendezvous hashing over the live entries: each process computes the same two without
+//! asking, and the loss of an entry moves only its own steps. Two views that differ for
+//! a moment give a step two homes at once, which costs work; the trainer's cursor keeps
+//! its samples from being doubled.
+
+use std::net::SocketAddr;
+
+use derive::value;
+use sha2::{Digest, Sha256};
+use types::FailureDomain;
+
+use crate::step::StepKey;
+
+/// A live entry.
+#[value]
+pub struct Entry {
+    /// Its inner address.
+    pub address: SocketAddr,
+    /// Its failure domain.
+    pub failure_domain: FailureDomain,
+}
+
+/// The entries that hold a step.
+#[value]
+pub struct Homes {
+    /// Dispatches the runs and answers fetches.
+    pub first: SocketAddr,
+    /// Holds prompts and finished samples; in another failure domain if there is one.
+    pub second: Option<SocketAddr>,
+}
+
+/// Homes of a step; `None` without live entries.
+pub fn homes(key: &StepKey, live: &[Entry]) -> Option<Homes> {
+    let first = best(key, live.iter())?;
+    let others = || live.iter().filter(|entry| entry.address != first.address);
+    let elsewhere = others().filter(|entry| entry.failure_domain != first.failure_domain);
+    let second = best(key, elsewhere).or_else(|| best(key, others()));
+    Some(Homes {
+        first: first.address,
+        second: second.map(|entry| entry.address),
+    })
+}
+
+fn best<'a>(key: &StepKey, entries: impl Iterator<Item = &'a Entry>) -> Option<&'a Entry> {
+    entries.max_by_key(|entry| (weight(key, entry.address), entry.address))
+}
+
+fn weight(key: &StepKey, address: SocketAddr) -> [u8; 32] {
+    let mut hash = Sha256::new();
+    hash.update(key.customer.as_str());
+    hash.update([0]);
+    hash.update(key.service.as_str());
+    hash.update([0]);
+    hash.update(key.step.to_be_bytes());
+    hash.update(address.to_string());
+    hash.finalize().into()
+}
--- /dev/null
+++ b/components/samples/src/ledger/dispatch.rs
@@ -0,0 +1,210 @@
+//! Which slots to run next, and where.
+//!
+//! Slots go in the order of their groups, so that the groups begun first are whole first
+//! and a slot to be run again goes before groups not begun. Each run goes to the replica
+//! with the most room, which spreads a group and keeps one slow replica from holding up
+//! every group; among equals the newest version wins. A replica whose version would make
+//! the sample too old gets nothing. Late runs use the room that pending slots leave.
+
+use std::net::SocketAddr;
+
+use super::Ledger;
+use super::state::{Action, Partial, Phase, Replica, Room, Run, RunId, Start, mix};
+use crate::sample::staleness;
+use crate::straggler::{Budget, Decision, RunView, due};
+
+/// Pause between two looks at the runs in progress.
+const LOOK_MS: u64 = 500;
+
+impl Ledger {
+    /// Starts what may start now; asks for scores again; looks for late runs.
+    pub fn dispatch(&mut self, room: &Room, now_ms: u64) {
+        self.ask_scores(now_ms);
+        let mut free = self.usable(room);
+        let mut budget = room.in_progress_max.saturating_sub(self.runs.len() as u32);
+        let ready = |place: &u32| now_ms >= self.slots[*place as usize].not_before_ms;
+        let ready: Vec<u32> = self.pending.iter().copied().filter(ready).collect();
+        for place in ready {
+            if budget == 0 {
+                break;
+            }
+            let avoid = self.slots[place as usize].avoid;
+            let Some(to) = take_replica(&mut free, avoid, true) else {
+                break;
+            };
+            self.start(place, to, now_ms);
+            budget -= 1;
+        }
+        self.chase_late_runs(&mut free, budget, now_ms);
+    }
+
+    /// When `dispatch` is next worth a call, if no event comes and room stays the same.
+    pub fn next_due_ms(&self, now_ms: u64) -> Option<u64> {
+        let waits = self
+            .pending
+            .iter()
+            .map(|&p| self.slots[p as usize].not_before_ms);
+        let pending = waits.min();
+        let look = (!self.runs.is_empty()).then_some(now_ms + LOOK_MS);
+        let due = [pending, self.score_due_ms(), look];
+        due.into_iter().flatten().min().map(|ms| ms.max(now_ms))
+    }
+
+    /// Runs in progress.
+    pub fn running(&self) -> u32 {
+        self.runs.len() as u32
+    }
+
+    /// Slots that wait for a run.
+    pub fn waiting(&self) -> u32 {
+        self.pending.len() as u32
+    }
+
+    fn usable(&self, room: &Room) -> Vec<Replica> {
+        let young = |replica: &&Replica| {
+            let Some(version) = replica.version else {
+                return true;
+            };
+            let lag = staleness(&[version].into(), self.newest);
+            lag.is_some_and(|lag| lag <= self.settings.staleness_bound)
+        };
+        room.replicas.iter().filter(young).cloned().collect()
+    }
+
+    fn start(&mut self, place: u32, to: SocketAddr, now_ms: u64) {
+        self.pending.remove(&place);
+        let resume = self.young_partial(place);
+        self.tally.resumes += u64::from(resume.is_some());
+        self.slot_mut(place).phase = Phase::Running;
+        self.launch(place, to, resume, false, now_ms);
+    }
+
+    fn launch(
+        &mut self,
+        place: u32,
+        to: SocketAddr,
+        resume: Option<Partial>,
+        hedge: bool,
+        now_ms: u64,
+    ) {
+        let Some(slot) = self.step.slot(place) else {
+            return;
+        };
+        let run = RunId(self.next_run);
+        self.next_run += 1;
+        self.tally.runs += 1;
+        let versions = resume.as_ref().and_then(|p| p.provenance.versions());
+        let state = Run {
+            place,
+            to,
+            hedge,
+            started_ms: now_ms,
+            token_ms: now_ms,
+            tokens: 0,
+            versions: versions.cloned().unwrap_or_default(),
+            stopping: false,
+        };
+        self.runs.insert(run, state);
+        self.slot_mut(place).runs.push(run);
+        let seed = self.seed(place);
+        self.actions.push(Action::Start(Start {
+            run,
+            slot,
+            to,
+            seed,
+            resume,
+            hedge,
+        }));
+    }
+
+    /// Tokens that the slot can go on from, unless they are too old by now.
+    fn young_partial(&mut self, place: u32) -> Option<Partial> {
+        let partial = self.slots[place as usize].partial.clone()?;
+        let lag = staleness(partial.provenance.versions()?, self.newest);
+        let young = lag.is_some_and(|lag| lag <= self.settings.staleness_bound);
+        if !young {
+            self.tally.abandoned += 1;
+            let slot = self.slot_mut(place);
+            slot.attempt += 1;
+            slot.partial = None;
+        }
+        young.then_some(partial)
+    }
+
+    fn seed(&self, place: u32) -> u64 {
+        let digest = self.step.digest();
+        let words = digest.0.chunks(8).map(|word| {
+            word.iter()
+                .fold(0, |number, &byte| number << 8 | u64::from(byte))
+        });
+        let step = words.fold(0, |seed, word| mix(seed ^ word));
+        let attempt = self.slots[place as usize].attempt;
+        mix(step ^ (u64::from(place) << 32 | u64::from(attempt)))
+    }
+
+    fn chase_late_runs(&mut self, free: &mut [Replica], mut room: u32, now_ms: u64) {
+        let mut budget = Budget {
+            hedges: self.runs.values().filter(|run| run.hedge).count() as u64,
+            slots: u64::from(self.step.total()),
+        };
+        let ids: Vec<RunId> = self.runs.keys().copied().collect();
+        for id in ids {
+            let Some((place, from, decision)) = self.decide(id, &budget, now_ms) else {
+                continue;
+            };
+            match decision {
+                Decision::Wait => {}
+                // Without another replica a move would only lose the run.
+                Decision::Resume if free.iter().any(|r| r.address != from) => self.stop(id),
+                Decision::Resume => {}
+                Decision::Hedge if room == 0 => {}
+                Decision::Hedge => {
+                    let Some(to) = take_replica(free, Some(from), false) else {
+                        continue;
+                    };
+                    room -= 1;
+                    budget.hedges += 1;
+                    self.tally.hedges += 1;
+                    let resume = self.young_partial(place);
+                    self.launch(place, to, resume, true, now_ms);
+                }
+            }
+        }
+    }
+
+    fn decide(
+        &self,
+        id: RunId,
+        budget: &Budget,
+        now_ms: u64,
+    ) -> Option<(u32, SocketAddr, Decision)> {
+        let run = self.runs.get(&id).filter(|run| !run.stopping)?;
+        let slot = &self.slots[run.place as usize];
+        let view = RunView {
+            elapsed_ms: now_ms.saturating_sub(run.started_ms),
+            silent_ms: now_ms.saturating_sub(run.token_ms),
+            tokens: run.tokens,
+            moves: slot.moves,
+            hedged: slot.runs.len() > 1,
+        };
+        let decision = due(&self.settings.straggler, &view, &self.pace, budget);
+        Some((run.place, run.to, decision))
+    }
+}
+
+/// Takes a place at the replica with the most room. `avoid` is used only if
+/// `avoid_is_weak` and nothing else has room.
+fn take_replica(
+    free: &mut [Replica],
+    avoid: Option<SocketAddr>,
+    avoid_is_weak: bool,
+) -> Option<SocketAddr> {
+    let other = |replica: &Replica| Some(replica.address) != avoid;
+    let best = |may: &dyn Fn(&Replica) -> bool| {
+        let with_room = (0..free.len()).filter(|&at| free[at].room > 0 && may(&free[at]));
+        with_room.max_by_key(|&at| (free[at].room, free[at].version, free[at].address))
+    };
+    let at = best(&other).or_else(|| best(&|_| avoid_is_weak))?;
+    free[at].room -= 1;
+    Some(free[at].address)
+}
--- /dev/null
+++ b/components/samples/src/ledger/fetch.rs
@@ -0,0 +1,197 @@
+//! What a fetch gives.
+
+use std::sync::Arc;
+
+use derive::value;
+use quick_error::quick_error;
+use types::WeightVersion;
+
+use super::Ledger;
+use super::state::{Phase, SlotState};
+use crate::cursor::Cursor;
+use crate::sample::Sample;
+use crate::slots::SlotSet;
+use crate::step::Step;
+
+quick_error! {
+    /// Why a fetch gives nothing.
+    #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+    pub enum FetchError {
+        /// The cursor belongs to another post.
+        OtherPost {
+            display("the cursor belongs to another post than the step held here")
+        }
+        /// An operator has rolled the model back; the trainer has to take that epoch up.
+        EpochOver(current: WeightVersion) {
+            display("the model was rolled back; version {} is in force", current)
+        }
+    }
+}
+
+/// A sample of a reply.
+#[value]
+pub struct Offer {
+    /// The sample.
+    pub sample: Arc<Sample>,
+    /// Versions that it lags behind the trainer.
+    pub staleness: u64,
+}
+
+/// Answer to a fetch; it counts only together with its cursor.
+#[value]
+pub struct Reply {
+    /// Samples that the fetch's cursor did not have.
+    pub samples: Vec<Offer>,
+    /// Cursor of the trainer once it has taken them.
+    pub cursor: Cursor,
+    /// Slots in that cursor.
+    pub received: u32,
+    /// Slots of the step.
+    pub total: u32,
+    /// Whether nothing is missing then.
+    pub complete: bool,
+}
+
+impl Reply {
+    /// The slots of the samples, as a set of the step.
+    pub fn slots(&self, step: &Step) -> SlotSet {
+        let mut slots = SlotSet::new(step.total());
+        let places = self
+            .samples
+            .iter()
+            .filter_map(|offer| step.place(offer.sample.slot));
+        places.for_each(|place| {
+            slots.insert(place);
+        });
+        slots
+    }
+}
+
+impl Ledger {
+    /// Gives up to `max` samples that the cursor does not have and that are young enough
+    /// for the trainer's own version. Whole groups go first. A sample too old is
+    /// abandoned and run again. An earlier cursor is legal: a trainer that went back to
+    /// its checkpoint gets again what it no longer has.
+    pub fn fetch(
+        &mut self,
+        cursor: &Cursor,
+        trainer_version: WeightVersion,
+        max: u32,
+        now_ms: u64,
+    ) -> Result<Reply, FetchError> {
+        let ready = self.ready_for(cursor, trainer_version, now_ms)?;
+        let places = self.choose(&ready, max);
+        Ok(self.reply(cursor, &places, trainer_version))
+    }
+
+    /// Gives exactly these slots, or nothing until all of them are ready; for a fetch
+    /// whose answer is fixed in the log.
+    pub fn fetch_fixed(
+        &mut self,
+        base: &Cursor,
+        slots: &SlotSet,
+        trainer_version: WeightVersion,
+        now_ms: u64,
+    ) -> Result<Option<Reply>, FetchError> {
+        let ready = self.ready_for(base, trainer_version, now_ms)?;
+        let places: Vec<u32> = slots.iter().collect();
+        if !places.iter().all(|&place| ready.contains(place)) {
+            return Ok(None);
+        }
+        Ok(Some(self.reply(base, &places, trainer_version)))
+    }
+
+    fn ready_for(
+        &mut self,
+        cursor: &Cursor,
+        trainer_version: WeightVersion,
+        now_ms: u64,
+    ) -> Result<SlotSet, FetchError> {
+        if cursor.digest() != self.step.digest() {
+            return Err(FetchError::OtherPost);
+        }
+        if trainer_version.epoch < self.newest.epoch {
+            return Err(FetchError::EpochOver(self.newest));
+        }
+        self.take_cursor(cursor);
+        self.announce(trainer_version, None, now_ms);
+        Ok(self.ready(trainer_version))
+    }
+
+    /// Aligns the slots with what the trainer has.
+    pub(crate) fn take_cursor(&mut self, cursor: &Cursor) {
+        let received = cursor.received();
+        for place in received.iter() {
+            self.arrived(place);
+        }
+        for place in received.missing() {
+            if *self.phase(place) == Phase::Idle {
+                self.run_again(place, 0);
+            }
+        }
+        self.received = received.clone();
+    }
+
+    fn arrived(&mut self, place: u32) {
+        if let Some(staleness) = self.slot_mut(place).offered_staleness.take() {
+            self.tally.staleness.record(staleness);
+        }
+        // The other home delivered it: what is under way here is for nobody.
+        if !matches!(self.phase(place), Phase::Finished(_) | Phase::Idle) {
+            self.release(place);
+            self.slot_mut(place).phase = Phase::Idle;
+        }
+    }
+
+    /// Missing slots with a sample that this trainer may have; older ones are abandoned.
+    fn ready(&mut self, trainer_version: WeightVersion) -> SlotSet {
+        let mut ready = SlotSet::new(self.step.total());
+        let missing: Vec<u32> = self.received.missing().collect();
+        for place in missing {
+            let Some(sample) = self.slots[place as usize].finished() else {
+                continue;
+            };
+            let lag = sample.staleness(trainer_version);
+            if lag.is_some_and(|lag| lag <= self.settings.staleness_bound) {
+                ready.insert(place);
+            } else {
+                self.abandon(place);
+            }
+        }
+        ready
+    }
+
+    /// Places to offer: those of groups that become whole first, then the others.
+    fn choose(&self, ready: &SlotSet, max: u32) -> Vec<u32> {
+        let had = |place: u32| ready.contains(place) || self.received.contains(place);
+        let groups = 0..self.step.groups.len() as u32;
+        let places = |group: &u32| self.step.group_places(*group);
+        let (whole, open): (Vec<u32>, Vec<u32>) = groups.partition(|group| places(group).all(had));
+        let ordered = whole.iter().chain(&open).flat_map(places);
+        ordered
+            .filter(|&place| ready.contains(place))
+            .take(max as usize)
+            .collect()
+    }
+
+    fn reply(&mut self, cursor: &Cursor, places: &[u32], trainer_version: WeightVersion) -> Reply {
+        let offer = |&place: &u32| offer(self.slot_mut(place), trainer_version);
+        let samples = places.iter().filter_map(offer).collect();
+        let cursor = cursor.after(places.iter().copied());
+        let received = cursor.received().len();
+        Reply {
+            samples,
+            received,
+            total: self.step.total(),
+            complete: received == self.step.total(),
+            cursor,
+        }
+    }
+}
+
+fn offer(slot: &mut SlotState, trainer_version: WeightVersion) -> Option<Offer> {
+    let sample = Arc::clone(slot.finished()?);
+    let staleness = sample.staleness(trainer_version)?;
+    slot.offered_staleness = Some(staleness);
+    Some(Offer { sample, staleness })
+}
--- a/components/samples/src/lib.rs
+++ b/components/samples/src/lib.rs
@@ -1,1 +1,36 @@
-//! Package `samples` of hornbeamrock.
+//! Training samples: the ledger of a step, the trainer's cursor, the order of runs, and
+//! how old a sample may be. Events and the time go in, actions come out.
+
+mod codec;
+mod copy;
+mod cursor;
+mod distribution;
+mod fetch_log;
+mod home;
+mod ledger;
+mod provenance;
+mod received;
+mod sample;
+mod slots;
+mod step;
+mod steps;
+pub mod straggler;
+pub mod swap;
+mod tally;
+
+pub use copy::Copy;
+pub use cursor::{Cursor, CursorError, CursorKeys};
+pub use distribution::Distribution;
+pub use fetch_log::{FetchLog, Grant, GrantVerdict, Turn};
+pub use home::{Entry, Homes, homes};
+pub use ledger::{
+    Action, Completion, Fault, FetchError, Ledger, LedgerSettings, Offer, Partial, Replica, Reply,
+    RetryPace, Room, RunId, Start,
+};
+pub use provenance::{Provenance, Stamps};
+pub use received::{Received, ReplyError, Take};
+pub use sample::{Sample, Score, ScoreError, staleness};
+pub use slots::SlotSet;
+pub use step::{Group, Slot, Step, StepDigest, StepError, StepKey};
+pub use steps::{PostError, Posted, Steps};
+pub use tally::{IdleClock, Tally};
--- /dev/null
+++ b/components/samples/src/received.rs
@@ -0,0 +1,68 @@
+//! The trainer's side of delivery.
+//!
+//! A reply counts only with its cursor, and only if it was asked with the cursor that the
+//! trainer holds now. Two fetches with one cursor, at two homes that don't know of each
+//! other, bring two replies; the first one taken moves the cursor on, and the second no
+//! longer fits. Samples and cursor have to be stored together, in one checkpoint.
+
+use derive::value;
+use quick_error::quick_error;
+
+quick_error! {
+    /// Why a reply may not be taken.
+    #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+    pub enum ReplyError {
+        /// Another reply was taken since the fetch was sent; fetch again.
+        Overtaken {
+            display("the reply answers an earlier cursor; fetch again with the current one")
+        }
+    }
+}
+
+/// A reply as the trainer sees it.
+#[value]
+pub struct Take<S> {
+    /// Text of the cursor that the fetch carried.
+    pub base: String,
+    /// Samples of the reply.
+    pub samples: Vec<S>,
+    /// Text of the cursor that came with them.
+    pub next: String,
+}
+
+/// What a trainer has received, to be kept whole in its checkpoint.
+#[value]
+pub struct Received<S> {
+    cursor: String,
+    samples: Vec<S>,
+}
+
+impl<S> Received<S> {
+    /// From the cursor that the post gave.
+    pub fn new(cursor: String) -> Self {
+        Self {
+            cursor,
+            samples: Vec::new(),
+        }
+    }
+
+    /// Cursor for the next fetch, and for a post after a loss.
+    pub fn cursor(&self) -> &str {
+        &self.cursor
+    }
+
+    /// Every sample taken.
+    pub fn samples(&self) -> &[S] {
+        &self.samples
+    }
+
+    /// Takes a reply whole, or not at all.
+    pub fn take(&mut self, reply: Take<S>) -> Result<(), ReplyError> {
+        if reply.base != self.cursor {
+            return Err(ReplyError::Overtaken);
+        }
+        self.samples.extend(reply.samples);
+        self.cursor = reply.next;
+        Ok(())
+    }
+}
--- /dev/null
+++ b/components/samples/src/slots.rs
@@ -0,0 +1,107 @@
+//! A set of slots of one step, as bits.
+
+use derive::value;
+
+/// Most slots of a step.
+pub(crate) const SLOTS_MAX: u32 = 4_096;
+const WORD_BITS: u32 = u64::BITS;
+
+/// Set of places of slots in a step of a known size.
+#[value]
+pub struct SlotSet {
+    words: Vec<u64>,
+    total: u32,
+}
+
+impl SlotSet {
+    /// The empty set for a step of `total` slots.
+    pub fn new(total: u32) -> Self {
+        Self {
+            words: vec![0; total.div_ceil(WORD_BITS) as usize],
+            total,
+        }
+    }
+
+    /// Slots of the step.
+    pub fn total(&self) -> u32 {
+        self.total
+    }
+
+    /// Slots in the set.
+    pub fn len(&self) -> u32 {
+        self.words.iter().map(|word| word.count_ones()).sum()
+    }
+
+    /// Whether no slot is in the set.
+    pub fn is_empty(&self) -> bool {
+        self.words.iter().all(|&word| word == 0)
+    }
+
+    /// Whether every slot of the step is in the set.
+    pub fn is_full(&self) -> bool {
+        self.len() == self.total
+    }
+
+    /// Whether the slot at `place` is in the set.
+    pub fn contains(&self, place: u32) -> bool {
+        place < self.total && self.words[(place / WORD_BITS) as usize] & bit(place) != 0
+    }
+
+    /// Adds the slot at `place`; false if it was there or the step has no such slot.
+    pub fn insert(&mut self, place: u32) -> bool {
+        if place >= self.total || self.contains(place) {
+            return false;
+        }
+        self.words[(place / WORD_BITS) as usize] |= bit(place);
+        true
+    }
+
+    /// Adds every slot of `other`, a set of the same step.
+    pub fn extend(&mut self, other: &SlotSet) {
+        other.iter().for_each(|place| {
+            self.insert(place);
+        });
+    }
+
+    /// Whether some slot is in both sets.
+    pub fn intersects(&self, other: &SlotSet) -> bool {
+        self.words.iter().zip(&other.words).any(|(a, b)| a & b != 0)
+    }
+
+    /// Places in the set, ascending.
+    pub fn iter(&self) -> impl Iterator<Item = u32> + '_ {
+        (0..self.total).filter(|&place| self.contains(place))
+    }
+
+    /// Places of the step that are not in the set, ascending.
+    pub fn missing(&self) -> impl Iterator<Item = u32> + '_ {
+        (0..self.total).filter(|&place| !self.contains(place))
+    }
+
+    /// The set as bytes, lowest place in the lowest bit of the first byte.
+    pub(crate) fn to_bytes(&self) -> Vec<u8> {
+        let bytes = self.words.iter().flat_map(|word| word.to_le_bytes());
+        bytes.take(self.total.div_ceil(8) as usize).collect()
+    }
+
+    /// The set in `bytes`, unless they hold more or fewer slots than `total`.
+    pub(crate) fn from_bytes(total: u32, bytes: &[u8]) -> Option<Self> {
+        if bytes.len() != total.div_ceil(8) as usize {
+            return None;
+        }
+        let mut set = Self::new(total);
+        for (place, &byte) in bytes.iter().enumerate() {
+            set.words[place / 8] |= u64::from(byte) << (8 * (place % 8));
+        }
+        let beyond = (!total.is_multiple_of(WORD_BITS)).then(|| {
+            set.words
+                .last()
+                .map_or(0, |word| word >> (total % WORD_BITS))
+        });
+        (beyond.unwrap_or(0) == 0).then_some(set)
+    }
+}
+
+fn bit(place: u32) -> u64 {
+    1 << (place % WORD_BITS)
+}
--- /dev/null
+++ b/components/samples/src/swap.rs
@@ -0,0 +1,71 @@
+//! What happens to a run in progress when its model gets new weights.
+
+use derive::value;
+use types::WeightVersion;
+
+/// A run at the moment of the news.
+#[value]
+pub struct InProgress {
+    /// Oldest version stamped on it so far; `None` before its first token.
+    pub oldest: Option<WeightVersion>,
+    /// Time that it still needs, if that can be told.
+    pub remaining_ms: Option<u64>,
+    /// Its engine goes on with it over a switch, with the new weights.
+    pub kept_over_switch: bool,
+}
+
+/// The news.
+#[value]
+pub struct News {
+    /// Version that the trainer announced.
+    pub announced: WeightVersion,
+    /// Versions that a sample may lag behind.
+    pub staleness_bound: u64,
+    /// Time to the next announcement, if the trainer keeps a rhythm.
+    pub next_in_ms: Option<u64>,
+}
+
+/// What to do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Plan {
+    /// Let it run.
+    Keep,
+    /// Stop it before the switch and go on from its tokens, whose versions stay in the set.
+    Resume,
+    /// Stop it and run the slot from the start: it will be too old when it is fetched.
+    Abandon,
+}
+
+/// Plans one run.
+///
+/// A resume never makes a sample younger, since its first tokens keep their version. A
+/// run at the bound that can't end before the next announcement is given up now,
+/// while little work is lost.
+pub fn plan(run: &InProgress, news: &News) -> Plan {
+    let Some(oldest) = run.oldest else {
+        return kept(run);
+    };
+    if oldest.epoch != news.announced.epoch {
+        return Plan::Abandon;
+    }
+    let lag = news.announced.version.saturating_sub(oldest.version);
+    if lag > news.staleness_bound {
+        return Plan::Abandon;
+    }
+    let misses_next = run
+        .remaining_ms
+        .zip(news.next_in_ms)
+        .is_some_and(|(r, n)| r > n);
+    if lag == news.staleness_bound && misses_next {
+        return Plan::Abandon;
+    }
+    kept(run)
+}
+
+fn kept(run: &InProgress) -> Plan {
+    if run.kept_over_switch {
+        Plan::Keep
+    } else {
+        Plan::Resume
+    }
+}
