Configuration: texts, verdicts over the log, view, keeper, diff

Operators race, the log forgets and may be down, and still no two processes may differ on the text of a version. A verdict therefore depends on the customer's own current version and on the record alone; other customers' texts and memories of ids stay out of it, as both would need the whole log. A reader that begins in the middle holds publishes back until an anchor ("version v was current up to offset t", from a keep record or a peer) lies in what it has read. A keep without such an offset, or with one from before the reader's start, only proves that the version existed.

Ruled out: taking any keep record for the current version (a paused process appends an old one late), checks against other customers in the verdict (one customer could have another's publishes refused), ids remembered by readers. Dependencies between customers are judged when the view is built instead.

--- /dev/null
+++ b/components/config/src/accepted.rs
@@ -0,0 +1,59 @@
+//! Accepted versions.
+
+use std::sync::Arc;
+
+use derive::value;
+use sha2::{Digest, Sha256};
+use types::CustomerName;
+
+use crate::Text;
+
+/// One accepted version of a customer's text.
+#[value]
+pub struct Accepted {
+    /// The customer.
+    pub customer: CustomerName,
+    /// Its version, from 1.
+    pub version: u64,
+    /// Id of the publish that made it.
+    pub id: String,
+    /// Rules version by which it was judged.
+    pub rules: u32,
+    /// The text as published.
+    pub source: Arc<str>,
+    /// The text after reading.
+    pub text: Arc<Text>,
+}
+
+impl Accepted {
+    /// First 8 bytes of the text's SHA-256, for comparing with other processes.
+    pub fn digest(&self) -> u64 {
+        source_digest(&self.source)
+    }
+
+    /// What goes to other processes so that they can compare.
+    pub fn version_digest(&self) -> VersionDigest {
+        VersionDigest {
+            customer: self.customer.clone(),
+            version: self.version,
+            digest: self.digest(),
+        }
+    }
+}
+
+/// Version of one customer's text, short enough for a datagram.
+#[value]
+pub struct VersionDigest {
+    /// The customer.
+    pub customer: CustomerName,
+    /// The version.
+    pub version: u64,
+    /// First 8 bytes of the text's SHA-256.
+    pub digest: u64,
+}
+
+pub(crate) fn source_digest(source: &str) -> u64 {
+    let digest: [u8; 32] = Sha256::digest(source.as_bytes()).into();
+    let first = digest.first_chunk::<8>();
+    first.map_or(0, |bytes| u64::from_be_bytes(*bytes))
+}
--- /dev/null
+++ b/components/config/src/diff.rs
@@ -0,0 +1,52 @@
+//! Differences between two texts, line by line.
+
+use similar::TextDiff;
+
+/// Lines around a difference that are shown with it.
+const CONTEXT_LINES: usize = 3;
+/// Most lines of each text that are compared one by one: the work grows with their
+/// product, and there is no clock here to stop it.
+const LINES_MAX: usize = 4_000;
+
+/// The differences as a unified diff with these names at its head; empty if there are
+/// none. Texts of very many lines are shown as replaced from their first difference to
+/// their last.
+pub fn line_diff(old: &str, new: &str, old_name: &str, new_name: &str) -> String {
+    if old == new {
+        return String::new();
+    }
+    if old.lines().count().max(new.lines().count()) > LINES_MAX {
+        return replaced(old, new, old_name, new_name);
+    }
+    TextDiff::from_lines(old, new)
+        .unified_diff()
+        .context_radius(CONTEXT_LINES)
+        .header(old_name, new_name)
+        .to_string()
+}
+
+fn replaced(old: &str, new: &str, old_name: &str, new_name: &str) -> String {
+    let (old, new): (Vec<&str>, Vec<&str>) = (old.lines().collect(), new.lines().collect());
+    let same = |(a, b): &(&&str, &&str)| a == b;
+    let head = old.iter().zip(&new).take_while(same).count();
+    let (old_rest, new_rest) = (&old[head..], &new[head..]);
+    let tail = old_rest.iter().rev().zip(new_rest.iter().rev());
+    let tail = tail.take_while(same).count();
+    let removed = &old_rest[..old_rest.len() - tail];
+    let added = &new_rest[..new_rest.len() - tail];
+    let start = head + 1;
+    let mut diff = format!(
+        "--- {old_name}\n+++ {new_name}\n@@ -{start},{} +{start},{} @@\n",
+        removed.len(),
+        added.len()
+    );
+    removed.iter().for_each(|line| push(&mut diff, '-', line));
+    added.iter().for_each(|line| push(&mut diff, '+', line));
+    diff
+}
+
+fn push(diff: &mut String, sign: char, line: &str) {
+    diff.push(sign);
+    diff.push_str(line);
+    diff.push('\n');
+}
--- /dev/null
+++ b/components/config/src/fields.rs
@@ -0,0 +1,328 @@
+//! The fields of one table of a text: each is asked for by name and type, and what was
+//! not asked for is an unknown field.
+
+use std::ops::RangeInclusive;
+use std::str::FromStr;
+
+use toml::Spanned;
+use toml::de::{DeTable, DeValue};
+use types::NameError;
+
+use crate::complaint::Report;
+use crate::place::Lines;
+use crate::{ComplaintCause, Place, Rules};
+
+/// A table of a text and the fields that were asked for so far.
+pub(crate) struct Fields<'a> {
+    table: Option<&'a DeTable<'a>>,
+    lines: &'a Lines<'a>,
+    place: Place,
+    asked: Vec<&'static str>,
+    /// The rules by which the text is judged.
+    pub(crate) rules: Rules,
+    /// The text says a higher schema minor than the rules know.
+    pub(crate) newer_schema: bool,
+}
+
+/// A text value and its place.
+pub(crate) type Word = (String, Place);
+
+impl<'a> Fields<'a> {
+    pub(crate) fn of_text(table: &'a DeTable<'a>, lines: &'a Lines<'a>, rules: Rules) -> Self {
+        Self {
+            table: Some(table),
+            lines,
+            place: Place::START,
+            asked: Vec::new(),
+            rules,
+            newer_schema: false,
+        }
+    }
+
+    fn inner(&self, table: Option<&'a DeTable<'a>>, place: Place) -> Fields<'a> {
+        Fields {
+            table,
+            place,
+            asked: Vec::new(),
+            ..*self
+        }
+    }
+
+    /// Where the field's value stands, or else its table.
+    pub(crate) fn place_of(&self, field: &str) -> Place {
+        let value = self.table.and_then(|table| table.get(field));
+        value.map_or(self.place, |value| self.place_in(value))
+    }
+
+    pub(crate) fn has(&self, field: &str) -> bool {
+        self.table.is_some_and(|table| table.contains_key(field))
+    }
+
+    fn place_in<T>(&self, value: &Spanned<T>) -> Place {
+        self.lines.place(value.span().start)
+    }
+
+    fn ask(&mut self, field: &'static str) -> Option<&'a Spanned<DeValue<'a>>> {
+        self.asked.push(field);
+        self.table?.get(field)
+    }
+
+    fn wrong_type(
+        &self,
+        field: &str,
+        value: &Spanned<DeValue<'_>>,
+        wanted: &'static str,
+        report: &mut Report,
+    ) {
+        let cause = ComplaintCause::WrongType {
+            field: field.to_owned(),
+            found: value.get_ref().type_str(),
+            wanted,
+        };
+        report.error(self.place_in(value), cause);
+    }
+
+    pub(crate) fn missing(&self, field: &'static str, wanted: &'static str, report: &mut Report) {
+        report.error(self.place, ComplaintCause::MissingField { field, wanted });
+    }
+
+    /// A text; a missing one is no complaint.
+    pub(crate) fn text(&mut self, field: &'static str, report: &mut Report) -> Option<Word> {
+        let value = self.ask(field)?;
+        match value.get_ref().as_str() {
+            Some(text) => Some((text.to_owned(), self.place_in(value))),
+            None => {
+                self.wrong_type(field, value, "a text in quotes", report);
+                None
+            }
+        }
+    }
+
+    /// A name that has to be there.
+    pub(crate) fn name<N>(&mut self, field: &'static str, report: &mut Report) -> Option<N>
+    where
+        N: FromStr<Err = NameError>,
+    {
+        if !self.has(field) {
+            self.asked.push(field);
+            self.missing(field, "a name in quotes", report);
+            return None;
+        }
+        self.name_if_any(field, report)
+    }
+
+    /// A name; a missing one is no complaint.
+    pub(crate) fn name_if_any<N>(&mut self, field: &'static str, report: &mut Report) -> Option<N>
+    where
+        N: FromStr<Err = NameError>,
+    {
+        let (text, place) = self.text(field, report)?;
+        parse_name(field, &text, place, report)
+    }
+
+    /// One of some words; a missing one is no complaint.
+    pub(crate) fn word<W: Copy>(
+        &mut self,
+        field: &'static str,
+        words: &[(&'static str, W)],
+        report: &mut Report,
+    ) -> Option<W> {
+        let (found, place) = self.text(field, report)?;
+        if let Some((_, word)) = words.iter().find(|(word, _)| *word == found) {
+            return Some(*word);
+        }
+        let allowed: Vec<&str> = words.iter().map(|(word, _)| *word).collect();
+        let cause = ComplaintCause::UnknownWord {
+            field,
+            nearest: nearest(&found, allowed.iter().copied()),
+            found,
+            allowed: allowed.join(", "),
+        };
+        report.error(place, cause);
+        None
+    }
+
+    /// A whole number within its range, or the default.
+    pub(crate) fn number(
+        &mut self,
+        field: &'static str,
+        range: RangeInclusive<u64>,
+        default: u64,
+        report: &mut Report,
+    ) -> u64 {
+        let Some(value) = self.ask(field) else {
+            return default;
+        };
+        let Some(integer) = value.get_ref().as_integer() else {
+            self.wrong_type(field, value, "a whole number", report);
+            return default;
+        };
+        let number = u64::from_str_radix(integer.as_str(), integer.radix()).ok();
+        if let Some(number) = number.filter(|number| range.contains(number)) {
+            return number;
+        }
+        let cause = ComplaintCause::OutOfRange {
+            field,
+            found: integer.as_str().to_owned(),
+            min: *range.start(),
+            max: *range.end(),
+        };
+        report.error(self.place_in(value), cause);
+        default
+    }
+
+    /// A whole number or a text that has to be there, as it is written.
+    pub(crate) fn integer_or_text(
+        &mut self,
+        field: &'static str,
+        wanted: &'static str,
+        report: &mut Report,
+    ) -> Option<Word> {
+        let Some(value) = self.ask(field) else {
+            self.missing(field, wanted, report);
+            return None;
+        };
+        let integer = value.get_ref().as_integer().map(|integer| integer.as_str());
+        match integer.or_else(|| value.get_ref().as_str()) {
+            Some(text) => Some((text.to_owned(), self.place_in(value))),
+            None => {
+                self.wrong_type(field, value, wanted, report);
+                None
+            }
+        }
+    }
+
+    /// A list of texts; an empty one where it is missing.
+    pub(crate) fn words(
+        &mut self,
+        field: &'static str,
+        max: usize,
+        report: &mut Report,
+    ) -> Vec<Word> {
+        let Some(value) = self.ask(field) else {
+            return Vec::new();
+        };
+        let Some(list) = value.get_ref().as_array() else {
+            self.wrong_type(field, value, "a list of texts", report);
+            return Vec::new();
+        };
+        if list.len() > max {
+            let found = list.len();
+            let cause = ComplaintCause::TooMany { field, found, max };
+            report.error(self.place_in(value), cause);
+            return Vec::new();
+        }
+        let mut words = Vec::with_capacity(list.len());
+        for entry in list.iter() {
+            match entry.get_ref().as_str() {
+                Some(text) => words.push((text.to_owned(), self.place_in(entry))),
+                None => self.wrong_type(field, entry, "a text in quotes", report),
+            }
+        }
+        words
+    }
+
+    /// A table; one without fields where it is missing.
+    pub(crate) fn table(&mut self, field: &'static str, report: &mut Report) -> Option<Fields<'a>> {
+        let Some(value) = self.ask(field) else {
+            return Some(self.inner(None, self.place));
+        };
+        match value.get_ref().as_table() {
+            Some(table) => Some(self.inner(Some(table), self.place_in(value))),
+            None => {
+                self.wrong_type(field, value, "a table", report);
+                None
+            }
+        }
+    }
+
+    /// A list of tables, written `[[field]]`; an empty one where it is missing.
+    pub(crate) fn tables(
+        &mut self,
+        field: &'static str,
+        max: usize,
+        report: &mut Report,
+    ) -> Vec<Fields<'a>> {
+        let Some(value) = self.ask(field) else {
+            return Vec::new();
+        };
+        let Some(list) = value.get_ref().as_array() else {
+            self.wrong_type(field, value, "a list of tables, with two brackets", report);
+            return Vec::new();
+        };
+        if list.len() > max {
+            let found = list.len();
+            let cause = ComplaintCause::TooMany { field, found, max };
+            report.error(self.place_in(value), cause);
+            return Vec::new();
+        }
+        let mut tables = Vec::with_capacity(list.len());
+        for entry in list.iter() {
+            match entry.get_ref().as_table() {
+                Some(table) => tables.push(self.inner(Some(table), self.place_in(entry))),
+                None => self.wrong_type(field, entry, "a table", report),
+            }
+        }
+        tables
+    }
+
+    /// Complains about each field that was not asked for.
+    pub(crate) fn refuse_unknown(&self, report: &mut Report) {
+        for key in self.table.into_iter().flat_map(|table| table.keys()) {
+            let field: &str = key.get_ref();
+            if self.asked.contains(&field) {
+                continue;
+            }
+            let place = self.place_in(key);
+            let field = field.to_owned();
+            if self.newer_schema {
+                report.warning(place, ComplaintCause::NewerField { field });
+                continue;
+            }
+            let cause = ComplaintCause::UnknownField {
+                nearest: nearest(&field, self.asked.iter().copied()),
+                field,
+                allowed: self.asked.join(", "),
+            };
+            report.error(place, cause);
+        }
+    }
+}
+
+pub(crate) fn parse_name<N>(field: &str, text: &str, place: Place, report: &mut Report) -> Option<N>
+where
+    N: FromStr<Err = NameError>,
+{
+    match text.parse() {
+        Ok(name) => Some(name),
+        Err(error) => {
+            let cause = ComplaintCause::BadName {
+                field: field.to_owned(),
+                text: shortened(text),
+                error,
+            };
+            report.error(place, cause);
+            None
+        }
+    }
+}
+
+/// Longest excerpt of a wrong value in a complaint, in characters.
+const EXCERPT_CHARS_MAX: usize = 80;
+
+pub(crate) fn shortened(text: &str) -> String {
+    text.chars().take(EXCERPT_CHARS_MAX).collect()
+}
+
+/// The known name that is close enough to be meant.
+pub(crate) fn nearest<'n>(found: &str, known: impl IntoIterator<Item = &'n str>) -> Option<String> {
+    let found = shortened(found);
+    let far = (found.len() / 3).max(1);
+    let found_bytes = found.len();
+    let known = known
+        .into_iter()
+        .filter(|name| name.len().abs_diff(found_bytes) <= far);
+    let distances = known.map(|name| (strsim::damerau_levenshtein(&found, name), name));
+    let near = distances.filter(|(distance, _)| *distance <= far);
+    near.min().map(|(_, name)| name.to_owned())
+}
--- a/components/config/src/lib.rs
+++ b/components/config/src/lib.rs
@@ -1,1 +1,55 @@
-//! Package `config` of hornbeamrock.
+//! The configuration of hornbeamrock: one text a customer, published on the platform's
+//! log, judged alike by every reader of that log, and turned into immutable tables for
+//! the path of a request. No I/O and no clock here.
+
+// `quick_error!` takes some steps for each variant of an error.
+#![recursion_limit = "512"]
+
+mod accepted;
+mod chain;
+mod check;
+mod complaint;
+mod cycle;
+mod depth;
+mod diff;
+mod fields;
+mod keeper;
+mod ledger;
+mod limit;
+mod links;
+mod own;
+mod parse;
+mod parse_service;
+mod parse_token;
+mod pattern;
+mod place;
+mod record;
+mod rules;
+mod service;
+mod summary;
+mod text;
+mod verdict;
+mod view;
+
+pub use accepted::{Accepted, VersionDigest};
+pub use check::check;
+pub use complaint::{Complaint, ComplaintCause, Complaints, Severity};
+pub use diff::line_diff;
+pub use keeper::{KeepPolicy, Keeper};
+pub use ledger::Ledger;
+pub use limit::{
+    DEADLINE_MS, DEPENDENCIES_MAX, DEPTH_MAX, IN_PROGRESS, PATTERNS_MAX, RECORD_BYTES_MAX,
+    REQUESTS_PER_S, SERVICES_MAX, SHARED_MAX, STALENESS_BOUND, TEXT_BYTES_MAX, TOKENS_MAX,
+    TOKENS_PER_S, WEIGHT,
+};
+pub use links::{Unmet, UnmetCause};
+pub use parse::{parse, parse_by};
+pub use pattern::{CallPattern, PatternError};
+pub use place::Place;
+pub use record::{Customers, ID_BYTES_MAX, Keep, Publish, Record, RecordError};
+pub use rules::{RULES_NEWEST, Rules};
+pub use service::{Dependency, Kind, Service, Target};
+pub use summary::{Change, Summary, summary};
+pub use text::{Limits, Schema, Text, Token, TokenDigest};
+pub use verdict::{Refusal, Verdict};
+pub use view::{CustomerView, Holder, View};
--- /dev/null
+++ b/components/config/src/own.rs
@@ -0,0 +1,156 @@
+//! The check of one text by itself: all that goes into the verdict on a publish.
+
+use std::collections::HashMap;
+use std::hash::Hash;
+
+use types::{Role, ServiceName};
+
+use crate::complaint::Report;
+use crate::cycle::{self, Closing, Edges};
+use crate::fields::nearest;
+use crate::{ComplaintCause, Kind, Place, Rules, Service, Target, Text, Token};
+
+pub(crate) fn check(rules: Rules, text: &Text, report: &mut Report) {
+    check_duplicates(text, report);
+    text.services
+        .iter()
+        .for_each(|service| check_service(text, service, report));
+    text.tokens
+        .iter()
+        .for_each(|token| check_token(text, token, report));
+    check_cycles(text, report);
+    if rules.staleness_stated {
+        check_staleness(text, report);
+    }
+}
+
+fn check_duplicates(text: &Text, report: &mut Report) {
+    let services = text.services.iter();
+    let names = services.map(|service| (&service.name, service.place, &service.name));
+    refuse_duplicates("service", names, report);
+    let tokens = text.tokens.iter();
+    let names = tokens
+        .clone()
+        .map(|token| (&token.name, token.place, &token.name));
+    refuse_duplicates("token", names, report);
+    let digests = tokens.map(|token| (&token.digest, token.place, &token.name));
+    refuse_duplicates("the digest of token", digests, report);
+}
+
+fn refuse_duplicates<'t, K: Eq + Hash + 't>(
+    what: &'static str,
+    entries: impl Iterator<Item = (&'t K, Place, &'t ServiceName)>,
+    report: &mut Report,
+) {
+    let mut seen: HashMap<&K, Place> = HashMap::new();
+    for (key, place, name) in entries {
+        let Some(&first) = seen.get(key) else {
+            seen.insert(key, place);
+            continue;
+        };
+        let name = name.to_string();
+        report.error(place, ComplaintCause::Duplicate { what, name, first });
+    }
+}
+
+fn check_service(text: &Text, service: &Service, report: &mut Report) {
+    for dependency in &service.depends_on {
+        find_own(text, &dependency.target, dependency.place, report);
+    }
+    let Some(scorer) = &service.scorer else {
+        return;
+    };
+    let target = Target {
+        owner: text.customer.clone(),
+        service: scorer.clone(),
+    };
+    let found = find_own(text, &target, service.place, report);
+    if found.is_some_and(|found| found.kind != Kind::Plain) {
+        let name = scorer.to_string();
+        report.error(service.place, ComplaintCause::ScorerNotPlain { name });
+    }
+}
+
+/// The own service that is meant; complains if there is none. Others' services are not
+/// looked at here.
+fn find_own<'t>(
+    text: &'t Text,
+    target: &Target,
+    place: Place,
+    report: &mut Report,
+) -> Option<&'t Service> {
+    if target.owner != text.customer || report.is_full() {
+        return None;
+    }
+    if let Some(service) = text.service(&target.service) {
+        return Some(service);
+    }
+    let names = text.services.iter().map(|service| service.name.as_str());
+    let nearest = nearest(target.service.as_str(), names);
+    let name = target.service.to_string();
+    report.error(place, ComplaintCause::UnknownService { name, nearest });
+    None
+}
+
+fn check_token(text: &Text, token: &Token, report: &mut Report) {
+    for target in token.services.iter().flatten() {
+        if target.owner != text.customer && token.role != Role::Caller {
+            let name = target.to_string();
+            report.error(token.place, ComplaintCause::OtherCustomersService { name });
+            continue;
+        }
+        let found = find_own(text, target, token.place, report);
+        let plain = found.is_some_and(|found| found.kind == Kind::Plain);
+        if token.role == Role::Trainer && plain {
+            let name = target.service.to_string();
+            report.error(token.place, ComplaintCause::TrainerOfPlain { name });
+        }
+    }
+}
+
+fn check_cycles(text: &Text, report: &mut Report) {
+    let services = text.services.iter().enumerate();
+    let numbers: HashMap<&ServiceName, usize> = services
+        .map(|(number, service)| (&service.name, number))
+        .collect();
+    let mut edges = Edges::new();
+    let mut places: Vec<Vec<Place>> = Vec::new();
+    for service in &text.services {
+        let own = service
+            .depends_on
+            .iter()
+            .filter(|edge| edge.target.owner == text.customer);
+        let known = own.filter_map(|edge| {
+            let number = numbers.get(&edge.target.service)?;
+            Some((*number, edge.place))
+        });
+        let (to, at) = known.unzip();
+        edges.push(to);
+        places.push(at);
+    }
+    for Closing { path, edge } in cycle::closing_edges(&edges) {
+        let Some(place) = path.last().and_then(|last| places[*last].get(edge)) else {
+            continue;
+        };
+        let names = path.iter().chain(path.first());
+        let names: Vec<&str> = names
+            .map(|&number| text.services[number].name.as_str())
+            .collect();
+        let path = names.join(" -> ");
+        report.error(*place, ComplaintCause::Cycle { path });
+    }
+}
+
+fn check_staleness(text: &Text, report: &mut Report) {
+    let models = text
+        .services
+        .iter()
+        .filter(|service| service.kind == Kind::Model);
+    for service in models.filter(|service| !service.staleness_stated) {
+        let trains = |token: &Token| token.role == Role::Trainer && token.covers(&service.target());
+        if text.tokens.iter().any(trains) {
+            let model = service.name.to_string();
+            report.error(service.place, ComplaintCause::StalenessUnstated { model });
+        }
+    }
+}
--- /dev/null
+++ b/components/config/src/parse_service.rs
@@ -0,0 +1,166 @@
+//! Reading one `[[service]]`.
+
+use types::{Class, CustomerName, PoolName, ServiceName};
+
+use crate::complaint::Report;
+use crate::fields::{Fields, Word, parse_name, shortened};
+use crate::limit::{
+    DEADLINE_MS, DEPENDENCIES_MAX, PATTERNS_MAX, SHARED_MAX, STALENESS_BOUND, default,
+};
+use crate::{CallPattern, ComplaintCause, Dependency, Kind, Place, Service, Target};
+
+/// Fields that only models have.
+const MODEL_FIELDS: [&str; 2] = ["staleness_bound", "scorer"];
+/// Fields that only plain services have.
+const PLAIN_FIELDS: [&str; 2] = ["non_idempotent", "idempotent"];
+
+pub(crate) fn read(
+    fields: &mut Fields<'_>,
+    owner: &CustomerName,
+    report: &mut Report,
+) -> Option<Service> {
+    let name: Option<ServiceName> = fields.name("name", report);
+    let place = fields.place_of("name");
+    let kind = read_kind(fields, report);
+    let pool: Option<PoolName> = fields.name_if_any("pool", report);
+    let depends_on = read_dependencies(fields, owner, report);
+    let shared_with = read_shared(fields, report);
+    let class = read_class(fields, report).unwrap_or(Class::Interactive);
+    let deadline = fields.number("deadline_ms", DEADLINE_MS, default::DEADLINE_MS, report);
+    let staleness_bound = read_staleness(fields, report);
+    let scorer = fields.name_if_any("scorer", report);
+    let non_idempotent = read_patterns("non_idempotent", fields, report);
+    let idempotent = read_patterns("idempotent", fields, report);
+    fields.refuse_unknown(report);
+    refuse_other_kind(fields, kind, report);
+    let name = name?;
+    let default_pool = PoolName::new(name.as_str()).ok();
+    Some(Service {
+        owner: owner.clone(),
+        kind: kind?,
+        pool: pool.or(default_pool)?,
+        depends_on,
+        shared_with,
+        class,
+        deadline_ms: u32::try_from(deadline).ok()?,
+        staleness_bound,
+        staleness_stated: fields.has("staleness_bound"),
+        scorer,
+        non_idempotent,
+        idempotent,
+        place,
+        name,
+    })
+}
+
+fn read_kind(fields: &mut Fields<'_>, report: &mut Report) -> Option<Kind> {
+    if !fields.has("kind") {
+        fields.missing("kind", "\"model\" or \"plain\"", report);
+    }
+    let words = Kind::ALL.map(|kind| (kind.as_str(), kind));
+    fields.word("kind", &words, report)
+}
+
+/// The class of a service or token, if it is stated.
+pub(crate) fn read_class(fields: &mut Fields<'_>, report: &mut Report) -> Option<Class> {
+    let words = Class::ALL.map(|class| (class.as_str(), class));
+    fields.word("class", &words, report)
+}
+
+fn read_staleness(fields: &mut Fields<'_>, report: &mut Report) -> u64 {
+    let default = default::STALENESS_BOUND;
+    fields.number("staleness_bound", STALENESS_BOUND, default, report)
+}
+
+fn read_dependencies(
+    fields: &mut Fields<'_>,
+    owner: &CustomerName,
+    report: &mut Report,
+) -> Vec<Dependency> {
+    let words = fields.words("depends_on", DEPENDENCIES_MAX, report);
+    let mut dependencies: Vec<Dependency> = Vec::with_capacity(words.len());
+    for (text, place) in words {
+        let Some(target) = read_target("depends_on", &text, place, owner, report) else {
+            continue;
+        };
+        match dependencies.iter().find(|other| other.target == target) {
+            Some(first) => duplicate("dependency", &text, place, first.place, report),
+            None => dependencies.push(Dependency { target, place }),
+        }
+    }
+    dependencies
+}
+
+/// A service by its name, or another customer's as `customer.service`.
+pub(crate) fn read_target(
+    field: &str,
+    text: &str,
+    place: Place,
+    owner: &CustomerName,
+    report: &mut Report,
+) -> Option<Target> {
+    let Some((customer, service)) = text.split_once('.') else {
+        let service = parse_name(field, text, place, report)?;
+        let owner = owner.clone();
+        return Some(Target { owner, service });
+    };
+    let owner = parse_name(field, customer, place, report);
+    let service = parse_name(field, service, place, report);
+    Some(Target {
+        owner: owner?,
+        service: service?,
+    })
+}
+
+fn read_shared(fields: &mut Fields<'_>, report: &mut Report) -> Vec<CustomerName> {
+    let words = fields.words("shared_with", SHARED_MAX, report);
+    let mut shared: Vec<(CustomerName, Place)> = Vec::with_capacity(words.len());
+    for (text, place) in words {
+        let Some(customer) = parse_name::<CustomerName>("shared_with", &text, place, report) else {
+            continue;
+        };
+        match shared.iter().find(|(other, _)| *other == customer) {
+            Some((_, first)) => duplicate("customer", &text, place, *first, report),
+            None => shared.push((customer, place)),
+        }
+    }
+    shared.into_iter().map(|(customer, _)| customer).collect()
+}
+
+fn duplicate(what: &'static str, name: &str, place: Place, first: Place, report: &mut Report) {
+    let name = name.to_owned();
+    report.error(place, ComplaintCause::Duplicate { what, name, first });
+}
+
+fn read_patterns(
+    field: &'static str,
+    fields: &mut Fields<'_>,
+    report: &mut Report,
+) -> Vec<CallPattern> {
+    let words = fields.words(field, PATTERNS_MAX, report).into_iter();
+    let patterns = words.filter_map(|word| read_pattern(&word, report));
+    patterns.collect()
+}
+
+fn read_pattern((text, place): &Word, report: &mut Report) -> Option<CallPattern> {
+    match CallPattern::new(text) {
+        Ok(pattern) => Some(pattern),
+        Err(error) => {
+            let text = shortened(text);
+            report.error(*place, ComplaintCause::BadPattern { text, error });
+            None
+        }
+    }
+}
+
+fn refuse_other_kind(fields: &Fields<'_>, kind: Option<Kind>, report: &mut Report) {
+    let Some(kind) = kind else { return };
+    let foreign = match kind {
+        Kind::Model => PLAIN_FIELDS,
+        Kind::Plain => MODEL_FIELDS,
+    };
+    for field in foreign.into_iter().filter(|field| fields.has(field)) {
+        let cause = ComplaintCause::NotForKind { field, kind };
+        report.error(fields.place_of(field), cause);
+    }
+}
--- /dev/null
+++ b/components/config/src/parse_token.rs
@@ -0,0 +1,65 @@
+//! Reading one `[[token]]`.
+
+use types::{CustomerName, Role, ServiceName};
+
+use crate::complaint::Report;
+use crate::fields::Fields;
+use crate::limit::SERVICES_MAX;
+use crate::parse_service::{read_class, read_target};
+use crate::{ComplaintCause, Target, Token, TokenDigest};
+
+pub(crate) fn read(
+    fields: &mut Fields<'_>,
+    owner: &CustomerName,
+    report: &mut Report,
+) -> Option<Token> {
+    let name: Option<ServiceName> = fields.name("name", report);
+    let place = fields.place_of("name");
+    let role = read_role(fields, report);
+    let services = read_services(fields, owner, report);
+    let class = read_class(fields, report);
+    let digest = read_digest(fields, report);
+    fields.refuse_unknown(report);
+    Some(Token {
+        name: name?,
+        role: role?,
+        services,
+        class,
+        digest: digest?,
+        place,
+    })
+}
+
+fn read_role(fields: &mut Fields<'_>, report: &mut Report) -> Option<Role> {
+    if !fields.has("role") {
+        let wanted = "\"caller\", \"trainer\" or \"operator\"";
+        fields.missing("role", wanted, report);
+    }
+    let words = Role::ALL.map(|role| (role.as_str(), role));
+    fields.word("role", &words, report)
+}
+
+fn read_services(
+    fields: &mut Fields<'_>,
+    owner: &CustomerName,
+    report: &mut Report,
+) -> Option<Vec<Target>> {
+    let stated = fields.has("services");
+    let words = fields.words("services", SERVICES_MAX, report).into_iter();
+    let targets =
+        words.filter_map(|(text, place)| read_target("services", &text, place, owner, report));
+    let targets: Vec<Target> = targets.collect();
+    stated.then_some(targets)
+}
+
+fn read_digest(fields: &mut Fields<'_>, report: &mut Report) -> Option<TokenDigest> {
+    if !fields.has("sha256") {
+        fields.missing("sha256", "the 64 hex digits of the token's SHA-256", report);
+    }
+    let (hex, place) = fields.text("sha256", report)?;
+    let digest = TokenDigest::parse(&hex);
+    if digest.is_none() {
+        report.error(place, ComplaintCause::BadDigest);
+    }
+    digest
+}
--- /dev/null
+++ b/components/config/src/summary.rs
@@ -0,0 +1,162 @@
+//! What changes from one text to the next, by services and tokens rather than lines.
+
+use std::fmt;
+
+use derive::value;
+use types::ServiceName;
+
+use crate::{Service, Text, Token};
+
+/// What became of one service or token.
+#[value]
+pub enum Change {
+    /// New.
+    Added(ServiceName),
+    /// Gone.
+    Removed(ServiceName),
+    /// Still there, with other values in these fields.
+    Changed {
+        /// Which one.
+        name: ServiceName,
+        /// The fields.
+        fields: Vec<&'static str>,
+    },
+}
+
+impl fmt::Display for Change {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Change::Added(name) => write!(f, "{name} added"),
+            Change::Removed(name) => write!(f, "{name} removed"),
+            Change::Changed { name, fields } => write!(f, "{name} changed: {}", fields.join(", ")),
+        }
+    }
+}
+
+/// What changes from one text to the next.
+#[value]
+pub struct Summary {
+    /// Limits with other values.
+    pub limits: Vec<&'static str>,
+    /// Services, by name.
+    pub services: Vec<Change>,
+    /// Tokens, by name.
+    pub tokens: Vec<Change>,
+}
+
+impl Summary {
+    /// Whether nothing changes but layout and comments.
+    pub fn is_empty(&self) -> bool {
+        self.limits.is_empty() && self.services.is_empty() && self.tokens.is_empty()
+    }
+}
+
+impl fmt::Display for Summary {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if self.is_empty() {
+            return writeln!(f, "no change of meaning");
+        }
+        if !self.limits.is_empty() {
+            writeln!(f, "limits changed: {}", self.limits.join(", "))?;
+        }
+        self.services
+            .iter()
+            .try_for_each(|change| writeln!(f, "service {change}"))?;
+        self.tokens
+            .iter()
+            .try_for_each(|change| writeln!(f, "token {change}"))
+    }
+}
+
+/// What changes from `old`, if there is one, to `new`.
+pub fn summary(old: Option<&Text>, new: &Text) -> Summary {
+    let old_services = old.iter().flat_map(|text| &text.services);
+    let old_tokens = old.iter().flat_map(|text| &text.tokens);
+    let services = new.services.iter().map(|service| service.as_ref());
+    Summary {
+        limits: old.map_or_else(Vec::new, |old| limit_fields(old, new)),
+        services: changes(
+            old_services.map(|service| service.as_ref()),
+            services,
+            |service: &Service| &service.name,
+            service_fields,
+        ),
+        tokens: changes(
+            old_tokens,
+            new.tokens.iter(),
+            |token: &Token| &token.name,
+            token_fields,
+        ),
+    }
+}
+
+fn changes<'t, T: 't>(
+    old: impl Iterator<Item = &'t T>,
+    new: impl Iterator<Item = &'t T>,
+    name: impl Fn(&T) -> &ServiceName,
+    fields: impl Fn(&T, &T) -> Vec<&'static str>,
+) -> Vec<Change> {
+    let (old, new): (Vec<&T>, Vec<&T>) = (old.collect(), new.collect());
+    let find =
+        |among: &[&'t T], wanted: &T| among.iter().copied().find(|one| name(one) == name(wanted));
+    let mut changes = Vec::new();
+    for one in &new {
+        let Some(before) = find(&old, one) else {
+            changes.push(Change::Added(name(one).clone()));
+            continue;
+        };
+        let fields = fields(before, one);
+        if !fields.is_empty() {
+            let name = name(one).clone();
+            changes.push(Change::Changed { name, fields });
+        }
+    }
+    let gone = old.iter().filter(|one| find(&new, one).is_none());
+    changes.extend(gone.map(|one| Change::Removed(name(one).clone())));
+    changes
+}
+
+/// The names of the fields that differ.
+fn differing<const N: usize>(fields: [(&'static str, bool); N]) -> Vec<&'static str> {
+    let differing = fields.into_iter().filter(|(_, same)| !same);
+    differing.map(|(name, _)| name).collect()
+}
+
+fn limit_fields(old: &Text, new: &Text) -> Vec<&'static str> {
+    let (old, new) = (old.limits, new.limits);
+    differing([
+        ("weight", old.weight == new.weight),
+        ("requests_per_s", old.requests_per_s == new.requests_per_s),
+        ("in_progress", old.in_progress == new.in_progress),
+        ("tokens_per_s", old.tokens_per_s == new.tokens_per_s),
+    ])
+}
+
+fn service_fields(old: &Service, new: &Service) -> Vec<&'static str> {
+    let old_targets = old.depends_on.iter().map(|edge| &edge.target);
+    let new_targets = new.depends_on.iter().map(|edge| &edge.target);
+    differing([
+        ("kind", old.kind == new.kind),
+        ("pool", old.pool == new.pool),
+        ("depends_on", old_targets.eq(new_targets)),
+        ("shared_with", old.shared_with == new.shared_with),
+        ("class", old.class == new.class),
+        ("deadline_ms", old.deadline_ms == new.deadline_ms),
+        (
+            "staleness_bound",
+            old.staleness_bound == new.staleness_bound,
+        ),
+        ("scorer", old.scorer == new.scorer),
+        ("non_idempotent", old.non_idempotent == new.non_idempotent),
+        ("idempotent", old.idempotent == new.idempotent),
+    ])
+}
+
+fn token_fields(old: &Token, new: &Token) -> Vec<&'static str> {
+    differing([
+        ("role", old.role == new.role),
+        ("services", old.services == new.services),
+        ("class", old.class == new.class),
+        ("sha256", old.digest == new.digest),
+    ])
+}
--- a/components/types/src/id.rs
+++ b/components/types/src/id.rs
@@ -3,7 +3,10 @@
 use std::fmt;
 use std::net::SocketAddr;
 
-use derive::{wire, wire_key};
+use derive::{key, wire, wire_key};
+use serde::de::{Error, SeqAccess, Visitor};
+use serde::ser::SerializeTuple;
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
 
 /// Orders the lives of processes at one address; a later life has the higher number.
 ///
@@ -29,8 +32,9 @@
     }
 }
 
-/// Identity of a call, unique across restarts of the caller.
-#[wire_key]
+/// Identity of a call, unique across restarts of the caller. Stands in every frame, so it
+/// is serialised by hand, with the bytes of the derived form.
+#[key]
 pub struct CallId {
     /// Random number drawn by the calling process at its start.
     pub boot: u64,
@@ -43,3 +47,39 @@
         write!(f, "{:016x}-{:x}", self.boot, self.counter)
     }
 }
+
+impl Serialize for CallId {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        let mut tuple = serializer.serialize_tuple(2)?;
+        tuple.serialize_element(&self.boot)?;
+        tuple.serialize_element(&self.counter)?;
+        tuple.end()
+    }
+}
+
+impl<'de> Deserialize<'de> for CallId {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        deserializer.deserialize_tuple(2, CallIdVisitor)
+    }
+}
+
+struct CallIdVisitor;
+
+impl<'de> Visitor<'de> for CallIdVisitor {
+    type Value = CallId;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("the identity of a call")
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(self, mut seq: A) -> Result<CallId, A::Error> {
+        let mut number = || {
+            let next = seq.next_element()?;
+            next.ok_or_else(|| A::Error::custom("a number of the identity is missing"))
+        };
+        Ok(CallId {
+            boot: number()?,
+            counter: number()?,
+        })
+    }
+}
--- a/components/types/src/lib.rs
+++ b/components/types/src/lib.rs
@@ -5,10 +5,11 @@
 mod id;
 mod name;
 mod outcome;
+pub mod rendezvous;
 mod weight;
 
 pub use class::{Class, Role};
 pub use id::{CallId, Incarnation, NodeId};
-pub use name::{CustomerName, FailureDomain, NameError, Region, ServiceName};
+pub use name::{CustomerName, FailureDomain, NameError, PoolName, Region, ServiceName};
 pub use outcome::{Cause, Failure, RunState};
 pub use weight::{VersionError, WeightVersion};
--- a/components/types/src/name.rs
+++ b/components/types/src/name.rs
@@ -106,6 +106,8 @@
     CustomerName,
     /// A service of one customer: a model or a plain service.
     ServiceName,
+    /// A pool of endpoints, as in an agent's settings.
+    PoolName,
     /// A failure domain, as in a VM's settings.
     FailureDomain,
     /// A region: several failure domains near one another.
