Stand-ins of the outside systems

Tests and the demonstration need the log, the VM list, the weight store, model engines, plain services, a scorer and a trainer, with their faults, on one machine. They are small HTTP servers in one crate that is never shipped; each starts in-process for tests or as a subcommand of hornbeamrock-standins.

Faults are switched by HTTP or through the handle, and may be kept to a path or a count, so that a test can lose the answer to one switch and nothing else. The text of each token names the version that made it: the trainer holds the versions of a sample against its text and not only against the stamps.

--- a/components/platform/src/vms.rs
+++ b/components/platform/src/vms.rs
@@ -18,6 +18,17 @@
     Agent,
 }
 
+impl VmRole {
+    /// The role with this word, if there is one.
+    pub fn parse(text: &str) -> Option<VmRole> {
+        match text {
+            "entry" => Some(VmRole::Entry),
+            "agent" => Some(VmRole::Agent),
+            _ => None,
+        }
+    }
+}
+
 /// State of a VM as its list has it.
 #[wire_key]
 #[serde(rename_all = "lowercase")]
--- /dev/null
+++ b/dev/standins/src/engine/server.rs
@@ -0,0 +1,371 @@
+//! The engine's HTTP interface and the task that steps its batch.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use platform::{ClientSettings, LoadReport, PlatformError, WeightStore};
+use serde::{Deserialize, Deserializer, Serialize};
+use tokio::sync::{Notify, mpsc};
+use tokio::time::sleep;
+use types::WeightVersion;
+
+use super::batch::{Batch, Ending, Sequence, Step};
+use super::completion::{Completion, Question};
+use super::kv::Kv;
+use super::orders::{Models, Verdict};
+use super::reports::Reports;
+use super::settings::EngineSettings;
+use super::text::{natural_tokens, text_hash};
+use crate::error::StandinError;
+use crate::fault::FaultKind;
+use crate::handle::{Control, Handle};
+use crate::http::{self, Call};
+use crate::reply::{self, Reply};
+
+const STORE_RETRY_AFTER_S: u64 = 1;
+const LOAD: &str = "/engine/load";
+const SWITCH: &str = "/engine/switch";
+
+struct Inner {
+    life: u64,
+    arrivals: u64,
+    models: Models,
+    batch: Batch,
+    kv: Kv,
+    reports: Reports,
+}
+
+impl Inner {
+    fn new(settings: &EngineSettings, life: u64) -> Inner {
+        Inner {
+            life,
+            arrivals: 0,
+            models: Models::new(settings),
+            batch: Batch::default(),
+            kv: Kv::new(settings.kv_blocks, settings.cache_event_gaps_permille),
+            reports: Reports::default(),
+        }
+    }
+
+    fn note_load(&mut self) {
+        self.reports.note(LoadReport {
+            running: self.batch.running() as u32,
+            waiting: self.batch.waiting() as u32,
+            prompt_tokens_queued: self.batch.prompt_tokens_queued() as u64,
+            kv_used_permille: self.kv.used_permille(),
+            age_ms: 0,
+        });
+    }
+}
+
+struct Engine {
+    settings: EngineSettings,
+    control: Arc<Control>,
+    store: Option<WeightStore>,
+    inner: Mutex<Inner>,
+    wake: Notify,
+}
+
+#[derive(Deserialize)]
+struct Order {
+    model: String,
+    #[serde(deserialize_with = "version")]
+    version: WeightVersion,
+    fence: u64,
+}
+
+#[derive(Deserialize)]
+struct Cancel {
+    request_id: String,
+}
+
+#[derive(Serialize)]
+struct Cancelled {
+    cancelled: usize,
+}
+
+/// Starts an engine.
+pub async fn start(settings: EngineSettings) -> Result<Handle, StandinError> {
+    let control = Control::new();
+    let listen = settings.listen;
+    let store_settings = ClientSettings::default();
+    let store = settings
+        .store
+        .map(|address| WeightStore::new(address, &store_settings));
+    let engine = Arc::new(Engine {
+        inner: Mutex::new(Inner::new(&settings, 1)),
+        settings,
+        control: control.clone(),
+        store,
+        wake: Notify::new(),
+    });
+    let steps = tokio::spawn(engine.clone().run());
+    let mut handle = http::serve(listen, control, true, move |call| {
+        engine.clone().answer(call)
+    })
+    .await?;
+    handle.tasks.push(steps);
+    Ok(handle)
+}
+
+impl Engine {
+    async fn run(self: Arc<Self>) {
+        let mut crash = self.control.crash.subscribe();
+        loop {
+            if crash.has_changed().unwrap_or(false) {
+                crash.mark_unchanged();
+                self.lose_state();
+            }
+            match self.begin() {
+                Step::Crashes => {}
+                Step::Idle => {
+                    tokio::select! {
+                        _ = self.wake.notified() => {}
+                        _ = crash.changed() => self.lose_state(),
+                    }
+                }
+                Step::Takes(time) => {
+                    pause(time).await;
+                    self.finish();
+                }
+            }
+        }
+    }
+
+    fn begin(&self) -> Step {
+        let mut guard = self.lock();
+        let inner = &mut *guard;
+        let mut down_ms = None;
+        let step = inner.batch.begin(&mut inner.kv, &self.settings, |prompt| {
+            self.control.faults.crash_on(prompt).is_some()
+        });
+        if matches!(step, Step::Crashes) {
+            down_ms = Some(self.settings.restart_ms);
+        }
+        inner.note_load();
+        drop(guard);
+        if let Some(down_ms) = down_ms {
+            self.control.crash(down_ms);
+        }
+        step
+    }
+
+    fn finish(&self) {
+        let mut guard = self.lock();
+        let inner = &mut *guard;
+        let models = &inner.models;
+        inner.batch.finish(&mut inner.kv, |model| {
+            models.version(model).unwrap_or_default()
+        });
+        inner.note_load();
+    }
+
+    fn lose_state(&self) {
+        let mut inner = self.lock();
+        let life = inner.life + 1;
+        *inner = Inner::new(&self.settings, life);
+    }
+
+    async fn answer(self: Arc<Self>, call: Call) -> Reply {
+        match (call.method.as_str(), call.path.as_str()) {
+            ("POST", "/v1/completions") => self.complete(&call).await,
+            ("GET", "/healthz") => reply::done(),
+            ("GET", "/engine/state") => {
+                let inner = self.lock();
+                reply::json(200, &inner.models.state(inner.life))
+            }
+            ("GET", LOAD) => reply::json(200, &self.report()),
+            ("GET", "/engine/cache-events") => self.cache_events(&call),
+            ("POST", "/engine/cancel") => self.cancel(&call),
+            ("POST", LOAD | SWITCH) => self.order(call).await,
+            _ => reply::error(404, "no-such-path"),
+        }
+    }
+
+    async fn complete(&self, call: &Call) -> Reply {
+        let question: Question = match call.json() {
+            Ok(question) => question,
+            Err(refusal) => return *refusal,
+        };
+        if question.n.unwrap_or(1) != 1 {
+            return reply::error(400, "one-completion-only");
+        }
+        let stream = question.stream;
+        match self.submit(question) {
+            Ok(completion) if stream => completion.stream(),
+            Ok(completion) => completion.whole().await,
+            Err(refusal) => *refusal,
+        }
+    }
+
+    fn submit(&self, question: Question) -> Result<Completion, Box<Reply>> {
+        let mut inner = self.lock();
+        if inner.models.version(&question.model).is_none() {
+            return Err(Box::new(reply::error(404, "no-such-model")));
+        }
+        let (out, emitted) = mpsc::unbounded_channel();
+        inner.arrivals += 1;
+        let sequence = self.sequence(question, inner.arrivals, out);
+        if !inner.kv.could_hold(sequence.blocks()) {
+            return Err(Box::new(reply::error(400, "too-long")));
+        }
+        let completion = Completion {
+            id: format!("cmpl-{}-{}", inner.life, inner.arrivals),
+            prompt_tokens: sequence.prompt_tokens(),
+            emitted,
+        };
+        inner.batch.push(sequence);
+        inner.note_load();
+        self.wake.notify_one();
+        Ok(completion)
+    }
+
+    fn sequence(
+        &self,
+        question: Question,
+        arrived: u64,
+        out: mpsc::UnboundedSender<super::batch::Emitted>,
+    ) -> Sequence {
+        let seed = question.seed.to_string();
+        let content = text_hash(&[&question.prompt, &seed]);
+        let natural = natural_tokens(content, &self.settings);
+        let max_tokens = question.max_tokens();
+        let ending = if natural <= max_tokens {
+            Ending::Stop
+        } else {
+            Ending::Length
+        };
+        Sequence {
+            made: question.resume_tokens.len() as u32,
+            model: question.model,
+            request_id: question.request_id,
+            prompt: question.prompt,
+            priority: question.priority,
+            arrived,
+            content,
+            tokens: natural.min(max_tokens),
+            ending,
+            out,
+        }
+    }
+
+    fn cancel(&self, call: &Call) -> Reply {
+        let cancel: Cancel = match call.json() {
+            Ok(cancel) => cancel,
+            Err(refusal) => return *refusal,
+        };
+        let mut guard = self.lock();
+        let inner = &mut *guard;
+        let cancelled = inner.batch.cancel(&mut inner.kv, &cancel.request_id);
+        inner.note_load();
+        reply::json(200, &Cancelled { cancelled })
+    }
+
+    fn report(&self) -> LoadReport {
+        let fault = self.control.faults.hit(FaultKind::Lag, LOAD);
+        let lag_ms = fault.map_or(self.settings.report_lag_ms, |fault| fault.delay_ms);
+        self.lock().reports.at(Duration::from_millis(lag_ms))
+    }
+
+    fn cache_events(&self, call: &Call) -> Reply {
+        let from = call.query_u64("from").unwrap_or(0);
+        let lag = Duration::from_millis(self.settings.cache_event_lag_ms);
+        reply::json(200, &self.lock().kv.events(from, lag))
+    }
+
+    /// Runs to its end though its sender may have given up: an order that nobody waits
+    /// for any more still takes effect.
+    async fn order(self: Arc<Self>, call: Call) -> Reply {
+        let order: Order = match call.json() {
+            Ok(order) => order,
+            Err(refusal) => return *refusal,
+        };
+        let work = async move {
+            let life = self.lock().life;
+            let accepted = self.lock().models.accept(&order.model, order.fence);
+            match accepted {
+                Verdict::Done if call.path == SWITCH => self.switch(&order, life).await,
+                Verdict::Done => self.load(&order, life).await,
+                refused => verdict(refused),
+            }
+        };
+        let ended = tokio::spawn(work).await;
+        ended.unwrap_or_else(|_| reply::error(500, "order-failed"))
+    }
+
+    async fn load(&self, order: &Order, life: u64) -> Reply {
+        if self.lock().models.has(&order.model, order.version) {
+            return reply::done();
+        }
+        if let Some(refusal) = self.fetch(order).await {
+            return refusal;
+        }
+        self.take(self.settings.speeds.load_ms).await;
+        let mut inner = self.lock();
+        if inner.life != life {
+            return reply::error(500, "restarted");
+        }
+        verdict(inner.models.loaded(&order.model, order.version))
+    }
+
+    async fn fetch(&self, order: &Order) -> Option<Reply> {
+        let store = self.store.as_ref()?;
+        match store.fetch(&order.model, order.version).await {
+            Ok(_) => None,
+            Err(PlatformError::Refused { status: 429, .. }) => {
+                Some(reply::come_back(503, "store-busy", STORE_RETRY_AFTER_S))
+            }
+            Err(_) => Some(reply::error(503, "store-failed")),
+        }
+    }
+
+    async fn switch(&self, order: &Order, life: u64) -> Reply {
+        let fails = self.control.faults.hit(FaultKind::SwapFails, SWITCH);
+        self.take(self.settings.speeds.switch_ms).await;
+        if fails.is_some() {
+            return reply::error(500, "swap-failed");
+        }
+        let mut guard = self.lock();
+        let inner = &mut *guard;
+        if inner.life != life {
+            return reply::error(500, "restarted");
+        }
+        let changes = inner.models.version(&order.model) != Some(order.version);
+        let done = inner.models.switch(&order.model, order.version);
+        if done == Verdict::Done && changes {
+            inner.kv.forget_prefixes();
+        }
+        verdict(done)
+    }
+
+    async fn take(&self, ms: u64) {
+        let time = self.settings.speeds.scaled(Duration::from_millis(ms));
+        pause(time).await;
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+async fn pause(time: Duration) {
+    if time.is_zero() {
+        tokio::task::yield_now().await;
+    } else {
+        sleep(time).await;
+    }
+}
+
+fn verdict(verdict: Verdict) -> Reply {
+    match verdict {
+        Verdict::Done => reply::done(),
+        Verdict::UnknownModel => reply::error(404, "no-such-model"),
+        Verdict::OldFence => reply::error(409, "old-fence"),
+        Verdict::NotLoaded => reply::error(412, "not-loaded"),
+    }
+}
+
+fn version<'de, D: Deserializer<'de>>(from: D) -> Result<WeightVersion, D::Error> {
+    let text = <std::borrow::Cow<'de, str>>::deserialize(from)?;
+    text.parse().map_err(serde::de::Error::custom)
+}
--- /dev/null
+++ b/dev/standins/src/engine/text.rs
@@ -0,0 +1,64 @@
+//! What the engine "generates": a fixed function of prompt, seed, position and version.
+
+use types::WeightVersion;
+
+use super::settings::EngineSettings;
+
+const FNV_OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+const FNV_PRIME: u64 = 0x0000_0100_0000_01b3;
+const STRAGGLER_FACTOR: u32 = 4;
+const PERMILLE: u64 = 1_000;
+
+/// A number that stands for these texts.
+pub fn text_hash(texts: &[&str]) -> u64 {
+    let mut hash = FNV_OFFSET;
+    for text in texts {
+        for byte in text.bytes().chain([0]) {
+            hash = (hash ^ u64::from(byte)).wrapping_mul(FNV_PRIME);
+        }
+    }
+    mixed(hash)
+}
+
+/// Spreads a number over all bits (the finalizer of splitmix64).
+pub(super) fn mixed(number: u64) -> u64 {
+    let mut z = number.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    z ^ (z >> 31)
+}
+
+/// Number of the token at a position.
+pub(super) fn token_id(content: u64, position: u32, version: WeightVersion) -> u32 {
+    let made_by = version.fencing_number().wrapping_mul(FNV_PRIME);
+    (mixed(content ^ made_by ^ u64::from(position)) & 0xffff) as u32
+}
+
+/// Text of a token.
+pub(super) fn token_text(id: u32, version: WeightVersion) -> String {
+    format!(" {id:04x}@{version}")
+}
+
+/// Tokens that a completion has when nothing limits it.
+pub(super) fn natural_tokens(content: u64, settings: &EngineSettings) -> u32 {
+    let span = u64::from(settings.tokens_max.saturating_sub(settings.tokens_min)) + 1;
+    let tokens = settings.tokens_min + (content % span) as u32;
+    let straggles = mixed(content) % PERMILLE < settings.stragglers_permille;
+    if straggles {
+        tokens * STRAGGLER_FACTOR
+    } else {
+        tokens
+    }
+}
+
+/// The versions that made a generated text, each once, in the order of the text.
+pub fn versions_in(text: &str) -> Vec<WeightVersion> {
+    let mut versions = Vec::new();
+    let stamps = text.split_whitespace();
+    for version in stamps.filter_map(|token| token.split_once('@')?.1.parse().ok()) {
+        if !versions.contains(&version) {
+            versions.push(version);
+        }
+    }
+    versions
+}
