Calls between processes that survive a lost connection

Purpose: a call in progress must survive a cut or silent connection, and "not run" may only be said with proof. Weighed: writing an Open again after a loss (a callee that had forgotten the call would run it twice) against asking for it by identity; the second. "Not known here" is a proof only because a caller has one connection at a time, the callee closes the older one, and the greeting names the life that holds the table of calls; so Hello got a boot number. One task for each peer and one for each server own the state; no lock on the path. Change: codec and authentication in protocol; caller's and callee's state machines, silence, backoff and the decision on retries in recovery; connections, calls, server and datagrams in link. Faults of connections and the state machines have no tests yet.

--- a/components/link/src/lib.rs
+++ b/components/link/src/lib.rs
@@ -4,19 +4,29 @@
 //! up again by its identity. All decisions are in package `recovery`; here are sockets,
 //! tasks and channels.
 
+mod accept;
 mod answer;
 mod call;
+mod clock;
+mod connection;
+mod error;
+mod greet;
 mod links;
+mod mark;
+mod outgoing;
+mod peer;
 mod server;
 mod settings;
 mod traffic;
 mod udp;
 
 pub use answer::{Answer, Incoming};
-pub use call::{Call, CallEvent};
+pub use call::Call;
+pub use error::LinkError;
 pub use links::Links;
 pub use protocol::{Key, KeyError, Keys};
+pub use recovery::CallEvent;
 pub use server::serve;
 pub use settings::LinkSettings;
-pub use traffic::Traffic;
+pub use traffic::{Counters, Traffic};
 pub use udp::Udp;
--- a/components/link/src/settings.rs
+++ b/components/link/src/settings.rs
@@ -1,8 +1,11 @@
 //! Settings of the links between the system's own processes.
 
 use protocol::{Keys, ProcessRole};
+use recovery::TableSettings;
 use types::{FailureDomain, NodeId};
 
+use crate::Counters;
+
 /// Settings of a [`crate::Links`], of [`crate::serve`] and of a [`crate::Udp`].
 #[derive(Clone, Debug)]
 pub struct LinkSettings {
@@ -35,8 +38,10 @@
     pub keep_ms: u64,
     /// Most calls that the callee holds at a time, kept answers included.
     pub calls_max: usize,
-    /// Most bytes of requests and kept answers that the callee holds at a time.
+    /// Bytes of requests and kept answers beyond which the callee refuses calls.
     pub held_bytes_max: usize,
+    /// Bytes carried so far; clones of the settings count into the same.
+    pub counters: Counters,
 }
 
 impl LinkSettings {
@@ -51,12 +56,22 @@
             ping_after_ms: 500,
             ping_deadline_ms: 500,
             reattach_for_ms: 5_000,
-            window_bytes: 256 * 1024,
+            window_bytes: 64 * 1024,
             frame_bytes_max: 16 * 1024 * 1024,
             grace_ms: 5_000,
             keep_ms: 30_000,
-            calls_max: 4_096,
+            calls_max: 1_024,
             held_bytes_max: 64 * 1024 * 1024,
+            counters: Counters::default(),
+        }
+    }
+
+    pub(crate) fn table(&self) -> TableSettings {
+        TableSettings {
+            grace_ms: self.grace_ms,
+            keep_ms: self.keep_ms,
+            calls_max: self.calls_max,
+            held_bytes_max: self.held_bytes_max,
         }
     }
 }
--- /dev/null
+++ b/components/link/tests/call.rs
@@ -0,0 +1,176 @@
+//! Calls over loopback sockets without faults.
+
+mod common;
+
+use bytes::Bytes;
+use common::{Callee, all, head, links, open};
+use link::CallEvent;
+use types::{Cause, Failure, RunState};
+
+#[tokio::test]
+async fn can_give_a_whole_answer() {
+    let mut callee = Callee::start(|_| {}).await;
+    let links = links(|_| {});
+    let mut call = links.call(callee.address, open(&links, b"body"));
+    let incoming = callee.next().await;
+    assert_eq!(&incoming.open.body[..], b"body");
+    let answer = incoming.answer;
+    answer.accepted();
+    answer.started();
+    answer.head(head()).await;
+    answer.chunk(Bytes::from_static(b"one")).await;
+    answer.chunk(Bytes::from_static(b"two")).await;
+    answer.end();
+    let expected = vec![
+        CallEvent::Accepted,
+        CallEvent::Started,
+        CallEvent::Head(head()),
+        CallEvent::Chunk(Bytes::from_static(b"onetwo")),
+        CallEvent::End,
+    ];
+    assert_eq!(all(&mut call).await, expected);
+    assert_eq!(call.next().await, CallEvent::End);
+}
+
+/// Where a handler goes away without an end, and what the caller may believe then.
+struct Dropped {
+    name: &'static str,
+    started: bool,
+    head: bool,
+    expected: RunState,
+}
+
+#[tokio::test]
+async fn errors_when_the_handler_goes_away() {
+    let cases = [
+        Dropped {
+            name: "before start",
+            started: false,
+            head: false,
+            expected: RunState::NotRun,
+        },
+        Dropped {
+            name: "after start",
+            started: true,
+            head: false,
+            expected: RunState::Unknown,
+        },
+        Dropped {
+            name: "half answered",
+            started: true,
+            head: true,
+            expected: RunState::Failed,
+        },
+    ];
+    for case in cases {
+        let mut callee = Callee::start(|_| {}).await;
+        let links = links(|_| {});
+        let mut call = links.call(callee.address, open(&links, b""));
+        let answer = callee.next().await.answer;
+        if case.started {
+            answer.started();
+        }
+        if case.head {
+            answer.head(head()).await;
+        }
+        drop(answer);
+        let failure = Failure::new(case.expected, Cause::Internal);
+        let last = all(&mut call).await.pop();
+        assert_eq!(last, Some(CallEvent::Failed(failure)), "{}", case.name);
+    }
+}
+
+#[tokio::test]
+async fn can_cancel_by_dropping_the_call() {
+    let mut callee = Callee::start(|_| {}).await;
+    let links = links(|_| {});
+    let call = links.call(callee.address, open(&links, b""));
+    let answer = callee.next().await.answer;
+    answer.started();
+    drop(call);
+    answer.cancelled().await;
+}
+
+#[tokio::test]
+async fn errors_as_not_run_when_nobody_listens() {
+    let links = links(|_| {});
+    let nobody = tokio::net::TcpListener::bind(common::LOOPBACK)
+        .await
+        .unwrap();
+    let address = nobody.local_addr().unwrap();
+    drop(nobody);
+    let mut call = links.call(address, open(&links, b""));
+    let expected = CallEvent::Failed(Failure::not_run(Cause::LinkLost));
+    assert_eq!(all(&mut call).await, vec![expected]);
+}
+
+// A caller that does not take its answer holds up only itself: its callee waits for the
+// window while another call on the same connection is answered whole.
+#[tokio::test]
+async fn can_answer_one_call_while_another_is_not_read() {
+    let mut callee = Callee::start(|settings| settings.window_bytes = 4_096).await;
+    let links = links(|settings| settings.window_bytes = 4_096);
+    let long = Bytes::from(vec![7; 100_000]);
+    let mut slow = links.call(callee.address, open(&links, b"slow"));
+    let slow_answer = callee.next().await.answer;
+    let sent = long.clone();
+    let mut writing = tokio::spawn(async move {
+        slow_answer.head(head()).await;
+        slow_answer.chunk(sent).await;
+        slow_answer.end();
+    });
+    let mut quick = links.call(callee.address, open(&links, b"quick"));
+    let quick_answer = callee.next().await.answer;
+    quick_answer.head(head()).await;
+    quick_answer.chunk(Bytes::from_static(b"here")).await;
+    quick_answer.end();
+    assert_eq!(all(&mut quick).await.pop(), Some(CallEvent::End));
+    assert!(
+        futures_pending(&mut writing).await,
+        "the slow call must wait for its window"
+    );
+    let events = all(&mut slow).await;
+    assert_eq!(events[2], CallEvent::Chunk(long));
+    assert_eq!(events[3], CallEvent::End);
+    writing.await.unwrap();
+}
+
+async fn futures_pending<T>(task: &mut tokio::task::JoinHandle<T>) -> bool {
+    tokio::task::yield_now().await;
+    !task.is_finished()
+}
+
+#[tokio::test]
+async fn can_leave_after_the_last_call_only() {
+    let mut callee = Callee::start(|_| {}).await;
+    let links = links(|_| {});
+    let mut early = links.call(callee.address, open(&links, b""));
+    let answer = callee.next().await.answer;
+    callee.stop.send_replace(true);
+    let refused = CallEvent::Failed(Failure::not_run(Cause::Leaving));
+    // The order to stop and a new call reach the callee on two ways, so the first refusal
+    // may come a little later.
+    loop {
+        let mut late = links.call(callee.address, open(&links, b"late"));
+        if late.next_or_taken(&mut callee).await == Some(refused.clone()) {
+            break;
+        }
+    }
+    answer.head(head()).await;
+    answer.end();
+    assert_eq!(all(&mut early).await.pop(), Some(CallEvent::End));
+    callee.task.await.unwrap();
+}
+
+trait NextOrTaken {
+    async fn next_or_taken(&mut self, callee: &mut Callee) -> Option<CallEvent>;
+}
+
+impl NextOrTaken for link::Call {
+    async fn next_or_taken(&mut self, callee: &mut Callee) -> Option<CallEvent> {
+        tokio::select! {
+            event = self.next() => Some(event),
+            _ = callee.calls.recv() => None,
+        }
+    }
+}
--- a/components/protocol/src/frame.rs
+++ b/components/protocol/src/frame.rs
@@ -4,7 +4,7 @@
 use derive::wire;
 use types::{CallId, Class, CustomerName, Failure, FailureDomain, NodeId, ServiceName};
 
-use crate::ProcessRole;
+use crate::{Nonce, ProcessRole};
 
 /// First frame in each direction of a connection.
 #[wire]
@@ -20,7 +20,10 @@
     /// Failure domain of the sender.
     pub failure_domain: FailureDomain,
     /// Random number of the sender for this connection; both go into its key.
-    pub nonce: [u8; 16],
+    pub nonce: Nonce,
+    /// Random number of this life of the sender. Calls are known to one life of the
+    /// callee only, and a caller's newer connection takes the place of its older ones.
+    pub boot: u64,
 }
 
 /// A call as it leaves the caller's process.
@@ -32,6 +35,8 @@
     pub request_id: String,
     /// Customer that pays for the call.
     pub customer: CustomerName,
+    /// Customer that owns the service; another one than `customer` for a shared service.
+    pub owner: CustomerName,
     /// Service that is called.
     pub service: ServiceName,
     /// Class of the call.
@@ -149,3 +154,32 @@
         number: u64,
     },
 }
+
+impl Frame {
+    /// The call that the frame belongs to, if it belongs to one.
+    pub fn id(&self) -> Option<CallId> {
+        match self {
+            Frame::Hello(_) | Frame::Ping { .. } | Frame::Pong { .. } => None,
+            Frame::Open(open) => Some(open.id),
+            Frame::Attach { id, .. }
+            | Frame::Accepted { id }
+            | Frame::Started { id }
+            | Frame::Head { id, .. }
+            | Frame::Chunk { id, .. }
+            | Frame::End { id, .. }
+            | Frame::Fail { id, .. }
+            | Frame::Received { id, .. }
+            | Frame::Forget { id }
+            | Frame::Cancel { id }
+            | Frame::Unattached { id } => Some(*id),
+        }
+    }
+
+    /// Whether the frame carries a request or part of an answer, and not control only.
+    pub fn carries_call(&self) -> bool {
+        matches!(
+            self,
+            Frame::Open(_) | Frame::Head { .. } | Frame::Chunk { .. }
+        )
+    }
+}
--- /dev/null
+++ b/components/protocol/src/greeting.rs
@@ -0,0 +1,113 @@
+//! The first frame in each direction of a connection: a length, the short id of the
+//! shared key, the `postcard` bytes of [`Hello`], an authentication code.
+//!
+//! The callee answers with the key that the caller used, so a caller with either key is
+//! served while keys are changed. The callee's code covers the caller's nonce: an old
+//! answer of the callee cannot be played to a new connection.
+
+use bytes::{Bytes, BytesMut};
+
+use crate::authentication::{Authenticator, Purpose, TAG_BYTES};
+use crate::codec::{LENGTH_BYTES, checked_length, split_body};
+use crate::payload::append;
+use crate::{CodecError, Direction, Hello, KEY_ID_BYTES, Key, Keys, Nonce};
+
+/// Oldest protocol version that this code speaks.
+pub const VERSION_MIN: u16 = 1;
+/// Newest protocol version that this code speaks.
+pub const VERSION_MAX: u16 = 1;
+/// Largest greeting, without its length, in bytes.
+pub const HELLO_BYTES_MAX: usize = 512;
+
+/// Appends the greeting of the process that connected.
+pub fn write_caller_hello(hello: &Hello, key: &Key, out: &mut BytesMut) -> Result<(), CodecError> {
+    write(hello, key, Direction::FromCaller, &[], out)
+}
+
+/// Appends the greeting of the process that was connected to.
+pub fn write_callee_hello(
+    hello: &Hello,
+    key: &Key,
+    caller_nonce: &Nonce,
+    out: &mut BytesMut,
+) -> Result<(), CodecError> {
+    write(hello, key, Direction::FromCallee, caller_nonce, out)
+}
+
+/// Takes the caller's greeting out of `buffer`, with the key it was signed with.
+pub fn read_caller_hello<'k>(
+    buffer: &mut BytesMut,
+    keys: &'k Keys,
+) -> Result<Option<(Hello, &'k Key)>, CodecError> {
+    read(buffer, keys, Direction::FromCaller, &[])
+}
+
+/// Takes the callee's greeting out of `buffer`, with the key it was signed with.
+pub fn read_callee_hello<'k>(
+    buffer: &mut BytesMut,
+    keys: &'k Keys,
+    caller_nonce: &Nonce,
+) -> Result<Option<(Hello, &'k Key)>, CodecError> {
+    read(buffer, keys, Direction::FromCallee, caller_nonce)
+}
+
+/// The newest version that both this code and the peer speak.
+pub fn common_version(peer: &Hello) -> Result<u16, CodecError> {
+    let newest = VERSION_MAX.min(peer.version_max);
+    let oldest = VERSION_MIN.max(peer.version_min);
+    if newest < oldest {
+        return Err(CodecError::NoCommonVersion(
+            peer.version_min,
+            peer.version_max,
+        ));
+    }
+    Ok(newest)
+}
+
+fn write(
+    hello: &Hello,
+    key: &Key,
+    direction: Direction,
+    context: &[u8],
+    out: &mut BytesMut,
+) -> Result<(), CodecError> {
+    let mut body = BytesMut::from(&key.id()[..]);
+    append(hello, &mut body)?;
+    let tag = Authenticator::shared(key).sign(Purpose::Hello(direction), context, &body);
+    body.extend_from_slice(&tag);
+    let length = checked_length(body.len(), HELLO_BYTES_MAX)?;
+    out.reserve(LENGTH_BYTES + body.len());
+    out.extend_from_slice(&length.to_le_bytes());
+    out.extend_from_slice(&body);
+    Ok(())
+}
+
+fn read<'k>(
+    buffer: &mut BytesMut,
+    keys: &'k Keys,
+    direction: Direction,
+    context: &[u8],
+) -> Result<Option<(Hello, &'k Key)>, CodecError> {
+    let Some(body) = split_body(buffer, HELLO_BYTES_MAX)? else {
+        return Ok(None);
+    };
+    let (signed, tag) = body.split_at(body.len() - TAG_BYTES);
+    let key = signing_key(signed, keys)?;
+    Authenticator::shared(key).check(Purpose::Hello(direction), context, signed, tag)?;
+    parse(&body.slice(KEY_ID_BYTES..signed.len())).map(|hello| Some((hello, key)))
+}
+
+pub(crate) fn signing_key<'k>(signed: &[u8], keys: &'k Keys) -> Result<&'k Key, CodecError> {
+    let id = signed
+        .first_chunk::<KEY_ID_BYTES>()
+        .ok_or(CodecError::TooShort(signed.len()))?;
+    keys.find(*id).ok_or(CodecError::UnknownKey(*id))
+}
+
+/// Bytes behind the known fields are left unread: a later version may add fields, and must
+/// still be told from this one by its version numbers.
+fn parse(payload: &Bytes) -> Result<Hello, CodecError> {
+    postcard::take_from_bytes(payload)
+        .map(|(hello, _rest)| hello)
+        .map_err(|_| CodecError::Malformed)
+}
