samples: tests of delivery, ages, origin, stragglers and scores

Purpose: prove that any order of fetches, losses of homes, posts, copies, swaps and returns to a checkpoint delivers each slot once, young enough and truly labelled. Found on the way: a trainer that moves to new weights while a fetch is open would take samples judged by the version before; Received now refuses such a reply.

--- a/components/samples/src/home.rs
+++ b/components/samples/src/home.rs
@@ -4,6 +4,10 @@
 //! asking, and the loss of an entry moves only its own steps. Two views that differ for
 //! a moment give a step two homes at once, which costs work; the trainer's cursor keeps
 //! its samples from being doubled.
+//!
+//! When one of the two is lost, the other is again one of the new two. A first home that
+//! doesn't hold a step asks the second for its copies; a first home with a new second
+//! sends it [`crate::Ledger::copies`].
 
 use std::net::SocketAddr;
 
--- a/components/samples/src/received.rs
+++ b/components/samples/src/received.rs
@@ -1,12 +1,14 @@
 //! The trainer's side of delivery.
 //!
-//! A reply counts only with its cursor, and only if it was asked with the cursor that the
-//! trainer holds now. Two fetches with one cursor, at two homes that don't know of each
+//! A reply counts only with its cursor, and only if it was asked with the cursor and the
+//! version that the trainer holds now. Two fetches with one cursor, at two homes that don't know of each
 //! other, bring two replies; the first one taken moves the cursor on, and the second no
-//! longer fits. Samples and cursor have to be stored together, in one checkpoint.
+//! longer fits. A trainer that moves to new weights while a fetch is open drops its reply,
+//! whose samples were judged by the version before. Samples and cursor have to be stored together, in one checkpoint.
 
 use derive::value;
 use quick_error::quick_error;
+use types::WeightVersion;
 
 quick_error! {
     /// Why a reply may not be taken.
@@ -16,6 +18,10 @@
         Overtaken {
             display("the reply answers an earlier cursor; fetch again with the current one")
         }
+        /// The trainer has other weights than when it sent the fetch; fetch again.
+        OtherVersion {
+            display("the reply was judged by another version; fetch again with the current one")
+        }
     }
 }
 
@@ -24,6 +30,8 @@
 pub struct Take<S> {
     /// Text of the cursor that the fetch carried.
     pub base: String,
+    /// Version that the fetch carried.
+    pub trainer_version: WeightVersion,
     /// Samples of the reply.
     pub samples: Vec<S>,
     /// Text of the cursor that came with them.
@@ -34,14 +42,16 @@
 #[value]
 pub struct Received<S> {
     cursor: String,
+    version: WeightVersion,
     samples: Vec<S>,
 }
 
 impl<S> Received<S> {
-    /// From the cursor that the post gave.
-    pub fn new(cursor: String) -> Self {
+    /// From the cursor that the post gave, at the trainer's version.
+    pub fn new(cursor: String, version: WeightVersion) -> Self {
         Self {
             cursor,
+            version,
             samples: Vec::new(),
         }
     }
@@ -51,6 +61,16 @@
         &self.cursor
     }
 
+    /// The trainer's version.
+    pub fn version(&self) -> WeightVersion {
+        self.version
+    }
+
+    /// The trainer has other weights from here on.
+    pub fn advance(&mut self, version: WeightVersion) {
+        self.version = version;
+    }
+
     /// Every sample taken.
     pub fn samples(&self) -> &[S] {
         &self.samples
@@ -61,6 +81,9 @@
         if reply.base != self.cursor {
             return Err(ReplyError::Overtaken);
         }
+        if reply.trainer_version != self.version {
+            return Err(ReplyError::OtherVersion);
+        }
         self.samples.extend(reply.samples);
         self.cursor = reply.next;
         Ok(())
--- /dev/null
+++ b/components/samples/tests/exactly_once.rs
@@ -0,0 +1,334 @@
+//! Delivery under any order of fetches, losses of homes, posts, copies, swaps and returns of the
+//! trainer to a checkpoint.
+
+mod support;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use quickcheck::{Arbitrary, Gen, quickcheck};
+use samples::{
+    Action, Copy, Cursor, Fault, Ledger, LedgerSettings, Received, RunId, Slot, Start, Step, Take,
+};
+use support::{completion, keys, room, step_of, version};
+use types::WeightVersion;
+
+const BOUND: u64 = 1;
+const HOMES: usize = 2;
+
+#[derive(Clone, Debug)]
+enum Event {
+    Fetch { home: usize, max: u32 },
+    Take { reply: usize },
+    TakeAndKeep { reply: usize },
+    Die { home: usize },
+    Post { home: usize },
+    Dispatch { home: usize, each: u32 },
+    Finish { home: usize, run: usize },
+    Fail { home: usize, run: usize },
+    Copy { to: usize, copy: usize },
+    Switch,
+    Advance { told: usize },
+    RollBack,
+    Checkpoint,
+    Restore,
+}
+
+impl Arbitrary for Event {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let home = usize::arbitrary(g) % HOMES;
+        let at = usize::arbitrary(g) % 64;
+        let few = u32::arbitrary(g) % 4 + 1;
+        match u8::arbitrary(g) % 32 {
+            0..4 => Event::Fetch { home, max: few },
+            4..7 => Event::Take { reply: at },
+            7..9 => Event::TakeAndKeep { reply: at },
+            9 => Event::Die { home },
+            10..13 => Event::Post { home },
+            13..17 => Event::Dispatch { home, each: few },
+            17..23 => Event::Finish { home, run: at },
+            23 => Event::Fail { home, run: at },
+            24..26 => Event::Copy { to: home, copy: at },
+            26..28 => Event::Switch,
+            28 => Event::Advance { told: home },
+            29 => Event::Checkpoint,
+            30 => Event::Restore,
+            _ if few == 1 => Event::RollBack,
+            _ => Event::Dispatch { home, each: few },
+        }
+    }
+}
+
+type Origin = BTreeSet<WeightVersion>;
+type Sample = (Slot, String, Origin);
+
+/// Two homes that may both be alive, engines, and one trainer with everything in flight.
+struct World {
+    step: Arc<Step>,
+    homes: [Option<Ledger>; HOMES],
+    runs: [BTreeMap<RunId, Start>; HOMES],
+    copies: Vec<Copy>,
+    replies: Vec<Take<Sample>>,
+    received: Received<Sample>,
+    checkpoint: Received<Sample>,
+    engines: WeightVersion,
+    announced: WeightVersion,
+    /// Versions that made each text, as the engines know them.
+    truth: BTreeMap<String, Origin>,
+    now_ms: u64,
+    texts: u64,
+}
+
+impl World {
+    fn new() -> Self {
+        let step = step_of(3, 4);
+        let start = Cursor::start(&step).seal(&keys());
+        let received = Received::new(start, version(1, 1));
+        let mut world = Self {
+            homes: [None, None],
+            runs: Default::default(),
+            copies: Vec::new(),
+            replies: Vec::new(),
+            checkpoint: received.clone(),
+            received,
+            engines: version(1, 1),
+            announced: version(1, 1),
+            truth: BTreeMap::new(),
+            now_ms: 0,
+            texts: 0,
+            step,
+        };
+        world.post(0);
+        world
+    }
+
+    fn apply(&mut self, event: &Event) {
+        self.now_ms += 50;
+        match *event {
+            Event::Fetch { home, max } => self.fetch(home, max),
+            Event::Take { reply } => self.take(reply, false),
+            Event::TakeAndKeep { reply } => self.take(reply, true),
+            Event::Die { home } => {
+                self.homes[home] = None;
+                self.runs[home].clear();
+            }
+            Event::Post { home } => self.post(home),
+            Event::Dispatch { home, each } => self.dispatch(home, each),
+            Event::Finish { home, run } => self.end(home, run, true),
+            Event::Fail { home, run } => self.end(home, run, false),
+            Event::Copy { to, copy } => self.copy(to, copy),
+            Event::Switch => self.engines = self.engines.max(self.announced),
+            Event::Advance { told } => self.advance(told),
+            Event::RollBack => self.announced = version(self.announced.epoch + 1, 1),
+            Event::Checkpoint => self.checkpoint = self.received.clone(),
+            Event::Restore => self.received = self.checkpoint.clone(),
+        }
+        (0..HOMES).for_each(|home| self.drive(home));
+    }
+
+    fn fetch(&mut self, home: usize, max: u32) {
+        let Some(ledger) = &mut self.homes[home] else {
+            return;
+        };
+        let base = self.received.cursor().to_owned();
+        let trainer_version = self.received.version();
+        let cursor = Cursor::open(&base, &keys(), &self.step).unwrap();
+        let Ok(reply) = ledger.fetch(&cursor, trainer_version, max, self.now_ms) else {
+            return;
+        };
+        let sample = |offer: &samples::Offer| {
+            let sample = &offer.sample;
+            (sample.slot, sample.text.clone(), sample.versions.clone())
+        };
+        self.replies.push(Take {
+            base,
+            trainer_version,
+            samples: reply.samples.iter().map(sample).collect(),
+            next: reply.cursor.seal(&keys()),
+        });
+    }
+
+    fn take(&mut self, reply: usize, keep: bool) {
+        if self.replies.is_empty() {
+            return;
+        }
+        let at = reply % self.replies.len();
+        let reply = self.replies[at].clone();
+        if !keep {
+            self.replies.remove(at);
+        }
+        let samples = reply.samples.clone();
+        if self.received.take(reply).is_err() {
+            return;
+        }
+        for (slot, text, versions) in samples {
+            let own = self.received.version();
+            let lag = samples::staleness(&versions, own);
+            assert!(
+                lag.is_some_and(|lag| lag <= BOUND),
+                "{slot:?} {versions:?} for {own}"
+            );
+            assert_eq!(self.truth[&text], versions, "stamps of {slot:?}");
+        }
+        let had: BTreeSet<Slot> = self.received.samples().iter().map(|s| s.0).collect();
+        assert_eq!(had.len(), self.received.samples().len(), "a doubled sample");
+    }
+
+    fn post(&mut self, home: usize) {
+        let cursor = Cursor::open(self.received.cursor(), &keys(), &self.step).unwrap();
+        if self.homes[home].is_some() {
+            return;
+        }
+        let settings = LedgerSettings {
+            staleness_bound: BOUND,
+            ..LedgerSettings::default()
+        };
+        let at = self.received.version();
+        self.homes[home] = Some(Ledger::new(Arc::clone(&self.step), settings, &cursor, at));
+    }
+
+    fn dispatch(&mut self, home: usize, each: u32) {
+        if let Some(ledger) = &mut self.homes[home] {
+            ledger.dispatch(&room(3, each, self.engines), self.now_ms);
+        }
+    }
+
+    fn end(&mut self, home: usize, run: usize, whole: bool) {
+        let at = run % self.runs[home].len().max(1);
+        let Some(&run) = self.runs[home].keys().nth(at) else {
+            return;
+        };
+        self.runs[home].remove(&run);
+        let Some(ledger) = &mut self.homes[home] else {
+            return;
+        };
+        if !whole {
+            ledger.failed(run, Fault::Lost, None, self.now_ms);
+            return;
+        }
+        self.texts += 1;
+        let text = format!("text {}", self.texts);
+        // A run may span a switch.
+        let later = WeightVersion {
+            version: self.engines.version + self.texts % 2,
+            ..self.engines
+        };
+        let versions = Origin::from([self.engines, later.min(self.announced.max(self.engines))]);
+        self.truth.insert(text.clone(), versions.clone());
+        ledger.finished(run, completion(&text, versions), self.now_ms);
+    }
+
+    fn copy(&mut self, to: usize, copy: usize) {
+        let Some(ledger) = &mut self.homes[to] else {
+            return;
+        };
+        let at = copy % self.copies.len().max(1);
+        if let Some(Copy::Finished { sample, .. }) = self.copies.get(at) {
+            ledger.adopt(sample);
+        }
+    }
+
+    fn advance(&mut self, told: usize) {
+        let epoch = self.announced.epoch;
+        self.announced = version(epoch, self.announced.version + 1);
+        self.received.advance(self.announced);
+        if let Some(ledger) = &mut self.homes[told] {
+            ledger.announce(self.announced, None, self.now_ms);
+        }
+    }
+
+    fn drive(&mut self, home: usize) {
+        let Some(ledger) = &mut self.homes[home] else {
+            return;
+        };
+        for action in ledger.drain() {
+            match action {
+                Action::Start(start) => {
+                    self.runs[home].insert(start.run, start);
+                }
+                Action::Cancel { run } => {
+                    self.runs[home].remove(&run);
+                }
+                Action::Stop { run } => {
+                    self.runs[home].remove(&run);
+                    ledger.failed(run, Fault::Moved, None, self.now_ms);
+                }
+                Action::Copy(copy) => self.copies.push(copy),
+                Action::Score { .. } => {}
+            }
+        }
+    }
+
+    /// Every process works again: whatever happened before, the step becomes whole.
+    fn settle(&mut self) {
+        self.engines = self.announced;
+        self.received.advance(self.announced);
+        for _ in 0..20 {
+            self.now_ms += 20_000;
+            self.apply(&Event::Post { home: 0 });
+            self.apply(&Event::Fetch { home: 0, max: 100 });
+            self.take(self.replies.len().max(1) - 1, false);
+            self.apply(&Event::Dispatch { home: 0, each: 100 });
+            while !self.runs[0].is_empty() {
+                self.apply(&Event::Finish { home: 0, run: 0 });
+            }
+        }
+        assert_eq!(
+            self.received.samples().len() as u32,
+            self.step.total(),
+            "a lost slot"
+        );
+    }
+}
+
+quickcheck! {
+    // The trainer sees each slot once, none too old, with the versions that made it, though
+    // homes die, both are alive, replies come late, doubled or never, and it goes back to a
+    // checkpoint. The cursor says what it has; whatever a home forgot is only run again.
+    fn can_deliver_each_slot_once_in_any_order_of_events(events: Vec<Event>) -> bool {
+        let mut world = World::new();
+        events.iter().for_each(|event| world.apply(event));
+        world.settle();
+        true
+    }
+}
+
+#[test]
+fn can_take_one_of_two_replies_to_one_cursor() {
+    // The trainer's first fetch times out and it asks the other entry with the same cursor.
+    // Both homes are alive, each with its own samples for the same slots, and both replies
+    // arrive. The first one moves the cursor on, so the second no longer fits; had it been
+    // taken, every slot would have been there twice.
+    let mut world = World::new();
+    world.apply(&Event::Post { home: 1 });
+    for home in 0..HOMES {
+        world.apply(&Event::Dispatch { home, each: 4 });
+        while !world.runs[home].is_empty() {
+            world.apply(&Event::Finish { home, run: 0 });
+        }
+        world.apply(&Event::Fetch { home, max: 100 });
+    }
+    let [second, first] = [world.replies.pop().unwrap(), world.replies.pop().unwrap()];
+    assert_eq!(second.samples.len(), 12);
+    assert_eq!(world.received.take(first), Ok(()));
+    let refused = world.received.take(second);
+    assert_eq!(refused, Err(samples::ReplyError::Overtaken));
+    assert_eq!(world.received.samples().len(), 12);
+}
+
+#[test]
+fn can_go_on_after_both_homes_died() {
+    // The trainer has four samples when both homes die with everything they held. It posts
+    // the step again with its cursor; only the eight missing slots are run.
+    let mut world = World::new();
+    world.apply(&Event::Dispatch { home: 0, each: 4 });
+    while !world.runs[0].is_empty() {
+        world.apply(&Event::Finish { home: 0, run: 0 });
+    }
+    world.apply(&Event::Fetch { home: 0, max: 4 });
+    world.apply(&Event::Take { reply: 0 });
+    world.apply(&Event::Die { home: 0 });
+    world.apply(&Event::Post { home: 1 });
+    world.apply(&Event::Dispatch { home: 1, each: 12 });
+    assert_eq!(world.runs[1].len(), 8);
+}
--- /dev/null
+++ b/components/samples/tests/fetch_log.rs
@@ -0,0 +1,67 @@
+//! Delivery to trainers that number their fetches instead of carrying a cursor.
+
+mod support;
+
+use std::collections::BTreeSet;
+
+use quickcheck::quickcheck;
+use samples::{Cursor, FetchLog, Grant, GrantVerdict, SlotSet, Turn};
+use support::{ledger, room, starts, step_of, version};
+
+fn set(total: u32, places: impl IntoIterator<Item = u32>) -> SlotSet {
+    let mut set = SlotSet::new(total);
+    places.into_iter().for_each(|place| {
+        set.insert(place);
+    });
+    set
+}
+
+#[test]
+fn can_give_the_same_slots_to_a_repeated_fetch_at_another_home() {
+    // The first home grants fetch 1 and dies before its reply is out. The trainer sends
+    // fetch 1 again. The second home reads the record, runs the slots whose texts were lost
+    // and answers with just those, when all of them are there.
+    let step = step_of(1, 4);
+    let mut log = FetchLog::new(&step);
+    let granted = set(4, [1, 2]);
+    assert_eq!(log.apply(&log.grant(1, &granted)), GrantVerdict::Counts);
+    let Turn::Fixed { base, slots } = log.turn(1) else {
+        panic!("fetch 1 is granted");
+    };
+    assert_eq!((&base, &slots), (&Cursor::start(&step), &granted));
+    let mut second = ledger(&step, Default::default(), version(1, 1));
+    let early = second.fetch_fixed(&base, &slots, version(1, 1), 0);
+    assert_eq!(early, Ok(None));
+    second.dispatch(&room(1, 4, version(1, 1)), 0);
+    for start in starts(&mut second) {
+        second.finished(start.run, support::completion("text", [version(1, 1)]), 1);
+    }
+    let reply = second.fetch_fixed(&base, &slots, version(1, 1), 1);
+    assert_eq!(reply.unwrap().unwrap().slots(&step), granted);
+}
+
+quickcheck! {
+    // Any number of homes append whatever they believe, doubled, late and out of turn. Every
+    // reader that applies the log comes to the same grants, and no slot is in two of them.
+    fn can_grant_each_slot_once_whatever_is_appended(appends: Vec<(u64, Vec<u32>)>) -> bool {
+        let step = step_of(4, 8);
+        let mut first = FetchLog::new(&step);
+        let mut second = FetchLog::new(&step);
+        let grant = |(fetch, places): &(u64, Vec<u32>)| {
+            let slots = set(32, places.iter().map(|place| place % 32));
+            FetchLog::new(&step).grant(fetch % 6, &slots)
+        };
+        let records: Vec<Grant> = appends.iter().map(grant).collect();
+        let same = records.iter().all(|record| first.apply(record) == second.apply(record));
+        let mut seen = BTreeSet::new();
+        let once = (1..6).all(|fetch| match first.turn(fetch) {
+            Turn::Fixed { base, slots } => {
+                let before: BTreeSet<u32> = base.received().iter().collect();
+                before == seen && slots.iter().all(|place| seen.insert(place))
+            }
+            Turn::Open { base } => base.received().len() as usize == seen.len(),
+            Turn::Ahead { .. } => true,
+        });
+        same && once
+    }
+}
--- /dev/null
+++ b/components/samples/tests/ledger.rs
@@ -0,0 +1,281 @@
+//! The ledger's decisions one at a time.
+
+mod support;
+
+use std::collections::BTreeSet;
+
+use samples::{
+    Action, Cursor, Fault, FetchError, Ledger, LedgerSettings, Partial, Provenance, RunId, Score,
+};
+use support::{completion, keys, ledger, room, starts, step_of, version};
+use types::WeightVersion;
+
+fn bound(staleness_bound: u64) -> LedgerSettings {
+    LedgerSettings {
+        staleness_bound,
+        ..LedgerSettings::default()
+    }
+}
+
+fn scored() -> LedgerSettings {
+    LedgerSettings {
+        scored: true,
+        ..bound(2)
+    }
+}
+
+/// Runs the pending slots and finishes each with these versions.
+fn finish_all(ledger: &mut Ledger, versions: &[WeightVersion], now_ms: u64) -> Vec<RunId> {
+    ledger.dispatch(&room(2, 99, versions[0]), now_ms);
+    let runs: Vec<RunId> = starts(ledger).iter().map(|start| start.run).collect();
+    for &run in &runs {
+        ledger.finished(run, completion("text", versions.iter().copied()), now_ms);
+    }
+    runs
+}
+
+#[test]
+fn can_judge_age_by_the_oldest_version_in_the_sample() {
+    struct Case {
+        name: &'static str,
+        made_by: Vec<WeightVersion>,
+        trainer: WeightVersion,
+        given: usize,
+    }
+    let at = version;
+    let cases = [
+        Case {
+            name: "at the bound",
+            made_by: vec![at(1, 3), at(1, 5)],
+            trainer: at(1, 5),
+            given: 2,
+        },
+        Case {
+            name: "past the bound by its first tokens",
+            made_by: vec![at(1, 3), at(1, 5)],
+            trainer: at(1, 6),
+            given: 0,
+        },
+        Case {
+            name: "newer than a trainer that went back",
+            made_by: vec![at(1, 3)],
+            trainer: at(1, 2),
+            given: 2,
+        },
+        Case {
+            name: "made before a roll-back",
+            made_by: vec![at(1, 3)],
+            trainer: at(2, 3),
+            given: 0,
+        },
+    ];
+    for case in cases {
+        let step = step_of(1, 2);
+        let mut ledger = ledger(&step, bound(2), at(1, 3));
+        finish_all(&mut ledger, &case.made_by, 0);
+        let reply = ledger
+            .fetch(&Cursor::start(&step), case.trainer, 9, 0)
+            .unwrap();
+        assert_eq!(reply.samples.len(), case.given, "{}", case.name);
+        let again = 2 - case.given;
+        assert_eq!(ledger.waiting(), again as u32, "{}", case.name);
+        assert_eq!(ledger.tally().abandoned, again as u64, "{}", case.name);
+    }
+}
+
+#[test]
+fn can_run_again_at_the_announcement_what_will_be_too_old() {
+    let step = step_of(1, 4);
+    let mut ledger = ledger(&step, bound(0), version(1, 1));
+    ledger.dispatch(&room(1, 2, version(1, 1)), 0);
+    let runs = starts(&mut ledger);
+    ledger.finished(runs[0].run, completion("text", [version(1, 1)]), 5);
+    ledger.progress(runs[1].run, 3, Some(version(1, 1)), 5);
+    ledger.announce(version(1, 2), None, 10);
+    let run = runs[1].run;
+    assert!(ledger.drain().contains(&Action::Cancel { run }));
+    assert_eq!((ledger.waiting(), ledger.tally().abandoned), (4, 2));
+    // The replica that has not switched yet would only make old samples.
+    ledger.dispatch(&room(1, 9, version(1, 1)), 10);
+    assert_eq!(starts(&mut ledger), []);
+}
+
+#[test]
+fn can_give_the_same_samples_to_a_repeated_fetch() {
+    let step = step_of(1, 3);
+    let mut ledger = ledger(&step, bound(2), version(1, 1));
+    finish_all(&mut ledger, &[version(1, 1)], 0);
+    let start = Cursor::start(&step);
+    let first = ledger.fetch(&start, version(1, 1), 2, 0).unwrap();
+    let again = ledger.fetch(&start, version(1, 1), 2, 9).unwrap();
+    assert_eq!(first, again);
+    let rest = ledger.fetch(&first.cursor, version(1, 1), 9, 9).unwrap();
+    assert_eq!((rest.samples.len(), rest.complete), (1, true));
+    assert_eq!(ledger.tally().staleness.total(), 2);
+}
+
+#[test]
+fn can_offer_whole_groups_first() {
+    let step = step_of(2, 2);
+    let mut ledger = ledger(&step, bound(0), version(1, 1));
+    ledger.dispatch(&room(1, 9, version(1, 1)), 0);
+    let runs = starts(&mut ledger);
+    for place in [0, 2, 3] {
+        ledger.finished(runs[place].run, completion("text", [version(1, 1)]), 1);
+    }
+    let reply = ledger
+        .fetch(&Cursor::start(&step), version(1, 1), 2, 1)
+        .unwrap();
+    let groups: BTreeSet<u32> = reply.samples.iter().map(|o| o.sample.slot.group).collect();
+    assert_eq!(groups, [1].into());
+}
+
+#[test]
+fn errors_when_the_trainer_has_missed_a_roll_back() {
+    let step = step_of(1, 1);
+    let mut ledger = ledger(&step, bound(9), version(1, 4));
+    ledger.announce(version(2, 1), None, 0);
+    let fetched = ledger.fetch(&Cursor::start(&step), version(1, 4), 1, 0);
+    assert_eq!(fetched, Err(FetchError::EpochOver(version(2, 1))));
+}
+
+#[test]
+fn can_bind_one_result_of_a_hedged_slot() {
+    // One replica makes tokens at a fraction of the others' pace. Its slot is hedged with the
+    // same seed, the hedge ends first and is bound, the slow run is cancelled, and its result,
+    // already on the way, changes nothing.
+    let step = step_of(1, 32);
+    let mut ledger = ledger(&step, bound(0), version(1, 1));
+    ledger.dispatch(&room(2, 16, version(1, 1)), 0);
+    let runs = starts(&mut ledger);
+    let (slow, others) = runs.split_first().unwrap();
+    for start in others {
+        ledger.finished(start.run, completion("quick", [version(1, 1)]), 100);
+    }
+    ledger.progress(slow.run, 2, Some(version(1, 1)), 900);
+    ledger.dispatch(&room(2, 1, version(1, 1)), 1_000);
+    let hedge = starts(&mut ledger).pop().unwrap();
+    assert!(hedge.hedge && hedge.to != slow.to);
+    assert_eq!((hedge.slot, hedge.seed), (slow.slot, slow.seed));
+    ledger.finished(hedge.run, completion("hedge", [version(1, 1)]), 1_100);
+    let run = slow.run;
+    assert!(ledger.drain().contains(&Action::Cancel { run }));
+    ledger.finished(slow.run, completion("late", [version(1, 1)]), 1_101);
+    let reply = ledger
+        .fetch(&Cursor::start(&step), version(1, 1), 99, 1_101)
+        .unwrap();
+    let bound = reply
+        .samples
+        .iter()
+        .find(|o| o.sample.slot == slow.slot)
+        .unwrap();
+    assert_eq!(
+        (reply.samples.len(), bound.sample.text.as_str()),
+        (32, "hedge")
+    );
+}
+
+#[test]
+fn can_resume_a_silent_run_from_its_tokens() {
+    let step = step_of(1, 1);
+    let mut ledger = ledger(&step, bound(1), version(1, 1));
+    ledger.dispatch(&room(2, 1, version(1, 1)), 0);
+    let first = starts(&mut ledger).pop().unwrap();
+    ledger.progress(first.run, 4, Some(version(1, 1)), 100);
+    ledger.dispatch(&room(2, 1, version(1, 1)), 11_000);
+    let run = first.run;
+    assert_eq!(ledger.drain(), [Action::Stop { run }]);
+    let partial = Partial {
+        text: "to be".to_owned(),
+        tokens: vec![1, 2, 3, 4],
+        provenance: Provenance::Known([version(1, 1)].into()),
+    };
+    ledger.failed(run, Fault::Moved, Some(partial.clone()), 11_000);
+    ledger.dispatch(&room(2, 1, version(1, 1)), 11_000);
+    let second = starts(&mut ledger).pop().unwrap();
+    assert_eq!((second.resume, second.seed), (Some(partial), first.seed));
+    assert_ne!(second.to, first.to);
+}
+
+#[test]
+fn can_run_again_when_the_origin_is_not_known() {
+    let step = step_of(1, 1);
+    let mut ledger = ledger(&step, bound(9), version(1, 1));
+    ledger.dispatch(&room(1, 1, version(1, 1)), 0);
+    let first = starts(&mut ledger).pop().unwrap();
+    let mut unknown = completion("text", []);
+    unknown.provenance = Provenance::NotKnown;
+    ledger.finished(first.run, unknown, 10);
+    assert_eq!((ledger.waiting(), ledger.tally().unknown_origin), (1, 1));
+    // Not at once: an engine that stamps nothing would be kept busy by one slot.
+    assert!(ledger.next_due_ms(10).unwrap() > 10);
+    ledger.dispatch(&room(1, 1, version(1, 1)), 1_000);
+    assert_ne!(starts(&mut ledger).pop().unwrap().seed, first.seed);
+}
+
+#[test]
+fn can_wait_for_a_scorer_that_is_down_without_a_new_run() {
+    // The scorer fails for every sample for an hour. No sample is delivered without its score
+    // and none is run again, since a new one would fare no better.
+    let step = step_of(1, 2);
+    let mut ledger = ledger(&step, scored(), version(1, 1));
+    let runs = finish_all(&mut ledger, &[version(1, 1)], 0);
+    for minute in 0..60 {
+        let now_ms = minute * 60_000;
+        ledger.dispatch(&room(0, 0, version(1, 1)), now_ms);
+        runs.iter()
+            .for_each(|&run| ledger.score_failed(run, now_ms));
+    }
+    let start = Cursor::start(&step);
+    let unscored = ledger.fetch(&start, version(1, 1), 9, 0).unwrap();
+    assert_eq!((unscored.samples.len(), ledger.waiting()), (0, 0));
+    // A late answer counts.
+    runs.iter()
+        .for_each(|&run| ledger.scored(run, Score::new(0.5).unwrap()));
+    let reply = ledger.fetch(&start, version(1, 1), 9, 0).unwrap();
+    assert!(reply.complete && reply.samples.iter().all(|o| o.sample.score.is_some()));
+}
+
+#[test]
+fn can_run_a_sample_again_that_alone_cannot_be_scored() {
+    let step = step_of(1, 2);
+    let mut ledger = ledger(&step, scored(), version(1, 1));
+    let runs = finish_all(&mut ledger, &[version(1, 1)], 0);
+    ledger.score_failed(runs[0], 1);
+    ledger.scored(runs[1], Score::new(0.5).unwrap());
+    for minute in 1..5 {
+        ledger.score_failed(runs[0], minute * 60_000);
+    }
+    assert_eq!((ledger.waiting(), ledger.tally().unscorable), (1, 1));
+}
+
+#[test]
+fn can_keep_its_own_sample_when_the_other_home_finishes_too() {
+    let step = step_of(1, 1);
+    let mut own = ledger(&step, bound(0), version(1, 1));
+    let mut other = ledger(&step, bound(0), version(1, 1));
+    let mut late = ledger(&step, bound(0), version(1, 1));
+    finish_all(&mut own, &[version(1, 1)], 0);
+    finish_all(&mut other, &[version(1, 1)], 1);
+    late.dispatch(&room(1, 1, version(1, 1)), 0);
+    let run = starts(&mut late).pop().unwrap().run;
+    let first = own
+        .fetch(&Cursor::start(&step), version(1, 1), 1, 2)
+        .unwrap();
+    for copy in other.copies(Some(Cursor::start(&step).seal(&keys()))) {
+        if let samples::Copy::Finished { sample, .. } = copy {
+            own.adopt(&sample);
+            late.adopt(&sample);
+            late.adopt(&sample);
+        }
+    }
+    let again = own
+        .fetch(&Cursor::start(&step), version(1, 1), 1, 3)
+        .unwrap();
+    assert_eq!(first, again);
+    assert_eq!(late.drain(), [Action::Cancel { run }]);
+    let copied = late
+        .fetch(&Cursor::start(&step), version(1, 1), 1, 3)
+        .unwrap();
+    assert!(copied.complete);
+}
--- /dev/null
+++ b/components/samples/tests/support/mod.rs
@@ -0,0 +1,72 @@
+#![allow(dead_code)]
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use samples::{
+    Action, Completion, Cursor, CursorKeys, Group, Ledger, LedgerSettings, Provenance, Replica,
+    Room, Start, Step, StepKey,
+};
+use types::WeightVersion;
+
+pub fn key(step: u64) -> StepKey {
+    StepKey {
+        customer: "office".parse().unwrap(),
+        service: "redacteurs".parse().unwrap(),
+        step,
+    }
+}
+
+pub fn step_of(groups: u32, samples: u32) -> Arc<Step> {
+    let group = |number| Group {
+        prompt: format!("opinion {number}"),
+        samples,
+    };
+    Arc::new(Step::new(key(7), (0..groups).map(group).collect(), 64).unwrap())
+}
+
+pub fn keys() -> CursorKeys {
+    CursorKeys::new([1; 32], None)
+}
+
+pub fn version(epoch: u32, version: u64) -> WeightVersion {
+    WeightVersion { epoch, version }
+}
+
+pub fn address(number: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 9_000 + number))
+}
+
+/// Replicas 0 to `replicas`, each with this room and version.
+pub fn room(replicas: u16, each: u32, version: WeightVersion) -> Room {
+    let replica = |number| Replica {
+        address: address(number),
+        room: each,
+        version: Some(version),
+    };
+    Room {
+        in_progress_max: u32::MAX,
+        replicas: (0..replicas).map(replica).collect(),
+    }
+}
+
+pub fn ledger(step: &Arc<Step>, settings: LedgerSettings, at: WeightVersion) -> Ledger {
+    Ledger::new(Arc::clone(step), settings, &Cursor::start(step), at)
+}
+
+pub fn completion(text: &str, versions: impl IntoIterator<Item = WeightVersion>) -> Completion {
+    Completion {
+        text: text.to_owned(),
+        tokens: 10,
+        provenance: Provenance::Known(versions.into_iter().collect()),
+    }
+}
+
+/// The runs that the ledger has asked for since the last look.
+pub fn starts(ledger: &mut Ledger) -> Vec<Start> {
+    let start = |action| match action {
+        Action::Start(start) => Some(start),
+        _ => None,
+    };
+    ledger.drain().into_iter().filter_map(start).collect()
+}
