Membership and leaving: view, subsets, rumours, drain

The VM list lags and knows addresses only, so an entry needs its own view of who takes work, and a process that goes must not cut a request off.

membership: one view from the list, probe answers and rumours, ordered by incarnation; "leaving" is sticky for a life. The list's word is bound to a life only when that life has been known for longer than the list lags; before, it holds without being spread. Weighed: binding at once (kills a VM that returned to its address) and waiting (sends new work to a VM that goes). Subsets by rendezvous rank, row by row over failure domains, own region first. Chunked deterministic subsets cover more evenly, but the loss of one replica shifts half of all subsets, so they were ruled out. Who reads the log: two a failure domain; the others go by the age of the newest known read, which each datagram carries (new news ConfigRead), because digests alone would go on circulating after all readers died.

leaving: a drain by atomics, counted by guards; a thread that brings a time from before a freeze is refused once the process found itself empty.

--- /dev/null
+++ b/components/leaving/src/progress.rs
@@ -0,0 +1,38 @@
+//! Count of the work in progress, held by guards.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+/// Counts the work in progress; clones share the count.
+#[derive(Clone, Debug, Default)]
+pub struct Progress {
+    count: Arc<AtomicUsize>,
+}
+
+impl Progress {
+    /// Counts one more piece of work until the guard is dropped.
+    pub fn enter(&self) -> Working {
+        // SeqCst: see `Drain::admit`, which reads the drain's state after this.
+        self.count.fetch_add(1, Ordering::SeqCst);
+        Working {
+            count: Arc::clone(&self.count),
+        }
+    }
+
+    /// Pieces of work in progress.
+    pub fn count(&self) -> usize {
+        self.count.load(Ordering::SeqCst)
+    }
+}
+
+/// One piece of work in progress; ends when dropped.
+#[derive(Debug)]
+pub struct Working {
+    count: Arc<AtomicUsize>,
+}
+
+impl Drop for Working {
+    fn drop(&mut self) {
+        self.count.fetch_sub(1, Ordering::SeqCst);
+    }
+}
--- /dev/null
+++ b/components/leaving/tests/drain.rs
@@ -0,0 +1,104 @@
+//! A process goes.
+
+use std::net::SocketAddr;
+
+use leaving::{Drain, DrainSettings, Phase, Probers, ProbersSettings, Step};
+use quickcheck::quickcheck;
+use types::{Cause, RunState};
+
+const SETTINGS: DrainSettings = DrainSettings {
+    settle_ms: 1_000,
+    finish_ms_max: 5_000,
+    retry_after_ms: 500,
+};
+
+fn prober(number: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, number], 7_000))
+}
+
+/// The caller sees no cut connection and, at the end, "not run" with a time to come back.
+/// A signal comes while a call runs; readiness is false at once, the balancer still sends
+/// a call, which is taken; later ones are refused; the process exits after both ended.
+#[test]
+fn can_drain_an_entry_behind_its_balancer() {
+    let drain = Drain::new(SETTINGS);
+    let early = drain.admit(0).unwrap();
+    assert!(drain.is_ready());
+    assert!(drain.start(100));
+    assert!(!drain.start(200));
+    assert!(!drain.is_ready());
+    assert_eq!(drain.phase(1_099), Phase::Settling);
+    let late = drain.admit(1_099).unwrap();
+    assert_eq!(drain.step(1_099), Step::WaitUntil { at_ms: 1_100 });
+    let refusal = drain.admit(1_100).unwrap_err();
+    assert_eq!(
+        (refusal.run, refusal.cause),
+        (RunState::NotRun, Cause::Leaving)
+    );
+    assert_eq!(refusal.retry_after_ms, Some(500));
+    drop(early);
+    assert_eq!(drain.step(2_000), Step::WaitUntil { at_ms: 6_100 });
+    drop(late);
+    assert_eq!(drain.step(2_001), Step::Exit { cut_off: 0 });
+}
+
+/// The caller sees its call fail when it outlasts every deadline, and not before.
+/// One call never ends; the process waits for it up to the stated time and says how many
+/// it cut off, because a process that never exits blocks the VM's replacement.
+#[test]
+fn can_exit_when_a_call_never_ends() {
+    let drain = Drain::new(SETTINGS);
+    let _stuck = drain.admit(0).unwrap();
+    drain.start(0);
+    assert_eq!(drain.step(5_999), Step::WaitUntil { at_ms: 6_000 });
+    assert_eq!(drain.step(6_000), Step::Exit { cut_off: 1 });
+}
+
+/// The caller sees "not run" instead of a cut connection.
+/// A thread reads the time, is frozen, and goes on to admit its call after the process
+/// found nothing in progress; the old time must not let it in.
+#[test]
+fn errors_when_a_thread_brings_an_old_time_after_the_close() {
+    let drain = Drain::new(SETTINGS);
+    drain.start(0);
+    assert_eq!(drain.step(1_000), Step::Exit { cut_off: 0 });
+    assert!(drain.admit(10).is_err());
+    let agent = Drain::new(DrainSettings::AGENT);
+    agent.start(70);
+    assert!(agent.admit(70).is_err(), "an agent refuses at once");
+}
+
+#[test]
+fn can_tell_recent_probers_several_times() {
+    let mut probers = Probers::new(ProbersSettings::default());
+    probers.heard(prober(1), 0);
+    probers.heard(prober(2), 400_000);
+    assert_eq!(probers.next_notice_ms(), None);
+    probers.leave(400_000);
+    assert_eq!(probers.notify(400_000), [prober(2)]);
+    assert!(probers.notify(400_100).is_empty());
+    assert_eq!(probers.notify(400_200), [prober(2)]);
+    assert_eq!(probers.notify(400_400), [prober(2)]);
+    assert_eq!(probers.next_notice_ms(), None);
+}
+
+quickcheck! {
+    fn never_exits_early_under_admitted_work(steps: Vec<(u8, u16)>) -> bool {
+        let drain = Drain::new(SETTINGS);
+        let mut working = Vec::new();
+        let mut now_ms = 0;
+        for (kind, wait_ms) in steps {
+            now_ms += u64::from(wait_ms % 500);
+            match kind % 4 {
+                0 => working.extend(drain.admit(now_ms).ok()),
+                1 => drop(working.pop()),
+                2 => drop(drain.start(now_ms)),
+                _ => {}
+            }
+            if let Step::Exit { cut_off } = drain.step(now_ms) {
+                return cut_off == working.len();
+            }
+        }
+        true
+    }
+}
--- a/components/membership/src/lib.rs
+++ b/components/membership/src/lib.rs
@@ -1,1 +1,25 @@
-//! Package `membership` of hornbeamrock.
+//! Who is there: one process's view of the others, built from the platform's lagging VM
+//! list, the answers to its own probes and rumours. Pure: events and `now_ms` of the
+//! process's monotonic clock go in, probes, rumours and views come out.
+
+mod listed;
+mod member;
+mod members;
+mod own;
+mod probing;
+mod rumours;
+mod settings;
+mod snapshot;
+mod subset;
+mod tail;
+mod view;
+
+pub use listed::{ListRead, Listed};
+pub use member::{Heard, Standing};
+pub use members::Members;
+pub use own::Own;
+pub use rumours::{Round, RumourSettings, Rumours};
+pub use settings::MemberSettings;
+pub use snapshot::{MemberState, Replica, Snapshot};
+pub use subset::{Candidate, subset};
+pub use tail::{Tail, TailSettings, TailStep, tailers};
--- /dev/null
+++ b/components/membership/src/member.rs
@@ -0,0 +1,174 @@
+//! What is known of one address.
+
+use std::sync::Arc;
+
+use derive::{key, value};
+use protocol::{ProcessRole, Status};
+use types::{FailureDomain, Incarnation, Region};
+
+use crate::MemberSettings;
+
+/// Whether a process answers probes.
+#[key]
+pub enum Standing {
+    /// It answers, or nothing speaks against it yet.
+    Live,
+    /// It missed some answers, or is kept though it missed many.
+    Suspect,
+    /// It missed too many answers.
+    Down,
+}
+
+/// What a piece of news was worth.
+#[key]
+pub enum Heard {
+    /// Nothing new.
+    Known,
+    /// Changed the view; a rumour of it is worth spreading.
+    New,
+    /// From an earlier life; tell the sender that this one is known.
+    Older {
+        /// Highest life known at the address.
+        known: Incarnation,
+    },
+    /// This process took a higher number; it is in [`crate::Members::own`].
+    OwnRaised,
+    /// This process is said to be leaving: start the drain.
+    OwnLeaving,
+}
+
+/// Word of the VM list on an address.
+#[key]
+pub(crate) enum Listing {
+    Live,
+    Leaving,
+}
+
+#[value]
+pub(crate) struct Member {
+    pub(crate) role: ProcessRole,
+    /// `None` until the VM list or a status says so.
+    pub(crate) place: Option<(FailureDomain, Region)>,
+    pub(crate) incarnation: Option<Incarnation>,
+    pub(crate) incarnation_since_ms: u64,
+    /// An earlier life at this address was leaving.
+    pub(crate) succeeds_leaving: bool,
+    /// Sticky for the life in `incarnation`.
+    pub(crate) leaving_since_ms: Option<u64>,
+    pub(crate) listing: Option<Listing>,
+    pub(crate) absent_reads: u32,
+    pub(crate) status: Option<(Arc<Status>, u64)>,
+    pub(crate) watched: bool,
+    pub(crate) heard_ms: Option<u64>,
+    pub(crate) misses: u32,
+    pub(crate) down_since_ms: Option<u64>,
+    pub(crate) probe_sent_ms: Option<u64>,
+    pub(crate) next_probe_ms: u64,
+}
+
+impl Member {
+    pub(crate) fn new(role: ProcessRole, next_probe_ms: u64) -> Self {
+        Self {
+            role,
+            place: None,
+            incarnation: None,
+            incarnation_since_ms: 0,
+            succeeds_leaving: false,
+            leaving_since_ms: None,
+            listing: None,
+            absent_reads: 0,
+            status: None,
+            watched: false,
+            heard_ms: None,
+            misses: 0,
+            down_since_ms: None,
+            probe_sent_ms: None,
+            next_probe_ms,
+        }
+    }
+
+    /// Takes up a life unless a later one is known; true if it is a new one.
+    pub(crate) fn take_life(&mut self, heard: Incarnation, now_ms: u64) -> Result<bool, Heard> {
+        match self.incarnation {
+            Some(known) if heard < known => return Err(Heard::Older { known }),
+            Some(known) if heard == known => return Ok(false),
+            _ => {}
+        }
+        self.succeeds_leaving = self.incarnation.is_some() && self.is_leaving();
+        self.incarnation = Some(heard);
+        self.incarnation_since_ms = now_ms;
+        self.leaving_since_ms = None;
+        self.status = None;
+        self.heard_ms = None;
+        Ok(true)
+    }
+
+    /// Marks the life as leaving for good; true the first time.
+    pub(crate) fn leave(&mut self, now_ms: u64) -> bool {
+        let first = self.leaving_since_ms.is_none();
+        self.leaving_since_ms.get_or_insert(now_ms);
+        first
+    }
+
+    /// A sign of life.
+    pub(crate) fn answered(&mut self, now_ms: u64) {
+        self.heard_ms = Some(now_ms);
+        self.misses = 0;
+        self.down_since_ms = None;
+        self.probe_sent_ms = None;
+    }
+
+    /// Counts a probe whose answer did not come in time.
+    pub(crate) fn check_answer(&mut self, settings: &MemberSettings, now_ms: u64) {
+        let Some(sent_ms) = self.probe_sent_ms else {
+            return;
+        };
+        if now_ms < sent_ms + settings.probe_timeout_ms {
+            return;
+        }
+        self.probe_sent_ms = None;
+        self.misses = self.misses.saturating_add(1);
+        if self.misses < settings.misses_to_down {
+            self.next_probe_ms = now_ms;
+        } else {
+            self.down_since_ms.get_or_insert(now_ms);
+        }
+    }
+
+    pub(crate) fn standing(&self, settings: &MemberSettings) -> Standing {
+        if self.misses >= settings.misses_to_down {
+            Standing::Down
+        } else if self.misses >= settings.misses_to_suspect {
+            Standing::Suspect
+        } else {
+            Standing::Live
+        }
+    }
+
+    /// Whether the process gets no new work because it is leaving, as far as known.
+    ///
+    /// The list knows addresses only. Where it says leaving and no earlier life was known
+    /// to leave, its word holds for the life that answers, though that may be a new one:
+    /// a wrong guess costs one endpoint for the list's lag, the other guess would send
+    /// new work to a VM that is being taken away. A life that follows one that left is
+    /// live at once; see [`Member::heed_list`] for when the list's word reaches it.
+    pub(crate) fn is_leaving(&self) -> bool {
+        let shunned = self.listing == Some(Listing::Leaving) && !self.succeeds_leaving;
+        self.leaving_since_ms.is_some() || shunned
+    }
+
+    /// Binds the list's "leaving" to the life that has been known for longer than the
+    /// list lags; true when this is new.
+    pub(crate) fn heed_list(&mut self, settings: &MemberSettings, now_ms: u64) -> bool {
+        let listed = self.listing == Some(Listing::Leaving);
+        let known_ms = now_ms.saturating_sub(self.incarnation_since_ms);
+        let about_this_life = self.incarnation.is_some() && known_ms >= settings.list_lag_ms;
+        listed && about_this_life && self.leave(now_ms)
+    }
+
+    /// Whether it was heard within `within_ms`.
+    pub(crate) fn answers(&self, within_ms: u64, now_ms: u64) -> bool {
+        self.heard_ms
+            .is_some_and(|heard_ms| now_ms.saturating_sub(heard_ms) <= within_ms)
+    }
+}
--- /dev/null
+++ b/components/membership/src/members.rs
@@ -0,0 +1,227 @@
+//! The members and the news that change them.
+//!
+//! News about one address is ordered by incarnation. Within one life "leaving" is
+//! sticky, whoever says it, so that news may come in any order and any number of times
+//! and the view is the same.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use protocol::{ProcessRole, Status};
+use types::{Incarnation, NodeId};
+
+use crate::member::{Listing, Member};
+use crate::{Heard, ListRead, Listed, MemberSettings, Own};
+
+/// One process's view of all others.
+#[derive(Clone, Debug)]
+pub struct Members {
+    pub(crate) settings: MemberSettings,
+    pub(crate) own: Own,
+    pub(crate) members: BTreeMap<SocketAddr, Member>,
+    /// When the next never-heard member is probed first.
+    pub(crate) next_discovery_ms: u64,
+    pub(crate) isolated: bool,
+}
+
+impl Members {
+    /// A view of nobody.
+    pub fn new(own: Own, settings: MemberSettings) -> Self {
+        Self {
+            settings,
+            next_discovery_ms: own.started_ms,
+            own,
+            members: BTreeMap::new(),
+            isolated: false,
+        }
+    }
+
+    /// This process; its incarnation rises when an earlier life is heard of.
+    pub fn own(&self) -> &Own {
+        &self.own
+    }
+
+    /// Settings of the view.
+    pub fn settings(&self) -> &MemberSettings {
+        &self.settings
+    }
+
+    /// Takes in one read of the VM list. A failed read is no event.
+    pub fn on_list(&mut self, vms: &[Listed], now_ms: u64) -> ListRead {
+        let mut read = ListRead::default();
+        for member in self.members.values_mut() {
+            member.absent_reads = member.absent_reads.saturating_add(1);
+        }
+        for vm in vms {
+            if vm.address == self.own.node.address {
+                read.own_leaving = self.heed_list_on_own(vm, now_ms);
+            } else {
+                self.take_listed(vm, now_ms);
+            }
+        }
+        self.forget_absent(now_ms);
+        read.leaving = self.heed_list(now_ms);
+        read
+    }
+
+    /// Takes in that a datagram came from `from`: a sign of life.
+    pub fn on_heard(&mut self, from: NodeId, role: ProcessRole, now_ms: u64) -> Heard {
+        if from.address == self.own.node.address {
+            return self.on_own(from.incarnation);
+        }
+        let Some(member) = self.member_or_new(from.address, role, now_ms) else {
+            return Heard::Known;
+        };
+        match member.take_life(from.incarnation, now_ms) {
+            Err(older) => older,
+            Ok(new) => {
+                member.role = role;
+                member.answered(now_ms);
+                if new { Heard::New } else { Heard::Known }
+            }
+        }
+    }
+
+    /// Takes in a status; it is also a sign of life.
+    pub fn on_status(
+        &mut self,
+        from: NodeId,
+        role: ProcessRole,
+        status: &Status,
+        now_ms: u64,
+    ) -> Heard {
+        let heard = self.on_heard(from, role, now_ms);
+        if !matches!(heard, Heard::New | Heard::Known) {
+            return heard;
+        }
+        let Some(member) = self.members.get_mut(&from.address) else {
+            return heard;
+        };
+        let known_life = member.status.as_ref().map(|(known, _)| known.endpoint_life);
+        if known_life.is_some_and(|known| status.endpoint_life < known) {
+            return heard;
+        }
+        member.place = Some((status.failure_domain.clone(), status.region.clone()));
+        member.status = Some((Arc::new(status.clone()), now_ms));
+        if status.leaving && member.leave(now_ms) {
+            return Heard::New;
+        }
+        heard
+    }
+
+    /// Takes in that a life is leaving; from whom does not matter.
+    pub fn on_leaving(&mut self, node: NodeId, now_ms: u64) -> Heard {
+        if node.address == self.own.node.address {
+            return self.on_own_leaving(node.incarnation);
+        }
+        // A role of Agent is a guess until the process is heard or listed; nothing is
+        // built on it, because a leaving life takes no work in either role.
+        let Some(member) = self.member_or_new(node.address, ProcessRole::Agent, now_ms) else {
+            return Heard::Known;
+        };
+        match member.take_life(node.incarnation, now_ms) {
+            Err(older) => older,
+            Ok(_) if member.leave(now_ms) => Heard::New,
+            Ok(_) => Heard::Known,
+        }
+    }
+
+    /// Takes in that some process knows this life at this process's own address.
+    pub fn on_own(&mut self, heard: Incarnation) -> Heard {
+        if self.own.raise_above(heard) {
+            Heard::OwnRaised
+        } else {
+            Heard::Known
+        }
+    }
+
+    /// A higher number is an earlier life whose clock ran ahead. The same number is this
+    /// life: some process read in the VM list that it leaves.
+    fn on_own_leaving(&mut self, heard: Incarnation) -> Heard {
+        if heard == self.own.node.incarnation {
+            return Heard::OwnLeaving;
+        }
+        self.on_own(heard)
+    }
+
+    fn heed_list_on_own(&self, vm: &Listed, now_ms: u64) -> bool {
+        let age_ms = now_ms.saturating_sub(self.own.started_ms);
+        vm.leaving && age_ms >= self.settings.list_lag_ms
+    }
+
+    fn take_listed(&mut self, vm: &Listed, now_ms: u64) {
+        let Some(member) = self.member_or_new(vm.address, vm.role, now_ms) else {
+            return;
+        };
+        let listing = if vm.leaving {
+            Listing::Leaving
+        } else {
+            Listing::Live
+        };
+        let returned = member.listing != Some(listing) || member.absent_reads > 1;
+        if returned && listing == Listing::Live {
+            // A VM that comes back is heard at once instead of in the next sweep.
+            member.next_probe_ms = member.next_probe_ms.min(now_ms);
+        }
+        member.listing = Some(listing);
+        member.absent_reads = 0;
+        member.role = vm.role;
+        if member.place.is_none() {
+            member.place = Some((vm.failure_domain.clone(), vm.region.clone()));
+        }
+    }
+
+    fn heed_list(&mut self, now_ms: u64) -> Vec<NodeId> {
+        let mut leaving = Vec::new();
+        for (&address, member) in &mut self.members {
+            if !member.heed_list(&self.settings, now_ms) {
+                continue;
+            }
+            let lives = member.incarnation.into_iter();
+            leaving.extend(lives.map(|incarnation| NodeId {
+                address,
+                incarnation,
+            }));
+        }
+        leaving
+    }
+
+    /// Drops those that the list no longer names, unless they answer: the list lags and
+    /// may be wrong, an answer is not. A life that left is remembered longer, or a late
+    /// datagram would bring it back.
+    fn forget_absent(&mut self, now_ms: u64) {
+        let settings = self.settings;
+        let answer_ms = 2 * settings.sweep_period_ms(self.members.len());
+        self.members.retain(|_, member| {
+            if member.absent_reads < settings.absent_reads {
+                return true;
+            }
+            member.listing = None;
+            match member.leaving_since_ms {
+                Some(since_ms) => now_ms.saturating_sub(since_ms) < settings.leaving_kept_ms,
+                None => member.answers(answer_ms, now_ms),
+            }
+        });
+    }
+
+    fn member_or_new(
+        &mut self,
+        address: SocketAddr,
+        role: ProcessRole,
+        now_ms: u64,
+    ) -> Option<&mut Member> {
+        let known = self.members.contains_key(&address);
+        if !known && self.members.len() >= self.settings.members_max {
+            return None;
+        }
+        if !known {
+            let first_probe_ms = self.next_discovery_ms.max(now_ms);
+            let pause_ms = 1_000 / self.settings.discoveries_per_s.max(1);
+            self.next_discovery_ms = first_probe_ms + pause_ms;
+            self.members
+                .insert(address, Member::new(role, first_probe_ms));
+        }
+        self.members.get_mut(&address)
+    }
+}
--- /dev/null
+++ b/components/membership/src/view.rs
@@ -0,0 +1,176 @@
+//! From the members to the immutable view, and which members are watched for it.
+
+use std::collections::{BTreeMap, HashSet};
+use std::net::SocketAddr;
+
+use protocol::{Hosted, ProcessRole};
+use types::{CustomerName, NodeId, ServiceName};
+
+use crate::member::Member;
+use crate::snapshot::Hosts;
+use crate::subset::{Candidate, subset};
+use crate::{MemberState, Members, Replica, Snapshot, Standing};
+
+type Service<'a> = (&'a CustomerName, &'a ServiceName);
+
+/// A member that hosts a service, with what it said of it.
+struct Host<'a> {
+    address: SocketAddr,
+    member: &'a Member,
+    hosted: &'a Hosted,
+}
+
+impl Members {
+    /// The view of now; also chooses anew which members are watched. Call it after any
+    /// news that was [`crate::Heard::New`] and once a second.
+    pub fn snapshot(&mut self, now_ms: u64) -> Snapshot {
+        let mut snapshot = Snapshot {
+            members: self.states().collect(),
+            isolated: self.isolated,
+            ..Snapshot::default()
+        };
+        let mut watched = HashSet::new();
+        for ((customer, service), hosts) in self.hosts() {
+            watched.extend(self.wanted(&hosts));
+            let services = snapshot.services.entry(customer.clone()).or_default();
+            services.insert(service.clone(), self.shown(&hosts));
+        }
+        self.watch(&watched, now_ms);
+        snapshot
+    }
+
+    /// Addresses to spread rumours to: everybody that is not down, leaving ones too, for
+    /// they still have callers.
+    pub fn peers(&self) -> Vec<SocketAddr> {
+        let reachable = self.members.iter().filter(|(_, member)| {
+            let gone = member.listing.is_none() && member.heard_ms.is_none();
+            !gone && member.standing(&self.settings) != Standing::Down
+        });
+        reachable.map(|(&address, _)| address).collect()
+    }
+
+    /// Live processes of this one's failure domain, itself among them.
+    pub fn domain_peers(&self) -> Vec<SocketAddr> {
+        let own = (&self.own.failure_domain, &self.own.region);
+        let near = self.members.iter().filter(|(_, member)| {
+            let place = member
+                .place
+                .as_ref()
+                .map(|(domain, region)| (domain, region));
+            let live = member.standing(&self.settings) != Standing::Down;
+            place == Some(own) && live && !member.is_leaving()
+        });
+        near.map(|(&address, _)| address)
+            .chain([self.own.node.address])
+            .collect()
+    }
+
+    fn states(&self) -> impl Iterator<Item = MemberState> {
+        self.members.iter().filter_map(|(&address, member)| {
+            let (failure_domain, region) = member.place.clone()?;
+            Some(MemberState {
+                address,
+                incarnation: member.incarnation,
+                role: member.role,
+                failure_domain,
+                region,
+                standing: self.shown_standing(member),
+                leaving: member.is_leaving(),
+            })
+        })
+    }
+
+    fn hosts(&self) -> BTreeMap<Service<'_>, Vec<Host<'_>>> {
+        let mut services: BTreeMap<Service<'_>, Vec<Host<'_>>> = BTreeMap::new();
+        let agents = self
+            .members
+            .iter()
+            .filter(|(_, m)| m.role == ProcessRole::Agent);
+        for (&address, member) in agents {
+            let status = member.status.iter();
+            for hosted in status.flat_map(|(status, _)| &status.hosted) {
+                let service = (&hosted.customer, &hosted.service);
+                services.entry(service).or_default().push(Host {
+                    address,
+                    member,
+                    hosted,
+                });
+            }
+        }
+        services
+    }
+
+    /// The subset if all were up: a member that is down stays watched, so that its return
+    /// is noticed as fast as its death.
+    fn wanted(&self, hosts: &[Host<'_>]) -> Vec<SocketAddr> {
+        let staying: Vec<&Host<'_>> = hosts.iter().filter(|h| !h.member.is_leaving()).collect();
+        let chosen = self.choose(&staying).into_iter();
+        chosen.map(|host| host.address).collect()
+    }
+
+    fn shown(&self, hosts: &[Host<'_>]) -> Hosts {
+        let up = |host: &&Host<'_>| self.shown_standing(host.member) != Standing::Down;
+        let (leaving, staying): (Vec<_>, Vec<_>) =
+            hosts.iter().filter(up).partition(|h| h.member.is_leaving());
+        let mut replicas: Vec<Replica> = self
+            .choose(&staying)
+            .into_iter()
+            .filter_map(|host| self.replica(host))
+            .collect();
+        replicas.sort_by_key(|replica| replica.standing);
+        let takers = replicas.len();
+        replicas.extend(leaving.into_iter().filter_map(|host| self.replica(host)));
+        Hosts { replicas, takers }
+    }
+
+    fn choose<'a>(&self, hosts: &[&'a Host<'a>]) -> Vec<&'a Host<'a>> {
+        let placed: Vec<(&'a Host<'a>, Candidate<'a>)> = hosts
+            .iter()
+            .filter_map(|&host| {
+                let (failure_domain, region) = host.member.place.as_ref()?;
+                let candidate = Candidate {
+                    address: host.address,
+                    failure_domain,
+                    region,
+                };
+                Some((host, candidate))
+            })
+            .collect();
+        let candidates: Vec<Candidate<'_>> = placed.iter().map(|&(_, c)| c).collect();
+        let own = &self.own;
+        let size = self.settings.subset;
+        subset(own.node.address, &own.region, &candidates, size)
+            .into_iter()
+            .map(|position| placed[position].0)
+            .collect()
+    }
+
+    fn replica(&self, host: &Host<'_>) -> Option<Replica> {
+        let member = host.member;
+        let (status, load_at_ms) = member.status.as_ref()?;
+        Some(Replica {
+            node: NodeId {
+                address: host.address,
+                incarnation: member.incarnation?,
+            },
+            failure_domain: status.failure_domain.clone(),
+            region: status.region.clone(),
+            load: status.load,
+            load_at_ms: *load_at_ms,
+            weights: host.hosted.weights,
+            standing: self.shown_standing(member),
+            leaving: member.is_leaving(),
+            endpoint_life: status.endpoint_life,
+        })
+    }
+
+    fn watch(&mut self, watched: &HashSet<SocketAddr>, now_ms: u64) {
+        let period_ms = self.settings.probe_period_ms(watched.len());
+        for (address, member) in &mut self.members {
+            member.watched = watched.contains(address);
+            if member.watched {
+                member.next_probe_ms = member.next_probe_ms.min(now_ms + period_ms);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/components/membership/tests/common/mod.rs
@@ -0,0 +1,81 @@
+//! Processes, statuses and a view to try them on.
+#![allow(dead_code)]
+#![allow(clippy::unwrap_used)] // The exemption of clippy.toml ends at helpers of tests.
+
+use std::net::SocketAddr;
+
+use membership::{Listed, MemberSettings, Members, Own};
+use protocol::{Hosted, Load, ProcessRole, Status};
+use types::{CustomerName, FailureDomain, Incarnation, NodeId, Region, ServiceName};
+
+pub fn address(number: u16) -> SocketAddr {
+    let [high, low] = number.to_be_bytes();
+    SocketAddr::from(([10, 0, high, low], 7_000))
+}
+
+pub fn node(number: u16, incarnation: u64) -> NodeId {
+    NodeId {
+        address: address(number),
+        incarnation: Incarnation(incarnation),
+    }
+}
+
+pub fn domain(number: u16) -> FailureDomain {
+    let domains = ["rennes-a", "brest-b", "vannes-c"];
+    FailureDomain::new(domains[usize::from(number) % 3]).unwrap()
+}
+
+pub fn region() -> Region {
+    Region::new("bretagne").unwrap()
+}
+
+pub fn service() -> (CustomerName, ServiceName) {
+    let customer = CustomerName::new("office").unwrap();
+    (customer, ServiceName::new("redacteurs").unwrap())
+}
+
+pub fn entry() -> Members {
+    let own = Own {
+        node: node(60_000, 100),
+        role: ProcessRole::Entry,
+        failure_domain: domain(0),
+        region: region(),
+        started_ms: 0,
+    };
+    Members::new(own, MemberSettings::default())
+}
+
+pub fn status(number: u16, leaving: bool) -> Status {
+    let (customer, service) = service();
+    let hosted = Hosted {
+        customer,
+        service,
+        weights: None,
+    };
+    Status {
+        failure_domain: domain(number),
+        region: region(),
+        leaving,
+        hosted: vec![hosted],
+        load: Load::default(),
+        endpoint_life: 1,
+    }
+}
+
+pub fn listed(number: u16, leaving: bool) -> Listed {
+    Listed {
+        address: address(number),
+        role: ProcessRole::Agent,
+        failure_domain: domain(number),
+        region: region(),
+        leaving,
+    }
+}
+
+/// Nodes that take new work for the one service.
+pub fn takers(members: &mut Members, now_ms: u64) -> Vec<NodeId> {
+    let (customer, service) = service();
+    let snapshot = members.snapshot(now_ms);
+    let replicas = snapshot.replicas(&customer, &service);
+    replicas.iter().map(|replica| replica.node).collect()
+}
