--- a/components/samples/tests/cursor.rs
+++ b/components/samples/tests/cursor.rs
@@ -1,4 +1,5 @@
 //! What a trainer's cursor carries, and which ones are refused.
+#![allow(clippy::unwrap_used)] // The exemption of clippy.toml ends at helpers of tests.
 
 mod support;
 
--- a/components/samples/tests/exactly_once.rs
+++ b/components/samples/tests/exactly_once.rs
@@ -1,5 +1,6 @@
 //! Delivery under any order of fetches, losses of homes, posts, copies, swaps and returns of the
 //! trainer to a checkpoint.
+#![allow(clippy::unwrap_used)] // The exemption of clippy.toml ends at helpers of tests.
 
 mod support;
 
--- a/components/samples/tests/support/mod.rs
+++ b/components/samples/tests/support/mod.rs
@@ -1,4 +1,7 @@
-#![allow(dead_code)]
+//! Steps, rooms and completions for the tests.
+
+#![allow(dead_code)] // Each test file uses some of them.
+#![allow(clippy::unwrap_used)] // The exemption of clippy.toml ends at helpers of tests.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
--- a/components/weights/src/reconcile.rs
+++ b/components/weights/src/reconcile.rs
@@ -166,12 +166,15 @@
         let watch_ms = self
             .read_after_ms
             .max(belief.read_ms + self.settings.watch_ms);
-        let change_ms = self
-            .wanted_order(&belief.state)
-            .map(|kind| self.due_ms(kind));
-        change_ms
-            .map_or(watch_ms, |ms| ms.min(watch_ms))
-            .max(now_ms)
+        let Some(change) = self.wanted_order(&belief.state) else {
+            return watch_ms.max(now_ms);
+        };
+        let mut change_ms = self.due_ms(change).max(now_ms);
+        let is_old = change_ms.saturating_sub(belief.read_ms) > self.settings.belief_ms;
+        if is_old {
+            change_ms = change_ms.max(self.read_after_ms);
+        }
+        change_ms.min(watch_ms.max(now_ms))
     }
 
     /// An order ended. An id that is not in flight belongs to an order given up on and
