Agent and what entry and agent share: configuration feed, news, admin

Purpose: an agent beside each endpoint takes calls over the inner protocol and hands each to the endpoint once; entry and agent share one feed of the configuration, one loop for news over UDP and one admin server.

Weighed: tailing the log in every process (990 pollers) against tailing by rank with texts fetched from peers; the second is built.

Change: package node (feed, gossip, admin, identity, pulse) and package sidecar (gate, relay, wholeness checks, endpoint watch, weights, leaving) with the thin binary. Open names the owner of the service beside the payer, since a shared service is not found by the payer's name. The agent's pool is a PoolName.

--- /dev/null
+++ b/components/node/src/admin.rs
@@ -0,0 +1,103 @@
+//! The admin address of a process: `GET /livez`, `GET /readyz`, `GET /status` and
+//! `POST /drain`. It listens on its own port, so that a full request path never hides the
+//! state of the process.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::future::BoxFuture;
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
+
+use crate::NodeError;
+use crate::http::answer;
+
+/// Connections that are served at a time; later ones wait.
+const CONNECTIONS_MAX: usize = 64;
+/// Longest life of one connection.
+const CONNECTION_TIMEOUT: Duration = Duration::from_secs(30);
+/// Time for the head of a request to arrive.
+const HEADER_TIMEOUT: Duration = Duration::from_secs(5);
+/// Pause after an accept that failed, such as for want of file descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+const PLAIN: &str = "text/plain";
+const JSON: &str = "application/json";
+
+/// What the admin address shows and starts.
+#[derive(Clone)]
+pub struct AdminHooks {
+    /// Whether new work may be sent here.
+    pub ready: Arc<dyn Fn() -> bool + Send + Sync>,
+    /// State of the process as a JSON text.
+    pub status: Arc<dyn Fn() -> BoxFuture<'static, String> + Send + Sync>,
+    /// Starts to leave; returns at once.
+    pub drain: Arc<dyn Fn() + Send + Sync>,
+}
+
+/// Binds the admin address. Errors when it is taken.
+pub async fn listen(address: SocketAddr) -> Result<TcpListener, NodeError> {
+    let bound = TcpListener::bind(address).await;
+    bound.map_err(|reason| NodeError::Listen(address, reason))
+}
+
+/// Serves the admin address until the task is dropped.
+pub async fn serve(listener: TcpListener, hooks: AdminHooks) {
+    let places = Arc::new(Semaphore::new(CONNECTIONS_MAX));
+    loop {
+        // The semaphore is never closed, so an error cannot come.
+        let Ok(place) = Arc::clone(&places).acquire_owned().await else {
+            return;
+        };
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let hooks = hooks.clone();
+        tokio::spawn(async move {
+            serve_connection(stream, hooks).await;
+            drop(place);
+        });
+    }
+}
+
+async fn serve_connection(stream: TcpStream, hooks: AdminHooks) {
+    let service = service_fn(move |request| {
+        let hooks = hooks.clone();
+        async move { Ok::<_, Infallible>(respond(&request, &hooks).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEADER_TIMEOUT)
+        .serve_connection(TokioIo::new(stream), service);
+    // A connection that breaks or outlives its time concerns only its client.
+    let _ = tokio::time::timeout(CONNECTION_TIMEOUT, connection).await;
+}
+
+async fn respond(request: &Request<Incoming>, hooks: &AdminHooks) -> Response<Full<Bytes>> {
+    match (request.method(), request.uri().path()) {
+        (&Method::GET, "/livez") => answer(StatusCode::OK, PLAIN, "live\n"),
+        (&Method::GET, "/readyz") if (hooks.ready)() => answer(StatusCode::OK, PLAIN, "ready\n"),
+        (&Method::GET, "/readyz") => answer(StatusCode::SERVICE_UNAVAILABLE, PLAIN, "not ready\n"),
+        (&Method::GET, "/status") => answer(StatusCode::OK, JSON, (hooks.status)().await),
+        (&Method::POST, "/drain") => {
+            (hooks.drain)();
+            answer(StatusCode::ACCEPTED, PLAIN, "draining\n")
+        }
+        (_, "/livez" | "/readyz" | "/status" | "/drain") => answer(
+            StatusCode::METHOD_NOT_ALLOWED,
+            PLAIN,
+            "method not allowed\n",
+        ),
+        _ => answer(StatusCode::NOT_FOUND, PLAIN, "no such page\n"),
+    }
+}
--- /dev/null
+++ b/components/node/src/error.rs
@@ -0,0 +1,32 @@
+//! Failures of what every process shares.
+
+use std::net::SocketAddr;
+
+use quick_error::quick_error;
+
+quick_error! {
+    /// Why a process can't start or go on.
+    #[derive(Debug)]
+    pub enum NodeError {
+        /// An address that can't be listened on.
+        Listen(address: SocketAddr, reason: std::io::Error) {
+            source(reason)
+            display("cannot listen on {}: {}", address, reason)
+        }
+    }
+}
+
+quick_error! {
+    /// Why a body was not read to its end.
+    #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+    pub enum BodyError {
+        /// More bytes than allowed.
+        TooLarge(bytes_max: usize) {
+            display("the body has more than {} bytes", bytes_max)
+        }
+        /// The sender stopped before the stated end.
+        Broken {
+            display("the body ended before its stated end")
+        }
+    }
+}
--- /dev/null
+++ b/components/node/src/gossip.rs
@@ -0,0 +1,136 @@
+//! News over UDP: probes, statuses and rumours; and the view of all processes from them.
+//!
+//! One task owns the state. It publishes the view as an immutable snapshot; everybody
+//! else only reads that or puts a small order into a bounded queue.
+
+use std::sync::Arc;
+
+use arc_swap::ArcSwap;
+use leaving::{Probers, ProbersSettings};
+use link::Udp;
+use membership::{MemberSettings, Members, Own, RumourSettings, Rumours, Snapshot, TailSettings};
+use platform::VmList;
+use protocol::{News, Status};
+use tokio::sync::mpsc;
+use types::NodeId;
+
+use crate::gossip_loop::{GossipLoop, Order};
+use crate::vm_poll;
+use crate::{ConfigFeed, Identity, now_ms};
+
+/// Orders that wait at most.
+const ORDERS_MAX: usize = 1_024;
+/// Reads of the VM list that wait at most.
+const READS_MAX: usize = 2;
+
+/// What a process adds to the shared loop. Hooks are called on the loop's task and must
+/// not wait.
+#[derive(Clone)]
+pub struct GossipHooks {
+    /// Answers a probe; `None` on an entry.
+    pub status: Option<Arc<dyn Fn() -> Status + Send + Sync>>,
+    /// Gets each rumour of weights or quarantine that is new here.
+    pub heard: Arc<dyn Fn(&News) + Send + Sync>,
+    /// Called when the VM list or a rumour says that this process is leaving.
+    pub leaving: Arc<dyn Fn() + Send + Sync>,
+    /// Called when a life of another process was found to be leaving.
+    pub peer_leaving: Arc<dyn Fn(NodeId) + Send + Sync>,
+}
+
+impl Default for GossipHooks {
+    fn default() -> Self {
+        Self {
+            status: None,
+            heard: Arc::new(|_| {}),
+            leaving: Arc::new(|| {}),
+            peer_leaving: Arc::new(|_| {}),
+        }
+    }
+}
+
+/// Settings of the loop.
+#[derive(Clone, Debug, Default)]
+pub struct GossipSettings {
+    /// The view.
+    pub members: MemberSettings,
+    /// Rumours.
+    pub rumours: RumourSettings,
+    /// Who tails the log.
+    pub tail: TailSettings,
+    /// Who is told when this process leaves.
+    pub probers: ProbersSettings,
+}
+
+/// The process's view of the others. Clones share one state.
+#[derive(Clone)]
+pub struct Gossip {
+    orders: mpsc::Sender<Order>,
+    snapshot: Arc<ArcSwap<Snapshot>>,
+}
+
+impl Gossip {
+    /// Starts the loop over `udp` and the poll of the VM list.
+    pub fn start(
+        udp: Udp,
+        identity: Arc<Identity>,
+        vm_list: VmList,
+        feed: ConfigFeed,
+        settings: GossipSettings,
+        hooks: GossipHooks,
+    ) -> Gossip {
+        let (orders, ordered) = mpsc::channel(ORDERS_MAX);
+        let (reads, read) = mpsc::channel(READS_MAX);
+        let snapshot = Arc::new(ArcSwap::default());
+        let own = Own {
+            node: identity.node(),
+            role: identity.role,
+            failure_domain: identity.failure_domain.clone(),
+            region: identity.region.clone(),
+            started_ms: now_ms(),
+        };
+        let gossip_loop = GossipLoop {
+            udp,
+            identity,
+            feed,
+            hooks,
+            members: Members::new(own, settings.members),
+            rumours: Rumours::new(settings.rumours),
+            probers: Probers::new(settings.probers),
+            tail: settings.tail,
+            snapshot: Arc::clone(&snapshot),
+            stale: true,
+            published_ms: 0,
+        };
+        tokio::spawn(vm_poll::poll(vm_list, reads));
+        tokio::spawn(gossip_loop.run(ordered, read));
+        Gossip { orders, snapshot }
+    }
+
+    /// The processes as they are known now, for the path of a request.
+    pub fn snapshot(&self) -> Arc<Snapshot> {
+        self.snapshot.load_full()
+    }
+
+    /// Spreads a rumour of this process's own.
+    pub fn tell(&self, news: News) {
+        self.order(Order::Tell(Box::new(news)));
+    }
+
+    /// Tells recent probers and, as a rumour, everybody that this process is leaving.
+    pub fn leave(&self) {
+        self.order(Order::Leave);
+    }
+
+    /// Sends the status to the recent probers at once, such as after the endpoint died.
+    pub fn push_status(&self) {
+        self.order(Order::PushStatus);
+    }
+
+    fn order(&self, order: Order) {
+        if self.orders.try_send(order).is_err() {
+            // Only a loop that has stood still for a long time fills the queue. The
+            // status still goes out with the next probe; a rumour has to be told again.
+            log::warn!(event = "gossip-order-dropped"; "");
+        }
+    }
+}
--- /dev/null
+++ b/components/node/src/gossip_loop.rs
@@ -0,0 +1,303 @@
+//! The task behind [`crate::Gossip`]: one loop over datagrams, orders, reads of the VM
+//! list and the time.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use leaving::Probers;
+use link::Udp;
+use membership::{Heard, Listed, Members, Rumours, Snapshot, TailSettings, tailers};
+use protocol::{Datagram, News, ProcessRole, Status};
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use tokio::sync::mpsc;
+use types::NodeId;
+
+use crate::gossip::GossipHooks;
+use crate::{ConfigFeed, Identity, now_ms};
+
+/// Longest sleep; probes and the view are looked at this often.
+const TICK_MS: u64 = 100;
+/// The view is published anew this often though nothing happened, since time alone turns
+/// a member's standing.
+const REFRESH_MS: u64 = 1_000;
+/// Several pieces of news within this time are published together.
+const GATHER_MS: u64 = 20;
+/// Facts that a new peer is told at once; the others come by rumour.
+const FIRST_FACTS_MAX: usize = 32;
+
+/// What others ask of the loop.
+pub(crate) enum Order {
+    Tell(Box<News>),
+    Leave,
+    PushStatus,
+}
+
+pub(crate) struct GossipLoop {
+    pub(crate) udp: Udp,
+    pub(crate) identity: Arc<Identity>,
+    pub(crate) feed: ConfigFeed,
+    pub(crate) hooks: GossipHooks,
+    pub(crate) members: Members,
+    pub(crate) rumours: Rumours,
+    pub(crate) probers: Probers,
+    pub(crate) tail: TailSettings,
+    pub(crate) snapshot: Arc<ArcSwap<Snapshot>>,
+    /// News has come since the view was published.
+    pub(crate) stale: bool,
+    pub(crate) published_ms: u64,
+}
+
+impl GossipLoop {
+    pub(crate) async fn run(
+        mut self,
+        mut orders: mpsc::Receiver<Order>,
+        mut reads: mpsc::Receiver<Vec<Listed>>,
+    ) {
+        let mut rng = StdRng::seed_from_u64(rand::random());
+        loop {
+            let sleep = tokio::time::sleep(Duration::from_millis(self.sleep_ms()));
+            tokio::select! {
+                (_, datagram) = self.udp.recv() => self.on_datagram(datagram).await,
+                order = orders.recv() => match order {
+                    Some(order) => self.on_order(order).await,
+                    // Every handle is gone, and with them the process's other tasks.
+                    None => return,
+                },
+                Some(listed) = reads.recv() => self.on_list(&listed),
+                () = sleep => {}
+            }
+            self.tick(&mut rng).await;
+        }
+    }
+
+    async fn tick(&mut self, rng: &mut StdRng) {
+        let now_ms = now_ms();
+        for member in self.members.due_probes(now_ms) {
+            self.send(member, vec![News::Probe]).await;
+        }
+        for prober in self.probers.notify(now_ms) {
+            self.send_status(prober).await;
+        }
+        if now_ms >= self.rumours.next_round_ms() {
+            self.round(now_ms, rng).await;
+        }
+        let since_ms = now_ms.saturating_sub(self.published_ms);
+        if since_ms >= REFRESH_MS || (self.stale && since_ms >= GATHER_MS) {
+            self.publish(now_ms);
+        }
+    }
+
+    async fn round(&mut self, now_ms: u64, rng: &mut StdRng) {
+        let peers = self.members.peers();
+        for digest in self.feed.digests().iter() {
+            let news = News::Config(digest.clone());
+            self.rumours.hear(&news, peers.len(), now_ms);
+        }
+        let Some(round) = self.rumours.round(&peers, now_ms, rng) else {
+            return;
+        };
+        let mut news = round.news;
+        news.push(self.config_read(now_ms));
+        for target in round.targets {
+            self.send(target, news.clone()).await;
+        }
+    }
+
+    fn config_read(&self, now_ms: u64) -> News {
+        News::ConfigRead {
+            age_ms: self.feed.read_age_ms(now_ms),
+        }
+    }
+
+    fn publish(&mut self, now_ms: u64) {
+        let snapshot = self.members.snapshot(now_ms);
+        self.feed.set_tailers(self.tailers(&snapshot));
+        self.snapshot.store(Arc::new(snapshot));
+        self.stale = false;
+        self.published_ms = now_ms;
+    }
+
+    /// The processes of every failure domain that tail the log.
+    fn tailers(&self, snapshot: &Snapshot) -> Vec<SocketAddr> {
+        let own_domain = (&self.identity.region, &self.identity.failure_domain);
+        let mut domains: BTreeMap<_, Vec<SocketAddr>> = BTreeMap::new();
+        let live = [ProcessRole::Entry, ProcessRole::Agent];
+        for member in live.into_iter().flat_map(|role| snapshot.live(role)) {
+            let domain = (&member.region, &member.failure_domain);
+            domains.entry(domain).or_default().push(member.address);
+        }
+        domains.insert(own_domain, self.members.domain_peers());
+        let ranked = domains.into_values();
+        ranked
+            .flat_map(|domain| tailers(domain, &self.tail))
+            .collect()
+    }
+
+    async fn on_datagram(&mut self, datagram: Datagram) {
+        let now_ms = now_ms();
+        let Datagram { from, role, news } = datagram;
+        let heard = self.members.on_heard(from, role, now_ms);
+        self.act_on(from, heard).await;
+        if matches!(heard, Heard::Older { .. }) {
+            // News of a life that is over; its rumours come from others as well.
+            return;
+        }
+        if heard == Heard::New {
+            self.welcome(from.address, now_ms).await;
+        }
+        for item in news {
+            self.on_news(from, role, item, now_ms).await;
+        }
+    }
+
+    /// Tells a process that was not heard before what is known here, so that a new one
+    /// need not wait for its turn in the rumours.
+    async fn welcome(&mut self, to: SocketAddr, now_ms: u64) {
+        let mut facts: Vec<News> = self.rumours.all(now_ms).take(FIRST_FACTS_MAX).collect();
+        facts.push(self.config_read(now_ms));
+        self.send(to, facts).await;
+    }
+
+    async fn on_news(&mut self, from: NodeId, role: ProcessRole, news: News, now_ms: u64) {
+        match &news {
+            News::Probe => self.on_probe(from, now_ms).await,
+            News::Status(status) => self.on_status(from, role, status, now_ms).await,
+            News::Incarnation(known) => {
+                let heard = self.members.on_own(*known);
+                self.act_on(from, heard).await;
+            }
+            News::ConfigRead { age_ms } => self.feed.heard_read(*age_ms, now_ms),
+            News::Leaving { node } => {
+                let heard = self.members.on_leaving(*node, now_ms);
+                if heard == Heard::New {
+                    self.peer_leaves(*node, now_ms);
+                }
+                self.act_on(from, heard).await;
+            }
+            News::Config(digest) => self.feed.heard(from.address, digest),
+            News::Weights { .. } | News::Quarantined { .. } => {
+                let peers = self.members.peers().len();
+                if self.rumours.hear(&news, peers, now_ms) {
+                    (self.hooks.heard)(&news);
+                }
+            }
+        }
+    }
+
+    async fn on_probe(&mut self, from: NodeId, now_ms: u64) {
+        self.probers.heard(from.address, now_ms);
+        if self.hooks.status.is_some() {
+            self.send_status(from.address).await;
+        } else {
+            // An entry has no status; any datagram is its sign of life.
+            let news = vec![self.config_read(now_ms)];
+            self.send(from.address, news).await;
+        }
+    }
+
+    async fn on_status(&mut self, from: NodeId, role: ProcessRole, status: &Status, now_ms: u64) {
+        let was_leaving = status.leaving;
+        let heard = self.members.on_status(from, role, status, now_ms);
+        if heard == Heard::New && was_leaving {
+            self.peer_leaves(from, now_ms);
+        }
+        // A status may change what is hosted where, which `Heard` does not tell.
+        self.stale = true;
+        self.act_on(from, heard).await;
+    }
+
+    fn peer_leaves(&mut self, node: NodeId, now_ms: u64) {
+        let peers = self.members.peers().len();
+        self.rumours.hear(&News::Leaving { node }, peers, now_ms);
+        (self.hooks.peer_leaving)(node);
+        self.publish(now_ms);
+    }
+
+    async fn act_on(&mut self, from: NodeId, heard: Heard) {
+        match heard {
+            Heard::Known => {}
+            Heard::New => self.stale = true,
+            Heard::Older { known } => {
+                self.send(from.address, vec![News::Incarnation(known)])
+                    .await;
+            }
+            Heard::OwnRaised => {
+                let node = self.members.own().node;
+                self.identity.take(node.incarnation);
+                log::info!(event = "incarnation-raised", node:% = node; "");
+            }
+            Heard::OwnLeaving => (self.hooks.leaving)(),
+        }
+    }
+
+    async fn on_order(&mut self, order: Order) {
+        let now_ms = now_ms();
+        match order {
+            Order::Tell(news) => {
+                let peers = self.members.peers().len();
+                self.rumours.hear(&news, peers, now_ms);
+            }
+            Order::Leave => {
+                let node = self.members.own().node;
+                let peers = self.members.peers().len();
+                self.rumours.hear(&News::Leaving { node }, peers, now_ms);
+                self.probers.leave(now_ms);
+            }
+            Order::PushStatus => {
+                for prober in self.probers.recent(now_ms) {
+                    self.send_status(prober).await;
+                }
+            }
+        }
+    }
+
+    fn on_list(&mut self, listed: &[Listed]) {
+        let now_ms = now_ms();
+        let read = self.members.on_list(listed, now_ms);
+        self.stale = true;
+        for node in read.leaving {
+            self.peer_leaves(node, now_ms);
+        }
+        if read.own_leaving {
+            (self.hooks.leaving)();
+        }
+    }
+
+    async fn send_status(&mut self, to: SocketAddr) {
+        let Some(status) = &self.hooks.status else {
+            return;
+        };
+        let status = News::Status(Box::new(status()));
+        let news = vec![status, self.config_read(now_ms())];
+        self.send(to, news).await;
+    }
+
+    async fn send(&self, to: SocketAddr, news: Vec<News>) {
+        let datagram = Datagram {
+            from: self.identity.node(),
+            role: self.identity.role,
+            news,
+        };
+        // A lost datagram is made good by the next one.
+        if let Err(reason) = self.udp.send(to, &datagram).await {
+            log::debug!(event = "datagram-unsent", to:% = to, reason:% = reason; "");
+        }
+    }
+
+    fn sleep_ms(&self) -> u64 {
+        let now_ms = now_ms();
+        let round_ms = self.rumours.next_round_ms();
+        let notice_ms = self.probers.next_notice_ms().unwrap_or(u64::MAX);
+        let gather_ms = if self.stale {
+            self.published_ms + GATHER_MS
+        } else {
+            u64::MAX
+        };
+        let due_ms = round_ms.min(notice_ms).min(gather_ms);
+        due_ms.saturating_sub(now_ms).clamp(1, TICK_MS)
+    }
+}
--- /dev/null
+++ b/components/node/src/lib.rs
@@ -0,0 +1,23 @@
+//! What entry and agent share: who the process is, the configuration in force, news over
+//! UDP, and the admin address.
+
+pub mod admin;
+mod clock;
+mod error;
+mod feed;
+mod feed_fetch;
+mod feed_tail;
+mod feed_task;
+mod gossip;
+mod gossip_loop;
+pub mod http;
+mod identity;
+mod pulse;
+mod vm_poll;
+
+pub use clock::now_ms;
+pub use error::{BodyError, NodeError};
+pub use feed::{ConfigFeed, FeedSettings};
+pub use gossip::{Gossip, GossipHooks, GossipSettings};
+pub use identity::Identity;
+pub use pulse::Pulse;
--- a/components/settings/src/agent.rs
+++ b/components/settings/src/agent.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use clap::{ArgMatches, Command};
-use types::ServiceName;
+use types::PoolName;
 
 use crate::SettingsError;
 use crate::check::{address, word};
@@ -41,7 +41,7 @@
     /// What the endpoint is.
     pub endpoint_kind: EndpointKind,
     /// Pool that the endpoint belongs to; services of that pool are hosted here.
-    pub pool: ServiceName,
+    pub pool: PoolName,
     /// Whether the engine checks fencing numbers.
     pub fencing: Fencing,
 }
--- /dev/null
+++ b/components/sidecar/src/calls.rs
@@ -0,0 +1,137 @@
+//! Takes calls in and sees each to its final answer.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use config::Kind;
+use link::{Answer, Incoming};
+use node::{ConfigFeed, now_ms};
+use protocol::Open;
+use telemetry::Label;
+use types::{Cause, Failure};
+
+use crate::agent::Agent;
+use crate::gate;
+use crate::relay::Relay;
+
+/// Takes one call in; never waits.
+pub fn take(agent: &Arc<Agent>, call: Incoming) {
+    let arrived_ms = now_ms();
+    let age_ms = agent.pulse.age_of_arrival_ms(arrived_ms);
+    let agent = Arc::clone(agent);
+    tokio::spawn(async move {
+        let Incoming { open, answer, .. } = call;
+        if ConfigFeed::is_text_call(&open) {
+            serve_text(&agent, &open, &answer).await;
+            return;
+        }
+        let ended = run(&agent, &open, &answer, arrived_ms, age_ms).await;
+        match ended {
+            Ok(()) => answer.end(),
+            Err(failure) => answer.fail(failure),
+        }
+        note(&agent, &open, arrived_ms, ended);
+    });
+}
+
+async fn serve_text(agent: &Agent, open: &Open, answer: &Answer) {
+    match agent.feed.serve_text(open).await {
+        Ok((head, text)) => {
+            answer.accepted();
+            answer.started();
+            answer.head(head).await;
+            answer.chunk(text).await;
+            answer.end();
+        }
+        Err(failure) => answer.fail(failure),
+    }
+}
+
+async fn run(
+    agent: &Agent,
+    open: &Open,
+    answer: &Answer,
+    arrived_ms: u64,
+    age_ms: u64,
+) -> Result<(), Failure> {
+    // Held until the end, so that a drain waits for this call.
+    let _working = agent.drain.admit(now_ms())?;
+    if agent.drain.progress().count() > agent.limits.calls_max {
+        return Err(gate::full());
+    }
+    let life = agent.health.life();
+    let hosting = agent.hosting();
+    let service = gate::service_of(open, &hosting, &agent.health.look())?;
+    answer.accepted();
+    let left_ms = gate::time_left_ms(open, now_ms() - arrived_ms, age_ms)?;
+    let is_model = service.kind == Kind::Model;
+    let mut relay = Relay::new(&agent.endpoint, open, answer, is_model);
+    let ended = relay_until(agent, &mut relay, answer, life, left_ms).await;
+    if let Err(failure) = ended {
+        clean_up(agent, &relay, open, failure);
+    }
+    ended
+}
+
+async fn relay_until(
+    agent: &Agent,
+    relay: &mut Relay<'_>,
+    answer: &Answer,
+    life: u32,
+    left_ms: u64,
+) -> Result<(), Failure> {
+    let cause = tokio::select! {
+        biased;
+        ended = relay.run(left_ms) => return ended,
+        () = answer.cancelled() => Cause::Cancelled,
+        // An endpoint whose VM died sends no reset; its calls would wait for their
+        // deadlines though the watch knows better.
+        () = agent.health.outlived(life) => Cause::EndpointLost,
+        // A caller that takes nothing in blocks the answer beyond the deadline of the
+        // exchange, and with it a place at the endpoint.
+        () = tokio::time::sleep(Duration::from_millis(left_ms)) => Cause::DeadlinePassed,
+    };
+    Err(relay.stage().failure(cause))
+}
+
+/// Leaves nothing running at the endpoint for a call that has ended badly.
+fn clean_up(agent: &Agent, relay: &Relay<'_>, open: &Open, failure: Failure) {
+    if failure.cause == Cause::EndpointLost {
+        agent.health.suspect();
+        return;
+    }
+    let may_run = failure.run != types::RunState::NotRun;
+    if may_run && relay.is_named() {
+        let engine = agent.engine.clone();
+        let name = open.id.to_string();
+        tokio::spawn(async move {
+            if let Err(error) = engine.cancel(&name).await {
+                log::debug!(event = "cancel-lost", call = name.as_str(), reason:% = error; "");
+            }
+        });
+    }
+}
+
+fn note(agent: &Agent, open: &Open, arrived_ms: u64, ended: Result<(), Failure>) {
+    let took_ms = now_ms().saturating_sub(arrived_ms);
+    let label = Label::of(&open.customer, open.class);
+    let (run, cause) = match ended {
+        Ok(()) => ("whole", ""),
+        Err(failure) => (failure.run.as_str(), failure.cause.as_str()),
+    };
+    agent.metrics.record("call_ms", label, took_ms);
+    agent.metrics.count(counter(ended), label, 1);
+    log::info!(
+        event = "call-ended", request_id = open.request_id.as_str(), call:% = open.id,
+        customer:% = open.customer, service:% = open.service, outcome = run, cause, took_ms; ""
+    );
+}
+
+fn counter(ended: Result<(), Failure>) -> &'static str {
+    match ended.map_err(|failure| failure.run) {
+        Ok(()) => "calls_whole_total",
+        Err(types::RunState::NotRun) => "calls_not_run_total",
+        Err(types::RunState::Unknown) => "calls_unknown_total",
+        Err(types::RunState::Failed) => "calls_failed_total",
+    }
+}
--- /dev/null
+++ b/components/sidecar/src/completion.rs
@@ -0,0 +1,99 @@
+//! Wholeness of a completion. The endpoint's HTTP may end properly after the engine died
+//! in the middle of an answer, so a clean end is not enough: a stream needs its finish
+//! reason and terminator, a unary answer its finish reason.
+
+use bytes::Bytes;
+use platform::AnswerHead;
+use platform::sse::{Finish, Parser};
+use serde::Deserialize;
+use types::Cause;
+
+/// Path of completions.
+pub const COMPLETIONS_PATH: &str = "/v1/completions";
+
+/// Longest line of a stream, in bytes.
+const LINE_BYTES_MAX: usize = 1024 * 1024;
+const EVENT_STREAM: &str = "text/event-stream";
+const OK: u16 = 200;
+
+/// How the wholeness of an answer shows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Shape {
+    /// A stream of server-sent events with a finish reason and a terminator.
+    Stream,
+    /// One document with a finish reason.
+    Document,
+    /// Any bytes; their stated end is all there is.
+    Opaque,
+}
+
+impl Shape {
+    /// Shape of the answer with this head to a call of a model (`is_model`) at `path`.
+    pub fn of(is_model: bool, path: &str, head: &AnswerHead) -> Shape {
+        let path_alone = path.split('?').next().unwrap_or(path);
+        if !is_model || path_alone != COMPLETIONS_PATH || head.status != OK {
+            return Shape::Opaque;
+        }
+        let content_type = head.header("content-type").unwrap_or_default();
+        if content_type.starts_with(EVENT_STREAM) {
+            Shape::Stream
+        } else {
+            Shape::Document
+        }
+    }
+}
+
+/// Watches a stream go by.
+pub struct StreamCheck(Parser);
+
+impl StreamCheck {
+    /// A check at the beginning of a stream.
+    pub fn new() -> Self {
+        Self(Parser::new(LINE_BYTES_MAX))
+    }
+
+    /// Takes the next bytes; errors when they are not part of a completions stream.
+    pub fn push(&mut self, bytes: &[u8]) -> Result<(), Cause> {
+        let pushed = self.0.push(bytes, |_| Ok(()));
+        pushed.map_err(|_| Cause::EndpointError)
+    }
+
+    /// Errors when the stream that has ended is not whole.
+    pub fn end(&self) -> Result<(), Cause> {
+        if self.0.is_whole() {
+            Ok(())
+        } else {
+            Err(Cause::Truncated)
+        }
+    }
+}
+
+impl Default for StreamCheck {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+#[derive(Deserialize)]
+struct Document {
+    choices: Vec<Choice>,
+}
+
+#[derive(Deserialize)]
+struct Choice {
+    finish_reason: Option<String>,
+}
+
+/// Errors when a unary completion is not whole.
+pub fn check_document(body: &Bytes) -> Result<(), Cause> {
+    let document: Document = serde_json::from_slice(body).map_err(|_| Cause::EndpointError)?;
+    let is_whole = |choice: &Choice| {
+        let reason = choice.finish_reason.as_deref();
+        reason.map(Finish::parse).is_some_and(Finish::is_whole)
+    };
+    if !document.choices.is_empty() && document.choices.iter().all(is_whole) {
+        Ok(())
+    } else {
+        Err(Cause::Truncated)
+    }
+}
--- /dev/null
+++ b/components/sidecar/src/gate.rs
@@ -0,0 +1,45 @@
+//! Whether a call that has arrived may go to the endpoint. Every refusal here is "not
+//! run", because nothing has left for the endpoint yet.
+
+use config::{Kind, Service};
+use protocol::Open;
+use types::{Cause, Failure};
+
+use crate::health::Look;
+use crate::hosting::Hosting;
+
+/// When a caller whose endpoint is down or full may come back, in milliseconds.
+const RETRY_AFTER_MS: u32 = 200;
+
+/// Time that the caller still has, in milliseconds, after the call has been here for
+/// `held_ms` and may have waited `age_ms` in a socket buffer before.
+pub fn time_left_ms(open: &Open, held_ms: u64, age_ms: u64) -> Result<u64, Failure> {
+    let left_ms = u64::from(open.deadline_left_ms).saturating_sub(held_ms + age_ms);
+    if left_ms == 0 {
+        return Err(Failure::not_run(Cause::DeadlinePassed));
+    }
+    Ok(left_ms)
+}
+
+/// The service of the call, or why the endpoint can't take the call now.
+pub fn service_of<'a>(
+    open: &Open,
+    hosting: &'a Hosting,
+    look: &Look,
+) -> Result<&'a Service, Failure> {
+    let hosted = hosting.find(&open.owner, &open.service);
+    let service = hosted.ok_or(Failure::not_run(Cause::NotHosted))?;
+    if !look.up {
+        let down = Failure::not_run(Cause::EndpointLost);
+        return Err(down.retry_after(RETRY_AFTER_MS));
+    }
+    if service.kind == Kind::Model && look.model(service.name.as_str()).is_none() {
+        return Err(Failure::not_run(Cause::NotHosted));
+    }
+    Ok(service)
+}
+
+/// The refusal of a call beyond the agent's limit.
+pub fn full() -> Failure {
+    Failure::not_run(Cause::QueueFull).retry_after(RETRY_AFTER_MS)
+}
--- /dev/null
+++ b/components/sidecar/src/relay.rs
@@ -0,0 +1,162 @@
+//! One exchange with the endpoint, passed on as it comes.
+
+use bytes::Bytes;
+use link::Answer;
+use platform::{AnswerHead, Body, Endpoint, Request, Response};
+use protocol::{Head, Open};
+use types::{Cause, Failure};
+
+use crate::body::name_call;
+use crate::completion::{COMPLETIONS_PATH, Shape, StreamCheck, check_document};
+use crate::stage::{Stage, failure_of};
+
+/// Largest part of an answer in one frame, so that calls share their connection fairly.
+const PART_BYTES_MAX: usize = 64 * 1024;
+const REQUEST_ID_HEADER: &str = "x-request-id";
+
+/// One call on its way through the endpoint.
+pub struct Relay<'a> {
+    endpoint: &'a Endpoint,
+    open: &'a Open,
+    answer: &'a Answer,
+    is_model: bool,
+    stage: Stage,
+}
+
+impl<'a> Relay<'a> {
+    /// A call that has not left yet.
+    pub fn new(endpoint: &'a Endpoint, open: &'a Open, answer: &'a Answer, is_model: bool) -> Self {
+        Self {
+            endpoint,
+            open,
+            answer,
+            is_model,
+            stage: Stage::Held,
+        }
+    }
+
+    /// How far the call has come.
+    pub fn stage(&self) -> Stage {
+        self.stage
+    }
+
+    /// Whether the engine knows the call by a name under which it can be cancelled.
+    pub fn is_named(&self) -> bool {
+        self.is_model && path_of(self.open) == COMPLETIONS_PATH
+    }
+
+    /// Sends the call and passes the answer on. Returns once the answer is whole; the
+    /// caller of this function then ends it.
+    pub async fn run(&mut self, left_ms: u64) -> Result<(), Failure> {
+        let request = self.request()?;
+        self.stage = Stage::Sent;
+        self.answer.started();
+        let sent = self.endpoint.send(request, left_ms).await;
+        let response = sent.map_err(|error| failure_of(&error, self.stage))?;
+        self.stage = Stage::Answering;
+        let Response { head, body } = response;
+        let shape = Shape::of(self.is_model, &self.open.path, &head);
+        let passed = match shape {
+            Shape::Document => self.pass_document(head, body).await,
+            Shape::Stream => self.pass_stream(head, body).await,
+            Shape::Opaque => self.pass_opaque(head, body).await,
+        };
+        passed.map_err(Stop::into_failure)
+    }
+
+    fn request(&self) -> Result<Request, Failure> {
+        let body = if self.is_named() {
+            name_call(&self.open.body, self.open.id).map_err(Failure::not_run)?
+        } else {
+            self.open.body.clone()
+        };
+        let mut headers = self.open.headers.clone();
+        if !headers
+            .iter()
+            .any(|(name, _)| name.eq_ignore_ascii_case(REQUEST_ID_HEADER))
+        {
+            headers.push((REQUEST_ID_HEADER.to_owned(), self.open.request_id.clone()));
+        }
+        Ok(Request {
+            method: self.open.method.clone(),
+            path: self.open.path.clone(),
+            headers,
+            body,
+            // An endpoint may close an idle connection just as the request goes out, and
+            // then nobody knows whether it ran.
+            reuse: self.open.idempotent,
+        })
+    }
+
+    /// Passes a document on only when it is whole, so that a cut one is never seen.
+    async fn pass_document(&self, head: AnswerHead, body: Body) -> Result<(), Stop> {
+        let document = body.whole().await?;
+        check_document(&document)?;
+        self.answer.head(head_of(head)).await;
+        self.pass(document).await;
+        Ok(())
+    }
+
+    async fn pass_stream(&self, head: AnswerHead, mut body: Body) -> Result<(), Stop> {
+        let mut check = StreamCheck::new();
+        self.answer.head(head_of(head)).await;
+        while let Some(bytes) = body.next().await? {
+            check.push(&bytes)?;
+            self.pass(bytes).await;
+        }
+        Ok(check.end()?)
+    }
+
+    async fn pass_opaque(&self, head: AnswerHead, mut body: Body) -> Result<(), Stop> {
+        self.answer.head(head_of(head)).await;
+        while let Some(bytes) = body.next().await? {
+            self.pass(bytes).await;
+        }
+        Ok(())
+    }
+
+    async fn pass(&self, mut bytes: Bytes) {
+        while !bytes.is_empty() {
+            let part = bytes.split_to(bytes.len().min(PART_BYTES_MAX));
+            self.answer.chunk(part).await;
+        }
+    }
+}
+
+/// Why an answer that had begun was not passed on to its end.
+enum Stop {
+    Exchange(platform::PlatformError),
+    Content(Cause),
+}
+
+impl From<platform::PlatformError> for Stop {
+    fn from(error: platform::PlatformError) -> Self {
+        Stop::Exchange(error)
+    }
+}
+
+impl From<Cause> for Stop {
+    fn from(cause: Cause) -> Self {
+        Stop::Content(cause)
+    }
+}
+
+impl Stop {
+    fn into_failure(self) -> Failure {
+        match self {
+            Stop::Exchange(error) => failure_of(&error, Stage::Answering),
+            Stop::Content(cause) => Stage::Answering.failure(cause),
+        }
+    }
+}
+
+fn path_of(open: &Open) -> &str {
+    open.path.split('?').next().unwrap_or(&open.path)
+}
+
+fn head_of(head: AnswerHead) -> Head {
+    Head {
+        status: head.status,
+        headers: head.headers,
+    }
+}
--- /dev/null
+++ b/components/sidecar/src/stage.rs
@@ -0,0 +1,65 @@
+//! How far a call has come at the endpoint, and what a failure at that point says.
+//!
+//! The rule: "not run" only while no byte has gone out, "failed" only once the endpoint
+//! has shown that it began, "unknown" in between.
+
+use derive::key;
+use platform::{ConnectFault, Loss, PlatformError};
+use types::{Cause, Failure, RunState};
+
+/// How far a call has come.
+#[key]
+pub enum Stage {
+    /// Nothing was written to the endpoint.
+    Held,
+    /// The request was or may have been written.
+    Sent,
+    /// The endpoint's answer has begun.
+    Answering,
+}
+
+impl Stage {
+    /// Whether a call that ends here without a whole answer ran.
+    pub fn run_state(self) -> RunState {
+        match self {
+            Stage::Held => RunState::NotRun,
+            Stage::Sent => RunState::Unknown,
+            Stage::Answering => RunState::Failed,
+        }
+    }
+
+    /// The failure of a call that ends here for `cause`.
+    pub fn failure(self, cause: Cause) -> Failure {
+        Failure::new(self.run_state(), cause)
+    }
+}
+
+/// What an exchange that failed at `stage` says to the caller.
+pub fn failure_of(error: &PlatformError, stage: Stage) -> Failure {
+    match *error {
+        PlatformError::NotSent(fault) => Failure::not_run(cause_of_fault(fault)),
+        PlatformError::Unknown(loss) => stage.failure(cause_of_loss(loss)),
+        // Something came back, so the endpoint had the request.
+        PlatformError::Refused { .. }
+        | PlatformError::Malformed(_)
+        | PlatformError::TooLarge(_) => Stage::Answering.failure(Cause::EndpointError),
+    }
+}
+
+fn cause_of_fault(fault: ConnectFault) -> Cause {
+    match fault {
+        ConnectFault::Unreachable | ConnectFault::TimedOut => Cause::EndpointLost,
+        ConnectFault::DeadlinePassed => Cause::DeadlinePassed,
+        ConnectFault::BadRequest => Cause::Malformed,
+    }
+}
+
+fn cause_of_loss(loss: Loss) -> Cause {
+    match loss {
+        Loss::ClosedBeforeAnswer { .. } | Loss::ClosedMidAnswer | Loss::Silent => {
+            Cause::EndpointLost
+        }
+        Loss::NoStatedEnd => Cause::Truncated,
+        Loss::DeadlinePassed => Cause::DeadlinePassed,
+    }
+}
--- /dev/null
+++ b/components/sidecar/src/status.rs
@@ -0,0 +1,157 @@
+//! What the agent says of its endpoint: the status that answers a probe, and the page at
+//! the admin address.
+
+use std::sync::Arc;
+
+use config::Kind;
+use node::now_ms;
+use protocol::{Hosted, Load, Status};
+use serde::Serialize;
+
+use crate::agent::Agent;
+use crate::health::Look;
+use crate::weights_task::Weights;
+
+/// The status that answers a probe.
+pub fn status(agent: &Agent) -> Status {
+    let look = agent.health.look();
+    Status {
+        failure_domain: agent.identity.failure_domain.clone(),
+        region: agent.identity.region.clone(),
+        leaving: agent.drain.is_leaving(),
+        hosted: hosted(agent, &look),
+        load: load(agent, &look),
+        endpoint_life: agent.health.life(),
+    }
+}
+
+fn hosted(agent: &Agent, look: &Look) -> Vec<Hosted> {
+    if !look.up {
+        return Vec::new();
+    }
+    let hosting = agent.hosting();
+    let services = hosting.services().iter();
+    services
+        .filter_map(|service| {
+            let weights = match service.kind {
+                // The version that was read back from the engine, never the one wanted.
+                Kind::Model => Some(look.model(service.name.as_str())?.version),
+                Kind::Plain => None,
+            };
+            Some(Hosted {
+                customer: service.owner.clone(),
+                service: service.name.clone(),
+                weights,
+            })
+        })
+        .collect()
+}
+
+fn load(agent: &Agent, look: &Look) -> Load {
+    let running = agent.drain.progress().count();
+    let report = &look.load;
+    let since_read_ms = now_ms().saturating_sub(look.load_read_ms);
+    Load {
+        running: saturated(running as u64),
+        waiting: report.waiting,
+        prompt_tokens_queued: saturated(report.prompt_tokens_queued),
+        kv_used_permille: u16::try_from(report.kv_used_permille).unwrap_or(u16::MAX),
+        age_ms: saturated(report.age_ms.saturating_add(since_read_ms)),
+    }
+}
+
+fn saturated(number: u64) -> u32 {
+    u32::try_from(number).unwrap_or(u32::MAX)
+}
+
+#[derive(Serialize)]
+struct Page {
+    node: String,
+    failure_domain: String,
+    region: String,
+    pool: String,
+    endpoint: String,
+    endpoint_up: bool,
+    endpoint_life: u32,
+    leaving: bool,
+    calls_in_progress: usize,
+    hosted: Vec<HostedRow>,
+    models: Vec<ModelRow>,
+    config: Vec<ConfigRow>,
+    metrics: Vec<telemetry::Row>,
+}
+
+#[derive(Serialize)]
+struct HostedRow {
+    customer: String,
+    service: String,
+    version: Option<String>,
+}
+
+#[derive(Serialize)]
+struct ModelRow {
+    customer: String,
+    service: String,
+    wanted: Option<String>,
+    serving: Option<String>,
+    behind: Option<u64>,
+    failures: u32,
+}
+
+#[derive(Serialize)]
+struct ConfigRow {
+    customer: String,
+    version: u64,
+}
+
+/// The page at the admin address, as JSON.
+pub async fn page(agent: Arc<Agent>, weights: Weights) -> String {
+    let look = agent.health.look();
+    let page = Page {
+        node: agent.identity.node().to_string(),
+        failure_domain: agent.identity.failure_domain.to_string(),
+        region: agent.identity.region.to_string(),
+        pool: agent.pool.to_string(),
+        endpoint: agent.endpoint.address().to_string(),
+        endpoint_up: look.up,
+        endpoint_life: agent.health.life(),
+        leaving: agent.drain.is_leaving(),
+        calls_in_progress: agent.drain.progress().count(),
+        hosted: hosted(&agent, &look).into_iter().map(hosted_row).collect(),
+        models: weights.statuses().iter().map(model_row).collect(),
+        config: config_rows(&agent),
+        metrics: agent.metrics.rows().await,
+    };
+    // Plain strings and numbers always serialise.
+    serde_json::to_string(&page).unwrap_or_default()
+}
+
+fn hosted_row(hosted: Hosted) -> HostedRow {
+    HostedRow {
+        customer: hosted.customer.to_string(),
+        service: hosted.service.to_string(),
+        version: hosted.weights.map(|version| version.to_string()),
+    }
+}
+
+fn model_row(row: &crate::weights_task::ModelStatus) -> ModelRow {
+    ModelRow {
+        customer: row.model.customer.to_string(),
+        service: row.model.service.to_string(),
+        wanted: row.status.wanted.map(|version| version.to_string()),
+        serving: row.status.serving.map(|version| version.to_string()),
+        behind: row.status.behind,
+        failures: row.status.failures,
+    }
+}
+
+fn config_rows(agent: &Agent) -> Vec<ConfigRow> {
+    let digests = agent.feed.digests();
+    digests
+        .iter()
+        .map(|digest| ConfigRow {
+            customer: digest.customer.to_string(),
+            version: digest.version,
+        })
+        .collect()
+}
--- /dev/null
+++ b/components/sidecar/src/weights_task.rs
@@ -0,0 +1,299 @@
+//! Brings the models on the engine to the wanted versions: carries out what
+//! `weights::Reconcile` decides, one order at a time for each model.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use config::Kind;
+use node::now_ms;
+use platform::PlatformError;
+use tokio::sync::{mpsc, watch};
+use types::{CustomerName, ServiceName, WeightVersion};
+use weights::{
+    Authority, EngineState, ModelKey, Order, OrderKind, OrderOutcome, Reconcile, ReconcileSettings,
+    Target,
+};
+
+use crate::agent::Agent;
+use crate::watch::Watch;
+
+/// News that wait at most; a lost one comes again with the next rumour.
+const NEWS_MAX: usize = 256;
+/// Longest sleep; hosted services may change in between.
+const SLEEP_MAX_MS: u64 = 1_000;
+const PERMILLE: u64 = 1_000;
+const STATUS_CONFLICT: u16 = 409;
+const STATUS_TOO_MANY: u16 = 429;
+const STATUS_UNAVAILABLE: u16 = 503;
+
+/// A version that is in force for a model, as a rumour has it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct VersionNews {
+    /// The model.
+    pub model: ModelKey,
+    /// What its engines should do.
+    pub target: Target,
+}
+
+/// State of one model for the status page.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ModelStatus {
+    /// The model.
+    pub model: ModelKey,
+    /// Where its engine stands.
+    pub status: weights::Status,
+}
+
+/// Handle of the task.
+#[derive(Clone)]
+pub struct Weights {
+    news: mpsc::Sender<VersionNews>,
+    statuses: watch::Receiver<Vec<ModelStatus>>,
+}
+
+impl Weights {
+    /// Starts the task.
+    pub fn start(agent: Arc<Agent>, watch: Watch, settings: ReconcileSettings) -> Weights {
+        let (news, heard) = mpsc::channel(NEWS_MAX);
+        let (publish, statuses) = watch::channel(Vec::new());
+        let (ends, ended) = mpsc::channel(NEWS_MAX);
+        let driver = Driver {
+            agent,
+            watch,
+            settings,
+            authority: Authority::new(),
+            models: BTreeMap::new(),
+            ends,
+            publish,
+        };
+        tokio::spawn(driver.run(heard, ended));
+        Weights { news, statuses }
+    }
+
+    /// A version of a model is in force.
+    pub fn heard(&self, customer: &CustomerName, service: &ServiceName, version: WeightVersion) {
+        let model = ModelKey {
+            customer: customer.clone(),
+            service: service.clone(),
+        };
+        let target = Target::serve(version);
+        // A full queue loses the news until the next rumour of it.
+        let _ = self.news.try_send(VersionNews { model, target });
+    }
+
+    /// Where each model's engine stands.
+    pub fn statuses(&self) -> Vec<ModelStatus> {
+        self.statuses.borrow().clone()
+    }
+}
+
+struct Ended {
+    model: ModelKey,
+    order: Order,
+    outcome: OrderOutcome,
+}
+
+struct Driver {
+    agent: Arc<Agent>,
+    watch: Watch,
+    settings: ReconcileSettings,
+    authority: Authority,
+    models: BTreeMap<ModelKey, Reconcile>,
+    ends: mpsc::Sender<Ended>,
+    publish: watch::Sender<Vec<ModelStatus>>,
+}
+
+impl Driver {
+    async fn run(
+        mut self,
+        mut heard: mpsc::Receiver<VersionNews>,
+        mut ended: mpsc::Receiver<Ended>,
+    ) {
+        loop {
+            self.follow_hosting();
+            self.give_orders();
+            let sleep = tokio::time::sleep(self.until_next());
+            tokio::select! {
+                news = heard.recv() => match news {
+                    Some(news) => self.take_news(news),
+                    // Every handle is gone, and with them the agent.
+                    None => return,
+                },
+                Some(end) = ended.recv() => self.take_end(end),
+                () = sleep => {}
+            }
+        }
+    }
+
+    /// Keeps one state machine for each model that is hosted here.
+    fn follow_hosting(&mut self) {
+        let hosting = self.agent.hosting();
+        let hosted: BTreeMap<ModelKey, u64> = hosting
+            .services()
+            .iter()
+            .filter(|service| service.kind == Kind::Model)
+            .map(|service| {
+                let model = ModelKey {
+                    customer: service.owner.clone(),
+                    service: service.name.clone(),
+                };
+                (model, service.staleness_bound)
+            })
+            .collect();
+        self.models.retain(|model, _| hosted.contains_key(model));
+        for (model, staleness_bound) in hosted {
+            if self.models.contains_key(&model) {
+                continue;
+            }
+            let settings = ReconcileSettings {
+                staleness_bound,
+                ..self.settings.clone()
+            };
+            self.models.insert(model.clone(), Reconcile::new(settings));
+            self.aim(&model);
+        }
+    }
+
+    fn take_news(&mut self, news: VersionNews) {
+        if self.authority.merge(&news.model, news.target) {
+            let serve = news.target.serve;
+            log::info!(event = "version-wanted", model:% = news.model.service, version:% = serve; "");
+            self.aim(&news.model);
+        }
+    }
+
+    fn aim(&mut self, model: &ModelKey) {
+        let target = self.authority.target(model);
+        let machine = self.models.get_mut(model);
+        if let (Some(machine), Some(target)) = (machine, target) {
+            machine.want(target, 0, now_ms());
+        }
+    }
+
+    fn take_end(&mut self, end: Ended) {
+        if let Some(machine) = self.models.get_mut(&end.model) {
+            machine.ended(end.order.id, end.outcome, now_ms(), random_permille());
+        }
+    }
+
+    fn give_orders(&mut self) {
+        let now_ms = now_ms();
+        for (model, machine) in &mut self.models {
+            if let Some(order) = machine.poll(now_ms, random_permille()) {
+                let carried = carry_out(
+                    Arc::clone(&self.agent),
+                    self.watch.clone(),
+                    model.clone(),
+                    order,
+                    self.settings.order_timeout_ms,
+                    self.ends.clone(),
+                );
+                tokio::spawn(carried);
+            }
+        }
+        let status_of = |(model, machine): (&ModelKey, &Reconcile)| ModelStatus {
+            model: model.clone(),
+            status: machine.status(now_ms),
+        };
+        let statuses = self.models.iter().map(status_of).collect();
+        self.publish.send_replace(statuses);
+    }
+
+    fn until_next(&self) -> Duration {
+        let now_ms = now_ms();
+        let due_ms = self
+            .models
+            .values()
+            .map(|machine| machine.next_due_ms(now_ms));
+        let wait_ms = due_ms
+            .min()
+            .map_or(SLEEP_MAX_MS, |due_ms| due_ms.saturating_sub(now_ms));
+        Duration::from_millis(wait_ms.clamp(1, SLEEP_MAX_MS))
+    }
+}
+
+async fn carry_out(
+    agent: Arc<Agent>,
+    watch: Watch,
+    model: ModelKey,
+    order: Order,
+    timeout_ms: u64,
+    ends: mpsc::Sender<Ended>,
+) {
+    let outcome = if now_ms() > order.send_before_ms {
+        // Frozen since the decision: what it rested on may be long over.
+        OrderOutcome::Unknown
+    } else {
+        carry_out_now(&agent, &watch, &model, order.kind, timeout_ms).await
+    };
+    if !matches!(order.kind, OrderKind::Read | OrderKind::CancelEarlier) {
+        log::info!(
+            event = "engine-order", model:% = model.service, order:? = order.kind,
+            outcome:? = outcome; ""
+        );
+    }
+    // A driver that has gone needs no ends.
+    let _ = ends
+        .send(Ended {
+            model,
+            order,
+            outcome,
+        })
+        .await;
+}
+
+async fn carry_out_now(
+    agent: &Agent,
+    watch: &Watch,
+    model: &ModelKey,
+    kind: OrderKind,
+    timeout_ms: u64,
+) -> OrderOutcome {
+    let name = model.service.as_str();
+    let fence = kind.fence().unwrap_or_default();
+    let done = match kind {
+        // The calls of an earlier life of this agent had their connections cut with it,
+        // by which the engine drops them; their names died with that life.
+        OrderKind::CancelEarlier => return OrderOutcome::Done,
+        OrderKind::Read => return read(watch, name).await,
+        OrderKind::Load(version) => agent.engine.load(name, version, fence, timeout_ms).await,
+        OrderKind::Switch(version) => agent.engine.switch(name, version, fence, timeout_ms).await,
+    };
+    done.map_or_else(|error| outcome_of(&error), |()| OrderOutcome::Done)
+}
+
+async fn read(watch: &Watch, name: &str) -> OrderOutcome {
+    let Some(state) = watch.read().await else {
+        return OrderOutcome::Unknown;
+    };
+    let model = state.models.iter().find(|model| model.model == name);
+    OrderOutcome::State(EngineState {
+        life: state.life,
+        version: model.map(|model| model.version),
+        loaded: model.map_or_else(Default::default, |model| {
+            model.loaded.iter().copied().collect()
+        }),
+    })
+}
+
+fn outcome_of(error: &PlatformError) -> OrderOutcome {
+    match *error {
+        PlatformError::Refused {
+            status: STATUS_CONFLICT,
+            ..
+        } => OrderOutcome::OldFence,
+        PlatformError::Refused {
+            status: STATUS_TOO_MANY | STATUS_UNAVAILABLE,
+            retry_after_ms,
+        } => OrderOutcome::StoreBusy {
+            retry_after_ms: retry_after_ms.map(u64::from),
+        },
+        PlatformError::Refused { .. } => OrderOutcome::Failed,
+        _ => OrderOutcome::Unknown,
+    }
+}
+
+fn random_permille() -> u64 {
+    rand::random_range(0..PERMILLE)
+}
