Tests of the adapters and stand-ins; a failed body stays failed

A body that had failed gave an end at the next read, which a caller that reads on would take for a whole answer; it now gives the same error again. A stream of several completions is whole only when each of them is finished.

--- a/components/platform/src/connection.rs
+++ b/components/platform/src/connection.rs
@@ -22,7 +22,7 @@
 const BUFFER_BYTES_MAX: usize = 128 * 1024;
 
 /// How long the driver of a connection gets to notice that its last exchange ended.
-const READY_WITHIN: Duration = Duration::from_millis(20);
+const READY_WITHIN: Duration = Duration::from_millis(200);
 
 /// A request as the connection takes it.
 pub(crate) type Message = http::Request<Full<Bytes>>;
--- a/components/platform/src/endpoint.rs
+++ b/components/platform/src/endpoint.rs
@@ -11,12 +11,13 @@
 
 use bytes::Bytes;
 use derive::value;
-use http::header::{CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
-use http::{HeaderMap, HeaderName, HeaderValue, Method, Uri};
-use http_body_util::{BodyExt, Full};
-use hyper::body::{Body as _, Incoming};
-use tokio::time::{Instant, timeout_at};
+use http::header::{CONTENT_LENGTH, HOST};
+use http::{HeaderName, HeaderValue, Method, Uri};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use tokio::time::Instant;
 
+use crate::body::Body;
 use crate::connection::{Connection, Message, Sent};
 use crate::error::{ConnectFault, Loss, PlatformError};
 use crate::headers::{end_to_end, is_hop_by_hop};
@@ -106,124 +107,36 @@
     pub body: Body,
 }
 
-/// How the end of a body shows.
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum End {
-    Stated,
-    Unstated,
-}
-
-/// Body of an answer. Dropped before its end, it closes the connection, by which the
-/// endpoint sees that the call was given up.
-pub struct Body {
-    incoming: Incoming,
-    connection: Option<Connection>,
-    endpoint: Endpoint,
-    end: End,
-    deadline: Instant,
-    bytes_left: usize,
-}
-
-impl Body {
-    /// The next bytes; `None` only at the stated end of a whole body.
-    pub async fn next(&mut self) -> Result<Option<Bytes>, PlatformError> {
-        loop {
-            if self.connection.is_none() {
-                return Ok(None);
-            }
-            let silence = Duration::from_millis(self.endpoint.inner.settings.silence_ms);
-            let wait_until = self.deadline.min(Instant::now() + silence);
-            let frame = match timeout_at(wait_until, self.incoming.frame()).await {
-                Ok(Some(Ok(frame))) => frame,
-                Ok(Some(Err(_))) => return self.lost(Loss::ClosedMidAnswer),
-                Ok(None) => return self.ended(),
-                Err(_) => return self.late(wait_until),
-            };
-            if let Ok(bytes) = frame.into_data() {
-                return self.taken(bytes);
-            }
-        }
-    }
-
-    /// The rest of the body, whole.
-    pub async fn whole(mut self) -> Result<Bytes, PlatformError> {
-        let mut all = Vec::new();
-        while let Some(bytes) = self.next().await? {
-            all.extend_from_slice(&bytes);
-        }
-        Ok(Bytes::from(all))
-    }
-
-    fn taken(&mut self, bytes: Bytes) -> Result<Option<Bytes>, PlatformError> {
-        match self.bytes_left.checked_sub(bytes.len()) {
-            Some(left) => {
-                self.bytes_left = left;
-                Ok(Some(bytes))
-            }
-            None => {
-                self.connection = None;
-                Err(PlatformError::TooLarge(
-                    self.endpoint.inner.settings.body_bytes_max,
-                ))
-            }
-        }
-    }
-
-    fn ended(&mut self) -> Result<Option<Bytes>, PlatformError> {
-        if self.end == End::Unstated {
-            return self.lost(Loss::NoStatedEnd);
-        }
-        if let Some(connection) = self.connection.take() {
-            self.endpoint.inner.idle.keep(connection.now_idle());
-        }
-        Ok(None)
-    }
-
-    fn late(&mut self, wait_until: Instant) -> Result<Option<Bytes>, PlatformError> {
-        self.endpoint.inner.idle.clear();
-        let loss = if wait_until == self.deadline {
-            Loss::DeadlinePassed
-        } else {
-            Loss::Silent
-        };
-        self.lost(loss)
-    }
-
-    fn lost(&mut self, loss: Loss) -> Result<Option<Bytes>, PlatformError> {
-        self.connection = None;
-        Err(PlatformError::Unknown(loss))
-    }
-}
-
-struct Inner {
+/// What the clones of an endpoint and the bodies of its answers share.
+pub(crate) struct Shared {
     address: SocketAddr,
-    settings: EndpointSettings,
-    idle: Idle,
+    pub(crate) settings: EndpointSettings,
+    pub(crate) idle: Idle,
 }
 
 /// One address that calls go to; a clone shares its connections.
 #[derive(Clone)]
 pub struct Endpoint {
-    inner: Arc<Inner>,
+    shared: Arc<Shared>,
 }
 
 impl Endpoint {
     /// An endpoint at `address`; nothing is connected yet.
     pub fn new(address: SocketAddr, settings: EndpointSettings) -> Endpoint {
         let idle = Idle::new(settings.idle_max);
-        let inner = Inner {
+        let shared = Shared {
             address,
             settings,
             idle,
         };
         Endpoint {
-            inner: Arc::new(inner),
+            shared: Arc::new(shared),
         }
     }
 
     /// Address of the endpoint.
     pub fn address(&self) -> SocketAddr {
-        self.inner.address
+        self.shared.address
     }
 
     /// Sends a request once and waits for the head of its answer, of any status.
@@ -261,9 +174,9 @@
                 Sent::Failed(error) => return Err(self.failed(error)),
             }
         }
-        let connect_timeout = Duration::from_millis(self.inner.settings.connect_timeout_ms);
+        let connect_timeout = Duration::from_millis(self.shared.settings.connect_timeout_ms);
         let mut connection =
-            Connection::open(self.inner.address, connect_timeout, deadline).await?;
+            Connection::open(self.shared.address, connect_timeout, deadline).await?;
         match connection.send(message, deadline).await {
             Sent::Answer(answer) => Ok((connection, answer)),
             Sent::Unsent(_) => Err(PlatformError::NotSent(ConnectFault::Unreachable)),
@@ -275,8 +188,8 @@
         if !reuse {
             return None;
         }
-        let idle_for = Duration::from_millis(self.inner.settings.idle_for_ms);
-        while let Some(mut connection) = self.inner.idle.take() {
+        let idle_for = Duration::from_millis(self.shared.settings.idle_for_ms);
+        while let Some(mut connection) = self.shared.idle.take() {
             if connection.is_usable(idle_for).await {
                 return Some(connection);
             }
@@ -286,13 +199,13 @@
 
     fn failed(&self, error: PlatformError) -> PlatformError {
         if error == PlatformError::Unknown(Loss::DeadlinePassed) {
-            self.inner.idle.clear();
+            self.shared.idle.clear();
         }
         error
     }
 
     fn message(&self, request: Request) -> Result<Message, PlatformError> {
-        build(request, self.inner.address).ok_or(PlatformError::NotSent(ConnectFault::BadRequest))
+        build(request, self.shared.address).ok_or(PlatformError::NotSent(ConnectFault::BadRequest))
     }
 
     fn response(
@@ -302,14 +215,13 @@
         deadline: Instant,
     ) -> Result<Response, PlatformError> {
         let (head, incoming) = answer.into_parts();
-        let body = Body {
-            end: end_of(&head.headers, &incoming),
+        let body = Body::new(
+            &head.headers,
             incoming,
-            connection: Some(connection),
-            endpoint: self.clone(),
+            connection,
+            self.shared.clone(),
             deadline,
-            bytes_left: self.inner.settings.body_bytes_max,
-        };
+        );
         let head = AnswerHead {
             status: head.status.as_u16(),
             headers: end_to_end(&head.headers)?,
@@ -318,12 +230,6 @@
     }
 }
 
-fn end_of(headers: &HeaderMap, incoming: &Incoming) -> End {
-    let chunked = headers.contains_key(TRANSFER_ENCODING);
-    let stated = chunked || incoming.is_end_stream() || incoming.size_hint().exact().is_some();
-    if stated { End::Stated } else { End::Unstated }
-}
-
 fn build(request: Request, address: SocketAddr) -> Option<Message> {
     let method = Method::from_bytes(request.method.as_bytes()).ok()?;
     if !request.path.starts_with('/') {
--- a/components/platform/src/error.rs
+++ b/components/platform/src/error.rs
@@ -22,13 +22,14 @@
 /// How an answer was lost after the request was, or may have been, written.
 #[key]
 pub enum Loss {
-    /// The connection closed before the first byte of the answer. `reused` says that it
-    /// had carried an earlier exchange, so the other side may have closed it as idle.
+    /// The connection closed before the head of the answer was complete. `reused` says
+    /// that it had carried an earlier exchange, so the other side may have closed it as
+    /// idle.
     ClosedBeforeAnswer {
         /// Whether the connection had carried an earlier exchange.
         reused: bool,
     },
-    /// The connection closed inside the answer.
+    /// The connection closed inside the answer's body.
     ClosedMidAnswer,
     /// The answer ended with neither a stated length nor a chunked end, so nobody can
     /// tell whether it is whole.
--- a/components/platform/src/lib.rs
+++ b/components/platform/src/lib.rs
@@ -4,6 +4,7 @@
 //! No adapter tries anything twice. An error says exactly whether the request may have
 //! reached the other side ([`PlatformError`]); whoever called decides on a retry.
 
+mod body;
 mod client;
 mod connection;
 mod endpoint;
@@ -18,8 +19,9 @@
 mod store;
 mod vms;
 
+pub use body::Body;
 pub use client::ClientSettings;
-pub use endpoint::{AnswerHead, Body, Endpoint, EndpointSettings, Request, Response};
+pub use endpoint::{AnswerHead, Endpoint, EndpointSettings, Request, Response};
 pub use engine::{
     CacheEvent, CacheEventKind, CachePage, Engine, EngineModel, EngineState, LoadReport,
 };
--- a/components/platform/src/sse.rs
+++ b/components/platform/src/sse.rs
@@ -4,6 +4,8 @@
 //! A stream is whole only when it gave a finish reason of a completion that ran to its
 //! end and, after it, the terminator `[DONE]`. Bytes may be split anywhere.
 
+use std::collections::BTreeSet;
+
 use derive::{key, value};
 use quick_error::quick_error;
 use serde::Deserialize;
@@ -64,9 +66,11 @@
     }
 }
 
-/// One chunk of a stream.
+/// What one chunk of a stream adds to one choice.
 #[value]
 pub struct Piece {
+    /// Which of the completions, where the request asked for several.
+    pub index: u32,
     /// Text that the chunk adds.
     pub text: String,
     /// Ids of the tokens that the chunk adds, where the engine gives them.
@@ -83,6 +87,7 @@
     line: Vec<u8>,
     line_bytes_max: usize,
     finish: Option<Finish>,
+    unfinished: BTreeSet<u32>,
     done: bool,
 }
 
@@ -93,6 +98,7 @@
             line: Vec::new(),
             line_bytes_max,
             finish: None,
+            unfinished: BTreeSet::new(),
             done: false,
         }
     }
@@ -108,7 +114,7 @@
             self.extend(&rest[..end])?;
             rest = &rest[end + 1..];
             let line = std::mem::take(&mut self.line);
-            if let Some(piece) = self.line(&line)? {
+            for piece in self.line(&line)? {
                 on_piece(piece)?;
             }
         }
@@ -117,10 +123,10 @@
 
     /// Whether the stream gave a finish reason of a whole completion and its terminator.
     pub fn is_whole(&self) -> bool {
-        self.done && self.finish.is_some_and(Finish::is_whole)
+        self.done && self.unfinished.is_empty() && self.finish.is_some_and(Finish::is_whole)
     }
 
-    /// The finish reason, once it came.
+    /// The finish reason, once it came; of several the one that is not whole.
     pub fn finish(&self) -> Option<Finish> {
         self.finish
     }
@@ -133,11 +139,11 @@
         Ok(())
     }
 
-    fn line(&mut self, line: &[u8]) -> Result<Option<Piece>, SseError> {
+    fn line(&mut self, line: &[u8]) -> Result<Vec<Piece>, SseError> {
         let line = line.strip_suffix(b"\r").unwrap_or(line);
         // Blank lines end an event; comments and other fields carry nothing here.
         let Some(data) = line.strip_prefix(b"data:") else {
-            return Ok(None);
+            return Ok(Vec::new());
         };
         if self.done {
             return Err(SseError::AfterDone);
@@ -145,12 +151,23 @@
         let data = data.trim_ascii();
         if data == b"[DONE]" {
             self.done = true;
-            return Ok(None);
+            return Ok(Vec::new());
         }
         let chunk: Chunk = serde_json::from_slice(data).map_err(|_| SseError::BadChunk)?;
-        let piece = chunk.into_piece()?;
-        self.finish = piece.finish.or(self.finish);
-        Ok(Some(piece))
+        let pieces = chunk.into_pieces()?;
+        pieces.iter().for_each(|piece| self.note(piece));
+        Ok(pieces)
+    }
+
+    fn note(&mut self, piece: &Piece) {
+        let Some(finish) = piece.finish else {
+            self.unfinished.insert(piece.index);
+            return;
+        };
+        self.unfinished.remove(&piece.index);
+        if self.finish.is_none_or(Finish::is_whole) {
+            self.finish = Some(finish);
+        }
     }
 }
 
@@ -162,6 +179,8 @@
 
 #[derive(Deserialize)]
 struct Choice {
+    #[serde(default)]
+    index: u32,
     #[serde(default)]
     text: String,
     #[serde(default)]
@@ -170,24 +189,21 @@
 }
 
 impl Chunk {
-    fn into_piece(self) -> Result<Piece, SseError> {
+    /// A chunk with the usage alone has no choice and so no piece.
+    fn into_pieces(self) -> Result<Vec<Piece>, SseError> {
         let version = self.weight_version.as_deref().map(str::parse).transpose()?;
-        // A chunk with usage alone has no choice.
-        let choice = self.choices.into_iter().next().unwrap_or(Choice {
-            text: String::new(),
-            token_ids: Vec::new(),
-            finish_reason: None,
-        });
-        Ok(Piece {
+        let piece = |choice: Choice| Piece {
+            index: choice.index,
             text: choice.text,
             token_ids: choice.token_ids,
             version,
             finish: choice.finish_reason.as_deref().map(Finish::parse),
-        })
+        };
+        Ok(self.choices.into_iter().map(piece).collect())
     }
 }
 
-/// A completion put together from its pieces.
+/// One completion put together from its pieces.
 #[value]
 #[derive(Default)]
 pub struct Transcript {
--- /dev/null
+++ b/components/platform/tests/endpoint.rs
@@ -0,0 +1,288 @@
+//! Exchanges with an endpoint: which failure is which, and what is a whole answer.
+
+mod support;
+
+use std::net::SocketAddr;
+
+use platform::{
+    ConnectFault, Endpoint, EndpointSettings, Loss, MalformedPart, PlatformError, Request,
+};
+use support::{Raw, Then};
+
+const LONG_MS: u64 = 20_000;
+const SHORT_MS: u64 = 300;
+
+async fn whole(endpoint: &Endpoint, deadline_ms: u64) -> Result<Vec<u8>, PlatformError> {
+    let response = endpoint.send(Request::new("GET", "/"), deadline_ms).await?;
+    Ok(response.body.whole().await?.to_vec())
+}
+
+fn endpoint(address: SocketAddr) -> Endpoint {
+    let settings = EndpointSettings {
+        body_bytes_max: 64,
+        ..EndpointSettings::default()
+    };
+    Endpoint::new(address, settings)
+}
+
+#[tokio::test]
+async fn says_what_became_of_each_exchange() {
+    struct Case {
+        name: &'static str,
+        answer: &'static str,
+        then: Then,
+        deadline_ms: u64,
+        expected: Result<&'static str, PlatformError>,
+    }
+    let lost = |loss| Err(PlatformError::Unknown(loss));
+    let before = Loss::ClosedBeforeAnswer { reused: false };
+    let cases = [
+        Case {
+            name: "whole by its stated length",
+            answer: "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nhello",
+            then: Then::Hold,
+            deadline_ms: LONG_MS,
+            expected: Ok("hello"),
+        },
+        Case {
+            name: "whole by its chunked end",
+            answer: "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+            then: Then::Hold,
+            deadline_ms: LONG_MS,
+            expected: Ok("hello"),
+        },
+        Case {
+            name: "no body by its status",
+            answer: "HTTP/1.1 204 No Content\r\n\r\n",
+            then: Then::Hold,
+            deadline_ms: LONG_MS,
+            expected: Ok(""),
+        },
+        Case {
+            name: "closed before any byte of the answer",
+            answer: "",
+            then: Then::Close,
+            deadline_ms: LONG_MS,
+            expected: lost(before),
+        },
+        Case {
+            name: "closed inside the head",
+            answer: "HTTP/1.1 200 OK\r\ncontent-le",
+            then: Then::Close,
+            deadline_ms: LONG_MS,
+            expected: lost(before),
+        },
+        Case {
+            name: "closed before the stated length",
+            answer: "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nhello",
+            then: Then::Close,
+            deadline_ms: LONG_MS,
+            expected: lost(Loss::ClosedMidAnswer),
+        },
+        Case {
+            name: "closed before the chunked end",
+            answer: "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n",
+            then: Then::Close,
+            deadline_ms: LONG_MS,
+            expected: lost(Loss::ClosedMidAnswer),
+        },
+        Case {
+            name: "closed with no stated end",
+            answer: "HTTP/1.1 200 OK\r\n\r\nhello",
+            then: Then::Close,
+            deadline_ms: LONG_MS,
+            expected: lost(Loss::NoStatedEnd),
+        },
+        Case {
+            name: "silent before the answer",
+            answer: "",
+            then: Then::Hold,
+            deadline_ms: SHORT_MS,
+            expected: lost(Loss::DeadlinePassed),
+        },
+        Case {
+            name: "silent inside the answer",
+            answer: "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nhello",
+            then: Then::Hold,
+            deadline_ms: SHORT_MS,
+            expected: lost(Loss::DeadlinePassed),
+        },
+        Case {
+            name: "no HTTP",
+            answer: "SSH-2.0-server\r\n\r\n",
+            then: Then::Hold,
+            deadline_ms: LONG_MS,
+            expected: Err(PlatformError::Malformed(MalformedPart::Http)),
+        },
+        Case {
+            name: "over the limit of 64 bytes",
+            answer: "HTTP/1.1 200 OK\r\ncontent-length: 65\r\n\r\n\
+                     0123456789012345678901234567890123456789012345678901234567890123X",
+            then: Then::Hold,
+            deadline_ms: LONG_MS,
+            expected: Err(PlatformError::TooLarge(64)),
+        },
+        Case {
+            name: "no time left",
+            answer: "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nhello",
+            then: Then::Hold,
+            deadline_ms: 0,
+            expected: Err(PlatformError::NotSent(ConnectFault::DeadlinePassed)),
+        },
+    ];
+    for case in cases {
+        let server = Raw::start(vec![(case.answer, case.then)]).await;
+        let got = whole(&endpoint(server.address), case.deadline_ms).await;
+        let expected = case.expected.map(|text| text.as_bytes().to_vec());
+        assert_eq!(got, expected, "{}", case.name);
+    }
+}
+
+#[tokio::test]
+async fn errors_as_not_sent_when_nobody_listens() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    drop(listener);
+    let error = whole(&endpoint(address), LONG_MS).await.unwrap_err();
+    assert_eq!(error, PlatformError::NotSent(ConnectFault::Unreachable));
+    assert!(!error.may_have_taken_effect());
+}
+
+#[tokio::test]
+async fn errors_as_not_sent_when_the_request_is_no_http() {
+    let server = Raw::start(vec![("", Then::Hold)]).await;
+    let mut requests = [
+        Request::new("G ET", "/"),
+        Request::new("GET", "no-slash"),
+        Request::new("GET", "/with space"),
+        Request::new("GET", "/"),
+    ];
+    requests[3].headers = vec![("x-two-lines".to_owned(), "a\r\nb: c".to_owned())];
+    for request in requests {
+        let name = format!("{request:?}");
+        let sent = endpoint(server.address).send(request, LONG_MS).await;
+        let expected = PlatformError::NotSent(ConnectFault::BadRequest);
+        assert_eq!(sent.err(), Some(expected), "{name}");
+    }
+    assert_eq!(server.connections(), 0);
+}
+
+#[tokio::test]
+async fn can_use_a_connection_again_after_a_whole_answer() {
+    let answer = "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nhello";
+    let server = Raw::start(vec![(answer, Then::Serve)]).await;
+    let endpoint = endpoint(server.address);
+    for _ in 0..3 {
+        assert_eq!(whole(&endpoint, LONG_MS).await, Ok(b"hello".to_vec()));
+    }
+    assert_eq!(server.connections(), 1);
+    let fresh = Request {
+        reuse: false,
+        ..Request::new("GET", "/")
+    };
+    let response = endpoint.send(fresh, LONG_MS).await.unwrap();
+    assert_eq!(response.head.status, 200);
+    assert_eq!(server.connections(), 2);
+}
+
+/// The caller sees its deadline pass on a silent connection, and its next call answered.
+/// The first connection serves one call and then loses track of us; the second call goes
+/// over it and hears nothing. The third must not: a connection that missed a deadline is
+/// closed, so the call gets a fresh one.
+#[tokio::test]
+async fn errors_when_a_reused_connection_goes_silent_and_then_takes_a_fresh_one() {
+    let answer = "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nhello";
+    let server = Raw::start(vec![(answer, Then::Hold), (answer, Then::Serve)]).await;
+    let endpoint = endpoint(server.address);
+    assert_eq!(whole(&endpoint, LONG_MS).await, Ok(b"hello".to_vec()));
+    let late = PlatformError::Unknown(Loss::DeadlinePassed);
+    assert_eq!(whole(&endpoint, SHORT_MS).await, Err(late));
+    assert_eq!(server.connections(), 1);
+    assert_eq!(whole(&endpoint, LONG_MS).await, Ok(b"hello".to_vec()));
+    assert_eq!(server.connections(), 2);
+}
+
+/// The caller sees a lost answer, once, and no second run of its call. The server takes
+/// the second request of a reused connection in and closes it without an answer. Whether
+/// the call ran cannot be known, so it is not sent again by itself.
+#[tokio::test]
+async fn errors_when_a_reused_connection_closes_under_a_request() {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let server = tokio::spawn(async move {
+        use tokio::io::{AsyncReadExt, AsyncWriteExt};
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let mut bytes = [0; 1024];
+        assert!(stream.read(&mut bytes).await.unwrap() > 0);
+        let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+        stream.write_all(answer).await.unwrap();
+        assert!(stream.read(&mut bytes).await.unwrap() > 0);
+        drop(stream);
+        listener
+    });
+    let endpoint = endpoint(address);
+    assert_eq!(whole(&endpoint, LONG_MS).await, Ok(b"ok".to_vec()));
+    let lost = PlatformError::Unknown(Loss::ClosedBeforeAnswer { reused: true });
+    assert_eq!(whole(&endpoint, LONG_MS).await, Err(lost));
+    // No second connection waits to be accepted.
+    let listener = server.await.unwrap().into_std().unwrap();
+    assert!(listener.accept().is_err());
+}
+
+#[tokio::test]
+async fn can_take_another_connection_when_an_idle_one_was_closed() {
+    let answer = "HTTP/1.1 200 OK\r\ncontent-length: 5\r\nconnection: close\r\n\r\nhello";
+    let server = Raw::start(vec![(answer, Then::Close)]).await;
+    let endpoint = endpoint(server.address);
+    for _ in 0..3 {
+        assert_eq!(whole(&endpoint, LONG_MS).await, Ok(b"hello".to_vec()));
+    }
+    assert_eq!(server.connections(), 3);
+}
+
+#[tokio::test]
+async fn gives_the_same_error_again_and_never_an_end() {
+    let answer = "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nhello";
+    let server = Raw::start(vec![(answer, Then::Close)]).await;
+    let request = Request::new("GET", "/");
+    let response = endpoint(server.address).send(request, LONG_MS).await;
+    let mut body = response.unwrap().body;
+    let lost = Err(PlatformError::Unknown(Loss::ClosedMidAnswer));
+    let first = body.next().await;
+    assert_eq!(first.unwrap().as_deref(), Some(b"hello".as_slice()));
+    assert_eq!(body.next().await, lost);
+    assert_eq!(body.next().await, lost);
+}
+
+#[tokio::test]
+async fn keeps_headers_of_one_connection_to_itself() {
+    let answer = "HTTP/1.1 200 OK\r\ncontent-length: 0\r\nkeep-alive: timeout=5\r\n\
+                  connection: keep-alive, x-hop\r\nx-hop: 1\r\nx-kept: 2\r\n\r\n";
+    let mut server = Raw::start(vec![(answer, Then::Serve)]).await;
+    let sent = [
+        ("host", "elsewhere"),
+        ("transfer-encoding", "chunked"),
+        ("content-length", "99"),
+        ("upgrade", "websocket"),
+        ("x-request-tag", "t1"),
+    ];
+    let request = Request {
+        headers: sent
+            .map(|(name, value)| (name.to_owned(), value.to_owned()))
+            .to_vec(),
+        ..Request::new("GET", "/a?b=c")
+    };
+    let endpoint = endpoint(server.address);
+    let response = endpoint.send(request, LONG_MS).await.unwrap();
+    let kept = [("content-length", "0"), ("x-kept", "2")];
+    let kept = kept.map(|(name, value)| (name.to_owned(), value.to_owned()));
+    assert_eq!(response.head.headers, kept);
+    let head = server.requests.recv().await.unwrap();
+    let host = format!("host: {}\r\n", server.address);
+    assert!(head.starts_with("GET /a?b=c HTTP/1.1\r\n"), "{head}");
+    assert!(head.contains(&host), "{head}");
+    assert!(head.contains("x-request-tag: t1\r\n"), "{head}");
+    for gone in ["elsewhere", "chunked", "content-length", "websocket"] {
+        assert!(!head.contains(gone), "{head}");
+    }
+}
--- a/dev/standins/src/engine/mod.rs
+++ b/dev/standins/src/engine/mod.rs
@@ -13,6 +13,7 @@
 mod reports;
 mod server;
 mod settings;
+mod swap;
 mod text;
 
 pub use server::start;
--- /dev/null
+++ b/dev/standins/tests/service.rs
@@ -0,0 +1,111 @@
+//! The plain service's counts, which tests of "at most once" rely on.
+
+#![allow(clippy::unwrap_used)] // The exemption of clippy.toml ends at helpers of tests.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use platform::{Endpoint, EndpointSettings, PlatformError, Request};
+use standins::service::ServiceSettings;
+use standins::{Fault, FaultKind, Handle};
+
+const DEADLINE_MS: u64 = 20_000;
+
+async fn service() -> (Handle, Endpoint) {
+    let listen = SocketAddr::from(([127, 0, 0, 1], 0));
+    let handle = standins::service::start(ServiceSettings::new(listen, "guichet"))
+        .await
+        .unwrap();
+    let endpoint = Endpoint::new(handle.address, EndpointSettings::default());
+    (handle, endpoint)
+}
+
+async fn call(endpoint: &Endpoint, tag: &str, path: &str) -> Result<String, PlatformError> {
+    let request = Request {
+        headers: vec![("x-request-tag".to_owned(), tag.to_owned())],
+        body: "{}".into(),
+        ..Request::new("POST", path)
+    };
+    let response = endpoint.send(request, DEADLINE_MS).await?;
+    let body = response.body.whole().await?;
+    Ok(String::from_utf8(body.to_vec()).unwrap())
+}
+
+async fn runs(endpoint: &Endpoint) -> BTreeMap<String, u64> {
+    let request = Request::new("GET", "/standin/runs");
+    let response = endpoint.send(request, DEADLINE_MS).await.unwrap();
+    serde_json::from_slice(&response.body.whole().await.unwrap()).unwrap()
+}
+
+#[tokio::test]
+async fn counts_a_run_whatever_became_of_its_answer() {
+    struct Case {
+        name: &'static str,
+        fault: FaultKind,
+        count: Option<u64>,
+    }
+    let cases = [
+        Case {
+            name: "refused",
+            fault: FaultKind::Outage,
+            count: None,
+        },
+        Case {
+            name: "lost",
+            fault: FaultKind::AnswerLost,
+            count: Some(1),
+        },
+        Case {
+            name: "truncated",
+            fault: FaultKind::Truncate,
+            count: Some(1),
+        },
+        Case {
+            name: "crashed",
+            fault: FaultKind::CrashOn,
+            count: Some(1),
+        },
+    ];
+    let (handle, endpoint) = service().await;
+    for case in cases {
+        let fault = Fault::new(case.fault).with_text("/sanctions");
+        handle.fault(fault.times(1));
+        let answer = call(&endpoint, case.name, "/sanctions").await;
+        let run = answer.is_ok_and(|text| text.contains("sanction\":"));
+        assert!(!run, "{}", case.name);
+        let counted = loop {
+            // Nobody listens for a moment after a crash.
+            if handle_is_up(&endpoint).await {
+                break runs(&endpoint).await;
+            }
+        };
+        assert_eq!(counted.get(case.name).copied(), case.count, "{}", case.name);
+        handle.clear_faults();
+    }
+}
+
+async fn handle_is_up(endpoint: &Endpoint) -> bool {
+    let request = Request::new("GET", "/healthz");
+    match endpoint.send(request, DEADLINE_MS).await {
+        Ok(response) => response.body.whole().await.is_ok(),
+        Err(_) => false,
+    }
+}
+
+#[tokio::test]
+async fn answers_each_kind_of_call() {
+    let (_handle, endpoint) = service().await;
+    let cases = [
+        ("/applicants/7", "\"applicant\":\"7\""),
+        ("/sanctions", "\"sanction\":\"guichet-"),
+        ("/bids", "\"accepted\":true"),
+        ("/valuations/kl-7", "\"lot\":\"kl-7\""),
+        ("/stock?items=2", "\"items\":[{"),
+        ("/anything/else", "\"path\":\"/anything/else\""),
+    ];
+    for (path, expected) in cases {
+        let answer = call(&endpoint, "t", path).await.unwrap();
+        assert!(answer.contains(expected), "{path}: {answer}");
+    }
+    assert_eq!(runs(&endpoint).await["t"], cases.len() as u64);
+}
