Trainer stand-in: goes on after a loss; the log's rate limit

A trainer that only repeated a failed fetch would wait for ever once the home of its step was gone. After a fetch that failed it now posts the step again with its cursor at the next entry, which the contract makes idempotent.

The log stand-in can refuse appends over a rate; the weight store shares the counter.

--- a/components/platform/src/endpoint.rs
+++ b/components/platform/src/endpoint.rs
@@ -147,6 +147,17 @@
         &self,
         request: Request,
         deadline_ms: u64,
+    ) -> Result<Response, PlatformError> {
+        self.send_announced(request, deadline_ms, || {}).await
+    }
+
+    /// The same; `before_write` is called once, right before the first byte may go out,
+    /// so that whoever keeps account of the call knows from when on it may have run.
+    pub async fn send_announced(
+        &self,
+        request: Request,
+        deadline_ms: u64,
+        before_write: impl FnOnce(),
     ) -> Result<Response, PlatformError> {
         let deadline = Instant::now() + Duration::from_millis(deadline_ms);
         if deadline_ms == 0 {
@@ -154,7 +165,8 @@
         }
         let reuse = request.reuse;
         let message = self.message(request)?;
-        let (connection, answer) = self.exchange(message, reuse, deadline).await?;
+        let exchange = self.exchange(message, reuse, deadline, before_write);
+        let (connection, answer) = exchange.await?;
         self.response(connection, answer, deadline)
     }
 
@@ -163,9 +175,12 @@
         message: Message,
         reuse: bool,
         deadline: Instant,
+        before_write: impl FnOnce(),
     ) -> Result<(Connection, http::Response<Incoming>), PlatformError> {
         let mut message = message;
+        let mut before_write = Some(before_write);
         while let Some(mut connection) = self.idle_connection(reuse).await {
+            announce(&mut before_write, deadline)?;
             match connection.send(message, deadline).await {
                 Sent::Answer(answer) => return Ok((connection, answer)),
                 // Closed while idle and no byte written: taking another connection
@@ -177,6 +192,7 @@
         let connect_timeout = Duration::from_millis(self.shared.settings.connect_timeout_ms);
         let mut connection =
             Connection::open(self.shared.address, connect_timeout, deadline).await?;
+        announce(&mut before_write, deadline)?;
         match connection.send(message, deadline).await {
             Sent::Answer(answer) => Ok((connection, answer)),
             Sent::Unsent(_) => Err(PlatformError::NotSent(ConnectFault::Unreachable)),
--- a/components/platform/tests/clients.rs
+++ b/components/platform/tests/clients.rs
@@ -180,6 +180,26 @@
     assert_eq!(log.append("s", "three").await, Ok(0));
 }
 
+#[tokio::test]
+async fn errors_over_the_rate_of_the_log() {
+    let settings = LogSettings {
+        appends_per_s: 1,
+        ..LogSettings::new(anywhere())
+    };
+    let handle = standins::log::start(settings).await.unwrap();
+    let log = LogClient::new(handle.address, &patient());
+    let refused = PlatformError::Refused {
+        status: 429,
+        retry_after_ms: Some(1_000),
+    };
+    let error = loop {
+        if let Err(error) = log.append("s", "one").await {
+            break error;
+        }
+    };
+    assert_eq!(error, refused);
+}
+
 #[tokio::test]
 async fn can_list_vms_late() {
     let vm: platform::Vm = serde_json::from_str(
--- a/dev/standins/src/cli.rs
+++ b/dev/standins/src/cli.rs
@@ -31,6 +31,11 @@
             "Records that each stream keeps",
         ))
         .arg(number("append-ms", "0", "Time of one append"))
+        .arg(number(
+            "appends-per-s",
+            "0",
+            "Appends a second; 0 sets no limit",
+        ))
 }
 
 fn vms() -> Command {
--- a/dev/standins/src/lib.rs
+++ b/dev/standins/src/lib.rs
@@ -11,6 +11,7 @@
 mod handle;
 mod http;
 pub mod log;
+mod rate;
 mod reply;
 pub mod scorer;
 pub mod service;
--- a/dev/standins/src/log.rs
+++ b/dev/standins/src/log.rs
@@ -14,6 +14,7 @@
 use crate::error::StandinError;
 use crate::handle::{Control, Handle};
 use crate::http::{self, Call};
+use crate::rate::{RETRY_AFTER_S, Rate};
 use crate::reply::{self, Reply};
 
 const READ_MAX: u64 = 10_000;
@@ -27,6 +28,8 @@
     pub keep_count: usize,
     /// Time that one append takes.
     pub append_ms: u64,
+    /// Appends a second; 0 sets no limit.
+    pub appends_per_s: u64,
 }
 
 impl LogSettings {
@@ -36,6 +39,7 @@
             listen,
             keep_count: 100_000,
             append_ms: 0,
+            appends_per_s: 0,
         }
     }
 }
@@ -83,6 +87,7 @@
 
 struct Log {
     settings: LogSettings,
+    rate: Rate,
     streams: Mutex<BTreeMap<String, Stream>>,
     appends: watch::Sender<u64>,
 }
@@ -92,6 +97,7 @@
     let listen = settings.listen;
     let log = Arc::new(Log {
         settings,
+        rate: Rate::new(),
         streams: Mutex::default(),
         appends: watch::channel(0).0,
     });
@@ -119,6 +125,10 @@
         let Ok(record) = std::str::from_utf8(&call.body) else {
             return reply::error(400, "not-utf-8");
         };
+        let per_s = self.settings.appends_per_s;
+        if per_s > 0 && !self.rate.take(per_s) {
+            return reply::come_back(429, "rate", RETRY_AFTER_S);
+        }
         tokio::time::sleep(Duration::from_millis(self.settings.append_ms)).await;
         let offset = self
             .lock()
--- a/dev/standins/src/run.rs
+++ b/dev/standins/src/run.rs
@@ -138,6 +138,7 @@
     LogSettings {
         keep_count: number(args, "keep-count") as usize,
         append_ms: number(args, "append-ms").into(),
+        appends_per_s: number(args, "appends-per-s").into(),
         ..LogSettings::new(address(args))
     }
 }
--- a/dev/standins/src/store.rs
+++ b/dev/standins/src/store.rs
@@ -1,22 +1,19 @@
 //! The weight store: gives a few bytes for each version, so many times a second.
 
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Duration;
+use std::sync::Arc;
 
 use bytes::Bytes;
 use derive::value;
-use tokio::time::Instant;
 use types::WeightVersion;
 
 use crate::error::StandinError;
 use crate::fault::FaultKind;
 use crate::handle::{Control, Handle};
 use crate::http::{self, Call};
+use crate::rate::{RETRY_AFTER_S, Rate};
 use crate::reply::{self, Reply};
 
-const WINDOW: Duration = Duration::from_secs(1);
-const RETRY_AFTER_S: u64 = 1;
 const WEIGHT_BYTES: usize = 1024;
 
 /// Settings of the weight store.
@@ -35,28 +32,19 @@
     }
 }
 
-struct Window {
-    since: Instant,
-    given: u64,
-}
-
 struct Store {
     control: Arc<Control>,
     per_s: u64,
-    window: Mutex<Window>,
+    rate: Rate,
 }
 
 /// Starts the weight store.
 pub async fn start(settings: StoreSettings) -> Result<Handle, StandinError> {
     let control = Control::new();
-    let window = Window {
-        since: Instant::now(),
-        given: 0,
-    };
     let store = Arc::new(Store {
         control: control.clone(),
         per_s: settings.per_s,
-        window: Mutex::new(window),
+        rate: Rate::new(),
     });
     http::serve(settings.listen, control, false, move |call| {
         std::future::ready(store.answer(&call))
@@ -86,14 +74,6 @@
             (None, 0) => return true,
             (None, per_s) => per_s,
         };
-        let mut window = self.window.lock().unwrap_or_else(PoisonError::into_inner);
-        if window.since.elapsed() >= WINDOW {
-            *window = Window {
-                since: Instant::now(),
-                given: 0,
-            };
-        }
-        window.given += 1;
-        window.given <= limit
+        self.rate.take(limit)
     }
 }
--- a/dev/standins/src/trainer/mod.rs
+++ b/dev/standins/src/trainer/mod.rs
@@ -5,12 +5,14 @@
 //! When an exchange with an entry fails it goes on with the next entry, with the same
 //! cursor, until the step's time is over.
 
+mod entries;
 mod ledger;
 mod messages;
 mod report;
 mod session;
 mod settings;
 
+pub use entries::Trouble;
 pub use ledger::{Ledger, SampleFault};
 pub use messages::{Fetched, Sample};
 pub use report::TrainerReport;
--- a/dev/standins/src/trainer/session.rs
+++ b/dev/standins/src/trainer/session.rs
@@ -4,20 +4,17 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use platform::{Endpoint, EndpointSettings, PlatformError, Request};
 use quick_error::quick_error;
-use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::time::{Instant, sleep};
 use types::WeightVersion;
 
+use super::entries::{Entries, Trouble};
 use super::ledger::Ledger;
-use super::messages::{Announcement, Fetch, Fetched, Group, Posted, Problem, Step};
+use super::messages::{Announcement, Fetch, Fetched, Group, Posted, Step};
 use super::report::TrainerReport;
 use super::settings::TrainerSettings;
 
-const RETRY_PAUSE: Duration = Duration::from_millis(100);
-
 quick_error! {
     /// Why a training run ends early.
     #[derive(Debug)]
@@ -42,32 +39,16 @@
     }
 }
 
-quick_error! {
-    /// Why one exchange with an entry failed and may be tried again.
-    #[derive(Debug)]
-    pub enum Trouble {
-        /// It failed on the way.
-        Exchange(err: PlatformError) {
-            display("{}", err)
-            from()
-        }
-        /// The entry cannot do it now.
-        Busy(status: u16, cause: String) {
-            display("status {}, cause {}", status, cause)
-        }
-    }
-}
-
 /// Runs a training run to its end.
 pub async fn run(settings: TrainerSettings) -> Result<TrainerReport, TrainerError> {
     let mut session = Session::new(settings)?;
     session.run().await?;
+    session.report.retries = session.entries.retries;
     Ok(session.report)
 }
 
 struct Session {
-    entries: Vec<Endpoint>,
-    turn: usize,
+    entries: Entries,
     version: WeightVersion,
     cursors: BTreeMap<u64, String>,
     report: TrainerReport,
@@ -76,13 +57,8 @@
 
 impl Session {
     fn new(settings: TrainerSettings) -> Result<Session, TrainerError> {
-        if settings.entries.is_empty() {
-            return Err(TrainerError::NoEntry);
-        }
-        let entry = |address| Endpoint::new(address, EndpointSettings::default());
         Ok(Session {
-            entries: settings.entries.iter().copied().map(entry).collect(),
-            turn: 0,
+            entries: Entries::new(&settings)?,
             version: settings.version,
             cursors: BTreeMap::new(),
             report: TrainerReport::default(),
@@ -126,7 +102,7 @@
             version: self.version.to_string(),
         };
         let path = format!("/v1/training/{}/weights", self.settings.service);
-        self.exchange(path, &announcement, 0).await?;
+        self.entries.exchange(path, &announcement).await?;
         Ok(())
     }
 
@@ -148,7 +124,7 @@
             cursor: cursor.as_deref(),
         };
         let path = format!("/v1/training/{service}/steps");
-        let posted: Posted = parse(&self.exchange(path, &message, 0).await?)?;
+        let posted: Posted = parse(&self.entries.exchange(path, &message).await?)?;
         self.cursors.insert(step, posted.cursor);
         Ok(())
     }
@@ -189,17 +165,10 @@
         let service = &self.settings.service;
         let path = format!("/v1/training/{service}/steps/{step}/fetch");
         let wait_ms = self.settings.wait_ms;
-        let answer = self.exchange(path.clone(), &message, wait_ms).await;
-        let answer = match answer {
-            // The home of the step is gone and nobody else has it: post it again with
-            // the cursor, so that only what is missing is made again.
-            Err(TrainerError::Refused(_, 404 | 409 | 410, _)) => {
-                self.report.retries += 1;
-                self.post(step).await?;
-                sleep(RETRY_PAUSE).await;
-                return self.unless_late(waiting, path, "step-lost").map(|()| false);
-            }
-            other => other?,
+        let body = Bytes::from(serde_json::to_vec(&message)?);
+        let answer = match self.entries.attempt(&path, &body, wait_ms).await {
+            Ok(answer) => answer,
+            Err(trouble) => return self.post_again(step, waiting, path, trouble).await,
         };
         let fetched: Fetched = parse(&answer)?;
         for sample in &fetched.samples {
@@ -208,72 +177,37 @@
             self.report.count(sample.staleness, sample.versions.len());
         }
         self.cursors.insert(step, fetched.cursor);
-        if !fetched.complete && fetched.samples.is_empty() {
-            self.unless_late(waiting, path, "no-samples")?;
+        if !fetched.complete && waiting.elapsed() > self.give_up() {
+            return Err(TrainerError::GaveUp(
+                path,
+                Trouble::Incomplete(fetched.received),
+            ));
         }
         Ok(fetched.complete)
     }
 
-    fn unless_late(&self, since: Instant, path: String, cause: &str) -> Result<(), TrainerError> {
-        if since.elapsed() < Duration::from_millis(self.settings.give_up_ms) {
-            return Ok(());
-        }
-        Err(TrainerError::GaveUp(
-            path,
-            Trouble::Busy(0, cause.to_owned()),
-        ))
-    }
-
-    async fn exchange(
+    /// The home of the step may be gone with all it held. Posting the step again with
+    /// the cursor is idempotent and makes only what is missing.
+    async fn post_again(
         &mut self,
+        step: u64,
+        waiting: Instant,
         path: String,
-        message: &impl Serialize,
-        wait_ms: u64,
-    ) -> Result<Bytes, TrainerError> {
-        let body = Bytes::from(serde_json::to_vec(message)?);
-        let began = Instant::now();
-        loop {
-            let request = self.request(&path, &body);
-            let trouble = match self.once(request, wait_ms).await {
-                Ok((status, body)) if (200..300).contains(&status) => return Ok(body),
-                Ok((status, body)) => {
-                    let problem: Problem = serde_json::from_slice(&body).unwrap_or_default();
-                    if !matches!(status, 429 | 500..=599) {
-                        return Err(TrainerError::Refused(path, status, problem.cause));
-                    }
-                    Trouble::Busy(status, problem.cause)
-                }
-                Err(error) => Trouble::Exchange(error),
-            };
-            if began.elapsed() > Duration::from_millis(self.settings.give_up_ms) {
-                return Err(TrainerError::GaveUp(path, trouble));
-            }
-            self.report.retries += 1;
-            self.turn += 1;
-            sleep(RETRY_PAUSE).await;
+        trouble: Trouble,
+    ) -> Result<bool, TrainerError> {
+        if let Trouble::Refused(status, cause) = trouble {
+            return Err(TrainerError::Refused(path, status, cause));
         }
+        if waiting.elapsed() > self.give_up() {
+            return Err(TrainerError::GaveUp(path, trouble));
+        }
+        self.entries.next_entry().await;
+        self.post(step).await?;
+        Ok(false)
     }
 
-    async fn once(&self, request: Request, wait_ms: u64) -> Result<(u16, Bytes), PlatformError> {
-        let entry = &self.entries[self.turn % self.entries.len()];
-        let deadline_ms = self.settings.exchange_ms + wait_ms;
-        let response = entry.send(request, deadline_ms).await?;
-        let status = response.head.status;
-        Ok((status, response.body.whole().await?))
-    }
-
-    fn request(&self, path: &str, body: &Bytes) -> Request {
-        let authorization = format!("Bearer {}", self.settings.token);
-        let headers = [
-            ("authorization", authorization.as_str()),
-            ("content-type", "application/json"),
-        ];
-        let headers = headers.map(|(name, value)| (name.to_owned(), value.to_owned()));
-        Request {
-            headers: headers.to_vec(),
-            body: body.clone(),
-            ..Request::new("POST", path)
-        }
+    fn give_up(&self) -> Duration {
+        Duration::from_millis(self.settings.give_up_ms)
     }
 }
 
