--- a/components/config/src/accepted.rs
+++ b/components/config/src/accepted.rs
@@ -57,3 +57,16 @@
     let first = digest.first_chunk::<8>();
     first.map_or(0, |bytes| u64::from_be_bytes(*bytes))
 }
+
+/// The version, 0 for none.
+pub(crate) fn version_of(accepted: &Option<Arc<Accepted>>) -> u64 {
+    accepted.as_ref().map_or(0, |accepted| accepted.version)
+}
+
+/// Whether two accounts of one version contradict each other.
+pub(crate) fn differ(one: Option<&Accepted>, other: Option<&Accepted>) -> bool {
+    match (one, other) {
+        (Some(one), Some(other)) => one.source != other.source || one.id != other.id,
+        _ => false,
+    }
+}
--- a/components/config/src/chain.rs
+++ b/components/config/src/chain.rs
@@ -10,51 +10,29 @@
 //! anchor, "version v was current up to offset t", from a keep record or a peer, if the
 //! reader has every record from t on. Without one it holds the highest version that it
 //! has seen proved, which can be behind but never be another text than another reader's.
+//! The same goes for what a peer proves that is ahead in the log: it is held at once,
+//! and the verdicts go on from the version that is current where the reader stands.
 
-use std::collections::VecDeque;
 use std::sync::Arc;
 
-use crate::accepted::source_digest;
+use crate::accepted::{differ, version_of};
+use crate::judged::Judged;
 use crate::parse::judge;
+use crate::pending::{PENDING_BYTES_MAX, Pending};
 use crate::{Accepted, ID_BYTES_MAX, Publish, Refusal, Rules, Verdict};
 
-/// Verdicts that are remembered for the operators' questions.
-const VERDICTS_MAX: usize = 32;
-/// Publishes that a reader holds back for one customer, in bytes.
-const PENDING_BYTES_MAX: usize = 1024 * 1024;
-
-/// One remembered verdict.
-#[derive(Clone, Debug)]
-struct Judged {
-    id: String,
-    base: u64,
-    digest: u64,
-    verdict: Verdict,
-}
-
-impl Judged {
-    fn is_copy(&self, publish: &Publish, digest: u64) -> bool {
-        self.id == publish.id && self.base == publish.base && self.digest == digest
-    }
-}
-
-/// One publish that waits for an anchor.
-#[derive(Clone, Debug)]
-struct Pending {
-    offset: u64,
-    publish: Publish,
-}
-
 /// The versions of one customer.
 #[derive(Clone, Debug)]
 pub(crate) struct Chain {
-    held: Option<Arc<Accepted>>,
-    /// `held` was current at this offset, and every later publish is judged.
+    /// Current at the reader's offset; only while that is certain.
+    current: Option<Arc<Accepted>>,
+    /// `current` (or that there was none) held at this offset, and every later publish
+    /// is judged.
     certain_from: Option<u64>,
-    /// No publish at or after this offset was missed or dropped.
-    complete_from: u64,
-    pending: VecDeque<Pending>,
-    judged: VecDeque<Judged>,
+    /// Proved to have been accepted, and higher than `current`.
+    proved: Option<Arc<Accepted>>,
+    pending: Pending,
+    judged: Judged,
 }
 
 impl Chain {
@@ -62,44 +40,52 @@
     /// no version at that offset.
     pub(crate) fn new(certain_from: Option<u64>, complete_from: u64) -> Self {
         Self {
-            held: None,
+            current: None,
             certain_from,
-            complete_from,
-            pending: VecDeque::new(),
-            judged: VecDeque::new(),
+            proved: None,
+            pending: Pending::new(complete_from),
+            judged: Judged::default(),
         }
     }
 
+    /// The highest version that is known; it never goes back.
     pub(crate) fn held(&self) -> Option<&Arc<Accepted>> {
-        self.held.as_ref()
+        self.proved.as_ref().or(self.current.as_ref())
     }
 
-    pub(crate) fn certain_from(&self) -> Option<u64> {
-        self.certain_from
+    /// The offset up to which what is held was the current version, if that is known.
+    pub(crate) fn certain_up_to(&self, next_offset: u64) -> Option<u64> {
+        let certain = self.certain_from.filter(|_| self.proved.is_none());
+        certain.map(|from| from.max(next_offset))
     }
 
     pub(crate) fn pending_bytes(&self) -> usize {
-        self.pending.iter().map(|one| one.publish.text.len()).sum()
+        self.pending.bytes()
     }
 
     /// The verdict on the last publish with this id.
     pub(crate) fn verdict(&self, id: &str) -> Option<&Verdict> {
-        let newest_first = self.judged.iter().rev();
-        let with_id = newest_first.filter(|judged| judged.id == id);
-        with_id.map(|judged| &judged.verdict).next()
+        self.judged.verdict(id)
     }
 
     /// Takes in a publish from the log; `room_bytes` is what may still be held back.
     pub(crate) fn publish(&mut self, offset: u64, publish: &Publish, room_bytes: usize) -> Verdict {
+        let id_bytes = publish.id.len();
+        if id_bytes == 0 || id_bytes > ID_BYTES_MAX {
+            return Verdict::Refused(Refusal::BadId);
+        }
         let verdict = match self.certain_from {
             None => {
-                self.pend(offset, publish, room_bytes);
+                self.pending.push(offset, publish, room_bytes);
                 Verdict::Undecided
             }
             Some(from) if offset < from => self.before_anchor(publish),
             Some(_) => self.judge(offset, publish),
         };
-        self.remember(publish, verdict)
+        let conflict = self.reconcile(offset + 1);
+        let verdict = conflict.unwrap_or(verdict);
+        self.judged.remember(publish, &verdict);
+        verdict
     }
 
     fn judge(&mut self, offset: u64, publish: &Publish) -> Verdict {
@@ -108,7 +94,7 @@
         }
         let Some(rules) = Rules::of(publish.rules) else {
             self.lose(offset);
-            self.pend(offset, publish, PENDING_BYTES_MAX);
+            self.pending.push(offset, publish, PENDING_BYTES_MAX);
             return Verdict::RulesTooNew {
                 rules: publish.rules,
             };
@@ -122,7 +108,7 @@
         match judge(rules, &publish.customer, &publish.text, &origin) {
             Err(complaints) => Verdict::Refused(Refusal::Invalid(complaints)),
             Ok(text) => {
-                self.held = Some(Arc::new(Accepted {
+                self.current = Some(Arc::new(Accepted {
                     customer: publish.customer.clone(),
                     version,
                     id: publish.id.clone(),
@@ -137,20 +123,18 @@
 
     /// What is wrong with base and id, under any rules.
     fn base_refusal(&self, publish: &Publish) -> Option<Refusal> {
-        let held = self.held.as_deref();
-        let current = held.map_or(0, |accepted| accepted.version);
-        let current_id = held.map(|accepted| accepted.id.as_str());
+        let current_id = self.current.as_deref().map(|current| current.id.as_str());
+        let current = version_of(&self.current);
         let base = publish.base;
         let other_base = publish.base_id.is_some() && publish.base_id.as_deref() != current_id;
-        let id = publish.id.as_str();
-        let bad_id = id.is_empty() || id.len() > ID_BYTES_MAX || current_id == Some(id);
+        let same_id = current_id == Some(publish.id.as_str());
         if base < current {
             Some(Refusal::Outdated { base, current })
         } else if base > current {
             Some(Refusal::Ahead { base, current })
         } else if other_base {
             Some(Refusal::OtherBase { base })
-        } else if bad_id {
+        } else if same_id {
             Some(Refusal::BadId)
         } else {
             None
@@ -161,73 +145,55 @@
     /// never fits the base, so it changes nothing; the operator still has to hear the
     /// verdict on the first.
     fn refused_or_copy(&self, publish: &Publish, refusal: Refusal) -> Verdict {
-        let digest = source_digest(&publish.text);
-        if let Some(version) = self.made_held(publish) {
-            return Verdict::Accepted { version };
-        }
-        let copies = |judged: &&Judged| judged.is_copy(publish, digest);
-        match self.judged.iter().find(copies) {
-            Some(first) if matches!(first.verdict, Verdict::Accepted { .. }) => {
-                first.verdict.clone()
-            }
+        let first = self.judged.first(publish);
+        match (self.made_current(publish), first) {
+            (Some(version), _) => Verdict::Accepted { version },
+            (None, Some(accepted @ Verdict::Accepted { .. })) => accepted.clone(),
             _ => Verdict::Refused(refusal),
         }
     }
 
-    /// The held version, if this publish made it.
-    fn made_held(&self, publish: &Publish) -> Option<u64> {
-        let held = self.held.as_deref()?;
-        let next_of_base = publish.base.checked_add(1) == Some(held.version);
-        let same = held.id == publish.id && *held.source == *publish.text;
-        (next_of_base && same).then_some(held.version)
+    /// The current version, if this publish made it.
+    fn made_current(&self, publish: &Publish) -> Option<u64> {
+        let current = self.current.as_deref()?;
+        let next_of_base = publish.base.checked_add(1) == Some(current.version);
+        let same = current.id == publish.id && *current.source == *publish.text;
+        (next_of_base && same).then_some(current.version)
     }
 
     /// The anchor already counts this publish in, however it went.
     fn before_anchor(&self, publish: &Publish) -> Verdict {
-        match self.made_held(publish) {
+        match self.made_current(publish) {
             Some(version) => Verdict::Accepted { version },
             None => Verdict::Covered,
         }
     }
 
-    fn remember(&mut self, publish: &Publish, verdict: Verdict) -> Verdict {
-        let digest = source_digest(&publish.text);
-        self.judged
-            .retain(|judged| !judged.is_copy(publish, digest));
-        self.judged.push_back(Judged {
-            id: publish.id.clone(),
-            base: publish.base,
-            digest,
-            verdict: verdict.clone(),
-        });
-        if self.judged.len() > VERDICTS_MAX {
-            self.judged.pop_front();
-        }
-        verdict
-    }
-
-    fn pend(&mut self, offset: u64, publish: &Publish, room_bytes: usize) {
-        let mut room_bytes = room_bytes.min(PENDING_BYTES_MAX.saturating_sub(self.pending_bytes()));
-        while room_bytes < publish.text.len() {
-            let Some(dropped) = self.pending.pop_front() else {
-                // Too large to be held back at all: only an anchor behind it helps.
-                self.complete_from = offset + 1;
-                return;
-            };
-            room_bytes += dropped.publish.text.len();
-            self.complete_from = dropped.offset + 1;
-        }
-        self.pending.push_back(Pending {
-            offset,
-            publish: publish.clone(),
-        });
-    }
-
     /// The current version at `offset` is no longer known.
     fn lose(&mut self, offset: u64) {
+        let current = self.current.take();
+        self.proved = self.proved.take().or(current);
         self.certain_from = None;
-        self.complete_from = offset;
-        self.pending.clear();
+        self.pending.clear(offset);
+    }
+
+    /// Drops what was proved once the current version has come to it. Should they be
+    /// two texts, somebody wrote what is not true: the first one stays, and nothing is
+    /// judged until an anchor from `next_offset` or later.
+    fn reconcile(&mut self, next_offset: u64) -> Option<Verdict> {
+        self.certain_from?;
+        let proved = self.proved.as_deref()?;
+        let (version, held) = (version_of(&self.current), proved.version);
+        if version < held {
+            return None;
+        }
+        if version == held && differ(self.current.as_deref(), Some(proved)) {
+            self.current = None;
+            self.lose(next_offset);
+            return Some(Verdict::Conflict { version, held });
+        }
+        self.proved = None;
+        None
     }
 
     /// The records before `offset` and after what was read are gone.
@@ -247,60 +213,66 @@
     ) -> Verdict {
         match self.certain_from {
             Some(from) if through <= from.max(next_offset) => self.compare(accepted.as_deref()),
-            Some(_) => self.jump(accepted, through),
-            None if through < self.complete_from => match accepted {
-                Some(accepted) => self.fact(accepted),
+            Some(_) => self.jump(accepted, through, next_offset),
+            None if through < self.pending.complete_from() => match accepted {
+                Some(accepted) => self.proof(accepted),
                 None => Verdict::Known,
             },
             None => self.settle(accepted, through, next_offset),
         }
     }
 
-    /// Takes in "this version was accepted once" while the current one is not known.
+    /// Takes in "this version was accepted once" from a record that was read: if the
+    /// current version is certain, it must be that one or a later one.
     pub(crate) fn fact(&mut self, accepted: Arc<Accepted>) -> Verdict {
-        let verdict = self.compare(Some(&accepted));
-        let version = accepted.version;
-        let higher = matches!(verdict, Verdict::Conflict { held, .. } if version > held);
-        if self.certain_from.is_some() || !higher {
-            return verdict;
+        match self.certain_from {
+            Some(_) => self.compare(Some(&accepted)),
+            None => self.proof(accepted),
         }
-        self.held = Some(accepted);
-        Verdict::Learned { version }
     }
 
-    /// Whether news about an offset that was judged here agrees with what is held.
+    /// Takes in "this version was accepted once" from a peer, which may be ahead.
+    pub(crate) fn proof(&mut self, accepted: Arc<Accepted>) -> Verdict {
+        let held = self.held().cloned();
+        let (version, held_version) = (accepted.version, version_of(&held));
+        if version > held_version {
+            self.proved = Some(accepted);
+            return Verdict::Learned { version };
+        }
+        if version == held_version && differ(held.as_deref(), Some(&accepted)) {
+            let held = held_version;
+            return Verdict::Conflict { version, held };
+        }
+        Verdict::Known
+    }
+
+    /// Whether news about an offset that was judged here agrees with that.
     fn compare(&self, accepted: Option<&Accepted>) -> Verdict {
-        let held = self.held.as_deref();
-        let held_version = held.map_or(0, |held| held.version);
+        let held = version_of(&self.current);
         let version = accepted.map_or(0, |accepted| accepted.version);
-        let same_text = match (held, accepted) {
-            (Some(held), Some(accepted)) => held.source == accepted.source,
-            _ => true,
-        };
-        if version > held_version || (version == held_version && !same_text) {
-            let held = held_version;
+        let other_text = version == held && differ(self.current.as_deref(), accepted);
+        if version > held || other_text {
             return Verdict::Conflict { version, held };
         }
         Verdict::Known
     }
 
     /// Goes forward to a peer that has read more of the log.
-    fn jump(&mut self, accepted: Option<Arc<Accepted>>, through: u64) -> Verdict {
-        let held = self.held.as_ref().map_or(0, |held| held.version);
-        let version = accepted.as_ref().map_or(0, |accepted| accepted.version);
-        let agrees = match self.compare(accepted.as_deref()) {
-            Verdict::Conflict { .. } => version > held,
-            _ => version == held,
-        };
-        if !agrees {
+    fn jump(&mut self, accepted: Option<Arc<Accepted>>, through: u64, next_offset: u64) -> Verdict {
+        let (version, held) = (version_of(&accepted), version_of(&self.current));
+        let other_text = version == held && differ(self.current.as_deref(), accepted.as_deref());
+        if version < held || other_text {
             return Verdict::Conflict { version, held };
         }
+        self.current = accepted;
         self.certain_from = Some(through);
-        if version == held {
-            return Verdict::Known;
+        if let Some(conflict) = self.reconcile(next_offset) {
+            return conflict;
+        }
+        match version == held {
+            true => Verdict::Known,
+            false => Verdict::Learned { version },
         }
-        self.held = accepted;
-        Verdict::Learned { version }
     }
 
     /// Knows the current version again, and judges what was held back.
@@ -310,24 +282,20 @@
         through: u64,
         next_offset: u64,
     ) -> Verdict {
-        let proved = self.held.take();
-        self.held = accepted;
+        let before = self.held().map_or(0, |held| held.version);
+        self.current = accepted;
         self.certain_from = Some(through);
-        for pending in std::mem::take(&mut self.pending) {
-            self.publish(pending.offset, &pending.publish, PENDING_BYTES_MAX);
+        for (offset, publish) in self.pending.take() {
+            self.publish(offset, &publish, PENDING_BYTES_MAX);
         }
-        let version = self.held.as_ref().map_or(0, |held| held.version);
-        let Verdict::Conflict { .. } = self.compare(proved.as_deref()) else {
-            return Verdict::Learned { version };
-        };
-        // A proved version is never given up: either the replay stopped at rules that
-        // are too new, or somebody wrote what is not true.
-        let held = proved.as_ref().map_or(0, |proved| proved.version);
-        self.held = proved;
-        if self.certain_from.is_none() {
-            return Verdict::Known;
+        if let Some(conflict) = self.reconcile(next_offset) {
+            return conflict;
+        }
+        let version = self.held().map_or(0, |held| held.version);
+        // The replay may have come to rules that are too new, and know no more.
+        match self.certain_from.is_some() || version > before {
+            true => Verdict::Learned { version },
+            false => Verdict::Known,
         }
-        self.lose(next_offset);
-        Verdict::Conflict { version, held }
     }
 }
--- a/components/config/src/check.rs
+++ b/components/config/src/check.rs
@@ -7,8 +7,8 @@
 use types::CustomerName;
 
 use crate::complaint::Report;
-use crate::fields::nearest;
 use crate::links::links;
+use crate::words::nearest;
 use crate::{Accepted, Complaint, ComplaintCause, Complaints, Ledger, Service, Text, Unmet};
 use crate::{Place, Severity, UnmetCause};
 
--- /dev/null
+++ b/components/config/src/judged.rs
@@ -0,0 +1,63 @@
+//! The last verdicts on a customer's publishes, for the operators' questions. They never
+//! go into a later verdict.
+
+use std::collections::VecDeque;
+
+use crate::accepted::source_digest;
+use crate::{Publish, Verdict};
+
+/// Verdicts that are remembered.
+const VERDICTS_MAX: usize = 32;
+
+#[derive(Clone, Debug)]
+struct Entry {
+    id: String,
+    base: u64,
+    digest: u64,
+    verdict: Verdict,
+}
+
+/// The last verdicts, oldest first.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Judged {
+    entries: VecDeque<Entry>,
+}
+
+impl Judged {
+    /// The verdict on the last publish with this id.
+    pub(crate) fn verdict(&self, id: &str) -> Option<&Verdict> {
+        let newest_first = self.entries.iter().rev();
+        let mut with_id = newest_first.filter(|entry| entry.id == id);
+        with_id.next().map(|entry| &entry.verdict)
+    }
+
+    /// The verdict on an earlier copy of this publish.
+    pub(crate) fn first(&self, publish: &Publish) -> Option<&Verdict> {
+        let digest = source_digest(&publish.text);
+        let entry = self
+            .entries
+            .iter()
+            .find(|entry| entry.is_copy(publish, digest));
+        entry.map(|entry| &entry.verdict)
+    }
+
+    pub(crate) fn remember(&mut self, publish: &Publish, verdict: &Verdict) {
+        let digest = source_digest(&publish.text);
+        self.entries.retain(|entry| !entry.is_copy(publish, digest));
+        self.entries.push_back(Entry {
+            id: publish.id.clone(),
+            base: publish.base,
+            digest,
+            verdict: verdict.clone(),
+        });
+        if self.entries.len() > VERDICTS_MAX {
+            self.entries.pop_front();
+        }
+    }
+}
+
+impl Entry {
+    fn is_copy(&self, publish: &Publish, digest: u64) -> bool {
+        self.id == publish.id && self.base == publish.base && self.digest == digest
+    }
+}
--- a/components/config/src/ledger.rs
+++ b/components/config/src/ledger.rs
@@ -4,7 +4,7 @@
 //! as the log may be down. See [`crate::Verdict`] for what it says of each record, and
 //! the module `chain` for why no two ledgers differ on the text of a version.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 use std::sync::Arc;
 
 use types::CustomerName;
@@ -66,7 +66,7 @@
             Record::Keep(keep) => {
                 // Written after what it states was read, or it states nothing.
                 let through = keep.through.filter(|&through| through <= offset);
-                self.keep(keep, through)
+                self.keep(keep, through, Chain::fact)
             }
             Record::Customers(customers) if customers.through <= offset => {
                 self.adopt_customers(customers)
@@ -91,13 +91,7 @@
 
     /// Takes in a peer's current version of a customer, from [`Ledger::keep_record`].
     pub fn adopt(&mut self, keep: &Keep) -> Verdict {
-        // A peer that is itself unsure may be ahead of this reader in the log, so that
-        // a higher version from it is no conflict; this reader will come to it.
-        let certain = self.is_certain(&keep.customer);
-        if keep.through.is_none() && certain {
-            return Verdict::Known;
-        }
-        self.keep(keep, keep.through)
+        self.keep(keep, keep.through, Chain::proof)
     }
 
     /// Takes in a peer's list of customers, from [`Ledger::customers_record`].
@@ -114,8 +108,9 @@
             self.chain_mut(name);
         }
         let next_offset = self.next_offset;
+        let listed: HashSet<&CustomerName> = customers.names.iter().collect();
         for (name, chain) in &mut self.chains {
-            if !customers.names.contains(name) {
+            if !listed.contains(name) {
                 chain.anchor(None, through, next_offset);
             }
         }
@@ -137,14 +132,14 @@
     /// the newest that was read, rather than the newest that was proved.
     pub fn is_certain(&self, customer: &CustomerName) -> bool {
         match self.chains.get(customer) {
-            Some(chain) => chain.certain_from().is_some(),
+            Some(chain) => chain.certain_up_to(self.next_offset).is_some(),
             None => self.listed_from.is_some(),
         }
     }
 
     /// Whether that holds for every customer.
     pub fn is_complete(&self) -> bool {
-        let certain = |chain: &Chain| chain.certain_from().is_some();
+        let certain = |chain: &Chain| chain.certain_up_to(self.next_offset).is_some();
         self.listed_from.is_some() && self.chains.values().all(certain)
     }
 
@@ -164,31 +159,34 @@
     pub fn keep_record(&self, customer: &CustomerName) -> Option<Keep> {
         let chain = self.chains.get(customer)?;
         let held = chain.held()?;
-        let through = chain.certain_from().map(|from| from.max(self.next_offset));
         Some(Keep {
             customer: customer.clone(),
             version: held.version,
             id: held.id.clone(),
             rules: held.rules,
             text: held.source.to_string(),
-            through,
+            through: chain.certain_up_to(self.next_offset),
         })
     }
 
     /// The list of customers for a peer, or to be appended again; `None` while a
     /// customer could be missing from it.
     pub fn customers_record(&self) -> Option<Customers> {
-        let from = self.listed_from?;
-        let known = |chain: &Chain| chain.held().is_some() || chain.certain_from().is_some();
+        let through = self.listed_from?.max(self.next_offset);
+        // A list from a peer that has read further names customers whose first version
+        // this reader has yet to learn: a list without them, for the peer's offset,
+        // would let others accept a second first version.
+        let known = |chain: &Chain| {
+            let up_to = chain.certain_up_to(self.next_offset);
+            chain.held().is_some() || up_to.is_some_and(|up_to| up_to >= through)
+        };
         if !self.chains.values().all(known) {
             return None;
         }
+        let names = self.all().map(|accepted| accepted.customer.clone());
         Some(Customers {
-            through: from.max(self.next_offset),
-            names: self
-                .all()
-                .map(|accepted| accepted.customer.clone())
-                .collect(),
+            through,
+            names: names.collect(),
         })
     }
 
@@ -209,7 +207,13 @@
         chain.publish(offset, publish, room_bytes)
     }
 
-    fn keep(&mut self, keep: &Keep, through: Option<u64>) -> Verdict {
+    /// `unanchored` takes in a version that was not said to be the current one.
+    fn keep(
+        &mut self,
+        keep: &Keep,
+        through: Option<u64>,
+        unanchored: impl Fn(&mut Chain, Arc<Accepted>) -> Verdict,
+    ) -> Verdict {
         if keep.version == 0 {
             return Verdict::Known;
         }
@@ -221,7 +225,7 @@
         };
         match through {
             Some(through) => chain.anchor(Some(accepted), through, next_offset),
-            None => chain.fact(accepted),
+            None => unanchored(chain, accepted),
         }
     }
 
@@ -234,7 +238,10 @@
 
 /// Reads a kept text, unless it is the one that is held.
 fn accepted(keep: &Keep, held: Option<&Arc<Accepted>>) -> Result<Arc<Accepted>, Verdict> {
-    let same = |held: &&Arc<Accepted>| held.version == keep.version && *held.source == *keep.text;
+    let same = |held: &&Arc<Accepted>| {
+        let same_text = held.version == keep.version && *held.source == *keep.text;
+        same_text && held.id == keep.id
+    };
     if let Some(held) = held.filter(same) {
         return Ok(Arc::clone(held));
     }
--- a/components/config/src/own.rs
+++ b/components/config/src/own.rs
@@ -7,7 +7,7 @@
 
 use crate::complaint::Report;
 use crate::cycle::{self, Closing, Edges};
-use crate::fields::nearest;
+use crate::words::nearest;
 use crate::{ComplaintCause, Kind, Place, Rules, Service, Target, Text, Token};
 
 pub(crate) fn check(rules: Rules, text: &Text, report: &mut Report) {
--- a/components/config/src/parse_service.rs
+++ b/components/config/src/parse_service.rs
@@ -3,10 +3,11 @@
 use types::{Class, CustomerName, PoolName, ServiceName};
 
 use crate::complaint::Report;
-use crate::fields::{Fields, Word, parse_name, shortened};
+use crate::fields::{Fields, Word};
 use crate::limit::{
     DEADLINE_MS, DEPENDENCIES_MAX, PATTERNS_MAX, SHARED_MAX, STALENESS_BOUND, default,
 };
+use crate::words::{parse_name, shortened};
 use crate::{CallPattern, ComplaintCause, Dependency, Kind, Place, Service, Target};
 
 /// Fields that only models have.
--- /dev/null
+++ b/components/config/src/pending.rs
@@ -0,0 +1,71 @@
+//! Publishes of one customer that a reader holds back until it knows which version was
+//! current before them.
+
+use std::collections::VecDeque;
+
+use crate::Publish;
+
+/// Publishes that are held back for one customer, in bytes.
+pub(crate) const PENDING_BYTES_MAX: usize = 1024 * 1024;
+
+/// What a publish takes beside its texts, so that empty ones are bounded as well.
+const PUBLISH_BYTES: usize = 256;
+
+/// Publishes with their offsets, in the log's order.
+#[derive(Clone, Debug)]
+pub(crate) struct Pending {
+    publishes: VecDeque<(u64, Publish)>,
+    complete_from: u64,
+}
+
+impl Pending {
+    pub(crate) fn new(complete_from: u64) -> Self {
+        Self {
+            publishes: VecDeque::new(),
+            complete_from,
+        }
+    }
+
+    /// No publish at or after this offset was missed or dropped.
+    pub(crate) fn complete_from(&self) -> u64 {
+        self.complete_from
+    }
+
+    pub(crate) fn bytes(&self) -> usize {
+        self.publishes
+            .iter()
+            .map(|(_, publish)| publish.text.len())
+            .sum()
+    }
+
+    /// Adds a publish. Without room the oldest ones are dropped: what they did can then
+    /// only be learned from an anchor behind them.
+    pub(crate) fn push(&mut self, offset: u64, publish: &Publish, room_bytes: usize) {
+        let own_room_bytes = PENDING_BYTES_MAX.saturating_sub(self.bytes());
+        let mut room_bytes = room_bytes.min(own_room_bytes);
+        while room_bytes < cost_bytes(publish) {
+            let Some((dropped_offset, dropped)) = self.publishes.pop_front() else {
+                self.complete_from = offset + 1;
+                return;
+            };
+            room_bytes += cost_bytes(&dropped);
+            self.complete_from = dropped_offset + 1;
+        }
+        self.publishes.push_back((offset, publish.clone()));
+    }
+
+    pub(crate) fn take(&mut self) -> VecDeque<(u64, Publish)> {
+        std::mem::take(&mut self.publishes)
+    }
+
+    /// Drops all publishes; those from `offset` on will be complete.
+    pub(crate) fn clear(&mut self, offset: u64) {
+        self.publishes.clear();
+        self.complete_from = offset;
+    }
+}
+
+fn cost_bytes(publish: &Publish) -> usize {
+    let base_id_bytes = publish.base_id.as_ref().map_or(0, String::len);
+    PUBLISH_BYTES + publish.text.len() + publish.id.len() + base_id_bytes
+}
--- a/components/config/src/verdict.rs
+++ b/components/config/src/verdict.rs
@@ -58,7 +58,8 @@
         /// The rules version.
         rules: u32,
     },
-    /// A keep record or peer that brought this reader forward to `version`.
+    /// A keep record or peer that brought this reader forward to `version`, or told it
+    /// that this version is the current one.
     Learned {
         /// The version.
         version: u64,
