Recovery and protocol: tests of both sides of a call and of the bytes; refusals are kept

Cause: a doubled Open of a refused call could run, after the caller had been told that it was not run; and a caller that missed a refusal heard "unknown". Change: the table keeps the last refusals and gives them again.

--- a/components/link/tests/call.rs
+++ b/components/link/tests/call.rs
@@ -114,7 +114,7 @@
     let mut slow = links.call(callee.address, open(&links, b"slow"));
     let slow_answer = callee.next().await.answer;
     let sent = long.clone();
-    let mut writing = tokio::spawn(async move {
+    let writing = tokio::spawn(async move {
         slow_answer.head(head()).await;
         slow_answer.chunk(sent).await;
         slow_answer.end();
@@ -125,8 +125,9 @@
     quick_answer.chunk(Bytes::from_static(b"here")).await;
     quick_answer.end();
     assert_eq!(all(&mut quick).await.pop(), Some(CallEvent::End));
+    tokio::task::yield_now().await;
     assert!(
-        futures_pending(&mut writing).await,
+        !writing.is_finished(),
         "the slow call must wait for its window"
     );
     let events = all(&mut slow).await;
@@ -135,11 +136,6 @@
     writing.await.unwrap();
 }
 
-async fn futures_pending<T>(task: &mut tokio::task::JoinHandle<T>) -> bool {
-    tokio::task::yield_now().await;
-    !task.is_finished()
-}
-
 #[tokio::test]
 async fn can_leave_after_the_last_call_only() {
     let mut callee = Callee::start(|_| {}).await;
@@ -152,7 +148,11 @@
     // may come a little later.
     loop {
         let mut late = links.call(callee.address, open(&links, b"late"));
-        if late.next_or_taken(&mut callee).await == Some(refused.clone()) {
+        let event = tokio::select! {
+            event = late.next() => Some(event),
+            _ = callee.calls.recv() => None,
+        };
+        if event == Some(refused.clone()) {
             break;
         }
     }
@@ -161,16 +161,3 @@
     assert_eq!(all(&mut early).await.pop(), Some(CallEvent::End));
     callee.task.await.unwrap();
 }
-
-trait NextOrTaken {
-    async fn next_or_taken(&mut self, callee: &mut Callee) -> Option<CallEvent>;
-}
-
-impl NextOrTaken for link::Call {
-    async fn next_or_taken(&mut self, callee: &mut Callee) -> Option<CallEvent> {
-        tokio::select! {
-            event = self.next() => Some(event),
-            _ = callee.calls.recv() => None,
-        }
-    }
-}
--- a/components/link/tests/common/mod.rs
+++ b/components/link/tests/common/mod.rs
@@ -1,6 +1,6 @@
 //! A caller and a callee on loopback sockets, and a proxy between them that can cut or
 //! silence what goes through it.
-#![allow(dead_code)]
+#![allow(dead_code, clippy::unwrap_used)] // The exemption of clippy.toml ends at helpers of tests.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -78,7 +78,7 @@
     }
 
     pub async fn start_at(at: SocketAddr, change: impl FnOnce(&mut LinkSettings)) -> Callee {
-        let listener = TcpListener::bind(at).await.unwrap();
+        let listener = bind(at).await;
         let address = listener.local_addr().unwrap();
         let mut settings = settings(address, keys());
         change(&mut settings);
@@ -114,6 +114,16 @@
     }
 }
 
+/// Binds; waits while an earlier life of the callee still holds the address.
+async fn bind(at: SocketAddr) -> TcpListener {
+    loop {
+        match TcpListener::bind(at).await {
+            Ok(listener) => return listener,
+            Err(_) => tokio::task::yield_now().await,
+        }
+    }
+}
+
 pub fn links(change: impl FnOnce(&mut LinkSettings)) -> Links {
     let mut settings = settings("127.0.0.1:1".parse().unwrap(), keys());
     change(&mut settings);
--- /dev/null
+++ b/components/link/tests/udp.rs
@@ -0,0 +1,67 @@
+//! Datagrams over loopback sockets.
+
+mod common;
+
+use common::{LOOPBACK, key, keys, settings};
+use link::{Keys, LinkSettings, Udp};
+use protocol::{Datagram, News, ProcessRole};
+use types::{Incarnation, NodeId};
+
+fn with_keys(keys: Keys) -> LinkSettings {
+    settings(LOOPBACK.parse().unwrap_or_else(|_| unreachable!()), keys)
+}
+
+fn datagram(count: usize) -> Datagram {
+    let address = ([127, 0, 0, 1], 7).into();
+    let node = NodeId {
+        address,
+        incarnation: Incarnation(u64::MAX),
+    };
+    let news = vec![News::Leaving { node }; count];
+    Datagram {
+        from: node,
+        role: ProcessRole::Entry,
+        news,
+    }
+}
+
+#[tokio::test]
+async fn can_send_more_news_than_fit_one_datagram() {
+    let receiver = Udp::bind(LOOPBACK.parse().unwrap(), &with_keys(keys()))
+        .await
+        .unwrap();
+    let sender = Udp::bind(LOOPBACK.parse().unwrap(), &with_keys(keys()))
+        .await
+        .unwrap();
+    let to = receiver.local_address().unwrap();
+    sender.send(to, &datagram(200)).await.unwrap();
+    let mut received = 0;
+    while received < 200 {
+        let (from, part) = receiver.recv().await;
+        assert_eq!(from, sender.local_address().unwrap());
+        assert_eq!(part.from, datagram(0).from);
+        received += part.news.len();
+    }
+    assert_eq!(received, 200);
+}
+
+// The receiver sees the second datagram only: the first is signed with a key that it does
+// not accept, and is counted and dropped.
+#[tokio::test]
+async fn can_drop_datagrams_with_a_wrong_key() {
+    let receiver = Udp::bind(LOOPBACK.parse().unwrap(), &with_keys(keys()))
+        .await
+        .unwrap();
+    let to = receiver.local_address().unwrap();
+    let stranger = with_keys(Keys::one(key(9)));
+    let stranger = Udp::bind(LOOPBACK.parse().unwrap(), &stranger)
+        .await
+        .unwrap();
+    stranger.send(to, &datagram(1)).await.unwrap();
+    let sender = Udp::bind(LOOPBACK.parse().unwrap(), &with_keys(keys()))
+        .await
+        .unwrap();
+    sender.send(to, &datagram(2)).await.unwrap();
+    assert_eq!(receiver.recv().await.1, datagram(2));
+    assert_eq!(receiver.traffic().datagrams_dropped, 1);
+}
--- /dev/null
+++ b/components/protocol/tests/datagrams.rs
@@ -0,0 +1,108 @@
+//! Datagrams as bytes.
+#![allow(clippy::unwrap_used)] // The exemption of clippy.toml ends at helpers of tests.
+
+use protocol::{
+    CodecError, DATAGRAM_BYTES_MAX, Datagram, Key, Keys, News, ProcessRole, read_datagram,
+    write_datagram,
+};
+use quickcheck::quickcheck;
+use types::{Incarnation, NodeId};
+
+fn node(number: u64) -> NodeId {
+    NodeId {
+        address: ([10, 0, 0, 1], 80).into(),
+        incarnation: Incarnation(number),
+    }
+}
+
+fn datagram(news: Vec<News>) -> Datagram {
+    Datagram {
+        from: node(1),
+        role: ProcessRole::Entry,
+        news,
+    }
+}
+
+fn keys() -> Keys {
+    Keys::one(Key::new([1; 32]))
+}
+
+quickcheck! {
+    fn can_split_any_number_of_news(numbers: Vec<u64>, repeat: u8) -> bool {
+        let numbers = numbers.repeat(usize::from(repeat));
+        let news: Vec<_> = numbers.iter().map(|&of| News::Leaving { node: node(of) }).collect();
+        let keys = keys();
+        let (packets, errors) = write_datagram(&datagram(news.clone()), keys.signing()).unwrap();
+        let read = packets.iter().map(|packet| read_datagram(packet, &keys).unwrap());
+        let read: Vec<News> = read.flat_map(|part| part.news).collect();
+        let fit = packets.iter().all(|packet| packet.len() <= DATAGRAM_BYTES_MAX);
+        errors.is_empty() && fit && read == news
+    }
+
+    fn can_survive_any_bytes(bytes: Vec<u8>) -> bool {
+        read_datagram(&bytes, &keys()).is_err()
+    }
+}
+
+struct Case {
+    name: &'static str,
+    change: fn(&mut Vec<u8>),
+    expected: CodecError,
+}
+
+#[test]
+fn errors_when_a_datagram_is_not_authentic() {
+    let case = |name, change, expected| Case {
+        name,
+        change,
+        expected,
+    };
+    let cases = [
+        case("garbled", |packet| packet[5] ^= 1, CodecError::Unauthentic),
+        case(
+            "cut",
+            |packet| packet.truncate(packet.len() - 1),
+            CodecError::Unauthentic,
+        ),
+        case(
+            "too short",
+            |packet| packet.truncate(3),
+            CodecError::TooShort(3),
+        ),
+        case(
+            "too large",
+            |packet| packet.resize(1_201, 0),
+            CodecError::TooLarge(1_201, 1_200),
+        ),
+        case(
+            "wrong key",
+            |packet| packet[..4].fill(7),
+            CodecError::UnknownKey([7; 4]),
+        ),
+    ];
+    for case in cases {
+        let written = write_datagram(&datagram(vec![News::Probe]), keys().signing()).unwrap();
+        let mut packet = written.0[0].to_vec();
+        (case.change)(&mut packet);
+        assert_eq!(
+            read_datagram(&packet, &keys()),
+            Err(case.expected),
+            "{}",
+            case.name
+        );
+    }
+}
+
+// The bytes were computed by another program, from the description of the format.
+#[test]
+fn can_keep_the_format() {
+    let news = vec![News::Probe, News::Leaving { node: node(300) }];
+    let (packets, _) = write_datagram(&datagram(news), keys().signing()).unwrap();
+    let hex: String = packets[0]
+        .iter()
+        .map(|byte| format!("{byte:02x}"))
+        .collect();
+    let expected = "16feae8d000a000001500100020004000a00000150ac02\
+                    a0707fe5cc56cfa4d8b6e7aaf525ea4d";
+    assert_eq!(hex, expected);
+}
--- a/components/recovery/src/forgotten.rs
+++ b/components/recovery/src/forgotten.rs
@@ -1,30 +1,38 @@
-//! What the callee still knows of calls that it has dropped.
+//! What the callee still knows of calls that it has dropped or refused.
 //!
-//! The identities of the last few are kept, so that a doubled `Open` does not run again.
-//! Of calls dropped because their time was over, while the caller may still ask for them,
-//! the highest number of each caller is kept: a call up to it may have run, and the caller
-//! must not hear that it is unknown here.
+//! The last few are kept by their identity, so that a doubled `Open` does not run, and a
+//! caller that missed a refusal hears it again. Of calls dropped because their time was
+//! over, while the caller may still ask for them, the highest number of each caller is
+//! kept: a call up to it may have run, and the caller must not hear that it is unknown
+//! here.
 
-use std::collections::{HashMap, HashSet, VecDeque};
+use std::collections::{HashMap, VecDeque};
 
-use types::CallId;
+use types::{CallId, Cause, Failure, RunState};
 
 const RECENT_MAX: usize = 4_096;
 const CALLERS_MAX: usize = 4_096;
 
+/// What a caller hears that asks for a call whose answer is gone.
+const ANSWER_GONE: Failure = Failure {
+    run: RunState::Unknown,
+    cause: Cause::LinkLost,
+    retry_after_ms: None,
+};
+
 #[derive(Debug, Default)]
 pub(crate) struct Forgotten {
     order: VecDeque<CallId>,
-    recent: HashSet<CallId>,
+    recent: HashMap<CallId, Failure>,
     expired_up_to: HashMap<u64, u64>,
     /// Callers were left out of `expired_up_to`, so any call may be one of theirs.
     overflowed: bool,
 }
 
 impl Forgotten {
-    /// The caller said that it needs the call no more.
-    pub fn released(&mut self, id: CallId) {
-        if !self.recent.insert(id) {
+    /// The call was refused.
+    pub fn refused(&mut self, id: CallId, failure: Failure) {
+        if self.recent.insert(id, failure).is_some() {
             return;
         }
         self.order.push_back(id);
@@ -35,6 +43,11 @@
         }
     }
 
+    /// The caller said that it needs the call no more.
+    pub fn released(&mut self, id: CallId) {
+        self.refused(id, ANSWER_GONE);
+    }
+
     /// The call was dropped without the caller's word.
     pub fn expired(&mut self, id: CallId) {
         self.released(id);
@@ -46,14 +59,16 @@
         *highest = id.counter.max(*highest);
     }
 
-    /// Whether a call with this identity certainly was here not long ago.
-    pub fn is_recent(&self, id: CallId) -> bool {
-        self.recent.contains(&id)
+    /// What became of a call that was here not long ago.
+    pub fn recent(&self, id: CallId) -> Option<Failure> {
+        self.recent.get(&id).copied()
     }
 
-    /// Whether a call with this identity may have been here.
-    pub fn may_have_been(&self, id: CallId) -> bool {
+    /// What became of a call that was here, or may have been; `None` proves that it was
+    /// not.
+    pub fn find(&self, id: CallId) -> Option<Failure> {
         let expired = self.expired_up_to.get(&id.boot);
-        self.overflowed || self.is_recent(id) || expired.is_some_and(|&up_to| id.counter <= up_to)
+        let may_have_been = self.overflowed || expired.is_some_and(|&up_to| id.counter <= up_to);
+        self.recent(id).or(may_have_been.then_some(ANSWER_GONE))
     }
 }
--- a/components/recovery/src/table.rs
+++ b/components/recovery/src/table.rs
@@ -271,8 +271,7 @@
             }
             return;
         }
-        if self.forgotten.is_recent(id) {
-            let failure = Failure::new(types::RunState::Unknown, Cause::LinkLost);
+        if let Some(failure) = self.forgotten.recent(id) {
             actions.push(TableAction::Send {
                 connection,
                 frame: Frame::Fail { id, failure },
@@ -282,6 +281,7 @@
         let deadline_at_ms = arrived_at_ms + u64::from(open.deadline_left_ms);
         let request_bytes = open.body.len();
         if let Some(failure) = self.refusal(deadline_at_ms, request_bytes, now_ms) {
+            self.forgotten.refused(id, failure);
             actions.push(TableAction::Send {
                 connection,
                 frame: Frame::Fail { id, failure },
@@ -329,8 +329,7 @@
                 call.wanted = Wanted::Yes;
             }
             actions.extend(call.resend(next_part).into_iter().map(send));
-        } else if self.forgotten.may_have_been(id) {
-            let failure = Failure::new(types::RunState::Unknown, Cause::LinkLost);
+        } else if let Some(failure) = self.forgotten.find(id) {
             actions.push(send(Frame::Fail { id, failure }));
         } else {
             actions.push(send(Frame::Unattached { id }));
--- /dev/null
+++ b/components/recovery/tests/table.rs
@@ -0,0 +1,383 @@
+//! The callee's side of calls, step by step.
+
+mod common;
+
+use bytes::Bytes;
+use common::{CALLER, ID, chunk, end, fail, head, head_frame, limits, open, open_frame};
+use protocol::Frame;
+use recovery::{CallTable, TableAction, TableSettings, part_cost_bytes};
+use types::{CallId, Cause, Failure, RunState};
+
+const GONE: Failure = Failure {
+    run: RunState::Unknown,
+    cause: Cause::LinkLost,
+    retry_after_ms: None,
+};
+
+struct World {
+    table: CallTable,
+    now_ms: u64,
+}
+
+impl World {
+    fn new(settings: TableSettings) -> Self {
+        let mut world = Self {
+            table: CallTable::new(settings),
+            now_ms: 0,
+        };
+        world.connect(1);
+        world
+    }
+
+    fn connect(&mut self, connection: u64) -> Vec<TableAction> {
+        let now_ms = self.now_ms;
+        self.act(|table, actions| table.connected(connection, CALLER, now_ms, actions))
+    }
+
+    fn get(&mut self, connection: u64, frame: Frame) -> Vec<TableAction> {
+        let now_ms = self.now_ms;
+        self.act(|table, actions| table.frame(connection, frame, now_ms, now_ms, actions))
+    }
+
+    fn after(&mut self, passed_ms: u64) -> Vec<TableAction> {
+        self.now_ms += passed_ms;
+        let now_ms = self.now_ms;
+        self.act(|table, actions| table.tick(now_ms, actions))
+    }
+
+    fn answer(&mut self) {
+        self.act(|table, actions| {
+            table.started(ID, actions);
+            table.head(ID, head(), actions);
+            table.chunk(ID, Bytes::from_static(b"ab"), actions);
+        });
+    }
+
+    fn end(&mut self) -> Vec<TableAction> {
+        let now_ms = self.now_ms;
+        self.act(|table, actions| table.end(ID, now_ms, actions))
+    }
+
+    fn act(&mut self, act: impl FnOnce(&mut CallTable, &mut Vec<TableAction>)) -> Vec<TableAction> {
+        let mut actions = Vec::new();
+        act(&mut self.table, &mut actions);
+        actions
+    }
+}
+
+fn send(connection: u64, frame: Frame) -> TableAction {
+    TableAction::Send { connection, frame }
+}
+
+fn attach(next_part: u32) -> Frame {
+    Frame::Attach { id: ID, next_part }
+}
+
+fn runs(actions: &[TableAction]) -> usize {
+    actions
+        .iter()
+        .filter(|action| matches!(action, TableAction::Run { .. }))
+        .count()
+}
+
+#[test]
+fn can_run_a_call_once_however_often_it_comes() {
+    let mut world = World::new(limits());
+    assert_eq!(runs(&world.get(1, open_frame(false))), 1);
+    assert_eq!(runs(&world.get(1, open_frame(false))), 0);
+    world.connect(2);
+    assert_eq!(runs(&world.get(2, open_frame(false))), 0);
+    world.answer();
+    world.end();
+    assert_eq!(runs(&world.get(2, open_frame(false))), 0);
+    world.get(2, Frame::Forget { id: ID });
+    assert!(world.table.is_empty());
+    assert_eq!(world.get(2, open_frame(false)), [send(2, fail(GONE))]);
+}
+
+struct Taken {
+    name: &'static str,
+    next_part: u32,
+    expected: Vec<Frame>,
+}
+
+// The caller comes back on another connection and gets what it misses, from the part it
+// asks for to the end.
+#[test]
+fn can_give_the_rest_of_an_answer() {
+    let started = || Frame::Started { id: ID };
+    let cases = [
+        Taken {
+            name: "nothing",
+            next_part: 0,
+            expected: vec![started(), head_frame(), chunk(1, b"ab"), end(2, 2)],
+        },
+        Taken {
+            name: "the head",
+            next_part: 1,
+            expected: vec![started(), chunk(1, b"ab"), end(2, 2)],
+        },
+        Taken {
+            name: "all but the end",
+            next_part: 2,
+            expected: vec![started(), end(2, 2)],
+        },
+        Taken {
+            name: "more than there is",
+            next_part: 3,
+            expected: vec![started(), fail(GONE)],
+        },
+    ];
+    for case in cases {
+        let mut world = World::new(limits());
+        world.get(1, open_frame(false));
+        world.answer();
+        world.table.disconnected(1, 0);
+        assert_eq!(world.end(), [], "{}", case.name);
+        world.connect(2);
+        let expected: Vec<_> = case
+            .expected
+            .into_iter()
+            .map(|frame| send(2, frame))
+            .collect();
+        assert_eq!(
+            world.get(2, attach(case.next_part)),
+            expected,
+            "{}",
+            case.name
+        );
+    }
+}
+
+#[test]
+fn can_tell_a_call_it_never_had_from_one_it_dropped() {
+    let mut world = World::new(limits());
+    let unattached = send(1, Frame::Unattached { id: ID });
+    assert_eq!(world.get(1, attach(0)), [unattached]);
+    world.get(1, open_frame(false));
+    world.answer();
+    world.end();
+    let dropped = world.after(limits().keep_ms);
+    assert_eq!(dropped, [TableAction::Drop { id: ID }]);
+    assert_eq!(world.get(1, attach(0)), [send(1, fail(GONE))]);
+    let earlier = CallId {
+        counter: ID.counter - 1,
+        ..ID
+    };
+    let asked = world.get(
+        1,
+        Frame::Attach {
+            id: earlier,
+            next_part: 0,
+        },
+    );
+    assert_eq!(
+        asked,
+        [send(
+            1,
+            Frame::Fail {
+                id: earlier,
+                failure: GONE
+            }
+        )]
+    );
+    let later = CallId {
+        counter: ID.counter + 1,
+        ..ID
+    };
+    let asked = world.get(
+        1,
+        Frame::Attach {
+            id: later,
+            next_part: 0,
+        },
+    );
+    assert_eq!(asked, [send(1, Frame::Unattached { id: later })]);
+}
+
+// The caller has a new connection; what still comes on the older one, which may have been
+// held up somewhere, must not start anything.
+#[test]
+fn can_leave_out_what_comes_on_an_older_connection() {
+    let mut world = World::new(limits());
+    assert_eq!(world.connect(2), [TableAction::Close { connection: 1 }]);
+    assert_eq!(world.get(1, open_frame(false)), []);
+    assert!(world.table.is_empty());
+}
+
+struct Refusal {
+    name: &'static str,
+    prepare: fn(&mut World),
+    deadline_left_ms: u32,
+    body_bytes: usize,
+    cause: Cause,
+}
+
+#[test]
+fn errors_as_not_run_when_a_call_cannot_be_taken() {
+    fn fill(world: &mut World) {
+        for counter in 100..104 {
+            let id = CallId { counter, ..ID };
+            world.get(
+                1,
+                Frame::Open(Box::new(protocol::Open { id, ..open(true) })),
+            );
+        }
+    }
+    let refusal = |name, cause, prepare| Refusal {
+        name,
+        prepare,
+        deadline_left_ms: 10_000,
+        body_bytes: 10,
+        cause,
+    };
+    let cases = [
+        Refusal {
+            deadline_left_ms: 0,
+            ..refusal("past its deadline", Cause::DeadlinePassed, |_| {})
+        },
+        refusal("leaving", Cause::Leaving, |world| world.table.leave()),
+        refusal("too many calls", Cause::QueueFull, fill),
+        Refusal {
+            body_bytes: 20_000,
+            ..refusal("too many bytes", Cause::QueueFull, |_| {})
+        },
+    ];
+    for case in cases {
+        let mut world = World::new(limits());
+        (case.prepare)(&mut world);
+        let mut wanted = open(true);
+        wanted.deadline_left_ms = case.deadline_left_ms;
+        wanted.body = Bytes::from(vec![0; case.body_bytes]);
+        let refused = world.get(1, Frame::Open(Box::new(wanted)));
+        let [
+            TableAction::Send {
+                frame: Frame::Fail { failure, .. },
+                ..
+            },
+        ] = refused[..]
+        else {
+            panic!("{}: {refused:?}", case.name);
+        };
+        assert_eq!(
+            (failure.run, failure.cause),
+            (RunState::NotRun, case.cause),
+            "{}",
+            case.name
+        );
+        assert_eq!(
+            world.get(1, attach(0)),
+            refused,
+            "{}: asked again",
+            case.name
+        );
+        assert_eq!(
+            world.get(1, open_frame(true)),
+            refused,
+            "{}: doubled",
+            case.name
+        );
+    }
+}
+
+// A call waited in the callee longer than its caller does, because the process was frozen.
+#[test]
+fn errors_as_not_run_when_a_call_waited_too_long() {
+    let mut world = World::new(limits());
+    let late = world.act(|table, actions| table.frame(1, open_frame(false), 0, 20_000, actions));
+    assert_eq!(
+        late,
+        [send(1, fail(Failure::not_run(Cause::DeadlinePassed)))]
+    );
+}
+
+struct Away {
+    name: &'static str,
+    idempotent: bool,
+    expected: Vec<TableAction>,
+}
+
+// The caller's connection is gone for longer than the grace time.
+#[test]
+fn can_end_what_nobody_waits_for() {
+    let cases = [
+        Away {
+            name: "idempotent",
+            idempotent: true,
+            expected: vec![TableAction::Cancel { id: ID }],
+        },
+        Away {
+            name: "once only",
+            idempotent: false,
+            expected: vec![TableAction::Unblock { id: ID }],
+        },
+    ];
+    for case in cases {
+        let mut world = World::new(limits());
+        world.get(1, open_frame(case.idempotent));
+        world.answer();
+        world.table.disconnected(1, 0);
+        assert_eq!(world.after(limits().grace_ms - 1), [], "{}", case.name);
+        assert_eq!(world.after(1), case.expected, "{}", case.name);
+        assert_eq!(world.after(1), [], "{}", case.name);
+        world.end();
+        world.connect(2);
+        let answer = world.get(2, attach(2));
+        let ended = answer.contains(&send(2, end(2, 2)));
+        assert_eq!(ended, !case.idempotent, "{}: {answer:?}", case.name);
+    }
+}
+
+// An answer that nobody fetches must not fill the memory: it is dropped beyond the bound,
+// and the caller that comes back hears so.
+#[test]
+fn can_drop_the_answer_that_nobody_fetches() {
+    let mut world = World::new(limits());
+    world.get(1, open_frame(false));
+    world.answer();
+    world.table.disconnected(1, 0);
+    world.after(limits().grace_ms);
+    for _ in 0..20 {
+        let bytes = Bytes::from(vec![0; 1_000]);
+        world.act(|table, actions| table.chunk(ID, bytes, actions));
+        assert!(world.table.held_bytes() <= limits().held_bytes_max);
+    }
+    world.end();
+    world.connect(2);
+    let last = world.get(2, attach(2)).pop();
+    assert_eq!(last, Some(send(2, fail(GONE))));
+}
+
+#[test]
+fn can_open_the_window_and_free_the_memory() {
+    let mut world = World::new(limits());
+    world.get(1, open_frame(false));
+    world.answer();
+    let received = Frame::Received {
+        id: ID,
+        next_part: 2,
+    };
+    let bytes = part_cost_bytes(0) + part_cost_bytes(2);
+    assert_eq!(
+        world.get(1, received.clone()),
+        [TableAction::Credit { id: ID, bytes }]
+    );
+    assert_eq!(world.get(1, received), []);
+    world.end();
+    assert_eq!(world.table.held_bytes(), 0);
+}
+
+#[test]
+fn can_cancel_and_forget() {
+    let mut world = World::new(limits());
+    world.get(1, open_frame(false));
+    assert_eq!(
+        world.get(1, Frame::Cancel { id: ID }),
+        [TableAction::Cancel { id: ID }]
+    );
+    assert_eq!(world.get(1, Frame::Cancel { id: ID }), []);
+    let ended = world.act(|table, actions| table.abandoned(ID, 0, actions));
+    assert_eq!(ended.last(), Some(&TableAction::Drop { id: ID }));
+    assert!(world.table.is_empty());
+    assert_eq!(world.table.held_bytes(), 0);
+}
