--- /dev/null
+++ b/components/gateway/src/auth.rs
@@ -0,0 +1,99 @@
+//! Who asks: the holder of the bearer token, by the configuration in force now.
+
+use std::sync::Arc;
+
+use config::{Holder, Service, View};
+use http::HeaderMap;
+use http::header::AUTHORIZATION;
+use types::{CustomerName, Role, ServiceName};
+
+use crate::rejection::Rejection;
+use crate::target::Target;
+
+const SCHEME: &str = "bearer";
+/// Longest token, in bytes; a longer one is not hashed.
+const TOKEN_BYTES_MAX: usize = 512;
+
+/// A holder, with the configuration by which it was recognised; an extension of the
+/// request, so that one request sees one configuration.
+#[derive(Clone)]
+pub struct Session {
+    /// Configuration in force when the request came.
+    pub view: Arc<View>,
+    /// Who asks.
+    pub holder: Holder,
+}
+
+/// Finds the holder of a request's token.
+pub fn authenticate(view: Arc<View>, headers: &HeaderMap) -> Result<Session, Rejection> {
+    let token = bearer(headers).ok_or(Rejection::Unauthenticated)?;
+    let holder = view.holder(token).cloned();
+    let holder = holder.ok_or(Rejection::Unauthenticated)?;
+    Ok(Session { view, holder })
+}
+
+fn bearer(headers: &HeaderMap) -> Option<&str> {
+    let mut values = headers.get_all(AUTHORIZATION).iter();
+    let value = values.next()?.to_str().ok()?;
+    if values.next().is_some() {
+        return None;
+    }
+    let (scheme, token) = value.split_once(' ')?;
+    let fits = (1..=TOKEN_BYTES_MAX).contains(&token.len());
+    (scheme.eq_ignore_ascii_case(SCHEME) && fits).then_some(token)
+}
+
+impl Session {
+    /// The service that a caller names, if the holder may call it.
+    ///
+    /// Of another customer's services nobody learns which exist: one that is not there and
+    /// one that is not shared get the same answer.
+    pub fn callable(&self, target: &Target) -> Result<Arc<Service>, Rejection> {
+        let holder = &self.holder;
+        let owner = target.owner_for(&holder.customer);
+        if self.view.may_call(holder, owner, &target.service) {
+            return self.named(owner, &target.service);
+        }
+        if *owner == holder.customer {
+            self.named(owner, &target.service)?;
+            self.need(Role::Caller)?;
+        }
+        Err(Rejection::NotAllowed(owner.clone(), target.service.clone()))
+    }
+
+    /// The holder's own model, if it may train it.
+    pub fn trainable(&self, name: &ServiceName) -> Result<Arc<Service>, Rejection> {
+        let service = self.named(&self.holder.customer, name)?;
+        self.need(Role::Trainer)?;
+        if self.view.may_train(&self.holder, name) {
+            return Ok(service);
+        }
+        Err(self.not_allowed(name))
+    }
+
+    /// The holder's own service, if it may operate it.
+    pub fn operable(&self, name: &ServiceName) -> Result<Arc<Service>, Rejection> {
+        let service = self.named(&self.holder.customer, name)?;
+        self.need(Role::Operator)?;
+        if self.view.may_operate(&self.holder, name) {
+            return Ok(service);
+        }
+        Err(self.not_allowed(name))
+    }
+
+    fn named(&self, owner: &CustomerName, name: &ServiceName) -> Result<Arc<Service>, Rejection> {
+        let service = self.view.service(owner, name).cloned();
+        service.ok_or_else(|| Rejection::UnknownService(name.to_string()))
+    }
+
+    fn need(&self, role: Role) -> Result<(), Rejection> {
+        if self.holder.role == role {
+            return Ok(());
+        }
+        Err(Rejection::Role(role))
+    }
+
+    fn not_allowed(&self, name: &ServiceName) -> Rejection {
+        Rejection::NotAllowed(self.holder.customer.clone(), name.clone())
+    }
+}
--- /dev/null
+++ b/components/gateway/src/exchange.rs
@@ -0,0 +1,122 @@
+//! A request over as many attempts as `recovery` allows: the only place of the process
+//! where a call is sent again.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use limits::retry_after_ms;
+use node::now_ms;
+use protocol::Head;
+use recovery::{Decision, Flowed, Resume, RetrySettings, Tried, decide};
+use types::{Cause, Failure, NodeId, RunState};
+
+use crate::accounts::Account;
+use crate::attempt::{Attempt, Where};
+use crate::gateway::Gateway;
+use crate::job::Job;
+
+/// When a request that found no endpoint may come back, before the spread.
+const BACK_MS: u64 = 500;
+
+/// A request and its attempts so far.
+pub struct Exchange {
+    gateway: Arc<Gateway>,
+    account: Arc<Account>,
+    /// The request.
+    pub job: Job,
+    place: Where,
+    endpoints: Vec<SocketAddr>,
+    nodes: Vec<NodeId>,
+}
+
+impl Exchange {
+    /// A request that was not sent yet.
+    pub fn new(gateway: Arc<Gateway>, account: Arc<Account>, job: Job, place: Where) -> Self {
+        account.budget.first_try();
+        Self {
+            gateway,
+            account,
+            job,
+            place,
+            endpoints: Vec::new(),
+            nodes: Vec::new(),
+        }
+    }
+
+    /// Sends an attempt with this body.
+    pub fn start(&mut self, body: Bytes) -> Result<Attempt, Failure> {
+        let started = Attempt::start(&self.gateway, &self.job, body, &self.place);
+        let attempt = started.map_err(with_time_to_come_back)?;
+        self.endpoints.push(attempt.address());
+        self.nodes.push(attempt.node());
+        Ok(attempt)
+    }
+
+    /// Decides on a failed attempt; waits out the pause before the next one.
+    pub async fn again(&mut self, failure: Failure, flowed: Flowed) -> Result<Resume, Failure> {
+        let now_ms = now_ms();
+        let tried = Tried {
+            failure,
+            idempotent: self.job.idempotent,
+            flowed,
+            endpoints: &self.endpoints,
+            deadline_left_ms: self.job.left_ms(now_ms),
+        };
+        let budget = || self.account.budget.spend(now_ms);
+        let settings = RetrySettings::default();
+        let decision = decide(&settings, &tried, rand::random(), budget);
+        self.log_failed(failure, &decision);
+        match decision {
+            Decision::Final(failure) => Err(with_time_to_come_back(failure)),
+            Decision::Again {
+                after_ms, resume, ..
+            } => {
+                self.place.exclude.clone_from(&self.nodes);
+                tokio::time::sleep(Duration::from_millis(after_ms)).await;
+                Ok(resume)
+            }
+        }
+    }
+
+    /// Sends attempts until one answers with a head, or the request has failed for good.
+    pub async fn head(&mut self, body: &Bytes) -> Result<(Head, Attempt), Failure> {
+        loop {
+            let mut attempt = self.start(body.clone())?;
+            match attempt.head().await {
+                Ok(head) => return Ok((head, attempt)),
+                Err(failure) => {
+                    self.again(failure, Flowed::Nothing).await?;
+                }
+            }
+        }
+    }
+
+    fn log_failed(&self, failure: Failure, decision: &Decision) {
+        log::info!(
+            event = "attempt-failed", request_id = self.job.request_id.as_str(),
+            attempt = self.endpoints.len(), outcome = failure.run.as_str(),
+            cause = failure.cause.as_str(),
+            again = matches!(decision, Decision::Again { .. }); ""
+        );
+    }
+}
+
+/// A refusal that says nothing of when to come back gets a time, spread by chance, where
+/// coming back may help.
+pub fn with_time_to_come_back(failure: Failure) -> Failure {
+    let helps = matches!(
+        failure.cause,
+        Cause::NoEndpoint
+            | Cause::NotHosted
+            | Cause::Leaving
+            | Cause::LinkLost
+            | Cause::QueueFull
+            | Cause::BudgetSpent
+    );
+    if failure.run != RunState::NotRun || failure.retry_after_ms.is_some() || !helps {
+        return failure;
+    }
+    failure.retry_after(retry_after_ms(BACK_MS, rand::random()))
+}
--- /dev/null
+++ b/components/gateway/src/gateway.rs
@@ -0,0 +1,48 @@
+//! What all requests of one entry share. The path of a request reads snapshots and
+//! atomics only.
+
+use std::sync::Arc;
+
+use leaving::Drain;
+use link::Links;
+use node::{ConfigFeed, Gossip, Identity, Pulse};
+use telemetry::Metrics;
+
+use crate::accounts::Accounts;
+use crate::services::Services;
+use crate::training::Desk;
+use crate::weight_news::WeightNews;
+
+/// One entry.
+pub struct Gateway {
+    /// Who it is.
+    pub identity: Arc<Identity>,
+    /// Configuration in force.
+    pub feed: ConfigFeed,
+    /// View of the other processes.
+    pub gossip: Gossip,
+    /// Connections to agents and other entries.
+    pub links: Links,
+    /// Replicas and gates of each service.
+    pub services: Services,
+    /// Limits and budgets of each customer.
+    pub accounts: Accounts,
+    /// Weight versions in force.
+    pub weights: WeightNews,
+    /// Ledgers of training steps.
+    pub training: Desk,
+    /// How far it is on its way out.
+    pub drain: Drain,
+    /// Heartbeat of the process.
+    pub pulse: Pulse,
+    /// Metrics.
+    pub metrics: Metrics,
+}
+
+impl Gateway {
+    /// Whether the balancer may send requests here: the configuration is known and the
+    /// process is not leaving.
+    pub fn is_ready(&self) -> bool {
+        self.feed.is_known() && self.drain.is_ready()
+    }
+}
--- /dev/null
+++ b/components/gateway/src/inner.rs
@@ -0,0 +1,53 @@
+//! Calls from other processes of the system: configuration texts for peers, training
+//! calls for their home entry, copies for the second home.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use link::{Answer, Incoming};
+use node::ConfigFeed;
+use protocol::{Head, Open};
+use types::{Cause, Failure};
+
+use crate::gateway::Gateway;
+use crate::training;
+
+/// Largest part of an answer that goes into one chunk.
+const CHUNK_BYTES: usize = 64 * 1024;
+
+/// Takes one call; returns at once.
+pub fn take(gateway: &Arc<Gateway>, incoming: Incoming) {
+    let gateway = Arc::clone(gateway);
+    tokio::spawn(async move {
+        let Incoming { open, answer, .. } = incoming;
+        answer.accepted();
+        answer.started();
+        tokio::select! {
+            answered = respond(&gateway, open) => give(&answer, answered).await,
+            () = answer.cancelled() => {}
+        }
+    });
+}
+
+async fn respond(gateway: &Arc<Gateway>, open: Open) -> Result<(Head, Bytes), Failure> {
+    if ConfigFeed::is_text_call(&open) {
+        return gateway.feed.serve_text(&open).await;
+    }
+    if training::is_inner_call(&open) {
+        return training::serve_inner(gateway, open).await;
+    }
+    Err(Failure::not_run(Cause::NotHosted))
+}
+
+async fn give(answer: &Answer, answered: Result<(Head, Bytes), Failure>) {
+    let (head, mut body) = match answered {
+        Ok(answered) => answered,
+        Err(failure) => return answer.fail(failure),
+    };
+    answer.head(head).await;
+    while !body.is_empty() {
+        let part = body.split_to(body.len().min(CHUNK_BYTES));
+        answer.chunk(part).await;
+    }
+    answer.end();
+}
--- /dev/null
+++ b/components/gateway/src/intake.rs
@@ -0,0 +1,111 @@
+//! From an HTTP request to a checked job.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use config::{Kind, Service};
+use http::request::Parts;
+use hyper::body::Body as HttpBody;
+use node::http::whole_body;
+use node::{BodyError, now_ms};
+use types::{Cause, Failure};
+
+use crate::auth::Session;
+use crate::headers::{Wishes, towards_endpoint};
+use crate::idempotency::is_idempotent;
+use crate::job::Job;
+use crate::layers::{Arrived, RequestId};
+use crate::rejection::Rejection;
+
+/// Largest body of a request.
+pub const BODY_BYTES_MAX: usize = 4 << 20;
+/// Longest time for a body to arrive, where the deadline is later.
+const BODY_TIMEOUT_MS: u64 = 30_000;
+
+/// What every handler needs of a request.
+pub struct Intake {
+    /// Method, path and headers.
+    pub parts: Parts,
+    /// Identity of the request.
+    pub request_id: String,
+    /// Who asks.
+    pub session: Session,
+    /// What the caller says of its request.
+    pub wishes: Wishes,
+    /// When the request came, on the process's monotonic clock.
+    pub arrived_ms: u64,
+}
+
+impl Intake {
+    /// Reads the parts. The layers have put the extensions in.
+    pub fn new(mut parts: Parts) -> Result<Self, Rejection> {
+        let internal = || Rejection::Call(Failure::not_run(Cause::Internal));
+        let RequestId(request_id) = parts.extensions.remove().ok_or_else(internal)?;
+        let session = parts.extensions.remove().ok_or_else(internal)?;
+        let wishes = parts.extensions.remove().ok_or_else(internal)?;
+        let Arrived { at_ms } = parts.extensions.remove().ok_or_else(internal)?;
+        Ok(Self {
+            parts,
+            request_id,
+            session,
+            wishes,
+            arrived_ms: at_ms,
+        })
+    }
+
+    /// When the caller gives up: its own deadline, else `default_ms` after it came.
+    pub fn deadline_at_ms(&self, default_ms: u32) -> u64 {
+        let deadline_ms = self.wishes.deadline_ms.unwrap_or(default_ms);
+        self.arrived_ms + u64::from(deadline_ms)
+    }
+
+    /// Reads the whole body in time.
+    pub async fn body<B>(&self, body: B, deadline_at_ms: u64) -> Result<Bytes, Rejection>
+    where
+        B: HttpBody,
+        B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+    {
+        let left_ms = deadline_at_ms.saturating_sub(now_ms());
+        let wait = Duration::from_millis(left_ms.min(BODY_TIMEOUT_MS));
+        let read = tokio::time::timeout(wait, whole_body(body, BODY_BYTES_MAX)).await;
+        match read {
+            Ok(Ok(bytes)) => Ok(bytes),
+            Ok(Err(BodyError::TooLarge(bytes_max))) => Err(Rejection::TooLarge(bytes_max)),
+            Ok(Err(BodyError::Broken)) => Err(Rejection::BodyBroken),
+            Err(_) => Err(Failure::not_run(Cause::DeadlinePassed).into()),
+        }
+    }
+
+    /// The job of a call to `service`.
+    pub fn job(
+        &self,
+        service: &Arc<Service>,
+        path: String,
+        body: Bytes,
+        work: routing::Work,
+    ) -> Result<Job, Rejection> {
+        let method = self.parts.method.as_str();
+        Ok(Job {
+            request_id: self.request_id.clone(),
+            payer: self.session.holder.customer.clone(),
+            service: Arc::clone(service),
+            class: self.session.holder.class_of(self.wishes.class, service),
+            idempotent: is_idempotent(service, method, &path, self.wishes.idempotent),
+            deadline_at_ms: self.deadline_at_ms(service.deadline_ms),
+            method: method.to_owned(),
+            path,
+            headers: towards_endpoint(&self.parts.headers, &self.request_id)?,
+            body,
+            work,
+        })
+    }
+}
+
+/// Errors when a service is of another kind than the path serves.
+pub fn need_kind(service: &Service, kind: Kind) -> Result<(), Rejection> {
+    if service.kind == kind {
+        return Ok(());
+    }
+    Err(Rejection::WrongKind(kind.as_str()))
+}
--- /dev/null
+++ b/components/gateway/src/layers.rs
@@ -0,0 +1,121 @@
+//! Layers of `tower` around the handler of requests: each checks one thing or adds one,
+//! and the outermost ones turn a rejection into its problem document.
+
+use std::convert::Infallible;
+use std::task::{Context, Poll};
+
+use futures_util::FutureExt;
+use futures_util::future::{BoxFuture, ready};
+use http::request::Parts;
+use http::{HeaderValue, Request, Response};
+use tower::layer::{Layer, layer_fn};
+use tower::{Service, ServiceExt};
+
+use crate::body::Body;
+use crate::headers::{self, REQUEST_ID};
+use crate::problem;
+use crate::rejection::Rejection;
+
+/// Identity of a request in answers and log lines; an extension of the request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RequestId(pub String);
+
+/// When a request came, on the process's monotonic clock; an extension of the request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Arrived {
+    /// Milliseconds.
+    pub at_ms: u64,
+}
+
+/// Lets a request through only if `check` agrees; `check` may add extensions.
+#[derive(Clone)]
+pub struct Checked<F, S> {
+    check: F,
+    inner: S,
+}
+
+/// A layer of [`Checked`].
+pub fn checked<F, S>(check: F) -> impl Layer<S, Service = Checked<F, S>> + Clone
+where
+    F: Fn(&mut Parts) -> Result<(), Rejection> + Clone,
+{
+    layer_fn(move |inner| Checked {
+        check: check.clone(),
+        inner,
+    })
+}
+
+impl<F, S, B> Service<Request<B>> for Checked<F, S>
+where
+    F: Fn(&mut Parts) -> Result<(), Rejection>,
+    S: Service<Request<B>, Response = Response<Body>, Error = Rejection>,
+    S::Future: Send + 'static,
+{
+    type Response = Response<Body>;
+    type Error = Rejection;
+    type Future = BoxFuture<'static, Result<Response<Body>, Rejection>>;
+
+    fn poll_ready(&mut self, cx: &mut Context<'_>) -> Poll<Result<(), Rejection>> {
+        self.inner.poll_ready(cx)
+    }
+
+    fn call(&mut self, request: Request<B>) -> Self::Future {
+        let (mut parts, body) = request.into_parts();
+        match (self.check)(&mut parts) {
+            Ok(()) => self.inner.call(Request::from_parts(parts, body)).boxed(),
+            Err(rejection) => ready(Err(rejection)).boxed(),
+        }
+    }
+}
+
+/// Gives every request its id and turns rejections into problem documents.
+#[derive(Clone)]
+pub struct Answered<F, S> {
+    next_id: F,
+    inner: S,
+}
+
+/// A layer of [`Answered`]. `next_id` is asked where the caller brings no usable id.
+pub fn answered<F, S>(next_id: F) -> impl Layer<S, Service = Answered<F, S>> + Clone
+where
+    F: Fn() -> String + Clone,
+{
+    layer_fn(move |inner| Answered {
+        next_id: next_id.clone(),
+        inner,
+    })
+}
+
+impl<F, S, B> Service<Request<B>> for Answered<F, S>
+where
+    F: Fn() -> String,
+    S: Service<Request<B>, Response = Response<Body>, Error = Rejection> + Clone + Send + 'static,
+    S::Future: Send,
+    B: Send + 'static,
+{
+    type Response = Response<Body>;
+    type Error = Infallible;
+    type Future = BoxFuture<'static, Result<Response<Body>, Infallible>>;
+
+    fn poll_ready(&mut self, _cx: &mut Context<'_>) -> Poll<Result<(), Infallible>> {
+        // The inner service is waited for inside the call, where its error has an answer.
+        Poll::Ready(Ok(()))
+    }
+
+    fn call(&mut self, mut request: Request<B>) -> Self::Future {
+        let stated = headers::request_id(request.headers()).map(str::to_owned);
+        let id = stated.unwrap_or_else(&self.next_id);
+        request.extensions_mut().insert(RequestId(id.clone()));
+        let inner = self.inner.clone();
+        async move {
+            let answer = inner.oneshot(request).await;
+            let mut response =
+                answer.unwrap_or_else(|rejection| problem::response(&rejection, &id));
+            if let Ok(value) = HeaderValue::from_str(&id) {
+                response.headers_mut().insert(REQUEST_ID, value);
+            }
+            Ok(response)
+        }
+        .boxed()
+    }
+}
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -1,1 +1,38 @@
-//! Package `gateway` of hornbeamrock.
+//! The entry of hornbeamrock: takes requests behind the platform's balancer and sends
+//! each to an endpoint; keeps training steps for their trainers.
+
+mod accounts;
+mod admission;
+mod answer;
+mod attempt;
+mod auth;
+mod body;
+mod calls;
+mod completion;
+mod completion_stream;
+mod completions;
+mod entry;
+mod error;
+mod exchange;
+mod gateway;
+mod headers;
+mod idempotency;
+mod inner;
+mod intake;
+mod job;
+mod layers;
+mod leave;
+mod problem;
+mod refresh;
+mod rejection;
+mod routes;
+mod server;
+mod services;
+mod status;
+mod target;
+mod trace;
+mod training;
+mod weight_news;
+
+pub use entry::{Entry, Tuning};
+pub use error::EntryError;
--- /dev/null
+++ b/components/gateway/src/routes.rs
@@ -0,0 +1,87 @@
+//! The public address as one service: layers, then the handler of each path.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+
+use http::header::CONTENT_LENGTH;
+use http::request::Parts;
+use http::{Request, Response};
+use hyper::body::Body as HttpBody;
+use node::{Pulse, now_ms};
+use tower::{Service, ServiceBuilder, service_fn};
+
+use crate::auth::authenticate;
+use crate::body::Body;
+use crate::gateway::Gateway;
+use crate::headers::Wishes;
+use crate::intake::{BODY_BYTES_MAX, Intake};
+use crate::layers::{Arrived, answered, checked};
+use crate::rejection::Rejection;
+use crate::target::Route;
+use crate::{calls, completions, training};
+
+/// The service that answers every request of the public address.
+pub fn service<B>(
+    gateway: &Arc<Gateway>,
+) -> impl Service<Request<B>, Response = Response<Body>, Error = Infallible, Future: Send>
++ Clone
++ Send
++ 'static
+where
+    B: HttpBody + Send + 'static,
+    B::Data: Send,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    let (ids, clocks) = (gateway.clone(), gateway.clone());
+    let (known, handling) = (gateway.clone(), gateway.clone());
+    ServiceBuilder::new()
+        .layer(answered(move || ids.links.next_id().to_string()))
+        .layer(checked(move |parts: &mut Parts| fits(parts, &clocks.pulse)))
+        .layer(checked(move |parts: &mut Parts| {
+            let session = authenticate(known.feed.view(), &parts.headers)?;
+            parts.extensions.insert(session);
+            Ok(())
+        }))
+        .layer(checked(wishes))
+        .service(service_fn(move |request| handle(handling.clone(), request)))
+}
+
+/// Notes when the request came; refuses by its stated length a body that would be refused
+/// after it was read.
+///
+/// A process that was frozen reads requests out of its socket buffers long after they
+/// came, when their callers may have given up. Its pause counts as part of their time.
+fn fits(parts: &mut Parts, pulse: &Pulse) -> Result<(), Rejection> {
+    let now_ms = now_ms();
+    let at_ms = now_ms.saturating_sub(pulse.age_of_arrival_ms(now_ms));
+    parts.extensions.insert(Arrived { at_ms });
+    let stated = parts.headers.get(CONTENT_LENGTH);
+    let length = stated.and_then(|value| value.to_str().ok()?.parse::<usize>().ok());
+    if length.is_some_and(|bytes| bytes > BODY_BYTES_MAX) {
+        return Err(Rejection::TooLarge(BODY_BYTES_MAX));
+    }
+    Ok(())
+}
+
+fn wishes(parts: &mut Parts) -> Result<(), Rejection> {
+    let wishes = Wishes::read(&parts.headers)?;
+    parts.extensions.insert(wishes);
+    Ok(())
+}
+
+async fn handle<B>(gateway: Arc<Gateway>, request: Request<B>) -> Result<Response<Body>, Rejection>
+where
+    B: HttpBody,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    let (parts, body) = request.into_parts();
+    let route = Route::parse(parts.uri.path(), parts.uri.query())?;
+    let intake = Intake::new(parts)?;
+    match route {
+        Route::Completions => completions::serve(gateway, intake, body).await,
+        Route::Service(target, path) => calls::serve(gateway, intake, target, path, body).await,
+        Route::Training(service, route) => {
+            training::serve(gateway, intake, service, route, body).await
+        }
+    }
+}
--- /dev/null
+++ b/components/gateway/src/status.rs
@@ -0,0 +1,167 @@
+//! What the admin address shows of an entry.
+
+use std::sync::Arc;
+
+use serde::Serialize;
+use telemetry::Row;
+
+use crate::gateway::Gateway;
+
+#[derive(Serialize)]
+struct Status {
+    node: String,
+    role: &'static str,
+    failure_domain: String,
+    region: String,
+    ready: bool,
+    leaving: bool,
+    isolated: bool,
+    requests_in_progress: usize,
+    configuration: Vec<Configured>,
+    unmet_dependencies: Vec<String>,
+    members: Vec<Member>,
+    services: Vec<Service>,
+    weights: Vec<Weights>,
+    steps: Vec<crate::training::StepStatus>,
+    metrics: Vec<Row>,
+}
+
+#[derive(Serialize)]
+struct Configured {
+    customer: String,
+    version: u64,
+}
+
+#[derive(Serialize)]
+struct Member {
+    address: String,
+    incarnation: u64,
+    role: &'static str,
+    failure_domain: String,
+    standing: String,
+    leaving: bool,
+}
+
+#[derive(Serialize)]
+struct Service {
+    owner: String,
+    service: String,
+    in_progress: u32,
+    waiting: u32,
+    slots: u32,
+    ejected: usize,
+    replicas: Vec<Replica>,
+}
+
+#[derive(Serialize)]
+struct Replica {
+    agent: String,
+    failure_domain: String,
+    outstanding: u32,
+    weights: Option<String>,
+    leaving: bool,
+}
+
+#[derive(Serialize)]
+struct Weights {
+    customer: String,
+    service: String,
+    version: String,
+}
+
+/// The state as JSON.
+pub async fn json(gateway: Arc<Gateway>) -> String {
+    let steps = gateway.training.status().await;
+    let metrics = gateway.metrics.rows().await;
+    let status = status(&gateway, steps, metrics);
+    // Plain fields always serialise; an empty text stands in.
+    serde_json::to_string(&status).unwrap_or_default()
+}
+
+fn status(gateway: &Gateway, steps: Vec<crate::training::StepStatus>, metrics: Vec<Row>) -> Status {
+    let snapshot = gateway.gossip.snapshot();
+    let view = gateway.feed.view();
+    let weights = gateway.weights.targets();
+    Status {
+        node: gateway.identity.node().to_string(),
+        role: "entry",
+        failure_domain: gateway.identity.failure_domain.to_string(),
+        region: gateway.identity.region.to_string(),
+        ready: gateway.is_ready(),
+        leaving: gateway.drain.is_leaving(),
+        isolated: snapshot.isolated,
+        requests_in_progress: gateway.drain.progress().count(),
+        configuration: configured(&view),
+        unmet_dependencies: view.unmet().iter().map(unmet).collect(),
+        members: snapshot.members.iter().map(member).collect(),
+        services: services(gateway, &view),
+        weights: weights
+            .iter()
+            .map(|(model, target)| Weights {
+                customer: model.customer.to_string(),
+                service: model.service.to_string(),
+                version: target.serve.to_string(),
+            })
+            .collect(),
+        steps,
+        metrics,
+    }
+}
+
+fn configured(view: &config::View) -> Vec<Configured> {
+    let customers = view.customers().map(|(name, customer)| Configured {
+        customer: name.to_string(),
+        version: customer.version,
+    });
+    let mut customers: Vec<Configured> = customers.collect();
+    customers.sort_by(|a, b| a.customer.cmp(&b.customer));
+    customers
+}
+
+fn unmet(unmet: &config::Unmet) -> String {
+    format!("{} -> {}", unmet.from, unmet.to)
+}
+
+fn member(member: &membership::MemberState) -> Member {
+    Member {
+        address: member.address.to_string(),
+        incarnation: member.incarnation.map_or(0, |incarnation| incarnation.0),
+        role: match member.role {
+            protocol::ProcessRole::Entry => "entry",
+            protocol::ProcessRole::Agent => "agent",
+        },
+        failure_domain: member.failure_domain.to_string(),
+        standing: format!("{:?}", member.standing).to_ascii_lowercase(),
+        leaving: member.leaving,
+    }
+}
+
+fn services(gateway: &Gateway, view: &config::View) -> Vec<Service> {
+    let known = view.services().filter_map(|service| {
+        let state = gateway.services.get(&service.owner, &service.name)?;
+        let table = state.table();
+        let room = state.gate.room();
+        Some(Service {
+            owner: service.owner.to_string(),
+            service: service.name.to_string(),
+            in_progress: room.in_progress,
+            waiting: state.gate.waiting(),
+            slots: room.limit,
+            ejected: table.ejected(),
+            replicas: table.slots().iter().map(replica).collect(),
+        })
+    });
+    let mut known: Vec<Service> = known.collect();
+    known.sort_by(|a, b| (&a.owner, &a.service).cmp(&(&b.owner, &b.service)));
+    known
+}
+
+fn replica(slot: &routing::Slot) -> Replica {
+    Replica {
+        agent: slot.replica.node.to_string(),
+        failure_domain: slot.replica.failure_domain.to_string(),
+        outstanding: slot.counters().calls(),
+        weights: slot.replica.weights.map(|version| version.to_string()),
+        leaving: slot.replica.leaving,
+    }
+}
--- /dev/null
+++ b/components/gateway/src/trace.rs
@@ -0,0 +1,92 @@
+//! What is recorded of one request: a log line, a counter and a latency.
+
+use std::sync::Arc;
+
+use node::now_ms;
+use telemetry::{Label, Metrics};
+use types::{Class, CustomerName, Failure};
+
+use crate::job::Job;
+
+/// Records a request's end once; dropped before an end is told, it records that the
+/// caller went away.
+pub struct Trace {
+    metrics: Metrics,
+    request_id: String,
+    customer: CustomerName,
+    service: Arc<config::Service>,
+    class: Class,
+    began_ms: u64,
+    first_byte_ms: Option<u64>,
+    ended: bool,
+}
+
+impl Trace {
+    /// A request that began at `began_ms`.
+    pub fn new(metrics: Metrics, job: &Job, began_ms: u64) -> Self {
+        Self {
+            metrics,
+            request_id: job.request_id.clone(),
+            customer: job.payer.clone(),
+            service: Arc::clone(&job.service),
+            class: job.class,
+            began_ms,
+            first_byte_ms: None,
+            ended: false,
+        }
+    }
+
+    /// The answer has begun.
+    pub fn first_byte(&mut self) {
+        if self.first_byte_ms.is_some() {
+            return;
+        }
+        let took_ms = now_ms().saturating_sub(self.began_ms);
+        self.first_byte_ms = Some(took_ms);
+        let label = Label::of(&self.customer, self.class);
+        self.metrics.record("request_first_byte_ms", label, took_ms);
+    }
+
+    /// The answer is whole.
+    pub fn answered(&mut self, status: u16) {
+        self.end("answered", "", Some(status));
+    }
+
+    /// There is no whole answer.
+    pub fn failed(&mut self, failure: Failure) {
+        self.end(failure.run.as_str(), failure.cause.as_str(), None);
+    }
+
+    fn end(&mut self, outcome: &'static str, cause: &'static str, status: Option<u16>) {
+        if std::mem::replace(&mut self.ended, true) {
+            return;
+        }
+        let took_ms = now_ms().saturating_sub(self.began_ms);
+        let label = Label::of(&self.customer, self.class);
+        self.metrics.record("request_ms", label, took_ms);
+        self.metrics.count(counter(outcome), label, 1);
+        log::info!(
+            event = "request-ended", request_id = self.request_id.as_str(),
+            customer = self.customer.as_str(), owner = self.service.owner.as_str(),
+            service = self.service.name.as_str(), class = self.class.as_str(),
+            outcome, cause, status = status.unwrap_or(0),
+            first_byte_ms = self.first_byte_ms.unwrap_or(took_ms), took_ms; ""
+        );
+    }
+}
+
+fn counter(outcome: &str) -> &'static str {
+    match outcome {
+        "answered" => "requests_answered_total",
+        "not-run" => "requests_not_run_total",
+        "unknown" => "requests_unknown_total",
+        "cancelled" => "requests_cancelled_total",
+        _ => "requests_failed_total",
+    }
+}
+
+impl Drop for Trace {
+    fn drop(&mut self) {
+        self.end("cancelled", "cancelled", None);
+    }
+}
--- /dev/null
+++ b/components/gateway/src/training.rs
@@ -0,0 +1,26 @@
+//! Training: announcements of weights, steps, and samples with their origin.
+//!
+//! An entry checks a trainer's call and takes it to the step's home over the inner
+//! protocol. At the home, the desk owns the ledgers of all steps; runs, scores and copies
+//! are tasks of their own that report to it.
+
+mod api;
+mod bodies;
+mod copies;
+mod desk;
+mod desk_task;
+mod forward;
+mod inner;
+mod orders;
+mod rhythm;
+mod room;
+mod run;
+mod score;
+mod steps_status;
+
+pub use api::serve;
+pub use copies::Copier;
+pub use desk::{Desk, DeskInbox};
+pub use desk_task::spawn;
+pub use inner::{is_inner_call, serve_inner};
+pub use steps_status::StepStatus;
--- /dev/null
+++ b/components/gateway/src/training/api.rs
@@ -0,0 +1,122 @@
+//! The training API of the public address: who may do what, and where it goes.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use config::{Kind, Service};
+use http::{Method, Response};
+use hyper::body::Body as HttpBody;
+use node::now_ms;
+use samples::StepKey;
+use serde_json::to_vec;
+use types::{Cause, Failure, ServiceName};
+use weights::{Announcement, ModelKey};
+
+use super::bodies::{InForce, StepBody, Version, parse};
+use super::forward::to_home;
+use super::inner::{HomeCall, OK, json_head};
+use crate::answer::response;
+use crate::body::{Body, full};
+use crate::gateway::Gateway;
+use crate::intake::{Intake, need_kind};
+use crate::rejection::Rejection;
+use crate::target::TrainingRoute;
+use crate::weight_news::{Announced, Want};
+
+/// Time for a training call that states none, in milliseconds.
+const DEADLINE_MS: u32 = 60_000;
+
+/// Serves one call of the training API.
+pub async fn serve<B>(
+    gateway: Arc<Gateway>,
+    intake: Intake,
+    service: ServiceName,
+    route: TrainingRoute,
+    body: B,
+) -> Result<Response<Body>, Rejection>
+where
+    B: HttpBody,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    if intake.parts.method != Method::POST {
+        return Err(Rejection::Method("POST"));
+    }
+    let model = match route {
+        TrainingRoute::Rollback => intake.session.operable(&service)?,
+        _ => intake.session.trainable(&service)?,
+    };
+    need_kind(&model, Kind::Model)?;
+    let _working = gateway.drain.admit(now_ms())?;
+    let deadline_at_ms = intake.deadline_at_ms(DEADLINE_MS);
+    let bytes = intake.body(body, deadline_at_ms).await?;
+    match route {
+        TrainingRoute::Weights => announce(&gateway, &intake, &model, Want::Announce, &bytes).await,
+        TrainingRoute::Rollback => {
+            announce(&gateway, &intake, &model, Want::RollBack, &bytes).await
+        }
+        TrainingRoute::Steps | TrainingRoute::Fetch { .. } => {
+            let call = home_call(&intake, &model, route, bytes, deadline_at_ms)?;
+            let (head, body) = to_home(&gateway, call).await?;
+            response(&head, full(body))
+        }
+    }
+}
+
+async fn announce(
+    gateway: &Gateway,
+    intake: &Intake,
+    model: &Service,
+    want: Want,
+    bytes: &[u8],
+) -> Result<Response<Body>, Rejection> {
+    let version = parse::<Version>(bytes)?.get()?;
+    let holder = &intake.session.holder;
+    let announced = Announced {
+        customer: holder.customer.clone(),
+        role: holder.role,
+        model: ModelKey {
+            customer: model.owner.clone(),
+            service: model.name.clone(),
+        },
+        want,
+        version,
+    };
+    let announcement = gateway.weights.announce(announced).await?;
+    let (Announcement::Changed(target) | Announcement::Known(target)) = announcement;
+    log::info!(
+        event = "weights-announced", request_id = intake.request_id.as_str(),
+        customer = model.owner.as_str(), service = model.name.as_str(),
+        version = target.serve.to_string(); ""
+    );
+    let body = InForce {
+        version: target.serve.to_string(),
+    };
+    let internal = |_| Rejection::Call(Failure::not_run(Cause::Internal));
+    let body = to_vec(&body).map_err(internal)?;
+    response(&json_head(OK), full(body))
+}
+
+fn home_call(
+    intake: &Intake,
+    model: &Service,
+    route: TrainingRoute,
+    body: Bytes,
+    deadline_at_ms: u64,
+) -> Result<HomeCall, Rejection> {
+    let step = match route {
+        TrainingRoute::Fetch { step } => step,
+        _ => parse::<StepBody>(&body)?.step,
+    };
+    Ok(HomeCall {
+        request_id: intake.request_id.clone(),
+        key: StepKey {
+            customer: model.owner.clone(),
+            service: model.name.clone(),
+            step,
+        },
+        route,
+        path: intake.parts.uri.path().to_owned(),
+        body,
+        deadline_at_ms,
+    })
+}
--- /dev/null
+++ b/components/gateway/src/training/copies.rs
@@ -0,0 +1,148 @@
+//! Copies of a step for its other home.
+//!
+//! A copy that is lost costs a run after the loss of the home, never a sample that the
+//! trainer has, so nothing waits for one and a full queue drops them.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use link::{CallEvent, Links};
+use protocol::Open;
+use samples::{Copy, StepKey};
+use tokio::sync::mpsc;
+use types::Class;
+
+/// Path of the inner call that takes copies.
+pub const COPIES_PATH: &str = "/copies";
+
+/// Copies that wait at most.
+const QUEUED_MAX: usize = 8_192;
+/// Copies of one call at most.
+const BATCH_MAX: usize = 256;
+const DEADLINE_MS: u32 = 5_000;
+/// Pause after a call that failed, so that a home that is gone is not called in a loop.
+const PAUSE: Duration = Duration::from_millis(200);
+
+struct Addressed {
+    to: SocketAddr,
+    key: StepKey,
+    copy: Copy,
+}
+
+/// Sends copies; clones share one queue.
+#[derive(Clone)]
+pub struct Copier {
+    queue: mpsc::Sender<Addressed>,
+}
+
+impl Copier {
+    /// Starts the sending task.
+    pub fn start(links: Links) -> Copier {
+        let (queue, copies) = mpsc::channel(QUEUED_MAX);
+        tokio::spawn(send(copies, links));
+        Copier { queue }
+    }
+
+    /// Queues a copy.
+    pub fn send(&self, to: SocketAddr, key: &StepKey, copy: Copy) {
+        let addressed = Addressed {
+            to,
+            key: key.clone(),
+            copy,
+        };
+        if self.queue.try_send(addressed).is_err() {
+            log::warn!(event = "copy-dropped", step = key.step; "");
+        }
+    }
+}
+
+async fn send(mut copies: mpsc::Receiver<Addressed>, links: Links) {
+    let mut batch = Vec::new();
+    while copies.recv_many(&mut batch, BATCH_MAX).await > 0 {
+        let mut by_home: BTreeMap<SocketAddr, Vec<Addressed>> = BTreeMap::new();
+        for copy in batch.drain(..) {
+            by_home.entry(copy.to).or_default().push(copy);
+        }
+        for (to, copies) in by_home {
+            if !send_batch(&links, to, &copies).await {
+                log::warn!(event = "copies-lost", to = to.to_string(), copies = copies.len(); "");
+                tokio::time::sleep(PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn send_batch(links: &Links, to: SocketAddr, copies: &[Addressed]) -> bool {
+    let Some(first) = copies.first() else {
+        return true;
+    };
+    let list: Vec<&Copy> = copies.iter().map(|addressed| &addressed.copy).collect();
+    let Ok(body) = serde_json::to_vec(&list) else {
+        return false;
+    };
+    let open = Open {
+        id: links.next_id(),
+        request_id: String::new(),
+        customer: first.key.customer.clone(),
+        owner: first.key.customer.clone(),
+        service: first.key.service.clone(),
+        class: Class::Sampling,
+        idempotent: true,
+        deadline_left_ms: DEADLINE_MS,
+        method: "POST".to_owned(),
+        path: COPIES_PATH.to_owned(),
+        headers: Vec::new(),
+        body: Bytes::from(body),
+    };
+    let mut call = links.call(to, open);
+    loop {
+        match call.next().await {
+            CallEvent::End => return true,
+            CallEvent::Failed(_) => return false,
+            _ => {}
+        }
+    }
+}
+
+/// Reads the body of a call that brings copies.
+pub fn parse(body: &[u8]) -> Option<Vec<Copy>> {
+    serde_json::from_slice(body).ok()
+}
+
+/// The homes of a step that were sent everything.
+#[derive(Default)]
+pub struct Told {
+    homes: BTreeMap<StepKey, Vec<SocketAddr>>,
+}
+
+impl Told {
+    /// Notes the present other homes of a step; gives those that are new.
+    pub fn update(&mut self, key: &StepKey, homes: Vec<SocketAddr>) -> Vec<SocketAddr> {
+        let known = self.homes.entry(key.clone()).or_default();
+        let new = homes.iter().filter(|home| !known.contains(home));
+        let new = new.copied().collect();
+        *known = homes;
+        new
+    }
+
+    /// Forgets the steps that are not kept.
+    pub fn retain(&mut self, keep: impl Fn(&StepKey) -> bool) {
+        self.homes.retain(|key, _| keep(key));
+    }
+}
+
+/// A shared step as one copy, for a home that holds nothing of it.
+pub fn post(
+    step: &Arc<samples::Step>,
+    cursor: Option<String>,
+    trainer_version: types::WeightVersion,
+) -> Copy {
+    Copy::Post {
+        step: Arc::clone(step),
+        cursor,
+        trainer_version,
+    }
+}
--- /dev/null
+++ b/components/gateway/src/training/forward.rs
@@ -0,0 +1,109 @@
+//! Where a step lives, and how a call gets there.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use link::CallEvent;
+use node::now_ms;
+use protocol::{Head, Open, ProcessRole};
+use samples::{Entry, Homes, StepKey, homes};
+use types::{Cause, Class, Failure, RunState};
+
+use super::inner::{HomeCall, at_home};
+use crate::exchange::with_time_to_come_back;
+use crate::gateway::Gateway;
+use crate::rejection::Rejection;
+
+/// Largest answer of a home.
+const ANSWER_BYTES_MAX: usize = 32 << 20;
+const NOT_FOUND: u16 = 404;
+
+/// Homes of a step by the present view; none when every entry is leaving.
+pub fn homes_of(gateway: &Gateway, key: &StepKey) -> Option<Homes> {
+    let snapshot = gateway.gossip.snapshot();
+    let others = snapshot.live(ProcessRole::Entry).map(|member| Entry {
+        address: member.address,
+        failure_domain: member.failure_domain.clone(),
+    });
+    let mut live: Vec<Entry> = others.collect();
+    if !gateway.drain.is_leaving() {
+        live.push(Entry {
+            address: gateway.identity.node().address,
+            failure_domain: gateway.identity.failure_domain.clone(),
+        });
+    }
+    homes(key, &live)
+}
+
+/// Takes a call to the step's home, or to the second one. Every call of a trainer may be
+/// made twice.
+pub async fn to_home(gateway: &Arc<Gateway>, call: HomeCall) -> Result<(Head, Bytes), Rejection> {
+    let own = gateway.identity.node().address;
+    let homes = homes_of(gateway, &call.key);
+    let candidates = match homes {
+        Some(homes) => std::iter::once(homes.first).chain(homes.second).collect(),
+        None => vec![own],
+    };
+    let mut last = Rejection::Call(Failure::not_run(Cause::NoEndpoint));
+    for home in candidates {
+        let answered = if home == own {
+            at_home(gateway, &call).await
+        } else {
+            remote(gateway, home, &call).await.map_err(Rejection::Call)
+        };
+        match answered {
+            // The step may have moved there and not have arrived yet.
+            Ok((head, _)) if head.status == NOT_FOUND => {
+                last = Rejection::StepNotHeld(call.key.step);
+            }
+            Err(Rejection::StepNotHeld(step)) => last = Rejection::StepNotHeld(step),
+            Err(Rejection::Call(failure)) => {
+                last = Rejection::Call(with_time_to_come_back(failure));
+            }
+            answered => return answered,
+        }
+    }
+    Err(last)
+}
+
+async fn remote(
+    gateway: &Gateway,
+    home: SocketAddr,
+    call: &HomeCall,
+) -> Result<(Head, Bytes), Failure> {
+    let left_ms = call.deadline_at_ms.saturating_sub(now_ms());
+    let open = Open {
+        id: gateway.links.next_id(),
+        request_id: call.request_id.clone(),
+        customer: call.key.customer.clone(),
+        owner: call.key.customer.clone(),
+        service: call.key.service.clone(),
+        class: Class::Sampling,
+        idempotent: true,
+        deadline_left_ms: u32::try_from(left_ms).unwrap_or(u32::MAX),
+        method: "POST".to_owned(),
+        path: call.path.clone(),
+        headers: Vec::new(),
+        body: call.body.clone(),
+    };
+    let mut inner = gateway.links.call(home, open);
+    let bad = || Failure::new(RunState::Unknown, Cause::Internal);
+    let mut head = None;
+    let mut body = Vec::new();
+    loop {
+        match inner.next().await {
+            CallEvent::Accepted | CallEvent::Started => {}
+            CallEvent::Head(received) => head = Some(received),
+            CallEvent::Chunk(bytes) if body.len() + bytes.len() > ANSWER_BYTES_MAX => {
+                return Err(bad());
+            }
+            CallEvent::Chunk(bytes) => body.extend_from_slice(&bytes),
+            CallEvent::End => {
+                let head = head.ok_or_else(bad)?;
+                return Ok((head, Bytes::from(body)));
+            }
+            CallEvent::Failed(failure) => return Err(failure),
+        }
+    }
+}
--- /dev/null
+++ b/components/gateway/src/training/inner.rs
@@ -0,0 +1,188 @@
+//! Training calls at the step's home, from this entry's own trainers or over the inner
+//! protocol.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::header::CONTENT_TYPE;
+use node::now_ms;
+use protocol::{Head, Open};
+use samples::{Group, Step, StepKey};
+use serde::Serialize;
+use types::{Cause, Failure};
+
+use super::bodies::{FetchBody, Fetched, Posted, SampleBody, StepBody, parse};
+use super::copies::{COPIES_PATH, parse as parse_copies};
+use super::orders::{Fetch, Post, Reply};
+use crate::gateway::Gateway;
+use crate::problem;
+use crate::rejection::Rejection;
+use crate::target::{Route, TrainingRoute};
+
+const TRAINING: &str = "/v1/training/";
+const JSON: &str = "application/json";
+/// Status of an answer with what was asked for.
+pub const OK: u16 = 200;
+const ACCEPTED: u16 = 202;
+/// A fetch is answered this long before its deadline, so that the reply gets there.
+const ANSWER_BEFORE_MS: u64 = 250;
+
+/// A checked call about one step.
+#[derive(Clone, Debug)]
+pub struct HomeCall {
+    /// Identity in answers and log lines.
+    pub request_id: String,
+    /// The step.
+    pub key: StepKey,
+    /// What is wanted of it.
+    pub route: TrainingRoute,
+    /// Path as posted.
+    pub path: String,
+    /// Body as posted.
+    pub body: Bytes,
+    /// When the trainer gives up, on the process's monotonic clock.
+    pub deadline_at_ms: u64,
+}
+
+/// Whether an inner call is about training.
+pub fn is_inner_call(open: &Open) -> bool {
+    open.path.starts_with(TRAINING) || open.path == COPIES_PATH
+}
+
+/// Answers an inner call. The entry that sent it has checked the token.
+pub async fn serve_inner(gateway: &Arc<Gateway>, open: Open) -> Result<(Head, Bytes), Failure> {
+    if open.path == COPIES_PATH {
+        return take_copies(gateway, &open).await;
+    }
+    let request_id = open.request_id.clone();
+    let answered = match home_call(open) {
+        Ok(call) => at_home(gateway, &call).await,
+        Err(rejection) => Err(rejection),
+    };
+    match answered {
+        Ok(answered) => Ok(answered),
+        // This home refuses as a process, and the other one may do better.
+        Err(Rejection::Call(failure)) => Err(failure),
+        Err(rejection) => Ok(as_answer(&rejection, &request_id)),
+    }
+}
+
+fn home_call(open: Open) -> Result<HomeCall, Rejection> {
+    let Route::Training(service, route) = Route::parse(&open.path, None)? else {
+        return Err(Rejection::UnknownPath);
+    };
+    let step = match route {
+        TrainingRoute::Fetch { step } => step,
+        TrainingRoute::Steps => parse::<StepBody>(&open.body)?.step,
+        TrainingRoute::Weights | TrainingRoute::Rollback => return Err(Rejection::UnknownPath),
+    };
+    Ok(HomeCall {
+        request_id: open.request_id,
+        key: StepKey {
+            customer: open.customer,
+            service,
+            step,
+        },
+        route,
+        path: open.path,
+        body: open.body,
+        deadline_at_ms: now_ms() + u64::from(open.deadline_left_ms),
+    })
+}
+
+async fn take_copies(gateway: &Gateway, open: &Open) -> Result<(Head, Bytes), Failure> {
+    let copies = parse_copies(&open.body).ok_or(Failure::not_run(Cause::Malformed))?;
+    let taken = gateway.training.copies(copies).await;
+    taken.map_err(|rejection| rejection.failure())?;
+    Ok((json_head(OK), Bytes::new()))
+}
+
+/// Answers a call about a step whose home this is, or is taken for.
+pub async fn at_home(gateway: &Arc<Gateway>, call: &HomeCall) -> Result<(Head, Bytes), Rejection> {
+    match call.route {
+        TrainingRoute::Steps => take_step(gateway, call).await,
+        TrainingRoute::Fetch { .. } => fetch(gateway, call).await,
+        TrainingRoute::Weights | TrainingRoute::Rollback => Err(Rejection::UnknownPath),
+    }
+}
+
+async fn take_step(gateway: &Gateway, call: &HomeCall) -> Result<(Head, Bytes), Rejection> {
+    let body: StepBody = parse(&call.body)?;
+    let view = gateway.feed.view();
+    let model = view.service(&call.key.customer, &call.key.service).cloned();
+    let model = model.ok_or(Rejection::Call(Failure::not_run(Cause::NotHosted)))?;
+    let trainer_version = body.trainer_version()?;
+    let groups = body.groups.into_iter().map(|group| Group {
+        prompt: group.prompt,
+        samples: group.samples,
+    });
+    let step = Step::new(call.key.clone(), groups.collect(), body.max_tokens)?;
+    let post = Post {
+        model,
+        step: Arc::new(step),
+        cursor: body.cursor,
+        trainer_version,
+    };
+    let cursor = gateway.training.post(post).await?;
+    json(ACCEPTED, &Posted { cursor: &cursor })
+}
+
+async fn fetch(gateway: &Gateway, call: &HomeCall) -> Result<(Head, Bytes), Rejection> {
+    let body: FetchBody = parse(&call.body)?;
+    let (trainer_version, max, wait_ms) = (body.trainer_version()?, body.max()?, body.wait_ms());
+    let left_ms = call.deadline_at_ms.saturating_sub(now_ms());
+    let fetch = Fetch {
+        key: call.key.clone(),
+        cursor: body.cursor,
+        trainer_version,
+        max,
+        wait_ms: wait_ms.min(left_ms.saturating_sub(ANSWER_BEFORE_MS)),
+    };
+    let reply = gateway.training.fetch(fetch).await?;
+    json(OK, &fetched(&reply))
+}
+
+fn fetched(reply: &Reply) -> Fetched<'_> {
+    let samples = reply.offers.iter().map(|offer| {
+        let sample = &offer.sample;
+        SampleBody {
+            group: sample.slot.group,
+            index: sample.slot.index,
+            text: &sample.text,
+            versions: sample.versions.iter().map(ToString::to_string).collect(),
+            score: sample.score.map(samples::Score::get),
+            staleness: offer.staleness,
+        }
+    });
+    Fetched {
+        samples: samples.collect(),
+        cursor: &reply.cursor,
+        received: reply.received,
+        total: reply.total,
+        complete: reply.complete,
+    }
+}
+
+fn json(status: u16, body: &impl Serialize) -> Result<(Head, Bytes), Rejection> {
+    let internal = |_| Rejection::Call(Failure::not_run(Cause::Internal));
+    let body = serde_json::to_vec(body).map_err(internal)?;
+    Ok((json_head(status), Bytes::from(body)))
+}
+
+fn as_answer(rejection: &Rejection, request_id: &str) -> (Head, Bytes) {
+    let status = problem::status(rejection).as_u16();
+    let document = problem::document(rejection, request_id);
+    (head(status, problem::PROBLEM_JSON), document)
+}
+
+/// Head of an answer in JSON.
+pub fn json_head(status: u16) -> Head {
+    head(status, JSON)
+}
+
+fn head(status: u16, content_type: &str) -> Head {
+    Head {
+        status,
+        headers: vec![(CONTENT_TYPE.as_str().to_owned(), content_type.to_owned())],
+    }
+}
--- /dev/null
+++ b/components/gateway/src/training/score.rs
@@ -0,0 +1,133 @@
+//! Scores of samples, asked of the plain service that the model's configuration names.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use config::Service;
+use link::CallEvent;
+use node::now_ms;
+use recovery::Flowed;
+use routing::Work;
+use samples::{RunId, Sample, Score, Step};
+use serde::{Deserialize, Serialize};
+use tokio::sync::mpsc;
+use types::{Cause, Class, Failure, RunState};
+
+use super::orders::Order;
+use crate::admission::admit;
+use crate::attempt::{Attempt, Where};
+use crate::exchange::Exchange;
+use crate::gateway::Gateway;
+use crate::headers::REQUEST_ID;
+use crate::job::Job;
+
+const PATH: &str = "/score";
+const OK: u16 = 200;
+/// Largest answer of a scorer.
+const ANSWER_BYTES_MAX: usize = 64 * 1024;
+
+#[derive(Serialize)]
+struct Ask<'a> {
+    prompt: &'a str,
+    completion: &'a str,
+}
+
+#[derive(Deserialize)]
+struct Answer {
+    score: f64,
+}
+
+/// A score to ask for.
+pub struct Scoring {
+    /// The scorer.
+    pub scorer: Option<Arc<Service>>,
+    /// The step.
+    pub step: Arc<Step>,
+    /// Run that made the sample.
+    pub run: RunId,
+    /// The sample.
+    pub sample: Arc<Sample>,
+    /// Where to report.
+    pub orders: mpsc::Sender<Order>,
+}
+
+impl Scoring {
+    /// Asks, and reports the answer.
+    pub async fn ask(self, gateway: Arc<Gateway>) {
+        let score = match self.score(gateway).await {
+            Ok(score) => Some(score),
+            Err(failure) => {
+                log::info!(
+                    event = "score-failed", step = self.step.key.step,
+                    outcome = failure.run.as_str(), cause = failure.cause.as_str(); ""
+                );
+                None
+            }
+        };
+        let order = Order::Scored(self.step.key.clone(), self.run, score);
+        // The owner is gone only when the process ends.
+        let _ = self.orders.send(order).await;
+    }
+
+    async fn score(&self, gateway: Arc<Gateway>) -> Result<Score, Failure> {
+        let job = self.job().ok_or(Failure::not_run(Cause::NotHosted))?;
+        let admitted = admit(&gateway, &job).await?;
+        let body = job.body.clone();
+        let account = Arc::clone(&admitted.account);
+        let mut exchange = Exchange::new(gateway, account, job, Where::default());
+        loop {
+            let (head, attempt) = exchange.head(&body).await?;
+            match whole(attempt, head.status).await {
+                Ok(score) => return Ok(score),
+                Err(failure) => exchange.again(failure, Flowed::Nothing).await?,
+            };
+        }
+    }
+
+    fn job(&self) -> Option<Job> {
+        let scorer = self.scorer.clone()?;
+        let ask = Ask {
+            prompt: self.step.prompt(self.sample.slot)?,
+            completion: &self.sample.text,
+        };
+        let body = serde_json::to_vec(&ask).ok()?;
+        let key = &self.step.key;
+        let request_id = format!("{}.{}.{}.score", key.service, key.step, self.run.0);
+        Some(Job {
+            payer: key.customer.clone(),
+            class: Class::Sampling,
+            // A scorer only computes.
+            idempotent: true,
+            deadline_at_ms: now_ms() + u64::from(scorer.deadline_ms),
+            service: scorer,
+            method: "POST".to_owned(),
+            path: PATH.to_owned(),
+            headers: vec![
+                ("content-type".to_owned(), "application/json".to_owned()),
+                (REQUEST_ID.to_owned(), request_id.clone()),
+            ],
+            body: Bytes::from(body),
+            work: Work::default(),
+            request_id,
+        })
+    }
+}
+
+async fn whole(mut attempt: Attempt, status: u16) -> Result<Score, Failure> {
+    let bad = || Failure::new(RunState::Failed, Cause::EndpointError);
+    let mut body = Vec::new();
+    loop {
+        match attempt.next().await {
+            CallEvent::Accepted | CallEvent::Started | CallEvent::Head(_) => {}
+            CallEvent::Chunk(bytes) if body.len() + bytes.len() > ANSWER_BYTES_MAX => {
+                return Err(bad());
+            }
+            CallEvent::Chunk(bytes) => body.extend_from_slice(&bytes),
+            CallEvent::End if status == OK => break,
+            CallEvent::End => return Err(bad()),
+            CallEvent::Failed(failure) => return Err(failure),
+        }
+    }
+    let answer: Answer = serde_json::from_slice(&body).map_err(|_| bad())?;
+    Score::new(answer.score).map_err(|_| bad())
+}
