hornbeamrockctl: check, publish, show, diff, history, status, drain, rollback

Purpose: operators publish a text and follow it into force from their own machine. Weighed: publishing through an entry against appending to the log directly; the second, as the log is the truth and an entry would only be one more thing that can lose an answer. "Accepted" is said only after the record was read back; a lost answer is appended again with the same id.

--- /dev/null
+++ b/bin/ctl/src/cmd/diff.rs
@@ -0,0 +1,27 @@
+//! `diff`: what would a publish of this file change?
+
+use clap::ArgMatches;
+use config::{line_diff, summary};
+use control::{check_file, read_history};
+
+use super::failure::Failure;
+use super::{file, log};
+
+/// Compares the file with its customer's accepted text.
+pub async fn run(flags: &ArgMatches) -> Result<(), Failure> {
+    let history = read_history(&log(flags)?).await?;
+    let path = file(flags)?;
+    let checked = check_file(path, Some(&history.ledger))?;
+    let accepted = history.ledger.current(&checked.text.customer);
+    let source = accepted.map_or("", |accepted| &accepted.source);
+    let name = accepted.map_or("nothing".to_owned(), |accepted| {
+        format!("version {}", accepted.version)
+    });
+    print!(
+        "{}",
+        line_diff(source, &checked.source, &name, &path.to_string_lossy())
+    );
+    let old = accepted.map(|accepted| accepted.text.as_ref());
+    print!("{}", summary(old, &checked.text));
+    Ok(())
+}
--- /dev/null
+++ b/bin/ctl/src/cmd/failure.rs
@@ -0,0 +1,38 @@
+//! Failure of a command, with its exit code.
+
+use control::{ControlError, ExitCode};
+use quick_error::quick_error;
+use settings::SettingsError;
+
+quick_error! {
+    /// Why a command failed.
+    #[derive(Debug)]
+    pub enum Failure {
+        /// Wrong flags.
+        Settings(reason: SettingsError) {
+            from()
+            display("{}", reason)
+        }
+        /// The command itself.
+        Control(reason: ControlError) {
+            from()
+            display("{}", reason)
+        }
+        /// No runtime to be had.
+        Runtime(reason: std::io::Error) {
+            display("the program cannot start: {}", reason)
+        }
+    }
+}
+
+impl Failure {
+    /// The exit code of the process.
+    pub fn exit_code(&self) -> u8 {
+        let code = match self {
+            Failure::Settings(_) => ExitCode::Settings,
+            Failure::Control(reason) => reason.exit_code(),
+            Failure::Runtime(_) => ExitCode::Fault,
+        };
+        code as u8
+    }
+}
--- /dev/null
+++ b/bin/ctl/src/cmd/mod.rs
@@ -0,0 +1,58 @@
+//! One module a command.
+
+mod check;
+mod completions;
+mod diff;
+mod drain;
+mod failure;
+mod history;
+mod publish;
+mod rollback;
+mod show;
+mod status;
+
+use std::future::Future;
+use std::path::Path;
+
+use clap::ArgMatches;
+use platform::{ClientSettings, LogClient};
+use settings::{SettingsError, address, required};
+
+use failure::Failure;
+
+const FILE: &str = "a file with a configuration text";
+
+/// Runs the command that the line names.
+pub fn run(matches: &ArgMatches) -> Result<(), Failure> {
+    match matches.subcommand() {
+        Some(("check", flags)) => block_on(check::run(flags)),
+        Some(("publish", flags)) => block_on(publish::run(flags)),
+        Some(("show", flags)) => block_on(show::run(flags)),
+        Some(("diff", flags)) => block_on(diff::run(flags)),
+        Some(("history", flags)) => block_on(history::run(flags)),
+        Some(("status", flags)) => block_on(status::run(flags)),
+        Some(("drain", flags)) => block_on(drain::run(flags)),
+        Some(("rollback", flags)) => block_on(rollback::run(flags)),
+        Some(("completions", flags)) => completions::run(flags),
+        _ => Ok(()),
+    }
+}
+
+fn block_on(command: impl Future<Output = Result<(), Failure>>) -> Result<(), Failure> {
+    tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(Failure::Runtime)?
+        .block_on(command)
+}
+
+fn log(flags: &ArgMatches) -> Result<LogClient, SettingsError> {
+    Ok(LogClient::new(
+        address(flags, "log")?,
+        &ClientSettings::default(),
+    ))
+}
+
+fn file(flags: &ArgMatches) -> Result<&Path, SettingsError> {
+    required(flags, "file", FILE).map(Path::new)
+}
--- /dev/null
+++ b/bin/ctl/src/cmd/status.rs
@@ -0,0 +1,102 @@
+//! `status`: process by process.
+
+use clap::ArgMatches;
+use control::{ControlError, NodeStatus, Reply, statuses};
+use serde::Serialize;
+use settings::{addresses, required};
+
+use super::failure::Failure;
+use crate::output::{Form, print_json, print_table};
+
+/// What `--admin` may be.
+pub const ADMIN: &str =
+    "admin addresses with commas between them, such as 127.0.0.1:7102,127.0.0.1:7112";
+
+#[derive(Serialize)]
+struct Row<'a> {
+    admin: String,
+    status: Option<&'a NodeStatus>,
+    error: Option<String>,
+}
+
+/// Asks every process; one that does not answer has a row too, and ends the command with
+/// its error after the table.
+pub async fn run(flags: &ArgMatches) -> Result<(), Failure> {
+    let form = Form::of(flags)?;
+    required(flags, "admin", ADMIN)?;
+    let replies = statuses(&addresses(flags, "admin")?).await;
+    match form {
+        Form::Json => print_json(&replies.iter().map(json_row).collect::<Vec<_>>()),
+        Form::Table => {
+            let rows: Vec<_> = replies.iter().map(row).collect();
+            print_table(
+                [
+                    "admin",
+                    "node",
+                    "role",
+                    "failure domain",
+                    "state",
+                    "calls",
+                    "config",
+                    "weights",
+                ],
+                &rows,
+            );
+        }
+    }
+    match replies.into_iter().find_map(|reply| reply.status.err()) {
+        Some(error) => Err(error.into()),
+        None => Ok(()),
+    }
+}
+
+fn json_row(reply: &Reply) -> Row<'_> {
+    Row {
+        admin: reply.address.to_string(),
+        status: reply.status.as_ref().ok(),
+        error: reply.status.as_ref().err().map(ControlError::to_string),
+    }
+}
+
+fn row(reply: &Reply) -> [String; 8] {
+    let admin = reply.address.to_string();
+    let dash = || "-".to_owned();
+    match &reply.status {
+        Err(_) => [
+            admin,
+            dash(),
+            dash(),
+            dash(),
+            "no answer".to_owned(),
+            dash(),
+            dash(),
+            dash(),
+        ],
+        Ok(status) => [
+            admin,
+            status.node.clone(),
+            status.role.clone(),
+            status.failure_domain.clone(),
+            if status.leaving { "leaving" } else { "live" }.to_owned(),
+            status.in_progress.to_string(),
+            versions(status),
+            weights(status),
+        ],
+    }
+}
+
+fn versions(status: &NodeStatus) -> String {
+    let rows = status
+        .config
+        .iter()
+        .map(|row| format!("{}={}", row.customer, row.version));
+    rows.collect::<Vec<_>>().join(" ")
+}
+
+fn weights(status: &NodeStatus) -> String {
+    let rows = status.hosted.iter().map(|row| {
+        let version = row.version.as_deref().unwrap_or("plain");
+        format!("{}.{}={version}", row.customer, row.service)
+    });
+    rows.collect::<Vec<_>>().join(" ")
+}
--- /dev/null
+++ b/components/control/src/history.rs
@@ -0,0 +1,121 @@
+//! The configuration as the log tells it.
+
+use config::{Ledger, Record, Verdict};
+use platform::LogClient;
+use serde::Serialize;
+use types::CustomerName;
+
+use crate::ControlError;
+
+/// The log's stream of configuration records.
+pub(crate) const STREAM: &str = "config";
+/// Records that one read takes at most.
+const PAGE_RECORDS: usize = 500;
+
+/// One publish in the log.
+#[derive(Clone, Debug, Serialize)]
+pub struct Entry {
+    /// Its offset.
+    pub offset: u64,
+    /// The customer.
+    pub customer: String,
+    /// Its id.
+    pub id: String,
+    /// Version that it was made on.
+    pub base: u64,
+    /// What became of it.
+    pub verdict: String,
+    /// Version that it made.
+    pub version: Option<u64>,
+}
+
+/// What a whole read of the log gives.
+pub struct History {
+    /// The reducer after the last record.
+    pub ledger: Ledger,
+    /// Publishes in the log's order.
+    pub entries: Vec<Entry>,
+}
+
+/// Reads the stream from its oldest kept record to its end. Errors when the log does
+/// not answer.
+pub async fn read_history(log: &LogClient) -> Result<History, ControlError> {
+    let mut history = History {
+        ledger: Ledger::starting_at(0),
+        entries: Vec::new(),
+    };
+    while read_page(log, &mut history, 0).await? > 0 {}
+    Ok(history)
+}
+
+/// Reads on from where the history ends; gives the number of new records.
+pub(crate) async fn read_page(
+    log: &LogClient,
+    history: &mut History,
+    wait_ms: u64,
+) -> Result<usize, ControlError> {
+    let from = history.ledger.next_offset();
+    let page = log
+        .read(STREAM, from, PAGE_RECORDS, wait_ms)
+        .await
+        .map_err(ControlError::LogUnread)?;
+    history.ledger.skip_to(page.first);
+    for record in &page.records {
+        let verdict = history.ledger.apply_json(record.offset, &record.data);
+        let publish = Record::from_json(&record.data).ok().and_then(published);
+        history
+            .entries
+            .extend(publish.map(|publish| entry(record.offset, &publish, &verdict)));
+    }
+    Ok(page.records.len())
+}
+
+fn published(record: Record) -> Option<config::Publish> {
+    match record {
+        Record::Publish(publish) => Some(publish),
+        _ => None,
+    }
+}
+
+fn entry(offset: u64, publish: &config::Publish, verdict: &Verdict) -> Entry {
+    let version = match verdict {
+        Verdict::Accepted { version } => Some(*version),
+        _ => None,
+    };
+    Entry {
+        offset,
+        customer: publish.customer.to_string(),
+        id: publish.id.clone(),
+        base: publish.base,
+        verdict: words(verdict),
+        version,
+    }
+}
+
+fn words(verdict: &Verdict) -> String {
+    match verdict {
+        Verdict::Accepted { .. } => "accepted".to_owned(),
+        Verdict::Refused(refusal) => {
+            let text = refusal.to_string();
+            let first = text.lines().next().unwrap_or_default();
+            format!("refused: {first}")
+        }
+        Verdict::Undecided | Verdict::Covered => {
+            "decided before this log's oldest record".to_owned()
+        }
+        Verdict::RulesTooNew { rules } => {
+            format!("judged by rules {rules}, newer than this program")
+        }
+        Verdict::Unreadable(error) => format!("unreadable: {error}"),
+        other => format!("{other:?}"),
+    }
+}
+
+impl History {
+    /// Publishes of one customer, or of all.
+    pub fn of(&self, customer: Option<&CustomerName>) -> impl Iterator<Item = &Entry> {
+        self.entries
+            .iter()
+            .filter(move |entry| customer.is_none_or(|name| entry.customer == name.as_str()))
+    }
+}
--- /dev/null
+++ b/components/control/src/text.rs
@@ -0,0 +1,52 @@
+//! Files of the operator: a configuration text, a token.
+
+use std::path::Path;
+
+use config::{Complaints, Ledger, Text, check, parse};
+
+use crate::ControlError;
+
+/// A text that may be published, and what was let pass.
+pub struct Checked {
+    /// The file's text as it stands.
+    pub source: String,
+    /// The text after reading.
+    pub text: Text,
+    /// Complaints that stop nothing.
+    pub warnings: Complaints,
+}
+
+/// Reads and checks a file against the texts of the other customers. Errors when it
+/// cannot be read or does not pass.
+pub fn check_file(path: &Path, ledger: Option<&Ledger>) -> Result<Checked, ControlError> {
+    let source = read(path)?;
+    let file = path.to_string_lossy();
+    let text = parse(&source, &file).map_err(ControlError::Text)?;
+    let warnings = match ledger {
+        Some(ledger) => check(&text, ledger),
+        None => Complaints(text.warnings.clone()),
+    };
+    if warnings.has_errors() {
+        return Err(ControlError::Text(warnings));
+    }
+    Ok(Checked {
+        source,
+        text,
+        warnings,
+    })
+}
+
+/// Reads a token from a file of one line.
+pub fn read_token(path: &Path) -> Result<String, ControlError> {
+    let text = read(path)?;
+    let token = text.trim();
+    let printable = token.bytes().all(|byte| byte.is_ascii_graphic());
+    if token.is_empty() || !printable {
+        return Err(ControlError::Token(path.to_owned()));
+    }
+    Ok(token.to_owned())
+}
+
+fn read(path: &Path) -> Result<String, ControlError> {
+    std::fs::read_to_string(path).map_err(|reason| ControlError::File(path.to_owned(), reason))
+}
--- a/components/settings/src/check.rs
+++ b/components/settings/src/check.rs
@@ -11,12 +11,12 @@
 const ADDRESS: &str = "an IP number with a port, such as 127.0.0.1:7100";
 
 /// The text of a flag, from the command line or the environment.
-pub(crate) fn text<'a>(matches: &'a ArgMatches, flag: &'static str) -> Option<&'a str> {
+pub fn text<'a>(matches: &'a ArgMatches, flag: &'static str) -> Option<&'a str> {
     matches.get_one::<String>(flag).map(String::as_str)
 }
 
-/// The text of a flag that must be set.
-pub(crate) fn required<'a>(
+/// The text of a flag that must be set. Errors when it is not.
+pub fn required<'a>(
     matches: &'a ArgMatches,
     flag: &'static str,
     allowed: &'static str,
@@ -30,6 +30,19 @@
     parse_address(value, flag)
 }
 
+/// Addresses with commas between them; none when not set.
+pub fn addresses(
+    matches: &ArgMatches,
+    flag: &'static str,
+) -> Result<Vec<SocketAddr>, SettingsError> {
+    let values = text(matches, flag).unwrap_or_default().split(',');
+    values
+        .map(str::trim)
+        .filter(|value| !value.is_empty())
+        .map(|value| parse_address(value, flag))
+        .collect()
+}
+
 /// An address that need not be set.
 pub(crate) fn optional_address(
     matches: &ArgMatches,
@@ -58,8 +71,8 @@
     bounds.contains(&number).then_some(number).ok_or_else(bad)
 }
 
-/// A value that one of a few words names.
-pub(crate) fn word<T>(
+/// A value that one of a few words names. Errors when no word fits.
+pub fn word<T>(
     matches: &ArgMatches,
     flag: &'static str,
     allowed: &'static str,
--- a/components/settings/src/common.rs
+++ b/components/settings/src/common.rs
@@ -139,8 +139,8 @@
     }
 }
 
-/// A checked name that must be set.
-pub(crate) fn name<T: std::str::FromStr>(
+/// A checked name that must be set. Errors when it is missing or no name.
+pub fn name<T: std::str::FromStr>(
     matches: &ArgMatches,
     flag: &'static str,
 ) -> Result<T, SettingsError> {
@@ -149,8 +149,8 @@
     value.parse().map_err(bad)
 }
 
-/// A checked name that need not be set.
-pub(crate) fn optional_name<T: std::str::FromStr>(
+/// A checked name that need not be set. Errors when it is no name.
+pub fn optional_name<T: std::str::FromStr>(
     matches: &ArgMatches,
     flag: &'static str,
 ) -> Result<Option<T>, SettingsError> {
--- a/components/settings/src/lib.rs
+++ b/components/settings/src/lib.rs
@@ -9,8 +9,8 @@
 mod keys;
 
 pub use agent::{AgentSettings, EndpointKind, Fencing, agent_command};
-pub use check::{address, milliseconds};
-pub use common::{CommonSettings, ENV_PREFIX, flag};
+pub use check::{address, addresses, milliseconds, required, text, word};
+pub use common::{CommonSettings, ENV_PREFIX, flag, name, optional_name};
 pub use entry::{EntrySettings, entry_command};
 pub use error::{EXIT_SETTINGS, SettingsError};
 pub use keys::{KEY_BYTES, KEYS_MAX, SharedKey, parse_keys, read_keys};
