Agent: calls counted as started only when the first byte leaves; tests

Cause: a call that failed to connect was reported as unknown, because it counted as started before the endpoint was reached. And a model's endpoint took any path, so a caller could have reached the engine's own orders.

Weighed: counting a call as started after the first byte (it would be "not run" when the agent dies in between, which is wrong) against right before it; the second is built, with a hook in the endpoint adapter. That adapter also looks at the deadline once more right before it writes, since a process frozen while connecting would write for nobody.

Change: Endpoint::send_announced; models take completions only; model name and request id in the body are set by the agent; node::Sockets binds what both processes need; tests of calls, of the agent's life and of its decisions.

--- a/bin/agent/src/main.rs
+++ b/bin/agent/src/main.rs
@@ -5,7 +5,7 @@
 use std::process::ExitCode;
 
 use settings::{AgentSettings, EXIT_SETTINGS};
-use sidecar::{AgentError, Tuning};
+use sidecar::{AgentError, Sidecar, Tuning};
 use tokio::runtime::{Builder, Runtime};
 use tokio::signal::unix::{SignalKind, signal};
 
@@ -48,6 +48,7 @@
                 _ = interrupt.recv() => {}
             }
         };
-        sidecar::run(settings, Tuning::default(), stop).await
+        let sidecar = Sidecar::bind(settings, Tuning::default()).await?;
+        sidecar.run(stop).await
     })
 }
--- a/components/node/src/error.rs
+++ b/components/node/src/error.rs
@@ -13,6 +13,15 @@
             source(reason)
             display("cannot listen on {}: {}", address, reason)
         }
+        /// The system does not say which address was taken.
+        Address(reason: std::io::Error) {
+            source(reason)
+            display("cannot tell the listening address: {}", reason)
+        }
+        /// No shared key in the settings.
+        NoKey {
+            display("there is no shared key")
+        }
     }
 }
 
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod http;
 mod identity;
 mod pulse;
+mod sockets;
 mod vm_poll;
 
 pub use clock::now_ms;
@@ -21,3 +22,4 @@
 pub use gossip::{Gossip, GossipHooks, GossipSettings};
 pub use identity::Identity;
 pub use pulse::Pulse;
+pub use sockets::Sockets;
--- a/components/platform/src/endpoint.rs
+++ b/components/platform/src/endpoint.rs
@@ -246,6 +246,21 @@
     }
 }
 
+/// Says that a request is about to be written. A process that was frozen while it
+/// connected wakes after the deadline, and then nobody waits for the answer any more.
+fn announce(
+    before_write: &mut Option<impl FnOnce()>,
+    deadline: Instant,
+) -> Result<(), PlatformError> {
+    if Instant::now() >= deadline {
+        return Err(PlatformError::NotSent(ConnectFault::DeadlinePassed));
+    }
+    if let Some(before_write) = before_write.take() {
+        before_write();
+    }
+    Ok(())
+}
+
 fn build(request: Request, address: SocketAddr) -> Option<Message> {
     let method = Method::from_bytes(request.method.as_bytes()).ok()?;
     if !request.path.starts_with('/') {
--- a/components/sidecar/src/calls.rs
+++ b/components/sidecar/src/calls.rs
@@ -98,10 +98,9 @@
 fn clean_up(agent: &Agent, relay: &Relay<'_>, open: &Open, failure: Failure) {
     if failure.cause == Cause::EndpointLost {
         agent.health.suspect();
-        return;
     }
     let may_run = failure.run != types::RunState::NotRun;
-    if may_run && relay.is_named() {
+    if may_run && relay.is_model() {
         let engine = agent.engine.clone();
         let name = open.id.to_string();
         tokio::spawn(async move {
--- a/components/sidecar/src/completion.rs
+++ b/components/sidecar/src/completion.rs
@@ -8,9 +8,6 @@
 use serde::Deserialize;
 use types::Cause;
 
-/// Path of completions.
-pub const COMPLETIONS_PATH: &str = "/v1/completions";
-
 /// Longest line of a stream, in bytes.
 const LINE_BYTES_MAX: usize = 1024 * 1024;
 const EVENT_STREAM: &str = "text/event-stream";
@@ -28,10 +25,9 @@
 }
 
 impl Shape {
-    /// Shape of the answer with this head to a call of a model (`is_model`) at `path`.
-    pub fn of(is_model: bool, path: &str, head: &AnswerHead) -> Shape {
-        let path_alone = path.split('?').next().unwrap_or(path);
-        if !is_model || path_alone != COMPLETIONS_PATH || head.status != OK {
+    /// Shape of the answer with this head, from a model or a plain service.
+    pub fn of(is_model: bool, head: &AnswerHead) -> Shape {
+        if !is_model || head.status != OK {
             return Shape::Opaque;
         }
         let content_type = head.header("content-type").unwrap_or_default();
--- a/components/sidecar/src/error.rs
+++ b/components/sidecar/src/error.rs
@@ -2,28 +2,18 @@
 
 use node::NodeError;
 use quick_error::quick_error;
-use std::net::SocketAddr;
 use telemetry::{LogsError, MetricsError};
 
 quick_error! {
     /// Why an agent can't start.
     #[derive(Debug)]
     pub enum AgentError {
-        /// An address that can't be listened on.
+        /// Its addresses.
         Node(reason: NodeError) {
             from()
             source(reason)
             display("{}", reason)
         }
-        /// An address that can't be listened on.
-        Listen(address: SocketAddr, reason: std::io::Error) {
-            source(reason)
-            display("cannot listen on {}: {}", address, reason)
-        }
-        /// No shared key in the settings.
-        NoKey {
-            display("there is no shared key")
-        }
         /// The metrics.
         Metrics(reason: MetricsError) {
             from()
--- a/components/sidecar/src/gate.rs
+++ b/components/sidecar/src/gate.rs
@@ -11,6 +11,9 @@
 /// When a caller whose endpoint is down or full may come back, in milliseconds.
 const RETRY_AFTER_MS: u32 = 200;
 
+/// The one call that a model engine takes from callers.
+const COMPLETIONS: (&str, &str) = ("POST", "/v1/completions");
+
 /// Time that the caller still has, in milliseconds, after the call has been here for
 /// `held_ms` and may have waited `age_ms` in a socket buffer before.
 pub fn time_left_ms(open: &Open, held_ms: u64, age_ms: u64) -> Result<u64, Failure> {
@@ -29,6 +32,11 @@
 ) -> Result<&'a Service, Failure> {
     let hosted = hosting.find(&open.owner, &open.service);
     let service = hosted.ok_or(Failure::not_run(Cause::NotHosted))?;
+    // The orders to an engine lie on the same port. A caller that could reach them would
+    // switch the weights of everybody who shares the engine, or cancel their calls.
+    if service.kind == Kind::Model && (open.method.as_str(), path_alone(open)) != COMPLETIONS {
+        return Err(Failure::not_run(Cause::Forbidden));
+    }
     if !look.up {
         let down = Failure::not_run(Cause::EndpointLost);
         return Err(down.retry_after(RETRY_AFTER_MS));
@@ -39,6 +47,10 @@
     Ok(service)
 }
 
+fn path_alone(open: &Open) -> &str {
+    open.path.split('?').next().unwrap_or(&open.path)
+}
+
 /// The refusal of a call beyond the agent's limit.
 pub fn full() -> Failure {
     Failure::not_run(Cause::QueueFull).retry_after(RETRY_AFTER_MS)
--- a/components/sidecar/src/lib.rs
+++ b/components/sidecar/src/lib.rs
@@ -27,5 +27,5 @@
 pub use health::Look;
 pub use hosting::Hosting;
 pub use stage::{Stage, failure_of};
-pub use start::{Tuning, run};
+pub use start::{Sidecar, Tuning};
 pub use vitals::{Change, Sign, Vitals};
--- a/components/sidecar/src/relay.rs
+++ b/components/sidecar/src/relay.rs
@@ -7,11 +7,13 @@
 use types::{Cause, Failure};
 
 use crate::body::name_call;
-use crate::completion::{COMPLETIONS_PATH, Shape, StreamCheck, check_document};
+use crate::completion::{Shape, StreamCheck, check_document};
 use crate::stage::{Stage, failure_of};
 
 /// Largest part of an answer in one frame, so that calls share their connection fairly.
 const PART_BYTES_MAX: usize = 64 * 1024;
+/// Largest unary completion; it is held as a whole until it is checked.
+const DOCUMENT_BYTES_MAX: usize = 4 * 1024 * 1024;
 const REQUEST_ID_HEADER: &str = "x-request-id";
 
 /// One call on its way through the endpoint.
@@ -40,22 +42,28 @@
         self.stage
     }
 
-    /// Whether the engine knows the call by a name under which it can be cancelled.
-    pub fn is_named(&self) -> bool {
-        self.is_model && path_of(self.open) == COMPLETIONS_PATH
+    /// Whether the call is a model's, and so can be cancelled by name.
+    pub fn is_model(&self) -> bool {
+        self.is_model
     }
 
     /// Sends the call and passes the answer on. Returns once the answer is whole; the
     /// caller of this function then ends it.
     pub async fn run(&mut self, left_ms: u64) -> Result<(), Failure> {
         let request = self.request()?;
-        self.stage = Stage::Sent;
-        self.answer.started();
-        let sent = self.endpoint.send(request, left_ms).await;
+        let (stage, answer) = (&mut self.stage, self.answer);
+        let before_write = || {
+            *stage = Stage::Sent;
+            answer.started();
+        };
+        let sent = self
+            .endpoint
+            .send_announced(request, left_ms, before_write)
+            .await;
         let response = sent.map_err(|error| failure_of(&error, self.stage))?;
         self.stage = Stage::Answering;
         let Response { head, body } = response;
-        let shape = Shape::of(self.is_model, &self.open.path, &head);
+        let shape = Shape::of(self.is_model, &head);
         let passed = match shape {
             Shape::Document => self.pass_document(head, body).await,
             Shape::Stream => self.pass_stream(head, body).await,
@@ -65,8 +73,9 @@
     }
 
     fn request(&self) -> Result<Request, Failure> {
-        let body = if self.is_named() {
-            name_call(&self.open.body, self.open.id).map_err(Failure::not_run)?
+        let body = if self.is_model {
+            let named = name_call(&self.open.body, &self.open.service, self.open.id);
+            named.map_err(Failure::not_run)?
         } else {
             self.open.body.clone()
         };
@@ -89,8 +98,15 @@
     }
 
     /// Passes a document on only when it is whole, so that a cut one is never seen.
-    async fn pass_document(&self, head: AnswerHead, body: Body) -> Result<(), Stop> {
-        let document = body.whole().await?;
+    async fn pass_document(&self, head: AnswerHead, mut body: Body) -> Result<(), Stop> {
+        let mut document = Vec::new();
+        while let Some(bytes) = body.next().await? {
+            if document.len() + bytes.len() > DOCUMENT_BYTES_MAX {
+                return Err(Stop::Content(Cause::EndpointError));
+            }
+            document.extend_from_slice(&bytes);
+        }
+        let document = Bytes::from(document);
         check_document(&document)?;
         self.answer.head(head_of(head)).await;
         self.pass(document).await;
@@ -150,10 +166,6 @@
     }
 }
 
-fn path_of(open: &Open) -> &str {
-    open.path.split('?').next().unwrap_or(&open.path)
-}
-
 fn head_of(head: AnswerHead) -> Head {
     Head {
         status: head.status,
--- a/components/sidecar/src/start.rs
+++ b/components/sidecar/src/start.rs
@@ -1,23 +1,25 @@
 //! Puts an agent together from its settings and runs it until it has left.
 
 use std::future::Future;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use futures_util::FutureExt;
 use futures_util::future::BoxFuture;
 use link::{LinkSettings, Links, Udp};
 use node::admin::{self, AdminHooks};
-use node::{ConfigFeed, FeedSettings, Gossip, GossipHooks, GossipSettings, Identity};
+use node::{
+    ConfigFeed, FeedSettings, Gossip, GossipHooks, GossipSettings, Identity, NodeError, Sockets,
+};
 use platform::{ClientSettings, LogClient, VmList};
-use protocol::{Key, Keys, News, ProcessRole};
-use settings::{AgentSettings, SharedKey};
+use protocol::{News, ProcessRole};
+use settings::AgentSettings;
 use telemetry::{Metrics, MetricsSettings};
-use tokio::net::TcpListener;
 use weights::ReconcileSettings;
 
 use crate::agent::{Agent, AgentLimits};
 use crate::error::AgentError;
-use crate::leave;
+use crate::leave::{self, Leaving};
 use crate::watch::Watch;
 use crate::weights_task::Weights;
 use crate::{calls, status};
@@ -38,99 +40,123 @@
     pub reconcile: ReconcileSettings,
 }
 
-/// Runs an agent until it has left, which begins when `stop` completes, an operator asks
-/// for it or the platform says so. Errors when it can't start.
-pub async fn run(
+/// An agent that has its addresses and runs when told to.
+pub struct Sidecar {
     settings: AgentSettings,
     tuning: Tuning,
-    stop: impl Future<Output = ()> + Send + 'static,
-) -> Result<(), AgentError> {
-    let common = &settings.common;
-    let admin_listener = admin::listen(common.admin_listen).await?;
-    let (listener, inner) = listen(&settings).await?;
-    let identity = Arc::new(Identity::new(
-        inner,
-        ProcessRole::Agent,
-        common.failure_domain.clone(),
-        common.region.clone(),
-    ));
-    let link_settings = link_settings(&settings, &identity)?;
-    let udp = Udp::bind(inner, &link_settings).await;
-    let udp = udp.map_err(|reason| AgentError::Listen(inner, reason))?;
+    sockets: Sockets,
+}
+
+impl Sidecar {
+    /// Takes the addresses of the settings; with port 0 the system chooses the ports.
+    /// Errors when an address is taken or no key is set.
+    pub async fn bind(settings: AgentSettings, tuning: Tuning) -> Result<Sidecar, AgentError> {
+        let sockets = Sockets::bind(&settings.common, ProcessRole::Agent).await?;
+        Ok(Sidecar {
+            settings,
+            tuning,
+            sockets,
+        })
+    }
+
+    /// Address for the system's own processes.
+    pub fn inner_address(&self) -> SocketAddr {
+        self.sockets.identity.node().address
+    }
+
+    /// Address for operators.
+    pub fn admin_address(&self) -> Result<SocketAddr, NodeError> {
+        self.sockets.admin_address()
+    }
+
+    /// Runs until the agent has left, which begins when `stop` completes, an operator
+    /// asks for it or the platform says so. Errors when it can't start.
+    pub async fn run(
+        self,
+        stop: impl Future<Output = ()> + Send + 'static,
+    ) -> Result<(), AgentError> {
+        let Sockets {
+            identity,
+            inner,
+            udp,
+            admin,
+            links,
+        } = self.sockets;
+        let leaving = Leaving::new();
+        order_on(leaving.clone(), stop);
+        let (agent, weights) = start_agent(&self.settings, &self.tuning, identity, &links)?;
+        let gossip = start_gossip(
+            &self.settings,
+            &self.tuning,
+            &agent,
+            udp,
+            &weights,
+            &leaving,
+        );
+        tokio::spawn(follow_changes(Arc::clone(&agent), gossip.clone()));
+        tokio::spawn(admin::serve(admin, admin_hooks(&agent, &weights, &leaving)));
+        log::info!(event = "agent-started", node:% = agent.identity.node(), pool:% = agent.pool; "");
+        let serving = Arc::clone(&agent);
+        let handle = move |call| calls::take(&serving, call);
+        let settled = leave::settle(&agent, &gossip, leaving.ordered());
+        tokio::select! {
+            () = link::serve(inner, links, handle, settled) => {}
+            () = leave::overtime(&agent, &leaving) => {}
+        }
+        log::info!(event = "agent-ended", node:% = agent.identity.node(); "");
+        Ok(())
+    }
+}
+
+fn start_agent(
+    settings: &AgentSettings,
+    tuning: &Tuning,
+    identity: Arc<Identity>,
+    links: &LinkSettings,
+) -> Result<(Arc<Agent>, Weights), AgentError> {
     let metrics = Metrics::start(&MetricsSettings {
-        statsd: common.metrics,
+        statsd: settings.common.metrics,
         prefix: METRICS_PREFIX.to_owned(),
     })?;
-    let client_settings = ClientSettings::default();
-    let log = LogClient::new(common.log, &client_settings);
-    let vm_list = VmList::new(common.vm_list, &client_settings);
-    let links = Links::new(link_settings.clone());
-    let feed = ConfigFeed::start(inner, log, links, tuning.feed);
-    let agent = Agent::new(
-        &settings,
-        tuning.limits,
-        Arc::clone(&identity),
-        feed.clone(),
-        metrics,
-    );
-    let agent = Arc::new(agent);
-    let leaving = leave::Leaving::new();
+    let log = LogClient::new(settings.common.log, &ClientSettings::default());
+    let own = identity.node().address;
+    let feed = ConfigFeed::start(own, log, Links::new(links.clone()), tuning.feed.clone());
+    let limits = tuning.limits.clone();
+    let agent = Arc::new(Agent::new(settings, limits, identity, feed, metrics));
     let watch = Watch::start(Arc::clone(&agent));
-    let weights = Weights::start(Arc::clone(&agent), watch, tuning.reconcile);
-    let hooks = gossip_hooks(&agent, &weights, &leaving);
-    let gossip = Gossip::start(udp, identity, vm_list, feed, tuning.gossip, hooks);
-    tokio::spawn(follow_changes(Arc::clone(&agent), gossip.clone()));
-    tokio::spawn(admin::serve(
-        admin_listener,
-        admin_hooks(&agent, &weights, &leaving),
-    ));
-    log::info!(event = "agent-started", node:% = agent.identity.node(), pool:% = agent.pool; "");
-    order_on(leaving.clone(), stop);
-    let serving = Arc::clone(&agent);
-    let handle = move |call| calls::take(&serving, call);
-    let settled = leave::settle(&agent, &gossip, leaving.ordered());
-    tokio::select! {
-        () = link::serve(listener, link_settings, handle, settled) => {}
-        () = leave::overtime(&agent, &leaving) => {}
-    }
-    log::info!(event = "agent-ended", node:% = agent.identity.node(); "");
-    Ok(())
+    let weights = Weights::start(Arc::clone(&agent), watch, tuning.reconcile.clone());
+    Ok((agent, weights))
+}
+
+fn start_gossip(
+    settings: &AgentSettings,
+    tuning: &Tuning,
+    agent: &Arc<Agent>,
+    udp: Udp,
+    weights: &Weights,
+    leaving: &Leaving,
+) -> Gossip {
+    let vm_list = VmList::new(settings.common.vm_list, &ClientSettings::default());
+    let hooks = gossip_hooks(agent, weights, leaving);
+    let identity = Arc::clone(&agent.identity);
+    Gossip::start(
+        udp,
+        identity,
+        vm_list,
+        agent.feed.clone(),
+        tuning.gossip.clone(),
+        hooks,
+    )
 }
 
-fn order_on(leaving: leave::Leaving, stop: impl Future<Output = ()> + Send + 'static) {
+fn order_on(leaving: Leaving, stop: impl Future<Output = ()> + Send + 'static) {
     tokio::spawn(async move {
         stop.await;
         leaving.order();
     });
 }
 
-/// Binds the inner address; with port 0 the system chooses one.
-async fn listen(
-    settings: &AgentSettings,
-) -> Result<(TcpListener, std::net::SocketAddr), AgentError> {
-    let address = settings.common.inner_listen;
-    let failed = |reason| AgentError::Listen(address, reason);
-    let listener = TcpListener::bind(address).await.map_err(failed)?;
-    let inner = listener.local_addr().map_err(failed)?;
-    Ok((listener, inner))
-}
-
-fn link_settings(
-    settings: &AgentSettings,
-    identity: &Identity,
-) -> Result<LinkSettings, AgentError> {
-    let common = &settings.common;
-    let keys = keys(&common.keys).ok_or(AgentError::NoKey)?;
-    let failure_domain = common.failure_domain.clone();
-    Ok(LinkSettings::new(
-        identity.node(),
-        identity.role,
-        failure_domain,
-        keys,
-    ))
-}
-
-fn gossip_hooks(agent: &Arc<Agent>, weights: &Weights, leaving: &leave::Leaving) -> GossipHooks {
+fn gossip_hooks(agent: &Arc<Agent>, weights: &Weights, leaving: &Leaving) -> GossipHooks {
     let told = Arc::clone(agent);
     let weights = weights.clone();
     let leaving = leaving.clone();
@@ -151,7 +177,7 @@
     }
 }
 
-fn admin_hooks(agent: &Arc<Agent>, weights: &Weights, leaving: &leave::Leaving) -> AdminHooks {
+fn admin_hooks(agent: &Arc<Agent>, weights: &Weights, leaving: &Leaving) -> AdminHooks {
     let ready = Arc::clone(agent);
     let shown = Arc::clone(agent);
     let weights = weights.clone();
@@ -165,15 +191,6 @@
     }
 }
 
-fn keys(shared: &[SharedKey]) -> Option<Keys> {
-    let mut keys = shared.iter().map(|key| Key::new(key.0));
-    let first = keys.next()?;
-    Some(match keys.next() {
-        Some(second) => Keys::two(first, second),
-        None => Keys::one(first),
-    })
-}
-
 /// Works the hosted services out anew with every change of the configuration, and tells
 /// the probers at once of that and of every change of the endpoint.
 async fn follow_changes(agent: Arc<Agent>, gossip: Gossip) {
--- a/components/sidecar/src/watch.rs
+++ b/components/sidecar/src/watch.rs
@@ -122,7 +122,11 @@
         Ok(_) => Sign::Silent,
         Err(error) => Sign::of_error(&error),
     };
-    (sign, Look::default())
+    let seen = Look {
+        load_read_ms: now_ms(),
+        ..Look::default()
+    };
+    (sign, seen)
 }
 
 async fn well(body: platform::Body) -> Sign {
--- /dev/null
+++ b/components/sidecar/tests/common/mod.rs
@@ -0,0 +1,349 @@
+//! An agent on loopback between stand-ins of the platform and a caller.
+#![allow(dead_code, clippy::unwrap_used)] // The exemption of clippy.toml ends at helpers of tests.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use config::{Publish, Record};
+use link::{Call, CallEvent, LinkSettings, Links, Udp};
+use platform::{
+    ClientSettings, Endpoint, EndpointSettings, LogClient, Request, Vm, VmRole, VmState,
+};
+use protocol::{Datagram, Head, Key, Keys, News, Open, ProcessRole, Status};
+use settings::{AgentSettings, CommonSettings, EndpointKind, Fencing, SharedKey};
+use sidecar::{Sidecar, Tuning};
+use standins::engine::{EngineSettings, Speeds};
+use standins::log::LogSettings;
+use standins::service::ServiceSettings;
+use standins::vms::VmsSettings;
+use standins::{Handle, engine, log, service, vms};
+use telemetry::LogLevel;
+use tokio::sync::oneshot;
+use tokio::task::JoinHandle;
+use tokio::time::timeout;
+use types::{
+    Class, CustomerName, Failure, FailureDomain, Incarnation, NodeId, Region, ServiceName,
+    WeightVersion,
+};
+
+const LOOPBACK: &str = "127.0.0.1:0";
+const KEY: [u8; 32] = [7; 32];
+/// Far above what anything here takes; only a test that fails reaches it.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+pub const OFFICE: &str = r#"
+schema = 1
+customer = "office"
+[[service]]
+name = "redacteurs"
+kind = "model"
+pool = "redacteurs"
+[[service]]
+name = "guichet"
+kind = "plain"
+pool = "guichet"
+"#;
+
+pub const SECOND: WeightVersion = WeightVersion {
+    epoch: 0,
+    version: 2,
+};
+
+pub fn second_version() -> News {
+    News::Weights {
+        customer: "office".parse().unwrap(),
+        service: "redacteurs".parse().unwrap(),
+        version: SECOND,
+    }
+}
+
+pub fn loopback() -> SocketAddr {
+    LOOPBACK.parse().unwrap()
+}
+
+/// The platform's services.
+pub struct Platform {
+    pub log: Handle,
+    pub vms: Handle,
+}
+
+impl Platform {
+    pub async fn start(listed: &[SocketAddr]) -> Platform {
+        let mut settings = VmsSettings::new(loopback());
+        settings.vms = listed.iter().map(|&address| vm(address)).collect();
+        Platform {
+            log: log::start(LogSettings::new(loopback())).await.unwrap(),
+            vms: vms::start(settings).await.unwrap(),
+        }
+    }
+
+    pub async fn publish(&self, text: &str) {
+        let customer = CustomerName::new("office").unwrap();
+        let publish = Publish::on(customer, None, "first", text);
+        let record = Record::Publish(publish).to_json().unwrap();
+        let client = LogClient::new(self.log.address, &ClientSettings::default());
+        client.append("config", &record).await.unwrap();
+    }
+}
+
+fn vm(address: SocketAddr) -> Vm {
+    Vm {
+        address,
+        role: VmRole::Agent,
+        failure_domain: FailureDomain::new("rennes-a").unwrap(),
+        region: Region::new("bretagne").unwrap(),
+        state: VmState::Live,
+    }
+}
+
+pub async fn plain_endpoint(service_ms: u64) -> Handle {
+    let settings = ServiceSettings {
+        service_ms,
+        ..ServiceSettings::new(loopback(), "guichet")
+    };
+    service::start(settings).await.unwrap()
+}
+
+/// An engine whose steps take no time; with a scale above 0 they take some.
+pub async fn engine_endpoint(scale_permille: u32) -> Handle {
+    let settings = EngineSettings {
+        speeds: Speeds {
+            scale_permille,
+            ..Speeds::default()
+        },
+        report_lag_ms: 0,
+        ..EngineSettings::new(loopback(), "redacteurs")
+    };
+    engine::start(settings).await.unwrap()
+}
+
+/// A running agent.
+pub struct TestAgent {
+    pub address: SocketAddr,
+    pub admin: SocketAddr,
+    stop: Option<oneshot::Sender<()>>,
+    task: JoinHandle<()>,
+}
+
+impl TestAgent {
+    pub async fn start(platform: &Platform, endpoint: SocketAddr, kind: EndpointKind) -> TestAgent {
+        let sidecar = Sidecar::bind(settings(platform, endpoint, kind), Tuning::default());
+        let sidecar = sidecar.await.unwrap();
+        let (stop, stopped) = oneshot::channel::<()>();
+        let stopped = async move {
+            let _ = stopped.await;
+        };
+        TestAgent {
+            address: sidecar.inner_address(),
+            admin: sidecar.admin_address().unwrap(),
+            stop: Some(stop),
+            task: tokio::spawn(async move { sidecar.run(stopped).await.unwrap() }),
+        }
+    }
+
+    pub fn order_leave(&mut self) {
+        self.stop.take().unwrap().send(()).unwrap();
+    }
+
+    pub async fn ended(&mut self) {
+        timeout(PATIENCE, &mut self.task).await.unwrap().unwrap();
+    }
+}
+
+impl Drop for TestAgent {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+fn settings(platform: &Platform, endpoint: SocketAddr, kind: EndpointKind) -> AgentSettings {
+    let pool = match kind {
+        EndpointKind::Model => "redacteurs",
+        EndpointKind::Plain => "guichet",
+    };
+    AgentSettings {
+        common: CommonSettings {
+            inner_listen: loopback(),
+            admin_listen: loopback(),
+            log: platform.log.address,
+            vm_list: platform.vms.address,
+            failure_domain: FailureDomain::new("rennes-a").unwrap(),
+            region: Region::new("bretagne").unwrap(),
+            keys: vec![SharedKey(KEY)],
+            metrics: None,
+            log_level: LogLevel::Error,
+            settle_ms: 0,
+            drain_ms: 20_000,
+        },
+        endpoint,
+        endpoint_kind: kind,
+        pool: pool.parse().unwrap(),
+        fencing: Fencing::Ignored,
+    }
+}
+
+/// The entry's side of the links.
+pub struct Caller {
+    pub links: Links,
+    udp: Udp,
+    node: NodeId,
+}
+
+/// How a call ended.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Ended {
+    Whole(u16, String),
+    Failed(Failure),
+}
+
+impl Caller {
+    pub async fn start() -> Caller {
+        let keys = Keys::one(Key::new(KEY));
+        let failure_domain = FailureDomain::new("rennes-a").unwrap();
+        let settings = |address| {
+            let incarnation = Incarnation(1);
+            let node = NodeId {
+                address,
+                incarnation,
+            };
+            let domain = failure_domain.clone();
+            LinkSettings::new(node, ProcessRole::Entry, domain, keys.clone())
+        };
+        let udp = Udp::bind(loopback(), &settings(loopback())).await.unwrap();
+        let own = settings(udp.local_address().unwrap());
+        Caller {
+            node: own.node,
+            links: Links::new(own),
+            udp,
+        }
+    }
+
+    pub fn open(&self, service: &str, method: &str, path: &str, body: &str) -> Open {
+        Open {
+            id: self.links.next_id(),
+            request_id: "r-1".to_owned(),
+            customer: CustomerName::new("office").unwrap(),
+            owner: CustomerName::new("office").unwrap(),
+            service: ServiceName::new(service).unwrap(),
+            class: Class::Interactive,
+            idempotent: method == "GET",
+            deadline_left_ms: 20_000,
+            method: method.to_owned(),
+            path: path.to_owned(),
+            headers: vec![("x-request-tag".to_owned(), "tag".to_owned())],
+            body: Bytes::copy_from_slice(body.as_bytes()),
+        }
+    }
+
+    pub fn completion(&self, prompt: &str, stream: bool) -> Open {
+        let body = format!(
+            r#"{{"model":"redacteurs","prompt":"{prompt}","max_tokens":200,"stream":{stream}}}"#
+        );
+        Open {
+            idempotent: true,
+            ..self.open("redacteurs", "POST", "/v1/completions", &body)
+        }
+    }
+
+    pub async fn call(&self, agent: &TestAgent, open: Open) -> Ended {
+        let mut call = self.links.call(agent.address, open);
+        end_of(&mut call).await
+    }
+
+    pub async fn tell(&self, agent: &TestAgent, news: News) {
+        let datagram = Datagram {
+            from: self.node,
+            role: ProcessRole::Entry,
+            news: vec![news],
+        };
+        self.udp.send(agent.address, &datagram).await.unwrap();
+    }
+
+    /// Probes until a status is as wanted.
+    pub async fn status_where(
+        &self,
+        agent: &TestAgent,
+        wanted: impl Fn(&Status) -> bool,
+    ) -> Status {
+        let seen = async {
+            loop {
+                self.tell(agent, News::Probe).await;
+                let heard = timeout(Duration::from_millis(50), self.status_of(agent)).await;
+                if let Ok(status) = heard
+                    && wanted(&status)
+                {
+                    return status;
+                }
+            }
+        };
+        timeout(PATIENCE, seen)
+            .await
+            .expect("the agent never has the wanted status")
+    }
+
+    /// The next status that the agent sends, asked or not.
+    pub async fn status_of(&self, agent: &TestAgent) -> Status {
+        loop {
+            let (_, datagram) = self.udp.recv().await;
+            for news in datagram.news {
+                if let News::Status(status) = news
+                    && datagram.from.address == agent.address
+                {
+                    return *status;
+                }
+            }
+        }
+    }
+
+    /// Waits until the agent hosts a service.
+    pub async fn hosted(&self, agent: &TestAgent) -> Status {
+        self.status_where(agent, |status| !status.hosted.is_empty())
+            .await
+    }
+}
+
+/// Reads a call to its end.
+pub async fn end_of(call: &mut Call) -> Ended {
+    let mut status = 0;
+    let mut text = Vec::new();
+    loop {
+        match timeout(PATIENCE, call.next())
+            .await
+            .expect("the call never ends")
+        {
+            CallEvent::Head(Head { status: given, .. }) => status = given,
+            CallEvent::Chunk(bytes) => text.extend_from_slice(&bytes),
+            CallEvent::End => return Ended::Whole(status, String::from_utf8(text).unwrap()),
+            CallEvent::Failed(failure) => return Ended::Failed(failure),
+            CallEvent::Accepted | CallEvent::Started => {}
+        }
+    }
+}
+
+/// Reads a call until an event is as wanted.
+pub async fn until(call: &mut Call, wanted: impl Fn(&CallEvent) -> bool) {
+    loop {
+        let event = timeout(PATIENCE, call.next())
+            .await
+            .expect("the event never comes");
+        if wanted(&event) {
+            return;
+        }
+        let last = matches!(event, CallEvent::End | CallEvent::Failed(_));
+        assert!(!last, "the call ended before: {event:?}");
+    }
+}
+
+pub async fn get(address: SocketAddr, path: &str) -> (u16, String) {
+    let endpoint = Endpoint::new(address, EndpointSettings::default());
+    let response = endpoint
+        .send(Request::new("GET", path), 5_000)
+        .await
+        .unwrap();
+    let body = response.body.whole().await.unwrap();
+    (
+        response.head.status,
+        String::from_utf8(body.to_vec()).unwrap(),
+    )
+}
--- /dev/null
+++ b/components/sidecar/tests/life.rs
@@ -0,0 +1,132 @@
+//! The agent's own life: weights, crashes of the endpoint, an outage of the log, leaving.
+
+mod common;
+
+use common::{
+    Caller, Ended, OFFICE, Platform, SECOND, TestAgent, end_of, engine_endpoint, get,
+    plain_endpoint, second_version, until,
+};
+use link::CallEvent;
+use settings::EndpointKind;
+use standins::{Fault, FaultKind};
+use types::{Cause, RunState, WeightVersion};
+
+// The trainer's version is on the engine in the end, and the agent reports it only after
+// it has read it back. What happens: the first switch fails at the engine, then the
+// engine crashes and comes back on its old version.
+#[tokio::test]
+async fn can_bring_the_engine_to_a_version_through_a_failed_swap_and_a_crash() {
+    let platform = Platform::start(&[]).await;
+    platform.publish(OFFICE).await;
+    let endpoint = engine_endpoint(0).await;
+    endpoint.fault(Fault::new(FaultKind::SwapFails).times(1));
+    let agent = TestAgent::start(&platform, endpoint.address, EndpointKind::Model).await;
+    let caller = Caller::start().await;
+    let first = caller.hosted(&agent).await;
+    assert_eq!(first.hosted[0].weights, Some(WeightVersion::default()));
+    caller.tell(&agent, second_version()).await;
+    let serves = |status: &protocol::Status| {
+        status
+            .hosted
+            .iter()
+            .any(|hosted| hosted.weights == Some(SECOND))
+    };
+    let switched = caller.status_where(&agent, serves).await;
+    assert_eq!(switched.endpoint_life, 0);
+    endpoint.crash(50);
+    let back = |status: &protocol::Status| status.endpoint_life == 1 && serves(status);
+    caller.status_where(&agent, back).await;
+    let (_, page) = get(agent.admin, "/status").await;
+    assert!(page.contains(r#""wanted":"0.2","serving":"0.2""#), "{page}");
+}
+
+// A non-idempotent call runs when the endpoint dies. The caller hears "unknown", the
+// next status counts one more life, and it comes without being asked for.
+#[tokio::test]
+async fn can_tell_of_a_crash_at_once() {
+    let platform = Platform::start(&[]).await;
+    platform.publish(OFFICE).await;
+    let endpoint = plain_endpoint(60_000).await;
+    let agent = TestAgent::start(&platform, endpoint.address, EndpointKind::Plain).await;
+    let caller = Caller::start().await;
+    caller.hosted(&agent).await;
+    let open = caller.open("guichet", "POST", "/sanctions", "{}");
+    let mut call = caller.links.call(agent.address, open);
+    until(&mut call, |event| *event == CallEvent::Started).await;
+    while get(endpoint.address, "/standin/runs").await.1 == "{}" {}
+    endpoint.crash(600_000);
+    let Ended::Failed(failure) = end_of(&mut call).await else {
+        panic!("a dead endpoint answered");
+    };
+    assert_eq!(
+        (failure.run, failure.cause),
+        (RunState::Unknown, Cause::EndpointLost)
+    );
+    loop {
+        let status = caller.status_of(&agent).await;
+        if status.endpoint_life == 1 {
+            assert!(status.hosted.is_empty());
+            break;
+        }
+    }
+}
+
+// The log is down when a new VM's agent starts. It learns the accepted text from a peer
+// of the VM list and takes calls.
+#[tokio::test]
+async fn can_start_from_a_peer_while_the_log_is_down() {
+    let platform = Platform::start(&[]).await;
+    platform.publish(OFFICE).await;
+    let endpoint = plain_endpoint(0).await;
+    let caller = Caller::start().await;
+    let old = TestAgent::start(&platform, endpoint.address, EndpointKind::Plain).await;
+    caller.hosted(&old).await;
+    platform.log.fault(Fault::new(FaultKind::Outage));
+    let listed = Platform::start(&[old.address]).await;
+    let outage = Platform {
+        log: platform.log,
+        vms: listed.vms,
+    };
+    let new = TestAgent::start(&outage, endpoint.address, EndpointKind::Plain).await;
+    caller.hosted(&new).await;
+    let ended = caller
+        .call(&new, caller.open("guichet", "GET", "/applicants/7", ""))
+        .await;
+    assert!(matches!(ended, Ended::Whole(200, _)), "{ended:?}");
+}
+
+// The agent is told to leave in the middle of a call. That call gets its whole answer,
+// later ones are refused as not run, entries are told without asking, and then the
+// process ends.
+#[tokio::test]
+async fn can_leave_without_cutting_off_a_call() {
+    let platform = Platform::start(&[]).await;
+    platform.publish(OFFICE).await;
+    let endpoint = engine_endpoint(1_000).await;
+    let mut agent = TestAgent::start(&platform, endpoint.address, EndpointKind::Model).await;
+    let caller = Caller::start().await;
+    caller.hosted(&agent).await;
+    assert_eq!(get(agent.admin, "/readyz").await.0, 200);
+    let mut running = caller
+        .links
+        .call(agent.address, caller.completion("long", true));
+    until(&mut running, |event| matches!(event, CallEvent::Chunk(_))).await;
+    agent.order_leave();
+    while !caller.status_of(&agent).await.leaving {}
+    assert_eq!(get(agent.admin, "/readyz").await.0, 503);
+    let late = caller.call(&agent, caller.completion("late", false)).await;
+    let Ended::Failed(failure) = late else {
+        panic!("a leaving agent took a call: {late:?}");
+    };
+    assert_eq!(
+        (failure.run, failure.cause),
+        (RunState::NotRun, Cause::Leaving)
+    );
+    let ended = end_of(&mut running).await;
+    assert!(
+        matches!(&ended, Ended::Whole(_, body) if body.trim_end().ends_with("data: [DONE]")),
+        "{ended:?}"
+    );
+    drop(running);
+    agent.ended().await;
+}
