--- /dev/null
+++ b/components/limits/examples/admission_cost.rs
@@ -0,0 +1,124 @@
+//! Prints the cost of admission against the number of customers. Run:
+//! `cargo run --release -p limits --example admission_cost`.
+//!
+//! Nanoseconds are of this machine and this run; compare only within one run.
+
+#[path = "../tests/common/mod.rs"]
+mod common;
+
+use std::hint::black_box;
+use std::sync::Arc;
+use std::time::Instant;
+
+use common::customer;
+use limits::{
+    Admission, AdmissionSettings, Arrival, Clock, Customer, CustomerLimits, Gate, Request,
+    RetryBudget, Room, Ticket,
+};
+use types::{Class, CustomerName};
+
+const CALLS: u64 = 200_000;
+const WAITING_EACH: u64 = 8;
+
+fn main() {
+    println!("# ns per decision, this machine, this run; one thread");
+    println!("decision 10 100 1000");
+    print!("customer-enter-and-leave");
+    for customers in [10, 100, 1_000] {
+        print!(" {:.0}", enter(customers));
+    }
+    print!("\nqueue-arrive-and-admit-with-8-waiting-each");
+    for customers in [10, 100, 1_000] {
+        print!(" {:.0}", queue(customers));
+    }
+    println!("\ngate-admit-and-release-with-room {:.0}", gate());
+    println!("retry-budget-first-try-and-spend {:.0}", budget());
+}
+
+fn names(count: u64) -> Vec<CustomerName> {
+    (0..count)
+        .map(|number| customer(&format!("c{number}")))
+        .collect()
+}
+
+fn timed(work: impl FnOnce()) -> f64 {
+    let start = Instant::now();
+    work();
+    start.elapsed().as_nanos() as f64 / CALLS as f64
+}
+
+fn enter(customers: u64) -> f64 {
+    let limits = CustomerLimits {
+        requests_per_s: Some(1_000_000),
+        in_progress: Some(1_000),
+        tokens_per_s: Some(1_000_000_000),
+    };
+    let one = |_| Arc::new(Customer::new(&limits, 1.0));
+    let all: Vec<Arc<Customer>> = (0..customers).map(one).collect();
+    timed(|| {
+        for (call, customer) in (0..CALLS).zip(all.iter().cycle()) {
+            let _ = black_box(customer.enter(700, call, call));
+        }
+    })
+}
+
+fn queue(customers: u64) -> f64 {
+    let names = names(customers);
+    let mut admission = Admission::new(AdmissionSettings::default());
+    let room = Room {
+        in_progress: 0,
+        limit: 64,
+        hold_ms: 1,
+    };
+    let arrival = |number: u64| Arrival {
+        ticket: Ticket(number),
+        customer: names[(number % customers) as usize].clone(),
+        weight: 1,
+        class: Class::ALL[(number % 3) as usize],
+        cost: 1,
+        deadline_ms: u64::MAX,
+    };
+    for number in 0..customers * WAITING_EACH {
+        let _ = admission.arrive(&arrival(number), room, 0, 0);
+    }
+    timed(|| {
+        for number in 0..CALLS {
+            let next = arrival(customers * WAITING_EACH + number);
+            let _ = black_box(admission.arrive(&next, room, 0, 0));
+            black_box(admission.next(room, 0));
+        }
+    })
+}
+
+fn gate() -> f64 {
+    let clock: Clock = Arc::new(|| 0);
+    let (gate, _task) = Gate::new(AdmissionSettings::default(), 64, clock);
+    let request = Request {
+        customer: customer("a"),
+        weight: 1,
+        class: Class::Interactive,
+        cost: 1,
+        deadline_ms: u64::MAX,
+    };
+    let runtime = tokio::runtime::Builder::new_current_thread().build();
+    let Ok(runtime) = runtime else {
+        return f64::NAN;
+    };
+    timed(|| {
+        runtime.block_on(async {
+            for number in 0..CALLS {
+                let _ = black_box(gate.admit(request.clone(), number).await);
+            }
+        });
+    })
+}
+
+fn budget() -> f64 {
+    let budget = RetryBudget::new(&limits::BudgetSettings::default());
+    timed(|| {
+        for now_ms in 0..CALLS {
+            budget.first_try();
+            black_box(budget.spend(now_ms));
+        }
+    })
+}
--- a/components/limits/src/admission.rs
+++ b/components/limits/src/admission.rs
@@ -2,7 +2,8 @@
 //!
 //! Class priority first, then the fair queue between customers. Strict priority alone
 //! would let a stream of interactive requests hold up samples for ever, so a class that
-//! waits is passed over a bounded number of times. A queued request has an answer by
+//! waits is passed over a bounded number of times, and a customer who is far ahead of
+//! one that waits in a lower class has no priority over it. A queued request has an answer by
 //! its deadline, and is refused at once when the estimated wait is past it.
 
 use std::collections::{BTreeSet, HashMap};
@@ -10,6 +11,7 @@
 use derive::{key, value};
 use types::{Cause, Class, CustomerName, Failure};
 
+use crate::account::Accounts;
 use crate::fair::{FairQueue, Place};
 use crate::retry_after::retry_after_ms;
 use crate::settings::AdmissionSettings;
@@ -75,6 +77,7 @@
 pub struct Admission {
     settings: AdmissionSettings,
     lines: [Line; Class::ALL.len()],
+    accounts: Accounts,
     waiting: HashMap<Ticket, Waiting>,
     deadlines: BTreeSet<(u64, Ticket)>,
 }
@@ -90,6 +93,7 @@
         Self {
             settings,
             lines: Class::ALL.map(line),
+            accounts: Accounts::default(),
             waiting: HashMap::new(),
             deadlines: BTreeSet::new(),
         }
@@ -185,6 +189,7 @@
         };
         self.deadlines.remove(&(waiting.deadline_ms, ticket));
         self.line_mut(waiting.class).queue.remove(waiting.place);
+        self.even_out();
         true
     }
 
@@ -193,25 +198,56 @@
             return None;
         }
         let class = self.turn(room)?;
-        let ticket = self.line_mut(class).queue.pop()?;
+        let least = self.least_given();
+        let (ticket, request) = self.line_mut(class).queue.pop()?;
+        self.accounts.give(&request, least);
         self.count_passed(class);
         if let Some(waiting) = self.waiting.remove(&ticket) {
             self.deadlines.remove(&(waiting.deadline_ms, ticket));
         }
+        self.even_out();
         Some(ticket)
     }
 
+    fn even_out(&mut self) {
+        if self.waiting.is_empty() {
+            self.accounts.clear();
+        }
+    }
+
     /// The class that goes next: one that was passed over too often, lowest first, else
-    /// the highest that has room.
+    /// the highest whose next customer is not too far ahead.
     fn turn(&self, room: Room) -> Option<Class> {
         let settings = &self.settings;
-        let waits = || self.lines.iter().filter(|line| !line.queue.is_empty());
-        let overdue = waits()
-            .rev()
-            .find(|line| line.passed >= settings.passed_max(line.class));
-        let has_room = |line: &&Line| room.in_progress < settings.slots(line.class, room.limit);
-        let first = overdue.or_else(|| waits().find(has_room));
-        first.map(|line| line.class)
+        let mut waits = self.lines.iter().filter(|line| !line.queue.is_empty());
+        let is_overdue = |line: &&Line| line.passed >= settings.passed_max(line.class);
+        if let Some(overdue) = waits.clone().rev().find(is_overdue) {
+            return Some(overdue.class);
+        }
+        let highest = waits.clone().next()?;
+        let least = self.least_given();
+        let next = waits.find(|line| !self.is_too_far_ahead(line, least))?;
+        // The slots left free are for higher classes; not for a customer who is ahead.
+        let passes = next.class > highest.class;
+        let has_room = room.in_progress < settings.slots(next.class, room.limit);
+        (passes || has_room).then_some(next.class)
+    }
+
+    fn is_too_far_ahead(&self, line: &Line, least: u64) -> bool {
+        let Some(first) = line.queue.first() else {
+            return false;
+        };
+        let lead = self.accounts.given(&first.customer) - least;
+        lead > first
+            .length
+            .saturating_mul(u64::from(self.settings.lead_max))
+    }
+
+    /// The least that a customer next in its class has been given.
+    fn least_given(&self) -> u64 {
+        let firsts = self.lines.iter().filter_map(|line| line.queue.first());
+        let given = firsts.map(|first| self.accounts.given(&first.customer));
+        given.min().unwrap_or_default()
     }
 
     fn count_passed(&mut self, served: Class) {
--- a/components/limits/src/fair.rs
+++ b/components/limits/src/fair.rs
@@ -12,8 +12,8 @@
 
 use crate::admission::Ticket;
 
-/// Virtual time of one unit of cost at weight 1.
-const UNIT: u64 = 1 << 12;
+/// Virtual time of one unit of cost at weight 1; the weights up to 10 divide it.
+const UNIT: u64 = 5_040;
 
 /// Place in the queue: start tag, then order of arrival.
 #[key]
@@ -22,10 +22,12 @@
     ticket: Ticket,
 }
 
+/// One request that waits.
 #[derive(Debug)]
-struct Waiting {
-    customer: CustomerName,
-    length: u64,
+pub(crate) struct Waiting {
+    pub(crate) customer: CustomerName,
+    /// Virtual time that it takes: its cost over its customer's weight.
+    pub(crate) length: u64,
 }
 
 #[derive(Debug)]
@@ -104,12 +106,17 @@
         place
     }
 
+    /// The request that goes next.
+    pub(crate) fn first(&self) -> Option<&Waiting> {
+        self.waiting.first_key_value().map(|(_, waiting)| waiting)
+    }
+
     /// Takes the request that goes next.
-    pub(crate) fn pop(&mut self) -> Option<Ticket> {
+    pub(crate) fn pop(&mut self) -> Option<(Ticket, Waiting)> {
         let (place, waiting) = self.waiting.pop_first()?;
         self.virtual_time = self.virtual_time.max(place.start);
         self.left(&waiting.customer);
-        Some(place.ticket)
+        Some((place.ticket, waiting))
     }
 
     /// Takes out a request that will not be served, and gives its cost back: else the
--- a/components/limits/src/lib.rs
+++ b/components/limits/src/lib.rs
@@ -6,6 +6,7 @@
 //! pure [`Admission`]: class priority, a fair queue between customers, deadlines. The
 //! path of a request takes no lock; time and random numbers are passed in.
 
+mod account;
 mod admission;
 mod bucket;
 mod budget;
--- a/components/limits/src/settings.rs
+++ b/components/limits/src/settings.rs
@@ -15,6 +15,9 @@
     pub background_passed_max: u32,
     /// Times that waiting sampling work is passed over before one of it goes first.
     pub sampling_passed_max: u32,
+    /// Requests by which a customer may be ahead of another that waits in a lower class
+    /// before its own class gives it no priority.
+    pub lead_max: u32,
     /// How long a slot is held, before it has been measured, in milliseconds.
     pub hold_ms: u32,
 }
@@ -26,6 +29,7 @@
             headroom_permille: 50,
             background_passed_max: 8,
             sampling_passed_max: 16,
+            lead_max: 32,
             hold_ms: 100,
         }
     }
--- /dev/null
+++ b/components/limits/tests/admission.rs
@@ -0,0 +1,372 @@
+//! The order in which waiting requests go, and what those that can't go are told.
+
+#![allow(clippy::unwrap_used)]
+
+mod common;
+
+use common::queue::{self, Order, Stream};
+use common::{Draws, customer};
+use limits::{Action, Admission, AdmissionSettings, Arrival, Room, Ticket, retry_after_ms};
+use quickcheck::quickcheck;
+use types::{Cause, Class, Failure, RunState};
+
+const ROOM: Room = Room {
+    in_progress: 0,
+    limit: 10,
+    hold_ms: 100,
+};
+const FULL: Room = Room {
+    in_progress: 10,
+    ..ROOM
+};
+
+fn arrival(ticket: u64, name: &str, class: Class) -> Arrival {
+    Arrival {
+        ticket: Ticket(ticket),
+        customer: customer(name),
+        weight: 1,
+        class,
+        cost: 1,
+        deadline_ms: 1_000_000,
+    }
+}
+
+fn admission() -> Admission {
+    Admission::new(AdmissionSettings::default())
+}
+
+/// Admits `count` requests; the tickets in order.
+fn order(admission: &mut Admission, count: usize) -> Vec<u64> {
+    let one = |_| match admission.next(ROOM, 0) {
+        Some(Action::Admit(ticket)) => Some(ticket.0),
+        _ => None,
+    };
+    (0..count).map_while(one).collect()
+}
+
+#[test]
+fn orders_by_class_then_between_customers() {
+    struct Case {
+        name: &'static str,
+        arrivals: Vec<Arrival>,
+        expected: Vec<u64>,
+    }
+    let (interactive, sampling) = (Class::Interactive, Class::Sampling);
+    let heavy = |ticket, name| Arrival {
+        weight: 3,
+        ..arrival(ticket, name, interactive)
+    };
+    let large = |ticket, name| Arrival {
+        cost: 3,
+        ..arrival(ticket, name, interactive)
+    };
+    let cases = [
+        Case {
+            name: "an interactive request goes before samples",
+            arrivals: vec![
+                arrival(1, "a", sampling),
+                arrival(2, "a", Class::Background),
+                arrival(3, "b", interactive),
+            ],
+            expected: vec![3, 2, 1],
+        },
+        Case {
+            name: "one request of b goes after one of a's many",
+            arrivals: vec![
+                arrival(1, "a", interactive),
+                arrival(2, "a", interactive),
+                arrival(3, "a", interactive),
+                arrival(4, "b", interactive),
+            ],
+            expected: vec![1, 4, 2, 3],
+        },
+        Case {
+            name: "weight 3 gets three turns for one",
+            arrivals: [1, 2, 3, 4]
+                .map(|ticket| arrival(ticket, "a", interactive))
+                .into_iter()
+                .chain([5, 6, 7, 8].map(|ticket| heavy(ticket, "b")))
+                .collect(),
+            expected: vec![1, 5, 6, 7, 2, 8, 3, 4],
+        },
+        Case {
+            name: "large requests get fewer turns",
+            arrivals: [1, 2]
+                .map(|ticket| large(ticket, "a"))
+                .into_iter()
+                .chain([3, 4, 5, 6].map(|ticket| arrival(ticket, "b", interactive)))
+                .collect(),
+            expected: vec![1, 3, 4, 5, 2, 6],
+        },
+    ];
+    for case in cases {
+        let mut admission = admission();
+        for arrival in &case.arrivals {
+            admission.arrive(arrival, FULL, 0, 0).unwrap();
+        }
+        assert_eq!(order(&mut admission, 20), case.expected, "{}", case.name);
+    }
+}
+
+// A trainer's sample waits while clerks keep the service full. Priority alone would let
+// it wait until their offices close; it goes after 16 of them.
+#[test]
+fn a_waiting_class_is_passed_over_a_bounded_number_of_times() {
+    let mut admission = admission();
+    admission
+        .arrive(&arrival(0, "a", Class::Sampling), FULL, 0, 0)
+        .unwrap();
+    for ticket in 1..=40 {
+        let clerk = arrival(ticket, "a", Class::Interactive);
+        admission.arrive(&clerk, FULL, 0, 0).unwrap();
+    }
+    let order = order(&mut admission, 41);
+    assert_eq!(order.iter().position(|&ticket| ticket == 0), Some(16));
+}
+
+#[test]
+fn samples_leave_slots_for_interactive_requests() {
+    let mut admission = admission();
+    let room = |in_progress| Room {
+        in_progress,
+        limit: 20,
+        ..ROOM
+    };
+    admission
+        .arrive(&arrival(1, "a", Class::Sampling), room(20), 0, 0)
+        .unwrap();
+    assert_eq!(admission.next(room(18), 0), None);
+    admission
+        .arrive(&arrival(2, "a", Class::Interactive), room(20), 0, 0)
+        .unwrap();
+    assert_eq!(admission.next(room(18), 0), Some(Action::Admit(Ticket(2))));
+    assert_eq!(admission.next(room(17), 0), Some(Action::Admit(Ticket(1))));
+}
+
+#[test]
+fn refuses_at_once_what_cannot_go_in_time() {
+    struct Case {
+        name: &'static str,
+        waiting: u64,
+        of: &'static str,
+        deadline_ms: u64,
+        expected: Option<Cause>,
+    }
+    let cases = [
+        Case {
+            name: "can wait for a short queue",
+            waiting: 10,
+            of: "b",
+            deadline_ms: 1_000,
+            expected: None,
+        },
+        Case {
+            name: "errors when the queue is longer than the deadline",
+            waiting: 30,
+            of: "b",
+            deadline_ms: 200,
+            expected: Some(Cause::QueueFull),
+        },
+        Case {
+            name: "can overtake the queue of another customer",
+            waiting: 30,
+            of: "a",
+            deadline_ms: 200,
+            expected: None,
+        },
+        Case {
+            name: "errors when its own places are taken",
+            waiting: 64,
+            of: "b",
+            deadline_ms: 900_000,
+            expected: Some(Cause::QueueFull),
+        },
+        Case {
+            name: "errors when the deadline is over",
+            waiting: 0,
+            of: "b",
+            deadline_ms: 100,
+            expected: Some(Cause::DeadlinePassed),
+        },
+    ];
+    for case in cases {
+        let mut admission = admission();
+        for ticket in 0..case.waiting {
+            let before = arrival(ticket, case.of, Class::Interactive);
+            admission.arrive(&before, FULL, 100, 0).unwrap();
+        }
+        let last = Arrival {
+            deadline_ms: case.deadline_ms,
+            ..arrival(99, "b", Class::Interactive)
+        };
+        let refused = admission.arrive(&last, FULL, 100, u64::MAX).err();
+        assert_eq!(
+            refused.map(|failure| failure.cause),
+            case.expected,
+            "{}",
+            case.name
+        );
+        let is_not_run = |failure: Failure| failure.run == RunState::NotRun;
+        assert!(refused.is_none_or(is_not_run), "{}", case.name);
+        let has_time = |failure: Failure| failure.retry_after_ms.is_some();
+        let in_queue = case.expected == Some(Cause::QueueFull);
+        assert_eq!(refused.is_some_and(has_time), in_queue, "{}", case.name);
+    }
+}
+
+// The process was paused for a minute with requests queued. Their callers have given
+// up; handing them over now would run work that nobody waits for.
+#[test]
+fn a_paused_owner_expires_before_it_admits() {
+    let mut admission = admission();
+    for ticket in 0..3 {
+        let queued = Arrival {
+            deadline_ms: 1_000 * (ticket + 1),
+            ..arrival(ticket, "a", Class::Interactive)
+        };
+        admission.arrive(&queued, FULL, 0, 0).unwrap();
+    }
+    let expired = Failure::not_run(Cause::DeadlinePassed);
+    assert_eq!(
+        admission.next(ROOM, 2_500),
+        Some(Action::Expire(Ticket(0), expired))
+    );
+    assert_eq!(
+        admission.next(ROOM, 2_500),
+        Some(Action::Expire(Ticket(1), expired))
+    );
+    assert_eq!(admission.next(ROOM, 2_500), Some(Action::Admit(Ticket(2))));
+    assert_eq!(admission.next(ROOM, 2_500), None);
+}
+
+// The service stalls for minutes and A's requests expire, batch after batch, while one
+// of C keeps the queue from ever being empty. If A had paid for them, B, who comes when
+// the stall is over, would go before A for as long as the stall was.
+#[test]
+fn expired_requests_are_not_charged() {
+    let mut admission = admission();
+    admission
+        .arrive(&arrival(0, "c", Class::Interactive), FULL, 0, 0)
+        .unwrap();
+    let mut ticket = 0;
+    for round in 0..50 {
+        let now_ms = round * 1_000;
+        for _ in 0..20 {
+            ticket += 1;
+            let queued = Arrival {
+                deadline_ms: now_ms + 500,
+                ..arrival(ticket, "a", Class::Interactive)
+            };
+            admission.arrive(&queued, FULL, now_ms, 0).unwrap();
+        }
+        while admission.next(FULL, now_ms + 900).is_some() {}
+    }
+    admission
+        .arrive(&arrival(5_001, "a", Class::Interactive), FULL, 60_000, 0)
+        .unwrap();
+    for ticket in 6_001..6_011 {
+        admission
+            .arrive(&arrival(ticket, "b", Class::Interactive), FULL, 60_000, 0)
+            .unwrap();
+    }
+    let position = order(&mut admission, 20)
+        .iter()
+        .position(|&ticket| ticket == 5_001);
+    assert!(position < Some(4), "{position:?}");
+}
+
+fn stream(name: &'static str, class: Class, load: f64) -> Stream {
+    Stream {
+        name,
+        class,
+        load,
+        deadline_ms: 10_000,
+    }
+}
+
+// A sends ten times its share, B stays below its own. B's waits may grow by the time
+// that A's requests in progress take to end, and B is never refused; with one line for
+// all, B waits behind A's queue and most of its requests are refused.
+#[test]
+fn a_customer_at_ten_times_its_share_does_not_harm_another() {
+    const FACTOR_MAX: f64 = 2.0;
+    for (class_a, class_b) in [
+        (Class::Interactive, Class::Interactive),
+        (Class::Sampling, Class::Interactive),
+        (Class::Interactive, Class::Sampling),
+    ] {
+        let b_with = |load_a, order| {
+            let streams = [stream("a", class_a, load_a), stream("b", class_b, 0.4)];
+            queue::run(&streams, order, 7, 100_000).remove(1)
+        };
+        let quiet = b_with(0.5, Order::Fair);
+        let fair = b_with(5.0, Order::Fair);
+        let fifo = b_with(5.0, Order::Fifo);
+        let factor = fair.wait_ms(990) as f64 / quiet.wait_ms(990) as f64;
+        println!(
+            "{class_a} beside {class_b}: p99 {} -> {} ms, x{factor:.2}; one line {} ms, {:.0} % admitted",
+            quiet.wait_ms(990),
+            fair.wait_ms(990),
+            fifo.wait_ms(990),
+            100.0 * fifo.admitted_share(),
+        );
+        assert!(factor < FACTOR_MAX, "{class_a} beside {class_b}: {factor}");
+        assert!(fair.admitted_share() > 0.999);
+        assert!(fifo.admitted_share() < 0.5);
+    }
+}
+
+#[test]
+fn no_class_and_no_customer_starves_under_overload() {
+    let streams: Vec<Stream> = ["a", "b", "c"]
+        .into_iter()
+        .flat_map(|name| Class::ALL.map(|class| stream(name, class, 0.5)))
+        .collect();
+    let tallies = queue::run(&streams, Order::Fair, 3, 100_000);
+    for (stream, tally) in streams.iter().zip(&tallies) {
+        let share = tally.admitted_share();
+        assert!(share > 0.02, "{} {}: {share}", stream.name, stream.class);
+    }
+}
+
+quickcheck! {
+    // Whatever comes: each request has exactly one answer, the queue ends empty.
+    fn every_request_has_one_answer(seed: u64) -> bool {
+        let mut draws = Draws(seed);
+        let mut admission = admission();
+        let mut answers = vec![0_u32; 400];
+        for step in 0..400_u64 {
+            let now_ms = step * 10;
+            let queued = Arrival {
+                class: Class::ALL[draws.below(3) as usize],
+                cost: draws.below(5) as u32,
+                weight: draws.below(4) as u32,
+                deadline_ms: now_ms + draws.below(3_000),
+                ..arrival(step, ["a", "b", "c"][draws.below(3) as usize], Class::Sampling)
+            };
+            let room = Room { in_progress: draws.below(12) as u32, ..ROOM };
+            if admission.arrive(&queued, room, now_ms, 0).is_err() {
+                answers[step as usize] += 1;
+            }
+            let other = draws.below(step + 1);
+            if draws.below(5) == 0 && admission.cancel(Ticket(other)) {
+                answers[other as usize] += 1;
+            }
+            if draws.below(2) == 0 && let Some(action) = admission.next(room, now_ms) {
+                let (Action::Admit(ticket) | Action::Expire(ticket, _)) = action;
+                answers[ticket.0 as usize] += 1;
+            }
+        }
+        while let Some(action) = admission.next(ROOM, u64::MAX) {
+            let (Action::Admit(ticket) | Action::Expire(ticket, _)) = action;
+            answers[ticket.0 as usize] += 1;
+        }
+        admission.is_empty() && answers.iter().all(|&count| count == 1)
+    }
+
+    fn the_time_to_come_back_is_the_wait_and_up_to_half_more(wait_ms: u64, random: u64) -> bool {
+        let wait_ms = wait_ms % 50_000;
+        let back_ms = u64::from(retry_after_ms(wait_ms, random));
+        back_ms >= wait_ms && back_ms <= wait_ms + (wait_ms / 2).max(250)
+    }
+}
--- /dev/null
+++ b/components/limits/tests/common/queue.rs
@@ -0,0 +1,151 @@
+//! One service with a number of slots, fed by customers through [`Admission`], in
+//! simulated time.
+
+use std::collections::HashMap;
+
+use limits::{Action, Admission, AdmissionSettings, Arrival, Room, Ticket};
+use types::Class;
+
+use super::{Draws, customer};
+
+pub const SLOTS: u32 = 16;
+const HOLD_MS: u64 = 80;
+/// Requests a millisecond that the service can end.
+pub const CAPACITY: f64 = SLOTS as f64 / HOLD_MS as f64;
+
+/// One stream of requests.
+#[derive(Clone)]
+pub struct Stream {
+    pub name: &'static str,
+    pub class: Class,
+    /// Offered load as a part of the service's capacity.
+    pub load: f64,
+    pub deadline_ms: u64,
+}
+
+#[derive(Clone, Copy, PartialEq)]
+pub enum Order {
+    /// Customers and classes as they are.
+    Fair,
+    /// All requests in one line, as if of one customer and class.
+    Fifo,
+}
+
+/// What became of a stream's requests.
+#[derive(Clone, Default)]
+pub struct Tally {
+    pub waits_ms: Vec<u64>,
+    pub refused: usize,
+    pub expired: usize,
+}
+
+impl Tally {
+    pub fn wait_ms(&self, permille: usize) -> u64 {
+        let mut waits_ms = self.waits_ms.clone();
+        waits_ms.sort_unstable();
+        let position = waits_ms.len() * permille / 1_000;
+        waits_ms.get(position).copied().unwrap_or_default()
+    }
+
+    pub fn offered(&self) -> usize {
+        self.waits_ms.len() + self.refused + self.expired
+    }
+
+    pub fn admitted_share(&self) -> f64 {
+        self.waits_ms.len() as f64 / self.offered().max(1) as f64
+    }
+}
+
+struct Model {
+    admission: Admission,
+    tallies: Vec<Tally>,
+    waiting: HashMap<Ticket, (usize, u64)>,
+    /// Ends of the requests in progress.
+    ends_ms: Vec<u64>,
+}
+
+/// Runs the streams for `length_ms`; the same run gives the same figures.
+pub fn run(streams: &[Stream], order: Order, seed: u64, length_ms: u64) -> Vec<Tally> {
+    let settings = AdmissionSettings {
+        hold_ms: HOLD_MS as u32,
+        ..AdmissionSettings::default()
+    };
+    let mut model = Model {
+        admission: Admission::new(settings),
+        tallies: vec![Tally::default(); streams.len()],
+        waiting: HashMap::new(),
+        ends_ms: Vec::new(),
+    };
+    let mut draws = Draws(seed);
+    let mut next = 0;
+    for now_ms in 0..length_ms {
+        model.ends_ms.retain(|&end_ms| end_ms > now_ms);
+        for (position, stream) in streams.iter().enumerate() {
+            for _ in 0..arrivals(stream.load * CAPACITY, &mut draws) {
+                next += 1;
+                let arrival = arrival(stream, order, Ticket(next), now_ms);
+                model.arrive(position, &arrival, now_ms, draws.bits());
+            }
+        }
+        model.admit(now_ms, &mut draws);
+    }
+    model.tallies
+}
+
+/// Arrivals of one millisecond, nearly Poisson.
+fn arrivals(mean: f64, draws: &mut Draws) -> usize {
+    const PARTS: usize = 8;
+    (0..PARTS)
+        .filter(|_| draws.unit() < mean / PARTS as f64)
+        .count()
+}
+
+fn arrival(stream: &Stream, order: Order, ticket: Ticket, now_ms: u64) -> Arrival {
+    let (name, class) = match order {
+        Order::Fair => (stream.name, stream.class),
+        Order::Fifo => ("all", Class::Background),
+    };
+    Arrival {
+        ticket,
+        customer: customer(name),
+        weight: 1,
+        class,
+        cost: 1,
+        deadline_ms: now_ms + stream.deadline_ms,
+    }
+}
+
+impl Model {
+    fn room(&self) -> Room {
+        Room {
+            in_progress: self.ends_ms.len() as u32,
+            limit: SLOTS,
+            hold_ms: HOLD_MS as u32,
+        }
+    }
+
+    fn arrive(&mut self, stream: usize, arrival: &Arrival, now_ms: u64, random: u64) {
+        match self.admission.arrive(arrival, self.room(), now_ms, random) {
+            Ok(()) => {
+                self.waiting.insert(arrival.ticket, (stream, now_ms));
+            }
+            Err(_) => self.tallies[stream].refused += 1,
+        }
+    }
+
+    fn admit(&mut self, now_ms: u64, draws: &mut Draws) {
+        while let Some(action) = self.admission.next(self.room(), now_ms) {
+            match action {
+                Action::Admit(ticket) => {
+                    let (stream, since_ms) = self.waiting.remove(&ticket).unwrap();
+                    self.tallies[stream].waits_ms.push(now_ms - since_ms);
+                    self.ends_ms.push(now_ms + 1 + draws.below(2 * HOLD_MS - 1));
+                }
+                Action::Expire(ticket, _) => {
+                    let (stream, _) = self.waiting.remove(&ticket).unwrap();
+                    self.tallies[stream].expired += 1;
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/components/limits/tests/limits.rs
@@ -0,0 +1,214 @@
+//! Buckets, customers' limits and retry budgets.
+
+#![allow(clippy::unwrap_used)]
+
+mod common;
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::thread;
+
+use common::Draws;
+use limits::{Bucket, BudgetSettings, Customer, CustomerLimits, RetryBudget};
+use quickcheck::quickcheck;
+use types::Cause;
+
+#[test]
+fn a_bucket_gives_its_burst_then_its_rate() {
+    let bucket = Bucket::new(10.0, 500);
+    let times = [0, 0, 0, 0, 0, 0, 99, 100, 100, 10_000];
+    let taken: Vec<Result<(), u64>> = times.iter().map(|&at| bucket.take(1, at)).collect();
+    let ok = Ok(());
+    assert_eq!(
+        taken,
+        [ok, ok, ok, ok, ok, Err(100), Err(1), ok, Err(100), ok]
+    );
+}
+
+#[test]
+fn a_cost_above_the_burst_waits_for_a_full_bucket() {
+    let bucket = Bucket::new(10.0, 500);
+    assert_eq!(bucket.take(20, 0), Ok(()));
+    assert_eq!(bucket.take(20, 0), Err(2_000));
+    assert_eq!(bucket.take(20, 2_000), Ok(()));
+    bucket.give_back(20);
+    assert_eq!(bucket.take(5, 2_000), Ok(()));
+}
+
+#[test]
+fn an_unlimited_bucket_never_refuses() {
+    let bucket = Bucket::unlimited();
+    assert!((0..1_000).all(|_| bucket.take(u32::MAX, 0).is_ok()));
+}
+
+fn limits() -> CustomerLimits {
+    CustomerLimits {
+        requests_per_s: Some(8),
+        in_progress: Some(4),
+        tokens_per_s: Some(1_000),
+    }
+}
+
+#[test]
+fn a_customer_is_refused_at_each_of_its_limits() {
+    struct Case {
+        name: &'static str,
+        limits: CustomerLimits,
+        share: f64,
+        tokens: u32,
+        held: bool,
+        admitted: usize,
+    }
+    let none = CustomerLimits::default();
+    let case = |name, limits, admitted| Case {
+        name,
+        limits,
+        share: 1.0,
+        tokens: 100,
+        held: false,
+        admitted,
+    };
+    let cases = [
+        case("can go without a limit", none, 20),
+        case(
+            "by requests a second",
+            CustomerLimits {
+                requests_per_s: Some(8),
+                ..none
+            },
+            8,
+        ),
+        case(
+            "by tokens a second",
+            CustomerLimits {
+                tokens_per_s: Some(1_000),
+                ..none
+            },
+            10,
+        ),
+        Case {
+            held: true,
+            ..case("by requests in progress", limits(), 4)
+        },
+        Case {
+            held: true,
+            share: 0.5,
+            ..case("by this entry's share", limits(), 2)
+        },
+        Case {
+            held: true,
+            share: 0.01,
+            ..case("with one in progress at least", limits(), 1)
+        },
+    ];
+    for case in cases {
+        let customer = Arc::new(Customer::new(&case.limits, case.share));
+        let mut held = Vec::new();
+        let mut admitted = 0;
+        for _ in 0..20 {
+            match customer.enter(case.tokens, 0, 0) {
+                Ok(entered) if case.held => held.push(entered),
+                Ok(_) => {}
+                Err(failure) => {
+                    assert_eq!(failure.cause, Cause::CustomerLimit);
+                    assert!(failure.retry_after_ms.is_some());
+                    continue;
+                }
+            }
+            admitted += 1;
+        }
+        assert_eq!(admitted, case.admitted, "{}", case.name);
+        assert_eq!(customer.take_offered(), 20);
+        drop(held);
+        assert_eq!(customer.in_progress(), 0);
+    }
+}
+
+#[test]
+fn unused_tokens_come_back() {
+    let customer = Arc::new(Customer::new(&limits(), 1.0));
+    let mut entered = customer.enter(1_000, 0, 0).unwrap();
+    assert!(customer.enter(900, 0, 0).is_err());
+    entered.used(100);
+    assert!(customer.enter(900, 0, 0).is_ok());
+}
+
+// Eight threads enter and leave at once. A lost update would leave a count behind, and
+// the customer would be refused for good.
+#[test]
+fn threads_never_pass_the_limit_or_leave_a_count_behind() {
+    let limits = CustomerLimits {
+        in_progress: Some(3),
+        ..CustomerLimits::default()
+    };
+    let customer = Arc::new(Customer::new(&limits, 1.0));
+    let peak = AtomicU32::new(0);
+    thread::scope(|scope| {
+        for _ in 0..8 {
+            scope.spawn(|| {
+                for _ in 0..5_000 {
+                    let entered = customer.enter(1, 0, 0);
+                    peak.fetch_max(customer.in_progress(), Ordering::Relaxed);
+                    drop(entered);
+                }
+            });
+        }
+    });
+    assert!(peak.into_inner() <= 3);
+    assert_eq!(customer.in_progress(), 0);
+}
+
+// The whole service is down for a minute and every call fails. Each caller would try
+// four times more; the budget lets through a tenth of the first tries and ten in ten
+// seconds, so the service gets no storm on top of its outage.
+#[test]
+fn an_outage_multiplies_the_load_by_no_more_than_the_budget() {
+    let settings = BudgetSettings::default();
+    let budget = RetryBudget::new(&settings);
+    let (mut first_tries, mut retries) = (0, 0);
+    for now_ms in 0..60_000 {
+        for _ in 0..2 {
+            first_tries += 1;
+            budget.first_try();
+            retries += (0..4).take_while(|_| budget.spend(now_ms)).count();
+        }
+    }
+    let factor = 1.0 + retries as f64 / f64::from(first_tries);
+    println!(
+        "outage: {first_tries} first tries, {retries} retries, load x{factor:.4}; with no budget x5"
+    );
+    let constant = 10 + 60;
+    assert!(retries <= first_tries as usize / 10 + constant);
+    assert!(retries >= first_tries as usize / 10);
+}
+
+quickcheck! {
+    fn a_bucket_never_gives_more_than_burst_and_rate(seed: u64, per_s: u16) -> bool {
+        let per_s = f64::from(1 + per_s % 500);
+        let bucket = Bucket::new(per_s, 1_000);
+        let mut draws = Draws(seed);
+        let (mut now_ms, mut given) = (0, 0);
+        for _ in 0..500 {
+            now_ms += draws.below(20);
+            let units = 1 + draws.below(3) as u32;
+            given += bucket.take(units, now_ms).map_or(0, |()| units);
+        }
+        f64::from(given) <= per_s + per_s * now_ms as f64 / 1_000.0 + 3.0
+    }
+
+    fn retries_never_pass_the_share_and_the_constant(seed: u64) -> bool {
+        let budget = RetryBudget::new(&BudgetSettings::default());
+        let mut draws = Draws(seed);
+        let (mut tries, mut retries, mut now_ms) = (0, 0, 0);
+        for _ in 0..2_000 {
+            now_ms += draws.below(10);
+            if draws.below(3) > 0 {
+                budget.first_try();
+                tries += 1;
+            } else {
+                retries += u64::from(budget.spend(now_ms));
+            }
+        }
+        retries <= tries / 10 + 10 + now_ms / 1_000 + 1
+    }
+}
--- /dev/null
+++ b/components/limits/tests/share.rs
@@ -0,0 +1,208 @@
+//! How far the shares of several entries add up to more than the limit.
+
+#![allow(clippy::unwrap_used)]
+
+mod common;
+
+use std::net::{Ipv4Addr, SocketAddr};
+
+use common::Draws;
+use limits::{Share, ShareSettings};
+use quickcheck::quickcheck;
+use types::{Incarnation, NodeId};
+
+const TICK_MS: u64 = 500;
+
+fn node(number: usize) -> NodeId {
+    NodeId {
+        address: SocketAddr::from((Ipv4Addr::LOCALHOST, 8_000 + number as u16)),
+        incarnation: Incarnation(1),
+    }
+}
+
+struct Entries {
+    shares: Vec<Share>,
+    now_ms: u64,
+    /// Digests on their way: arrival, sender, receiver, demand.
+    sent: Vec<(u64, usize, usize, f64)>,
+}
+
+impl Entries {
+    fn new(count: usize, settings: &ShareSettings) -> Self {
+        Self {
+            shares: (0..count).map(|_| Share::new(settings.clone())).collect(),
+            now_ms: 0,
+            sent: Vec::new(),
+        }
+    }
+
+    /// One tick: demand is seen and told, digests take up to `delay_ms`; entries see
+    /// those for which `sees` holds. The sum of the shares.
+    fn tick(
+        &mut self,
+        demand: &[f64],
+        delay_ms: u64,
+        draws: &mut Draws,
+        sees: impl Fn(usize, usize) -> bool,
+    ) -> f64 {
+        let count = self.shares.len();
+        for (from, (share, &per_s)) in self.shares.iter_mut().zip(demand).enumerate() {
+            share.offered(per_s, self.now_ms);
+            for to in (0..count).filter(|&to| to != from) {
+                let at_ms = self.now_ms + draws.below(delay_ms + 1);
+                self.sent.push((at_ms, from, to, per_s));
+            }
+        }
+        let now_ms = self.now_ms;
+        let others = |own: usize| (0..count).filter(move |&other| other != own);
+        for (to, share) in self.shares.iter_mut().enumerate() {
+            let live = others(to).filter(|&other| sees(to, other)).map(node);
+            share.live(live, now_ms);
+        }
+        for (_, from, to, per_s) in self.sent.extract_if(.., |sent| sent.0 <= now_ms) {
+            if sees(to, from) {
+                self.shares[to].told(node(from), per_s, now_ms);
+            }
+        }
+        let sum = self.shares.iter().map(|share| share.share(now_ms)).sum();
+        self.now_ms += TICK_MS;
+        sum
+    }
+}
+
+fn wander(demand: &mut [f64], draws: &mut Draws) {
+    for per_s in demand {
+        match draws.below(6) {
+            0 => *per_s = draws.below(1_000) as f64,
+            1 => *per_s = 0.0,
+            _ => {}
+        }
+    }
+}
+
+#[test]
+fn shares_follow_demand() {
+    let mut draws = Draws(1);
+    let mut entries = Entries::new(3, &ShareSettings::default());
+    for _ in 0..20 {
+        entries.tick(&[80.0, 20.0, 0.0], 100, &mut draws, |_, _| true);
+    }
+    let now_ms = entries.now_ms;
+    let shares: Vec<f64> = entries
+        .shares
+        .iter()
+        .map(|share| share.share(now_ms))
+        .collect();
+    let even = 0.25 / 3.0;
+    for (share, by_demand) in shares.iter().zip([0.6, 0.15, 0.0]) {
+        assert!((share - even - by_demand).abs() < 1e-9, "{shares:?}");
+    }
+}
+
+#[test]
+fn without_digests_each_takes_an_even_part() {
+    let settings = ShareSettings {
+        digests: false,
+        ..ShareSettings::default()
+    };
+    let mut share = Share::new(settings);
+    share.live((1..4).map(node), 0);
+    assert_eq!(share.share(0), 0.25);
+    share.live((1..2).map(node), 1_000);
+    assert_eq!(
+        share.share(1_000),
+        0.25,
+        "those that are missing count for a window"
+    );
+    share.live((1..2).map(node), 5_000);
+    assert_eq!(share.share(5_000), 0.5);
+}
+
+// A fourth entry starts and is seen by the others only after five seconds. It has an
+// even part at once and nothing by demand for a window; without that wait, two
+// entries that do not yet know each other would both take what they see.
+#[test]
+fn an_entry_that_starts_puts_the_sum_over_by_its_even_part() {
+    let mut draws = Draws(1);
+    let mut entries = Entries::new(3, &ShareSettings::default());
+    for _ in 0..20 {
+        entries.tick(&[100.0; 3], 100, &mut draws, |_, _| true);
+    }
+    entries.shares.push(Share::new(ShareSettings::default()));
+    let sees = |to: usize, from: usize| to == 3 || from != 3;
+    let mut peak = 0.0_f64;
+    for _ in 0..5 {
+        peak = peak.max(entries.tick(&[100.0; 4], 100, &mut draws, sees));
+    }
+    println!("an unseen fourth entry: sum of shares {peak:.4}");
+    assert!(peak <= 1.0 + 0.25 / 4.0 + 1e-9, "{peak}");
+}
+
+// The network splits two entries from the third. Within the window all count each
+// other still; after it each group uses the whole limit, and no group more.
+#[test]
+fn a_split_multiplies_the_limit_by_no_more_than_the_groups() {
+    let mut draws = Draws(1);
+    let mut entries = Entries::new(3, &ShareSettings::default());
+    for _ in 0..20 {
+        entries.tick(&[100.0; 3], 100, &mut draws, |_, _| true);
+    }
+    let sees = |a: usize, b: usize| (a == 2) == (b == 2);
+    let sums: Vec<f64> = (0..40)
+        .map(|_| entries.tick(&[100.0; 3], 100, &mut draws, sees))
+        .collect();
+    println!(
+        "a split in two groups: sum of shares {:.3} at 2.5 s, {:.3} at 20 s",
+        sums[5], sums[39]
+    );
+    assert!(sums[..6].iter().all(|&sum| sum <= 1.0 + 1e-9));
+    assert!(sums.iter().all(|&sum| sum <= 2.0 + 1e-9));
+}
+
+#[test]
+fn what_windows_cost_and_save() {
+    for count in [3, 8] {
+        let mut draws = Draws(5);
+        let mut entries = Entries::new(count, &ShareSettings::default());
+        let mut demand = vec![100.0; count];
+        let mut told = demand.clone();
+        let (mut peak, mut sum, mut simple_peak) = (0.0_f64, 0.0, 0.0_f64);
+        for tick in 0..2_000 {
+            let before = demand.clone();
+            if tick % 8 == 0 {
+                wander(&mut demand, &mut draws);
+            }
+            let shares = entries.tick(&demand, 1_000, &mut draws, |_, _| true);
+            (peak, sum) = (peak.max(shares), sum + shares);
+            simple_peak = simple_peak.max(simple_sum(&demand, &told));
+            told = before;
+        }
+        println!(
+            "{count} entries, demand that jumps every 4 s: sum of shares at most {peak:.3}, mean {:.3}; \
+             by newest demand alone at most {simple_peak:.3}",
+            sum / 2_000.0
+        );
+        assert!(peak <= 1.0 + 1e-9);
+    }
+}
+
+/// Shares by own demand and the peers' last told one, with no windows.
+fn simple_sum(demand: &[f64], told: &[f64]) -> f64 {
+    let all: f64 = told.iter().sum();
+    let share = |(own, own_told): (&f64, &f64)| own / (own + all - own_told).max(1e-9);
+    demand.iter().zip(told).map(share).sum()
+}
+
+quickcheck! {
+    // With digests that arrive within the window the sum never passes the limit.
+    fn shares_add_up_to_at_most_one(seed: u64, count: usize) -> bool {
+        let mut draws = Draws(seed);
+        let count = 1 + count % 7;
+        let mut entries = Entries::new(count, &ShareSettings::default());
+        let mut demand = vec![0.0; count];
+        (0..100).all(|_| {
+            wander(&mut demand, &mut draws);
+            entries.tick(&demand, 2_500, &mut draws, |_, _| true) <= 1.0 + 1e-9
+        })
+    }
+}
--- a/components/routing/src/choose.rs
+++ b/components/routing/src/choose.rs
@@ -1,8 +1,7 @@
 //! The choice itself: a few random candidates, the cheapest wins.
 //!
-//! Candidates are two draws from the entry's own failure domain and one from all
-//! replicas, or two from all where the own domain has none, and up to two replicas
-//! that hold the prompt's prefix. That is a constant number of scores, whatever the
+//! Candidates are a few draws from the entry's own failure domain, a few from all
+//! replicas, and up to two replicas that hold the prompt's prefix. That is a constant number of scores, whatever the
 //! number of replicas. Only when draws keep hitting excluded replicas are all scanned.
 
 use quick_error::quick_error;
@@ -16,10 +15,10 @@
 use crate::settings::Policy;
 use crate::table::{Slot, Table};
 
-/// Draws before all replicas are scanned.
-const DRAWS_MAX: u32 = 6;
+/// Draws for each candidate before it is given up.
+const TRIES: usize = 3;
 /// Most candidates that are compared.
-const CANDIDATES_MAX: usize = 6;
+const CANDIDATES_MAX: usize = 12;
 /// Most replicas that are compared for their cached prefix.
 const PREFIX_CANDIDATES: usize = 2;
 
@@ -136,14 +135,15 @@
 
     fn draw_candidates(&mut self) {
         let near = self.table.near();
-        let all_near = near.len() == self.table.slots().len();
-        if near.is_empty() || all_near {
-            self.draw_from_all(2);
+        let settings = self.table.settings();
+        let (draws_near, draws_all) = (settings.draws_near, settings.draws_all);
+        if near.is_empty() || near.len() == self.table.slots().len() {
+            self.draw_from_all(draws_near + draws_all);
         } else {
-            self.draw(2, near.len(), |drawn| {
+            self.draw(draws_near, near.len(), |drawn| {
                 near.get(drawn).map(|&at| at as usize)
             });
-            self.draw_from_all(1);
+            self.draw_from_all(draws_all);
         }
         let holders = self.ask.prefix.iter().take(PREFIX_CANDIDATES);
         for held in holders {
@@ -160,7 +160,7 @@
 
     fn draw(&mut self, wanted: usize, bound: usize, position: impl Fn(usize) -> Option<usize>) {
         let goal = self.count + wanted;
-        for _ in 0..DRAWS_MAX {
+        for _ in 0..wanted * TRIES {
             let drawn = self.draws.below(bound);
             if let Some(position) = position(drawn) {
                 self.offer(position);
--- a/components/routing/src/ejection.rs
+++ b/components/routing/src/ejection.rs
@@ -107,7 +107,8 @@
         Outcome::Answered if probe || !health.is_ejected() => health.restore(),
         // An answer to a call sent before the ejection is old news.
         Outcome::Answered => {}
-        Outcome::Failed if probe => health.eject(table.settings(), now_ms),
+        // A replica restored for the floor while its probe ran counts from the start.
+        Outcome::Failed if probe && health.is_ejected() => health.eject(table.settings(), now_ms),
         Outcome::Failed => failed(table, health, now_ms),
     }
 }
--- a/components/routing/src/score.rs
+++ b/components/routing/src/score.rs
@@ -15,6 +15,10 @@
         Policy::Random => return 0.0,
         Policy::LeastOutstanding | Policy::TwoChoices => own(slot, settings),
         Policy::TwoChoicesReport => own(slot, settings) + others(slot, settings, now_ms),
+        // A plain service has no tokens to tell replicas apart by.
+        Policy::ComputeMemory if work.tokens() == 0 => {
+            own(slot, settings) + others(slot, settings, now_ms)
+        }
         Policy::ComputeMemory => scarcer(slot, settings, work, now_ms),
     };
     // The call itself counts, else an idle replica would cost nothing however new.
--- a/components/routing/src/settings.rs
+++ b/components/routing/src/settings.rs
@@ -53,6 +53,10 @@
 pub struct Settings {
     /// How replicas are compared.
     pub policy: Policy,
+    /// Replicas that are drawn at random from the entry's own failure domain.
+    pub draws_near: usize,
+    /// Replicas that are drawn at random from all failure domains.
+    pub draws_all: usize,
     /// Tokens that weigh as much as one call.
     pub tokens_per_load: u32,
     /// Tokens that an engine's KV cache holds.
@@ -85,10 +89,12 @@
     fn default() -> Self {
         Self {
             policy: Policy::TwoChoicesReport,
+            draws_near: 2,
+            draws_all: 2,
             tokens_per_load: 1_000,
-            kv_tokens: 64_000,
+            kv_tokens: 40_000,
             prompt_tokens_busy: 8_000,
-            report_half_life_ms: 2_000,
+            report_half_life_ms: 500,
             domain_penalty: 1.0,
             region_penalty: 8.0,
             block_bonus: 0.25,
--- /dev/null
+++ b/components/routing/tests/choose.rs
@@ -0,0 +1,274 @@
+//! Which replica a call goes to, and what its guard holds.
+
+#![allow(clippy::panic, clippy::unwrap_used)]
+
+mod common;
+
+use std::sync::Arc;
+
+use common::{domain, here, node, replica, replicas, report, spread, table};
+use quickcheck::quickcheck;
+use routing::{Ask, Choice, NoChoice, Policy, Replica, Settings, Table, Work, choose, subset};
+use types::{Cause, Failure, NodeId, WeightVersion};
+
+fn version(version: u64) -> WeightVersion {
+    WeightVersion { epoch: 1, version }
+}
+
+fn hosting(number: u16, weights: u64) -> Replica {
+    Replica {
+        weights: Some(version(weights)),
+        ..replica(number)
+    }
+}
+
+fn leaving(number: u16) -> Replica {
+    Replica {
+        leaving: true,
+        ..replica(number)
+    }
+}
+
+#[test]
+fn takes_only_replicas_that_will_do() {
+    struct Case {
+        name: &'static str,
+        replicas: Vec<Replica>,
+        tried: Vec<NodeId>,
+        at_least: Option<WeightVersion>,
+        expected: Result<NodeId, NoChoice>,
+    }
+    let cases = [
+        Case {
+            name: "errors when the service has no replica",
+            replicas: vec![],
+            tried: vec![],
+            at_least: None,
+            expected: Err(NoChoice::Empty),
+        },
+        Case {
+            name: "can take the only one that stays",
+            replicas: vec![leaving(0), replica(1), leaving(2)],
+            tried: vec![],
+            at_least: None,
+            expected: Ok(node(1)),
+        },
+        Case {
+            name: "errors when every replica is leaving",
+            replicas: vec![leaving(0), leaving(1)],
+            tried: vec![],
+            at_least: None,
+            expected: Err(NoChoice::Leaving),
+        },
+        Case {
+            name: "can take the one not yet tried",
+            replicas: replicas(3),
+            tried: vec![node(0), node(2)],
+            at_least: None,
+            expected: Ok(node(1)),
+        },
+        Case {
+            name: "errors when every replica has been tried or leaves",
+            replicas: vec![replica(0), leaving(1)],
+            tried: vec![node(0)],
+            at_least: None,
+            expected: Err(NoChoice::Tried),
+        },
+        Case {
+            name: "can take a later version than the wanted one",
+            replicas: vec![hosting(0, 3), hosting(1, 5), hosting(2, 2)],
+            tried: vec![],
+            at_least: Some(version(4)),
+            expected: Ok(node(1)),
+        },
+        Case {
+            name: "errors when all versions are too old",
+            replicas: vec![hosting(0, 3), replica(1)],
+            tried: vec![],
+            at_least: Some(version(4)),
+            expected: Err(NoChoice::Version(version(4))),
+        },
+    ];
+    for case in cases {
+        for policy in Policy::ALL {
+            let settings = Settings {
+                policy,
+                ..Settings::default()
+            };
+            let table = table(settings, case.replicas.clone());
+            let ask = Ask {
+                tried: &case.tried,
+                at_least: case.at_least,
+                ..Ask::default()
+            };
+            for random in 0..50 {
+                let chosen = choose(&table, &ask, random, 0).map(|choice| choice.node);
+                assert_eq!(
+                    chosen,
+                    case.expected,
+                    "{} by {}",
+                    case.name,
+                    policy.as_str()
+                );
+            }
+        }
+    }
+}
+
+#[test]
+fn a_refusal_says_that_the_call_was_not_run() {
+    let cases = [
+        (NoChoice::Empty, Cause::NoEndpoint),
+        (NoChoice::Tried, Cause::NoEndpoint),
+        (NoChoice::Leaving, Cause::Leaving),
+        (NoChoice::Version(version(1)), Cause::Stale),
+    ];
+    for (none, cause) in cases {
+        assert_eq!(Failure::from(none), Failure::not_run(cause));
+    }
+}
+
+fn choices(table: &Table, count: u64) -> Vec<Choice> {
+    let one = |random| choose(table, &Ask::default(), random, 0).unwrap();
+    (0..count).map(one).collect()
+}
+
+fn calls(table: &Table) -> Vec<u32> {
+    let slots = table.slots().iter();
+    slots.map(|slot| slot.counters().calls()).collect()
+}
+
+#[test]
+fn load_outbids_the_preference_for_the_own_failure_domain() {
+    let table = table(Settings::default(), (0..6).map(spread).collect());
+    let few = choices(&table, 2);
+    let near = |choice: &Choice| [node(0), node(3)].contains(&choice.node);
+    assert!(few.iter().all(near), "an idle near replica goes first");
+    let _many = choices(&table, 60);
+    let calls = calls(&table);
+    assert!(calls.iter().all(|&calls| calls >= 7), "{calls:?}");
+    assert!(calls[0] + calls[3] > 62 / 3, "{calls:?}");
+}
+
+#[test]
+fn another_region_is_used_only_under_load() {
+    let far = Replica {
+        region: types::Region::new("kochi").unwrap(),
+        failure_domain: domain("aluva"),
+        ..replica(1)
+    };
+    let table = table(Settings::default(), vec![replica(0), far]);
+    let mut held = choices(&table, 5);
+    assert_eq!(calls(&table), [5, 0]);
+    held.extend(choices(&table, 40));
+    assert!(calls(&table)[1] > 10);
+}
+
+#[test]
+fn a_dropped_choice_gives_all_back() {
+    let table = table(Settings::default(), replicas(1));
+    let ask = Ask {
+        work: Work {
+            prompt_tokens: 100,
+            max_new_tokens: 20,
+        },
+        ..Ask::default()
+    };
+    let choice = choose(&table, &ask, 0, 0).unwrap();
+    let counters = table.slots()[0].counters();
+    let seen = || {
+        (
+            counters.calls(),
+            counters.prompt_tokens(),
+            counters.tokens(),
+        )
+    };
+    assert_eq!(seen(), (1, 100, 120));
+    choice.outstanding.begun();
+    choice.outstanding.begun();
+    assert_eq!(seen(), (1, 0, 120));
+    drop(choice);
+    assert_eq!(seen(), (0, 0, 0));
+}
+
+#[test]
+fn counters_outlive_a_table_but_not_an_incarnation() {
+    let before = table(Settings::default(), replicas(2));
+    let held = choices(&before, 10);
+    let mut next = replicas(2);
+    next[1].node.incarnation.0 += 1;
+    let after = before.next(next, &here(0), 100);
+    assert_eq!(calls(&after)[0], calls(&before)[0]);
+    assert_eq!(calls(&after)[1], 0);
+    assert_eq!(after.slots()[1].counters().first_seen_ms(), 100);
+    drop(held);
+    assert_eq!(calls(&after), [0, 0]);
+}
+
+// This entry sent 8 calls to the first replica, then a report arrives that was taken
+// while they ran there. Counting them again from the report would drive the next call
+// to the second replica, which others keep busier.
+#[test]
+fn a_report_does_not_count_own_calls_twice() {
+    let settings = Settings {
+        report_half_life_ms: 1_000_000,
+        ..Settings::default()
+    };
+    let before = table(settings, replicas(1));
+    let _held = choices(&before, 8);
+    let mut next = replicas(2);
+    next[0].report = Some(report(8, 1_000));
+    next[1].report = Some(report(12, 1_000));
+    let after = before.next(next, &here(0), 1_500);
+    let choice = choose(&after, &Ask::default(), 1, 1_500).unwrap();
+    assert_eq!(choice.node, node(0));
+}
+
+// A replica that has just come answers nothing yet from its caches. With its idle
+// counters it would draw every call until it is as busy as the others.
+#[test]
+fn a_new_replica_comes_up_slowly() {
+    let settings = Arc::new(Settings {
+        slow_start_ms: 10_000,
+        ..Settings::default()
+    });
+    let old = Table::empty(settings).next(replicas(3), &here(0), 0);
+    let _held = choices(&old, 30);
+    let share_at = |age_ms: u64| {
+        let table = old.next(replicas(4), &here(0), 100_000);
+        let one = |random| choose(&table, &Ask::default(), random, 100_000 + age_ms).unwrap();
+        let held: Vec<Choice> = (0..40).map(one).collect();
+        held.iter().filter(|choice| choice.node == node(3)).count()
+    };
+    let shares = [share_at(0), share_at(5_000), share_at(10_000)];
+    println!("calls of 40 to a replica of age 0, 5 and 10 s: {shares:?}");
+    assert!(
+        shares[0] <= 3 && shares[0] < shares[1] && shares[1] < shares[2],
+        "{shares:?}"
+    );
+}
+
+quickcheck! {
+    fn every_permit_comes_back(randoms: Vec<u64>, held: usize) -> bool {
+        let table = table(Settings::default(), (0..5).map(spread).collect());
+        let mut choices: Vec<Choice> = Vec::new();
+        for random in randoms {
+            choices.push(choose(&table, &Ask::default(), random, 0).unwrap());
+            if choices.len() > held % 8 {
+                choices.remove(0);
+            }
+        }
+        let counted: u32 = calls(&table).iter().sum();
+        let matches = counted as usize == choices.len();
+        drop(choices);
+        matches && calls(&table) == [0; 5]
+    }
+
+    fn a_subset_changes_by_at_most_one_with_one_replica(entry: u16, count: u16) -> bool {
+        let (entry, count) = (node(entry % 100), 20 + count % 100);
+        let of = |count| subset(entry, replicas(count), 16);
+        let (before, after) = (of(count), of(count + 1));
+        let kept = before.iter().filter(|replica| after.contains(replica)).count();
+        before.len() == 16 && after.len() == 16 && kept >= 15
+    }
+}
--- /dev/null
+++ b/components/routing/tests/ejection.rs
@@ -0,0 +1,147 @@
+//! Ejection of replicas that fail, its floor, and probing.
+
+#![allow(clippy::panic, clippy::unwrap_used)]
+
+mod common;
+
+use common::{here, node, replicas, table};
+use quickcheck::quickcheck;
+use routing::{Ask, Choice, Draws, Outcome, Settings, Table, choose};
+use types::NodeId;
+
+fn ask(may_probe: bool) -> Ask<'static> {
+    Ask {
+        may_probe,
+        ..Ask::default()
+    }
+}
+
+/// Sends calls until `wanted` has failed `times`; all others answer.
+fn fail(table: &Table, wanted: NodeId, times: u32, now_ms: u64) {
+    let mut failed = 0;
+    for random in 0..10_000 {
+        let choice = choose(table, &ask(false), random, now_ms).unwrap();
+        let outcome = match choice.node == wanted {
+            true => Outcome::Failed,
+            false => Outcome::Answered,
+        };
+        failed += u32::from(choice.node == wanted);
+        choice.finish(table, outcome, now_ms);
+        if failed == times {
+            return;
+        }
+    }
+    panic!("{wanted} was not chosen {times} times");
+}
+
+fn hits(table: &Table, wanted: NodeId, now_ms: u64, may_probe: bool) -> usize {
+    let one = |random| choose(table, &ask(may_probe), random, now_ms).unwrap();
+    let held: Vec<Choice> = (0..100).map(one).collect();
+    held.iter().filter(|choice| choice.node == wanted).count()
+}
+
+#[test]
+fn ejects_after_consecutive_failures_only() {
+    let table = table(Settings::default(), replicas(4));
+    fail(&table, node(1), 2, 0);
+    assert_eq!(table.ejected(), 0);
+    let one = choose(&table, &ask(false), 0, 0).unwrap();
+    one.finish(&table, Outcome::Unsaid, 0);
+    fail(&table, node(1), 1, 0);
+    assert_eq!(table.ejected(), 1);
+    assert_eq!(hits(&table, node(1), 0, true), 0);
+}
+
+// The caller sees nothing: the replica fails three times, is ejected for 2 s, then one
+// call that may run again probes it. The probe fails and the time doubles; the next
+// probe answers and the replica is back.
+#[test]
+fn one_call_at_a_time_probes_and_the_time_doubles() {
+    let table = table(Settings::default(), replicas(4));
+    fail(&table, node(1), 3, 0);
+    assert_eq!(hits(&table, node(1), 1_999, true), 0);
+    assert_eq!(
+        hits(&table, node(1), 2_000, false),
+        0,
+        "a call that may run once only"
+    );
+    assert_eq!(hits(&table, node(1), 2_000, true), 1);
+    let probe = |now_ms| {
+        let mut draws =
+            (0..1_000).map(|random| choose(&table, &ask(true), random, now_ms).unwrap());
+        draws.find(|choice| choice.node == node(1)).unwrap()
+    };
+    probe(2_000).finish(&table, Outcome::Failed, 2_000);
+    assert_eq!(hits(&table, node(1), 5_999, true), 0);
+    drop(probe(6_000));
+    assert_eq!(table.ejected(), 1, "a cancelled probe says nothing");
+    probe(6_000).finish(&table, Outcome::Answered, 6_000);
+    assert_eq!(table.ejected(), 0);
+    assert!(hits(&table, node(1), 6_000, false) > 10);
+}
+
+// Every replica of the service fails. Half of them are ejected, no more, and calls still
+// go out: with all ejected, callers would be refused although one may have recovered.
+#[test]
+fn an_outage_of_all_ejects_no_more_than_the_stated_share() {
+    let settings = Settings {
+        eject_share_permille: 500,
+        ..Settings::default()
+    };
+    let table = table(settings, replicas(5));
+    for random in 0..1_000 {
+        let choice = choose(&table, &ask(true), random, 0).unwrap();
+        assert!(!choice.last_resort);
+        choice.finish(&table, Outcome::Failed, 0);
+    }
+    assert_eq!(table.ejected(), 2);
+    let smaller = table.next(replicas(2), &here(0), 0);
+    assert!(
+        smaller.ejected() <= 1,
+        "the floor holds when the service shrinks"
+    );
+}
+
+// The only replica not yet tried is ejected. Refusing would be certain failure, the
+// ejected one may answer.
+#[test]
+fn an_ejected_replica_is_the_last_resort() {
+    let table = table(Settings::default(), replicas(2));
+    fail(&table, node(1), 3, 0);
+    let tried = [node(0)];
+    let ask = Ask {
+        tried: &tried,
+        ..Ask::default()
+    };
+    let choice = choose(&table, &ask, 0, 0).unwrap();
+    assert_eq!((choice.node, choice.last_resort), (node(1), true));
+}
+
+quickcheck! {
+    fn never_more_than_the_share_is_ejected(seed: u64, count: u16, share: u32) -> bool {
+        let (count, share) = (1 + count % 12, share % 1_001);
+        let settings = Settings {
+            eject_share_permille: share,
+            ..Settings::default()
+        };
+        let mut table = table(settings, replicas(count));
+        let mut draws = Draws::new(seed);
+        let mut held = Vec::new();
+        for now_ms in (0..20_000).step_by(50) {
+            held.push(choose(&table, &ask(true), draws.bits(), now_ms).unwrap());
+            if held.len() > 4 {
+                let ended: Choice = held.remove(draws.below(4));
+                let outcomes = [Outcome::Failed, Outcome::Failed, Outcome::Answered, Outcome::Unsaid];
+                ended.finish(&table, outcomes[draws.below(4)], now_ms);
+            }
+            if draws.below(20) == 0 {
+                let alive = 1 + draws.below(usize::from(count)) as u16;
+                table = table.next(replicas(alive), &here(0), now_ms);
+            }
+            if table.ejected() * 1_000 > table.slots().len() * share as usize {
+                return false;
+            }
+        }
+        true
+    }
+}
--- /dev/null
+++ b/components/routing/tests/hedge.rs
@@ -0,0 +1,102 @@
+//! When a second copy of a slow call is due.
+
+#![allow(clippy::panic, clippy::unwrap_used)]
+
+use quickcheck::quickcheck;
+use routing::Latencies;
+use routing::hedge::{Due, HedgeSettings, Slow, due};
+
+#[test]
+fn a_straggler_gets_a_second_copy_within_the_budget() {
+    struct Case {
+        name: &'static str,
+        known: u32,
+        may_run_twice: bool,
+        deadline_ms: u64,
+        now_ms: u64,
+        budget: bool,
+        expected: Due,
+    }
+    let usual = Case {
+        name: "can be sent once the call is slower than most",
+        known: 200,
+        may_run_twice: true,
+        deadline_ms: 10_000,
+        now_ms: 1_200,
+        budget: true,
+        expected: Due::Now,
+    };
+    let cases = [
+        Case {
+            name: "is not due before",
+            now_ms: 1_050,
+            expected: Due::At(1_112),
+            ..usual
+        },
+        Case {
+            name: "never for a call that may run once",
+            may_run_twice: false,
+            expected: Due::Never,
+            ..usual
+        },
+        Case {
+            name: "never past the budget",
+            budget: false,
+            expected: Due::Never,
+            ..usual
+        },
+        Case {
+            name: "never on few calls",
+            known: 50,
+            expected: Due::Never,
+            ..usual
+        },
+        Case {
+            name: "never with too little time left",
+            deadline_ms: 1_210,
+            expected: Due::Never,
+            ..usual
+        },
+        usual,
+    ];
+    for case in cases {
+        let latencies = Latencies::new(60_000);
+        (0..case.known).for_each(|_| latencies.record(100, 0));
+        let call = Slow {
+            sent_at_ms: 1_000,
+            deadline_ms: case.deadline_ms,
+            may_run_twice: case.may_run_twice,
+        };
+        let settings = HedgeSettings::default();
+        let found = due(call, &latencies, &settings, case.now_ms, || case.budget);
+        assert_eq!(found, case.expected, "{}", case.name);
+    }
+}
+
+#[test]
+fn old_latencies_are_forgotten() {
+    let latencies = Latencies::new(1_000);
+    (0..10).for_each(|_| latencies.record(5_000, 0));
+    latencies.record(10, 1_500);
+    assert!(latencies.quantile(990, 1).unwrap() >= 5_000);
+    latencies.record(10, 2_500);
+    assert!(latencies.quantile(990, 1).unwrap() < 20);
+    latencies.record(10, 60_500);
+    assert_eq!(latencies.quantile(990, 2), None);
+}
+
+quickcheck! {
+    fn a_quantile_is_at_most_a_quarter_too_high(values: Vec<u16>, permille: u32) -> bool {
+        let permille = 1 + permille % 1_000;
+        let latencies = Latencies::new(1_000);
+        let mut values: Vec<u64> = values.into_iter().map(|value| u64::from(value) + 1).collect();
+        values.iter().for_each(|&value| latencies.record(value, 0));
+        values.sort_unstable();
+        let position = (values.len() * permille as usize).div_ceil(1_000).saturating_sub(1);
+        match (values.get(position), latencies.quantile(permille, 1)) {
+            (Some(&exact), Some(found)) => found >= exact && found <= exact + exact.div_ceil(4) + 1,
+            (None, None) => true,
+            _ => false,
+        }
+    }
+}
