--- a/components/config/src/accepted.rs
+++ b/components/config/src/accepted.rs
@@ -23,12 +23,26 @@
     pub source: Arc<str>,
     /// The text after reading.
     pub text: Arc<Text>,
+    digest: u64,
 }
 
 impl Accepted {
+    /// A version that a publish or keep record holds, with its text as read.
+    pub(crate) fn new(record: Versioned<'_>, text: Text) -> Self {
+        Self {
+            customer: record.customer.clone(),
+            version: record.version,
+            id: record.id.to_owned(),
+            rules: record.rules,
+            source: Arc::from(record.source),
+            text: Arc::new(text),
+            digest: source_digest(record.source),
+        }
+    }
+
     /// First 8 bytes of the text's SHA-256, for comparing with other processes.
     pub fn digest(&self) -> u64 {
-        source_digest(&self.source)
+        self.digest
     }
 
     /// What goes to other processes so that they can compare.
@@ -41,6 +55,15 @@
     }
 }
 
+/// What publish and keep records have in common.
+pub(crate) struct Versioned<'r> {
+    pub(crate) customer: &'r CustomerName,
+    pub(crate) version: u64,
+    pub(crate) id: &'r str,
+    pub(crate) rules: u32,
+    pub(crate) source: &'r str,
+}
+
 /// Version of one customer's text, short enough for a datagram.
 #[value]
 pub struct VersionDigest {
--- a/components/config/src/chain.rs
+++ b/components/config/src/chain.rs
@@ -15,7 +15,7 @@
 
 use std::sync::Arc;
 
-use crate::accepted::{differ, version_of};
+use crate::accepted::{Versioned, differ, version_of};
 use crate::judged::Judged;
 use crate::parse::judge;
 use crate::pending::{PENDING_BYTES_MAX, Pending};
@@ -108,14 +108,14 @@
         match judge(rules, &publish.customer, &publish.text, &origin) {
             Err(complaints) => Verdict::Refused(Refusal::Invalid(complaints)),
             Ok(text) => {
-                self.current = Some(Arc::new(Accepted {
-                    customer: publish.customer.clone(),
+                let record = Versioned {
+                    customer: &publish.customer,
                     version,
-                    id: publish.id.clone(),
+                    id: &publish.id,
                     rules: publish.rules,
-                    source: Arc::from(publish.text.as_str()),
-                    text: Arc::new(text),
-                }));
+                    source: &publish.text,
+                };
+                self.current = Some(Arc::new(Accepted::new(record, text)));
                 Verdict::Accepted { version }
             }
         }
--- a/components/config/src/cycle.rs
+++ b/components/config/src/cycle.rs
@@ -93,3 +93,58 @@
     nodes.reverse();
     nodes
 }
+
+/// For each node the number of its component: two nodes have the same one exactly if
+/// each can be reached from the other. Takes time in proportion to the edges (two walks
+/// in depth, the second one against the edges, after Kosaraju).
+pub(crate) fn components(edges: &Edges) -> Vec<usize> {
+    let mut back_edges: Edges = vec![Vec::new(); edges.len()];
+    for (node, to) in edges.iter().enumerate() {
+        to.iter().for_each(|&to| back_edges[to].push(node));
+    }
+    let mut components = vec![None; edges.len()];
+    for root in finish_order(edges).into_iter().rev() {
+        label(&back_edges, root, &mut components);
+    }
+    components.into_iter().flatten().collect()
+}
+
+/// The nodes in the order in which a walk in depth is done with them.
+fn finish_order(edges: &Edges) -> Vec<usize> {
+    let mut order = Vec::with_capacity(edges.len());
+    let mut seen = vec![false; edges.len()];
+    for root in 0..edges.len() {
+        let mut steps = Vec::new();
+        if !std::mem::replace(&mut seen[root], true) {
+            steps.push((root, 0));
+        }
+        while let Some(step) = steps.last_mut() {
+            let (node, edge) = *step;
+            step.1 += 1;
+            match edges[node].get(edge) {
+                Some(&next) if !seen[next] => {
+                    seen[next] = true;
+                    steps.push((next, 0));
+                }
+                Some(_) => {}
+                None => {
+                    order.push(node);
+                    steps.pop();
+                }
+            }
+        }
+    }
+    order
+}
+
+/// Gives all unlabelled nodes that the root reaches its number.
+fn label(edges: &Edges, root: usize, components: &mut [Option<usize>]) {
+    let mut nodes = vec![root];
+    while let Some(node) = nodes.pop() {
+        if components[node].is_some() {
+            continue;
+        }
+        components[node] = Some(root);
+        nodes.extend(&edges[node]);
+    }
+}
--- a/components/config/src/ledger.rs
+++ b/components/config/src/ledger.rs
@@ -9,6 +9,7 @@
 
 use types::CustomerName;
 
+use crate::accepted::Versioned;
 use crate::chain::Chain;
 use crate::parse::judge;
 use crate::{Accepted, Customers, Keep, Publish, Record, Rules, Verdict, VersionDigest};
@@ -257,12 +258,12 @@
         },
         None => Verdict::RulesTooNew { rules: keep.rules },
     })?;
-    Ok(Arc::new(Accepted {
-        customer: keep.customer.clone(),
+    let record = Versioned {
+        customer: &keep.customer,
         version: keep.version,
-        id: keep.id.clone(),
+        id: &keep.id,
         rules: keep.rules,
-        source: Arc::from(keep.text.as_str()),
-        text: Arc::new(text),
-    }))
+        source: &keep.text,
+    };
+    Ok(Arc::new(Accepted::new(record, text)))
 }
--- a/components/config/src/links.rs
+++ b/components/config/src/links.rs
@@ -135,6 +135,7 @@
     numbers: HashMap<(&'t CustomerName, &'t ServiceName), usize>,
     services: Vec<&'t Service>,
     edges: Edges,
+    components: Vec<usize>,
 }
 
 impl<'t> Graph<'t> {
@@ -144,6 +145,7 @@
                 numbers: HashMap::new(),
                 services: Vec::new(),
                 edges: Edges::new(),
+                components: Vec::new(),
             };
         }
         let services = texts.values().flat_map(|text| &text.services);
@@ -153,9 +155,11 @@
         let mut graph = Graph {
             numbers: numbers.collect(),
             edges: vec![Vec::new(); services.len()],
+            components: Vec::new(),
             services,
         };
         graph.connect(candidates);
+        graph.components = cycle::components(&graph.edges);
         graph
     }
 
@@ -185,6 +189,9 @@
     fn cycle(&self, candidate: &Candidate<'_>) -> Option<String> {
         let from = self.number(&candidate.from.target())?;
         let to = self.number(candidate.to)?;
+        if self.components[from] != self.components[to] {
+            return None;
+        }
         let back = cycle::path(&self.edges, to, from)?;
         let nodes = std::iter::once(from).chain(back);
         let names: Vec<String> = nodes
