node: everybody reads the log once at its start; tests of feed, keeping, admin

Cause: a process that does not rank as a reader and starts where nothing was ever published heard of fresh reads by others, waited for digests that never come, and so never knew that there is nothing to know.

Change: the first read is due whatever the rank. Configuration texts go out in parts like any answer. Tests of the feed through an outage, of records that are appended again, of the admin pages, and of an agent that rises above an earlier life or hears a rumour of its own leaving.

--- a/components/node/src/feed_tail.rs
+++ b/components/node/src/feed_tail.rs
@@ -29,6 +29,8 @@
     tail: Tail,
     next_offset: u64,
     at_end: bool,
+    /// The stream's end was read once.
+    has_read: bool,
 }
 
 /// Runs until the owner of the ledger is gone.
@@ -45,11 +47,16 @@
         tail: Tail::new(settings, now_ms()),
         next_offset: 0,
         at_end: false,
+        has_read: false,
     };
     loop {
         let ranks = reader.shared.ranks.load(Ordering::Acquire);
         reader.hear_peers();
-        if let TailStep::WaitUntil { at_ms } = reader.tail.step(ranks, now_ms()) {
+        // Everybody reads once at the start, whatever its rank: where nothing was ever
+        // published there are no digests, and a process that only waited for them would
+        // never know that there is nothing to know.
+        let in_turn = ranks || !reader.has_read;
+        if let TailStep::WaitUntil { at_ms } = reader.tail.step(in_turn, now_ms()) {
             reader.wait(at_ms).await;
             continue;
         }
@@ -109,6 +116,7 @@
         };
         let sent = events.send(event).await;
         if sent.is_ok() && at_end {
+            self.has_read = true;
             let now_ms = now_ms();
             self.tail.read_done(now_ms);
             self.shared
--- /dev/null
+++ b/components/node/tests/node.rs
@@ -0,0 +1,223 @@
+//! The configuration feed, the news and the admin address of one process, with stand-ins
+//! of the platform.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use config::{KeepPolicy, Publish, Record};
+use futures_util::FutureExt;
+use link::Links;
+use node::admin::{self, AdminHooks};
+use node::{ConfigFeed, FeedSettings, Gossip, GossipHooks, GossipSettings, Sockets};
+use platform::{ClientSettings, Endpoint, EndpointSettings, LogClient, Request, VmList};
+use protocol::ProcessRole;
+use settings::{CommonSettings, SharedKey};
+use standins::log::LogSettings;
+use standins::vms::VmsSettings;
+use standins::{Fault, FaultKind, Handle, log, vms};
+use telemetry::LogLevel;
+use tokio::time::timeout;
+
+/// Far above what anything here takes; only a test that fails reaches it.
+const PATIENCE: Duration = Duration::from_secs(30);
+const OFFICE: &str = "schema = 1\ncustomer = \"office\"\n";
+
+fn loopback() -> SocketAddr {
+    ([127, 0, 0, 1], 0).into()
+}
+
+fn common(log: SocketAddr, vm_list: SocketAddr) -> CommonSettings {
+    CommonSettings {
+        inner_listen: loopback(),
+        admin_listen: loopback(),
+        log,
+        vm_list,
+        failure_domain: "rennes-a".parse().expect("a name"),
+        region: "bretagne".parse().expect("a name"),
+        keys: vec![SharedKey([7; 32])],
+        metrics: None,
+        log_level: LogLevel::Error,
+        settle_ms: 0,
+        drain_ms: 1_000,
+    }
+}
+
+/// One process with its feed and news.
+struct Process {
+    feed: ConfigFeed,
+    _gossip: Gossip,
+}
+
+impl Process {
+    async fn start(log: &Handle, vms: &Handle, keep: KeepPolicy) -> Process {
+        let common = common(log.address, vms.address);
+        let sockets = Sockets::bind(&common, ProcessRole::Entry)
+            .await
+            .expect("free ports");
+        let own = sockets.identity.node().address;
+        let client = LogClient::new(log.address, &ClientSettings::default());
+        let settings = FeedSettings {
+            keep,
+            ..FeedSettings::default()
+        };
+        let feed = ConfigFeed::start(own, client, Links::new(sockets.links), settings);
+        let gossip = Gossip::start(
+            sockets.udp,
+            sockets.identity,
+            VmList::new(vms.address, &ClientSettings::default()),
+            feed.clone(),
+            GossipSettings::default(),
+            GossipHooks::default(),
+        );
+        Process {
+            feed,
+            _gossip: gossip,
+        }
+    }
+
+    async fn holds(&self, version: u64) {
+        let held = async {
+            let mut changes = self.feed.changes();
+            while !self
+                .feed
+                .digests()
+                .iter()
+                .any(|digest| digest.version == version)
+            {
+                changes.changed().await.expect("the feed runs");
+            }
+        };
+        timeout(PATIENCE, held)
+            .await
+            .expect("the version never comes into force");
+    }
+}
+
+async fn platform() -> (Handle, Handle, LogClient) {
+    let log = log::start(LogSettings::new(loopback()))
+        .await
+        .expect("a log");
+    let vms = vms::start(VmsSettings::new(loopback()))
+        .await
+        .expect("a list");
+    let client = LogClient::new(log.address, &ClientSettings::default());
+    (log, vms, client)
+}
+
+fn publish(base: Option<&config::Accepted>, id: &str) -> String {
+    let customer = "office".parse().expect("a name");
+    let record = Record::Publish(Publish::on(customer, base, id, OFFICE));
+    record.to_json().expect("a record")
+}
+
+// An operator publishes twice, the second time after an outage of the log. The first
+// version stays in force through the outage, the second comes into force after it, and a
+// late copy of the first changes nothing.
+#[tokio::test]
+async fn can_hold_a_version_through_an_outage_and_never_go_back() {
+    let (log, vms, client) = platform().await;
+    let process = Process::start(&log, &vms, KeepPolicy::for_retention(3_600_000)).await;
+    let first = publish(None, "first");
+    client.append("config", &first).await.expect("an append");
+    process.holds(1).await;
+    log.fault(Fault::new(FaultKind::Outage).times(2));
+    let customer = "office".parse().expect("a name");
+    let accepted = process.feed.accepted(&customer).expect("a version");
+    let second = publish(Some(&accepted), "second");
+    while client.append("config", &second).await.is_err() {
+        assert_eq!(process.feed.digests()[0].version, 1);
+    }
+    process.holds(2).await;
+    client.append("config", &first).await.expect("an append");
+    let third = publish(process.feed.accepted(&customer).as_deref(), "third");
+    client.append("config", &third).await.expect("an append");
+    // The feed reads in order, so the copy has been judged once the third is in force.
+    process.holds(3).await;
+}
+
+// The log forgets records after a time. A process that tails it appends the current
+// version and the list of customers again before that.
+#[tokio::test]
+async fn can_append_a_version_again_before_the_log_forgets_it() {
+    let (log, vms, client) = platform().await;
+    client
+        .append("config", &publish(None, "first"))
+        .await
+        .expect("an append");
+    let process = Process::start(&log, &vms, KeepPolicy::for_retention(4_000)).await;
+    process.holds(1).await;
+    let kept = async {
+        let mut from = 1;
+        let mut seen = (false, false);
+        while seen != (true, true) {
+            let page = client
+                .read("config", from, 10, 1_000)
+                .await
+                .expect("a read");
+            from = page.next;
+            for record in page.records {
+                match Record::from_json(&record.data).expect("a record") {
+                    Record::Keep(keep) => {
+                        assert_eq!((keep.version, keep.text.as_str()), (1, OFFICE));
+                        seen.0 = true;
+                    }
+                    Record::Customers(customers) => {
+                        assert_eq!(customers.names.len(), 1);
+                        seen.1 = true;
+                    }
+                    other => panic!("not asked for: {other:?}"),
+                }
+            }
+        }
+    };
+    timeout(PATIENCE, kept)
+        .await
+        .expect("nothing is appended again");
+}
+
+struct Page {
+    method: &'static str,
+    path: &'static str,
+    status: u16,
+}
+
+#[tokio::test]
+async fn can_show_the_state_of_a_process() {
+    let pages = [
+        ("GET", "/livez", 200),
+        ("GET", "/readyz", 503),
+        ("GET", "/status", 200),
+        ("POST", "/livez", 405),
+        ("GET", "/drain", 405),
+        ("GET", "/", 404),
+        ("POST", "/drain", 202),
+    ];
+    let pages = pages.map(|(method, path, status)| Page {
+        method,
+        path,
+        status,
+    });
+    let (drain, mut drained) = tokio::sync::mpsc::unbounded_channel();
+    let hooks = AdminHooks {
+        ready: Arc::new(|| false),
+        status: Arc::new(|| async { "{}".to_owned() }.boxed()),
+        drain: Arc::new(move || drain.send(()).expect("a receiver")),
+    };
+    let listener = admin::listen(loopback()).await.expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    tokio::spawn(admin::serve(listener, hooks));
+    let endpoint = Endpoint::new(address, EndpointSettings::default());
+    for page in pages {
+        let asked = endpoint
+            .send(Request::new(page.method, page.path), 5_000)
+            .await;
+        let status = asked.expect("an answer").head.status;
+        assert_eq!(status, page.status, "{} {}", page.method, page.path);
+    }
+    assert_eq!(drained.recv().await, Some(()));
+    assert!(
+        drained.try_recv().is_err(),
+        "only the order to drain drains"
+    );
+}
--- a/components/sidecar/src/calls.rs
+++ b/components/sidecar/src/calls.rs
@@ -12,7 +12,7 @@
 
 use crate::agent::Agent;
 use crate::gate;
-use crate::relay::Relay;
+use crate::relay::{Relay, pass};
 
 /// Takes one call in; never waits.
 pub fn take(agent: &Arc<Agent>, call: Incoming) {
@@ -40,7 +40,7 @@
             answer.accepted();
             answer.started();
             answer.head(head).await;
-            answer.chunk(text).await;
+            pass(answer, text).await;
             answer.end();
         }
         Err(failure) => answer.fail(failure),
--- a/components/sidecar/src/relay.rs
+++ b/components/sidecar/src/relay.rs
@@ -109,7 +109,7 @@
         let document = Bytes::from(document);
         check_document(&document)?;
         self.answer.head(head_of(head)).await;
-        self.pass(document).await;
+        pass(self.answer, document).await;
         Ok(())
     }
 
@@ -118,7 +118,7 @@
         self.answer.head(head_of(head)).await;
         while let Some(bytes) = body.next().await? {
             check.push(&bytes)?;
-            self.pass(bytes).await;
+            pass(self.answer, bytes).await;
         }
         Ok(check.end()?)
     }
@@ -126,16 +126,17 @@
     async fn pass_opaque(&self, head: AnswerHead, mut body: Body) -> Result<(), Stop> {
         self.answer.head(head_of(head)).await;
         while let Some(bytes) = body.next().await? {
-            self.pass(bytes).await;
+            pass(self.answer, bytes).await;
         }
         Ok(())
     }
+}
 
-    async fn pass(&self, mut bytes: Bytes) {
-        while !bytes.is_empty() {
-            let part = bytes.split_to(bytes.len().min(PART_BYTES_MAX));
-            self.answer.chunk(part).await;
-        }
+/// Passes bytes on in parts of a size that lets other calls through in between.
+pub async fn pass(answer: &Answer, mut bytes: Bytes) {
+    while !bytes.is_empty() {
+        let part = bytes.split_to(bytes.len().min(PART_BYTES_MAX));
+        answer.chunk(part).await;
     }
 }
 
--- a/components/sidecar/src/status.rs
+++ b/components/sidecar/src/status.rs
@@ -67,6 +67,7 @@
 #[derive(Serialize)]
 struct Page {
     node: String,
+    role: &'static str,
     failure_domain: String,
     region: String,
     pool: String,
@@ -74,7 +75,7 @@
     endpoint_up: bool,
     endpoint_life: u32,
     leaving: bool,
-    calls_in_progress: usize,
+    in_progress: usize,
     hosted: Vec<HostedRow>,
     models: Vec<ModelRow>,
     config: Vec<ConfigRow>,
@@ -109,6 +110,7 @@
     let look = agent.health.look();
     let page = Page {
         node: agent.identity.node().to_string(),
+        role: "agent",
         failure_domain: agent.identity.failure_domain.to_string(),
         region: agent.identity.region.to_string(),
         pool: agent.pool.to_string(),
@@ -116,7 +118,7 @@
         endpoint_up: look.up,
         endpoint_life: agent.health.life(),
         leaving: agent.drain.is_leaving(),
-        calls_in_progress: agent.drain.progress().count(),
+        in_progress: agent.drain.progress().count(),
         hosted: hosted(&agent, &look).into_iter().map(hosted_row).collect(),
         models: weights.statuses().iter().map(model_row).collect(),
         config: config_rows(&agent),
--- a/components/sidecar/tests/common/mod.rs
+++ b/components/sidecar/tests/common/mod.rs
@@ -284,13 +284,18 @@
 
     /// The next status that the agent sends, asked or not.
     pub async fn status_of(&self, agent: &TestAgent) -> Status {
+        self.sender_and_status_of(agent).await.1
+    }
+
+    /// The same, with the life of the agent that sends it.
+    pub async fn sender_and_status_of(&self, agent: &TestAgent) -> (NodeId, Status) {
         loop {
             let (_, datagram) = self.udp.recv().await;
             for news in datagram.news {
                 if let News::Status(status) = news
                     && datagram.from.address == agent.address
                 {
-                    return *status;
+                    return (datagram.from, *status);
                 }
             }
         }
--- a/components/sidecar/tests/life.rs
+++ b/components/sidecar/tests/life.rs
@@ -7,9 +7,10 @@
     plain_endpoint, second_version, until,
 };
 use link::CallEvent;
+use protocol::News;
 use settings::EndpointKind;
 use standins::{Fault, FaultKind};
-use types::{Cause, RunState, WeightVersion};
+use types::{Cause, Incarnation, RunState, WeightVersion};
 
 // The trainer's version is on the engine in the end, and the agent reports it only after
 // it has read it back. What happens: the first switch fails at the engine, then the
@@ -130,3 +131,39 @@
     drop(running);
     agent.ended().await;
 }
+
+// A VM's clock runs behind, and its agent starts with a lower number than the life before
+// it. An entry tells it of that life; from then on it speaks with a higher one, so that
+// its answers are not taken for late ones of the old life.
+#[tokio::test]
+async fn can_rise_above_an_earlier_life() {
+    let platform = Platform::start(&[]).await;
+    platform.publish(OFFICE).await;
+    let endpoint = plain_endpoint(0).await;
+    let agent = TestAgent::start(&platform, endpoint.address, EndpointKind::Plain).await;
+    let caller = Caller::start().await;
+    caller.hosted(&agent).await;
+    let earlier = Incarnation(u64::MAX - 7);
+    caller.tell(&agent, News::Incarnation(earlier)).await;
+    caller.tell(&agent, News::Probe).await;
+    while caller.sender_and_status_of(&agent).await.0.incarnation <= earlier {
+        caller.tell(&agent, News::Probe).await;
+    }
+}
+
+// The platform is about to take the VM away and some entry has read so in the VM list.
+// Its rumour reaches the agent, which leaves though nobody has sent it a signal.
+#[tokio::test]
+async fn can_leave_on_a_rumour_of_its_own_leaving() {
+    let platform = Platform::start(&[]).await;
+    platform.publish(OFFICE).await;
+    let endpoint = plain_endpoint(0).await;
+    let mut agent = TestAgent::start(&platform, endpoint.address, EndpointKind::Plain).await;
+    let caller = Caller::start().await;
+    caller.tell(&agent, News::Probe).await;
+    let (node, status) = caller.sender_and_status_of(&agent).await;
+    assert!(!status.leaving);
+    caller.tell(&agent, News::Leaving { node }).await;
+    while !caller.status_of(&agent).await.leaving {}
+    agent.ended().await;
+}
