--- a/components/gateway/src/answer.rs
+++ b/components/gateway/src/answer.rs
@@ -1,5 +1,7 @@
 //! From an attempt that has its head to the answer that the caller gets.
 
+use std::sync::Arc;
+
 use bytes::{Bytes, BytesMut};
 use config::Kind;
 use futures_util::stream;
@@ -10,11 +12,13 @@
 use recovery::Flowed;
 use types::{Cause, Failure, RunState};
 
-use crate::admission::Admitted;
-use crate::attempt::Attempt;
+use crate::admission::{Admitted, admit};
+use crate::attempt::{Attempt, Where};
 use crate::body::{AnswerBroken, Body, full, streamed};
 use crate::completion;
 use crate::exchange::Exchange;
+use crate::gateway::Gateway;
+use crate::job::Job;
 use crate::rejection::Rejection;
 use crate::trace::Trace;
 
@@ -33,6 +37,29 @@
 }
 
 impl Answering {
+    /// Lets a request in, or refuses it.
+    pub async fn begin(
+        gateway: &Arc<Gateway>,
+        job: Job,
+        arrived_ms: u64,
+    ) -> Result<Answering, Failure> {
+        let mut trace = Trace::new(gateway.metrics.clone(), &job, arrived_ms);
+        let admitted = match admit(gateway, &job).await {
+            Ok(admitted) => admitted,
+            Err(failure) => {
+                trace.failed(failure);
+                return Err(failure);
+            }
+        };
+        let account = Arc::clone(&admitted.account);
+        let exchange = Exchange::new(Arc::clone(gateway), account, job, Where::default());
+        Ok(Answering {
+            exchange,
+            admitted,
+            trace,
+        })
+    }
+
     /// Sends the request and answers with what its endpoint answers.
     pub async fn relay(mut self, body: Bytes) -> Result<Response<Body>, Rejection> {
         let answered = self.answered(&body).await;
--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use link::{Call, CallEvent};
@@ -10,8 +11,13 @@
 use routing::{Ask, Choice, NoChoice, Outcome, Table};
 use types::{Cause, Failure, NodeId, RunState, WeightVersion};
 
+use crate::endpoint_life::EndpointLife;
 use crate::gateway::Gateway;
 use crate::job::Job;
+use crate::suspects::{Entered, InFlight};
+
+/// Pause while every replica has a suspect that is tried apart, in milliseconds.
+const APART_MS: u64 = 100;
 
 /// What an attempt may be sent to.
 #[derive(Clone, Debug, Default)]
@@ -28,39 +34,40 @@
 pub struct Attempt {
     call: Call,
     /// Taken when the attempt has ended.
-    choice: Option<Choice>,
+    held: Option<Held>,
     table: Arc<Table>,
     node: NodeId,
+    life: EndpointLife,
+}
+
+/// What an attempt holds while it is in progress.
+struct Held {
+    choice: Choice,
+    in_flight: InFlight,
 }
 
 impl Attempt {
     /// Chooses a replica and sends the call.
-    pub fn start(
+    pub async fn start(
         gateway: &Gateway,
         job: &Job,
         body: Bytes,
         place: &Where,
     ) -> Result<Attempt, Failure> {
-        let now_ms = now_ms();
-        if job.left_ms(now_ms) == 0 {
-            return Err(Failure::not_run(Cause::DeadlinePassed));
-        }
-        let service = &job.service;
-        let state = gateway.services.get(&service.owner, &service.name);
-        let state = state.ok_or(Failure::not_run(Cause::NoEndpoint))?;
-        let table = state.table();
-        let choice = choose(gateway, job, &table, place, now_ms)?;
-        let node = choice.node;
-        let open = job.open(gateway.links.next_id(), body, now_ms);
+        let (table, held) = take_replica(gateway, job, place).await?;
+        let node = held.choice.node;
+        let life = EndpointLife::now(gateway, job, node);
+        let open = job.open(gateway.links.next_id(), body, now_ms());
         log::debug!(
             event = "attempt-started", request_id = job.request_id.as_str(),
             call = open.id.to_string(), agent = node.to_string(); ""
         );
         Ok(Attempt {
             call: gateway.links.call(node.address, open),
-            choice: Some(choice),
+            held: Some(held),
             table,
             node,
+            life,
         })
     }
 
@@ -77,19 +84,34 @@
     /// Waits for the next event.
     pub async fn next(&mut self) -> CallEvent {
         let event = self.call.next().await;
-        match &event {
+        match event {
             CallEvent::Accepted | CallEvent::Started => {}
             CallEvent::Head(_) | CallEvent::Chunk(_) => {
-                if let Some(choice) = &self.choice {
-                    choice.outstanding.begun();
+                if let Some(held) = &self.held {
+                    held.choice.outstanding.begun();
+                }
+            }
+            CallEvent::End => {
+                if let Some(in_flight) = self.settle(Outcome::Answered) {
+                    in_flight.complete();
                 }
             }
-            CallEvent::End => self.settle(Outcome::Answered),
-            CallEvent::Failed(failure) => self.settle(says(*failure)),
+            CallEvent::Failed(failure) => return CallEvent::Failed(self.failed(failure).await),
         }
         event
     }
 
+    async fn failed(&mut self, failure: Failure) -> Failure {
+        let in_flight = self.settle(says(failure));
+        let lost = failure.cause == Cause::EndpointLost && failure.run != RunState::NotRun;
+        match in_flight {
+            Some(in_flight) if lost && self.life.has_ended().await => {
+                in_flight.lost().await.unwrap_or(failure)
+            }
+            _ => failure,
+        }
+    }
+
     /// Waits for the status and headers of the answer.
     pub async fn head(&mut self) -> Result<Head, Failure> {
         loop {
@@ -104,10 +126,10 @@
         }
     }
 
-    fn settle(&mut self, outcome: Outcome) {
-        if let Some(choice) = self.choice.take() {
-            choice.finish(&self.table, outcome, now_ms());
-        }
+    fn settle(&mut self, outcome: Outcome) -> Option<InFlight> {
+        let held = self.held.take()?;
+        held.choice.finish(&self.table, outcome, now_ms());
+        Some(held.in_flight)
     }
 }
 
@@ -124,22 +146,75 @@
     }
 }
 
-/// Chooses a replica that still takes work. Those that failed this request already are
-/// passed over unless there is no other.
+/// Chooses a replica and has the call known as in flight there.
+async fn take_replica(
+    gateway: &Gateway,
+    job: &Job,
+    place: &Where,
+) -> Result<(Arc<Table>, Held), Failure> {
+    let service = &job.service;
+    let state = gateway.services.get(&service.owner, &service.name);
+    let state = state.ok_or(Failure::not_run(Cause::NoEndpoint))?;
+    let mut apart: Vec<NodeId> = Vec::new();
+    loop {
+        let now_ms = now_ms();
+        if job.left_ms(now_ms) == 0 {
+            return Err(Failure::not_run(Cause::DeadlinePassed));
+        }
+        let table = state.table();
+        let choice = match choose(gateway, job, &table, place, &apart, now_ms) {
+            // Every other replica has a suspect that is tried apart there; it ends soon.
+            Err(_) if !apart.is_empty() && !place.only => {
+                apart.clear();
+                pause(job, APART_MS).await;
+                continue;
+            }
+            choice => choice?,
+        };
+        let node = choice.node;
+        match gateway.quarantine.enter(job.digest, node.address).await {
+            Entered::Run(in_flight) if takes_work(gateway, job, node) => {
+                return Ok((table, Held { choice, in_flight }));
+            }
+            Entered::Run(_) => {}
+            Entered::Elsewhere => apart.push(node),
+            Entered::Wait { wait_ms } => pause(job, u64::from(wait_ms)).await,
+            Entered::Refused(failure) => return Err(failure),
+        }
+    }
+}
+
+async fn pause(job: &Job, wait_ms: u64) {
+    let wait_ms = wait_ms.min(job.left_ms(now_ms()));
+    tokio::time::sleep(Duration::from_millis(wait_ms)).await;
+}
+
+/// Whether the newest view has the replica taking work. The table is as old as the last
+/// tick, and the request may have waited since the replica was chosen.
+fn takes_work(gateway: &Gateway, job: &Job, node: NodeId) -> bool {
+    let service = &job.service;
+    let snapshot = gateway.gossip.snapshot();
+    snapshot.takes_work(&service.owner, &service.name, node)
+}
+
+/// Chooses a replica that takes work, none of `apart`. Those that failed this request
+/// already are passed over unless there is no other.
 fn choose(
     gateway: &Gateway,
     job: &Job,
     table: &Table,
     place: &Where,
+    apart: &[NodeId],
     now_ms: u64,
 ) -> Result<Choice, Failure> {
-    match choose_but(gateway, job, table, place, &place.exclude, now_ms) {
+    let both = [&place.exclude, apart].concat();
+    let choice = match choose_but(gateway, job, table, place, both, now_ms) {
         Err(NoChoice::Tried) if !place.only && !place.exclude.is_empty() => {
-            let again = choose_but(gateway, job, table, place, &[], now_ms);
-            again.map_err(Failure::from)
+            choose_but(gateway, job, table, place, apart.to_vec(), now_ms)
         }
-        other => other.map_err(Failure::from),
-    }
+        choice => choice,
+    };
+    choice.map_err(Failure::from)
 }
 
 fn choose_but(
@@ -147,12 +222,9 @@
     job: &Job,
     table: &Table,
     place: &Where,
-    exclude: &[NodeId],
+    mut tried: Vec<NodeId>,
     now_ms: u64,
 ) -> Result<Choice, NoChoice> {
-    let service = &job.service;
-    let snapshot = gateway.gossip.snapshot();
-    let mut tried = exclude.to_vec();
     loop {
         let ask = Ask {
             work: job.work,
@@ -162,9 +234,7 @@
             ..Ask::default()
         };
         let choice = routing::choose(table, &ask, rand::random(), now_ms)?;
-        // The table is as old as the last tick and the request may have waited. The
-        // newest view says whether the replica has begun to leave since.
-        if snapshot.takes_work(&service.owner, &service.name, choice.node) {
+        if takes_work(gateway, job, choice.node) {
             return Ok(choice);
         }
         tried.push(choice.node);
--- a/components/gateway/src/calls.rs
+++ b/components/gateway/src/calls.rs
@@ -5,17 +5,15 @@
 use config::Kind;
 use http::Response;
 use hyper::body::Body as HttpBody;
+use routing::Work;
 
-use crate::admission::admit;
 use crate::answer::Answering;
-use crate::attempt::Where;
 use crate::body::Body;
-use crate::exchange::Exchange;
 use crate::gateway::Gateway;
 use crate::intake::{Intake, need_kind};
+use crate::keyed;
 use crate::rejection::Rejection;
 use crate::target::Target;
-use crate::trace::Trace;
 
 /// Serves a plain call.
 pub async fn serve<B>(
@@ -33,21 +31,14 @@
     need_kind(&service, Kind::Plain)?;
     let deadline_at_ms = intake.deadline_at_ms(service.deadline_ms);
     let body = intake.body(body, deadline_at_ms).await?;
-    let job = intake.job(&service, path, body, routing::Work::default())?;
-    let mut trace = Trace::new(gateway.metrics.clone(), &job, intake.arrived_ms);
-    let admitted = match admit(&gateway, &job).await {
-        Ok(admitted) => admitted,
-        Err(failure) => {
-            trace.failed(failure);
-            return Err(failure.into());
-        }
-    };
-    let body = job.body.clone();
-    let account = Arc::clone(&admitted.account);
-    let answering = Answering {
-        exchange: Exchange::new(gateway, account, job, Where::default()),
-        admitted,
-        trace,
-    };
-    answering.relay(body).await
+    let method = intake.parts.method.as_str();
+    let content = [method.as_bytes(), path.as_bytes(), &body];
+    let job = intake.job(&service, path.clone(), Work::default(), &content)?;
+    let idempotent = job.idempotent;
+    let answering = Answering::begin(&gateway, job, intake.arrived_ms).await?;
+    match &intake.wishes.key {
+        // A request that may run again needs nobody's leave for it.
+        Some(key) if !idempotent => keyed::serve(&gateway, answering, key, body).await,
+        _ => answering.relay(body).await,
+    }
 }
--- a/components/gateway/src/completion_stream.rs
+++ b/components/gateway/src/completion_stream.rs
@@ -100,21 +100,22 @@
 
 /// Sends the request and streams what its engines say. `body` makes the body for an
 /// engine that goes on after these tokens.
+///
+/// The head goes with the first event: engines send theirs before they have begun, and a
+/// request that fails up to there still gets its status and problem document.
 pub async fn serve(
     mut answering: Answering,
     body: impl Fn(&[u32]) -> Bytes + Send + 'static,
 ) -> Result<Response<Body>, Rejection> {
     match answering.exchange.head(&body(&[])).await {
         Ok((head, attempt)) if head.status == OK => {
-            let mut answer = response(&stream_head(head), crate::body::full(Bytes::new()))?;
             let streaming = Streaming {
                 answering,
                 attempt,
                 said: Said::new(),
                 body,
             };
-            *answer.body_mut() = streaming.into_body();
-            Ok(answer)
+            streaming.respond(&stream_head(head)).await
         }
         // A refusal of the engine's own is no stream; it goes on as it is.
         Ok((head, attempt)) => response(&head.clone(), answering.pass_on(head.status, attempt)),
@@ -150,11 +151,15 @@
 }
 
 impl<F: Fn(&[u32]) -> Bytes + Send + 'static> Streaming<F> {
-    fn into_body(self) -> Body {
-        streamed(stream::unfold(
-            State::Running(Box::new(self)),
-            |state| async { state.next().await },
-        ))
+    async fn respond(mut self, head: &Head) -> Result<Response<Body>, Rejection> {
+        let first = self.next().await;
+        if let Next::Broken(failure) = first {
+            self.answering.trace.failed(failure);
+            return Err(failure.into());
+        }
+        let state = State::Begun(first, Box::new(self));
+        let events = stream::unfold(state, |state| async { state.next().await });
+        response(head, streamed(events))
     }
 
     async fn next(&mut self) -> Next {
@@ -209,6 +214,7 @@
 }
 
 enum State<F> {
+    Begun(Next, Box<Streaming<F>>),
     Running(Box<Streaming<F>>),
     Breaking(Failure),
     Ended,
@@ -218,14 +224,18 @@
 
 impl<F: Fn(&[u32]) -> Bytes + Send + 'static> State<F> {
     async fn next(self) -> Item<F> {
-        let mut streaming = match self {
-            State::Running(streaming) => streaming,
+        let (next, mut streaming) = match self {
+            State::Begun(next, streaming) => (next, streaming),
+            State::Running(mut streaming) => (streaming.next().await, streaming),
             State::Breaking(failure) => {
+                // `hyper` drops what it has not flushed when a body fails, and it flushes
+                // when a body has nothing at the moment; the event would not be seen.
+                tokio::task::yield_now().await;
                 return Some((Err(AnswerBroken::Cut(failure)), State::Ended));
             }
             State::Ended => return None,
         };
-        match streaming.next().await {
+        match next {
             Next::Bytes(bytes) => {
                 streaming.answering.trace.first_byte();
                 Some((Ok(bytes), State::Running(streaming)))
--- a/components/gateway/src/completions.rs
+++ b/components/gateway/src/completions.rs
@@ -2,24 +2,19 @@
 
 use std::sync::Arc;
 
-use bytes::Bytes;
 use config::Kind;
 use http::{Method, Response};
 use hyper::body::Body as HttpBody;
 
-use crate::admission::admit;
 use crate::answer::Answering;
-use crate::attempt::Where;
 use crate::body::Body;
 use crate::completion::{Completion, priority};
 use crate::completion_stream;
-use crate::exchange::Exchange;
 use crate::gateway::Gateway;
 use crate::headers::DEADLINE_MS_MAX;
 use crate::intake::{Intake, need_kind};
 use crate::rejection::Rejection;
 use crate::target::Target;
-use crate::trace::Trace;
 
 /// Path of completions, here and at the engines.
 pub const PATH: &str = "/v1/completions";
@@ -47,25 +42,12 @@
         .callable(&Target::parse(&completion.model)?)?;
     need_kind(&service, Kind::Model)?;
     let work = completion.work();
-    let job = intake.job(&service, PATH.to_owned(), Bytes::new(), work)?;
-    let mut trace = Trace::new(gateway.metrics.clone(), &job, intake.arrived_ms);
-    let admitted = match admit(&gateway, &job).await {
-        Ok(admitted) => admitted,
-        Err(failure) => {
-            trace.failed(failure);
-            return Err(failure.into());
-        }
-    };
-    let account = Arc::clone(&admitted.account);
-    let order = (priority(job.class), job.request_id.clone());
-    let model = service.name.clone();
-    let answering = Answering {
-        exchange: Exchange::new(gateway, account, job, Where::default()),
-        admitted,
-        trace,
-    };
-    let (priority, id) = order;
+    let content = [completion.prompt.as_bytes()];
+    let job = intake.job(&service, PATH.to_owned(), work, &content)?;
+    let (priority, id) = (priority(job.class), job.request_id.clone());
+    let answering = Answering::begin(&gateway, job, intake.arrived_ms).await?;
     let stream = completion.stream;
+    let model = service.name.clone();
     let body = move |resume_tokens: &[u32]| {
         completion.for_engine(model.as_str(), &id, priority, resume_tokens)
     };
--- /dev/null
+++ b/components/gateway/src/endpoint_life.rs
@@ -0,0 +1,64 @@
+//! Whether an endpoint crashed under a call, or only the connection to it broke.
+//!
+//! A connection that is cut is no crash: taken for one, two of them would have a common
+//! consultation refused for minutes. The agent looks at its endpoint as soon as a call has
+//! lost it and tells the entries; they wait a moment for that.
+
+use std::time::Duration;
+
+use node::{Gossip, now_ms};
+use types::{CustomerName, NodeId, ServiceName};
+
+use crate::gateway::Gateway;
+use crate::job::Job;
+
+/// How long the agent's news is waited for, in milliseconds.
+const NEWS_MS: u64 = 150;
+const LOOK_EVERY: Duration = Duration::from_millis(10);
+
+/// The life of an endpoint at the hand-over of a call.
+pub struct EndpointLife {
+    gossip: Gossip,
+    owner: CustomerName,
+    service: ServiceName,
+    node: NodeId,
+    life: Option<u32>,
+}
+
+impl EndpointLife {
+    /// The life known now.
+    pub fn now(gateway: &Gateway, job: &Job, node: NodeId) -> Self {
+        let mut life = Self {
+            gossip: gateway.gossip.clone(),
+            owner: job.service.owner.clone(),
+            service: job.service.name.clone(),
+            node,
+            life: None,
+        };
+        life.life = life.newest();
+        life
+    }
+
+    /// Waits for news that the life is over; false when none comes. An endpoint that is
+    /// down is not listed.
+    pub async fn has_ended(&self) -> bool {
+        let until_ms = now_ms() + NEWS_MS;
+        loop {
+            if self.newest() != self.life {
+                return true;
+            }
+            if now_ms() >= until_ms {
+                return false;
+            }
+            tokio::time::sleep(LOOK_EVERY).await;
+        }
+    }
+
+    fn newest(&self) -> Option<u32> {
+        let snapshot = self.gossip.snapshot();
+        let replicas = snapshot.with_leaving(&self.owner, &self.service);
+        let mut replicas = replicas.iter();
+        let replica = replicas.find(|replica| replica.node == self.node)?;
+        Some(replica.endpoint_life)
+    }
+}
--- a/components/gateway/src/entry.rs
+++ b/components/gateway/src/entry.rs
@@ -14,6 +14,7 @@
 };
 use platform::{ClientSettings, LogClient, VmList};
 use protocol::{News, ProcessRole};
+use quarantine::{CallDigest, Condemned};
 use routing::Locality;
 use samples::CursorKeys;
 use settings::{EntrySettings, SharedKey};
@@ -25,8 +26,10 @@
 
 use crate::error::EntryError;
 use crate::gateway::Gateway;
+use crate::keyed::{self, Claims};
 use crate::leave::{self, Leaving};
 use crate::services::Services;
+use crate::suspects::Quarantine;
 use crate::training::{Copier, Desk, DeskInbox, spawn};
 use crate::weight_news::WeightNews;
 use crate::{accounts::Accounts, inner, refresh, routes, server, status};
@@ -111,9 +114,12 @@
         let links = Links::new(link_settings.clone());
         let log = LogClient::new(settings.common.log, &ClientSettings::default());
         let own = identity.node().address;
+        let claims = Claims::start(&log, keyed::settings()?);
         let feed = ConfigFeed::start(own, log, links.clone(), tuning.feed);
         let (versions, in_force) = mpsc::channel(VERSIONS_MAX);
         let weights = WeightNews::start(versions);
+        let (condemned, to_tell) = mpsc::unbounded_channel();
+        let quarantine = Quarantine::start(condemned);
         let vm_list = VmList::new(settings.common.vm_list, &ClientSettings::default());
         let gossip = Gossip::start(
             udp,
@@ -121,7 +127,7 @@
             vm_list,
             feed.clone(),
             tuning.gossip,
-            gossip_hooks(&weights, &leaving),
+            gossip_hooks(&weights, &quarantine, &leaving),
         );
         let here = Locality {
             failure_domain: identity.failure_domain.clone(),
@@ -134,6 +140,8 @@
             gossip,
             services: Services::new(tuning.routing, here),
             accounts: Accounts::default(),
+            quarantine,
+            claims,
             weights,
             training,
             drain: Drain::new(drain_settings(&settings)),
@@ -144,6 +152,7 @@
             })?,
             links,
         });
+        tokio::spawn(tell_condemned(Arc::clone(&gateway), to_tell));
         start_tasks(&gateway, desk, in_force, &settings);
         tokio::spawn(admin::serve(
             admin_listener,
@@ -219,23 +228,37 @@
     }
 }
 
-fn gossip_hooks(weights: &WeightNews, leaving: &Leaving) -> GossipHooks {
+/// Tells every call that was condemned here to the other processes.
+async fn tell_condemned(gateway: Arc<Gateway>, mut told: mpsc::UnboundedReceiver<Condemned>) {
+    while let Some(condemned) = told.recv().await {
+        gateway.gossip.tell(News::Quarantined {
+            digest: condemned.digest.0,
+            left_ms: condemned.left_ms,
+        });
+    }
+}
+
+fn gossip_hooks(weights: &WeightNews, quarantine: &Quarantine, leaving: &Leaving) -> GossipHooks {
     let weights = weights.clone();
+    let quarantine = quarantine.clone();
     let leaving = leaving.clone();
     GossipHooks {
-        heard: Arc::new(move |news| {
-            if let News::Weights {
+        heard: Arc::new(move |news| match news {
+            News::Weights {
                 customer,
                 service,
                 version,
-            } = news
-            {
+            } => {
                 let model = ModelKey {
                     customer: customer.clone(),
                     service: service.clone(),
                 };
                 weights.heard(model, *version);
             }
+            News::Quarantined { digest, left_ms } => {
+                quarantine.heard(CallDigest(*digest), *left_ms);
+            }
+            _ => {}
         }),
         leaving: Arc::new(move || leaving.order()),
         ..GossipHooks::default()
--- a/components/gateway/src/error.rs
+++ b/components/gateway/src/error.rs
@@ -1,5 +1,6 @@
 //! Why an entry can't start.
 
+use claims::SettingsError;
 use node::NodeError;
 use quick_error::quick_error;
 use telemetry::{LogsError, MetricsError};
@@ -20,6 +21,12 @@
             source(reason)
             display("{}", reason)
         }
+        /// The settings of claims.
+        Claims(reason: SettingsError) {
+            from()
+            source(reason)
+            display("{}", reason)
+        }
         /// The log.
         Logs(reason: LogsError) {
             from()
--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -29,6 +29,8 @@
     place: Where,
     endpoints: Vec<SocketAddr>,
     nodes: Vec<NodeId>,
+    /// Whether any attempt so far ran, the worst of them.
+    run: RunState,
 }
 
 impl Exchange {
@@ -42,13 +44,14 @@
             place,
             endpoints: Vec::new(),
             nodes: Vec::new(),
+            run: RunState::NotRun,
         }
     }
 
     /// Sends an attempt with this body.
-    pub fn start(&mut self, body: Bytes) -> Result<Attempt, Failure> {
-        let started = Attempt::start(&self.gateway, &self.job, body, &self.place);
-        let attempt = started.map_err(with_time_to_come_back)?;
+    async fn start(&mut self, body: Bytes) -> Result<Attempt, Failure> {
+        let started = Attempt::start(&self.gateway, &self.job, body, &self.place).await;
+        let attempt = started.map_err(|failure| self.last(failure))?;
         self.endpoints.push(attempt.address());
         self.nodes.push(attempt.node());
         Ok(attempt)
@@ -57,6 +60,7 @@
     /// Decides on a failed attempt; waits out the pause before the next one.
     pub async fn again(&mut self, failure: Failure, flowed: Flowed) -> Result<Resume, Failure> {
         let now_ms = now_ms();
+        self.run = self.run.max(failure.run);
         let tried = Tried {
             failure,
             idempotent: self.job.idempotent,
@@ -69,7 +73,7 @@
         let decision = decide(&settings, &tried, rand::random(), budget);
         self.log_failed(failure, &decision);
         match decision {
-            Decision::Final(failure) => Err(with_time_to_come_back(failure)),
+            Decision::Final(failure) => Err(self.last(failure)),
             Decision::Again {
                 after_ms, resume, ..
             } => {
@@ -83,7 +87,7 @@
     /// Sends attempts until one answers with a head, or the request has failed for good.
     pub async fn head(&mut self, body: &Bytes) -> Result<(Head, Attempt), Failure> {
         loop {
-            let mut attempt = self.start(body.clone())?;
+            let mut attempt = self.start(body.clone()).await?;
             match attempt.head().await {
                 Ok(head) => return Ok((head, attempt)),
                 Err(failure) => {
@@ -93,6 +97,14 @@
         }
     }
 
+    /// The answer to the caller. An attempt that was refused says nothing of the one
+    /// before it, which may have run; the caller would send a request that ran again,
+    /// believing that it did not.
+    fn last(&self, failure: Failure) -> Failure {
+        let run = failure.run.max(self.run);
+        with_time_to_come_back(Failure { run, ..failure })
+    }
+
     fn log_failed(&self, failure: Failure, decision: &Decision) {
         log::info!(
             event = "attempt-failed", request_id = self.job.request_id.as_str(),
--- a/components/gateway/src/gateway.rs
+++ b/components/gateway/src/gateway.rs
@@ -9,7 +9,9 @@
 use telemetry::Metrics;
 
 use crate::accounts::Accounts;
+use crate::keyed::Claims;
 use crate::services::Services;
+use crate::suspects::Quarantine;
 use crate::training::Desk;
 use crate::weight_news::WeightNews;
 
@@ -27,6 +29,10 @@
     pub services: Services,
     /// Limits and budgets of each customer.
     pub accounts: Accounts,
+    /// Calls that crash endpoints.
+    pub quarantine: Quarantine,
+    /// Claims of idempotency keys.
+    pub claims: Claims,
     /// Weight versions in force.
     pub weights: WeightNews,
     /// Ledgers of training steps.
--- a/components/gateway/src/inner.rs
+++ b/components/gateway/src/inner.rs
@@ -10,8 +10,9 @@
 use types::{Cause, Failure};
 
 use crate::gateway::Gateway;
-use crate::training;
+use crate::{keyed, training};
 
+const OK: u16 = 200;
 /// Largest part of an answer that goes into one chunk.
 const CHUNK_BYTES: usize = 64 * 1024;
 
@@ -33,12 +34,23 @@
     if ConfigFeed::is_text_call(&open) {
         return gateway.feed.serve_text(&open).await;
     }
+    if keyed::is_inner_call(&open) {
+        keyed::take_record(gateway, &open).await?;
+        return Ok((empty_head(), Bytes::new()));
+    }
     if training::is_inner_call(&open) {
         return training::serve_inner(gateway, open).await;
     }
     Err(Failure::not_run(Cause::NotHosted))
 }
 
+fn empty_head() -> Head {
+    Head {
+        status: OK,
+        headers: Vec::new(),
+    }
+}
+
 async fn give(answer: &Answer, answered: Result<(Head, Bytes), Failure>) {
     let (head, mut body) = match answered {
         Ok(answered) => answered,
--- a/components/gateway/src/intake.rs
+++ b/components/gateway/src/intake.rs
@@ -9,6 +9,7 @@
 use hyper::body::Body as HttpBody;
 use node::http::whole_body;
 use node::{BodyError, now_ms};
+use quarantine::CallDigest;
 use types::{Cause, Failure};
 
 use crate::auth::Session;
@@ -77,18 +78,21 @@
         }
     }
 
-    /// The job of a call to `service`.
+    /// The job of a call to `service`. `content` is what makes it the same call when its
+    /// caller sends it again.
     pub fn job(
         &self,
         service: &Arc<Service>,
         path: String,
-        body: Bytes,
         work: routing::Work,
+        content: &[&[u8]],
     ) -> Result<Job, Rejection> {
         let method = self.parts.method.as_str();
+        let payer = &self.session.holder.customer;
         Ok(Job {
+            digest: CallDigest::of(payer, &service.name, content),
             request_id: self.request_id.clone(),
-            payer: self.session.holder.customer.clone(),
+            payer: payer.clone(),
             service: Arc::clone(service),
             class: self.session.holder.class_of(self.wishes.class, service),
             idempotent: is_idempotent(service, method, &path, self.wishes.idempotent),
@@ -96,7 +100,6 @@
             method: method.to_owned(),
             path,
             headers: towards_endpoint(&self.parts.headers, &self.request_id)?,
-            body,
             work,
         })
     }
--- a/components/gateway/src/job.rs
+++ b/components/gateway/src/job.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use config::Service;
 use protocol::Open;
+use quarantine::CallDigest;
 use types::{CallId, Class, CustomerName};
 
 /// One request, whatever the number of attempts that it takes.
@@ -22,14 +23,14 @@
     pub idempotent: bool,
     /// When its caller gives up, on the process's monotonic clock.
     pub deadline_at_ms: u64,
+    /// Names the call by its content, whoever sends it again.
+    pub digest: CallDigest,
     /// HTTP method.
     pub method: String,
     /// Path with query, as the endpoint gets it.
     pub path: String,
     /// Headers for the endpoint.
     pub headers: Vec<(String, String)>,
-    /// Whole body.
-    pub body: Bytes,
     /// Its size, for the choice of a replica and for limits.
     pub work: routing::Work,
 }
--- /dev/null
+++ b/components/gateway/src/keyed.rs
@@ -0,0 +1,30 @@
+//! Requests with an idempotency key: at most one of all submissions with the same key
+//! runs, through whatever entries they come. Package `claims` decides; here are the tasks
+//! that read and write the log and the path of such a request.
+
+mod client;
+mod reader;
+mod relay;
+mod replay;
+mod writer;
+
+pub use client::{Claims, take_record};
+pub use relay::serve;
+pub use writer::is_inner_call;
+
+use claims::{ClaimSettings, SettingsError};
+
+/// How long the platform's log keeps records at least, in milliseconds.
+const LOG_RETENTION_MS: u64 = 3_600_000;
+/// How long a key is remembered, in milliseconds.
+const KEY_LIFETIME_MS: u64 = 1_800_000;
+
+/// The settings of claims, checked against the log's retention.
+pub fn settings() -> Result<ClaimSettings, SettingsError> {
+    let settings = ClaimSettings {
+        key_lifetime_ms: KEY_LIFETIME_MS,
+        ..ClaimSettings::default()
+    };
+    settings.check(LOG_RETENTION_MS)?;
+    Ok(settings)
+}
--- /dev/null
+++ b/components/gateway/src/keyed/client.rs
@@ -0,0 +1,255 @@
+//! Claims of this entry's own submissions, and records that other entries bring.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use claims::{
+    Claim, ClaimSettings, Holder, HolderStep, KeyDigest, Record, RequestDigest, Verdict, shard_of,
+    writers_of,
+};
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
+use link::CallEvent;
+use node::now_ms;
+use platform::LogClient;
+use protocol::{Open, ProcessRole};
+use tokio::sync::{mpsc, oneshot};
+use types::{Cause, Class, CustomerName, Failure, RunState, ServiceName};
+
+use super::reader::{self, ReadOrder};
+use super::writer::{self, CLAIMS_PATH, WriteOrder};
+use crate::gateway::Gateway;
+
+/// Time for an inner call that brings a record, in milliseconds.
+const DEADLINE_MS: u32 = 2_000;
+
+/// Readers and writers of all shards.
+pub struct Claims {
+    /// Settings that every entry has alike.
+    pub settings: ClaimSettings,
+    /// The log, for recorded answers.
+    pub log: LogClient,
+    readers: Vec<mpsc::Sender<ReadOrder>>,
+    writers: Vec<mpsc::Sender<WriteOrder>>,
+}
+
+/// How a claim ended.
+pub enum Claimed {
+    /// This submission alone may run.
+    Won(Holder),
+    /// Another one has the key.
+    Other(Verdict),
+    /// No verdict in time; not run.
+    GivenUp(Failure),
+}
+
+/// A submission that wants its key.
+pub struct Submission<'a> {
+    /// Customer whose key it is.
+    pub customer: &'a CustomerName,
+    /// The service, for the inner call's head.
+    pub service: &'a ServiceName,
+    /// The key.
+    pub key: KeyDigest,
+    /// What it asks for.
+    pub request: RequestDigest,
+    /// Longest time from the claim to the end of its call, in milliseconds.
+    pub runs_for_ms: u32,
+}
+
+impl Claims {
+    /// Starts the readers and writers.
+    pub fn start(log: &LogClient, settings: ClaimSettings) -> Claims {
+        let shards = 0..settings.shards;
+        Claims {
+            settings,
+            log: log.clone(),
+            readers: shards
+                .clone()
+                .map(|shard| reader::start(shard, log.clone(), settings))
+                .collect(),
+            writers: shards
+                .map(|shard| writer::start(shard, log.clone(), settings))
+                .collect(),
+        }
+    }
+
+    /// Claims the key of a submission. To drop the future leaves a claim that may win
+    /// with nobody to run it, so it runs in a task of its own.
+    pub async fn claim(&self, gateway: &Gateway, submission: &Submission<'_>) -> Claimed {
+        let shard = shard_of(submission.key, self.settings.shards);
+        if let Some(verdict) = self.peek(shard, submission).await {
+            return Claimed::Other(verdict);
+        }
+        let claim = Claim {
+            key: submission.key,
+            request: submission.request,
+            claim: gateway.links.next_id(),
+            runs_for_ms: submission.runs_for_ms,
+        };
+        let (answer, verdict) = oneshot::channel();
+        let order = ReadOrder::Await {
+            claim: claim.claim,
+            answer,
+        };
+        if self.reader(shard, order).await.is_none() {
+            return Claimed::GivenUp(Failure::not_run(Cause::Internal));
+        }
+        let holder = Holder::new(claim, self.settings, now_ms());
+        self.hold(gateway, submission, shard, holder, verdict).await
+    }
+
+    async fn hold(
+        &self,
+        gateway: &Gateway,
+        submission: &Submission<'_>,
+        shard: u16,
+        mut holder: Holder,
+        mut verdict: oneshot::Receiver<Verdict>,
+    ) -> Claimed {
+        let writers = writers_of(shard, live_entries(gateway));
+        let mut sends = FuturesUnordered::new();
+        let mut refusals = 0;
+        loop {
+            let at_ms = match holder.step(now_ms()) {
+                HolderStep::Send { rank } => {
+                    let Some(&to) = writers.get(rank % writers.len().max(1)) else {
+                        holder.give_up();
+                        continue;
+                    };
+                    let record = Record::Claim(*holder.claim());
+                    sends.push(self.send(gateway, submission, shard, to, record));
+                    continue;
+                }
+                HolderStep::WaitUntil { at_ms } => at_ms,
+                HolderStep::Run => return Claimed::Won(holder),
+                HolderStep::Answer(verdict) => return Claimed::Other(verdict),
+                HolderStep::GiveUp(failure) => {
+                    self.record(gateway, submission, holder.release()).await;
+                    return Claimed::GivenUp(failure);
+                }
+            };
+            let wait = Duration::from_millis(at_ms.saturating_sub(now_ms()));
+            tokio::select! {
+                Ok(verdict) = &mut verdict => holder.on_verdict(verdict),
+                Some(sent) = sends.next() => if sent.is_err() {
+                    refusals += 1;
+                    // With every writer refused the log is down, and the caller gets its
+                    // answer now instead of at the end of the claim's time.
+                    if refusals >= writers.len() {
+                        holder.give_up();
+                    } else {
+                        holder.on_refused(now_ms());
+                    }
+                },
+                () = tokio::time::sleep(wait) => {}
+            }
+        }
+    }
+
+    /// Writes a record through the shard's writers, the usual one first.
+    pub async fn record(
+        &self,
+        gateway: &Gateway,
+        submission: &Submission<'_>,
+        record: Option<Record>,
+    ) {
+        let Some(record) = record else { return };
+        let shard = shard_of(record.key(), self.settings.shards);
+        for to in writers_of(shard, live_entries(gateway)) {
+            let sent = self
+                .send(gateway, submission, shard, to, record.clone())
+                .await;
+            if sent.is_ok() {
+                return;
+            }
+        }
+        // Repeats of the key are told "unknown" once the call's time is over.
+        log::warn!(event = "claim-record-lost", shard; "");
+    }
+
+    /// Gives a record to one writer. An error says that it did not take it.
+    async fn send(
+        &self,
+        gateway: &Gateway,
+        submission: &Submission<'_>,
+        shard: u16,
+        to: SocketAddr,
+        record: Record,
+    ) -> Result<(), Failure> {
+        if to == gateway.identity.node().address {
+            return self.write(shard, record).await;
+        }
+        let internal = |_| Failure::not_run(Cause::Internal);
+        let body = serde_json::to_vec(&record).map_err(internal)?;
+        let open = Open {
+            id: gateway.links.next_id(),
+            request_id: String::new(),
+            customer: submission.customer.clone(),
+            owner: submission.customer.clone(),
+            service: submission.service.clone(),
+            class: Class::Interactive,
+            // A doubled record counts once.
+            idempotent: true,
+            deadline_left_ms: DEADLINE_MS,
+            method: "POST".to_owned(),
+            path: format!("{CLAIMS_PATH}{shard}"),
+            headers: Vec::new(),
+            body: Bytes::from(body),
+        };
+        let mut call = gateway.links.call(to, open);
+        loop {
+            match call.next().await {
+                CallEvent::End => return Ok(()),
+                CallEvent::Failed(failure) => return Err(failure),
+                _ => {}
+            }
+        }
+    }
+
+    /// Writes a record here.
+    pub async fn write(&self, shard: u16, record: Record) -> Result<(), Failure> {
+        let unavailable = Failure::not_run(Cause::ClaimUnavailable);
+        let writer = self.writers.get(usize::from(shard)).ok_or(unavailable)?;
+        let (answer, written) = oneshot::channel();
+        let order = WriteOrder { record, answer };
+        writer.try_send(order).map_err(|_| unavailable)?;
+        let lost = Failure::new(RunState::Unknown, Cause::Internal);
+        written.await.map_err(|_| lost)?
+    }
+
+    async fn peek(&self, shard: u16, submission: &Submission<'_>) -> Option<Verdict> {
+        let (answer, peeked) = oneshot::channel();
+        let order = ReadOrder::Peek {
+            key: submission.key,
+            request: submission.request,
+            answer,
+        };
+        self.reader(shard, order).await?;
+        peeked.await.ok().flatten()
+    }
+
+    async fn reader(&self, shard: u16, order: ReadOrder) -> Option<()> {
+        let reader = self.readers.get(usize::from(shard))?;
+        reader.send(order).await.ok()
+    }
+}
+
+/// Entries that may write, this one among them.
+fn live_entries(gateway: &Gateway) -> Vec<SocketAddr> {
+    let snapshot = gateway.gossip.snapshot();
+    let others = snapshot
+        .live(ProcessRole::Entry)
+        .map(|member| member.address);
+    others.chain([gateway.identity.node().address]).collect()
+}
+
+/// Takes a record that another entry brings.
+pub async fn take_record(gateway: &Gateway, open: &Open) -> Result<(), Failure> {
+    let malformed = Failure::not_run(Cause::Malformed);
+    let shard = open.path.strip_prefix(CLAIMS_PATH).ok_or(malformed)?;
+    let shard: u16 = shard.parse().map_err(|_| malformed)?;
+    let record: Record = serde_json::from_slice(&open.body).map_err(|_| malformed)?;
+    gateway.claims.write(shard, record).await
+}
--- /dev/null
+++ b/components/gateway/src/keyed/relay.rs
@@ -0,0 +1,209 @@
+//! The path of a request with an idempotency key.
+//!
+//! It runs in a task of its own. A caller that goes away before the hand-over takes its
+//! claim back; after it, the call runs on and its end is recorded, so that the caller's
+//! next submission gets the answer and not "unknown".
+
+use std::sync::Arc;
+
+use bytes::{Bytes, BytesMut};
+use claims::{Holder, KeyDigest, Outcome, RequestDigest, Verdict, shard_of};
+use futures_util::stream;
+use http::Response;
+use link::CallEvent;
+use node::now_ms;
+use protocol::Head;
+use tokio::sync::{mpsc, oneshot};
+use types::{Cause, Failure, RunState};
+
+use super::client::{Claimed, Submission};
+use super::replay;
+use crate::answer::{Answering, response};
+use crate::attempt::Attempt;
+use crate::body::{AnswerBroken, Body, streamed};
+use crate::gateway::Gateway;
+use crate::rejection::Rejection;
+
+/// Added to a call's deadline for the longest time until its end is recorded.
+const RECORD_MS: u32 = 10_000;
+/// Parts of an answer between the task and the caller's connection.
+const PARTS_MAX: usize = 8;
+
+type Part = Result<Bytes, AnswerBroken>;
+
+/// What the task tells the caller's side first.
+enum First {
+    Answer(Head, mpsc::Receiver<Part>),
+    Other(Verdict),
+    Failed(Failure),
+}
+
+/// Serves a request with this key.
+pub async fn serve(
+    gateway: &Arc<Gateway>,
+    answering: Answering,
+    key: &str,
+    body: Bytes,
+) -> Result<Response<Body>, Rejection> {
+    let job = &answering.exchange.job;
+    let key = KeyDigest::of(&job.payer, key);
+    let shard = shard_of(key, gateway.claims.settings.shards);
+    let (first, told) = oneshot::channel();
+    let running = Running {
+        gateway: Arc::clone(gateway),
+        answering,
+        key,
+        body,
+    };
+    tokio::spawn(running.run(first));
+    let lost = Failure::new(RunState::Unknown, Cause::Internal);
+    match told.await.map_err(|_| lost)? {
+        First::Answer(head, parts) => response(&head, body_of(parts)),
+        First::Other(verdict) => replay::answer(&gateway.claims, shard, &verdict).await,
+        First::Failed(failure) => Err(failure.into()),
+    }
+}
+
+fn body_of(parts: mpsc::Receiver<Part>) -> Body {
+    streamed(stream::unfold(parts, |mut parts| async {
+        let part = parts.recv().await?;
+        Some((part, parts))
+    }))
+}
+
+struct Running {
+    gateway: Arc<Gateway>,
+    answering: Answering,
+    key: KeyDigest,
+    body: Bytes,
+}
+
+impl Running {
+    async fn run(mut self, first: oneshot::Sender<First>) {
+        let gateway = Arc::clone(&self.gateway);
+        let job = self.answering.exchange.job.clone();
+        let left_ms = u32::try_from(job.left_ms(now_ms())).unwrap_or(u32::MAX);
+        let submission = Submission {
+            customer: &job.payer,
+            service: &job.service.name,
+            key: self.key,
+            request: RequestDigest::of(
+                &job.service.owner,
+                &job.service.name,
+                &job.method,
+                &job.path,
+                &self.body,
+            ),
+            runs_for_ms: left_ms.saturating_add(RECORD_MS),
+        };
+        let mut holder = match gateway.claims.claim(&gateway, &submission).await {
+            Claimed::Won(holder) => holder,
+            Claimed::Other(verdict) => {
+                self.note_other(&verdict);
+                // The caller may have gone.
+                let _ = first.send(First::Other(verdict));
+                return;
+            }
+            Claimed::GivenUp(failure) => {
+                self.answering.trace.failed(failure);
+                let _ = first.send(First::Failed(failure));
+                return;
+            }
+        };
+        let record = match self.start(&mut holder, &first) {
+            Ok(()) => self.call(&mut holder, first).await,
+            Err(failure) => {
+                self.answering.trace.failed(failure);
+                let _ = first.send(First::Failed(failure));
+                holder.release()
+            }
+        };
+        gateway.claims.record(&gateway, &submission, record).await;
+    }
+
+    fn note_other(&mut self, verdict: &Verdict) {
+        match verdict.failure(&self.gateway.claims.settings) {
+            Some(failure) => self.answering.trace.failed(failure),
+            None => self.answering.trace.replayed(),
+        }
+    }
+
+    fn start(&self, holder: &mut Holder, first: &oneshot::Sender<First>) -> Result<(), Failure> {
+        if first.is_closed() {
+            holder.give_up();
+            return Err(Failure::not_run(Cause::Cancelled));
+        }
+        holder.start(now_ms())
+    }
+
+    /// Makes the call; gives the record of its end.
+    async fn call(
+        &mut self,
+        holder: &mut Holder,
+        first: oneshot::Sender<First>,
+    ) -> Option<claims::Record> {
+        let (head, attempt) = match self.answering.exchange.head(&self.body).await {
+            Ok(answered) => answered,
+            Err(failure) => {
+                self.answering.trace.failed(failure);
+                let _ = first.send(First::Failed(failure));
+                return failed(holder, failure);
+            }
+        };
+        let (parts, received) = mpsc::channel(PARTS_MAX);
+        let _ = first.send(First::Answer(head.clone(), received));
+        match self.pass_on(attempt, parts).await {
+            Ok(body) => {
+                self.answering.trace.answered(head.status);
+                let settings = &self.gateway.claims.settings;
+                holder.done(Outcome::answered(
+                    head.status,
+                    &head.headers,
+                    &body,
+                    settings,
+                ))
+            }
+            Err(failure) => {
+                self.answering.trace.failed(failure);
+                failed(holder, failure)
+            }
+        }
+    }
+
+    /// Gives the parts to the caller while there is one; gives the whole body up to a
+    /// little more than is recorded.
+    async fn pass_on(
+        &mut self,
+        mut attempt: Attempt,
+        parts: mpsc::Sender<Part>,
+    ) -> Result<Bytes, Failure> {
+        let kept_max = self.gateway.claims.settings.answer_bytes_max;
+        let mut kept = BytesMut::new();
+        loop {
+            match attempt.next().await {
+                CallEvent::Accepted | CallEvent::Started | CallEvent::Head(_) => {}
+                CallEvent::Chunk(bytes) => {
+                    self.answering.trace.first_byte();
+                    if kept.len() <= kept_max {
+                        kept.extend_from_slice(&bytes);
+                    }
+                    // A caller that went away leaves the call running.
+                    let _ = parts.send(Ok(bytes)).await;
+                }
+                CallEvent::End => return Ok(kept.freeze()),
+                CallEvent::Failed(failure) => {
+                    let _ = parts.send(Err(AnswerBroken::Cut(failure))).await;
+                    return Err(failure);
+                }
+            }
+        }
+    }
+}
+
+fn failed(holder: &mut Holder, failure: Failure) -> Option<claims::Record> {
+    if failure.run == RunState::NotRun {
+        holder.not_run();
+        return holder.release();
+    }
+    holder.done(Outcome::Failed(failure))
+}
--- /dev/null
+++ b/components/gateway/src/suspects.rs
@@ -0,0 +1,156 @@
+//! Keeps calls that crash endpoints from crashing more of them. One task owns the record;
+//! every attempt asks it before its hand-over and tells it how it ended.
+
+use std::net::SocketAddr;
+
+use node::now_ms;
+use quarantine::{CallDigest, Condemned, Entry, RunId, SuspectSettings, Suspects, Verdict};
+use tokio::sync::{mpsc, oneshot};
+use types::{Cause, Failure};
+
+/// Time between two looks for records whose time is over.
+const EXPIRE_EVERY_MS: u64 = 10_000;
+
+enum Order {
+    Enter(CallDigest, SocketAddr, oneshot::Sender<Entry>),
+    Complete(RunId),
+    Leave(RunId),
+    Lost(RunId, oneshot::Sender<Verdict>),
+    Heard(CallDigest, u32),
+}
+
+/// Handle to the record; clones share one state.
+///
+/// The queue has no bound of its own: an attempt has at most two orders in it, and
+/// admission bounds the attempts. A bound would lose the end of a call, which would then
+/// count as in flight for ever.
+#[derive(Clone)]
+pub struct Quarantine {
+    orders: mpsc::UnboundedSender<Order>,
+}
+
+/// What an attempt is told.
+pub enum Entered {
+    /// It may go.
+    Run(InFlight),
+    /// Not to this endpoint now.
+    Elsewhere,
+    /// To none now; ask again.
+    Wait {
+        /// When, in milliseconds from now.
+        wait_ms: u32,
+    },
+    /// It is refused.
+    Refused(Failure),
+}
+
+/// An attempt that the record knows as in flight; dropped, it is known to have ended.
+pub struct InFlight {
+    run: Option<RunId>,
+    orders: mpsc::UnboundedSender<Order>,
+}
+
+impl Quarantine {
+    /// Starts the owner. What is condemned here goes into `condemned`.
+    pub fn start(condemned: mpsc::UnboundedSender<Condemned>) -> Quarantine {
+        let (orders, inbox) = mpsc::unbounded_channel();
+        tokio::spawn(own(inbox, condemned));
+        Quarantine { orders }
+    }
+
+    /// Asks for an endpoint.
+    pub async fn enter(&self, digest: CallDigest, endpoint: SocketAddr) -> Entered {
+        let (answer, answered) = oneshot::channel();
+        let internal = Entered::Refused(Failure::not_run(Cause::Internal));
+        if self
+            .orders
+            .send(Order::Enter(digest, endpoint, answer))
+            .is_err()
+        {
+            return internal;
+        }
+        match answered.await {
+            Ok(Entry::Run(run)) => Entered::Run(InFlight {
+                run: Some(run),
+                orders: self.orders.clone(),
+            }),
+            Ok(Entry::Elsewhere) => Entered::Elsewhere,
+            Ok(Entry::Wait { wait_ms }) => Entered::Wait { wait_ms },
+            Ok(Entry::Refuse(failure)) => Entered::Refused(failure),
+            Err(_) => internal,
+        }
+    }
+
+    /// Another process has condemned this.
+    pub fn heard(&self, digest: CallDigest, left_ms: u32) {
+        // The owner is gone only when the process ends.
+        let _ = self.orders.send(Order::Heard(digest, left_ms));
+    }
+}
+
+impl InFlight {
+    /// The whole answer came.
+    pub fn complete(mut self) {
+        if let Some(run) = self.run.take() {
+            let _ = self.orders.send(Order::Complete(run));
+        }
+    }
+
+    /// The endpoint crashed under it; gives the final answer, if that is one.
+    pub async fn lost(mut self) -> Option<Failure> {
+        let run = self.run.take()?;
+        let (answer, answered) = oneshot::channel();
+        self.orders.send(Order::Lost(run, answer)).ok()?;
+        match answered.await.ok()? {
+            Verdict::Retry => None,
+            Verdict::Final(failure) => Some(failure),
+        }
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        if let Some(run) = self.run.take() {
+            let _ = self.orders.send(Order::Leave(run));
+        }
+    }
+}
+
+async fn own(
+    mut inbox: mpsc::UnboundedReceiver<Order>,
+    condemned: mpsc::UnboundedSender<Condemned>,
+) {
+    let mut suspects = Suspects::new(SuspectSettings::default());
+    let mut expire_at_ms = now_ms() + EXPIRE_EVERY_MS;
+    while let Some(order) = inbox.recv().await {
+        let now_ms = now_ms();
+        take(&mut suspects, order, now_ms);
+        for told in suspects.take_condemned() {
+            log::warn!(event = "call-condemned", left_ms = told.left_ms; "");
+            // The reader is gone only when the process ends.
+            let _ = condemned.send(told);
+        }
+        if now_ms >= expire_at_ms {
+            expire_at_ms = now_ms + EXPIRE_EVERY_MS;
+            suspects.expire(now_ms);
+        }
+    }
+}
+
+fn take(suspects: &mut Suspects, order: Order, now_ms: u64) {
+    match order {
+        Order::Enter(digest, endpoint, answer) => {
+            let entry = suspects.enter(digest, endpoint, now_ms);
+            // The one who asked may have gone; then its run never began.
+            if let Err(Entry::Run(run)) = answer.send(entry) {
+                suspects.leave(run);
+            }
+        }
+        Order::Complete(run) => suspects.complete(run),
+        Order::Leave(run) => suspects.leave(run),
+        Order::Lost(run, answer) => {
+            let _ = answer.send(suspects.lost(run, now_ms));
+        }
+        Order::Heard(digest, left_ms) => suspects.hear(digest, left_ms, now_ms),
+    }
+}
--- a/components/gateway/src/trace.rs
+++ b/components/gateway/src/trace.rs
@@ -52,6 +52,11 @@
         self.end("answered", "", Some(status));
     }
 
+    /// The answer is that of an earlier submission.
+    pub fn replayed(&mut self) {
+        self.end("answered", "replayed", None);
+    }
+
     /// There is no whole answer.
     pub fn failed(&mut self, failure: Failure) {
         self.end(failure.run.as_str(), failure.cause.as_str(), None);
--- a/components/gateway/src/training/run.rs
+++ b/components/gateway/src/training/run.rs
@@ -9,6 +9,7 @@
 use link::CallEvent;
 use node::now_ms;
 use platform::sse::{Parser, Piece, Transcript};
+use quarantine::CallDigest;
 use samples::{Completion, Fault, Partial, Provenance, RunId, Stamps, Start, Step, StepKey};
 use serde::Serialize;
 use tokio::sync::{mpsc, oneshot};
@@ -73,11 +74,11 @@
     }
 
     async fn run(self, gateway: &Gateway) -> Result<Completion, (Fault, Option<Partial>)> {
-        let job = self.job();
+        let (job, body) = self.job();
         let refused = |failure| (fault(failure), self.start.resume.clone());
         let mut admitted = admit(gateway, &job).await.map_err(refused)?;
         let place = place(gateway, &job, self.start.to);
-        let attempt = Attempt::start(gateway, &job, job.body.clone(), &place);
+        let attempt = Attempt::start(gateway, &job, body, &place).await;
         let attempt = match attempt {
             Ok(attempt) if attempt.address() == self.start.to => attempt,
             // The replica went since the ledger chose it.
@@ -101,7 +102,7 @@
         }
     }
 
-    fn job(&self) -> Job {
+    fn job(&self) -> (Job, Bytes) {
         let step = &self.step;
         let request_id = request_id(&step.key, self.start.run);
         let prompt = step.prompt(self.start.slot).unwrap_or_default();
@@ -120,7 +121,9 @@
         // Text and numbers always serialise.
         let body = serde_json::to_vec(&ask).unwrap_or_default();
         let work = crate::completion::work(prompt, u64::from(step.max_tokens));
-        Job {
+        let content = [prompt.as_bytes()];
+        let job = Job {
+            digest: CallDigest::of(&step.key.customer, &step.key.service, &content),
             payer: step.key.customer.clone(),
             service: Arc::clone(&self.model),
             class: Class::Sampling,
@@ -132,10 +135,10 @@
                 ("content-type".to_owned(), "application/json".to_owned()),
                 (REQUEST_ID.to_owned(), request_id.clone()),
             ],
-            body: Bytes::from(body),
             work,
             request_id,
-        }
+        };
+        (job, Bytes::from(body))
     }
 }
 
--- a/components/gateway/src/training/score.rs
+++ b/components/gateway/src/training/score.rs
@@ -6,6 +6,7 @@
 use config::Service;
 use link::CallEvent;
 use node::now_ms;
+use quarantine::CallDigest;
 use recovery::Flowed;
 use routing::Work;
 use samples::{RunId, Sample, Score, Step};
@@ -70,9 +71,8 @@
     }
 
     async fn score(&self, gateway: Arc<Gateway>) -> Result<Score, Failure> {
-        let job = self.job().ok_or(Failure::not_run(Cause::NotHosted))?;
+        let (job, body) = self.job().ok_or(Failure::not_run(Cause::NotHosted))?;
         let admitted = admit(&gateway, &job).await?;
-        let body = job.body.clone();
         let account = Arc::clone(&admitted.account);
         let mut exchange = Exchange::new(gateway, account, job, Where::default());
         loop {
@@ -84,7 +84,7 @@
         }
     }
 
-    fn job(&self) -> Option<Job> {
+    fn job(&self) -> Option<(Job, Bytes)> {
         let scorer = self.scorer.clone()?;
         let ask = Ask {
             prompt: self.step.prompt(self.sample.slot)?,
@@ -93,7 +93,9 @@
         let body = serde_json::to_vec(&ask).ok()?;
         let key = &self.step.key;
         let request_id = format!("{}.{}.{}.score", key.service, key.step, self.run.0);
-        Some(Job {
+        let content = [PATH.as_bytes(), &body];
+        let job = Job {
+            digest: CallDigest::of(&key.customer, &scorer.name, &content),
             payer: key.customer.clone(),
             class: Class::Sampling,
             // A scorer only computes.
@@ -106,10 +108,10 @@
                 ("content-type".to_owned(), "application/json".to_owned()),
                 (REQUEST_ID.to_owned(), request_id.clone()),
             ],
-            body: Bytes::from(body),
             work: Work::default(),
             request_id,
-        })
+        };
+        Some((job, Bytes::from(body)))
     }
 }
 
