--- a/components/samples/src/cursor.rs
+++ b/components/samples/src/cursor.rs
@@ -7,7 +7,7 @@
 //!
 //! Weighed against a ledger in the log (see `fetch_log`): the cursor costs no append
 //! and waits for nothing; it asks of the trainer to store a text of at most about
-//! 770 bytes beside its own state and to send it back.
+//! 760 bytes beside its own state and to send it back.
 
 use derive::value;
 use hmac::{Hmac, Mac};
--- a/components/samples/src/fetch_log.rs
+++ b/components/samples/src/fetch_log.rs
@@ -10,7 +10,7 @@
 //! the second copy is ignored.
 //!
 //! Cost against the cursor: one append a fetch. Ten trainers that fetch once a second
-//! append 10 records/s of at most 0.6 KB, against several hundred that the log takes. One
+//! append 10 records/s of about half a kilobyte, against several hundred that the log takes. One
 //! record a sample would be 10 * 2,048 in 11 minutes, 31 records/s, and was ruled out for
 //! that and for the texts, which the log needn't hold: a slot whose text was lost is run
 //! again and goes out under the same fetch. It adds an append and a read to each fetch
