--- a/components/link/src/server.rs
+++ b/components/link/src/server.rs
@@ -178,9 +178,10 @@
     fn tick(&mut self) {
         let now_ms = self.clock.now_ms();
         self.change(|table, actions| table.tick(now_ms, actions));
+        let outstanding = self.table.outstanding();
         let mut dead = Vec::new();
         for (&number, taken) in &mut self.connections {
-            let outstanding = self.table.is_outstanding(number);
+            let outstanding = outstanding.contains(&number);
             let heard_at_ms = taken.connection.heard_at_ms();
             match taken.silence.check(outstanding, heard_at_ms, now_ms) {
                 Watch::Idle | Watch::Until { .. } => {}
--- a/components/recovery/src/table.rs
+++ b/components/recovery/src/table.rs
@@ -10,7 +10,7 @@
 //! parts hold more than `held_bytes_max`; each answer holds at most the send window,
 //! except those that run on without their caller, which are dropped beyond the bound.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 use bytes::Bytes;
 use derive::value;
@@ -125,10 +125,10 @@
         self.held_bytes
     }
 
-    /// Whether a call that has not ended was begun on `connection` or taken up on it.
-    pub fn is_outstanding(&self, connection: u64) -> bool {
-        let mut calls = self.calls.values();
-        calls.any(|call| call.connection == Some(connection) && !call.is_ended())
+    /// Connections with calls that have not ended.
+    pub fn outstanding(&self) -> HashSet<u64> {
+        let running = self.calls.values().filter(|call| !call.is_ended());
+        running.filter_map(|call| call.connection).collect()
     }
 
     /// From now on new calls are refused.
--- a/components/recovery/tests/attempt.rs
+++ b/components/recovery/tests/attempt.rs
@@ -228,6 +228,10 @@
         case("doubled", "connected head head one one two one end end"),
         case("a gap", "connected head two one two end"),
         case("an early end", "connected head one end two end"),
+        case(
+            "no word",
+            "connected lost connected unattached written head one two end",
+        ),
         case("a late acceptance", "connected head accepted one two end"),
         case(
             "lost in the middle",
