node: no herd of kept records at a start; the way out and the process frame once

Cause: a process knows only itself when it starts, took itself for the first of the readers and appended current versions at once; a trial with two entries and three agents showed the list of customers appended twice within a second. Hundreds that start together would all do so. And entry and agent had each their own order to leave, their own drain loop and their own signals.

The loop for news and the driver of weights are split by what they do.

Ruled out: a random wait before the first append; it only spreads the herd.

--- a/components/node/src/error.rs
+++ b/components/node/src/error.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use quick_error::quick_error;
+use telemetry::{LogsError, MetricsError};
 
 quick_error! {
     /// Why a process can't start or go on.
@@ -22,6 +23,28 @@
         NoKey {
             display("there is no shared key")
         }
+        /// The metrics.
+        Metrics(reason: MetricsError) {
+            from()
+            source(reason)
+            display("{}", reason)
+        }
+        /// The log.
+        Logs(reason: LogsError) {
+            from()
+            source(reason)
+            display("{}", reason)
+        }
+        /// The threads of the process.
+        Runtime(reason: std::io::Error) {
+            source(reason)
+            display("cannot start the runtime: {}", reason)
+        }
+        /// A signal that can't be listened for.
+        Signal(reason: std::io::Error) {
+            source(reason)
+            display("cannot listen for signals: {}", reason)
+        }
     }
 }
 
--- a/components/node/src/feed.rs
+++ b/components/node/src/feed.rs
@@ -29,6 +29,7 @@
 const OK: u16 = 200;
 /// Time for which the platform's log keeps a record, unless the settings say otherwise.
 const LOG_RETENTION_MS: u64 = 3_600_000;
+const KEEP_AFTER_MS: u64 = 15_000;
 /// Where a peer that does not know the text may ask again, in milliseconds.
 const RETRY_AFTER_MS: u32 = 500;
 
@@ -45,6 +46,9 @@
     pub(crate) own: SocketAddr,
     /// Those of all failure domains.
     pub(crate) all: Vec<SocketAddr>,
+    /// The VM list stands behind it; before that a process knows only itself, and each
+    /// of many that start together would take itself for the first.
+    pub(crate) listed: bool,
 }
 
 /// Settings of a [`ConfigFeed`].
@@ -54,6 +58,9 @@
     pub tail: TailSettings,
     /// When current versions are appended again.
     pub keep: KeepPolicy,
+    /// How long after its start a process appends none, in milliseconds: the time to
+    /// learn of the others and of what they have appended.
+    pub keep_after_ms: u64,
 }
 
 impl Default for FeedSettings {
@@ -61,6 +68,7 @@
         Self {
             tail: TailSettings::default(),
             keep: KeepPolicy::for_retention(LOG_RETENTION_MS),
+            keep_after_ms: KEEP_AFTER_MS,
         }
     }
 }
@@ -109,18 +117,13 @@
             tailers: ArcSwap::from_pointee(Tailers {
                 own,
                 all: Vec::new(),
+                listed: false,
             }),
             ranks: AtomicBool::new(false),
             rank_changed: Notify::new(),
         });
         let fetcher = Fetcher::new(links, events.downgrade());
-        let owner = FeedTask::new(
-            Arc::clone(&shared),
-            ledger,
-            fetcher,
-            log.clone(),
-            settings.keep,
-        );
+        let owner = FeedTask::new(Arc::clone(&shared), ledger, fetcher, log.clone(), &settings);
         tokio::spawn(owner.run(inbox));
         tokio::spawn(feed_tail::run(
             Arc::clone(&shared),
@@ -215,14 +218,15 @@
     }
 
     /// Says who tails the log, and whether this process is one of them.
-    pub(crate) fn set_tailers(&self, all: Vec<SocketAddr>) {
+    pub(crate) fn set_tailers(&self, all: Vec<SocketAddr>, listed: bool) {
         let before = self.shared.tailers.load();
-        if before.all == all {
+        if before.all == all && before.listed == listed {
             return;
         }
         let own = before.own;
         let ranks = all.contains(&own);
-        self.shared.tailers.store(Arc::new(Tailers { own, all }));
+        let tailers = Tailers { own, all, listed };
+        self.shared.tailers.store(Arc::new(tailers));
         if self.shared.ranks.swap(ranks, Ordering::AcqRel) != ranks {
             self.shared.rank_changed.notify_one();
         }
--- a/components/node/src/feed_task.rs
+++ b/components/node/src/feed_task.rs
@@ -6,14 +6,14 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use config::{KeepPolicy, Keeper, Ledger, Record, Verdict, View};
+use config::{Keeper, Ledger, Record, Verdict, View};
 use platform::{LogClient, LogPage, LogRecord};
 use protocol::ConfigDigest;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Interval, MissedTickBehavior, interval};
 use types::{CustomerName, rendezvous};
 
-use crate::feed::{Published, Shared};
+use crate::feed::{FeedSettings, Published, Shared};
 use crate::feed_fetch::{Fetched, Fetcher, Wanted};
 use crate::feed_tail::CONFIG_STREAM;
 use crate::now_ms;
@@ -61,6 +61,8 @@
     fetching: BTreeSet<Wanted>,
     list_asked_ms: Option<u64>,
     keeper: Keeper,
+    /// Nothing is appended again before this time.
+    keep_from_ms: u64,
     log: LogClient,
 }
 
@@ -70,7 +72,7 @@
         ledger: Ledger,
         fetcher: Fetcher,
         log: LogClient,
-        keep: KeepPolicy,
+        settings: &FeedSettings,
     ) -> Self {
         Self {
             shared,
@@ -78,7 +80,8 @@
             fetcher,
             fetching: BTreeSet::new(),
             list_asked_ms: None,
-            keeper: Keeper::new(keep),
+            keeper: Keeper::new(settings.keep),
+            keep_from_ms: now_ms() + settings.keep_after_ms,
             log,
         }
     }
@@ -142,6 +145,9 @@
 
     /// Appends again what the log would forget, where it is this process's turn.
     fn keep(&mut self) {
+        if now_ms() < self.keep_from_ms {
+            return;
+        }
         let shared = Arc::clone(&self.shared);
         let rank = |customer: Option<&CustomerName>| keep_rank(&shared, customer);
         let due = self.keeper.due(&self.ledger, now_ms(), rank);
@@ -237,6 +243,9 @@
 /// Rank of this process among those that tail the log, for one customer or the list.
 fn keep_rank(shared: &Shared, customer: Option<&CustomerName>) -> Option<u32> {
     let tailers = shared.tailers.load();
+    if !tailers.listed {
+        return None;
+    }
     let key = customer.map_or(LIST_KEY, CustomerName::as_str);
     let ranked = rendezvous::ranked(key.as_bytes(), tailers.all.iter().copied());
     let rank = ranked.iter().position(|&address| address == tailers.own)?;
--- a/components/node/src/gossip.rs
+++ b/components/node/src/gossip.rs
@@ -98,6 +98,7 @@
             probers: Probers::new(settings.probers),
             tail: settings.tail,
             snapshot: Arc::clone(&snapshot),
+            listed: false,
             stale: true,
             published_ms: 0,
         };
--- /dev/null
+++ b/components/node/src/gossip_heard.rs
@@ -0,0 +1,112 @@
+//! What the loop behind [`crate::Gossip`] does with the news it hears.
+
+use std::net::SocketAddr;
+
+use membership::Heard;
+use protocol::{Datagram, News, ProcessRole, Status};
+use types::NodeId;
+
+use crate::gossip_loop::GossipLoop;
+use crate::now_ms;
+
+/// Facts that a new peer is told at once; the others come by rumour.
+const FIRST_FACTS_MAX: usize = 32;
+
+impl GossipLoop {
+    pub(crate) async fn on_datagram(&mut self, datagram: Datagram) {
+        let now_ms = now_ms();
+        let Datagram { from, role, news } = datagram;
+        let heard = self.members.on_heard(from, role, now_ms);
+        self.act_on(from, heard).await;
+        if matches!(heard, Heard::Older { .. }) {
+            // News of a life that is over; its rumours come from others as well.
+            return;
+        }
+        if heard == Heard::New {
+            self.welcome(from.address, now_ms).await;
+        }
+        for item in news {
+            self.on_news(from, role, item, now_ms).await;
+        }
+    }
+
+    /// Tells a process that was not heard before what is known here, so that a new one
+    /// need not wait for its turn in the rumours.
+    async fn welcome(&mut self, to: SocketAddr, now_ms: u64) {
+        let mut facts: Vec<News> = self.rumours.all(now_ms).take(FIRST_FACTS_MAX).collect();
+        facts.push(self.config_read(now_ms));
+        self.send(to, facts).await;
+    }
+
+    async fn on_news(&mut self, from: NodeId, role: ProcessRole, news: News, now_ms: u64) {
+        match &news {
+            News::Probe => self.on_probe(from, now_ms).await,
+            News::Status(status) => self.on_status(from, role, status, now_ms).await,
+            News::Incarnation(known) => {
+                let heard = self.members.on_own(*known);
+                self.act_on(from, heard).await;
+            }
+            News::ConfigRead { age_ms } => self.feed.heard_read(*age_ms, now_ms),
+            News::Leaving { node } => {
+                let heard = self.members.on_leaving(*node, now_ms);
+                if heard == Heard::New {
+                    self.peer_leaves(*node, now_ms);
+                }
+                self.act_on(from, heard).await;
+            }
+            News::Config(digest) => self.feed.heard(from.address, digest),
+            News::Weights { .. } | News::Quarantined { .. } => {
+                let peers = self.members.peers().len();
+                if self.rumours.hear(&news, peers, now_ms) {
+                    (self.hooks.heard)(&news);
+                }
+            }
+        }
+    }
+
+    async fn on_probe(&mut self, from: NodeId, now_ms: u64) {
+        self.probers.heard(from.address, now_ms);
+        if self.hooks.status.is_some() {
+            self.send_status(from.address).await;
+        } else {
+            // An entry has no status; any datagram is its sign of life.
+            let news = vec![self.config_read(now_ms)];
+            self.send(from.address, news).await;
+        }
+    }
+
+    async fn on_status(&mut self, from: NodeId, role: ProcessRole, status: &Status, now_ms: u64) {
+        let was_leaving = status.leaving;
+        let heard = self.members.on_status(from, role, status, now_ms);
+        if heard == Heard::New && was_leaving {
+            self.peer_leaves(from, now_ms);
+        }
+        // A status may change what is hosted where, which `Heard` does not tell.
+        self.stale = true;
+        self.act_on(from, heard).await;
+    }
+
+    pub(crate) fn peer_leaves(&mut self, node: NodeId, now_ms: u64) {
+        let peers = self.members.peers().len();
+        self.rumours.hear(&News::Leaving { node }, peers, now_ms);
+        (self.hooks.peer_leaving)(node);
+        self.publish(now_ms);
+    }
+
+    async fn act_on(&mut self, from: NodeId, heard: Heard) {
+        match heard {
+            Heard::Known => {}
+            Heard::New => self.stale = true,
+            Heard::Older { known } => {
+                self.send(from.address, vec![News::Incarnation(known)])
+                    .await;
+            }
+            Heard::OwnRaised => {
+                let node = self.members.own().node;
+                self.identity.take(node.incarnation);
+                log::info!(event = "incarnation-raised", node:% = node; "");
+            }
+            Heard::OwnLeaving => (self.hooks.leaving)(),
+        }
+    }
+}
--- a/components/node/src/gossip_loop.rs
+++ b/components/node/src/gossip_loop.rs
@@ -9,12 +9,11 @@
 use arc_swap::ArcSwap;
 use leaving::Probers;
 use link::Udp;
-use membership::{Heard, Listed, Members, Rumours, Snapshot, TailSettings, tailers};
-use protocol::{Datagram, News, ProcessRole, Status};
+use membership::{Listed, Members, Rumours, Snapshot, TailSettings, tailers};
+use protocol::{Datagram, News, ProcessRole};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use tokio::sync::mpsc;
-use types::NodeId;
 
 use crate::gossip::GossipHooks;
 use crate::{ConfigFeed, Identity, now_ms};
@@ -26,8 +25,6 @@
 const REFRESH_MS: u64 = 1_000;
 /// Several pieces of news within this time are published together.
 const GATHER_MS: u64 = 20;
-/// Facts that a new peer is told at once; the others come by rumour.
-const FIRST_FACTS_MAX: usize = 32;
 
 /// What others ask of the loop.
 pub(crate) enum Order {
@@ -46,6 +43,8 @@
     pub(crate) probers: Probers,
     pub(crate) tail: TailSettings,
     pub(crate) snapshot: Arc<ArcSwap<Snapshot>>,
+    /// The VM list was read once.
+    pub(crate) listed: bool,
     /// News has come since the view was published.
     pub(crate) stale: bool,
     pub(crate) published_ms: u64,
@@ -107,15 +106,15 @@
         }
     }
 
-    fn config_read(&self, now_ms: u64) -> News {
+    pub(crate) fn config_read(&self, now_ms: u64) -> News {
         News::ConfigRead {
             age_ms: self.feed.read_age_ms(now_ms),
         }
     }
 
-    fn publish(&mut self, now_ms: u64) {
+    pub(crate) fn publish(&mut self, now_ms: u64) {
         let snapshot = self.members.snapshot(now_ms);
-        self.feed.set_tailers(self.tailers(&snapshot));
+        self.feed.set_tailers(self.tailers(&snapshot), self.listed);
         self.snapshot.store(Arc::new(snapshot));
         self.stale = false;
         self.published_ms = now_ms;
@@ -137,103 +136,6 @@
             .collect()
     }
 
-    async fn on_datagram(&mut self, datagram: Datagram) {
-        let now_ms = now_ms();
-        let Datagram { from, role, news } = datagram;
-        let heard = self.members.on_heard(from, role, now_ms);
-        self.act_on(from, heard).await;
-        if matches!(heard, Heard::Older { .. }) {
-            // News of a life that is over; its rumours come from others as well.
-            return;
-        }
-        if heard == Heard::New {
-            self.welcome(from.address, now_ms).await;
-        }
-        for item in news {
-            self.on_news(from, role, item, now_ms).await;
-        }
-    }
-
-    /// Tells a process that was not heard before what is known here, so that a new one
-    /// need not wait for its turn in the rumours.
-    async fn welcome(&mut self, to: SocketAddr, now_ms: u64) {
-        let mut facts: Vec<News> = self.rumours.all(now_ms).take(FIRST_FACTS_MAX).collect();
-        facts.push(self.config_read(now_ms));
-        self.send(to, facts).await;
-    }
-
-    async fn on_news(&mut self, from: NodeId, role: ProcessRole, news: News, now_ms: u64) {
-        match &news {
-            News::Probe => self.on_probe(from, now_ms).await,
-            News::Status(status) => self.on_status(from, role, status, now_ms).await,
-            News::Incarnation(known) => {
-                let heard = self.members.on_own(*known);
-                self.act_on(from, heard).await;
-            }
-            News::ConfigRead { age_ms } => self.feed.heard_read(*age_ms, now_ms),
-            News::Leaving { node } => {
-                let heard = self.members.on_leaving(*node, now_ms);
-                if heard == Heard::New {
-                    self.peer_leaves(*node, now_ms);
-                }
-                self.act_on(from, heard).await;
-            }
-            News::Config(digest) => self.feed.heard(from.address, digest),
-            News::Weights { .. } | News::Quarantined { .. } => {
-                let peers = self.members.peers().len();
-                if self.rumours.hear(&news, peers, now_ms) {
-                    (self.hooks.heard)(&news);
-                }
-            }
-        }
-    }
-
-    async fn on_probe(&mut self, from: NodeId, now_ms: u64) {
-        self.probers.heard(from.address, now_ms);
-        if self.hooks.status.is_some() {
-            self.send_status(from.address).await;
-        } else {
-            // An entry has no status; any datagram is its sign of life.
-            let news = vec![self.config_read(now_ms)];
-            self.send(from.address, news).await;
-        }
-    }
-
-    async fn on_status(&mut self, from: NodeId, role: ProcessRole, status: &Status, now_ms: u64) {
-        let was_leaving = status.leaving;
-        let heard = self.members.on_status(from, role, status, now_ms);
-        if heard == Heard::New && was_leaving {
-            self.peer_leaves(from, now_ms);
-        }
-        // A status may change what is hosted where, which `Heard` does not tell.
-        self.stale = true;
-        self.act_on(from, heard).await;
-    }
-
-    fn peer_leaves(&mut self, node: NodeId, now_ms: u64) {
-        let peers = self.members.peers().len();
-        self.rumours.hear(&News::Leaving { node }, peers, now_ms);
-        (self.hooks.peer_leaving)(node);
-        self.publish(now_ms);
-    }
-
-    async fn act_on(&mut self, from: NodeId, heard: Heard) {
-        match heard {
-            Heard::Known => {}
-            Heard::New => self.stale = true,
-            Heard::Older { known } => {
-                self.send(from.address, vec![News::Incarnation(known)])
-                    .await;
-            }
-            Heard::OwnRaised => {
-                let node = self.members.own().node;
-                self.identity.take(node.incarnation);
-                log::info!(event = "incarnation-raised", node:% = node; "");
-            }
-            Heard::OwnLeaving => (self.hooks.leaving)(),
-        }
-    }
-
     async fn on_order(&mut self, order: Order) {
         let now_ms = now_ms();
         match order {
@@ -258,6 +160,7 @@
     fn on_list(&mut self, listed: &[Listed]) {
         let now_ms = now_ms();
         let read = self.members.on_list(listed, now_ms);
+        self.listed = true;
         self.stale = true;
         for node in read.leaving {
             self.peer_leaves(node, now_ms);
@@ -267,7 +170,7 @@
         }
     }
 
-    async fn send_status(&mut self, to: SocketAddr) {
+    pub(crate) async fn send_status(&mut self, to: SocketAddr) {
         let Some(status) = &self.hooks.status else {
             return;
         };
@@ -276,7 +179,7 @@
         self.send(to, news).await;
     }
 
-    async fn send(&self, to: SocketAddr, news: Vec<News>) {
+    pub(crate) async fn send(&self, to: SocketAddr, news: Vec<News>) {
         let datagram = Datagram {
             from: self.identity.node(),
             role: self.identity.role,
--- a/components/node/tests/node.rs
+++ b/components/node/tests/node.rs
@@ -59,6 +59,7 @@
         let client = LogClient::new(log.address, &ClientSettings::default());
         let settings = FeedSettings {
             keep,
+            keep_after_ms: 0,
             ..FeedSettings::default()
         };
         let feed = ConfigFeed::start(own, client, Links::new(sockets.links), settings);
--- /dev/null
+++ b/components/sidecar/src/orders.rs
@@ -0,0 +1,104 @@
+//! Carries one order to the engine and says how it ended, as far as that can be told.
+
+use std::sync::Arc;
+
+use node::now_ms;
+use platform::PlatformError;
+use tokio::sync::mpsc;
+use weights::{EngineState, ModelKey, Order, OrderKind, OrderOutcome};
+
+use crate::agent::Agent;
+use crate::watch::Watch;
+
+const STATUS_CONFLICT: u16 = 409;
+const STATUS_TOO_MANY: u16 = 429;
+const STATUS_UNAVAILABLE: u16 = 503;
+
+/// An order that has ended.
+pub(crate) struct Ended {
+    pub(crate) model: ModelKey,
+    pub(crate) order: Order,
+    pub(crate) outcome: OrderOutcome,
+}
+
+/// Carries the order out, unless it is too late for it, and sends its end to `ends`.
+pub(crate) async fn carry_out(
+    agent: Arc<Agent>,
+    watch: Watch,
+    model: ModelKey,
+    order: Order,
+    timeout_ms: u64,
+    ends: mpsc::Sender<Ended>,
+) {
+    let outcome = if now_ms() > order.send_before_ms {
+        // Frozen since the decision: what it rested on may be long over.
+        OrderOutcome::Unknown
+    } else {
+        carry_out_now(&agent, &watch, &model, order.kind, timeout_ms).await
+    };
+    if !matches!(order.kind, OrderKind::Read | OrderKind::CancelEarlier) {
+        log::info!(
+            event = "engine-order", model:% = model.service, order:? = order.kind,
+            outcome:? = outcome; ""
+        );
+    }
+    // A driver that has gone needs no ends.
+    let _ = ends
+        .send(Ended {
+            model,
+            order,
+            outcome,
+        })
+        .await;
+}
+
+async fn carry_out_now(
+    agent: &Agent,
+    watch: &Watch,
+    model: &ModelKey,
+    kind: OrderKind,
+    timeout_ms: u64,
+) -> OrderOutcome {
+    let name = model.service.as_str();
+    let fence = kind.fence().unwrap_or_default();
+    let done = match kind {
+        // The calls of an earlier life of this agent had their connections cut with it,
+        // by which the engine drops them; their names died with that life.
+        OrderKind::CancelEarlier => return OrderOutcome::Done,
+        OrderKind::Read => return read(watch, name).await,
+        OrderKind::Load(version) => agent.engine.load(name, version, fence, timeout_ms).await,
+        OrderKind::Switch(version) => agent.engine.switch(name, version, fence, timeout_ms).await,
+    };
+    done.map_or_else(|error| outcome_of(&error), |()| OrderOutcome::Done)
+}
+
+async fn read(watch: &Watch, name: &str) -> OrderOutcome {
+    let Some(state) = watch.read().await else {
+        return OrderOutcome::Unknown;
+    };
+    let model = state.models.iter().find(|model| model.model == name);
+    OrderOutcome::State(EngineState {
+        life: state.life,
+        version: model.map(|model| model.version),
+        loaded: model.map_or_else(Default::default, |model| {
+            model.loaded.iter().copied().collect()
+        }),
+    })
+}
+
+fn outcome_of(error: &PlatformError) -> OrderOutcome {
+    match *error {
+        PlatformError::Refused {
+            status: STATUS_CONFLICT,
+            ..
+        } => OrderOutcome::OldFence,
+        PlatformError::Refused {
+            status: STATUS_TOO_MANY | STATUS_UNAVAILABLE,
+            retry_after_ms,
+        } => OrderOutcome::StoreBusy {
+            retry_after_ms: retry_after_ms.map(u64::from),
+        },
+        PlatformError::Refused { .. } => OrderOutcome::Failed,
+        _ => OrderOutcome::Unknown,
+    }
+}
--- a/components/sidecar/src/start.rs
+++ b/components/sidecar/src/start.rs
@@ -9,7 +9,8 @@
 use link::{LinkSettings, Links, Udp};
 use node::admin::{self, AdminHooks};
 use node::{
-    ConfigFeed, FeedSettings, Gossip, GossipHooks, GossipSettings, Identity, NodeError, Sockets,
+    ConfigFeed, FeedSettings, Gossip, GossipHooks, GossipSettings, Identity, Leaving, NodeError,
+    Sockets, leave,
 };
 use platform::{ClientSettings, LogClient, VmList};
 use protocol::{News, ProcessRole};
@@ -18,8 +19,6 @@
 use weights::ReconcileSettings;
 
 use crate::agent::{Agent, AgentLimits};
-use crate::error::AgentError;
-use crate::leave::{self, Leaving};
 use crate::watch::Watch;
 use crate::weights_task::Weights;
 use crate::{calls, status};
@@ -50,7 +49,7 @@
 impl Sidecar {
     /// Takes the addresses of the settings; with port 0 the system chooses the ports.
     /// Errors when an address is taken or no key is set.
-    pub async fn bind(settings: AgentSettings, tuning: Tuning) -> Result<Sidecar, AgentError> {
+    pub async fn bind(settings: AgentSettings, tuning: Tuning) -> Result<Sidecar, NodeError> {
         let sockets = Sockets::bind(&settings.common, ProcessRole::Agent).await?;
         Ok(Sidecar {
             settings,
@@ -74,7 +73,7 @@
     pub async fn run(
         self,
         stop: impl Future<Output = ()> + Send + 'static,
-    ) -> Result<(), AgentError> {
+    ) -> Result<(), NodeError> {
         let Sockets {
             identity,
             inner,
@@ -83,7 +82,7 @@
             links,
         } = self.sockets;
         let leaving = Leaving::new();
-        order_on(leaving.clone(), stop);
+        leaving.order_on(stop);
         let (agent, weights) = start_agent(&self.settings, &self.tuning, identity, &links)?;
         let gossip = start_gossip(
             &self.settings,
@@ -98,10 +97,10 @@
         log::info!(event = "agent-started", node:% = agent.identity.node(), pool:% = agent.pool; "");
         let serving = Arc::clone(&agent);
         let handle = move |call| calls::take(&serving, call);
-        let settled = leave::settle(&agent, &gossip, leaving.ordered());
+        let settled = leave::settle(&agent.drain, &gossip, &leaving);
         tokio::select! {
             () = link::serve(inner, links, handle, settled) => {}
-            () = leave::overtime(&agent, &leaving) => {}
+            () = leave::overtime(&agent.drain, &leaving) => {}
         }
         log::info!(event = "agent-ended", node:% = agent.identity.node(); "");
         Ok(())
@@ -113,7 +112,7 @@
     tuning: &Tuning,
     identity: Arc<Identity>,
     links: &LinkSettings,
-) -> Result<(Arc<Agent>, Weights), AgentError> {
+) -> Result<(Arc<Agent>, Weights), NodeError> {
     let metrics = Metrics::start(&MetricsSettings {
         statsd: settings.common.metrics,
         prefix: METRICS_PREFIX.to_owned(),
@@ -149,13 +148,6 @@
     )
 }
 
-fn order_on(leaving: Leaving, stop: impl Future<Output = ()> + Send + 'static) {
-    tokio::spawn(async move {
-        stop.await;
-        leaving.order();
-    });
-}
-
 fn gossip_hooks(agent: &Arc<Agent>, weights: &Weights, leaving: &Leaving) -> GossipHooks {
     let told = Arc::clone(agent);
     let weights = weights.clone();
--- a/components/sidecar/tests/decisions.rs
+++ b/components/sidecar/tests/decisions.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use platform::{AnswerHead, ConnectFault, Loss, MalformedPart, PlatformError};
+use quickcheck::quickcheck;
 use sidecar::{Change, Shape, Sign, Stage, StreamCheck, Vitals};
 use sidecar::{check_document, failure_of, name_call};
 use types::{CallId, Cause, RunState, ServiceName};
@@ -264,3 +265,24 @@
         );
     }
 }
+
+quickcheck! {
+    /// However the signs come, an endpoint is counted lost only after it was up, and not
+    /// again before it has answered again.
+    fn counts_each_crash_once(signs: Vec<u8>) -> bool {
+        let mut vitals = Vitals::default();
+        let mut answered = false;
+        signs.into_iter().all(|sign| {
+            let sign = match sign % 4 {
+                0 => Sign::Gone,
+                1 => Sign::Silent,
+                life => Sign::Answered { life: Some(u64::from(life)) },
+            };
+            let lost = vitals.see(sign).lost;
+            let allowed = answered || !lost;
+            let answers = matches!(sign, Sign::Answered { .. });
+            answered = answers || (answered && !lost);
+            allowed
+        })
+    }
+}
