node: the view is built at most ten times a second; agent: tests of silence and HEAD

Cause: every status made the view be built anew within 20 ms, some fifty times a second beside hundreds of replicas, and the readers of the log were ranked each time.

Weighed: building on every status (freshest load figures) against at most each 100 ms; the load report itself is older than that. News that keeps calls away from a process (leaving, nothing hosted) is published within 10 ms.

Change: times of the view's next building by kind of news; readers ranked once a second; tests of a silent endpoint and of an answer without a body.

--- a/components/node/src/gossip.rs
+++ b/components/node/src/gossip.rs
@@ -99,8 +99,8 @@
             tail: settings.tail,
             snapshot: Arc::clone(&snapshot),
             listed: false,
-            stale: true,
-            published_ms: 0,
+            publish_ms: 0,
+            ranked_ms: None,
         };
         tokio::spawn(vm_poll::poll(vm_list, reads));
         tokio::spawn(gossip_loop.run(ordered, read));
--- a/components/node/src/gossip_heard.rs
+++ b/components/node/src/gossip_heard.rs
@@ -82,7 +82,11 @@
             self.peer_leaves(from, now_ms);
         }
         // A status may change what is hosted where, which `Heard` does not tell.
-        self.stale = true;
+        if status.leaving || status.hosted.is_empty() {
+            self.changed_urgently();
+        } else {
+            self.changed();
+        }
         self.act_on(from, heard).await;
     }
 
@@ -90,13 +94,13 @@
         let peers = self.members.peers().len();
         self.rumours.hear(&News::Leaving { node }, peers, now_ms);
         (self.hooks.peer_leaving)(node);
-        self.publish(now_ms);
+        self.changed_urgently();
     }
 
     async fn act_on(&mut self, from: NodeId, heard: Heard) {
         match heard {
             Heard::Known => {}
-            Heard::New => self.stale = true,
+            Heard::New => self.changed(),
             Heard::Older { known } => {
                 self.send(from.address, vec![News::Incarnation(known)])
                     .await;
--- a/components/node/src/gossip_loop.rs
+++ b/components/node/src/gossip_loop.rs
@@ -23,8 +23,11 @@
 /// The view is published anew this often though nothing happened, since time alone turns
 /// a member's standing.
 const REFRESH_MS: u64 = 1_000;
-/// Several pieces of news within this time are published together.
-const GATHER_MS: u64 = 20;
+/// News within this time is published together; building a view costs more than taking
+/// in one datagram.
+const GATHER_MS: u64 = 100;
+/// The same for news that keeps calls away from a process.
+const URGENT_MS: u64 = 10;
 
 /// What others ask of the loop.
 pub(crate) enum Order {
@@ -45,9 +48,10 @@
     pub(crate) snapshot: Arc<ArcSwap<Snapshot>>,
     /// The VM list was read once.
     pub(crate) listed: bool,
-    /// News has come since the view was published.
-    pub(crate) stale: bool,
-    pub(crate) published_ms: u64,
+    /// When the view is published next.
+    pub(crate) publish_ms: u64,
+    /// When the readers of the log were last worked out.
+    pub(crate) ranked_ms: Option<u64>,
 }
 
 impl GossipLoop {
@@ -84,12 +88,21 @@
         if now_ms >= self.rumours.next_round_ms() {
             self.round(now_ms, rng).await;
         }
-        let since_ms = now_ms.saturating_sub(self.published_ms);
-        if since_ms >= REFRESH_MS || (self.stale && since_ms >= GATHER_MS) {
+        if now_ms >= self.publish_ms {
             self.publish(now_ms);
         }
     }
 
+    /// News has come that changes the view.
+    pub(crate) fn changed(&mut self) {
+        self.publish_ms = self.publish_ms.min(now_ms() + GATHER_MS);
+    }
+
+    /// News has come that keeps calls away from a process.
+    pub(crate) fn changed_urgently(&mut self) {
+        self.publish_ms = self.publish_ms.min(now_ms() + URGENT_MS);
+    }
+
     async fn round(&mut self, now_ms: u64, rng: &mut StdRng) {
         let peers = self.members.peers();
         for digest in self.feed.digests().iter() {
@@ -112,12 +125,15 @@
         }
     }
 
-    pub(crate) fn publish(&mut self, now_ms: u64) {
+    fn publish(&mut self, now_ms: u64) {
         let snapshot = self.members.snapshot(now_ms);
-        self.feed.set_tailers(self.tailers(&snapshot), self.listed);
+        let rank_again_ms = self.ranked_ms.map_or(0, |ranked_ms| ranked_ms + REFRESH_MS);
+        if now_ms >= rank_again_ms {
+            self.feed.set_tailers(self.tailers(&snapshot), self.listed);
+            self.ranked_ms = Some(now_ms);
+        }
         self.snapshot.store(Arc::new(snapshot));
-        self.stale = false;
-        self.published_ms = now_ms;
+        self.publish_ms = now_ms + REFRESH_MS;
     }
 
     /// The processes of every failure domain that tail the log.
@@ -161,7 +177,7 @@
         let now_ms = now_ms();
         let read = self.members.on_list(listed, now_ms);
         self.listed = true;
-        self.stale = true;
+        self.changed();
         for node in read.leaving {
             self.peer_leaves(node, now_ms);
         }
@@ -195,12 +211,7 @@
         let now_ms = now_ms();
         let round_ms = self.rumours.next_round_ms();
         let notice_ms = self.probers.next_notice_ms().unwrap_or(u64::MAX);
-        let gather_ms = if self.stale {
-            self.published_ms + GATHER_MS
-        } else {
-            u64::MAX
-        };
-        let due_ms = round_ms.min(notice_ms).min(gather_ms);
+        let due_ms = round_ms.min(notice_ms).min(self.publish_ms);
         due_ms.saturating_sub(now_ms).clamp(1, TICK_MS)
     }
 }
--- a/components/sidecar/tests/calls.rs
+++ b/components/sidecar/tests/calls.rs
@@ -57,6 +57,11 @@
     assert!(body.contains(r#""run":1"#), "{body}");
     let runs = get(endpoint.address, "/standin/runs").await;
     assert_eq!(runs, (200, r#"{"tag":1}"#.to_owned()));
+    // An answer without a body is whole, whatever length it states.
+    let head_only = caller
+        .call(&agent, caller.open("guichet", "HEAD", "/applicants/7", ""))
+        .await;
+    assert_eq!(head_only, Ended::Whole(200, String::new()));
 }
 
 #[tokio::test]
--- a/components/sidecar/tests/life.rs
+++ b/components/sidecar/tests/life.rs
@@ -7,10 +7,11 @@
     plain_endpoint, second_version, until,
 };
 use link::CallEvent;
-use protocol::News;
+use protocol::{News, Open};
 use settings::EndpointKind;
+use sidecar::Tuning;
 use standins::{Fault, FaultKind};
-use types::{Cause, Incarnation, RunState, WeightVersion};
+use types::{Cause, Failure, Incarnation, RunState, WeightVersion};
 
 // The trainer's version is on the engine in the end, and the agent reports it only after
 // it has read it back. What happens: the first switch fails at the engine, then the
@@ -72,6 +73,42 @@
     }
 }
 
+// The endpoint takes a sanction check and never says another word. The caller hears
+// "unknown" at its deadline, new calls are refused as not run, and no crash is counted,
+// since the process may well live: when it speaks again it is the same one.
+#[tokio::test]
+async fn can_tell_silence_from_a_crash() {
+    let platform = Platform::start(&[]).await;
+    platform.publish(OFFICE).await;
+    let endpoint = plain_endpoint(0).await;
+    let mut tuning = Tuning::default();
+    tuning.limits.engine_deadline_ms = 100;
+    let kind = EndpointKind::Plain;
+    let agent = TestAgent::start_tuned(&platform, endpoint.address, kind, tuning).await;
+    let caller = Caller::start().await;
+    caller.hosted(&agent).await;
+    endpoint.fault(Fault::new(FaultKind::Silent));
+    let open = Open {
+        deadline_left_ms: 300,
+        ..caller.open("guichet", "POST", "/sanctions", "{}")
+    };
+    let ended = caller.call(&agent, open).await;
+    let late = Failure::new(RunState::Unknown, Cause::DeadlinePassed);
+    assert_eq!(ended, Ended::Failed(late));
+    caller
+        .status_where(&agent, |status| status.hosted.is_empty())
+        .await;
+    let refused = caller
+        .call(&agent, caller.open("guichet", "GET", "/applicants/7", ""))
+        .await;
+    assert!(
+        matches!(refused, Ended::Failed(failure) if failure.run == RunState::NotRun),
+        "{refused:?}"
+    );
+    endpoint.clear_faults();
+    assert_eq!(caller.hosted(&agent).await.endpoint_life, 0);
+}
+
 // The log is down when a new VM's agent starts. It learns the accepted text from a peer
 // of the VM list and takes calls.
 #[tokio::test]
