Entry: shorter waits after a death, a way out that resets nobody

Idempotent calls waited five seconds for a dead agent to come back, as calls must that can't be made anew; they have connections of their own now that give up after half a second. A home entry that died was noticed by the view after some ten seconds; a call that finds it gone says so at once to this entry's own choice of homes and writers.

On the way out, connections that the kernel had taken were reset when the listener closed. The entry goes on taking connections for as long as some come, at most a second, and refuses their requests as not run; answers while leaving ask for another connection.

Order to leave, signals and threads come from package node now.

--- a/bin/entry/src/main.rs
+++ b/bin/entry/src/main.rs
@@ -5,9 +5,11 @@
 use std::process::ExitCode;
 
 use gateway::{Entry, EntryError, Tuning};
+use node::process;
 use settings::{EXIT_SETTINGS, EntrySettings};
-use tokio::runtime::{Builder, Runtime};
-use tokio::signal::unix::{SignalKind, signal};
+
+/// Threads for all tasks. An entry VM is thin and has nothing else to do.
+const THREADS: usize = 4;
 
 fn main() -> ExitCode {
     let settings = match cli::settings() {
@@ -26,22 +28,8 @@
     }
 }
 
-fn runtime() -> std::io::Result<Runtime> {
-    Builder::new_multi_thread().enable_all().build()
-}
-
 fn run(settings: EntrySettings) -> Result<(), EntryError> {
-    let _log_guard = telemetry::start_logs(settings.common.log_level)?;
-    let runtime = runtime().map_err(EntryError::Runtime)?;
-    runtime.block_on(async {
-        let mut terminate = signal(SignalKind::terminate()).map_err(EntryError::Signal)?;
-        let mut interrupt = signal(SignalKind::interrupt()).map_err(EntryError::Signal)?;
-        let stop = async move {
-            tokio::select! {
-                _ = terminate.recv() => {}
-                _ = interrupt.recv() => {}
-            }
-        };
+    process::run(settings.common.log_level, THREADS, |stop| async {
         let entry = Entry::bind(settings, Tuning::default()).await?;
         entry.run(stop).await
     })
--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -57,13 +57,14 @@
         let (table, held) = take_replica(gateway, job, place).await?;
         let node = held.choice.node;
         let life = EndpointLife::now(gateway, job, node);
-        let open = job.open(gateway.links.next_id(), body, now_ms());
+        let links = gateway.links_for(job.idempotent);
+        let open = job.open(links.next_id(), body, now_ms());
         log::debug!(
             event = "attempt-started", request_id = job.request_id.as_str(),
             call = open.id.to_string(), agent = node.to_string(); ""
         );
         Ok(Attempt {
-            call: gateway.links.call(node.address, open),
+            call: links.call(node.address, open),
             held: Some(held),
             table,
             node,
--- a/components/gateway/src/error.rs
+++ b/components/gateway/src/error.rs
@@ -3,21 +3,16 @@
 use claims::SettingsError;
 use node::NodeError;
 use quick_error::quick_error;
-use telemetry::{LogsError, MetricsError};
+use telemetry::MetricsError;
 
 quick_error! {
     /// Why an entry can't start.
     #[derive(Debug)]
     pub enum EntryError {
-        /// Its addresses.
+        /// Its addresses, threads or signals.
         Node(reason: NodeError) {
             from()
-            source(reason)
-            display("{}", reason)
-        }
-        /// The metrics.
-        Metrics(reason: MetricsError) {
-            from()
+            from(reason: MetricsError) -> (NodeError::Metrics(reason))
             source(reason)
             display("{}", reason)
         }
@@ -27,21 +22,5 @@
             source(reason)
             display("{}", reason)
         }
-        /// The log.
-        Logs(reason: LogsError) {
-            from()
-            source(reason)
-            display("{}", reason)
-        }
-        /// The threads of the process.
-        Runtime(reason: std::io::Error) {
-            source(reason)
-            display("cannot start the runtime: {}", reason)
-        }
-        /// A signal that can't be listened for.
-        Signal(reason: std::io::Error) {
-            source(reason)
-            display("cannot listen for signals: {}", reason)
-        }
     }
 }
--- a/components/gateway/src/gateway.rs
+++ b/components/gateway/src/gateway.rs
@@ -10,6 +10,7 @@
 
 use crate::accounts::Accounts;
 use crate::keyed::Claims;
+use crate::reach::Reach;
 use crate::services::Services;
 use crate::suspects::Quarantine;
 use crate::training::Desk;
@@ -23,12 +24,17 @@
     pub feed: ConfigFeed,
     /// View of the other processes.
     pub gossip: Gossip,
-    /// Connections to agents and other entries.
+    /// Connections to agents and other entries. After a lost connection a call waits a
+    /// while for its callee to come back, since it can't be made anew.
     pub links: Links,
+    /// Connections for calls that may run again: they wait less, and are made elsewhere.
+    pub quick_links: Links,
     /// Replicas and gates of each service.
     pub services: Services,
     /// Limits and budgets of each customer.
     pub accounts: Accounts,
+    /// Entries that could not be reached lately.
+    pub reach: Reach,
     /// Calls that crash endpoints.
     pub quarantine: Quarantine,
     /// Claims of idempotency keys.
@@ -46,6 +52,15 @@
 }
 
 impl Gateway {
+    /// The connections for calls of this kind.
+    pub fn links_for(&self, idempotent: bool) -> &Links {
+        if idempotent {
+            &self.quick_links
+        } else {
+            &self.links
+        }
+    }
+
     /// Whether the balancer may send requests here: the configuration is known and the
     /// process is not leaving.
     pub fn is_ready(&self) -> bool {
--- a/components/gateway/src/keyed/client.rs
+++ b/components/gateway/src/keyed/client.rs
@@ -184,7 +184,7 @@
         let internal = |_| Failure::not_run(Cause::Internal);
         let body = serde_json::to_vec(&record).map_err(internal)?;
         let open = Open {
-            id: gateway.links.next_id(),
+            id: gateway.quick_links.next_id(),
             request_id: String::new(),
             customer: submission.customer.clone(),
             owner: submission.customer.clone(),
@@ -198,11 +198,19 @@
             headers: Vec::new(),
             body: Bytes::from(body),
         };
-        let mut call = gateway.links.call(to, open);
+        let mut call = gateway.quick_links.call(to, open);
         loop {
             match call.next().await {
-                CallEvent::End => return Ok(()),
-                CallEvent::Failed(failure) => return Err(failure),
+                CallEvent::End => {
+                    gateway.reach.found(to);
+                    return Ok(());
+                }
+                CallEvent::Failed(failure) => {
+                    if failure.cause == Cause::LinkLost {
+                        gateway.reach.lost(to, now_ms());
+                    }
+                    return Err(failure);
+                }
                 _ => {}
             }
         }
@@ -239,10 +247,11 @@
 /// Entries that may write, this one among them.
 fn live_entries(gateway: &Gateway) -> Vec<SocketAddr> {
     let snapshot = gateway.gossip.snapshot();
-    let others = snapshot
-        .live(ProcessRole::Entry)
-        .map(|member| member.address);
-    others.chain([gateway.identity.node().address]).collect()
+    let now_ms = now_ms();
+    let others = snapshot.live(ProcessRole::Entry);
+    let others = others.map(|member| member.address);
+    let reached = others.filter(|&address| !gateway.reach.is_gone(address, now_ms));
+    reached.chain([gateway.identity.node().address]).collect()
 }
 
 /// Takes a record that another entry brings.
--- a/components/gateway/src/layers.rs
+++ b/components/gateway/src/layers.rs
@@ -6,6 +6,7 @@
 
 use futures_util::FutureExt;
 use futures_util::future::{BoxFuture, ready};
+use http::header::CONNECTION;
 use http::request::Parts;
 use http::{HeaderValue, Request, Response};
 use tower::layer::{Layer, layer_fn};
@@ -70,25 +71,35 @@
 
 /// Gives every request its id and turns rejections into problem documents.
 #[derive(Clone)]
-pub struct Answered<F, S> {
+pub struct Answered<F, L, S> {
     next_id: F,
+    is_leaving: L,
     inner: S,
 }
 
-/// A layer of [`Answered`]. `next_id` is asked where the caller brings no usable id.
-pub fn answered<F, S>(next_id: F) -> impl Layer<S, Service = Answered<F, S>> + Clone
+/// A layer of [`Answered`]. `next_id` is asked where the caller brings no usable id. Once
+/// `is_leaving`, every answer asks its caller to open another connection: one that is
+/// closed while it is idle may cross with its next request, which the caller could then
+/// not know to have been run or not.
+pub fn answered<F, L, S>(
+    next_id: F,
+    is_leaving: L,
+) -> impl Layer<S, Service = Answered<F, L, S>> + Clone
 where
     F: Fn() -> String + Clone,
+    L: Fn() -> bool + Clone,
 {
     layer_fn(move |inner| Answered {
         next_id: next_id.clone(),
+        is_leaving: is_leaving.clone(),
         inner,
     })
 }
 
-impl<F, S, B> Service<Request<B>> for Answered<F, S>
+impl<F, L, S, B> Service<Request<B>> for Answered<F, L, S>
 where
     F: Fn() -> String,
+    L: Fn() -> bool + Clone + Send + 'static,
     S: Service<Request<B>, Response = Response<Body>, Error = Rejection> + Clone + Send + 'static,
     S::Future: Send,
     B: Send + 'static,
@@ -107,6 +118,7 @@
         let id = stated.unwrap_or_else(&self.next_id);
         request.extensions_mut().insert(RequestId(id.clone()));
         let inner = self.inner.clone();
+        let is_leaving = self.is_leaving.clone();
         async move {
             let answer = inner.oneshot(request).await;
             let mut response =
@@ -114,6 +126,10 @@
             if let Ok(value) = HeaderValue::from_str(&id) {
                 response.headers_mut().insert(REQUEST_ID, value);
             }
+            if is_leaving() {
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(CONNECTION, close);
+            }
             Ok(response)
         }
         .boxed()
--- /dev/null
+++ b/components/gateway/src/news.rs
@@ -0,0 +1,81 @@
+//! News that this entry tells the other processes, and what it does with theirs.
+
+use std::sync::Arc;
+
+use node::GossipHooks;
+use node::leave::Leaving;
+use protocol::News;
+use quarantine::{CallDigest, Condemned};
+use tokio::sync::mpsc;
+use types::WeightVersion;
+use weights::ModelKey;
+
+use crate::gateway::Gateway;
+use crate::suspects::Quarantine;
+use crate::weight_news::WeightNews;
+
+/// What comes up here and is told on.
+pub struct Sources {
+    /// Versions that came in force.
+    pub versions: mpsc::Receiver<(ModelKey, WeightVersion)>,
+    /// Calls that were condemned.
+    pub condemned: mpsc::UnboundedReceiver<Condemned>,
+}
+
+/// Starts the tasks that tell them.
+pub fn start(gateway: &Arc<Gateway>, sources: Sources) {
+    tokio::spawn(tell_versions(Arc::clone(gateway), sources.versions));
+    tokio::spawn(tell_condemned(Arc::clone(gateway), sources.condemned));
+}
+
+/// Tells every version that comes in force to the other processes and to the ledgers.
+async fn tell_versions(
+    gateway: Arc<Gateway>,
+    mut versions: mpsc::Receiver<(ModelKey, WeightVersion)>,
+) {
+    while let Some((model, version)) = versions.recv().await {
+        gateway.gossip.tell(News::Weights {
+            customer: model.customer.clone(),
+            service: model.service.clone(),
+            version,
+        });
+        gateway.training.announced(model, version).await;
+    }
+}
+
+async fn tell_condemned(gateway: Arc<Gateway>, mut told: mpsc::UnboundedReceiver<Condemned>) {
+    while let Some(condemned) = told.recv().await {
+        gateway.gossip.tell(News::Quarantined {
+            digest: condemned.digest.0,
+            left_ms: condemned.left_ms,
+        });
+    }
+}
+
+/// What is done with the news of others.
+pub fn hooks(weights: &WeightNews, quarantine: &Quarantine, leaving: &Leaving) -> GossipHooks {
+    let weights = weights.clone();
+    let quarantine = quarantine.clone();
+    let leaving = leaving.clone();
+    GossipHooks {
+        heard: Arc::new(move |news| match news {
+            News::Weights {
+                customer,
+                service,
+                version,
+            } => {
+                let model = ModelKey {
+                    customer: customer.clone(),
+                    service: service.clone(),
+                };
+                weights.heard(model, *version);
+            }
+            News::Quarantined { digest, left_ms } => {
+                quarantine.heard(CallDigest(*digest), *left_ms);
+            }
+            _ => {}
+        }),
+        leaving: Arc::new(move || leaving.order()),
+        ..GossipHooks::default()
+    }
+}
--- /dev/null
+++ b/components/gateway/src/reach.rs
@@ -0,0 +1,50 @@
+//! Entries that could not be reached lately, by this entry's own calls.
+//!
+//! Entries probe one another rarely, so the death of one shows in the view only after
+//! seconds, and its steps would wait for their new home all that time. A call that found
+//! it gone says so at once. Taken for gone by mistake, a living home costs doubled runs.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use arc_swap::ArcSwap;
+
+/// How long an entry counts as out of reach after a call that failed, in milliseconds;
+/// longer than the view takes to notice its death.
+const GONE_MS: u64 = 15_000;
+
+/// Entries out of reach, with the time until which they count as that.
+#[derive(Default)]
+pub struct Reach {
+    gone: ArcSwap<HashMap<SocketAddr, u64>>,
+}
+
+impl Reach {
+    /// A call to this entry found it gone.
+    pub fn lost(&self, entry: SocketAddr, now_ms: u64) {
+        self.gone.rcu(|gone| {
+            let mut gone = HashMap::clone(gone);
+            gone.retain(|_, until_ms| *until_ms > now_ms);
+            gone.insert(entry, now_ms + GONE_MS);
+            gone
+        });
+    }
+
+    /// A call to this entry was answered.
+    pub fn found(&self, entry: SocketAddr) {
+        if !self.gone.load().contains_key(&entry) {
+            return;
+        }
+        self.gone.rcu(|gone| {
+            let mut gone = HashMap::clone(gone);
+            gone.remove(&entry);
+            gone
+        });
+    }
+
+    /// Whether this entry counts as out of reach.
+    pub fn is_gone(&self, entry: SocketAddr, now_ms: u64) -> bool {
+        let gone = self.gone.load();
+        gone.get(&entry).is_some_and(|&until_ms| until_ms > now_ms)
+    }
+}
--- a/components/gateway/src/routes.rs
+++ b/components/gateway/src/routes.rs
@@ -32,10 +32,13 @@
     B::Data: Send,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
-    let (ids, clocks) = (gateway.clone(), gateway.clone());
+    let (ids, drains, clocks) = (gateway.clone(), gateway.clone(), gateway.clone());
     let (known, handling) = (gateway.clone(), gateway.clone());
     ServiceBuilder::new()
-        .layer(answered(move || ids.links.next_id().to_string()))
+        .layer(answered(
+            move || ids.links.next_id().to_string(),
+            move || drains.drain.is_leaving(),
+        ))
         .layer(checked(move |parts: &mut Parts| fits(parts, &clocks.pulse)))
         .layer(checked(move |parts: &mut Parts| {
             let session = authenticate(known.feed.view(), &parts.headers)?;
--- a/components/gateway/src/server.rs
+++ b/components/gateway/src/server.rs
@@ -1,9 +1,13 @@
 //! The public address: accepts connections and serves requests until the process leaves.
 //!
 //! A connection that is idle when the process stops is closed; one with a request in
-//! progress gets its whole answer first.
+//! progress gets its whole answer first. New connections are still taken for as long,
+//! and their requests refused: one that a caller opened just before would otherwise be
+//! reset in the kernel's queue, and the caller could not tell whether its request ran.
 
 use std::convert::Infallible;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use http::{Request, Response};
@@ -14,7 +18,8 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
-use tower::Service;
+use tokio::time::{Instant, timeout};
+use tower::{Service, ServiceBuilder};
 
 use crate::body::Body;
 
@@ -28,10 +33,16 @@
 const HEAD_BYTES_MAX: usize = 32 * 1024;
 /// Pause after an accept that failed, such as for want of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Quiet time after which nobody is taken to come any more.
+const QUIET: Duration = Duration::from_millis(50);
+/// Time for the first request of a connection when the process stops.
+const FIRST_REQUEST: Duration = Duration::from_millis(500);
+/// Longest time of taking connections only to refuse their requests.
+const REFUSE_FOR: Duration = Duration::from_secs(1);
 
 /// Serves `listener` with `service` until `stop` turns true; returns once every
 /// connection has ended.
-pub async fn serve<S>(listener: TcpListener, service: S, mut stop: watch::Receiver<bool>)
+pub async fn serve<S>(listener: TcpListener, service: S, stop: watch::Receiver<bool>)
 where
     S: Service<Request<Incoming>, Response = Response<Body>, Error = Infallible>
         + Clone
@@ -40,24 +51,37 @@
     S::Future: Send,
 {
     let mut connections = JoinSet::new();
+    let serve_one = |stream| connection(stream, service.clone(), stop.clone());
+    let mut stopping = stop.clone();
     loop {
         tokio::select! {
-            () = stopped(&mut stop) => break,
-            accepted = listener.accept(), if connections.len() < CONNECTIONS_MAX => {
-                match accepted {
-                    Ok((stream, _)) => {
-                        connections.spawn(connection(stream, service.clone(), stop.clone()));
-                    }
-                    Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
-                }
+            () = stopped(&mut stopping) => break,
+            stream = accept(&listener), if connections.len() < CONNECTIONS_MAX => {
+                connections.spawn(serve_one(stream));
             }
             Some(_) = connections.join_next() => {}
         }
     }
+    let refuse_until = Instant::now() + REFUSE_FOR;
+    while Instant::now() < refuse_until {
+        let Ok(stream) = timeout(QUIET, accept(&listener)).await else {
+            break;
+        };
+        connections.spawn(serve_one(stream));
+    }
     drop(listener);
     while connections.join_next().await.is_some() {}
 }
 
+async fn accept(listener: &TcpListener) -> TcpStream {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => return stream,
+            Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
+        }
+    }
+}
+
 /// Waits until `stop` is true, or its sender is gone.
 async fn stopped(stop: &mut watch::Receiver<bool>) {
     let _ = stop.wait_for(|&stop| stop).await;
@@ -73,6 +97,16 @@
 {
     // A small answer must not wait for an acknowledgement of the one before.
     let _ = stream.set_nodelay(true);
+    let begun = Arc::new(AtomicBool::new(false));
+    let service = ServiceBuilder::new()
+        .map_request({
+            let begun = Arc::clone(&begun);
+            move |request| {
+                begun.store(true, Ordering::Relaxed);
+                request
+            }
+        })
+        .service(service);
     let served = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(HEADER_TIMEOUT)
@@ -80,9 +114,17 @@
         .max_buf_size(HEAD_BYTES_MAX)
         .serve_connection(TokioIo::new(stream), TowerToHyperService::new(service));
     let mut served = std::pin::pin!(served);
+    let stopping = async {
+        stopped(&mut stop).await;
+        // `hyper` closes a connection whose first request has not been read, though it
+        // may be on its way. Its answer will be a refusal that closes the connection.
+        if !begun.load(Ordering::Relaxed) {
+            tokio::time::sleep(FIRST_REQUEST).await;
+        }
+    };
     let ended = tokio::select! {
         ended = served.as_mut() => ended,
-        () = stopped(&mut stop) => {
+        () = stopping => {
             served.as_mut().graceful_shutdown();
             served.await
         }
--- /dev/null
+++ b/components/gateway/src/start.rs
@@ -0,0 +1,140 @@
+//! Starts everything that the requests of one entry share.
+
+use std::sync::Arc;
+
+use leaving::{Drain, DrainSettings};
+use link::{LinkSettings, Links, Udp};
+use node::leave::Leaving;
+use node::{ConfigFeed, Gossip, GossipSettings, Identity, Pulse};
+use platform::{ClientSettings, LogClient, VmList};
+use routing::Locality;
+use samples::CursorKeys;
+use settings::{CommonSettings, EntrySettings, SharedKey};
+use telemetry::{Metrics, MetricsSettings};
+use tokio::sync::mpsc;
+
+use crate::accounts::Accounts;
+use crate::entry::Tuning;
+use crate::error::EntryError;
+use crate::gateway::Gateway;
+use crate::keyed::{self, Claims};
+use crate::news::{self, Sources};
+use crate::reach::Reach;
+use crate::refresh;
+use crate::services::Services;
+use crate::suspects::Quarantine;
+use crate::training::{Copier, Desk, spawn};
+use crate::weight_news::WeightNews;
+
+/// First part of the names of an entry's metrics.
+const METRICS_PREFIX: &str = "hornbeamrock.entry";
+/// How long a call that may run again waits for a callee whose connection was lost, in
+/// milliseconds. Its caller waits as well, and another replica answers in a few.
+const QUICK_REATTACH_MS: u64 = 500;
+/// Versions in force that wait to be told on.
+const VERSIONS_MAX: usize = 256;
+
+/// What the process has before it starts.
+pub struct Parts {
+    /// Who it is.
+    pub identity: Arc<Identity>,
+    /// Socket for news.
+    pub udp: Udp,
+    /// Settings of connections.
+    pub links: LinkSettings,
+    /// Order to leave.
+    pub leaving: Leaving,
+}
+
+/// Starts the tasks of an entry. Errors when metrics or claims can't be set up.
+pub fn start(
+    settings: &EntrySettings,
+    tuning: Tuning,
+    parts: Parts,
+) -> Result<Arc<Gateway>, EntryError> {
+    let common = &settings.common;
+    let identity = parts.identity;
+    let links = Links::new(parts.links.clone());
+    let quick_links = Links::new(LinkSettings {
+        reattach_for_ms: QUICK_REATTACH_MS,
+        ..parts.links
+    });
+    let log = LogClient::new(common.log, &ClientSettings::default());
+    let claims = Claims::start(&log, keyed::settings()?);
+    let own = identity.node().address;
+    let feed = ConfigFeed::start(own, log, quick_links.clone(), tuning.feed);
+    let (versions, in_force) = mpsc::channel(VERSIONS_MAX);
+    let (condemned, to_tell) = mpsc::unbounded_channel();
+    let weights = WeightNews::start(versions);
+    let quarantine = Quarantine::start(condemned);
+    let hooks = news::hooks(&weights, &quarantine, &parts.leaving);
+    let gossip = start_gossip(common, tuning.gossip, &identity, parts.udp, &feed, hooks);
+    let here = Locality {
+        failure_domain: identity.failure_domain.clone(),
+        region: identity.region.clone(),
+    };
+    let (training, desk) = Desk::new();
+    let gateway = Arc::new(Gateway {
+        identity,
+        feed,
+        gossip,
+        links,
+        quick_links,
+        services: Services::new(tuning.routing, here),
+        accounts: Accounts::default(),
+        reach: Reach::default(),
+        quarantine,
+        claims,
+        weights,
+        training,
+        drain: Drain::new(drain_settings(common)),
+        pulse: Pulse::start(),
+        metrics: Metrics::start(&MetricsSettings {
+            statsd: common.metrics,
+            prefix: METRICS_PREFIX.to_owned(),
+        })?,
+    });
+    let copier = Copier::start(gateway.quick_links.clone());
+    spawn(
+        desk,
+        Arc::clone(&gateway),
+        copier,
+        cursor_keys(&common.keys),
+    );
+    let sources = Sources {
+        versions: in_force,
+        condemned: to_tell,
+    };
+    news::start(&gateway, sources);
+    tokio::spawn(refresh::run(Arc::clone(&gateway)));
+    Ok(gateway)
+}
+
+fn start_gossip(
+    common: &CommonSettings,
+    settings: GossipSettings,
+    identity: &Arc<Identity>,
+    udp: Udp,
+    feed: &ConfigFeed,
+    hooks: node::GossipHooks,
+) -> Gossip {
+    let vm_list = VmList::new(common.vm_list, &ClientSettings::default());
+    let identity = Arc::clone(identity);
+    Gossip::start(udp, identity, vm_list, feed.clone(), settings, hooks)
+}
+
+fn drain_settings(common: &CommonSettings) -> DrainSettings {
+    DrainSettings {
+        settle_ms: common.settle_ms,
+        finish_ms_max: common.drain_ms,
+        ..DrainSettings::ENTRY
+    }
+}
+
+/// Cursors are signed with the keys that all processes share, so that any entry reads
+/// the cursor of any other.
+fn cursor_keys(keys: &[SharedKey]) -> CursorKeys {
+    let mut bytes = keys.iter().map(|key| key.0);
+    let signs = bytes.next().unwrap_or_default();
+    CursorKeys::new(signs, bytes.next())
+}
--- a/components/gateway/src/training.rs
+++ b/components/gateway/src/training.rs
@@ -20,7 +20,7 @@
 
 pub use api::serve;
 pub use copies::Copier;
-pub use desk::{Desk, DeskInbox};
+pub use desk::Desk;
 pub use desk_task::spawn;
 pub use inner::{is_inner_call, serve_inner};
 pub use steps_status::StepStatus;
--- a/components/gateway/src/training/forward.rs
+++ b/components/gateway/src/training/forward.rs
@@ -22,18 +22,21 @@
 /// Homes of a step by the present view; none when every entry is leaving.
 pub fn homes_of(gateway: &Gateway, key: &StepKey) -> Option<Homes> {
     let snapshot = gateway.gossip.snapshot();
-    let others = snapshot.live(ProcessRole::Entry).map(|member| Entry {
+    let now_ms = now_ms();
+    let live = snapshot.live(ProcessRole::Entry);
+    let reached = live.filter(|member| !gateway.reach.is_gone(member.address, now_ms));
+    let others = reached.map(|member| Entry {
         address: member.address,
         failure_domain: member.failure_domain.clone(),
     });
-    let mut live: Vec<Entry> = others.collect();
+    let mut entries: Vec<Entry> = others.collect();
     if !gateway.drain.is_leaving() {
-        live.push(Entry {
+        entries.push(Entry {
             address: gateway.identity.node().address,
             failure_domain: gateway.identity.failure_domain.clone(),
         });
     }
-    homes(key, &live)
+    homes(key, &entries)
 }
 
 /// Takes a call to the step's home, or to the second one. Every call of a trainer may be
@@ -50,7 +53,7 @@
         let answered = if home == own {
             at_home(gateway, &call).await
         } else {
-            remote(gateway, home, &call).await.map_err(Rejection::Call)
+            remote(gateway, home, &call).await
         };
         match answered {
             // The step may have moved there and not have arrived yet.
@@ -71,10 +74,23 @@
     gateway: &Gateway,
     home: SocketAddr,
     call: &HomeCall,
+) -> Result<(Head, Bytes), Rejection> {
+    let answered = call_home(gateway, home, call).await;
+    match answered {
+        Err(failure) if failure.cause == Cause::LinkLost => gateway.reach.lost(home, now_ms()),
+        _ => gateway.reach.found(home),
+    }
+    answered.map_err(Rejection::Call)
+}
+
+async fn call_home(
+    gateway: &Gateway,
+    home: SocketAddr,
+    call: &HomeCall,
 ) -> Result<(Head, Bytes), Failure> {
     let left_ms = call.deadline_at_ms.saturating_sub(now_ms());
     let open = Open {
-        id: gateway.links.next_id(),
+        id: gateway.quick_links.next_id(),
         request_id: call.request_id.clone(),
         customer: call.key.customer.clone(),
         owner: call.key.customer.clone(),
@@ -87,7 +103,7 @@
         headers: Vec::new(),
         body: call.body.clone(),
     };
-    let mut inner = gateway.links.call(home, open);
+    let mut inner = gateway.quick_links.call(home, open);
     let bad = || Failure::new(RunState::Unknown, Cause::Internal);
     let mut head = None;
     let mut body = Vec::new();
