Agent: texts of other customers out of callers' reach; a status always fits

Cause: a customer could name a service `config-text`, call it, and read other customers' texts, since the inner call for texts was told by that name alone. A status with many services was over a datagram's size and not sent at all, so the endpoint would have got no work. News of a version that found a full queue was lost for good, as the rumours give each piece once.

Ruled out: forbidding the name in the texts; accepted texts may have it.

Change: the path of the inner call begins without a slash, which no caller's path does; a status names as many services as fit and logs the rest; the queue of versions has no bound of its own.

Left: a pool with more than some thirty services needs statuses in several parts.

--- a/components/node/src/feed.rs
+++ b/components/node/src/feed.rs
@@ -171,7 +171,7 @@
 
     /// Whether an inner call asks for a configuration text.
     pub fn is_text_call(open: &Open) -> bool {
-        open.service.as_str() == TEXT_SERVICE
+        open.service.as_str() == TEXT_SERVICE && Wanted::of_path(&open.path).is_some()
     }
 
     /// Answers an inner call for a configuration text.
--- a/components/node/src/feed_fetch.rs
+++ b/components/node/src/feed_fetch.rs
@@ -15,7 +15,9 @@
 
 /// Time for one fetch.
 const FETCH_MS: u32 = 2_000;
-const PATH: &str = "/_config";
+/// Begins the path of a fetch. A caller's path always begins with a slash, so nobody who
+/// names a service of his own `config-text` reads other customers' texts through it.
+const PATH: &str = "config";
 const OK: u16 = 200;
 
 /// What is fetched.
@@ -28,7 +30,7 @@
 }
 
 impl Wanted {
-    /// What a path asks for.
+    /// What a path asks for; `None` for a caller's path.
     pub(crate) fn of_path(path: &str) -> Option<Wanted> {
         let rest = path.strip_prefix(PATH)?;
         if rest.is_empty() {
--- a/components/sidecar/src/status.rs
+++ b/components/sidecar/src/status.rs
@@ -12,6 +12,11 @@
 use crate::health::Look;
 use crate::weights_task::Weights;
 
+/// Bytes of a status for the services, out of a datagram's 1,200.
+const HOSTED_BYTES_MAX: usize = 950;
+/// Most bytes of one service beside its names: lengths and version.
+const HOSTED_OVERHEAD_BYTES: usize = 18;
+
 /// The status that answers a probe.
 pub fn status(agent: &Agent) -> Status {
     let look = agent.health.look();
@@ -19,12 +24,30 @@
         failure_domain: agent.identity.failure_domain.clone(),
         region: agent.identity.region.clone(),
         leaving: agent.drain.is_leaving(),
-        hosted: hosted(agent, &look),
+        hosted: told(hosted(agent, &look)),
         load: load(agent, &look),
         endpoint_life: agent.health.life(),
     }
 }
 
+/// As many services as fit one datagram; a status over its size would not be sent at all,
+/// and the endpoint would get no work for any service.
+fn told(hosted: Vec<Hosted>) -> Vec<Hosted> {
+    let mut room_bytes = HOSTED_BYTES_MAX;
+    let all = hosted.len();
+    let fits = |hosted: &Hosted| {
+        let names_bytes = hosted.customer.as_str().len() + hosted.service.as_str().len();
+        let left = room_bytes.checked_sub(names_bytes + HOSTED_OVERHEAD_BYTES);
+        room_bytes = left.unwrap_or(0);
+        left.is_some()
+    };
+    let told: Vec<Hosted> = hosted.into_iter().take_while(fits).collect();
+    if told.len() < all {
+        log::warn!(event = "status-cut", services = all, told = told.len(); "");
+    }
+    told
+}
+
 fn hosted(agent: &Agent, look: &Look) -> Vec<Hosted> {
     if !look.up {
         return Vec::new();
--- a/components/sidecar/src/weights_task.rs
+++ b/components/sidecar/src/weights_task.rs
@@ -15,8 +15,8 @@
 use crate::orders::{Ended, carry_out};
 use crate::watch::Watch;
 
-/// News that wait at most; a lost one comes again with the next rumour.
-const NEWS_MAX: usize = 256;
+/// Ends of orders that wait at most; a model has one order at a time.
+const ENDS_MAX: usize = 256;
 /// Longest sleep; hosted services may change in between.
 const SLEEP_MAX_MS: u64 = 1_000;
 const PERMILLE: u64 = 1_000;
@@ -42,16 +42,18 @@
 /// Handle of the task.
 #[derive(Clone)]
 pub struct Weights {
-    news: mpsc::Sender<VersionNews>,
+    /// Without a bound: the rumours give each piece of news once, so one that is dropped
+    /// never comes again, and they are bounded themselves.
+    news: mpsc::UnboundedSender<VersionNews>,
     statuses: watch::Receiver<Vec<ModelStatus>>,
 }
 
 impl Weights {
     /// Starts the task.
     pub fn start(agent: Arc<Agent>, watch: Watch, settings: ReconcileSettings) -> Weights {
-        let (news, heard) = mpsc::channel(NEWS_MAX);
+        let (news, heard) = mpsc::unbounded_channel();
         let (publish, statuses) = watch::channel(Vec::new());
-        let (ends, ended) = mpsc::channel(NEWS_MAX);
+        let (ends, ended) = mpsc::channel(ENDS_MAX);
         let driver = Driver {
             agent,
             watch,
@@ -72,8 +74,8 @@
             service: service.clone(),
         };
         let target = Target::serve(version);
-        // A full queue loses the news until the next rumour of it.
-        let _ = self.news.try_send(VersionNews { model, target });
+        // A driver that has gone needs no news.
+        let _ = self.news.send(VersionNews { model, target });
     }
 
     /// Where each model's engine stands.
@@ -95,7 +97,7 @@
 impl Driver {
     async fn run(
         mut self,
-        mut heard: mpsc::Receiver<VersionNews>,
+        mut heard: mpsc::UnboundedReceiver<VersionNews>,
         mut ended: mpsc::Receiver<Ended>,
     ) {
         loop {
--- a/components/sidecar/tests/calls.rs
+++ b/components/sidecar/tests/calls.rs
@@ -98,6 +98,14 @@
             change: |open| open.owner = "collective".parse().unwrap(),
             cause: Cause::NotHosted,
         },
+        Refused {
+            name: "a path to the texts of all customers",
+            change: |open| {
+                open.service = "config-text".parse().unwrap();
+                open.path = "/config/office".to_owned();
+            },
+            cause: Cause::NotHosted,
+        },
         Refused {
             name: "no time left",
             change: |open| open.deadline_left_ms = 0,
