--- a/dev/bench/src/main.rs
+++ b/dev/bench/src/main.rs
@@ -1,3 +1,16 @@
-//! Binary of hornbeamrock.
+//! `hornbeamrock-bench`: shows and measures what a site of stand-ins does.
 
-fn main() {}
+mod cli;
+mod run;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    match run::run(&cli::command().get_matches()) {
+        Ok(code) => code,
+        Err(error) => {
+            eprintln!("hornbeamrock-bench: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/dev/bench/src/run.rs
@@ -0,0 +1,82 @@
+//! Runs the subcommand.
+
+use std::net::SocketAddr;
+use std::process::ExitCode;
+
+use clap::ArgMatches;
+use hornbeamrock_bench::error::BenchError;
+use hornbeamrock_bench::lines::{self, Running};
+use hornbeamrock_bench::ports;
+use hornbeamrock_bench::site::{Site, SiteName};
+use hornbeamrock_bench::visit::{self, VisitSettings};
+
+/// Runs the subcommand.
+pub fn run(matches: &ArgMatches) -> Result<ExitCode, BenchError> {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()?;
+    match matches.subcommand() {
+        Some(("visit", args)) => runtime.block_on(make_visit(args)),
+        Some(("ports", args)) => free_ports(args),
+        Some(("lines", args)) => Ok(print_lines(args)),
+        _ => Ok(ExitCode::FAILURE),
+    }
+}
+
+async fn make_visit(args: &ArgMatches) -> Result<ExitCode, BenchError> {
+    let report = visit::run(VisitSettings {
+        site: site(args),
+        entries: addresses(args, "entry"),
+        admins: addresses(args, "admin"),
+        services: addresses(args, "service"),
+        replicas: number(args, "replicas") as usize,
+        wait_ms: number(args, "wait-ms"),
+        seed: number(args, "seed"),
+    })
+    .await?;
+    print!("{}", report.text());
+    Ok(code(report.holds()))
+}
+
+fn free_ports(args: &ArgMatches) -> Result<ExitCode, BenchError> {
+    let count = u16::try_from(number(args, "count")).unwrap_or(u16::MAX);
+    println!("{}", ports::free(count, number(args, "seed"))?);
+    Ok(ExitCode::SUCCESS)
+}
+
+fn print_lines(args: &ArgMatches) -> ExitCode {
+    let ctl = args.get_one::<String>("ctl").cloned().unwrap_or_default();
+    let running = Running {
+        entries: addresses(args, "entry"),
+        admins: addresses(args, "admin"),
+        logs: addresses(args, "log"),
+        ctl,
+    };
+    print!("{}", lines::text(&site(args), &running));
+    ExitCode::SUCCESS
+}
+
+fn code(holds: bool) -> ExitCode {
+    if holds {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    }
+}
+
+// clap fills each of these in by a default or refuses the command line.
+
+fn site(args: &ArgMatches) -> Site {
+    let word = args.get_one::<String>("site").map(String::as_str);
+    let name = word.and_then(SiteName::parse);
+    name.unwrap_or(SiteName::Office).site()
+}
+
+fn addresses(args: &ArgMatches, name: &str) -> Vec<SocketAddr> {
+    let all = args.get_many::<SocketAddr>(name).unwrap_or_default();
+    all.copied().collect()
+}
+
+fn number(args: &ArgMatches, name: &str) -> u64 {
+    args.get_one::<u64>(name).copied().unwrap_or_default()
+}
