--- a/components/recovery/tests/attempt.rs
+++ b/components/recovery/tests/attempt.rs
@@ -175,6 +175,12 @@
             Unknown,
             DeadlinePassed,
         ),
+        case(
+            "a gap before the write's word",
+            "connected two half-written connect-failed due",
+            Unknown,
+            LinkLost,
+        ),
         case(
             "half an answer",
             "connected head lost due",
