ctl: the winner's diff for a stated base; agents are told whose services they host

Cause: a publish on a stated older base compared the current version with itself, so the loser of a race saw an empty diff. Ruled out: checking pools at publish time, as verdicts must depend on one customer's own chain only, and because no text can say who owns an endpoint; its settings can.

--- a/bin/ctl/src/cmd/publish.rs
+++ b/bin/ctl/src/cmd/publish.rs
@@ -1,7 +1,9 @@
 //! `publish`: append, read back, follow into force.
 
 use clap::ArgMatches;
-use control::{Progress, PublishSettings, check_file, publish, read_history, wait_in_force};
+use control::{
+    Progress, PublishSettings, Published, check_file, publish, read_history, wait_in_force,
+};
 use settings::{SettingsError, addresses, milliseconds, text};
 
 use super::failure::Failure;
@@ -28,16 +30,22 @@
     wait_in_force(&processes, &published, wait_ms, show).await?;
     match form {
         Form::Json => print_json(&published),
-        Form::Table => println!(
-            "version {} of {} is accepted and in force at {} processes",
-            published.version,
-            published.customer,
-            processes.len()
-        ),
+        Form::Table => println!("{}", sentence(&published, processes.len())),
     }
     Ok(())
 }
 
+fn sentence(published: &Published, processes: usize) -> String {
+    let accepted = format!(
+        "version {} of {} is accepted",
+        published.version, published.customer
+    );
+    match processes {
+        0 => format!("{accepted}; name processes with --admin to wait until it is in force"),
+        _ => format!("{accepted} and in force at {processes} processes"),
+    }
+}
+
 fn publish_settings(flags: &ArgMatches) -> Result<PublishSettings, SettingsError> {
     let base = text(flags, "base").map(|value| {
         let bad = |_| SettingsError::Bad("base", value.to_owned(), BASE);
--- a/components/control/src/history.rs
+++ b/components/control/src/history.rs
@@ -1,6 +1,8 @@
 //! The configuration as the log tells it.
 
-use config::{Ledger, Record, Verdict};
+use std::sync::Arc;
+
+use config::{Accepted, Ledger, Record, Verdict};
 use platform::LogClient;
 use serde::Serialize;
 use types::CustomerName;
@@ -35,6 +37,8 @@
     pub ledger: Ledger,
     /// Publishes in the log's order.
     pub entries: Vec<Entry>,
+    /// Accepted versions whose text the log still keeps.
+    versions: Vec<Arc<Accepted>>,
 }
 
 /// Reads the stream from its oldest kept record to its end. Errors when the log does
@@ -43,6 +47,7 @@
     let mut history = History {
         ledger: Ledger::starting_at(0),
         entries: Vec::new(),
+        versions: Vec::new(),
     };
     while read_page(log, &mut history, 0).await? > 0 {}
     Ok(history)
@@ -63,9 +68,12 @@
     for record in &page.records {
         let verdict = history.ledger.apply_json(record.offset, &record.data);
         let publish = Record::from_json(&record.data).ok().and_then(published);
-        history
-            .entries
-            .extend(publish.map(|publish| entry(record.offset, &publish, &verdict)));
+        if let Some(publish) = publish {
+            history
+                .entries
+                .push(entry(record.offset, &publish, &verdict));
+            history.keep_version(&publish.customer);
+        }
     }
     Ok(page.records.len())
 }
@@ -112,6 +120,24 @@
 }
 
 impl History {
+    fn keep_version(&mut self, customer: &CustomerName) {
+        let Some(current) = self.ledger.current(customer) else {
+            return;
+        };
+        if self.version(customer, current.version).is_none() {
+            self.versions.push(Arc::clone(current));
+        }
+    }
+
+    /// A version of a customer, current or earlier, as far as the log still keeps it.
+    pub fn version(&self, customer: &CustomerName, version: u64) -> Option<&Arc<Accepted>> {
+        let current = self.ledger.current(customer);
+        self.versions
+            .iter()
+            .chain(current)
+            .find(|accepted| accepted.customer == *customer && accepted.version == version)
+    }
+
     /// Publishes of one customer, or of all.
     pub fn of(&self, customer: Option<&CustomerName>) -> impl Iterator<Item = &Entry> {
         self.entries
--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -14,4 +14,4 @@
 pub use history::{Entry, History, read_history};
 pub use publish::{Progress, PublishSettings, Published, publish, wait_in_force};
 pub use rollback::{Rollback, roll_back};
-pub use text::{Checked, check_file, read_token};
+pub use text::{Checked, check_file, check_source, read_token};
--- a/components/control/src/publish.rs
+++ b/components/control/src/publish.rs
@@ -66,12 +66,15 @@
     mut progress: impl FnMut(Progress),
 ) -> Result<Published, ControlError> {
     let customer = checked.text.customer.clone();
-    let before = history.ledger.current(&customer).cloned();
+    let before = match settings.base {
+        Some(base) => history.version(&customer, base).cloned(),
+        None => history.ledger.current(&customer).cloned(),
+    };
     let id = settings.id.clone().unwrap_or_else(random_id);
     let mut publish = Publish::on(customer.clone(), before.as_deref(), &id, &checked.source);
-    if let Some(base) = settings.base {
-        state_base(&mut publish, base);
-    }
+    // A stated base that the log has forgotten is still stated: the verdict tells the
+    // operator what is current.
+    publish.base = settings.base.unwrap_or(publish.base);
     append(log, &publish, &mut progress).await?;
     let verdict = read_verdict(log, history, &customer, &id).await?;
     let version = judge(verdict, before.as_deref(), history, &customer, &id)?;
@@ -83,14 +86,6 @@
     })
 }
 
-/// An operator who states another base than the current version is told by the verdict.
-fn state_base(publish: &mut Publish, base: u64) {
-    if publish.base != base {
-        publish.base = base;
-        publish.base_id = None;
-    }
-}
-
 fn random_id() -> String {
     format!("{:032x}", rand::rng().random::<u128>())
 }
--- a/components/control/src/text.rs
+++ b/components/control/src/text.rs
@@ -19,9 +19,16 @@
 /// Reads and checks a file against the texts of the other customers. Errors when it
 /// cannot be read or does not pass.
 pub fn check_file(path: &Path, ledger: Option<&Ledger>) -> Result<Checked, ControlError> {
-    let source = read(path)?;
-    let file = path.to_string_lossy();
-    let text = parse(&source, &file).map_err(ControlError::Text)?;
+    check_source(read(path)?, &path.to_string_lossy(), ledger)
+}
+
+/// Checks a text that came from `file`. Errors when it does not pass.
+pub fn check_source(
+    source: String,
+    file: &str,
+    ledger: Option<&Ledger>,
+) -> Result<Checked, ControlError> {
+    let text = parse(&source, file).map_err(ControlError::Text)?;
     let warnings = match ledger {
         Some(ledger) => check(&text, ledger),
         None => Complaints(text.warnings.clone()),
--- a/components/settings/src/agent.rs
+++ b/components/settings/src/agent.rs
@@ -3,14 +3,15 @@
 use std::net::SocketAddr;
 
 use clap::{ArgMatches, Command};
-use types::PoolName;
+use types::{CustomerName, PoolName};
 
 use crate::SettingsError;
-use crate::check::{address, word};
+use crate::check::{address, names, word};
 use crate::common::{CommonSettings, flag, optional_name, with_common};
 
 const KIND: &str = "model or plain";
 const FENCING: &str = "checked or ignored";
+const CUSTOMERS: &str = "names of a-z, 0-9 and '-' with commas between, such as office,collective";
 const POOL: &str = "a name of a-z, 0-9 and '-'";
 
 /// What the endpoint beside the agent is.
@@ -42,6 +43,9 @@
     pub endpoint_kind: EndpointKind,
     /// Pool that the endpoint belongs to; services of that pool are hosted here.
     pub pool: PoolName,
+    /// Customers whose services this endpoint may host. A customer writes its own text
+    /// and could name any pool there, so the endpoint's own settings decide.
+    pub customers: Vec<CustomerName>,
     /// Whether the engine checks fencing numbers.
     pub fencing: Fencing,
 }
@@ -58,6 +62,11 @@
         ))
         .arg(flag("endpoint-kind", "KIND", "model or plain").default_value("model"))
         .arg(flag("pool", "NAME", "Pool that the endpoint belongs to"))
+        .arg(flag(
+            "customers",
+            "NAME,…",
+            "Customers whose services the endpoint may host, with commas between",
+        ))
         .arg(
             flag(
                 "fencing",
@@ -89,6 +98,7 @@
             endpoint: address(matches, "endpoint")?,
             endpoint_kind,
             pool: pool.ok_or(SettingsError::Missing("pool", POOL))?,
+            customers: names(matches, "customers", CUSTOMERS)?,
             fencing,
         })
     }
--- a/components/settings/src/check.rs
+++ b/components/settings/src/check.rs
@@ -43,6 +43,22 @@
         .collect()
 }
 
+/// Names with commas between them; none when not set. Errors when one is no name.
+pub(crate) fn names<T: std::str::FromStr>(
+    matches: &ArgMatches,
+    flag: &'static str,
+    allowed: &'static str,
+) -> Result<Vec<T>, SettingsError> {
+    let values = text(matches, flag).unwrap_or_default();
+    let bad = |_| SettingsError::Bad(flag, values.to_owned(), allowed);
+    values
+        .split(',')
+        .map(str::trim)
+        .filter(|value| !value.is_empty())
+        .map(|value| value.parse().map_err(bad))
+        .collect()
+}
+
 /// An address that need not be set.
 pub(crate) fn optional_address(
     matches: &ArgMatches,
--- a/components/settings/src/common.rs
+++ b/components/settings/src/common.rs
@@ -109,7 +109,7 @@
                 "MS",
                 "How long work in progress may take to finish when leaving",
             )
-            .default_value("120000"),
+            .default_value("600000"),
         )
 }
 
