Proof on real processes: kills, freezes and broken answers at the steps of a call

The promises about a request were proved over the pure machines only; what a caller sees when a process of its path dies or is paused was not. A small library starts stand-ins in the test process and two entries and the agents as processes of their own; one driver puts faults at a step of a request and judges by the endpoints' own count of runs and by the exact text of a completion.

Ruled out: a relay between entry and agent, as an agent tells its own address in its news and the entry would pass the relay by; cuts and silence of that connection are proved in package link. Sites are limited to six at a time, so that a table starts some thirty processes.

--- a/dev/proof/src/lib.rs
+++ b/dev/proof/src/lib.rs
@@ -1,1 +1,20 @@
-//! Package `proof` of hornbeamrock.
+//! A site of real processes on loopback, with stand-ins for the outside systems, and the
+//! driver of the fault matrix. Never shipped.
+
+mod ask;
+mod caller;
+mod child;
+mod error;
+mod fault;
+mod ports;
+mod site;
+mod wait;
+
+pub use ask::{Ask, Kind};
+pub use caller::{Answer, Caller, Ending, Pending};
+pub use child::Child;
+pub use error::ProofError;
+pub use fault::{Case, Fault, Repeat, Step, run_case, run_cases};
+pub use ports::free_port;
+pub use site::{Process, Site, SiteSettings, exchange, office, page, replicas};
+pub use wait::{TRIES_MAX, until};
--- /dev/null
+++ b/dev/proof/src/site.rs
@@ -0,0 +1,494 @@
+//! A site: stand-ins in this process, two entries and one agent beside each endpoint as
+//! processes of their own.
+
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use bytes::Bytes;
+use control::{
+    Checked, PublishSettings, Published, check_file, is_in_force, publish, read_history, statuses,
+};
+use derive::value;
+use platform::{
+    ClientSettings, Endpoint, EndpointSettings, LogClient, Request, Vm, VmRole, VmState,
+};
+use serde_json::Value;
+use standins::engine::{EngineSettings, Fencing, Speeds};
+use standins::log::LogSettings;
+use standins::scorer::ScorerSettings;
+use standins::service::ServiceSettings;
+use standins::store::StoreSettings;
+use standins::vms::{VmsChange, VmsSettings};
+use standins::{Handle, engine, log, scorer, service, store, vms};
+use tokio::sync::{Semaphore, SemaphorePermit};
+use types::{FailureDomain, Region};
+
+use crate::ask::document_text;
+use crate::{Ask, Caller, Child, Pending, ProofError, free_port, until};
+
+const ENTRY: &str = "hornbeamrock-entry";
+const AGENT: &str = "hornbeamrock-agent";
+const DOMAINS: [&str; 3] = ["rennes-a", "brest-b", "vannes-c"];
+const REGION: &str = "bretagne";
+const DEADLINE_MS: u64 = 5_000;
+const STARTS_MAX: u32 = 5;
+/// Sites at a time, so that a table of cases starts no crowd of processes.
+static SITES: Semaphore = Semaphore::const_new(6);
+static SITE_NUMBER: AtomicU64 = AtomicU64::new(0);
+
+/// What a site consists of.
+#[value]
+pub struct SiteSettings {
+    /// Plain services of the pool `guichet`.
+    pub services: usize,
+    /// Time of one of their calls.
+    pub service_ms: u64,
+    /// Engines of the pool `redacteurs`.
+    pub engines: usize,
+    /// Time scale of the engines.
+    pub scale_permille: u32,
+    /// Whether the engines check fencing numbers.
+    pub fencing: bool,
+    /// Whether there is a scorer.
+    pub scored: bool,
+    /// How long a leaving entry or agent takes new work.
+    pub settle_ms: u64,
+    /// Log level of the processes.
+    pub log_level: &'static str,
+}
+
+impl Default for SiteSettings {
+    fn default() -> Self {
+        Self {
+            services: 2,
+            service_ms: 0,
+            engines: 0,
+            scale_permille: 300,
+            fencing: true,
+            scored: false,
+            settle_ms: 300,
+            log_level: "info",
+        }
+    }
+}
+
+/// An entry or an agent with its addresses.
+pub struct Process {
+    /// The process; `None` once it was killed for good.
+    pub child: Child,
+    /// Address for callers; that of the endpoint for an agent.
+    pub address: SocketAddr,
+    /// Address for the system's own processes.
+    pub inner: SocketAddr,
+    /// Address for operators.
+    pub admin: SocketAddr,
+    name: &'static str,
+    args: Vec<String>,
+    vm: Vm,
+}
+
+/// A running site.
+pub struct Site {
+    /// The log.
+    pub log: Handle,
+    /// The VM list.
+    pub vms: Handle,
+    /// The weight store.
+    pub store: Handle,
+    /// The scorer.
+    pub scorer: Handle,
+    /// The plain services.
+    pub services: Vec<Handle>,
+    /// The engines.
+    pub engines: Vec<Handle>,
+    /// The entries.
+    pub entries: Vec<Process>,
+    /// The agents: those of the plain services, of the engines, of the scorer.
+    pub agents: Vec<Process>,
+    settings: SiteSettings,
+    folder: PathBuf,
+    _permit: SemaphorePermit<'static>,
+}
+
+fn any() -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
+}
+
+/// The text of the Office, as the examples have it.
+pub fn office() -> PathBuf {
+    PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../../examples/office.toml")
+}
+
+impl Site {
+    /// Starts a site with the Office's text in force and every replica known.
+    pub async fn start(settings: SiteSettings) -> Result<Site, ProofError> {
+        let mut site = Site::bare(settings).await?;
+        for _ in 0..2 {
+            site.add_entry().await?;
+        }
+        site.add_agents().await?;
+        let published = site.publish(&office()).await?;
+        site.in_force(&published).await?;
+        site.knows_replicas().await?;
+        Ok(site)
+    }
+
+    /// The stand-ins alone.
+    async fn bare(settings: SiteSettings) -> Result<Site, ProofError> {
+        let permit = SITES.acquire().await;
+        let permit = permit.map_err(|_| ProofError::Ended("the count of sites".to_owned()))?;
+        let number = SITE_NUMBER.fetch_add(1, Ordering::Relaxed);
+        let name = format!("hornbeamrock-proof-{}-{number}", std::process::id());
+        let folder = std::env::temp_dir().join(name);
+        std::fs::create_dir_all(&folder)?;
+        std::fs::write(folder.join("key"), "5a".repeat(32))?;
+        let store = store::start(StoreSettings::new(any())).await?;
+        let mut services = Vec::new();
+        for _ in 0..settings.services {
+            let service_settings = ServiceSettings {
+                service_ms: settings.service_ms,
+                ..ServiceSettings::new(any(), "guichet")
+            };
+            services.push(service::start(service_settings).await?);
+        }
+        let mut engines = Vec::new();
+        for _ in 0..settings.engines {
+            engines.push(engine::start(engine_settings(&settings, store.address)).await?);
+        }
+        Ok(Site {
+            log: log::start(LogSettings::new(any())).await?,
+            vms: vms::start(VmsSettings::new(any())).await?,
+            scorer: scorer::start(ScorerSettings::new(any())).await?,
+            store,
+            services,
+            engines,
+            entries: Vec::new(),
+            agents: Vec::new(),
+            settings,
+            folder,
+            _permit: permit,
+        })
+    }
+
+    /// Starts one more entry.
+    pub async fn add_entry(&mut self) -> Result<(), ProofError> {
+        let at = self.entries.len();
+        let entry = self
+            .process(ENTRY, at, |address| ("--listen", address, Vec::new()))
+            .await?;
+        self.entries.push(entry);
+        Ok(())
+    }
+
+    async fn add_agents(&mut self) -> Result<(), ProofError> {
+        let plain = self
+            .services
+            .iter()
+            .map(|handle| (handle.address, "plain", "guichet"));
+        let models = self
+            .engines
+            .iter()
+            .map(|handle| (handle.address, "model", "redacteurs"));
+        let scorer = self
+            .settings
+            .scored
+            .then_some((self.scorer.address, "plain", "notation"));
+        let endpoints: Vec<_> = plain.chain(models).chain(scorer).collect();
+        for (at, endpoint) in endpoints.into_iter().enumerate() {
+            let agent = self.agent(at, endpoint).await?;
+            self.agents.push(agent);
+        }
+        Ok(())
+    }
+
+    async fn agent(
+        &self,
+        at: usize,
+        (endpoint, kind, pool): (SocketAddr, &str, &str),
+    ) -> Result<Process, ProofError> {
+        let checked = self.settings.fencing && kind == "model";
+        let fencing = if checked { "checked" } else { "ignored" };
+        let own = [
+            "--endpoint-kind",
+            kind,
+            "--pool",
+            pool,
+            "--fencing",
+            fencing,
+        ];
+        let own: Vec<String> = own.iter().map(ToString::to_string).collect();
+        self.process(AGENT, at, |_| ("--endpoint", endpoint, own.clone()))
+            .await
+    }
+
+    async fn process(
+        &self,
+        name: &'static str,
+        at: usize,
+        own: impl Fn(SocketAddr) -> (&'static str, SocketAddr, Vec<String>),
+    ) -> Result<Process, ProofError> {
+        for _ in 0..STARTS_MAX {
+            let (inner, admin) = (free_port()?, free_port()?);
+            let (flag, address, more) = own(free_port()?);
+            let domain = DOMAINS[at % DOMAINS.len()];
+            let mut args = self.common_args(inner, admin, domain);
+            args.extend([flag.to_owned(), address.to_string()]);
+            args.extend(more);
+            let mut child = Child::start(name, &args, &self.folder.join(format!("{name}-{at}")))?;
+            if lives(&mut child, admin).await {
+                let role = if name == ENTRY {
+                    VmRole::Entry
+                } else {
+                    VmRole::Agent
+                };
+                let vm = vm(inner, role, domain)?;
+                let process = Process {
+                    child,
+                    address,
+                    inner,
+                    admin,
+                    name,
+                    args,
+                    vm,
+                };
+                self.list(&process, VmState::Live).await?;
+                return Ok(process);
+            }
+        }
+        Err(ProofError::Ended(format!("{name}, right after its start")))
+    }
+
+    fn common_args(&self, inner: SocketAddr, admin: SocketAddr, domain: &str) -> Vec<String> {
+        let values = [
+            ("--inner-listen", inner.to_string()),
+            ("--admin-listen", admin.to_string()),
+            ("--log", self.log.address.to_string()),
+            ("--vm-list", self.vms.address.to_string()),
+            ("--failure-domain", domain.to_owned()),
+            ("--region", REGION.to_owned()),
+            ("--key-file", self.folder.join("key").display().to_string()),
+            ("--settle-ms", self.settings.settle_ms.to_string()),
+            ("--log-level", self.settings.log_level.to_owned()),
+        ];
+        values
+            .into_iter()
+            .flat_map(|(flag, value)| [flag.to_owned(), value])
+            .collect()
+    }
+
+    /// Starts a process again at its addresses, as a VM that was replaced.
+    pub async fn replace(
+        &mut self,
+        which: impl Fn(&mut Site) -> &mut Process,
+    ) -> Result<(), ProofError> {
+        let folder = self.folder.clone();
+        let process = which(self);
+        process.child = Child::start(process.name, &process.args, &folder.join("replaced"))?;
+        match lives(&mut process.child, process.admin).await {
+            true => Ok(()),
+            false => Err(ProofError::Ended(process.name.to_owned())),
+        }
+    }
+
+    /// Puts a process on the VM list.
+    pub async fn list(&self, process: &Process, state: VmState) -> Result<(), ProofError> {
+        let change = VmsChange {
+            set: vec![Vm {
+                state,
+                ..process.vm.clone()
+            }],
+            remove: Vec::new(),
+        };
+        let body = Bytes::from(serde_json::to_vec(&change)?);
+        exchange(
+            self.vms.address,
+            Request {
+                body,
+                ..Request::new("POST", "/standin/vms")
+            },
+        )
+        .await?;
+        Ok(())
+    }
+
+    /// Admin addresses of all processes.
+    pub fn admins(&self) -> Vec<SocketAddr> {
+        self.entries
+            .iter()
+            .chain(&self.agents)
+            .map(|process| process.admin)
+            .collect()
+    }
+
+    /// A client of the log.
+    pub fn log_client(&self) -> LogClient {
+        LogClient::new(self.log.address, &ClientSettings::default())
+    }
+
+    /// Publishes a text as an operator does.
+    pub async fn publish(&self, path: &std::path::Path) -> Result<Published, ProofError> {
+        let log = self.log_client();
+        let mut history = read_history(&log).await?;
+        let checked: Checked = check_file(path, Some(&history.ledger))?;
+        let settings = PublishSettings {
+            base: None,
+            id: None,
+        };
+        Ok(publish(&log, &mut history, &checked, &settings, |_| {}).await?)
+    }
+
+    /// A copy of the Office's text, changed.
+    pub fn changed_text(&self, name: &str, from: &str, to: &str) -> Result<PathBuf, ProofError> {
+        let text = std::fs::read_to_string(office())?;
+        let path = self.folder.join(name);
+        std::fs::write(&path, text.replacen(from, to, 1))?;
+        Ok(path)
+    }
+
+    /// Waits until a version is in force at every process.
+    pub async fn in_force(&self, published: &Published) -> Result<(), ProofError> {
+        let admins = self.admins();
+        until("the text in force everywhere", async || {
+            let replies = statuses(&admins).await;
+            let behind = |reply| !is_in_force(reply, &published.customer, published.version);
+            (!replies.iter().any(behind)).then_some(())
+        })
+        .await
+    }
+
+    /// Waits until every entry has every endpoint as a replica.
+    pub async fn knows_replicas(&self) -> Result<(), ProofError> {
+        let mut wanted = vec![
+            ("guichet", self.services.len()),
+            ("redacteurs", self.engines.len()),
+        ];
+        wanted.push(("notation", usize::from(self.settings.scored)));
+        for entry in &self.entries {
+            for (service, count) in &wanted {
+                let what = format!("{count} replicas of {service}");
+                until(&what, async || {
+                    let known = replicas(&page(entry.admin).await.ok()?, service).len();
+                    (known >= *count).then_some(())
+                })
+                .await?;
+            }
+        }
+        Ok(())
+    }
+
+    /// Sends a request through an entry; `text` is that of a whole completion.
+    pub fn begin(&self, entry: usize, ask: &Ask, text: &str) -> Pending {
+        Caller::new(self.entries[entry].address).begin(ask.clone(), text.to_owned())
+    }
+
+    /// What an engine that is asked directly says; nothing for a plain call.
+    pub async fn text(&self, ask: &Ask) -> Result<String, ProofError> {
+        if !ask.kind.is_model() {
+            return Ok(String::new());
+        }
+        let direct = Ask::new(crate::Kind::Opinion, ask.tag.clone());
+        let request = Request {
+            body: direct.body(),
+            ..Request::new("POST", "/v1/completions")
+        };
+        let body = exchange(self.engines[0].address, request).await?;
+        document_text(&body).ok_or_else(|| ProofError::NotSeen("the text of an engine".to_owned()))
+    }
+
+    /// How often the endpoints ran the request with this tag.
+    pub async fn runs(&self, tag: &str) -> Result<u64, ProofError> {
+        let mut runs = 0;
+        for service in &self.services {
+            // It may be down for a moment; it keeps its count.
+            let body = until("the runs of a service", async || {
+                let request = Request::new("GET", "/standin/runs");
+                exchange(service.address, request).await.ok()
+            })
+            .await?;
+            let by_tag: BTreeMap<String, u64> = serde_json::from_slice(&body)?;
+            runs += by_tag.get(tag).unwrap_or(&0);
+        }
+        Ok(runs)
+    }
+}
+
+impl Drop for Site {
+    fn drop(&mut self) {
+        self.entries.clear();
+        self.agents.clear();
+        // Kept when a test fails, so that its log lines can be read.
+        if !std::thread::panicking() {
+            let _ = std::fs::remove_dir_all(&self.folder);
+        }
+    }
+}
+
+/// The status page of a process.
+pub async fn page(admin: SocketAddr) -> Result<Value, ProofError> {
+    let body = exchange(admin, Request::new("GET", "/status")).await?;
+    Ok(serde_json::from_slice(&body)?)
+}
+
+/// Replicas of a service on an entry's page that are not leaving.
+pub fn replicas(page: &Value, service: &str) -> Vec<Value> {
+    let services = page["services"].as_array().into_iter().flatten();
+    let own = services.filter(|row| row["service"] == service);
+    let all = own.flat_map(|row| row["replicas"].as_array().into_iter().flatten());
+    all.filter(|replica| replica["leaving"] != true)
+        .cloned()
+        .collect()
+}
+
+/// One exchange that must end with a 2xx status.
+pub async fn exchange(address: SocketAddr, request: Request) -> Result<Bytes, ProofError> {
+    let endpoint = Endpoint::new(address, EndpointSettings::default());
+    let response = endpoint.send(request, DEADLINE_MS).await?;
+    let status = response.head.status;
+    let body = response.body.whole().await?;
+    match (200..300).contains(&status) {
+        true => Ok(body),
+        false => Err(ProofError::Status(address, status)),
+    }
+}
+
+fn engine_settings(settings: &SiteSettings, store: SocketAddr) -> EngineSettings {
+    EngineSettings {
+        fencing: if settings.fencing {
+            Fencing::Checked
+        } else {
+            Fencing::Ignored
+        },
+        store: Some(store),
+        speeds: Speeds {
+            scale_permille: settings.scale_permille,
+            ..Speeds::default()
+        },
+        tokens_min: 24,
+        ..EngineSettings::new(any(), "redacteurs")
+    }
+}
+
+fn vm(address: SocketAddr, role: VmRole, domain: &str) -> Result<Vm, ProofError> {
+    let bad = |_| ProofError::NotSeen(format!("a name in {domain}"));
+    Ok(Vm {
+        address,
+        role,
+        failure_domain: FailureDomain::new(domain).map_err(bad)?,
+        region: Region::new(REGION).map_err(bad)?,
+        state: VmState::Live,
+    })
+}
+
+/// Waits until a process answers; false when it ended instead.
+async fn lives(child: &mut Child, admin: SocketAddr) -> bool {
+    let answered = until("a process that lives", async || {
+        if !child.runs() {
+            return Some(false);
+        }
+        let answered = exchange(admin, Request::new("GET", "/livez")).await;
+        answered.is_ok().then_some(true)
+    });
+    answered.await.unwrap_or(false)
+}
