Agents host only services of the customers that their settings name

A customer writes its own text and may name any pool in it: with pool = "guichet" in its text and its own token it had a service run at the Office's register (seen on a site of stand-ins). And two customers with a model of one name on one pool drove one model of the engine: one trainer switched the other's weights, and a caller of one was answered by the other's.

Ruled out: a check in the ledger (the pool's owner would stand in some customer's text, which is what can't be trusted); first come, first served (the log forgets, and a newcomer would take over a pool whose owner's text is late). With several customers the engine knows a model as customer.service, in orders, state and completions; this follows from the settings alone and not from the texts in force, so that no customer's text renames another's model.

--- a/components/settings/src/agent.rs
+++ b/components/settings/src/agent.rs
@@ -43,8 +43,9 @@
     pub endpoint_kind: EndpointKind,
     /// Pool that the endpoint belongs to; services of that pool are hosted here.
     pub pool: PoolName,
-    /// Customers whose services this endpoint may host. A customer writes its own text
-    /// and could name any pool there, so the endpoint's own settings decide.
+    /// Customers whose services this endpoint may host, at least one, each once. A customer
+    /// writes its own text and could name any pool there, so the endpoint's own settings
+    /// decide.
     pub customers: Vec<CustomerName>,
     /// Whether the engine checks fencing numbers.
     pub fencing: Fencing,
@@ -98,12 +99,22 @@
             endpoint: address(matches, "endpoint")?,
             endpoint_kind,
             pool: pool.ok_or(SettingsError::Missing("pool", POOL))?,
-            customers: names(matches, "customers", CUSTOMERS)?,
+            customers: customers(matches)?,
             fencing,
         })
     }
 }
 
+fn customers(matches: &ArgMatches) -> Result<Vec<CustomerName>, SettingsError> {
+    let mut customers = names(matches, "customers", CUSTOMERS)?;
+    customers.sort();
+    customers.dedup();
+    if customers.is_empty() {
+        return Err(SettingsError::Missing("customers", CUSTOMERS));
+    }
+    Ok(customers)
+}
+
 fn parse_kind(text: &str) -> Option<EndpointKind> {
     match text {
         "model" => Some(EndpointKind::Model),
--- a/components/settings/tests/settings.rs
+++ b/components/settings/tests/settings.rs
@@ -7,6 +7,7 @@
 use settings::{
     AgentSettings, EndpointKind, EntrySettings, agent_command, entry_command, parse_keys,
 };
+use types::CustomerName;
 
 const KEY: &str = "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff";
 
@@ -103,6 +104,7 @@
     flags.push(("--endpoint", "127.0.0.1:7200"));
     flags.push(("--endpoint-kind", "plain"));
     flags.push(("--pool", "guichet"));
+    flags.push(("--customers", "office, collective,office"));
     let line = flags.iter().flat_map(|(flag, value)| [*flag, *value]);
     let matches = agent_command()
         .try_get_matches_from(std::iter::once("hornbeamrock-agent").chain(line))
@@ -110,9 +112,50 @@
     let settings = AgentSettings::from_matches(&matches).unwrap();
     assert_eq!(settings.endpoint_kind, EndpointKind::Plain);
     assert_eq!(settings.pool.as_str(), "guichet");
+    let customers: Vec<_> = settings
+        .customers
+        .iter()
+        .map(CustomerName::as_str)
+        .collect();
+    assert_eq!(customers, ["collective", "office"]);
     assert_eq!(settings.common.settle_ms, 3_000);
 }
 
+// An agent that hosted whatever a text names would let any customer in to any endpoint.
+#[test]
+fn errors_when_an_agent_is_not_told_whose_services_it_hosts() {
+    let key_file = key_file("customers");
+    let cases = [
+        (
+            None,
+            "--customers is missing: set it or HORNBEAMROCK_CUSTOMERS, names of a-z, 0-9 and '-' \
+             with commas between, such as office,collective",
+        ),
+        (
+            Some(" , "),
+            "--customers is missing: set it or HORNBEAMROCK_CUSTOMERS, names of a-z, 0-9 and '-' \
+             with commas between, such as office,collective",
+        ),
+        (
+            Some("office,Evil"),
+            "--customers is 'office,Evil': allowed is names of a-z, 0-9 and '-' with commas \
+             between, such as office,collective",
+        ),
+    ];
+    for (customers, says) in cases {
+        let mut flags = common(&key_file);
+        flags.push(("--endpoint", "127.0.0.1:7200"));
+        flags.push(("--pool", "guichet"));
+        flags.extend(customers.map(|value| ("--customers", value)));
+        let line = flags.iter().flat_map(|(flag, value)| [*flag, *value]);
+        let matches = agent_command()
+            .try_get_matches_from(std::iter::once("hornbeamrock-agent").chain(line))
+            .unwrap();
+        let error = AgentSettings::from_matches(&matches).unwrap_err();
+        assert_eq!(error.to_string(), says);
+    }
+}
+
 #[test]
 fn errors_when_a_line_of_the_key_file_is_no_key() {
     struct KeyCase {
--- a/components/sidecar/src/agent.rs
+++ b/components/sidecar/src/agent.rs
@@ -3,17 +3,16 @@
 
 use std::sync::Arc;
 
+use crate::engine_names::EngineNames;
+use crate::health::Health;
+use crate::hosting::{Hosting, Site};
 use arc_swap::ArcSwap;
-use config::Kind;
+use config::{Kind, Service};
 use leaving::{Drain, DrainSettings};
 use node::{ConfigFeed, Identity, Pulse};
 use platform::{ClientSettings, Endpoint, EndpointSettings, Engine};
 use settings::{AgentSettings, EndpointKind};
 use telemetry::Metrics;
-use types::PoolName;
-
-use crate::health::Health;
-use crate::hosting::Hosting;
 
 /// Bounds of what one agent takes on.
 #[derive(Clone, Debug)]
@@ -43,10 +42,10 @@
 pub struct Agent {
     /// Who it is.
     pub identity: Arc<Identity>,
-    /// Kind of the endpoint beside it.
-    pub kind: Kind,
-    /// Pool of that endpoint.
-    pub pool: PoolName,
+    /// What the settings say of the endpoint beside it.
+    pub site: Site,
+    /// Names of models towards the engine.
+    pub engine_names: EngineNames,
     /// Bounds.
     pub limits: AgentLimits,
     /// Heartbeat of the process.
@@ -92,8 +91,12 @@
         };
         Agent {
             identity,
-            kind: kind_of(settings.endpoint_kind),
-            pool: settings.pool.clone(),
+            site: Site {
+                pool: settings.pool.clone(),
+                kind: kind_of(settings.endpoint_kind),
+                customers: settings.customers.clone(),
+            },
+            engine_names: EngineNames::of(&settings.customers),
             limits,
             pulse: Pulse::start(),
             drain: Drain::new(drain_settings),
@@ -118,11 +121,26 @@
 
     /// Works the hosted services out anew from the configuration in force.
     pub fn place(&self) {
-        let hosting = Hosting::of(&self.feed.view(), &self.pool, self.kind);
+        let hosting = Hosting::of(&self.feed.view(), &self.site);
+        note_left_out(&self.hosting(), &hosting);
         self.hosting.store(Arc::new(hosting));
     }
 }
 
+/// Logs each service that is left out once, when it is first seen.
+fn note_left_out(before: &Hosting, now: &Hosting) {
+    let known = |service: &Service| {
+        let mut left_out = before.left_out().iter();
+        left_out.any(|known| (&known.owner, &known.name) == (&service.owner, &service.name))
+    };
+    for service in now.left_out().iter().filter(|service| !known(service)) {
+        log::warn!(
+            event = "service-left-out", customer:% = service.owner, service:% = service.name,
+            pool:% = service.pool; ""
+        );
+    }
+}
+
 fn kind_of(kind: EndpointKind) -> Kind {
     match kind {
         EndpointKind::Model => Kind::Model,
--- a/components/sidecar/src/calls.rs
+++ b/components/sidecar/src/calls.rs
@@ -61,11 +61,12 @@
     }
     let life = agent.health.life();
     let hosting = agent.hosting();
-    let service = gate::service_of(open, &hosting, &agent.health.look())?;
+    let place = gate::place_of(open, &hosting, &agent.health.look())?;
     answer.accepted();
     let left_ms = gate::time_left_ms(open, now_ms() - arrived_ms, age_ms)?;
-    let is_model = service.kind == Kind::Model;
-    let mut relay = Relay::new(&agent.endpoint, open, answer, is_model);
+    let is_model = place.service.kind == Kind::Model;
+    let engine_model = is_model.then_some(place.engine_model.as_str());
+    let mut relay = Relay::new(&agent.endpoint, open, answer, engine_model);
     let ended = relay_until(agent, &mut relay, answer, life, left_ms).await;
     if let Err(failure) = ended {
         clean_up(agent, &relay, open, failure);
--- a/components/sidecar/src/gate.rs
+++ b/components/sidecar/src/gate.rs
@@ -1,12 +1,12 @@
 //! Whether a call that has arrived may go to the endpoint. Every refusal here is "not
 //! run", because nothing has left for the endpoint yet.
 
-use config::{Kind, Service};
+use config::Kind;
 use protocol::Open;
 use types::{Cause, Failure};
 
 use crate::health::Look;
-use crate::hosting::Hosting;
+use crate::hosting::{Hosting, Place};
 
 /// When a caller whose endpoint is down or full may come back, in milliseconds.
 const RETRY_AFTER_MS: u32 = 200;
@@ -24,27 +24,24 @@
     Ok(left_ms)
 }
 
-/// The service of the call, or why the endpoint can't take the call now.
-pub fn service_of<'a>(
-    open: &Open,
-    hosting: &'a Hosting,
-    look: &Look,
-) -> Result<&'a Service, Failure> {
+/// Where the service of the call is hosted, or why the endpoint can't take the call now.
+pub fn place_of<'a>(open: &Open, hosting: &'a Hosting, look: &Look) -> Result<&'a Place, Failure> {
     let hosted = hosting.find(&open.owner, &open.service);
-    let service = hosted.ok_or(Failure::not_run(Cause::NotHosted))?;
+    let place = hosted.ok_or(Failure::not_run(Cause::NotHosted))?;
+    let is_model = place.service.kind == Kind::Model;
     // The orders to an engine lie on the same port. A caller that could reach them would
     // switch the weights of everybody who shares the engine, or cancel their calls.
-    if service.kind == Kind::Model && (open.method.as_str(), path_alone(open)) != COMPLETIONS {
+    if is_model && (open.method.as_str(), path_alone(open)) != COMPLETIONS {
         return Err(Failure::not_run(Cause::Forbidden));
     }
     if !look.up {
         let down = Failure::not_run(Cause::EndpointLost);
         return Err(down.retry_after(RETRY_AFTER_MS));
     }
-    if service.kind == Kind::Model && look.model(service.name.as_str()).is_none() {
+    if is_model && look.model(&place.engine_model).is_none() {
         return Err(Failure::not_run(Cause::NotHosted));
     }
-    Ok(service)
+    Ok(place)
 }
 
 fn path_alone(open: &Open) -> &str {
--- a/components/sidecar/src/orders.rs
+++ b/components/sidecar/src/orders.rs
@@ -38,7 +38,7 @@
     };
     if !matches!(order.kind, OrderKind::Read | OrderKind::CancelEarlier) {
         log::info!(
-            event = "engine-order", model:% = model.service, order:? = order.kind,
+            event = "engine-order", customer:% = model.customer, model:% = model.service, order:? = order.kind,
             outcome:? = outcome; ""
         );
     }
@@ -59,7 +59,8 @@
     kind: OrderKind,
     timeout_ms: u64,
 ) -> OrderOutcome {
-    let name = model.service.as_str();
+    let name = agent.engine_names.name(&model.customer, &model.service);
+    let name = name.as_str();
     let fence = kind.fence().unwrap_or_default();
     let done = match kind {
         // The calls of an earlier life of this agent had their connections cut with it,
--- a/components/sidecar/src/relay.rs
+++ b/components/sidecar/src/relay.rs
@@ -21,18 +21,24 @@
     endpoint: &'a Endpoint,
     open: &'a Open,
     answer: &'a Answer,
-    is_model: bool,
+    /// Name of the model at the engine; `None` for a plain service.
+    engine_model: Option<&'a str>,
     stage: Stage,
 }
 
 impl<'a> Relay<'a> {
     /// A call that has not left yet.
-    pub fn new(endpoint: &'a Endpoint, open: &'a Open, answer: &'a Answer, is_model: bool) -> Self {
+    pub fn new(
+        endpoint: &'a Endpoint,
+        open: &'a Open,
+        answer: &'a Answer,
+        engine_model: Option<&'a str>,
+    ) -> Self {
         Self {
             endpoint,
             open,
             answer,
-            is_model,
+            engine_model,
             stage: Stage::Held,
         }
     }
@@ -44,7 +50,7 @@
 
     /// Whether the call is a model's, and so can be cancelled by name.
     pub fn is_model(&self) -> bool {
-        self.is_model
+        self.engine_model.is_some()
     }
 
     /// Sends the call and passes the answer on. Returns once the answer is whole; the
@@ -63,7 +69,7 @@
         let response = sent.map_err(|error| failure_of(&error, self.stage))?;
         self.stage = Stage::Answering;
         let Response { head, body } = response;
-        let shape = Shape::of(self.is_model, &head);
+        let shape = Shape::of(self.is_model(), &head);
         let passed = match shape {
             Shape::Document => self.pass_document(head, body).await,
             Shape::Stream => self.pass_stream(head, body).await,
@@ -73,11 +79,12 @@
     }
 
     fn request(&self) -> Result<Request, Failure> {
-        let body = if self.is_model {
-            let named = name_call(&self.open.body, &self.open.service, self.open.id);
-            named.map_err(Failure::not_run)?
-        } else {
-            self.open.body.clone()
+        let body = match self.engine_model {
+            Some(model) => {
+                let named = name_call(&self.open.body, model, self.open.id);
+                named.map_err(Failure::not_run)?
+            }
+            None => self.open.body.clone(),
         };
         let mut headers = self.open.headers.clone();
         if !headers
--- a/components/sidecar/src/start.rs
+++ b/components/sidecar/src/start.rs
@@ -94,7 +94,7 @@
         );
         tokio::spawn(follow_changes(Arc::clone(&agent), gossip.clone()));
         tokio::spawn(admin::serve(admin, admin_hooks(&agent, &weights, &leaving)));
-        log::info!(event = "agent-started", node:% = agent.identity.node(), pool:% = agent.pool; "");
+        log::info!(event = "agent-started", node:% = agent.identity.node(), pool:% = agent.site.pool; "");
         let serving = Arc::clone(&agent);
         let handle = move |call| calls::take(&serving, call);
         let settled = leave::settle(&agent.drain, &gossip, &leaving);
--- a/components/sidecar/src/status.rs
+++ b/components/sidecar/src/status.rs
@@ -53,12 +53,13 @@
         return Vec::new();
     }
     let hosting = agent.hosting();
-    let services = hosting.services().iter();
-    services
-        .filter_map(|service| {
+    let places = hosting.places().iter();
+    places
+        .filter_map(|place| {
+            let service = &place.service;
             let weights = match service.kind {
                 // The version that was read back from the engine, never the one wanted.
-                Kind::Model => Some(look.model(service.name.as_str())?.version),
+                Kind::Model => Some(look.model(&place.engine_model)?.version),
                 Kind::Plain => None,
             };
             Some(Hosted {
@@ -136,7 +137,7 @@
         role: "agent",
         failure_domain: agent.identity.failure_domain.to_string(),
         region: agent.identity.region.to_string(),
-        pool: agent.pool.to_string(),
+        pool: agent.site.pool.to_string(),
         endpoint: agent.endpoint.address().to_string(),
         endpoint_up: look.up,
         endpoint_life: agent.health.life(),
--- a/components/sidecar/src/watch.rs
+++ b/components/sidecar/src/watch.rs
@@ -72,7 +72,7 @@
 /// One look; gives the engine's state if this very look has read it.
 async fn look(agent: &Agent, vitals: &mut Vitals) -> Option<EngineState> {
     let before = agent.health.look();
-    let (sign, mut seen) = match agent.kind {
+    let (sign, mut seen) = match agent.site.kind {
         Kind::Model => look_at_engine(agent, &before).await,
         Kind::Plain => look_at_plain(agent).await,
     };
--- a/components/sidecar/src/weights_task.rs
+++ b/components/sidecar/src/weights_task.rs
@@ -120,8 +120,9 @@
     fn follow_hosting(&mut self) {
         let hosting = self.agent.hosting();
         let hosted: BTreeMap<ModelKey, u64> = hosting
-            .services()
+            .places()
             .iter()
+            .map(|place| &place.service)
             .filter(|service| service.kind == Kind::Model)
             .map(|service| {
                 let model = ModelKey {
--- a/components/sidecar/tests/common/mod.rs
+++ b/components/sidecar/tests/common/mod.rs
@@ -79,7 +79,11 @@
     }
 
     pub async fn publish(&self, text: &str) {
-        let customer = CustomerName::new("office").unwrap();
+        self.publish_of("office", text).await;
+    }
+
+    pub async fn publish_of(&self, customer: &str, text: &str) {
+        let customer = CustomerName::new(customer).unwrap();
         let publish = Publish::on(customer, None, "first", text);
         let record = Record::Publish(publish).to_json().unwrap();
         let client = LogClient::new(self.log.address, &ClientSettings::default());
@@ -107,7 +111,14 @@
 
 /// An engine whose steps take no time; with a scale above 0 they take some.
 pub async fn engine_endpoint(scale_permille: u32) -> Handle {
+    engine_of(scale_permille, &["redacteurs"]).await
+}
+
+/// The same with models of these names.
+pub async fn engine_of(scale_permille: u32, models: &[&str]) -> Handle {
+    let model = |name: &&str| ((*name).to_owned(), WeightVersion::default());
     let settings = EngineSettings {
+        models: models.iter().map(model).collect(),
         speeds: Speeds {
             scale_permille,
             ..Speeds::default()
@@ -137,8 +148,27 @@
         kind: EndpointKind,
         tuning: Tuning,
     ) -> TestAgent {
-        let sidecar = Sidecar::bind(settings(platform, endpoint, kind), tuning);
-        let sidecar = sidecar.await.unwrap();
+        let settings = settings(platform, endpoint, kind);
+        TestAgent::start_with(settings, tuning).await
+    }
+
+    /// An agent that may host services of these customers.
+    pub async fn start_for(
+        platform: &Platform,
+        endpoint: SocketAddr,
+        kind: EndpointKind,
+        customers: &[&str],
+    ) -> TestAgent {
+        let customers = customers.iter().map(|name| name.parse().unwrap());
+        let settings = AgentSettings {
+            customers: customers.collect(),
+            ..settings(platform, endpoint, kind)
+        };
+        TestAgent::start_with(settings, Tuning::default()).await
+    }
+
+    async fn start_with(settings: AgentSettings, tuning: Tuning) -> TestAgent {
+        let sidecar = Sidecar::bind(settings, tuning).await.unwrap();
         let (stop, stopped) = oneshot::channel::<()>();
         let stopped = async move {
             let _ = stopped.await;
@@ -188,6 +218,7 @@
         endpoint,
         endpoint_kind: kind,
         pool: pool.parse().unwrap(),
+        customers: vec!["office".parse().unwrap()],
         fencing: Fencing::Ignored,
     }
 }
--- /dev/null
+++ b/components/sidecar/tests/customers.rs
@@ -0,0 +1,113 @@
+//! Endpoints that several customers name in their texts.
+
+#![allow(clippy::unwrap_used)] // The exemption of clippy.toml ends at helpers of tests.
+
+mod common;
+
+use common::{Caller, Ended, OFFICE, Platform, SECOND, TestAgent, engine_of, get, plain_endpoint};
+use protocol::{News, Open, Status};
+use settings::EndpointKind;
+use types::{Cause, RunState, WeightVersion};
+
+const RIVAL: &str = r#"
+schema = 1
+customer = "rival"
+[[service]]
+name = "redacteurs"
+kind = "model"
+pool = "redacteurs"
+[[service]]
+name = "x"
+kind = "plain"
+pool = "guichet"
+"#;
+
+fn of_rival(open: Open) -> Open {
+    Open {
+        customer: "rival".parse().unwrap(),
+        owner: "rival".parse().unwrap(),
+        ..open
+    }
+}
+
+fn hosts(status: &Status, customer: &str) -> bool {
+    let mut hosted = status.hosted.iter();
+    hosted.any(|hosted| hosted.customer.as_str() == customer)
+}
+
+fn version_of(status: &Status, customer: &str) -> Option<WeightVersion> {
+    let mut hosted = status.hosted.iter();
+    let hosted = hosted.find(|hosted| hosted.customer.as_str() == customer);
+    hosted.and_then(|hosted| hosted.weights)
+}
+
+// A customer writes the Office's pool into its own text and calls the service that it put
+// there. It is refused as not run and the Office's register counts no run; the agent tells
+// no entry that it hosts the service, and goes on with the Office's own calls.
+#[tokio::test]
+async fn errors_when_a_customer_names_a_pool_that_is_not_open_to_it() {
+    let platform = Platform::start(&[]).await;
+    platform.publish_of("rival", RIVAL).await;
+    platform.publish(OFFICE).await;
+    let endpoint = plain_endpoint(0).await;
+    let agent = TestAgent::start(&platform, endpoint.address, EndpointKind::Plain).await;
+    let caller = Caller::start().await;
+    // The rival's text comes first in the log, so it is judged once the Office's is.
+    let status = caller
+        .status_where(&agent, |status| hosts(status, "office"))
+        .await;
+    assert!(!hosts(&status, "rival"), "{status:?}");
+    let open = of_rival(caller.open("x", "POST", "/sanctions", "{}"));
+    let Ended::Failed(failure) = caller.call(&agent, open).await else {
+        panic!("a call of another customer went through");
+    };
+    assert_eq!(
+        (failure.run, failure.cause),
+        (RunState::NotRun, Cause::NotHosted)
+    );
+    assert_eq!(get(endpoint.address, "/standin/runs").await.1, "{}");
+    let own = caller.open("guichet", "POST", "/sanctions", "{}");
+    assert!(matches!(
+        caller.call(&agent, own).await,
+        Ended::Whole(200, _)
+    ));
+}
+
+// Two customers share an engine and both call their model `redacteurs`. The Office's
+// trainer announces a version: only the Office's model switches, and each customer's
+// callers are answered by their own model, whatever name they wrote.
+#[tokio::test]
+async fn can_keep_two_models_of_one_name_apart() {
+    let platform = Platform::start(&[]).await;
+    platform.publish_of("rival", RIVAL).await;
+    platform.publish(OFFICE).await;
+    let endpoint = engine_of(0, &["office.redacteurs", "rival.redacteurs"]).await;
+    let both = ["office", "rival"];
+    let kind = EndpointKind::Model;
+    let agent = TestAgent::start_for(&platform, endpoint.address, kind, &both).await;
+    let caller = Caller::start().await;
+    let hosted = |status: &Status| both.iter().all(|customer| hosts(status, customer));
+    caller.status_where(&agent, hosted).await;
+    let news = News::Weights {
+        customer: "office".parse().unwrap(),
+        service: "redacteurs".parse().unwrap(),
+        version: SECOND,
+    };
+    caller.tell(&agent, news).await;
+    let switched = |status: &Status| version_of(status, "office") == Some(SECOND);
+    let status = caller.status_where(&agent, switched).await;
+    assert_eq!(version_of(&status, "rival"), Some(WeightVersion::default()));
+    let open = caller.completion("mine", false);
+    let answers = [(open.clone(), "0.2"), (of_rival(open), "0.0")];
+    for (open, version) in answers {
+        let open = Open {
+            id: caller.links.next_id(),
+            ..open
+        };
+        let Ended::Whole(200, body) = caller.call(&agent, open).await else {
+            panic!("no whole answer");
+        };
+        let stamped = format!(r#""weight_versions":["{version}"]"#);
+        assert!(body.contains(&stamped), "{body}");
+    }
+}
--- a/components/sidecar/tests/decisions.rs
+++ b/components/sidecar/tests/decisions.rs
@@ -5,7 +5,7 @@
 use quickcheck::quickcheck;
 use sidecar::{Change, Shape, Sign, Stage, StreamCheck, Vitals};
 use sidecar::{check_document, failure_of, name_call};
-use types::{CallId, Cause, RunState, ServiceName};
+use types::{CallId, Cause, RunState};
 
 struct Failing {
     error: PlatformError,
@@ -250,8 +250,8 @@
     };
     let body =
         Bytes::from_static(br#"{"model":"office.redacteurs","request_id":"another's","x":[1.5]}"#);
-    let model: ServiceName = "redacteurs".parse().unwrap();
-    let named = name_call(&body, &model, id).unwrap();
+    let model = "redacteurs";
+    let named = name_call(&body, model, id).unwrap();
     let document: serde_json::Value = serde_json::from_slice(&named).unwrap();
     assert_eq!(document["request_id"], id.to_string());
     assert_eq!(document["model"], "redacteurs");
@@ -259,7 +259,7 @@
     for broken in ["", "[]", "{", "7"] {
         let body = Bytes::from_static(broken.as_bytes());
         assert_eq!(
-            name_call(&body, &model, id),
+            name_call(&body, model, id),
             Err(Cause::Malformed),
             "{broken}"
         );
