hornbeamrock-bench run: load, faults, two policies in turns

Stand-ins run inside the tool, entries and agents as processes of their own; open-loop Poisson arrivals with bursts from a seed; latencies count from the moment when a request was due. A second policy gets its own entries over the same endpoints and the slices of the two take turns with the same arrivals, so that ratios come from one run. Runs counted at the plain services are held against the answers.

Ruled out: a policy flag on the shipped entry. The tool starts an entry with another policy through the entry's library instead.

Limits are taken away by the texts (highest values that a text may state); the queue of a service can't be switched off from outside.

--- a/dev/bench/src/ask.rs
+++ b/dev/bench/src/ask.rs
@@ -6,24 +6,37 @@
 use serde::Serialize;
 
 use crate::caller::Ask;
-use crate::site::{Act, Site};
+use crate::site::Act;
 
 /// Header by which the stand-in services count runs.
 pub const TAG: &str = "x-request-tag";
 const IDEMPOTENCY_KEY: &str = "idempotency-key";
 const DEADLINE: &str = "x-hornbeamrock-deadline-ms";
 
-/// A call of a plain service, named `name`.
-pub fn act(site: &Site, act: &Act, name: &str, deadline: Duration) -> Ask {
-    let path = format!("{}{name}{}", act.path, act.query);
-    let mut headers = headers(act.token, deadline);
-    headers.push((TAG.to_owned(), name.to_owned()));
+/// What a plain service is asked.
+pub struct Plain<'a> {
+    /// The service, with its owner where that is another customer.
+    pub service: &'a str,
+    /// Bearer token.
+    pub token: &'a str,
+    /// The kind of call.
+    pub act: &'a Act,
+    /// The call's own name.
+    pub name: &'a str,
+}
+
+/// A call of a plain service.
+pub fn plain(plain: &Plain<'_>, deadline: Duration) -> Ask {
+    let Plain { act, name, .. } = plain;
+    let mut headers = headers(plain.token, deadline);
+    headers.push((TAG.to_owned(), (*name).to_owned()));
     if act.once {
-        headers.push((IDEMPOTENCY_KEY.to_owned(), name.to_owned()));
+        headers.push((IDEMPOTENCY_KEY.to_owned(), (*name).to_owned()));
     }
+    let path = format!("{}{name}{}", act.path, act.query);
     Ask {
         method: act.method,
-        path: format!("/v1/services/{}{path}", site.desk),
+        path: format!("/v1/services/{}{path}", plain.service),
         headers,
         body: Bytes::new(),
         deadline_ms: millis(deadline),
@@ -39,9 +52,9 @@
     seed: u64,
 }
 
-/// What a completion is asked for.
+/// What a model is asked.
 pub struct Opinion<'a> {
-    /// The model.
+    /// The model, with its owner where that is another customer.
     pub model: &'a str,
     /// Bearer token.
     pub token: &'a str,
@@ -62,12 +75,8 @@
         stream: opinion.stream,
         seed: 0,
     };
-    json(
-        "/v1/completions".to_owned(),
-        opinion.token,
-        &message,
-        deadline,
-    )
+    let path = "/v1/completions".to_owned();
+    json(path, opinion.token, &message, deadline)
 }
 
 /// A POST of JSON.
@@ -84,7 +93,8 @@
     }
 }
 
-fn headers(token: &str, deadline: Duration) -> Vec<(String, String)> {
+/// The token and the deadline.
+pub fn headers(token: &str, deadline: Duration) -> Vec<(String, String)> {
     vec![
         ("authorization".to_owned(), format!("Bearer {token}")),
         (DEADLINE.to_owned(), millis(deadline).to_string()),
--- a/dev/bench/src/caller.rs
+++ b/dev/bench/src/caller.rs
@@ -111,6 +111,7 @@
             retry_after_s: None,
             body: Bytes::from(self.body),
             versions: BTreeSet::new(),
+            sent: !matches!(ended, Err(PlatformError::NotSent(_))),
             replayed: false,
             first_byte: self.first_byte.unwrap_or(latency),
             latency,
--- a/dev/bench/src/cli.rs
+++ b/dev/bench/src/cli.rs
@@ -4,6 +4,7 @@
 
 use clap::builder::PossibleValuesParser;
 use clap::{Arg, ArgAction, Command, value_parser};
+use hornbeamrock_bench::entry;
 use hornbeamrock_bench::site::SiteName;
 
 /// The whole command line.
@@ -14,6 +15,89 @@
         .subcommand(visit())
         .subcommand(ports())
         .subcommand(lines())
+        .subcommand(load())
+        .subcommand(entry::command())
+}
+
+fn load() -> Command {
+    Command::new("run")
+        .about("Runs a site under load and faults, one policy or two in turns, and prints tables")
+        .after_help(
+            "A policy is NAME[:no-limits], NAME one of as-shipped, random, least-outstanding, \
+             two-choices, two-choices-report and compute-memory. Without limits every customer \
+             may do what it likes.",
+        )
+        .arg(site())
+        .arg(word("policy", "as-shipped", "Policy of the entries"))
+        .arg(
+            Arg::new("baseline")
+                .long("baseline")
+                .value_name("POLICY")
+                .help("Second policy, which takes turns with the first; prints ratios"),
+        )
+        .arg(number("entries", "3", "Entries of each policy"))
+        .arg(number("slice-ms", "8000", "Length of a slice"))
+        .arg(number("repeat", "3", "Slices of each policy"))
+        .arg(number(
+            "load-permille",
+            "1000",
+            "Load in thousandths of the profile's",
+        ))
+        .arg(number(
+            "neighbours",
+            "0",
+            "Further customers that share the services",
+        ))
+        .arg(number(
+            "greedy",
+            "1",
+            "Factor on the first neighbour's load",
+        ))
+        .arg(number(
+            "neighbour-requests-per-s",
+            "50",
+            "Limit of each neighbour",
+        ))
+        .arg(number(
+            "neighbour-in-progress",
+            "50",
+            "Limit of each neighbour",
+        ))
+        .arg(number(
+            "neighbour-tokens-per-s",
+            "20000",
+            "Limit of each neighbour",
+        ))
+        .arg(number(
+            "report-lag-ms",
+            "200",
+            "Age of the engines' load reports",
+        ))
+        .arg(number("seed", "1", "Seed of the arrivals"))
+        .arg(switch("calm", "No bursts"))
+        .arg(switch("no-trainer", "No trainer beside the callers"))
+        .arg(switch("json", "Prints JSON in place of tables"))
+        .arg(
+            Arg::new("fault")
+                .long("fault")
+                .action(ArgAction::Append)
+                .value_name("AT_MS:KIND[:NUMBER[:FOR_MS]]")
+                .help(
+                    "A fault of every slice: agent-kill, agent-stop, entry-kill, entry-stop, \
+                     engine-crash, log-outage, log-answer-lost, store-outage, swap-fails",
+                ),
+        )
+}
+
+fn switch(name: &'static str, help: &'static str) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .action(ArgAction::SetTrue)
+        .help(help)
+}
+
+fn word(name: &'static str, default: &'static str, help: &'static str) -> Arg {
+    Arg::new(name).long(name).default_value(default).help(help)
 }
 
 fn visit() -> Command {
--- a/dev/bench/src/error.rs
+++ b/dev/bench/src/error.rs
@@ -44,6 +44,28 @@
             from()
             source(err)
         }
+        /// A configuration text that is generated wrongly.
+        Text(err: config::Complaints) {
+            display("generated text: {}", err)
+        }
+        /// A name that is generated wrongly.
+        Name(text: String) {
+            display("'{}' is no name", text)
+        }
+        /// Settings of an entry under test.
+        Settings(err: settings::SettingsError) {
+            display("{}", err)
+            from()
+        }
+        /// An entry under test.
+        Entry(err: gateway::EntryError) {
+            display("{}", err)
+            from()
+        }
+        /// A value of the command line.
+        Flag(flag: &'static str, value: String, allowed: &'static str) {
+            display("--{} '{}': {}", flag, value, allowed)
+        }
         /// No free ports one after the other.
         NoPorts(count: u16) {
             display("no {} free ports one after the other", count)
--- a/dev/bench/src/lib.rs
+++ b/dev/bench/src/lib.rs
@@ -1,11 +1,15 @@
 //! Development tools over the stand-ins: a visit that shows what a site does, and
 //! measurements under load and faults. Never shipped; stays on loopback.
 
+pub mod arrivals;
 pub mod ask;
 pub mod caller;
+pub mod entry;
 pub mod error;
+pub mod fleet;
 pub mod latencies;
 pub mod lines;
+pub mod load;
 pub mod ports;
 pub mod reply;
 pub mod site;
--- a/dev/bench/src/reply.rs
+++ b/dev/bench/src/reply.rs
@@ -67,6 +67,8 @@
     pub body: Bytes,
     /// Versions stamped on a completion.
     pub versions: BTreeSet<WeightVersion>,
+    /// Whether a byte of the request may have left.
+    pub sent: bool,
     /// Whether it is the answer of an earlier submission.
     pub replayed: bool,
     /// Time until the first byte of the body.
--- a/dev/bench/src/run.rs
+++ b/dev/bench/src/run/mod.rs
@@ -1,28 +1,49 @@
 //! Runs the subcommand.
 
+mod load;
+
 use std::net::SocketAddr;
 use std::process::ExitCode;
 
 use clap::ArgMatches;
+use hornbeamrock_bench::entry;
 use hornbeamrock_bench::error::BenchError;
 use hornbeamrock_bench::lines::{self, Running};
 use hornbeamrock_bench::ports;
 use hornbeamrock_bench::site::{Site, SiteName};
 use hornbeamrock_bench::visit::{self, VisitSettings};
+use tokio::signal::unix::{SignalKind, signal};
 
 /// Runs the subcommand.
 pub fn run(matches: &ArgMatches) -> Result<ExitCode, BenchError> {
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .enable_all()
-        .build()?;
     match matches.subcommand() {
-        Some(("visit", args)) => runtime.block_on(make_visit(args)),
+        Some(("visit", args)) => block_on(make_visit(args)),
+        Some(("run", args)) => block_on(load::run(args)),
+        Some(("entry", args)) => entry::run(args).map(|()| ExitCode::SUCCESS),
         Some(("ports", args)) => free_ports(args),
         Some(("lines", args)) => Ok(print_lines(args)),
         _ => Ok(ExitCode::FAILURE),
     }
 }
 
+/// Runs a tool to its end, or until it is told to end: then what it started ends as its
+/// guards are dropped.
+fn block_on(
+    tool: impl Future<Output = Result<ExitCode, BenchError>>,
+) -> Result<ExitCode, BenchError> {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()?;
+    runtime.block_on(async {
+        let mut terminate = signal(SignalKind::terminate())?;
+        tokio::select! {
+            ended = tool => ended,
+            _ = terminate.recv() => Ok(ExitCode::FAILURE),
+            _ = tokio::signal::ctrl_c() => Ok(ExitCode::FAILURE),
+        }
+    })
+}
+
 async fn make_visit(args: &ArgMatches) -> Result<ExitCode, BenchError> {
     let report = visit::run(VisitSettings {
         site: site(args),
@@ -67,9 +88,13 @@
 // clap fills each of these in by a default or refuses the command line.
 
 fn site(args: &ArgMatches) -> Site {
+    site_name(args).site()
+}
+
+fn site_name(args: &ArgMatches) -> SiteName {
     let word = args.get_one::<String>("site").map(String::as_str);
     let name = word.and_then(SiteName::parse);
-    name.unwrap_or(SiteName::Office).site()
+    name.unwrap_or(SiteName::Office)
 }
 
 fn addresses(args: &ArgMatches, name: &str) -> Vec<SocketAddr> {
--- a/dev/bench/src/visit/acts.rs
+++ b/dev/bench/src/visit/acts.rs
@@ -6,7 +6,7 @@
 use tokio::time::sleep;
 
 use super::{Line, Visit};
-use crate::ask;
+use crate::ask::{self, Plain};
 use crate::error::BenchError;
 use crate::reply::{Ending, Reply};
 use crate::site::Act;
@@ -31,7 +31,13 @@
 }
 
 async fn send(visit: &Visit, turn: usize, act: &Act, name: &str) -> Reply {
-    let ask = ask::act(&visit.settings.site, act, name, DEADLINE);
+    let plain = Plain {
+        service: visit.settings.site.desk,
+        token: act.token,
+        act,
+        name,
+    };
+    let ask = ask::plain(&plain, DEADLINE);
     visit.caller(turn).ask(ask).await
 }
 
