--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -170,7 +170,12 @@
                 pause(job, APART_MS).await;
                 continue;
             }
-            choice => choice?,
+            // Told to come back, the caller would send it until it crashes the next one.
+            Err(failure) => {
+                let refusal = gateway.quarantine.refusal(job.digest).await;
+                return Err(refusal.unwrap_or(failure));
+            }
+            Ok(choice) => choice,
         };
         let node = choice.node;
         match gateway.quarantine.enter(job.digest, node.address).await {
--- /dev/null
+++ b/components/gateway/src/drained.rs
@@ -0,0 +1,91 @@
+//! The rest of a body that a refusal leaves unread.
+//!
+//! A connection that is closed with bytes unread is reset, and the reset may overtake the
+//! answer: a caller whose body is too large would see a broken connection in place of the
+//! reason. So the rest is read and thrown away, within bounds of bytes and time.
+
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use bytes::Buf;
+use http_body_util::BodyExt;
+use hyper::body::{Body, Frame, SizeHint};
+
+/// Most bytes that are thrown away.
+const BYTES_MAX: usize = 32 << 20;
+/// Longest time for it.
+const TIMEOUT: Duration = Duration::from_secs(2);
+
+/// A request's body; dropped before its end, the rest is read by a task of its own.
+pub struct Drained<B: Body + Unpin + Send + 'static>
+where
+    B::Data: Send,
+{
+    body: Option<B>,
+}
+
+impl<B> Drained<B>
+where
+    B: Body + Unpin + Send + 'static,
+    B::Data: Send,
+{
+    /// Wraps a body.
+    pub fn new(body: B) -> Self {
+        Self { body: Some(body) }
+    }
+}
+
+impl<B> Body for Drained<B>
+where
+    B: Body + Unpin + Send + 'static,
+    B::Data: Send,
+{
+    type Data = B::Data;
+    type Error = B::Error;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<B::Data>, B::Error>>> {
+        match &mut self.get_mut().body {
+            Some(body) => Pin::new(body).poll_frame(cx),
+            None => Poll::Ready(None),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.as_ref().is_none_or(Body::is_end_stream)
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body
+            .as_ref()
+            .map_or_else(SizeHint::default, Body::size_hint)
+    }
+}
+
+impl<B> Drop for Drained<B>
+where
+    B: Body + Unpin + Send + 'static,
+    B::Data: Send,
+{
+    fn drop(&mut self) {
+        let rest = self.body.take().filter(|body| !body.is_end_stream());
+        // Outside a runtime the process is ending, and its connections with it.
+        if let (Some(rest), Ok(runtime)) = (rest, tokio::runtime::Handle::try_current()) {
+            runtime.spawn(tokio::time::timeout(TIMEOUT, discard(rest)));
+        }
+    }
+}
+
+async fn discard<B: Body + Unpin>(mut body: B) {
+    let mut left = BYTES_MAX;
+    while let Some(Ok(frame)) = body.frame().await {
+        let bytes = frame.data_ref().map_or(0, Buf::remaining);
+        match left.checked_sub(bytes) {
+            Some(rest) => left = rest,
+            None => return,
+        }
+    }
+}
--- a/components/gateway/src/endpoint_life.rs
+++ b/components/gateway/src/endpoint_life.rs
@@ -13,7 +13,7 @@
 use crate::job::Job;
 
 /// How long the agent's news is waited for, in milliseconds.
-const NEWS_MS: u64 = 150;
+const NEWS_MS: u64 = 400;
 const LOOK_EVERY: Duration = Duration::from_millis(10);
 
 /// The life of an endpoint at the hand-over of a call.
--- a/components/gateway/src/news.rs
+++ b/components/gateway/src/news.rs
@@ -7,7 +7,7 @@
 use protocol::News;
 use quarantine::{CallDigest, Condemned};
 use tokio::sync::mpsc;
-use types::WeightVersion;
+use types::{WeightTarget, WeightVersion};
 use weights::ModelKey;
 
 use crate::gateway::Gateway;
@@ -37,7 +37,7 @@
         gateway.gossip.tell(News::Weights {
             customer: model.customer.clone(),
             service: model.service.clone(),
-            version,
+            target: WeightTarget::serve(version),
         });
         gateway.training.announced(model, version).await;
     }
@@ -62,13 +62,13 @@
             News::Weights {
                 customer,
                 service,
-                version,
+                target,
             } => {
                 let model = ModelKey {
                     customer: customer.clone(),
                     service: service.clone(),
                 };
-                weights.heard(model, *version);
+                weights.heard(model, target.serve);
             }
             News::Quarantined { digest, left_ms } => {
                 quarantine.heard(CallDigest(*digest), *left_ms);
--- a/components/gateway/src/routes.rs
+++ b/components/gateway/src/routes.rs
@@ -12,6 +12,7 @@
 
 use crate::auth::authenticate;
 use crate::body::Body;
+use crate::drained::Drained;
 use crate::gateway::Gateway;
 use crate::headers::Wishes;
 use crate::intake::{BODY_BYTES_MAX, Intake};
@@ -28,13 +29,14 @@
 + Send
 + 'static
 where
-    B: HttpBody + Send + 'static,
+    B: HttpBody + Unpin + Send + 'static,
     B::Data: Send,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
     let (ids, drains, clocks) = (gateway.clone(), gateway.clone(), gateway.clone());
     let (known, handling) = (gateway.clone(), gateway.clone());
     ServiceBuilder::new()
+        .map_request(|request: Request<B>| request.map(Drained::new))
         .layer(answered(
             move || ids.links.next_id().to_string(),
             move || drains.drain.is_leaving(),
--- a/components/gateway/src/suspects.rs
+++ b/components/gateway/src/suspects.rs
@@ -4,7 +4,9 @@
 use std::net::SocketAddr;
 
 use node::now_ms;
-use quarantine::{CallDigest, Condemned, Entry, RunId, SuspectSettings, Suspects, Verdict};
+use quarantine::{
+    CallDigest, Condemned, Entry, RunId, Standing, SuspectSettings, Suspects, Verdict,
+};
 use tokio::sync::{mpsc, oneshot};
 use types::{Cause, Failure};
 
@@ -17,6 +19,7 @@
     Leave(RunId),
     Lost(RunId, oneshot::Sender<Verdict>),
     Heard(CallDigest, u32),
+    Standing(CallDigest, oneshot::Sender<Standing>),
 }
 
 /// Handle to the record; clones share one state.
@@ -81,6 +84,18 @@
         }
     }
 
+    /// The final answer to a call that is condemned, where no endpoint is to be had for it.
+    pub async fn refusal(&self, digest: CallDigest) -> Option<Failure> {
+        let (answer, answered) = oneshot::channel();
+        self.orders.send(Order::Standing(digest, answer)).ok()?;
+        match answered.await.ok()? {
+            Standing::Condemned { left_ms } => {
+                Some(Failure::not_run(Cause::Quarantined).retry_after(left_ms))
+            }
+            Standing::Clear | Standing::Suspect { .. } => None,
+        }
+    }
+
     /// Another process has condemned this.
     pub fn heard(&self, digest: CallDigest, left_ms: u32) {
         // The owner is gone only when the process ends.
@@ -151,6 +166,9 @@
         Order::Lost(run, answer) => {
             let _ = answer.send(suspects.lost(run, now_ms));
         }
+        Order::Standing(digest, answer) => {
+            let _ = answer.send(suspects.standing(digest, now_ms));
+        }
         Order::Heard(digest, left_ms) => suspects.hear(digest, left_ms, now_ms),
     }
 }
--- a/components/gateway/src/training/desk_task.rs
+++ b/components/gateway/src/training/desk_task.rs
@@ -8,10 +8,7 @@
 
 use config::Service;
 use node::now_ms;
-use samples::{
-    Action, Copy, Cursor, CursorKeys, IdleClock, Ledger, LedgerSettings, RunId, Start, Step,
-    StepKey, Steps,
-};
+use samples::{Action, Cursor, CursorKeys, IdleClock, LedgerSettings, RunId, Step, StepKey, Steps};
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::AbortHandle;
 use types::WeightVersion;
@@ -22,9 +19,6 @@
 use super::forward::homes_of;
 use super::orders::{Fetch, Order, Post, Reply, RunNews};
 use super::rhythm::Rhythm;
-use super::room::room;
-use super::run::Run;
-use super::score::Scoring;
 use super::steps_status::StepStatus;
 use crate::gateway::Gateway;
 use crate::rejection::Rejection;
@@ -36,31 +30,38 @@
 /// Orders that are taken before the ledgers are asked what to do.
 const ORDERS_AT_ONCE: usize = 256;
 
-struct RunHandle {
-    to: SocketAddr,
-    task: AbortHandle,
-    stop: Option<oneshot::Sender<()>>,
+/// A run that a task makes.
+pub struct RunHandle {
+    pub(super) to: SocketAddr,
+    pub(super) task: AbortHandle,
+    pub(super) stop: Option<oneshot::Sender<()>>,
 }
 
-struct Waiting {
-    fetch: Fetch,
-    until_ms: u64,
-    answer: oneshot::Sender<Result<Reply, Rejection>>,
+/// A fetch that waits for samples.
+pub struct Waiting {
+    pub(super) fetch: Fetch,
+    pub(super) until_ms: u64,
+    pub(super) answer: oneshot::Sender<Result<Reply, Rejection>>,
 }
 
-struct Desk {
-    gateway: Arc<Gateway>,
-    orders: mpsc::WeakSender<Order>,
-    copier: Copier,
-    keys: CursorKeys,
-    steps: Steps,
-    runs: HashMap<(StepKey, RunId), RunHandle>,
-    waiting: Vec<Waiting>,
-    told: Told,
-    idle: BTreeMap<StepKey, IdleClock>,
-    rhythm: Rhythm,
+/// State of the owner.
+pub struct Desk {
+    pub(super) gateway: Arc<Gateway>,
+    pub(super) orders: mpsc::WeakSender<Order>,
+    pub(super) copier: Copier,
+    pub(super) keys: CursorKeys,
+    pub(super) steps: Steps,
+    pub(super) runs: HashMap<(StepKey, RunId), RunHandle>,
+    pub(super) waiting: Vec<Waiting>,
+    pub(super) told: Told,
+    pub(super) idle: BTreeMap<StepKey, IdleClock>,
+    pub(super) rhythm: Rhythm,
+    /// Steps whose home is this entry, as of the last tick.
+    pub(super) home: Vec<StepKey>,
+    /// Which step comes first at the next dispatch.
+    pub(super) turn: usize,
     /// Samples may have become ready since the waiting fetches were looked at.
-    ready: bool,
+    pub(super) ready: bool,
 }
 
 /// Starts the owner.
@@ -76,6 +77,8 @@
         told: Told::default(),
         idle: BTreeMap::new(),
         rhythm: Rhythm::default(),
+        home: Vec::new(),
+        turn: 0,
         ready: false,
     };
     tokio::spawn(desk.run(inbox.orders));
@@ -143,6 +146,7 @@
         self.hold(step, &posted.model, &cursor, posted.trainer_version)?;
         let others = self.other_homes(&step.key);
         self.told.update(&step.key, others.clone());
+        self.home = self.at_home();
         for to in others {
             let copy = post(step, posted.cursor.clone(), posted.trainer_version);
             self.copier.send(to, &step.key, copy);
@@ -150,7 +154,8 @@
         Ok(cursor.seal(&self.keys))
     }
 
-    fn hold(
+    /// Takes a step in, or its newer cursor.
+    pub(super) fn hold(
         &mut self,
         step: &Arc<Step>,
         model: &Service,
@@ -176,38 +181,7 @@
         Ok(())
     }
 
-    /// What the step's other home sends. A post of a step that this process knows no model
-    /// for yet is dropped; the trainer's next post brings it.
-    fn copy(&mut self, copy: Copy) {
-        let Copy::Post {
-            step,
-            cursor,
-            trainer_version,
-        } = &copy
-        else {
-            self.steps.apply(&copy, now_ms());
-            self.ready = true;
-            return;
-        };
-        let view = self.gateway.feed.view();
-        let Some(model) = view.service(&step.key.customer, &step.key.service) else {
-            return;
-        };
-        let opened = cursor
-            .as_ref()
-            .map(|text| Cursor::open(text, &self.keys, step));
-        let cursor = match opened {
-            Some(Ok(cursor)) => cursor,
-            Some(Err(_)) => return,
-            None => Cursor::start(step),
-        };
-        let held = self.hold(step, model, &cursor, *trainer_version);
-        if held.is_err() {
-            log::warn!(event = "copy-refused", step = step.key.step; "");
-        }
-    }
-
-    fn run_news(&mut self, key: &StepKey, run: RunId, news: RunNews) {
+    pub(super) fn run_news(&mut self, key: &StepKey, run: RunId, news: RunNews) {
         let now_ms = now_ms();
         if !matches!(news, RunNews::Progress { .. }) {
             self.runs.remove(&(key.clone(), run));
@@ -255,135 +229,7 @@
         for key in held {
             self.tell_new_homes(&key);
         }
-    }
-
-    fn tell_new_homes(&mut self, key: &StepKey) {
-        let others = self.other_homes(key);
-        let new = self.told.update(key, others);
-        if new.is_empty() {
-            return;
-        }
-        let keys = self.keys.clone();
-        let found = self.steps.iter_mut().find(|(held, _)| *held == key);
-        let Some((_, ledger)) = found else { return };
-        let cursor = received(ledger).seal(&keys);
-        for copy in ledger.copies(Some(cursor)) {
-            for &to in &new {
-                self.copier.send(to, key, copy.clone());
-            }
-        }
-    }
-
-    /// Asks each ledger what is to be done and does it.
-    fn act(&mut self) {
-        let now_ms = now_ms();
-        let at_home = self.at_home();
-        let view = self.gateway.feed.view();
-        let mut todo: Vec<(StepKey, Arc<Step>, Vec<Action>)> = Vec::new();
-        let mut at = self.runs_at();
-        for (key, ledger) in self.steps.iter_mut() {
-            if at_home.contains(key) {
-                let state = self.gateway.services.get(&key.customer, &key.service);
-                if let Some(state) = state {
-                    let mut room = room(&state.table(), &at);
-                    let steps = u32::try_from(at_home.len()).unwrap_or(u32::MAX);
-                    room.in_progress_max = room.in_progress_max.div_ceil(steps.max(1));
-                    ledger.dispatch(&room, now_ms);
-                }
-            }
-            let actions = ledger.drain();
-            for action in &actions {
-                if let Action::Start(start) = action {
-                    *at.entry(start.to).or_default() += 1;
-                }
-            }
-            if !actions.is_empty() {
-                todo.push((key.clone(), Arc::clone(ledger.step()), actions));
-            }
-        }
-        for (key, step, actions) in todo {
-            for action in actions {
-                self.perform(&key, &step, &view, action);
-            }
-        }
-    }
-
-    fn perform(&mut self, key: &StepKey, step: &Arc<Step>, view: &config::View, action: Action) {
-        let model = view.service(&key.customer, &key.service);
-        match action {
-            Action::Start(start) => match model {
-                Some(model) => self.start(key, step, model, start),
-                None => self.run_news(
-                    key,
-                    start.run,
-                    RunNews::Failed(samples::Fault::Refused, start.resume),
-                ),
-            },
-            Action::Cancel { run } => {
-                if let Some(handle) = self.runs.remove(&(key.clone(), run)) {
-                    handle.task.abort();
-                }
-            }
-            Action::Stop { run } => {
-                let handle = self.runs.get_mut(&(key.clone(), run));
-                if let Some(stop) = handle.and_then(|handle| handle.stop.take()) {
-                    // A run that has just ended reports its end instead.
-                    let _ = stop.send(());
-                }
-            }
-            Action::Score { run, sample } => {
-                let scorer = model.and_then(|model| {
-                    let name = model.scorer.as_ref()?;
-                    view.service(&key.customer, name).cloned()
-                });
-                let Some(orders) = self.orders.upgrade() else {
-                    return;
-                };
-                let scoring = Scoring {
-                    scorer,
-                    step: Arc::clone(step),
-                    run,
-                    sample,
-                    orders,
-                };
-                tokio::spawn(scoring.ask(Arc::clone(&self.gateway)));
-            }
-            Action::Copy(copy) => {
-                for to in self.other_homes(key) {
-                    self.copier.send(to, key, copy.clone());
-                }
-            }
-        }
-    }
-
-    fn start(&mut self, key: &StepKey, step: &Arc<Step>, model: &Arc<Service>, start: Start) {
-        let Some(orders) = self.orders.upgrade() else {
-            return;
-        };
-        let (run, to) = (start.run, start.to);
-        let (stop, stopped) = oneshot::channel();
-        let making = Run {
-            model: Arc::clone(model),
-            step: Arc::clone(step),
-            start,
-            orders,
-            stop: stopped,
-        };
-        let task = tokio::spawn(making.make(Arc::clone(&self.gateway)));
-        let handle = RunHandle {
-            to,
-            task: task.abort_handle(),
-            stop: Some(stop),
-        };
-        self.runs.insert((key.clone(), run), handle);
-    }
-
-    fn runs_at(&self) -> HashMap<SocketAddr, u32> {
-        let mut at: HashMap<SocketAddr, u32> = HashMap::new();
-        for handle in self.runs.values() {
-            *at.entry(handle.to).or_default() += 1;
-        }
-        at
+        self.home = self.at_home();
     }
 
     /// Steps whose home is this entry.
@@ -395,77 +241,9 @@
         keys.filter(home).cloned().collect()
     }
 
-    fn other_homes(&self, key: &StepKey) -> Vec<SocketAddr> {
-        let own = self.gateway.identity.node().address;
-        let homes = homes_of(&self.gateway, key);
-        let homes = homes.into_iter();
-        let both = homes.flat_map(|homes| std::iter::once(homes.first).chain(homes.second));
-        both.filter(|&home| home != own).collect()
-    }
-
-    fn fetch(&mut self, fetch: Fetch, answer: oneshot::Sender<Result<Reply, Rejection>>) {
-        let now_ms = now_ms();
-        let clock = self.idle.entry(fetch.key.clone()).or_default();
-        clock.fetch_began(now_ms);
-        let until_ms = now_ms + fetch.wait_ms;
-        self.waiting.push(Waiting {
-            fetch,
-            until_ms,
-            answer,
-        });
-        self.ready = true;
-    }
-
-    /// Answers the fetches that have samples or whose wait is over.
-    fn answer_waiting(&mut self) {
-        let now_ms = now_ms();
-        let look = std::mem::take(&mut self.ready);
-        for waiting in std::mem::take(&mut self.waiting) {
-            let over = now_ms >= waiting.until_ms;
-            if waiting.answer.is_closed() {
-                self.fetch_ended(&waiting.fetch.key, now_ms);
-                continue;
-            }
-            if !look && !over {
-                self.waiting.push(waiting);
-                continue;
-            }
-            match self.reply(&waiting.fetch, now_ms) {
-                Ok(reply) if reply.offers.is_empty() && !reply.complete && !over => {
-                    self.waiting.push(waiting);
-                }
-                answer => {
-                    self.fetch_ended(&waiting.fetch.key, now_ms);
-                    // The trainer may have gone; it fetches again with the same cursor.
-                    let _ = waiting.answer.send(answer);
-                }
-            }
-        }
-    }
-
-    fn fetch_ended(&mut self, key: &StepKey, now_ms: u64) {
-        if let Some(clock) = self.idle.get_mut(key) {
-            clock.fetch_ended(now_ms);
-        }
-    }
-
-    fn reply(&mut self, fetch: &Fetch, now_ms: u64) -> Result<Reply, Rejection> {
-        let ledger = self.steps.get_mut(&fetch.key, now_ms);
-        let ledger = ledger.ok_or(Rejection::StepNotHeld(fetch.key.step))?;
-        let cursor = Cursor::open(&fetch.cursor, &self.keys, ledger.step())?;
-        let reply = ledger.fetch(&cursor, fetch.trainer_version, fetch.max, now_ms)?;
-        Ok(Reply {
-            offers: reply.samples,
-            cursor: reply.cursor.seal(&self.keys),
-            received: reply.received,
-            total: reply.total,
-            complete: reply.complete,
-        })
-    }
-
     fn status(&mut self) -> Vec<StepStatus> {
         let now_ms = now_ms();
-        let home = self.at_home();
+        let home = self.home.clone();
         let idle = &self.idle;
         let held = self.steps.iter_mut();
         held.map(|(key, ledger)| {
@@ -475,8 +253,3 @@
         .collect()
     }
 }
-
-/// The cursor of what the trainer is known to have.
-fn received(ledger: &Ledger) -> Cursor {
-    Cursor::start(ledger.step()).after(ledger.received().iter())
-}
--- a/components/gateway/src/training/room.rs
+++ b/components/gateway/src/training/room.rs
@@ -9,14 +9,23 @@
 /// Runs that this entry has at one replica at most.
 const RUNS_PER_REPLICA: u32 = 16;
 
-/// Room at the replicas of `table`. `runs` counts the runs that the ledgers have started
-/// there, which the table's own counters do not know yet when the runs have only begun.
-pub fn room(table: &Table, runs: &HashMap<SocketAddr, u32>) -> Room {
+/// Room for one step at the replicas of `table`. `runs` counts the runs that the ledgers
+/// have started at each, which the table's own counters do not know while the runs have
+/// only begun; `users` the steps that want it, each of which gets an equal part.
+pub fn room(
+    table: &Table,
+    runs: &HashMap<SocketAddr, u32>,
+    users: &HashMap<SocketAddr, u32>,
+) -> Room {
+    let count = |counts: &HashMap<SocketAddr, u32>, address| counts.get(&address).copied();
     let slots = table.slots().iter().filter(|slot| !slot.replica.leaving);
-    let replicas: Vec<Replica> = slots
+    let mut in_progress_max: u32 = 0;
+    let replicas = slots
         .map(|slot| {
             let address = slot.replica.node.address;
-            let own_runs = runs.get(&address).copied().unwrap_or(0);
+            let users = count(users, address).unwrap_or(1).max(1);
+            in_progress_max += RUNS_PER_REPLICA.div_ceil(users);
+            let own_runs = count(runs, address).unwrap_or(0);
             let outstanding = slot.counters().calls().max(own_runs);
             Replica {
                 address,
@@ -25,10 +34,8 @@
             }
         })
         .collect();
-    let free: u32 = replicas.iter().map(|replica| replica.room).sum();
-    let count = u32::try_from(replicas.len()).unwrap_or(u32::MAX);
     Room {
-        in_progress_max: count.saturating_mul(RUNS_PER_REPLICA).max(free),
+        in_progress_max,
         replicas,
     }
 }
--- /dev/null
+++ b/components/gateway/tests/common/mod.rs
@@ -0,0 +1,501 @@
+//! Entries and agents on loopback between stand-ins of the platform.
+#![allow(dead_code, clippy::unwrap_used)] // The exemption of clippy.toml ends at helpers of tests.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use config::{Publish, Record};
+use gateway::{Entry, Tuning};
+use http::{Method, Request, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use platform::{ClientSettings, LogClient, Vm, VmRole, VmState};
+use serde_json::{Value, json};
+use settings::{AgentSettings, CommonSettings, EndpointKind, EntrySettings, Fencing, SharedKey};
+use sidecar::Sidecar;
+use standins::engine::{EngineSettings, Speeds};
+use standins::log::LogSettings;
+use standins::service::ServiceSettings;
+use standins::vms::VmsSettings;
+use standins::{Handle, engine, log, service, vms};
+use telemetry::LogLevel;
+use tokio::net::TcpStream;
+use tokio::sync::oneshot;
+use tokio::task::JoinHandle;
+use tokio::time::timeout;
+use types::{CustomerName, FailureDomain, Region, WeightVersion};
+
+const LOOPBACK: &str = "127.0.0.1:0";
+const KEY: [u8; 32] = [7; 32];
+const DOMAINS: [&str; 3] = ["rennes-a", "brest-b", "vannes-c"];
+/// Far above what anything here takes; only a test that fails reaches it.
+pub const PATIENCE: Duration = Duration::from_secs(60);
+/// Between two looks at something that is waited for.
+const LOOK: Duration = Duration::from_millis(20);
+
+pub const CLERK: &str = "clerk-token";
+pub const TRAINER: &str = "trainer-token";
+pub const OPERATOR: &str = "operator-token";
+
+/// The Office's text with digests of the tokens above.
+pub fn office() -> String {
+    let mut text = OFFICE.to_owned();
+    for (name, role, token) in [
+        ("clerk", "caller", CLERK),
+        ("trainer", "trainer", TRAINER),
+        ("operator", "operator", OPERATOR),
+    ] {
+        let digest = config::TokenDigest::of(token);
+        text.push_str(&format!(
+            "[[token]]\nname = \"{name}\"\nrole = \"{role}\"\nsha256 = \"{digest}\"\n"
+        ));
+    }
+    text
+}
+
+const OFFICE: &str = r#"
+schema = 1
+customer = "office"
+[limits]
+requests_per_s = 5000
+in_progress = 1000
+tokens_per_s = 10000000
+[[service]]
+name = "redacteurs"
+kind = "model"
+pool = "redacteurs"
+staleness_bound = 1
+[[service]]
+name = "guichet"
+kind = "plain"
+pool = "guichet"
+non_idempotent = ["POST /sanctions"]
+"#;
+
+fn loopback() -> SocketAddr {
+    LOOPBACK.parse().unwrap()
+}
+
+/// What a site has.
+pub struct Plan {
+    pub entries: usize,
+    pub engines: usize,
+    pub services: usize,
+    /// Time of one call of a plain service.
+    pub service_ms: u64,
+}
+
+impl Default for Plan {
+    fn default() -> Self {
+        Self {
+            entries: 2,
+            engines: 0,
+            services: 2,
+            service_ms: 0,
+        }
+    }
+}
+
+/// A running process; dropped, it ends at once.
+pub struct Process {
+    /// Public address of an entry; admin address of an agent.
+    pub address: SocketAddr,
+    pub admin: SocketAddr,
+    stop: Option<oneshot::Sender<()>>,
+    task: JoinHandle<()>,
+}
+
+impl Process {
+    /// Begins to leave.
+    pub fn leave(&mut self) {
+        let _ = self.stop.take().unwrap().send(());
+    }
+
+    /// Waits until it has left.
+    pub async fn left(&mut self) {
+        timeout(PATIENCE, &mut self.task).await.unwrap().unwrap();
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// A site with its platform.
+pub struct Site {
+    pub log: Handle,
+    pub vms: Handle,
+    pub engines: Vec<Handle>,
+    pub services: Vec<Handle>,
+    pub entries: Vec<Process>,
+    pub agents: Vec<Process>,
+}
+
+impl Site {
+    /// Starts everything, publishes the Office's text and waits until every entry knows
+    /// it and sees every replica.
+    pub async fn start(plan: Plan) -> Site {
+        let log = log::start(LogSettings::new(loopback())).await.unwrap();
+        let vms = vms::start(VmsSettings::new(loopback())).await.unwrap();
+        let mut engines = Vec::new();
+        for _ in 0..plan.engines {
+            engines.push(engine::start(engine_settings()).await.unwrap());
+        }
+        let mut services = Vec::new();
+        for _ in 0..plan.services {
+            let settings = ServiceSettings {
+                service_ms: plan.service_ms,
+                ..ServiceSettings::new(loopback(), "guichet")
+            };
+            services.push(service::start(settings).await.unwrap());
+        }
+        let mut site = Site {
+            log,
+            vms,
+            engines,
+            services,
+            entries: Vec::new(),
+            agents: Vec::new(),
+        };
+        site.start_processes(plan.entries).await;
+        site.publish(&office()).await;
+        site.seen(&plan).await;
+        site
+    }
+
+    async fn start_processes(&mut self, entries: usize) {
+        let mut bound = Vec::new();
+        let mut listed = Vec::new();
+        for number in 0..entries {
+            let settings = EntrySettings {
+                common: self.common(number),
+                listen: loopback(),
+            };
+            let entry = Entry::bind(settings, Tuning::default()).await.unwrap();
+            listed.push(vm(entry.inner_address(), VmRole::Entry, number));
+            bound.push(entry);
+        }
+        let engines = self
+            .engines
+            .iter()
+            .map(|e| (e.address, EndpointKind::Model));
+        let services = self
+            .services
+            .iter()
+            .map(|s| (s.address, EndpointKind::Plain));
+        let mut agents = Vec::new();
+        for (number, (endpoint, kind)) in engines.chain(services).enumerate() {
+            let agent = self.bind_agent(number, endpoint, kind).await;
+            listed.push(vm(agent.inner_address(), VmRole::Agent, number));
+            agents.push(agent);
+        }
+        let set = json!({ "set": listed, "remove": [] }).to_string();
+        let ask = Ask::post("/standin/vms", set);
+        assert_eq!(ask.send(self.vms.address).await.status, StatusCode::OK);
+        for agent in agents {
+            let admin = agent.admin_address().unwrap();
+            let run = |stop| async { agent.run(stop).await.unwrap() };
+            self.agents.push(spawn(admin, admin, run));
+        }
+        for entry in bound {
+            let address = entry.public_address().unwrap();
+            let admin = entry.admin_address().unwrap();
+            let run = |stop| async { entry.run(stop).await.unwrap() };
+            self.entries.push(spawn(address, admin, run));
+        }
+    }
+
+    async fn bind_agent(&self, number: usize, endpoint: SocketAddr, kind: EndpointKind) -> Sidecar {
+        let pool = match kind {
+            EndpointKind::Model => "redacteurs",
+            EndpointKind::Plain => "guichet",
+        };
+        let settings = AgentSettings {
+            common: self.common(number),
+            endpoint,
+            endpoint_kind: kind,
+            pool: pool.parse().unwrap(),
+            customers: vec!["office".parse().unwrap()],
+            fencing: Fencing::Checked,
+        };
+        Sidecar::bind(settings, sidecar::Tuning::default())
+            .await
+            .unwrap()
+    }
+
+    fn common(&self, number: usize) -> CommonSettings {
+        CommonSettings {
+            inner_listen: loopback(),
+            admin_listen: loopback(),
+            log: self.log.address,
+            vm_list: self.vms.address,
+            failure_domain: FailureDomain::new(DOMAINS[number % DOMAINS.len()]).unwrap(),
+            region: Region::new("bretagne").unwrap(),
+            keys: vec![SharedKey(KEY)],
+            metrics: None,
+            log_level: LogLevel::Error,
+            settle_ms: 0,
+            drain_ms: 60_000,
+        }
+    }
+
+    async fn publish(&self, text: &str) {
+        let customer = CustomerName::new("office").unwrap();
+        let publish = Publish::on(customer, None, "first", text);
+        let record = Record::Publish(publish).to_json().unwrap();
+        let client = LogClient::new(self.log.address, &ClientSettings::default());
+        client.append("config", &record).await.unwrap();
+    }
+
+    /// Waits until each entry is ready and sees every replica.
+    async fn seen(&self, plan: &Plan) {
+        let wanted = [("redacteurs", plan.engines), ("guichet", plan.services)];
+        let until = async {
+            for entry in &self.entries {
+                while !sees(entry, &wanted).await {
+                    tokio::time::sleep(LOOK).await;
+                }
+            }
+        };
+        timeout(PATIENCE, until).await.unwrap();
+    }
+
+    /// Sends until the answer is 200.
+    pub async fn answered(&self, entry: usize, ask: &Ask) -> Answer {
+        let until = async {
+            loop {
+                let answer = ask.send(self.entries[entry].address).await;
+                if answer.status == StatusCode::OK {
+                    return answer;
+                }
+                tokio::time::sleep(LOOK).await;
+            }
+        };
+        timeout(PATIENCE, until).await.unwrap()
+    }
+
+    pub async fn send(&self, entry: usize, ask: &Ask) -> Answer {
+        ask.send(self.entries[entry].address).await
+    }
+
+    /// How often calls with this tag ran, over all plain services.
+    pub async fn runs(&self, tag: &str) -> u64 {
+        let mut runs = 0;
+        for service in &self.services {
+            let answer = Ask::get("/standin/runs").send(service.address).await;
+            runs += answer.json()[tag].as_u64().unwrap_or(0);
+        }
+        runs
+    }
+}
+
+/// Whether an entry is ready and sees so many replicas of each service.
+async fn sees(entry: &Process, wanted: &[(&str, usize)]) -> bool {
+    let status = Ask::get("/status").send(entry.admin).await.json();
+    let replicas = |service: &str| {
+        let mut services = status["services"].as_array()?.iter();
+        let found = services.find(|found| found["service"] == service)?;
+        Some(found["replicas"].as_array()?.len())
+    };
+    let seen = |&(service, count): &(&str, usize)| replicas(service).unwrap_or(0) == count;
+    status["ready"] == true && wanted.iter().all(seen)
+}
+
+fn engine_settings() -> EngineSettings {
+    EngineSettings {
+        models: vec![(
+            "redacteurs".to_owned(),
+            WeightVersion {
+                epoch: 1,
+                version: 1,
+            },
+        )],
+        speeds: Speeds {
+            scale_permille: 50,
+            ..Speeds::default()
+        },
+        report_lag_ms: 0,
+        ..EngineSettings::new(loopback(), "redacteurs")
+    }
+}
+
+fn vm(address: SocketAddr, role: VmRole, number: usize) -> Vm {
+    Vm {
+        address,
+        role,
+        failure_domain: FailureDomain::new(DOMAINS[number % DOMAINS.len()]).unwrap(),
+        region: Region::new("bretagne").unwrap(),
+        state: VmState::Live,
+    }
+}
+
+type Stop = std::pin::Pin<Box<dyn Future<Output = ()> + Send>>;
+
+fn spawn<R>(address: SocketAddr, admin: SocketAddr, run: impl FnOnce(Stop) -> R) -> Process
+where
+    R: Future<Output = ()> + Send + 'static,
+{
+    let (stop, stopped) = oneshot::channel::<()>();
+    let stopped = Box::pin(async move {
+        // A test that drops the process aborts it instead.
+        if stopped.await.is_err() {
+            std::future::pending::<()>().await;
+        }
+    });
+    Process {
+        address,
+        admin,
+        stop: Some(stop),
+        task: tokio::spawn(run(stopped)),
+    }
+}
+
+pub fn completion(prompt: &str, max_tokens: u32, stream: bool) -> String {
+    json!({
+        "model": "redacteurs", "prompt": prompt, "max_tokens": max_tokens, "stream": stream,
+    })
+    .to_string()
+}
+
+/// A request of a caller.
+#[derive(Clone)]
+pub struct Ask {
+    pub method: Method,
+    pub path: String,
+    pub headers: Vec<(&'static str, String)>,
+    pub body: String,
+}
+
+impl Ask {
+    pub fn get(path: &str) -> Ask {
+        Ask {
+            method: Method::GET,
+            path: path.to_owned(),
+            headers: vec![("authorization", format!("Bearer {CLERK}"))],
+            body: String::new(),
+        }
+    }
+
+    pub fn post(path: &str, body: impl Into<String>) -> Ask {
+        Ask {
+            method: Method::POST,
+            body: body.into(),
+            ..Ask::get(path)
+        }
+    }
+
+    /// The same without this header's earlier value.
+    pub fn with(mut self, name: &'static str, value: impl Into<String>) -> Ask {
+        self.headers.retain(|(other, _)| *other != name);
+        self.headers.push((name, value.into()));
+        self
+    }
+
+    pub fn by(self, token: &str) -> Ask {
+        self.with("authorization", format!("Bearer {token}"))
+    }
+
+    /// Sends it on a connection of its own and reads the answer to its end.
+    pub async fn send(&self, to: SocketAddr) -> Answer {
+        timeout(PATIENCE, self.exchange(to)).await.unwrap()
+    }
+
+    async fn exchange(&self, to: SocketAddr) -> Answer {
+        let stream = TcpStream::connect(to).await.unwrap();
+        let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.unwrap();
+        let connection = tokio::spawn(connection);
+        let mut request = Request::builder()
+            .method(&self.method)
+            .uri(&self.path)
+            .header("host", "entry");
+        for (name, value) in &self.headers {
+            request = request.header(*name, value);
+        }
+        let body = Full::new(Bytes::from(self.body.clone()));
+        let response = sender
+            .send_request(request.body(body).unwrap())
+            .await
+            .unwrap();
+        let (head, mut body) = response.into_parts();
+        let mut bytes = Vec::new();
+        let mut whole = true;
+        while let Some(frame) = body.frame().await {
+            match frame {
+                Ok(frame) => bytes.extend_from_slice(&frame.into_data().unwrap_or_default()),
+                Err(_) => whole = false,
+            }
+            if !whole {
+                break;
+            }
+        }
+        connection.abort();
+        Answer {
+            status: head.status,
+            headers: head.headers,
+            body: bytes,
+            whole,
+        }
+    }
+}
+
+/// An answer as its caller sees it.
+#[derive(Debug)]
+pub struct Answer {
+    pub status: StatusCode,
+    pub headers: http::HeaderMap,
+    pub body: Vec<u8>,
+    /// It ended at its stated end.
+    pub whole: bool,
+}
+
+impl Answer {
+    pub fn text(&self) -> &str {
+        std::str::from_utf8(&self.body).unwrap()
+    }
+
+    pub fn json(&self) -> Value {
+        serde_json::from_slice(&self.body).unwrap_or(Value::Null)
+    }
+
+    pub fn header(&self, name: &str) -> &str {
+        self.headers
+            .get(name)
+            .map_or("", |value| value.to_str().unwrap())
+    }
+
+    /// Status, outcome and cause of a problem document.
+    pub fn problem(&self) -> (u16, String, String) {
+        assert_eq!(
+            self.header("content-type"),
+            "application/problem+json",
+            "{self:?}"
+        );
+        let json = self.json();
+        let text = |name: &str| json[name].as_str().unwrap().to_owned();
+        assert_eq!(
+            json["status"].as_u64(),
+            Some(u64::from(self.status.as_u16()))
+        );
+        assert_eq!(
+            json["request_id"].as_str(),
+            Some(self.header("x-request-id"))
+        );
+        (self.status.as_u16(), text("outcome"), text("cause"))
+    }
+
+    /// Texts of the pieces of a completions stream.
+    pub fn pieces(&self) -> Vec<String> {
+        let data = self
+            .text()
+            .lines()
+            .filter_map(|line| line.strip_prefix("data: "));
+        let chunks = data.filter_map(|data| serde_json::from_str::<Value>(data).ok());
+        chunks
+            .filter_map(|chunk| Some(chunk["choices"][0]["text"].as_str()?.to_owned()))
+            .collect()
+    }
+}
--- /dev/null
+++ b/components/gateway/tests/requests.rs
@@ -0,0 +1,371 @@
+//! Requests through whole entries and agents, with faults at the endpoints and the log.
+
+mod common;
+
+use common::{Ask, OPERATOR, Plan, Site, TRAINER, completion};
+use http::Method;
+use standins::{Fault, FaultKind};
+
+const CONSULT: &str = "/v1/services/guichet/applicants/17";
+const SANCTION: &str = "/v1/services/guichet/sanctions";
+const COMPLETIONS: &str = "/v1/completions";
+const TAG: &str = "x-request-tag";
+const KEY: &str = "idempotency-key";
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn errors_when_a_request_is_bad_and_disturbs_nothing_else() {
+    struct Case {
+        name: &'static str,
+        ask: Ask,
+        problem: (u16, &'static str),
+    }
+    let site = Site::start(Plan {
+        engines: 1,
+        services: 1,
+        entries: 1,
+        ..Plan::default()
+    })
+    .await;
+    let mut no_token = Ask::get(CONSULT);
+    no_token.headers.clear();
+    let mut delete = Ask::get(COMPLETIONS);
+    delete.method = Method::DELETE;
+    let cases = [
+        Case {
+            name: "no token",
+            ask: no_token,
+            problem: (401, "unauthenticated"),
+        },
+        Case {
+            name: "a token that nobody holds",
+            ask: Ask::get(CONSULT).by("nobody"),
+            problem: (401, "unauthenticated"),
+        },
+        Case {
+            name: "a trainer's token on a call",
+            ask: Ask::get(CONSULT).by(TRAINER),
+            problem: (403, "forbidden"),
+        },
+        Case {
+            name: "a caller's token on a step",
+            ask: Ask::post("/v1/training/redacteurs/steps", "{}"),
+            problem: (403, "forbidden"),
+        },
+        Case {
+            name: "a trainer's token on a roll-back",
+            ask: Ask::post("/v1/training/redacteurs/rollback", r#"{"version":"2.0"}"#).by(TRAINER),
+            problem: (403, "forbidden"),
+        },
+        Case {
+            name: "an unknown service",
+            ask: Ask::get("/v1/services/archives/x"),
+            problem: (404, "unknown-service"),
+        },
+        Case {
+            name: "a name that is none",
+            ask: Ask::get("/v1/services/Archives/x"),
+            problem: (404, "unknown-service"),
+        },
+        Case {
+            name: "another customer's service",
+            ask: Ask::get("/v1/services/collective.price-llm/x"),
+            problem: (403, "forbidden"),
+        },
+        Case {
+            name: "a model where a plain service is due",
+            ask: Ask::get("/v1/services/redacteurs/v1/models"),
+            problem: (400, "malformed"),
+        },
+        Case {
+            name: "an unknown path",
+            ask: Ask::get("/v2/completions"),
+            problem: (404, "malformed"),
+        },
+        Case {
+            name: "another method",
+            ask: delete,
+            problem: (405, "malformed"),
+        },
+        Case {
+            name: "a body that is not JSON",
+            ask: Ask::post(COMPLETIONS, "{\"model\":"),
+            problem: (400, "malformed"),
+        },
+        Case {
+            name: "a completion without a prompt",
+            ask: Ask::post(COMPLETIONS, r#"{"model":"redacteurs"}"#),
+            problem: (400, "malformed"),
+        },
+        Case {
+            name: "a body over the limit",
+            ask: Ask::post(SANCTION, "x".repeat((4 << 20) + 1)),
+            problem: (413, "too-large"),
+        },
+        Case {
+            name: "a class that is none",
+            ask: Ask::get(CONSULT).with("x-hornbeamrock-class", "urgent"),
+            problem: (400, "malformed"),
+        },
+        Case {
+            name: "a deadline that is none",
+            ask: Ask::get(CONSULT).with("x-hornbeamrock-deadline-ms", "0"),
+            problem: (400, "malformed"),
+        },
+        Case {
+            name: "a step that is none",
+            ask: Ask::post("/v1/training/redacteurs/steps", "[1]").by(TRAINER),
+            problem: (400, "malformed"),
+        },
+        Case {
+            name: "a fetch of an unknown step",
+            ask: Ask::post(
+                "/v1/training/redacteurs/steps/9/fetch",
+                r#"{"cursor":"x","trainer_version":"1.1","max":4}"#,
+            )
+            .by(TRAINER),
+            problem: (404, "not-hosted"),
+        },
+    ];
+    for case in cases {
+        let answer = site.send(0, &case.ask).await;
+        let (status, outcome, cause) = answer.problem();
+        let told = (status, cause.as_str());
+        assert_eq!(told, case.problem, "{}", case.name);
+        assert_eq!(outcome, "not-run", "{}", case.name);
+        let good = site.send(0, &Ask::get(CONSULT)).await;
+        assert_eq!(good.status, 200, "after {}", case.name);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn can_carry_method_path_query_body_and_its_own_request_id() {
+    let site = Site::start(Plan::default()).await;
+    let ask = Ask::post("/v1/services/guichet/dossiers/7?page=2", "four")
+        .with("x-request-id", "portal-42");
+    let answer = site.send(1, &ask).await;
+    assert_eq!(answer.status, 200);
+    assert!(answer.whole);
+    assert_eq!(answer.header("x-request-id"), "portal-42");
+    let json = answer.json();
+    assert_eq!(json["method"], "POST");
+    assert_eq!(json["path"], "/dossiers/7");
+    assert_eq!(json["body_bytes"], 4);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn can_complete_unary_and_streamed_with_the_same_text() {
+    let site = Site::start(Plan {
+        engines: 2,
+        services: 0,
+        ..Plan::default()
+    })
+    .await;
+    let unary = site
+        .send(0, &Ask::post(COMPLETIONS, completion("a bar", 12, false)))
+        .await;
+    let streamed = site
+        .send(1, &Ask::post(COMPLETIONS, completion("a bar", 12, true)))
+        .await;
+    assert_eq!(unary.status, 200);
+    assert_eq!(unary.json()["weight_versions"][0], "1.1");
+    assert!(streamed.whole);
+    assert!(streamed.text().ends_with("data: [DONE]\n\n"));
+    let text = unary.json()["choices"][0]["text"]
+        .as_str()
+        .unwrap()
+        .to_owned();
+    assert_eq!(streamed.pieces().concat(), text);
+}
+
+// The caller sees one whole stream. Each of two engines cuts it once after three events;
+// the entry sends the ids of the tokens that the caller has with the next attempt, which
+// goes on after them. Without that the caller would get a part, or the same tokens again.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn can_go_on_with_a_stream_at_another_engine() {
+    let site = Site::start(Plan {
+        engines: 2,
+        services: 0,
+        entries: 1,
+        ..Plan::default()
+    })
+    .await;
+    let ask = Ask::post(COMPLETIONS, completion("terrace until two", 12, true));
+    let calm = site.send(0, &ask).await;
+    for engine in &site.engines {
+        let mut cut = Fault::new(FaultKind::Cut).times(1).on(COMPLETIONS);
+        cut.after = 3;
+        engine.fault(cut);
+    }
+    let resumed = site.send(0, &ask).await;
+    assert!(resumed.whole, "{}", resumed.text());
+    assert_eq!(resumed.pieces(), calm.pieces());
+}
+
+// The caller sees a stream that breaks: an event with the problem, then a connection that
+// is cut. Every engine cuts every stream, so the attempts run out after some events. A
+// clean end would let the caller take the part for the whole.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn errors_when_a_stream_breaks_for_good_and_never_ends_clean() {
+    let site = Site::start(Plan {
+        engines: 2,
+        services: 0,
+        entries: 1,
+        ..Plan::default()
+    })
+    .await;
+    for engine in &site.engines {
+        let mut cut = Fault::new(FaultKind::Cut).on(COMPLETIONS);
+        cut.after = 2;
+        engine.fault(cut);
+    }
+    let ask = Ask::post(COMPLETIONS, completion("a long opinion", 64, true));
+    let answer = site.send(0, &ask).await;
+    assert_eq!(answer.status, 200);
+    assert!(!answer.whole);
+    assert!(answer.text().contains("event: error"), "{}", answer.text());
+    assert!(!answer.text().contains("[DONE]"));
+}
+
+// The caller sees "unknown" for a sanction check whose answer was lost after it ran, and
+// it ran once: the entry may not send it again. A consultation under the same fault is
+// sent again and answered.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn can_tell_the_outcome_of_a_call_whose_answer_is_lost() {
+    let site = Site::start(Plan::default()).await;
+    let lost = || Fault::new(FaultKind::AnswerLost).times(1);
+    for service in &site.services {
+        service.fault(lost().on("/sanctions"));
+        service.fault(lost().on("/applicants"));
+    }
+    let check = Ask::post(SANCTION, "{}").with(TAG, "lost");
+    let (status, outcome, cause) = site.send(0, &check).await.problem();
+    assert_eq!((status, outcome.as_str()), (502, "unknown"), "{cause}");
+    assert_eq!(site.runs("lost").await, 1);
+    let consult = site.send(0, &Ask::get(CONSULT)).await;
+    assert_eq!(consult.status, 200);
+}
+
+// The caller sends a keyed sanction check through one entry and again through the other:
+// it gets the first answer and the check ran once. The second entry reads the claim and
+// the recorded answer from the log. The same key with another body is refused.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn can_send_a_keyed_call_again_through_another_entry() {
+    let site = Site::start(Plan::default()).await;
+    let check = Ask::post(SANCTION, r#"{"file":7}"#)
+        .with(KEY, "file-7")
+        .with(TAG, "keyed");
+    let first = site.send(0, &check).await;
+    assert_eq!(first.status, 200);
+    let again = site.answered(1, &check).await;
+    assert_eq!(again.body, first.body);
+    assert_eq!(again.header("idempotency-replayed"), "true");
+    assert_eq!(site.runs("keyed").await, 1);
+    let other = Ask::post(SANCTION, r#"{"file":8}"#)
+        .with(KEY, "file-7")
+        .with(TAG, "keyed");
+    let (status, outcome, cause) = site.send(0, &other).await.problem();
+    assert_eq!(
+        (status, outcome.as_str(), cause.as_str()),
+        (422, "not-run", "key-reused")
+    );
+    assert_eq!(site.runs("keyed").await, 1);
+}
+
+// The caller sees "not run, come back" for a keyed check while the log is down, and the
+// check did not run. Without the log nobody can know that no other entry runs the key.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn errors_when_the_log_cannot_take_a_claim() {
+    let site = Site::start(Plan::default()).await;
+    site.log
+        .fault(Fault::new(FaultKind::Outage).on("/streams/claims"));
+    let check = Ask::post(SANCTION, "{}")
+        .with(KEY, "file-9")
+        .with(TAG, "outage");
+    let answer = site.send(0, &check).await;
+    let (status, outcome, cause) = answer.problem();
+    assert_eq!(
+        (status, outcome.as_str(), cause.as_str()),
+        (503, "not-run", "claim-unavailable")
+    );
+    assert!(!answer.header("retry-after").is_empty());
+    assert_eq!(site.runs("outage").await, 0);
+    let unkeyed = site.send(0, &Ask::post(SANCTION, "{}")).await;
+    assert_eq!(unkeyed.status, 200);
+}
+
+// The caller of a prompt that crashes engines gets a final answer, and its own repeat is
+// refused without another crash. Engines die under it; the entry tries the suspect apart
+// and then condemns it. It may miss the news of one crash on a busy machine, so one engine
+// more stands by for the harmless prompt.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn errors_when_a_prompt_has_crashed_two_engines() {
+    let site = Site::start(Plan {
+        engines: 4,
+        services: 0,
+        entries: 1,
+        ..Plan::default()
+    })
+    .await;
+    for engine in &site.engines {
+        engine.fault(
+            Fault::new(FaultKind::CrashOn)
+                .with_text("poison")
+                .delayed(60_000),
+        );
+    }
+    let ask = Ask::post(COMPLETIONS, completion("poison", 8, false));
+    let (status, outcome, cause) = site.send(0, &ask).await.problem();
+    assert_eq!((status, cause.as_str()), (422, "quarantined"));
+    assert_ne!(outcome, "not-run");
+    let (status, outcome, cause) = site.send(0, &ask).await.problem();
+    assert_eq!(
+        (status, outcome.as_str(), cause.as_str()),
+        (422, "not-run", "quarantined")
+    );
+    let other = Ask::post(COMPLETIONS, completion("harmless", 8, false));
+    let harmless = site.send(0, &other).await;
+    assert_eq!(harmless.status, 200, "{}", harmless.text());
+}
+
+// The caller whose check is in progress when its entry is told to leave gets its whole
+// answer, and the entry ends only after it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn can_leave_without_cutting_a_request() {
+    let mut site = Site::start(Plan {
+        service_ms: 700,
+        ..Plan::default()
+    })
+    .await;
+    let address = site.entries[0].address;
+    let check = Ask::post(SANCTION, "{}").with(TAG, "leaving");
+    let waiting = tokio::spawn(async move { check.send(address).await });
+    while site.runs("leaving").await == 0 {
+        tokio::task::yield_now().await;
+    }
+    site.entries[0].leave();
+    site.entries[0].left().await;
+    let answer = waiting.await.unwrap();
+    assert_eq!(answer.status, 200);
+    assert!(answer.whole);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn can_announce_and_roll_back_only_by_the_right_token() {
+    let site = Site::start(Plan {
+        engines: 1,
+        services: 0,
+        ..Plan::default()
+    })
+    .await;
+    let weights = |version: &str| {
+        let body = format!(r#"{{"version":"{version}"}}"#);
+        Ask::post("/v1/training/redacteurs/weights", body).by(TRAINER)
+    };
+    assert_eq!(site.send(0, &weights("1.4")).await.json()["version"], "1.4");
+    let (status, _, cause) = site.send(0, &weights("1.3")).await.problem();
+    assert_eq!((status, cause.as_str()), (409, "stale"));
+    let back = Ask::post("/v1/training/redacteurs/rollback", r#"{"version":"2.2"}"#).by(OPERATOR);
+    assert_eq!(site.send(0, &back).await.json()["version"], "2.2");
+    let (status, _, _) = site.send(0, &weights("1.5")).await.problem();
+    assert_eq!(status, 409);
+}
--- /dev/null
+++ b/components/gateway/tests/training.rs
@@ -0,0 +1,146 @@
+//! Steps, fetches and cursors through whole entries.
+
+#![allow(clippy::unwrap_used)] // The exemption of clippy.toml ends at helpers of tests.
+
+mod common;
+
+use std::collections::BTreeSet;
+
+use common::{Ask, Plan, Site, TRAINER};
+use serde_json::{Value, json};
+
+const STEPS: &str = "/v1/training/redacteurs/steps";
+const SAMPLES: u64 = 6;
+
+fn post(step: u64, prompt: &str, cursor: Option<&str>) -> Ask {
+    let body = json!({
+        "step": step, "max_tokens": 16, "trainer_version": "1.1", "cursor": cursor,
+        "groups": [{"prompt": prompt, "samples": SAMPLES / 2}, {"prompt": "b", "samples": SAMPLES / 2}],
+    });
+    Ask::post(STEPS, body.to_string()).by(TRAINER)
+}
+
+fn fetch(step: u64, cursor: &str, max: u64) -> Ask {
+    let body = json!({"cursor": cursor, "trainer_version": "1.1", "max": max, "wait_ms": 10_000});
+    Ask::post(&format!("{STEPS}/{step}/fetch"), body.to_string()).by(TRAINER)
+}
+
+fn cursor(json: &Value) -> String {
+    json["cursor"].as_str().unwrap().to_owned()
+}
+
+fn slots(json: &Value) -> Vec<(u64, u64)> {
+    let samples = json["samples"].as_array().unwrap().iter();
+    samples
+        .map(|sample| {
+            let number = |name: &str| sample[name].as_u64().unwrap();
+            (number("group"), number("index"))
+        })
+        .collect()
+}
+
+async fn site() -> Site {
+    Site::start(Plan {
+        engines: 2,
+        services: 0,
+        ..Plan::default()
+    })
+    .await
+}
+
+// The trainer gets each slot once, whichever entry it asks, and with the versions that
+// made it. Each entry takes the call to the step's home.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn can_fetch_each_sample_once_through_either_entry() {
+    let site = site().await;
+    let posted = site.send(0, &post(1, "a", None)).await;
+    assert_eq!(posted.status, 202, "{}", posted.text());
+    let mut next = cursor(&posted.json());
+    let mut taken = BTreeSet::new();
+    for round in 0.. {
+        let answer = site.send(round % 2, &fetch(1, &next, 2)).await;
+        assert_eq!(answer.status, 200, "{}", answer.text());
+        let json = answer.json();
+        for sample in json["samples"].as_array().unwrap() {
+            assert_eq!(sample["versions"], json!(["1.1"]));
+            assert_eq!(sample["staleness"], 0);
+        }
+        for slot in slots(&json) {
+            assert!(taken.insert(slot), "slot {slot:?} came twice");
+        }
+        next = cursor(&json);
+        if json["complete"] == true {
+            break;
+        }
+    }
+    assert_eq!(taken.len() as u64, SAMPLES);
+}
+
+// The trainer loses a reply and fetches again with the cursor that it has: it gets the
+// same samples again, and a post with that cursor counts nothing twice either.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn can_fetch_again_with_the_same_cursor() {
+    let site = site().await;
+    let start = cursor(&site.send(0, &post(2, "a", None)).await.json());
+    let first = site.send(0, &fetch(2, &start, 2)).await.json();
+    let again = site.send(1, &fetch(2, &start, SAMPLES)).await.json();
+    let texts = |json: &Value| -> BTreeSet<String> {
+        let samples = json["samples"].as_array().unwrap().iter();
+        samples.map(|sample| sample.to_string()).collect()
+    };
+    assert!(texts(&again).is_superset(&texts(&first)));
+    let reposted = site.send(1, &post(2, "a", Some(&cursor(&first)))).await;
+    assert_eq!(reposted.status, 202);
+    let later = site
+        .send(0, &fetch(2, &cursor(&reposted.json()), SAMPLES))
+        .await
+        .json();
+    let had: BTreeSet<_> = slots(&first).into_iter().collect();
+    assert!(slots(&later).iter().all(|slot| !had.contains(slot)));
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn errors_when_a_cursor_or_a_post_does_not_fit() {
+    struct Case {
+        name: &'static str,
+        ask: Ask,
+        problem: (u16, &'static str),
+    }
+    let site = site().await;
+    let three = cursor(&site.send(0, &post(3, "a", None)).await.json());
+    site.send(0, &post(4, "a", None)).await;
+    let damaged = three.replace(three.chars().next_back().unwrap(), "~");
+    let cases = [
+        Case {
+            name: "a cursor of another step",
+            ask: fetch(4, &three, 2),
+            problem: (400, "malformed"),
+        },
+        Case {
+            name: "a damaged cursor",
+            ask: fetch(3, &damaged, 2),
+            problem: (400, "malformed"),
+        },
+        Case {
+            name: "the same step with another content",
+            ask: post(3, "other", None),
+            problem: (422, "key-reused"),
+        },
+        Case {
+            name: "a step without samples",
+            ask: Ask::post(
+                STEPS,
+                r#"{"step":5,"groups":[],"max_tokens":4,"trainer_version":"1.1"}"#,
+            )
+            .by(TRAINER),
+            problem: (400, "malformed"),
+        },
+    ];
+    for case in cases {
+        for entry in 0..site.entries.len() {
+            let (status, outcome, cause) = site.send(entry, &case.ask).await.problem();
+            assert_eq!((status, cause.as_str()), case.problem, "{}", case.name);
+            assert_eq!(outcome, "not-run", "{}", case.name);
+        }
+    }
+}
