Weights ahead of time: news and agents carry a version to load besides the one to serve

The 6 s to new weights on all replicas would have to hold every load from the store. An agent now hears of two versions: it loads the later one in its turn, serves the earlier one meanwhile and switches without the store when the later one is announced. What comes in force before its turn is loaded at once.

News::Weights carries a WeightTarget (types; weights::Target is the same). Two rumours of one model may say different things, neither above the other, when a trainer speaks to two entries at once; rumours merge them instead of keeping one.

Turns: by rank nobody collides, but an agent doesn't know its siblings (the VM list names no pools) and telling it would cost messages that grow with the replicas. A share of a window by hash of address and version needs nothing. So the share is for loads ahead (--load-window-ms, 60 s); urgent loads take no turn, as it would gain no time. The turn by rank and size is removed: no process knew its inputs.

Fencing: an order's number is that of the version to serve, also for a load ahead.

The entry doesn't take `load` from trainers yet.

--- a/components/membership/src/rumours.rs
+++ b/components/membership/src/rumours.rs
@@ -136,13 +136,15 @@
         if ends_ms.is_some_and(|ends_ms| ends_ms <= now_ms) {
             return false;
         }
-        if let Some(known) = self.facts.get(&topic)
-            && !self.is_above(news, ends_ms, known)
-        {
-            return false;
+        let mut news = news.clone();
+        if let Some(known) = self.facts.get(&topic) {
+            news = merged(news, &known.news);
+            if !self.is_above(&news, ends_ms, known) {
+                return false;
+            }
         }
         let fact = Fact {
-            news: news.clone(),
+            news,
             pushes_left: self.settings.push_rounds(peers),
             ends_ms,
         };
@@ -247,9 +249,7 @@
     fn is_above(&self, news: &News, ends_ms: Option<u64>, known: &Fact) -> bool {
         match (news, &known.news) {
             (News::Config(heard), News::Config(known)) => heard.version > known.version,
-            (News::Weights { version, .. }, News::Weights { version: known, .. }) => {
-                version > known
-            }
+            (News::Weights { target, .. }, News::Weights { target: known, .. }) => target != known,
             (News::Leaving { node }, News::Leaving { node: known }) => {
                 node.incarnation > known.incarnation
             }
@@ -309,13 +309,34 @@
     }
 }
 
+/// The heard news with what is known. Weights to serve and to load come from different
+/// calls of a trainer, perhaps at two entries at once: neither piece of news is above the
+/// other then, and to keep one of them would lose what only the other says.
+fn merged(heard: News, known: &News) -> News {
+    match (heard, known) {
+        (
+            News::Weights {
+                customer,
+                service,
+                target,
+            },
+            News::Weights { target: known, .. },
+        ) => News::Weights {
+            customer,
+            service,
+            target: known.merge(target),
+        },
+        (heard, _) => heard,
+    }
+}
+
 /// Most bytes that the news takes on the wire.
 fn size_bytes(news: &News) -> usize {
     match news {
         News::Config(digest) => 24 + digest.customer.as_str().len(),
         News::Weights {
             customer, service, ..
-        } => 18 + customer.as_str().len() + service.as_str().len(),
+        } => 34 + customer.as_str().len() + service.as_str().len(),
         News::Leaving { .. } => 32,
         _ => 24,
     }
--- a/components/protocol/src/datagram.rs
+++ b/components/protocol/src/datagram.rs
@@ -1,7 +1,10 @@
 //! Datagrams: small periodic news over UDP. A lost one is made good by the next.
 
 use derive::{wire, wire_key};
-use types::{CustomerName, FailureDomain, Incarnation, NodeId, Region, ServiceName, WeightVersion};
+use types::{
+    CustomerName, FailureDomain, Incarnation, NodeId, Region, ServiceName, WeightTarget,
+    WeightVersion,
+};
 
 /// What a process is.
 #[wire_key]
@@ -77,14 +80,15 @@
     Status(Box<Status>),
     /// Configuration that the sender holds; the text is fetched over TCP.
     Config(ConfigDigest),
-    /// Weight version that a trainer announced or an operator rolled back to.
+    /// Weight versions that a trainer announced or named ahead of time, or that an operator
+    /// rolled back to.
     Weights {
         /// Owner of the service.
         customer: CustomerName,
         /// The service.
         service: ServiceName,
-        /// Highest version known to the sender.
-        version: WeightVersion,
+        /// Highest versions known to the sender.
+        target: WeightTarget,
     },
     /// A life of a process that is leaving.
     Leaving {
--- a/components/settings/src/agent.rs
+++ b/components/settings/src/agent.rs
@@ -6,10 +6,12 @@
 use types::{CustomerName, PoolName};
 
 use crate::SettingsError;
-use crate::check::{address, names, word};
+use crate::check::{address, milliseconds, names, word};
 use crate::common::{CommonSettings, flag, optional_name, with_common};
 
 const KIND: &str = "model or plain";
+const LOAD_WINDOW: &str = "0 to 600000 milliseconds";
+const LOAD_WINDOW_MS_MAX: u64 = 600_000;
 const FENCING: &str = "checked or ignored";
 const CUSTOMERS: &str = "names of a-z, 0-9 and '-' with commas between, such as office,collective";
 const POOL: &str = "a name of a-z, 0-9 and '-'";
@@ -49,6 +51,9 @@
     pub customers: Vec<CustomerName>,
     /// Whether the engine checks fencing numbers.
     pub fencing: Fencing,
+    /// Time over which the replicas of a model spread their loads of a version that its
+    /// trainer names ahead of time, in milliseconds.
+    pub load_window_ms: u64,
 }
 
 /// The command line of an agent.
@@ -75,6 +80,14 @@
                 "Whether the engine checks fencing numbers: checked or ignored",
             )
             .default_value("ignored"),
+        )
+        .arg(
+            flag(
+                "load-window-ms",
+                "MS",
+                "Time over which replicas spread their loads of weights named ahead of time",
+            )
+            .default_value("60000"),
         );
     with_common(command)
 }
@@ -101,6 +114,12 @@
             pool: pool.ok_or(SettingsError::Missing("pool", POOL))?,
             customers: customers(matches)?,
             fencing,
+            load_window_ms: milliseconds(
+                matches,
+                "load-window-ms",
+                0..=LOAD_WINDOW_MS_MAX,
+                LOAD_WINDOW,
+            )?,
         })
     }
 }
--- a/components/sidecar/src/orders.rs
+++ b/components/sidecar/src/orders.rs
@@ -34,9 +34,9 @@
         // Frozen since the decision: what it rested on may be long over.
         OrderOutcome::Unknown
     } else {
-        carry_out_now(&agent, &watch, &model, order.kind, timeout_ms).await
+        carry_out_now(&agent, &watch, &model, order, timeout_ms).await
     };
-    if !matches!(order.kind, OrderKind::Read | OrderKind::CancelEarlier) {
+    if order.kind.is_change() {
         log::info!(
             event = "engine-order", customer:% = model.customer, model:% = model.service, order:? = order.kind,
             outcome:? = outcome; ""
@@ -56,13 +56,13 @@
     agent: &Agent,
     watch: &Watch,
     model: &ModelKey,
-    kind: OrderKind,
+    order: Order,
     timeout_ms: u64,
 ) -> OrderOutcome {
     let name = agent.engine_names.name(&model.customer, &model.service);
     let name = name.as_str();
-    let fence = kind.fence().unwrap_or_default();
-    let done = match kind {
+    let fence = order.fence;
+    let done = match order.kind {
         // The calls of an earlier life of this agent had their connections cut with it,
         // by which the engine drops them; their names died with that life.
         OrderKind::CancelEarlier => return OrderOutcome::Done,
--- a/components/sidecar/src/start.rs
+++ b/components/sidecar/src/start.rs
@@ -20,7 +20,7 @@
 
 use crate::agent::{Agent, AgentLimits};
 use crate::watch::Watch;
-use crate::weights_task::Weights;
+use crate::weights_task::{Pace, Weights};
 use crate::{calls, status};
 
 /// First part of the names of an agent's metrics.
@@ -123,7 +123,11 @@
     let limits = tuning.limits.clone();
     let agent = Arc::new(Agent::new(settings, limits, identity, feed, metrics));
     let watch = Watch::start(Arc::clone(&agent));
-    let weights = Weights::start(Arc::clone(&agent), watch, tuning.reconcile.clone());
+    let pace = Pace {
+        reconcile: tuning.reconcile.clone(),
+        load_window_ms: settings.load_window_ms,
+    };
+    let weights = Weights::start(Arc::clone(&agent), watch, pace);
     Ok((agent, weights))
 }
 
@@ -158,10 +162,10 @@
             if let News::Weights {
                 customer,
                 service,
-                version,
+                target,
             } = news
             {
-                weights.heard(customer, service, *version);
+                weights.heard(customer, service, *target);
             }
         }),
         leaving: Arc::new(move || leaving.order()),
--- a/components/sidecar/src/status.rs
+++ b/components/sidecar/src/status.rs
@@ -119,6 +119,8 @@
     service: String,
     wanted: Option<String>,
     serving: Option<String>,
+    load: Option<String>,
+    loaded: bool,
     behind: Option<u64>,
     failures: u32,
 }
@@ -166,6 +168,8 @@
         service: row.model.service.to_string(),
         wanted: row.status.wanted.map(|version| version.to_string()),
         serving: row.status.serving.map(|version| version.to_string()),
+        load: row.status.load.map(|version| version.to_string()),
+        loaded: row.status.loaded,
         behind: row.status.behind,
         failures: row.status.failures,
     }
--- a/components/sidecar/src/weights_task.rs
+++ b/components/sidecar/src/weights_task.rs
@@ -8,8 +8,8 @@
 use config::Kind;
 use node::now_ms;
 use tokio::sync::{mpsc, watch};
-use types::{CustomerName, ServiceName, WeightVersion};
-use weights::{Authority, ModelKey, Reconcile, ReconcileSettings, Target};
+use types::{CustomerName, ServiceName};
+use weights::{Authority, ModelKey, Reconcile, ReconcileSettings, Target, Turns, turn_ms};
 
 use crate::agent::Agent;
 use crate::orders::{Ended, carry_out};
@@ -30,6 +30,16 @@
     pub target: Target,
 }
 
+/// How the task paces itself.
+#[derive(Clone, Debug)]
+pub struct Pace {
+    /// Orders to the engine.
+    pub reconcile: ReconcileSettings,
+    /// Time over which replicas spread their loads of a version that is named ahead of
+    /// time, in milliseconds.
+    pub load_window_ms: u64,
+}
+
 /// State of one model for the status page.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ModelStatus {
@@ -50,14 +60,14 @@
 
 impl Weights {
     /// Starts the task.
-    pub fn start(agent: Arc<Agent>, watch: Watch, settings: ReconcileSettings) -> Weights {
+    pub fn start(agent: Arc<Agent>, watch: Watch, pace: Pace) -> Weights {
         let (news, heard) = mpsc::unbounded_channel();
         let (publish, statuses) = watch::channel(Vec::new());
         let (ends, ended) = mpsc::channel(ENDS_MAX);
         let driver = Driver {
             agent,
             watch,
-            settings,
+            pace,
             authority: Authority::new(),
             models: BTreeMap::new(),
             ends,
@@ -67,13 +77,12 @@
         Weights { news, statuses }
     }
 
-    /// A version of a model is in force.
-    pub fn heard(&self, customer: &CustomerName, service: &ServiceName, version: WeightVersion) {
+    /// Versions of a model to serve and to hold.
+    pub fn heard(&self, customer: &CustomerName, service: &ServiceName, target: Target) {
         let model = ModelKey {
             customer: customer.clone(),
             service: service.clone(),
         };
-        let target = Target::serve(version);
         // A driver that has gone needs no news.
         let _ = self.news.send(VersionNews { model, target });
     }
@@ -87,7 +96,7 @@
 struct Driver {
     agent: Arc<Agent>,
     watch: Watch,
-    settings: ReconcileSettings,
+    pace: Pace,
     authority: Authority,
     models: BTreeMap<ModelKey, Reconcile>,
     ends: mpsc::Sender<Ended>,
@@ -139,7 +148,7 @@
             }
             let settings = ReconcileSettings {
                 staleness_bound,
-                ..self.settings.clone()
+                ..self.pace.reconcile.clone()
             };
             self.models.insert(model.clone(), Reconcile::new(settings));
             self.aim(&model);
@@ -148,18 +157,28 @@
 
     fn take_news(&mut self, news: VersionNews) {
         if self.authority.merge(&news.model, news.target) {
-            let serve = news.target.serve;
-            log::info!(event = "version-wanted", model:% = news.model.service, version:% = serve; "");
             self.aim(&news.model);
         }
     }
 
+    /// Tells a hosted model's machine what is wanted; the versions of all other models are
+    /// only kept, as their services may come to this endpoint later.
     fn aim(&mut self, model: &ModelKey) {
         let target = self.authority.target(model);
         let machine = self.models.get_mut(model);
-        if let (Some(machine), Some(target)) = (machine, target) {
-            machine.want(target, 0, now_ms());
-        }
+        let (Some(machine), Some(target)) = (machine, target) else {
+            return;
+        };
+        log::info!(
+            event = "version-wanted", customer:% = model.customer, model:% = model.service,
+            version:% = target.serve, load:% = target.load; ""
+        );
+        let own = self.agent.identity.node().address;
+        let turns = Turns {
+            serve_ms: 0,
+            ahead_ms: turn_ms(own, model, target.load, self.pace.load_window_ms),
+        };
+        machine.want(target, turns, now_ms());
     }
 
     fn take_end(&mut self, end: Ended) {
@@ -177,7 +196,7 @@
                     self.watch.clone(),
                     model.clone(),
                     order,
-                    self.settings.order_timeout_ms,
+                    self.pace.reconcile.order_timeout_ms,
                     self.ends.clone(),
                 );
                 tokio::spawn(carried);
--- /dev/null
+++ b/components/weights/examples/turns.rs
@@ -0,0 +1,207 @@
+//! Replicas and a store that gives so many answers a second: loads at once, in turn by rank,
+//! and in turn by a share of the window that each replica computes by itself.
+//!
+//! `cargo run --release -p weights --example turns`
+
+use std::error::Error;
+use std::net::SocketAddr;
+
+use types::WeightVersion;
+use weights::{
+    EngineState, ModelKey, Order, OrderKind, OrderOutcome, Reconcile, ReconcileSettings, Target,
+    Turns, turn_ms,
+};
+
+const STEP_MS: u64 = 10;
+const LOAD_MS: u64 = 400;
+const SECOND_MS: u64 = 1_000;
+const GIVE_UP_MS: u64 = 3_600_000;
+const OLD: WeightVersion = WeightVersion {
+    epoch: 0,
+    version: 1,
+};
+
+#[derive(Clone, Copy)]
+enum Way {
+    AtOnce,
+    Rank,
+    Share { window_percent: u64 },
+}
+
+struct Replica {
+    agent: Reconcile,
+    engine: EngineState,
+    /// A load on its way: its end, and whether the store gave the weights.
+    loading: Option<(Order, u64, OrderOutcome)>,
+}
+
+struct Store {
+    per_s: u64,
+    window_ms: u64,
+    taken: u64,
+    refused: u64,
+}
+
+impl Store {
+    fn ask(&mut self, now_ms: u64) -> OrderOutcome {
+        if now_ms >= self.window_ms + SECOND_MS {
+            self.window_ms = now_ms;
+            self.taken = 0;
+        }
+        self.taken += 1;
+        if self.taken <= self.per_s {
+            return OrderOutcome::Done;
+        }
+        self.refused += 1;
+        OrderOutcome::StoreBusy {
+            retry_after_ms: Some(SECOND_MS),
+        }
+    }
+}
+
+struct Random(u64);
+
+impl Random {
+    fn permille(&mut self) -> u64 {
+        self.0 ^= self.0 << 13;
+        self.0 ^= self.0 >> 7;
+        self.0 ^= self.0 << 17;
+        self.0 % 1_000
+    }
+}
+
+fn main() -> Result<(), Box<dyn Error>> {
+    println!("replicas store_per_s way mean_ms worst_ms over_store refused_per_replica");
+    let ways = [
+        Way::AtOnce,
+        Way::Rank,
+        Way::Share {
+            window_percent: 100,
+        },
+        Way::Share {
+            window_percent: 150,
+        },
+        Way::Share {
+            window_percent: 200,
+        },
+    ];
+    for (replicas, per_s) in [(24, 4), (600, 10), (600, 100)] {
+        for way in ways {
+            report(replicas, per_s, way)?;
+        }
+    }
+    Ok(())
+}
+
+fn report(replicas: u64, per_s: u64, way: Way) -> Result<(), Box<dyn Error>> {
+    const RUNS: u64 = 20;
+    let (mut sum_ms, mut worst_ms, mut refused) = (0, 0, 0);
+    for run in 1..=RUNS {
+        let (all_ms, no) = until_all(replicas, per_s, way, run)?;
+        sum_ms += all_ms;
+        worst_ms = worst_ms.max(all_ms);
+        refused += no;
+    }
+    let mean_ms = sum_ms / RUNS;
+    let store_ms = replicas * SECOND_MS / per_s;
+    let over = mean_ms as f64 / store_ms as f64;
+    let each = refused as f64 / (RUNS * replicas) as f64;
+    let name = match way {
+        Way::AtOnce => "at-once".to_owned(),
+        Way::Rank => "rank".to_owned(),
+        Way::Share { window_percent } => format!("share-of-{window_percent}%"),
+    };
+    println!("{replicas} {per_s} {name} {mean_ms} {worst_ms} {over:.2} {each:.2}");
+    Ok(())
+}
+
+/// Time until all hold the version, and refusals of the store.
+fn until_all(count: u64, per_s: u64, way: Way, run: u64) -> Result<(u64, u64), Box<dyn Error>> {
+    let model = ModelKey {
+        customer: "office".parse()?,
+        service: "redacteurs".parse()?,
+    };
+    let load = WeightVersion {
+        epoch: 0,
+        version: 1 + run,
+    };
+    let mut random = Random(run.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1);
+    let mut store = Store {
+        per_s,
+        window_ms: 0,
+        taken: 0,
+        refused: 0,
+    };
+    let store_ms = count * SECOND_MS / per_s;
+    let mut replicas: Vec<Replica> = (0..count).map(|_| replica()).collect();
+    for (rank, replica) in (0..).zip(&mut replicas) {
+        let port = u16::try_from(7_000 + rank)?;
+        let own = SocketAddr::from(([10, 0, 0, 1], port));
+        let ahead_ms = match way {
+            Way::AtOnce => 0,
+            Way::Rank => rank * SECOND_MS / per_s,
+            Way::Share { window_percent } => {
+                turn_ms(own, &model, load, store_ms * window_percent / 100)
+            }
+        };
+        let turns = Turns {
+            serve_ms: 0,
+            ahead_ms,
+        };
+        replica.agent.want(Target { serve: OLD, load }, turns, 0);
+    }
+    let mut now_ms = 0;
+    while replicas.iter().any(|replica| !replica.engine.holds(load)) {
+        now_ms += STEP_MS;
+        if now_ms > GIVE_UP_MS {
+            return Err("the replicas never hold the version".into());
+        }
+        for replica in &mut replicas {
+            replica.step(&mut store, &mut random, now_ms);
+        }
+    }
+    Ok((now_ms, store.refused))
+}
+
+fn replica() -> Replica {
+    Replica {
+        agent: Reconcile::new(ReconcileSettings::default()),
+        engine: EngineState {
+            life: 1,
+            version: Some(OLD),
+            loaded: [OLD].into(),
+        },
+        loading: None,
+    }
+}
+
+impl Replica {
+    fn step(&mut self, store: &mut Store, random: &mut Random, now_ms: u64) {
+        if let Some((order, _, outcome)) = self.loading.take_if(|(_, end_ms, _)| *end_ms <= now_ms)
+        {
+            if let (OrderOutcome::Done, OrderKind::Load(version)) = (&outcome, order.kind) {
+                self.engine.loaded.insert(version);
+            }
+            self.agent
+                .ended(order.id, outcome, now_ms, random.permille());
+        }
+        while let Some(order) = self.agent.poll(now_ms, random.permille()) {
+            let outcome = match order.kind {
+                OrderKind::Load(_) => {
+                    let outcome = store.ask(now_ms);
+                    let takes_ms = if outcome == OrderOutcome::Done {
+                        LOAD_MS
+                    } else {
+                        0
+                    };
+                    self.loading = Some((order, now_ms + takes_ms, outcome));
+                    return;
+                }
+                OrderKind::Read => OrderOutcome::State(self.engine.clone()),
+                OrderKind::CancelEarlier | OrderKind::Switch(_) => OrderOutcome::Done,
+            };
+            self.agent
+                .ended(order.id, outcome, now_ms, random.permille());
+        }
+    }
+}
--- a/components/weights/src/authority.rs
+++ b/components/weights/src/authority.rs
@@ -12,7 +12,7 @@
 
 use derive::{value, wire, wire_key};
 use quick_error::quick_error;
-use types::{CustomerName, Role, ServiceName, WeightVersion};
+use types::{CustomerName, Role, ServiceName, WeightTarget as Target, WeightVersion};
 
 quick_error! {
     /// Why an announcement is refused.
@@ -56,37 +56,6 @@
     pub role: Role,
 }
 
-/// What engines of a model should do.
-#[wire_key]
-pub struct Target {
-    /// Version to serve.
-    pub serve: WeightVersion,
-    /// Version to have loaded, at least `serve`.
-    pub load: WeightVersion,
-}
-
-impl Target {
-    /// Serve this version.
-    pub fn serve(version: WeightVersion) -> Self {
-        Self {
-            serve: version,
-            load: version,
-        }
-    }
-
-    fn merge(self, other: Target) -> Target {
-        let serve = self.serve.max(other.serve);
-        let load = self.load.max(other.load).max(serve);
-        // A version prepared before a roll-back belongs to the abandoned epoch.
-        let load = if load.epoch == serve.epoch {
-            load
-        } else {
-            serve
-        };
-        Target { serve, load }
-    }
-}
-
 /// What an accepted announcement did.
 #[wire_key]
 pub enum Announcement {
--- a/components/weights/src/lib.rs
+++ b/components/weights/src/lib.rs
@@ -7,8 +7,9 @@
 mod reconcile;
 mod turn;
 
-pub use authority::{AnnounceError, Announcement, Announcer, Authority, ModelKey, Target};
+pub use authority::{AnnounceError, Announcement, Announcer, Authority, ModelKey};
 pub use backoff::Backoff;
 pub use order::{EngineState, Order, OrderId, OrderKind, OrderOutcome};
-pub use reconcile::{Reconcile, ReconcileSettings, Status};
-pub use turn::{StoreRate, Turn, store_rate_needed_bytes_per_s, turn};
+pub use reconcile::{Reconcile, ReconcileSettings, Status, Turns};
+pub use turn::{store_rate_needed_bytes_per_s, turn_ms};
+pub use types::WeightTarget as Target;
--- a/components/weights/src/order.rs
+++ b/components/weights/src/order.rs
@@ -41,12 +41,9 @@
 }
 
 impl OrderKind {
-    /// Fencing number that goes with the order, if it changes anything.
-    pub fn fence(self) -> Option<u64> {
-        match self {
-            OrderKind::Load(version) | OrderKind::Switch(version) => Some(version.fencing_number()),
-            OrderKind::CancelEarlier | OrderKind::Read => None,
-        }
+    /// Whether the order changes anything at the engine.
+    pub fn is_change(self) -> bool {
+        matches!(self, OrderKind::Load(_) | OrderKind::Switch(_))
     }
 }
 
@@ -57,6 +54,8 @@
     pub id: OrderId,
     /// What to do.
     pub kind: OrderKind,
+    /// Fencing number that goes with a change.
+    pub fence: u64,
     /// The driver drops the order unsent after this time and reports [`OrderOutcome::Unknown`]:
     /// a process frozen between the decision and the send would act on an old belief.
     pub send_before_ms: u64,
--- a/components/weights/src/reconcile.rs
+++ b/components/weights/src/reconcile.rs
@@ -12,9 +12,8 @@
 //! is stands in [`Status`].
 
 use derive::value;
-use types::WeightVersion;
+use types::{WeightTarget as Target, WeightVersion};
 
-use crate::authority::Target;
 use crate::backoff::Backoff;
 use crate::order::{EngineState, Order, OrderId, OrderKind, OrderOutcome};
 
@@ -57,6 +56,10 @@
     pub wanted: Option<WeightVersion>,
     /// How long ago the state was read.
     pub read_age_ms: Option<u64>,
+    /// Version to have in memory.
+    pub load: Option<WeightVersion>,
+    /// That version is in memory.
+    pub loaded: bool,
     /// Versions between serving and wanted; `None` across epochs or when unknown.
     pub behind: Option<u64>,
     /// The engine's version is too old for samples.
@@ -88,13 +91,25 @@
     sent_ms: u64,
 }
 
+/// This replica's waits at the store, from the news on.
+#[value]
+#[derive(Copy, Default)]
+pub struct Turns {
+    /// Before it loads the version to serve, in milliseconds.
+    pub serve_ms: u64,
+    /// Before it loads a version that is named ahead of time, in milliseconds.
+    pub ahead_ms: u64,
+}
+
 /// State machine of one model at one engine.
 #[derive(Clone, Debug)]
 pub struct Reconcile {
     settings: ReconcileSettings,
     target: Option<Target>,
-    /// Earliest time of the load: the replica's turn at the store.
-    load_after_ms: u64,
+    /// Earliest time to load the version to serve: the replica's turn at the store.
+    serve_after_ms: u64,
+    /// Earliest time to load a version ahead of time.
+    ahead_after_ms: u64,
     belief: Option<Belief>,
     /// The belief may have been overtaken by an order; read before the next one.
     belief_open: bool,
@@ -115,7 +130,8 @@
         Self {
             settings,
             target: None,
-            load_after_ms: 0,
+            serve_after_ms: 0,
+            ahead_after_ms: 0,
             belief: None,
             belief_open: true,
             in_flight: None,
@@ -129,14 +145,18 @@
         }
     }
 
-    /// The target is news; `turn_delay_ms` is this replica's wait at the store.
-    pub fn want(&mut self, target: Target, turn_delay_ms: u64, now_ms: u64) {
+    /// The target is news.
+    pub fn want(&mut self, target: Target, turns: Turns, now_ms: u64) {
         if self.target == Some(target) {
             return;
         }
-        let load_is_news = self.target.is_none_or(|old| old.load != target.load);
-        if load_is_news {
-            self.load_after_ms = now_ms + turn_delay_ms;
+        // A version that comes in force before its turn to be loaded ahead waits no longer
+        // than one that was never named before.
+        if self.target.is_none_or(|old| old.serve != target.serve) {
+            self.serve_after_ms = now_ms + turns.serve_ms;
+        }
+        if self.target.is_none_or(|old| old.load != target.load) {
+            self.ahead_after_ms = now_ms + turns.ahead_ms;
         }
         self.target = Some(target);
         self.fence_refused = false;
@@ -195,10 +215,14 @@
         let serving = self.belief.as_ref().and_then(|belief| belief.state.version);
         let wanted = self.target.map(|target| target.serve);
         let behind = serving.zip(wanted).and_then(|(s, w)| behind(s, w));
+        let load = self.target.map(|target| target.load);
+        let holds = |version| self.belief.as_ref().is_some_and(|b| b.state.holds(version));
         let judged = serving.is_some() && wanted.is_some();
         Status {
             serving,
             wanted,
+            load,
+            loaded: load.is_some_and(holds),
             read_age_ms: self
                 .belief
                 .as_ref()
@@ -253,15 +277,28 @@
     /// When this change may be ordered.
     fn due_ms(&self, kind: OrderKind) -> u64 {
         match kind {
-            OrderKind::Load(_) => self.change_after_ms.max(self.load_after_ms),
+            OrderKind::Load(version) if self.is_wanted_now(version) => {
+                self.change_after_ms.max(self.serve_after_ms)
+            }
+            OrderKind::Load(_) => self.change_after_ms.max(self.ahead_after_ms),
             _ => self.change_after_ms,
         }
     }
 
+    fn is_wanted_now(&self, version: WeightVersion) -> bool {
+        self.target.is_some_and(|target| target.serve == version)
+    }
+
     fn send(&mut self, kind: OrderKind, now_ms: u64) -> Order {
         let order = Order {
             id: OrderId(self.next_id),
             kind,
+            // Of the version to serve also where another one is ordered: an engine that has
+            // loaded version 7 ahead of time under its own number would refuse the switch to
+            // version 6, and stay behind until 7 comes in force.
+            fence: self
+                .target
+                .map_or(0, |target| target.serve.fencing_number()),
             send_before_ms: now_ms + self.settings.belief_ms,
         };
         self.next_id += 1;
--- a/components/weights/src/turn.rs
+++ b/components/weights/src/turn.rs
@@ -1,46 +1,26 @@
-//! Turns at the rate-limited weight store, taken by rank without asking anyone.
+//! Turns at the rate-limited weight store, taken without asking anyone.
 //!
-//! Every agent knows the replicas of its model and so its own rank among them. It waits
-//! for as many loads as come before it, so that the store serves each load at a useful
-//! rate instead of all of them at a crawl. Two agents that see different lists collide;
-//! the store then answers 429 and the backoff spreads them.
+//! A version that is named ahead of time is not urgent, so the replicas spread their loads
+//! over a window: each waits for a share of it that follows from its address and the
+//! version. The share is new with each version, so that nobody is always the last. A rank
+//! among the replicas would spread them without any collision, but an agent doesn't know
+//! which others stand beside the same model: the VM list names no pools, and to be told
+//! would cost every agent messages that grow with the replicas. Where two collide the
+//! store answers that it is busy, and the one that was refused comes back.
 
-use derive::key;
+use std::net::SocketAddr;
 
-const MS_PER_S: u64 = 1_000;
+use types::{WeightVersion, rendezvous};
 
-/// What the store gives.
-#[key]
-pub struct StoreRate {
-    /// All loads together.
-    pub bytes_per_s: u64,
-    /// One load at most.
-    pub load_bytes_per_s: u64,
-}
+use crate::ModelKey;
 
-/// When a replica may load.
-#[key]
-pub struct Turn {
-    /// Wait from the news on.
-    pub delay_ms: u64,
-    /// Time that the load takes at the store's rate.
-    pub load_ms: u64,
-}
+const MS_PER_S: u64 = 1_000;
 
-/// Turn of the replica with `rank` (0 first) for weights of `weights_bytes`.
-///
-/// `replicas` bounds the rank, so that a rank from an older, longer list waits no longer
-/// than the last turn.
-pub fn turn(rank: u32, replicas: u32, weights_bytes: u64, store: &StoreRate) -> Turn {
-    let rate_bytes_per_s = store.bytes_per_s.max(1);
-    let one_bytes_per_s = store.load_bytes_per_s.clamp(1, rate_bytes_per_s);
-    let at_once = rate_bytes_per_s / one_bytes_per_s;
-    let rank = u64::from(rank.min(replicas.saturating_sub(1)));
-    let load_ms = ms_for(weights_bytes, one_bytes_per_s);
-    Turn {
-        delay_ms: rank / at_once * load_ms,
-        load_ms,
-    }
+/// Wait of the replica whose agent has this address before it loads the version, below
+/// `window_ms`.
+pub fn turn_ms(own: SocketAddr, model: &ModelKey, version: WeightVersion, window_ms: u64) -> u64 {
+    let key = format!("{}/{}/{version}", model.customer, model.service);
+    rendezvous::weight(key.as_bytes(), own) % window_ms.max(1)
 }
 
 /// Rate that the store needs for all replicas to hold new weights in time, bytes a second:
@@ -66,8 +46,3 @@
     let rate = (all_bytes * u128::from(MS_PER_S)).div_ceil(u128::from(left_ms));
     u64::try_from(rate).ok()
 }
-
-fn ms_for(bytes: u64, bytes_per_s: u64) -> u64 {
-    let ms = (u128::from(bytes) * u128::from(MS_PER_S)).div_ceil(u128::from(bytes_per_s));
-    u64::try_from(ms).unwrap_or(u64::MAX)
-}
