Entry: no black hole for samples, versions named ahead of time

A dead replica fails its runs at once and so had the most room: every slot of a step was tried there. Replicas at which runs failed get none for half a second, longer after each failure in a row, unless all have failed. The owner of the copies tells like the other inner calls when a home is gone.

Trainers can name a version ahead of time (POST .../weights/prepare), which goes to the agents with the one in force. Where no version is known to be in force it is refused, for the merge would put it in force.

--- a/components/gateway/src/news.rs
+++ b/components/gateway/src/news.rs
@@ -7,8 +7,7 @@
 use protocol::News;
 use quarantine::{CallDigest, Condemned};
 use tokio::sync::mpsc;
-use types::{WeightTarget, WeightVersion};
-use weights::ModelKey;
+use weights::{ModelKey, Target};
 
 use crate::gateway::Gateway;
 use crate::suspects::Quarantine;
@@ -16,8 +15,8 @@
 
 /// What comes up here and is told on.
 pub struct Sources {
-    /// Versions that came in force.
-    pub versions: mpsc::Receiver<(ModelKey, WeightVersion)>,
+    /// Versions that came in force or are to be loaded.
+    pub versions: mpsc::Receiver<(ModelKey, Target)>,
     /// Calls that were condemned.
     pub condemned: mpsc::UnboundedReceiver<Condemned>,
 }
@@ -29,17 +28,14 @@
 }
 
 /// Tells every version that comes in force to the other processes and to the ledgers.
-async fn tell_versions(
-    gateway: Arc<Gateway>,
-    mut versions: mpsc::Receiver<(ModelKey, WeightVersion)>,
-) {
-    while let Some((model, version)) = versions.recv().await {
+async fn tell_versions(gateway: Arc<Gateway>, mut versions: mpsc::Receiver<(ModelKey, Target)>) {
+    while let Some((model, target)) = versions.recv().await {
         gateway.gossip.tell(News::Weights {
             customer: model.customer.clone(),
             service: model.service.clone(),
-            target: WeightTarget::serve(version),
+            target,
         });
-        gateway.training.announced(model, version).await;
+        gateway.training.announced(model, target.serve).await;
     }
 }
 
@@ -68,7 +64,7 @@
                     customer: customer.clone(),
                     service: service.clone(),
                 };
-                weights.heard(model, target.serve);
+                weights.heard(model, *target);
             }
             News::Quarantined { digest, left_ms } => {
                 quarantine.heard(CallDigest(*digest), *left_ms);
--- a/components/gateway/src/rejection.rs
+++ b/components/gateway/src/rejection.rs
@@ -62,6 +62,11 @@
         Announcement(reason: AnnounceError) {
             display("{}", reason)
         }
+        /// A version named ahead of time where none was announced: a process that knows no
+        /// version could only put it in force.
+        NothingInForce(service: ServiceName) {
+            display("no version of {} is known to be in force; announce one first", service)
+        }
         /// A post that is no step.
         Step(reason: StepError) {
             display("{}", reason)
@@ -136,7 +141,9 @@
             Rejection::UnknownService(_) => Cause::UnknownService,
             Rejection::TooLarge(_) => Cause::TooLarge,
             Rejection::Announcement(AnnounceError::Forbidden) => Cause::Forbidden,
-            Rejection::Announcement(_) | Rejection::Fetch(FetchError::EpochOver(_)) => Cause::Stale,
+            Rejection::Announcement(_)
+            | Rejection::NothingInForce(_)
+            | Rejection::Fetch(FetchError::EpochOver(_)) => Cause::Stale,
             Rejection::Post(_) => Cause::KeyReused,
             Rejection::StepNotHeld(_) => Cause::NotHosted,
             Rejection::WrongKind(_)
--- a/components/gateway/src/start.rs
+++ b/components/gateway/src/start.rs
@@ -94,7 +94,7 @@
             prefix: METRICS_PREFIX.to_owned(),
         })?,
     });
-    let copier = Copier::start(gateway.quick_links.clone());
+    let copier = Copier::start(Arc::clone(&gateway));
     spawn(
         desk,
         Arc::clone(&gateway),
--- a/components/gateway/src/target.rs
+++ b/components/gateway/src/target.rs
@@ -61,6 +61,8 @@
 pub enum TrainingRoute {
     /// Announces a weight version.
     Weights,
+    /// Names a weight version that will be announced soon, so that engines load it now.
+    Prepare,
     /// Goes back to older weights.
     Rollback,
     /// Posts a step.
@@ -104,6 +106,7 @@
     let service = ServiceName::new(name).map_err(|_| Rejection::UnknownService(shortened(name)))?;
     let route = match (parts.next(), parts.next(), parts.next(), parts.next()) {
         (Some("weights"), None, None, None) => TrainingRoute::Weights,
+        (Some("weights"), Some("prepare"), None, None) => TrainingRoute::Prepare,
         (Some("rollback"), None, None, None) => TrainingRoute::Rollback,
         (Some("steps"), None, None, None) => TrainingRoute::Steps,
         (Some("steps"), Some(step), Some("fetch"), None) => TrainingRoute::Fetch {
--- a/components/gateway/src/training.rs
+++ b/components/gateway/src/training.rs
@@ -20,6 +20,7 @@
 mod room;
 mod run;
 mod score;
+mod shunned;
 mod steps_status;
 
 pub use api::serve;
--- a/components/gateway/src/training/api.rs
+++ b/components/gateway/src/training/api.rs
@@ -49,17 +49,17 @@
     let _working = gateway.drain.admit(now_ms())?;
     let deadline_at_ms = intake.deadline_at_ms(DEADLINE_MS);
     let bytes = intake.body(body, deadline_at_ms).await?;
-    match route {
-        TrainingRoute::Weights => announce(&gateway, &intake, &model, Want::Announce, &bytes).await,
-        TrainingRoute::Rollback => {
-            announce(&gateway, &intake, &model, Want::RollBack, &bytes).await
-        }
+    let want = match route {
+        TrainingRoute::Weights => Want::Announce,
+        TrainingRoute::Prepare => Want::Prepare,
+        TrainingRoute::Rollback => Want::RollBack,
         TrainingRoute::Steps | TrainingRoute::Fetch { .. } => {
             let call = home_call(&intake, &model, route, bytes, deadline_at_ms)?;
             let (head, body) = to_home(&gateway, call).await?;
-            response(&head, full(body))
+            return response(&head, full(body));
         }
-    }
+    };
+    announce(&gateway, &intake, &model, want, &bytes).await
 }
 
 async fn announce(
@@ -71,13 +71,17 @@
 ) -> Result<Response<Body>, Rejection> {
     let version = parse::<Version>(bytes)?.get()?;
     let holder = &intake.session.holder;
+    let key = ModelKey {
+        customer: model.owner.clone(),
+        service: model.name.clone(),
+    };
+    if want == Want::Prepare && !gateway.weights.targets().contains_key(&key) {
+        return Err(Rejection::NothingInForce(model.name.clone()));
+    }
     let announced = Announced {
         customer: holder.customer.clone(),
         role: holder.role,
-        model: ModelKey {
-            customer: model.owner.clone(),
-            service: model.name.clone(),
-        },
+        model: key,
         want,
         version,
     };
@@ -86,10 +90,11 @@
     log::info!(
         event = "weights-announced", request_id = intake.request_id.as_str(),
         customer = model.owner.as_str(), service = model.name.as_str(),
-        version = target.serve.to_string(); ""
+        version = target.serve.to_string(), load = target.load.to_string(); ""
     );
     let body = InForce {
         version: target.serve.to_string(),
+        load: target.load.to_string(),
     };
     let internal = |_| Rejection::Call(Failure::not_run(Cause::Internal));
     let body = to_vec(&body).map_err(internal)?;
--- a/components/gateway/src/training/bodies.rs
+++ b/components/gateway/src/training/bodies.rs
@@ -97,11 +97,13 @@
     pub cursor: &'a str,
 }
 
-/// Answer to an announcement: the version in force.
+/// Answer to an announcement.
 #[derive(Debug, Serialize)]
 pub struct InForce {
-    /// The version.
+    /// The version in force.
     pub version: String,
+    /// The version that engines have loaded, or load.
+    pub load: String,
 }
 
 /// One sample of a reply.
--- a/components/gateway/src/training/copies.rs
+++ b/components/gateway/src/training/copies.rs
@@ -9,11 +9,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use link::{CallEvent, Links};
+use link::CallEvent;
+use node::now_ms;
 use protocol::Open;
 use samples::{Copy, StepKey};
 use tokio::sync::mpsc;
-use types::Class;
+use types::{Cause, Class};
+
+use crate::gateway::Gateway;
 
 /// Path of the inner call that takes copies.
 pub const COPIES_PATH: &str = "/copies";
@@ -40,9 +43,9 @@
 
 impl Copier {
     /// Starts the sending task.
-    pub fn start(links: Links) -> Copier {
+    pub fn start(gateway: Arc<Gateway>) -> Copier {
         let (queue, copies) = mpsc::channel(QUEUED_MAX);
-        tokio::spawn(send(copies, links));
+        tokio::spawn(send(copies, gateway));
         Copier { queue }
     }
 
@@ -59,7 +62,7 @@
     }
 }
 
-async fn send(mut copies: mpsc::Receiver<Addressed>, links: Links) {
+async fn send(mut copies: mpsc::Receiver<Addressed>, gateway: Arc<Gateway>) {
     let mut batch = Vec::new();
     while copies.recv_many(&mut batch, BATCH_MAX).await > 0 {
         let mut by_home: BTreeMap<SocketAddr, Vec<Addressed>> = BTreeMap::new();
@@ -67,7 +70,7 @@
             by_home.entry(copy.to).or_default().push(copy);
         }
         for (to, copies) in by_home {
-            if !send_batch(&links, to, &copies).await {
+            if !send_batch(&gateway, to, &copies).await {
                 log::warn!(event = "copies-lost", to = to.to_string(), copies = copies.len(); "");
                 tokio::time::sleep(PAUSE).await;
             }
@@ -75,7 +78,7 @@
     }
 }
 
-async fn send_batch(links: &Links, to: SocketAddr, copies: &[Addressed]) -> bool {
+async fn send_batch(gateway: &Gateway, to: SocketAddr, copies: &[Addressed]) -> bool {
     let Some(first) = copies.first() else {
         return true;
     };
@@ -83,6 +86,7 @@
     let Ok(body) = serde_json::to_vec(&list) else {
         return false;
     };
+    let links = &gateway.quick_links;
     let open = Open {
         id: links.next_id(),
         request_id: String::new(),
@@ -100,8 +104,16 @@
     let mut call = links.call(to, open);
     loop {
         match call.next().await {
-            CallEvent::End => return true,
-            CallEvent::Failed(_) => return false,
+            CallEvent::End => {
+                gateway.reach.found(to);
+                return true;
+            }
+            CallEvent::Failed(failure) => {
+                if failure.cause == Cause::LinkLost {
+                    gateway.reach.lost(to, now_ms());
+                }
+                return false;
+            }
             _ => {}
         }
     }
--- a/components/gateway/src/training/desk_act.rs
+++ b/components/gateway/src/training/desk_act.rs
@@ -11,7 +11,7 @@
 use tokio::sync::oneshot;
 
 use super::desk_task::{Desk, RunHandle};
-use super::orders::RunNews;
+use super::orders::{RunFault, RunNews};
 use super::room::room;
 use super::run::Run;
 use super::score::Scoring;
@@ -74,7 +74,8 @@
             let Some((key, ledger)) = held.find(|(held, _)| *held == key) else {
                 continue;
             };
-            ledger.dispatch(&room(table, &runs, &users), now_ms);
+            let shunned = |replica| self.shunned.is_shunned(replica, now_ms);
+            ledger.dispatch(&room(table, &runs, &users, shunned), now_ms);
             let drained = drained(key, ledger);
             for action in &drained.actions {
                 if let Action::Start(start) = action {
@@ -108,7 +109,7 @@
                 None => self.run_news(
                     key,
                     start.run,
-                    RunNews::Failed(Fault::Refused, start.resume),
+                    RunNews::Failed(RunFault::plain(Fault::Refused), start.resume),
                 ),
             },
             Action::Cancel { run } => {
--- a/components/gateway/src/training/desk_task.rs
+++ b/components/gateway/src/training/desk_task.rs
@@ -19,6 +19,7 @@
 use super::forward::homes_of;
 use super::orders::{Fetch, Order, Post, Reply, RunNews};
 use super::rhythm::Rhythm;
+use super::shunned::Shunned;
 use super::steps_status::StepStatus;
 use crate::gateway::Gateway;
 use crate::rejection::Rejection;
@@ -56,6 +57,7 @@
     pub(super) told: Told,
     pub(super) idle: BTreeMap<StepKey, IdleClock>,
     pub(super) rhythm: Rhythm,
+    pub(super) shunned: Shunned,
     /// Steps whose home is this entry, as of the last tick.
     pub(super) home: Vec<StepKey>,
     /// Which step comes first at the next dispatch.
@@ -77,6 +79,7 @@
         told: Told::default(),
         idle: BTreeMap::new(),
         rhythm: Rhythm::default(),
+        shunned: Shunned::default(),
         home: Vec::new(),
         turn: 0,
         ready: false,
@@ -184,8 +187,7 @@
     pub(super) fn run_news(&mut self, key: &StepKey, run: RunId, news: RunNews) {
         let now_ms = now_ms();
         if !matches!(news, RunNews::Progress { .. }) {
-            self.runs.remove(&(key.clone(), run));
-            self.ready = true;
+            self.run_ended(key, run, &news, now_ms);
         }
         let Some(ledger) = self.steps.get_mut(key, now_ms) else {
             return;
@@ -193,13 +195,27 @@
         match news {
             RunNews::Progress { tokens, stamp } => ledger.progress(run, tokens, stamp, now_ms),
             RunNews::Finished(completion) => ledger.finished(run, completion, now_ms),
-            RunNews::Failed(fault, partial) => ledger.failed(run, fault, partial, now_ms),
+            RunNews::Failed(failed, partial) => ledger.failed(run, failed.fault, partial, now_ms),
+        }
+    }
+
+    fn run_ended(&mut self, key: &StepKey, run: RunId, news: &RunNews, now_ms: u64) {
+        self.ready = true;
+        let Some(handle) = self.runs.remove(&(key.clone(), run)) else {
+            return;
+        };
+        match news {
+            RunNews::Finished(_) => self.shunned.finished(handle.to),
+            RunNews::Failed(failed, _) if failed.at_replica => {
+                self.shunned.failed(handle.to, now_ms);
+            }
+            RunNews::Failed(..) | RunNews::Progress { .. } => {}
         }
     }
 
     fn announced(&mut self, model: &ModelKey, version: WeightVersion) {
         let now_ms = now_ms();
-        let next_news_ms = self.rhythm.announced(model, now_ms);
+        let next_news_ms = self.rhythm.announced(model, version, now_ms);
         for (key, ledger) in self.steps.iter_mut() {
             if key.customer == model.customer && key.service == model.service {
                 ledger.announce(version, next_news_ms, now_ms);
@@ -230,6 +246,7 @@
             self.tell_new_homes(&key);
         }
         self.home = self.at_home();
+        self.shunned.expire(now_ms);
     }
 
     /// Steps whose home is this entry.
--- a/components/gateway/src/training/inner.rs
+++ b/components/gateway/src/training/inner.rs
@@ -74,7 +74,9 @@
     let step = match route {
         TrainingRoute::Fetch { step } => step,
         TrainingRoute::Steps => parse::<StepBody>(&open.body)?.step,
-        TrainingRoute::Weights | TrainingRoute::Rollback => return Err(Rejection::UnknownPath),
+        TrainingRoute::Weights | TrainingRoute::Prepare | TrainingRoute::Rollback => {
+            return Err(Rejection::UnknownPath);
+        }
     };
     Ok(HomeCall {
         request_id: open.request_id,
@@ -102,7 +104,9 @@
     match call.route {
         TrainingRoute::Steps => take_step(gateway, call).await,
         TrainingRoute::Fetch { .. } => fetch(gateway, call).await,
-        TrainingRoute::Weights | TrainingRoute::Rollback => Err(Rejection::UnknownPath),
+        TrainingRoute::Weights | TrainingRoute::Prepare | TrainingRoute::Rollback => {
+            Err(Rejection::UnknownPath)
+        }
     }
 }
 
--- a/components/gateway/src/training/listening.rs
+++ b/components/gateway/src/training/listening.rs
@@ -10,7 +10,7 @@
 use tokio::time::Instant;
 use types::WeightVersion;
 
-use super::orders::{Order, RunNews};
+use super::orders::{Order, RunFault, RunNews};
 use super::run::fault;
 use crate::attempt::Attempt;
 
@@ -22,6 +22,14 @@
 /// Least time between two reports of one run's progress, unless its version changed.
 const PROGRESS_EVERY: Duration = Duration::from_millis(200);
 
+/// The engine's answer is no whole answer.
+fn lost() -> RunFault {
+    RunFault {
+        fault: Fault::Lost,
+        at_replica: true,
+    }
+}
+
 /// What was heard of a run so far, the tokens that it went on from included.
 pub struct Listening {
     parser: Parser,
@@ -57,20 +65,20 @@
         run: RunId,
         orders: &mpsc::Sender<Order>,
         mut stop: oneshot::Receiver<()>,
-    ) -> Result<(), Fault> {
+    ) -> Result<(), RunFault> {
         loop {
             let event = tokio::select! {
                 event = attempt.next() => event,
-                Ok(()) = &mut stop => return Err(Fault::Moved),
+                Ok(()) = &mut stop => return Err(RunFault::plain(Fault::Moved)),
             };
             match event {
                 CallEvent::Accepted | CallEvent::Started => {}
                 CallEvent::Head(head) if head.status == OK => {}
                 // The engine will say the same of this prompt again.
                 CallEvent::Head(head) if head.status < SERVER_ERRORS => {
-                    return Err(Fault::Quarantined);
+                    return Err(RunFault::plain(Fault::Quarantined));
                 }
-                CallEvent::Head(_) => return Err(Fault::Lost),
+                CallEvent::Head(_) => return Err(lost()),
                 CallEvent::Chunk(bytes) => {
                     let stamp = self.take(&bytes)?;
                     if let Some(news) = self.progress(stamp) {
@@ -79,13 +87,13 @@
                     }
                 }
                 CallEvent::End if self.parser.is_whole() => return Ok(()),
-                CallEvent::End => return Err(Fault::Lost),
+                CallEvent::End => return Err(lost()),
                 CallEvent::Failed(failure) => return Err(fault(failure)),
             }
         }
     }
 
-    fn take(&mut self, bytes: &[u8]) -> Result<Option<WeightVersion>, Fault> {
+    fn take(&mut self, bytes: &[u8]) -> Result<Option<WeightVersion>, RunFault> {
         let mut latest = None;
         let (said, stamps) = (&mut self.said, &mut self.stamps);
         let pushed = self.parser.push(bytes, |piece: Piece| {
@@ -96,7 +104,7 @@
             }
             Ok(())
         });
-        pushed.map(|()| latest).map_err(|_| Fault::Lost)
+        pushed.map(|()| latest).map_err(|_| lost())
     }
 
     /// A report, if one is due.
--- a/components/gateway/src/training/orders.rs
+++ b/components/gateway/src/training/orders.rs
@@ -63,7 +63,26 @@
     /// It has its whole result.
     Finished(Completion),
     /// It ended without.
-    Failed(Fault, Option<Partial>),
+    Failed(RunFault, Option<Partial>),
+}
+
+/// Why a run failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RunFault {
+    /// As the ledger sees it.
+    pub fault: Fault,
+    /// Its replica, or the way there, is at fault.
+    pub at_replica: bool,
+}
+
+impl RunFault {
+    /// A fault that says nothing of the replica.
+    pub fn plain(fault: Fault) -> Self {
+        Self {
+            fault,
+            at_replica: false,
+        }
+    }
 }
 
 /// One order.
--- a/components/gateway/src/training/room.rs
+++ b/components/gateway/src/training/room.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
-use routing::Table;
+use routing::{Slot, Table};
 use samples::{Replica, Room};
 
 /// Runs that this entry has at one replica at most.
@@ -11,16 +11,21 @@
 
 /// Room for one step at the replicas of `table`. `runs` counts the runs that the ledgers
 /// have started at each, which the table's own counters do not know while the runs have
-/// only begun; `users` the steps that want it, each of which gets an equal part.
+/// only begun; `users` the steps that want it, each of which gets an equal part. Where
+/// every replica is shunned, that says more of this entry than of them, and all count.
 pub fn room(
     table: &Table,
     runs: &HashMap<SocketAddr, u32>,
     users: &HashMap<SocketAddr, u32>,
+    is_shunned: impl Fn(SocketAddr) -> bool,
 ) -> Room {
     let count = |counts: &HashMap<SocketAddr, u32>, address| counts.get(&address).copied();
-    let slots = table.slots().iter().filter(|slot| !slot.replica.leaving);
+    let slots = || table.slots().iter().filter(|slot| !slot.replica.leaving);
+    let shunned = |slot: &&Slot| is_shunned(slot.replica.node.address);
+    let all_shunned = slots().all(|slot| shunned(&slot));
     let mut in_progress_max: u32 = 0;
-    let replicas = slots
+    let replicas = slots()
+        .filter(|slot| all_shunned || !shunned(slot))
         .map(|slot| {
             let address = slot.replica.node.address;
             let users = count(users, address).unwrap_or(1).max(1);
--- a/components/gateway/src/training/run.rs
+++ b/components/gateway/src/training/run.rs
@@ -12,7 +12,7 @@
 use types::{Cause, Class, Failure, RunState};
 
 use super::listening::Listening;
-use super::orders::{Order, RunNews};
+use super::orders::{Order, RunFault, RunNews};
 use crate::admission::admit;
 use crate::attempt::{Attempt, Where};
 use crate::completion::priority;
@@ -61,7 +61,7 @@
         let _ = orders.send(Order::Run(key, run, news)).await;
     }
 
-    async fn run(self, gateway: &Gateway) -> Result<Completion, (Fault, Option<Partial>)> {
+    async fn run(self, gateway: &Gateway) -> Result<Completion, (RunFault, Option<Partial>)> {
         let (job, body) = self.job();
         let refused = |failure| (fault(failure), self.start.resume.clone());
         let mut admitted = admit(gateway, &job).await.map_err(refused)?;
@@ -70,7 +70,7 @@
         let attempt = match attempt {
             Ok(attempt) if attempt.address() == self.start.to => attempt,
             // The replica went since the ledger chose it.
-            Ok(_) => return Err((Fault::Refused, self.start.resume)),
+            Ok(_) => return Err((RunFault::plain(Fault::Refused), self.start.resume)),
             Err(failure) => return Err(refused(failure)),
         };
         let mut listening = Listening::new(self.start.resume.as_ref());
@@ -149,11 +149,16 @@
     }
 }
 
-/// What a failed call says to the ledger.
-pub fn fault(failure: Failure) -> Fault {
-    match (failure.cause, failure.run) {
+/// What a failed call says to the ledger, and of its replica.
+pub fn fault(failure: Failure) -> RunFault {
+    let fault = match (failure.cause, failure.run) {
         (Cause::Quarantined, _) => Fault::Quarantined,
         (_, RunState::NotRun) => Fault::Refused,
         _ => Fault::Lost,
-    }
+    };
+    let at_replica = matches!(
+        failure.cause,
+        Cause::LinkLost | Cause::EndpointLost | Cause::NotHosted | Cause::EndpointError
+    );
+    RunFault { fault, at_replica }
 }
--- a/components/gateway/src/weight_news.rs
+++ b/components/gateway/src/weight_news.rs
@@ -19,6 +19,8 @@
 pub enum Want {
     /// Put the version in force.
     Announce,
+    /// Have the version loaded, to be put in force soon.
+    Prepare,
     /// Go back, under a raised epoch.
     RollBack,
 }
@@ -42,7 +44,7 @@
 
 enum Order {
     Announce(Announced, Answer),
-    Heard(ModelKey, WeightVersion),
+    Heard(ModelKey, Target),
 }
 
 type Targets = BTreeMap<ModelKey, Target>;
@@ -55,8 +57,8 @@
 }
 
 impl WeightNews {
-    /// Starts the owner. Every version that comes in force goes into `changed`.
-    pub fn start(changed: mpsc::Sender<(ModelKey, WeightVersion)>) -> WeightNews {
+    /// Starts the owner. Every change goes into `changed`.
+    pub fn start(changed: mpsc::Sender<(ModelKey, Target)>) -> WeightNews {
         let (orders, inbox) = mpsc::channel(ORDERS_MAX);
         let targets = Arc::new(ArcSwap::default());
         tokio::spawn(own(inbox, Arc::clone(&targets), changed));
@@ -78,17 +80,17 @@
         outcome.map_err(Rejection::Announcement)
     }
 
-    /// Another process knows of this version. A full queue loses the hint until the
+    /// Another process knows of these versions. A full queue loses the hint until the
     /// rumour comes again.
-    pub fn heard(&self, model: ModelKey, version: WeightVersion) {
-        let _ = self.orders.try_send(Order::Heard(model, version));
+    pub fn heard(&self, model: ModelKey, target: Target) {
+        let _ = self.orders.try_send(Order::Heard(model, target));
     }
 }
 
 async fn own(
     mut inbox: mpsc::Receiver<Order>,
     targets: Arc<ArcSwap<Targets>>,
-    changed: mpsc::Sender<(ModelKey, WeightVersion)>,
+    changed: mpsc::Sender<(ModelKey, Target)>,
 ) {
     let mut authority = Authority::new();
     while let Some(order) = inbox.recv().await {
@@ -101,8 +103,8 @@
                 let _ = answer.send(outcome);
                 news.then_some(announced.model)
             }
-            Order::Heard(model, version) => {
-                let news = authority.merge(&model, Target::serve(version));
+            Order::Heard(model, target) => {
+                let news = authority.merge(&model, target);
                 publish(&authority, &targets);
                 news.then_some(model)
             }
@@ -111,7 +113,7 @@
             && let Some(target) = authority.target(&model)
         {
             // The reader is gone only when the process ends.
-            let _ = changed.send((model, target.serve)).await;
+            let _ = changed.send((model, target)).await;
         }
     }
 }
@@ -125,6 +127,7 @@
         role: announced.role,
     };
     match announced.want {
+        Want::Prepare => authority.prepare(&by, &announced.model, announced.version),
         Want::Announce => authority.announce(&by, &announced.model, announced.version),
         Want::RollBack => authority.roll_back(&by, &announced.model, announced.version),
     }
--- a/components/gateway/tests/common/mod.rs
+++ b/components/gateway/tests/common/mod.rs
@@ -221,6 +221,7 @@
             pool: pool.parse().unwrap(),
             customers: vec!["office".parse().unwrap()],
             fencing: Fencing::Checked,
+            load_window_ms: 0,
         };
         Sidecar::bind(settings, sidecar::Tuning::default())
             .await
--- a/components/gateway/tests/requests.rs
+++ b/components/gateway/tests/requests.rs
@@ -350,7 +350,7 @@
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
-async fn can_announce_and_roll_back_only_by_the_right_token() {
+async fn can_announce_name_ahead_and_roll_back() {
     let site = Site::start(Plan {
         engines: 1,
         services: 0,
@@ -361,11 +361,21 @@
         let body = format!(r#"{{"version":"{version}"}}"#);
         Ask::post("/v1/training/redacteurs/weights", body).by(TRAINER)
     };
+    let mut early = weights("1.4");
+    early.path.push_str("/prepare");
+    assert_eq!(site.send(0, &early).await.problem().0, 409);
     assert_eq!(site.send(0, &weights("1.4")).await.json()["version"], "1.4");
     let (status, _, cause) = site.send(0, &weights("1.3")).await.problem();
     assert_eq!((status, cause.as_str()), (409, "stale"));
+    let mut ahead = weights("1.5");
+    ahead.path.push_str("/prepare");
+    let named = site.send(0, &ahead).await.json();
+    assert_eq!(
+        (&named["version"], &named["load"]),
+        (&"1.4".into(), &"1.5".into())
+    );
     let back = Ask::post("/v1/training/redacteurs/rollback", r#"{"version":"2.2"}"#).by(OPERATOR);
     assert_eq!(site.send(0, &back).await.json()["version"], "2.2");
-    let (status, _, _) = site.send(0, &weights("1.5")).await.problem();
+    let (status, _, _) = site.send(0, &weights("1.6")).await.problem();
     assert_eq!(status, 409);
 }
