Entry: a resumed stream is one stream; calls among entries in one place

A stream that went on at another engine changed its id in the middle and stated the usage of its last part only, with the tokens given again counted as prompt. Events after a resume carry the first id and the sums now; others go on byte for byte.

Three modules made calls to other entries, each in its own way; peer.rs does it for all and notes who could not be reached. A test holds the customer's limit against the runs that the services counted.

--- a/components/gateway/src/completion_stream.rs
+++ b/components/gateway/src/completion_stream.rs
@@ -21,6 +21,7 @@
 use crate::body::{AnswerBroken, Body, streamed};
 use crate::problem;
 use crate::rejection::Rejection;
+use crate::resumed::Begun;
 
 /// Longest line of a stream.
 const LINE_BYTES_MAX: usize = 256 * 1024;
@@ -37,6 +38,7 @@
     /// Text came whose tokens have no ids.
     unnamed: bool,
     sent: bool,
+    begun: Begun,
 }
 
 impl Said {
@@ -47,6 +49,7 @@
             token_ids: Vec::new(),
             unnamed: false,
             sent: false,
+            begun: Begun::default(),
         }
     }
 
@@ -67,7 +70,8 @@
         });
         parsed.map_err(|_| not_an_answer())?;
         self.sent |= !events.is_empty();
-        Ok(events)
+        self.begun.note(&events);
+        Ok(self.begun.restate(events))
     }
 
     /// Forgets the part of an event that was cut; the next engine begins a new one.
@@ -202,6 +206,7 @@
                 Resume::Afresh => &[],
                 Resume::FromTokens => &self.said.token_ids,
             };
+            self.said.begun.tokens = tokens.len() as u64;
             let body = (self.body)(tokens);
             let (head, attempt) = self.answering.exchange.head(&body).await?;
             if head.status == OK {
--- a/components/gateway/src/keyed/client.rs
+++ b/components/gateway/src/keyed/client.rs
@@ -10,16 +10,16 @@
 };
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
-use link::CallEvent;
 use node::now_ms;
 use platform::LogClient;
 use protocol::{Open, ProcessRole};
 use tokio::sync::{mpsc, oneshot};
-use types::{Cause, Class, CustomerName, Failure, RunState, ServiceName};
+use types::{Cause, CustomerName, Failure, RunState, ServiceName};
 
 use super::reader::{self, ReadOrder};
 use super::writer::{self, CLAIMS_PATH, WriteOrder};
 use crate::gateway::Gateway;
+use crate::peer::PeerCall;
 
 /// Time for an inner call that brings a record, in milliseconds.
 const DEADLINE_MS: u32 = 2_000;
@@ -165,8 +165,9 @@
                 return;
             }
         }
-        // Repeats of the key are told "unknown" once the call's time is over.
-        log::warn!(event = "claim-record-lost", shard; "");
+        // The writers have it and go on trying. Until one succeeds, repeats of the key are
+        // told "unknown".
+        log::warn!(event = "claim-record-late", shard; "");
     }
 
     /// Gives a record to one writer. An error says that it did not take it.
@@ -183,37 +184,16 @@
         }
         let internal = |_| Failure::not_run(Cause::Internal);
         let body = serde_json::to_vec(&record).map_err(internal)?;
-        let open = Open {
-            id: gateway.quick_links.next_id(),
-            request_id: String::new(),
-            customer: submission.customer.clone(),
-            owner: submission.customer.clone(),
-            service: submission.service.clone(),
-            class: Class::Interactive,
-            // A doubled record counts once.
-            idempotent: true,
-            deadline_left_ms: DEADLINE_MS,
-            method: "POST".to_owned(),
-            path: format!("{CLAIMS_PATH}{shard}"),
-            headers: Vec::new(),
+        let call = PeerCall {
+            request_id: "",
+            customer: submission.customer,
+            service: submission.service,
+            path: &format!("{CLAIMS_PATH}{shard}"),
             body: Bytes::from(body),
+            deadline_ms: DEADLINE_MS,
         };
-        let mut call = gateway.quick_links.call(to, open);
-        loop {
-            match call.next().await {
-                CallEvent::End => {
-                    gateway.reach.found(to);
-                    return Ok(());
-                }
-                CallEvent::Failed(failure) => {
-                    if failure.cause == Cause::LinkLost {
-                        gateway.reach.lost(to, now_ms());
-                    }
-                    return Err(failure);
-                }
-                _ => {}
-            }
-        }
+        // A doubled record counts once.
+        gateway.ask(to, call).await.map(|_| ())
     }
 
     /// Writes a record here.
--- a/components/gateway/src/training/copies.rs
+++ b/components/gateway/src/training/copies.rs
@@ -9,14 +9,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use link::CallEvent;
-use node::now_ms;
-use protocol::Open;
 use samples::{Copy, StepKey};
 use tokio::sync::mpsc;
-use types::{Cause, Class};
 
 use crate::gateway::Gateway;
+use crate::peer::PeerCall;
 
 /// Path of the inner call that takes copies.
 pub const COPIES_PATH: &str = "/copies";
@@ -86,37 +83,15 @@
     let Ok(body) = serde_json::to_vec(&list) else {
         return false;
     };
-    let links = &gateway.quick_links;
-    let open = Open {
-        id: links.next_id(),
-        request_id: String::new(),
-        customer: first.key.customer.clone(),
-        owner: first.key.customer.clone(),
-        service: first.key.service.clone(),
-        class: Class::Sampling,
-        idempotent: true,
-        deadline_left_ms: DEADLINE_MS,
-        method: "POST".to_owned(),
-        path: COPIES_PATH.to_owned(),
-        headers: Vec::new(),
+    let call = PeerCall {
+        request_id: "",
+        customer: &first.key.customer,
+        service: &first.key.service,
+        path: COPIES_PATH,
         body: Bytes::from(body),
+        deadline_ms: DEADLINE_MS,
     };
-    let mut call = links.call(to, open);
-    loop {
-        match call.next().await {
-            CallEvent::End => {
-                gateway.reach.found(to);
-                return true;
-            }
-            CallEvent::Failed(failure) => {
-                if failure.cause == Cause::LinkLost {
-                    gateway.reach.lost(to, now_ms());
-                }
-                return false;
-            }
-            _ => {}
-        }
-    }
+    gateway.ask(to, call).await.is_ok()
 }
 
 /// Reads the body of a call that brings copies.
--- a/components/gateway/src/training/forward.rs
+++ b/components/gateway/src/training/forward.rs
@@ -4,19 +4,17 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use link::CallEvent;
 use node::now_ms;
-use protocol::{Head, Open, ProcessRole};
+use protocol::{Head, ProcessRole};
 use samples::{Entry, Homes, StepKey, homes};
-use types::{Cause, Class, Failure, RunState};
+use types::{Cause, Failure};
 
 use super::inner::{HomeCall, at_home};
 use crate::exchange::with_time_to_come_back;
 use crate::gateway::Gateway;
+use crate::peer::PeerCall;
 use crate::rejection::Rejection;
 
-/// Largest answer of a home.
-const ANSWER_BYTES_MAX: usize = 32 << 20;
 const NOT_FOUND: u16 = 404;
 
 /// Homes of a step by the present view; none when every entry is leaving.
@@ -75,51 +73,14 @@
     home: SocketAddr,
     call: &HomeCall,
 ) -> Result<(Head, Bytes), Rejection> {
-    let answered = call_home(gateway, home, call).await;
-    match answered {
-        Err(failure) if failure.cause == Cause::LinkLost => gateway.reach.lost(home, now_ms()),
-        _ => gateway.reach.found(home),
-    }
-    answered.map_err(Rejection::Call)
-}
-
-async fn call_home(
-    gateway: &Gateway,
-    home: SocketAddr,
-    call: &HomeCall,
-) -> Result<(Head, Bytes), Failure> {
     let left_ms = call.deadline_at_ms.saturating_sub(now_ms());
-    let open = Open {
-        id: gateway.quick_links.next_id(),
-        request_id: call.request_id.clone(),
-        customer: call.key.customer.clone(),
-        owner: call.key.customer.clone(),
-        service: call.key.service.clone(),
-        class: Class::Sampling,
-        idempotent: true,
-        deadline_left_ms: u32::try_from(left_ms).unwrap_or(u32::MAX),
-        method: "POST".to_owned(),
-        path: call.path.clone(),
-        headers: Vec::new(),
+    let call = PeerCall {
+        request_id: &call.request_id,
+        customer: &call.key.customer,
+        service: &call.key.service,
+        path: &call.path,
         body: call.body.clone(),
+        deadline_ms: u32::try_from(left_ms).unwrap_or(u32::MAX),
     };
-    let mut inner = gateway.quick_links.call(home, open);
-    let bad = || Failure::new(RunState::Unknown, Cause::Internal);
-    let mut head = None;
-    let mut body = Vec::new();
-    loop {
-        match inner.next().await {
-            CallEvent::Accepted | CallEvent::Started => {}
-            CallEvent::Head(received) => head = Some(received),
-            CallEvent::Chunk(bytes) if body.len() + bytes.len() > ANSWER_BYTES_MAX => {
-                return Err(bad());
-            }
-            CallEvent::Chunk(bytes) => body.extend_from_slice(&bytes),
-            CallEvent::End => {
-                let head = head.ok_or_else(bad)?;
-                return Ok((head, Bytes::from(body)));
-            }
-            CallEvent::Failed(failure) => return Err(failure),
-        }
-    }
+    Ok(gateway.ask(home, call).await?)
 }
--- a/components/gateway/tests/common/mod.rs
+++ b/components/gateway/tests/common/mod.rs
@@ -1,6 +1,7 @@
 //! Entries and agents on loopback between stand-ins of the platform.
 #![allow(dead_code, clippy::unwrap_used)] // The exemption of clippy.toml ends at helpers of tests.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -40,8 +41,9 @@
 pub const OPERATOR: &str = "operator-token";
 
 /// The Office's text with digests of the tokens above.
-pub fn office() -> String {
-    let mut text = OFFICE.to_owned();
+fn office(requests_per_s: u32) -> String {
+    let limit = format!("requests_per_s = {requests_per_s}");
+    let mut text = OFFICE.replace("requests_per_s = 5000", &limit);
     for (name, role, token) in [
         ("clerk", "caller", CLERK),
         ("trainer", "trainer", TRAINER),
@@ -85,6 +87,8 @@
     pub services: usize,
     /// Time of one call of a plain service.
     pub service_ms: u64,
+    /// Limit of the customer.
+    pub requests_per_s: u32,
 }
 
 impl Default for Plan {
@@ -94,6 +98,7 @@
             engines: 0,
             services: 2,
             service_ms: 0,
+            requests_per_s: 5_000,
         }
     }
 }
@@ -162,7 +167,7 @@
             agents: Vec::new(),
         };
         site.start_processes(plan.entries).await;
-        site.publish(&office()).await;
+        site.publish(&office(plan.requests_per_s)).await;
         site.seen(&plan).await;
         site
     }
@@ -488,13 +493,27 @@
         (self.status.as_u16(), text("outcome"), text("cause"))
     }
 
+    /// Chunks of a completions stream.
+    pub fn chunks(&self) -> Vec<Value> {
+        let lines = self.text().lines();
+        let data = lines.filter_map(|line| line.strip_prefix("data: "));
+        data.filter_map(|data| serde_json::from_str(data).ok())
+            .collect()
+    }
+
+    pub fn last_chunk(&self) -> Value {
+        self.chunks().pop().unwrap()
+    }
+
+    /// Ids of the completions that a stream names.
+    pub fn ids(&self) -> BTreeSet<String> {
+        let chunks = self.chunks().into_iter();
+        chunks.map(|chunk| chunk["id"].to_string()).collect()
+    }
+
     /// Texts of the pieces of a completions stream.
     pub fn pieces(&self) -> Vec<String> {
-        let data = self
-            .text()
-            .lines()
-            .filter_map(|line| line.strip_prefix("data: "));
-        let chunks = data.filter_map(|data| serde_json::from_str::<Value>(data).ok());
+        let chunks = self.chunks().into_iter();
         chunks
             .filter_map(|chunk| Some(chunk["choices"][0]["text"].as_str()?.to_owned()))
             .collect()
--- a/components/gateway/tests/requests.rs
+++ b/components/gateway/tests/requests.rs
@@ -199,6 +199,8 @@
     let resumed = site.send(0, &ask).await;
     assert!(resumed.whole, "{}", resumed.text());
     assert_eq!(resumed.pieces(), calm.pieces());
+    assert_eq!(resumed.last_chunk()["usage"], calm.last_chunk()["usage"]);
+    assert_eq!(resumed.ids().len(), 1);
 }
 
 // The caller sees a stream that breaks: an event with the problem, then a connection that
@@ -349,6 +351,37 @@
     assert!(answer.whole);
 }
 
+// The caller over its customer's own limit is refused at once, as not run and with a time
+// to come back, and the refused calls ran nowhere.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn errors_when_a_customer_is_over_its_own_limit() {
+    const CALLS: u64 = 20;
+    let site = Site::start(Plan {
+        entries: 1,
+        requests_per_s: 1,
+        ..Plan::default()
+    })
+    .await;
+    let mut answered = 0;
+    for _ in 0..CALLS {
+        let answer = site
+            .send(0, &Ask::post(SANCTION, "{}").with(TAG, "limit"))
+            .await;
+        if answer.status == 200 {
+            answered += 1;
+            continue;
+        }
+        let (status, outcome, cause) = answer.problem();
+        assert_eq!(
+            (status, outcome.as_str(), cause.as_str()),
+            (429, "not-run", "customer-limit")
+        );
+        assert!(!answer.header("retry-after").is_empty());
+    }
+    assert!(answered < CALLS);
+    assert_eq!(site.runs("limit").await, answered);
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn can_announce_name_ahead_and_roll_back() {
     let site = Site::start(Plan {
