--- /dev/null
+++ b/components/sidecar/examples/swap.rs
@@ -0,0 +1,240 @@
+//! How long new weights take to every replica: agents beside stand-ins of engines, a weight
+//! store that gives so many answers a second, and one process that tells one agent the news.
+//!
+//! `cargo run --release -p sidecar --example swap -- REPLICAS STORE_PER_S ROUNDS`
+//!
+//! Each round measures three times, in milliseconds: `at_once_ms` from the announcement of a
+//! version that nobody holds until all engines serve it, `held_ms` from the naming of the
+//! next one ahead of time until all hold it, and `switched_ms` from its announcement until
+//! all serve it.
+
+use std::error::Error;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::time::{Duration, Instant};
+
+use config::{Publish, Record};
+use link::{LinkSettings, Udp};
+use platform::{ClientSettings, Engine, EngineModel, LogClient, Vm, VmRole, VmState};
+use protocol::{Datagram, Key, Keys, News, ProcessRole};
+use settings::{AgentSettings, CommonSettings, EndpointKind, Fencing, SharedKey};
+use sidecar::{Sidecar, Tuning};
+use standins::engine::EngineSettings;
+use standins::log::LogSettings;
+use standins::store::StoreSettings;
+use standins::vms::VmsSettings;
+use standins::{Handle, engine, log, store, vms};
+use telemetry::LogLevel;
+use types::{Incarnation, NodeId, WeightTarget, WeightVersion};
+
+type Failed = Box<dyn Error>;
+
+const KEY: [u8; 32] = [7; 32];
+const DOMAINS: [&str; 3] = ["rennes-a", "brest-b", "vannes-c"];
+const TEXT: &str = r#"
+schema = 1
+customer = "office"
+[[service]]
+name = "redacteurs"
+kind = "model"
+"#;
+const POLL: Duration = Duration::from_millis(10);
+const PATIENCE: Duration = Duration::from_secs(300);
+
+struct Fleet {
+    engines: Vec<(Handle, Engine)>,
+    agents: Vec<SocketAddr>,
+    teller: Udp,
+    node: NodeId,
+    _platform: [Handle; 3],
+}
+
+#[tokio::main]
+async fn main() -> Result<(), Failed> {
+    let mut args = std::env::args().skip(1);
+    let mut number = |default: u64| args.next().map_or(Ok(default), |text| text.parse());
+    let (replicas, per_s, rounds) = (number(24)?, number(4)?, number(3)?);
+    let fleet = Fleet::start(replicas, per_s).await?;
+    println!("replicas store_per_s at_once_ms held_ms switched_ms");
+    for round in 0..rounds {
+        let (first, next) = (at(2 * round + 1), at(2 * round + 2));
+        let at_once_ms = fleet
+            .until(WeightTarget::serve(first), serves(first))
+            .await?;
+        let ahead = WeightTarget {
+            serve: first,
+            load: next,
+        };
+        let held_ms = fleet.until(ahead, holds(next)).await?;
+        let switched_ms = fleet.until(WeightTarget::serve(next), serves(next)).await?;
+        println!("{replicas} {per_s} {at_once_ms} {held_ms} {switched_ms}");
+    }
+    Ok(())
+}
+
+fn at(version: u64) -> WeightVersion {
+    WeightVersion { epoch: 0, version }
+}
+
+fn serves(version: WeightVersion) -> impl Fn(&EngineModel) -> bool {
+    move |model| model.version == version
+}
+
+fn holds(version: WeightVersion) -> impl Fn(&EngineModel) -> bool {
+    move |model| model.loaded.contains(&version)
+}
+
+impl Fleet {
+    async fn start(replicas: u64, per_s: u64) -> Result<Fleet, Failed> {
+        let store = StoreSettings {
+            per_s,
+            ..StoreSettings::new(loopback())
+        };
+        let store = store::start(store).await?;
+        let log = log::start(LogSettings::new(loopback())).await?;
+        publish(log.address).await?;
+        let vm_list = free_address()?;
+        let load_window_ms = replicas * 1_000 / per_s;
+        let (mut engines, mut listed, mut sidecars) = (Vec::new(), Vec::new(), Vec::new());
+        for number in 0..replicas {
+            let settings = EngineSettings {
+                store: Some(store.address),
+                ..EngineSettings::new(loopback(), "redacteurs")
+            };
+            let engine = engine::start(settings).await?;
+            let common = common(log.address, vm_list, number)?;
+            let settings = agent(common, engine.address, load_window_ms)?;
+            let sidecar = Sidecar::bind(settings, Tuning::default()).await?;
+            listed.push(vm(sidecar.inner_address(), number)?);
+            let control = Engine::new(engine.address, &ClientSettings::default());
+            engines.push((engine, control));
+            sidecars.push(sidecar);
+        }
+        let vms = VmsSettings {
+            vms: listed.clone(),
+            ..VmsSettings::new(vm_list)
+        };
+        let vms = vms::start(vms).await?;
+        for sidecar in sidecars {
+            tokio::spawn(sidecar.run(std::future::pending()));
+        }
+        let (teller, node) = teller().await?;
+        // The agents learn of each other and of the text.
+        tokio::time::sleep(Duration::from_secs(5)).await;
+        Ok(Fleet {
+            engines,
+            agents: listed.iter().map(|vm| vm.address).collect(),
+            teller,
+            node,
+            _platform: [store, log, vms],
+        })
+    }
+
+    /// Tells one agent the news and gives the time until all engines are as wanted.
+    async fn until(
+        &self,
+        target: WeightTarget,
+        wanted: impl Fn(&EngineModel) -> bool,
+    ) -> Result<u128, Failed> {
+        let began = Instant::now();
+        let news = News::Weights {
+            customer: "office".parse()?,
+            service: "redacteurs".parse()?,
+            target,
+        };
+        let datagram = Datagram {
+            from: self.node,
+            role: ProcessRole::Entry,
+            news: vec![news],
+        };
+        self.teller.send(self.agents[0], &datagram).await?;
+        for (_, engine) in &self.engines {
+            while !engine.state().await?.models.iter().any(&wanted) {
+                if began.elapsed() > PATIENCE {
+                    return Err("an engine never becomes as wanted".into());
+                }
+                tokio::time::sleep(POLL).await;
+            }
+        }
+        Ok(began.elapsed().as_millis())
+    }
+}
+
+async fn publish(log: SocketAddr) -> Result<(), Failed> {
+    let publish = Publish::on("office".parse()?, None, "first", TEXT);
+    let record = Record::Publish(publish).to_json()?;
+    let client = LogClient::new(log, &ClientSettings::default());
+    client.append("config", &record).await?;
+    Ok(())
+}
+
+async fn teller() -> Result<(Udp, NodeId), Failed> {
+    let settings = |address| -> Result<LinkSettings, Failed> {
+        let node = NodeId {
+            address,
+            incarnation: Incarnation(1),
+        };
+        let keys = Keys::one(Key::new(KEY));
+        let domain = DOMAINS[0].parse()?;
+        Ok(LinkSettings::new(node, ProcessRole::Entry, domain, keys))
+    };
+    let udp = Udp::bind(loopback(), &settings(loopback())?).await?;
+    let node = NodeId {
+        address: udp.local_address()?,
+        incarnation: Incarnation(1),
+    };
+    Ok((udp, node))
+}
+
+fn common(log: SocketAddr, vm_list: SocketAddr, number: u64) -> Result<CommonSettings, Failed> {
+    Ok(CommonSettings {
+        inner_listen: loopback(),
+        admin_listen: loopback(),
+        log,
+        vm_list,
+        failure_domain: domain(number).parse()?,
+        region: "bretagne".parse()?,
+        keys: vec![SharedKey(KEY)],
+        metrics: None,
+        log_level: LogLevel::Error,
+        settle_ms: 0,
+        drain_ms: 1_000,
+    })
+}
+
+fn agent(
+    common: CommonSettings,
+    endpoint: SocketAddr,
+    load_window_ms: u64,
+) -> Result<AgentSettings, Failed> {
+    Ok(AgentSettings {
+        common,
+        endpoint,
+        endpoint_kind: EndpointKind::Model,
+        pool: "redacteurs".parse()?,
+        customers: vec!["office".parse()?],
+        fencing: Fencing::Checked,
+        load_window_ms,
+    })
+}
+
+fn vm(address: SocketAddr, number: u64) -> Result<Vm, Failed> {
+    Ok(Vm {
+        address,
+        role: VmRole::Agent,
+        failure_domain: domain(number).parse()?,
+        region: "bretagne".parse()?,
+        state: VmState::Live,
+    })
+}
+
+fn domain(number: u64) -> &'static str {
+    DOMAINS[number as usize % DOMAINS.len()]
+}
+
+fn loopback() -> SocketAddr {
+    (Ipv4Addr::LOCALHOST, 0).into()
+}
+
+fn free_address() -> Result<SocketAddr, Failed> {
+    Ok(TcpListener::bind(loopback())?.local_addr()?)
+}
