--- a/dev/proof/src/fault.rs
+++ b/dev/proof/src/fault.rs
@@ -9,7 +9,7 @@
 use standins::{Fault as StandinFault, FaultKind};
 use types::CustomerName;
 
-use crate::{Answer, Ask, Ending, Kind, Pending, ProofError, Site, SiteSettings, page, until};
+use crate::{Answer, Ask, Ending, Kind, Pending, ProofError, Site, SiteSettings, Way, page, until};
 
 /// Time that a plain call runs, long enough for a fault in its middle.
 const SERVICE_MS: u64 = 900;
@@ -49,10 +49,20 @@
     LogSilent,
     /// The log takes the claim, and its answer is lost.
     LoseAppendAnswer,
+    /// The endpoint's open connections are cut; it lives and takes new ones.
+    CutEndpoint,
+    /// The endpoint's open connections go silent for good; it takes new ones.
+    SilenceEndpoint,
     /// The caller goes away.
     CallerLeaves,
 }
 
+impl Fault {
+    fn needs_relay(self) -> bool {
+        matches!(self, Fault::CutEndpoint | Fault::SilenceEndpoint)
+    }
+}
+
 /// When it goes wrong.
 #[key]
 pub enum Step {
@@ -131,6 +141,7 @@
             engines: if model { 2 } else { 0 },
             service_ms: SERVICE_MS,
             scale_permille: SCALE_PERMILLE,
+            relayed: case.faults.iter().any(|fault| fault.needs_relay()),
             ..SiteSettings::default()
         };
         let ask = Ask::new(case.kind, "file-17");
@@ -266,6 +277,8 @@
                     let lost = StandinFault::new(FaultKind::AnswerLost).times(1);
                     site.log.fault(lost.on(claim_path.clone()));
                 }
+                Fault::CutEndpoint => break_all(site, Way::Cut),
+                Fault::SilenceEndpoint => break_all(site, Way::Silent),
                 Fault::CutAnswer | Fault::TruncateAnswer | Fault::LoseAnswer => {}
                 Fault::CallerLeaves => {}
             }
@@ -317,6 +330,10 @@
     }
 }
 
+fn break_all(site: &Site, way: Way) {
+    site.relays.iter().for_each(|relay| relay.break_open(way));
+}
+
 async fn pause(child: &crate::Child) -> Result<(), ProofError> {
     child.freeze()?;
     tokio::time::sleep(FREEZE).await;
--- a/dev/proof/src/lib.rs
+++ b/dev/proof/src/lib.rs
@@ -7,6 +7,7 @@
 mod error;
 mod fault;
 mod ports;
+mod relay;
 mod site;
 mod wait;
 
@@ -16,5 +17,6 @@
 pub use error::ProofError;
 pub use fault::{Case, Fault, Repeat, Step, run_case, run_cases};
 pub use ports::free_port;
+pub use relay::{Relay, Way};
 pub use site::{Process, Site, SiteSettings, exchange, office, page, replicas};
 pub use wait::{TRIES_MAX, until};
--- a/dev/proof/src/site.rs
+++ b/dev/proof/src/site.rs
@@ -26,7 +26,7 @@
 use types::{FailureDomain, Region};
 
 use crate::ask::document_text;
-use crate::{Ask, Caller, Child, Pending, ProofError, free_port, until};
+use crate::{Ask, Caller, Child, Pending, ProofError, Relay, free_port, until};
 
 const ENTRY: &str = "hornbeamrock-entry";
 const AGENT: &str = "hornbeamrock-agent";
@@ -55,6 +55,8 @@
     pub scored: bool,
     /// How long a leaving entry or agent takes new work.
     pub settle_ms: u64,
+    /// Whether relays stand between agents and endpoints.
+    pub relayed: bool,
     /// Log level of the processes.
     pub log_level: &'static str,
 }
@@ -69,6 +71,7 @@
             fencing: true,
             scored: false,
             settle_ms: 300,
+            relayed: false,
             log_level: "info",
         }
     }
@@ -103,6 +106,8 @@
     pub services: Vec<Handle>,
     /// The engines.
     pub engines: Vec<Handle>,
+    /// Relays in front of the services and engines, if there are any.
+    pub relays: Vec<Relay>,
     /// The entries.
     pub entries: Vec<Process>,
     /// The agents: those of the plain services, of the engines, of the scorer.
@@ -164,6 +169,7 @@
             store,
             services,
             engines,
+            relays: Vec::new(),
             entries: Vec::new(),
             agents: Vec::new(),
             settings,
@@ -186,16 +192,21 @@
         let plain = self
             .services
             .iter()
-            .map(|handle| (handle.address, "plain", "guichet"));
+            .map(|own| (own.address, "plain", "guichet"));
         let models = self
             .engines
             .iter()
-            .map(|handle| (handle.address, "model", "redacteurs"));
-        let scorer = self
-            .settings
-            .scored
-            .then_some((self.scorer.address, "plain", "notation"));
-        let endpoints: Vec<_> = plain.chain(models).chain(scorer).collect();
+            .map(|own| (own.address, "model", "redacteurs"));
+        let mut endpoints: Vec<_> = plain.chain(models).collect();
+        if self.settings.relayed {
+            for (address, ..) in &mut endpoints {
+                let relay = Relay::start(*address).await?;
+                *address = relay.address;
+                self.relays.push(relay);
+            }
+        }
+        let scorer = (self.scorer.address, "plain", "notation");
+        endpoints.extend(self.settings.scored.then_some(scorer));
         for (at, endpoint) in endpoints.into_iter().enumerate() {
             let agent = self.agent(at, endpoint).await?;
             self.agents.push(agent);
@@ -215,6 +226,8 @@
             kind,
             "--pool",
             pool,
+            "--customers",
+            "office",
             "--fencing",
             fencing,
         ];
@@ -257,7 +270,11 @@
                 return Ok(process);
             }
         }
-        Err(ProofError::Ended(format!("{name}, right after its start")))
+        let log = std::fs::read_to_string(self.folder.join(format!("{name}-{at}")))?;
+        let last = log.lines().last().unwrap_or_default();
+        Err(ProofError::Ended(format!(
+            "{name}, right after its start: {last}"
+        )))
     }
 
     fn common_args(&self, inner: SocketAddr, admin: SocketAddr, domain: &str) -> Vec<String> {
@@ -393,7 +410,13 @@
             body: direct.body(),
             ..Request::new("POST", "/v1/completions")
         };
-        let body = exchange(self.engines[0].address, request).await?;
+        // It may be down from a crash.
+        let body = until("the text of an engine", async || {
+            exchange(self.engines[0].address, request.clone())
+                .await
+                .ok()
+        })
+        .await?;
         document_text(&body).ok_or_else(|| ProofError::NotSeen("the text of an engine".to_owned()))
     }
 
--- /dev/null
+++ b/dev/proof/tests/agent_link.rs
@@ -0,0 +1,129 @@
+//! The connection to an agent breaks under a call, between two real processes.
+#![allow(clippy::unwrap_used)] // The exemption of clippy.toml ends at helpers of tests.
+
+use bytes::Bytes;
+use futures_util::future::join_all;
+use link::{Call, CallEvent, LinkSettings, Links};
+use proof::{Relay, Site, SiteSettings, Way, until};
+use protocol::{Key, Keys, Open, ProcessRole};
+use types::{Class, CustomerName, FailureDomain, Incarnation, NodeId, ServiceName};
+
+const SERVICE_MS: u64 = 600;
+
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    /// The connection is open and idle.
+    Idle,
+    /// The endpoint runs the call.
+    Running,
+    /// The endpoint runs the call and the next connection breaks too.
+    Twice,
+}
+
+struct Case {
+    way: Way,
+    step: Step,
+    once: bool,
+}
+
+fn cases() -> Vec<Case> {
+    let mut cases = Vec::new();
+    for way in [Way::Cut, Way::Silent] {
+        for step in [Step::Idle, Step::Running, Step::Twice] {
+            cases.extend([true, false].map(|once| Case { way, step, once }));
+        }
+    }
+    cases
+}
+
+fn links(site: &Site) -> Links {
+    let node = NodeId {
+        address: site.entries[0].inner,
+        incarnation: Incarnation(1),
+    };
+    let keys = Keys::one(Key::new([0x5a; 32]));
+    let domain = FailureDomain::new("rennes-a").unwrap();
+    Links::new(LinkSettings::new(node, ProcessRole::Entry, domain, keys))
+}
+
+fn open(links: &Links, tag: &str, once: bool) -> Open {
+    let office = CustomerName::new("office").unwrap();
+    let (method, path) = if once {
+        ("POST", "sanctions")
+    } else {
+        ("GET", "applicants")
+    };
+    Open {
+        id: links.next_id(),
+        request_id: tag.to_owned(),
+        customer: office.clone(),
+        owner: office,
+        service: ServiceName::new("guichet").unwrap(),
+        class: Class::Interactive,
+        idempotent: !once,
+        deadline_left_ms: 10_000,
+        method: method.to_owned(),
+        path: format!("/{path}/{tag}"),
+        headers: vec![("x-request-tag".to_owned(), tag.to_owned())],
+        body: Bytes::new(),
+    }
+}
+
+async fn whole(call: &mut Call) -> Option<Vec<u8>> {
+    let mut body = Vec::new();
+    loop {
+        match call.next().await {
+            CallEvent::Chunk(bytes) => body.extend_from_slice(&bytes),
+            CallEvent::End => return Some(body),
+            CallEvent::Failed(_) => return None,
+            _ => {}
+        }
+    }
+}
+
+async fn run(site: &Site, case: Case) {
+    let Case { way, step, once } = case;
+    let name = format!("{way:?}-{step:?}-{once}");
+    let relay = Relay::start(site.agents[0].inner).await.unwrap();
+    let links = links(site);
+    let first = open(&links, &format!("{name}-first"), once);
+    assert!(
+        whole(&mut links.call(relay.address, first)).await.is_some(),
+        "{name}"
+    );
+    if matches!(step, Step::Idle) {
+        relay.break_open(way);
+    }
+    let mut call = links.call(relay.address, open(&links, &name, once));
+    if !matches!(step, Step::Idle) {
+        until("the call at the endpoint", async || {
+            (site.runs(&name).await.ok()? > 0).then_some(())
+        })
+        .await
+        .unwrap();
+        relay.break_open(way);
+    }
+    if matches!(step, Step::Twice) {
+        // Long enough for the next connection to be there.
+        tokio::time::sleep(std::time::Duration::from_millis(SERVICE_MS / 4)).await;
+        relay.break_open(way);
+    }
+    let body = whole(&mut call).await;
+    let body = String::from_utf8(body.unwrap_or_default()).unwrap();
+    assert!(body.contains(&name), "{name}: {body}");
+    assert_eq!(site.runs(&name).await.unwrap(), 1, "{name}");
+}
+
+// The caller has its whole answer from one run, though the connection to the agent was cut,
+// or went silent for good while new ones work, before the call, while it ran, or twice. The
+// call is taken up by its id on the next connection.
+#[tokio::test(flavor = "multi_thread")]
+async fn can_answer_over_a_cut_or_silent_connection_to_an_agent() {
+    let settings = SiteSettings {
+        services: 1,
+        service_ms: SERVICE_MS,
+        ..SiteSettings::default()
+    };
+    let site = Site::start(settings).await.unwrap();
+    join_all(cases().into_iter().map(|case| run(&site, case))).await;
+}
