Keyed calls: a silent log no longer holds up the answer

Cause: a claim whose append is neither refused nor answered is given up after start_within_ms, and the holder then awaited the append of its release before it answered; a writer waits for an append without bound.

Ruled out: to answer sooner by dropping the release. It frees the key for the caller's repeat once the log is back.

Change: the claim's end carries the release, which the request's task writes after the caller has its answer and its place in the customer's limits; the claim, the read of a recorded answer and a writer's answer are bounded by the call's deadline or by two seconds. A claim that no writer could confirm in time is given up for good, so "not run" stays true.

--- a/components/gateway/src/keyed/client.rs
+++ b/components/gateway/src/keyed/client.rs
@@ -14,6 +14,7 @@
 use platform::LogClient;
 use protocol::{Open, ProcessRole};
 use tokio::sync::{mpsc, oneshot};
+use tokio::time::timeout;
 use types::{Cause, CustomerName, Failure, RunState, ServiceName};
 
 use super::reader::{self, ReadOrder};
@@ -21,8 +22,9 @@
 use crate::gateway::Gateway;
 use crate::peer::PeerCall;
 
-/// Time for an inner call that brings a record, in milliseconds.
+/// Time for a writer to take a record, in milliseconds.
 const DEADLINE_MS: u32 = 2_000;
+const DEADLINE: Duration = Duration::from_millis(DEADLINE_MS as u64);
 
 /// Readers and writers of all shards.
 pub struct Claims {
@@ -40,8 +42,9 @@
     Won(Holder),
     /// Another one has the key.
     Other(Verdict),
-    /// No verdict in time; not run.
-    GivenUp(Failure),
+    /// No verdict in time; not run. The record takes the claim back; it waits for the
+    /// log, which may be silent, so the caller gets its answer first.
+    GivenUp(Failure, Option<Record>),
 }
 
 /// A submission that wants its key.
@@ -56,6 +59,8 @@
     pub request: RequestDigest,
     /// Longest time from the claim to the end of its call, in milliseconds.
     pub runs_for_ms: u32,
+    /// When its caller gives up, on the process's monotonic clock.
+    pub deadline_at_ms: u64,
 }
 
 impl Claims {
@@ -94,7 +99,7 @@
             answer,
         };
         if self.reader(shard, order).await.is_none() {
-            return Claimed::GivenUp(Failure::not_run(Cause::Internal));
+            return Claimed::GivenUp(Failure::not_run(Cause::Internal), None);
         }
         let holder = Holder::new(claim, self.settings, now_ms());
         self.hold(gateway, submission, shard, holder, verdict).await
@@ -112,6 +117,9 @@
         let mut sends = FuturesUnordered::new();
         let mut refusals = 0;
         loop {
+            if now_ms() >= submission.deadline_at_ms {
+                holder.give_up();
+            }
             let at_ms = match holder.step(now_ms()) {
                 HolderStep::Send { rank } => {
                     let Some(&to) = writers.get(rank % writers.len().max(1)) else {
@@ -126,11 +134,11 @@
                 HolderStep::Run => return Claimed::Won(holder),
                 HolderStep::Answer(verdict) => return Claimed::Other(verdict),
                 HolderStep::GiveUp(failure) => {
-                    self.record(gateway, submission, holder.release()).await;
-                    return Claimed::GivenUp(failure);
+                    return Claimed::GivenUp(failure, holder.release());
                 }
             };
-            let wait = Duration::from_millis(at_ms.saturating_sub(now_ms()));
+            let until_ms = at_ms.min(submission.deadline_at_ms);
+            let wait = Duration::from_millis(until_ms.saturating_sub(now_ms()));
             tokio::select! {
                 Ok(verdict) = &mut verdict => holder.on_verdict(verdict),
                 Some(sent) = sends.next() => if sent.is_err() {
@@ -196,7 +204,8 @@
         gateway.ask(to, call).await.map(|_| ())
     }
 
-    /// Writes a record here.
+    /// Writes a record here. A log that says nothing keeps the record waiting; whoever
+    /// brought it is told so after a while.
     pub async fn write(&self, shard: u16, record: Record) -> Result<(), Failure> {
         let unavailable = Failure::not_run(Cause::ClaimUnavailable);
         let writer = self.writers.get(usize::from(shard)).ok_or(unavailable)?;
@@ -204,7 +213,8 @@
         let order = WriteOrder { record, answer };
         writer.try_send(order).map_err(|_| unavailable)?;
         let lost = Failure::new(RunState::Unknown, Cause::Internal);
-        written.await.map_err(|_| lost)?
+        let written = timeout(DEADLINE, written).await;
+        written.map_err(|_| lost)?.map_err(|_| lost)?
     }
 
     async fn peek(&self, shard: u16, submission: &Submission<'_>) -> Option<Verdict> {
--- a/components/gateway/src/keyed/relay.rs
+++ b/components/gateway/src/keyed/relay.rs
@@ -46,6 +46,7 @@
     body: Bytes,
 ) -> Result<Response<Body>, Rejection> {
     let job = &answering.exchange.job;
+    let deadline_at_ms = job.deadline_at_ms;
     let key = KeyDigest::of(&job.payer, key);
     let shard = shard_of(key, gateway.claims.settings.shards);
     let (first, told) = oneshot::channel();
@@ -59,7 +60,9 @@
     let lost = Failure::new(RunState::Unknown, Cause::Internal);
     match told.await.map_err(|_| lost)? {
         First::Answer(head, parts) => response(&head, body_of(parts)),
-        First::Other(verdict) => replay::answer(&gateway.claims, shard, &verdict).await,
+        First::Other(verdict) => {
+            replay::answer(&gateway.claims, shard, &verdict, deadline_at_ms).await
+        }
         First::Failed(failure) => Err(failure.into()),
     }
 }
@@ -95,6 +98,7 @@
                 &self.body,
             ),
             runs_for_ms: left_ms.saturating_add(RECORD_MS),
+            deadline_at_ms: job.deadline_at_ms,
         };
         let mut holder = match gateway.claims.claim(&gateway, &submission).await {
             Claimed::Won(holder) => holder,
@@ -104,9 +108,12 @@
                 let _ = first.send(First::Other(verdict));
                 return;
             }
-            Claimed::GivenUp(failure) => {
+            Claimed::GivenUp(failure, release) => {
                 self.answering.trace.failed(failure);
                 let _ = first.send(First::Failed(failure));
+                // What the request holds of its customer's limits goes back now.
+                drop(self);
+                gateway.claims.record(&gateway, &submission, release).await;
                 return;
             }
         };
--- a/components/gateway/src/keyed/replay.rs
+++ b/components/gateway/src/keyed/replay.rs
@@ -1,8 +1,12 @@
 //! The answer of a key's one run, read back from the log.
 
+use std::time::Duration;
+
 use claims::{Answer, Line, Outcome, Place, Verdict, stream_name};
 use http::{HeaderValue, Response};
+use node::now_ms;
 use protocol::Head;
+use tokio::time::timeout;
 use types::{Cause, Failure, RunState};
 
 use super::Claims;
@@ -13,11 +17,12 @@
 /// Says that an answer is that of an earlier submission.
 const REPLAYED: &str = "idempotency-replayed";
 
-/// The answer to a submission whose key another one has.
+/// The answer to a submission whose key another one has, by its deadline.
 pub async fn answer(
     claims: &Claims,
     shard: u16,
     verdict: &Verdict,
+    deadline_at_ms: u64,
 ) -> Result<Response<Body>, Rejection> {
     if let Some(failure) = verdict.failure(&claims.settings) {
         return Err(failure.into());
@@ -32,7 +37,9 @@
     // It ran and was answered; only the answer can't be had now.
     let unread = Failure::new(RunState::Failed, Cause::ClaimUnavailable)
         .retry_after(claims.settings.outage_retry_after_ms);
-    let recorded = recorded(claims, shard, *place).await.ok_or(unread)?;
+    let left = Duration::from_millis(deadline_at_ms.saturating_sub(now_ms()));
+    let recorded = timeout(left, recorded(claims, shard, *place)).await;
+    let recorded = recorded.ok().flatten().ok_or(unread)?;
     let head = Head {
         status: *status,
         headers: recorded.headers,
