Customer's limits: room beside its own sampling, shares by demand

Cause: a step's runs and scores all begin at once at its home entry and enter the customer's limits like any call, so they filled that entry's part, which was 1/n of the limit whatever came there.

Weighed: a limit for each class leaves unused what one class does not need; refusing runs with a time to come back makes each of them try again among the clerks' calls. Sampling counted in full in the demand would draw the share away from other entries.

Change: background leaves 10 % and sampling 30 % of the share free (of a rate only the burst); a step's own work waits in one line for the limits, 16 at most, the others in the ledger.

The reserve's test fails with a reserve of 0 (10, 0, 0 instead of 7, 2, 1).

--- a/components/gateway/src/accounts.rs
+++ b/components/gateway/src/accounts.rs
@@ -8,7 +8,7 @@
 
 use arc_swap::ArcSwap;
 use config::{Limits, View};
-use limits::{BudgetSettings, Customer, CustomerLimits, RetryBudget};
+use limits::{BudgetSettings, Customer, CustomerLimits, RetryBudget, demand};
 use types::CustomerName;
 
 /// One customer as this entry sees it.
@@ -37,12 +37,16 @@
 
     fn set(&self, limits: &Limits, share: f64) {
         self.weight.store(limits.weight, Ordering::Relaxed);
-        let limits = CustomerLimits {
-            requests_per_s: Some(limits.requests_per_s),
-            in_progress: Some(limits.in_progress),
-            tokens_per_s: Some(limits.tokens_per_s),
-        };
-        self.customer.set(&limits, share);
+        self.customer.set(&whole(limits), share);
+    }
+}
+
+/// What the customer may use on all entries together.
+fn whole(limits: &Limits) -> CustomerLimits {
+    CustomerLimits {
+        requests_per_s: Some(limits.requests_per_s),
+        in_progress: Some(limits.in_progress),
+        tokens_per_s: Some(limits.tokens_per_s),
     }
 }
 
@@ -70,4 +74,17 @@
         }
         self.accounts.store(Arc::new(next));
     }
+
+    /// What each customer asked of this entry in the last `elapsed_ms` milliseconds, as a
+    /// part of its limits.
+    pub fn demands(&self, view: &View, elapsed_ms: u64) -> Vec<(CustomerName, f64)> {
+        let accounts = self.accounts.load();
+        let named = view.customers().filter_map(|(name, customer)| {
+            let account = accounts.get(name)?;
+            let asked = account.customer.take_asked();
+            let part = demand(&whole(&customer.limits), &asked, elapsed_ms);
+            Some((name.clone(), part))
+        });
+        named.collect()
+    }
 }
--- a/components/gateway/src/admission.rs
+++ b/components/gateway/src/admission.rs
@@ -1,6 +1,7 @@
 //! Admission of a request: the process's drain, the customer's limits, the service's gate.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use leaving::Working;
 use limits::{InProgress, Permit, Request};
@@ -31,11 +32,42 @@
 /// Lets a request in, after a wait where its service is busy, or refuses it.
 pub async fn admit(gateway: &Gateway, job: &Job) -> Result<Admitted, Failure> {
     let working = gateway.drain.admit(now_ms())?;
+    let account = account(gateway, job)?;
+    let tokens = job.work.tokens();
+    let in_progress = account
+        .customer
+        .enter(job.class, tokens, now_ms(), rand::random())?;
+    pass_gate(gateway, job, account, in_progress, working).await
+}
+
+/// Lets a request in when there is room for it within the customer's limits, in the order
+/// of arrival, and then as [`admit`] does. For a step's own work: refused, each of its
+/// samples would come back by itself, and be refused among the customer's other calls.
+pub async fn admit_in_turn(gateway: &Gateway, job: &Job) -> Result<Admitted, Failure> {
+    let account = account(gateway, job)?;
+    let left = Duration::from_millis(job.left_ms(now_ms()));
+    let turn = account
+        .customer
+        .enter_in_turn(job.class, job.work.tokens(), now_ms);
+    let entered = tokio::time::timeout(left, turn).await;
+    let in_progress = entered.map_err(|_| Failure::not_run(Cause::DeadlinePassed))?;
+    let working = gateway.drain.admit(now_ms())?;
+    pass_gate(gateway, job, account, in_progress, working).await
+}
+
+fn account(gateway: &Gateway, job: &Job) -> Result<Arc<Account>, Failure> {
     let account = gateway.accounts.get(&job.payer);
     // The configuration is newer than the last tick; the customer is there with the next.
-    let account = account.ok_or(Failure::not_run(Cause::NoEndpoint))?;
-    let tokens = job.work.tokens();
-    let mut in_progress = account.customer.enter(tokens, now_ms(), rand::random())?;
+    account.ok_or(Failure::not_run(Cause::NoEndpoint))
+}
+
+async fn pass_gate(
+    gateway: &Gateway,
+    job: &Job,
+    account: Arc<Account>,
+    mut in_progress: InProgress,
+    working: Working,
+) -> Result<Admitted, Failure> {
     let permit = match permit(gateway, job, &account).await {
         Ok(permit) => permit,
         Err(failure) => {
--- a/components/gateway/src/entry.rs
+++ b/components/gateway/src/entry.rs
@@ -29,6 +29,8 @@
     pub gossip: GossipSettings,
     /// Choice of replicas.
     pub routing: routing::Settings,
+    /// Shares of customers' limits.
+    pub shares: limits::ShareSettings,
 }
 
 /// An entry that has its addresses and runs when told to.
--- a/components/gateway/src/news.rs
+++ b/components/gateway/src/news.rs
@@ -4,9 +4,10 @@
 
 use node::GossipHooks;
 use node::leave::Leaving;
-use protocol::News;
+use protocol::{DemandDigest, News};
 use quarantine::{CallDigest, Condemned};
 use tokio::sync::mpsc;
+use types::NodeId;
 use weights::{ModelKey, Target};
 
 use crate::gateway::Gateway;
@@ -49,7 +50,12 @@
 }
 
 /// What is done with the news of others.
-pub fn hooks(weights: &WeightNews, quarantine: &Quarantine, leaving: &Leaving) -> GossipHooks {
+pub fn hooks(
+    weights: &WeightNews,
+    quarantine: &Quarantine,
+    leaving: &Leaving,
+    demand: mpsc::Sender<(NodeId, DemandDigest)>,
+) -> GossipHooks {
     let weights = weights.clone();
     let quarantine = quarantine.clone();
     let leaving = leaving.clone();
@@ -71,6 +77,8 @@
             }
             _ => {}
         }),
+        // A full queue loses the digest; the next one makes it good.
+        demand: Arc::new(move |from, digest| _ = demand.try_send((from, digest))),
         leaving: Arc::new(move || leaving.order()),
         ..GossipHooks::default()
     }
--- a/components/gateway/src/refresh.rs
+++ b/components/gateway/src/refresh.rs
@@ -1,12 +1,16 @@
 //! The tick that turns the view of the processes and the configuration into what the path
 //! of a request reads.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use limits::{ShareSettings, Shares};
 use node::now_ms;
-use protocol::ProcessRole;
+use protocol::{DemandDigest, News, ProcessRole};
 use telemetry::Label;
+use tokio::sync::mpsc;
+use types::NodeId;
 
 use crate::gateway::Gateway;
 
@@ -16,11 +20,18 @@
 /// Ticks between two levels of the metrics.
 const LEVELS_EVERY: u64 = 10;
 
+/// Demand that other entries told.
+pub type Told = mpsc::Receiver<(NodeId, DemandDigest)>;
+
 /// Runs until the task is dropped.
-pub async fn run(gateway: Arc<Gateway>) {
+pub async fn run(gateway: Arc<Gateway>, mut told: Told, shares: ShareSettings) {
+    let mut shares = Shares::new(shares);
     let mut ticks: u64 = 0;
     loop {
-        refresh(&gateway);
+        while let Ok((peer, demand)) = told.try_recv() {
+            shares.told(peer, &demand, now_ms());
+        }
+        refresh(&gateway, &mut shares);
         if ticks.is_multiple_of(LEVELS_EVERY) {
             levels(&gateway);
         }
@@ -29,13 +40,33 @@
     }
 }
 
-fn refresh(gateway: &Gateway) {
+fn refresh(gateway: &Gateway, shares: &mut Shares) {
     let view = gateway.feed.view();
     let snapshot = gateway.gossip.snapshot();
     gateway.services.refresh(&snapshot, &view);
-    let others = snapshot.live(ProcessRole::Entry).count();
-    let share = 1.0 / (others + 1) as f64;
-    gateway.accounts.refresh(&view, |_| share);
+    let now_ms = now_ms();
+    if let Some(elapsed_ms) = shares.due(now_ms) {
+        let live = snapshot.live(ProcessRole::Entry);
+        let (peers, addresses): (Vec<NodeId>, Vec<SocketAddr>) = live
+            .filter_map(|entry| Some((node(entry)?, entry.address)))
+            .unzip();
+        let demands = gateway.accounts.demands(&view, elapsed_ms);
+        let digest = shares.round(&peers, demands, elapsed_ms, now_ms);
+        gateway
+            .gossip
+            .tell_directly(addresses, News::Demand(digest));
+    }
+    let share = |customer: &_| shares.share(customer, now_ms);
+    gateway.accounts.refresh(&view, share);
+}
+
+/// A life of an entry; one that was never heard has none yet.
+fn node(entry: &membership::MemberState) -> Option<NodeId> {
+    let incarnation = entry.incarnation?;
+    Some(NodeId {
+        address: entry.address,
+        incarnation,
+    })
 }
 
 fn levels(gateway: &Gateway) {
--- a/components/gateway/src/start.rs
+++ b/components/gateway/src/start.rs
@@ -33,6 +33,8 @@
 const QUICK_REATTACH_MS: u64 = 500;
 /// Versions in force that wait to be told on.
 const VERSIONS_MAX: usize = 256;
+/// Demands told by other entries that wait; a tick takes them all.
+const DEMANDS_MAX: usize = 1_024;
 
 /// What the process has before it starts.
 pub struct Parts {
@@ -67,7 +69,8 @@
     let (condemned, to_tell) = mpsc::unbounded_channel();
     let weights = WeightNews::start(versions);
     let quarantine = Quarantine::start(condemned);
-    let hooks = news::hooks(&weights, &quarantine, &parts.leaving);
+    let (demand, told) = mpsc::channel(DEMANDS_MAX);
+    let hooks = news::hooks(&weights, &quarantine, &parts.leaving, demand);
     let gossip = start_gossip(common, tuning.gossip, &identity, parts.udp, &feed, hooks);
     let here = Locality {
         failure_domain: identity.failure_domain.clone(),
@@ -106,7 +109,7 @@
         condemned: to_tell,
     };
     news::start(&gateway, sources);
-    tokio::spawn(refresh::run(Arc::clone(&gateway)));
+    tokio::spawn(refresh::run(Arc::clone(&gateway), told, tuning.shares));
     Ok(gateway)
 }
 
--- a/components/gateway/src/training/desk_act.rs
+++ b/components/gateway/src/training/desk_act.rs
@@ -15,6 +15,11 @@
 use super::room::room;
 use super::run::Run;
 use super::score::Scoring;
+use crate::gateway::Gateway;
+
+/// Runs and scores of a customer that stand in the line for its limits, beyond which no
+/// further run begins.
+const WAITING_MAX: u32 = 16;
 
 /// Actions of one step.
 struct Todo {
@@ -41,6 +46,15 @@
     users
 }
 
+/// Runs of the step that may yet stand in the line for its customer's limits. One that
+/// waits there looks silent to its ledger, which would make it again elsewhere, so the
+/// others wait in the ledger.
+fn line_room(gateway: &Gateway, key: &StepKey) -> u32 {
+    let account = gateway.accounts.get(&key.customer);
+    let waiting = account.map_or(0, |account| account.customer.waiting());
+    WAITING_MAX.saturating_sub(waiting)
+}
+
 impl Desk {
     /// Asks each ledger what is to be done and does it.
     pub(super) fn act(&mut self) {
@@ -75,7 +89,10 @@
                 continue;
             };
             let shunned = |replica| self.shunned.is_shunned(replica, now_ms);
-            ledger.dispatch(&room(table, &runs, &users, shunned), now_ms);
+            let mut room = room(table, &runs, &users, shunned);
+            let line = ledger.running() + line_room(&self.gateway, key);
+            room.in_progress_max = room.in_progress_max.min(line);
+            ledger.dispatch(&room, now_ms);
             let drained = drained(key, ledger);
             for action in &drained.actions {
                 if let Action::Start(start) = action {
--- a/components/gateway/src/training/run.rs
+++ b/components/gateway/src/training/run.rs
@@ -13,7 +13,7 @@
 
 use super::listening::Listening;
 use super::orders::{Order, RunFault, RunNews};
-use crate::admission::admit;
+use crate::admission::admit_in_turn;
 use crate::attempt::{Attempt, Where};
 use crate::completion::priority;
 use crate::completions::PATH;
@@ -64,7 +64,7 @@
     async fn run(self, gateway: &Gateway) -> Result<Completion, (RunFault, Option<Partial>)> {
         let (job, body) = self.job();
         let refused = |failure| (fault(failure), self.start.resume.clone());
-        let mut admitted = admit(gateway, &job).await.map_err(refused)?;
+        let mut admitted = admit_in_turn(gateway, &job).await.map_err(refused)?;
         let place = place(gateway, &job, self.start.to);
         let attempt = Attempt::start(gateway, &job, body, &place).await;
         let attempt = match attempt {
--- a/components/gateway/src/training/score.rs
+++ b/components/gateway/src/training/score.rs
@@ -15,7 +15,7 @@
 use types::{Cause, Class, Failure, RunState};
 
 use super::orders::Order;
-use crate::admission::admit;
+use crate::admission::admit_in_turn;
 use crate::attempt::{Attempt, Where};
 use crate::exchange::Exchange;
 use crate::gateway::Gateway;
@@ -72,7 +72,7 @@
 
     async fn score(&self, gateway: Arc<Gateway>) -> Result<Score, Failure> {
         let (job, body) = self.job().ok_or(Failure::not_run(Cause::NotHosted))?;
-        let admitted = admit(&gateway, &job).await?;
+        let admitted = admit_in_turn(&gateway, &job).await?;
         let account = Arc::clone(&admitted.account);
         let mut exchange = Exchange::new(gateway, account, job, Where::default());
         loop {
--- a/components/limits/examples/admission_cost.rs
+++ b/components/limits/examples/admission_cost.rs
@@ -65,7 +65,7 @@
     let all: Vec<Arc<Customer>> = (0..customers).map(one).collect();
     timed(|| {
         for (call, customer) in (0..CALLS).zip(all.iter().cycle()) {
-            let _ = black_box(customer.enter(700, call, call));
+            let _ = black_box(customer.enter(Class::Interactive, 700, call, call));
         }
     })
 }
--- a/components/limits/src/bucket.rs
+++ b/components/limits/src/bucket.rs
@@ -44,6 +44,13 @@
     /// Takes `units`, or says in how many milliseconds they can be had. More than a
     /// whole bucket is given when it is full, and paid off afterwards.
     pub fn take(&self, units: u32, now_ms: u64) -> Result<(), u64> {
+        self.take_leaving(units, 0, now_ms)
+    }
+
+    /// The same, but `reserve_permille` thousandths of a full bucket stay in it. More
+    /// than the rest is given when the bucket is full.
+    pub fn take_leaving(&self, units: u32, reserve_permille: u32, now_ms: u64) -> Result<(), u64> {
+        let reserve_ns = self.burst_ns / 1_000 * u64::from(reserve_permille.min(1_000));
         let unit_ns = self.unit_ns.load(Ordering::Relaxed);
         let cost_ns = unit_ns.saturating_mul(u64::from(units));
         let now_ns = now_ms * NS_PER_MS;
@@ -52,7 +59,7 @@
             let start_ns = full_at_ns.max(now_ns);
             let next_ns = start_ns.saturating_add(cost_ns);
             // A cost above the burst would never fit; it passes when the bucket is full.
-            let room_ns = self.burst_ns.max(cost_ns);
+            let room_ns = (self.burst_ns - reserve_ns).max(cost_ns);
             let over_ns = next_ns.saturating_sub(now_ns.saturating_add(room_ns));
             if over_ns > 0 {
                 return Err(over_ns.div_ceil(NS_PER_MS));
--- a/components/limits/src/customer.rs
+++ b/components/limits/src/customer.rs
@@ -1,10 +1,17 @@
 //! Limits of one customer on this entry: its share of what the customer was promised.
+//!
+//! Background and sampling leave a part of it free. Without that a step's runs, which
+//! all begin at once, use the share up, and the clerks of the same customer are refused
+//! although it is far below its limits. Of a rate only the burst is kept back: what
+//! interactive requests do not use goes to the other classes in full.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::time::Duration;
 
 use derive::key;
-use types::{Cause, Failure};
+use tokio::sync::{Notify, Semaphore};
+use types::{Cause, Class, Failure};
 
 use crate::bucket::Bucket;
 use crate::retry_after::retry_after_ms;
@@ -14,6 +21,19 @@
 /// When to come back after too many calls in progress: when one ends is not known.
 const IN_PROGRESS_WAIT_MS: u64 = 500;
 
+/// Part of the share that background leaves free, in thousandths.
+const BACKGROUND_RESERVE_PERMILLE: u32 = 100;
+/// The same for sampling.
+const SAMPLING_RESERVE_PERMILLE: u32 = 300;
+
+fn reserve_permille(class: Class) -> u32 {
+    match class {
+        Class::Interactive => 0,
+        Class::Background => BACKGROUND_RESERVE_PERMILLE,
+        Class::Sampling => SAMPLING_RESERVE_PERMILLE,
+    }
+}
+
 /// What a customer may use; `None` is no limit.
 #[key]
 #[derive(Default)]
@@ -26,6 +46,50 @@
     pub tokens_per_s: Option<u32>,
 }
 
+/// Requests and tokens that were asked for in some time, refused ones too.
+#[key]
+#[derive(Default)]
+pub struct Offered {
+    /// Requests.
+    pub requests: u32,
+    /// Prompt tokens and the most that may be generated.
+    pub tokens: u64,
+    /// Requests in progress or waiting at the end of the time.
+    pub in_progress: u32,
+}
+
+/// What a customer asked this entry for.
+#[key]
+#[derive(Default)]
+pub struct Asked {
+    /// Interactive and background.
+    pub calls: Offered,
+    /// Sampling, which waits for room.
+    pub sampling: Offered,
+}
+
+#[derive(Debug, Default)]
+struct Counts {
+    requests: AtomicU32,
+    tokens: AtomicU64,
+    in_progress: AtomicU32,
+}
+
+impl Counts {
+    fn offer(&self, tokens: u32) {
+        self.requests.fetch_add(1, Ordering::Relaxed);
+        self.tokens.fetch_add(u64::from(tokens), Ordering::Relaxed);
+    }
+
+    fn take(&self) -> Offered {
+        Offered {
+            requests: self.requests.swap(0, Ordering::Relaxed),
+            tokens: self.tokens.swap(0, Ordering::Relaxed),
+            in_progress: self.in_progress.load(Ordering::Relaxed),
+        }
+    }
+}
+
 /// One customer's use of this entry; shared by threads.
 #[derive(Debug)]
 pub struct Customer {
@@ -33,7 +97,27 @@
     tokens: Bucket,
     in_progress: AtomicU32,
     in_progress_max: AtomicU32,
-    offered: AtomicU32,
+    calls: Counts,
+    sampling: Counts,
+    /// Whoever waits for room stands in this line; the first of it looks for room.
+    line: Semaphore,
+    waiting: AtomicU32,
+    freed: Notify,
+}
+
+/// What is in the way of a request.
+enum Full {
+    InProgress,
+    Rate { wait_ms: u64 },
+}
+
+impl Full {
+    fn wait_ms(&self) -> u64 {
+        match self {
+            Full::InProgress => IN_PROGRESS_WAIT_MS,
+            Full::Rate { wait_ms } => *wait_ms,
+        }
+    }
 }
 
 impl Customer {
@@ -44,7 +128,11 @@
             tokens: Bucket::new(f64::INFINITY, BURST_MS),
             in_progress: AtomicU32::new(0),
             in_progress_max: AtomicU32::new(u32::MAX),
-            offered: AtomicU32::new(0),
+            calls: Counts::default(),
+            sampling: Counts::default(),
+            line: Semaphore::new(1),
+            waiting: AtomicU32::new(0),
+            freed: Notify::new(),
         };
         customer.set(limits, share);
         customer
@@ -63,9 +151,12 @@
             .store(in_progress_max, Ordering::Relaxed);
     }
 
-    /// Requests that came since the last call of this, refused ones too.
-    pub fn take_offered(&self) -> u32 {
-        self.offered.swap(0, Ordering::Relaxed)
+    /// What was asked for since the last call of this.
+    pub fn take_asked(&self) -> Asked {
+        Asked {
+            calls: self.calls.take(),
+            sampling: self.sampling.take(),
+        }
     }
 
     /// Requests in progress now.
@@ -73,48 +164,138 @@
         self.in_progress.load(Ordering::Relaxed)
     }
 
+    /// Requests that wait in turn now.
+    pub fn waiting(&self) -> u32 {
+        self.waiting.load(Ordering::Relaxed)
+    }
+
     /// Lets in a request of `tokens` (prompt and the most that it may generate), or
     /// refuses it with the time to come back.
     pub fn enter(
         self: &Arc<Self>,
+        class: Class,
         tokens: u32,
         now_ms: u64,
         random: u64,
     ) -> Result<InProgress, Failure> {
-        self.offered.fetch_add(1, Ordering::Relaxed);
-        let refused = |wait_ms| {
-            let back_ms = retry_after_ms(wait_ms, random);
+        self.counts(class).offer(tokens);
+        self.try_enter(class, tokens, now_ms).map_err(|full| {
+            let back_ms = retry_after_ms(full.wait_ms(), random);
             Failure::not_run(Cause::CustomerLimit).retry_after(back_ms)
-        };
-        let mut entered = self
-            .count_in()
-            .ok_or_else(|| refused(IN_PROGRESS_WAIT_MS))?;
-        self.requests.take(1, now_ms).map_err(refused)?;
-        if let Err(wait_ms) = self.tokens.take(tokens, now_ms) {
+        })
+    }
+
+    /// Lets in a request of `tokens` when there is room for it, in the order of arrival.
+    pub async fn enter_in_turn(
+        self: &Arc<Self>,
+        class: Class,
+        tokens: u32,
+        clock: impl Fn() -> u64,
+    ) -> InProgress {
+        let counts = self.counts(class);
+        counts.offer(tokens);
+        let _counted = Counted::new(Arc::clone(self), class);
+        let _waiting = Waiting::new(self);
+        // The semaphore is never closed; without its permit the order alone is lost.
+        let _first = self.line.acquire().await;
+        loop {
+            let freed = self.freed.notified();
+            match self.try_enter(class, tokens, clock()) {
+                Ok(entered) => return entered,
+                Err(full) => {
+                    let wait = Duration::from_millis(full.wait_ms().max(1));
+                    // The time also ends a wait whose limits were changed meanwhile.
+                    let _ = tokio::time::timeout(wait, freed).await;
+                }
+            }
+        }
+    }
+
+    fn try_enter(
+        self: &Arc<Self>,
+        class: Class,
+        tokens: u32,
+        now_ms: u64,
+    ) -> Result<InProgress, Full> {
+        let reserve_permille = reserve_permille(class);
+        let mut entered = self.count_in(class).ok_or(Full::InProgress)?;
+        let full = |wait_ms| Full::Rate { wait_ms };
+        let requests = self.requests.take_leaving(1, reserve_permille, now_ms);
+        requests.map_err(full)?;
+        let taken = self.tokens.take_leaving(tokens, reserve_permille, now_ms);
+        if let Err(wait_ms) = taken {
             self.requests.give_back(1);
-            return Err(refused(wait_ms));
+            return Err(Full::Rate { wait_ms });
         }
         entered.tokens = tokens;
         Ok(entered)
     }
 
-    fn count_in(self: &Arc<Self>) -> Option<InProgress> {
+    fn count_in(self: &Arc<Self>, class: Class) -> Option<InProgress> {
         let max = self.in_progress_max.load(Ordering::Relaxed);
+        let left_free = u64::from(max) * u64::from(reserve_permille(class)) / 1_000;
+        // At least one, or a small limit would shut the class out for good.
+        let max = (max - left_free as u32).max(max.min(1));
         let more = |count: u32| (count < max).then_some(count + 1);
         let counted = self
             .in_progress
             .fetch_update(Ordering::Relaxed, Ordering::Relaxed, more);
         counted.ok().map(|_| InProgress {
-            customer: Arc::clone(self),
+            counted: Counted::new(Arc::clone(self), class),
             tokens: 0,
         })
     }
+
+    fn counts(&self, class: Class) -> &Counts {
+        match class {
+            Class::Interactive | Class::Background => &self.calls,
+            Class::Sampling => &self.sampling,
+        }
+    }
+}
+
+/// A request that waits in turn while this lives.
+struct Waiting<'a>(&'a Customer);
+
+impl<'a> Waiting<'a> {
+    fn new(customer: &'a Customer) -> Self {
+        customer.waiting.fetch_add(1, Ordering::Relaxed);
+        Self(customer)
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.0.waiting.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// A request that counts as demand while this lives.
+#[derive(Debug)]
+struct Counted {
+    customer: Arc<Customer>,
+    class: Class,
+}
+
+impl Counted {
+    fn new(customer: Arc<Customer>, class: Class) -> Self {
+        let counts = customer.counts(class);
+        counts.in_progress.fetch_add(1, Ordering::Relaxed);
+        Self { customer, class }
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        let counts = self.customer.counts(self.class);
+        counts.in_progress.fetch_sub(1, Ordering::Relaxed);
+    }
 }
 
 /// A request of a customer that is in progress; its drop ends it.
 #[derive(Debug)]
 pub struct InProgress {
-    customer: Arc<Customer>,
+    counted: Counted,
     tokens: u32,
 }
 
@@ -123,12 +304,15 @@
     pub fn used(&mut self, tokens: u32) {
         let unused = self.tokens.saturating_sub(tokens);
         self.tokens = self.tokens.min(tokens);
-        self.customer.tokens.give_back(unused);
+        self.counted.customer.tokens.give_back(unused);
     }
 }
 
 impl Drop for InProgress {
     fn drop(&mut self) {
-        self.customer.in_progress.fetch_sub(1, Ordering::Relaxed);
+        let customer = &self.counted.customer;
+        customer.in_progress.fetch_sub(1, Ordering::Relaxed);
+        // Where nobody waits, the next one to wait looks once more for nothing.
+        customer.freed.notify_one();
     }
 }
--- a/components/limits/src/share.rs
+++ b/components/limits/src/share.rs
@@ -16,8 +16,8 @@
 //!   sum is at most the number of groups. An entry that lost sight of its peers goes on
 //!   counting them for a window, so a short cut costs nothing.
 //!
-//! Cost: customers with traffic × entries × about 100 bytes, and a digest of 12 bytes
-//! for each such customer, sent by each entry a few times a window.
+//! Cost: customers with traffic × entries × about 100 bytes, and the digests of
+//! [`crate::Shares`].
 
 use std::collections::{HashMap, VecDeque};
 
@@ -117,17 +117,23 @@
             .retain(|_, peer| peer.seen_ms + window_ms >= now_ms);
     }
 
-    /// Takes in a peer's demand, in requests a second.
-    pub fn told(&mut self, peer: NodeId, per_s: f64, now_ms: u64) {
+    /// Puts another window in force, in milliseconds.
+    pub fn set_window(&mut self, window_ms: u64) {
+        self.settings.window_ms = window_ms;
+    }
+
+    /// Takes in a peer's demand, in the unit of [`Share::offered`].
+    pub fn told(&mut self, peer: NodeId, demand: f64, now_ms: u64) {
         let window_ms = self.settings.window_ms;
         if let Some(peer) = self.peers.get_mut(&peer) {
-            peer.demand.push(per_s, now_ms, window_ms);
+            peer.demand.push(demand, now_ms, window_ms);
         }
     }
 
-    /// Takes in this entry's demand, in requests a second, refused ones included.
-    pub fn offered(&mut self, per_s: f64, now_ms: u64) {
-        self.own.push(per_s, now_ms, self.settings.window_ms);
+    /// Takes in this entry's demand, refused requests included, in any unit that all
+    /// entries have in common.
+    pub fn offered(&mut self, demand: f64, now_ms: u64) {
+        self.own.push(demand, now_ms, self.settings.window_ms);
     }
 
     /// This entry's share of the limit, from 0 to 1.
--- a/components/limits/tests/limits.rs
+++ b/components/limits/tests/limits.rs
@@ -11,7 +11,8 @@
 use common::Draws;
 use limits::{Bucket, BudgetSettings, Customer, CustomerLimits, RetryBudget};
 use quickcheck::quickcheck;
-use types::Cause;
+use tokio::sync::mpsc;
+use types::{Cause, Class};
 
 #[test]
 fn a_bucket_gives_its_burst_then_its_rate() {
@@ -87,7 +88,7 @@
         let mut held = Vec::new();
         let mut admitted = 0;
         for _ in 0..20 {
-            match customer.enter(100, 0, 0) {
+            match customer.enter(Class::Interactive, 100, 0, 0) {
                 Ok(entered) if case.held => held.push(entered),
                 Ok(_) => {}
                 Err(failure) => {
@@ -99,7 +100,7 @@
             admitted += 1;
         }
         assert_eq!(admitted, case.admitted, "{}", case.name);
-        assert_eq!(customer.take_offered(), 20);
+        assert_eq!(customer.take_asked().calls.requests, 20);
         drop(held);
         assert_eq!(customer.in_progress(), 0);
     }
@@ -108,10 +109,95 @@
 #[test]
 fn unused_tokens_come_back() {
     let customer = Arc::new(Customer::new(&limits(), 1.0));
-    let mut entered = customer.enter(1_000, 0, 0).unwrap();
-    assert!(customer.enter(900, 0, 0).is_err());
+    let mut entered = customer.enter(Class::Interactive, 1_000, 0, 0).unwrap();
+    assert!(customer.enter(Class::Interactive, 900, 0, 0).is_err());
     entered.used(100);
-    assert!(customer.enter(900, 0, 0).is_ok());
+    assert!(customer.enter(Class::Interactive, 900, 0, 0).is_ok());
+}
+
+// A step's runs come all at once at one entry and would hold every place of the
+// customer there. A clerk of the same customer comes next and would be refused, although
+// the customer as a whole is far below its limits. The part left free lets her in.
+#[test]
+fn can_let_a_clerk_in_beside_the_customers_own_sampling() {
+    struct Case {
+        name: &'static str,
+        limits: CustomerLimits,
+        sampling: usize,
+        background: usize,
+        interactive: usize,
+    }
+    let none = CustomerLimits::default();
+    let in_progress = CustomerLimits {
+        in_progress: Some(10),
+        ..none
+    };
+    let requests = CustomerLimits {
+        requests_per_s: Some(10),
+        ..none
+    };
+    let tokens = CustomerLimits {
+        tokens_per_s: Some(1_000),
+        ..none
+    };
+    let one = CustomerLimits {
+        in_progress: Some(1),
+        ..none
+    };
+    let case = |name, limits, [sampling, background, interactive]: [usize; 3]| Case {
+        name,
+        limits,
+        sampling,
+        background,
+        interactive,
+    };
+    let cases = [
+        case("in progress", in_progress, [7, 2, 1]),
+        case("requests a second", requests, [7, 2, 1]),
+        case("tokens a second", tokens, [7, 2, 1]),
+        case("a limit of one shuts nobody out", one, [1, 0, 0]),
+    ];
+    for case in cases {
+        let customer = Arc::new(Customer::new(&case.limits, 1.0));
+        let mut held = Vec::new();
+        let mut fill = |class| {
+            let before = held.len();
+            held.extend((0..20).filter_map(|_| customer.enter(class, 100, 0, 0).ok()));
+            held.len() - before
+        };
+        let entered = [Class::Sampling, Class::Background, Class::Interactive].map(&mut fill);
+        let expected = [case.sampling, case.background, case.interactive];
+        assert_eq!(entered, expected, "{}", case.name);
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn can_wait_in_turn_for_room() {
+    let limits = CustomerLimits {
+        in_progress: Some(1),
+        ..CustomerLimits::default()
+    };
+    let customer = Arc::new(Customer::new(&limits, 1.0));
+    let (order, mut entered) = mpsc::unbounded_channel();
+    let first = customer.enter(Class::Sampling, 1, 0, 0).unwrap();
+    for number in 0..3 {
+        let (customer, order) = (Arc::clone(&customer), order.clone());
+        tokio::spawn(async move {
+            let place = customer.enter_in_turn(Class::Sampling, 1, || 0).await;
+            let _ = order.send(number);
+            drop(place);
+        });
+        tokio::task::yield_now().await;
+    }
+    assert!(entered.try_recv().is_err());
+    assert_eq!(customer.take_asked().sampling.in_progress, 4);
+    assert_eq!(customer.waiting(), 3);
+    drop(first);
+    for number in 0..3 {
+        assert_eq!(entered.recv().await, Some(number));
+    }
+    assert_eq!(customer.waiting(), 0);
+    assert_eq!(customer.in_progress(), 0);
 }
 
 // Eight threads enter and leave at once. A lost update would leave a count behind, and
@@ -128,7 +214,7 @@
         for _ in 0..8 {
             scope.spawn(|| {
                 for _ in 0..5_000 {
-                    let entered = customer.enter(1, 0, 0);
+                    let entered = customer.enter(Class::Interactive, 1, 0, 0);
                     peak.fetch_max(customer.in_progress(), Ordering::Relaxed);
                     drop(entered);
                 }
--- /dev/null
+++ b/components/limits/tests/shares.rs
@@ -0,0 +1,179 @@
+//! Shares of all customers by digests of bounded size.
+
+#![allow(clippy::unwrap_used)]
+
+mod common;
+
+use std::net::{Ipv4Addr, SocketAddr};
+
+use common::{Draws, customer};
+use limits::{
+    Asked, BYTES_PER_S_MAX, CustomerLimits, DIGEST_BYTES_MAX, Offered, ShareSettings, Shares,
+    demand, period_ms,
+};
+use protocol::{Datagram, DemandDigest, Key, Keys, News, ProcessRole, write_datagram};
+use quickcheck::quickcheck;
+use types::{CustomerName, Incarnation, NodeId};
+
+/// What lower layers add to a datagram.
+const IP_AND_UDP_BYTES: usize = 28;
+
+fn node(number: usize) -> NodeId {
+    NodeId {
+        address: SocketAddr::from((Ipv4Addr::LOCALHOST, 8_000 + number as u16)),
+        incarnation: Incarnation(1),
+    }
+}
+
+fn names(count: usize) -> Vec<CustomerName> {
+    let name = |number| customer(&format!("customer-{number}"));
+    (0..count).map(name).collect()
+}
+
+/// One round of all entries; digests arrive at once. `demand` by entry and customer.
+fn round(entries: &mut [Shares], names: &[CustomerName], demand: &[Vec<f64>], now_ms: u64) {
+    let count = entries.len();
+    let mut told: Vec<DemandDigest> = Vec::new();
+    for (own, shares) in entries.iter_mut().enumerate() {
+        let peers: Vec<NodeId> = (0..count).filter(|&other| other != own).map(node).collect();
+        let demands = names.iter().cloned().zip(demand[own].iter().copied());
+        told.push(shares.round(&peers, demands, period_ms(count - 1), now_ms));
+    }
+    for (own, shares) in entries.iter_mut().enumerate() {
+        let others = told.iter().enumerate().filter(|&(other, _)| other != own);
+        others.for_each(|(other, digest)| shares.told(node(other), digest, now_ms));
+    }
+}
+
+fn entries(count: usize) -> Vec<Shares> {
+    let new = || Shares::new(ShareSettings::default());
+    (0..count).map(|_| new()).collect()
+}
+
+// All of a customer's requests come through one of three entries, since its clients keep
+// their connections. With a third of the limit there it is refused at a third of its
+// limit; by demand that entry gets all but the even parts of the others.
+#[test]
+fn can_use_most_of_a_limit_at_one_entry() {
+    let mut entries = entries(3);
+    let names = names(1);
+    let mut shares = Vec::new();
+    for number in 0..40 {
+        let now_ms = number * period_ms(2);
+        round(
+            &mut entries,
+            &names,
+            &[vec![0.4], vec![0.0], vec![0.0]],
+            now_ms,
+        );
+        shares.push(entries[0].share(&names[0], now_ms));
+    }
+    assert!((shares[0] - 0.25 / 3.0).abs() < 1e-9, "{shares:?}");
+    assert!(shares[39] > 0.83, "{shares:?}");
+}
+
+#[test]
+fn can_count_sampling_as_a_part_and_calls_in_full() {
+    struct Case {
+        name: &'static str,
+        asked: Asked,
+        demand: f64,
+    }
+    let offered = |requests, tokens, in_progress| Offered {
+        requests,
+        tokens,
+        in_progress,
+    };
+    let calls = |calls| Asked {
+        calls,
+        ..Asked::default()
+    };
+    let cases = [
+        Case {
+            name: "by the scarcest limit",
+            asked: calls(offered(20, 1_000, 1)),
+            demand: 0.5,
+        },
+        Case {
+            name: "by requests in progress",
+            asked: calls(offered(0, 0, 30)),
+            demand: 0.75,
+        },
+        Case {
+            name: "beyond the limit",
+            asked: calls(offered(200, 0, 0)),
+            demand: 5.0,
+        },
+        Case {
+            name: "sampling no more than a quarter",
+            asked: Asked {
+                calls: offered(4, 0, 0),
+                sampling: offered(900, 90_000, 40),
+            },
+            demand: 0.35,
+        },
+    ];
+    let limits = CustomerLimits {
+        requests_per_s: Some(20),
+        in_progress: Some(40),
+        tokens_per_s: Some(1_000),
+    };
+    for case in cases {
+        let found = demand(&limits, &case.asked, 2_000);
+        let demand = case.demand;
+        assert!((found - demand).abs() < 1e-9, "{}: {found}", case.name);
+    }
+}
+
+// 390 entries and 300 customers with demand at each: a digest that named them all would
+// be several datagrams to each of 389 peers. It is cut, and rounds come less often.
+#[test]
+fn can_stay_within_the_bytes_at_any_size() {
+    let names = names(300);
+    for peers in [1, 2, 5, 29, 389] {
+        let nodes: Vec<NodeId> = (1..=peers).map(node).collect();
+        let mut shares = Shares::new(ShareSettings::default());
+        let demands = names.iter().cloned().map(|name| (name, 0.9));
+        let digest = shares.round(&nodes, demands, period_ms(peers), 0);
+        let lines = digest.lines.len();
+        let datagram = Datagram {
+            from: node(0),
+            role: ProcessRole::Entry,
+            news: vec![News::Demand(digest)],
+        };
+        let keys = Keys::one(Key::new([7; 32]));
+        let (packets, errors) = write_datagram(&datagram, keys.signing()).unwrap();
+        assert!(errors.is_empty());
+        assert_eq!(packets.len(), 1);
+        let sent_bytes = packets[0].len() + IP_AND_UDP_BYTES;
+        assert!(sent_bytes <= DIGEST_BYTES_MAX + 120, "{sent_bytes}");
+        let bytes_per_s = (peers * sent_bytes) as u64 * 1_000 / period_ms(peers);
+        println!(
+            "{peers} peers: {lines} customers, {sent_bytes} bytes each {} ms, {bytes_per_s} bytes/s",
+            period_ms(peers)
+        );
+        assert!(bytes_per_s <= BYTES_PER_S_MAX);
+    }
+}
+
+quickcheck! {
+    // More customers than a digest has room for, demand that jumps: those that are left
+    // out count at the most that they can have, so no customer's sum passes its limit.
+    fn shares_of_each_customer_add_up_to_at_most_one(seed: u64, count: usize) -> bool {
+        let mut draws = Draws(seed);
+        let mut entries = entries(1 + count % 5);
+        let names = names(60);
+        let mut demand = vec![vec![0.0; names.len()]; entries.len()];
+        (0..30).all(|number| {
+            for part in demand.iter_mut().flatten() {
+                if draws.below(4) == 0 {
+                    *part = draws.unit() * 2.0;
+                }
+            }
+            let now_ms = number * period_ms(entries.len() - 1);
+            round(&mut entries, &names, &demand, now_ms);
+            let sum = |name| entries.iter().map(|one| one.share(name, now_ms)).sum::<f64>();
+            names.iter().all(|name| sum(name) <= 1.0 + 1e-9)
+        })
+    }
+}
--- a/components/node/src/gossip.rs
+++ b/components/node/src/gossip.rs
@@ -3,6 +3,7 @@
 //! One task owns the state. It publishes the view as an immutable snapshot; everybody
 //! else only reads that or puts a small order into a bounded queue.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use arc_swap::ArcSwap;
@@ -10,7 +11,7 @@
 use link::Udp;
 use membership::{MemberSettings, Members, Own, RumourSettings, Rumours, Snapshot, TailSettings};
 use platform::VmList;
-use protocol::{News, Status};
+use protocol::{DemandDigest, News, Status};
 use tokio::sync::mpsc;
 use types::NodeId;
 
@@ -31,6 +32,8 @@
     pub status: Option<Arc<dyn Fn() -> Status + Send + Sync>>,
     /// Gets each rumour of weights or quarantine that is new here.
     pub heard: Arc<dyn Fn(&News) + Send + Sync>,
+    /// Gets the demand that another entry tells.
+    pub demand: Arc<dyn Fn(NodeId, DemandDigest) + Send + Sync>,
     /// Called when the VM list or a rumour says that this process is leaving.
     pub leaving: Arc<dyn Fn() + Send + Sync>,
     /// Called when a life of another process was found to be leaving.
@@ -42,6 +45,7 @@
         Self {
             status: None,
             heard: Arc::new(|_| {}),
+            demand: Arc::new(|_, _| {}),
             leaving: Arc::new(|| {}),
             peer_leaving: Arc::new(|_| {}),
         }
@@ -117,6 +121,11 @@
         self.order(Order::Tell(Box::new(news)));
     }
 
+    /// Tells each of these processes, once.
+    pub fn tell_directly(&self, to: Vec<SocketAddr>, news: News) {
+        self.order(Order::TellDirectly(to, Box::new(news)));
+    }
+
     /// Tells recent probers and, as a rumour, everybody that this process is leaving.
     pub fn leave(&self) {
         self.order(Order::Leave);
--- a/components/node/src/gossip_heard.rs
+++ b/components/node/src/gossip_heard.rs
@@ -54,6 +54,7 @@
                 }
                 self.act_on(from, heard).await;
             }
+            News::Demand(demand) => (self.hooks.demand)(from, demand.clone()),
             News::Config(digest) => self.feed.heard(from.address, digest),
             News::Weights { .. } | News::Quarantined { .. } => {
                 let peers = self.members.peers().len();
--- a/components/node/src/gossip_loop.rs
+++ b/components/node/src/gossip_loop.rs
@@ -32,6 +32,7 @@
 /// What others ask of the loop.
 pub(crate) enum Order {
     Tell(Box<News>),
+    TellDirectly(Vec<SocketAddr>, Box<News>),
     Leave,
     PushStatus,
 }
@@ -159,6 +160,11 @@
                 let peers = self.members.peers().len();
                 self.rumours.hear(&news, peers, now_ms);
             }
+            Order::TellDirectly(to, news) => {
+                for peer in to {
+                    self.send(peer, vec![(*news).clone()]).await;
+                }
+            }
             Order::Leave => {
                 let node = self.members.own().node;
                 let peers = self.members.peers().len();
--- a/components/protocol/src/datagram.rs
+++ b/components/protocol/src/datagram.rs
@@ -70,7 +70,17 @@
     pub digest: u64,
 }
 
-/// One piece of news. All but the probe and the status are rumours: the receiver keeps
+/// What customers ask of one entry, so that the others take less of their limits.
+#[wire]
+#[derive(Default)]
+pub struct DemandDigest {
+    /// Customers and their demand in ten thousandths of their limits, highest first.
+    pub lines: Vec<(CustomerName, u32)>,
+    /// No customer that is left out has more.
+    pub rest_max: u32,
+}
+
+/// One piece of news. All but the probe, the status and the demand are rumours: the receiver keeps
 /// the higher and passes on what was new to it.
 #[wire]
 pub enum News {
@@ -110,6 +120,8 @@
         /// How long ago that read was, in milliseconds.
         age_ms: u32,
     },
+    /// Demand at the sender, an entry, told to each other entry.
+    Demand(DemandDigest),
 }
 
 /// One datagram.
