--- a/dev/bench/src/cli.rs
+++ b/dev/bench/src/cli.rs
@@ -7,6 +7,9 @@
 use hornbeamrock_bench::entry;
 use hornbeamrock_bench::site::SiteName;
 
+/// Largest number of processes or customers of a fleet.
+const SIZE_MAX: u64 = 2_000;
+
 /// The whole command line.
 pub fn command() -> Command {
     Command::new("hornbeamrock-bench")
@@ -16,6 +19,8 @@
         .subcommand(ports())
         .subcommand(lines())
         .subcommand(load())
+        .subcommand(path())
+        .subcommand(slopes())
         .subcommand(entry::command())
 }
 
@@ -89,6 +94,52 @@
         )
 }
 
+fn path() -> Command {
+    Command::new("path")
+        .about("Measures what entry and agent add to an endpoint asked directly, in turns")
+        .arg(site())
+        .arg(number(
+            "requests",
+            "500",
+            "Requests of a round, one after the other, each way",
+        ))
+        .arg(number(
+            "load-ms",
+            "2000",
+            "Length of a round under load, each way",
+        ))
+        .arg(number(
+            "under-way",
+            "32",
+            "Requests under way at a time under load",
+        ))
+        .arg(number("rounds", "5", "Rounds"))
+        .arg(number("seed", "1", "Chooses the ports"))
+}
+
+fn slopes() -> Command {
+    Command::new("slopes")
+        .about("Measures memory and processor time of idle entries and agents at growing sizes")
+        .arg(site())
+        .arg(sizes("agents", "8,32,96", "Numbers of agents"))
+        .arg(sizes(
+            "customers",
+            "10,100,300",
+            "Numbers of further customers",
+        ))
+        .arg(number("watch-ms", "10000", "How long each size is watched"))
+        .arg(number("seed", "1", "Chooses the ports"))
+}
+
+fn sizes(name: &'static str, default: &'static str, help: &'static str) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .default_value(default)
+        .value_delimiter(',')
+        .value_parser(value_parser!(u64).range(1..=SIZE_MAX))
+        .help(help)
+}
+
 fn switch(name: &'static str, help: &'static str) -> Arg {
     Arg::new(name)
         .long(name)
--- a/dev/bench/src/fleet/mod.rs
+++ b/dev/bench/src/fleet/mod.rs
@@ -13,6 +13,7 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use derive::value;
+use membership::MemberSettings;
 use routing::Policy;
 
 pub use process::Process;
@@ -132,10 +133,14 @@
         self.members().map(Member::admin).collect()
     }
 
-    /// Waits until every entry sees every replica.
+    /// Waits until every entry sees its subset of each service's replicas.
     pub async fn complete(&self) -> Result<(), BenchError> {
         let admins: Vec<SocketAddr> = self.entries.iter().map(Member::admin).collect();
-        status::await_replicas(&admins, self.agents.len(), REPLICAS_WAIT_MS).await
+        let subset = MemberSettings::default().subset;
+        let standins = &self.standins;
+        let pools = [&standins.engines, &standins.services, &standins.scorers];
+        let replicas = pools.iter().map(|pool| pool.len().min(subset)).sum();
+        status::await_replicas(&admins, replicas, REPLICAS_WAIT_MS).await
     }
 }
 
--- a/dev/bench/src/lib.rs
+++ b/dev/bench/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod arrivals;
 pub mod ask;
 pub mod caller;
+pub mod cost;
 pub mod entry;
 pub mod error;
 pub mod fleet;
@@ -11,6 +12,7 @@
 pub mod lines;
 pub mod load;
 pub mod ports;
+pub mod proc;
 pub mod reply;
 pub mod site;
 pub mod status;
--- a/dev/bench/src/run/mod.rs
+++ b/dev/bench/src/run/mod.rs
@@ -6,6 +6,8 @@
 use std::process::ExitCode;
 
 use clap::ArgMatches;
+use hornbeamrock_bench::cost::path::{self, PathSettings};
+use hornbeamrock_bench::cost::slopes::{self, SlopesSettings};
 use hornbeamrock_bench::entry;
 use hornbeamrock_bench::error::BenchError;
 use hornbeamrock_bench::lines::{self, Running};
@@ -19,6 +21,8 @@
     match matches.subcommand() {
         Some(("visit", args)) => block_on(make_visit(args)),
         Some(("run", args)) => block_on(load::run(args)),
+        Some(("path", args)) => block_on(measure_path(args)),
+        Some(("slopes", args)) => block_on(measure_slopes(args)),
         Some(("entry", args)) => entry::run(args).map(|()| ExitCode::SUCCESS),
         Some(("ports", args)) => free_ports(args),
         Some(("lines", args)) => Ok(print_lines(args)),
@@ -59,6 +63,33 @@
     Ok(code(report.holds()))
 }
 
+async fn measure_path(args: &ArgMatches) -> Result<ExitCode, BenchError> {
+    let text = path::run(&PathSettings {
+        site: site(args),
+        requests: number(args, "requests"),
+        load_ms: number(args, "load-ms"),
+        under_way: number(args, "under-way") as usize,
+        rounds: number(args, "rounds"),
+        seed: number(args, "seed"),
+    })
+    .await?;
+    print!("{text}");
+    Ok(ExitCode::SUCCESS)
+}
+
+async fn measure_slopes(args: &ArgMatches) -> Result<ExitCode, BenchError> {
+    let text = slopes::run(&SlopesSettings {
+        site: site(args),
+        agents: sizes(args, "agents"),
+        customers: sizes(args, "customers"),
+        watch_ms: number(args, "watch-ms"),
+        seed: number(args, "seed"),
+    })
+    .await?;
+    print!("{text}");
+    Ok(ExitCode::SUCCESS)
+}
+
 fn free_ports(args: &ArgMatches) -> Result<ExitCode, BenchError> {
     let count = u16::try_from(number(args, "count")).unwrap_or(u16::MAX);
     println!("{}", ports::free(count, number(args, "seed"))?);
@@ -102,6 +133,11 @@
     all.copied().collect()
 }
 
+fn sizes(args: &ArgMatches, name: &str) -> Vec<usize> {
+    let sizes = args.get_many::<u64>(name).unwrap_or_default();
+    sizes.map(|size| *size as usize).collect()
+}
+
 fn number(args: &ArgMatches, name: &str) -> u64 {
     args.get_one::<u64>(name).copied().unwrap_or_default()
 }
