Completions: a key of one that runs once is claimed

Cause: POST /v1/completions with X-Hornbeamrock-Idempotent: false never looked at its Idempotency-Key, so the same submission twice ran twice. Test, on the code before: the second answer had an id of its own.

Weighed: to claim streams as well. Their parts would have to be recorded and replayed as a stream, and a stream that breaks would be recorded as broken; a caller that wants at most once can take the whole answer. So a stream with a key that may not run again is refused with 400, before admission; where it may run again the key protects nothing and is left.

Change: keyed requests carry the caller's own bytes for the claim's digest and the endpoint's body apart, as the latter names the submission. Tokens that a keyed completion did not use go back to the customer's limit, and all of them when its claim was given up.

--- a/components/gateway/src/answer.rs
+++ b/components/gateway/src/answer.rs
@@ -85,7 +85,7 @@
     }
 
     /// A completion that states its use costs only that.
-    fn give_back_tokens(&mut self, answer: &[u8]) {
+    pub fn give_back_tokens(&mut self, answer: &[u8]) {
         if self.exchange.job.service.kind == Kind::Model
             && let Some(tokens) = completion::used_tokens(answer)
         {
--- a/components/gateway/src/calls.rs
+++ b/components/gateway/src/calls.rs
@@ -11,7 +11,7 @@
 use crate::body::Body;
 use crate::gateway::Gateway;
 use crate::intake::{Intake, need_kind};
-use crate::keyed;
+use crate::keyed::{self, Keyed};
 use crate::rejection::Rejection;
 use crate::target::Target;
 
@@ -38,7 +38,14 @@
     let answering = Answering::begin(&gateway, job, intake.arrived_ms).await?;
     match &intake.wishes.key {
         // A request that may run again needs nobody's leave for it.
-        Some(key) if !idempotent => keyed::serve(&gateway, answering, key, body).await,
+        Some(key) if !idempotent => {
+            let keyed = Keyed {
+                key,
+                content: &body,
+                body: body.clone(),
+            };
+            keyed::serve(&gateway, answering, keyed).await
+        }
         _ => answering.relay(body).await,
     }
 }
--- a/components/gateway/src/completions.rs
+++ b/components/gateway/src/completions.rs
@@ -11,15 +11,21 @@
 use crate::completion::{Completion, priority};
 use crate::completion_stream;
 use crate::gateway::Gateway;
-use crate::headers::DEADLINE_MS_MAX;
+use crate::headers::{DEADLINE_MS_MAX, IDEMPOTENCY_KEY};
 use crate::intake::{Intake, need_kind};
+use crate::keyed::{self, Keyed};
 use crate::rejection::Rejection;
 use crate::target::Target;
 
 /// Path of completions, here and at the engines.
 pub const PATH: &str = "/v1/completions";
 
-/// Serves a completion.
+/// What a caller may do with the key of a stream.
+const STREAM_KEY_ALLOWED: &str = "a key only where the stream may run again";
+
+/// Serves a completion. One that runs once and has a key is claimed like a plain call. A
+/// stream can't be recorded and given again, so with a key it must be one that may run
+/// again; else its caller would take it for protected.
 pub async fn serve<B>(
     gateway: Arc<Gateway>,
     intake: Intake,
@@ -45,6 +51,10 @@
     let content = [completion.prompt.as_bytes()];
     let job = intake.job(&service, PATH.to_owned(), work, &content)?;
     let (priority, id) = (priority(job.class), job.request_id.clone());
+    let key = intake.wishes.key.as_deref().filter(|_| !job.idempotent);
+    if completion.stream && key.is_some() {
+        return Err(Rejection::Header(IDEMPOTENCY_KEY, STREAM_KEY_ALLOWED));
+    }
     let answering = Answering::begin(&gateway, job, intake.arrived_ms).await?;
     let stream = completion.stream;
     let model = service.name.clone();
@@ -52,9 +62,18 @@
         completion.for_engine(model.as_str(), &id, priority, resume_tokens)
     };
     if stream {
-        completion_stream::serve(answering, body).await
-    } else {
-        let whole = body(&[]);
-        answering.relay(whole).await
+        return completion_stream::serve(answering, body).await;
+    }
+    let body = body(&[]);
+    match key {
+        Some(key) => {
+            let keyed = Keyed {
+                key,
+                content: &bytes,
+                body,
+            };
+            keyed::serve(&gateway, answering, keyed).await
+        }
+        None => answering.relay(body).await,
     }
 }
--- a/components/gateway/src/keyed.rs
+++ b/components/gateway/src/keyed.rs
@@ -9,7 +9,7 @@
 mod writer;
 
 pub use client::{Claims, take_record};
-pub use relay::serve;
+pub use relay::{Keyed, serve};
 pub use writer::is_inner_call;
 
 use claims::{ClaimSettings, SettingsError};
--- a/components/gateway/src/keyed/relay.rs
+++ b/components/gateway/src/keyed/relay.rs
@@ -38,23 +38,40 @@
     Failed(Failure),
 }
 
-/// Serves a request with this key.
+/// A request's key and content.
+pub struct Keyed<'a> {
+    /// The key.
+    pub key: &'a str,
+    /// What the caller sent, the same in each of its submissions.
+    pub content: &'a [u8],
+    /// What the endpoint gets; it may name this submission.
+    pub body: Bytes,
+}
+
+/// Serves a request with a key.
 pub async fn serve(
     gateway: &Arc<Gateway>,
     answering: Answering,
-    key: &str,
-    body: Bytes,
+    keyed: Keyed<'_>,
 ) -> Result<Response<Body>, Rejection> {
     let job = &answering.exchange.job;
     let deadline_at_ms = job.deadline_at_ms;
-    let key = KeyDigest::of(&job.payer, key);
+    let key = KeyDigest::of(&job.payer, keyed.key);
+    let request = RequestDigest::of(
+        &job.service.owner,
+        &job.service.name,
+        &job.method,
+        &job.path,
+        keyed.content,
+    );
     let shard = shard_of(key, gateway.claims.settings.shards);
     let (first, told) = oneshot::channel();
     let running = Running {
         gateway: Arc::clone(gateway),
         answering,
         key,
-        body,
+        request,
+        body: keyed.body,
     };
     tokio::spawn(running.run(first));
     let lost = Failure::new(RunState::Unknown, Cause::Internal);
@@ -78,6 +95,7 @@
     gateway: Arc<Gateway>,
     answering: Answering,
     key: KeyDigest,
+    request: RequestDigest,
     body: Bytes,
 }
 
@@ -90,13 +108,7 @@
             customer: &job.payer,
             service: &job.service.name,
             key: self.key,
-            request: RequestDigest::of(
-                &job.service.owner,
-                &job.service.name,
-                &job.method,
-                &job.path,
-                &self.body,
-            ),
+            request: self.request,
             runs_for_ms: left_ms.saturating_add(RECORD_MS),
             deadline_at_ms: job.deadline_at_ms,
         };
@@ -112,6 +124,7 @@
                 self.answering.trace.failed(failure);
                 let _ = first.send(First::Failed(failure));
                 // What the request holds of its customer's limits goes back now.
+                self.answering.admitted.used(0);
                 drop(self);
                 gateway.claims.record(&gateway, &submission, release).await;
                 return;
@@ -162,6 +175,7 @@
         match self.pass_on(attempt, parts).await {
             Ok(body) => {
                 self.answering.trace.answered(head.status);
+                self.answering.give_back_tokens(&body);
                 let settings = &self.gateway.claims.settings;
                 holder.done(Outcome::answered(
                     head.status,
--- a/components/gateway/tests/keyed.rs
+++ b/components/gateway/tests/keyed.rs
@@ -2,10 +2,11 @@
 
 mod common;
 
-use common::{Ask, Plan, Site};
+use common::{Ask, Plan, Site, completion};
 use standins::{Fault, FaultKind};
 
 const SANCTION: &str = "/v1/services/guichet/sanctions";
+const COMPLETIONS: &str = "/v1/completions";
 const TAG: &str = "x-request-tag";
 const KEY: &str = "idempotency-key";
 
@@ -30,3 +31,33 @@
     assert!(!answer.header("retry-after").is_empty());
     assert_eq!(site.runs("silent").await, 0);
 }
+
+// The caller marks a completion as one that runs once and sends it again through the other
+// entry: it gets the first answer, and one engine ran it once. A streamed one is refused
+// before anything runs, since a stream can't be recorded and given again.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn can_run_a_keyed_completion_once() {
+    let site = Site::start(Plan {
+        engines: 2,
+        services: 0,
+        ..Plan::default()
+    })
+    .await;
+    let once = |stream| {
+        Ask::post(COMPLETIONS, completion("one opinion", 8, stream))
+            .with(KEY, "opinion-1")
+            .with("x-hornbeamrock-idempotent", "false")
+    };
+    let first = site.send(0, &once(false)).await;
+    assert_eq!(first.status, 200, "{}", first.text());
+    let again = site.answered(1, &once(false)).await;
+    assert_eq!(again.header("idempotency-replayed"), "true");
+    assert_eq!(again.json()["id"], first.json()["id"]);
+    let (status, outcome, cause) = site.send(0, &once(true)).await.problem();
+    assert_eq!(
+        (status, outcome.as_str(), cause.as_str()),
+        (400, "not-run", "malformed")
+    );
+    let free = Ask::post(COMPLETIONS, completion("one opinion", 8, true)).with(KEY, "opinion-2");
+    assert!(site.send(0, &free).await.whole);
+}
