--- a/components/gateway/tests/common/mod.rs
+++ b/components/gateway/tests/common/mod.rs
@@ -246,6 +246,7 @@
             log_level: LogLevel::Error,
             settle_ms: 0,
             drain_ms: 60_000,
+            log_retention_ms: 3_600_000,
         }
     }
 
--- a/components/node/src/feed.rs
+++ b/components/node/src/feed.rs
@@ -27,7 +27,7 @@
 /// Events that wait for the owner of the ledger at most.
 const EVENTS_MAX: usize = 256;
 const OK: u16 = 200;
-/// Time for which the platform's log keeps a record, unless the settings say otherwise.
+/// Time for which the platform's log keeps a record where nothing else is set.
 const LOG_RETENTION_MS: u64 = 3_600_000;
 const KEEP_AFTER_MS: u64 = 15_000;
 /// Where a peer that does not know the text may ask again, in milliseconds.
@@ -63,6 +63,16 @@
     pub keep_after_ms: u64,
 }
 
+impl FeedSettings {
+    /// These settings for a log that keeps records for this long.
+    pub fn with_retention(self, retention_ms: u64) -> Self {
+        Self {
+            keep: KeepPolicy::for_retention(retention_ms),
+            ..self
+        }
+    }
+}
+
 impl Default for FeedSettings {
     fn default() -> Self {
         Self {
--- a/components/settings/src/agent.rs
+++ b/components/settings/src/agent.rs
@@ -16,6 +16,9 @@
 const CUSTOMERS: &str = "names of a-z, 0-9 and '-' with commas between, such as office,collective";
 const POOL: &str = "a name of a-z, 0-9 and '-'";
 
+/// Entries are told at once that an agent leaves, and what it refuses goes elsewhere.
+const SETTLE_MS: &str = "0";
+
 /// What the endpoint beside the agent is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum EndpointKind {
@@ -89,7 +92,7 @@
             )
             .default_value("60000"),
         );
-    with_common(command)
+    with_common(command, SETTLE_MS)
 }
 
 impl AgentSettings {
--- a/components/settings/src/common.rs
+++ b/components/settings/src/common.rs
@@ -22,6 +22,10 @@
 const LEAVE_MS_MAX: u64 = 600_000;
 const DRAIN_MS_MIN: u64 = 1_000;
 const DRAIN_MS_MAX: u64 = 3_600_000;
+/// Below this a version could be forgotten between two appends by slow processes.
+const RETENTION_MS_MIN: u64 = 60_000;
+const RETENTION_MS_MAX: u64 = 31 * 24 * 3_600_000;
+const RETENTION: &str = "60000 to 2678400000 milliseconds";
 
 /// The environment variable that stands for a flag.
 pub(crate) fn variable(flag: &str) -> String {
@@ -65,10 +69,13 @@
     pub settle_ms: u64,
     /// How long work in progress may take to finish when leaving, in milliseconds.
     pub drain_ms: u64,
+    /// How long the platform's log keeps a record, in milliseconds.
+    pub log_retention_ms: u64,
 }
 
-/// Adds the common flags to a command.
-pub(crate) fn with_common(command: Command) -> Command {
+/// Adds the common flags to a command. `settle_ms` is the default of that flag: an entry
+/// covers the balancer's lag, an agent's callers ask again elsewhere when it refuses.
+pub(crate) fn with_common(command: Command, settle_ms: &'static str) -> Command {
     command
         .arg(flag(
             "inner-listen",
@@ -101,7 +108,7 @@
                 "MS",
                 "How long new work is taken after readiness has gone: the balancer's lag",
             )
-            .default_value("3000"),
+            .default_value(settle_ms),
         )
         .arg(
             flag(
@@ -111,6 +118,14 @@
             )
             .default_value("600000"),
         )
+        .arg(
+            flag(
+                "log-retention-ms",
+                "MS",
+                "How long the platform's log keeps a record",
+            )
+            .default_value("3600000"),
+        )
 }
 
 impl CommonSettings {
@@ -135,6 +150,12 @@
             log_level: word(matches, "log-level", LOG_LEVEL, LogLevel::parse)?,
             settle_ms: milliseconds(matches, "settle-ms", 0..=LEAVE_MS_MAX, LEAVE)?,
             drain_ms: milliseconds(matches, "drain-ms", DRAIN_MS_MIN..=DRAIN_MS_MAX, DRAIN)?,
+            log_retention_ms: milliseconds(
+                matches,
+                "log-retention-ms",
+                RETENTION_MS_MIN..=RETENTION_MS_MAX,
+                RETENTION,
+            )?,
         })
     }
 }
--- a/components/settings/src/entry.rs
+++ b/components/settings/src/entry.rs
@@ -8,6 +8,9 @@
 use crate::check::address;
 use crate::common::{CommonSettings, differ, flag, with_common};
 
+/// The balancer looks at the readiness of an entry now and then.
+const SETTLE_MS: &str = "3000";
+
 /// Checked settings of an entry.
 #[derive(Clone, Debug)]
 pub struct EntrySettings {
@@ -27,7 +30,7 @@
             "IP:PORT",
             "Address for callers, trainers and operators",
         ));
-    with_common(command)
+    with_common(command, SETTLE_MS)
 }
 
 impl EntrySettings {
--- a/components/sidecar/examples/swap.rs
+++ b/components/sidecar/examples/swap.rs
@@ -198,6 +198,7 @@
         log_level: LogLevel::Error,
         settle_ms: 0,
         drain_ms: 1_000,
+        log_retention_ms: 3_600_000,
     })
 }
 
--- a/components/sidecar/src/relay.rs
+++ b/components/sidecar/src/relay.rs
@@ -98,9 +98,10 @@
             path: self.open.path.clone(),
             headers,
             body,
-            // An endpoint may close an idle connection just as the request goes out, and
-            // then nobody knows whether it ran.
-            reuse: self.open.idempotent,
+            // An idle connection may be closed by the endpoint just as the request goes out,
+            // and then nobody knows whether it ran; or it has gone silent, and the caller
+            // waits for his whole deadline. A connection on the same VM costs little.
+            reuse: false,
         })
     }
 
--- a/components/sidecar/src/start.rs
+++ b/components/sidecar/src/start.rs
@@ -14,7 +14,7 @@
 };
 use platform::{ClientSettings, LogClient, VmList};
 use protocol::{News, ProcessRole};
-use settings::AgentSettings;
+use settings::{AgentSettings, Fencing};
 use telemetry::{Metrics, MetricsSettings};
 use weights::ReconcileSettings;
 
@@ -119,18 +119,32 @@
     })?;
     let log = LogClient::new(settings.common.log, &ClientSettings::default());
     let own = identity.node().address;
-    let feed = ConfigFeed::start(own, log, Links::new(links.clone()), tuning.feed.clone());
+    let feed_settings = tuning.feed.clone();
+    let feed_settings = feed_settings.with_retention(settings.common.log_retention_ms);
+    let feed = ConfigFeed::start(own, log, Links::new(links.clone()), feed_settings);
     let limits = tuning.limits.clone();
     let agent = Arc::new(Agent::new(settings, limits, identity, feed, metrics));
     let watch = Watch::start(Arc::clone(&agent));
     let pace = Pace {
-        reconcile: tuning.reconcile.clone(),
+        reconcile: reconcile(settings.fencing, tuning.reconcile.clone()),
         load_window_ms: settings.load_window_ms,
     };
     let weights = Weights::start(Arc::clone(&agent), watch, pace);
     Ok((agent, weights))
 }
 
+/// An engine that checks fencing numbers refuses orders that come late, so that nothing
+/// speaks for looking at it more often.
+fn reconcile(fencing: Fencing, settings: ReconcileSettings) -> ReconcileSettings {
+    match fencing {
+        Fencing::Checked => ReconcileSettings {
+            doubt_watch_ms: settings.watch_ms,
+            ..settings
+        },
+        Fencing::Ignored => settings,
+    }
+}
+
 fn start_gossip(
     settings: &AgentSettings,
     tuning: &Tuning,
--- a/components/sidecar/tests/calls.rs
+++ b/components/sidecar/tests/calls.rs
@@ -1,11 +1,18 @@
 //! Calls through an agent to a stand-in of its endpoint, whole and broken.
+#![allow(clippy::unwrap_used)] // The exemption of clippy.toml ends at helpers of tests.
 
 mod common;
 
-use common::{Caller, Ended, OFFICE, Platform, TestAgent, engine_endpoint, get, plain_endpoint};
+use std::net::SocketAddr;
+
+use common::{
+    Caller, Ended, OFFICE, Platform, TestAgent, engine_endpoint, get, loopback, plain_endpoint,
+};
 use protocol::Open;
 use settings::EndpointKind;
 use standins::{Fault, FaultKind, Handle};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
 use types::{Cause, Failure, RunState};
 
 // A caller who may use a model tries the engine's orders, which lie on the same port. He
@@ -33,6 +40,46 @@
     }
 }
 
+// Something between agent and endpoint has lost track of connections that were idle: they
+// carry nothing any more, and new ones work. The second consultation is answered all the
+// same; on the first one's connection its caller would wait for the whole deadline.
+#[tokio::test]
+async fn can_answer_a_call_when_idle_connections_are_silent() {
+    let platform = Platform::start(&[]).await;
+    platform.publish(OFFICE).await;
+    let endpoint = silent_after_one_answer().await;
+    let agent = TestAgent::start(&platform, endpoint, EndpointKind::Plain).await;
+    let caller = Caller::start().await;
+    caller.hosted(&agent).await;
+    for _ in 0..2 {
+        let open = Open {
+            deadline_left_ms: 2_000,
+            ..caller.open("guichet", "GET", "/applicants/7", "")
+        };
+        let ended = caller.call(&agent, open).await;
+        assert!(matches!(ended, Ended::Whole(200, _)), "{ended:?}");
+    }
+}
+
+/// An endpoint that answers the first request of each connection and no later one.
+async fn silent_after_one_answer() -> SocketAddr {
+    let listener = TcpListener::bind(loopback()).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        let mut kept = Vec::new();
+        loop {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let mut request = [0; 4_096];
+            let read = stream.read(&mut request).await;
+            let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+            if read.is_ok() && stream.write_all(answer).await.is_ok() {
+                kept.push(stream);
+            }
+        }
+    });
+    address
+}
+
 async fn rig(kind: EndpointKind) -> (Platform, Handle, TestAgent, Caller) {
     let platform = Platform::start(&[]).await;
     platform.publish(OFFICE).await;
--- a/components/sidecar/tests/common/mod.rs
+++ b/components/sidecar/tests/common/mod.rs
@@ -233,6 +233,7 @@
             log_level: LogLevel::Error,
             settle_ms: 0,
             drain_ms: 20_000,
+            log_retention_ms: 3_600_000,
         },
         endpoint,
         endpoint_kind: kind,
--- a/components/weights/src/reconcile.rs
+++ b/components/weights/src/reconcile.rs
@@ -22,6 +22,9 @@
 pub struct ReconcileSettings {
     /// Between two looks at an engine that is as wanted.
     pub watch_ms: u64,
+    /// The same while an order of unknown outcome, or one of the agent's earlier life, may
+    /// still be on its way to an engine that does not check fencing numbers.
+    pub doubt_watch_ms: u64,
     /// A state read longer ago than this is read again before any order.
     pub belief_ms: u64,
     /// An order without an answer for this long is over, its outcome unknown.
@@ -36,6 +39,7 @@
     fn default() -> Self {
         Self {
             watch_ms: 1_000,
+            doubt_watch_ms: 200,
             belief_ms: 500,
             order_timeout_ms: 60_000,
             backoff: Backoff {
@@ -121,6 +125,9 @@
     failures: u32,
     fence_refused: bool,
     earlier_cancelled: bool,
+    /// Until when an order that was given up on may still take effect; `None` before the
+    /// first look at the time.
+    doubt_until_ms: Option<u64>,
     next_id: u64,
 }
 
@@ -141,6 +148,7 @@
             failures: 0,
             fence_refused: false,
             earlier_cancelled: false,
+            doubt_until_ms: None,
             next_id: 1,
         }
     }
@@ -167,6 +175,9 @@
 
     /// The next order, if one is due. `random_permille` is 0 to 999.
     pub fn poll(&mut self, now_ms: u64, random_permille: u64) -> Option<Order> {
+        // An earlier life of this agent may have left an order behind.
+        let timeout_ms = self.settings.order_timeout_ms;
+        self.doubt_until_ms.get_or_insert(now_ms + timeout_ms);
         self.drop_overdue(now_ms, random_permille);
         if self.in_flight.is_some() {
             return None;
@@ -185,7 +196,7 @@
         };
         let watch_ms = self
             .read_after_ms
-            .max(belief.read_ms + self.settings.watch_ms);
+            .max(belief.read_ms + self.watch_ms(now_ms));
         let Some(change) = self.wanted_order(&belief.state) else {
             return watch_ms.max(now_ms);
         };
@@ -251,7 +262,7 @@
             // switch may have come since. Read first, then decide again.
             Some(_) if age_ms > self.settings.belief_ms => read,
             Some(kind) => Some(kind),
-            None => read.filter(|_| age_ms >= self.settings.watch_ms),
+            None => read.filter(|_| age_ms >= self.watch_ms(now_ms)),
         }
     }
 
@@ -274,6 +285,23 @@
         (!prepared).then_some(OrderKind::Load(target.load))
     }
 
+    /// Time between two looks at an engine that is as wanted.
+    ///
+    /// An order that got no answer may be carried out late, after newer ones: an engine
+    /// that does not check the fencing number then serves an old version again, and
+    /// samples grow stale until the next look. While that can happen the looks come
+    /// more often.
+    fn watch_ms(&self, now_ms: u64) -> u64 {
+        if self
+            .doubt_until_ms
+            .is_some_and(|until_ms| now_ms < until_ms)
+        {
+            self.settings.doubt_watch_ms
+        } else {
+            self.settings.watch_ms
+        }
+    }
+
     /// When this change may be ordered.
     fn due_ms(&self, kind: OrderKind) -> u64 {
         match kind {
@@ -367,6 +395,9 @@
             counted: !done,
         });
         self.fence_refused = outcome == OrderOutcome::OldFence;
+        if outcome == OrderOutcome::Unknown {
+            self.doubt_until_ms = Some(now_ms + self.settings.order_timeout_ms);
+        }
         if !done {
             self.change_failed(now_ms, random);
         }
--- a/components/weights/tests/reconcile.rs
+++ b/components/weights/tests/reconcile.rs
@@ -395,3 +395,38 @@
     (0..6).for_each(|_| world.exchange(&Event::Obeyed));
     assert_eq!(world.engine.state.version, Some(at(1, 2)));
 }
+
+#[test]
+fn can_find_an_order_soon_that_an_engine_carries_out_late() {
+    // A switch gets no answer and the engine goes on to the next version. Then it carries
+    // the old switch out, as it checks no fencing numbers, and samples are made by an old
+    // version until the agent looks. It looks five times a second while that may happen,
+    // and once a second later.
+    let mut world = World::new(false);
+    (0..3).for_each(|_| world.exchange(&Event::Obeyed));
+    world.apply(&Event::Announce);
+    let switch = OrderKind::Switch(at(1, 2));
+    while world.orders.last() != Some(&switch) {
+        let order = world.order().unwrap();
+        let outcome = match order.kind {
+            kind if kind == switch => OrderOutcome::Unknown,
+            kind => world.engine.obey(kind, order.fence),
+        };
+        world.agent.ended(order.id, outcome, world.now_ms, 500);
+    }
+    world.apply(&Event::Announce);
+    (0..20).for_each(|_| world.exchange(&Event::Obeyed));
+    for (wait_ms, served_ms_max) in [(0, 250), (120_000, 1_050)] {
+        let waited_ms = world.now_ms + wait_ms;
+        while world.now_ms < waited_ms {
+            world.exchange(&Event::Obeyed);
+        }
+        world.apply(&Event::OldOrder { back: 1 });
+        let began_ms = world.now_ms;
+        while world.engine.state.version != Some(at(1, 3)) {
+            world.exchange(&Event::Obeyed);
+        }
+        let served_ms = world.now_ms - began_ms;
+        assert!(served_ms <= served_ms_max, "{served_ms}");
+    }
+}
