--- a/components/gateway/src/accounts.rs
+++ b/components/gateway/src/accounts.rs
@@ -9,6 +9,7 @@
 use arc_swap::ArcSwap;
 use config::{Limits, View};
 use limits::{BudgetSettings, Customer, CustomerLimits, RetryBudget, demand};
+use settings::Ceilings;
 use types::CustomerName;
 
 /// One customer as this entry sees it.
@@ -22,10 +23,10 @@
 }
 
 impl Account {
-    fn new() -> Self {
+    fn new(budget: &BudgetSettings) -> Self {
         Self {
             customer: Arc::new(Customer::new(&CustomerLimits::default(), 1.0)),
-            budget: RetryBudget::new(&BudgetSettings::default()),
+            budget: RetryBudget::new(budget),
             weight: AtomicU32::new(1),
         }
     }
@@ -35,28 +36,46 @@
         self.weight.load(Ordering::Relaxed)
     }
 
-    fn set(&self, limits: &Limits, share: f64) {
-        self.weight.store(limits.weight, Ordering::Relaxed);
-        self.customer.set(&whole(limits), share);
+    fn set(&self, limits: &Limits, ceilings: &Ceilings, share: f64) {
+        let weight = bounded(limits.weight, ceilings.weight);
+        self.weight.store(weight, Ordering::Relaxed);
+        self.customer.set(&whole(limits, ceilings), share);
     }
 }
 
-/// What the customer may use on all entries together.
-fn whole(limits: &Limits) -> CustomerLimits {
+/// What the customer may use on all entries together: what its text says, which it writes
+/// itself, and no more than the operator of the platform allows.
+fn whole(limits: &Limits, ceilings: &Ceilings) -> CustomerLimits {
+    let of = |stated, ceiling| Some(bounded(stated, ceiling));
     CustomerLimits {
-        requests_per_s: Some(limits.requests_per_s),
-        in_progress: Some(limits.in_progress),
-        tokens_per_s: Some(limits.tokens_per_s),
+        requests_per_s: of(limits.requests_per_s, ceilings.requests_per_s),
+        in_progress: of(limits.in_progress, ceilings.in_progress),
+        tokens_per_s: of(limits.tokens_per_s, ceilings.tokens_per_s),
     }
 }
 
+fn bounded(stated: u32, ceiling: Option<u32>) -> u32 {
+    ceiling.map_or(stated, |ceiling| stated.min(ceiling))
+}
+
 /// All customers of the configuration in force.
 #[derive(Default)]
 pub struct Accounts {
     accounts: ArcSwap<HashMap<CustomerName, Arc<Account>>>,
+    ceilings: Ceilings,
+    budget: BudgetSettings,
 }
 
 impl Accounts {
+    /// No customer yet.
+    pub fn new(ceilings: Ceilings, budget: BudgetSettings) -> Self {
+        Self {
+            accounts: ArcSwap::default(),
+            ceilings,
+            budget,
+        }
+    }
+
     /// A customer's account, unless the configuration does not name it.
     pub fn get(&self, customer: &CustomerName) -> Option<Arc<Account>> {
         self.accounts.load().get(customer).cloned()
@@ -68,8 +87,8 @@
         let mut next = HashMap::new();
         for (name, customer) in view.customers() {
             let known = old.get(name).cloned();
-            let account = known.unwrap_or_else(|| Arc::new(Account::new()));
-            account.set(&customer.limits, share(name));
+            let account = known.unwrap_or_else(|| Arc::new(Account::new(&self.budget)));
+            account.set(&customer.limits, &self.ceilings, share(name));
             next.insert(name.clone(), account);
         }
         self.accounts.store(Arc::new(next));
@@ -82,7 +101,7 @@
         let named = view.customers().filter_map(|(name, customer)| {
             let account = accounts.get(name)?;
             let asked = account.customer.take_asked();
-            let part = demand(&whole(&customer.limits), &asked, elapsed_ms);
+            let part = demand(&whole(&customer.limits, &self.ceilings), &asked, elapsed_ms);
             Some((name.clone(), part))
         });
         named.collect()
--- a/components/gateway/src/entry.rs
+++ b/components/gateway/src/entry.rs
@@ -17,6 +17,7 @@
 
 use crate::error::EntryError;
 use crate::gateway::Gateway;
+use crate::readiness::Readiness;
 use crate::start::{Parts, start};
 use crate::{inner, routes, server, status};
 
@@ -31,6 +32,10 @@
     pub routing: routing::Settings,
     /// Shares of customers' limits.
     pub shares: limits::ShareSettings,
+    /// Queues of services.
+    pub admission: limits::AdmissionSettings,
+    /// Retries of a customer.
+    pub retries: limits::BudgetSettings,
 }
 
 /// An entry that has its addresses and runs when told to.
@@ -134,7 +139,7 @@
     let shown = Arc::clone(gateway);
     let leaving = leaving.clone();
     AdminHooks {
-        ready: Arc::new(move || ready.is_ready()),
+        ready: Arc::new(move || ready.readiness() == Readiness::Ready),
         status: Arc::new(move || -> BoxFuture<'static, String> {
             status::json(Arc::clone(&shown)).boxed()
         }),
--- a/components/gateway/src/gateway.rs
+++ b/components/gateway/src/gateway.rs
@@ -3,6 +3,7 @@
 
 use std::sync::Arc;
 
+use arc_swap::ArcSwap;
 use leaving::Drain;
 use link::Links;
 use node::{ConfigFeed, Gossip, Identity, Pulse};
@@ -11,6 +12,7 @@
 use crate::accounts::Accounts;
 use crate::keyed::Claims;
 use crate::reach::Reach;
+use crate::readiness::Readiness;
 use crate::services::Services;
 use crate::suspects::Quarantine;
 use crate::training::Desk;
@@ -49,6 +51,8 @@
     pub pulse: Pulse,
     /// Metrics.
     pub metrics: Metrics,
+    /// Readiness as of the last tick, without the drain.
+    pub readiness: ArcSwap<Readiness>,
 }
 
 impl Gateway {
@@ -61,9 +65,12 @@
         }
     }
 
-    /// Whether the balancer may send requests here: the configuration is known and the
-    /// process is not leaving.
-    pub fn is_ready(&self) -> bool {
-        self.feed.is_known() && self.drain.is_ready()
+    /// Whether the balancer may send requests here, and why not.
+    pub fn readiness(&self) -> Readiness {
+        if self.drain.is_ready() {
+            **self.readiness.load()
+        } else {
+            Readiness::Leaving
+        }
     }
 }
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -28,6 +28,7 @@
 mod peer;
 pub mod problem;
 mod reach;
+pub mod readiness;
 mod refresh;
 pub mod rejection;
 mod resumed;
--- a/components/gateway/src/refresh.rs
+++ b/components/gateway/src/refresh.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use limits::{ShareSettings, Shares};
+use membership::{MemberState, Snapshot};
 use node::now_ms;
 use protocol::{DemandDigest, News, ProcessRole};
 use telemetry::Label;
@@ -13,6 +14,7 @@
 use types::NodeId;
 
 use crate::gateway::Gateway;
+use crate::readiness::{Facts, Readiness};
 
 /// Time between two ticks. A replica that begins to leave is seen before the next tick,
 /// since the newest view is asked right before each hand-over.
@@ -56,12 +58,42 @@
             .gossip
             .tell_directly(addresses, News::Demand(digest));
     }
+    check_readiness(gateway, &snapshot, now_ms);
     let share = |customer: &_| shares.share(customer, now_ms);
     gateway.accounts.refresh(&view, share);
 }
 
+fn check_readiness(gateway: &Gateway, snapshot: &Snapshot, now_ms: u64) {
+    let before = **gateway.readiness.load();
+    let is_heard = |member: &&MemberState| member.incarnation.is_some();
+    let agents = || {
+        let members = snapshot.members.iter();
+        members.filter(|member| member.role == ProcessRole::Agent)
+    };
+    let readiness = Readiness::of(&Facts {
+        configured: gateway.feed.is_known(),
+        leaving: gateway.drain.is_leaving(),
+        agents: agents().count(),
+        // Ready once is ready: later the view itself says who is left.
+        agent_heard: before == Readiness::Ready || agents().any(|agent| is_heard(&agent)),
+        any_heard: snapshot.members.iter().any(|member| is_heard(&member)),
+        datagrams_dropped: gateway.links.traffic().datagrams_dropped,
+        up_ms: now_ms,
+    });
+    if readiness == before {
+        return;
+    }
+    gateway.readiness.store(Arc::new(readiness));
+    match readiness {
+        Readiness::WrongKey => {
+            log::warn!(event = "readiness", state = readiness.as_str(); "");
+        }
+        _ => log::info!(event = "readiness", state = readiness.as_str(); ""),
+    }
+}
+
 /// A life of an entry; one that was never heard has none yet.
-fn node(entry: &membership::MemberState) -> Option<NodeId> {
+fn node(entry: &MemberState) -> Option<NodeId> {
     let incarnation = entry.incarnation?;
     Some(NodeId {
         address: entry.address,
--- a/components/gateway/src/services.rs
+++ b/components/gateway/src/services.rs
@@ -25,9 +25,9 @@
 }
 
 impl ServiceState {
-    fn new(settings: &Arc<Settings>) -> Self {
+    fn new(settings: &Arc<Settings>, admission: AdmissionSettings) -> Self {
         let clock: Clock = Arc::new(now_ms);
-        let (gate, queue) = Gate::new(AdmissionSettings::default(), 1, clock);
+        let (gate, queue) = Gate::new(admission, 1, clock);
         tokio::spawn(queue);
         Self {
             table: ArcSwap::from_pointee(Table::empty(Arc::clone(settings))),
@@ -47,15 +47,17 @@
 pub struct Services {
     states: ArcSwap<States>,
     settings: Arc<Settings>,
+    admission: AdmissionSettings,
     here: Locality,
 }
 
 impl Services {
     /// No service yet.
-    pub fn new(settings: Settings, here: Locality) -> Self {
+    pub fn new(settings: Settings, admission: AdmissionSettings, here: Locality) -> Self {
         Self {
             states: ArcSwap::default(),
             settings: Arc::new(settings),
+            admission,
             here,
         }
     }
@@ -74,7 +76,8 @@
                 continue;
             }
             let state = state(&old, owner, service).cloned();
-            let state = state.unwrap_or_else(|| Arc::new(ServiceState::new(&self.settings)));
+            let new = || ServiceState::new(&self.settings, self.admission.clone());
+            let state = state.unwrap_or_else(|| Arc::new(new()));
             self.refresh_one(&state, snapshot.replicas(owner, service), named.kind);
             let services = next.entry(owner.clone()).or_default();
             services.insert(service.clone(), state);
--- a/components/gateway/src/start.rs
+++ b/components/gateway/src/start.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use arc_swap::ArcSwap;
 use leaving::{Drain, DrainSettings};
 use link::{LinkSettings, Links, Udp};
 use node::leave::Leaving;
@@ -20,6 +21,7 @@
 use crate::keyed::{self, Claims};
 use crate::news::{self, Sources};
 use crate::reach::Reach;
+use crate::readiness::Readiness;
 use crate::refresh;
 use crate::services::Services;
 use crate::suspects::Quarantine;
@@ -83,8 +85,8 @@
         gossip,
         links,
         quick_links,
-        services: Services::new(tuning.routing, here),
-        accounts: Accounts::default(),
+        services: Services::new(tuning.routing, tuning.admission, here),
+        accounts: Accounts::new(settings.ceilings, tuning.retries),
         reach: Reach::default(),
         quarantine,
         claims,
@@ -92,6 +94,7 @@
         training,
         drain: Drain::new(drain_settings(common)),
         pulse: Pulse::start(),
+        readiness: ArcSwap::from_pointee(Readiness::Unconfigured),
         metrics: Metrics::start(&MetricsSettings {
             statsd: common.metrics,
             prefix: METRICS_PREFIX.to_owned(),
--- a/components/gateway/src/status.rs
+++ b/components/gateway/src/status.rs
@@ -6,6 +6,7 @@
 use telemetry::Row;
 
 use crate::gateway::Gateway;
+use crate::readiness::Readiness;
 
 #[derive(Serialize)]
 struct Status {
@@ -14,6 +15,7 @@
     failure_domain: String,
     region: String,
     ready: bool,
+    readiness: &'static str,
     leaving: bool,
     isolated: bool,
     in_progress: usize,
@@ -23,9 +25,20 @@
     services: Vec<Service>,
     weights: Vec<Weights>,
     steps: Vec<crate::training::StepStatus>,
+    traffic: Traffic,
     metrics: Vec<Row>,
 }
 
+/// Bytes of the system's own processes since the start.
+#[derive(Serialize)]
+struct Traffic {
+    calls_sent_bytes: u64,
+    calls_received_bytes: u64,
+    control_sent_bytes: u64,
+    control_received_bytes: u64,
+    datagrams_dropped: u64,
+}
+
 #[derive(Serialize)]
 struct Configured {
     customer: String,
@@ -87,7 +100,8 @@
         role: "entry",
         failure_domain: gateway.identity.failure_domain.to_string(),
         region: gateway.identity.region.to_string(),
-        ready: gateway.is_ready(),
+        ready: gateway.readiness() == Readiness::Ready,
+        readiness: gateway.readiness().as_str(),
         leaving: gateway.drain.is_leaving(),
         isolated: snapshot.isolated,
         in_progress: gateway.drain.progress().count(),
@@ -104,10 +118,21 @@
             })
             .collect(),
         steps,
+        traffic: traffic(gateway.links.traffic()),
         metrics,
     }
 }
 
+fn traffic(traffic: link::Traffic) -> Traffic {
+    Traffic {
+        calls_sent_bytes: traffic.calls_sent_bytes,
+        calls_received_bytes: traffic.calls_received_bytes,
+        control_sent_bytes: traffic.control_sent_bytes,
+        control_received_bytes: traffic.control_received_bytes,
+        datagrams_dropped: traffic.datagrams_dropped,
+    }
+}
+
 fn configured(view: &config::View) -> Vec<Configured> {
     let customers = view.customers().map(|(name, customer)| Configured {
         customer: name.to_string(),
--- a/components/gateway/tests/common/mod.rs
+++ b/components/gateway/tests/common/mod.rs
@@ -14,7 +14,9 @@
 use hyper_util::rt::TokioIo;
 use platform::{ClientSettings, LogClient, Vm, VmRole, VmState};
 use serde_json::{Value, json};
-use settings::{AgentSettings, CommonSettings, EndpointKind, EntrySettings, Fencing, SharedKey};
+use settings::{
+    AgentSettings, Ceilings, CommonSettings, EndpointKind, EntrySettings, Fencing, SharedKey,
+};
 use sidecar::Sidecar;
 use standins::engine::{EngineSettings, Speeds};
 use standins::log::LogSettings;
@@ -89,6 +91,8 @@
     pub service_ms: u64,
     /// Limit of the customer.
     pub requests_per_s: u32,
+    /// The operator's ceilings.
+    pub ceilings: Ceilings,
 }
 
 impl Default for Plan {
@@ -99,6 +103,7 @@
             services: 2,
             service_ms: 0,
             requests_per_s: 5_000,
+            ceilings: Ceilings::default(),
         }
     }
 }
@@ -166,19 +171,20 @@
             entries: Vec::new(),
             agents: Vec::new(),
         };
-        site.start_processes(plan.entries).await;
+        site.start_processes(&plan).await;
         site.publish(&office(plan.requests_per_s)).await;
         site.seen(&plan).await;
         site
     }
 
-    async fn start_processes(&mut self, entries: usize) {
+    async fn start_processes(&mut self, plan: &Plan) {
         let mut bound = Vec::new();
         let mut listed = Vec::new();
-        for number in 0..entries {
+        for number in 0..plan.entries {
             let settings = EntrySettings {
                 common: self.common(number),
                 listen: loopback(),
+                ceilings: plan.ceilings,
             };
             let entry = Entry::bind(settings, Tuning::default()).await.unwrap();
             listed.push(vm(entry.inner_address(), VmRole::Entry, number));
@@ -198,20 +204,65 @@
             listed.push(vm(agent.inner_address(), VmRole::Agent, number));
             agents.push(agent);
         }
-        let set = json!({ "set": listed, "remove": [] }).to_string();
-        let ask = Ask::post("/standin/vms", set);
-        assert_eq!(ask.send(self.vms.address).await.status, StatusCode::OK);
+        self.list(&listed).await;
         for agent in agents {
             let admin = agent.admin_address().unwrap();
             let run = |stop| async { agent.run(stop).await.unwrap() };
             self.agents.push(spawn(admin, admin, run));
         }
-        for entry in bound {
-            let address = entry.public_address().unwrap();
-            let admin = entry.admin_address().unwrap();
-            let run = |stop| async { entry.run(stop).await.unwrap() };
-            self.entries.push(spawn(address, admin, run));
-        }
+        bound.into_iter().for_each(|entry| self.run(entry));
+    }
+
+    async fn list(&self, vms: &[Vm]) {
+        let set = json!({ "set": vms, "remove": [] }).to_string();
+        let ask = Ask::post("/standin/vms", set);
+        assert_eq!(ask.send(self.vms.address).await.status, StatusCode::OK);
+    }
+
+    fn run(&mut self, entry: Entry) {
+        let address = entry.public_address().unwrap();
+        let admin = entry.admin_address().unwrap();
+        let run = |stop| async { entry.run(stop).await.unwrap() };
+        self.entries.push(spawn(address, admin, run));
+    }
+
+    /// Starts a further entry with this key and lists it; gives its number.
+    pub async fn add_entry(&mut self, key: [u8; 32]) -> usize {
+        let number = self.entries.len();
+        let settings = EntrySettings {
+            common: CommonSettings {
+                keys: vec![SharedKey(key)],
+                ..self.common(number)
+            },
+            listen: loopback(),
+            ceilings: Ceilings::default(),
+        };
+        let entry = Entry::bind(settings, Tuning::default()).await.unwrap();
+        let listed = vm(entry.inner_address(), VmRole::Entry, number);
+        self.list(&[listed]).await;
+        self.run(entry);
+        number
+    }
+
+    /// The status page of an entry once it says this.
+    pub async fn wait_for_status(&self, entry: usize, field: &str, value: &str) -> Value {
+        let admin = self.entries[entry].admin;
+        let until = async {
+            loop {
+                let status = Ask::get("/status").send(admin).await.json();
+                if status[field] == value {
+                    return status;
+                }
+                tokio::time::sleep(LOOK).await;
+            }
+        };
+        timeout(PATIENCE, until).await.unwrap()
+    }
+
+    /// Status of a page at the admin address.
+    pub async fn admin(&self, entry: usize, path: &str) -> u16 {
+        let admin = self.entries[entry].admin;
+        Ask::get(path).send(admin).await.status.as_u16()
     }
 
     async fn bind_agent(&self, number: usize, endpoint: SocketAddr, kind: EndpointKind) -> Sidecar {
--- /dev/null
+++ b/components/gateway/tests/readiness.rs
@@ -0,0 +1,105 @@
+//! When the balancer may send requests to an entry.
+#![allow(clippy::unwrap_used)] // The exemption of clippy.toml ends at helpers of tests.
+
+mod common;
+
+use common::{Plan, Site};
+use gateway::readiness::{Facts, Readiness};
+
+#[test]
+fn can_tell_why_an_entry_is_not_ready() {
+    struct Case {
+        name: &'static str,
+        facts: Facts,
+        readiness: Readiness,
+    }
+    let up = Facts {
+        configured: true,
+        agents: 3,
+        any_heard: true,
+        up_ms: 100,
+        ..Facts::default()
+    };
+    let case = |name, facts, readiness| Case {
+        name,
+        facts,
+        readiness,
+    };
+    let heard = Facts {
+        agent_heard: true,
+        ..up
+    };
+    let foreign = Facts {
+        any_heard: false,
+        datagrams_dropped: 1,
+        up_ms: 60_000,
+        ..up
+    };
+    let cases = [
+        case("first probes are on their way", up, Readiness::NoAnswer),
+        case("an agent has answered", heard, Readiness::Ready),
+        case(
+            "all agents are down",
+            Facts { up_ms: 5_000, ..up },
+            Readiness::Ready,
+        ),
+        case(
+            "no agent is listed yet",
+            Facts { agents: 0, ..up },
+            Readiness::NoAnswer,
+        ),
+        case(
+            "no agent is listed",
+            Facts {
+                agents: 0,
+                up_ms: 1_000,
+                ..up
+            },
+            Readiness::Ready,
+        ),
+        case("nothing heard is authentic", foreign, Readiness::WrongKey),
+        case(
+            "one of the others has a wrong key",
+            Facts {
+                any_heard: true,
+                ..foreign
+            },
+            Readiness::Ready,
+        ),
+        case(
+            "an answer without a configuration",
+            Facts {
+                configured: false,
+                ..heard
+            },
+            Readiness::Unconfigured,
+        ),
+        case(
+            "it leaves",
+            Facts {
+                leaving: true,
+                ..heard
+            },
+            Readiness::Leaving,
+        ),
+    ];
+    for case in cases {
+        assert_eq!(Readiness::of(&case.facts), case.readiness, "{}", case.name);
+    }
+}
+
+// An operator starts an entry with the key of another installation. It reads the
+// configuration from the log, but all others drop its probes and it drops theirs. Ready,
+// it would be sent its part of the requests and refuse each with no-endpoint.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn errors_when_the_key_of_an_entry_is_wrong() {
+    let mut site = Site::start(Plan::default()).await;
+    let stranger = site.add_entry([8; 32]).await;
+    let status = site
+        .wait_for_status(stranger, "readiness", "wrong-key")
+        .await;
+    assert_eq!(status["ready"], false);
+    assert!(status["traffic"]["datagrams_dropped"].as_u64().unwrap() > 0);
+    assert_eq!(site.admin(stranger, "/readyz").await, 503);
+    assert_eq!(site.admin(0, "/readyz").await, 200);
+}
--- a/components/gateway/tests/requests.rs
+++ b/components/gateway/tests/requests.rs
@@ -4,6 +4,7 @@
 
 use common::{Ask, OPERATOR, Plan, Site, TRAINER, completion};
 use http::Method;
+use settings::Ceilings;
 use standins::{Fault, FaultKind};
 
 const CONSULT: &str = "/v1/services/guichet/applicants/17";
@@ -355,13 +356,33 @@
 // to come back, and the refused calls ran nowhere.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn errors_when_a_customer_is_over_its_own_limit() {
-    const CALLS: u64 = 20;
-    let site = Site::start(Plan {
+    refuses_above(Plan {
         entries: 1,
         requests_per_s: 1,
         ..Plan::default()
     })
     .await;
+}
+
+// A customer writes the highest limits into its text. The operator of the platform has
+// set a ceiling, which the text can't move.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn errors_when_a_customer_is_over_the_operators_ceiling() {
+    refuses_above(Plan {
+        entries: 1,
+        requests_per_s: 100_000,
+        ceilings: Ceilings {
+            requests_per_s: Some(1),
+            ..Ceilings::default()
+        },
+        ..Plan::default()
+    })
+    .await;
+}
+
+async fn refuses_above(plan: Plan) {
+    const CALLS: u64 = 20;
+    let site = Site::start(plan).await;
     let mut answered = 0;
     for _ in 0..CALLS {
         let answer = site
--- a/components/limits/src/shares.rs
+++ b/components/limits/src/shares.rs
@@ -27,7 +27,7 @@
 const PERIODS_PER_WINDOW: u64 = 3;
 /// Time in which an arriving request counts, in milliseconds. Shorter, and the chance
 /// gaps of a few requests a second would look like no demand at all.
-const MEAN_MS: f64 = 4_000.0;
+const MEAN_MS: f64 = 15_000.0;
 
 /// Demand is told in this part of a customer's limits.
 const UNITS: f64 = 10_000.0;
--- a/components/settings/src/entry.rs
+++ b/components/settings/src/entry.rs
@@ -5,6 +5,7 @@
 use clap::{ArgMatches, Command};
 
 use crate::SettingsError;
+use crate::ceilings::{Ceilings, with_ceilings};
 use crate::check::address;
 use crate::common::{CommonSettings, differ, flag, with_common};
 
@@ -18,6 +19,8 @@
     pub common: CommonSettings,
     /// Address for callers, trainers and operators, behind the balancer.
     pub listen: SocketAddr,
+    /// Ceilings of customers' limits.
+    pub ceilings: Ceilings,
 }
 
 /// The command line of an entry.
@@ -30,7 +33,7 @@
             "IP:PORT",
             "Address for callers, trainers and operators",
         ));
-    with_common(command, SETTLE_MS)
+    with_common(with_ceilings(command), SETTLE_MS)
 }
 
 impl EntrySettings {
@@ -40,6 +43,10 @@
         let listen = address(matches, "listen")?;
         differ(("listen", listen), ("inner-listen", common.inner_listen))?;
         differ(("listen", listen), ("admin-listen", common.admin_listen))?;
-        Ok(Self { common, listen })
+        Ok(Self {
+            common,
+            listen,
+            ceilings: Ceilings::from_matches(matches)?,
+        })
     }
 }
--- a/components/settings/src/lib.rs
+++ b/components/settings/src/lib.rs
@@ -2,6 +2,7 @@
 //! process does anything else.
 
 mod agent;
+mod ceilings;
 mod check;
 mod common;
 mod entry;
@@ -9,6 +10,7 @@
 mod keys;
 
 pub use agent::{AgentSettings, EndpointKind, Fencing, agent_command};
+pub use ceilings::Ceilings;
 pub use check::{address, addresses, milliseconds, required, text, word};
 pub use common::{CommonSettings, ENV_PREFIX, flag, name, optional_name};
 pub use entry::{EntrySettings, entry_command};
