Training: a step that its trainer has whole is left in peace

Causes, each read in the code and shown by a test with the mechanism off: - The reply with the last slots ends a trainer's fetches, so its cursor never comes back. Each new version then made the samples too old and had all of them run again, and each run's news counted as use, so that the step was never dropped. Now samples offered in a completing reply stay until a cursor says that it was lost, and only posts, fetches and the other home's samples count as use. - A held step kept the staleness bound of its first post. Posts and fetches now bring the model's present bound. - A fetch that waited while its trainer had gone on was answered with its old cursor; the ledger took that for a trainer back at its checkpoint and ran slots again that the trainer has. A fetch with another cursor now ends the older ones of its step (not run, cancelled). Ruled out: to compare the cursors and keep the fuller one; a trainer back at its checkpoint sends an emptier one and is right. - An empty completion has a finish chunk and no text, was never stamped and so run again for ever; the finish chunk's stamp now counts there. No test: the stand-in engine makes no empty completion.

Not done: engines that stamp nothing still have every sample run again; the agent says nothing of the version in force over a whole run.

--- a/components/gateway/src/rejection.rs
+++ b/components/gateway/src/rejection.rs
@@ -91,6 +91,10 @@
         StepNotHeld(step: u64) {
             display("step {} is not held; post it again with the newest cursor", step)
         }
+        /// A fetch whose trainer has sent another one with a newer cursor.
+        FetchOver {
+            display("a fetch with another cursor came; this one is over")
+        }
         /// Refused or failed further on.
         Call(failure: Failure) {
             display("{}", describe(*failure))
@@ -146,6 +150,7 @@
             | Rejection::Fetch(FetchError::EpochOver(_)) => Cause::Stale,
             Rejection::Post(_) => Cause::KeyReused,
             Rejection::StepNotHeld(_) => Cause::NotHosted,
+            Rejection::FetchOver => Cause::Cancelled,
             Rejection::WrongKind(_)
             | Rejection::UnknownPath
             | Rejection::Method(_)
--- a/components/gateway/src/training/desk_fetch.rs
+++ b/components/gateway/src/training/desk_fetch.rs
@@ -4,7 +4,7 @@
 use samples::{Cursor, StepKey};
 use tokio::sync::oneshot;
 
-use super::desk_task::{Desk, Waiting};
+use super::desk_task::{Desk, Waiting, settings_of};
 use super::orders::{Fetch, Reply};
 use crate::rejection::Rejection;
 
@@ -19,6 +19,7 @@
         let clock = self.idle.entry(fetch.key.clone()).or_default();
         clock.fetch_began(now_ms);
         let until_ms = now_ms + fetch.wait_ms;
+        self.end_older(&fetch, now_ms);
         self.waiting.push(Waiting {
             fetch,
             until_ms,
@@ -27,6 +28,22 @@
         self.ready = true;
     }
 
+    /// Ends the step's waiting fetches that have another cursor. A trainer sends a cursor
+    /// once it has the reply that brought it, so nobody reads their answers; answered with
+    /// their own cursor later, they would have the ledger believe that the trainer lost
+    /// what it has, and slots would be run again.
+    fn end_older(&mut self, fetch: &Fetch, now_ms: u64) {
+        let older = |waiting: &mut Waiting| {
+            waiting.fetch.key == fetch.key && waiting.fetch.cursor != fetch.cursor
+        };
+        let ended: Vec<Waiting> = self.waiting.extract_if(.., older).collect();
+        for waiting in ended {
+            self.fetch_ended(&waiting.fetch.key, now_ms);
+            // Its trainer has gone on.
+            let _ = waiting.answer.send(Err(Rejection::FetchOver));
+        }
+    }
+
     /// Answers the fetches that have samples or whose wait is over.
     pub(super) fn answer_waiting(&mut self) {
         let now_ms = now_ms();
@@ -63,6 +80,11 @@
     fn reply(&mut self, fetch: &Fetch, now_ms: u64) -> Result<Reply, Rejection> {
         let ledger = self.steps.get_mut(&fetch.key, now_ms);
         let ledger = ledger.ok_or(Rejection::StepNotHeld(fetch.key.step))?;
+        // The bound may have changed since the step was posted.
+        let view = self.gateway.feed.view();
+        if let Some(model) = view.service(&fetch.key.customer, &fetch.key.service) {
+            ledger.configure(&settings_of(model));
+        }
         let cursor = Cursor::open(&fetch.cursor, &self.keys, ledger.step())?;
         let reply = ledger.fetch(&cursor, fetch.trainer_version, fetch.max, now_ms)?;
         Ok(Reply {
--- a/components/gateway/src/training/desk_task.rs
+++ b/components/gateway/src/training/desk_task.rs
@@ -87,6 +87,15 @@
     tokio::spawn(desk.run(inbox.orders));
 }
 
+/// Bounds of a step's ledger by the model's present configuration.
+pub(super) fn settings_of(model: &Service) -> LedgerSettings {
+    LedgerSettings {
+        staleness_bound: model.staleness_bound,
+        scored: model.scorer.is_some(),
+        ..LedgerSettings::default()
+    }
+}
+
 impl Desk {
     async fn run(mut self, mut orders: mpsc::Receiver<Order>) {
         let mut batch = Vec::new();
@@ -125,7 +134,7 @@
             Order::Run(key, run, news) => self.run_news(&key, run, news),
             Order::Scored(key, run, score) => {
                 let now_ms = now_ms();
-                if let Some(ledger) = self.steps.get_mut(&key, now_ms) {
+                if let Some(ledger) = self.steps.find_mut(&key) {
                     match score {
                         Some(score) => ledger.scored(run, score),
                         None => ledger.score_failed(run, now_ms),
@@ -165,11 +174,7 @@
         cursor: &Cursor,
         trainer_version: WeightVersion,
     ) -> Result<(), Rejection> {
-        let settings = LedgerSettings {
-            staleness_bound: model.staleness_bound,
-            scored: model.scorer.is_some(),
-            ..LedgerSettings::default()
-        };
+        let settings = settings_of(model);
         let now_ms = now_ms();
         self.steps
             .post(step, &settings, cursor, trainer_version, now_ms)?;
@@ -189,7 +194,7 @@
         if !matches!(news, RunNews::Progress { .. }) {
             self.run_ended(key, run, &news, now_ms);
         }
-        let Some(ledger) = self.steps.get_mut(key, now_ms) else {
+        let Some(ledger) = self.steps.find_mut(key) else {
             return;
         };
         match news {
--- a/components/gateway/src/training/listening.rs
+++ b/components/gateway/src/training/listening.rs
@@ -101,6 +101,13 @@
             if !piece.text.is_empty() || !piece.token_ids.is_empty() {
                 stamps.chunk(piece.version);
                 latest = piece.version.or(latest);
+            } else if let Some(version) = piece.version
+                && piece.finish.is_some()
+                && said.pieces == 0
+            {
+                // An empty completion: the version that ended it made it. Unnamed, its
+                // origin would be unknown and the slot run again for ever.
+                stamps.chunk(Some(version));
             }
             Ok(())
         });
--- a/components/gateway/tests/training.rs
+++ b/components/gateway/tests/training.rs
@@ -7,7 +7,9 @@
 use std::collections::BTreeSet;
 
 use common::{Ask, Plan, Site, TRAINER};
+use samples::{Cursor, CursorKeys, Group, Step, StepKey};
 use serde_json::{Value, json};
+use standins::{Fault, FaultKind};
 
 const STEPS: &str = "/v1/training/redacteurs/steps";
 const SAMPLES: u64 = 6;
@@ -99,6 +101,40 @@
     assert!(slots(&later).iter().all(|slot| !had.contains(slot)));
 }
 
+// A trainer that has gone on sends a newer cursor while its older fetch still waits, here as
+// no engine answers. The older one is told that it is over. Answered later with its own
+// cursor, it would have the ledger run again what the trainer has.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn errors_when_a_fetch_waits_that_its_trainer_has_left_behind() {
+    let site = site().await;
+    for engine in &site.engines {
+        engine.fault(Fault::new(FaultKind::Silent).on("/v1/completions"));
+    }
+    let start = cursor(&site.send(0, &post(8, "a", None)).await.json());
+    let group = |prompt: &str| Group {
+        prompt: prompt.to_owned(),
+        samples: SAMPLES as u32 / 2,
+    };
+    let key = StepKey {
+        customer: "office".parse().unwrap(),
+        service: "redacteurs".parse().unwrap(),
+        step: 8,
+    };
+    let step = Step::new(key, vec![group("a"), group("b")], 16).unwrap();
+    let newer = Cursor::start(&step).after([0]);
+    let newer = newer.seal(&CursorKeys::new([7; 32], None));
+    let (older, address) = (fetch(8, &start, 2), site.entries[0].address);
+    let older = tokio::spawn(async move { older.send(address).await });
+    // It may still be on its way when the first of these comes, and then it ends that one.
+    while !older.is_finished() {
+        let mut next = fetch(8, &newer, 2);
+        next.body = next.body.replace("10000", "20");
+        site.send(1, &next).await;
+    }
+    let (_, outcome, cause) = older.await.unwrap().problem();
+    assert_eq!((outcome.as_str(), cause.as_str()), ("not-run", "cancelled"));
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn errors_when_a_cursor_or_a_post_does_not_fit() {
     struct Case {
--- a/components/samples/src/ledger.rs
+++ b/components/samples/src/ledger.rs
@@ -58,6 +58,8 @@
     next_run: u64,
     /// When the trainer last fetched.
     fetched_ms: Option<u64>,
+    /// A reply gave the last missing slots, and no cursor since says that it was lost.
+    offered_whole: bool,
 }
 
 /// Bits of a run's number that count within one ledger.
@@ -95,6 +97,7 @@
             actions: Vec::new(),
             next_run: 1,
             fetched_ms: None,
+            offered_whole: false,
         }
     }
 
@@ -118,6 +121,17 @@
         self.fetched_ms
     }
 
+    /// Takes the bounds of a newer configuration; samples that it no longer allows are run
+    /// again.
+    pub fn configure(&mut self, settings: &LedgerSettings) {
+        let stricter = settings.staleness_bound < self.settings.staleness_bound;
+        self.settings.staleness_bound = settings.staleness_bound;
+        self.settings.scored = settings.scored;
+        if stricter {
+            self.give_up_old_samples();
+        }
+    }
+
     /// The step.
     pub fn step(&self) -> &Arc<Step> {
         &self.step
@@ -252,7 +266,13 @@
         self.pending.insert(place);
     }
 
+    /// A trainer that has the whole step fetches no more, and its last cursor never comes.
+    /// Its samples would get too old with each version and be run again for nobody; they
+    /// stay until a cursor says that the last reply was lost.
     fn give_up_old_samples(&mut self) {
+        if self.offered_whole {
+            return;
+        }
         let is_old = |sample: &Sample| !self.keeps(sample);
         let held = |place: &u32| match self.phase(*place) {
             Phase::Finished(sample) => is_old(sample),
--- a/components/samples/src/ledger/fetch.rs
+++ b/components/samples/src/ledger/fetch.rs
@@ -131,6 +131,9 @@
             }
         }
         self.received = received.clone();
+        if std::mem::take(&mut self.offered_whole) {
+            self.give_up_old_samples();
+        }
     }
 
     fn arrived(&mut self, place: u32) {
@@ -180,6 +183,7 @@
         let samples = places.iter().filter_map(offer).collect();
         let cursor = cursor.after(places.iter().copied());
         let received = cursor.received().len();
+        self.offered_whole = received == self.step.total();
         Reply {
             samples,
             received,
--- a/components/samples/src/steps.rs
+++ b/components/samples/src/steps.rs
@@ -84,6 +84,7 @@
         if let Some(held) = self.held.get_mut(&step.key) {
             if held.ledger.step().digest() == step.digest() {
                 held.touched_ms = now_ms;
+                held.ledger.configure(settings);
                 held.ledger.take_cursor(cursor);
                 held.ledger.announce(trainer_version, None, now_ms);
                 return Ok(Posted::Known);
@@ -108,13 +109,19 @@
         Ok(posted)
     }
 
-    /// The ledger of a step, if it is held; the trainer posts again otherwise.
+    /// The ledger of a step, if it is held, for its trainer; it posts again otherwise.
     pub fn get_mut(&mut self, key: &StepKey, now_ms: u64) -> Option<&mut Ledger> {
         let held = self.held.get_mut(key)?;
         held.touched_ms = now_ms;
         Some(&mut held.ledger)
     }
 
+    /// The ledger of a step, without counting as use: what becomes of its own runs would
+    /// else keep a step that its trainer has done with for ever.
+    pub fn find_mut(&mut self, key: &StepKey) -> Option<&mut Ledger> {
+        self.held.get_mut(key).map(|held| &mut held.ledger)
+    }
+
     /// Every ledger, without counting as use.
     pub fn iter_mut(&mut self) -> impl Iterator<Item = (&StepKey, &mut Ledger)> {
         self.held
--- a/components/samples/tests/steps.rs
+++ b/components/samples/tests/steps.rs
@@ -72,6 +72,64 @@
     assert!(steps.get_mut(&key(7), 0).is_none());
 }
 
+// Engines are left in peace by a step whose trainer has it whole. The reply with the last
+// slots ends its fetches, so no cursor ever says that it arrived: each new version made the
+// samples too old and ran them again, and each run kept the step. Lost, the reply is asked
+// for again, and then they are run again.
+#[test]
+fn can_leave_a_step_in_peace_that_its_trainer_has_whole() {
+    let step = step_of(1, 4);
+    let start = Cursor::start(&step);
+    let mut steps = Steps::new(IDLE_MS);
+    post(&mut steps, &step, &start).unwrap();
+    let ledger = steps.find_mut(&key(7)).unwrap();
+    ledger.dispatch(&room(1, 4, version(1, 1)), 0);
+    for start in starts(ledger) {
+        ledger.finished(start.run, completion("text", [version(1, 1)]), 1);
+    }
+    ledger.drain();
+    let last = ledger.fetch(&start, version(1, 1), 9, 1).unwrap();
+    assert!(last.complete);
+    for minute in 2..10 {
+        ledger.announce(version(1, minute), None, minute);
+        ledger.dispatch(&room(1, 4, version(1, minute)), minute);
+        assert_eq!(starts(ledger), []);
+    }
+    let mut lost = ledger.clone();
+    let again = lost.fetch(&start, version(1, 9), 9, 10).unwrap();
+    lost.dispatch(&room(1, 4, version(1, 9)), 10);
+    assert_eq!((again.samples.len(), starts(&mut lost).len()), (0, 4));
+    steps.retire(IDLE_MS);
+    assert!(steps.find_mut(&key(7)).is_none());
+}
+
+// An operator makes the bound stricter while a step is held. The trainer gets no sample that
+// the new text no longer allows, whatever bound the step was posted under.
+#[test]
+fn can_hold_a_step_to_a_stricter_bound() {
+    let step = step_of(1, 2);
+    let start = Cursor::start(&step);
+    let bound = |staleness_bound| LedgerSettings {
+        staleness_bound,
+        ..LedgerSettings::default()
+    };
+    let mut steps = Steps::new(IDLE_MS);
+    let posted = steps.post(&step, &bound(2), &start, version(1, 1), 0);
+    assert_eq!(posted, Ok(Posted::New));
+    let ledger = steps.find_mut(&key(7)).unwrap();
+    ledger.dispatch(&room(1, 2, version(1, 1)), 0);
+    for start in starts(ledger) {
+        ledger.finished(start.run, completion("text", [version(1, 1)]), 1);
+    }
+    ledger.announce(version(1, 3), None, 2);
+    steps
+        .post(&step, &bound(0), &start, version(1, 3), 3)
+        .unwrap();
+    let ledger = steps.find_mut(&key(7)).unwrap();
+    let reply = ledger.fetch(&start, version(1, 3), 9, 4).unwrap();
+    assert_eq!((reply.samples, ledger.waiting()), (vec![], 2));
+}
+
 #[test]
 fn can_hold_a_second_home_ready_from_copies() {
     // The first home finishes two of three slots and dies. The second has the post and both
