--- a/components/link/tests/ending.rs
+++ b/components/link/tests/ending.rs
@@ -1,4 +1,5 @@
 //! Calls that are begun while their runtime ends.
+#![allow(clippy::unwrap_used)] // The exemption of clippy.toml ends at helpers of tests.
 
 mod common;
 
