Training: metrics of staleness, waits and samples made for nothing

Purpose: the two figures that the users measure, trainer idle time and sample staleness, stood on the status page only, by step, and were gone with the step. Now each customer has sample_staleness_versions, sample_fetch_ms, samples_abandoned_total and samples_unknown_origin_total.

Weighed: to count ages when a cursor says that samples arrived, as the step's own tally does. The reply that completes a step has no later cursor, so its samples would never count; they count when they go out, and one that is fetched again counts again.

The count of ages equals the samples of the step in can_fetch_each_sample_once_through_either_entry.

--- a/components/gateway/src/training/desk_fetch.rs
+++ b/components/gateway/src/training/desk_fetch.rs
@@ -64,6 +64,11 @@
                 }
                 answer => {
                     self.fetch_ended(&waiting.fetch.key, now_ms);
+                    if let Ok(reply) = &answer {
+                        let left_ms = waiting.until_ms.saturating_sub(now_ms);
+                        let waited_ms = waiting.fetch.wait_ms.saturating_sub(left_ms);
+                        self.figures.replied(&waiting.fetch.key, reply, waited_ms);
+                    }
                     // The trainer may have gone; it fetches again with the same cursor.
                     let _ = waiting.answer.send(answer);
                 }
--- a/components/gateway/src/training/desk_task.rs
+++ b/components/gateway/src/training/desk_task.rs
@@ -16,6 +16,7 @@
 
 use super::copies::{Copier, Told, post};
 use super::desk::DeskInbox;
+use super::figures::Figures;
 use super::forward::homes_of;
 use super::orders::{Fetch, Order, Post, Reply, RunNews};
 use super::rhythm::Rhythm;
@@ -58,6 +59,7 @@
     pub(super) idle: BTreeMap<StepKey, IdleClock>,
     pub(super) rhythm: Rhythm,
     pub(super) shunned: Shunned,
+    pub(super) figures: Figures,
     /// Steps whose home is this entry, as of the last tick.
     pub(super) home: Vec<StepKey>,
     /// Which step comes first at the next dispatch.
@@ -69,6 +71,7 @@
 /// Starts the owner.
 pub fn spawn(inbox: DeskInbox, gateway: Arc<Gateway>, copier: Copier, keys: CursorKeys) {
     let desk = Desk {
+        figures: Figures::new(gateway.metrics.clone()),
         gateway,
         orders: inbox.sender,
         copier,
@@ -240,6 +243,10 @@
         let held: Vec<StepKey> = self.steps.iter_mut().map(|(key, _)| key.clone()).collect();
         self.told.retain(|key| held.contains(key));
         self.idle.retain(|key, _| held.contains(key));
+        self.figures.retain(|key| held.contains(key));
+        for (key, ledger) in self.steps.iter_mut() {
+            self.figures.look(key, ledger.tally());
+        }
         self.runs.retain(|(key, _), handle| {
             let kept = held.contains(key);
             if !kept {
--- a/components/gateway/tests/training.rs
+++ b/components/gateway/tests/training.rs
@@ -76,6 +76,14 @@
         }
     }
     assert_eq!(taken.len() as u64, SAMPLES);
+    let mut given = 0;
+    for entry in &site.entries {
+        let status = Ask::get("/status").send(entry.admin).await.json();
+        let rows = status["metrics"].as_array().unwrap().iter();
+        let ages = rows.filter(|row| row["name"] == "sample_staleness_versions");
+        given += ages.map(|row| row["count"].as_u64().unwrap()).sum::<u64>();
+    }
+    assert_eq!(given, SAMPLES);
 }
 
 // The trainer loses a reply and fetches again with the cursor that it has: it gets the
