Keyed calls are admitted once they have won their key

Cause: a keyed call took its place in the customer's limits and at the service before its claim and held it for up to five seconds while the log said nothing; replays took places as well.

Change: claim, then admission, then the call; an admission that fails releases the key. What keeps a leaving entry waiting is held until the end is recorded, the limits only while the call runs.

--- a/components/gateway/src/calls.rs
+++ b/components/gateway/src/calls.rs
@@ -34,18 +34,15 @@
     let method = intake.parts.method.as_str();
     let content = [method.as_bytes(), path.as_bytes(), &body];
     let job = intake.job(&service, path.clone(), Work::default(), &content)?;
-    let idempotent = job.idempotent;
-    let answering = Answering::begin(&gateway, job, intake.arrived_ms).await?;
-    match &intake.wishes.key {
-        // A request that may run again needs nobody's leave for it.
-        Some(key) if !idempotent => {
-            let keyed = Keyed {
-                key,
-                content: &body,
-                body: body.clone(),
-            };
-            keyed::serve(&gateway, answering, keyed).await
-        }
-        _ => answering.relay(body).await,
+    // A request that may run again needs nobody's leave for it.
+    if let Some(key) = intake.wishes.key.as_deref().filter(|_| !job.idempotent) {
+        let keyed = Keyed {
+            key,
+            content: &body,
+            body: body.clone(),
+        };
+        return keyed::serve(&gateway, job, intake.arrived_ms, keyed).await;
     }
+    let answering = Answering::begin(&gateway, job, intake.arrived_ms).await?;
+    answering.relay(body).await
 }
--- a/components/gateway/src/completions.rs
+++ b/components/gateway/src/completions.rs
@@ -55,25 +55,23 @@
     if completion.stream && key.is_some() {
         return Err(Rejection::Header(IDEMPOTENCY_KEY, STREAM_KEY_ALLOWED));
     }
-    let answering = Answering::begin(&gateway, job, intake.arrived_ms).await?;
     let stream = completion.stream;
     let model = service.name.clone();
     let body = move |resume_tokens: &[u32]| {
         completion.for_engine(model.as_str(), &id, priority, resume_tokens)
     };
-    if stream {
-        return completion_stream::serve(answering, body).await;
+    if let Some(key) = key {
+        let keyed = Keyed {
+            key,
+            content: &bytes,
+            body: body(&[]),
+        };
+        return keyed::serve(&gateway, job, intake.arrived_ms, keyed).await;
     }
-    let body = body(&[]);
-    match key {
-        Some(key) => {
-            let keyed = Keyed {
-                key,
-                content: &bytes,
-                body,
-            };
-            keyed::serve(&gateway, answering, keyed).await
-        }
-        None => answering.relay(body).await,
+    let answering = Answering::begin(&gateway, job, intake.arrived_ms).await?;
+    if stream {
+        completion_stream::serve(answering, body).await
+    } else {
+        answering.relay(body(&[])).await
     }
 }
--- a/components/gateway/src/keyed.rs
+++ b/components/gateway/src/keyed.rs
@@ -6,6 +6,7 @@
 mod reader;
 mod relay;
 mod replay;
+mod room;
 mod writer;
 
 pub use client::{Claims, take_record};
--- a/components/gateway/src/keyed/client.rs
+++ b/components/gateway/src/keyed/client.rs
@@ -18,6 +18,7 @@
 use types::{Cause, CustomerName, Failure, RunState, ServiceName};
 
 use super::reader::{self, ReadOrder};
+use super::room::ClaimRoom;
 use super::writer::{self, CLAIMS_PATH, WriteOrder};
 use crate::gateway::Gateway;
 use crate::peer::PeerCall;
@@ -32,6 +33,8 @@
     pub settings: ClaimSettings,
     /// The log, for recorded answers.
     pub log: LogClient,
+    /// Room for requests that wait.
+    pub room: ClaimRoom,
     readers: Vec<mpsc::Sender<ReadOrder>>,
     writers: Vec<mpsc::Sender<WriteOrder>>,
 }
@@ -70,6 +73,7 @@
         Claims {
             settings,
             log: log.clone(),
+            room: ClaimRoom::default(),
             readers: shards
                 .clone()
                 .map(|shard| reader::start(shard, log.clone(), settings))
--- a/components/gateway/src/keyed/relay.rs
+++ b/components/gateway/src/keyed/relay.rs
@@ -3,6 +3,9 @@
 //! It runs in a task of its own. A caller that goes away before the hand-over takes its
 //! claim back; after it, the call runs on and its end is recorded, so that the caller's
 //! next submission gets the answer and not "unknown".
+//!
+//! It is admitted when it has won its key, so that neither a wait for the log nor a replay
+//! takes a place at the service.
 
 use std::sync::Arc;
 
@@ -10,6 +13,7 @@
 use claims::{Holder, KeyDigest, Outcome, RequestDigest, Verdict, shard_of};
 use futures_util::stream;
 use http::Response;
+use leaving::Working;
 use link::CallEvent;
 use node::now_ms;
 use protocol::Head;
@@ -18,11 +22,14 @@
 
 use super::client::{Claimed, Submission};
 use super::replay;
+use super::room::Place;
 use crate::answer::{Answering, response};
 use crate::attempt::Attempt;
 use crate::body::{AnswerBroken, Body, streamed};
 use crate::gateway::Gateway;
+use crate::job::Job;
 use crate::rejection::Rejection;
+use crate::trace::Trace;
 
 /// Added to a call's deadline for the longest time until its end is recorded.
 const RECORD_MS: u32 = 10_000;
@@ -34,7 +41,7 @@
 /// What the task tells the caller's side first.
 enum First {
     Answer(Head, mpsc::Receiver<Part>),
-    Other(Verdict),
+    Other(Verdict, Place),
     Failed(Failure),
 }
 
@@ -51,10 +58,10 @@
 /// Serves a request with a key.
 pub async fn serve(
     gateway: &Arc<Gateway>,
-    answering: Answering,
+    job: Job,
+    arrived_ms: u64,
     keyed: Keyed<'_>,
 ) -> Result<Response<Body>, Rejection> {
-    let job = &answering.exchange.job;
     let deadline_at_ms = job.deadline_at_ms;
     let key = KeyDigest::of(&job.payer, keyed.key);
     let request = RequestDigest::of(
@@ -68,7 +75,9 @@
     let (first, told) = oneshot::channel();
     let running = Running {
         gateway: Arc::clone(gateway),
-        answering,
+        trace: Trace::new(gateway.metrics.clone(), &job, arrived_ms),
+        arrived_ms,
+        job,
         key,
         request,
         body: keyed.body,
@@ -77,7 +86,7 @@
     let lost = Failure::new(RunState::Unknown, Cause::Internal);
     match told.await.map_err(|_| lost)? {
         First::Answer(head, parts) => response(&head, body_of(parts)),
-        First::Other(verdict) => {
+        First::Other(verdict, _place) => {
             replay::answer(&gateway.claims, shard, &verdict, deadline_at_ms).await
         }
         First::Failed(failure) => Err(failure.into()),
@@ -93,7 +102,10 @@
 
 struct Running {
     gateway: Arc<Gateway>,
-    answering: Answering,
+    /// Of the claim; once it is won, the call has its own.
+    trace: Trace,
+    arrived_ms: u64,
+    job: Job,
     key: KeyDigest,
     request: RequestDigest,
     body: Bytes,
@@ -101,8 +113,12 @@
 
 impl Running {
     async fn run(mut self, first: oneshot::Sender<First>) {
+        let (_working, place) = match self.enter() {
+            Ok(entered) => entered,
+            Err(failure) => return self.refuse(failure, first),
+        };
         let gateway = Arc::clone(&self.gateway);
-        let job = self.answering.exchange.job.clone();
+        let job = self.job.clone();
         let left_ms = u32::try_from(job.left_ms(now_ms())).unwrap_or(u32::MAX);
         let submission = Submission {
             customer: &job.payer,
@@ -112,50 +128,101 @@
             runs_for_ms: left_ms.saturating_add(RECORD_MS),
             deadline_at_ms: job.deadline_at_ms,
         };
-        let mut holder = match gateway.claims.claim(&gateway, &submission).await {
-            Claimed::Won(holder) => holder,
+        let record = match gateway.claims.claim(&gateway, &submission).await {
+            Claimed::Won(holder) => {
+                drop(place);
+                self.won(holder, first).await
+            }
             Claimed::Other(verdict) => {
                 self.note_other(&verdict);
                 // The caller may have gone.
-                let _ = first.send(First::Other(verdict));
+                let _ = first.send(First::Other(verdict, place));
                 return;
             }
             Claimed::GivenUp(failure, release) => {
-                self.answering.trace.failed(failure);
-                let _ = first.send(First::Failed(failure));
-                // What the request holds of its customer's limits goes back now.
-                self.answering.admitted.used(0);
-                drop(self);
-                gateway.claims.record(&gateway, &submission, release).await;
-                return;
-            }
-        };
-        let record = match self.start(&mut holder, &first) {
-            Ok(()) => self.call(&mut holder, first).await,
-            Err(failure) => {
-                self.answering.trace.failed(failure);
-                let _ = first.send(First::Failed(failure));
-                holder.release()
+                self.refuse(failure, first);
+                release
             }
         };
         gateway.claims.record(&gateway, &submission, record).await;
     }
 
+    /// What a submission holds until its end is recorded, and while it has no verdict.
+    fn enter(&self) -> Result<(Working, Place), Failure> {
+        let working = self.gateway.drain.admit(now_ms())?;
+        let place = self.gateway.claims.room.enter(&self.job.payer)?;
+        Ok((working, place))
+    }
+
+    fn refuse(mut self, failure: Failure, first: oneshot::Sender<First>) {
+        self.trace.failed(failure);
+        // The caller may have gone.
+        let _ = first.send(First::Failed(failure));
+    }
+
     fn note_other(&mut self, verdict: &Verdict) {
         match verdict.failure(&self.gateway.claims.settings) {
-            Some(failure) => self.answering.trace.failed(failure),
-            None => self.answering.trace.replayed(),
+            Some(failure) => self.trace.failed(failure),
+            None => self.trace.replayed(),
         }
     }
 
-    fn start(&self, holder: &mut Holder, first: &oneshot::Sender<First>) -> Result<(), Failure> {
-        if first.is_closed() {
-            holder.give_up();
-            return Err(Failure::not_run(Cause::Cancelled));
+    /// Admits and makes the call; gives the record of its end.
+    async fn won(
+        self,
+        mut holder: Holder,
+        first: oneshot::Sender<First>,
+    ) -> Option<claims::Record> {
+        let Running {
+            gateway,
+            trace,
+            arrived_ms,
+            job,
+            body,
+            ..
+        } = self;
+        trace.handed_on();
+        let answering = match Answering::begin(&gateway, job, arrived_ms).await {
+            Ok(answering) => answering,
+            Err(failure) => {
+                let _ = first.send(First::Failed(failure));
+                holder.give_up();
+                return holder.release();
+            }
+        };
+        let mut calling = Calling {
+            gateway,
+            answering,
+            body,
+        };
+        match start(&mut holder, &first) {
+            Ok(()) => calling.call(&mut holder, first).await,
+            Err(failure) => {
+                calling.answering.admitted.used(0);
+                calling.answering.trace.failed(failure);
+                let _ = first.send(First::Failed(failure));
+                holder.release()
+            }
         }
-        holder.start(now_ms())
     }
+}
+
+fn start(holder: &mut Holder, first: &oneshot::Sender<First>) -> Result<(), Failure> {
+    if first.is_closed() {
+        holder.give_up();
+        return Err(Failure::not_run(Cause::Cancelled));
+    }
+    holder.start(now_ms())
+}
+
+/// A call whose key was won.
+struct Calling {
+    gateway: Arc<Gateway>,
+    answering: Answering,
+    body: Bytes,
+}
 
+impl Calling {
     /// Makes the call; gives the record of its end.
     async fn call(
         &mut self,
--- a/components/gateway/src/trace.rs
+++ b/components/gateway/src/trace.rs
@@ -36,6 +36,11 @@
         }
     }
 
+    /// Another trace records the rest.
+    pub fn handed_on(mut self) {
+        self.ended = true;
+    }
+
     /// The answer has begun.
     pub fn first_byte(&mut self) {
         if self.first_byte_ms.is_some() {
--- a/components/gateway/tests/keyed.rs
+++ b/components/gateway/tests/keyed.rs
@@ -4,7 +4,9 @@
 
 use common::{Ask, Plan, Site, completion};
 use standins::{Fault, FaultKind};
+use tokio::sync::mpsc;
 
+const CONSULT: &str = "/v1/services/guichet/applicants/17";
 const SANCTION: &str = "/v1/services/guichet/sanctions";
 const COMPLETIONS: &str = "/v1/completions";
 const TAG: &str = "x-request-tag";
@@ -61,3 +63,40 @@
     let free = Ask::post(COMPLETIONS, completion("one opinion", 8, true)).with(KEY, "opinion-2");
     assert!(site.send(0, &free).await.whole);
 }
+
+// A clerk consults while the log says nothing and the Office's portal sends one keyed check
+// after the other. Those wait for seconds for a claim; in the places of the service they
+// would keep out every consultation, which needs no log at all.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn can_consult_while_keyed_checks_wait_for_a_silent_log() {
+    const CHECKS: usize = 300;
+    let site = Site::start(Plan {
+        services: 1,
+        entries: 1,
+        ..Plan::default()
+    })
+    .await;
+    site.log
+        .fault(Fault::new(FaultKind::Silent).on("/streams/claims"));
+    let address = site.entries[0].address;
+    let (ended, mut ends) = mpsc::unbounded_channel();
+    for check in 0..CHECKS {
+        let ended = ended.clone();
+        let ask = Ask::post(SANCTION, "{}").with(KEY, format!("check-{check}"));
+        tokio::spawn(async move { ended.send(ask.send(address).await.problem()) });
+    }
+    // More wait than may: the first end says that there is no room.
+    let (_, outcome, cause) = ends.recv().await.unwrap();
+    assert_eq!(
+        (outcome.as_str(), cause.as_str()),
+        ("not-run", "queue-full")
+    );
+    for _ in 0..20 {
+        let consulted = site.send(0, &Ask::get(CONSULT)).await;
+        assert_eq!(consulted.status, 200, "{}", consulted.text());
+    }
+    for _ in 1..CHECKS {
+        let (_, outcome, cause) = ends.recv().await.unwrap();
+        assert_eq!(outcome, "not-run", "{cause}");
+    }
+}
