Entry: bodies of requests are counted before they are read

Cause: a body was read whole before any limit of its customer, so that some hundred requests of one token whose bodies never end filled the memory of the entry, and everybody's requests ended with it.

Weighed: a fixed part of the budget for each customer (hundreds of customers would get too little to be of use); counting in the body's slots of the fair queue (the service stands in the body). Ruled out: a lower limit of a body's size, which only moves the number of connections that it takes.

Change: a request with a body counts among its customer's requests in progress from its head on (limits: Customer::arrive). A body has 10 s to arrive instead of 30 s.

Tests: gateway/tests/bodies.rs; can_bound_unfinished_bodies_of_one_customer failed on the code before (504 after 30 s for the first of nine).

--- a/components/gateway/src/accounts.rs
+++ b/components/gateway/src/accounts.rs
@@ -12,6 +12,8 @@
 use settings::Ceilings;
 use types::CustomerName;
 
+use crate::body_budget::BodyUse;
+
 /// One customer as this entry sees it.
 #[derive(Debug)]
 pub struct Account {
@@ -19,6 +21,8 @@
     pub customer: Arc<Customer>,
     /// Retries that its requests have left.
     pub budget: RetryBudget,
+    /// Its requests' bodies.
+    pub bodies: Arc<BodyUse>,
     weight: AtomicU32,
 }
 
@@ -27,6 +31,7 @@
         Self {
             customer: Arc::new(Customer::new(&CustomerLimits::default(), 1.0)),
             budget: RetryBudget::new(budget),
+            bodies: Arc::default(),
             weight: AtomicU32::new(1),
         }
     }
--- /dev/null
+++ b/components/gateway/src/incoming.rs
@@ -0,0 +1,101 @@
+//! The body of a request while it is read: within the budget of bytes, and in time.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::{Buf, Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::Body;
+use limits::retry_after_ms;
+use types::{Cause, Class, Failure};
+
+use crate::accounts::Account;
+use crate::body_budget::{BodyBudget, OverBudget, Reserved};
+use crate::rejection::Rejection;
+
+/// Largest body of a request.
+pub const BODY_BYTES_MAX: usize = 4 << 20;
+/// When a request that found no room for its body may come back, before the spread.
+const BACK_MS: u64 = 500;
+
+/// Where a request's body counts.
+pub struct BodyRoom {
+    /// The customer's account, unless the configuration is newer than the last tick.
+    pub account: Option<Arc<Account>>,
+    /// The budget of the process.
+    pub budget: Arc<BodyBudget>,
+}
+
+/// A body with the bytes that are reserved for it.
+struct Held {
+    bytes: Bytes,
+    _reserved: Reserved,
+}
+
+impl AsRef<[u8]> for Held {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+impl BodyRoom {
+    /// Reads a whole body within `wait`. Its customer is counted in meanwhile, and its
+    /// bytes are counted until the last view of them is dropped.
+    pub async fn read<B>(&self, body: B, class: Class, wait: Duration) -> Result<Bytes, Rejection>
+    where
+        B: Body,
+        B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+    {
+        if body.is_end_stream() {
+            return Ok(Bytes::new());
+        }
+        let unknown = Failure::not_run(Cause::NoEndpoint);
+        let account = self.account.as_ref().ok_or(unknown)?;
+        let _arriving = account.customer.arrive(class, rand::random())?;
+        let stated = body.size_hint().exact().unwrap_or_default();
+        let stated = usize::try_from(stated).unwrap_or(usize::MAX);
+        if stated > BODY_BYTES_MAX {
+            return Err(Rejection::TooLarge(BODY_BYTES_MAX));
+        }
+        let reserved = self.budget.reserve(&account.bodies, stated);
+        let read = whole(body, reserved.map_err(refused)?);
+        let late = Failure::not_run(Cause::DeadlinePassed);
+        tokio::time::timeout(wait, read).await.map_err(|_| late)?
+    }
+}
+
+async fn whole<B>(body: B, mut reserved: Reserved) -> Result<Bytes, Rejection>
+where
+    B: Body,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    let mut body = std::pin::pin!(body);
+    let mut bytes = BytesMut::with_capacity(reserved.bytes());
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| Rejection::BodyBroken)?;
+        let Ok(mut data) = frame.into_data() else {
+            continue;
+        };
+        let length = bytes.len() + data.remaining();
+        if length > BODY_BYTES_MAX {
+            return Err(Rejection::TooLarge(BODY_BYTES_MAX));
+        }
+        let more = length.saturating_sub(reserved.bytes());
+        reserved.grow(more).map_err(refused)?;
+        while data.has_remaining() {
+            let part = data.chunk();
+            bytes.extend_from_slice(part);
+            let taken = part.len();
+            data.advance(taken);
+        }
+    }
+    Ok(Bytes::from_owner(Held {
+        bytes: bytes.freeze(),
+        _reserved: reserved,
+    }))
+}
+
+fn refused(over: OverBudget) -> Failure {
+    let back_ms = retry_after_ms(BACK_MS, rand::random());
+    over.failure().retry_after(back_ms)
+}
--- a/components/gateway/src/intake.rs
+++ b/components/gateway/src/intake.rs
@@ -7,22 +7,20 @@
 use config::{Kind, Service};
 use http::request::Parts;
 use hyper::body::Body as HttpBody;
-use node::http::whole_body;
-use node::{BodyError, now_ms};
+use node::now_ms;
 use quarantine::CallDigest;
-use types::{Cause, Failure};
+use types::{Cause, Class, Failure};
 
 use crate::auth::Session;
 use crate::headers::{Wishes, towards_endpoint};
 use crate::idempotency::is_idempotent;
+use crate::incoming::BodyRoom;
 use crate::job::Job;
 use crate::layers::{Arrived, RequestId};
 use crate::rejection::Rejection;
 
-/// Largest body of a request.
-pub const BODY_BYTES_MAX: usize = 4 << 20;
 /// Longest time for a body to arrive, where the deadline is later.
-const BODY_TIMEOUT_MS: u64 = 30_000;
+const BODY_TIMEOUT_MS: u64 = 10_000;
 
 /// What every handler needs of a request.
 pub struct Intake {
@@ -36,17 +34,23 @@
     pub wishes: Wishes,
     /// When the request came, on the process's monotonic clock.
     pub arrived_ms: u64,
+    room: BodyRoom,
 }
 
 impl Intake {
-    /// Reads the parts. The layers have put the extensions in.
-    pub fn new(mut parts: Parts) -> Result<Self, Rejection> {
+    /// Reads the parts. The layers have put the extensions in. `room` says where the body
+    /// of a session's request counts.
+    pub fn new(
+        mut parts: Parts,
+        room: impl FnOnce(&Session) -> BodyRoom,
+    ) -> Result<Self, Rejection> {
         let internal = || Rejection::Call(Failure::not_run(Cause::Internal));
         let RequestId(request_id) = parts.extensions.remove().ok_or_else(internal)?;
-        let session = parts.extensions.remove().ok_or_else(internal)?;
+        let session: Session = parts.extensions.remove().ok_or_else(internal)?;
         let wishes = parts.extensions.remove().ok_or_else(internal)?;
         let Arrived { at_ms } = parts.extensions.remove().ok_or_else(internal)?;
         Ok(Self {
+            room: room(&session),
             parts,
             request_id,
             session,
@@ -69,13 +73,8 @@
     {
         let left_ms = deadline_at_ms.saturating_sub(now_ms());
         let wait = Duration::from_millis(left_ms.min(BODY_TIMEOUT_MS));
-        let read = tokio::time::timeout(wait, whole_body(body, BODY_BYTES_MAX)).await;
-        match read {
-            Ok(Ok(bytes)) => Ok(bytes),
-            Ok(Err(BodyError::TooLarge(bytes_max))) => Err(Rejection::TooLarge(bytes_max)),
-            Ok(Err(BodyError::Broken)) => Err(Rejection::BodyBroken),
-            Err(_) => Err(Failure::not_run(Cause::DeadlinePassed).into()),
-        }
+        let class = self.wishes.class.unwrap_or(Class::Interactive);
+        self.room.read(body, class, wait).await
     }
 
     /// The job of a call to `service`. `content` is what makes it the same call when its
--- a/components/gateway/src/routes.rs
+++ b/components/gateway/src/routes.rs
@@ -12,10 +12,12 @@
 
 use crate::auth::authenticate;
 use crate::body::Body;
+use crate::body_budget::BodyBudget;
 use crate::drained::Drained;
 use crate::gateway::Gateway;
 use crate::headers::Wishes;
-use crate::intake::{BODY_BYTES_MAX, Intake};
+use crate::incoming::{BODY_BYTES_MAX, BodyRoom};
+use crate::intake::Intake;
 use crate::layers::{Arrived, answered, checked};
 use crate::rejection::Rejection;
 use crate::target::Route;
@@ -35,6 +37,7 @@
 {
     let (ids, drains, clocks) = (gateway.clone(), gateway.clone(), gateway.clone());
     let (known, handling) = (gateway.clone(), gateway.clone());
+    let budget = Arc::new(BodyBudget::default());
     ServiceBuilder::new()
         .map_request(|request: Request<B>| request.map(Drained::new))
         .layer(answered(
@@ -48,7 +51,9 @@
             Ok(())
         }))
         .layer(checked(wishes))
-        .service(service_fn(move |request| handle(handling.clone(), request)))
+        .service(service_fn(move |request| {
+            handle(handling.clone(), budget.clone(), request)
+        }))
 }
 
 /// Notes when the request came; refuses by its stated length a body that would be refused
@@ -74,14 +79,21 @@
     Ok(())
 }
 
-async fn handle<B>(gateway: Arc<Gateway>, request: Request<B>) -> Result<Response<Body>, Rejection>
+async fn handle<B>(
+    gateway: Arc<Gateway>,
+    budget: Arc<BodyBudget>,
+    request: Request<B>,
+) -> Result<Response<Body>, Rejection>
 where
     B: HttpBody,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
     let (parts, body) = request.into_parts();
     let route = Route::parse(parts.uri.path(), parts.uri.query())?;
-    let intake = Intake::new(parts)?;
+    let intake = Intake::new(parts, |session| BodyRoom {
+        account: gateway.accounts.get(&session.holder.customer),
+        budget,
+    })?;
     match route {
         Route::Completions => completions::serve(gateway, intake, body).await,
         Route::Service(target, path) => calls::serve(gateway, intake, target, path, body).await,
--- /dev/null
+++ b/components/gateway/tests/bodies.rs
@@ -0,0 +1,176 @@
+//! Bodies of requests: how many bytes the process holds of them, and for whom.
+#![allow(clippy::unwrap_used)] // The exemption of clippy.toml ends at helpers of tests.
+
+mod common;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use common::{Ask, CLERK, PATIENCE, Plan, Site, completion};
+use futures_util::future::select_all;
+use gateway::body_budget::{BodyBudget, BodyUse, OverBudget};
+use settings::Ceilings;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+const COMPLETIONS: &str = "/v1/completions";
+const LARGE_BYTES: usize = 4 << 20;
+
+/// Begins a request whose body never ends.
+async fn unfinished(to: SocketAddr, body_bytes: usize) -> TcpStream {
+    let mut stream = TcpStream::connect(to).await.unwrap();
+    let head = format!(
+        "POST {COMPLETIONS} HTTP/1.1\r\nHost: entry\r\nAuthorization: Bearer {CLERK}\r\n\
+         Content-Length: {body_bytes}\r\n\r\n{{"
+    );
+    stream.write_all(head.as_bytes()).await.unwrap();
+    stream
+}
+
+/// The first part of an answer.
+async fn answer(stream: &mut TcpStream) -> String {
+    let mut bytes = vec![0; 4_096];
+    let length = stream.read(&mut bytes).await.unwrap();
+    String::from_utf8_lossy(&bytes[..length]).into_owned()
+}
+
+// One caller opens many requests and leaves the end of each body out. Each of them used
+// to be read as far as it came, before any limit of its customer, until the entry was
+// out of memory and everybody's requests ended. Now the customer's part is bounded, and
+// the first request over it is refused at once, as not run.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn can_bound_unfinished_bodies_of_one_customer() {
+    struct Case {
+        name: &'static str,
+        ceilings: Ceilings,
+        connections: usize,
+        body_bytes: usize,
+    }
+    let cases = [
+        Case {
+            name: "the bytes of its bodies",
+            ceilings: Ceilings::default(),
+            connections: 9,
+            body_bytes: LARGE_BYTES,
+        },
+        Case {
+            name: "its requests in progress",
+            ceilings: Ceilings {
+                in_progress: Some(2),
+                ..Ceilings::default()
+            },
+            connections: 3,
+            body_bytes: 100,
+        },
+    ];
+    for case in cases {
+        let site = Site::start(Plan {
+            entries: 1,
+            engines: 1,
+            services: 0,
+            ceilings: case.ceilings,
+            ..Plan::default()
+        })
+        .await;
+        let entry = site.entries[0].address;
+        let mut streams = Vec::new();
+        for _ in 0..case.connections {
+            streams.push(unfinished(entry, case.body_bytes).await);
+        }
+        let answers = streams.iter_mut().map(|stream| Box::pin(answer(stream)));
+        let first = timeout(PATIENCE, select_all(answers)).await.unwrap().0;
+        assert!(first.starts_with("HTTP/1.1 429 "), "{}: {first}", case.name);
+        for part in ["customer-limit", "not-run", "retry-after: "] {
+            assert!(first.contains(part), "{}: {first}", case.name);
+        }
+        drop(streams);
+        let small = Ask::post(COMPLETIONS, completion("opening hours", 4, false));
+        let answered = site.answered(0, &small).await;
+        assert!(answered.whole, "{}", case.name);
+    }
+}
+
+#[test]
+fn can_share_the_bytes_of_bodies() {
+    struct Case {
+        name: &'static str,
+        /// Customer and bytes of bodies that are held.
+        held: &'static [(usize, usize)],
+        wanted: (usize, usize),
+        outcome: Result<(), OverBudget>,
+    }
+    let cases = [
+        Case {
+            name: "a customer alone, up to its part",
+            held: &[(0, 20)],
+            wanted: (0, 10),
+            outcome: Ok(()),
+        },
+        Case {
+            name: "a customer alone, over its part",
+            held: &[(0, 20)],
+            wanted: (0, 11),
+            outcome: Err(OverBudget::Customer),
+        },
+        Case {
+            name: "a customer that holds as much as is left",
+            held: &[(0, 30), (1, 30), (2, 20)],
+            wanted: (2, 1),
+            outcome: Err(OverBudget::Customer),
+        },
+        Case {
+            name: "a customer that begins while others hold much",
+            held: &[(0, 30), (1, 30), (2, 20)],
+            wanted: (3, 20),
+            outcome: Ok(()),
+        },
+        Case {
+            name: "more than the process has left",
+            held: &[(0, 30), (1, 30), (2, 20)],
+            wanted: (3, 21),
+            outcome: Err(OverBudget::Process),
+        },
+        Case {
+            name: "a size that overflows",
+            held: &[(0, 1)],
+            wanted: (0, usize::MAX),
+            outcome: Err(OverBudget::Process),
+        },
+    ];
+    for case in cases {
+        let budget = Arc::new(BodyBudget::new(100, 30));
+        let customers: [Arc<BodyUse>; 4] = Default::default();
+        let reserve = |&(customer, bytes): &(usize, usize)| {
+            let customer: &Arc<BodyUse> = &customers[customer];
+            budget.reserve(customer, bytes)
+        };
+        let held: Result<Vec<_>, _> = case.held.iter().map(reserve).collect();
+        let held = held.unwrap();
+        let before = budget.held_bytes();
+        let wanted = reserve(&case.wanted);
+        assert_eq!(
+            wanted.as_ref().map(|_| ()).map_err(|over| *over),
+            case.outcome,
+            "{}",
+            case.name
+        );
+        drop(wanted);
+        assert_eq!(budget.held_bytes(), before, "{}", case.name);
+        drop(held);
+        assert_eq!(budget.held_bytes(), 0, "{}", case.name);
+    }
+}
+
+#[test]
+fn can_give_back_what_a_body_took_as_it_came() {
+    let budget = Arc::new(BodyBudget::new(100, 30));
+    let customer = Arc::new(BodyUse::default());
+    let mut reserved = budget.reserve(&customer, 0).unwrap();
+    reserved.grow(30).unwrap();
+    assert_eq!(reserved.grow(1), Err(OverBudget::Customer));
+    assert_eq!((reserved.bytes(), budget.held_bytes()), (30, 30));
+    drop(reserved);
+    assert_eq!(budget.held_bytes(), 0);
+    assert!(budget.reserve(&customer, 30).is_ok());
+}
--- a/components/limits/src/customer.rs
+++ b/components/limits/src/customer.rs
@@ -185,6 +185,14 @@
         })
     }
 
+    /// Counts a request in whose body is still to be read, and which is not known in full;
+    /// [`Customer::enter`] follows. Refuses it with the time to come back.
+    pub fn arrive(self: &Arc<Self>, class: Class, random: u64) -> Result<InProgress, Failure> {
+        let back_ms = retry_after_ms(IN_PROGRESS_WAIT_MS, random);
+        let refused = Failure::not_run(Cause::CustomerLimit).retry_after(back_ms);
+        self.count_in(class).ok_or(refused)
+    }
+
     /// Lets in a request of `tokens` when there is room for it, in the order of arrival.
     pub async fn enter_in_turn(
         self: &Arc<Self>,
