One parser of the key file

Cause: settings::parse_keys and protocol::Keys::parse read one file by two rules; the former took no remarks, the latter took "+0" for two digits. No process used the latter.

Weighed: settings on top of protocol's parser, which loses the flag and the line from the complaint. The settings' parser stays, leaves out lines that begin with '#' and is the only one; protocol's test of the file becomes cases of the settings' table (remarks, lines counted with them, remarks alone, three keys, a short one), and what it said of secrets in Debug stays. Node's way out and process frame already serve both processes.

The case with a remark fails without the change.

--- a/components/protocol/src/lib.rs
+++ b/components/protocol/src/lib.rs
@@ -21,5 +21,5 @@
     HELLO_BYTES_MAX, VERSION_MAX, VERSION_MIN, common_version, read_callee_hello,
     read_caller_hello, write_callee_hello, write_caller_hello,
 };
-pub use key::{KEY_BYTES, KEY_ID_BYTES, KEYS_MAX, Key, KeyError, KeyId, Keys};
+pub use key::{KEY_BYTES, KEY_ID_BYTES, Key, KeyId, Keys};
 pub use packet::{DATAGRAM_BYTES_MAX, read_datagram, write_datagram};
--- a/components/protocol/tests/frames.rs
+++ b/components/protocol/tests/frames.rs
@@ -372,17 +372,11 @@
 }
 
 #[test]
-fn can_read_a_key_file() {
-    let (one, two) = ("01".repeat(32), "02".repeat(32));
-    let keys = Keys::parse(&format!("# new key first\n{one}\n\n{two}\n")).unwrap();
-    assert_eq!(keys, Keys::two(key(1), key(2)));
+fn can_print_keys_without_their_secrets() {
+    let keys = Keys::two(key(1), key(2));
     assert_eq!(
         format!("{keys:?}").matches("0101").count(),
         0,
         "a secret in a log line"
     );
-    assert_eq!(Keys::parse("0101"), Err(protocol::KeyError::Malformed(1)));
-    assert_eq!(Keys::parse(""), Err(protocol::KeyError::Count(0)));
-    let three = format!("{one}\n{two}\n{one}");
-    assert_eq!(Keys::parse(&three), Err(protocol::KeyError::Count(3)));
 }
--- a/components/settings/src/keys.rs
+++ b/components/settings/src/keys.rs
@@ -34,13 +34,14 @@
     parse_keys(&text, path)
 }
 
-/// The keys in the text of a key file; the first signs. Errors name the line.
+/// The keys in the text of a key file, one a line; the first signs. Empty lines and lines
+/// that begin with `#` are left out. Errors name the line.
 pub fn parse_keys(text: &str, path: &Path) -> Result<Vec<SharedKey>, SettingsError> {
     let bad_line = |line: usize| SettingsError::Key(path.to_owned(), line);
     let mut keys = Vec::new();
     for (at, line) in text.lines().enumerate() {
         let line = line.trim();
-        if line.is_empty() {
+        if line.is_empty() || line.starts_with('#') {
             continue;
         }
         let key = parse_key(line).ok_or_else(|| bad_line(at + 1))?;
--- a/components/settings/tests/settings.rs
+++ b/components/settings/tests/settings.rs
@@ -181,6 +181,21 @@
             text: format!("{KEY}\n\n{KEY}\n"),
             line: None,
         },
+        KeyCase {
+            name: "a remark between two keys",
+            text: format!("# new key first\n{KEY}\n\n{KEY}\n"),
+            line: None,
+        },
+        KeyCase {
+            name: "a line that is not counted",
+            text: format!("# new key first\n{KEY}\n0101\n"),
+            line: Some(3),
+        },
+        KeyCase {
+            name: "remarks alone",
+            text: "# none yet\n".to_owned(),
+            line: Some(1),
+        },
         KeyCase {
             name: "no key",
             text: String::new(),
