Statuses in parts; an alarm when a peer holds another text of one version

- A status of more than some thirty services was cut to one datagram, and entries never sent work for the others to that endpoint.
It goes in parts now; each replaces its own part at the receiver.
Weighed: changes since the last status (a lost one would have to be asked for again), several whole statuses with all fields once (another message).
The common fields repeat in each part; a status that fits costs two bytes more.
Test on a pool of forty customers.
- Two processes with different texts under one version went unnoticed: digests were compared by version alone.
Now config-diverged is logged once a version and the agent counts config_diverged_total; neither text is replaced, as nobody can tell here which one the log has.
GossipHooks::diverged is there for the entry's counter.

--- a/components/membership/src/member.rs
+++ b/components/membership/src/member.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use derive::{key, value};
-use protocol::{ProcessRole, Status};
+use protocol::{Hosted, ProcessRole, Status};
 use types::{FailureDomain, Incarnation, Region};
 
 use crate::MemberSettings;
@@ -59,7 +59,10 @@
     pub(crate) absent_reads: u32,
     /// Neither listed nor heard since; kept only so that its life stays known.
     pub(crate) gone_since_ms: Option<u64>,
+    /// Its newest status with the hosted services of all parts, and when it came.
     pub(crate) status: Option<(Arc<Status>, u64)>,
+    /// Hosted services by part.
+    pub(crate) parts: Vec<Vec<Hosted>>,
     pub(crate) watched: bool,
     pub(crate) heard_ms: Option<u64>,
     pub(crate) misses: u32,
@@ -81,6 +84,7 @@
             absent_reads: 0,
             gone_since_ms: None,
             status: None,
+            parts: Vec::new(),
             watched: false,
             heard_ms: None,
             misses: 0,
@@ -102,10 +106,26 @@
         self.incarnation_since_ms = now_ms;
         self.leaving_since_ms = None;
         self.status = None;
+        self.parts.clear();
         self.heard_ms = None;
         Ok(true)
     }
 
+    /// Takes a status up. One part of several replaces that part alone: a datagram has no
+    /// room for the services of a pool that many share, and a service whose part was lost
+    /// would seem to be gone until the next probe.
+    pub(crate) fn take_status(&mut self, status: &Status, now_ms: u64) {
+        self.place = Some((status.failure_domain.clone(), status.region.clone()));
+        let mut whole = status.clone();
+        self.parts
+            .resize(usize::from(status.parts.max(1)), Vec::new());
+        if let Some(part) = self.parts.get_mut(usize::from(status.part)) {
+            part.clone_from(&status.hosted);
+        }
+        whole.hosted = self.parts.concat();
+        self.status = Some((Arc::new(whole), now_ms));
+    }
+
     /// Marks the life as leaving for good; true the first time.
     pub(crate) fn leave(&mut self, now_ms: u64) -> bool {
         let first = self.leaving_since_ms.is_none();
--- a/components/membership/src/members.rs
+++ b/components/membership/src/members.rs
@@ -6,7 +6,6 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::Arc;
 
 use protocol::{ProcessRole, Status};
 use types::{Incarnation, NodeId};
@@ -102,8 +101,7 @@
         if known_life.is_some_and(|known| status.endpoint_life < known) {
             return heard;
         }
-        member.place = Some((status.failure_domain.clone(), status.region.clone()));
-        member.status = Some((Arc::new(status.clone()), now_ms));
+        member.take_status(status, now_ms);
         if status.leaving && member.leave(now_ms) {
             return Heard::New;
         }
--- a/components/membership/tests/common/mod.rs
+++ b/components/membership/tests/common/mod.rs
@@ -57,6 +57,8 @@
         region: region(),
         leaving,
         hosted: vec![hosted],
+        part: 0,
+        parts: 1,
         load: Load::default(),
         endpoint_life: 1,
     }
--- a/components/membership/tests/view.rs
+++ b/components/membership/tests/view.rs
@@ -1,10 +1,12 @@
 //! News in, view out.
+#![allow(clippy::unwrap_used)] // The exemption of clippy.toml ends at helpers of tests.
 
 mod common;
 
 use common::*;
 use membership::{Heard, Listed, MemberSettings, Members, Standing};
 use protocol::ProcessRole::Agent;
+use protocol::{Hosted, Status};
 use quickcheck::quickcheck;
 use types::{Incarnation, NodeId};
 
@@ -217,3 +219,37 @@
         })
     }
 }
+
+// A pool that many customers share: the agent's services come in several datagrams. One of
+// them is lost; the services of the others stay, and those that went with fewer parts go.
+#[test]
+fn can_put_a_status_together_from_its_parts() {
+    let part = |part: u8, parts, names: &[&str]| {
+        let one = status(1, false);
+        let hosted = |name: &&str| Hosted {
+            service: name.parse().unwrap(),
+            ..one.hosted[0].clone()
+        };
+        Status {
+            hosted: names.iter().map(hosted).collect(),
+            part,
+            parts,
+            ..one
+        }
+    };
+    let cases: [(Status, &[&str]); 5] = [
+        (part(0, 3, &["a", "b"]), &["a", "b"]),
+        (part(2, 3, &["d"]), &["a", "b", "d"]),
+        (part(0, 3, &["b", "c"]), &["b", "c", "d"]),
+        (part(0, 2, &["b"]), &["b"]),
+        (part(0, 1, &[]), &[]),
+    ];
+    let mut members = entry();
+    for (status, wanted) in cases {
+        members.on_status(node(1, 1), Agent, &status, 0);
+        let snapshot = members.snapshot(0);
+        let mut names: Vec<_> = snapshot.services().map(|(_, name)| name.as_str()).collect();
+        names.sort_unstable();
+        assert_eq!(names, wanted);
+    }
+}
--- a/components/node/src/feed.rs
+++ b/components/node/src/feed.rs
@@ -83,6 +83,18 @@
     }
 }
 
+/// What this process holds against what a peer does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Held {
+    /// The same or something newer.
+    Same,
+    /// Something older.
+    Older,
+    /// Another text of the same version, which no history of one log can bring about: two
+    /// rules of judging, two logs or a damaged record. People have to look.
+    Differing,
+}
+
 /// State that handles and tasks share.
 pub(crate) struct Shared {
     pub(crate) view: ArcSwap<View>,
@@ -200,14 +212,22 @@
     }
 
     /// A peer holds this; its text is fetched when it is newer than what is held here.
-    pub fn heard(&self, from: SocketAddr, digest: &ConfigDigest) {
-        let held = self
-            .accepted(&digest.customer)
-            .map_or(0, |accepted| accepted.version);
+    pub fn heard(&self, from: SocketAddr, digest: &ConfigDigest) -> Held {
+        let accepted = self.accepted(&digest.customer);
+        let held = accepted.as_ref().map_or(0, |accepted| accepted.version);
         if digest.version > held {
             let digest = digest.clone();
             // A full queue loses the hint until the next rumour of it.
             let _ = self.events.try_send(Event::Heard { from, digest });
+            return Held::Older;
+        }
+        let differs = |accepted: &Arc<Accepted>| {
+            accepted.version == digest.version && accepted.digest() != digest.digest
+        };
+        if accepted.as_ref().is_some_and(differs) {
+            Held::Differing
+        } else {
+            Held::Same
         }
     }
 
--- a/components/node/src/gossip.rs
+++ b/components/node/src/gossip.rs
@@ -3,6 +3,7 @@
 //! One task owns the state. It publishes the view as an immutable snapshot; everybody
 //! else only reads that or puts a small order into a bounded queue.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -11,7 +12,7 @@
 use link::Udp;
 use membership::{MemberSettings, Members, Own, RumourSettings, Rumours, Snapshot, TailSettings};
 use platform::VmList;
-use protocol::{DemandDigest, News, Status};
+use protocol::{ConfigDigest, DemandDigest, News, Status};
 use tokio::sync::mpsc;
 use types::NodeId;
 
@@ -28,14 +29,17 @@
 /// not wait.
 #[derive(Clone)]
 pub struct GossipHooks {
-    /// Answers a probe; `None` on an entry.
-    pub status: Option<Arc<dyn Fn() -> Status + Send + Sync>>,
+    /// The parts of the answer to a probe; `None` on an entry.
+    pub statuses: Option<Arc<dyn Fn() -> Vec<Status> + Send + Sync>>,
     /// Gets each rumour of weights or quarantine that is new here.
     pub heard: Arc<dyn Fn(&News) + Send + Sync>,
     /// Gets the demand that another entry tells.
     pub demand: Arc<dyn Fn(NodeId, DemandDigest) + Send + Sync>,
     /// Called when the VM list or a rumour says that this process is leaving.
     pub leaving: Arc<dyn Fn() + Send + Sync>,
+    /// Called once for each version of a customer's configuration of which another process
+    /// holds a different text.
+    pub diverged: Arc<dyn Fn(&ConfigDigest) + Send + Sync>,
     /// Called when a life of another process was found to be leaving.
     pub peer_leaving: Arc<dyn Fn(NodeId) + Send + Sync>,
 }
@@ -43,10 +47,11 @@
 impl Default for GossipHooks {
     fn default() -> Self {
         Self {
-            status: None,
+            statuses: None,
             heard: Arc::new(|_| {}),
             demand: Arc::new(|_, _| {}),
             leaving: Arc::new(|| {}),
+            diverged: Arc::new(|_| {}),
             peer_leaving: Arc::new(|_| {}),
         }
     }
@@ -102,6 +107,7 @@
             probers: Probers::new(settings.probers),
             tail: settings.tail,
             snapshot: Arc::clone(&snapshot),
+            diverged: BTreeMap::new(),
             listed: false,
             publish_ms: 0,
             ranked_ms: None,
--- a/components/node/src/gossip_heard.rs
+++ b/components/node/src/gossip_heard.rs
@@ -3,9 +3,10 @@
 use std::net::SocketAddr;
 
 use membership::Heard;
-use protocol::{Datagram, News, ProcessRole, Status};
+use protocol::{ConfigDigest, Datagram, News, ProcessRole, Status};
 use types::NodeId;
 
+use crate::feed::Held;
 use crate::gossip_loop::GossipLoop;
 use crate::now_ms;
 
@@ -55,7 +56,7 @@
                 self.act_on(from, heard).await;
             }
             News::Demand(demand) => (self.hooks.demand)(from, demand.clone()),
-            News::Config(digest) => self.feed.heard(from.address, digest),
+            News::Config(digest) => self.on_config(from, digest),
             News::Weights { .. } | News::Quarantined { .. } => {
                 let peers = self.members.peers().len();
                 if self.rumours.hear(&news, peers, now_ms) {
@@ -65,9 +66,25 @@
         }
     }
 
+    fn on_config(&mut self, from: NodeId, digest: &ConfigDigest) {
+        if self.feed.heard(from.address, digest) != Held::Differing {
+            return;
+        }
+        let customer = digest.customer.clone();
+        let known = self.diverged.insert(customer, digest.version);
+        if known == Some(digest.version) {
+            return;
+        }
+        log::error!(
+            event = "config-diverged", customer:% = digest.customer, version = digest.version,
+            peer:% = from; ""
+        );
+        (self.hooks.diverged)(digest);
+    }
+
     async fn on_probe(&mut self, from: NodeId, now_ms: u64) {
         self.probers.heard(from.address, now_ms);
-        if self.hooks.status.is_some() {
+        if self.hooks.statuses.is_some() {
             self.send_status(from.address).await;
         } else {
             // An entry has no status; any datagram is its sign of life.
--- a/components/node/src/gossip_loop.rs
+++ b/components/node/src/gossip_loop.rs
@@ -14,6 +14,7 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use tokio::sync::mpsc;
+use types::CustomerName;
 
 use crate::gossip::GossipHooks;
 use crate::{ConfigFeed, Identity, now_ms};
@@ -47,6 +48,8 @@
     pub(crate) probers: Probers,
     pub(crate) tail: TailSettings,
     pub(crate) snapshot: Arc<ArcSwap<Snapshot>>,
+    /// Versions of which some process holds another text than this one.
+    pub(crate) diverged: BTreeMap<CustomerName, u64>,
     /// The VM list was read once.
     pub(crate) listed: bool,
     /// When the view is published next.
@@ -193,11 +196,13 @@
     }
 
     pub(crate) async fn send_status(&mut self, to: SocketAddr) {
-        let Some(status) = &self.hooks.status else {
+        let Some(statuses) = &self.hooks.statuses else {
             return;
         };
-        let status = News::Status(Box::new(status()));
-        let news = vec![status, self.config_read(now_ms())];
+        let parts = statuses().into_iter();
+        // What does not fit one datagram goes as several.
+        let mut news: Vec<News> = parts.map(|part| News::Status(Box::new(part))).collect();
+        news.push(self.config_read(now_ms()));
         self.send(to, news).await;
     }
 
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -21,7 +21,7 @@
 
 pub use clock::now_ms;
 pub use error::{BodyError, NodeError};
-pub use feed::{ConfigFeed, FeedSettings};
+pub use feed::{ConfigFeed, FeedSettings, Held};
 pub use gossip::{Gossip, GossipHooks, GossipSettings};
 pub use identity::Identity;
 pub use leave::Leaving;
--- a/components/node/tests/node.rs
+++ b/components/node/tests/node.rs
@@ -11,7 +11,7 @@
 use node::admin::{self, AdminHooks};
 use node::{ConfigFeed, FeedSettings, Gossip, GossipHooks, GossipSettings, Sockets};
 use platform::{ClientSettings, Endpoint, EndpointSettings, LogClient, Request, VmList};
-use protocol::ProcessRole;
+use protocol::{ConfigDigest, Datagram, News, ProcessRole};
 use settings::{CommonSettings, SharedKey};
 use standins::log::LogSettings;
 use standins::vms::VmsSettings;
@@ -46,12 +46,22 @@
 
 /// One process with its feed and news.
 struct Process {
+    address: SocketAddr,
     feed: ConfigFeed,
     _gossip: Gossip,
 }
 
 impl Process {
     async fn start(log: &Handle, vms: &Handle, keep: KeepPolicy) -> Process {
+        Process::start_with(log, vms, keep, GossipHooks::default()).await
+    }
+
+    async fn start_with(
+        log: &Handle,
+        vms: &Handle,
+        keep: KeepPolicy,
+        hooks: GossipHooks,
+    ) -> Process {
         let common = common(log.address, vms.address);
         let sockets = Sockets::bind(&common, ProcessRole::Entry)
             .await
@@ -70,14 +80,31 @@
             VmList::new(vms.address, &ClientSettings::default()),
             feed.clone(),
             GossipSettings::default(),
-            GossipHooks::default(),
+            hooks,
         );
         Process {
+            address: own,
             feed,
             _gossip: gossip,
         }
     }
 
+    /// Tells the process of another text of the version that it holds.
+    async fn tell_other_text(&self, peer: &Sockets) {
+        let held = self.feed.digests()[0].clone();
+        let other = ConfigDigest {
+            digest: held.digest ^ 1,
+            ..held
+        };
+        let datagram = Datagram {
+            from: peer.identity.node(),
+            role: ProcessRole::Entry,
+            news: vec![News::Config(other)],
+        };
+        let sent = peer.udp.send(self.address, &datagram).await;
+        sent.expect("a send");
+    }
+
     async fn holds(&self, version: u64) {
         let held = async {
             let mut changes = self.feed.changes();
@@ -227,3 +254,35 @@
         "only the order to drain drains"
     );
 }
+
+// Two processes hold different texts under one version, as after a damaged record or two
+// logs. Nobody goes back and neither text is replaced; the process says so once.
+#[tokio::test]
+async fn can_tell_that_a_peer_holds_another_text_of_the_same_version() {
+    let (log, vms, client) = platform().await;
+    let first = publish(None, "first");
+    client.append("config", &first).await.expect("an append");
+    let (diverged, mut told) = tokio::sync::mpsc::unbounded_channel();
+    let hooks = GossipHooks {
+        diverged: Arc::new(move |digest| diverged.send(digest.version).expect("a receiver")),
+        ..GossipHooks::default()
+    };
+    let process =
+        Process::start_with(&log, &vms, KeepPolicy::for_retention(3_600_000), hooks).await;
+    let common = common(log.address, vms.address);
+    let peer = Sockets::bind(&common, ProcessRole::Entry).await;
+    let peer = peer.expect("free ports");
+    process.holds(1).await;
+    process.tell_other_text(&peer).await;
+    process.tell_other_text(&peer).await;
+    let customer = "office".parse().expect("a name");
+    let first = process.feed.accepted(&customer).expect("a version");
+    let record = publish(Some(&first), "second");
+    client.append("config", &record).await.expect("an append");
+    process.holds(2).await;
+    process.tell_other_text(&peer).await;
+    for version in [1, 2] {
+        let said = timeout(PATIENCE, told.recv()).await;
+        assert_eq!(said.expect("the process never says so"), Some(version));
+    }
+}
--- a/components/protocol/src/datagram.rs
+++ b/components/protocol/src/datagram.rs
@@ -51,8 +51,13 @@
     pub region: Region,
     /// No new work is taken.
     pub leaving: bool,
-    /// Services that the endpoint can serve now; empty while it is down.
+    /// Services that the endpoint can serve now, or the share of them in this part; empty
+    /// while it is down.
     pub hosted: Vec<Hosted>,
+    /// Which part of the hosted services this is, from 0 on.
+    pub part: u8,
+    /// Parts that the hosted services need; a datagram takes one.
+    pub parts: u8,
     /// Load of the endpoint.
     pub load: Load,
     /// Raised each time the endpoint behind this agent was found restarted or crashed.
--- a/components/sidecar/src/start.rs
+++ b/components/sidecar/src/start.rs
@@ -15,7 +15,7 @@
 use platform::{ClientSettings, LogClient, VmList};
 use protocol::{News, ProcessRole};
 use settings::{AgentSettings, Fencing};
-use telemetry::{Metrics, MetricsSettings};
+use telemetry::{Label, Metrics, MetricsSettings};
 use weights::ReconcileSettings;
 
 use crate::agent::{Agent, AgentLimits};
@@ -168,10 +168,11 @@
 
 fn gossip_hooks(agent: &Arc<Agent>, weights: &Weights, leaving: &Leaving) -> GossipHooks {
     let told = Arc::clone(agent);
+    let counted = agent.metrics.clone();
     let weights = weights.clone();
     let leaving = leaving.clone();
     GossipHooks {
-        status: Some(Arc::new(move || status::status(&told))),
+        statuses: Some(Arc::new(move || status::statuses(&told))),
         heard: Arc::new(move |news| {
             if let News::Weights {
                 customer,
@@ -183,6 +184,7 @@
             }
         }),
         leaving: Arc::new(move || leaving.order()),
+        diverged: Arc::new(move |_| counted.count("config_diverged_total", Label::default(), 1)),
         ..GossipHooks::default()
     }
 }
--- a/components/sidecar/src/status.rs
+++ b/components/sidecar/src/status.rs
@@ -17,35 +17,44 @@
 /// Most bytes of one service beside its names: lengths and version.
 const HOSTED_OVERHEAD_BYTES: usize = 18;
 
-/// The status that answers a probe.
-pub fn status(agent: &Agent) -> Status {
+/// The status that answers a probe, in as many parts as it needs.
+pub fn statuses(agent: &Agent) -> Vec<Status> {
     let look = agent.health.look();
-    Status {
+    let shares = shares(hosted(agent, &look));
+    let parts = u8::try_from(shares.len()).unwrap_or(u8::MAX);
+    let load = load(agent, &look);
+    let part_of = |(part, hosted)| Status {
         failure_domain: agent.identity.failure_domain.clone(),
         region: agent.identity.region.clone(),
         leaving: agent.drain.is_leaving(),
-        hosted: told(hosted(agent, &look)),
-        load: load(agent, &look),
+        hosted,
+        part,
+        parts,
+        load,
         endpoint_life: agent.health.life(),
-    }
+    };
+    (0..parts).zip(shares).map(part_of).collect()
 }
 
-/// As many services as fit one datagram; a status over its size would not be sent at all,
-/// and the endpoint would get no work for any service.
-fn told(hosted: Vec<Hosted>) -> Vec<Hosted> {
+/// The services in shares that fit one datagram each, at least one share. A status over
+/// the size of a datagram would not be sent at all, and the endpoint would get no work for
+/// any service.
+fn shares(hosted: Vec<Hosted>) -> Vec<Vec<Hosted>> {
+    let mut shares = vec![Vec::new()];
     let mut room_bytes = HOSTED_BYTES_MAX;
-    let all = hosted.len();
-    let fits = |hosted: &Hosted| {
+    for hosted in hosted {
         let names_bytes = hosted.customer.as_str().len() + hosted.service.as_str().len();
-        let left = room_bytes.checked_sub(names_bytes + HOSTED_OVERHEAD_BYTES);
-        room_bytes = left.unwrap_or(0);
-        left.is_some()
-    };
-    let told: Vec<Hosted> = hosted.into_iter().take_while(fits).collect();
-    if told.len() < all {
-        log::warn!(event = "status-cut", services = all, told = told.len(); "");
+        let size_bytes = names_bytes + HOSTED_OVERHEAD_BYTES;
+        if size_bytes > room_bytes {
+            shares.push(Vec::new());
+            room_bytes = HOSTED_BYTES_MAX;
+        }
+        room_bytes = room_bytes.saturating_sub(size_bytes);
+        if let Some(share) = shares.last_mut() {
+            share.push(hosted);
+        }
     }
-    told
+    shares
 }
 
 fn hosted(agent: &Agent, look: &Look) -> Vec<Hosted> {
--- a/components/sidecar/tests/common/mod.rs
+++ b/components/sidecar/tests/common/mod.rs
@@ -30,7 +30,7 @@
 const LOOPBACK: &str = "127.0.0.1:0";
 const KEY: [u8; 32] = [7; 32];
 /// Far above what anything here takes; only a test that fails reaches it.
-const PATIENCE: Duration = Duration::from_secs(30);
+pub const PATIENCE: Duration = Duration::from_secs(30);
 
 pub const OFFICE: &str = r#"
 schema = 1
@@ -350,14 +350,21 @@
 
     /// The same, with the life of the agent that sends it.
     pub async fn sender_and_status_of(&self, agent: &TestAgent) -> (NodeId, Status) {
+        let (from, mut statuses) = self.statuses_of(agent).await;
+        (from, statuses.remove(0))
+    }
+
+    /// All statuses of the next datagram that has some.
+    pub async fn statuses_of(&self, agent: &TestAgent) -> (NodeId, Vec<Status>) {
         loop {
             let (_, datagram) = self.udp.recv().await;
-            for news in datagram.news {
-                if let News::Status(status) = news
-                    && datagram.from.address == agent.address
-                {
-                    return (datagram.from, *status);
-                }
+            let status_of = |news| match news {
+                News::Status(status) => Some(*status),
+                _ => None,
+            };
+            let statuses: Vec<Status> = datagram.news.into_iter().filter_map(status_of).collect();
+            if datagram.from.address == agent.address && !statuses.is_empty() {
+                return (datagram.from, statuses);
             }
         }
     }
--- a/components/sidecar/tests/customers.rs
+++ b/components/sidecar/tests/customers.rs
@@ -4,12 +4,15 @@
 
 mod common;
 
+use std::collections::BTreeSet;
+
 use common::{
-    Caller, Ended, OFFICE, Platform, SECOND, TestAgent, engine_of, get, plain_endpoint,
+    Caller, Ended, OFFICE, PATIENCE, Platform, SECOND, TestAgent, engine_of, get, plain_endpoint,
     second_version,
 };
-use protocol::{Open, Status};
+use protocol::{News, Open, Status};
 use settings::EndpointKind;
+use tokio::time::timeout;
 use types::{Cause, RunState, WeightVersion};
 
 const RIVAL: &str = r#"
@@ -109,3 +112,36 @@
         assert!(body.contains(&stamped), "{body}");
     }
 }
+
+// Forty customers share a pool with long names. Their services need more than one datagram;
+// an entry that probes hears of all of them.
+#[tokio::test]
+async fn can_tell_of_more_services_than_a_datagram_takes() {
+    let platform = Platform::start(&[]).await;
+    let names: Vec<String> = (0..40)
+        .map(|number| format!("customer-of-the-collective-{number}"))
+        .collect();
+    for name in &names {
+        let text = format!(
+            "schema = 1\ncustomer = \"{name}\"\n[[service]]\nname = \"x\"\nkind = \"plain\"\npool = \"guichet\"\n"
+        );
+        platform.publish_of(name, &text).await;
+    }
+    let endpoint = plain_endpoint(0).await;
+    let customers: Vec<&str> = names.iter().map(String::as_str).collect();
+    let kind = EndpointKind::Plain;
+    let agent = TestAgent::start_for(&platform, endpoint.address, kind, &customers).await;
+    let caller = Caller::start().await;
+    let mut heard = BTreeSet::new();
+    let all = async {
+        while heard.len() < names.len() {
+            caller.tell(&agent, News::Probe).await;
+            let (_, statuses) = caller.statuses_of(&agent).await;
+            let hosted = statuses.into_iter().flat_map(|status| status.hosted);
+            heard.extend(hosted.map(|hosted| hosted.customer));
+        }
+    };
+    timeout(PATIENCE, all)
+        .await
+        .expect("some services are never told of");
+}
