--- a/dev/bench/src/cli.rs
+++ b/dev/bench/src/cli.rs
@@ -42,6 +42,11 @@
         )
         .arg(number("entries", "3", "Entries of each policy"))
         .arg(number("slice-ms", "8000", "Length of a slice"))
+        .arg(number(
+            "warm-up-ms",
+            "3000",
+            "Part before each slice that is not counted",
+        ))
         .arg(number("repeat", "3", "Slices of each policy"))
         .arg(number(
             "load-permille",
--- a/dev/bench/src/load/slice.rs
+++ b/dev/bench/src/load/slice.rs
@@ -39,7 +39,8 @@
         let entries = self.entries();
         let addresses = self.addresses(&entries);
         let balancer = Arc::new(Balancer::new(addresses.clone()));
-        let lasts = Duration::from_millis(self.settings.slice_ms);
+        let warm_up = Duration::from_millis(self.settings.warm_up_ms);
+        let lasts = warm_up + Duration::from_millis(self.settings.slice_ms);
         let mut streams = JoinSet::new();
         let asked = self.settings.profile.streams(&self.settings.scale);
         for (number, stream) in asked.into_iter().enumerate() {
@@ -48,6 +49,7 @@
                 Drive {
                     balancer: balancer.clone(),
                     bursts: self.settings.bursts,
+                    warm_up,
                     lasts,
                     seed: self.seed(number),
                     prefix: format!("p{}v{}s{number}", self.pair, self.variant),
--- a/dev/bench/src/load/stream.rs
+++ b/dev/bench/src/load/stream.rs
@@ -107,7 +107,9 @@
     pub balancer: Arc<Balancer>,
     /// How the rate rises now and then.
     pub bursts: Bursts,
-    /// Length.
+    /// Length of the part at the beginning that is not counted.
+    pub warm_up: Duration,
+    /// Length with that part.
     pub lasts: Duration,
     /// Seed of the arrivals.
     pub seed: u64,
@@ -124,6 +126,7 @@
     let began = Instant::now();
     let per_s = stream.per_ks as f64 / 1_000.0;
     let arrivals = Arrivals::new(per_s, drive.bursts, drive.seed);
+    let warm_up = drive.warm_up;
     let mut under_way = JoinSet::new();
     for (number, at) in arrivals.take_while(|at| *at < drive.lasts).enumerate() {
         sleep_until(began + at).await;
@@ -137,6 +140,9 @@
         let (balancer, events) = (drive.balancer.clone(), drive.events.clone());
         under_way.spawn(async move {
             let (reply, sent) = request(&stream, &balancer, &name).await;
+            if at < warm_up {
+                return;
+            }
             let _ = events.send(Event::Ended {
                 label,
                 // From the moment when it was due: a generator that lags must not hide it.
--- a/dev/bench/src/run/load.rs
+++ b/dev/bench/src/run/load.rs
@@ -52,6 +52,7 @@
         variants: variants(args)?,
         entries: number(args, "entries").max(1) as usize,
         slice_ms,
+        warm_up_ms: number(args, "warm-up-ms"),
         repeat,
         bursts: if args.get_flag("calm") {
             Bursts::NONE
