Claims: an end's record goes right behind its claim; repeats wait for it

Cause of both findings (a repeat right after the answer got 409 for up to the stated second; some keyed calls paid 100 ms): a writer appended once each 100 ms to a shard, so the record of an end waited out the interval that the call's own claim had begun, and a claim the interval of another call's. Ruled out by reading: the readers' poll (a long poll answers at once) and the log client.

Weighed: a shorter interval alone. 16 shards each 10 ms may make 1,600 appends a second; the log takes some hundreds for everything. At the same bound of 160 a second few shards with short intervals wait less than many with long ones, so there are 4 shards with one append each 25 ms in the long run, 8 of which may come at once after a pause. Keys held in all stay 3.2 million an entry at most.

Change: besides, a submission whose key's call runs waits up to 50 ms, and never over its deadline, for the end; whatever is known comes at once. The readers' poll is 2 s, so that a silent connection keeps verdicts back for less than a claim has. A claim that stands behind its own release no longer takes the key for nobody (its caller was told "not run").

--- a/components/claims/src/batch.rs
+++ b/components/claims/src/batch.rs
@@ -37,7 +37,8 @@
     waiting: VecDeque<Waiting>,
     /// How many of the first are on their way.
     sent: usize,
-    next_flush_ms: u64,
+    /// When the next append would be due if none might come early.
+    paced_ms: u64,
 }
 
 impl Batch {
@@ -47,7 +48,7 @@
             settings,
             waiting: VecDeque::new(),
             sent: 0,
-            next_flush_ms: 0,
+            paced_ms: 0,
         }
     }
 
@@ -68,13 +69,17 @@
     /// When [`Batch::flush`] is to be asked next; `None` when nothing waits or an append
     /// is on its way.
     pub fn next_flush_ms(&self) -> Option<u64> {
-        (self.sent == 0 && !self.waiting.is_empty()).then_some(self.next_flush_ms)
+        (self.sent == 0 && !self.waiting.is_empty()).then(|| self.due_ms())
     }
 
-    /// The text of the next append, when it is due. A lone record after a pause goes at
-    /// once; under load there is one append each `flush_every_ms`.
+    /// The text of the next append, when it is due. The first `flush_burst` after a pause
+    /// go at once; under load there is one append each `flush_every_ms`.
+    ///
+    /// A call's claim and its end are two records of one shard within milliseconds. With
+    /// one append each interval the end waits out the interval that the claim began, and
+    /// a repeat that comes right after the answer is told that the call may be running.
     pub fn flush(&mut self, now_ms: u64) -> Result<Option<String>, RecordError> {
-        if self.sent > 0 || now_ms < self.next_flush_ms {
+        if self.sent > 0 || now_ms < self.due_ms() {
             return Ok(None);
         }
         self.drop_late(now_ms);
@@ -86,7 +91,7 @@
         let records = records.map(|waiting| waiting.record.clone()).collect();
         let text = Line::new(records).text()?;
         self.sent = count;
-        self.next_flush_ms = now_ms + self.settings.flush_every_ms;
+        self.paced_ms = self.paced_ms.max(now_ms) + self.settings.flush_every_ms;
         Ok(Some(text))
     }
 
@@ -111,6 +116,12 @@
         self.waiting.is_empty()
     }
 
+    fn due_ms(&self) -> u64 {
+        let early = self.settings.flush_burst.saturating_sub(1);
+        self.paced_ms
+            .saturating_sub(early * self.settings.flush_every_ms)
+    }
+
     fn drop_late(&mut self, now_ms: u64) {
         let longest_ms = self.settings.start_within_ms;
         self.waiting.retain(|waiting| {
--- a/components/claims/src/settings.rs
+++ b/components/claims/src/settings.rs
@@ -41,8 +41,10 @@
     pub outage_retry_after_ms: u32,
     /// Largest answer that is recorded, in bytes of its body.
     pub answer_bytes_max: usize,
-    /// Shortest time between two appends of a writer to one shard, in milliseconds.
+    /// Time between two appends of a writer to one shard in the long run, in milliseconds.
     pub flush_every_ms: u64,
+    /// Appends of a writer to one shard that may follow each other without that time.
+    pub flush_burst: u64,
     /// Most records in one append.
     pub batch_records_max: usize,
     /// Most bytes in one append, unless one record alone has more.
@@ -56,18 +58,19 @@
 impl Default for ClaimSettings {
     fn default() -> Self {
         Self {
-            shards: 16,
+            shards: 4,
             key_lifetime_ms: 3_600_000,
             start_within_ms: 5_000,
             try_again_ms: 1_000,
             running_retry_after_ms: 500,
             outage_retry_after_ms: 2_000,
             answer_bytes_max: 16 * 1_024,
-            flush_every_ms: 100,
+            flush_every_ms: 25,
+            flush_burst: 8,
             batch_records_max: 64,
             batch_bytes_max: 64 * 1_024,
             waiting_max: 1_024,
-            keys_max: 200_000,
+            keys_max: 800_000,
         }
     }
 }
@@ -94,9 +97,19 @@
         Ok(())
     }
 
+    /// How long a release is remembered whose claim was not read yet. A writer drops a
+    /// claim that has waited for `start_within_ms`, and it got it within that time.
+    pub(crate) fn release_lag_ms(&self) -> u64 {
+        4 * self.start_within_ms
+    }
+
     /// Most appends a second of all claims together, whatever the load, while each shard
-    /// has one writer: `shards × 1000 / flush_every_ms`. Each further writer of a shard,
-    /// while views of the live entries differ, adds one shard's part.
+    /// has one writer: `shards × 1000 / flush_every_ms`, and `flush_burst` more of each
+    /// shard now and then. Each further writer of a shard, while views of the live entries
+    /// differ, adds one shard's part.
+    ///
+    /// At the same bound, few shards with short intervals make a record wait less than
+    /// many with long ones: the wait is up to one interval.
     pub fn appends_per_s_max(&self) -> u64 {
         u64::from(self.shards) * 1_000 / self.flush_every_ms.max(1)
     }
--- a/components/claims/src/shard.rs
+++ b/components/claims/src/shard.rs
@@ -46,6 +46,8 @@
     settings: ClaimSettings,
     next_offset: u64,
     keys: HashMap<KeyDigest, Held>,
+    /// Claims that were given back before they were read, with the time of that.
+    released: HashMap<CallId, u64>,
     /// When the last claim came that had no room.
     overflowed_ms: Option<u64>,
 }
@@ -57,6 +59,7 @@
             settings,
             next_offset: 0,
             keys: HashMap::new(),
+            released: HashMap::new(),
             overflowed_ms: None,
         }
     }
@@ -114,6 +117,9 @@
         let lifetime_ms = self.settings.key_lifetime_ms;
         self.keys
             .retain(|_, held| now_ms.saturating_sub(held.newest_ms) < lifetime_ms);
+        let lag_ms = self.settings.release_lag_ms();
+        self.released
+            .retain(|_, &mut since_ms| now_ms.saturating_sub(since_ms) < lag_ms);
     }
 
     fn take(&mut self, place: Place, record: Record, now_ms: u64) -> Option<Placed> {
@@ -128,13 +134,29 @@
                 None
             }
             Record::Release { key, claim } => {
-                self.end(key, claim, State::Released);
+                self.release(key, claim, now_ms);
                 None
             }
         }
     }
 
+    /// A claim may wait at one writer while its release goes through another, and stand
+    /// behind it. Its holder has given up and told its caller "not run"; if the claim won,
+    /// repeats would be told "may have run" with nobody to run it. So its late claim is
+    /// passed over, by all readers alike.
+    fn release(&mut self, key: KeyDigest, claim: CallId, now_ms: u64) {
+        let held = self.keys.get(&key);
+        if held.is_some_and(|held| held.claim == claim) {
+            self.end(key, claim, State::Released);
+        } else if self.released.len() < self.settings.keys_max {
+            self.released.insert(claim, now_ms);
+        }
+    }
+
     fn take_claim(&mut self, claim: &Claim, now_ms: u64) -> Option<Placed> {
+        if self.released.contains_key(&claim.claim) {
+            return None;
+        }
         let held = self.held(claim.key, now_ms).cloned();
         let Some(mut held) = held else {
             return self.hold(claim, now_ms);
--- a/components/claims/tests/at_most_once.rs
+++ b/components/claims/tests/at_most_once.rs
@@ -15,6 +15,7 @@
     outage_retry_after_ms: 5,
     answer_bytes_max: 100,
     flush_every_ms: 1,
+    flush_burst: 1,
     batch_records_max: 4,
     batch_bytes_max: 4_096,
     waiting_max: 16,
--- a/components/gateway/src/keyed.rs
+++ b/components/gateway/src/keyed.rs
@@ -7,6 +7,7 @@
 mod relay;
 mod replay;
 mod room;
+mod waiting_ends;
 mod writer;
 
 pub use client::{Claims, take_record};
--- a/components/gateway/src/keyed/client.rs
+++ b/components/gateway/src/keyed/client.rs
@@ -27,6 +27,11 @@
 const DEADLINE_MS: u32 = 2_000;
 const DEADLINE: Duration = Duration::from_millis(DEADLINE_MS as u64);
 
+/// How long a submission waits for the end of its key's call. The record of an end is in
+/// the log some milliseconds after the answer; a caller that lost the answer and comes
+/// again at once would else be sent away for a second.
+const END_WAIT_MS: u64 = 50;
+
 /// Readers and writers of all shards.
 pub struct Claims {
     /// Settings that every entry has alike.
@@ -88,7 +93,7 @@
     /// with nobody to run it, so it runs in a task of its own.
     pub async fn claim(&self, gateway: &Gateway, submission: &Submission<'_>) -> Claimed {
         let shard = shard_of(submission.key, self.settings.shards);
-        if let Some(verdict) = self.peek(shard, submission).await {
+        if let Some(verdict) = self.standing(shard, submission).await {
             return Claimed::Other(verdict);
         }
         let claim = Claim {
@@ -106,7 +111,12 @@
             return Claimed::GivenUp(Failure::not_run(Cause::Internal), None);
         }
         let holder = Holder::new(claim, self.settings, now_ms());
-        self.hold(gateway, submission, shard, holder, verdict).await
+        let claimed = self.hold(gateway, submission, shard, holder, verdict).await;
+        if !matches!(claimed, Claimed::Other(Verdict::Running)) {
+            return claimed;
+        }
+        let ended = self.end(shard, submission).await;
+        Claimed::Other(ended.unwrap_or(Verdict::Running))
     }
 
     async fn hold(
@@ -221,6 +231,31 @@
         written.map_err(|_| lost)?.map_err(|_| lost)?
     }
 
+    /// What became of the key's call so far; `None` when the key may be claimed.
+    async fn standing(&self, shard: u16, submission: &Submission<'_>) -> Option<Verdict> {
+        match self.peek(shard, submission).await {
+            Some(Verdict::Running) => self.end(shard, submission).await,
+            verdict => verdict,
+        }
+    }
+
+    /// Waits a little for the end of the key's call. What is known already comes at once.
+    async fn end(&self, shard: u16, submission: &Submission<'_>) -> Option<Verdict> {
+        let left_ms = submission.deadline_at_ms.saturating_sub(now_ms());
+        let wait = Duration::from_millis(left_ms.min(END_WAIT_MS));
+        let (answer, ended) = oneshot::channel();
+        let order = ReadOrder::End {
+            key: submission.key,
+            request: submission.request,
+            answer,
+        };
+        self.reader(shard, order).await?;
+        match timeout(wait, ended).await {
+            Ok(Ok(verdict)) => verdict,
+            Ok(Err(_)) | Err(_) => Some(Verdict::Running),
+        }
+    }
+
     async fn peek(&self, shard: u16, submission: &Submission<'_>) -> Option<Verdict> {
         let (answer, peeked) = oneshot::channel();
         let order = ReadOrder::Peek {
--- a/components/gateway/src/keyed/reader.rs
+++ b/components/gateway/src/keyed/reader.rs
@@ -9,13 +9,17 @@
 use tokio::sync::{mpsc, oneshot};
 use types::CallId;
 
+use super::waiting_ends::WaitingEnds;
+
 /// Orders that wait at most.
 const ORDERS_MAX: usize = 1_024;
 /// Pages that were read and not taken in.
 const PAGES_MAX: usize = 1;
 const RECORDS_AT_ONCE: usize = 256;
-/// Longest poll for a new record, in milliseconds.
-const POLL_MS: u64 = 10_000;
+/// Longest poll for a new record, in milliseconds. A connection that goes silent keeps
+/// verdicts back for this time and the log's deadline, together less than the time that
+/// a claim has.
+const POLL_MS: u64 = 2_000;
 /// Pause after a read that failed.
 const PAUSE: Duration = Duration::from_millis(500);
 /// Time between two looks for keys whose lifetime is over, in milliseconds.
@@ -32,6 +36,15 @@
         /// Takes the verdict; `None` when it may claim.
         answer: oneshot::Sender<Option<Verdict>>,
     },
+    /// The same once the key's call no longer runs; `None` when it may be claimed anew.
+    End {
+        /// Its key.
+        key: KeyDigest,
+        /// What it asks for.
+        request: RequestDigest,
+        /// Takes the verdict.
+        answer: oneshot::Sender<Option<Verdict>>,
+    },
     /// The verdict on a claim, once it was read.
     Await {
         /// The claim.
@@ -74,6 +87,7 @@
     let mut reader = Reader {
         shard: Shard::new(settings),
         waiting: HashMap::new(),
+        ends: WaitingEnds::default(),
         expire_at_ms: now_ms() + EXPIRE_EVERY_MS,
     };
     loop {
@@ -90,6 +104,7 @@
 struct Reader {
     shard: Shard,
     waiting: HashMap<CallId, oneshot::Sender<Verdict>>,
+    ends: WaitingEnds,
     expire_at_ms: u64,
 }
 
@@ -111,6 +126,7 @@
                 }
             }
         }
+        self.ends.look(&self.shard, now_ms);
         if now_ms >= self.expire_at_ms {
             self.expire_at_ms = now_ms + EXPIRE_EVERY_MS;
             self.shard.expire(now_ms);
@@ -126,6 +142,14 @@
             } => {
                 let _ = answer.send(self.shard.peek(key, request, now_ms()));
             }
+            ReadOrder::End {
+                key,
+                request,
+                answer,
+            } => {
+                self.ends.push(key, request, answer);
+                self.ends.look(&self.shard, now_ms());
+            }
             ReadOrder::Await { claim, answer } => {
                 self.waiting.retain(|_, waiting| !waiting.is_closed());
                 self.waiting.insert(claim, answer);
