Training: bounds of a customer; the cost of a post no longer grows with the steps

One customer could post steps without end; each post worked out the homes of all held steps, each end of a run had all waiting fetches judged again; and its waiting fetches filled the table of calls among entries, so that other customers' posts, claims and copies were refused.

Change: - A training call counts among the customer's requests; 64 in progress at an entry. It holds none of the customer's requests in progress, as a fetch waits for seconds. Ruled out: holding one, a trainer would use up its clerks' part. - 64 steps and 64 MiB of prompts of a customer at a home. Steps that were given whole make room, so that a trainer of short steps is not refused. - 4 fetches of a step wait, 64 of a customer, 512 in all; beyond that one is answered at once. The table of calls has 1,024. - Homes are kept for each step and worked out again when the entries change; samples that became ready are noted for each step. - A home that took a post because the first one refused dispatches it until that one has the copy; a post's copy that was lost is sent again each second.

Tests, run on the code before: errors_when_a_customer_has_too_much_in_training, can_bound_the_fetches_of_a_step_that_wait, can_hold_so_many_steps…, can_hold_so_many_prompts…, can_drop_done_steps… fail there; all pass now.

No test has a first home that refuses while it lives. Texts of finished samples are not bounded by bytes.

--- a/components/gateway/src/accounts.rs
+++ b/components/gateway/src/accounts.rs
@@ -13,6 +13,7 @@
 use types::CustomerName;
 
 use crate::body_budget::BodyUse;
+use crate::training::Places;
 
 /// One customer as this entry sees it.
 #[derive(Debug)]
@@ -23,6 +24,8 @@
     pub budget: RetryBudget,
     /// Its requests' bodies.
     pub bodies: Arc<BodyUse>,
+    /// Its training calls in progress here.
+    pub training: Places,
     weight: AtomicU32,
 }
 
@@ -32,6 +35,7 @@
             customer: Arc::new(Customer::new(&CustomerLimits::default(), 1.0)),
             budget: RetryBudget::new(budget),
             bodies: Arc::default(),
+            training: Places::default(),
             weight: AtomicU32::new(1),
         }
     }
--- a/components/gateway/src/rejection.rs
+++ b/components/gateway/src/rejection.rs
@@ -127,6 +127,9 @@
     }
 }
 
+/// When a trainer whose customer has no room for a further step may come back: steps end
+/// in seconds to minutes.
+const STEP_ROOM_BACK_MS: u32 = 5_000;
 /// Longest part of a parser's complaint that goes into an answer, in bytes.
 const FAULT_BYTES_MAX: usize = 200;
 
@@ -148,7 +151,11 @@
             Rejection::Announcement(_)
             | Rejection::NothingInForce(_)
             | Rejection::Fetch(FetchError::EpochOver(_)) => Cause::Stale,
-            Rejection::Post(_) => Cause::KeyReused,
+            Rejection::Post(PostError::NoRoom(..)) => {
+                let failure = Failure::not_run(Cause::CustomerLimit);
+                return failure.retry_after(STEP_ROOM_BACK_MS);
+            }
+            Rejection::Post(PostError::OtherContent) => Cause::KeyReused,
             Rejection::StepNotHeld(_) => Cause::NotHosted,
             Rejection::FetchOver => Cause::Cancelled,
             Rejection::WrongKind(_)
--- a/components/gateway/src/training/api.rs
+++ b/components/gateway/src/training/api.rs
@@ -9,12 +9,13 @@
 use node::now_ms;
 use samples::StepKey;
 use serde_json::to_vec;
-use types::{Cause, Failure, ServiceName};
+use types::{Cause, Class, Failure, ServiceName};
 use weights::{Announcement, ModelKey};
 
 use super::bodies::{InForce, StepBody, Version, parse};
 use super::forward::to_home;
 use super::inner::{HomeCall, OK, json_head};
+use super::places::Place;
 use crate::answer::response;
 use crate::body::{Body, full};
 use crate::gateway::Gateway;
@@ -47,6 +48,7 @@
     };
     need_kind(&model, Kind::Model)?;
     let _working = gateway.drain.admit(now_ms())?;
+    let _place = place(&gateway, &intake)?;
     let deadline_at_ms = intake.deadline_at_ms(DEADLINE_MS);
     let bytes = intake.body(body, deadline_at_ms).await?;
     let want = match route {
@@ -62,6 +64,22 @@
     announce(&gateway, &intake, &model, want, &bytes).await
 }
 
+/// Counts the call among its customer's requests, and keeps it among its training calls
+/// in progress until the guard is dropped. It holds none of the customer's requests in
+/// progress: a fetch waits for seconds and takes no endpoint's time.
+fn place(gateway: &Gateway, intake: &Intake) -> Result<Place, Rejection> {
+    let customer = &intake.session.holder.customer;
+    let account = gateway.accounts.get(customer);
+    // The configuration is newer than the last tick; the customer is there with the next.
+    let account = account.ok_or(Failure::not_run(Cause::NoEndpoint))?;
+    let place = account.training.take(rand::random())?;
+    let entered = account
+        .customer
+        .enter(Class::Background, 0, now_ms(), rand::random());
+    drop(entered?);
+    Ok(place)
+}
+
 async fn announce(
     gateway: &Gateway,
     intake: &Intake,
--- a/components/gateway/src/training/copies.rs
+++ b/components/gateway/src/training/copies.rs
@@ -32,6 +32,12 @@
     copy: Copy,
 }
 
+impl Addressed {
+    fn is_post(&self) -> bool {
+        matches!(self.copy, Copy::Post { .. })
+    }
+}
+
 /// Sends copies; clones share one queue.
 #[derive(Clone)]
 pub struct Copier {
@@ -46,16 +52,18 @@
         Copier { queue }
     }
 
-    /// Queues a copy.
-    pub fn send(&self, to: SocketAddr, key: &StepKey, copy: Copy) {
+    /// Queues a copy; false if there is no place for it.
+    pub fn send(&self, to: SocketAddr, key: &StepKey, copy: Copy) -> bool {
         let addressed = Addressed {
             to,
             key: key.clone(),
             copy,
         };
-        if self.queue.try_send(addressed).is_err() {
+        let queued = self.queue.try_send(addressed).is_ok();
+        if !queued {
             log::warn!(event = "copy-dropped", step = key.step; "");
         }
+        queued
     }
 }
 
@@ -67,7 +75,12 @@
             by_home.entry(copy.to).or_default().push(copy);
         }
         for (to, copies) in by_home {
-            if !send_batch(&gateway, to, &copies).await {
+            let taken = send_batch(&gateway, to, &copies).await;
+            for posted in copies.iter().filter(|copy| copy.is_post()) {
+                let key = posted.key.clone();
+                gateway.training.told(key, to, taken).await;
+            }
+            if !taken {
                 log::warn!(event = "copies-lost", to = to.to_string(), copies = copies.len(); "");
                 tokio::time::sleep(PAUSE).await;
             }
@@ -115,6 +128,13 @@
         new
     }
 
+    /// A home did not get what it was sent.
+    pub fn lost(&mut self, key: &StepKey, home: SocketAddr) {
+        if let Some(known) = self.homes.get_mut(key) {
+            known.retain(|&other| other != home);
+        }
+    }
+
     /// Forgets the steps that are not kept.
     pub fn retain(&mut self, keep: impl Fn(&StepKey) -> bool) {
         self.homes.retain(|key, _| keep(key));
--- a/components/gateway/src/training/desk.rs
+++ b/components/gateway/src/training/desk.rs
@@ -1,6 +1,8 @@
 //! Handle to the owner of the ledgers.
 
-use samples::Copy;
+use std::net::SocketAddr;
+
+use samples::{Copy, StepKey};
 use tokio::sync::{mpsc, oneshot};
 use types::{Cause, Failure, WeightVersion};
 use weights::ModelKey;
@@ -54,6 +56,12 @@
         self.order(Order::Copies(copies)).await
     }
 
+    /// Another home has taken a step's post, or the copy was lost.
+    pub(super) async fn told(&self, key: StepKey, to: SocketAddr, taken: bool) {
+        // The owner is gone only when the process ends.
+        let _ = self.order(Order::Told { key, to, taken }).await;
+    }
+
     /// A version came in force.
     pub async fn announced(&self, model: ModelKey, version: WeightVersion) {
         // The owner is gone only when the process ends.
--- a/components/gateway/src/training/desk_act.rs
+++ b/components/gateway/src/training/desk_act.rs
@@ -84,8 +84,7 @@
         self.turn = self.turn.wrapping_add(1);
         let mut todo = Vec::new();
         for (key, table) in order {
-            let mut held = self.steps.iter_mut();
-            let Some((key, ledger)) = held.find(|(held, _)| *held == key) else {
+            let Some(ledger) = self.steps.find_mut(key) else {
                 continue;
             };
             let shunned = |replica| self.shunned.is_shunned(replica, now_ms);
@@ -106,10 +105,13 @@
 
     /// Steps at home here that have something to run or running, with their replicas.
     fn active_tables(&mut self) -> Vec<(StepKey, Arc<Table>)> {
-        let (home, gateway) = (&self.home, &self.gateway);
+        let (homes, standing_in) = (&mut self.homes, &self.standing_in);
+        let gateway = &self.gateway;
         let held = self.steps.iter_mut();
-        let active =
-            held.filter(|(key, ledger)| home.contains(key) && ledger.next_due_ms(0).is_some());
+        let active = held.filter(|(key, ledger)| {
+            let here = homes.is_first(key) || standing_in.contains(*key);
+            here && ledger.next_due_ms(0).is_some()
+        });
         active
             .filter_map(|(key, _)| {
                 let state = gateway.services.get(&key.customer, &key.service)?;
@@ -159,7 +161,8 @@
                 tokio::spawn(scoring.ask(Arc::clone(&self.gateway)));
             }
             Action::Copy(copy) => {
-                for to in self.other_homes(key) {
+                for to in self.homes.others(key) {
+                    // A sample that is lost costs a run after the loss of this home.
                     self.copier.send(to, key, copy.clone());
                 }
             }
--- a/components/gateway/src/training/desk_copies.rs
+++ b/components/gateway/src/training/desk_copies.rs
@@ -6,7 +6,6 @@
 use samples::{Copy, Cursor, Ledger, StepKey};
 
 use super::desk_task::Desk;
-use super::forward::homes_of;
 
 impl Desk {
     /// What the step's other home sends. A post of a step that this process knows no model
@@ -19,7 +18,9 @@
         } = &copy
         else {
             self.steps.apply(&copy, now_ms());
-            self.ready = true;
+            if let Copy::Finished { key, .. } = copy {
+                self.ready.insert(key);
+            }
             return;
         };
         let view = self.gateway.feed.view();
@@ -35,36 +36,48 @@
             None => Cursor::start(step),
         };
         let held = self.hold(step, model, &cursor, *trainer_version);
-        if held.is_err() {
-            log::warn!(event = "copy-refused", step = step.key.step; "");
+        match held {
+            Ok(()) => drop(self.untold.insert(step.key.clone())),
+            Err(_) => log::warn!(event = "copy-refused", step = step.key.step; ""),
+        }
+    }
+
+    /// What became of a post's copy. A home that has it dispatches the step itself from
+    /// here on; one that missed it is told again.
+    pub(super) fn told(&mut self, key: StepKey, to: SocketAddr, taken: bool) {
+        if !self.steps.holds(&key) {
+            return;
+        }
+        if !taken {
+            self.told.lost(&key, to);
+            self.missed.insert(key);
+        } else if self.homes.first(&key) == Some(to) {
+            self.standing_in.remove(&key);
         }
     }
 
     /// A home that was not told of a step gets everything.
     pub(super) fn tell_new_homes(&mut self, key: &StepKey) {
-        let others = self.other_homes(key);
+        let others = self.homes.others(key);
         let new = self.told.update(key, others);
         if new.is_empty() {
             return;
         }
         let keys = self.keys.clone();
-        let found = self.steps.iter_mut().find(|(held, _)| *held == key);
-        let Some((_, ledger)) = found else { return };
+        let Some(ledger) = self.steps.find_mut(key) else {
+            return;
+        };
         let cursor = received(ledger).seal(&keys);
         for copy in ledger.copies(Some(cursor)) {
             for &to in &new {
-                self.copier.send(to, key, copy.clone());
+                let is_post = matches!(copy, Copy::Post { .. });
+                if !self.copier.send(to, key, copy.clone()) && is_post {
+                    self.told.lost(key, to);
+                    self.missed.insert(key.clone());
+                }
             }
         }
     }
-
-    pub(super) fn other_homes(&self, key: &StepKey) -> Vec<SocketAddr> {
-        let own = self.gateway.identity.node().address;
-        let homes = homes_of(&self.gateway, key);
-        let homes = homes.into_iter();
-        let both = homes.flat_map(|homes| std::iter::once(homes.first).chain(homes.second));
-        both.filter(|&home| home != own).collect()
-    }
 }
 
 /// The cursor of what the trainer is known to have.
--- a/components/gateway/src/training/desk_fetch.rs
+++ b/components/gateway/src/training/desk_fetch.rs
@@ -8,6 +8,13 @@
 use super::orders::{Fetch, Reply};
 use crate::rejection::Rejection;
 
+/// Fetches of one step that wait at most; older ones are answered when another comes.
+const WAITING_PER_STEP_MAX: usize = 4;
+/// Fetches of one customer that wait at most.
+const WAITING_PER_CUSTOMER_MAX: usize = 64;
+/// Fetches that wait at most: half of the calls that a process takes from others.
+const WAITING_MAX: usize = 512;
+
 impl Desk {
     /// Takes a fetch; it is answered when there are samples or its wait is over.
     pub(super) fn fetch(
@@ -18,14 +25,39 @@
         let now_ms = now_ms();
         let clock = self.idle.entry(fetch.key.clone()).or_default();
         clock.fetch_began(now_ms);
-        let until_ms = now_ms + fetch.wait_ms;
         self.end_older(&fetch, now_ms);
+        self.end_surplus(&fetch.key, now_ms);
+        let wait_ms = if self.may_wait(&fetch.key) {
+            fetch.wait_ms
+        } else {
+            0
+        };
+        let until_ms = now_ms + wait_ms;
+        self.ready.insert(fetch.key.clone());
         self.waiting.push(Waiting {
             fetch,
             until_ms,
             answer,
         });
-        self.ready = true;
+    }
+
+    /// Has the step's oldest waiting fetches answered, so that there is a place for one.
+    fn end_surplus(&mut self, key: &StepKey, now_ms: u64) {
+        let of_step = |waiting: &&mut Waiting| waiting.fetch.key == *key;
+        let mut waiting: Vec<_> = self.waiting.iter_mut().filter(of_step).collect();
+        let surplus = (waiting.len() + 1).saturating_sub(WAITING_PER_STEP_MAX);
+        for oldest in waiting.iter_mut().take(surplus) {
+            oldest.until_ms = now_ms;
+        }
+    }
+
+    /// Whether a further fetch of the step's customer may wait for samples. One that may
+    /// not is answered at once. Each that waits holds a call of the table that all calls
+    /// among entries go through, and too many would keep out everybody's.
+    fn may_wait(&self, key: &StepKey) -> bool {
+        let same = |waiting: &&Waiting| waiting.fetch.key.customer == key.customer;
+        self.waiting.len() < WAITING_MAX
+            && self.waiting.iter().filter(same).count() < WAITING_PER_CUSTOMER_MAX
     }
 
     /// Ends the step's waiting fetches that have another cursor. A trainer sends a cursor
@@ -47,14 +79,14 @@
     /// Answers the fetches that have samples or whose wait is over.
     pub(super) fn answer_waiting(&mut self) {
         let now_ms = now_ms();
-        let look = std::mem::take(&mut self.ready);
+        let ready = std::mem::take(&mut self.ready);
         for waiting in std::mem::take(&mut self.waiting) {
             let over = now_ms >= waiting.until_ms;
             if waiting.answer.is_closed() {
                 self.fetch_ended(&waiting.fetch.key, now_ms);
                 continue;
             }
-            if !look && !over {
+            if !ready.contains(&waiting.fetch.key) && !over {
                 self.waiting.push(waiting);
                 continue;
             }
--- a/components/gateway/src/training/desk_task.rs
+++ b/components/gateway/src/training/desk_task.rs
@@ -1,7 +1,7 @@
 //! The owner of the ledgers: one task that takes orders, asks each ledger what is to be
 //! done, and starts the tasks that do it.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -17,7 +17,8 @@
 use super::copies::{Copier, Told, post};
 use super::desk::DeskInbox;
 use super::figures::Figures;
-use super::forward::homes_of;
+use super::forward::live_entries;
+use super::home_map::HomeMap;
 use super::orders::{Fetch, Order, Post, Reply, RunNews};
 use super::rhythm::Rhythm;
 use super::shunned::Shunned;
@@ -29,6 +30,8 @@
 const STEP_IDLE_MS: u64 = 900_000;
 /// Longest sleep: room changes without an order.
 const TICK_MS: u64 = 100;
+/// Pause between two tries to tell a home what it missed, in milliseconds.
+const RETELL_EVERY_MS: u64 = 1_000;
 /// Orders that are taken before the ledgers are asked what to do.
 const ORDERS_AT_ONCE: usize = 256;
 
@@ -60,16 +63,28 @@
     pub(super) rhythm: Rhythm,
     pub(super) shunned: Shunned,
     pub(super) figures: Figures,
-    /// Steps whose home is this entry, as of the last tick.
-    pub(super) home: Vec<StepKey>,
+    /// Homes of the steps, as of the last tick.
+    pub(super) homes: HomeMap,
+    /// Steps that were posted here because their first home refused. They are dispatched
+    /// here until that one has their copy: it does not know them, and nobody would run
+    /// them. That two may run a step for a moment costs work only.
+    pub(super) standing_in: BTreeSet<StepKey>,
+    /// Steps whose other homes may not know them yet.
+    pub(super) untold: BTreeSet<StepKey>,
+    /// Steps whose copy was lost.
+    pub(super) missed: BTreeSet<StepKey>,
+    /// When the homes of those are told again.
+    pub(super) retell_at_ms: u64,
     /// Which step comes first at the next dispatch.
     pub(super) turn: usize,
-    /// Samples may have become ready since the waiting fetches were looked at.
-    pub(super) ready: bool,
+    /// Steps with samples that may have become ready since their waiting fetches were
+    /// looked at.
+    pub(super) ready: BTreeSet<StepKey>,
 }
 
 /// Starts the owner.
 pub fn spawn(inbox: DeskInbox, gateway: Arc<Gateway>, copier: Copier, keys: CursorKeys) {
+    let homes = HomeMap::new(gateway.identity.node().address);
     let desk = Desk {
         figures: Figures::new(gateway.metrics.clone()),
         gateway,
@@ -83,9 +98,13 @@
         idle: BTreeMap::new(),
         rhythm: Rhythm::default(),
         shunned: Shunned::default(),
-        home: Vec::new(),
+        homes,
+        standing_in: BTreeSet::new(),
+        untold: BTreeSet::new(),
+        missed: BTreeSet::new(),
+        retell_at_ms: 0,
         turn: 0,
-        ready: false,
+        ready: BTreeSet::new(),
     };
     tokio::spawn(desk.run(inbox.orders));
 }
@@ -142,9 +161,10 @@
                         Some(score) => ledger.scored(run, score),
                         None => ledger.score_failed(run, now_ms),
                     }
-                    self.ready = true;
+                    self.ready.insert(key);
                 }
             }
+            Order::Told { key, to, taken } => self.told(key, to, taken),
             Order::Announced(model, version) => self.announced(&model, version),
             Order::Status(answer) => {
                 let _ = answer.send(self.status());
@@ -159,13 +179,19 @@
             None => Cursor::start(step),
         };
         self.hold(step, &posted.model, &cursor, posted.trainer_version)?;
-        let others = self.other_homes(&step.key);
-        self.told.update(&step.key, others.clone());
-        self.home = self.at_home();
+        let key = &step.key;
+        if !self.homes.is_first(key) {
+            self.standing_in.insert(key.clone());
+        }
+        let others = self.homes.others(key);
+        self.told.update(key, others.clone());
         for to in others {
             let copy = post(step, posted.cursor.clone(), posted.trainer_version);
-            self.copier.send(to, &step.key, copy);
+            if !self.copier.send(to, key, copy) {
+                self.told(key.clone(), to, false);
+            }
         }
+        self.ready.insert(key.clone());
         Ok(cursor.seal(&self.keys))
     }
 
@@ -208,7 +234,7 @@
     }
 
     fn run_ended(&mut self, key: &StepKey, run: RunId, news: &RunNews, now_ms: u64) {
-        self.ready = true;
+        self.ready.insert(key.clone());
         let Some(handle) = self.runs.remove(&(key.clone(), run)) else {
             return;
         };
@@ -240,44 +266,50 @@
                 log::debug!(event = "retired-run", run = run.0; "");
             }
         }
-        let held: Vec<StepKey> = self.steps.iter_mut().map(|(key, _)| key.clone()).collect();
-        self.told.retain(|key| held.contains(key));
-        self.idle.retain(|key, _| held.contains(key));
-        self.figures.retain(|key| held.contains(key));
+        let changed = self.homes.see(live_entries(&self.gateway));
+        let steps = &self.steps;
+        self.homes.retain(|key| steps.holds(key));
+        self.standing_in.retain(|key| steps.holds(key));
+        self.told.retain(|key| steps.holds(key));
+        self.idle.retain(|key, _| steps.holds(key));
+        self.figures.retain(|key| steps.holds(key));
         for (key, ledger) in self.steps.iter_mut() {
             self.figures.look(key, ledger.tally());
         }
+        let steps = &self.steps;
         self.runs.retain(|(key, _), handle| {
-            let kept = held.contains(key);
+            let kept = steps.holds(key);
             if !kept {
                 handle.task.abort();
             }
             kept
         });
-        for key in held {
-            self.tell_new_homes(&key);
-        }
-        self.home = self.at_home();
+        self.tell(changed, now_ms);
         self.shunned.expire(now_ms);
     }
 
-    /// Steps whose home is this entry.
-    fn at_home(&mut self) -> Vec<StepKey> {
-        let own = self.gateway.identity.node().address;
-        let gateway = Arc::clone(&self.gateway);
-        let keys = self.steps.iter_mut().map(|(key, _)| key);
-        let home = |key: &&StepKey| homes_of(&gateway, key).is_some_and(|h| h.first == own);
-        keys.filter(home).cloned().collect()
+    /// Tells the homes that may not know a step.
+    fn tell(&mut self, entries_changed: bool, now_ms: u64) {
+        let mut untold = std::mem::take(&mut self.untold);
+        if now_ms >= self.retell_at_ms {
+            self.retell_at_ms = now_ms + RETELL_EVERY_MS;
+            untold.append(&mut self.missed);
+        }
+        if entries_changed {
+            untold.extend(self.steps.keys().cloned());
+        }
+        for key in untold {
+            self.tell_new_homes(&key);
+        }
     }
 
     fn status(&mut self) -> Vec<StepStatus> {
         let now_ms = now_ms();
-        let home = self.home.clone();
-        let idle = &self.idle;
+        let (homes, idle) = (&mut self.homes, &self.idle);
         let held = self.steps.iter_mut();
         held.map(|(key, ledger)| {
             let idle_ms = idle.get(key).map_or(0, |clock| clock.idle_ms(now_ms));
-            StepStatus::of(key, ledger, home.contains(key), idle_ms)
+            StepStatus::of(key, ledger, homes.is_first(key), idle_ms)
         })
         .collect()
     }
--- a/components/gateway/src/training/forward.rs
+++ b/components/gateway/src/training/forward.rs
@@ -18,7 +18,12 @@
 const NOT_FOUND: u16 = 404;
 
 /// Homes of a step by the present view; none when every entry is leaving.
-pub fn homes_of(gateway: &Gateway, key: &StepKey) -> Option<Homes> {
+fn homes_of(gateway: &Gateway, key: &StepKey) -> Option<Homes> {
+    homes(key, &live_entries(gateway))
+}
+
+/// Entries that may be homes by the present view.
+pub fn live_entries(gateway: &Gateway) -> Vec<Entry> {
     let snapshot = gateway.gossip.snapshot();
     let now_ms = now_ms();
     let live = snapshot.live(ProcessRole::Entry);
@@ -34,7 +39,7 @@
             failure_domain: gateway.identity.failure_domain.clone(),
         });
     }
-    homes(key, &entries)
+    entries
 }
 
 /// Takes a call to the step's home, or to the second one. Every call of a trainer may be
--- /dev/null
+++ b/components/gateway/src/training/home_map.rs
@@ -0,0 +1,68 @@
+//! Homes of the held steps by the present view, worked out once for each step and again
+//! when the entries change. Worked out for all at each post, a trainer's steps would cost
+//! the square of their number.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use samples::{Entry, Homes, StepKey, homes};
+
+/// Homes of steps.
+pub struct HomeMap {
+    own: SocketAddr,
+    entries: Vec<Entry>,
+    homes: HashMap<StepKey, Option<Homes>>,
+}
+
+impl HomeMap {
+    /// No entry known, for the entry at this address.
+    pub fn new(own: SocketAddr) -> Self {
+        Self {
+            own,
+            entries: Vec::new(),
+            homes: HashMap::new(),
+        }
+    }
+
+    /// Takes the live entries, in any order; tells whether they have changed.
+    pub fn see(&mut self, mut entries: Vec<Entry>) -> bool {
+        entries.sort_by_key(|entry| entry.address);
+        if entries == self.entries {
+            return false;
+        }
+        self.entries = entries;
+        self.homes.clear();
+        true
+    }
+
+    /// Whether this entry is the first home of a step.
+    pub fn is_first(&mut self, key: &StepKey) -> bool {
+        let own = self.own;
+        self.of(key).is_some_and(|homes| homes.first == own)
+    }
+
+    /// The homes of a step but this entry.
+    pub fn others(&mut self, key: &StepKey) -> Vec<SocketAddr> {
+        let own = self.own;
+        let homes = self.of(key).into_iter();
+        let both = homes.flat_map(|homes| std::iter::once(homes.first).chain(homes.second));
+        both.filter(|&home| home != own).collect()
+    }
+
+    /// The first home of a step.
+    pub fn first(&mut self, key: &StepKey) -> Option<SocketAddr> {
+        self.of(key).map(|homes| homes.first)
+    }
+
+    /// Forgets the steps that are not kept.
+    pub fn retain(&mut self, keep: impl Fn(&StepKey) -> bool) {
+        self.homes.retain(|key, _| keep(key));
+    }
+
+    fn of(&mut self, key: &StepKey) -> Option<&Homes> {
+        if !self.homes.contains_key(key) {
+            self.homes.insert(key.clone(), homes(key, &self.entries));
+        }
+        self.homes.get(key)?.as_ref()
+    }
+}
--- a/components/gateway/src/training/orders.rs
+++ b/components/gateway/src/training/orders.rs
@@ -1,5 +1,6 @@
 //! What the owner of the ledgers is asked and told.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use config::Service;
@@ -99,6 +100,15 @@
     Scored(StepKey, RunId, Option<Score>),
     /// A version came in force.
     Announced(ModelKey, WeightVersion),
+    /// Another home has taken a step's post, or the copy was lost.
+    Told {
+        /// The step.
+        key: StepKey,
+        /// The other home.
+        to: SocketAddr,
+        /// Whether it has it.
+        taken: bool,
+    },
     /// Tell the state.
     Status(oneshot::Sender<Vec<StepStatus>>),
 }
--- /dev/null
+++ b/components/gateway/src/training/places.rs
@@ -0,0 +1,43 @@
+//! Training calls of a customer that an entry has in progress. A waiting fetch lasts for
+//! seconds and holds a call of the home's table; without a bound, one trainer's fetches
+//! would keep out everybody's calls among entries.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+
+use limits::retry_after_ms;
+use types::{Cause, Failure};
+
+/// Training calls of one customer that one entry has in progress at most.
+const CALLS_MAX: u32 = 64;
+/// When a refused trainer may come back, before the spread.
+const BACK_MS: u64 = 500;
+
+/// Training calls of one customer in progress; clones share the count.
+#[derive(Clone, Debug, Default)]
+pub struct Places(Arc<AtomicU32>);
+
+impl Places {
+    /// Takes a place until the guard is dropped.
+    pub fn take(&self, random: u64) -> Result<Place, Failure> {
+        let more = |count: u32| (count < CALLS_MAX).then_some(count + 1);
+        let taken = self
+            .0
+            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, more);
+        let full = |_| {
+            let back_ms = retry_after_ms(BACK_MS, random);
+            Failure::not_run(Cause::CustomerLimit).retry_after(back_ms)
+        };
+        taken.map(|_| Place(self.clone())).map_err(full)
+    }
+}
+
+/// One training call in progress.
+#[derive(Debug)]
+pub struct Place(Places);
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.0.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- a/components/gateway/tests/training.rs
+++ b/components/gateway/tests/training.rs
@@ -188,3 +188,71 @@
         }
     }
 }
+
+/// Engines that take runs and say nothing, so that fetches wait.
+async fn silent_site() -> Site {
+    let site = site().await;
+    for engine in &site.engines {
+        engine.fault(Fault::new(FaultKind::Silent).on("/v1/completions"));
+    }
+    site
+}
+
+// A trainer sends its fetch again and again while none is answered. Each holds a call of the
+// table between entries, so only the newest few wait; the older ones are answered without
+// samples long before their time.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn can_bound_the_fetches_of_a_step_that_wait() {
+    const WAITING_MAX: usize = 4;
+    const FETCHES: usize = 7;
+    let site = silent_site().await;
+    let other = cursor(&site.send(0, &post(10, "a", None)).await.json());
+    let (other, address) = (fetch(10, &other, 2), site.entries[0].address);
+    let other = tokio::spawn(async move { other.send(address).await });
+    let start = cursor(&site.send(0, &post(9, "a", None)).await.json());
+    let mut long = fetch(9, &start, 2);
+    long.body = long.body.replace("10000", "30000");
+    let (sender, mut ended) = tokio::sync::mpsc::channel(FETCHES);
+    for number in 0..FETCHES {
+        let (fetch, sender) = (long.clone(), sender.clone());
+        let address = site.entries[number % 2].address;
+        tokio::spawn(async move { sender.send(fetch.send(address).await).await });
+    }
+    for _ in WAITING_MAX..FETCHES {
+        let answer = ended.recv().await.unwrap();
+        assert_eq!(answer.status, 200, "{}", answer.text());
+        assert_eq!(answer.json()["samples"], json!([]));
+        assert_eq!(cursor(&answer.json()), start);
+    }
+    assert!(ended.try_recv().is_err());
+    // One with a third of their time, of a step with no others, still waits.
+    assert!(!other.is_finished());
+}
+
+// Steps that are posted without end, and fetches of many steps at once, are refused past a
+// bound with a time to come back. A bound of another customer is not touched by them.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn errors_when_a_customer_has_too_much_in_training() {
+    const CALLS: u64 = 65;
+    let site = silent_site().await;
+    let mut waiting = Vec::new();
+    let mut refused = Vec::new();
+    for step in 0..CALLS {
+        let posted = site.send(0, &post(100 + step, "a", None)).await;
+        if posted.status != 202 {
+            refused.push(posted.problem());
+            continue;
+        }
+        let (fetch, address) = (
+            fetch(100 + step, &cursor(&posted.json()), 2),
+            site.entries[0].address,
+        );
+        waiting.push(tokio::spawn(async move { fetch.send(address).await }));
+    }
+    let limit = (429, "not-run".to_owned(), "customer-limit".to_owned());
+    assert!(
+        refused.iter().all(|problem| *problem == limit),
+        "{refused:?}"
+    );
+    assert!(!refused.is_empty());
+}
--- a/components/samples/src/ledger.rs
+++ b/components/samples/src/ledger.rs
@@ -121,6 +121,11 @@
         self.fetched_ms
     }
 
+    /// Whether the trainer has every slot, or was given the last of them.
+    pub(crate) fn is_done(&self) -> bool {
+        self.offered_whole || self.is_complete()
+    }
+
     /// Takes the bounds of a newer configuration; samples that it no longer allows are run
     /// again.
     pub fn configure(&mut self, settings: &LedgerSettings) {
--- a/components/samples/src/lib.rs
+++ b/components/samples/src/lib.rs
@@ -6,6 +6,7 @@
 mod cursor;
 mod distribution;
 mod fetch_log;
+mod holdings;
 mod home;
 mod ledger;
 mod provenance;
@@ -22,6 +23,7 @@
 pub use cursor::{Cursor, CursorError, CursorKeys};
 pub use distribution::Distribution;
 pub use fetch_log::{FetchLog, Grant, GrantVerdict, Turn};
+pub use holdings::StepBounds;
 pub use home::{Entry, Homes, homes};
 pub use ledger::{
     Action, Completion, Fault, FetchError, Ledger, LedgerSettings, Offer, Partial, Replica, Reply,
--- a/components/samples/src/step.rs
+++ b/components/samples/src/step.rs
@@ -167,6 +167,11 @@
         start..start + samples
     }
 
+    /// Bytes of its prompts together.
+    pub fn prompt_bytes(&self) -> usize {
+        self.groups.iter().map(|group| group.prompt.len()).sum()
+    }
+
     /// Prompt of a slot.
     pub fn prompt(&self, slot: Slot) -> Option<&str> {
         let group = self.groups.get(slot.group as usize)?;
--- a/components/samples/src/steps.rs
+++ b/components/samples/src/steps.rs
@@ -14,6 +14,7 @@
 
 use crate::copy::Copy;
 use crate::cursor::Cursor;
+use crate::holdings::{Holdings, StepBounds};
 use crate::ledger::{Action, Ledger, LedgerSettings};
 use crate::step::{Step, StepKey};
 
@@ -28,6 +29,13 @@
         OtherContent {
             display("the step is in use with another content")
         }
+        /// The customer has as many steps here as it may.
+        NoRoom(steps_max: u32, prompt_bytes_max: usize) {
+            display(
+                "at most {} steps with {} bytes of prompts are held for one customer",
+                steps_max, prompt_bytes_max
+            )
+        }
     }
 }
 
@@ -58,6 +66,7 @@
 /// Ledgers by step.
 pub struct Steps {
     held: BTreeMap<StepKey, Held>,
+    holdings: Holdings,
     idle_ms: u64,
     ledgers: u32,
 }
@@ -65,8 +74,14 @@
 impl Steps {
     /// Steps that nobody has asked for in `idle_ms` are dropped by [`Steps::retire`].
     pub fn new(idle_ms: u64) -> Self {
+        Self::bounded(idle_ms, StepBounds::default())
+    }
+
+    /// The same, with other bounds on what is held for one customer.
+    pub fn bounded(idle_ms: u64, bounds: StepBounds) -> Self {
         Self {
             held: BTreeMap::new(),
+            holdings: Holdings::new(bounds),
             idle_ms,
             ledgers: 0,
         }
@@ -100,15 +115,59 @@
             posted_ms: now_ms,
             touched_ms: now_ms,
         };
-        let old = self.held.remove(&step.key);
+        let old = self.take_out(&step.key);
+        if let Err(refused) = self.make_room(step) {
+            old.into_iter().for_each(|old| self.put_in(old));
+            return Err(refused);
+        }
         let posted = old.as_ref().map_or(Posted::New, |_| Posted::Replaced);
         if let Some(old) = old {
             held.ledger.replace(old.ledger);
         }
-        self.held.insert(step.key.clone(), held);
+        self.put_in(held);
         Ok(posted)
     }
 
+    /// Whether a step is held.
+    pub fn holds(&self, key: &StepKey) -> bool {
+        self.held.contains_key(key)
+    }
+
+    /// Steps that are held.
+    pub fn keys(&self) -> impl Iterator<Item = &StepKey> {
+        self.held.keys()
+    }
+
+    /// Drops the customer's steps whose trainers have all, the one unused longest first,
+    /// until `step` fits. A trainer whose last reply was lost posts its step again.
+    fn make_room(&mut self, step: &Step) -> Result<(), PostError> {
+        while !self.holdings.has_room(step) {
+            let done = self
+                .held
+                .iter()
+                .filter(|(key, held)| key.customer == step.key.customer && held.ledger.is_done());
+            let oldest = done.min_by_key(|(_, held)| held.touched_ms);
+            let Some(key) = oldest.map(|(key, _)| key.clone()) else {
+                let bounds = self.holdings.bounds();
+                return Err(PostError::NoRoom(bounds.steps, bounds.prompt_bytes));
+            };
+            self.take_out(&key);
+        }
+        Ok(())
+    }
+
+    fn put_in(&mut self, held: Held) {
+        let step = held.ledger.step();
+        self.holdings.add(step);
+        self.held.insert(step.key.clone(), held);
+    }
+
+    fn take_out(&mut self, key: &StepKey) -> Option<Held> {
+        let held = self.held.remove(key)?;
+        self.holdings.remove(held.ledger.step());
+        Some(held)
+    }
+
     /// The ledger of a step, if it is held, for its trainer; it posts again otherwise.
     pub fn get_mut(&mut self, key: &StepKey, now_ms: u64) -> Option<&mut Ledger> {
         let held = self.held.get_mut(key)?;
@@ -153,10 +212,11 @@
     /// that comes back after that posts again with its cursor and loses nothing but time.
     pub fn retire(&mut self, now_ms: u64) -> Vec<Action> {
         let mut cancels = Vec::new();
-        let idle_ms = self.idle_ms;
+        let (idle_ms, holdings) = (self.idle_ms, &mut self.holdings);
         self.held.retain(|_, held| {
             let keep = now_ms.saturating_sub(held.touched_ms) < idle_ms;
             if !keep {
+                holdings.remove(held.ledger.step());
                 held.ledger.give_up();
                 cancels.extend(held.ledger.drain());
             }
--- a/components/samples/tests/steps.rs
+++ b/components/samples/tests/steps.rs
@@ -4,7 +4,9 @@
 
 use std::sync::Arc;
 
-use samples::{Action, Copy, Cursor, Group, LedgerSettings, PostError, Posted, Step, Steps};
+use samples::{
+    Action, Copy, Cursor, Group, LedgerSettings, PostError, Posted, Step, StepKey, Steps,
+};
 use support::{completion, key, room, starts, step_of, version};
 
 const IDLE_MS: u64 = 1_000;
@@ -157,3 +159,85 @@
     let reply = ledger.fetch(&start, version(1, 1), 9, 1).unwrap();
     assert_eq!((reply.samples.len(), ledger.waiting()), (2, 1));
 }
+
+// One customer posts steps without end and fetches none. Past its bound its posts are
+// refused, while another customer's post is taken; the memory of the entry is everybody's.
+#[test]
+fn can_hold_so_many_steps_of_one_customer_and_no_more() {
+    const STEPS_MAX: u64 = 64;
+    let of = |customer: &str, number: u64| {
+        let key = StepKey {
+            customer: customer.parse().unwrap(),
+            ..key(number)
+        };
+        Arc::new(Step::new(key, step_of(1, 1).groups.clone(), 64).unwrap())
+    };
+    let mut steps = Steps::new(IDLE_MS);
+    let mut put = |step: &Arc<Step>| post(&mut steps, step, &Cursor::start(step));
+    for number in 0..STEPS_MAX {
+        assert_eq!(put(&of("evil", number)), Ok(Posted::New));
+    }
+    assert!(put(&of("evil", STEPS_MAX)).is_err());
+    assert_eq!(put(&of("evil", 0)), Ok(Posted::Known));
+    assert_eq!(put(&of("office", 0)), Ok(Posted::New));
+    steps.retire(IDLE_MS);
+    let later = of("evil", STEPS_MAX);
+    let posted = post(&mut steps, &later, &Cursor::start(&later));
+    assert_eq!(posted, Ok(Posted::New));
+}
+
+// As above with few steps and large prompts.
+#[test]
+fn can_hold_so_many_prompts_of_one_customer_and_no_more() {
+    const PROMPT_BYTES: usize = 4 << 20;
+    const STEPS: u64 = 16;
+    let large = |number| {
+        let group = Group {
+            prompt: "x".repeat(PROMPT_BYTES),
+            samples: 1,
+        };
+        Arc::new(Step::new(key(number), vec![group], 64).unwrap())
+    };
+    let mut steps = Steps::new(IDLE_MS);
+    for number in 0..STEPS {
+        let step = large(number);
+        assert!(post(&mut steps, &step, &Cursor::start(&step)).is_ok());
+    }
+    let step = large(STEPS);
+    assert!(post(&mut steps, &step, &Cursor::start(&step)).is_err());
+    assert!(!steps.find_mut(&key(0)).unwrap().step().groups.is_empty());
+}
+
+// A trainer works through its steps faster than done ones are dropped. Its posts go on: a
+// step that it has whole makes room, the one done first before the others.
+#[test]
+fn can_drop_done_steps_of_a_customer_to_make_room() {
+    let of = |number| Arc::new(Step::new(key(number), step_of(1, 1).groups.clone(), 64).unwrap());
+    let mut steps = Steps::new(IDLE_MS);
+    for number in 0..200 {
+        let step = of(number);
+        let start = Cursor::start(&step);
+        let posted = steps.post(
+            &step,
+            &LedgerSettings::default(),
+            &start,
+            version(1, 1),
+            number,
+        );
+        assert_eq!(posted, Ok(Posted::New), "step {number}");
+        if number == 0 {
+            // Not fetched by its trainer, so it stays.
+            continue;
+        }
+        let ledger = steps.get_mut(&key(number), number).unwrap();
+        ledger.dispatch(&room(1, 1, version(1, 1)), number);
+        for start in starts(ledger) {
+            ledger.finished(start.run, completion("text", [version(1, 1)]), number);
+        }
+        let reply = ledger.fetch(&start, version(1, 1), 9, number).unwrap();
+        assert!(reply.complete);
+    }
+    assert!(steps.find_mut(&key(0)).is_some());
+    assert!(steps.find_mut(&key(1)).is_none());
+    assert!(steps.find_mut(&key(199)).is_some());
+}
