Entry: an answer that its caller does not read holds nothing

Cause: what a request holds (its place at the service, its customer's count, its part of the drain) lived in the body of its answer, which hyper polls only while the caller's socket takes bytes. Some hundred callers who read nothing kept a service's places for ever, and the entry could not leave.

Ruled out: a time limit inside the body (never polled); a limit on the whole connection (would cut long answers that are read); TCP_USER_TIMEOUT (no deadline of the request, and what is held hangs on the body all the same).

Change: a task of its own hands the parts of a streamed answer over (delivery.rs). It drops the answer when the caller takes nothing for 5 s, or 1 s after the request's deadline, and has the connection cut. The socket itself errs after 5 s without a byte taken (caller_stream.rs), which bounds what stands in buffers. A cut ends in a reset where the kernel would end in order, also for HTTP/1.0, whose answers end by close. Without the explicit end a body ends in an error, whatever became of the task. Keyed answers go the same way; their calls run on and are recorded as before.

Tests: gateway/tests/unread.rs.

--- a/components/gateway/src/answer.rs
+++ b/components/gateway/src/answer.rs
@@ -110,14 +110,14 @@
     /// The rest of an answer as it comes. When the stream is dropped, the call is
     /// cancelled; when it breaks, the caller's connection is cut.
     pub fn pass_on(self, status: u16, attempt: Attempt) -> Body {
+        let deadline_at_ms = self.exchange.job.deadline_at_ms;
         let passing = Passing {
             answering: self,
             attempt,
             status,
         };
-        streamed(stream::unfold(Some(passing), |passing| async {
-            passing?.next().await
-        }))
+        let parts = stream::unfold(Some(passing), |passing| async { passing?.next().await });
+        streamed(parts, deadline_at_ms)
     }
 }
 
--- a/components/gateway/src/body.rs
+++ b/components/gateway/src/body.rs
@@ -1,13 +1,17 @@
 //! Bodies of answers towards callers.
 
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
 use bytes::Bytes;
 use futures_util::Stream;
-use http_body_util::combinators::UnsyncBoxBody;
-use http_body_util::{BodyExt, Full, StreamBody};
-use hyper::body::Frame;
+use http_body_util::Full;
+use hyper::body::{Body as HttpBody, Frame, SizeHint};
 use quick_error::quick_error;
 use types::Failure;
 
+use crate::delivery::{Cut, Received, deliver};
+
 quick_error! {
     /// An answer that ends before its stated end. `hyper` then aborts the connection, so
     /// that the caller can't take what it has for the whole.
@@ -21,17 +25,66 @@
 }
 
 /// Body of an answer.
-pub type Body = UnsyncBoxBody<Bytes, AnswerBroken>;
+pub struct Body(Kind);
+
+enum Kind {
+    Full(Full<Bytes>),
+    Parts(Received),
+}
+
+impl Body {
+    /// Has the caller's connection cut when the caller does not take this answer.
+    pub fn cut_with(&self, cut: &Cut) {
+        if let Kind::Parts(received) = &self.0 {
+            received.cut_with(cut);
+        }
+    }
+}
 
 /// A body that is whole already.
 pub fn full(bytes: impl Into<Bytes>) -> Body {
-    Full::new(bytes.into())
-        .map_err(|never| match never {})
-        .boxed_unsync()
+    Body(Kind::Full(Full::new(bytes.into())))
+}
+
+/// A body of parts as they come. `parts` is dropped when it has ended, when the caller is
+/// gone, and when the caller does not take the parts in time.
+pub fn streamed(
+    parts: impl Stream<Item = Result<Bytes, AnswerBroken>> + Send + 'static,
+    deadline_at_ms: u64,
+) -> Body {
+    Body(Kind::Parts(deliver(parts, deadline_at_ms)))
 }
 
-/// A body of parts as they come.
-pub fn streamed(parts: impl Stream<Item = Result<Bytes, AnswerBroken>> + Send + 'static) -> Body {
-    let frames = futures_util::StreamExt::map(parts, |part| part.map(Frame::data));
-    BodyExt::boxed_unsync(StreamBody::new(frames))
+impl HttpBody for Body {
+    type Data = Bytes;
+    type Error = AnswerBroken;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, AnswerBroken>>> {
+        match &mut self.get_mut().0 {
+            Kind::Full(full) => Pin::new(full)
+                .poll_frame(cx)
+                .map_err(|never| match never {}),
+            Kind::Parts(received) => {
+                let part = received.poll_next(cx);
+                part.map(|part| part.map(|part| part.map(Frame::data)))
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match &self.0 {
+            Kind::Full(full) => full.is_end_stream(),
+            Kind::Parts(_) => false,
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match &self.0 {
+            Kind::Full(full) => full.size_hint(),
+            Kind::Parts(_) => SizeHint::default(),
+        }
+    }
 }
--- /dev/null
+++ b/components/gateway/src/caller_stream.rs
@@ -0,0 +1,118 @@
+//! The socket of a caller: one that takes nothing for a while is an error.
+//!
+//! What stands in the buffers of a connection has no other bound in time: its request has
+//! ended for the system, and a caller who never reads would keep its connection, its
+//! descriptor and its buffers for ever, and a process that leaves would wait for it.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::time::{Sleep, sleep};
+
+/// Whether a connection ends in a reset. A caller who reads until the connection is
+/// closed can't tell a cut answer from a whole one by anything else.
+#[derive(Clone, Debug, Default)]
+pub struct Reset(Arc<AtomicBool>);
+
+impl Reset {
+    /// The connection ends in a reset from now on.
+    pub fn set(&self) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+}
+
+/// A caller's socket.
+pub struct CallerStream {
+    stream: TcpStream,
+    stall: Duration,
+    /// Runs while the socket takes nothing.
+    stalled: Option<Pin<Box<Sleep>>>,
+    reset: Reset,
+}
+
+impl CallerStream {
+    /// Watches a socket; after `stall` without a byte taken its writes are errors.
+    pub fn new(stream: TcpStream, stall: Duration, reset: Reset) -> Self {
+        Self {
+            stream,
+            stall,
+            stalled: None,
+            reset,
+        }
+    }
+
+    fn watched<T>(
+        &mut self,
+        cx: &mut Context<'_>,
+        written: Poll<io::Result<T>>,
+    ) -> Poll<io::Result<T>> {
+        if written.is_ready() {
+            self.stalled = None;
+            return written;
+        }
+        let stall = self.stall;
+        let stalled = self.stalled.get_or_insert_with(|| Box::pin(sleep(stall)));
+        ready!(stalled.as_mut().poll(cx));
+        self.reset.set();
+        Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
+    }
+}
+
+impl AsyncRead for CallerStream {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.get_mut().stream).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for CallerStream {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let own = self.get_mut();
+        let written = Pin::new(&mut own.stream).poll_write(cx, buf);
+        own.watched(cx, written)
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let own = self.get_mut();
+        let written = Pin::new(&mut own.stream).poll_write_vectored(cx, bufs);
+        own.watched(cx, written)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.get_mut().stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.get_mut().stream).poll_shutdown(cx)
+    }
+}
+
+impl Drop for CallerStream {
+    fn drop(&mut self) {
+        if self.reset.0.load(Ordering::Relaxed) {
+            // Where it fails, the connection is closed as any other.
+            let _ = self.stream.set_zero_linger();
+        }
+    }
+}
--- a/components/gateway/src/completion_stream.rs
+++ b/components/gateway/src/completion_stream.rs
@@ -161,9 +161,10 @@
             self.answering.trace.failed(failure);
             return Err(failure.into());
         }
+        let deadline_at_ms = self.answering.exchange.job.deadline_at_ms;
         let state = State::Begun(first, Box::new(self));
         let events = stream::unfold(state, |state| async { state.next().await });
-        response(head, streamed(events))
+        response(head, streamed(events, deadline_at_ms))
     }
 
     async fn next(&mut self) -> Next {
--- /dev/null
+++ b/components/gateway/src/delivery.rs
@@ -0,0 +1,164 @@
+//! Parts of an answer on their way to a caller who may not read them.
+//!
+//! `hyper` asks a body for its next part only when the caller's socket takes bytes. What
+//! a request holds (its place at the service, its count among the customer's requests,
+//! its part of the drain) must not hang on that: a caller who reads nothing would keep
+//! it for ever, a few hundred of them would shut everybody out of a service, and the
+//! process could not leave. So a task of its own takes the parts and hands them over. It
+//! drops the answer, with all that it holds, when the caller takes nothing for a while
+//! or the request's time is over, and has the connection cut.
+//!
+//! The caller can't take what it has for the whole: without an explicit end the body
+//! ends in an error, whatever became of the task.
+
+use std::pin::pin;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, OnceLock};
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::{Stream, StreamExt};
+use node::now_ms;
+use tokio::sync::{Notify, mpsc};
+use tokio::time::timeout;
+use types::{Cause, Failure, RunState};
+
+use crate::body::AnswerBroken;
+
+/// Parts between the task and the caller's connection.
+const PARTS_MAX: usize = 8;
+/// Longest time without the caller taking a part.
+pub const STALL: Duration = Duration::from_secs(5);
+/// Time after the deadline for the answer's own end, which says more than a cut.
+const GRACE: Duration = Duration::from_secs(1);
+
+/// Cuts a caller's connection, whatever its socket does.
+#[derive(Clone, Debug, Default)]
+pub struct Cut(Arc<Notify>);
+
+impl Cut {
+    /// Cuts the connection.
+    pub fn cut(&self) {
+        self.0.notify_one();
+    }
+
+    /// Waits until the connection is to be cut.
+    pub async fn wanted(&self) {
+        self.0.notified().await;
+    }
+}
+
+/// How an answer ended, for both sides of its delivery.
+#[derive(Debug, Default)]
+struct Ending {
+    whole: AtomicBool,
+    broken: OnceLock<AnswerBroken>,
+    given_up: AtomicBool,
+    cut: OnceLock<Cut>,
+}
+
+impl Ending {
+    fn break_with(&self, failure: Failure) {
+        // The first reason stays.
+        let _ = self.broken.set(AnswerBroken::Cut(failure));
+    }
+
+    fn give_up(&self) {
+        self.break_with(Failure::new(RunState::Unknown, Cause::Cancelled));
+        // Set first, looked at after; `cut_with` does it the other way round, so one of
+        // the two sees the other.
+        self.given_up.store(true, Ordering::SeqCst);
+        self.cut_where_given_up();
+    }
+
+    fn cut_where_given_up(&self) {
+        if let Some(cut) = self.cut.get()
+            && self.given_up.load(Ordering::SeqCst)
+        {
+            cut.cut();
+        }
+    }
+}
+
+/// The caller's side of an answer.
+#[derive(Debug)]
+pub struct Received {
+    parts: mpsc::Receiver<Bytes>,
+    ending: Arc<Ending>,
+    flushed: bool,
+}
+
+impl Received {
+    /// Cuts a connection when the caller does not take the answer.
+    pub fn cut_with(&self, cut: &Cut) {
+        let _ = self.ending.cut.set(cut.clone());
+        self.ending.cut_where_given_up();
+    }
+
+    /// The next part, or the end.
+    pub fn poll_next(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, AnswerBroken>>> {
+        if let Some(bytes) = ready!(self.parts.poll_recv(cx)) {
+            return Poll::Ready(Some(Ok(bytes)));
+        }
+        if self.ending.whole.load(Ordering::SeqCst) {
+            return Poll::Ready(None);
+        }
+        // `hyper` drops what it has not flushed when a body fails, and it flushes when a
+        // body has nothing at the moment; the last part would not be seen.
+        if !std::mem::replace(&mut self.flushed, true) {
+            cx.waker().wake_by_ref();
+            return Poll::Pending;
+        }
+        let lost = AnswerBroken::Cut(Failure::new(RunState::Unknown, Cause::Internal));
+        let broken = self.ending.broken.get().copied();
+        Poll::Ready(Some(Err(broken.unwrap_or(lost))))
+    }
+}
+
+/// Hands the parts over in a task of its own.
+pub fn deliver(
+    parts: impl Stream<Item = Result<Bytes, AnswerBroken>> + Send + 'static,
+    deadline_at_ms: u64,
+) -> Received {
+    let (sender, receiver) = mpsc::channel(PARTS_MAX);
+    let ending = Arc::new(Ending::default());
+    let received = Received {
+        parts: receiver,
+        ending: Arc::clone(&ending),
+        flushed: false,
+    };
+    let left = Duration::from_millis(deadline_at_ms.saturating_sub(now_ms()));
+    tokio::spawn(async move {
+        let handed = timeout(left + GRACE, hand_over(parts, &sender, &ending)).await;
+        if handed.is_err() {
+            ending.give_up();
+        }
+    });
+    received
+}
+
+async fn hand_over(
+    parts: impl Stream<Item = Result<Bytes, AnswerBroken>>,
+    sender: &mpsc::Sender<Bytes>,
+    ending: &Ending,
+) {
+    let mut parts = pin!(parts);
+    loop {
+        let part = tokio::select! {
+            biased;
+            // The caller is gone.
+            () = sender.closed() => return,
+            part = parts.next() => part,
+        };
+        match part {
+            Some(Ok(bytes)) => match timeout(STALL, sender.send(bytes)).await {
+                Ok(Ok(())) => {}
+                Ok(Err(_)) => return,
+                Err(_) => return ending.give_up(),
+            },
+            Some(Err(AnswerBroken::Cut(failure))) => return ending.break_with(failure),
+            None => return ending.whole.store(true, Ordering::SeqCst),
+        }
+    }
+}
--- a/components/gateway/src/keyed/relay.rs
+++ b/components/gateway/src/keyed/relay.rs
@@ -85,7 +85,7 @@
     tokio::spawn(running.run(first));
     let lost = Failure::new(RunState::Unknown, Cause::Internal);
     match told.await.map_err(|_| lost)? {
-        First::Answer(head, parts) => response(&head, body_of(parts)),
+        First::Answer(head, parts) => response(&head, body_of(parts, deadline_at_ms)),
         First::Other(verdict, _place) => {
             replay::answer(&gateway.claims, shard, &verdict, deadline_at_ms).await
         }
@@ -93,11 +93,12 @@
     }
 }
 
-fn body_of(parts: mpsc::Receiver<Part>) -> Body {
-    streamed(stream::unfold(parts, |mut parts| async {
+fn body_of(parts: mpsc::Receiver<Part>, deadline_at_ms: u64) -> Body {
+    let parts = stream::unfold(parts, |mut parts| async {
         let part = parts.recv().await?;
         Some((part, parts))
-    }))
+    });
+    streamed(parts, deadline_at_ms)
 }
 
 struct Running {
--- /dev/null
+++ b/components/gateway/tests/unread.rs
@@ -0,0 +1,198 @@
+//! Answers that their callers do not read.
+#![allow(clippy::unwrap_used)] // The exemption of clippy.toml ends at helpers of tests.
+
+use std::convert::Infallible;
+use std::io::ErrorKind;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::stream::{self, Stream};
+use futures_util::{StreamExt, future};
+use gateway::body::{AnswerBroken, streamed};
+use gateway::server;
+use http::{Request, Response};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use node::now_ms;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::sync::{oneshot, watch};
+use tokio::task::JoinHandle;
+use tokio::time::{Instant, timeout};
+use tower::service_fn;
+
+const PART: &[u8] = &[b'x'; 64 * 1024];
+/// Far above what anything here takes; only a test that fails reaches it.
+const PATIENCE: Duration = Duration::from_secs(60);
+/// The time that a caller may take nothing, and the time after the deadline.
+const STALL_MS: u64 = 5_000;
+const GRACE_MS: u64 = 1_000;
+
+/// Tells when what an answer holds is dropped.
+struct Held(Option<oneshot::Sender<()>>);
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        let _ = self.0.take().unwrap().send(());
+    }
+}
+
+/// An answer without an end, and the news that what it holds was released.
+fn endless() -> (
+    impl Stream<Item = Result<Bytes, AnswerBroken>> + Send + 'static,
+    oneshot::Receiver<()>,
+) {
+    let (held, released) = oneshot::channel();
+    let parts = stream::unfold(Held(Some(held)), |held| async {
+        Some((Ok(Bytes::from_static(PART)), held))
+    });
+    (parts, released)
+}
+
+// The caller opens a connection for a long answer and reads nothing, so `hyper` never
+// asks for the next part. What the request holds is released all the same, and what was
+// handed over ends in an error and not in an end.
+#[tokio::test(start_paused = true)]
+async fn can_release_what_an_unread_answer_holds() {
+    struct Case {
+        name: &'static str,
+        deadline_ms: u64,
+        released_ms: u64,
+    }
+    let cases = [
+        Case {
+            name: "the caller takes nothing for a while",
+            deadline_ms: 600_000,
+            released_ms: STALL_MS,
+        },
+        Case {
+            name: "the time of the request is over",
+            deadline_ms: 2_000,
+            released_ms: 2_000 + GRACE_MS,
+        },
+    ];
+    for case in cases {
+        let (parts, released) = endless();
+        let began = Instant::now();
+        let body = streamed(parts, now_ms() + case.deadline_ms);
+        timeout(PATIENCE, released).await.unwrap().unwrap();
+        let took_ms = began.elapsed().as_millis() as u64;
+        // The deadline is on the process's clock, which goes on while the test's is paused.
+        let expected = case.released_ms - 200..=case.released_ms + 200;
+        assert!(expected.contains(&took_ms), "{}: {took_ms}", case.name);
+        assert!(body.collect().await.is_err(), "{}", case.name);
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn can_hand_a_whole_answer_to_a_slow_caller() {
+    let parts = stream::iter(0..100u8).map(|part| Ok(Bytes::from(vec![part])));
+    let mut body = streamed(parts, now_ms() + 600_000);
+    let mut bytes = Vec::new();
+    while let Some(frame) = body.frame().await {
+        bytes.extend_from_slice(&frame.unwrap().into_data().unwrap());
+        tokio::time::sleep(Duration::from_millis(STALL_MS - 1_000)).await;
+    }
+    assert_eq!(bytes, (0..100).collect::<Vec<u8>>());
+}
+
+#[tokio::test]
+async fn can_release_an_answer_whose_caller_is_gone() {
+    let silent = stream::once(future::pending::<Result<Bytes, AnswerBroken>>());
+    let (held, released) = oneshot::channel();
+    let held = Held(Some(held));
+    let parts = silent.inspect(move |_| {
+        let _ = &held;
+    });
+    drop(streamed(parts, now_ms() + 600_000));
+    timeout(PATIENCE, released).await.unwrap().unwrap();
+}
+
+/// Serves answers without an end, of requests with this time.
+async fn serve(deadline_ms: u64) -> (SocketAddr, watch::Sender<bool>, JoinHandle<()>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (stop, stopping) = watch::channel(false);
+    let service = service_fn(move |_: Request<Incoming>| {
+        let body = streamed(endless().0, now_ms() + deadline_ms);
+        future::ready(Ok::<_, Infallible>(Response::new(body)))
+    });
+    let served = tokio::spawn(server::serve(listener, service, stopping));
+    (address, stop, served)
+}
+
+async fn ask(to: SocketAddr, version: &str) -> TcpStream {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_recv_buffer_size(4_096).unwrap();
+    let mut stream = socket.connect(to).await.unwrap();
+    let head = format!("GET / HTTP/{version}\r\nHost: entry\r\n\r\n");
+    stream.write_all(head.as_bytes()).await.unwrap();
+    stream
+}
+
+/// Reads to the end of the connection; whether it was closed in order, and its last bytes.
+async fn read_to_end(mut stream: TcpStream) -> (bool, Vec<u8>) {
+    let (mut buffer, mut last) = (vec![0; 256 * 1024], Vec::new());
+    loop {
+        match stream.read(&mut buffer).await {
+            Ok(0) => return (true, last),
+            Ok(length) => last = buffer[..length].to_vec(),
+            Err(reason) => {
+                assert_eq!(reason.kind(), ErrorKind::ConnectionReset);
+                return (false, last);
+            }
+        }
+    }
+}
+
+// Callers read nothing, or read on and on past the time of their request. The server is
+// told to stop: it ends, although their sockets take nothing, and no caller can take what
+// it has for the whole: the connection is reset, or the last chunk is missing.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn can_stop_with_callers_that_do_not_read() {
+    struct Case {
+        name: &'static str,
+        version: &'static str,
+        reads: bool,
+    }
+    let cases = [
+        Case {
+            name: "nothing is read",
+            version: "1.1",
+            reads: false,
+        },
+        Case {
+            name: "nothing is read of an answer that ends by close",
+            version: "1.0",
+            reads: false,
+        },
+        Case {
+            name: "all is read",
+            version: "1.1",
+            reads: true,
+        },
+        Case {
+            name: "all is read of an answer that ends by close",
+            version: "1.0",
+            reads: true,
+        },
+    ];
+    for case in cases {
+        let (address, stop, mut served) = serve(500).await;
+        let stream = ask(address, case.version).await;
+        // The answer has begun.
+        stream.readable().await.unwrap();
+        stop.send_replace(true);
+        if case.reads {
+            let (in_order, last) = timeout(PATIENCE, read_to_end(stream)).await.unwrap();
+            let ends = case.version == "1.0" || last.ends_with(b"0\r\n\r\n");
+            assert!(!(in_order && ends), "{}", case.name);
+            timeout(PATIENCE, &mut served).await.unwrap().unwrap();
+        } else {
+            timeout(PATIENCE, &mut served).await.unwrap().unwrap();
+            let (in_order, _) = timeout(PATIENCE, read_to_end(stream)).await.unwrap();
+            assert!(!in_order, "{}", case.name);
+        }
+    }
+}
