Control traffic: the VM list is read by its size, new agents greet the entries

Every process read the whole VM list every two seconds. At 990 VMs it has about 100 KB, so that alone took some 46 KB/s a node, three times the 16 KB/s for all control (worked out from the rows' size; the datagrams had been counted only). The time between two reads grows with the list now, to 53 s at 990 VMs and 2 KB/s; up to 37 VMs it stays at 2 s. Weighed: readers by rank with a rumour of what changed (another message, and a reader that is wrong misleads its whole failure domain), an answer with changes only (not in the platform's contract). What the fast reads gave comes otherwise: whoever reads first that a VM leaves tells everybody by rumour, and an agent greets the listed entries with its status at its start. A new entry is known to the others after their next read of the list.

--- a/components/node/src/gossip.rs
+++ b/components/node/src/gossip.rs
@@ -17,6 +17,7 @@
 use types::NodeId;
 
 use crate::gossip_loop::{GossipLoop, Order};
+use crate::greeting::Greeting;
 use crate::vm_poll;
 use crate::{ConfigFeed, Identity, now_ms};
 
@@ -108,6 +109,7 @@
             tail: settings.tail,
             snapshot: Arc::clone(&snapshot),
             diverged: BTreeMap::new(),
+            greeting: Greeting::default(),
             listed: false,
             publish_ms: 0,
             ranked_ms: None,
--- a/components/node/src/gossip_loop.rs
+++ b/components/node/src/gossip_loop.rs
@@ -17,6 +17,7 @@
 use types::CustomerName;
 
 use crate::gossip::GossipHooks;
+use crate::greeting::Greeting;
 use crate::{ConfigFeed, Identity, now_ms};
 
 /// Longest sleep; probes and the view are looked at this often.
@@ -50,6 +51,8 @@
     pub(crate) snapshot: Arc<ArcSwap<Snapshot>>,
     /// Versions of which some process holds another text than this one.
     pub(crate) diverged: BTreeMap<CustomerName, u64>,
+    /// Entries that this agent tells of itself after its start.
+    pub(crate) greeting: Greeting,
     /// The VM list was read once.
     pub(crate) listed: bool,
     /// When the view is published next.
@@ -89,6 +92,9 @@
         for prober in self.probers.notify(now_ms) {
             self.send_status(prober).await;
         }
+        if let Some(entry) = self.greeting.due(now_ms) {
+            self.send_status(entry).await;
+        }
         if now_ms >= self.rumours.next_round_ms() {
             self.round(now_ms, rng).await;
         }
@@ -186,6 +192,9 @@
         let now_ms = now_ms();
         let read = self.members.on_list(listed, now_ms);
         self.listed = true;
+        if self.hooks.statuses.is_some() {
+            self.greeting.on_list(listed);
+        }
         self.changed();
         for node in read.leaving {
             self.peer_leaves(node, now_ms);
@@ -222,7 +231,9 @@
         let now_ms = now_ms();
         let round_ms = self.rumours.next_round_ms();
         let notice_ms = self.probers.next_notice_ms().unwrap_or(u64::MAX);
-        let due_ms = round_ms.min(notice_ms).min(self.publish_ms);
+        let greeting_ms = self.greeting.next_ms().unwrap_or(u64::MAX);
+        let due_ms = round_ms.min(notice_ms).min(greeting_ms);
+        let due_ms = due_ms.min(self.publish_ms);
         due_ms.saturating_sub(now_ms).clamp(1, TICK_MS)
     }
 }
--- a/components/node/tests/node.rs
+++ b/components/node/tests/node.rs
@@ -10,7 +10,9 @@
 use link::Links;
 use node::admin::{self, AdminHooks};
 use node::{ConfigFeed, FeedSettings, Gossip, GossipHooks, GossipSettings, Sockets};
-use platform::{ClientSettings, Endpoint, EndpointSettings, LogClient, Request, VmList};
+use platform::{
+    ClientSettings, Endpoint, EndpointSettings, LogClient, Request, Vm, VmList, VmRole, VmState,
+};
 use protocol::{ConfigDigest, Datagram, News, ProcessRole};
 use settings::{CommonSettings, SharedKey};
 use standins::log::LogSettings;
@@ -286,3 +288,22 @@
         assert_eq!(said.expect("the process never says so"), Some(version));
     }
 }
+
+// At the size to design for the VM list has 990 rows of some hundred bytes each. Read every
+// two seconds it would take more than all of a node's bytes for control.
+#[test]
+fn can_read_a_long_vm_list_seldom_enough() {
+    assert_eq!(node::read_every_ms(0), 2_000);
+    assert_eq!(node::read_every_ms(30), 2_000);
+    let vm = Vm {
+        address: "10.200.100.100:17000".parse().expect("an address"),
+        role: VmRole::Agent,
+        failure_domain: "kakkanad".parse().expect("a name"),
+        region: "bretagne".parse().expect("a name"),
+        state: VmState::Live,
+    };
+    let row = serde_json::to_string(&vm).expect("a row");
+    let list_bytes = 990 * (row.len() as u64 + 1);
+    let bytes_per_s = list_bytes * 1_000 / node::read_every_ms(990);
+    assert!(bytes_per_s <= 2_200, "{bytes_per_s}");
+}
--- a/components/sidecar/tests/common/mod.rs
+++ b/components/sidecar/tests/common/mod.rs
@@ -74,8 +74,19 @@
 
 impl Platform {
     pub async fn start(listed: &[SocketAddr]) -> Platform {
-        let mut settings = VmsSettings::new(loopback());
-        settings.vms = listed.iter().map(|&address| vm(address)).collect();
+        let agents = listed.iter().map(|&address| vm(address, VmRole::Agent));
+        Platform::start_with(agents.collect()).await
+    }
+
+    pub async fn start_with_entry(entry: SocketAddr) -> Platform {
+        Platform::start_with(vec![vm(entry, VmRole::Entry)]).await
+    }
+
+    async fn start_with(vms: Vec<Vm>) -> Platform {
+        let settings = VmsSettings {
+            vms,
+            ..VmsSettings::new(loopback())
+        };
         Platform {
             log: log::start(LogSettings::new(loopback())).await.unwrap(),
             vms: vms::start(settings).await.unwrap(),
@@ -95,10 +106,10 @@
     }
 }
 
-fn vm(address: SocketAddr) -> Vm {
+fn vm(address: SocketAddr, role: VmRole) -> Vm {
     Vm {
         address,
-        role: VmRole::Agent,
+        role,
         failure_domain: FailureDomain::new("rennes-a").unwrap(),
         region: Region::new("bretagne").unwrap(),
         state: VmState::Live,
@@ -280,6 +291,10 @@
         }
     }
 
+    pub fn address(&self) -> SocketAddr {
+        self.node.address
+    }
+
     pub fn open(&self, service: &str, method: &str, path: &str, body: &str) -> Open {
         Open {
             id: self.links.next_id(),
--- a/components/sidecar/tests/life.rs
+++ b/components/sidecar/tests/life.rs
@@ -4,8 +4,8 @@
 mod common;
 
 use common::{
-    Caller, Ended, OFFICE, Platform, SECOND, TestAgent, end_of, engine_endpoint, engine_with_store,
-    get, loopback, plain_endpoint, second_version, until, weights,
+    Caller, Ended, OFFICE, PATIENCE, Platform, SECOND, TestAgent, end_of, engine_endpoint,
+    engine_with_store, get, loopback, plain_endpoint, second_version, until, weights,
 };
 use link::CallEvent;
 use protocol::{News, Open};
@@ -13,6 +13,7 @@
 use sidecar::Tuning;
 use standins::store::StoreSettings;
 use standins::{Fault, FaultKind, store};
+use tokio::time::timeout;
 use types::{Cause, Failure, Incarnation, RunState, WeightTarget, WeightVersion};
 
 // The trainer's version is on the engine in the end, and the agent reports it only after
@@ -231,3 +232,16 @@
     while !caller.status_of(&agent).await.leaving {}
     agent.ended().await;
 }
+
+// A new agent starts beside a running entry. The entry hears of it without having asked and
+// without a read of the VM list, which it reads seldom where there are many VMs.
+#[tokio::test]
+async fn can_tell_an_entry_of_itself_at_its_start() {
+    let caller = Caller::start().await;
+    let platform = Platform::start_with_entry(caller.address()).await;
+    platform.publish(OFFICE).await;
+    let endpoint = plain_endpoint(0).await;
+    let agent = TestAgent::start(&platform, endpoint.address, EndpointKind::Plain).await;
+    let status = timeout(PATIENCE, caller.status_of(&agent)).await;
+    assert!(!status.expect("no greeting").leaving);
+}
