--- a/components/node/src/feed_task.rs
+++ b/components/node/src/feed_task.rs
@@ -76,6 +76,9 @@
     waiting: BTreeMap<CustomerName, Newer>,
     list_asked_ms: Option<u64>,
     versions_asked_ms: Option<u64>,
+    /// The ledger has more than the newest view.
+    unpublished: bool,
+    published_ms: Option<u64>,
     keeper: Keeper,
     /// Nothing is appended again before this time.
     keep_from_ms: u64,
