Quarantine: entries tell each other what they had in flight at a crash

A bystander of one entry that met the same crashing prompt again, sent through the other entry, was so condemned in its place. quickcheck finds that order when the reports are switched off in the new test.

Weighed: three crashes for ambiguous ones (the same order once more, and six endpoints lost instead of four); the agent saying whether a call was alone (on a busy engine none ever is, and a crashing call would never be condemned); suspects spread as rumours alone (the entries still do not know where the other's run).

Change: an entry tells each other entry the digests that it had at an endpoint that crashed. A call is condemned when no other call, of any entry, was in flight at all of its crashes, 600 ms after the last one, so that the reports are there; until then it waits, and its answer comes at its next try. Crashes of one endpoint within a second of each other share their calls: which one a report is of can't be told, and no cause must be left out.

Bound, under test: two endpoints for a call that is sent again and again through two entries that hear of each other's crashes; four when every report is lost. In that last case a rumour at once used to make it three and now does not, as the verdict waits for reports. One more for each crash in which one and the same other call was beside it each time; copies in flight at once before the first crash cost one each, as before.

--- a/components/gateway/src/news.rs
+++ b/components/gateway/src/news.rs
@@ -4,28 +4,31 @@
 
 use node::GossipHooks;
 use node::leave::Leaving;
-use protocol::{DemandDigest, News};
-use quarantine::{CallDigest, Condemned};
+use protocol::{CrashReport, DemandDigest, News, ProcessRole};
+use quarantine::{CallDigest, Crashed};
 use tokio::sync::mpsc;
 use types::NodeId;
 use weights::{ModelKey, Target};
 
 use crate::gateway::Gateway;
-use crate::suspects::Quarantine;
+use crate::suspects::{Found, Quarantine};
 use crate::weight_news::WeightNews;
 
+/// Digests in one report, so that it fits a datagram.
+const DIGESTS_MAX: usize = 48;
+
 /// What comes up here and is told on.
 pub struct Sources {
     /// Versions that came in force or are to be loaded.
     pub versions: mpsc::Receiver<(ModelKey, Target)>,
-    /// Calls that were condemned.
-    pub condemned: mpsc::UnboundedReceiver<Condemned>,
+    /// Calls that were condemned, and crashes.
+    pub condemned: mpsc::UnboundedReceiver<Found>,
 }
 
 /// Starts the tasks that tell them.
 pub fn start(gateway: &Arc<Gateway>, sources: Sources) {
     tokio::spawn(tell_versions(Arc::clone(gateway), sources.versions));
-    tokio::spawn(tell_condemned(Arc::clone(gateway), sources.condemned));
+    tokio::spawn(tell_found(Arc::clone(gateway), sources.condemned));
 }
 
 /// Tells every version that comes in force to the other processes and to the ledgers.
@@ -40,12 +43,30 @@
     }
 }
 
-async fn tell_condemned(gateway: Arc<Gateway>, mut told: mpsc::UnboundedReceiver<Condemned>) {
-    while let Some(condemned) = told.recv().await {
-        gateway.gossip.tell(News::Quarantined {
-            digest: condemned.digest.0,
-            left_ms: condemned.left_ms,
-        });
+async fn tell_found(gateway: Arc<Gateway>, mut found: mpsc::UnboundedReceiver<Found>) {
+    while let Some(found) = found.recv().await {
+        match found {
+            Found::Condemned(condemned) => gateway.gossip.tell(News::Quarantined {
+                digest: condemned.digest.0,
+                left_ms: condemned.left_ms,
+            }),
+            Found::Crashed(crashed) => tell_crashed(&gateway, &crashed),
+        }
+    }
+}
+
+fn tell_crashed(gateway: &Gateway, crashed: &Crashed) {
+    let snapshot = gateway.gossip.snapshot();
+    let entries = snapshot.live(ProcessRole::Entry);
+    let entries: Vec<_> = entries.map(|entry| entry.address).collect();
+    for digests in crashed.in_flight.chunks(DIGESTS_MAX) {
+        let report = CrashReport {
+            entry: gateway.identity.node().address,
+            endpoint: crashed.endpoint,
+            digests: digests.iter().map(|digest| digest.0).collect(),
+        };
+        let news = News::Crashed(report);
+        gateway.gossip.tell_directly(entries.clone(), news);
     }
 }
 
@@ -75,6 +96,14 @@
             News::Quarantined { digest, left_ms } => {
                 quarantine.heard(CallDigest(*digest), *left_ms);
             }
+            News::Crashed(report) => {
+                let in_flight = report.digests.iter().copied().map(CallDigest);
+                let crashed = Crashed {
+                    endpoint: report.endpoint,
+                    in_flight: in_flight.collect(),
+                };
+                quarantine.heard_crash(report.entry, crashed);
+            }
             _ => {}
         }),
         // A full queue loses the digest; the next one makes it good.
--- a/components/gateway/src/suspects.rs
+++ b/components/gateway/src/suspects.rs
@@ -5,7 +5,7 @@
 
 use node::now_ms;
 use quarantine::{
-    CallDigest, Condemned, Entry, RunId, Standing, SuspectSettings, Suspects, Verdict,
+    CallDigest, Condemned, Crashed, Entry, RunId, Standing, SuspectSettings, Suspects, Verdict,
 };
 use tokio::sync::{mpsc, oneshot};
 use types::{Cause, Failure};
@@ -19,9 +19,18 @@
     Leave(RunId),
     Lost(RunId, oneshot::Sender<Verdict>),
     Heard(CallDigest, u32),
+    HeardCrash(SocketAddr, Crashed),
     Standing(CallDigest, oneshot::Sender<Standing>),
 }
 
+/// What came up here and the other processes are to know.
+pub enum Found {
+    /// A call is condemned.
+    Condemned(Condemned),
+    /// An endpoint crashed.
+    Crashed(Crashed),
+}
+
 /// Handle to the record; clones share one state.
 ///
 /// The queue has no bound of its own: an attempt has at most two orders in it, and
@@ -54,10 +63,10 @@
 }
 
 impl Quarantine {
-    /// Starts the owner. What is condemned here goes into `condemned`.
-    pub fn start(condemned: mpsc::UnboundedSender<Condemned>) -> Quarantine {
+    /// Starts the owner. What it finds goes into `found`.
+    pub fn start(found: mpsc::UnboundedSender<Found>) -> Quarantine {
         let (orders, inbox) = mpsc::unbounded_channel();
-        tokio::spawn(own(inbox, condemned));
+        tokio::spawn(own(inbox, found));
         Quarantine { orders }
     }
 
@@ -101,6 +110,12 @@
         // The owner is gone only when the process ends.
         let _ = self.orders.send(Order::Heard(digest, left_ms));
     }
+
+    /// Another entry had these calls in flight at a crash.
+    pub fn heard_crash(&self, entry: SocketAddr, crashed: Crashed) {
+        // The owner is gone only when the process ends.
+        let _ = self.orders.send(Order::HeardCrash(entry, crashed));
+    }
 }
 
 impl InFlight {
@@ -131,10 +146,7 @@
     }
 }
 
-async fn own(
-    mut inbox: mpsc::UnboundedReceiver<Order>,
-    condemned: mpsc::UnboundedSender<Condemned>,
-) {
+async fn own(mut inbox: mpsc::UnboundedReceiver<Order>, found: mpsc::UnboundedSender<Found>) {
     let mut suspects = Suspects::new(SuspectSettings::default());
     let mut expire_at_ms = now_ms() + EXPIRE_EVERY_MS;
     while let Some(order) = inbox.recv().await {
@@ -143,7 +155,14 @@
         for told in suspects.take_condemned() {
             log::warn!(event = "call-condemned", left_ms = told.left_ms; "");
             // The reader is gone only when the process ends.
-            let _ = condemned.send(told);
+            let _ = found.send(Found::Condemned(told));
+        }
+        for crashed in suspects.take_crashed() {
+            log::info!(
+                event = "endpoint-crashed", agent:% = crashed.endpoint,
+                in_flight = crashed.in_flight.len(); ""
+            );
+            let _ = found.send(Found::Crashed(crashed));
         }
         if now_ms >= expire_at_ms {
             expire_at_ms = now_ms + EXPIRE_EVERY_MS;
@@ -167,8 +186,10 @@
             let _ = answer.send(suspects.lost(run, now_ms));
         }
         Order::Standing(digest, answer) => {
+            suspects.judge(digest, now_ms);
             let _ = answer.send(suspects.standing(digest, now_ms));
         }
         Order::Heard(digest, left_ms) => suspects.hear(digest, left_ms, now_ms),
+        Order::HeardCrash(entry, crashed) => suspects.hear_crash(entry, &crashed, now_ms),
     }
 }
--- a/components/node/src/gossip_heard.rs
+++ b/components/node/src/gossip_heard.rs
@@ -56,6 +56,7 @@
                 self.act_on(from, heard).await;
             }
             News::Demand(demand) => (self.hooks.demand)(from, demand.clone()),
+            News::Crashed(_) => (self.hooks.heard)(&news),
             News::Config(digest) => self.on_config(from, digest),
             News::Weights { .. } | News::Quarantined { .. } => {
                 let peers = self.members.peers().len();
--- a/components/protocol/src/datagram.rs
+++ b/components/protocol/src/datagram.rs
@@ -1,5 +1,7 @@
 //! Datagrams: small periodic news over UDP. A lost one is made good by the next.
 
+use std::net::SocketAddr;
+
 use derive::{wire, wire_key};
 use types::{
     CustomerName, FailureDomain, Incarnation, NodeId, Region, ServiceName, WeightTarget,
@@ -75,6 +77,17 @@
     pub digest: u64,
 }
 
+/// Calls of one entry that were in flight at an endpoint when it crashed, or a part of them.
+#[wire]
+pub struct CrashReport {
+    /// The entry.
+    pub entry: SocketAddr,
+    /// The endpoint's agent.
+    pub endpoint: SocketAddr,
+    /// Digests of customer and content.
+    pub digests: Vec<[u8; 16]>,
+}
+
 /// What customers ask of one entry, so that the others take less of their limits.
 #[wire]
 #[derive(Default)]
@@ -127,6 +140,8 @@
     },
     /// Demand at the sender, an entry, told to each other entry.
     Demand(DemandDigest),
+    /// What an entry had in flight at an endpoint that crashed, told to each other entry.
+    Crashed(CrashReport),
 }
 
 /// One datagram.
--- a/components/protocol/src/lib.rs
+++ b/components/protocol/src/lib.rs
@@ -14,7 +14,9 @@
 
 pub use authentication::{Direction, NONCE_BYTES, Nonce, TAG_BYTES};
 pub use codec::{FRAME_OVERHEAD_BYTES, FrameReader, FrameWriter, LENGTH_BYTES, Session, check_end};
-pub use datagram::{ConfigDigest, Datagram, DemandDigest, Hosted, Load, News, ProcessRole, Status};
+pub use datagram::{
+    ConfigDigest, CrashReport, Datagram, DemandDigest, Hosted, Load, News, ProcessRole, Status,
+};
 pub use error::CodecError;
 pub use frame::{Frame, Head, Hello, Open};
 pub use greeting::{
--- a/components/quarantine/src/lib.rs
+++ b/components/quarantine/src/lib.rs
@@ -1,6 +1,7 @@
 //! Calls that crash the endpoints that run them. Pure: events and `now_ms` of the
 //! process's monotonic clock go in, verdicts come out.
 
+mod crashes;
 mod digest;
 mod settings;
 mod suspects;
@@ -9,4 +10,4 @@
 pub use digest::CallDigest;
 pub use settings::SuspectSettings;
 pub use suspects::Suspects;
-pub use verdict::{Condemned, Entry, RunId, Standing, Verdict};
+pub use verdict::{Condemned, Crashed, Entry, RunId, Standing, Verdict};
--- a/components/quarantine/src/suspects.rs
+++ b/components/quarantine/src/suspects.rs
@@ -1,23 +1,30 @@
 //! Which calls are held to have crashed endpoints.
 //!
-//! When an endpoint crashes, every call that this process had in flight there becomes a
-//! suspect. Suspects are tried again apart: at most one suspect at an endpoint, no new
-//! call beside it, and one attempt of each digest at a time. Whoever completes whole is
-//! cleared. A call with `crashes_max` crashes, in the last of which it was the only
-//! suspect, is condemned: it and its repeats get a final answer for `condemned_ms`, here
-//! and, through rumours, at every other process. A crash is then explained and counts
-//! no longer against the others that were in flight.
+//! When an endpoint crashes, every call that was in flight there becomes a suspect: this
+//! process's own, and those of the other entries, which tell each other what they had
+//! there. Suspects are tried again apart: at most one suspect of this process at an
+//! endpoint, no new call beside it, and one attempt of each digest at a time. Whoever
+//! completes whole is cleared. A call with `crashes_max` crashes is condemned when no
+//! other call was in flight at all of them: it and its repeats get a final answer for
+//! `condemned_ms`, here and, through rumours, at every other process. A crash is then
+//! explained and counts no longer against the others that were in flight. It is judged
+//! `settle_ms` after its last crash, when the others have told; until then it waits.
 //!
 //! Only crashes count that a living agent reports. A VM or failure domain that is lost
 //! makes nobody a suspect.
 //!
-//! Bounds. A call whose caller sends it again and again costs at most `crashes_max`
-//! endpoints for each entry that it reaches before the rumour does, so four through two
-//! entries. Copies that are in flight at once before the first crash can cost one
-//! endpoint each. An innocent call is never condemned for the crashes of one other call
-//! that come through the same entry. It can be when two crashes with other causes hit
-//! it, the second while it was tried apart beside older calls; that ends with
-//! `condemned_ms` or when the true cause is condemned here.
+//! Bounds. A call whose caller sends it again and again, one after the other, costs
+//! `crashes_max` endpoints through any number of entries that hear of each other's crashes
+//! in time, and one more for each crash in which one and the same other call was beside it
+//! in all. With every report lost it costs `crashes_max` for each entry that it reaches
+//! before the rumour does, so four through two entries. Copies that are in flight at once
+//! before the first crash can cost one endpoint each; a bound on copies was ruled out, as
+//! the samples of one group are copies.
+//!
+//! A bystander is never condemned for the crashes of one other call, through whatever
+//! entries that came, as long as reports arrive: the cause was in flight at each of the
+//! bystander's crashes. It can be when a report is lost, or when crashes with other causes
+//! hit it; that ends with `condemned_ms` or when the true cause is condemned here.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
@@ -25,7 +32,8 @@
 use derive::value;
 use types::{Cause, Failure, RunState};
 
-use crate::{CallDigest, Condemned, Entry, RunId, Standing, SuspectSettings, Verdict};
+use crate::crashes::Crashes;
+use crate::{CallDigest, Condemned, Crashed, Entry, RunId, Standing, SuspectSettings, Verdict};
 
 #[value]
 struct Run {
@@ -52,8 +60,10 @@
     settings: SuspectSettings,
     runs: HashMap<RunId, Run>,
     records: BTreeMap<CallDigest, Record>,
+    crashes: Crashes,
     next_number: u64,
     to_tell: Vec<Condemned>,
+    to_report: Vec<Crashed>,
 }
 
 impl Suspects {
@@ -63,8 +73,10 @@
             settings,
             runs: HashMap::new(),
             records: BTreeMap::new(),
+            crashes: Crashes::default(),
             next_number: 0,
             to_tell: Vec::new(),
+            to_report: Vec::new(),
         }
     }
 
@@ -90,11 +102,16 @@
     /// Asks for an endpoint right before the hand-over. Every call asks, so that those
     /// in flight at a crash are known.
     pub fn enter(&mut self, digest: CallDigest, endpoint: SocketAddr, now_ms: u64) -> Entry {
+        self.judge(digest, now_ms);
         match self.standing(digest, now_ms) {
             Standing::Condemned { left_ms } => Entry::Refuse(refusal(left_ms)),
-            Standing::Suspect { .. } if self.runs_anywhere(digest) => Entry::Wait {
-                wait_ms: self.settings.wait_ms,
-            },
+            Standing::Suspect { crashes }
+                if self.runs_anywhere(digest) || self.is_unsettled(digest, crashes, now_ms) =>
+            {
+                Entry::Wait {
+                    wait_ms: self.settings.wait_ms,
+                }
+            }
             _ if self.has_suspect(endpoint, now_ms) => Entry::Elsewhere,
             _ => Entry::Run(self.start(digest, endpoint)),
         }
@@ -111,6 +128,7 @@
         let Some(run) = self.runs.remove(&run) else {
             return;
         };
+        self.crashes.clear(run.digest);
         let told = self.records.get(&run.digest).is_some_and(|r| r.told);
         if !told {
             self.records.remove(&run.digest);
@@ -145,6 +163,43 @@
         self.evict(now_ms);
     }
 
+    /// Another entry tells what it had in flight at a crash.
+    pub fn hear_crash(&mut self, from: SocketAddr, crashed: &Crashed, now_ms: u64) {
+        let Crashed {
+            endpoint,
+            in_flight,
+        } = crashed;
+        let known = in_flight.iter().copied();
+        let same_ms = self.settings.same_crash_ms;
+        let crash = self
+            .crashes
+            .report(Some(from), *endpoint, known, now_ms, same_ms);
+        for &digest in in_flight {
+            self.accuse(digest, crash, now_ms);
+        }
+        self.evict(now_ms);
+    }
+
+    /// Crashes reported here since the last call, to be told to the other entries.
+    pub fn take_crashed(&mut self) -> Vec<Crashed> {
+        std::mem::take(&mut self.to_report)
+    }
+
+    /// Condemns a call if it alone can have caused its crashes.
+    pub fn judge(&mut self, digest: CallDigest, now_ms: u64) {
+        let Standing::Suspect { crashes } = self.standing(digest, now_ms) else {
+            return;
+        };
+        if crashes < self.settings.crashes_max || self.is_unsettled(digest, crashes, now_ms) {
+            return;
+        }
+        let record = self.records.get(&digest);
+        let alone = record.is_some_and(|r| !self.crashes.have_another(&r.crashes, digest));
+        if alone {
+            self.condemn(digest, now_ms);
+        }
+    }
+
     /// Digests condemned here since the last call, to be spread as rumours.
     pub fn take_condemned(&mut self) -> Vec<Condemned> {
         std::mem::take(&mut self.to_tell)
@@ -163,6 +218,7 @@
     /// Drops records whose time is over; to be called now and then.
     pub fn expire(&mut self, now_ms: u64) {
         let suspect_ms = self.settings.suspect_ms;
+        self.crashes.expire(now_ms, suspect_ms);
         self.records.retain(|_, record| {
             let condemned = record
                 .condemned_until_ms
@@ -203,29 +259,32 @@
     /// All in flight at the endpoint share the crash. Their own reports come one by one
     /// and must not count as crashes of their own.
     fn crash(&mut self, endpoint: SocketAddr, now_ms: u64) {
-        let crash = self.number();
-        let mut in_flight = BTreeSet::new();
-        for run in self.runs.values_mut() {
-            if run.endpoint == endpoint && run.crash.is_none() {
-                run.crash = Some(crash);
-                in_flight.insert(run.digest);
-            }
-        }
-        let mut suspects = Vec::new();
-        for &digest in &in_flight {
-            if self.standing(digest, now_ms) != Standing::Clear {
-                suspects.push(digest);
-            }
+        let here = |run: &Run| run.endpoint == endpoint && run.crash.is_none();
+        let in_flight = self.runs.values().filter(|run| here(run));
+        let in_flight: BTreeSet<CallDigest> = in_flight.map(|run| run.digest).collect();
+        let known = in_flight.iter().copied();
+        let same_ms = self.settings.same_crash_ms;
+        let crash = self.crashes.report(None, endpoint, known, now_ms, same_ms);
+        for run in self.runs.values_mut().filter(|run| here(run)) {
+            run.crash = Some(crash);
         }
         for &digest in &in_flight {
             self.accuse(digest, crash, now_ms);
         }
-        if let [only] = suspects[..] {
-            self.condemn(only, now_ms);
-        }
+        self.to_report.push(Crashed {
+            endpoint,
+            in_flight: in_flight.into_iter().collect(),
+        });
         self.evict(now_ms);
     }
 
+    fn is_unsettled(&self, digest: CallDigest, crashes: usize, now_ms: u64) -> bool {
+        let settle_ms = self.settings.settle_ms;
+        let record = self.records.get(&digest);
+        crashes >= self.settings.crashes_max
+            && record.is_some_and(|r| !self.crashes.are_settled(&r.crashes, now_ms, settle_ms))
+    }
+
     fn accuse(&mut self, digest: CallDigest, crash: u64, now_ms: u64) {
         let old = self.standing(digest, now_ms) == Standing::Clear;
         let record = self.records.entry(digest).or_default();
@@ -274,15 +333,12 @@
     }
 
     fn verdict(&self, digest: CallDigest, now_ms: u64) -> Verdict {
-        let crashes = match self.standing(digest, now_ms) {
-            Standing::Clear => 0,
-            Standing::Suspect { crashes } => crashes,
-            Standing::Condemned { .. } => self.settings.crashes_max,
-        };
-        if crashes < self.settings.crashes_max {
-            return Verdict::Retry;
+        match self.standing(digest, now_ms) {
+            Standing::Condemned { .. } => {
+                Verdict::Final(Failure::new(RunState::Failed, Cause::Quarantined))
+            }
+            Standing::Clear | Standing::Suspect { .. } => Verdict::Retry,
         }
-        Verdict::Final(Failure::new(RunState::Failed, Cause::Quarantined))
     }
 
     fn evict(&mut self, now_ms: u64) {
--- a/components/quarantine/src/verdict.rs
+++ b/components/quarantine/src/verdict.rs
@@ -1,5 +1,7 @@
 //! Answers of the quarantine.
 
+use std::net::SocketAddr;
+
 use derive::{key, value};
 use types::Failure;
 
@@ -52,6 +54,15 @@
     Final(Failure),
 }
 
+/// What this process had in flight at a crash, for the other entries.
+#[value]
+pub struct Crashed {
+    /// The endpoint's agent.
+    pub endpoint: SocketAddr,
+    /// The calls.
+    pub in_flight: Vec<CallDigest>,
+}
+
 /// A condemned digest, for the rumour about it.
 #[value]
 pub struct Condemned {
