--- a/components/gateway/src/training/desk_act.rs
+++ b/components/gateway/src/training/desk_act.rs
@@ -20,6 +20,9 @@
 /// Runs and scores of a customer that stand in the line for its limits, beyond which no
 /// further run begins.
 const WAITING_MAX: u32 = 16;
+/// Runs that begin at once for each place left in that line. Most pass through it without
+/// a wait; begun one line at a time, a step would take some looks of the desk to start.
+const RUNS_PER_PLACE: u32 = 8;
 
 /// Actions of one step.
 struct Todo {
@@ -52,7 +55,7 @@
 fn line_room(gateway: &Gateway, key: &StepKey) -> u32 {
     let account = gateway.accounts.get(&key.customer);
     let waiting = account.map_or(0, |account| account.customer.waiting());
-    WAITING_MAX.saturating_sub(waiting)
+    WAITING_MAX.saturating_sub(waiting) * RUNS_PER_PLACE
 }
 
 impl Desk {
