Second copies of slow interactive calls

Cause: a replica that becomes slow is not ejected and keeps the calls that it has; each of their callers waits for it. routing::hedge was wired nowhere.

Calls with a copy are not counted in the latencies, or each wait lengthens the next.

Change: Exchange::first_head for interactive calls of plain services that may run twice; paid from the customer's retries; metric hedges_total. Off with calls_min = u32::MAX.

--- a/components/gateway/src/entry.rs
+++ b/components/gateway/src/entry.rs
@@ -30,6 +30,8 @@
     pub gossip: GossipSettings,
     /// Choice of replicas.
     pub routing: routing::Settings,
+    /// Second copies of slow calls; with [`u32::MAX`] calls to know there are none.
+    pub hedging: routing::hedge::HedgeSettings,
     /// Shares of customers' limits.
     pub shares: limits::ShareSettings,
     /// Queues of services.
--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -22,13 +22,13 @@
 
 /// A request and its attempts so far.
 pub struct Exchange {
-    gateway: Arc<Gateway>,
-    account: Arc<Account>,
+    pub(crate) gateway: Arc<Gateway>,
+    pub(crate) account: Arc<Account>,
     /// The request.
     pub job: Job,
-    place: Where,
-    endpoints: Vec<SocketAddr>,
-    nodes: Vec<NodeId>,
+    pub(crate) place: Where,
+    pub(crate) endpoints: Vec<SocketAddr>,
+    pub(crate) nodes: Vec<NodeId>,
     /// Whether any attempt so far ran, the worst of them.
     run: RunState,
 }
@@ -87,9 +87,9 @@
     /// Sends attempts until one answers with a head, or the request has failed for good.
     pub async fn head(&mut self, body: &Bytes) -> Result<(Head, Attempt), Failure> {
         loop {
-            let mut attempt = self.start(body.clone()).await?;
-            match attempt.head().await {
-                Ok(head) => return Ok((head, attempt)),
+            let attempt = self.start(body.clone()).await?;
+            match self.first_head(attempt, body).await {
+                Ok(answered) => return Ok(answered),
                 Err(failure) => {
                     self.again(failure, Flowed::Nothing).await?;
                 }
--- a/components/gateway/src/gateway.rs
+++ b/components/gateway/src/gateway.rs
@@ -7,6 +7,7 @@
 use leaving::Drain;
 use link::Links;
 use node::{ConfigFeed, Gossip, Identity, Pulse};
+use routing::hedge::HedgeSettings;
 use telemetry::Metrics;
 
 use crate::accounts::Accounts;
@@ -33,6 +34,8 @@
     pub quick_links: Links,
     /// Replicas and gates of each service.
     pub services: Services,
+    /// When a slow call gets a second copy.
+    pub hedging: HedgeSettings,
     /// Limits and budgets of each customer.
     pub accounts: Accounts,
     /// Entries that could not be reached lately.
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -21,6 +21,7 @@
 mod exchange;
 mod gateway;
 pub mod headers;
+mod hedged;
 pub mod idempotency;
 mod incoming;
 mod inner;
--- a/components/gateway/src/services.rs
+++ b/components/gateway/src/services.rs
@@ -9,7 +9,7 @@
 use limits::{AdmissionSettings, Clock, Gate};
 use membership::Snapshot;
 use node::now_ms;
-use routing::{Locality, Replica, Report, Settings, Table};
+use routing::{Latencies, Locality, Replica, Report, Settings, Table};
 use types::{CustomerName, ServiceName};
 
 /// Requests of this entry that one replica of a model may have in progress.
@@ -17,11 +17,16 @@
 /// The same for a replica of a plain service.
 const PLAIN_SLOTS_PER_REPLICA: u32 = 256;
 
+/// How long a latency counts at least, in milliseconds.
+const LATENCIES_MS: u64 = 10_000;
+
 /// One service as this entry sees it.
 pub struct ServiceState {
     table: ArcSwap<Table>,
     /// Slots of the service on this entry.
     pub gate: Gate,
+    /// Times to the head of interactive calls' answers.
+    pub latencies: Latencies,
 }
 
 impl ServiceState {
@@ -32,6 +37,7 @@
         Self {
             table: ArcSwap::from_pointee(Table::empty(Arc::clone(settings))),
             gate,
+            latencies: Latencies::new(LATENCIES_MS),
         }
     }
 
--- a/components/gateway/src/start.rs
+++ b/components/gateway/src/start.rs
@@ -86,6 +86,7 @@
         links,
         quick_links,
         services: Services::new(tuning.routing, tuning.admission, here),
+        hedging: tuning.hedging,
         accounts: Accounts::new(settings.ceilings, tuning.retries),
         reach: Reach::default(),
         quarantine,
--- a/components/gateway/tests/common/mod.rs
+++ b/components/gateway/tests/common/mod.rs
@@ -93,6 +93,7 @@
     pub requests_per_s: u32,
     /// The operator's ceilings.
     pub ceilings: Ceilings,
+    pub tuning: Tuning,
 }
 
 impl Default for Plan {
@@ -104,6 +105,7 @@
             service_ms: 0,
             requests_per_s: 5_000,
             ceilings: Ceilings::default(),
+            tuning: Tuning::default(),
         }
     }
 }
@@ -186,7 +188,7 @@
                 listen: loopback(),
                 ceilings: plan.ceilings,
             };
-            let entry = Entry::bind(settings, Tuning::default()).await.unwrap();
+            let entry = Entry::bind(settings, plan.tuning.clone()).await.unwrap();
             listed.push(vm(entry.inner_address(), VmRole::Entry, number));
             bound.push(entry);
         }
