Training: copies that are no use, scorers that come and go, versions nobody announced

Causes (each read in the code; tests named fail on the code before, or with the mechanism off): - Copies between homes counted as use, so a step could be kept for ever by two homes that lose sight of each other, and a second home that took over ran a step whose trainer has it whole. Now a copied post tells how long the step was unused and brings no cursor over a newer one, samples' copies are no use, and the first home tells the second that its trainer fetches (once a minute) and that it has all. Ruled out: the whole post as that note, 4 MiB a minute. - A scorer taken out of the text left samples waiting for a score for ever; one put in let finished samples out without a score. Held steps now follow every configuration at the next tick, not at the next post or fetch alone. - A fetch with a mistyped trainer_version made all samples of its step too old for good. A version above what is known to be announced or named ahead is 409 `stale` with a time to come back, after a wait of 1 s for news on the way. Ruled out: judging by the lower of the two; the trainer would get samples older than its own version allows. Where no version is known at the home, the trainer is still believed. - max_tokens 0 or was taken; now 1 to 65536, else 400. - Replies end at 4 MiB of texts (one sample at least), batches of copies at 2 MiB: larger ones were refused between entries, the same again each time. - A run that went on from tokens and was refused kept them and was refused for ever; it is run afresh once, and only that refusal counts as the prompt's. - A refusal by the home had no Retry-After at another entry.

Fail before: can_run_afresh…, can_bound_a_reply_by_its_bytes, can_follow_a_scorer…, errors_when_a_trainer_names_a_version…, errors_when_a_cursor_or_a_post… (two cases more). With the mechanism off: tests/copies.rs. Existing tests changed: two calls of Ledger::copies got their new argument.

Not covered: one sample of more than 2.7 MiB of control characters still does not fit a call between entries; texts of finished samples have no bound.

--- a/components/gateway/src/problem.rs
+++ b/components/gateway/src/problem.rs
@@ -88,8 +88,8 @@
     *response.status_mut() = status(rejection);
     let headers = response.headers_mut();
     headers.insert(CONTENT_TYPE, HeaderValue::from_static(PROBLEM_JSON));
-    if let Some(retry_after_ms) = rejection.failure().retry_after_ms {
-        headers.insert(RETRY_AFTER, whole_seconds(retry_after_ms).into());
+    if let Some(seconds) = retry_after_s(rejection) {
+        headers.insert(RETRY_AFTER, seconds.into());
     }
     if let Rejection::Method(allowed) = rejection {
         headers.insert(http::header::ALLOW, HeaderValue::from_static(allowed));
@@ -97,6 +97,11 @@
     response
 }
 
+/// Value of `Retry-After`, where coming back helps.
+pub fn retry_after_s(rejection: &Rejection) -> Option<u32> {
+    rejection.failure().retry_after_ms.map(whole_seconds)
+}
+
 /// `Retry-After` has whole seconds; rounded up, so that nobody comes back too early.
 fn whole_seconds(retry_after_ms: u32) -> u32 {
     retry_after_ms.div_ceil(MS_PER_S).max(1)
--- a/components/gateway/src/rejection.rs
+++ b/components/gateway/src/rejection.rs
@@ -3,7 +3,7 @@
 
 use quick_error::quick_error;
 use samples::{CursorError, FetchError, PostError, StepError};
-use types::{Cause, CustomerName, Failure, Role, ServiceName};
+use types::{Cause, CustomerName, Failure, Role, ServiceName, WeightVersion};
 use weights::AnnounceError;
 
 quick_error! {
@@ -67,6 +67,10 @@
         NothingInForce(service: ServiceName) {
             display("no version of {} is known to be in force; announce one first", service)
         }
+        /// A trainer names a version as its own that nobody has announced.
+        NotInForce(named: WeightVersion, known: WeightVersion) {
+            display("version {} is not announced; the newest one known is {}", named, known)
+        }
         /// A post that is no step.
         Step(reason: StepError) {
             display("{}", reason)
@@ -127,6 +131,8 @@
     }
 }
 
+/// When a trainer may come back whose version has not got here yet.
+const NEWS_BACK_MS: u32 = 1_000;
 /// When a trainer whose customer has no room for a further step may come back: steps end
 /// in seconds to minutes.
 const STEP_ROOM_BACK_MS: u32 = 5_000;
@@ -151,6 +157,9 @@
             Rejection::Announcement(_)
             | Rejection::NothingInForce(_)
             | Rejection::Fetch(FetchError::EpochOver(_)) => Cause::Stale,
+            Rejection::NotInForce(..) => {
+                return Failure::not_run(Cause::Stale).retry_after(NEWS_BACK_MS);
+            }
             Rejection::Post(PostError::NoRoom(..)) => {
                 let failure = Failure::not_run(Cause::CustomerLimit);
                 return failure.retry_after(STEP_ROOM_BACK_MS);
--- a/components/gateway/src/training/bodies.rs
+++ b/components/gateway/src/training/bodies.rs
@@ -4,6 +4,7 @@
 use serde::{Deserialize, Serialize};
 use types::WeightVersion;
 
+use crate::completion::MAX_TOKENS_MAX;
 use crate::rejection::{BodyFault, Rejection};
 
 /// Longest wait of a fetch, in milliseconds.
@@ -43,8 +44,7 @@
     pub step: u64,
     /// Its groups.
     pub groups: Vec<GroupBody>,
-    /// Tokens of one sample at most.
-    pub max_tokens: u32,
+    max_tokens: u32,
     trainer_version: String,
     /// The trainer's newest cursor of this step, if it has one.
     #[serde(default)]
@@ -52,6 +52,14 @@
 }
 
 impl StepBody {
+    /// Tokens of one sample at most.
+    pub fn max_tokens(&self) -> Result<u32, Rejection> {
+        if (1..=MAX_TOKENS_MAX).contains(&u64::from(self.max_tokens)) {
+            return Ok(self.max_tokens);
+        }
+        Err(Rejection::field("max_tokens", "a number from 1 to 65536"))
+    }
+
     /// The trainer's own version.
     pub fn trainer_version(&self) -> Result<WeightVersion, Rejection> {
         parse_version("trainer_version", &self.trainer_version)
--- a/components/gateway/src/training/copies.rs
+++ b/components/gateway/src/training/copies.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use samples::{Copy, StepKey};
+use samples::{Copy, StepKey, batches};
 use tokio::sync::mpsc;
 
 use crate::gateway::Gateway;
@@ -22,6 +22,9 @@
 const QUEUED_MAX: usize = 8_192;
 /// Copies of one call at most.
 const BATCH_MAX: usize = 256;
+/// Texts of one call at most, in bytes. A call between entries is bounded, and a byte of
+/// text may take six in JSON; a call that is too large would be refused whole.
+const BATCH_BYTES_MAX: usize = 2 << 20;
 const DEADLINE_MS: u32 = 5_000;
 /// Pause after a call that failed, so that a home that is gone is not called in a loop.
 const PAUSE: Duration = Duration::from_millis(200);
@@ -75,19 +78,26 @@
             by_home.entry(copy.to).or_default().push(copy);
         }
         for (to, copies) in by_home {
-            let taken = send_batch(&gateway, to, &copies).await;
-            for posted in copies.iter().filter(|copy| copy.is_post()) {
-                let key = posted.key.clone();
-                gateway.training.told(key, to, taken).await;
-            }
-            if !taken {
-                log::warn!(event = "copies-lost", to = to.to_string(), copies = copies.len(); "");
-                tokio::time::sleep(PAUSE).await;
+            let bytes_of = |copy: &Addressed| copy.copy.text_bytes();
+            for copies in batches(copies, bytes_of, BATCH_BYTES_MAX) {
+                send_to(&gateway, to, &copies).await;
             }
         }
     }
 }
 
+async fn send_to(gateway: &Gateway, to: SocketAddr, copies: &[Addressed]) {
+    let taken = send_batch(gateway, to, copies).await;
+    for posted in copies.iter().filter(|copy| copy.is_post()) {
+        let key = posted.key.clone();
+        gateway.training.told(key, to, taken).await;
+    }
+    if !taken {
+        log::warn!(event = "copies-lost", to = to.to_string(), copies = copies.len(); "");
+        tokio::time::sleep(PAUSE).await;
+    }
+}
+
 async fn send_batch(gateway: &Gateway, to: SocketAddr, copies: &[Addressed]) -> bool {
     let Some(first) = copies.first() else {
         return true;
@@ -151,5 +161,6 @@
         step: Arc::clone(step),
         cursor,
         trainer_version,
+        unused_ms: 0,
     }
 }
--- a/components/gateway/src/training/desk_copies.rs
+++ b/components/gateway/src/training/desk_copies.rs
@@ -3,9 +3,9 @@
 use std::net::SocketAddr;
 
 use node::now_ms;
-use samples::{Copy, Cursor, Ledger, StepKey};
+use samples::{Copy, Cursor, Ledger, Posted, StepKey};
 
-use super::desk_task::Desk;
+use super::desk_task::{Desk, settings_of};
 
 impl Desk {
     /// What the step's other home sends. A post of a step that this process knows no model
@@ -15,6 +15,7 @@
             step,
             cursor,
             trainer_version,
+            unused_ms,
         } = &copy
         else {
             self.steps.apply(&copy, now_ms());
@@ -35,9 +36,17 @@
             Some(Err(_)) => return,
             None => Cursor::start(step),
         };
-        let held = self.hold(step, model, &cursor, *trainer_version);
+        let now_ms = now_ms();
+        let used_ms = now_ms.saturating_sub(*unused_ms);
+        let (settings, version) = (settings_of(model), *trainer_version);
+        let steps = &mut self.steps;
+        let held = steps.post_copy(step, &settings, &cursor, version, used_ms, now_ms);
         match held {
-            Ok(()) => drop(self.untold.insert(step.key.clone())),
+            Ok(Posted::TooOld) => {}
+            Ok(_) => {
+                self.untold.insert(step.key.clone());
+                self.announce_in_force(&step.key, now_ms);
+            }
             Err(_) => log::warn!(event = "copy-refused", step = step.key.step; ""),
         }
     }
@@ -64,11 +73,12 @@
             return;
         }
         let keys = self.keys.clone();
+        let unused_ms = self.steps.unused_ms(key, now_ms()).unwrap_or(0);
         let Some(ledger) = self.steps.find_mut(key) else {
             return;
         };
         let cursor = received(ledger).seal(&keys);
-        for copy in ledger.copies(Some(cursor)) {
+        for copy in ledger.copies(Some(cursor), unused_ms) {
             for &to in &new {
                 let is_post = matches!(copy, Copy::Post { .. });
                 if !self.copier.send(to, key, copy.clone()) && is_post {
--- a/components/gateway/src/training/desk_task.rs
+++ b/components/gateway/src/training/desk_task.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use config::Service;
+use config::{Service, View};
 use node::now_ms;
 use samples::{Action, Cursor, CursorKeys, IdleClock, LedgerSettings, RunId, Step, StepKey, Steps};
 use tokio::sync::{mpsc, oneshot};
@@ -75,6 +75,8 @@
     pub(super) missed: BTreeSet<StepKey>,
     /// When the homes of those are told again.
     pub(super) retell_at_ms: u64,
+    /// The configuration that the steps are held to.
+    pub(super) view: Option<Arc<View>>,
     /// Which step comes first at the next dispatch.
     pub(super) turn: usize,
     /// Steps with samples that may have become ready since their waiting fetches were
@@ -103,6 +105,7 @@
         untold: BTreeSet::new(),
         missed: BTreeSet::new(),
         retell_at_ms: 0,
+        view: None,
         turn: 0,
         ready: BTreeSet::new(),
     };
@@ -207,15 +210,39 @@
         let now_ms = now_ms();
         self.steps
             .post(step, &settings, cursor, trainer_version, now_ms)?;
+        self.announce_in_force(&step.key, now_ms);
+        Ok(())
+    }
+
+    /// Tells the version in force to the ledger of a step that was just taken in.
+    pub(super) fn announce_in_force(&mut self, key: &StepKey, now_ms: u64) {
         let model = ModelKey {
-            customer: step.key.customer.clone(),
-            service: step.key.service.clone(),
+            customer: key.customer.clone(),
+            service: key.service.clone(),
         };
         let in_force = self.gateway.weights.targets().get(&model).copied();
-        if let (Some(target), Some(ledger)) = (in_force, self.steps.get_mut(&step.key, now_ms)) {
+        if let (Some(target), Some(ledger)) = (in_force, self.steps.find_mut(key)) {
             ledger.announce(target.serve, None, now_ms);
         }
-        Ok(())
+    }
+
+    /// Holds every step to the configuration in force, once for each that comes.
+    fn configure(&mut self) {
+        let view = self.gateway.feed.view();
+        if self
+            .view
+            .as_ref()
+            .is_some_and(|last| Arc::ptr_eq(last, &view))
+        {
+            return;
+        }
+        for (key, ledger) in self.steps.iter_mut() {
+            if let Some(model) = view.service(&key.customer, &key.service) {
+                ledger.configure(&settings_of(model));
+                self.ready.insert(key.clone());
+            }
+        }
+        self.view = Some(view);
     }
 
     pub(super) fn run_news(&mut self, key: &StepKey, run: RunId, news: RunNews) {
@@ -285,6 +312,7 @@
             kept
         });
         self.tell(changed, now_ms);
+        self.configure();
         self.shunned.expire(now_ms);
     }
 
--- a/components/gateway/src/training/inner.rs
+++ b/components/gateway/src/training/inner.rs
@@ -2,14 +2,16 @@
 //! protocol.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
-use http::header::CONTENT_TYPE;
+use http::header::{CONTENT_TYPE, RETRY_AFTER};
 use node::now_ms;
 use protocol::{Head, Open};
 use samples::{Group, Step, StepKey};
 use serde::Serialize;
-use types::{Cause, Failure};
+use types::{Cause, Failure, WeightVersion};
+use weights::ModelKey;
 
 use super::bodies::{FetchBody, Fetched, Posted, SampleBody, StepBody, parse};
 use super::copies::{COPIES_PATH, parse as parse_copies};
@@ -26,6 +28,10 @@
 const ACCEPTED: u16 = 202;
 /// A fetch is answered this long before its deadline, so that the reply gets there.
 const ANSWER_BEFORE_MS: u64 = 250;
+/// Time that an announcement may take from one entry to another.
+const NEWS_MS: u64 = 1_000;
+/// Between two looks for it.
+const LOOK: Duration = Duration::from_millis(20);
 
 /// A checked call about one step.
 #[derive(Clone, Debug)]
@@ -116,11 +122,13 @@
     let model = view.service(&call.key.customer, &call.key.service).cloned();
     let model = model.ok_or(Rejection::Call(Failure::not_run(Cause::NotHosted)))?;
     let trainer_version = body.trainer_version()?;
+    let max_tokens = body.max_tokens()?;
+    announced(gateway, call, trainer_version).await?;
     let groups = body.groups.into_iter().map(|group| Group {
         prompt: group.prompt,
         samples: group.samples,
     });
-    let step = Step::new(call.key.clone(), groups.collect(), body.max_tokens)?;
+    let step = Step::new(call.key.clone(), groups.collect(), max_tokens)?;
     let post = Post {
         model,
         step: Arc::new(step),
@@ -131,9 +139,39 @@
     json(ACCEPTED, &Posted { cursor: &cursor })
 }
 
+/// Refuses a version of the trainer's own that nobody has announced. Samples are judged by
+/// the newest version that the trainer has named, so a mistyped one would make every sample
+/// of its step too old for good. One that was announced at another entry a moment ago gets
+/// here within `NEWS_MS`.
+async fn announced(
+    gateway: &Gateway,
+    call: &HomeCall,
+    version: WeightVersion,
+) -> Result<(), Rejection> {
+    let model = ModelKey {
+        customer: call.key.customer.clone(),
+        service: call.key.service.clone(),
+    };
+    let until_ms = call.deadline_at_ms.min(now_ms() + NEWS_MS);
+    loop {
+        let target = gateway.weights.targets().get(&model).copied();
+        // Nothing is known while all entries are new: the trainer is believed.
+        let Some(target) = target else { return Ok(()) };
+        let known = target.serve.max(target.load);
+        if version <= known {
+            return Ok(());
+        }
+        if now_ms() >= until_ms {
+            return Err(Rejection::NotInForce(version, known));
+        }
+        tokio::time::sleep(LOOK).await;
+    }
+}
+
 async fn fetch(gateway: &Gateway, call: &HomeCall) -> Result<(Head, Bytes), Rejection> {
     let body: FetchBody = parse(&call.body)?;
     let (trainer_version, max, wait_ms) = (body.trainer_version()?, body.max()?, body.wait_ms());
+    announced(gateway, call, trainer_version).await?;
     let left_ms = call.deadline_at_ms.saturating_sub(now_ms());
     let fetch = Fetch {
         key: call.key.clone(),
@@ -176,7 +214,12 @@
 fn as_answer(rejection: &Rejection, request_id: &str) -> (Head, Bytes) {
     let status = problem::status(rejection).as_u16();
     let document = problem::document(rejection, request_id);
-    (head(status, problem::PROBLEM_JSON), document)
+    let mut head = head(status, problem::PROBLEM_JSON);
+    if let Some(seconds) = problem::retry_after_s(rejection) {
+        let header = (RETRY_AFTER.as_str().to_owned(), seconds.to_string());
+        head.headers.push(header);
+    }
+    (head, document)
 }
 
 /// Head of an answer in JSON.
--- a/components/gateway/tests/training.rs
+++ b/components/gateway/tests/training.rs
@@ -153,6 +153,12 @@
     let site = site().await;
     let three = cursor(&site.send(0, &post(3, "a", None)).await.json());
     site.send(0, &post(4, "a", None)).await;
+    let tokens = |max_tokens: u32| {
+        let mut ask = post(6, "a", None);
+        let stated = format!("\"max_tokens\":{max_tokens}");
+        ask.body = ask.body.replace("\"max_tokens\":16", &stated);
+        ask
+    };
     let damaged = three.replace(three.chars().next_back().unwrap(), "~");
     let cases = [
         Case {
@@ -170,6 +176,16 @@
             ask: post(3, "other", None),
             problem: (422, "key-reused"),
         },
+        Case {
+            name: "samples of no token",
+            ask: tokens(0),
+            problem: (400, "malformed"),
+        },
+        Case {
+            name: "samples of more tokens than a completion may have",
+            ask: tokens(65_537),
+            problem: (400, "malformed"),
+        },
         Case {
             name: "a step without samples",
             ask: Ask::post(
@@ -256,3 +272,29 @@
     );
     assert!(!refused.is_empty());
 }
+
+// A trainer mistypes its version once. The fetch is refused; its step goes on, as samples are
+// judged by versions that were announced. Taken for true, it would make every sample too old.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn errors_when_a_trainer_names_a_version_that_nobody_announced() {
+    let site = site().await;
+    let announce = Ask::post("/v1/training/redacteurs/weights", r#"{"version":"1.1"}"#);
+    let announce = announce.by(TRAINER);
+    // At both, so that neither waits for the other's news.
+    for entry in 0..site.entries.len() {
+        let announced = site.send(entry, &announce).await;
+        assert_eq!(announced.status, 200, "{}", announced.text());
+    }
+    let start = cursor(&site.send(1, &post(11, "a", None)).await.json());
+    for entry in 0..site.entries.len() {
+        let mut mistyped = fetch(11, &start, SAMPLES);
+        mistyped.body = mistyped.body.replace("1.1", "1.99");
+        let answer = site.send(entry, &mistyped).await;
+        let (status, outcome, cause) = answer.problem();
+        assert_eq!((status, cause.as_str()), (409, "stale"));
+        assert_eq!(outcome, "not-run");
+        assert_eq!(answer.header("retry-after"), "1");
+    }
+    let reply = site.send(0, &fetch(11, &start, SAMPLES)).await.json();
+    assert_ne!(reply["samples"], json!([]));
+}
--- a/components/samples/src/copy.rs
+++ b/components/samples/src/copy.rs
@@ -9,6 +9,26 @@
 use crate::sample::Sample;
 use crate::step::{Step, StepDigest, StepKey};
 
+/// Cuts a queue into parts of at most `bytes_max` each; what is larger goes alone.
+pub fn batches<T>(items: Vec<T>, bytes_of: impl Fn(&T) -> usize, bytes_max: usize) -> Vec<Vec<T>> {
+    let mut batches: Vec<Vec<T>> = Vec::new();
+    let mut bytes = 0;
+    for item in items {
+        let more = bytes_of(&item);
+        match batches.last_mut() {
+            Some(batch) if bytes + more <= bytes_max => {
+                bytes += more;
+                batch.push(item);
+            }
+            _ => {
+                bytes = more;
+                batches.push(vec![item]);
+            }
+        }
+    }
+    batches
+}
+
 /// One message from home to second home.
 #[wire]
 pub enum Copy {
@@ -20,6 +40,9 @@
         cursor: Option<String>,
         /// Newest version that the trainer is known to have.
         trainer_version: WeightVersion,
+        /// How long ago the trainer last posted or fetched it, in milliseconds.
+        #[serde(default)]
+        unused_ms: u64,
     },
     /// A finished (and scored) sample.
     Finished {
@@ -30,4 +53,24 @@
         /// The sample.
         sample: Arc<Sample>,
     },
+    /// The trainer fetched from the step; sent now and then.
+    Fetched {
+        /// The step.
+        key: StepKey,
+        /// Digest of the post that it belongs to.
+        digest: StepDigest,
+        /// Whether the reply, together with what the trainer had, was the whole step.
+        complete: bool,
+    },
+}
+
+impl Copy {
+    /// Bytes of the texts in it.
+    pub fn text_bytes(&self) -> usize {
+        match self {
+            Copy::Post { step, .. } => step.prompt_bytes(),
+            Copy::Finished { sample, .. } => sample.text.len(),
+            Copy::Fetched { .. } => 0,
+        }
+    }
 }
--- a/components/samples/src/ledger.rs
+++ b/components/samples/src/ledger.rs
@@ -58,6 +58,8 @@
     next_run: u64,
     /// When the trainer last fetched.
     fetched_ms: Option<u64>,
+    /// When the second home was last told so.
+    told_ms: Option<u64>,
     /// A reply gave the last missing slots, and no cursor since says that it was lost.
     offered_whole: bool,
 }
@@ -97,6 +99,7 @@
             actions: Vec::new(),
             next_run: 1,
             fetched_ms: None,
+            told_ms: None,
             offered_whole: false,
         }
     }
@@ -121,6 +124,11 @@
         self.fetched_ms
     }
 
+    /// A reply, here or at the other home, gave the last missing slots.
+    pub(crate) fn hand_over(&mut self) {
+        self.offered_whole = true;
+    }
+
     /// Whether the trainer has every slot, or was given the last of them.
     pub(crate) fn is_done(&self) -> bool {
         self.offered_whole || self.is_complete()
@@ -131,7 +139,7 @@
     pub fn configure(&mut self, settings: &LedgerSettings) {
         let stricter = settings.staleness_bound < self.settings.staleness_bound;
         self.settings.staleness_bound = settings.staleness_bound;
-        self.settings.scored = settings.scored;
+        self.set_scored(settings.scored);
         if stricter {
             self.give_up_old_samples();
         }
@@ -181,11 +189,13 @@
     }
 
     /// Everything that a new second home needs; the cursor is passed on as it came.
-    pub fn copies(&self, cursor: Option<String>) -> Vec<Copy> {
+    /// `unused_ms` is how long ago the trainer last asked for the step.
+    pub fn copies(&self, cursor: Option<String>, unused_ms: u64) -> Vec<Copy> {
         let post = Copy::Post {
             step: Arc::clone(&self.step),
             cursor,
             trainer_version: self.newest,
+            unused_ms,
         };
         let samples = self.slots.iter().filter_map(SlotState::finished);
         let finished = samples.map(|sample| self.copy_of(sample));
--- a/components/samples/src/ledger/dispatch.rs
+++ b/components/samples/src/ledger/dispatch.rs
@@ -19,6 +19,10 @@
 impl Ledger {
     /// Starts what may start now; asks for scores again; looks for late runs.
     pub fn dispatch(&mut self, room: &Room, now_ms: u64) {
+        // What a second home misses of such a step is missed by nobody else.
+        if self.offered_whole {
+            return;
+        }
         self.ask_scores(now_ms);
         let mut free = self.usable(room);
         let mut budget = room.in_progress_max.saturating_sub(self.runs.len() as u32);
@@ -41,6 +45,9 @@
     /// When `dispatch` is next worth a call after one at `now_ms`, if no event comes. A slot
     /// that could have started but found no room waits for a look, not for a busy loop.
     pub fn next_due_ms(&self, now_ms: u64) -> Option<u64> {
+        if self.offered_whole {
+            return None;
+        }
         let waits = self.pending.iter().map(|&place| {
             let ready_ms = self.slots[place as usize].not_before_ms;
             if ready_ms > now_ms {
@@ -102,6 +109,7 @@
             place,
             to,
             hedge,
+            resumed: resume.is_some(),
             started_ms: now_ms,
             token_ms: now_ms,
             tokens: 0,
--- a/components/samples/src/ledger/fetch.rs
+++ b/components/samples/src/ledger/fetch.rs
@@ -7,12 +7,20 @@
 use types::WeightVersion;
 
 use super::Ledger;
-use super::state::{Phase, SlotState};
+use super::state::{Action, Phase, SlotState};
+use crate::copy::Copy;
 use crate::cursor::Cursor;
 use crate::sample::Sample;
 use crate::slots::SlotSet;
 use crate::step::Step;
 
+/// Least time between two notes to the second home that the trainer fetches. Far below the
+/// time after which a step that is not used is dropped there.
+const TELL_EVERY_MS: u64 = 60_000;
+/// Texts of one reply at most, in bytes, so that it passes between entries also when every
+/// byte takes six in JSON. One sample is given in any case.
+const REPLY_BYTES_MAX: usize = 4 << 20;
+
 quick_error! {
     /// Why a fetch gives nothing.
     #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -81,7 +89,7 @@
     ) -> Result<Reply, FetchError> {
         let ready = self.ready_for(cursor, trainer_version, now_ms)?;
         let places = self.choose(&ready, max);
-        Ok(self.reply(cursor, &places, trainer_version))
+        Ok(self.reply(cursor, &places, trainer_version, now_ms))
     }
 
     /// Gives exactly these slots, or nothing until all of them are ready; for a fetch
@@ -98,7 +106,7 @@
         if !places.iter().all(|&place| ready.contains(place)) {
             return Ok(None);
         }
-        Ok(Some(self.reply(base, &places, trainer_version)))
+        Ok(Some(self.reply(base, &places, trainer_version, now_ms)))
     }
 
     fn ready_for(
@@ -132,6 +140,8 @@
         }
         self.received = received.clone();
         if std::mem::take(&mut self.offered_whole) {
+            self.told_ms = None;
+            self.score_unscored();
             self.give_up_old_samples();
         }
     }
@@ -172,18 +182,33 @@
         let places = |group: &u32| self.step.group_places(*group);
         let (whole, open): (Vec<u32>, Vec<u32>) = groups.partition(|group| places(group).all(had));
         let ordered = whole.iter().chain(&open).flat_map(places);
-        ordered
-            .filter(|&place| ready.contains(place))
-            .take(max as usize)
-            .collect()
+        let mut chosen = Vec::new();
+        let mut bytes = 0;
+        for place in ordered.filter(|&place| ready.contains(place)) {
+            let sample = self.slots[place as usize].finished();
+            bytes += sample.map_or(0, |sample| sample.text.len());
+            let fits = bytes <= REPLY_BYTES_MAX || chosen.is_empty();
+            if !fits || chosen.len() >= max as usize {
+                break;
+            }
+            chosen.push(place);
+        }
+        chosen
     }
 
-    fn reply(&mut self, cursor: &Cursor, places: &[u32], trainer_version: WeightVersion) -> Reply {
+    fn reply(
+        &mut self,
+        cursor: &Cursor,
+        places: &[u32],
+        trainer_version: WeightVersion,
+        now_ms: u64,
+    ) -> Reply {
         let offer = |&place: &u32| offer(self.slot_mut(place), trainer_version);
         let samples = places.iter().filter_map(offer).collect();
         let cursor = cursor.after(places.iter().copied());
         let received = cursor.received().len();
         self.offered_whole = received == self.step.total();
+        self.tell_fetched(now_ms);
         Reply {
             samples,
             received,
@@ -194,6 +219,23 @@
     }
 }
 
+impl Ledger {
+    /// Keeps the second home from dropping a step that its trainer fetches here, and from
+    /// running for nobody what the trainer has.
+    fn tell_fetched(&mut self, now_ms: u64) {
+        let lately = |told_ms| now_ms.saturating_sub(told_ms) < TELL_EVERY_MS;
+        if !self.offered_whole && self.told_ms.is_some_and(lately) {
+            return;
+        }
+        self.told_ms = Some(now_ms);
+        self.actions.push(Action::Copy(Copy::Fetched {
+            key: self.step.key.clone(),
+            digest: self.step.digest(),
+            complete: self.offered_whole,
+        }));
+    }
+}
+
 fn offer(slot: &mut SlotState, trainer_version: WeightVersion) -> Option<Offer> {
     let sample = Arc::clone(slot.finished()?);
     let staleness = sample.staleness(trainer_version)?;
--- a/components/samples/src/ledger/runs.rs
+++ b/components/samples/src/ledger/runs.rs
@@ -76,6 +76,10 @@
         };
         let place = state.place;
         self.end_run(run, place);
+        if state.resumed && fault == Fault::Quarantined {
+            self.start_afresh(place);
+            return;
+        }
         self.note_fault(&state, fault);
         if !self.slots[place as usize].runs.is_empty() {
             return;
@@ -91,6 +95,15 @@
         self.pending.insert(place);
     }
 
+    /// An engine refuses to go on from tokens: not all take them, and none takes as many as
+    /// the sample may have, which a run leaves whose engine died before its last word. Tried
+    /// again with them, the slot would be refused for ever.
+    fn start_afresh(&mut self, place: u32) {
+        self.tally.failed += 1;
+        self.slot_mut(place).partial = None;
+        self.restart_if_alone(place);
+    }
+
     /// Plans every run against the newest version.
     pub(super) fn plan_swap(&mut self, now_ms: u64) {
         let news = News {
@@ -173,10 +186,7 @@
             self.bind(place, sample);
             return;
         }
-        self.slot_mut(place).phase = Phase::Scoring;
-        self.scoring
-            .insert(run, ScoreWait::new(place, Arc::clone(&sample)));
-        self.actions.push(Action::Score { run, sample });
+        self.wait_for_score(run, place, sample);
     }
 
     fn note_fault(&mut self, run: &Run, fault: Fault) {
@@ -208,7 +218,7 @@
 }
 
 impl ScoreWait {
-    fn new(place: u32, sample: Arc<Sample>) -> Self {
+    pub(super) fn new(place: u32, sample: Arc<Sample>) -> Self {
         Self {
             place,
             sample,
--- a/components/samples/src/ledger/scores.rs
+++ b/components/samples/src/ledger/scores.rs
@@ -10,7 +10,7 @@
 use std::sync::Arc;
 
 use super::Ledger;
-use super::state::{Action, RunId};
+use super::state::{Action, Phase, RunId, ScoreWait};
 use crate::sample::{Sample, Score};
 
 impl Ledger {
@@ -53,6 +53,49 @@
         wait.not_before_ms = now_ms + pause_ms;
     }
 
+    /// Samples are scored from here on, or no more. Without a scorer those that wait for
+    /// their score would wait for ever; with one, those without would go out unscored.
+    pub(super) fn set_scored(&mut self, scored: bool) {
+        if scored == self.settings.scored {
+            return;
+        }
+        self.settings.scored = scored;
+        if scored {
+            self.score_unscored();
+            return;
+        }
+        for (_, wait) in std::mem::take(&mut self.scoring) {
+            self.bind(wait.place, wait.sample);
+        }
+    }
+
+    /// Has the samples scored that the trainer does not have and that were finished while
+    /// there was no scorer.
+    pub(super) fn score_unscored(&mut self) {
+        if !self.settings.scored || self.offered_whole {
+            return;
+        }
+        let places: Vec<u32> = self.received.missing().collect();
+        for place in places {
+            let finished = self.slots[place as usize].finished();
+            let unscored = finished.filter(|sample| sample.score.is_none());
+            let Some(sample) = unscored.map(Arc::clone) else {
+                continue;
+            };
+            let run = RunId(self.next_run);
+            self.next_run += 1;
+            self.wait_for_score(run, place, sample);
+        }
+    }
+
+    /// Asks for the score of a whole sample.
+    pub(super) fn wait_for_score(&mut self, run: RunId, place: u32, sample: Arc<Sample>) {
+        self.slot_mut(place).phase = Phase::Scoring;
+        self.scoring
+            .insert(run, ScoreWait::new(place, Arc::clone(&sample)));
+        self.actions.push(Action::Score { run, sample });
+    }
+
     /// Asks again for the scores whose pause is over.
     pub(super) fn ask_scores(&mut self, now_ms: u64) {
         for (&run, wait) in &mut self.scoring {
--- a/components/samples/src/ledger/state.rs
+++ b/components/samples/src/ledger/state.rs
@@ -238,6 +238,8 @@
     pub place: u32,
     pub to: SocketAddr,
     pub hedge: bool,
+    /// It went on from tokens of an earlier one.
+    pub resumed: bool,
     pub started_ms: u64,
     pub token_ms: u64,
     pub tokens: u64,
--- a/components/samples/src/lib.rs
+++ b/components/samples/src/lib.rs
@@ -19,7 +19,7 @@
 pub mod swap;
 mod tally;
 
-pub use copy::Copy;
+pub use copy::{Copy, batches};
 pub use cursor::{Cursor, CursorError, CursorKeys};
 pub use distribution::Distribution;
 pub use fetch_log::{FetchLog, Grant, GrantVerdict, Turn};
--- a/components/samples/src/steps.rs
+++ b/components/samples/src/steps.rs
@@ -16,7 +16,7 @@
 use crate::cursor::Cursor;
 use crate::holdings::{Holdings, StepBounds};
 use crate::ledger::{Action, Ledger, LedgerSettings};
-use crate::step::{Step, StepKey};
+use crate::step::{Step, StepDigest, StepKey};
 
 /// A step that was posted or fetched within this time is in use.
 const IN_USE_MS: u64 = 10_000;
@@ -48,6 +48,8 @@
     Known,
     /// It was, with another content that nobody fetches any more.
     Replaced,
+    /// Nothing: a copy of a step that nobody has used for too long.
+    TooOld,
 }
 
 struct Held {
@@ -128,6 +130,36 @@
         Ok(posted)
     }
 
+    /// Takes a post that the other home holds and that its trainer last used at `used_ms`.
+    /// What is held here has a cursor of the trainer's own already, perhaps a later one.
+    /// A step that is unused for too long does not come back this way: two homes that see
+    /// each other come and go would else keep it for ever.
+    pub fn post_copy(
+        &mut self,
+        step: &Arc<Step>,
+        settings: &LedgerSettings,
+        cursor: &Cursor,
+        trainer_version: WeightVersion,
+        used_ms: u64,
+        now_ms: u64,
+    ) -> Result<Posted, PostError> {
+        if let Some(held) = self.held_of(&step.key, step.digest()) {
+            held.touched_ms = held.touched_ms.max(used_ms);
+            held.ledger.announce(trainer_version, None, now_ms);
+            return Ok(Posted::Known);
+        }
+        if now_ms.saturating_sub(used_ms) >= self.idle_ms {
+            return Ok(Posted::TooOld);
+        }
+        self.post(step, settings, cursor, trainer_version, used_ms)
+    }
+
+    /// How long ago a step was last posted or fetched, in milliseconds.
+    pub fn unused_ms(&self, key: &StepKey, now_ms: u64) -> Option<u64> {
+        let held = self.held.get(key)?;
+        Some(now_ms.saturating_sub(held.touched_ms))
+    }
+
     /// Whether a step is held.
     pub fn holds(&self, key: &StepKey) -> bool {
         self.held.contains_key(key)
@@ -188,26 +220,42 @@
             .map(|(key, held)| (key, &mut held.ledger))
     }
 
-    /// Takes a finished sample of the other home. A sample of an unknown step or of another
-    /// post is dropped: the step's post comes with its copy or from the trainer.
+    /// Takes a finished sample of the other home, or that its trainer fetches there. What is
+    /// said of an unknown step or of another post is dropped: the step's post comes with
+    /// its copy or from the trainer.
     pub fn apply(&mut self, copy: &Copy, now_ms: u64) {
-        let Copy::Finished {
-            key,
-            digest,
-            sample,
-        } = copy
-        else {
-            return;
-        };
-        let Some(held) = self.held.get_mut(key) else {
-            return;
-        };
-        if held.ledger.step().digest() == *digest {
-            held.touched_ms = now_ms;
-            held.ledger.adopt(sample);
+        match copy {
+            Copy::Post { .. } => {}
+            Copy::Finished {
+                key,
+                digest,
+                sample,
+            } => {
+                if let Some(held) = self.held_of(key, *digest) {
+                    held.ledger.adopt(sample);
+                }
+            }
+            Copy::Fetched {
+                key,
+                digest,
+                complete,
+            } => {
+                let Some(held) = self.held_of(key, *digest) else {
+                    return;
+                };
+                held.touched_ms = held.touched_ms.max(now_ms);
+                if *complete {
+                    held.ledger.hand_over();
+                }
+            }
         }
     }
 
+    fn held_of(&mut self, key: &StepKey, digest: StepDigest) -> Option<&mut Held> {
+        let held = self.held.get_mut(key)?;
+        (held.ledger.step().digest() == digest).then_some(held)
+    }
+
     /// Drops steps that nobody has asked for; gives what has to be cancelled. A trainer
     /// that comes back after that posts again with its cursor and loses nothing but time.
     pub fn retire(&mut self, now_ms: u64) -> Vec<Action> {
--- /dev/null
+++ b/components/samples/tests/copies.rs
@@ -0,0 +1,154 @@
+//! What goes from a step's first home to the second.
+
+#![allow(clippy::unwrap_used)] // The exemption of clippy.toml ends at helpers of tests.
+
+mod support;
+
+use std::sync::Arc;
+
+use samples::{Action, Copy, Cursor, LedgerSettings, Posted, Step, Steps, batches};
+use support::{completion, key, room, starts, step_of, version};
+
+const IDLE_MS: u64 = 1_000;
+
+/// Holds the step with all its samples; none was fetched yet.
+fn first_home(step: &Arc<Step>) -> Steps {
+    let mut steps = Steps::new(IDLE_MS);
+    let at = version(1, 1);
+    let (settings, start) = (LedgerSettings::default(), Cursor::start(step));
+    steps.post(step, &settings, &start, at, 0).unwrap();
+    let ledger = steps.find_mut(&key(7)).unwrap();
+    ledger.dispatch(&room(1, 99, at), 0);
+    for start in starts(ledger) {
+        ledger.finished(start.run, completion("text", [at]), 1);
+    }
+    ledger.drain();
+    steps
+}
+
+fn notes(steps: &mut Steps) -> Vec<Copy> {
+    let actions = steps.find_mut(&key(7)).unwrap().drain();
+    let copy = |action| match action {
+        Action::Copy(copy) => Some(copy),
+        _ => None,
+    };
+    actions.into_iter().filter_map(copy).collect()
+}
+
+// The trainer has its step whole from the first home, which then dies. The second, which
+// missed the samples' copies, runs nothing for nobody; only the trainer's own cursor, back
+// from a lost reply, has the step run there.
+#[test]
+fn can_leave_a_done_step_in_peace_at_the_second_home() {
+    let step = step_of(1, 3);
+    let (at, start) = (version(1, 1), Cursor::start(&step));
+    let (mut first, mut second) = (first_home(&step), Steps::new(IDLE_MS));
+    let settings = LedgerSettings::default();
+    second
+        .post_copy(&step, &settings, &start, at, 0, 0)
+        .unwrap();
+    let reply = first.get_mut(&key(7), 2).unwrap().fetch(&start, at, 9, 2);
+    assert!(reply.unwrap().complete);
+    notes(&mut first)
+        .iter()
+        .for_each(|copy| second.apply(copy, 3));
+    let ledger = second.find_mut(&key(7)).unwrap();
+    ledger.announce(version(1, 2), None, 4);
+    ledger.dispatch(&room(1, 99, version(1, 2)), 5);
+    assert_eq!((ledger.next_due_ms(5), starts(ledger)), (None, vec![]));
+    ledger.fetch(&start, version(1, 2), 9, 6).unwrap();
+    ledger.dispatch(&room(1, 99, version(1, 2)), 6);
+    assert_eq!(starts(ledger).len(), 3);
+}
+
+// A trainer fetches at the first home for longer than an unused step is kept. The second
+// home hears of it now and then, and keeps the step as long.
+#[test]
+fn can_keep_a_step_at_the_second_home_while_its_trainer_fetches_at_the_first() {
+    const MINUTE_MS: u64 = 60_000;
+    const KEPT_MS: u64 = 15 * MINUTE_MS;
+    let step = step_of(1, 3);
+    let (at, start) = (version(1, 1), Cursor::start(&step));
+    let settings = LedgerSettings::default();
+    let (mut first, mut second) = (Steps::new(KEPT_MS), Steps::new(KEPT_MS));
+    first.post(&step, &settings, &start, at, 0).unwrap();
+    second
+        .post_copy(&step, &settings, &start, at, 0, 0)
+        .unwrap();
+    for minute in 1..=20 {
+        let now_ms = minute * MINUTE_MS;
+        let ledger = first.get_mut(&key(7), now_ms).unwrap();
+        ledger.fetch(&start, at, 9, now_ms).unwrap();
+        ledger.fetch(&start, at, 9, now_ms + 1).unwrap();
+        let copies = notes(&mut first);
+        assert_eq!(copies.len(), 1, "one note a minute");
+        copies.iter().for_each(|copy| second.apply(copy, now_ms));
+        second.retire(now_ms);
+    }
+    assert!(second.holds(&key(7)));
+    second.retire(20 * MINUTE_MS + KEPT_MS);
+    assert!(!second.holds(&key(7)));
+}
+
+// Two homes lose sight of each other and come back, and each time send each other what they
+// hold. Their copies don't count as use, so a step that its trainer is done with ends.
+#[test]
+fn can_drop_an_unused_step_although_homes_copy_it_to_each_other() {
+    let step = step_of(1, 2);
+    let (at, settings) = (version(1, 1), LedgerSettings::default());
+    let start = Cursor::start(&step);
+    let mut homes = [first_home(&step), Steps::new(IDLE_MS)];
+    for now_ms in (100..3 * IDLE_MS).step_by(100) {
+        for from in 0..homes.len() {
+            let Some(unused_ms) = homes[from].unused_ms(&key(7), now_ms) else {
+                continue;
+            };
+            let copies = homes[from].find_mut(&key(7)).unwrap();
+            let copies = copies.copies(None, unused_ms);
+            let to = &mut homes[1 - from];
+            let used_ms = now_ms - unused_ms;
+            let taken = to.post_copy(&step, &settings, &start, at, used_ms, now_ms);
+            assert_ne!(taken, Ok(Posted::Replaced));
+            copies.iter().for_each(|copy| to.apply(copy, now_ms));
+        }
+        for home in &mut homes {
+            home.retire(now_ms);
+            assert!(now_ms < IDLE_MS || !home.holds(&key(7)), "at {now_ms} ms");
+        }
+    }
+}
+
+#[test]
+fn can_cut_a_queue_of_copies_by_bytes() {
+    struct Case {
+        name: &'static str,
+        bytes: Vec<usize>,
+        parts: Vec<Vec<usize>>,
+    }
+    let cases = [
+        Case {
+            name: "nothing",
+            bytes: vec![],
+            parts: vec![],
+        },
+        Case {
+            name: "all in one",
+            bytes: vec![3, 3, 4],
+            parts: vec![vec![3, 3, 4]],
+        },
+        Case {
+            name: "in order over two",
+            bytes: vec![6, 5, 1],
+            parts: vec![vec![6], vec![5, 1]],
+        },
+        Case {
+            name: "one that is too large goes alone",
+            bytes: vec![1, 99, 1],
+            parts: vec![vec![1], vec![99], vec![1]],
+        },
+    ];
+    for case in cases {
+        let parts = batches(case.bytes, |&bytes| bytes, 10);
+        assert_eq!(parts, case.parts, "{}", case.name);
+    }
+}
--- a/components/samples/tests/ledger.rs
+++ b/components/samples/tests/ledger.rs
@@ -263,7 +263,7 @@
     let first = own
         .fetch(&Cursor::start(&step), version(1, 1), 1, 2)
         .unwrap();
-    for copy in other.copies(Some(Cursor::start(&step).seal(&keys()))) {
+    for copy in other.copies(Some(Cursor::start(&step).seal(&keys())), 0) {
         if let samples::Copy::Finished { sample, .. } = copy {
             own.adopt(&sample);
             late.adopt(&sample);
@@ -288,3 +288,105 @@
     ledger.dispatch(&room(0, 0, version(1, 1)), 100);
     assert!(ledger.next_due_ms(100).unwrap() > 100);
 }
+
+// An engine dies after the last token and before the end of its answer. The next one refuses
+// to go on from as many tokens as the sample may have. The slot is run afresh, once, instead
+// of being refused with the same tokens for ever.
+#[test]
+fn can_run_afresh_when_an_engine_refuses_to_go_on_from_tokens() {
+    let at = version(1, 1);
+    let step = step_of(1, 1);
+    let mut ledger = ledger(&step, bound(2), at);
+    ledger.dispatch(&room(2, 9, at), 0);
+    let first = starts(&mut ledger).remove(0);
+    let partial = Partial {
+        text: "a".to_owned(),
+        tokens: vec![1; 64],
+        provenance: Provenance::Known([at].into()),
+    };
+    ledger.failed(first.run, Fault::Lost, Some(partial), 10);
+    ledger.dispatch(&room(2, 9, at), 20);
+    let resumed = starts(&mut ledger).remove(0);
+    assert!(resumed.resume.is_some());
+    ledger.failed(resumed.run, Fault::Quarantined, resumed.resume, 30);
+    assert_eq!(ledger.blocked(), 0);
+    ledger.dispatch(&room(2, 9, at), 30);
+    let fresh = starts(&mut ledger).remove(0);
+    assert_eq!(fresh.resume, None);
+    ledger.failed(fresh.run, Fault::Quarantined, None, 40);
+    assert_eq!(ledger.blocked(), 1);
+}
+
+// Long samples are ready. A reply holds as many as pass between entries, one in any case,
+// and the cursor says that the rest is owed.
+#[test]
+fn can_bound_a_reply_by_its_bytes() {
+    const SAMPLES: u32 = 8;
+    struct Case {
+        name: &'static str,
+        text_bytes: usize,
+        given: usize,
+    }
+    let cases = [
+        Case {
+            name: "short texts",
+            text_bytes: 1_000,
+            given: 8,
+        },
+        Case {
+            name: "some fit",
+            text_bytes: 1 << 20,
+            given: 4,
+        },
+        Case {
+            name: "one that is larger than a reply",
+            text_bytes: 5 << 20,
+            given: 1,
+        },
+    ];
+    let at = version(1, 1);
+    for case in cases {
+        let step = step_of(1, SAMPLES);
+        let mut ledger = ledger(&step, bound(2), at);
+        ledger.dispatch(&room(1, 99, at), 0);
+        let text = "x".repeat(case.text_bytes);
+        for start in starts(&mut ledger) {
+            ledger.finished(start.run, completion(&text, [at]), 1);
+        }
+        let start = Cursor::start(&step);
+        let reply = ledger.fetch(&start, at, 99, 2).unwrap();
+        assert_eq!(reply.samples.len(), case.given, "{}", case.name);
+        assert_eq!(reply.received as usize, case.given, "{}", case.name);
+        assert_eq!(reply.complete, case.given == SAMPLES as usize);
+    }
+}
+
+// An operator takes the scorer out of the text, or puts one in, while samples of a step wait.
+// Without one no score would ever come; with one, no sample goes out without its score.
+#[test]
+fn can_follow_a_scorer_that_comes_or_goes() {
+    let at = version(1, 1);
+    let step = step_of(1, 2);
+    let start = Cursor::start(&step);
+    let mut gone = ledger(&step, scored(), at);
+    finish_all(&mut gone, &[at], 1);
+    gone.configure(&bound(2));
+    assert_eq!(gone.fetch(&start, at, 9, 2).unwrap().samples.len(), 2);
+
+    let mut new = ledger(&step, bound(2), at);
+    finish_all(&mut new, &[at], 1);
+    new.drain();
+    new.configure(&scored());
+    assert!(new.fetch(&start, at, 9, 2).unwrap().samples.is_empty());
+    for action in new.drain() {
+        if let Action::Score { run, .. } = action {
+            new.scored(run, Score::new(0.5).unwrap());
+        }
+    }
+    let reply = new.fetch(&start, at, 9, 3).unwrap();
+    let scores = reply
+        .samples
+        .iter()
+        .filter(|offer| offer.sample.score.is_some());
+    assert_eq!(scores.count(), 2);
+}
--- a/components/samples/tests/steps.rs
+++ b/components/samples/tests/steps.rs
@@ -146,7 +146,7 @@
     for start in starts(ledger) {
         ledger.finished(start.run, completion("text", [version(1, 1)]), 1);
     }
-    let sent = serde_json::to_string(&ledger.copies(None)).unwrap();
+    let sent = serde_json::to_string(&ledger.copies(None, 0)).unwrap();
     let copies: Vec<Copy> = serde_json::from_str(&sent).unwrap();
     // Out of order: a sample that comes before its post is dropped and sent with the rest.
     copies.iter().rev().for_each(|copy| second.apply(copy, 1));
