Training: a second home runs what its first home no longer holds

Cause (read in the code, not run): a first home that lost a step, replaced at its address or after it made room, answers a fetch with 404; the second one, which holds it, then answers with what it has, but did not run what is missing, as it is not the first, and had noted the first as told. The trainer would fetch nothing without end, and never hear that it should post again.

Change: a fetch that comes to another home than the first has that home run the step until the first has taken its copy again, as after a refused post. Weighed: passing the 404 on; the trainer's post would then run again also what the second home has.

No test has a first home that lacks a step while it lives, so none covers this.

--- a/components/gateway/src/training/desk_fetch.rs
+++ b/components/gateway/src/training/desk_fetch.rs
@@ -25,6 +25,7 @@
         let now_ms = now_ms();
         let clock = self.idle.entry(fetch.key.clone()).or_default();
         clock.fetch_began(now_ms);
+        self.stand_in(&fetch.key);
         self.end_older(&fetch, now_ms);
         self.end_surplus(&fetch.key, now_ms);
         let wait_ms = if self.may_wait(&fetch.key) {
@@ -41,6 +42,21 @@
         });
     }
 
+    /// A fetch comes here although another entry is the first home: that one refused, or it
+    /// has lost the step, as one that was replaced at its address. Nobody would run what is
+    /// missing, and the trainer would fetch nothing for ever; so it is run here until the
+    /// first home has been told everything again.
+    fn stand_in(&mut self, key: &StepKey) {
+        if !self.steps.holds(key) || self.homes.is_first(key) {
+            return;
+        }
+        let new = self.standing_in.insert(key.clone());
+        if let Some(first) = self.homes.first(key).filter(|_| new) {
+            self.told.lost(key, first);
+            self.missed.insert(key.clone());
+        }
+    }
+
     /// Has the step's oldest waiting fetches answered, so that there is a place for one.
     fn end_surplus(&mut self, key: &StepKey, now_ms: u64) {
         let of_step = |waiting: &&mut Waiting| waiting.fetch.key == *key;
