Quarantine: a cause whose entry did not see the crash is named all the same

Cause: an attempt that hears of its endpoint's crash too late ends as any other failure. Its call was in no report, and a bystander of the other entry was the only one known to have been at the crash.

Change: a run that ended without an answer counts as there for another second; an entry that is told of a crash tells what it had there now or a moment ago, and counts the crash against it. Calls that complete are cleared as before.

--- a/components/gateway/src/suspects.rs
+++ b/components/gateway/src/suspects.rs
@@ -177,11 +177,11 @@
             let entry = suspects.enter(digest, endpoint, now_ms);
             // The one who asked may have gone; then its run never began.
             if let Err(Entry::Run(run)) = answer.send(entry) {
-                suspects.leave(run);
+                suspects.leave(run, now_ms);
             }
         }
         Order::Complete(run) => suspects.complete(run),
-        Order::Leave(run) => suspects.leave(run),
+        Order::Leave(run) => suspects.leave(run, now_ms),
         Order::Lost(run, answer) => {
             let _ = answer.send(suspects.lost(run, now_ms));
         }
--- a/components/quarantine/src/crashes.rs
+++ b/components/quarantine/src/crashes.rs
@@ -72,6 +72,12 @@
         number
     }
 
+    /// Whether this process has told what it had in flight at a crash.
+    pub fn is_told_here(&self, number: u64) -> bool {
+        let crash = self.crashes.get(&number);
+        crash.is_some_and(|crash| crash.told_by.contains(&None))
+    }
+
     /// Whether each of these crashes is so old that all have told of it.
     pub fn are_settled(&self, numbers: &BTreeSet<u64>, now_ms: u64, settle_ms: u64) -> bool {
         let settled = |crash: &Crash| crash.at_ms + settle_ms <= now_ms;
--- a/components/quarantine/src/suspects.rs
+++ b/components/quarantine/src/suspects.rs
@@ -26,7 +26,7 @@
 //! bystander's crashes. It can be when a report is lost, or when crashes with other causes
 //! hit it; that ends with `condemned_ms` or when the true cause is condemned here.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::net::SocketAddr;
 
 use derive::value;
@@ -43,6 +43,14 @@
     crash: Option<u64>,
 }
 
+/// A run that ended without an answer and without a crash that was known of.
+#[value]
+struct Left {
+    digest: CallDigest,
+    endpoint: SocketAddr,
+    at_ms: u64,
+}
+
 #[value]
 #[derive(Default)]
 struct Record {
@@ -61,6 +69,7 @@
     runs: HashMap<RunId, Run>,
     records: BTreeMap<CallDigest, Record>,
     crashes: Crashes,
+    left: VecDeque<Left>,
     next_number: u64,
     to_tell: Vec<Condemned>,
     to_report: Vec<Crashed>,
@@ -74,6 +83,7 @@
             runs: HashMap::new(),
             records: BTreeMap::new(),
             crashes: Crashes::default(),
+            left: VecDeque::new(),
             next_number: 0,
             to_tell: Vec::new(),
             to_report: Vec::new(),
@@ -129,15 +139,24 @@
             return;
         };
         self.crashes.clear(run.digest);
+        self.left.retain(|left| left.digest != run.digest);
         let told = self.records.get(&run.digest).is_some_and(|r| r.told);
         if !told {
             self.records.remove(&run.digest);
         }
     }
 
-    /// The call ended in another way than by a crash: cancelled, refused, failed.
-    pub fn leave(&mut self, run: RunId) {
-        self.runs.remove(&run);
+    /// The call ended in another way than by a crash that is known of: cancelled, refused,
+    /// failed. For a moment it still counts as there: word of a crash may come late, and
+    /// with its cause left out a bystander would be the only one that was in flight.
+    pub fn leave(&mut self, run: RunId, now_ms: u64) {
+        self.forget_left(now_ms);
+        let ended = self.runs.remove(&run).filter(|run| run.crash.is_none());
+        self.left.extend(ended.map(|run| Left {
+            digest: run.digest,
+            endpoint: run.endpoint,
+            at_ms: now_ms,
+        }));
     }
 
     /// The call ended because the endpoint crashed.
@@ -177,6 +196,10 @@
         for &digest in in_flight {
             self.accuse(digest, crash, now_ms);
         }
+        // What was there from here may not know of the crash yet, or never will.
+        if !self.crashes.is_told_here(crash) && !self.here(*endpoint, now_ms).is_empty() {
+            self.crash(*endpoint, now_ms);
+        }
         self.evict(now_ms);
     }
 
@@ -259,13 +282,13 @@
     /// All in flight at the endpoint share the crash. Their own reports come one by one
     /// and must not count as crashes of their own.
     fn crash(&mut self, endpoint: SocketAddr, now_ms: u64) {
-        let here = |run: &Run| run.endpoint == endpoint && run.crash.is_none();
-        let in_flight = self.runs.values().filter(|run| here(run));
-        let in_flight: BTreeSet<CallDigest> = in_flight.map(|run| run.digest).collect();
+        let in_flight = self.here(endpoint, now_ms);
+        self.left.retain(|left| left.endpoint != endpoint);
         let known = in_flight.iter().copied();
         let same_ms = self.settings.same_crash_ms;
         let crash = self.crashes.report(None, endpoint, known, now_ms, same_ms);
-        for run in self.runs.values_mut().filter(|run| here(run)) {
+        let here = |run: &&mut Run| run.endpoint == endpoint && run.crash.is_none();
+        for run in self.runs.values_mut().filter(here) {
             run.crash = Some(crash);
         }
         for &digest in &in_flight {
@@ -278,6 +301,26 @@
         self.evict(now_ms);
     }
 
+    /// Calls of this process at an endpoint now or a moment ago.
+    fn here(&self, endpoint: SocketAddr, now_ms: u64) -> BTreeSet<CallDigest> {
+        let runs = self.runs.values();
+        let runs = runs.filter(|run| run.endpoint == endpoint && run.crash.is_none());
+        let same_ms = self.settings.same_crash_ms;
+        let left = self.left.iter();
+        let left = left.filter(|left| left.endpoint == endpoint && left.at_ms + same_ms > now_ms);
+        let runs = runs.map(|run| run.digest);
+        runs.chain(left.map(|left| left.digest)).collect()
+    }
+
+    fn forget_left(&mut self, now_ms: u64) {
+        let same_ms = self.settings.same_crash_ms;
+        while let Some(left) = self.left.front()
+            && left.at_ms + same_ms <= now_ms
+        {
+            self.left.pop_front();
+        }
+    }
+
     fn is_unsettled(&self, digest: CallDigest, crashes: usize, now_ms: u64) -> bool {
         let settle_ms = self.settings.settle_ms;
         let record = self.records.get(&digest);
--- a/components/quarantine/tests/suspects.rs
+++ b/components/quarantine/tests/suspects.rs
@@ -112,6 +112,32 @@
     }
 }
 
+// A bystander is answered though the word of a crash never came to the entry whose call
+// caused it: that call has ended there as any other. Told by the other entry that the
+// endpoint crashed, the entry names what it had there a moment ago.
+#[test]
+fn can_name_a_cause_whose_entry_did_not_see_the_crash() {
+    let mut entries = [(); 2].map(|()| Suspects::new(SuspectSettings::default()));
+    for at in 0..2_u8 {
+        let now_ms = u64::from(at) * 5_000;
+        let bystander = run(&mut entries[0], 1, at, now_ms).unwrap();
+        let cause = run(&mut entries[1], BAD, at, now_ms).unwrap();
+        assert_eq!(entries[0].lost(bystander, now_ms + 50), Verdict::Retry);
+        entries[1].leave(cause, now_ms + 100);
+        for crashed in entries[0].take_crashed() {
+            entries[1].hear_crash(address(0), &crashed, now_ms + 110);
+        }
+        for crashed in entries[1].take_crashed() {
+            entries[0].hear_crash(address(1), &crashed, now_ms + 120);
+        }
+    }
+    for entry in &mut entries {
+        entry.judge(call(1), 10_000);
+        let standing = entry.standing(call(1), 10_000);
+        assert_eq!(standing, Standing::Suspect { crashes: 2 });
+    }
+}
+
 #[test]
 fn can_bound_the_table_and_keep_condemned_calls_longest() {
     let digests_max = 8;
