--- a/components/quarantine/src/suspects.rs
+++ b/components/quarantine/src/suspects.rs
@@ -18,13 +18,16 @@
 //! in time, and one more for each crash in which one and the same other call was beside it
 //! in all. With every report lost it costs `crashes_max` for each entry that it reaches
 //! before the rumour does, so four through two entries. Copies that are in flight at once
-//! before the first crash can cost one endpoint each; a bound on copies was ruled out, as
-//! the samples of one group are copies.
+//! before the first crash can cost one endpoint each. A crash that no process hears of
+//! while its calls are known as there, or a moment after, counts against nobody and is
+//! outside of the bound. A bound on copies was ruled out, as the samples of one group are
+//! copies.
 //!
 //! A bystander is never condemned for the crashes of one other call, through whatever
 //! entries that came, as long as reports arrive: the cause was in flight at each of the
-//! bystander's crashes. It can be when a report is lost, or when crashes with other causes
-//! hit it; that ends with `condemned_ms` or when the true cause is condemned here.
+//! bystander's crashes. It can be when a report is lost or comes too late, or when crashes
+//! with other causes hit it; that ends with `condemned_ms` or when the true cause is
+//! condemned here.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::net::SocketAddr;
