--- a/components/gateway/src/training.rs
+++ b/components/gateway/src/training.rs
@@ -12,6 +12,7 @@
 mod desk_copies;
 mod desk_fetch;
 mod desk_task;
+mod desk_tick;
 mod figures;
 mod forward;
 mod home_map;
--- a/components/gateway/src/training/desk_task.rs
+++ b/components/gateway/src/training/desk_task.rs
@@ -8,7 +8,7 @@
 
 use config::{Service, View};
 use node::now_ms;
-use samples::{Action, Cursor, CursorKeys, IdleClock, LedgerSettings, RunId, Step, StepKey, Steps};
+use samples::{Cursor, CursorKeys, IdleClock, LedgerSettings, RunId, Step, StepKey, Steps};
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::AbortHandle;
 use types::WeightVersion;
@@ -17,7 +17,6 @@
 use super::copies::{Copier, Told, post};
 use super::desk::DeskInbox;
 use super::figures::Figures;
-use super::forward::live_entries;
 use super::home_map::HomeMap;
 use super::orders::{Fetch, Order, Post, Reply, RunNews};
 use super::rhythm::Rhythm;
@@ -30,8 +29,6 @@
 const STEP_IDLE_MS: u64 = 900_000;
 /// Longest sleep: room changes without an order.
 const TICK_MS: u64 = 100;
-/// Pause between two tries to tell a home what it missed, in milliseconds.
-const RETELL_EVERY_MS: u64 = 1_000;
 /// Orders that are taken before the ledgers are asked what to do.
 const ORDERS_AT_ONCE: usize = 256;
 
@@ -226,25 +223,6 @@
         }
     }
 
-    /// Holds every step to the configuration in force, once for each that comes.
-    fn configure(&mut self) {
-        let view = self.gateway.feed.view();
-        if self
-            .view
-            .as_ref()
-            .is_some_and(|last| Arc::ptr_eq(last, &view))
-        {
-            return;
-        }
-        for (key, ledger) in self.steps.iter_mut() {
-            if let Some(model) = view.service(&key.customer, &key.service) {
-                ledger.configure(&settings_of(model));
-                self.ready.insert(key.clone());
-            }
-        }
-        self.view = Some(view);
-    }
-
     pub(super) fn run_news(&mut self, key: &StepKey, run: RunId, news: RunNews) {
         let now_ms = now_ms();
         if !matches!(news, RunNews::Progress { .. }) {
@@ -284,53 +262,6 @@
         }
     }
 
-    /// Now and then: steps nobody asks for go, and new homes get everything.
-    fn tick(&mut self) {
-        let now_ms = now_ms();
-        for action in self.steps.retire(now_ms) {
-            if let Action::Cancel { run } = action {
-                // The retired step's key is not told; its runs are those of no held step.
-                log::debug!(event = "retired-run", run = run.0; "");
-            }
-        }
-        let changed = self.homes.see(live_entries(&self.gateway));
-        let steps = &self.steps;
-        self.homes.retain(|key| steps.holds(key));
-        self.standing_in.retain(|key| steps.holds(key));
-        self.told.retain(|key| steps.holds(key));
-        self.idle.retain(|key, _| steps.holds(key));
-        self.figures.retain(|key| steps.holds(key));
-        for (key, ledger) in self.steps.iter_mut() {
-            self.figures.look(key, ledger.tally());
-        }
-        let steps = &self.steps;
-        self.runs.retain(|(key, _), handle| {
-            let kept = steps.holds(key);
-            if !kept {
-                handle.task.abort();
-            }
-            kept
-        });
-        self.tell(changed, now_ms);
-        self.configure();
-        self.shunned.expire(now_ms);
-    }
-
-    /// Tells the homes that may not know a step.
-    fn tell(&mut self, entries_changed: bool, now_ms: u64) {
-        let mut untold = std::mem::take(&mut self.untold);
-        if now_ms >= self.retell_at_ms {
-            self.retell_at_ms = now_ms + RETELL_EVERY_MS;
-            untold.append(&mut self.missed);
-        }
-        if entries_changed {
-            untold.extend(self.steps.keys().cloned());
-        }
-        for key in untold {
-            self.tell_new_homes(&key);
-        }
-    }
-
     fn status(&mut self) -> Vec<StepStatus> {
         let now_ms = now_ms();
         let (homes, idle) = (&mut self.homes, &self.idle);
--- /dev/null
+++ b/components/gateway/src/training/desk_tick.rs
@@ -0,0 +1,81 @@
+//! What the owner of the ledgers does now and then: steps nobody asks for go, homes are told
+//! what they may not know, and the configuration in force is taken up.
+
+use std::sync::Arc;
+
+use node::now_ms;
+use samples::Action;
+
+use super::desk_task::{Desk, settings_of};
+use super::forward::live_entries;
+
+/// Pause between two tries to tell a home what it missed, in milliseconds.
+const RETELL_EVERY_MS: u64 = 1_000;
+
+impl Desk {
+    /// One look at all steps.
+    pub(super) fn tick(&mut self) {
+        let now_ms = now_ms();
+        for action in self.steps.retire(now_ms) {
+            if let Action::Cancel { run } = action {
+                // The retired step's key is not told; its runs are those of no held step.
+                log::debug!(event = "retired-run", run = run.0; "");
+            }
+        }
+        let changed = self.homes.see(live_entries(&self.gateway));
+        let steps = &self.steps;
+        self.homes.retain(|key| steps.holds(key));
+        self.standing_in.retain(|key| steps.holds(key));
+        self.told.retain(|key| steps.holds(key));
+        self.idle.retain(|key, _| steps.holds(key));
+        self.figures.retain(|key| steps.holds(key));
+        for (key, ledger) in self.steps.iter_mut() {
+            self.figures.look(key, ledger.tally());
+        }
+        let steps = &self.steps;
+        self.runs.retain(|(key, _), handle| {
+            let kept = steps.holds(key);
+            if !kept {
+                handle.task.abort();
+            }
+            kept
+        });
+        self.tell(changed, now_ms);
+        self.configure();
+        self.shunned.expire(now_ms);
+    }
+
+    /// Tells the homes that may not know a step.
+    fn tell(&mut self, entries_changed: bool, now_ms: u64) {
+        let mut untold = std::mem::take(&mut self.untold);
+        if now_ms >= self.retell_at_ms {
+            self.retell_at_ms = now_ms + RETELL_EVERY_MS;
+            untold.append(&mut self.missed);
+        }
+        if entries_changed {
+            untold.extend(self.steps.keys().cloned());
+        }
+        for key in untold {
+            self.tell_new_homes(&key);
+        }
+    }
+
+    /// Holds every step to the configuration in force, once for each that comes.
+    fn configure(&mut self) {
+        let view = self.gateway.feed.view();
+        if self
+            .view
+            .as_ref()
+            .is_some_and(|last| Arc::ptr_eq(last, &view))
+        {
+            return;
+        }
+        for (key, ledger) in self.steps.iter_mut() {
+            if let Some(model) = view.service(&key.customer, &key.service) {
+                ledger.configure(&settings_of(model));
+                self.ready.insert(key.clone());
+            }
+        }
+        self.view = Some(view);
+    }
+}
