Entry: idle connections make room; descriptors are left for the system

Cause: an entry took connections up to a fixed number, closed none for a new one, gave idle ones 60 s, and did not look at the limit of file descriptors. 1,100 connections that send nothing, without a token, shut every caller out, and accept could take the descriptors that agents, peers and the log need.

Weighed: a bound for each address (all callers come from the balancer). Ruled out: graceful_shutdown alone, as hyper waits for the rest of a head of which a part has come; closing in advance of need, which costs idle callers.

Change: the soft limit is raised to the hard one when the entry begins to serve (rustix, no unsafe code); callers may have the limit less 512 descriptors, or half of a small one, and 16,384 at most; logged as connections-limit. When all are taken, a sixteenth of them, those idle for the longest time and for 500 ms at least, are closed (connections-full); one with a request in progress never. The first request of a connection has 5 s to come.

Tests: gateway/tests/connections.rs. With the closing taken out, can_answer_when_idle_connections_take_all_places and can_keep_connections_with_a_request_in_progress fail.

--- a/components/gateway/src/body.rs
+++ b/components/gateway/src/body.rs
@@ -10,6 +10,7 @@
 use quick_error::quick_error;
 use types::Failure;
 
+use crate::connections::Busy;
 use crate::delivery::{Cut, Received, deliver};
 
 quick_error! {
@@ -25,7 +26,11 @@
 }
 
 /// Body of an answer.
-pub struct Body(Kind);
+pub struct Body {
+    kind: Kind,
+    /// Its connection has a request in progress until the body is dropped.
+    busy: Option<Busy>,
+}
 
 enum Kind {
     Full(Full<Bytes>),
@@ -33,9 +38,18 @@
 }
 
 impl Body {
+    fn new(kind: Kind) -> Self {
+        Self { kind, busy: None }
+    }
+
+    /// Holds this until the answer has been handed over.
+    pub fn hold(&mut self, busy: Busy) {
+        self.busy = Some(busy);
+    }
+
     /// Has the caller's connection cut when the caller does not take this answer.
     pub fn cut_with(&self, cut: &Cut) {
-        if let Kind::Parts(received) = &self.0 {
+        if let Kind::Parts(received) = &self.kind {
             received.cut_with(cut);
         }
     }
@@ -43,7 +57,7 @@
 
 /// A body that is whole already.
 pub fn full(bytes: impl Into<Bytes>) -> Body {
-    Body(Kind::Full(Full::new(bytes.into())))
+    Body::new(Kind::Full(Full::new(bytes.into())))
 }
 
 /// A body of parts as they come. `parts` is dropped when it has ended, when the caller is
@@ -52,7 +66,7 @@
     parts: impl Stream<Item = Result<Bytes, AnswerBroken>> + Send + 'static,
     deadline_at_ms: u64,
 ) -> Body {
-    Body(Kind::Parts(deliver(parts, deadline_at_ms)))
+    Body::new(Kind::Parts(deliver(parts, deadline_at_ms)))
 }
 
 impl HttpBody for Body {
@@ -63,7 +77,7 @@
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, AnswerBroken>>> {
-        match &mut self.get_mut().0 {
+        match &mut self.get_mut().kind {
             Kind::Full(full) => Pin::new(full)
                 .poll_frame(cx)
                 .map_err(|never| match never {}),
@@ -75,14 +89,14 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        match &self.0 {
+        match &self.kind {
             Kind::Full(full) => full.is_end_stream(),
             Kind::Parts(_) => false,
         }
     }
 
     fn size_hint(&self) -> SizeHint {
-        match &self.0 {
+        match &self.kind {
             Kind::Full(full) => full.size_hint(),
             Kind::Parts(_) => SizeHint::default(),
         }
--- a/components/gateway/src/caller_stream.rs
+++ b/components/gateway/src/caller_stream.rs
@@ -15,15 +15,26 @@
 use tokio::net::TcpStream;
 use tokio::time::{Sleep, sleep};
 
-/// Whether a connection ends in a reset. A caller who reads until the connection is
-/// closed can't tell a cut answer from a whole one by anything else.
+/// What the owner of a connection knows of its socket. Clones share one state.
 #[derive(Clone, Debug, Default)]
-pub struct Reset(Arc<AtomicBool>);
+pub struct Socket(Arc<Flags>);
 
-impl Reset {
-    /// The connection ends in a reset from now on.
-    pub fn set(&self) {
-        self.0.store(true, Ordering::Relaxed);
+#[derive(Debug, Default)]
+struct Flags {
+    reset: AtomicBool,
+    blocked: AtomicBool,
+}
+
+impl Socket {
+    /// The connection ends in a reset. A caller who reads until the connection is closed
+    /// can't tell a cut answer from a whole one by anything else.
+    pub fn reset(&self) {
+        self.0.reset.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether bytes wait for the caller to take those before them.
+    pub fn is_blocked(&self) -> bool {
+        self.0.blocked.load(Ordering::Relaxed)
     }
 }
 
@@ -33,17 +44,17 @@
     stall: Duration,
     /// Runs while the socket takes nothing.
     stalled: Option<Pin<Box<Sleep>>>,
-    reset: Reset,
+    socket: Socket,
 }
 
 impl CallerStream {
     /// Watches a socket; after `stall` without a byte taken its writes are errors.
-    pub fn new(stream: TcpStream, stall: Duration, reset: Reset) -> Self {
+    pub fn new(stream: TcpStream, stall: Duration, socket: Socket) -> Self {
         Self {
             stream,
             stall,
             stalled: None,
-            reset,
+            socket,
         }
     }
 
@@ -52,6 +63,8 @@
         cx: &mut Context<'_>,
         written: Poll<io::Result<T>>,
     ) -> Poll<io::Result<T>> {
+        let blocked = &self.socket.0.blocked;
+        blocked.store(written.is_pending(), Ordering::Relaxed);
         if written.is_ready() {
             self.stalled = None;
             return written;
@@ -59,7 +72,7 @@
         let stall = self.stall;
         let stalled = self.stalled.get_or_insert_with(|| Box::pin(sleep(stall)));
         ready!(stalled.as_mut().poll(cx));
-        self.reset.set();
+        self.socket.reset();
         Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
     }
 }
@@ -110,7 +123,7 @@
 
 impl Drop for CallerStream {
     fn drop(&mut self) {
-        if self.reset.0.load(Ordering::Relaxed) {
+        if self.socket.0.reset.load(Ordering::Relaxed) {
             // Where it fails, the connection is closed as any other.
             let _ = self.stream.set_zero_linger();
         }
--- /dev/null
+++ b/components/gateway/tests/connections.rs
@@ -0,0 +1,233 @@
+//! Connections of callers when there are no more to be had.
+#![allow(clippy::unwrap_used)] // The exemption of clippy.toml ends at helpers of tests.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use gateway::body::full;
+use gateway::connections::{Connection, Connections};
+use gateway::{descriptors, server};
+use http::{Request, Response};
+use hyper::body::Incoming;
+use node::now_ms;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+use tokio::time::timeout;
+use tower::service_fn;
+
+/// Far above what anything here takes; only a test that fails reaches it.
+const PATIENCE: Duration = Duration::from_secs(60);
+/// Less than the 5 s after which connections without a request end by themselves.
+const BEFORE_THEY_END: Duration = Duration::from_secs(4);
+const MAX: usize = 8;
+const REQUEST: &str = "GET / HTTP/1.1\r\nHost: entry\r\n\r\n";
+
+/// A server of few connections; `/wait` is answered when the gate is open.
+struct Server {
+    address: SocketAddr,
+    gate: watch::Sender<bool>,
+    begun: watch::Receiver<usize>,
+    stop: watch::Sender<bool>,
+    served: JoinHandle<()>,
+}
+
+impl Server {
+    async fn start() -> Server {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let (stop, stopping) = watch::channel(false);
+        let (gate, gated) = watch::channel(false);
+        let (begin, begun) = watch::channel(0);
+        let service = service_fn(move |request: Request<Incoming>| {
+            let mut gated = gated.clone();
+            let waits = request.uri().path() == "/wait";
+            begin.send_modify(|begun| *begun += 1);
+            async move {
+                if waits {
+                    gated.wait_for(|open| *open).await.unwrap();
+                }
+                Ok::<_, Infallible>(Response::new(full("whole")))
+            }
+        });
+        let served = tokio::spawn(server::serve_at_most(MAX, listener, service, stopping));
+        Server {
+            address,
+            gate,
+            begun,
+            stop,
+            served,
+        }
+    }
+
+    /// Opens a connection and sends this.
+    async fn open(&self, bytes: &str) -> TcpStream {
+        let mut stream = TcpStream::connect(self.address).await.unwrap();
+        stream.write_all(bytes.as_bytes()).await.unwrap();
+        stream
+    }
+
+    async fn stopped(self) {
+        self.stop.send_replace(true);
+        timeout(PATIENCE, self.served).await.unwrap().unwrap();
+    }
+}
+
+/// Whether a whole answer comes.
+async fn is_answered(stream: &mut TcpStream) -> bool {
+    let mut answer = Vec::new();
+    let until = async {
+        while !answer.ends_with(b"whole") {
+            if stream.read_buf(&mut answer).await.unwrap_or(0) == 0 {
+                return false;
+            }
+        }
+        true
+    };
+    timeout(PATIENCE, until).await.unwrap()
+}
+
+/// Waits until the other side has closed the connection.
+async fn is_closed(stream: &mut TcpStream) -> bool {
+    let read = timeout(PATIENCE, stream.read(&mut [0; 64])).await.unwrap();
+    matches!(read, Ok(0) | Err(_))
+}
+
+// Somebody without a token opens as many connections as there are, and sends nothing, or
+// never the whole of a request's head. A caller who comes then used to wait for a minute;
+// now the connection that has been idle for the longest time is closed for it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn can_answer_when_idle_connections_take_all_places() {
+    struct Case {
+        name: &'static str,
+        sent: &'static str,
+        answered: bool,
+    }
+    let cases = [
+        Case {
+            name: "nothing was sent",
+            sent: "",
+            answered: false,
+        },
+        Case {
+            name: "a part of a head was sent",
+            sent: "GET / HTTP/1.1\r\nHost: ent",
+            answered: false,
+        },
+        Case {
+            name: "an earlier request was answered",
+            sent: REQUEST,
+            answered: true,
+        },
+    ];
+    for case in cases {
+        let server = Server::start().await;
+        let mut idle = Vec::new();
+        for _ in 0..MAX {
+            let mut stream = server.open(case.sent).await;
+            if case.answered {
+                assert!(is_answered(&mut stream).await, "{}", case.name);
+            }
+            idle.push(stream);
+        }
+        let mut caller = server.open(REQUEST).await;
+        let answered = timeout(BEFORE_THEY_END, is_answered(&mut caller)).await;
+        assert_eq!(answered, Ok(true), "{}", case.name);
+        assert!(is_closed(&mut idle[0]).await, "{}", case.name);
+        server.stopped().await;
+    }
+}
+
+// All places are taken by requests in progress. One more caller waits; none of the others
+// is closed for it, and it is answered when one of them has ended.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn can_keep_connections_with_a_request_in_progress() {
+    let mut server = Server::start().await;
+    let mut busy = Vec::new();
+    for _ in 0..MAX {
+        busy.push(server.open(&REQUEST.replace("/ ", "/wait ")).await);
+    }
+    let begun = server.begun.wait_for(|begun| *begun == MAX);
+    drop(timeout(PATIENCE, begun).await.unwrap().unwrap());
+    let mut caller = server.open(REQUEST).await;
+    // Time for several looks for a connection to close.
+    let unanswered = timeout(Duration::from_millis(500), is_answered(&mut caller)).await;
+    assert!(unanswered.is_err());
+    server.gate.send_replace(true);
+    for stream in &mut busy {
+        assert!(is_answered(stream).await);
+    }
+    assert!(is_answered(&mut caller).await);
+    server.stopped().await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn can_close_a_connection_whose_first_request_does_not_come() {
+    let server = Server::start().await;
+    for sent in ["", "GET / HT"] {
+        let mut stream = server.open(sent).await;
+        assert!(is_closed(&mut stream).await, "{sent:?}");
+    }
+    server.stopped().await;
+}
+
+#[tokio::test]
+async fn can_close_the_oldest_idle_connections_first() {
+    let max = 32;
+    let mut connections = Connections::new(max);
+    let mut opened = Vec::new();
+    for number in 0..max {
+        let connection = Connection::new();
+        // Idle ones come in the order of their times; the first three are busy.
+        let busy = (number < 3).then(|| connection.begin());
+        connections.opened(tokio::spawn(async {}).id(), connection.clone());
+        opened.push((connection, busy));
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+    assert_eq!(connections.make_room(now_ms()), 0, "too young");
+    let now_ms = now_ms() + 1_000;
+    assert_eq!(connections.make_room(now_ms), 2);
+    assert_eq!(connections.make_room(now_ms + 1), 0, "just after");
+    let closing = opened.iter().enumerate();
+    let closing = closing.filter(|(_, (connection, _))| connection.is_closing());
+    let closing: Vec<usize> = closing.map(|(number, _)| number).collect();
+    assert_eq!(closing, [3, 4]);
+    assert_eq!(connections.make_room(now_ms + 200), 2);
+}
+
+#[test]
+fn can_leave_descriptors_for_everything_else() {
+    struct Case {
+        limit: Option<u64>,
+        connections_max: usize,
+    }
+    let cases = [
+        (None, 16_384),
+        (Some(1 << 20), 16_384),
+        (Some(20_000), 16_384),
+        (Some(4_096), 3_584),
+        (Some(1_024), 512),
+        (Some(100), 50),
+        (Some(1), 1),
+    ];
+    let cases = cases.map(|(limit, connections_max)| Case {
+        limit,
+        connections_max,
+    });
+    for case in cases {
+        let max = descriptors::connections_max(case.limit);
+        assert_eq!(max, case.connections_max, "{:?}", case.limit);
+    }
+}
+
+#[test]
+fn can_raise_the_limit_of_descriptors() {
+    let raised = descriptors::raise_limit();
+    assert_eq!(
+        descriptors::raise_limit(),
+        raised,
+        "nothing is left to raise"
+    );
+}
