node: who is behind by several texts asks a peer for all versions

Cause: after a rush of publishes a process that does not read the log heard of texts by rumours alone, some ten digests a datagram, and dropped what did not fit its eight fetches. Change: newer versions wait in a queue; who heard of newer ones asks for the list of versions, of the peer that told of a single one or else of a reader of the log, at most once a second, and again while a list brought something newer. A view is built at most ten times a second. Some processes that stopped reading at their start stand still until the age of the newest read makes them read; not found why. Tests: node 6 and sidecar passed; no focused test of the list yet.

--- a/components/node/src/feed_fetch.rs
+++ b/components/node/src/feed_fetch.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use config::{Customers, Keep, RECORD_BYTES_MAX, Record};
+use derive::wire;
 use link::{CallEvent, Links};
 use protocol::Open;
 use tokio::sync::mpsc;
@@ -15,6 +16,8 @@
 
 /// Time for one fetch.
 const FETCH_MS: u32 = 2_000;
+/// The path of a fetch of all versions that a peer holds.
+const VERSIONS_PATH: &str = "versions";
 /// Begins the path of a fetch. A caller's path always begins with a slash, so nobody who
 /// names a service of his own `config-text` reads other customers' texts through it.
 const PATH: &str = "config";
@@ -27,11 +30,23 @@
     Text(CustomerName),
     /// The list of customers that have one.
     Customers,
+    /// All versions that the peer holds.
+    Versions,
+}
+
+/// A version that a peer holds.
+#[wire]
+pub(crate) struct HeldVersion {
+    pub(crate) customer: CustomerName,
+    pub(crate) version: u64,
 }
 
 impl Wanted {
     /// What a path asks for; `None` for a caller's path.
     pub(crate) fn of_path(path: &str) -> Option<Wanted> {
+        if path == VERSIONS_PATH {
+            return Some(Wanted::Versions);
+        }
         let rest = path.strip_prefix(PATH)?;
         if rest.is_empty() {
             return Some(Wanted::Customers);
@@ -44,6 +59,7 @@
         match self {
             Wanted::Text(customer) => format!("{PATH}/{customer}"),
             Wanted::Customers => PATH.to_owned(),
+            Wanted::Versions => VERSIONS_PATH.to_owned(),
         }
     }
 }
@@ -52,6 +68,7 @@
 pub(crate) enum Fetched {
     Text(Box<Keep>),
     Customers(Customers),
+    Versions(Vec<HeldVersion>),
 }
 
 /// Starts fetches; their results come back as events.
@@ -75,7 +92,12 @@
             let fetched = fetched.ok().flatten();
             if let Some(events) = events.upgrade() {
                 // Without an owner nobody needs the text.
-                let _ = events.send(Event::Fetched { wanted, fetched }).await;
+                let event = Event::Fetched {
+                    from,
+                    wanted,
+                    fetched,
+                };
+                let _ = events.send(event).await;
             }
         });
     }
@@ -92,13 +114,16 @@
             CallEvent::Chunk(bytes) if text.len() + bytes.len() <= RECORD_BYTES_MAX => {
                 text.extend_from_slice(&bytes);
             }
-            CallEvent::End => return read(&text),
+            CallEvent::End => return read(wanted, &text),
             CallEvent::Head(_) | CallEvent::Chunk(_) | CallEvent::Failed(_) => return None,
         }
     }
 }
 
-fn read(text: &[u8]) -> Option<Fetched> {
+fn read(wanted: &Wanted, text: &[u8]) -> Option<Fetched> {
+    if *wanted == Wanted::Versions {
+        return serde_json::from_slice(text).ok().map(Fetched::Versions);
+    }
     let record = Record::from_json(std::str::from_utf8(text).ok()?).ok()?;
     match record {
         Record::Keep(keep) => Some(Fetched::Text(Box::new(keep))),
@@ -111,8 +136,8 @@
     let service = ServiceName::new(TEXT_SERVICE).ok()?;
     let customer = match wanted {
         Wanted::Text(customer) => customer.clone(),
-        // The list belongs to nobody; the field has to be filled.
-        Wanted::Customers => CustomerName::new(TEXT_SERVICE).ok()?,
+        // The lists belong to nobody; the field has to be filled.
+        Wanted::Customers | Wanted::Versions => CustomerName::new(TEXT_SERVICE).ok()?,
     };
     let id = links.next_id();
     Some(Open {
--- a/components/node/src/feed_task.rs
+++ b/components/node/src/feed_task.rs
@@ -10,11 +10,11 @@
 use platform::{LogClient, LogPage, LogRecord};
 use protocol::ConfigDigest;
 use tokio::sync::{mpsc, oneshot};
-use tokio::time::{Interval, MissedTickBehavior, interval};
+use tokio::time::{Interval, MissedTickBehavior, interval, sleep};
 use types::{CustomerName, rendezvous};
 
 use crate::feed::{FeedSettings, Published, Shared};
-use crate::feed_fetch::{Fetched, Fetcher, Wanted};
+use crate::feed_fetch::{Fetched, Fetcher, HeldVersion, Wanted};
 use crate::feed_tail::CONFIG_STREAM;
 use crate::now_ms;
 
@@ -22,8 +22,13 @@
 const FETCHES_MAX: usize = 8;
 /// Time between two fetches of the list of customers, in milliseconds.
 const LIST_EVERY_MS: u64 = 2_000;
+/// Time between two fetches of all versions of a peer, in milliseconds.
+const VERSIONS_EVERY_MS: u64 = 1_000;
 /// Time between two looks for records that have to be appended again.
 const KEEP_EVERY: Duration = Duration::from_secs(1);
+/// Shortest time between two views, in milliseconds. A view is built of all texts, so one
+/// for each of many texts in a row would cost their square.
+const PUBLISH_EVERY_MS: u64 = 100;
 /// Key of the list of customers in the ranking of those who append it again.
 const LIST_KEY: &str = "customers";
 
@@ -44,6 +49,7 @@
     },
     /// A fetch ended.
     Fetched {
+        from: SocketAddr,
         wanted: Wanted,
         fetched: Option<Fetched>,
     },
@@ -54,12 +60,30 @@
     },
 }
 
+/// A text that a peer holds in a newer version.
+#[derive(Clone, Copy)]
+struct Newer {
+    from: SocketAddr,
+    version: u64,
+}
+
 pub(crate) struct FeedTask {
     shared: Arc<Shared>,
     ledger: Ledger,
     fetcher: Fetcher,
     fetching: BTreeSet<Wanted>,
+    /// Newer texts of peers that wait for a place among the fetches.
+    waiting: BTreeMap<CustomerName, Newer>,
     list_asked_ms: Option<u64>,
+    versions_asked_ms: Option<u64>,
+    /// The last list of versions brought something newer.
+    is_behind: bool,
+    /// Newer versions that peers told of since the last list was asked for.
+    newer_heard: usize,
+    newer_from: SocketAddr,
+    /// The ledger has more than the newest view.
+    unpublished: bool,
+    published_ms: Option<u64>,
     keeper: Keeper,
     /// Nothing is appended again before this time.
     keep_from_ms: u64,
@@ -74,12 +98,20 @@
         log: LogClient,
         settings: &FeedSettings,
     ) -> Self {
+        let own = shared.tailers.load().own;
         Self {
             shared,
             ledger,
             fetcher,
             fetching: BTreeSet::new(),
+            waiting: BTreeMap::new(),
             list_asked_ms: None,
+            versions_asked_ms: None,
+            is_behind: false,
+            newer_heard: 0,
+            newer_from: own,
+            unpublished: false,
+            published_ms: None,
             keeper: Keeper::new(settings.keep),
             keep_from_ms: now_ms() + settings.keep_after_ms,
             log,
@@ -90,12 +122,17 @@
     pub(crate) async fn run(mut self, mut inbox: mpsc::Receiver<Event>) {
         let mut ticks = keep_ticks();
         loop {
+            let publish_in = Duration::from_millis(self.publish_in_ms());
             tokio::select! {
                 event = inbox.recv() => match event {
                     Some(event) => self.take(event),
                     None => return,
                 },
-                _ = ticks.tick() => self.keep(),
+                _ = ticks.tick() => self.tick(),
+                () = sleep(publish_in), if self.unpublished => {}
+            }
+            if self.unpublished && self.publish_in_ms() == 0 {
+                self.publish();
             }
         }
     }
@@ -108,7 +145,11 @@
                 is_new,
             } => self.take_page(&page, at_end, is_new),
             Event::Heard { from, digest } => self.take_digest(from, &digest),
-            Event::Fetched { wanted, fetched } => self.take_fetched(&wanted, fetched),
+            Event::Fetched {
+                from,
+                wanted,
+                fetched,
+            } => self.take_fetched(from, &wanted, fetched),
             Event::Text { wanted, answer } => {
                 // Whoever asked may have given up meanwhile.
                 let _ = answer.send(self.text(&wanted));
@@ -125,9 +166,7 @@
             self.keeper.on_end_read(now_ms());
             self.shared.known.store(true, Ordering::Release);
         }
-        if !page.records.is_empty() {
-            self.publish();
-        }
+        self.unpublished |= !page.records.is_empty();
     }
 
     fn take_record(&mut self, stored: &LogRecord, is_new: bool) {
@@ -143,6 +182,11 @@
         }
     }
 
+    fn tick(&mut self) {
+        self.ask_versions();
+        self.keep();
+    }
+
     /// Appends again what the log would forget, where it is this process's turn.
     fn keep(&mut self) {
         if now_ms() < self.keep_from_ms {
@@ -163,46 +207,115 @@
     }
 
     fn take_digest(&mut self, from: SocketAddr, digest: &ConfigDigest) {
-        let held = self.ledger.current(&digest.customer);
-        if held.is_some_and(|held| held.version >= digest.version) {
+        let newer = Newer {
+            from,
+            version: digest.version,
+        };
+        if !self.is_newer(&digest.customer, digest.version) {
             return;
         }
-        self.fetch(from, Wanted::Text(digest.customer.clone()));
+        self.newer_heard += 1;
+        self.newer_from = from;
+        self.take_newer(digest.customer.clone(), newer);
         if self.ledger.customers_record().is_none() && self.may_ask_list() {
             self.fetch(from, Wanted::Customers);
         }
     }
 
-    fn may_ask_list(&mut self) -> bool {
-        let now_ms = now_ms();
-        let asked_ms = self.list_asked_ms;
-        let due = asked_ms.is_none_or(|asked_ms| now_ms.saturating_sub(asked_ms) >= LIST_EVERY_MS);
-        if due {
-            self.list_asked_ms = Some(now_ms);
+    /// Asks a peer for all versions that it holds.
+    ///
+    /// Rumours carry some ten digests in a datagram. After many publishes in a row those
+    /// not told yet would come after minutes, so whoever heard of one asks for all: the
+    /// peer that told of a single one, which spreads the load, else a reader of the log.
+    fn ask_versions(&mut self) {
+        let several = self.is_behind || self.newer_heard > 1;
+        if !several && self.newer_heard == 0 {
+            return;
+        }
+        if may_ask(&mut self.versions_asked_ms, VERSIONS_EVERY_MS) {
+            let peer = self.newer_from;
+            let from = if several { self.reader_or(peer) } else { peer };
+            self.newer_heard = 0;
+            self.fetcher.fetch(from, Wanted::Versions);
         }
-        due
     }
 
-    fn fetch(&mut self, from: SocketAddr, wanted: Wanted) {
-        // What is left out now comes with the next rumour.
-        if self.fetching.len() < FETCHES_MAX && self.fetching.insert(wanted.clone()) {
+    fn take_newer(&mut self, customer: CustomerName, newer: Newer) {
+        if !self.is_newer(&customer, newer.version) {
+            return;
+        }
+        let wanted = Wanted::Text(customer.clone());
+        if !self.fetching.contains(&wanted) && !self.fetch(newer.from, wanted) {
+            self.waiting.insert(customer, newer);
+        }
+    }
+
+    fn is_newer(&self, customer: &CustomerName, version: u64) -> bool {
+        let held = self.ledger.current(customer);
+        held.is_none_or(|held| held.version < version)
+    }
+
+    /// A process that reads the log and so holds what there is, else the one at hand.
+    fn reader_or(&self, peer: SocketAddr) -> SocketAddr {
+        let tailers = self.shared.tailers.load();
+        let others = tailers
+            .all
+            .iter()
+            .filter(|&&address| address != tailers.own);
+        let spread = usize::from(tailers.own.port());
+        let count = others.clone().count().max(1);
+        others.copied().nth(spread % count).unwrap_or(peer)
+    }
+
+    fn may_ask_list(&mut self) -> bool {
+        may_ask(&mut self.list_asked_ms, LIST_EVERY_MS)
+    }
+
+    /// Starts a fetch; false when there is no place for it.
+    fn fetch(&mut self, from: SocketAddr, wanted: Wanted) -> bool {
+        let starts = self.fetching.len() < FETCHES_MAX && self.fetching.insert(wanted.clone());
+        if starts {
             self.fetcher.fetch(from, wanted);
         }
+        starts
+    }
+
+    fn fetch_waiting(&mut self) {
+        while self.fetching.len() < FETCHES_MAX {
+            let Some((customer, newer)) = self.waiting.pop_first() else {
+                return;
+            };
+            self.take_newer(customer, newer);
+        }
     }
 
-    fn take_fetched(&mut self, wanted: &Wanted, fetched: Option<Fetched>) {
+    fn take_versions(&mut self, from: SocketAddr, versions: Vec<HeldVersion>) {
+        let newer = |held: &HeldVersion| self.is_newer(&held.customer, held.version);
+        // The peer may have been behind itself; who learned from it asks once more.
+        self.is_behind = versions.iter().any(newer);
+        for HeldVersion { customer, version } in versions {
+            self.take_newer(customer, Newer { from, version });
+        }
+    }
+
+    fn take_fetched(&mut self, from: SocketAddr, wanted: &Wanted, fetched: Option<Fetched>) {
         self.fetching.remove(wanted);
-        let Some(fetched) = fetched else {
-            return;
-        };
+        if let Some(fetched) = fetched {
+            self.adopt(from, fetched);
+        }
+        self.fetch_waiting();
+    }
+
+    fn adopt(&mut self, from: SocketAddr, fetched: Fetched) {
         let verdict = match fetched {
             Fetched::Text(keep) => self.ledger.adopt(&keep),
             Fetched::Customers(customers) => self.ledger.adopt_customers(&customers),
+            Fetched::Versions(versions) => return self.take_versions(from, versions),
         };
         note(self.ledger.next_offset(), &verdict);
         if matches!(verdict, Verdict::Learned { .. }) {
             self.shared.known.store(true, Ordering::Release);
-            self.publish();
+            self.unpublished = true;
         }
     }
 
@@ -210,11 +323,32 @@
         let record = match wanted {
             Wanted::Text(customer) => Record::Keep(self.ledger.keep_record(customer)?),
             Wanted::Customers => Record::Customers(self.ledger.customers_record()?),
+            Wanted::Versions => return serde_json::to_string(&self.versions()).ok(),
         };
         record.to_json().ok()
     }
 
-    fn publish(&self) {
+    fn versions(&self) -> Vec<HeldVersion> {
+        let accepted = self.ledger.all();
+        accepted
+            .map(|accepted| HeldVersion {
+                customer: accepted.customer.clone(),
+                version: accepted.version,
+            })
+            .collect()
+    }
+
+    /// How long to wait before the next view may be built.
+    fn publish_in_ms(&self) -> u64 {
+        let next_ms = self
+            .published_ms
+            .map_or(0, |at_ms| at_ms + PUBLISH_EVERY_MS);
+        next_ms.saturating_sub(now_ms())
+    }
+
+    fn publish(&mut self) {
+        self.unpublished = false;
+        self.published_ms = Some(now_ms());
         let accepted: Vec<_> = self.ledger.all().cloned().collect();
         let digests = accepted.iter().map(|accepted| ConfigDigest {
             customer: accepted.customer.clone(),
@@ -234,6 +368,16 @@
     }
 }
 
+/// Whether something that was asked for at `asked_ms` may be asked for again; notes it.
+fn may_ask(asked_ms: &mut Option<u64>, every_ms: u64) -> bool {
+    let now_ms = now_ms();
+    let due = asked_ms.is_none_or(|asked_ms| now_ms.saturating_sub(asked_ms) >= every_ms);
+    if due {
+        *asked_ms = Some(now_ms);
+    }
+    due
+}
+
 fn keep_ticks() -> Interval {
     let mut ticks = interval(KEEP_EVERY);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
