node: the fetch queue of the feed in a module of its own

The second now stands in `feed_queue`, which sees the ledger as a borrowed argument. Moving the records that are appended again out as well was weighed; they need the ledger, the log and the ranks, so they stay.

Behaviour is the same; tests and lints of `node` are green.

--- a/components/node/src/feed_task.rs
+++ b/components/node/src/feed_task.rs
@@ -1,6 +1,6 @@
 //! The owner of the ledger: takes in records and peers' texts and publishes the view.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -15,15 +15,10 @@
 
 use crate::feed::{FeedSettings, Published, Shared};
 use crate::feed_fetch::{Fetched, Fetcher, HeldVersion, Wanted};
+use crate::feed_queue::FetchQueue;
 use crate::feed_tail::CONFIG_STREAM;
 use crate::now_ms;
 
-/// Fetches in progress at a time.
-const FETCHES_MAX: usize = 8;
-/// Time between two fetches of the list of customers, in milliseconds.
-const LIST_EVERY_MS: u64 = 2_000;
-/// Time between two fetches of all versions of a peer, in milliseconds.
-const VERSIONS_EVERY_MS: u64 = 1_000;
 /// Time between two looks for records that have to be appended again.
 const KEEP_EVERY: Duration = Duration::from_secs(1);
 /// Shortest time between two views, in milliseconds. A view is built of all texts, so one
@@ -60,27 +55,11 @@
     },
 }
 
-/// A text that a peer holds in a newer version.
-#[derive(Clone, Copy)]
-struct Newer {
-    from: SocketAddr,
-    version: u64,
-}
-
+/// Owner of the ledger and of what has to be done as it changes.
 pub(crate) struct FeedTask {
     shared: Arc<Shared>,
     ledger: Ledger,
-    fetcher: Fetcher,
-    fetching: BTreeSet<Wanted>,
-    /// Newer texts of peers that wait for a place among the fetches.
-    waiting: BTreeMap<CustomerName, Newer>,
-    list_asked_ms: Option<u64>,
-    versions_asked_ms: Option<u64>,
-    /// The last list of versions brought something newer.
-    is_behind: bool,
-    /// Newer versions that peers told of since the last list was asked for.
-    newer_heard: usize,
-    newer_from: SocketAddr,
+    fetches: FetchQueue,
     /// The ledger has more than the newest view.
     unpublished: bool,
     published_ms: Option<u64>,
@@ -102,14 +81,7 @@
         Self {
             shared,
             ledger,
-            fetcher,
-            fetching: BTreeSet::new(),
-            waiting: BTreeMap::new(),
-            list_asked_ms: None,
-            versions_asked_ms: None,
-            is_behind: false,
-            newer_heard: 0,
-            newer_from: own,
+            fetches: FetchQueue::new(fetcher, own),
             unpublished: false,
             published_ms: None,
             keeper: Keeper::new(settings.keep),
@@ -144,7 +116,9 @@
                 at_end,
                 is_new,
             } => self.take_page(&page, at_end, is_new),
-            Event::Heard { from, digest } => self.take_digest(from, &digest),
+            Event::Heard { from, digest } => {
+                self.fetches.on_digest(&self.ledger, from, &digest);
+            }
             Event::Fetched {
                 from,
                 wanted,
@@ -183,7 +157,7 @@
     }
 
     fn tick(&mut self) {
-        self.ask_versions();
+        self.fetches.ask_versions(&self.shared.tailers.load());
         self.keep();
     }
 
@@ -206,111 +180,21 @@
         });
     }
 
-    fn take_digest(&mut self, from: SocketAddr, digest: &ConfigDigest) {
-        let newer = Newer {
-            from,
-            version: digest.version,
-        };
-        if !self.is_newer(&digest.customer, digest.version) {
-            return;
-        }
-        self.newer_heard += 1;
-        self.newer_from = from;
-        self.take_newer(digest.customer.clone(), newer);
-        if self.ledger.customers_record().is_none() && self.may_ask_list() {
-            self.fetch(from, Wanted::Customers);
-        }
-    }
-
-    /// Asks a peer for all versions that it holds.
-    ///
-    /// Rumours carry some ten digests in a datagram. After many publishes in a row those
-    /// not told yet would come after minutes, so whoever heard of one asks for all: the
-    /// peer that told of a single one, which spreads the load, else a reader of the log.
-    fn ask_versions(&mut self) {
-        let several = self.is_behind || self.newer_heard > 1;
-        if !several && self.newer_heard == 0 {
-            return;
-        }
-        if may_ask(&mut self.versions_asked_ms, VERSIONS_EVERY_MS) {
-            let peer = self.newer_from;
-            let from = if several { self.reader_or(peer) } else { peer };
-            self.newer_heard = 0;
-            self.fetcher.fetch(from, Wanted::Versions);
-        }
-    }
-
-    fn take_newer(&mut self, customer: CustomerName, newer: Newer) {
-        if !self.is_newer(&customer, newer.version) {
-            return;
-        }
-        let wanted = Wanted::Text(customer.clone());
-        if !self.fetching.contains(&wanted) && !self.fetch(newer.from, wanted) {
-            self.waiting.insert(customer, newer);
-        }
-    }
-
-    fn is_newer(&self, customer: &CustomerName, version: u64) -> bool {
-        let held = self.ledger.current(customer);
-        held.is_none_or(|held| held.version < version)
-    }
-
-    /// A process that reads the log and so holds what there is, else the one at hand.
-    fn reader_or(&self, peer: SocketAddr) -> SocketAddr {
-        let tailers = self.shared.tailers.load();
-        let others = tailers
-            .all
-            .iter()
-            .filter(|&&address| address != tailers.own);
-        let spread = usize::from(tailers.own.port());
-        let count = others.clone().count().max(1);
-        others.copied().nth(spread % count).unwrap_or(peer)
-    }
-
-    fn may_ask_list(&mut self) -> bool {
-        may_ask(&mut self.list_asked_ms, LIST_EVERY_MS)
-    }
-
-    /// Starts a fetch; false when there is no place for it.
-    fn fetch(&mut self, from: SocketAddr, wanted: Wanted) -> bool {
-        let starts = self.fetching.len() < FETCHES_MAX && self.fetching.insert(wanted.clone());
-        if starts {
-            self.fetcher.fetch(from, wanted);
-        }
-        starts
-    }
-
-    fn fetch_waiting(&mut self) {
-        while self.fetching.len() < FETCHES_MAX {
-            let Some((customer, newer)) = self.waiting.pop_first() else {
-                return;
-            };
-            self.take_newer(customer, newer);
-        }
-    }
-
-    fn take_versions(&mut self, from: SocketAddr, versions: Vec<HeldVersion>) {
-        let newer = |held: &HeldVersion| self.is_newer(&held.customer, held.version);
-        // The peer may have been behind itself; who learned from it asks once more.
-        self.is_behind = versions.iter().any(newer);
-        for HeldVersion { customer, version } in versions {
-            self.take_newer(customer, Newer { from, version });
-        }
-    }
-
     fn take_fetched(&mut self, from: SocketAddr, wanted: &Wanted, fetched: Option<Fetched>) {
-        self.fetching.remove(wanted);
+        self.fetches.on_end(wanted);
         if let Some(fetched) = fetched {
             self.adopt(from, fetched);
         }
-        self.fetch_waiting();
+        self.fetches.start_waiting(&self.ledger);
     }
 
     fn adopt(&mut self, from: SocketAddr, fetched: Fetched) {
         let verdict = match fetched {
             Fetched::Text(keep) => self.ledger.adopt(&keep),
             Fetched::Customers(customers) => self.ledger.adopt_customers(&customers),
-            Fetched::Versions(versions) => return self.take_versions(from, versions),
+            Fetched::Versions(versions) => {
+                return self.fetches.on_versions(&self.ledger, from, versions);
+            }
         };
         note(self.ledger.next_offset(), &verdict);
         if matches!(verdict, Verdict::Learned { .. }) {
@@ -368,16 +252,6 @@
     }
 }
 
-/// Whether something that was asked for at `asked_ms` may be asked for again; notes it.
-fn may_ask(asked_ms: &mut Option<u64>, every_ms: u64) -> bool {
-    let now_ms = now_ms();
-    let due = asked_ms.is_none_or(|asked_ms| now_ms.saturating_sub(asked_ms) >= every_ms);
-    if due {
-        *asked_ms = Some(now_ms);
-    }
-    due
-}
-
 fn keep_ticks() -> Interval {
     let mut ticks = interval(KEEP_EVERY);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -6,6 +6,7 @@
 mod error;
 mod feed;
 mod feed_fetch;
+mod feed_queue;
 mod feed_tail;
 mod feed_task;
 mod gossip;
