config: one reader of bounded lists serves texts and tables

Cause: `Fields::words` and `Fields::tables` each checked type and length of a list, in the same fifteen lines. `Fields::list` does it for both; the complaints and their places are the same.

--- a/components/config/src/fields.rs
+++ b/components/config/src/fields.rs
@@ -5,7 +5,7 @@
 use std::str::FromStr;
 
 use toml::Spanned;
-use toml::de::{DeTable, DeValue};
+use toml::de::{DeArray, DeTable, DeValue};
 use types::NameError;
 
 use crate::complaint::Report;
@@ -193,26 +193,39 @@
         }
     }
 
-    /// A list of texts; an empty one where it is missing.
-    pub(crate) fn words(
+    /// A list; none where it is missing, and none but a complaint where it is something else
+    /// or too long.
+    fn list(
         &mut self,
         field: &'static str,
         max: usize,
+        wanted: &'static str,
         report: &mut Report,
-    ) -> Vec<Word> {
-        let Some(value) = self.ask(field) else {
-            return Vec::new();
-        };
+    ) -> Option<&'a DeArray<'a>> {
+        let value = self.ask(field)?;
         let Some(list) = value.get_ref().as_array() else {
-            self.wrong_type(field, value, "a list of texts", report);
-            return Vec::new();
+            self.wrong_type(field, value, wanted, report);
+            return None;
         };
         if list.len() > max {
             let found = list.len();
             let cause = ComplaintCause::TooMany { field, found, max };
             report.error(self.place_in(value), cause);
-            return Vec::new();
+            return None;
         }
+        Some(list)
+    }
+
+    /// A list of texts; an empty one where it is missing.
+    pub(crate) fn words(
+        &mut self,
+        field: &'static str,
+        max: usize,
+        report: &mut Report,
+    ) -> Vec<Word> {
+        let Some(list) = self.list(field, max, "a list of texts", report) else {
+            return Vec::new();
+        };
         let mut words = Vec::with_capacity(list.len());
         for entry in list.iter() {
             match entry.get_ref().as_str() {
@@ -244,19 +257,10 @@
         max: usize,
         report: &mut Report,
     ) -> Vec<Fields<'a>> {
-        let Some(value) = self.ask(field) else {
-            return Vec::new();
-        };
-        let Some(list) = value.get_ref().as_array() else {
-            self.wrong_type(field, value, "a list of tables, with two brackets", report);
+        let wanted = "a list of tables, with two brackets";
+        let Some(list) = self.list(field, max, wanted, report) else {
             return Vec::new();
         };
-        if list.len() > max {
-            let found = list.len();
-            let cause = ComplaintCause::TooMany { field, found, max };
-            report.error(self.place_in(value), cause);
-            return Vec::new();
-        }
         let mut tables = Vec::with_capacity(list.len());
         for entry in list.iter() {
             match entry.get_ref().as_table() {
