link: the end of both greetings stands once

Cause: caller and callee made the session and the connection in the same lines, with the two nonces in opposite order. `greeted` takes the own nonce and direction and orders them. The versions are still compared where they were: by the callee after it has answered.

--- a/components/link/src/greet.rs
+++ b/components/link/src/greet.rs
@@ -52,15 +52,8 @@
     let read = |buffer: &mut BytesMut| read_callee_hello(buffer, &settings.keys, &hello.nonce);
     let (peer, key, rest) = read_hello(&mut stream, settings, read).await?;
     common_version(&peer)?;
-    let nonces = (&hello.nonce, &peer.nonce);
-    let (reader, writer) = directions(settings, key, nonces, Direction::FromCaller);
-    Ok(Greeted {
-        stream,
-        peer,
-        reader,
-        writer,
-        rest,
-    })
+    let own = (&hello.nonce, Direction::FromCaller);
+    Ok(greeted(stream, settings, (peer, key, rest), own))
 }
 
 async fn answer_greeting(
@@ -77,15 +70,8 @@
     // Sent before the versions are compared, so that the caller learns of a mismatch too.
     send_hello(&mut stream, &out, settings).await?;
     common_version(&peer)?;
-    let nonces = (&peer.nonce, &hello.nonce);
-    let (reader, writer) = directions(settings, key, nonces, Direction::FromCallee);
-    Ok(Greeted {
-        stream,
-        peer,
-        reader,
-        writer,
-        rest,
-    })
+    let own = (&hello.nonce, Direction::FromCallee);
+    Ok(greeted(stream, settings, (peer, key, rest), own))
 }
 
 fn own_hello(settings: &LinkSettings, boot: u64) -> Hello {
@@ -130,19 +116,30 @@
     }
 }
 
-fn directions(
+/// The connection after both greetings; both nonces go into the keys of its directions.
+fn greeted(
+    stream: TcpStream,
     settings: &LinkSettings,
-    key: &Key,
-    (caller_nonce, callee_nonce): (&Nonce, &Nonce),
-    own: Direction,
-) -> (FrameReader, FrameWriter) {
-    let frame_bytes_max = settings.frame_bytes_max;
+    (peer, key, rest): (Hello, &Key, BytesMut),
+    (own_nonce, own): (&Nonce, Direction),
+) -> Greeted {
+    let (caller_nonce, callee_nonce) = match own {
+        Direction::FromCaller => (own_nonce, &peer.nonce),
+        Direction::FromCallee => (&peer.nonce, own_nonce),
+    };
     let session = Session {
         key,
         caller_nonce,
         callee_nonce,
-        frame_bytes_max,
+        frame_bytes_max: settings.frame_bytes_max,
     };
     let reader = FrameReader::new(&session, own.reversed());
-    (reader, FrameWriter::new(&session, own))
+    let writer = FrameWriter::new(&session, own);
+    Greeted {
+        stream,
+        peer,
+        reader,
+        writer,
+        rest,
+    }
 }
