--- a/dev/proof/src/fault.rs
+++ b/dev/proof/src/fault.rs
@@ -72,6 +72,8 @@
     Running,
     /// While its answer is streamed.
     Streaming,
+    /// While the entry, paused, has it only in its socket; it wakes later.
+    Asleep,
     /// When it is answered and the entry, paused, has not taken the answer.
     Answered,
 }
@@ -160,12 +162,18 @@
         if self.case.at == Step::Before {
             self.strike(0).await?;
         }
+        if self.case.at == Step::Asleep {
+            self.site.entries[0].child.freeze()?;
+        }
         let mut pending = self.begin(0);
         let mut repeats = match self.case.repeat {
             Repeat::AtOnce => vec![self.begin(1).answer().await?],
             _ => Vec::new(),
         };
-        if self.case.at != Step::Before && repeats.is_empty() {
+        if self.case.at == Step::Asleep {
+            tokio::time::sleep(FREEZE).await;
+            self.site.entries[0].child.thaw()?;
+        } else if self.case.at != Step::Before && repeats.is_empty() {
             let carrier = self.carrier().await?;
             if self.case.at == Step::Streaming {
                 pending.streams(STREAMED_BYTES).await;
--- a/dev/proof/src/lib.rs
+++ b/dev/proof/src/lib.rs
@@ -9,6 +9,7 @@
 mod ports;
 mod relay;
 mod site;
+mod status;
 mod wait;
 
 pub use ask::{Ask, Kind};
@@ -18,5 +19,6 @@
 pub use fault::{Case, Fault, Repeat, Step, run_case, run_cases};
 pub use ports::free_port;
 pub use relay::{Relay, Way};
-pub use site::{Process, Site, SiteSettings, exchange, office, page, replicas};
+pub use site::{Process, Site, SiteSettings, office};
+pub use status::{exchange, page, replicas};
 pub use wait::{TRIES_MAX, until};
--- a/dev/proof/src/site.rs
+++ b/dev/proof/src/site.rs
@@ -11,10 +11,7 @@
     Checked, PublishSettings, Published, check_file, is_in_force, publish, read_history, statuses,
 };
 use derive::value;
-use platform::{
-    ClientSettings, Endpoint, EndpointSettings, LogClient, Request, Vm, VmRole, VmState,
-};
-use serde_json::Value;
+use platform::{ClientSettings, LogClient, Request, Vm, VmRole, VmState};
 use standins::engine::{EngineSettings, Fencing, Speeds};
 use standins::log::LogSettings;
 use standins::scorer::ScorerSettings;
@@ -26,13 +23,13 @@
 use types::{FailureDomain, Region};
 
 use crate::ask::document_text;
+use crate::status::{exchange, page, replicas};
 use crate::{Ask, Caller, Child, Pending, ProofError, Relay, free_port, until};
 
 const ENTRY: &str = "hornbeamrock-entry";
 const AGENT: &str = "hornbeamrock-agent";
 const DOMAINS: [&str; 3] = ["rennes-a", "brest-b", "vannes-c"];
 const REGION: &str = "bretagne";
-const DEADLINE_MS: u64 = 5_000;
 const STARTS_MAX: u32 = 5;
 /// Sites at a time, so that a table of cases starts no crowd of processes.
 static SITES: Semaphore = Semaphore::const_new(6);
@@ -448,34 +445,6 @@
     }
 }
 
-/// The status page of a process.
-pub async fn page(admin: SocketAddr) -> Result<Value, ProofError> {
-    let body = exchange(admin, Request::new("GET", "/status")).await?;
-    Ok(serde_json::from_slice(&body)?)
-}
-
-/// Replicas of a service on an entry's page that are not leaving.
-pub fn replicas(page: &Value, service: &str) -> Vec<Value> {
-    let services = page["services"].as_array().into_iter().flatten();
-    let own = services.filter(|row| row["service"] == service);
-    let all = own.flat_map(|row| row["replicas"].as_array().into_iter().flatten());
-    all.filter(|replica| replica["leaving"] != true)
-        .cloned()
-        .collect()
-}
-
-/// One exchange that must end with a 2xx status.
-pub async fn exchange(address: SocketAddr, request: Request) -> Result<Bytes, ProofError> {
-    let endpoint = Endpoint::new(address, EndpointSettings::default());
-    let response = endpoint.send(request, DEADLINE_MS).await?;
-    let status = response.head.status;
-    let body = response.body.whole().await?;
-    match (200..300).contains(&status) {
-        true => Ok(body),
-        false => Err(ProofError::Status(address, status)),
-    }
-}
-
 fn engine_settings(settings: &SiteSettings, store: SocketAddr) -> EngineSettings {
     EngineSettings {
         fencing: if settings.fencing {
@@ -511,7 +480,8 @@
             return Some(false);
         }
         let answered = exchange(admin, Request::new("GET", "/livez")).await;
-        answered.is_ok().then_some(true)
+        // The answer may have come from another process that took the port first.
+        answered.is_ok().then(|| child.runs())
     });
     answered.await.unwrap_or(false)
 }
--- /dev/null
+++ b/dev/proof/src/status.rs
@@ -0,0 +1,39 @@
+//! What processes and stand-ins say when they are asked.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use platform::{Endpoint, EndpointSettings, Request};
+use serde_json::Value;
+
+use crate::ProofError;
+
+const DEADLINE_MS: u64 = 5_000;
+
+/// The status page of a process.
+pub async fn page(admin: SocketAddr) -> Result<Value, ProofError> {
+    let body = exchange(admin, Request::new("GET", "/status")).await?;
+    Ok(serde_json::from_slice(&body)?)
+}
+
+/// Replicas of a service on an entry's page that are not leaving.
+pub fn replicas(page: &Value, service: &str) -> Vec<Value> {
+    let services = page["services"].as_array().into_iter().flatten();
+    let own = services.filter(|row| row["service"] == service);
+    let all = own.flat_map(|row| row["replicas"].as_array().into_iter().flatten());
+    all.filter(|replica| replica["leaving"] != true)
+        .cloned()
+        .collect()
+}
+
+/// One exchange that must end with a 2xx status.
+pub async fn exchange(address: SocketAddr, request: Request) -> Result<Bytes, ProofError> {
+    let endpoint = Endpoint::new(address, EndpointSettings::default());
+    let response = endpoint.send(request, DEADLINE_MS).await?;
+    let status = response.head.status;
+    let body = response.body.whole().await?;
+    match (200..300).contains(&status) {
+        true => Ok(body),
+        false => Err(ProofError::Status(address, status)),
+    }
+}
--- a/dev/proof/tests/completions.rs
+++ b/dev/proof/tests/completions.rs
@@ -5,8 +5,8 @@
 
 use Ending::{Lost, Whole};
 use Fault::{
-    CutAnswer, FreezeAgent, FreezeEntry, KillAgent, KillEndpoint, KillEntry, KillOtherEntry,
-    LoseAnswer, TruncateAnswer,
+    CutAnswer, CutEndpoint, FreezeAgent, FreezeEntry, KillAgent, KillEndpoint, KillEntry,
+    KillOtherEntry, LoseAnswer, TruncateAnswer,
 };
 use Step::{Before, Running, Streaming};
 
@@ -56,6 +56,7 @@
             &[Lost, Ending::Broken],
         ),
         stream("other entry dies", &[KillOtherEntry], Streaming, WHOLE),
+        stream("connections cut", &[CutEndpoint], Streaming, WHOLE),
         stream("stream is cut", &[CutAnswer], Streaming, WHOLE),
         stream("stream is truncated", &[TruncateAnswer], Streaming, WHOLE),
         stream(
--- a/dev/proof/tests/configuration.rs
+++ b/dev/proof/tests/configuration.rs
@@ -4,7 +4,7 @@
 use std::time::Instant;
 
 use control::{
-    ControlError, PublishSettings, Published, check_file, publish, read_history, status,
+    ControlError, Progress, PublishSettings, Published, check_file, publish, read_history, status,
 };
 use proof::{Ask, Ending, Kind, ProofError, Site, SiteSettings, exchange, until};
 use standins::{Fault, FaultKind};
@@ -82,9 +82,12 @@
     };
     site.log
         .fault(Fault::new(FaultKind::AnswerLost).on(APPENDS).times(2));
-    let published = publish(&log, &mut history, &checked, &settings, |_| {})
+    let mut appended_again = 0;
+    let count = |step| appended_again += u32::from(matches!(step, Progress::AppendedAgain(_)));
+    let published = publish(&log, &mut history, &checked, &settings, count)
         .await
         .unwrap();
+    assert!(appended_again > 0);
     assert_eq!(published.version, 2);
     site.in_force(&published).await.unwrap();
     assert!(versions(&site).await.iter().all(|version| *version == 2));
--- a/dev/proof/tests/keyed_calls.rs
+++ b/dev/proof/tests/keyed_calls.rs
@@ -8,7 +8,7 @@
     KillOtherEntry, LogOutage, LoseAnswer, LoseAppendAnswer,
 };
 use Repeat::{After, AtOnce, During};
-use Step::{Answered, Before, Running};
+use Step::{Answered, Asleep, Before, Running};
 
 const fn keyed(
     name: &'static str,
@@ -83,6 +83,22 @@
             After,
             WHOLE,
         ),
+        keyed(
+            "entry sleeps, repeat at once",
+            &[],
+            Asleep,
+            &[Whole, Unknown],
+            AtOnce,
+            WHOLE,
+        ),
+        keyed(
+            "entry sleeps, repeat after",
+            &[],
+            Asleep,
+            WHOLE,
+            After,
+            WHOLE,
+        ),
         keyed(
             "answered to a paused entry",
             &[],
--- a/dev/proof/tests/leaving.rs
+++ b/dev/proof/tests/leaving.rs
@@ -97,11 +97,16 @@
     assert!(status.success(), "{status}");
 }
 
-// The platform lists a VM as leaving. Every entry drops the endpoint; of all calls made
-// after the last entry knows, none runs there, and each has a whole answer.
+// The platform lists a VM as leaving. Its agent still takes work for a long while, so it
+// is the entries that drop the endpoint; of all calls made after the last entry knows, none
+// runs there, and each has a whole answer.
 #[tokio::test(flavor = "multi_thread")]
 async fn can_keep_new_work_from_a_leaving_endpoint() {
-    let site = site().await;
+    let settings = SiteSettings {
+        settle_ms: 60_000,
+        ..SiteSettings::default()
+    };
+    let mut site = Site::start(settings).await.unwrap();
     let leaving = &site.agents[0];
     site.list(leaving, VmState::Leaving).await.unwrap();
     let address = leaving.inner.to_string();
@@ -125,6 +130,10 @@
         before,
         "new work for a leaving endpoint"
     );
+    assert!(
+        site.agents[0].child.runs(),
+        "an agent that still takes work"
+    );
 }
 
 /// Calls that an endpoint ran.
--- a/dev/proof/tests/plain_calls.rs
+++ b/dev/proof/tests/plain_calls.rs
@@ -4,10 +4,10 @@
 
 use Ending::{Broken, Failed, Lost, NotRun, Unknown, Whole};
 use Fault::{
-    CutAnswer, FreezeAgent, FreezeEntry, KillAgent, KillEndpoint, KillEntry, KillOtherEntry,
-    LoseAnswer, TruncateAnswer,
+    CutAnswer, CutEndpoint, FreezeAgent, FreezeEntry, KillAgent, KillEndpoint, KillEntry,
+    KillOtherEntry, LoseAnswer, SilenceEndpoint, TruncateAnswer,
 };
-use Step::{Answered, Before, Running};
+use Step::{Answered, Asleep, Before, Running};
 
 const fn case(
     name: &'static str,
@@ -92,6 +92,7 @@
         check("agent wakes late before", &[FreezeAgent], Before, WHOLE),
         check("agent wakes late", &[FreezeAgent], Running, WHOLE),
         check("entry wakes late", &[FreezeEntry], Running, WHOLE),
+        check("entry sleeps when it comes", &[], Asleep, WHOLE),
         check("entry dies under it", &[KillEntry], Running, &[Lost]),
         check("other entry dies", &[KillOtherEntry], Running, WHOLE),
         check("answered to a paused entry", &[], Answered, WHOLE),
@@ -109,3 +110,28 @@
     .await;
     assert!(failures.is_empty(), "{failures:#?}");
 }
+
+// The connections between agents and endpoints are cut or go silent, and the endpoints live
+// on. A consultation is sent again when its connection is cut; on a silent one its caller
+// is told in the time that he gave. A sanction check is never sent again.
+#[tokio::test(flavor = "multi_thread")]
+async fn can_tell_the_truth_over_broken_connections_to_endpoints() {
+    let consult = |name, faults, at, ends| case(name, Kind::Consult, faults, at, ends);
+    let check = |name, faults, at, ends| case(name, Kind::Sanction, faults, at, ends);
+    let failures = run_cases(&[
+        consult("idle ones cut", &[CutEndpoint], Before, WHOLE),
+        consult("cut under it", &[CutEndpoint], Running, WHOLE),
+        consult(
+            "silent under it",
+            &[SilenceEndpoint],
+            Running,
+            &[Whole, Unknown],
+        ),
+        check("idle ones cut", &[CutEndpoint], Before, WHOLE),
+        check("cut under it", &[CutEndpoint], Running, &[Unknown, Failed]),
+        check("idle ones silent", &[SilenceEndpoint], Before, WHOLE),
+        check("silent under it", &[SilenceEndpoint], Running, &[Unknown]),
+    ])
+    .await;
+    assert!(failures.is_empty(), "{failures:#?}");
+}
