Long modules: settings, states and messages beside their machines

They now have modules of their own: weights `settings` and `status`, membership `rumour_settings` and `fact`, limits `asked`, recovery `attempt_event` and `table_action`. What the packages export is the same. Splitting the machines themselves was ruled out where it would only have made fields visible to a second module (`recovery::CallTable`, `weights::Reconcile`).

--- a/components/limits/src/customer.rs
+++ b/components/limits/src/customer.rs
@@ -6,13 +6,14 @@
 //! interactive requests do not use goes to the other classes in full.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use derive::key;
 use tokio::sync::{Notify, Semaphore};
 use types::{Cause, Class, Failure};
 
+use crate::asked::{Asked, Counts};
 use crate::bucket::Bucket;
 use crate::retry_after::retry_after_ms;
 
@@ -46,50 +47,6 @@
     pub tokens_per_s: Option<u32>,
 }
 
-/// Requests and tokens that were asked for in some time, refused ones too.
-#[key]
-#[derive(Default)]
-pub struct Offered {
-    /// Requests.
-    pub requests: u32,
-    /// Prompt tokens and the most that may be generated.
-    pub tokens: u64,
-    /// Requests in progress or waiting at the end of the time.
-    pub in_progress: u32,
-}
-
-/// What a customer asked this entry for.
-#[key]
-#[derive(Default)]
-pub struct Asked {
-    /// Interactive and background.
-    pub calls: Offered,
-    /// Sampling, which waits for room.
-    pub sampling: Offered,
-}
-
-#[derive(Debug, Default)]
-struct Counts {
-    requests: AtomicU32,
-    tokens: AtomicU64,
-    in_progress: AtomicU32,
-}
-
-impl Counts {
-    fn offer(&self, tokens: u32) {
-        self.requests.fetch_add(1, Ordering::Relaxed);
-        self.tokens.fetch_add(u64::from(tokens), Ordering::Relaxed);
-    }
-
-    fn take(&self) -> Offered {
-        Offered {
-            requests: self.requests.swap(0, Ordering::Relaxed),
-            tokens: self.tokens.swap(0, Ordering::Relaxed),
-            in_progress: self.in_progress.load(Ordering::Relaxed),
-        }
-    }
-}
-
 /// One customer's use of this entry; shared by threads.
 #[derive(Debug)]
 pub struct Customer {
--- a/components/limits/src/demand.rs
+++ b/components/limits/src/demand.rs
@@ -1,6 +1,7 @@
 //! How much of its limits a customer asks of one entry.
 
-use crate::customer::{Asked, CustomerLimits, Offered};
+use crate::asked::{Asked, Offered};
+use crate::customer::CustomerLimits;
 
 /// Most that sampling counts for on one entry, as a part of the limits. It takes what is
 /// there and waits for the rest; counted in full, a step at one entry would draw the
--- a/components/limits/src/lib.rs
+++ b/components/limits/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod account;
 mod admission;
+mod asked;
 mod bucket;
 mod budget;
 mod customer;
@@ -21,9 +22,10 @@
 mod shares;
 
 pub use admission::{Action, Admission, Arrival, Room, Ticket};
+pub use asked::{Asked, Offered};
 pub use bucket::Bucket;
 pub use budget::{BudgetSettings, RetryBudget};
-pub use customer::{Asked, Customer, CustomerLimits, InProgress, Offered};
+pub use customer::{Customer, CustomerLimits, InProgress};
 pub use demand::demand;
 pub use gate::{Clock, Gate, Permit, Request};
 pub use retry_after::retry_after_ms;
--- /dev/null
+++ b/components/membership/src/fact.rs
@@ -0,0 +1,86 @@
+//! A piece of news as it is kept: its topic, its end, and which of two pieces stays.
+
+use std::net::SocketAddr;
+
+use derive::value;
+use protocol::News;
+use types::{CustomerName, ServiceName};
+
+/// What a fact is about.
+#[value]
+#[derive(PartialOrd, Ord)]
+pub(crate) enum Topic {
+    Leaving(SocketAddr),
+    Quarantined([u8; 16]),
+    Weights(CustomerName, ServiceName),
+    Config(CustomerName),
+}
+
+/// A piece of news with its further pushes and its end.
+#[value]
+pub(crate) struct Fact {
+    pub(crate) news: News,
+    pub(crate) pushes_left: u32,
+    /// `None` for facts that last.
+    pub(crate) ends_ms: Option<u64>,
+}
+
+impl Fact {
+    /// The news as it is told now; `None` once it has ended.
+    pub(crate) fn told_at(&self, now_ms: u64) -> Option<News> {
+        match (&self.news, self.ends_ms) {
+            (_, Some(ends_ms)) if ends_ms <= now_ms => None,
+            (News::Quarantined { digest, .. }, Some(ends_ms)) => Some(News::Quarantined {
+                digest: *digest,
+                left_ms: u32::try_from(ends_ms - now_ms).unwrap_or(u32::MAX),
+            }),
+            (news, _) => Some(news.clone()),
+        }
+    }
+}
+
+/// The topic of news that is passed on; `None` for probes, statuses and the like.
+pub(crate) fn topic(news: &News) -> Option<Topic> {
+    match news {
+        News::Config(digest) => Some(Topic::Config(digest.customer.clone())),
+        News::Weights {
+            customer, service, ..
+        } => Some(Topic::Weights(customer.clone(), service.clone())),
+        News::Leaving { node } => Some(Topic::Leaving(node.address)),
+        News::Quarantined { digest, .. } => Some(Topic::Quarantined(*digest)),
+        _ => None,
+    }
+}
+
+/// The heard news with what is known. Weights to serve and to load come from different
+/// calls of a trainer, perhaps at two entries at once: neither piece of news is above the
+/// other then, and to keep one of them would lose what only the other says.
+pub(crate) fn merged(heard: News, known: &News) -> News {
+    match (heard, known) {
+        (
+            News::Weights {
+                customer,
+                service,
+                target,
+            },
+            News::Weights { target: known, .. },
+        ) => News::Weights {
+            customer,
+            service,
+            target: known.merge(target),
+        },
+        (heard, _) => heard,
+    }
+}
+
+/// Most bytes that the news takes on the wire.
+pub(crate) fn size_bytes(news: &News) -> usize {
+    match news {
+        News::Config(digest) => 24 + digest.customer.as_str().len(),
+        News::Weights {
+            customer, service, ..
+        } => 34 + customer.as_str().len() + service.as_str().len(),
+        News::Leaving { .. } => 32,
+        _ => 24,
+    }
+}
--- a/components/membership/src/lib.rs
+++ b/components/membership/src/lib.rs
@@ -2,11 +2,13 @@
 //! list, the answers to its own probes and rumours. Pure: events and `now_ms` of the
 //! process's monotonic clock go in, probes, rumours and views come out.
 
+mod fact;
 mod listed;
 mod member;
 mod members;
 mod own;
 mod probing;
+mod rumour_settings;
 mod rumours;
 mod settings;
 mod snapshot;
@@ -18,7 +20,8 @@
 pub use member::{Heard, Standing};
 pub use members::Members;
 pub use own::Own;
-pub use rumours::{Round, RumourSettings, Rumours};
+pub use rumour_settings::RumourSettings;
+pub use rumours::{Round, Rumours};
 pub use settings::MemberSettings;
 pub use snapshot::{MemberState, Replica, Snapshot};
 pub use subset::{Candidate, subset};
--- a/components/membership/src/rumours.rs
+++ b/components/membership/src/rumours.rs
@@ -17,83 +17,13 @@
 use derive::value;
 use protocol::News;
 use rand::Rng;
-use types::{CustomerName, ServiceName};
+
+use crate::fact::{Fact, Topic, merged, size_bytes, topic};
+use crate::rumour_settings::RumourSettings;
 
 /// UDP and IP headers, sender and authentication of a datagram, in bytes.
 const OVERHEAD_BYTES: usize = 120;
 
-/// Settings of [`Rumours`].
-#[value]
-#[derive(Copy)]
-pub struct RumourSettings {
-    /// Peers that hear the news in one round.
-    pub fan_out: usize,
-    /// Time between two rounds, in milliseconds.
-    pub round_ms: u64,
-    /// Rounds beyond the logarithm of the number of peers in which news is pushed.
-    pub extra_rounds: u32,
-    /// Rounds between two datagrams when there is no news.
-    pub idle_rounds: u64,
-    /// Largest datagram with all headers, in bytes.
-    pub datagram_bytes_max: usize,
-    /// How long a leaving life is told of, in milliseconds.
-    pub leaving_kept_ms: u64,
-    /// A quarantine that ends later than the known one by less than this is the known
-    /// one, on its way for a while, in milliseconds.
-    pub quarantine_slack_ms: u64,
-    /// Most facts kept; the oldest one with an end goes first.
-    pub items_max: usize,
-}
-
-impl Default for RumourSettings {
-    fn default() -> Self {
-        Self {
-            fan_out: 3,
-            round_ms: 400,
-            extra_rounds: 3,
-            idle_rounds: 3,
-            datagram_bytes_max: 550,
-            leaving_kept_ms: 300_000,
-            quarantine_slack_ms: 30_000,
-            items_max: 8_192,
-        }
-    }
-}
-
-impl RumourSettings {
-    /// Rounds in which a piece of news is pushed among this many peers.
-    pub fn push_rounds(&self, peers: usize) -> u32 {
-        let base = u64::try_from(self.fan_out)
-            .unwrap_or(u64::MAX)
-            .saturating_add(1);
-        (peers as u64 + 1).ilog(base.max(2)) + 1 + self.extra_rounds
-    }
-
-    /// Bytes that a process sends in a second while there is more news than fits.
-    pub fn bytes_per_s_max(&self) -> u64 {
-        let round_bytes = self.fan_out * self.datagram_bytes_max;
-        round_bytes as u64 * 1_000 / self.round_ms.max(1)
-    }
-}
-
-/// What a fact is about.
-#[value]
-#[derive(PartialOrd, Ord)]
-enum Topic {
-    Leaving(SocketAddr),
-    Quarantined([u8; 16]),
-    Weights(CustomerName, ServiceName),
-    Config(CustomerName),
-}
-
-#[value]
-struct Fact {
-    news: News,
-    pushes_left: u32,
-    /// `None` for facts that last.
-    ends_ms: Option<u64>,
-}
-
 /// What to send now.
 #[value]
 pub struct Round {
@@ -283,65 +213,6 @@
     }
 }
 
-impl Fact {
-    /// The news as it is told now; `None` once it has ended.
-    fn told_at(&self, now_ms: u64) -> Option<News> {
-        match (&self.news, self.ends_ms) {
-            (_, Some(ends_ms)) if ends_ms <= now_ms => None,
-            (News::Quarantined { digest, .. }, Some(ends_ms)) => Some(News::Quarantined {
-                digest: *digest,
-                left_ms: u32::try_from(ends_ms - now_ms).unwrap_or(u32::MAX),
-            }),
-            (news, _) => Some(news.clone()),
-        }
-    }
-}
-
-fn topic(news: &News) -> Option<Topic> {
-    match news {
-        News::Config(digest) => Some(Topic::Config(digest.customer.clone())),
-        News::Weights {
-            customer, service, ..
-        } => Some(Topic::Weights(customer.clone(), service.clone())),
-        News::Leaving { node } => Some(Topic::Leaving(node.address)),
-        News::Quarantined { digest, .. } => Some(Topic::Quarantined(*digest)),
-        _ => None,
-    }
-}
-
-/// The heard news with what is known. Weights to serve and to load come from different
-/// calls of a trainer, perhaps at two entries at once: neither piece of news is above the
-/// other then, and to keep one of them would lose what only the other says.
-fn merged(heard: News, known: &News) -> News {
-    match (heard, known) {
-        (
-            News::Weights {
-                customer,
-                service,
-                target,
-            },
-            News::Weights { target: known, .. },
-        ) => News::Weights {
-            customer,
-            service,
-            target: known.merge(target),
-        },
-        (heard, _) => heard,
-    }
-}
-
-/// Most bytes that the news takes on the wire.
-fn size_bytes(news: &News) -> usize {
-    match news {
-        News::Config(digest) => 24 + digest.customer.as_str().len(),
-        News::Weights {
-            customer, service, ..
-        } => 34 + customer.as_str().len() + service.as_str().len(),
-        News::Leaving { .. } => 32,
-        _ => 24,
-    }
-}
-
 fn draw(peers: &[SocketAddr], count: usize, rng: &mut impl Rng) -> Vec<SocketAddr> {
     let mut left: Vec<SocketAddr> = peers.to_vec();
     let mut drawn = Vec::with_capacity(count);
--- a/components/recovery/src/lib.rs
+++ b/components/recovery/src/lib.rs
@@ -3,6 +3,7 @@
 //! random source.
 
 mod attempt;
+mod attempt_event;
 mod backoff;
 mod event;
 mod forgotten;
@@ -11,11 +12,14 @@
 mod shares;
 mod silence;
 mod table;
+mod table_action;
 
-pub use attempt::{Attempt, AttemptAction, AttemptEvent};
+pub use attempt::Attempt;
+pub use attempt_event::{AttemptAction, AttemptEvent};
 pub use backoff::reconnect_after_ms;
 pub use event::CallEvent;
 pub use retry::{Decision, Flowed, Resume, RetrySettings, Tried, decide};
 pub use served::part_cost_bytes;
 pub use silence::{Silence, Watch};
-pub use table::{CallTable, TableAction, TableSettings};
+pub use table::{CallTable, TableSettings};
+pub use table_action::TableAction;
--- a/components/recovery/src/table.rs
+++ b/components/recovery/src/table.rs
@@ -14,13 +14,13 @@
 use std::collections::{HashMap, HashSet};
 
 use bytes::Bytes;
-use derive::value;
 use protocol::{Frame, Head, Open};
 use types::{CallId, Cause, Failure};
 
 use crate::forgotten::Forgotten;
 use crate::served::{Served, Stage, Wanted};
 use crate::shares::{Free, Shares};
+use crate::table_action::TableAction;
 
 /// When a caller that was refused for want of room may come back, in milliseconds.
 const FULL_RETRY_AFTER_MS: u32 = 1_000;
@@ -38,52 +38,6 @@
     pub held_bytes_max: usize,
 }
 
-/// What is to be done for the calls.
-#[value]
-pub enum TableAction {
-    /// Write the frame on this connection.
-    Send {
-        /// The connection.
-        connection: u64,
-        /// The frame.
-        frame: Frame,
-    },
-    /// Close the connection; another one of the same caller took its place.
-    Close {
-        /// The connection.
-        connection: u64,
-    },
-    /// Hand the call to its handler.
-    Run {
-        /// The connection that it came on.
-        connection: u64,
-        /// The call.
-        open: Box<Open>,
-    },
-    /// The caller has taken parts: as many bytes more may be sent.
-    Credit {
-        /// The call.
-        id: CallId,
-        /// Bytes, counted by [`crate::part_cost_bytes`].
-        bytes: usize,
-    },
-    /// The caller stays away and the call runs on: it must not wait for the window.
-    Unblock {
-        /// The call.
-        id: CallId,
-    },
-    /// Nobody wants the answer: tell the handler.
-    Cancel {
-        /// The call.
-        id: CallId,
-    },
-    /// The call is dropped.
-    Drop {
-        /// The call.
-        id: CallId,
-    },
-}
-
 /// All calls that a callee has taken and not forgotten.
 #[derive(Debug)]
 pub struct CallTable {
--- a/components/weights/src/lib.rs
+++ b/components/weights/src/lib.rs
@@ -5,11 +5,15 @@
 mod backoff;
 mod order;
 mod reconcile;
+mod settings;
+mod status;
 mod turn;
 
 pub use authority::{AnnounceError, Announcement, Announcer, Authority, ModelKey};
 pub use backoff::Backoff;
 pub use order::{EngineState, Order, OrderId, OrderKind, OrderOutcome};
-pub use reconcile::{Reconcile, ReconcileSettings, Status, Turns};
+pub use reconcile::{Reconcile, Turns};
+pub use settings::ReconcileSettings;
+pub use status::Status;
 pub use turn::{store_rate_needed_bytes_per_s, turn_ms};
 pub use types::WeightTarget as Target;
--- a/components/weights/src/reconcile.rs
+++ b/components/weights/src/reconcile.rs
@@ -14,67 +14,9 @@
 use derive::value;
 use types::{WeightTarget as Target, WeightVersion};
 
-use crate::backoff::Backoff;
 use crate::order::{EngineState, Order, OrderId, OrderKind, OrderOutcome};
-
-/// How the agent paces itself.
-#[value]
-pub struct ReconcileSettings {
-    /// Between two looks at an engine that is as wanted.
-    pub watch_ms: u64,
-    /// The same while an order of unknown outcome, or one of the agent's earlier life, may
-    /// still be on its way to an engine that does not check fencing numbers.
-    pub doubt_watch_ms: u64,
-    /// A state read longer ago than this is read again before any order.
-    pub belief_ms: u64,
-    /// An order without an answer for this long is over, its outcome unknown.
-    pub order_timeout_ms: u64,
-    /// After a failed order or read.
-    pub backoff: Backoff,
-    /// Versions that samples may lag behind.
-    pub staleness_bound: u64,
-}
-
-impl Default for ReconcileSettings {
-    fn default() -> Self {
-        Self {
-            watch_ms: 1_000,
-            doubt_watch_ms: 200,
-            belief_ms: 500,
-            order_timeout_ms: 60_000,
-            backoff: Backoff {
-                first_ms: 200,
-                max_ms: 10_000,
-            },
-            staleness_bound: 0,
-        }
-    }
-}
-
-/// State of the engine for people and peers.
-#[value]
-pub struct Status {
-    /// Version that was last read from the engine.
-    pub serving: Option<WeightVersion>,
-    /// Version that is wanted.
-    pub wanted: Option<WeightVersion>,
-    /// How long ago the state was read.
-    pub read_age_ms: Option<u64>,
-    /// Version to have in memory.
-    pub load: Option<WeightVersion>,
-    /// That version is in memory.
-    pub loaded: bool,
-    /// Versions between serving and wanted; `None` across epochs or when unknown.
-    pub behind: Option<u64>,
-    /// The engine's version is too old for samples.
-    pub too_old: bool,
-    /// The engine knows something newer than this agent: ask the peers.
-    pub news_missing: bool,
-    /// Failures in a row.
-    pub failures: u32,
-    /// Whether an order is in flight.
-    pub ordering: bool,
-}
+use crate::settings::ReconcileSettings;
+use crate::status::Status;
 
 #[value]
 struct Belief {
