quarantine: what is in flight in a module of its own

The runs now stand in `in_flight`, the same steps under their own names. Behaviour is the same; tests and lints of `quarantine` are green.

--- a/components/quarantine/src/lib.rs
+++ b/components/quarantine/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod crashes;
 mod digest;
+mod in_flight;
 mod settings;
 mod suspects;
 mod verdict;
--- a/components/quarantine/src/suspects.rs
+++ b/components/quarantine/src/suspects.rs
@@ -29,31 +29,17 @@
 //! with other causes hit it; that ends with `condemned_ms` or when the true cause is
 //! condemned here.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use derive::value;
 use types::{Cause, Failure, RunState};
 
 use crate::crashes::Crashes;
+use crate::in_flight::InFlight;
 use crate::{CallDigest, Condemned, Crashed, Entry, RunId, Standing, SuspectSettings, Verdict};
 
-#[value]
-struct Run {
-    digest: CallDigest,
-    endpoint: SocketAddr,
-    /// The crash that ended it, once that is known.
-    crash: Option<u64>,
-}
-
-/// A run that ended without an answer and without a crash that was known of.
-#[value]
-struct Left {
-    digest: CallDigest,
-    endpoint: SocketAddr,
-    at_ms: u64,
-}
-
+/// What is held against one digest.
 #[value]
 #[derive(Default)]
 struct Record {
@@ -69,11 +55,9 @@
 #[derive(Clone, Debug)]
 pub struct Suspects {
     settings: SuspectSettings,
-    runs: HashMap<RunId, Run>,
+    in_flight: InFlight,
     records: BTreeMap<CallDigest, Record>,
     crashes: Crashes,
-    left: VecDeque<Left>,
-    next_number: u64,
     to_tell: Vec<Condemned>,
     to_report: Vec<Crashed>,
 }
@@ -83,11 +67,9 @@
     pub fn new(settings: SuspectSettings) -> Self {
         Self {
             settings,
-            runs: HashMap::new(),
+            in_flight: InFlight::new(settings.same_crash_ms),
             records: BTreeMap::new(),
             crashes: Crashes::default(),
-            left: VecDeque::new(),
-            next_number: 0,
             to_tell: Vec::new(),
             to_report: Vec::new(),
         }
@@ -119,14 +101,14 @@
         match self.standing(digest, now_ms) {
             Standing::Condemned { left_ms } => Entry::Refuse(refusal(left_ms)),
             Standing::Suspect { crashes }
-                if self.runs_anywhere(digest) || self.is_unsettled(digest, crashes, now_ms) =>
+                if self.in_flight.has(digest) || self.is_unsettled(digest, crashes, now_ms) =>
             {
                 Entry::Wait {
                     wait_ms: self.settings.wait_ms,
                 }
             }
             _ if self.has_suspect(endpoint, now_ms) => Entry::Elsewhere,
-            _ => Entry::Run(self.start(digest, endpoint)),
+            _ => Entry::Run(self.in_flight.start(digest, endpoint)),
         }
     }
 
@@ -138,14 +120,13 @@
 
     /// The call's whole answer came: nothing is held against it any longer.
     pub fn complete(&mut self, run: RunId) {
-        let Some(run) = self.runs.remove(&run) else {
+        let Some(digest) = self.in_flight.complete(run) else {
             return;
         };
-        self.crashes.clear(run.digest);
-        self.left.retain(|left| left.digest != run.digest);
-        let told = self.records.get(&run.digest).is_some_and(|r| r.told);
+        self.crashes.clear(digest);
+        let told = self.records.get(&digest).is_some_and(|r| r.told);
         if !told {
-            self.records.remove(&run.digest);
+            self.records.remove(&digest);
         }
     }
 
@@ -153,24 +134,18 @@
     /// failed. For a moment it still counts as there: word of a crash may come late, and
     /// with its cause left out a bystander would be the only one that was in flight.
     pub fn leave(&mut self, run: RunId, now_ms: u64) {
-        self.forget_left(now_ms);
-        let ended = self.runs.remove(&run).filter(|run| run.crash.is_none());
-        self.left.extend(ended.map(|run| Left {
-            digest: run.digest,
-            endpoint: run.endpoint,
-            at_ms: now_ms,
-        }));
+        self.in_flight.leave(run, now_ms);
     }
 
     /// The call ended because the endpoint crashed.
     pub fn lost(&mut self, run: RunId, now_ms: u64) -> Verdict {
-        let Some(ended) = self.runs.get(&run).cloned() else {
+        let Some(ended) = self.in_flight.run(run).cloned() else {
             return Verdict::Retry;
         };
         if ended.crash.is_none() {
             self.crash(ended.endpoint, now_ms);
         }
-        self.runs.remove(&run);
+        self.in_flight.remove(run);
         self.verdict(ended.digest, now_ms)
     }
 
@@ -200,7 +175,9 @@
             self.accuse(digest, crash, now_ms);
         }
         // What was there from here may not know of the crash yet, or never will.
-        if !self.crashes.is_told_here(crash) && !self.here(*endpoint, now_ms).is_empty() {
+        if !self.crashes.is_told_here(crash)
+            && !self.in_flight.known_at(*endpoint, now_ms).is_empty()
+        {
             self.crash(*endpoint, now_ms);
         }
         self.evict(now_ms);
@@ -254,46 +231,19 @@
         });
     }
 
-    fn start(&mut self, digest: CallDigest, endpoint: SocketAddr) -> RunId {
-        let run = RunId(self.number());
-        let started = Run {
-            digest,
-            endpoint,
-            crash: None,
-        };
-        self.runs.insert(run, started);
-        run
-    }
-
-    fn number(&mut self) -> u64 {
-        self.next_number += 1;
-        self.next_number
-    }
-
-    fn runs_anywhere(&self, digest: CallDigest) -> bool {
-        self.runs
-            .values()
-            .any(|run| run.digest == digest && run.crash.is_none())
-    }
-
     fn has_suspect(&self, endpoint: SocketAddr, now_ms: u64) -> bool {
-        let here = |run: &&Run| run.endpoint == endpoint && run.crash.is_none();
-        let mut here = self.runs.values().filter(here);
-        here.any(|run| self.standing(run.digest, now_ms) != Standing::Clear)
+        let mut running = self.in_flight.running_at(endpoint);
+        running.any(|digest| self.standing(digest, now_ms) != Standing::Clear)
     }
 
     /// All in flight at the endpoint share the crash. Their own reports come one by one
     /// and must not count as crashes of their own.
     fn crash(&mut self, endpoint: SocketAddr, now_ms: u64) {
-        let in_flight = self.here(endpoint, now_ms);
-        self.left.retain(|left| left.endpoint != endpoint);
+        let in_flight = self.in_flight.known_at(endpoint, now_ms);
         let known = in_flight.iter().copied();
         let same_ms = self.settings.same_crash_ms;
         let crash = self.crashes.report(None, endpoint, known, now_ms, same_ms);
-        let here = |run: &&mut Run| run.endpoint == endpoint && run.crash.is_none();
-        for run in self.runs.values_mut().filter(here) {
-            run.crash = Some(crash);
-        }
+        self.in_flight.crashed(endpoint, crash);
         for &digest in &in_flight {
             self.accuse(digest, crash, now_ms);
         }
@@ -304,26 +254,6 @@
         self.evict(now_ms);
     }
 
-    /// Calls of this process at an endpoint now or a moment ago.
-    fn here(&self, endpoint: SocketAddr, now_ms: u64) -> BTreeSet<CallDigest> {
-        let runs = self.runs.values();
-        let runs = runs.filter(|run| run.endpoint == endpoint && run.crash.is_none());
-        let same_ms = self.settings.same_crash_ms;
-        let left = self.left.iter();
-        let left = left.filter(|left| left.endpoint == endpoint && left.at_ms + same_ms > now_ms);
-        let runs = runs.map(|run| run.digest);
-        runs.chain(left.map(|left| left.digest)).collect()
-    }
-
-    fn forget_left(&mut self, now_ms: u64) {
-        let same_ms = self.settings.same_crash_ms;
-        while let Some(left) = self.left.front()
-            && left.at_ms + same_ms <= now_ms
-        {
-            self.left.pop_front();
-        }
-    }
-
     fn is_unsettled(&self, digest: CallDigest, crashes: usize, now_ms: u64) -> bool {
         let settle_ms = self.settings.settle_ms;
         let record = self.records.get(&digest);
