--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -105,12 +105,21 @@
     async fn failed(&mut self, failure: Failure) -> Failure {
         let in_flight = self.settle(says(failure));
         let lost = failure.cause == Cause::EndpointLost && failure.run != RunState::NotRun;
-        match in_flight {
-            Some(in_flight) if lost && self.life.has_ended().await => {
-                in_flight.lost().await.unwrap_or(failure)
-            }
-            _ => failure,
+        let Some(in_flight) = in_flight.filter(|_| lost) else {
+            return failure;
+        };
+        if self.life.has_ended().await {
+            return in_flight.lost().await.unwrap_or(failure);
         }
+        // A crash whose news came after the wait would count nowhere, and a call that
+        // crashes endpoints would get more of them than the stated bound.
+        let life = self.life.clone();
+        tokio::spawn(async move {
+            if life.ends_late().await {
+                in_flight.lost().await;
+            }
+        });
+        failure
     }
 
     /// Waits for the status and headers of the answer.
--- a/components/gateway/src/endpoint_life.rs
+++ b/components/gateway/src/endpoint_life.rs
@@ -16,7 +16,11 @@
 const NEWS_MS: u64 = 400;
 const LOOK_EVERY: Duration = Duration::from_millis(10);
 
+/// How long news that is late still counts, in milliseconds.
+const LATE_NEWS_MS: u64 = 3_000;
+
 /// The life of an endpoint at the hand-over of a call.
+#[derive(Clone)]
 pub struct EndpointLife {
     gossip: Gossip,
     owner: CustomerName,
@@ -42,7 +46,16 @@
     /// Waits for news that the life is over; false when none comes. An endpoint that is
     /// down is not listed.
     pub async fn has_ended(&self) -> bool {
-        let until_ms = now_ms() + NEWS_MS;
+        self.ends_within(NEWS_MS).await
+    }
+
+    /// The same for news that comes after the caller has his answer.
+    pub async fn ends_late(&self) -> bool {
+        self.ends_within(LATE_NEWS_MS).await
+    }
+
+    async fn ends_within(&self, wait_ms: u64) -> bool {
+        let until_ms = now_ms() + wait_ms;
         loop {
             if self.newest() != self.life {
                 return true;
