Entry: one connection of the public address in a module of its own

Cause: `server` accepted connections, bounded their number and also served each of them, in a function of 81 lines; the type of its service was spelled out four times. `connection` now serves one: what waits for a stop, for an unread answer and what happens when a connection breaks are functions of their own, and `PublicService` names the service's type once. The order of the `select!` and every time limit are as they were.

--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod completion;
 mod completion_stream;
 mod completions;
+pub mod connection;
 pub mod connections;
 pub mod delivery;
 pub mod descriptors;
