--- a/components/gateway/src/gateway.rs
+++ b/components/gateway/src/gateway.rs
@@ -16,7 +16,7 @@
 use crate::readiness::Readiness;
 use crate::services::Services;
 use crate::suspects::Quarantine;
-use crate::training::Desk;
+use crate::training::Coordinator;
 use crate::weight_news::WeightNews;
 
 /// One entry.
@@ -47,7 +47,7 @@
     /// Weight versions in force.
     pub weights: WeightNews,
     /// Ledgers of training steps.
-    pub training: Desk,
+    pub training: Coordinator,
     /// How far it is on its way out.
     pub drain: Drain,
     /// Heartbeat of the process.
--- a/components/gateway/src/start.rs
+++ b/components/gateway/src/start.rs
@@ -25,7 +25,7 @@
 use crate::refresh;
 use crate::services::Services;
 use crate::suspects::Quarantine;
-use crate::training::{Copier, Desk, spawn};
+use crate::training::{Coordinator, Copier, spawn};
 use crate::weight_news::WeightNews;
 
 /// First part of the names of an entry's metrics.
@@ -78,7 +78,7 @@
         failure_domain: identity.failure_domain.clone(),
         region: identity.region.clone(),
     };
-    let (training, desk) = Desk::new();
+    let (training, coordinator) = Coordinator::new();
     let gateway = Arc::new(Gateway {
         identity,
         feed,
@@ -103,7 +103,7 @@
     });
     let copier = Copier::start(Arc::clone(&gateway));
     spawn(
-        desk,
+        coordinator,
         Arc::clone(&gateway),
         copier,
         cursor_keys(&common.keys),
--- a/components/gateway/src/training.rs
+++ b/components/gateway/src/training.rs
@@ -1,18 +1,18 @@
 //! Training: announcements of weights, steps, and samples with their origin.
 //!
 //! An entry checks a trainer's call and takes it to the step's home over the inner
-//! protocol. At the home, the desk owns the ledgers of all steps; runs, scores and copies
-//! are tasks of their own that report to it.
+//! protocol. At the home, the coordinator's task owns the ledgers of all steps; runs, scores
+//! and copies are tasks of their own that report to it.
 
 mod api;
 mod bodies;
+mod coordinator;
+mod coordinator_act;
+mod coordinator_copies;
+mod coordinator_fetch;
+mod coordinator_task;
+mod coordinator_tick;
 mod copies;
-mod desk;
-mod desk_act;
-mod desk_copies;
-mod desk_fetch;
-mod desk_task;
-mod desk_tick;
 mod figures;
 mod forward;
 mod home_map;
@@ -28,9 +28,9 @@
 mod steps_status;
 
 pub use api::serve;
+pub use coordinator::Coordinator;
+pub use coordinator_task::spawn;
 pub use copies::Copier;
-pub use desk::Desk;
-pub use desk_task::spawn;
 pub use inner::{is_inner_call, serve_inner};
 pub use places::Places;
 pub use steps_status::StepStatus;
--- a/components/gateway/src/training/desk.rs
+++ b/components/gateway/src/training/coordinator.rs
@@ -1,4 +1,4 @@
-//! Handle to the owner of the ledgers.
+//! Handle to the coordinator of the steps at this entry: the task that owns their ledgers.
 
 use std::net::SocketAddr;
 
@@ -15,26 +15,26 @@
 const ORDERS_MAX: usize = 4_096;
 
 /// Where the owner reads its orders.
-pub struct DeskInbox {
+pub struct CoordinatorInbox {
     pub(super) orders: mpsc::Receiver<Order>,
     pub(super) sender: mpsc::WeakSender<Order>,
 }
 
 /// Handle to the owner of the ledgers; clones share it.
 #[derive(Clone)]
-pub struct Desk {
+pub struct Coordinator {
     orders: mpsc::Sender<Order>,
 }
 
-impl Desk {
+impl Coordinator {
     /// A handle, and the inbox for [`super::spawn`].
-    pub fn new() -> (Desk, DeskInbox) {
+    pub fn new() -> (Coordinator, CoordinatorInbox) {
         let (sender, orders) = mpsc::channel(ORDERS_MAX);
-        let inbox = DeskInbox {
+        let inbox = CoordinatorInbox {
             orders,
             sender: sender.downgrade(),
         };
-        (Desk { orders: sender }, inbox)
+        (Coordinator { orders: sender }, inbox)
     }
 
     /// Posts a step; gives the cursor to fetch with.
--- a/components/gateway/src/training/desk_act.rs
+++ b/components/gateway/src/training/coordinator_act.rs
@@ -10,7 +10,7 @@
 use samples::{Action, Fault, Ledger, Start, Step, StepKey};
 use tokio::sync::oneshot;
 
-use super::desk_task::{Desk, RunHandle};
+use super::coordinator_task::{CoordinatorTask, RunHandle};
 use super::orders::{RunFault, RunNews};
 use super::room::room;
 use super::run::Run;
@@ -21,7 +21,7 @@
 /// further run begins.
 const WAITING_MAX: u32 = 16;
 /// Runs that begin at once for each place left in that line. Most pass through it without
-/// a wait; begun one line at a time, a step would take some looks of the desk to start.
+/// a wait; begun one line at a time, a step would take some looks of the coordinator to start.
 const RUNS_PER_PLACE: u32 = 8;
 
 /// Actions of one step.
@@ -58,7 +58,7 @@
     WAITING_MAX.saturating_sub(waiting) * RUNS_PER_PLACE
 }
 
-impl Desk {
+impl CoordinatorTask {
     /// Asks each ledger what is to be done and does it.
     pub(super) fn act(&mut self) {
         let view = self.gateway.feed.view();
--- a/components/gateway/src/training/desk_copies.rs
+++ b/components/gateway/src/training/coordinator_copies.rs
@@ -5,9 +5,9 @@
 use node::now_ms;
 use samples::{Copy, Cursor, Ledger, Posted, StepKey};
 
-use super::desk_task::{Desk, settings_of};
+use super::coordinator_task::{CoordinatorTask, settings_of};
 
-impl Desk {
+impl CoordinatorTask {
     /// What the step's other home sends. A post of a step that this process knows no model
     /// for yet is dropped; the trainer's next post brings it.
     pub(super) fn copy(&mut self, copy: Copy) {
--- a/components/gateway/src/training/desk_fetch.rs
+++ b/components/gateway/src/training/coordinator_fetch.rs
@@ -4,7 +4,7 @@
 use samples::{Cursor, StepKey};
 use tokio::sync::oneshot;
 
-use super::desk_task::{Desk, Waiting, settings_of};
+use super::coordinator_task::{CoordinatorTask, Waiting, settings_of};
 use super::orders::{Fetch, Reply};
 use crate::rejection::Rejection;
 
@@ -15,7 +15,7 @@
 /// Fetches that wait at most: half of the calls that a process takes from others.
 const WAITING_MAX: usize = 512;
 
-impl Desk {
+impl CoordinatorTask {
     /// Takes a fetch; it is answered when there are samples or its wait is over.
     pub(super) fn fetch(
         &mut self,
--- a/components/gateway/src/training/desk_task.rs
+++ b/components/gateway/src/training/coordinator_task.rs
@@ -14,8 +14,8 @@
 use types::WeightVersion;
 use weights::ModelKey;
 
+use super::coordinator::CoordinatorInbox;
 use super::copies::{Copier, Told, post};
-use super::desk::DeskInbox;
 use super::figures::Figures;
 use super::home_map::HomeMap;
 use super::orders::{Fetch, Order, Post, Reply, RunNews};
@@ -47,7 +47,7 @@
 }
 
 /// State of the owner.
-pub struct Desk {
+pub struct CoordinatorTask {
     pub(super) gateway: Arc<Gateway>,
     pub(super) orders: mpsc::WeakSender<Order>,
     pub(super) copier: Copier,
@@ -82,9 +82,9 @@
 }
 
 /// Starts the owner.
-pub fn spawn(inbox: DeskInbox, gateway: Arc<Gateway>, copier: Copier, keys: CursorKeys) {
+pub fn spawn(inbox: CoordinatorInbox, gateway: Arc<Gateway>, copier: Copier, keys: CursorKeys) {
     let homes = HomeMap::new(gateway.identity.node().address);
-    let desk = Desk {
+    let coordinator = CoordinatorTask {
         figures: Figures::new(gateway.metrics.clone()),
         gateway,
         orders: inbox.sender,
@@ -106,7 +106,7 @@
         turn: 0,
         ready: BTreeSet::new(),
     };
-    tokio::spawn(desk.run(inbox.orders));
+    tokio::spawn(coordinator.run(inbox.orders));
 }
 
 /// Bounds of a step's ledger by the model's present configuration.
@@ -118,7 +118,7 @@
     }
 }
 
-impl Desk {
+impl CoordinatorTask {
     async fn run(mut self, mut orders: mpsc::Receiver<Order>) {
         let mut batch = Vec::new();
         let mut next_tick_ms = now_ms();
--- a/components/gateway/src/training/desk_tick.rs
+++ b/components/gateway/src/training/coordinator_tick.rs
@@ -6,13 +6,13 @@
 use node::now_ms;
 use samples::Action;
 
-use super::desk_task::{Desk, settings_of};
+use super::coordinator_task::{CoordinatorTask, settings_of};
 use super::forward::live_entries;
 
 /// Pause between two tries to tell a home what it missed, in milliseconds.
 const RETELL_EVERY_MS: u64 = 1_000;
 
-impl Desk {
+impl CoordinatorTask {
     /// One look at all steps.
     pub(super) fn tick(&mut self) {
         let now_ms = now_ms();
