Training: the field's terms for replicas left out and for a trainer's interval

Cause: "shunned" replicas are ejected ones in the words of the glossary, and "rhythm" and "beat" were pictures of the interval between a trainer's announcements, now `Cadence`.

Behaviour is the same; tests and lints of `gateway` are green.

--- a/components/gateway/src/training.rs
+++ b/components/gateway/src/training.rs
@@ -6,6 +6,7 @@
 
 mod api;
 mod bodies;
+mod cadence;
 mod coordinator;
 mod coordinator_act;
 mod coordinator_copies;
@@ -13,6 +14,7 @@
 mod coordinator_task;
 mod coordinator_tick;
 mod copies;
+mod ejected;
 mod figures;
 mod forward;
 mod home_map;
@@ -20,11 +22,9 @@
 mod listening;
 mod orders;
 mod places;
-mod rhythm;
 mod room;
 mod run;
 mod score;
-mod shunned;
 mod steps_status;
 
 pub use api::serve;
--- a/components/gateway/src/training/rhythm.rs
+++ b/components/gateway/src/training/cadence.rs
@@ -1,11 +1,12 @@
-//! When a trainer will announce its next version, if it keeps a rhythm.
+//! When a trainer will announce its next version, if it keeps a steady interval.
 
 use std::collections::HashMap;
 
 use types::WeightVersion;
 use weights::ModelKey;
 
-struct Beat {
+/// The newest announcement of a model.
+struct Announced {
     version: WeightVersion,
     last_ms: u64,
     every_ms: Option<u64>,
@@ -13,11 +14,11 @@
 
 /// Announcements of each model so far.
 #[derive(Default)]
-pub struct Rhythm {
-    beats: HashMap<ModelKey, Beat>,
+pub struct Cadence {
+    newest: HashMap<ModelKey, Announced>,
 }
 
-impl Rhythm {
+impl Cadence {
     /// Notes a version in force; gives the time of the next one, if it can be told.
     pub fn announced(
         &mut self,
@@ -25,16 +26,16 @@
         version: WeightVersion,
         now_ms: u64,
     ) -> Option<u64> {
-        let beat = self.beats.entry(model.clone()).or_insert(Beat {
+        let known = self.newest.entry(model.clone()).or_insert(Announced {
             version,
             last_ms: now_ms,
             every_ms: None,
         });
-        if version > beat.version {
-            beat.every_ms = Some(now_ms.saturating_sub(beat.last_ms));
-            beat.version = version;
-            beat.last_ms = now_ms;
+        if version > known.version {
+            known.every_ms = Some(now_ms.saturating_sub(known.last_ms));
+            known.version = version;
+            known.last_ms = now_ms;
         }
-        beat.every_ms.map(|every_ms| beat.last_ms + every_ms)
+        known.every_ms.map(|every_ms| known.last_ms + every_ms)
     }
 }
--- a/components/gateway/src/training/coordinator_act.rs
+++ b/components/gateway/src/training/coordinator_act.rs
@@ -90,8 +90,8 @@
             let Some(ledger) = self.steps.find_mut(key) else {
                 continue;
             };
-            let shunned = |replica| self.shunned.is_shunned(replica, now_ms);
-            let mut room = room(table, &runs, &users, shunned);
+            let ejected = |replica| self.ejected.is_ejected(replica, now_ms);
+            let mut room = room(table, &runs, &users, ejected);
             let line = ledger.running() + line_room(&self.gateway, key);
             room.in_progress_max = room.in_progress_max.min(line);
             ledger.dispatch(&room, now_ms);
--- a/components/gateway/src/training/coordinator_task.rs
+++ b/components/gateway/src/training/coordinator_task.rs
@@ -14,13 +14,13 @@
 use types::WeightVersion;
 use weights::ModelKey;
 
+use super::cadence::Cadence;
 use super::coordinator::CoordinatorInbox;
 use super::copies::{Copier, Told, post};
+use super::ejected::Ejected;
 use super::figures::Figures;
 use super::home_map::HomeMap;
 use super::orders::{Fetch, Order, Post, Reply, RunNews};
-use super::rhythm::Rhythm;
-use super::shunned::Shunned;
 use super::steps_status::StepStatus;
 use crate::gateway::Gateway;
 use crate::rejection::Rejection;
@@ -57,8 +57,8 @@
     pub(super) waiting: Vec<Waiting>,
     pub(super) told: Told,
     pub(super) idle: BTreeMap<StepKey, IdleClock>,
-    pub(super) rhythm: Rhythm,
-    pub(super) shunned: Shunned,
+    pub(super) cadence: Cadence,
+    pub(super) ejected: Ejected,
     pub(super) figures: Figures,
     /// Homes of the steps, as of the last tick.
     pub(super) homes: HomeMap,
@@ -95,8 +95,8 @@
         waiting: Vec::new(),
         told: Told::default(),
         idle: BTreeMap::new(),
-        rhythm: Rhythm::default(),
-        shunned: Shunned::default(),
+        cadence: Cadence::default(),
+        ejected: Ejected::default(),
         homes,
         standing_in: BTreeSet::new(),
         untold: BTreeSet::new(),
@@ -244,9 +244,9 @@
             return;
         };
         match news {
-            RunNews::Finished(_) => self.shunned.finished(handle.to),
+            RunNews::Finished(_) => self.ejected.finished(handle.to),
             RunNews::Failed(failed, _) if failed.at_replica => {
-                self.shunned.failed(handle.to, now_ms);
+                self.ejected.failed(handle.to, now_ms);
             }
             RunNews::Failed(..) | RunNews::Progress { .. } => {}
         }
@@ -254,7 +254,7 @@
 
     fn announced(&mut self, model: &ModelKey, version: WeightVersion) {
         let now_ms = now_ms();
-        let next_news_ms = self.rhythm.announced(model, version, now_ms);
+        let next_news_ms = self.cadence.announced(model, version, now_ms);
         for (key, ledger) in self.steps.iter_mut() {
             if key.customer == model.customer && key.service == model.service {
                 ledger.announce(version, next_news_ms, now_ms);
--- a/components/gateway/src/training/coordinator_tick.rs
+++ b/components/gateway/src/training/coordinator_tick.rs
@@ -42,7 +42,7 @@
         });
         self.tell(changed, now_ms);
         self.configure();
-        self.shunned.expire(now_ms);
+        self.ejected.expire(now_ms);
     }
 
     /// Tells the homes that may not know a step.
--- a/components/gateway/src/training/shunned.rs
+++ b/components/gateway/src/training/ejected.rs
@@ -16,11 +16,11 @@
 
 /// Replicas that get no runs for a while, longer after each failure in a row.
 #[derive(Default)]
-pub struct Shunned {
+pub struct Ejected {
     faults: HashMap<SocketAddr, Fault>,
 }
 
-impl Shunned {
+impl Ejected {
     /// A run failed with its replica, or on the way there. Runs that were in progress
     /// there together count as one.
     pub fn failed(&mut self, replica: SocketAddr, now_ms: u64) {
@@ -42,7 +42,7 @@
     }
 
     /// Whether a replica gets no runs now.
-    pub fn is_shunned(&self, replica: SocketAddr, now_ms: u64) -> bool {
+    pub fn is_ejected(&self, replica: SocketAddr, now_ms: u64) -> bool {
         let fault = self.faults.get(&replica);
         fault.is_some_and(|fault| now_ms < fault.until_ms)
     }
--- a/components/gateway/src/training/room.rs
+++ b/components/gateway/src/training/room.rs
@@ -12,20 +12,20 @@
 /// Room for one step at the replicas of `table`. `runs` counts the runs that the ledgers
 /// have started at each, which the table's own counters do not know while the runs have
 /// only begun; `users` the steps that want it, each of which gets an equal part. Where
-/// every replica is shunned, that says more of this entry than of them, and all count.
+/// every replica is ejected, that says more of this entry than of them, and all count.
 pub fn room(
     table: &Table,
     runs: &HashMap<SocketAddr, u32>,
     users: &HashMap<SocketAddr, u32>,
-    is_shunned: impl Fn(SocketAddr) -> bool,
+    is_ejected: impl Fn(SocketAddr) -> bool,
 ) -> Room {
     let count = |counts: &HashMap<SocketAddr, u32>, address| counts.get(&address).copied();
     let slots = || table.slots().iter().filter(|slot| !slot.replica.leaving);
-    let shunned = |slot: &&Slot| is_shunned(slot.replica.node.address);
-    let all_shunned = slots().all(|slot| shunned(&slot));
+    let ejected = |slot: &&Slot| is_ejected(slot.replica.node.address);
+    let all_ejected = slots().all(|slot| ejected(&slot));
     let mut in_progress_max: u32 = 0;
     let replicas = slots()
-        .filter(|slot| all_shunned || !shunned(slot))
+        .filter(|slot| all_ejected || !ejected(slot))
         .map(|slot| {
             let address = slot.replica.node.address;
             let users = count(users, address).unwrap_or(1).max(1);
