--- a/components/gateway/src/start.rs
+++ b/components/gateway/src/start.rs
@@ -59,10 +59,7 @@
     let common = &settings.common;
     let identity = parts.identity;
     let links = Links::new(parts.links.clone());
-    let quick_links = Links::new(LinkSettings {
-        reattach_for_ms: QUICK_REATTACH_MS,
-        ..parts.links
-    });
+    let quick_links = quick_links(parts.links);
     let log = LogClient::new(common.log, &ClientSettings::default());
     let claims = Claims::start(&log, keyed::settings()?);
     let own = identity.node().address;
@@ -74,10 +71,7 @@
     let (demand, told) = mpsc::channel(DEMANDS_MAX);
     let hooks = news::hooks(&weights, &quarantine, &parts.leaving, demand);
     let gossip = start_gossip(common, tuning.gossip, &identity, parts.udp, &feed, hooks);
-    let here = Locality {
-        failure_domain: identity.failure_domain.clone(),
-        region: identity.region.clone(),
-    };
+    let here = locality(&identity);
     let (training, coordinator) = Coordinator::new();
     let gateway = Arc::new(Gateway {
         identity,
@@ -96,10 +90,7 @@
         drain: Drain::new(drain_settings(common)),
         pulse: Pulse::start(),
         readiness: ArcSwap::from_pointee(Readiness::Unconfigured),
-        metrics: Metrics::start(&MetricsSettings {
-            statsd: common.metrics,
-            prefix: METRICS_PREFIX.to_owned(),
-        })?,
+        metrics: start_metrics(common)?,
     });
     let copier = Copier::start(Arc::clone(&gateway));
     spawn(
@@ -117,6 +108,29 @@
     Ok(gateway)
 }
 
+/// Links of the calls that may run again.
+fn quick_links(links: LinkSettings) -> Links {
+    Links::new(LinkSettings {
+        reattach_for_ms: QUICK_REATTACH_MS,
+        ..links
+    })
+}
+
+fn locality(identity: &Identity) -> Locality {
+    Locality {
+        failure_domain: identity.failure_domain.clone(),
+        region: identity.region.clone(),
+    }
+}
+
+fn start_metrics(common: &CommonSettings) -> Result<Metrics, EntryError> {
+    let metrics = Metrics::start(&MetricsSettings {
+        statsd: common.metrics,
+        prefix: METRICS_PREFIX.to_owned(),
+    })?;
+    Ok(metrics)
+}
+
 fn start_gossip(
     common: &CommonSettings,
     settings: GossipSettings,
