--- a/components/gateway/src/start.rs
+++ b/components/gateway/src/start.rs
@@ -63,7 +63,8 @@
     let log = LogClient::new(common.log, &ClientSettings::default());
     let claims = Claims::start(&log, keyed::settings()?);
     let own = identity.node().address;
-    let feed = ConfigFeed::start(own, log, quick_links.clone(), tuning.feed);
+    let feed_settings = tuning.feed.with_retention(common.log_retention_ms);
+    let feed = ConfigFeed::start(own, log, quick_links.clone(), feed_settings);
     let (versions, in_force) = mpsc::channel(VERSIONS_MAX);
     let (condemned, to_tell) = mpsc::unbounded_channel();
     let weights = WeightNews::start(versions);
