Entry: a log that forgets claims before their keys end is refused at the start

Found by reading. Weighed: a lifetime that follows the retention; ruled out, as callers are told 30 minutes. Change: the setting is checked, exit code 2. Tests of keyed calls: 4 passed.

--- a/bin/entry/src/main.rs
+++ b/bin/entry/src/main.rs
@@ -23,7 +23,10 @@
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("hornbeamrock-entry: {error}");
-            ExitCode::FAILURE
+            match error {
+                EntryError::Claims(_) => ExitCode::from(EXIT_SETTINGS),
+                EntryError::Node(_) => ExitCode::FAILURE,
+            }
         }
     }
 }
--- a/components/gateway/src/error.rs
+++ b/components/gateway/src/error.rs
@@ -20,7 +20,7 @@
         Claims(reason: SettingsError) {
             from()
             source(reason)
-            display("{}", reason)
+            display("--log-retention-ms is not allowed: {}", reason)
         }
     }
 }
--- a/components/gateway/src/keyed.rs
+++ b/components/gateway/src/keyed.rs
@@ -16,17 +16,16 @@
 
 use claims::{ClaimSettings, SettingsError};
 
-/// How long the platform's log keeps records at least, in milliseconds.
-const LOG_RETENTION_MS: u64 = 3_600_000;
 /// How long a key is remembered, in milliseconds.
 const KEY_LIFETIME_MS: u64 = 1_800_000;
 
-/// The settings of claims, checked against the log's retention.
-pub fn settings() -> Result<ClaimSettings, SettingsError> {
+/// The settings of claims. Errors when the log forgets a claim while its key still lives:
+/// a repeat would then find no claim and run a second time.
+pub fn settings(log_retention_ms: u64) -> Result<ClaimSettings, SettingsError> {
     let settings = ClaimSettings {
         key_lifetime_ms: KEY_LIFETIME_MS,
         ..ClaimSettings::default()
     };
-    settings.check(LOG_RETENTION_MS)?;
+    settings.check(log_retention_ms)?;
     Ok(settings)
 }
--- a/components/gateway/src/start.rs
+++ b/components/gateway/src/start.rs
@@ -61,7 +61,7 @@
     let links = Links::new(parts.links.clone());
     let quick_links = quick_links(parts.links);
     let log = LogClient::new(common.log, &ClientSettings::default());
-    let claims = Claims::start(&log, keyed::settings()?);
+    let claims = Claims::start(&log, keyed::settings(common.log_retention_ms)?);
     let own = identity.node().address;
     let feed_settings = tuning.feed.with_retention(common.log_retention_ms);
     let feed = ConfigFeed::start(own, log, quick_links.clone(), feed_settings);
