--- a/bin/ctl/src/cmd/mod.rs
+++ b/bin/ctl/src/cmd/mod.rs
@@ -15,7 +15,7 @@
 use std::path::Path;
 
 use clap::ArgMatches;
-use platform::{ClientSettings, LogClient};
+use adapters::{ClientSettings, LogClient};
 use settings::{SettingsError, address, required};
 
 use failure::Failure;
--- /dev/null
+++ b/bin/hornbeamrock/src/cli.rs
@@ -0,0 +1,24 @@
+//! Command line.
+
+use clap::{Arg, Command};
+
+/// Role that takes clients' requests, runs steps and gives orders.
+pub const FRONT: &str = "front";
+
+/// The command line of the program.
+pub fn command() -> Command {
+    let log_level = Arg::new("log-level")
+        .long("log-level")
+        .env("HORNBEAMROCK_LOG_LEVEL")
+        .value_parser(telemetry::LogLevel::WORDS)
+        .default_value("info")
+        .help("Least severe lines that are written");
+    let front = Command::new(FRONT)
+        .about("Takes clients' requests, runs steps and gives orders to replicas")
+        .arg(log_level);
+    Command::new("hornbeamrock")
+        .about("Rollout service for reinforcement learning, on the users' platform")
+        .version(env!("CARGO_PKG_VERSION"))
+        .subcommand_required(true)
+        .subcommand(front)
+}
--- /dev/null
+++ b/bin/hornbeamrock/src/main.rs
@@ -0,0 +1,50 @@
+//! `hornbeamrock`: the process that runs on the users' platform.
+
+mod cli;
+
+use std::process::ExitCode;
+
+use platform::settings::{self, FrontSettings};
+use telemetry::{LogLevel, Output};
+
+/// Exit code for settings that can't be used.
+const EXIT_SETTINGS: u8 = 2;
+
+fn main() -> ExitCode {
+    let matches = cli::command().get_matches();
+    let level = matches
+        .subcommand()
+        .and_then(|(_, front)| front.get_one::<String>("log-level"))
+        .and_then(|word| LogLevel::parse(word))
+        .unwrap_or(LogLevel::Info);
+    let settings = match settings::load(&settings::path()) {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("hornbeamrock: {error}");
+            return ExitCode::from(EXIT_SETTINGS);
+        }
+    };
+    match run(settings, level) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("hornbeamrock: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(settings: FrontSettings, level: LogLevel) -> Result<(), Box<dyn std::error::Error>> {
+    let _logs = telemetry::start_logs_to(level, Output::Stdout)?;
+    // On one core a second thread costs memory and wake-ups and runs no earlier.
+    let runtime = match settings.cores {
+        0 | 1 => tokio::runtime::Builder::new_current_thread().enable_all().build()?,
+        cores => tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(cores)
+            .enable_all()
+            .build()?,
+    };
+    runtime.block_on(front::run(settings))?;
+    // Tasks that still wait have nothing left to finish.
+    runtime.shutdown_background();
+    Ok(())
+}
--- a/components/platform/tests/clients.rs
+++ b/components/adapters/tests/clients.rs
@@ -4,7 +4,7 @@
 
 use std::net::SocketAddr;
 
-use platform::{
+use adapters::{
     ClientSettings, ConnectFault, Engine, LogClient, Loss, PlatformError, Scorer, VmList, VmState,
     WeightStore,
 };
@@ -202,7 +202,7 @@
 
 #[tokio::test]
 async fn can_list_vms_late() {
-    let vm: platform::Vm = serde_json::from_str(
+    let vm: adapters::Vm = serde_json::from_str(
         r#"{"address":"127.0.0.1:9","role":"agent","failure_domain":"rennes-a",
             "region":"bretagne","state":"leaving"}"#,
     )
@@ -215,10 +215,10 @@
     let list = VmList::new(handle.address, &patient());
     let vms = list.list().await.unwrap();
     assert_eq!(vms[0].state, VmState::Leaving);
-    let endpoint = platform::Endpoint::new(handle.address, platform::EndpointSettings::default());
-    let change = platform::Request {
+    let endpoint = adapters::Endpoint::new(handle.address, adapters::EndpointSettings::default());
+    let change = adapters::Request {
         body: r#"{"remove":["127.0.0.1:9"]}"#.into(),
-        ..platform::Request::new("POST", "/standin/vms")
+        ..adapters::Request::new("POST", "/standin/vms")
     };
     let changed = endpoint.send(change, DEADLINE_MS).await.unwrap();
     assert_eq!(changed.head.status, 200);
--- a/components/platform/tests/endpoint.rs
+++ b/components/adapters/tests/endpoint.rs
@@ -4,7 +4,7 @@
 
 use std::net::SocketAddr;
 
-use platform::{
+use adapters::{
     ConnectFault, Endpoint, EndpointSettings, Loss, MalformedPart, PlatformError, Request,
 };
 use support::{Raw, Then};
--- a/components/platform/tests/sse.rs
+++ b/components/adapters/tests/sse.rs
@@ -1,6 +1,6 @@
 //! Completions streams: what is whole, whatever the bytes' splits.
 
-use platform::sse::{Finish, Parser, Piece, SseError, Transcript};
+use adapters::sse::{Finish, Parser, Piece, SseError, Transcript};
 use quickcheck::quickcheck;
 
 const LINE_BYTES_MAX: usize = 400;
--- a/components/control/src/error.rs
+++ b/components/control/src/error.rs
@@ -4,7 +4,7 @@
 use std::path::PathBuf;
 
 use config::{Complaints, RecordError, Refusal};
-use platform::PlatformError;
+use adapters::PlatformError;
 use quick_error::quick_error;
 
 /// Exit codes of `hornbeamrockctl`, as its manual page lists them.
--- a/components/control/src/fleet.rs
+++ b/components/control/src/fleet.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use platform::{Endpoint, EndpointSettings, Request};
+use adapters::{Endpoint, EndpointSettings, Request};
 use serde::{Deserialize, Serialize};
 use tokio::task::JoinSet;
 use types::CustomerName;
--- a/components/control/src/history.rs
+++ b/components/control/src/history.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use config::{Accepted, Ledger, Record, Verdict};
-use platform::LogClient;
+use adapters::LogClient;
 use serde::Serialize;
 use types::CustomerName;
 
--- a/components/control/src/publish.rs
+++ b/components/control/src/publish.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use config::{Accepted, Publish, Record, Refusal, Verdict, line_diff};
-use platform::{LogClient, PlatformError};
+use adapters::{LogClient, PlatformError};
 use rand::RngExt;
 use serde::Serialize;
 use tokio::time::{Instant, sleep};
--- a/components/control/src/rollback.rs
+++ b/components/control/src/rollback.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 
 use bytes::Bytes;
-use platform::Request;
+use adapters::Request;
 use serde::Serialize;
 use types::{ServiceName, WeightVersion};
 
--- a/components/control/tests/publish.rs
+++ b/components/control/tests/publish.rs
@@ -6,7 +6,7 @@
 use control::{
     Checked, ControlError, ExitCode, History, PublishSettings, check_source, publish, read_history,
 };
-use platform::{ClientSettings, LogClient};
+use adapters::{ClientSettings, LogClient};
 use standins::log::{self, LogSettings};
 use standins::{Fault, FaultKind, Handle};
 
--- /dev/null
+++ b/components/dispatch/src/choice.rs
@@ -0,0 +1,46 @@
+//! Choice of a replica for a call.
+
+use crate::ReplicaLoad;
+
+/// Penalty for another failure domain, in thousandths of the cost: a millisecond of way.
+const FAR: u64 = 1_050;
+
+/// A replica that may be chosen.
+pub struct Candidate<'a> {
+    /// What this process has there.
+    pub load: &'a ReplicaLoad,
+    /// Whether it stands in this process's failure domain.
+    pub near: bool,
+    /// Whether this call was sent there before.
+    pub tried: bool,
+}
+
+/// Index of the replica to take: the one with the least expected time among those that were
+/// not tried and are not left out; failing that, among those that were not tried; failing
+/// that, among all. `random` breaks ties, so that processes with the same view spread.
+pub fn choose(
+    candidates: &[Candidate<'_>],
+    typical_us: u64,
+    random: u64,
+    now_ms: u64,
+) -> Option<usize> {
+    let best = |allowed: &dyn Fn(&Candidate<'_>) -> bool| {
+        let len = candidates.len();
+        let first = random as usize % len.max(1);
+        (0..len)
+            .map(|step| (first + step) % len)
+            .filter(|at| allowed(&candidates[*at]))
+            .min_by_key(|at| cost(&candidates[*at], typical_us, now_ms))
+    };
+    best(&|candidate| !candidate.tried && !candidate.load.is_left_out(now_ms))
+        .or_else(|| best(&|candidate| !candidate.tried))
+        .or_else(|| best(&|_| true))
+}
+
+fn cost(candidate: &Candidate<'_>, typical_us: u64, now_ms: u64) -> u64 {
+    let cost = candidate.load.cost(typical_us, now_ms);
+    match candidate.near {
+        true => cost,
+        false => cost / 1_000 * FAR,
+    }
+}
--- /dev/null
+++ b/components/dispatch/src/items.rs
@@ -0,0 +1,102 @@
+//! Placing of a step's items on model replicas.
+//!
+//! A trainer waits for whole groups, so items of the oldest step go first, and within a step
+//! the longest ones by the trainer's hint: an item makes its tokens one after the other, and
+//! a long one that starts late ends the step late. A replica makes each token hardly slower
+//! when it runs eight requests than when it runs one, so free places are worth taking.
+
+use derive::value;
+
+/// An item that waits for a place.
+#[value]
+pub struct Waiting {
+    /// Rank of its step, the oldest lowest.
+    pub step_rank: u64,
+    /// Tokens that are still to be made, by the hint or the mean.
+    pub tokens_left: u32,
+    /// Oldest version of the weights that may make them.
+    pub min_version: u64,
+    /// The only version that may, where a text began under it and must not mix.
+    pub only_version: Option<u64>,
+    /// Names the prompt that it shares with its group.
+    pub prompt: u64,
+    /// Engine to avoid, where a run just broke.
+    pub avoid: Option<usize>,
+}
+
+/// A model replica.
+#[value]
+pub struct Engine {
+    /// Version of the weights that it has.
+    pub version: u64,
+    /// Items that it may still take.
+    pub free: u32,
+    /// Items of this process that it runs.
+    pub running: u32,
+    /// Time for a token against its like, in thousandths.
+    pub slowness: u64,
+    /// Prompts that it has read under this version.
+    pub prompts: Vec<u64>,
+}
+
+/// An item and its engine, by their indices.
+#[value]
+pub struct Placed {
+    /// Index among the waiting items.
+    pub item: usize,
+    /// Index among the engines.
+    pub engine: usize,
+}
+
+/// Time for a token by the number of requests at once: 0.568 ms and 0.0162 ms more for each
+/// (figures of the deployments' engines), in thousandths of a millisecond.
+const TOKEN_BASE: u64 = 568;
+const TOKEN_EACH: u64 = 16;
+/// What a prompt that is read already is worth, in thousandths of the time for a token.
+const SHARED_PROMPT: u64 = 120;
+
+/// Places as many items as there are places, in the order in which they should start.
+pub fn place(waiting: &[Waiting], engines: &mut [Engine]) -> Vec<Placed> {
+    let mut order: Vec<usize> = (0..waiting.len()).collect();
+    order.sort_by_key(|at| {
+        let item = &waiting[*at];
+        (item.step_rank, std::cmp::Reverse(item.tokens_left))
+    });
+    let mut placed = Vec::new();
+    for item in order {
+        let Some(engine) = best_engine(&waiting[item], engines) else {
+            continue;
+        };
+        let taken = &mut engines[engine];
+        taken.free -= 1;
+        taken.running += 1;
+        if !taken.prompts.contains(&waiting[item].prompt) {
+            taken.prompts.push(waiting[item].prompt);
+        }
+        placed.push(Placed { item, engine });
+    }
+    placed
+}
+
+fn best_engine(item: &Waiting, engines: &[Engine]) -> Option<usize> {
+    let fits = |engine: &Engine| {
+        engine.free > 0
+            && engine.version >= item.min_version
+            && item.only_version.is_none_or(|only| only == engine.version)
+    };
+    let best = |avoid: Option<usize>| {
+        (0..engines.len())
+            .filter(|at| fits(&engines[*at]) && Some(*at) != avoid)
+            .min_by_key(|at| token_time(item, &engines[*at]))
+    };
+    best(item.avoid).or_else(|| best(None))
+}
+
+fn token_time(item: &Waiting, engine: &Engine) -> u64 {
+    let each = TOKEN_BASE + TOKEN_EACH * u64::from(engine.running + 1);
+    let time = each * engine.slowness;
+    match engine.prompts.contains(&item.prompt) {
+        true => time / 1_000 * (1_000 - SHARED_PROMPT),
+        false => time,
+    }
+}
--- /dev/null
+++ b/components/dispatch/src/lib.rs
@@ -0,0 +1,18 @@
+//! Where work goes: routes of the configuration, the replicas that may take work, the choice
+//! of a replica for a call, and the placing of items on model replicas.
+//!
+//! No I/O, no clock and no random source: times and random bits come in as arguments.
+
+mod choice;
+mod items;
+mod load;
+mod registry;
+mod retry;
+mod routes;
+
+pub use choice::{Candidate, choose};
+pub use items::{Engine, Placed, Waiting, place};
+pub use load::{InFlight, ReplicaLoad, Typical};
+pub use registry::{Registry, Replica, ReplicaId, Revision};
+pub use retry::{AttemptEnd, CallEnd, NextStep, after_attempt};
+pub use routes::{Backend, Limits, Route, RouteKind, Routes, Service};
--- /dev/null
+++ b/components/dispatch/src/registry.rs
@@ -0,0 +1,149 @@
+//! Replicas that may take work, from their records in the platform's store.
+//!
+//! A record that vanishes while the store is away, or just after its return, may come back:
+//! the replica lives and could not write. So such a replica takes work for a short time more.
+//! Each life of a replica has an id of its own; the address alone names nobody, as it is
+//! given to other services later.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use derive::value;
+
+/// Id of one life of a replica.
+pub type ReplicaId = Arc<str>;
+
+/// How long a replica whose record vanished takes work after the store's return, in
+/// milliseconds. Records of live replicas are back about two seconds after it; a word that a
+/// replica is gone binds only once the store has been steady for three seconds.
+const RETURN_MS: u64 = 2_300;
+
+/// A replica as its record tells.
+#[value]
+pub struct Replica {
+    /// Id of this life.
+    pub id: ReplicaId,
+    /// Its service.
+    pub service: Arc<str>,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its failure domain.
+    pub domain: Arc<str>,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it takes no new work, as it will go.
+    pub draining: bool,
+    /// Versions of the weights that it has, by model.
+    pub models: Vec<(Arc<str>, u64)>,
+}
+
+impl Replica {
+    /// Version of the weights of this model.
+    pub fn version_of(&self, model: &str) -> Option<u64> {
+        let held = self.models.iter().find(|(name, _)| &**name == model)?;
+        Some(held.1)
+    }
+}
+
+/// What a record changed.
+#[value]
+pub enum Revision {
+    /// Nothing that matters.
+    Unchanged,
+    /// A replica came, went or changed.
+    Changed,
+}
+
+#[derive(Debug)]
+struct Entry {
+    replica: Arc<Replica>,
+    vanished: bool,
+}
+
+/// Replicas that may take work.
+#[derive(Debug, Default)]
+pub struct Registry {
+    entries: BTreeMap<ReplicaId, Entry>,
+    /// When the store came back last; none while it is away.
+    store_since_ms: Option<u64>,
+}
+
+impl Registry {
+    /// Takes a replica's record.
+    pub fn put(&mut self, replica: Replica) -> Revision {
+        if let Some(known) = self.entries.get_mut(&replica.id)
+            && *known.replica == replica
+        {
+            known.vanished = false;
+            return Revision::Unchanged;
+        }
+        let id = Arc::clone(&replica.id);
+        let replica = Arc::new(replica);
+        self.entries.insert(id, Entry { replica, vanished: false });
+        Revision::Changed
+    }
+
+    /// Takes the word that a replica has no record any more.
+    pub fn remove(&mut self, id: &str, now_ms: u64) -> Revision {
+        if self.is_trusted(now_ms) {
+            return match self.entries.remove(id) {
+                Some(_) => Revision::Changed,
+                None => Revision::Unchanged,
+            };
+        }
+        if let Some(entry) = self.entries.get_mut(id) {
+            entry.vanished = true;
+        }
+        Revision::Unchanged
+    }
+
+    /// Takes a whole list: every other replica has no record any more.
+    pub fn keep_only(&mut self, listed: &[ReplicaId], now_ms: u64) -> Revision {
+        let missing: Vec<ReplicaId> = self
+            .entries
+            .keys()
+            .filter(|id| !listed.contains(id))
+            .cloned()
+            .collect();
+        let mut revision = Revision::Unchanged;
+        for id in missing {
+            if self.remove(&id, now_ms) == Revision::Changed {
+                revision = Revision::Changed;
+            }
+        }
+        revision
+    }
+
+    /// The store can't be reached.
+    pub fn store_lost(&mut self) {
+        self.store_since_ms = None;
+    }
+
+    /// The store answers; repeated calls change nothing.
+    pub fn store_seen(&mut self, now_ms: u64) {
+        self.store_since_ms.get_or_insert(now_ms);
+    }
+
+    fn is_trusted(&self, now_ms: u64) -> bool {
+        self.store_since_ms.is_some_and(|since_ms| now_ms >= since_ms + RETURN_MS)
+    }
+
+    /// Drops replicas whose record did not come back in time.
+    pub fn expire(&mut self, now_ms: u64) -> Revision {
+        if !self.is_trusted(now_ms) {
+            return Revision::Unchanged;
+        }
+        let before = self.entries.len();
+        self.entries.retain(|_, entry| !entry.vanished);
+        match before == self.entries.len() {
+            true => Revision::Unchanged,
+            false => Revision::Changed,
+        }
+    }
+
+    /// All replicas, those that are draining included.
+    pub fn replicas(&self) -> impl Iterator<Item = &Arc<Replica>> {
+        self.entries.values().map(|entry| &entry.replica)
+    }
+}
--- /dev/null
+++ b/components/dispatch/src/routes.rs
@@ -0,0 +1,147 @@
+//! The configuration in force: routes, services and what clients may send.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use derive::{key, value};
+
+/// What may be repeated on a route.
+#[key]
+pub enum RouteKind {
+    /// Requests may run more than once.
+    Idempotent,
+    /// A request may run once at most.
+    Once,
+    /// Answers are streams of events; they run once at most unless they may be resumed.
+    Stream,
+    /// Steps of a trainer; their items may run more than once.
+    Rollout,
+}
+
+/// One service of a route and its share.
+#[value]
+pub struct Backend {
+    /// The service.
+    pub service: Arc<str>,
+    /// Its share against the other weights of the route.
+    pub weight: u32,
+}
+
+/// A route.
+#[value]
+pub struct Route {
+    /// Its name.
+    pub name: Arc<str>,
+    /// Host that requests name.
+    pub host: Arc<str>,
+    /// What the path begins with; begins and ends with a slash.
+    pub prefix: Arc<str>,
+    /// What may be repeated.
+    pub kind: RouteKind,
+    /// Longest time for a request, in milliseconds.
+    pub timeout_ms: u64,
+    /// Time within which an answer is worth most, in milliseconds.
+    pub goal_ms: u64,
+    /// Replicas that one request may be sent to, at most.
+    pub attempts_max: u32,
+    /// Rank, 0 first.
+    pub priority: u32,
+    /// Services with their shares.
+    pub backends: Vec<Backend>,
+    /// Whether a stream may be resumed at another replica.
+    pub resumable: bool,
+    /// Whether one version of the weights must make a whole text.
+    pub single_version: bool,
+    /// When the results of a step are due, in milliseconds after its submission.
+    pub due_ms: u64,
+    /// When an item may be given up, in milliseconds after its submission.
+    pub retention_ms: u64,
+}
+
+impl Route {
+    /// The service that these random bits draw by the weights.
+    pub fn draw(&self, random: u64) -> Option<&Arc<str>> {
+        let total: u64 = self.backends.iter().map(|backend| u64::from(backend.weight)).sum();
+        if total == 0 {
+            return None;
+        }
+        let mut left = random % total;
+        for backend in &self.backends {
+            let weight = u64::from(backend.weight);
+            if left < weight {
+                return Some(&backend.service);
+            }
+            left -= weight;
+        }
+        None
+    }
+}
+
+/// A service.
+#[value]
+#[derive(Default)]
+pub struct Service {
+    /// Models that its replicas serve; empty for a plain service.
+    pub models: Vec<Arc<str>>,
+}
+
+/// What clients may send.
+#[value]
+#[derive(Copy)]
+pub struct Limits {
+    /// Most bytes of a request's headers.
+    pub header_bytes: usize,
+    /// Most bytes of a request's body.
+    pub body_bytes: usize,
+    /// Longest idle time of a kept connection, in milliseconds.
+    pub idle_ms: u64,
+}
+
+/// One version of the configuration.
+#[value]
+pub struct Routes {
+    /// Its version; a higher one replaces a lower one.
+    pub version: u64,
+    /// By host, the longest prefix first.
+    by_host: HashMap<Arc<str>, Vec<Arc<Route>>>,
+    /// By name.
+    pub services: HashMap<Arc<str>, Service>,
+    /// What clients may send.
+    pub limits: Limits,
+}
+
+impl Routes {
+    /// Puts a version together.
+    pub fn new(
+        version: u64,
+        routes: Vec<Route>,
+        services: HashMap<Arc<str>, Service>,
+        limits: Limits,
+    ) -> Self {
+        let mut by_host: HashMap<Arc<str>, Vec<Arc<Route>>> = HashMap::new();
+        for route in routes {
+            by_host.entry(Arc::clone(&route.host)).or_default().push(Arc::new(route));
+        }
+        for routes in by_host.values_mut() {
+            routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
+        }
+        Self { version, by_host, services, limits }
+    }
+
+    /// The route with the longest prefix of `path` at `host`.
+    pub fn find(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+        let routes = self.by_host.get(host)?;
+        routes.iter().find(|route| path.starts_with(&*route.prefix))
+    }
+
+    /// The route with exactly this host and prefix.
+    pub fn exact(&self, host: &str, prefix: &str) -> Option<&Arc<Route>> {
+        let routes = self.by_host.get(host)?;
+        routes.iter().find(|route| &*route.prefix == prefix)
+    }
+
+    /// All routes.
+    pub fn iter(&self) -> impl Iterator<Item = &Arc<Route>> {
+        self.by_host.values().flatten()
+    }
+}
--- /dev/null
+++ b/components/front/src/follow.rs
@@ -0,0 +1,275 @@
+//! Following the platform's store: the operator's and replicas' records, and the index.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use dispatch::{Registry, Replica, ReplicaId, Revision};
+use platform::records::{self, OPERATOR_TOPIC, OperatorRecord, REPLICA_TOPIC};
+use platform::store::{StoreError, keyed};
+
+use crate::clock::now_ms;
+use crate::log_record::{INDEX_PARTITION, INDEX_TOPIC, LogRecord};
+use crate::state::{Front, locked};
+
+/// How long a read waits for a record, in milliseconds. A read that comes back empty proves
+/// that nothing is new, and answers to trainers lean on a proof below a second old.
+const WAIT_MS: u64 = 450;
+/// Time for a read beyond its wait, in milliseconds: a slow store takes 240.
+const READ_SLACK_MS: u64 = 900;
+/// Most kibibytes of one read: peak memory against calls after a start.
+const READ_KB: u32 = 64;
+/// Pause after a read that failed, in milliseconds.
+const PAUSE_MS: u64 = 100;
+/// Pause between reads of replicas' records, in milliseconds, so that the heartbeats of many
+/// cost few calls; far below the two seconds in which a leaving replica must be known.
+const GATHER_MS: u64 = 120;
+/// How long steps are kept beyond the time in which they can be read, in milliseconds.
+const KEPT_SLACK_MS: u64 = 5_000;
+
+/// What a follower is told by a keyed topic.
+enum KeyedNews {
+    /// A key has a value, or was dropped.
+    Key(String, Option<Bytes>),
+    /// These are all keys that have a value.
+    All(Vec<ReplicaId>),
+    /// All news so far were told.
+    Settled,
+    /// The store can't be reached.
+    Lost,
+}
+
+/// Follows a keyed topic and tells `take` what it says, in order.
+async fn follow_keyed(front: &Front, topic: &str, gather_ms: u64, mut take: impl FnMut(KeyedNews)) {
+    let within = Duration::from_millis(WAIT_MS + READ_SLACK_MS);
+    let pause = Duration::from_millis(PAUSE_MS);
+    let mut offsets: HashMap<String, u64> = HashMap::new();
+    loop {
+        let (newest, end) = match front.store.newest(topic, within).await {
+            Ok(newest) => newest,
+            Err(error) => {
+                lost(topic, &error);
+                take(KeyedNews::Lost);
+                tokio::time::sleep(pause).await;
+                continue;
+            }
+        };
+        let mut keys = Vec::with_capacity(newest.len());
+        for record in newest {
+            keys.push(ReplicaId::from(record.key.as_str()));
+            if offsets.get(&record.key).is_none_or(|known| *known < record.offset) {
+                offsets.insert(record.key.clone(), record.offset);
+                take(KeyedNews::Key(record.key, Some(record.value)));
+            }
+        }
+        take(KeyedNews::All(keys));
+        take(KeyedNews::Settled);
+        let mut next = end;
+        loop {
+            match front.store.read(topic, 0, next, READ_KB, WAIT_MS, within).await {
+                Ok(page) => {
+                    for record in page.records {
+                        let offset = next;
+                        next += 1;
+                        match keyed(record) {
+                            Ok((key, value)) => {
+                                if offsets.get(&key).is_none_or(|known| *known < offset) {
+                                    match value.is_some() {
+                                        true => offsets.insert(key.clone(), offset),
+                                        false => offsets.remove(&key),
+                                    };
+                                    take(KeyedNews::Key(key, value));
+                                }
+                            }
+                            Err(error) => log::warn!(
+                                event = "record_odd", topic, offset, error:% = error; ""
+                            ),
+                        }
+                    }
+                    take(KeyedNews::Settled);
+                    tokio::time::sleep(Duration::from_millis(gather_ms)).await;
+                }
+                Err(StoreError::Gone(first)) => {
+                    log::info!(event = "history_gone", topic, next, first; "");
+                    break;
+                }
+                Err(error) => {
+                    lost(topic, &error);
+                    take(KeyedNews::Lost);
+                    tokio::time::sleep(pause).await;
+                }
+            }
+        }
+    }
+}
+
+fn lost(topic: &str, error: &StoreError) {
+    log::warn!(event = "store_read_failed", topic, error:% = error; "");
+}
+
+/// Follows the configuration and the named versions.
+pub async fn operator(front: Arc<Front>) {
+    follow_keyed(&front, OPERATOR_TOPIC, 0, |news| {
+        let KeyedNews::Key(key, Some(value)) = news else {
+            return;
+        };
+        match records::operator_record(&key, &value) {
+            Ok(OperatorRecord::Routes(routes)) => {
+                let in_force = front.routes.load().as_ref().map_or(0, |known| known.version);
+                // An old version can be read again after the history was lost; nobody goes
+                // back to it.
+                if routes.version > in_force {
+                    log::info!(event = "routes_in_force", version = routes.version; "");
+                    front.routes.store(Some(routes));
+                }
+            }
+            Ok(OperatorRecord::Named { model, version }) => name_version(&front, model, version),
+            Ok(OperatorRecord::Other) => {}
+            Err(error) => log::warn!(event = "record_odd", topic = OPERATOR_TOPIC, error:% = error; ""),
+        }
+    })
+    .await;
+}
+
+fn name_version(front: &Front, model: Arc<str>, version: u64) {
+    let mut named = locked(&front.named);
+    let known = named.entry(Arc::clone(&model)).or_insert(0);
+    if version > *known {
+        log::info!(event = "version_named", model = &*model, version; "");
+        *known = version;
+        front.leader_news.notify_one();
+        front.runner_news.notify_one();
+    }
+}
+
+/// Follows the replicas' records.
+pub async fn replicas(front: Arc<Front>) {
+    let mut registry = Registry::default();
+    let mut changed = false;
+    follow_keyed(&front, REPLICA_TOPIC, GATHER_MS, |news| {
+        let now_ms = now_ms();
+        match news {
+            KeyedNews::Key(id, value) => {
+                registry.store_seen(now_ms);
+                changed |= take_replica(&mut registry, &id, value.as_deref(), now_ms);
+            }
+            KeyedNews::All(ids) => {
+                registry.store_seen(now_ms);
+                changed |= registry.keep_only(&ids, now_ms) == Revision::Changed;
+            }
+            KeyedNews::Lost => registry.store_lost(),
+            KeyedNews::Settled => {
+                registry.store_seen(now_ms);
+                changed |= registry.expire(now_ms) == Revision::Changed;
+                front.replicas_read.store(1, Ordering::Relaxed);
+                if std::mem::take(&mut changed) {
+                    let next = front.replicas.load().next(registry.replicas());
+                    front.replicas.store(Arc::new(next));
+                    front.runner_news.notify_one();
+                    front.leader_news.notify_one();
+                }
+            }
+        }
+    })
+    .await;
+}
+
+/// Whether something changed.
+fn take_replica(registry: &mut Registry, id: &str, value: Option<&[u8]>, now_ms: u64) -> bool {
+    let revision = match value {
+        None => {
+            log::info!(event = "replica_gone", replica = id; "");
+            registry.remove(id, now_ms)
+        }
+        Some(value) => match records::replica_record(id, value) {
+            Ok(replica) => {
+                if replica.draining {
+                    log::info!(event = "replica_draining", replica = id; "");
+                }
+                put_replica(registry, replica)
+            }
+            Err(error) => {
+                log::warn!(event = "record_odd", topic = REPLICA_TOPIC, error:% = error; "");
+                Revision::Unchanged
+            }
+        },
+    };
+    revision == Revision::Changed
+}
+
+fn put_replica(registry: &mut Registry, replica: Replica) -> Revision {
+    let (id, address) = (Arc::clone(&replica.id), replica.address);
+    let draining = replica.draining;
+    let revision = registry.put(replica);
+    if revision == Revision::Changed {
+        log::debug!(event = "replica_changed", replica = &*id, address:% = address, draining; "");
+    }
+    revision
+}
+
+/// Follows the index: steps, results and the lease.
+pub async fn index(front: Arc<Front>) {
+    let within = Duration::from_millis(WAIT_MS + READ_SLACK_MS);
+    let mut next = 0;
+    let mut was_lost = false;
+    loop {
+        let page = front
+            .store
+            .read(INDEX_TOPIC, INDEX_PARTITION, next, READ_KB, WAIT_MS, within)
+            .await;
+        match page {
+            Ok(page) => {
+                if std::mem::take(&mut was_lost) {
+                    log::info!(event = "store_regained", topic = INDEX_TOPIC, next; "");
+                }
+                let now_ms = now_ms();
+                let news = !page.records.is_empty();
+                next = apply_page(&front, next, &page.records, now_ms);
+                if next >= page.end {
+                    front.index_is_current(now_ms);
+                }
+                if news {
+                    front.index_news.send_modify(|count| *count += 1);
+                    front.runner_news.notify_one();
+                }
+            }
+            Err(StoreError::Gone(first)) => {
+                log::info!(event = "history_gone", topic = INDEX_TOPIC, next, first; "");
+                let mut index = front.index();
+                if next > 0 {
+                    index.lease.forget();
+                    index.read_since_ms = now_ms();
+                }
+                next = first;
+            }
+            Err(error) => {
+                if !std::mem::replace(&mut was_lost, true) {
+                    lost(INDEX_TOPIC, &error);
+                }
+                tokio::time::sleep(Duration::from_millis(PAUSE_MS)).await;
+            }
+        }
+    }
+}
+
+fn apply_page(front: &Front, from: u64, records: &[Bytes], now_ms: u64) -> u64 {
+    let mut index = front.index();
+    let mut offset = from;
+    for record in records {
+        match postcard::from_bytes(record) {
+            Ok(LogRecord::Index(record)) => {
+                index.ledger.apply(offset, record, now_ms);
+            }
+            Ok(LogRecord::Lease(record)) => index.lease.apply(offset, &record, now_ms),
+            Err(error) => {
+                log::warn!(event = "record_odd", topic = INDEX_TOPIC, offset, error:% = error; "");
+            }
+        }
+        offset += 1;
+    }
+    let kept_ms = front.settings.bounds.readable_ms + KEPT_SLACK_MS;
+    index.ledger.forget_before(kept_ms, now_ms);
+    offset
+}
--- /dev/null
+++ b/components/front/src/leader.rs
@@ -0,0 +1,215 @@
+//! The task that gives orders to model replicas while this front holds the lease.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use dispatch::ReplicaId;
+use orders::{Fleet, Load, Model, Node, OrderSettings, plan};
+use platform::replica::{self, LoadMode, Order, OrderAnswer, ReplicaError};
+
+use crate::clock::now_ms;
+use crate::log_record::LogRecord;
+use crate::peers::Member;
+use crate::state::{Front, locked};
+use crate::writer::append_index;
+
+/// How often the lease and the plan are looked at, in milliseconds.
+const LOOK_MS: u64 = 100;
+/// How long a load that was accepted is waited for, in milliseconds, before the replica is
+/// asked again: a load takes 0.9 s alone and several times that beside others.
+const LOAD_MS: u64 = 4_000;
+/// Pause after an order that was not accepted, in milliseconds.
+const PAUSE_MS: u64 = 300;
+
+/// What this front ordered at a replica.
+struct Ordered {
+    model: Arc<str>,
+    version: u64,
+    until_ms: u64,
+    accepted: bool,
+}
+
+/// Orders in progress, by replica.
+type Ledger = Arc<Mutex<HashMap<ReplicaId, Ordered>>>;
+
+/// Takes the lease when it is free, keeps it, and gives orders while it holds.
+pub async fn lead(front: Arc<Front>) {
+    let ordered: Ledger = Arc::default();
+    let mut led = false;
+    loop {
+        tokio::select! {
+            () = front.leader_news.notified() => {}
+            () = tokio::time::sleep(Duration::from_millis(LOOK_MS)) => {}
+        }
+        let now_ms = now_ms();
+        keep_lease(&front, now_ms);
+        let fence = front.index().lease.fence(now_ms);
+        if fence.is_some() != led {
+            led = fence.is_some();
+            log::info!(event = "lease_changed", held = led, fence = fence.unwrap_or(0); "");
+            locked(&ordered).clear();
+        }
+        if fence.is_some() {
+            give_orders(&front, &ordered, now_ms);
+        }
+    }
+}
+
+fn keep_lease(front: &Arc<Front>, now_ms: u64) {
+    let record = {
+        let mut index = front.index();
+        let read_since_ms = index.read_since_ms;
+        match front.index_age_ms(now_ms) {
+            // Who does not read the log does not know whether the lease is free.
+            Some(age_ms) if age_ms < LOAD_MS / 4 => index.lease.next_record(read_since_ms, now_ms),
+            _ => None,
+        }
+    };
+    if let Some(record) = record {
+        let front = Arc::clone(front);
+        tokio::spawn(async move {
+            if let Err(error) = append_index(&front, &[LogRecord::Lease(record)]).await {
+                log::warn!(event = "lease_not_written", error:% = error; "");
+            }
+        });
+    }
+}
+
+/// Gives the lease up, so that another front need not wait for its end.
+pub async fn give_up(front: &Front) {
+    let record = front.index().lease.give_up(now_ms());
+    if let Some(record) = record
+        && let Err(error) = append_index(front, &[LogRecord::Lease(record)]).await
+    {
+        log::warn!(event = "lease_not_written", error:% = error; "");
+    }
+}
+
+fn give_orders(front: &Arc<Front>, ordered: &Ledger, now_ms: u64) {
+    let routes = front.routes.load_full();
+    let Some(routes) = routes else {
+        return;
+    };
+    let table = front.replicas.load_full();
+    for (name, service) in &routes.services {
+        if service.models.is_empty() {
+            continue;
+        }
+        let members: Vec<&Member> =
+            table.of(name).iter().filter(|member| !member.replica.draining).collect();
+        let models = models(front, &service.models);
+        let fleet = fleet(&members, models, ordered, now_ms);
+        for load in plan(&fleet, &OrderSettings::default()) {
+            let member = members[load.node].clone();
+            let model = Arc::clone(&service.models[load.model]);
+            begin_order(front, ordered, member, model, &load);
+        }
+    }
+}
+
+fn models(front: &Front, names: &[Arc<str>]) -> Vec<Model> {
+    let named = locked(&front.named);
+    let model = |name: &Arc<str>| Model {
+        name: name.to_string(),
+        named: named.get(name).copied().unwrap_or(0),
+        owed: 0,
+    };
+    names.iter().map(model).collect()
+}
+
+fn fleet(members: &[&Member], models: Vec<Model>, ordered: &Ledger, now_ms: u64) -> Fleet {
+    let mut ordered = locked(ordered);
+    ordered.retain(|id, order| {
+        let member = members.iter().find(|member| member.replica.id == *id);
+        let arrived = member.is_some_and(|member| {
+            member.replica.version_of(&order.model).is_some_and(|held| held >= order.version)
+        });
+        !arrived && member.is_some() && now_ms < order.until_ms
+    });
+    let node = |member: &&Member| {
+        let order = ordered.get(&member.replica.id);
+        let loading = order.filter(|order| order.accepted).and_then(|order| {
+            let model = models.iter().position(|model| model.name == *order.model)?;
+            Some((model, order.version))
+        });
+        let versions = models
+            .iter()
+            .map(|model| member.replica.version_of(&model.name).unwrap_or(0))
+            .collect();
+        Node { id: member.replica.id.to_string(), versions, loading, free: order.is_none() }
+    };
+    let nodes = members.iter().map(node).collect();
+    Fleet { models, nodes }
+}
+
+fn begin_order(
+    front: &Arc<Front>,
+    ordered: &Ledger,
+    member: Member,
+    model: Arc<str>,
+    load: &Load,
+) {
+    let version = load.version;
+    let until_ms = now_ms() + LOAD_MS;
+    let order = Ordered { model: Arc::clone(&model), version, until_ms, accepted: true };
+    locked(ordered).insert(Arc::clone(&member.replica.id), order);
+    let (front, ordered) = (Arc::clone(front), Arc::clone(ordered));
+    tokio::spawn(async move {
+        let answer = give_order(&front, &member, &model, version).await;
+        let id = &*member.replica.id;
+        match &answer {
+            Ok(Some(answer)) => log::info!(
+                event = "order_given", replica = id, model = &*model, version, answer:? = answer; ""
+            ),
+            Ok(None) => log::info!(event = "order_held_back", replica = id, model = &*model, version; ""),
+            Err(error) => log::warn!(
+                event = "order_failed", replica = id, model = &*model, version, error:% = error; ""
+            ),
+        }
+        let done = matches!(answer, Ok(Some(OrderAnswer::Accepted | OrderAnswer::Holds)));
+        if !done && let Some(order) = locked(&ordered).get_mut(&member.replica.id) {
+            order.accepted = false;
+            order.until_ms = now_ms() + PAUSE_MS;
+        }
+    });
+}
+
+/// Reads the replica's report and gives the order that fits it; none where the lease has run
+/// out meanwhile or the replica is busy.
+async fn give_order(
+    front: &Front,
+    member: &Member,
+    model: &str,
+    version: u64,
+) -> Result<Option<OrderAnswer>, ReplicaError> {
+    let instance = &*member.replica.id;
+    let mut connection = member.peer.connection(&member.replica).await?;
+    // An earlier order without an answer may still be carried out. The count of accepted
+    // orders tells: the later of the two finds another count than it names and is refused.
+    let report = replica::report(&mut connection, instance).await?;
+    let held = report.models.iter().find(|held| held.0 == model);
+    if held.is_some_and(|held| held.1 >= version) {
+        return Ok(Some(OrderAnswer::Holds));
+    }
+    if report.busy {
+        return Ok(None);
+    }
+    connection.ready().await?;
+    let Some(fence) = front.index().lease.fence(now_ms()) else {
+        return Ok(None);
+    };
+    let order = Order {
+        model,
+        version,
+        mode: LoadMode::Retain,
+        holder: &front.settings.node,
+        fence,
+        expected_orders: report.orders,
+    };
+    let answer = replica::order(&mut connection, instance, &order).await?;
+    if connection.ready().await.is_ok() {
+        member.peer.keep(connection, None);
+    }
+    Ok(Some(answer))
+}
--- /dev/null
+++ b/components/front/src/lib.rs
@@ -0,0 +1,28 @@
+//! The front process: takes clients' requests, runs steps, gives orders.
+//!
+//! Every front does the same, and none is special: which front runs a model's steps follows
+//! from membership in a group, and which one gives orders to replicas from a lease. What
+//! must last lies in the platform's store; a front that starts reads it again. Decisions are
+//! in packages without I/O; this package carries them out.
+
+mod calls;
+mod clock;
+mod connections;
+mod follow;
+mod jobs;
+mod leader;
+mod leave;
+mod log_record;
+mod member;
+mod peers;
+mod results;
+mod reward;
+mod run_item;
+mod runner;
+mod serve;
+mod start;
+mod state;
+mod stream;
+mod writer;
+
+pub use start::{FrontError, run};
--- /dev/null
+++ b/components/front/src/reward.rs
@@ -0,0 +1,74 @@
+//! The reward call of an item.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::{HeaderMap, Method};
+use steps::{FailedPart, IndexRecord, Scorer, StepId};
+
+use crate::calls::{self, CallOutcome, CallSpec};
+use crate::clock::now_ms;
+use crate::log_record::LogRecord;
+use crate::state::Front;
+use crate::writer::append_index;
+
+/// Time for one reward call where its route does not say, in milliseconds.
+const CALL_MS: u64 = 3_000;
+/// Pause after a call that failed, in milliseconds.
+const PAUSE_MS: u64 = 50;
+
+/// The scorer's signature; none when its calls failed as often as is allowed.
+pub async fn score(
+    front: &Arc<Front>,
+    key: (StepId, u32),
+    scorer: &Scorer,
+    mut failed: u32,
+) -> Option<String> {
+    loop {
+        let routes = front.routes.load_full();
+        let route = routes.as_ref().and_then(|routes| routes.find(&scorer.host, &scorer.path));
+        let Some(route) = route else {
+            // The route may come with the next version of the configuration.
+            tokio::time::sleep(Duration::from_millis(PAUSE_MS)).await;
+            continue;
+        };
+        let within_ms = match route.timeout_ms {
+            0 => CALL_MS,
+            stated => stated,
+        };
+        let spec = CallSpec {
+            route,
+            method: Method::POST,
+            path: &scorer.path,
+            headers: HeaderMap::new(),
+            body: scorer.body.clone().into(),
+            request_id: &scorer.id,
+            background: true,
+            deadline_at_ms: now_ms() + within_ms,
+        };
+        if let CallOutcome::Answer(answer) = calls::perform(front, &spec).await {
+            if answer.is_success()
+                && let Some(stamp) = answer.stamp()
+            {
+                return Some(stamp.to_owned());
+            }
+            if answer.status.as_u16() == 500 {
+                failed += 1;
+                note_failure(front, key).await;
+                if failed >= route.attempts_max {
+                    return None;
+                }
+            }
+        }
+        tokio::time::sleep(Duration::from_millis(PAUSE_MS)).await;
+    }
+}
+
+async fn note_failure(front: &Front, (step, item): (StepId, u32)) {
+    let part = FailedPart::Reward;
+    let record = [LogRecord::Index(IndexRecord::Failed { step, item, part })];
+    if let Err(error) = append_index(front, &record).await {
+        // This process counts on; another one that takes over would allow one call more.
+        log::warn!(event = "failure_not_written", step = step.0, item, error:% = error; "");
+    }
+}
--- /dev/null
+++ b/components/front/src/run_item.rs
@@ -0,0 +1,171 @@
+//! One run of an item at one replica.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::Method;
+use platform::replica::{self, Call, ItemRun, ItemStart, ReplicaError};
+use steps::ItemData;
+
+use crate::clock::now_us;
+use crate::peers::Member;
+
+/// Longest wait for the head of a run's answer, in milliseconds: an engine takes up to 24
+/// requests more than it runs at once, which wait for a place.
+const HEAD_MS: u64 = 4_000;
+/// Longest pause between events, in milliseconds. A replica makes one each 35 ms, a slow
+/// one each 150 ms; a silent one is lost.
+const PAUSE_MS: u64 = 1_500;
+
+/// What is there of an item's text.
+#[derive(Default)]
+pub struct Partial {
+    /// Data of the events so far, joined by line feeds.
+    pub text: Vec<u8>,
+    /// Id of the last event; 0 before the first.
+    pub last_event: u64,
+    /// Versions that made it, ascending.
+    pub versions: Vec<u64>,
+}
+
+impl Partial {
+    fn push(&mut self, data: &[u8], id: u64, version: u64) {
+        if self.last_event > 0 {
+            self.text.push(b'\n');
+        }
+        self.text.extend_from_slice(data);
+        self.last_event = id;
+        if let Err(at) = self.versions.binary_search(&version) {
+            self.versions.insert(at, version);
+        }
+    }
+}
+
+/// What a run is asked with.
+pub struct RunSpec {
+    /// The item's id, which is the request's.
+    pub id: String,
+    /// Host of its route.
+    pub host: String,
+    /// What is sent.
+    pub data: std::sync::Arc<ItemData>,
+    /// The replica.
+    pub member: Member,
+    /// Oldest version that may make an event.
+    pub min_version: u64,
+    /// Whether one version must make the whole text.
+    pub single_version: bool,
+    /// Time until the item is given up, in milliseconds.
+    pub left_ms: u64,
+}
+
+/// How a run ended.
+pub enum RunEnd {
+    /// The text is whole.
+    Whole,
+    /// The replica did not run it.
+    NotRun(String),
+    /// The run broke off; another one may go on from what is there.
+    Broken(String),
+    /// The replica failed; counts as an attempt.
+    Failed,
+    /// It can never be done.
+    Impossible,
+}
+
+/// A run that ended, with the time for an event, in microseconds, where it had several.
+pub struct Ran {
+    /// How it ended.
+    pub end: RunEnd,
+    /// Time for an event.
+    pub event_us: Option<u64>,
+}
+
+/// Runs an item until the run ends; what it makes is added to `partial`.
+pub async fn run(spec: &RunSpec, partial: &mut Partial) -> Ran {
+    let without_pace = |end| Ran { end, event_us: None };
+    let mut item_run = match start(spec, partial).await {
+        Ok(ItemStart::Running(run)) => run,
+        Ok(ItemStart::Failed) => return without_pace(RunEnd::Failed),
+        Ok(ItemStart::Impossible) => return without_pace(RunEnd::Impossible),
+        Err(error) => return without_pace(ended_by(error)),
+    };
+    let first = partial.last_event;
+    let mut began_us = 0;
+    let end = loop {
+        match item_run.next(Duration::from_millis(PAUSE_MS)).await {
+            Ok(Some(event)) => {
+                if event.id != partial.last_event + 1 {
+                    let expected = partial.last_event + 1;
+                    break RunEnd::Broken(format!("event {} instead of {expected}", event.id));
+                }
+                if let Err(end) = check_version(spec, partial, &item_run) {
+                    break end;
+                }
+                if began_us == 0 {
+                    began_us = now_us();
+                }
+                let version = item_run.version().unwrap_or(0);
+                partial.push(&event.data, event.id, version);
+            }
+            Ok(None) if partial.last_event == first => {
+                break RunEnd::Broken("a stream without events".to_owned());
+            }
+            Ok(None) => {
+                if let Some((connection, keep_ms)) = item_run.finish().await {
+                    spec.member.peer.keep(connection, keep_ms);
+                }
+                return Ran { end: RunEnd::Whole, event_us: pace(partial, first, began_us) };
+            }
+            Err(error) => break ended_by(error),
+        }
+    };
+    Ran { end, event_us: pace(partial, first, began_us) }
+}
+
+fn pace(partial: &Partial, first: u64, began_us: u64) -> Option<u64> {
+    let pauses = partial.last_event.saturating_sub(first + 1);
+    (pauses >= 3).then(|| (now_us() - began_us) / pauses)
+}
+
+async fn start(spec: &RunSpec, partial: &Partial) -> Result<ItemStart, ReplicaError> {
+    let mut headers = replica::item_headers(&spec.data.headers)?;
+    if partial.last_event > 0 {
+        replica::resume_after(&mut headers, partial.last_event);
+    }
+    let connection = spec.member.peer.connection(&spec.member.replica).await?;
+    let call = Call {
+        method: Method::POST,
+        path: &spec.data.path,
+        host: &spec.host,
+        headers,
+        body: Bytes::copy_from_slice(&spec.data.body),
+        request_id: &spec.id,
+        instance: &spec.member.replica.id,
+        left_ms: spec.left_ms,
+    };
+    replica::start_item(connection, call, Duration::from_millis(HEAD_MS)).await
+}
+
+/// An event under a version that must not stand in the text ends the run before it is taken.
+fn check_version(spec: &RunSpec, partial: &mut Partial, run: &ItemRun) -> Result<(), RunEnd> {
+    let Some(version) = run.version() else {
+        return Err(RunEnd::Broken("the replica does not say which version it has".to_owned()));
+    };
+    if version < spec.min_version {
+        return Err(RunEnd::NotRun(format!("version {version} is too old")));
+    }
+    if spec.single_version && partial.versions.iter().any(|held| *held != version) {
+        // The text began under another version and is no use any more.
+        *partial = Partial::default();
+        return Err(RunEnd::Broken(format!("version {version} came in the middle")));
+    }
+    Ok(())
+}
+
+fn ended_by(error: ReplicaError) -> RunEnd {
+    match error.is_not_run() {
+        true => RunEnd::NotRun(error.to_string()),
+        false => RunEnd::Broken(error.to_string()),
+    }
+}
--- /dev/null
+++ b/components/front/src/serve.rs
@@ -0,0 +1,205 @@
+//! Requests of clients: what they ask for, and the answer.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use dispatch::{CallEnd, Route, RouteKind, Routes};
+use hyper::body::Incoming;
+use hyper::{Request, Response, StatusCode};
+use platform::ingress::{self, Asked};
+use platform::{BodyError, ReplyBody, collect};
+
+use crate::calls::{self, CallOutcome, CallSpec};
+use crate::clock::now_ms;
+use crate::results::{self, Read};
+use crate::state::Front;
+use crate::{jobs, stream};
+
+/// When a client of a front that knows no configuration yet may come again, in milliseconds.
+const UNKNOWING_AGAIN_MS: u64 = 300;
+/// When a client whose replicas were all busy may come again, in milliseconds: half of what a
+/// call takes.
+const BUSY_AGAIN_MS: u64 = 60;
+/// Longest time of a request that states none and whose route has none, in milliseconds.
+const DEADLINE_MS: u64 = 30_000;
+
+/// Answers the balancer.
+pub async fn ready(front: Arc<Front>, _request: Request<Incoming>) -> Response<ReplyBody> {
+    let status = match front.is_ready() {
+        true => StatusCode::OK,
+        false => StatusCode::SERVICE_UNAVAILABLE,
+    };
+    let mut answer = Response::new(ReplyBody::empty());
+    *answer.status_mut() = status;
+    answer
+}
+
+/// Answers a client.
+pub async fn client(front: Arc<Front>, request: Request<Incoming>) -> Response<ReplyBody> {
+    let id = ingress::request_id(request.headers()).map(str::to_owned);
+    let mut answer = match front.drain.admit(now_ms()) {
+        Ok(working) => {
+            let answer = admitted(&front, request, id.as_deref()).await;
+            drop(working);
+            answer
+        }
+        Err(refusal) => {
+            let again_ms = refusal.retry_after_ms.map(u64::from);
+            let status = StatusCode::SERVICE_UNAVAILABLE;
+            ingress::own_answer(status, id.as_deref(), again_ms, "leaving")
+        }
+    };
+    if front.drain.is_leaving() {
+        ingress::close_after(&mut answer);
+    }
+    answer
+}
+
+async fn admitted(
+    front: &Arc<Front>,
+    request: Request<Incoming>,
+    id: Option<&str>,
+) -> Response<ReplyBody> {
+    let Some(routes) = front.routes.load_full() else {
+        let status = StatusCode::SERVICE_UNAVAILABLE;
+        return ingress::own_answer(status, id, Some(UNKNOWING_AGAIN_MS), "no configuration yet");
+    };
+    match ingress::asked(request.method(), request.uri(), request.headers()) {
+        Asked::Results { step, after, wait } => {
+            read_answer(id, results::results(front, &step, after, wait).await, "application/json")
+        }
+        Asked::ItemBody { step, item } => {
+            let read = results::item_body(front, &step, &item).await;
+            read_answer(id, read, "application/octet-stream")
+        }
+        Asked::EndStep { step } => end_step(front, id, &step).await,
+        Asked::Call => call(front, &routes, request, id).await,
+    }
+}
+
+fn read_answer(id: Option<&str>, read: Read, content_type: &str) -> Response<ReplyBody> {
+    let status = read.status();
+    match read {
+        Read::Found(body) => ingress::success(status, id, content_type, body),
+        Read::Missing => ingress::own_answer(status, id, None, "there is no such step or item"),
+        Read::Unsure(why) => ingress::own_answer(status, id, Some(BUSY_AGAIN_MS), why),
+    }
+}
+
+async fn end_step(front: &Front, id: Option<&str>, name: &str) -> Response<ReplyBody> {
+    let step = front.index().ledger.by_name(name).map(|step| (step.id, step.ended));
+    let told = match step {
+        Some((_, true)) => return ingress::own_answer(StatusCode::OK, id, None, "ended before"),
+        Some((step, false)) => jobs::end(front, step).await,
+        None => {
+            let read = results::results(front, name, 0, std::time::Duration::ZERO).await;
+            return read_answer(id, read, "application/json");
+        }
+    };
+    log::info!(event = "step_ended", id = name, status = told.status.as_u16(); "");
+    ingress::own_answer(told.status, id, told.again_ms, told.why)
+}
+
+async fn call(
+    front: &Arc<Front>,
+    routes: &Routes,
+    request: Request<Incoming>,
+    id: Option<&str>,
+) -> Response<ReplyBody> {
+    let began_ms = now_ms();
+    let (parts, body) = request.into_parts();
+    let host = ingress::host(&parts.uri, &parts.headers).unwrap_or_default();
+    let Some(route) = routes.find(host, parts.uri.path()) else {
+        log::info!(
+            event = "no_route", id = id.unwrap_or_default(), host,
+            routes_version = routes.version; ""
+        );
+        return ingress::own_answer(StatusCode::NOT_FOUND, id, None, "no route");
+    };
+    let Some(id) = id else {
+        return ingress::own_answer(StatusCode::BAD_REQUEST, None, None, "no request id");
+    };
+    let limit_bytes = routes.limits.body_bytes;
+    let stated = ingress::stated_length(&parts.headers).unwrap_or(0);
+    if stated > limit_bytes as u64 {
+        return too_large(id);
+    }
+    let body = match collect(body, limit_bytes).await {
+        Ok(body) => body,
+        Err(BodyError::TooLarge(_)) => return too_large(id),
+        Err(error) => {
+            log::info!(event = "body_broken", id, error:% = error; "");
+            return ingress::own_answer(StatusCode::BAD_REQUEST, Some(id), None, "broken body");
+        }
+    };
+    if route.kind == RouteKind::Rollout {
+        let told = jobs::submit(front, routes, route, id, body).await;
+        return ingress::own_answer(told.status, Some(id), told.again_ms, told.why);
+    }
+    let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
+    let allowed_ms = ingress::deadline_ms(&parts.headers).unwrap_or(DEADLINE_MS);
+    let allowed_ms = match route.timeout_ms {
+        0 => allowed_ms,
+        timeout_ms => allowed_ms.min(timeout_ms),
+    };
+    let spec = CallSpec {
+        route,
+        method: parts.method,
+        path,
+        headers: ingress::end_to_end(&parts.headers),
+        body,
+        request_id: id,
+        background: false,
+        deadline_at_ms: began_ms + allowed_ms,
+    };
+    ordinary(front, route, &spec, id).await
+}
+
+fn too_large(id: &str) -> Response<ReplyBody> {
+    let status = StatusCode::PAYLOAD_TOO_LARGE;
+    let mut answer = ingress::own_answer(status, Some(id), None, "the body is too long");
+    ingress::close_after(&mut answer);
+    answer
+}
+
+async fn ordinary(
+    front: &Arc<Front>,
+    route: &Route,
+    spec: &CallSpec<'_>,
+    id: &str,
+) -> Response<ReplyBody> {
+    if route.kind == RouteKind::Stream {
+        return match stream::pass_on(front, spec).await {
+            Ok(answer) => answer,
+            Err(failed) => {
+                log::warn!(event = "stream_failed", id, not_run = failed.not_run, why = failed.why; "");
+                let end = if failed.not_run { CallEnd::NotRun } else { CallEnd::Unknown };
+                ended(end, id)
+            }
+        };
+    }
+    match calls::perform(front, spec).await {
+        CallOutcome::Answer(answer) => {
+            let mut response = Response::new(ReplyBody::Whole(Bytes::clone(&answer.body)));
+            *response.status_mut() = answer.status;
+            *response.headers_mut() = answer.headers;
+            response
+        }
+        CallOutcome::End(end, _) => ended(end, id),
+    }
+}
+
+fn ended(end: CallEnd, id: &str) -> Response<ReplyBody> {
+    match end {
+        CallEnd::NotRun => {
+            let status = StatusCode::SERVICE_UNAVAILABLE;
+            ingress::own_answer(status, Some(id), Some(BUSY_AGAIN_MS), "not run")
+        }
+        CallEnd::TimedOut => {
+            ingress::own_answer(StatusCode::GATEWAY_TIMEOUT, Some(id), None, "no answer in time")
+        }
+        CallEnd::Unknown => {
+            ingress::own_answer(StatusCode::BAD_GATEWAY, Some(id), None, "it may have run")
+        }
+    }
+}
--- /dev/null
+++ b/components/front/src/state.rs
@@ -0,0 +1,160 @@
+//! What the tasks of a front share.
+//!
+//! Routes and replicas are published as immutable snapshots that a request reads without a
+//! lock. Steps and the lease change with the log; their lock is held for a few microseconds
+//! and never across a wait.
+
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use arc_swap::{ArcSwap, ArcSwapOption};
+use dispatch::{Routes, Typical};
+use lease::Lease;
+use leaving::Drain;
+use platform::settings::FrontSettings;
+use platform::store::Store;
+use steps::Ledger;
+use tokio::sync::{Notify, watch};
+
+use crate::clock::now_ms;
+use crate::peers::ReplicaTable;
+
+/// Guess at the time of a call of a route that was not seen yet, in milliseconds.
+const TYPICAL_GUESS_MS: u64 = 40;
+
+/// Steps and the lease, as far as the log was read.
+pub struct Index {
+    /// Steps and results.
+    pub ledger: Ledger,
+    /// The lease on orders.
+    pub lease: Lease,
+    /// Since when the log was read without a gap, in milliseconds.
+    pub read_since_ms: u64,
+}
+
+/// Partitions of the group of runners that belong to this front.
+#[derive(Default, Clone)]
+pub struct Ownership {
+    /// The partitions.
+    pub partitions: HashSet<u32>,
+    /// Until when this front may believe it, in milliseconds.
+    pub until_ms: u64,
+}
+
+/// What the tasks of a front share.
+pub struct Front {
+    /// Settings of the process.
+    pub settings: FrontSettings,
+    /// The platform's store.
+    pub store: Store,
+    /// Configuration in force; none before the first was read.
+    pub routes: ArcSwapOption<Routes>,
+    /// Replicas that may take work.
+    pub replicas: ArcSwap<ReplicaTable>,
+    /// Newest named version by model.
+    pub named: Mutex<BTreeMap<Arc<str>, u64>>,
+    /// Steps and the lease.
+    index: Mutex<Index>,
+    /// Counts changes of the index.
+    pub index_news: watch::Sender<u64>,
+    /// When the index was last known to be read to its end; 0 before.
+    index_current_ms: AtomicU64,
+    /// Whether the replicas' records were read.
+    pub replicas_read: AtomicU64,
+    /// What this front runs.
+    pub owned: ArcSwap<Ownership>,
+    /// Wakes the task that runs items.
+    pub runner_news: Notify,
+    /// Wakes the task that gives orders.
+    pub leader_news: Notify,
+    /// The drain of this process.
+    pub drain: Drain,
+    /// Turns true when kept connections of clients close.
+    pub closing: watch::Sender<bool>,
+    typical: Mutex<HashMap<Arc<str>, Arc<Typical>>>,
+}
+
+impl Front {
+    /// The state of a front that knows nothing yet.
+    pub fn new(settings: FrontSettings, lease: Lease, drain: Drain) -> Self {
+        Self {
+            store: Store::new(settings.store.address),
+            routes: ArcSwapOption::empty(),
+            replicas: ArcSwap::default(),
+            named: Mutex::default(),
+            index: Mutex::new(Index { ledger: Ledger::default(), lease, read_since_ms: now_ms() }),
+            index_news: watch::Sender::new(0),
+            index_current_ms: AtomicU64::new(0),
+            replicas_read: AtomicU64::new(0),
+            owned: ArcSwap::default(),
+            runner_news: Notify::new(),
+            leader_news: Notify::new(),
+            drain,
+            closing: watch::Sender::new(false),
+            typical: Mutex::default(),
+            settings,
+        }
+    }
+
+    /// Steps and the lease. Not held across a wait.
+    pub fn index(&self) -> MutexGuard<'_, Index> {
+        locked(&self.index)
+    }
+
+    /// Notes that the index was read to its end at `now_ms`.
+    pub fn index_is_current(&self, now_ms: u64) {
+        self.index_current_ms.store(now_ms, Ordering::Relaxed);
+    }
+
+    /// How old the knowledge of the index is, in milliseconds; none before it was read once.
+    pub fn index_age_ms(&self, now_ms: u64) -> Option<u64> {
+        match self.index_current_ms.load(Ordering::Relaxed) {
+            0 => None,
+            current_ms => Some(now_ms.saturating_sub(current_ms)),
+        }
+    }
+
+    /// Whether clients may be sent here.
+    pub fn is_ready(&self) -> bool {
+        self.routes.load().is_some()
+            && self.replicas_read.load(Ordering::Relaxed) > 0
+            && self.index_age_ms(now_ms()).is_some()
+            && self.drain.is_ready()
+    }
+
+    /// How long calls of this route take.
+    pub fn typical(&self, route: &Arc<str>) -> Arc<Typical> {
+        let mut typical = locked(&self.typical);
+        if let Some(known) = typical.get(route) {
+            return Arc::clone(known);
+        }
+        let new = Arc::new(Typical::new(TYPICAL_GUESS_MS));
+        typical.insert(Arc::clone(route), Arc::clone(&new));
+        new
+    }
+
+    /// Whether this front runs the steps of this model now.
+    pub fn runs(&self, model: &str, now_ms: u64) -> bool {
+        let owned = self.owned.load();
+        let partition = partition_of(model, self.settings.store.partitions);
+        now_ms < owned.until_ms && owned.partitions.contains(&partition)
+    }
+}
+
+/// Takes a lock; a panic under it left a whole value, as each change is one assignment.
+pub fn locked<T>(lock: &Mutex<T>) -> MutexGuard<'_, T> {
+    lock.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Partition that stands for this name, the same at every process and release.
+pub fn partition_of(name: &str, partitions: u32) -> u32 {
+    (name_hash(name) % u64::from(partitions)) as u32
+}
+
+/// FNV-1a, whose values are the same at every process and release.
+pub fn name_hash(name: &str) -> u64 {
+    name.bytes().fold(0xcbf2_9ce4_8422_2325, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3)
+    })
+}
--- /dev/null
+++ b/components/front/src/stream.rs
@@ -0,0 +1,124 @@
+//! Streams that a client reads: passed on as they come.
+//!
+//! A stream is handed to one replica. Another one is asked only where the first provably did
+//! not run it; whatever breaks later breaks the client's stream, which so can't look whole.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use dispatch::{Candidate, ReplicaId, choose};
+use http_body_util::BodyExt;
+use hyper::Response;
+use platform::replica;
+use platform::{BodyError, ReplyBody};
+use tokio::sync::mpsc;
+
+use crate::calls::CallSpec;
+use crate::clock::now_ms;
+use crate::peers::Member;
+use crate::state::Front;
+
+/// Parts of a stream that wait for a slow client, at most.
+const PARTS_MAX: usize = 8;
+
+/// Why a stream did not begin.
+pub struct NotBegun {
+    /// Whether it is certain that no replica runs it.
+    pub not_run: bool,
+    /// What happened.
+    pub why: String,
+}
+
+/// Passes a stream on.
+pub async fn pass_on(
+    front: &Arc<Front>,
+    spec: &CallSpec<'_>,
+) -> Result<Response<ReplyBody>, NotBegun> {
+    let mut tried: Vec<ReplicaId> = Vec::new();
+    let mut last = NotBegun { not_run: true, why: "no replica".to_owned() };
+    while (tried.len() as u32) < spec.route.attempts_max && last.not_run {
+        let Some(member) = pick(front, spec, &tried) else {
+            break;
+        };
+        tried.push(Arc::clone(&member.replica.id));
+        match begin(&member, spec).await {
+            Ok(response) => return Ok(response),
+            Err(failed) => last = failed,
+        }
+    }
+    Err(last)
+}
+
+fn pick(front: &Front, spec: &CallSpec<'_>, tried: &[ReplicaId]) -> Option<Member> {
+    let table = front.replicas.load();
+    let service = spec.route.draw(rand::random())?;
+    let open = |member: &&Member| {
+        !member.replica.draining && !tried.contains(&member.replica.id)
+    };
+    let members: Vec<&Member> = table.of(service).iter().filter(open).collect();
+    let candidates: Vec<Candidate<'_>> = members
+        .iter()
+        .map(|member| Candidate {
+            load: &member.peer.load,
+            near: *member.replica.domain == *front.settings.domain,
+            tried: false,
+        })
+        .collect();
+    let typical = front.typical(&spec.route.name);
+    let at = choose(&candidates, typical.us(), rand::random(), now_ms())?;
+    Some(members[at].clone())
+}
+
+async fn begin(member: &Member, spec: &CallSpec<'_>) -> Result<Response<ReplyBody>, NotBegun> {
+    let not_run = |why: String| NotBegun { not_run: true, why };
+    let mut connection = member
+        .peer
+        .connection(&member.replica)
+        .await
+        .map_err(|error| not_run(error.to_string()))?;
+    let left_ms = spec.deadline_at_ms.saturating_sub(now_ms());
+    let call = replica::Call {
+        method: spec.method.clone(),
+        path: spec.path,
+        host: &spec.route.host,
+        headers: spec.headers.clone(),
+        body: spec.body.clone(),
+        request_id: spec.request_id,
+        instance: &member.replica.id,
+        left_ms,
+    };
+    let within = Duration::from_millis(left_ms);
+    let stream = replica::open_stream(&mut connection, call, within)
+        .await
+        .map_err(|error| NotBegun { not_run: error.is_not_run(), why: error.to_string() })?;
+    let (parts, body) = mpsc::channel(PARTS_MAX);
+    let mut answer = Response::new(ReplyBody::Flow(body));
+    *answer.status_mut() = stream.status;
+    *answer.headers_mut() = stream.headers;
+    let mut from_replica = stream.body;
+    let in_flight = member.peer.load.begin(0, false);
+    tokio::spawn(async move {
+        // The connection lives as long as the stream: dropping both cancels the run.
+        let _held = (connection, in_flight);
+        loop {
+            let frame = tokio::select! {
+                () = parts.closed() => return,
+                frame = tokio::time::timeout(within, from_replica.frame()) => frame,
+            };
+            let part = match frame {
+                Ok(None) => return,
+                Ok(Some(Ok(frame))) => match frame.into_data() {
+                    Ok(data) => Ok(data),
+                    Err(_) => continue,
+                },
+                Ok(Some(Err(reason))) => Err(BodyError::Broken(reason.to_string())),
+                Err(_) => Err(BodyError::Broken("no event in time".to_owned())),
+            };
+            let broken = part.is_err();
+            if parts.send(part).await.is_err() || broken {
+                return;
+            }
+        }
+    });
+    Ok(answer)
+}
--- /dev/null
+++ b/components/front/src/writer.rs
@@ -0,0 +1,170 @@
+//! Writing to the index and the data topic. Records of many items go in one append.
+//!
+//! Writing a record twice changes nothing, as the first one in the log's order holds. So an
+//! append without an answer is simply made again.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use platform::store::StoreError;
+use quick_error::quick_error;
+use steps::{ErrorCause, IndexRecord, Place, ResultState, StepId};
+use tokio::sync::mpsc;
+
+use crate::log_record::{DATA_TOPIC, INDEX_PARTITION, INDEX_TOPIC, LogRecord};
+use crate::state::{Front, partition_of};
+
+/// Longest time for an append, in milliseconds; the store refuses when two seconds wait.
+pub const APPEND_MS: u64 = 1_500;
+/// How long results are gathered before they are written, in milliseconds: a part of what a
+/// trainer's pause between reads costs, against an append for each item.
+const GATHER_MS: u64 = 8;
+/// Texts written in one append, at most, in bytes; bounds the copy that is made of them.
+const BATCH_BYTES: usize = 256 * 1024;
+/// Pause after an append that failed, in milliseconds; doubles up to the greatest.
+const PAUSE_MS: u64 = 50;
+const PAUSE_MS_MAX: u64 = 800;
+
+quick_error! {
+    /// Why a record can't be written.
+    #[derive(Debug)]
+    pub enum WriteError {
+        /// It can't be encoded.
+        Encode(reason: postcard::Error) {
+            source(reason)
+            from()
+            display("cannot encode a record: {}", reason)
+        }
+        /// The store did not take it.
+        Store(reason: StoreError) {
+            source(reason)
+            from()
+            display("cannot append: {}", reason)
+        }
+    }
+}
+
+/// An item that ended.
+pub struct Ended {
+    /// Its step.
+    pub step: StepId,
+    /// Its number in the step.
+    pub item: u32,
+    /// How it ended.
+    pub outcome: Outcome,
+}
+
+/// How an item ended.
+pub enum Outcome {
+    /// With a text.
+    Text {
+        /// The text.
+        text: Bytes,
+        /// Versions that made it, ascending.
+        versions: Vec<u64>,
+        /// The scorer's signature.
+        score: String,
+    },
+    /// Without.
+    Error(ErrorCause),
+}
+
+/// Appends one record to the index.
+pub async fn append_index(front: &Front, records: &[LogRecord]) -> Result<u64, WriteError> {
+    let mut encoded = Vec::with_capacity(records.len());
+    for record in records {
+        encoded.push(Bytes::from(postcard::to_stdvec(record)?));
+    }
+    let within = Duration::from_millis(APPEND_MS);
+    Ok(front.store.append(INDEX_TOPIC, INDEX_PARTITION, &encoded, within).await?)
+}
+
+/// Partition of the data topic that this front writes to.
+pub fn data_partition(front: &Front) -> u32 {
+    partition_of(&front.settings.node, front.settings.store.partitions)
+}
+
+/// Writes the results of items until the sender's side is closed.
+pub async fn write_results(front: Arc<Front>, mut ended: mpsc::Receiver<Ended>) {
+    let mut batch = Vec::new();
+    while let Some(first) = ended.recv().await {
+        batch.push(first);
+        tokio::time::sleep(Duration::from_millis(GATHER_MS)).await;
+        let mut bytes = batch.iter().map(text_bytes).sum::<usize>();
+        while bytes < BATCH_BYTES
+            && let Ok(next) = ended.try_recv()
+        {
+            bytes += text_bytes(&next);
+            batch.push(next);
+        }
+        write_batch(&front, &batch).await;
+        batch.clear();
+    }
+}
+
+fn text_bytes(ended: &Ended) -> usize {
+    match &ended.outcome {
+        Outcome::Text { text, .. } => text.len(),
+        Outcome::Error(_) => 0,
+    }
+}
+
+async fn write_batch(front: &Front, batch: &[Ended]) {
+    let texts: Vec<Bytes> = batch
+        .iter()
+        .filter_map(|ended| match &ended.outcome {
+            Outcome::Text { text, .. } => Some(text.clone()),
+            Outcome::Error(_) => None,
+        })
+        .collect();
+    let partition = data_partition(front);
+    let within = Duration::from_millis(APPEND_MS);
+    let mut offset = 0;
+    if !texts.is_empty() {
+        offset = until_done(|| async {
+            Ok(front.store.append(DATA_TOPIC, partition, &texts, within).await?)
+        })
+        .await;
+    }
+    let mut records = Vec::with_capacity(batch.len());
+    for ended in batch {
+        let state = match &ended.outcome {
+            Outcome::Error(cause) => ResultState::Errored(*cause),
+            Outcome::Text { text, versions, score } => {
+                let place = Place { partition, offset, bytes: text.len() as u32 };
+                offset += 1;
+                ResultState::Succeeded {
+                    versions: versions.clone(),
+                    score: score.clone(),
+                    text: place,
+                }
+            }
+        };
+        log::debug!(event = "item_ended", step = ended.step.0, item = ended.item; "");
+        records.push(LogRecord::Index(IndexRecord::Listed {
+            step: ended.step,
+            item: ended.item,
+            state,
+        }));
+    }
+    until_done(|| append_index(front, &records)).await;
+}
+
+/// Repeats an append until the store takes it.
+async fn until_done<F>(mut append: impl FnMut() -> F) -> u64
+where
+    F: Future<Output = Result<u64, WriteError>>,
+{
+    let mut pause_ms = PAUSE_MS;
+    loop {
+        match append().await {
+            Ok(offset) => return offset,
+            Err(error) => {
+                log::warn!(event = "results_not_written", pause_ms, error:% = error; "");
+                tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+                pause_ms = (pause_ms * 2).min(PAUSE_MS_MAX);
+            }
+        }
+    }
+}
--- a/components/gateway/src/completion_stream.rs
+++ b/components/gateway/src/completion_stream.rs
@@ -11,7 +11,7 @@
 use http::Response;
 use http::header::{CONTENT_LENGTH, HeaderName};
 use link::CallEvent;
-use platform::sse::Parser;
+use adapters::sse::Parser;
 use protocol::Head;
 use recovery::{Flowed, Resume};
 use types::{Cause, Failure, RunState};
--- a/components/gateway/src/keyed/client.rs
+++ b/components/gateway/src/keyed/client.rs
@@ -11,7 +11,7 @@
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use node::now_ms;
-use platform::LogClient;
+use adapters::LogClient;
 use protocol::{Open, ProcessRole};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::timeout;
--- a/components/gateway/src/keyed/reader.rs
+++ b/components/gateway/src/keyed/reader.rs
@@ -5,7 +5,7 @@
 
 use claims::{ClaimSettings, KeyDigest, RequestDigest, Shard, Verdict, stream_name};
 use node::now_ms;
-use platform::{LogClient, LogPage};
+use adapters::{LogClient, LogPage};
 use tokio::sync::{mpsc, oneshot};
 use types::CallId;
 
--- a/components/gateway/src/keyed/writer.rs
+++ b/components/gateway/src/keyed/writer.rs
@@ -4,7 +4,7 @@
 
 use claims::{Batch, ClaimSettings, Record, stream_name};
 use node::now_ms;
-use platform::LogClient;
+use adapters::LogClient;
 use protocol::Open;
 use tokio::sync::{mpsc, oneshot};
 use types::{Cause, Failure};
--- a/components/gateway/src/start.rs
+++ b/components/gateway/src/start.rs
@@ -7,7 +7,7 @@
 use link::{LinkSettings, Links, Udp};
 use node::leave::Leaving;
 use node::{ConfigFeed, Gossip, GossipSettings, Identity, Pulse};
-use platform::{ClientSettings, LogClient, VmList};
+use adapters::{ClientSettings, LogClient, VmList};
 use routing::Locality;
 use samples::CursorKeys;
 use settings::{CommonSettings, EntrySettings, SharedKey};
--- a/components/gateway/src/training/listening.rs
+++ b/components/gateway/src/training/listening.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use link::CallEvent;
-use platform::sse::{Parser, Piece, Transcript};
+use adapters::sse::{Parser, Piece, Transcript};
 use samples::{Completion, Fault, Partial, Provenance, RunId, Stamps, StepKey};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
--- a/components/gateway/tests/common/mod.rs
+++ b/components/gateway/tests/common/mod.rs
@@ -12,7 +12,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
-use platform::{ClientSettings, LogClient, Vm, VmRole, VmState};
+use adapters::{ClientSettings, LogClient, Vm, VmRole, VmState};
 use serde_json::{Value, json};
 use settings::{
     AgentSettings, Ceilings, CommonSettings, EndpointKind, EntrySettings, Fencing, SharedKey,
--- a/components/node/examples/control.rs
+++ b/components/node/examples/control.rs
@@ -16,7 +16,7 @@
 use config::{Publish, Record};
 use link::{Counters, Links};
 use node::{ConfigFeed, FeedSettings, Gossip, GossipHooks, GossipSettings, Sockets};
-use platform::{ClientSettings, LogClient, Vm, VmList, VmRole, VmState};
+use adapters::{ClientSettings, LogClient, Vm, VmList, VmRole, VmState};
 use protocol::{Hosted, Load, News, ProcessRole, Status};
 use settings::{CommonSettings, SharedKey};
 use standins::log::LogSettings;
--- a/components/node/src/feed.rs
+++ b/components/node/src/feed.rs
@@ -13,7 +13,7 @@
 use config::{Accepted, KeepPolicy, Ledger, View};
 use link::Links;
 use membership::TailSettings;
-use platform::LogClient;
+use adapters::LogClient;
 use protocol::{ConfigDigest, Head, Open};
 use tokio::sync::{Notify, mpsc, oneshot, watch};
 use types::{Cause, CustomerName, Failure};
--- a/components/node/src/feed_tail.rs
+++ b/components/node/src/feed_tail.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use membership::{Tail, TailSettings, TailStep};
-use platform::{LogClient, LogPage, PlatformError};
+use adapters::{LogClient, LogPage, PlatformError};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use tokio::sync::mpsc;
--- a/components/node/src/feed_task.rs
+++ b/components/node/src/feed_task.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use config::{Keeper, Ledger, Record, Verdict, View};
-use platform::{LogClient, LogPage, LogRecord};
+use adapters::{LogClient, LogPage, LogRecord};
 use protocol::ConfigDigest;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Interval, MissedTickBehavior, interval, sleep};
--- a/components/node/src/gossip.rs
+++ b/components/node/src/gossip.rs
@@ -11,7 +11,7 @@
 use leaving::{Probers, ProbersSettings};
 use link::Udp;
 use membership::{MemberSettings, Members, Own, RumourSettings, Rumours, Snapshot, TailSettings};
-use platform::VmList;
+use adapters::VmList;
 use protocol::{ConfigDigest, DemandDigest, News, Status};
 use tokio::sync::mpsc;
 use types::NodeId;
--- a/components/node/src/vm_poll.rs
+++ b/components/node/src/vm_poll.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use membership::Listed;
-use platform::{Vm, VmList, VmRole, VmState};
+use adapters::{Vm, VmList, VmRole, VmState};
 use protocol::ProcessRole;
 use tokio::sync::mpsc;
 
--- a/components/node/tests/node.rs
+++ b/components/node/tests/node.rs
@@ -10,7 +10,7 @@
 use link::Links;
 use node::admin::{self, AdminHooks};
 use node::{ConfigFeed, FeedSettings, Gossip, GossipHooks, GossipSettings, Sockets};
-use platform::{
+use adapters::{
     ClientSettings, Endpoint, EndpointSettings, LogClient, Request, Vm, VmList, VmRole, VmState,
 };
 use protocol::{ConfigDigest, Datagram, News, ProcessRole};
--- /dev/null
+++ b/components/orders/src/plan.rs
@@ -0,0 +1,160 @@
+//! The plan of loads: a pure function of what is known.
+
+use std::cmp::Reverse;
+
+use derive::value;
+
+/// Settings of the plan.
+#[value]
+#[derive(Copy)]
+pub struct OrderSettings {
+    /// Loads at once over all replicas. More share one source and take longer each.
+    pub loads_at_once: usize,
+    /// Versions behind the named one that are still of use.
+    pub lag: u64,
+}
+
+impl Default for OrderSettings {
+    fn default() -> Self {
+        Self { loads_at_once: 3, lag: 1 }
+    }
+}
+
+/// A model and its newest named version.
+#[value]
+pub struct Model {
+    /// Its name.
+    pub name: String,
+    /// Newest version that was named.
+    pub named: u64,
+    /// Work that its open steps owe, in tokens; decides on shares.
+    pub owed: u64,
+}
+
+/// A replica.
+#[value]
+pub struct Node {
+    /// Id of this life.
+    pub id: String,
+    /// Versions that it has, in the order of [`Fleet::models`].
+    pub versions: Vec<u64>,
+    /// The load that it has accepted or may have accepted: index of the model, version.
+    pub loading: Option<(usize, u64)>,
+    /// Whether an order may be given now.
+    pub free: bool,
+}
+
+/// All that a plan is made from.
+#[value]
+pub struct Fleet {
+    /// Models, in a fixed order.
+    pub models: Vec<Model>,
+    /// Replicas, in a fixed order.
+    pub nodes: Vec<Node>,
+}
+
+/// One load to order.
+#[value]
+pub struct Load {
+    /// Index of the replica.
+    pub node: usize,
+    /// Index of the model.
+    pub model: usize,
+    /// Version to load.
+    pub version: u64,
+}
+
+/// Replicas that a model uses, of `nodes` for `models` models: two thirds of them where
+/// several models share the replicas, as a replica loads every second version only; all of
+/// them where there is one model.
+fn wanted(nodes: usize, models: usize) -> usize {
+    match models {
+        0 => 0,
+        1 => nodes,
+        _ => (2 * nodes).div_ceil(models).min(nodes),
+    }
+}
+
+/// The loads to order now.
+pub fn plan(fleet: &Fleet, settings: &OrderSettings) -> Vec<Load> {
+    let count = wanted(fleet.nodes.len(), fleet.models.len());
+    let mut assigned = vec![0_usize; fleet.nodes.len()];
+    let mut useless = Vec::new();
+    let mut early = Vec::new();
+    for model in 0..fleet.models.len() {
+        let members = members(fleet, model, count, &assigned, settings);
+        for node in &members {
+            assigned[*node] += 1;
+        }
+        collect_loads(fleet, model, &members, settings, &mut useless, &mut early);
+    }
+    let running = fleet.nodes.iter().filter(|node| node.loading.is_some()).count();
+    let room = settings.loads_at_once.saturating_sub(running);
+    let mut taken = vec![false; fleet.nodes.len()];
+    let mut loads = Vec::new();
+    for load in useless.into_iter().chain(early) {
+        if loads.len() == room {
+            break;
+        }
+        if fleet.nodes[load.node].free && !taken[load.node] {
+            taken[load.node] = true;
+            loads.push(load);
+        }
+    }
+    loads
+}
+
+fn version_of(node: &Node, model: usize) -> u64 {
+    match node.loading {
+        Some((loading, version)) if loading == model => version,
+        _ => node.versions[model],
+    }
+}
+
+/// Replicas that serve a model: those that are of use now, then the newest, then those that
+/// serve the fewest models.
+fn members(
+    fleet: &Fleet,
+    model: usize,
+    count: usize,
+    assigned: &[usize],
+    settings: &OrderSettings,
+) -> Vec<usize> {
+    let named = fleet.models[model].named;
+    let mut order: Vec<usize> = (0..fleet.nodes.len()).collect();
+    order.sort_by_key(|at| {
+        let version = version_of(&fleet.nodes[*at], model);
+        let useful = version + settings.lag >= named;
+        let newest = if useful { named } else { version };
+        (Reverse(newest), assigned[*at], (*at + model * fleet.nodes.len() / 3) % fleet.nodes.len())
+    });
+    order.truncate(count);
+    order
+}
+
+fn collect_loads(
+    fleet: &Fleet,
+    model: usize,
+    members: &[usize],
+    settings: &OrderSettings,
+    useless: &mut Vec<Load>,
+    early: &mut Vec<Load>,
+) {
+    let named = fleet.models[model].named;
+    let at_named = members
+        .iter()
+        .filter(|node| version_of(&fleet.nodes[**node], model) >= named)
+        .count();
+    let mut missing = (members.len() / 2).saturating_sub(at_named);
+    for node in members {
+        let version = version_of(&fleet.nodes[*node], model);
+        let load = Load { node: *node, model, version: named };
+        if version + settings.lag < named {
+            useless.push(load);
+            missing = missing.saturating_sub(1);
+        } else if version < named && missing > 0 {
+            missing -= 1;
+            early.push(load);
+        }
+    }
+}
--- a/components/sidecar/examples/swap.rs
+++ b/components/sidecar/examples/swap.rs
@@ -14,7 +14,7 @@
 
 use config::{Publish, Record};
 use link::{LinkSettings, Udp};
-use platform::{ClientSettings, Engine, EngineModel, LogClient, Vm, VmRole, VmState};
+use adapters::{ClientSettings, Engine, EngineModel, LogClient, Vm, VmRole, VmState};
 use protocol::{Datagram, Key, Keys, News, ProcessRole};
 use settings::{AgentSettings, CommonSettings, EndpointKind, Fencing, SharedKey};
 use sidecar::{Sidecar, Tuning};
--- a/components/sidecar/src/agent.rs
+++ b/components/sidecar/src/agent.rs
@@ -10,7 +10,7 @@
 use config::{Kind, Service};
 use leaving::{Drain, DrainSettings};
 use node::{ConfigFeed, Identity, Pulse};
-use platform::{ClientSettings, Endpoint, EndpointSettings, Engine};
+use adapters::{ClientSettings, Endpoint, EndpointSettings, Engine};
 use settings::{AgentSettings, EndpointKind};
 use telemetry::Metrics;
 
--- a/components/sidecar/src/completion.rs
+++ b/components/sidecar/src/completion.rs
@@ -3,8 +3,8 @@
 //! reason and terminator, a unary answer its finish reason.
 
 use bytes::Bytes;
-use platform::AnswerHead;
-use platform::sse::{Finish, Parser};
+use adapters::AnswerHead;
+use adapters::sse::{Finish, Parser};
 use serde::Deserialize;
 use types::Cause;
 
--- a/components/sidecar/src/health.rs
+++ b/components/sidecar/src/health.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use arc_swap::ArcSwap;
-use platform::{EngineModel, EngineState, LoadReport};
+use adapters::{EngineModel, EngineState, LoadReport};
 use tokio::sync::{Notify, watch};
 
 /// State of the endpoint at one look.
--- a/components/sidecar/src/orders.rs
+++ b/components/sidecar/src/orders.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use node::now_ms;
-use platform::PlatformError;
+use adapters::PlatformError;
 use tokio::sync::mpsc;
 use weights::{EngineState, ModelKey, Order, OrderKind, OrderOutcome};
 
--- a/components/sidecar/src/relay.rs
+++ b/components/sidecar/src/relay.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use link::Answer;
-use platform::{AnswerHead, Body, Endpoint, Request, Response};
+use adapters::{AnswerHead, Body, Endpoint, Request, Response};
 use protocol::{Head, Open};
 use types::{Cause, Failure};
 
@@ -150,12 +150,12 @@
 
 /// Why an answer that had begun was not passed on to its end.
 enum Stop {
-    Exchange(platform::PlatformError),
+    Exchange(adapters::PlatformError),
     Content(Cause),
 }
 
-impl From<platform::PlatformError> for Stop {
-    fn from(error: platform::PlatformError) -> Self {
+impl From<adapters::PlatformError> for Stop {
+    fn from(error: adapters::PlatformError) -> Self {
         Stop::Exchange(error)
     }
 }
--- a/components/sidecar/src/stage.rs
+++ b/components/sidecar/src/stage.rs
@@ -4,7 +4,7 @@
 //! has shown that it began, "unknown" in between.
 
 use derive::key;
-use platform::{ConnectFault, Loss, PlatformError};
+use adapters::{ConnectFault, Loss, PlatformError};
 use types::{Cause, Failure, RunState};
 
 /// How far a call has come.
--- a/components/sidecar/src/start.rs
+++ b/components/sidecar/src/start.rs
@@ -12,7 +12,7 @@
     ConfigFeed, FeedSettings, Gossip, GossipHooks, GossipSettings, Identity, Leaving, NodeError,
     Sockets, leave,
 };
-use platform::{ClientSettings, LogClient, VmList};
+use adapters::{ClientSettings, LogClient, VmList};
 use protocol::{News, ProcessRole};
 use settings::{AgentSettings, Fencing};
 use telemetry::{Label, Metrics, MetricsSettings};
--- a/components/sidecar/src/vitals.rs
+++ b/components/sidecar/src/vitals.rs
@@ -4,7 +4,7 @@
 //! failed and entries suspect them; a slow endpoint only gets no new work for a while.
 
 use derive::{key, value};
-use platform::{ConnectFault, PlatformError};
+use adapters::{ConnectFault, PlatformError};
 
 /// Looks without an answer until the endpoint gets no new work.
 const MISSES_TO_DOWN: u32 = 3;
--- a/components/sidecar/src/watch.rs
+++ b/components/sidecar/src/watch.rs
@@ -7,7 +7,7 @@
 
 use config::Kind;
 use node::now_ms;
-use platform::{EngineState, PlatformError, Request};
+use adapters::{EngineState, PlatformError, Request};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{MissedTickBehavior, interval};
 
@@ -129,7 +129,7 @@
     (sign, seen)
 }
 
-async fn well(body: platform::Body) -> Sign {
+async fn well(body: adapters::Body) -> Sign {
     // Reading to the end lets the connection be used again.
     match body.whole().await {
         Ok(_) | Err(PlatformError::TooLarge(_)) => Sign::Answered { life: None },
--- a/components/sidecar/tests/common/mod.rs
+++ b/components/sidecar/tests/common/mod.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use config::{Publish, Record};
 use link::{Call, CallEvent, LinkSettings, Links, Udp};
-use platform::{
+use adapters::{
     ClientSettings, Endpoint, EndpointSettings, LogClient, Request, Vm, VmRole, VmState,
 };
 use protocol::{Datagram, Head, Key, Keys, News, Open, ProcessRole, Status};
--- /dev/null
+++ b/components/steps/src/ledger.rs
@@ -0,0 +1,139 @@
+//! All steps that are not forgotten yet.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+
+use derive::value;
+
+use crate::step::ItemProgress;
+use crate::{FailedPart, IndexRecord, ListedResult, Step, StepHead, StepId};
+
+/// What a record changed.
+#[value]
+pub enum Change {
+    /// Nothing: a repetition, or a step that is not known.
+    Nothing,
+    /// A step was accepted.
+    Accepted(StepId),
+    /// An item was listed.
+    Listed(StepId, u32),
+    /// Counts of failures or marks of a leaving process changed.
+    Progress(StepId),
+    /// A step was ended.
+    Ended(StepId),
+}
+
+/// All steps that are not forgotten yet.
+#[derive(Debug, Default)]
+pub struct Ledger {
+    steps: BTreeMap<StepId, Step>,
+    by_name: HashMap<String, StepId>,
+}
+
+impl Ledger {
+    /// Takes the record that stands at `offset`, in the log's order.
+    pub fn apply(&mut self, offset: u64, record: IndexRecord, now_ms: u64) -> Change {
+        match record {
+            IndexRecord::Accepted(head) => self.accept(StepId(offset), *head, now_ms),
+            IndexRecord::Listed { step, item, state } => {
+                self.list(step, ListedResult { item, state })
+            }
+            IndexRecord::Failed { step, item, part } => self.fail(step, item, part),
+            IndexRecord::Ended { step } => self.end(step),
+            IndexRecord::Finishing { for_ms, items, .. } => {
+                self.mark_finishing(&items, now_ms + for_ms)
+            }
+        }
+    }
+
+    fn accept(&mut self, id: StepId, head: StepHead, now_ms: u64) -> Change {
+        if self.by_name.contains_key(&head.id) {
+            return Change::Nothing;
+        }
+        self.by_name.insert(head.id.clone(), id);
+        let step = Step {
+            id,
+            results: Vec::new(),
+            progress: vec![ItemProgress::default(); head.items.len()],
+            head: Arc::new(head),
+            ended: false,
+            read_ms: now_ms,
+        };
+        self.steps.insert(id, step);
+        Change::Accepted(id)
+    }
+
+    fn list(&mut self, id: StepId, result: ListedResult) -> Change {
+        let item = result.item;
+        let Some(step) = self.steps.get_mut(&id) else {
+            return Change::Nothing;
+        };
+        let Some(progress) = step.progress.get_mut(item as usize) else {
+            return Change::Nothing;
+        };
+        if progress.listed {
+            return Change::Nothing;
+        }
+        progress.listed = true;
+        step.results.push(Arc::new(result));
+        Change::Listed(id, item)
+    }
+
+    fn fail(&mut self, id: StepId, item: u32, part: FailedPart) -> Change {
+        let Some(progress) = self.progress_mut(id, item) else {
+            return Change::Nothing;
+        };
+        match part {
+            FailedPart::Run => progress.failed_runs += 1,
+            FailedPart::Reward => progress.failed_rewards += 1,
+        }
+        Change::Progress(id)
+    }
+
+    fn end(&mut self, id: StepId) -> Change {
+        match self.steps.get_mut(&id) {
+            Some(step) if !step.ended => {
+                step.ended = true;
+                Change::Ended(id)
+            }
+            _ => Change::Nothing,
+        }
+    }
+
+    fn mark_finishing(&mut self, items: &[(StepId, u32)], until_ms: u64) -> Change {
+        let mut change = Change::Nothing;
+        for (id, item) in items {
+            if let Some(progress) = self.progress_mut(*id, *item) {
+                progress.finishing_until_ms = until_ms;
+                change = Change::Progress(*id);
+            }
+        }
+        change
+    }
+
+    fn progress_mut(&mut self, id: StepId, item: u32) -> Option<&mut ItemProgress> {
+        self.steps.get_mut(&id)?.progress.get_mut(item as usize)
+    }
+
+    /// The step with the trainer's id.
+    pub fn by_name(&self, name: &str) -> Option<&Step> {
+        self.steps.get(self.by_name.get(name)?)
+    }
+
+    /// The step that this offset names.
+    pub fn get(&self, id: StepId) -> Option<&Step> {
+        self.steps.get(&id)
+    }
+
+    /// All steps, oldest first.
+    pub fn steps(&self) -> impl Iterator<Item = &Step> {
+        self.steps.values()
+    }
+
+    /// Forgets steps that this process read of more than `kept_ms` ago.
+    pub fn forget_before(&mut self, kept_ms: u64, now_ms: u64) {
+        let Self { steps, by_name } = self;
+        steps.retain(|_, step| now_ms < step.read_ms + kept_ms);
+        by_name.retain(|_, id| steps.contains_key(id));
+    }
+}
--- /dev/null
+++ b/components/steps/src/record.rs
@@ -0,0 +1,195 @@
+//! Records of the index: small, one for each thing that must outlive every process.
+
+use derive::{key, wire, wire_key};
+use quick_error::quick_error;
+
+quick_error! {
+    /// Why bytes are no record of the index.
+    #[derive(Debug)]
+    pub enum IndexError {
+        /// They can't be decoded.
+        Decode(reason: postcard::Error) {
+            source(reason)
+            display("cannot decode a record of the index: {}", reason)
+        }
+        /// The value can't be encoded.
+        Encode(reason: postcard::Error) {
+            source(reason)
+            display("cannot encode a record of the index: {}", reason)
+        }
+    }
+}
+
+/// Offset of the record that accepted a step; names the step in all later records.
+#[wire_key]
+pub struct StepId(pub u64);
+
+/// Consecutive records that hold the items of a step.
+#[wire]
+pub struct DataRange {
+    /// Partition of the topic for data.
+    pub partition: u32,
+    /// Offset of the first record.
+    pub offset: u64,
+    /// Number of records, one an item.
+    pub count: u32,
+}
+
+/// Place of one record in the topic for data.
+#[wire_key]
+pub struct Place {
+    /// Partition of the topic for data.
+    pub partition: u32,
+    /// Offset of the record.
+    pub offset: u64,
+    /// Its length.
+    pub bytes: u32,
+}
+
+/// What is kept in memory of an item.
+#[wire]
+pub struct ItemHead {
+    /// The trainer's id of the item.
+    pub id: String,
+    /// Number of its group, counted in the order of first appearance.
+    pub group: u16,
+    /// Tokens of its prompt and its longest output.
+    pub tokens: u32,
+    /// The trainer's guess at its output tokens; 0 without one.
+    pub hint_tokens: u32,
+}
+
+/// An accepted step.
+#[wire]
+pub struct StepHead {
+    /// The trainer's id of the step.
+    pub id: String,
+    /// Digest of what was submitted, so that a repetition is told from another step.
+    pub digest: [u8; 16],
+    /// Host of the route.
+    pub host: String,
+    /// Prefix of the route's paths; with the host it names the route.
+    pub prefix: String,
+    /// Model that is trained.
+    pub model: String,
+    /// Number of the step, counted by the trainer.
+    pub number: u64,
+    /// Oldest version of the weights that may make a token.
+    pub min_version: u64,
+    /// Whether one version must make a whole text.
+    pub single_version: bool,
+    /// Whole groups that the trainer waits for.
+    pub groups_wanted: u32,
+    /// Attempts of an item, and of its reward call, that may fail.
+    pub attempts_max: u32,
+    /// When all results are due, in milliseconds after the submission.
+    pub due_ms: u64,
+    /// When an item may be given up, in milliseconds after the submission.
+    pub retention_ms: u64,
+    /// Heads of the items, in the order of their data.
+    pub items: Vec<ItemHead>,
+    /// Where the items' data lies.
+    pub data: Vec<DataRange>,
+}
+
+impl StepHead {
+    /// Place of an item's data: partition and offset.
+    pub fn data_of(&self, item: usize) -> Option<(u32, u64)> {
+        let mut left = item as u64;
+        for range in &self.data {
+            if left < u64::from(range.count) {
+                return Some((range.partition, range.offset + left));
+            }
+            left -= u64::from(range.count);
+        }
+        None
+    }
+}
+
+/// Why an item has no text.
+#[wire_key]
+pub enum ErrorCause {
+    /// The replica says that it can never be done.
+    Impossible,
+    /// Its runs failed as often as is allowed.
+    Runs,
+    /// Its reward call failed as often as is allowed.
+    Reward,
+    /// Its time is up.
+    GivenUp,
+}
+
+/// How an item ended.
+#[wire]
+pub enum ResultState {
+    /// With a text and its score.
+    Succeeded {
+        /// Versions of the weights that made the text, ascending.
+        versions: Vec<u64>,
+        /// The scorer's signature.
+        score: String,
+        /// Where the text lies.
+        text: Place,
+    },
+    /// Without.
+    Errored(ErrorCause),
+}
+
+/// What of an item failed.
+#[key]
+#[derive(serde::Serialize, serde::Deserialize)]
+pub enum FailedPart {
+    /// A run at a replica of the model.
+    Run,
+    /// The reward call.
+    Reward,
+}
+
+/// A record of the index.
+#[wire]
+pub enum IndexRecord {
+    /// A step is accepted.
+    Accepted(Box<StepHead>),
+    /// An item has a result.
+    Listed {
+        /// Its step.
+        step: StepId,
+        /// Its number in the step.
+        item: u32,
+        /// How it ended.
+        state: ResultState,
+    },
+    /// A part of an item failed at a replica; counted over all processes.
+    Failed {
+        /// Its step.
+        step: StepId,
+        /// Its number in the step.
+        item: u32,
+        /// What failed.
+        part: FailedPart,
+    },
+    /// The trainer ended a step.
+    Ended {
+        /// The step.
+        step: StepId,
+    },
+    /// A leaving process still runs these items; others leave them alone for a while.
+    Finishing {
+        /// VM of the process.
+        node: String,
+        /// For how long from reading this, in milliseconds.
+        for_ms: u64,
+        /// Steps and numbers of the items.
+        items: Vec<(StepId, u32)>,
+    },
+}
+
+/// A record's bytes.
+pub fn encode(record: &IndexRecord) -> Result<Vec<u8>, IndexError> {
+    postcard::to_stdvec(record).map_err(IndexError::Encode)
+}
+
+/// The record in these bytes.
+pub fn decode(bytes: &[u8]) -> Result<IndexRecord, IndexError> {
+    postcard::from_bytes(bytes).map_err(IndexError::Decode)
+}
--- /dev/null
+++ b/components/steps/src/step.rs
@@ -0,0 +1,64 @@
+//! One accepted step.
+
+use std::sync::Arc;
+
+use derive::value;
+
+use crate::{ResultState, StepHead, StepId};
+
+/// A result at its position.
+#[value]
+pub struct ListedResult {
+    /// Number of the item in the step.
+    pub item: u32,
+    /// How it ended.
+    pub state: ResultState,
+}
+
+/// What is known of an item besides its head.
+#[value]
+#[derive(Copy, Default)]
+pub struct ItemProgress {
+    /// Whether it has a position.
+    pub listed: bool,
+    /// Runs that failed, over all processes.
+    pub failed_runs: u32,
+    /// Reward calls that failed, over all processes.
+    pub failed_rewards: u32,
+    /// Until when another process finishes it, in milliseconds of this process's clock.
+    pub finishing_until_ms: u64,
+}
+
+/// One accepted step.
+#[value]
+pub struct Step {
+    /// Names it in records.
+    pub id: StepId,
+    /// What was accepted.
+    pub head: Arc<StepHead>,
+    /// Results in the order of their positions.
+    pub results: Vec<Arc<ListedResult>>,
+    /// By number of the item.
+    pub progress: Vec<ItemProgress>,
+    /// Whether the trainer ended it.
+    pub ended: bool,
+    /// When this process read of it, in milliseconds of its clock.
+    pub read_ms: u64,
+}
+
+impl Step {
+    /// Whether every item has a result.
+    pub fn is_complete(&self) -> bool {
+        self.results.len() == self.head.items.len()
+    }
+
+    /// Whether items may still be run.
+    pub fn is_open(&self) -> bool {
+        !self.ended && !self.is_complete()
+    }
+
+    /// Number of the item with this id.
+    pub fn item(&self, id: &str) -> Option<usize> {
+        self.head.items.iter().position(|item| item.id == id)
+    }
+}
--- a/components/telemetry/src/lib.rs
+++ b/components/telemetry/src/lib.rs
@@ -5,6 +5,6 @@
 mod metrics;
 mod table;
 
-pub use logs::{LogGuard, LogLevel, LogsError, start_logs};
+pub use logs::{LogGuard, LogLevel, LogsError, Output, start_logs, start_logs_to};
 pub use metrics::{Label, Metrics, MetricsError, MetricsSettings};
 pub use table::{Row, SERIES_MAX};
--- a/components/telemetry/src/logs.rs
+++ b/components/telemetry/src/logs.rs
@@ -3,7 +3,7 @@
 //! A full queue drops lines and never holds up a request: whoever reads standard error
 //! may stall for any length of time.
 
-use logforth::append::Stderr;
+use logforth::append::{Stderr, Stdout};
 use logforth::append::asynchronous::AsyncBuilder;
 use logforth::layout::LogfmtLayout;
 use quick_error::quick_error;
@@ -70,14 +70,30 @@
     }
 }
 
-/// Sets up the process's log. Errors when one stands already.
+/// Where lines go.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Output {
+    /// Standard error.
+    Stderr,
+    /// Standard output.
+    Stdout,
+}
+
+/// Sets up the process's log on standard error. Errors when one stands already.
 pub fn start_logs(level: LogLevel) -> Result<LogGuard, LogsError> {
-    let stderr = Stderr::default().with_layout(LogfmtLayout::default());
-    let queued = AsyncBuilder::new("log")
+    start_logs_to(level, Output::Stderr)
+}
+
+/// Sets up the process's log. Errors when one stands already.
+pub fn start_logs_to(level: LogLevel, output: Output) -> Result<LogGuard, LogsError> {
+    let queue = AsyncBuilder::new("log")
         .buffered_lines_limit(Some(BUFFERED_LINES_MAX))
-        .overflow_drop_incoming()
-        .append(stderr)
-        .build();
+        .overflow_drop_incoming();
+    let queued = match output {
+        Output::Stderr => queue.append(Stderr::default().with_layout(LogfmtLayout::default())),
+        Output::Stdout => queue.append(Stdout::default().with_layout(LogfmtLayout::default())),
+    }
+    .build();
     logforth::starter_log::builder()
         .dispatch(|dispatch| dispatch.append(queued))
         .try_apply()
--- a/dev/bench/src/caller.rs
+++ b/dev/bench/src/caller.rs
@@ -6,8 +6,8 @@
 
 use bytes::Bytes;
 use derive::value;
-use platform::sse::{Parser, Transcript};
-use platform::{AnswerHead, Body, Endpoint, EndpointSettings, PlatformError, Request};
+use adapters::sse::{Parser, Transcript};
+use adapters::{AnswerHead, Body, Endpoint, EndpointSettings, PlatformError, Request};
 use types::WeightVersion;
 
 use crate::reply::{Ending, Problem, Reply};
--- a/dev/bench/src/error.rs
+++ b/dev/bench/src/error.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use platform::PlatformError;
+use adapters::PlatformError;
 use quick_error::quick_error;
 use standins::StandinError;
 use standins::trainer::TrainerError;
--- a/dev/bench/src/fleet/plan.rs
+++ b/dev/bench/src/fleet/plan.rs
@@ -3,7 +3,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 
-use platform::{Vm, VmRole, VmState};
+use adapters::{Vm, VmRole, VmState};
 use routing::Policy;
 
 use super::process::Program;
--- a/dev/bench/src/fleet/publisher.rs
+++ b/dev/bench/src/fleet/publisher.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use config::{Publish, RULES_NEWEST, Record};
-use platform::{ClientSettings, LogClient};
+use adapters::{ClientSettings, LogClient};
 use serde::Deserialize;
 use tokio::time::sleep;
 use types::CustomerName;
--- a/dev/bench/src/fleet/standins.rs
+++ b/dev/bench/src/fleet/standins.rs
@@ -2,7 +2,7 @@
 
 use std::net::{Ipv4Addr, SocketAddr};
 
-use platform::Vm;
+use adapters::Vm;
 use standins::Handle;
 use standins::engine::{self, EngineSettings, Speeds};
 use standins::log::{self, LogSettings};
--- a/dev/bench/src/status.rs
+++ b/dev/bench/src/status.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use platform::{Endpoint, EndpointSettings, Request};
+use adapters::{Endpoint, EndpointSettings, Request};
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 use tokio::time::sleep;
--- a/dev/proof/src/ask.rs
+++ b/dev/proof/src/ask.rs
@@ -2,8 +2,8 @@
 
 use bytes::Bytes;
 use derive::{key, value};
-use platform::Request;
-use platform::sse::{Parser, Transcript};
+use adapters::Request;
+use adapters::sse::{Parser, Transcript};
 use serde_json::{Value, json};
 use standins::engine::text_hash;
 
--- a/dev/proof/src/caller.rs
+++ b/dev/proof/src/caller.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use derive::{key, value};
-use platform::{AnswerHead, Endpoint, EndpointSettings, PlatformError};
+use adapters::{AnswerHead, Endpoint, EndpointSettings, PlatformError};
 use serde::Deserialize;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
--- a/dev/proof/src/error.rs
+++ b/dev/proof/src/error.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 
 use control::ControlError;
-use platform::PlatformError;
+use adapters::PlatformError;
 use quick_error::quick_error;
 use standins::StandinError;
 
--- a/dev/proof/src/site.rs
+++ b/dev/proof/src/site.rs
@@ -11,7 +11,7 @@
     Checked, PublishSettings, Published, check_file, is_in_force, publish, read_history, statuses,
 };
 use derive::value;
-use platform::{ClientSettings, LogClient, Request, Vm, VmRole, VmState};
+use adapters::{ClientSettings, LogClient, Request, Vm, VmRole, VmState};
 use standins::engine::{EngineSettings, Fencing, Speeds};
 use standins::log::LogSettings;
 use standins::scorer::ScorerSettings;
--- a/dev/proof/src/status.rs
+++ b/dev/proof/src/status.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use bytes::Bytes;
-use platform::{Endpoint, EndpointSettings, Request};
+use adapters::{Endpoint, EndpointSettings, Request};
 use serde_json::Value;
 
 use crate::ProofError;
--- a/dev/proof/tests/configuration.rs
+++ b/dev/proof/tests/configuration.rs
@@ -143,7 +143,7 @@
         site.replace(|site| &mut site.agents[at]).await.unwrap();
     }
     for entry in &site.entries {
-        let ready = exchange(entry.admin, platform::Request::new("GET", "/readyz")).await;
+        let ready = exchange(entry.admin, adapters::Request::new("GET", "/readyz")).await;
         assert!(
             matches!(ready, Err(ProofError::Status(..))),
             "ready without a text"
--- a/dev/proof/tests/crashing/mod.rs
+++ b/dev/proof/tests/crashing/mod.rs
@@ -2,7 +2,7 @@
 #![allow(dead_code, clippy::unwrap_used)] // The exemption of clippy.toml ends at helpers of tests.
 
 use futures_util::future::join_all;
-use platform::Request;
+use adapters::Request;
 use proof::{Ask, Ending, Kind, Site, SiteSettings, exchange, until};
 use standins::{Fault, FaultKind};
 
--- a/dev/proof/tests/isolation.rs
+++ b/dev/proof/tests/isolation.rs
@@ -3,7 +3,7 @@
 
 use bytes::Bytes;
 use futures_util::future::join_all;
-use platform::{Endpoint, EndpointSettings, Request};
+use adapters::{Endpoint, EndpointSettings, Request};
 use proof::{Ask, Ending, Kind, Site, SiteSettings};
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpStream, UdpSocket};
--- a/dev/proof/tests/leaving.rs
+++ b/dev/proof/tests/leaving.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use futures_util::future::join_all;
-use platform::VmState;
+use adapters::VmState;
 use proof::{Answer, Ask, Ending, Kind, Pending, Site, SiteSettings, page, replicas, until};
 
 const SERVICE_MS: u64 = 700;
@@ -138,7 +138,7 @@
 
 /// Calls that an endpoint ran.
 async fn total(site: &Site, service: usize) -> u64 {
-    let request = platform::Request::new("GET", "/standin/total");
+    let request = adapters::Request::new("GET", "/standin/total");
     let body = proof::exchange(site.services[service].address, request)
         .await
         .unwrap();
--- a/dev/proof/tests/training.rs
+++ b/dev/proof/tests/training.rs
@@ -161,9 +161,9 @@
     let order = serde_json::json!({"model": "redacteurs", "version": "0.0", "fence": 0});
     for engine in &site.engines {
         for path in ["/engine/load", "/engine/switch"] {
-            let request = platform::Request {
+            let request = adapters::Request {
                 body: order.to_string().into(),
-                ..platform::Request::new("POST", path)
+                ..adapters::Request::new("POST", path)
             };
             exchange(engine.address, request).await?;
         }
--- a/dev/standins/src/engine/batch.rs
+++ b/dev/standins/src/engine/batch.rs
@@ -1,6 +1,6 @@
 //! Sequences: those that wait, by priority, and those in the batch.
 
-use platform::prefix_blocks;
+use adapters::prefix_blocks;
 use std::time::Duration;
 use tokio::sync::mpsc;
 use types::WeightVersion;
--- a/dev/standins/src/engine/kv.rs
+++ b/dev/standins/src/engine/kv.rs
@@ -3,7 +3,7 @@
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
-use platform::{CacheEvent, CacheEventKind, CachePage};
+use adapters::{CacheEvent, CacheEventKind, CachePage};
 use tokio::time::Instant;
 
 use super::text::mixed;
--- a/dev/standins/src/engine/orders.rs
+++ b/dev/standins/src/engine/orders.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use platform::{EngineModel, EngineState};
+use adapters::{EngineModel, EngineState};
 use types::WeightVersion;
 
 use super::settings::{EngineSettings, Fencing};
--- a/dev/standins/src/engine/reports.rs
+++ b/dev/standins/src/engine/reports.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use platform::LoadReport;
+use adapters::LoadReport;
 use tokio::time::Instant;
 
 const KEPT_MAX: usize = 10_000;
--- a/dev/standins/src/engine/server.rs
+++ b/dev/standins/src/engine/server.rs
@@ -3,7 +3,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use platform::{ClientSettings, LoadReport, WeightStore};
+use adapters::{ClientSettings, LoadReport, WeightStore};
 use serde::{Deserialize, Serialize};
 use tokio::sync::{Notify, mpsc};
 use tokio::time::sleep;
--- a/dev/standins/src/engine/swap.rs
+++ b/dev/standins/src/engine/swap.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use platform::PlatformError;
+use adapters::PlatformError;
 use serde::{Deserialize, Deserializer};
 use types::WeightVersion;
 
--- a/dev/standins/src/log.rs
+++ b/dev/standins/src/log.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use derive::value;
-use platform::{LogPage, LogRecord};
+use adapters::{LogPage, LogRecord};
 use serde::Serialize;
 use tokio::sync::watch;
 use tokio::time::{Instant, timeout_at};
--- a/dev/standins/src/run.rs
+++ b/dev/standins/src/run.rs
@@ -4,7 +4,7 @@
 use std::process::ExitCode;
 
 use clap::ArgMatches;
-use platform::{Vm, VmState};
+use adapters::{Vm, VmState};
 use quick_error::quick_error;
 use standins::engine::{EngineSettings, Fencing, Speeds};
 use standins::log::LogSettings;
@@ -156,7 +156,7 @@
 fn vm(text: &str) -> Option<Vm> {
     let mut parts = text.split(',');
     let vm = Vm {
-        role: platform::VmRole::parse(parts.next()?)?,
+        role: adapters::VmRole::parse(parts.next()?)?,
         address: parts.next()?.parse().ok()?,
         failure_domain: parts.next()?.parse().ok()?,
         region: parts.next()?.parse().ok()?,
--- a/dev/standins/src/trainer/entries.rs
+++ b/dev/standins/src/trainer/entries.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use platform::{Endpoint, EndpointSettings, PlatformError, Request};
+use adapters::{Endpoint, EndpointSettings, PlatformError, Request};
 use quick_error::quick_error;
 use serde::Serialize;
 use tokio::time::{Instant, sleep};
--- a/dev/standins/src/vms.rs
+++ b/dev/standins/src/vms.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use derive::{value, wire};
-use platform::Vm;
+use adapters::Vm;
 use serde::Serialize;
 use tokio::time::Instant;
 
--- a/dev/standins/tests/engine.rs
+++ b/dev/standins/tests/engine.rs
@@ -4,8 +4,8 @@
 
 use std::net::SocketAddr;
 
-use platform::sse::{Finish, Parser, Transcript};
-use platform::{
+use adapters::sse::{Finish, Parser, Transcript};
+use adapters::{
     CacheEventKind, ClientSettings, Endpoint, EndpointSettings, Engine, PlatformError, Request,
     Response, prefix_blocks,
 };
--- a/dev/standins/tests/service.rs
+++ b/dev/standins/tests/service.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-use platform::{Endpoint, EndpointSettings, PlatformError, Request};
+use adapters::{Endpoint, EndpointSettings, PlatformError, Request};
 use standins::service::ServiceSettings;
 use standins::{Fault, FaultKind, Handle};
 
