--- a/bin/ctl/src/cmd/mod.rs
+++ b/bin/ctl/src/cmd/mod.rs
@@ -14,8 +14,8 @@
 use std::future::Future;
 use std::path::Path;
 
-use clap::ArgMatches;
 use adapters::{ClientSettings, LogClient};
+use clap::ArgMatches;
 use settings::{SettingsError, address, required};
 
 use failure::Failure;
--- a/bin/hornbeamrock/src/main.rs
+++ b/bin/hornbeamrock/src/main.rs
@@ -37,7 +37,9 @@
     let _logs = telemetry::start_logs_to(level, Output::Stdout)?;
     // On one core a second thread costs memory and wake-ups and runs no earlier.
     let runtime = match settings.cores {
-        0 | 1 => tokio::runtime::Builder::new_current_thread().enable_all().build()?,
+        0 | 1 => tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()?,
         cores => tokio::runtime::Builder::new_multi_thread()
             .worker_threads(cores)
             .enable_all()
--- a/components/control/src/error.rs
+++ b/components/control/src/error.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
-use config::{Complaints, RecordError, Refusal};
 use adapters::PlatformError;
+use config::{Complaints, RecordError, Refusal};
 use quick_error::quick_error;
 
 /// Exit codes of `hornbeamrockctl`, as its manual page lists them.
--- a/components/control/src/history.rs
+++ b/components/control/src/history.rs
@@ -2,8 +2,8 @@
 
 use std::sync::Arc;
 
-use config::{Accepted, Ledger, Record, Verdict};
 use adapters::LogClient;
+use config::{Accepted, Ledger, Record, Verdict};
 use serde::Serialize;
 use types::CustomerName;
 
--- a/components/control/src/publish.rs
+++ b/components/control/src/publish.rs
@@ -8,8 +8,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use config::{Accepted, Publish, Record, Refusal, Verdict, line_diff};
 use adapters::{LogClient, PlatformError};
+use config::{Accepted, Publish, Record, Refusal, Verdict, line_diff};
 use rand::RngExt;
 use serde::Serialize;
 use tokio::time::{Instant, sleep};
--- a/components/control/src/rollback.rs
+++ b/components/control/src/rollback.rs
@@ -3,8 +3,8 @@
 
 use std::net::SocketAddr;
 
-use bytes::Bytes;
 use adapters::Request;
+use bytes::Bytes;
 use serde::Serialize;
 use types::{ServiceName, WeightVersion};
 
--- a/components/control/tests/publish.rs
+++ b/components/control/tests/publish.rs
@@ -3,10 +3,10 @@
 
 #![allow(clippy::unwrap_used, clippy::panic)]
 
+use adapters::{ClientSettings, LogClient};
 use control::{
     Checked, ControlError, ExitCode, History, PublishSettings, check_source, publish, read_history,
 };
-use adapters::{ClientSettings, LogClient};
 use standins::log::{self, LogSettings};
 use standins::{Fault, FaultKind, Handle};
 
--- a/components/dispatch/src/load.rs
+++ b/components/dispatch/src/load.rs
@@ -28,7 +28,9 @@
 impl Typical {
     /// Starts from a guess, in milliseconds.
     pub fn new(guess_ms: u64) -> Self {
-        Self { us: AtomicU64::new(guess_ms.max(1) * 1_000) }
+        Self {
+            us: AtomicU64::new(guess_ms.max(1) * 1_000),
+        }
     }
 
     /// In microseconds.
@@ -64,7 +66,11 @@
         if background {
             self.background.fetch_add(1, Ordering::Relaxed);
         }
-        InFlight { load: Arc::clone(self), typical_us, background }
+        InFlight {
+            load: Arc::clone(self),
+            typical_us,
+            background,
+        }
     }
 
     /// Calls in progress.
@@ -91,7 +97,9 @@
     /// Takes a call that was given to another replica for lack of an answer after this time.
     pub fn overtaken(&self, typical: &Typical, waited_us: u64, now_ms: u64) {
         let ratio = (waited_us * EVEN / typical.us().max(1)).min(SLOWEST);
-        let mean = self.slowness(now_ms).max((self.slowness(now_ms) + ratio) / 2);
+        let mean = self
+            .slowness(now_ms)
+            .max((self.slowness(now_ms) + ratio) / 2);
         self.slowness.store(mean, Ordering::Relaxed);
         self.observed_ms.store(now_ms, Ordering::Relaxed);
     }
@@ -100,7 +108,8 @@
     pub fn failed(&self, now_ms: u64) {
         let row = self.failures.fetch_add(1, Ordering::Relaxed) + 1;
         if row >= FAILURES_MAX {
-            self.left_out_until_ms.store(now_ms + LEFT_OUT_MS, Ordering::Relaxed);
+            self.left_out_until_ms
+                .store(now_ms + LEFT_OUT_MS, Ordering::Relaxed);
         }
     }
 
@@ -140,7 +149,9 @@
 impl Drop for InFlight {
     fn drop(&mut self) {
         self.load.calls.fetch_sub(1, Ordering::Relaxed);
-        self.load.work_us.fetch_sub(self.typical_us, Ordering::Relaxed);
+        self.load
+            .work_us
+            .fetch_sub(self.typical_us, Ordering::Relaxed);
         if self.background {
             self.load.background.fetch_sub(1, Ordering::Relaxed);
         }
--- a/components/dispatch/src/registry.rs
+++ b/components/dispatch/src/registry.rs
@@ -80,7 +80,13 @@
         }
         let id = Arc::clone(&replica.id);
         let replica = Arc::new(replica);
-        self.entries.insert(id, Entry { replica, vanished: false });
+        self.entries.insert(
+            id,
+            Entry {
+                replica,
+                vanished: false,
+            },
+        );
         Revision::Changed
     }
 
@@ -126,7 +132,8 @@
     }
 
     fn is_trusted(&self, now_ms: u64) -> bool {
-        self.store_since_ms.is_some_and(|since_ms| now_ms >= since_ms + RETURN_MS)
+        self.store_since_ms
+            .is_some_and(|since_ms| now_ms >= since_ms + RETURN_MS)
     }
 
     /// Drops replicas whose record did not come back in time.
--- a/components/dispatch/src/routes.rs
+++ b/components/dispatch/src/routes.rs
@@ -61,7 +61,11 @@
 impl Route {
     /// The service that these random bits draw by the weights.
     pub fn draw(&self, random: u64) -> Option<&Arc<str>> {
-        let total: u64 = self.backends.iter().map(|backend| u64::from(backend.weight)).sum();
+        let total: u64 = self
+            .backends
+            .iter()
+            .map(|backend| u64::from(backend.weight))
+            .sum();
         if total == 0 {
             return None;
         }
@@ -120,12 +124,20 @@
     ) -> Self {
         let mut by_host: HashMap<Arc<str>, Vec<Arc<Route>>> = HashMap::new();
         for route in routes {
-            by_host.entry(Arc::clone(&route.host)).or_default().push(Arc::new(route));
+            by_host
+                .entry(Arc::clone(&route.host))
+                .or_default()
+                .push(Arc::new(route));
         }
         for routes in by_host.values_mut() {
             routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
         }
-        Self { version, by_host, services, limits }
+        Self {
+            version,
+            by_host,
+            services,
+            limits,
+        }
     }
 
     /// The route with the longest prefix of `path` at `host`.
--- a/components/front/src/calls.rs
+++ b/components/front/src/calls.rs
@@ -91,7 +91,11 @@
                     flights.push(attempt(spec, member, Arc::clone(&typical)));
                 }
                 None => {
-                    let end = if may_have_run { CallEnd::Unknown } else { CallEnd::NotRun };
+                    let end = if may_have_run {
+                        CallEnd::Unknown
+                    } else {
+                        CallEnd::NotRun
+                    };
                     break CallOutcome::End(end, "no replica".to_owned());
                 }
             }
@@ -257,7 +261,10 @@
         .flat_map(|service| table.of(service))
         .find(|member| tried.contains(&member.replica.id));
     if let Some(member) = slow {
-        member.peer.load.overtaken(typical, typical.us() * HEDGE_TIMES, now_ms());
+        member
+            .peer
+            .load
+            .overtaken(typical, typical.us() * HEDGE_TIMES, now_ms());
         log::info!(
             event = "call_hedged", id = spec.request_id, route = &*spec.route.name,
             replica = &*member.replica.id, typical_us = typical.us(); ""
@@ -268,7 +275,11 @@
 async fn attempt(spec: &CallSpec<'_>, member: Member, typical: Arc<Typical>) -> Attempt {
     let load = &member.peer.load;
     let _in_flight = load.begin(typical.us(), spec.background);
-    let failed = |end, why| Attempt { end, answer: None, why };
+    let failed = |end, why| Attempt {
+        end,
+        answer: None,
+        why,
+    };
     let began_us = now_us();
     let mut connection = match member.peer.connection(&member.replica).await {
         Ok(connection) => connection,
@@ -296,11 +307,19 @@
             if answer.status.is_server_error() {
                 let why = format!("status {}", answer.status.as_u16());
                 let answer = Some(Box::new(answer));
-                return Attempt { end: AttemptEnd::Unknown, answer, why };
+                return Attempt {
+                    end: AttemptEnd::Unknown,
+                    answer,
+                    why,
+                };
             }
             load.succeeded(&typical, now_us() - began_us, now_ms());
             let answer = Some(Box::new(answer));
-            Attempt { end: AttemptEnd::Answered, answer, why: String::new() }
+            Attempt {
+                end: AttemptEnd::Answered,
+                answer,
+                why: String::new(),
+            }
         }
         Err(error) => {
             if !matches!(error, ReplicaError::NotRun(_)) {
--- a/components/front/src/follow.rs
+++ b/components/front/src/follow.rs
@@ -59,7 +59,10 @@
         let mut keys = Vec::with_capacity(newest.len());
         for record in newest {
             keys.push(ReplicaId::from(record.key.as_str()));
-            if offsets.get(&record.key).is_none_or(|known| *known < record.offset) {
+            if offsets
+                .get(&record.key)
+                .is_none_or(|known| *known < record.offset)
+            {
                 offsets.insert(record.key.clone(), record.offset);
                 take(KeyedNews::Key(record.key, Some(record.value)));
             }
@@ -68,7 +71,11 @@
         take(KeyedNews::Settled);
         let mut next = end;
         loop {
-            match front.store.read(topic, 0, next, READ_KB, WAIT_MS, within).await {
+            match front
+                .store
+                .read(topic, 0, next, READ_KB, WAIT_MS, within)
+                .await
+            {
                 Ok(page) => {
                     for record in page.records {
                         let offset = next;
@@ -117,7 +124,11 @@
         };
         match records::operator_record(&key, &value) {
             Ok(OperatorRecord::Routes(routes)) => {
-                let in_force = front.routes.load().as_ref().map_or(0, |known| known.version);
+                let in_force = front
+                    .routes
+                    .load()
+                    .as_ref()
+                    .map_or(0, |known| known.version);
                 // An old version can be read again after the history was lost; nobody goes
                 // back to it.
                 if routes.version > in_force {
@@ -127,7 +138,9 @@
             }
             Ok(OperatorRecord::Named { model, version }) => name_version(&front, model, version),
             Ok(OperatorRecord::Other) => {}
-            Err(error) => log::warn!(event = "record_odd", topic = OPERATOR_TOPIC, error:% = error; ""),
+            Err(error) => {
+                log::warn!(event = "record_odd", topic = OPERATOR_TOPIC, error:% = error; "")
+            }
         }
     })
     .await;
--- a/components/front/src/jobs.rs
+++ b/components/front/src/jobs.rs
@@ -44,11 +44,19 @@
 
 impl Told {
     fn new(status: StatusCode, why: &'static str) -> Self {
-        Self { status, again_ms: None, why }
+        Self {
+            status,
+            again_ms: None,
+            why,
+        }
     }
 
     fn again(why: &'static str) -> Self {
-        Self { status: StatusCode::SERVICE_UNAVAILABLE, again_ms: Some(AGAIN_MS), why }
+        Self {
+            status: StatusCode::SERVICE_UNAVAILABLE,
+            again_ms: Some(AGAIN_MS),
+            why,
+        }
     }
 }
 
@@ -85,10 +93,13 @@
 }
 
 fn serves_model(routes: &Routes, route: &Route, model: &str) -> bool {
-    route.backends.iter().any(|backend| match routes.services.get(&backend.service) {
-        Some(service) => service.models.iter().any(|known| **known == *model),
-        None => false,
-    })
+    route
+        .backends
+        .iter()
+        .any(|backend| match routes.services.get(&backend.service) {
+            Some(service) => service.models.iter().any(|known| **known == *model),
+            None => false,
+        })
 }
 
 /// What a repetition is told.
@@ -167,9 +178,8 @@
     // Half of what one call may bring, so that two steps at once hold little memory.
     let batch_bytes = front.settings.store.call_bytes / 2;
     for item in &submission.data {
-        let encoded = encode_item(item).map_err(|error| {
-            WriteError::Store(StoreError::NotDone(error.to_string()))
-        })?;
+        let encoded = encode_item(item)
+            .map_err(|error| WriteError::Store(StoreError::NotDone(error.to_string())))?;
         if encoded.len() > front.settings.store.record_bytes {
             let why = format!("an item of {} bytes is longer than a record", encoded.len());
             return Err(WriteError::Store(StoreError::NotDone(why)));
@@ -194,9 +204,17 @@
     let within = Duration::from_millis(APPEND_MS);
     loop {
         // Data that landed without an answer is named by nobody and expires.
-        match front.store.append(DATA_TOPIC, partition, records, within).await {
+        match front
+            .store
+            .append(DATA_TOPIC, partition, records, within)
+            .await
+        {
             Ok(offset) => {
-                return Ok(DataRange { partition, offset, count: records.len() as u32 });
+                return Ok(DataRange {
+                    partition,
+                    offset,
+                    count: records.len() as u32,
+                });
             }
             Err(error) if now_ms() - began_ms > REFUSE_AFTER_MS => {
                 return Err(WriteError::Store(error));
--- a/components/front/src/leader.rs
+++ b/components/front/src/leader.rs
@@ -96,8 +96,11 @@
         if service.models.is_empty() {
             continue;
         }
-        let members: Vec<&Member> =
-            table.of(name).iter().filter(|member| !member.replica.draining).collect();
+        let members: Vec<&Member> = table
+            .of(name)
+            .iter()
+            .filter(|member| !member.replica.draining)
+            .collect();
         let models = models(front, &service.models);
         let fleet = fleet(&members, models, ordered, now_ms);
         for load in plan(&fleet, &OrderSettings::default()) {
@@ -123,7 +126,10 @@
     ordered.retain(|id, order| {
         let member = members.iter().find(|member| member.replica.id == *id);
         let arrived = member.is_some_and(|member| {
-            member.replica.version_of(&order.model).is_some_and(|held| held >= order.version)
+            member
+                .replica
+                .version_of(&order.model)
+                .is_some_and(|held| held >= order.version)
         });
         !arrived && member.is_some() && now_ms < order.until_ms
     });
@@ -137,22 +143,26 @@
             .iter()
             .map(|model| member.replica.version_of(&model.name).unwrap_or(0))
             .collect();
-        Node { id: member.replica.id.to_string(), versions, loading, free: order.is_none() }
+        Node {
+            id: member.replica.id.to_string(),
+            versions,
+            loading,
+            free: order.is_none(),
+        }
     };
     let nodes = members.iter().map(node).collect();
     Fleet { models, nodes }
 }
 
-fn begin_order(
-    front: &Arc<Front>,
-    ordered: &Ledger,
-    member: Member,
-    model: Arc<str>,
-    load: &Load,
-) {
+fn begin_order(front: &Arc<Front>, ordered: &Ledger, member: Member, model: Arc<str>, load: &Load) {
     let version = load.version;
     let until_ms = now_ms() + LOAD_MS;
-    let order = Ordered { model: Arc::clone(&model), version, until_ms, accepted: true };
+    let order = Ordered {
+        model: Arc::clone(&model),
+        version,
+        until_ms,
+        accepted: true,
+    };
     locked(ordered).insert(Arc::clone(&member.replica.id), order);
     let (front, ordered) = (Arc::clone(front), Arc::clone(ordered));
     tokio::spawn(async move {
@@ -162,7 +172,9 @@
             Ok(Some(answer)) => log::info!(
                 event = "order_given", replica = id, model = &*model, version, answer:? = answer; ""
             ),
-            Ok(None) => log::info!(event = "order_held_back", replica = id, model = &*model, version; ""),
+            Ok(None) => {
+                log::info!(event = "order_held_back", replica = id, model = &*model, version; "")
+            }
             Err(error) => log::warn!(
                 event = "order_failed", replica = id, model = &*model, version, error:% = error; ""
             ),
--- a/components/front/src/member.rs
+++ b/components/front/src/member.rs
@@ -28,7 +28,14 @@
         let within = Duration::from_millis(WITHIN_MS);
         let joined = front
             .store
-            .join(RUNNER_GROUP, &member, RUNNER_TOPIC, ttl_ms, generation, within)
+            .join(
+                RUNNER_GROUP,
+                &member,
+                RUNNER_TOPIC,
+                ttl_ms,
+                generation,
+                within,
+            )
             .await;
         match joined {
             Ok(membership) => {
@@ -41,7 +48,10 @@
                 generation = membership.generation;
                 let partitions = membership.partitions.into_iter().collect();
                 let until_ms = sent_ms + ttl_ms;
-                front.owned.store(Arc::new(Ownership { partitions, until_ms }));
+                front.owned.store(Arc::new(Ownership {
+                    partitions,
+                    until_ms,
+                }));
                 front.runner_news.notify_one();
             }
             Err(error) => {
@@ -56,7 +66,11 @@
 pub async fn leave(front: &Front) {
     front.owned.store(Arc::default());
     let within = Duration::from_millis(WITHIN_MS);
-    if let Err(error) = front.store.leave(RUNNER_GROUP, &member_name(front), within).await {
+    if let Err(error) = front
+        .store
+        .leave(RUNNER_GROUP, &member_name(front), within)
+        .await
+    {
         log::warn!(event = "leave_failed", error:% = error; "");
     }
 }
--- a/components/front/src/peers.rs
+++ b/components/front/src/peers.rs
@@ -64,12 +64,18 @@
         if idle.len() == IDLE_MAX {
             idle.remove(0);
         }
-        idle.push(Idle { connection, until_ms });
+        idle.push(Idle {
+            connection,
+            until_ms,
+        });
     }
 
     /// Closes all kept connections, as one of them was silent or brought odd bytes.
     pub fn forget_connections(&self) {
-        self.idle.lock().unwrap_or_else(PoisonError::into_inner).clear();
+        self.idle
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clear();
     }
 }
 
@@ -98,8 +104,14 @@
         let mut by_service: HashMap<Arc<str>, Vec<Member>> = HashMap::new();
         for replica in replicas {
             let peer = known.remove(&replica.id).unwrap_or_default();
-            let member = Member { replica: Arc::clone(replica), peer };
-            by_service.entry(Arc::clone(&replica.service)).or_default().push(member);
+            let member = Member {
+                replica: Arc::clone(replica),
+                peer,
+            };
+            by_service
+                .entry(Arc::clone(&replica.service))
+                .or_default()
+                .push(member);
         }
         Self { by_service }
     }
--- a/components/front/src/results.rs
+++ b/components/front/src/results.rs
@@ -155,7 +155,10 @@
         let within = Duration::from_millis(READ_MS);
         let from = first.offset + texts.len() as u64;
         let kb = bytes / 1_024 + READ_EXTRA_KB;
-        let page = front.store.read(DATA_TOPIC, first.partition, from, kb, 0, within).await?;
+        let page = front
+            .store
+            .read(DATA_TOPIC, first.partition, from, kb, 0, within)
+            .await?;
         if page.records.is_empty() {
             return Err(StoreError::Malformed(format!("no record at {from}")));
         }
@@ -167,7 +170,9 @@
 fn add(page: &mut ResultsPage, head: &StepHead, result: &ListedResult, text: &[u8]) {
     let id = &head.items[result.item as usize].id;
     match &result.state {
-        ResultState::Succeeded { versions, score, .. } => {
+        ResultState::Succeeded {
+            versions, score, ..
+        } => {
             page.succeeded(id, &String::from_utf8_lossy(text), versions, score);
         }
         ResultState::Errored(_) => page.errored(id),
@@ -185,7 +190,10 @@
         return missing(front);
     };
     let within = Duration::from_millis(READ_MS);
-    let read = front.store.read(DATA_TOPIC, partition, offset, 1, 0, within).await;
+    let read = front
+        .store
+        .read(DATA_TOPIC, partition, offset, 1, 0, within)
+        .await;
     let record = read.and_then(|page| {
         let first = page.records.into_iter().next();
         first.ok_or_else(|| StoreError::Malformed(format!("no record at {offset}")))
--- a/components/front/src/reward.rs
+++ b/components/front/src/reward.rs
@@ -26,7 +26,9 @@
 ) -> Option<String> {
     loop {
         let routes = front.routes.load_full();
-        let route = routes.as_ref().and_then(|routes| routes.find(&scorer.host, &scorer.path));
+        let route = routes
+            .as_ref()
+            .and_then(|routes| routes.find(&scorer.host, &scorer.path));
         let Some(route) = route else {
             // The route may come with the next version of the configuration.
             tokio::time::sleep(Duration::from_millis(PAUSE_MS)).await;
--- a/components/front/src/run_item.rs
+++ b/components/front/src/run_item.rs
@@ -83,7 +83,10 @@
 
 /// Runs an item until the run ends; what it makes is added to `partial`.
 pub async fn run(spec: &RunSpec, partial: &mut Partial) -> Ran {
-    let without_pace = |end| Ran { end, event_us: None };
+    let without_pace = |end| Ran {
+        end,
+        event_us: None,
+    };
     let mut item_run = match start(spec, partial).await {
         Ok(ItemStart::Running(run)) => run,
         Ok(ItemStart::Failed) => return without_pace(RunEnd::Failed),
@@ -115,12 +118,18 @@
                 if let Some((connection, keep_ms)) = item_run.finish().await {
                     spec.member.peer.keep(connection, keep_ms);
                 }
-                return Ran { end: RunEnd::Whole, event_us: pace(partial, first, began_us) };
+                return Ran {
+                    end: RunEnd::Whole,
+                    event_us: pace(partial, first, began_us),
+                };
             }
             Err(error) => break ended_by(error),
         }
     };
-    Ran { end, event_us: pace(partial, first, began_us) }
+    Ran {
+        end,
+        event_us: pace(partial, first, began_us),
+    }
 }
 
 fn pace(partial: &Partial, first: u64, began_us: u64) -> Option<u64> {
@@ -150,7 +159,9 @@
 /// An event under a version that must not stand in the text ends the run before it is taken.
 fn check_version(spec: &RunSpec, partial: &mut Partial, run: &ItemRun) -> Result<(), RunEnd> {
     let Some(version) = run.version() else {
-        return Err(RunEnd::Broken("the replica does not say which version it has".to_owned()));
+        return Err(RunEnd::Broken(
+            "the replica does not say which version it has".to_owned(),
+        ));
     };
     if version < spec.min_version {
         return Err(RunEnd::NotRun(format!("version {version} is too old")));
@@ -158,7 +169,9 @@
     if spec.single_version && partial.versions.iter().any(|held| *held != version) {
         // The text began under another version and is no use any more.
         *partial = Partial::default();
-        return Err(RunEnd::Broken(format!("version {version} came in the middle")));
+        return Err(RunEnd::Broken(format!(
+            "version {version} came in the middle"
+        )));
     }
     Ok(())
 }
--- a/components/front/src/runner.rs
+++ b/components/front/src/runner.rs
@@ -167,7 +167,10 @@
         let Some((head, progress)) = self.step_of(key) else {
             return;
         };
-        let engine = self.engines.entry(Arc::clone(&replica)).or_insert_with(EngineState::new);
+        let engine = self
+            .engines
+            .entry(Arc::clone(&replica))
+            .or_insert_with(EngineState::new);
         if let Some(event_us) = ran.event_us {
             engine.event_us = match engine.event_us {
                 0 => event_us,
@@ -226,7 +229,11 @@
 
     /// Has a whole text scored and written.
     fn settle(&mut self, key: Key, head: &StepHead, partial: Partial, failed_rewards: u32) {
-        let Some(data) = self.data.get(&key.0).and_then(|data| data.get(key.1 as usize)) else {
+        let Some(data) = self
+            .data
+            .get(&key.0)
+            .and_then(|data| data.get(key.1 as usize))
+        else {
             return;
         };
         let (front, data) = (Arc::clone(&self.front), Arc::clone(data));
@@ -245,15 +252,30 @@
                         versions:? = partial.versions; ""
                     );
                     let text = Bytes::from(partial.text);
-                    Outcome::Text { text, versions: partial.versions, score }
+                    Outcome::Text {
+                        text,
+                        versions: partial.versions,
+                        score,
+                    }
                 }
                 None => Outcome::Error(ErrorCause::Reward),
             };
             // The writer ends with the process only.
-            let _ = ended.send(Ended { step, item, outcome }).await;
+            let _ = ended
+                .send(Ended {
+                    step,
+                    item,
+                    outcome,
+                })
+                .await;
             let _ = news.send(News::Settled);
         });
-        self.running.insert(key, Running { abort: task.abort_handle() });
+        self.running.insert(
+            key,
+            Running {
+                abort: task.abort_handle(),
+            },
+        );
     }
 
     /// Lists an item without a text.
@@ -263,9 +285,20 @@
         let ended = self.ended.clone();
         let task = tokio::spawn(async move {
             let outcome = Outcome::Error(cause);
-            let _ = ended.send(Ended { step, item, outcome }).await;
+            let _ = ended
+                .send(Ended {
+                    step,
+                    item,
+                    outcome,
+                })
+                .await;
         });
-        self.running.insert(key, Running { abort: task.abort_handle() });
+        self.running.insert(
+            key,
+            Running {
+                abort: task.abort_handle(),
+            },
+        );
     }
 
     fn look(&mut self) {
@@ -289,14 +322,18 @@
         let wanted = |key: &Key| {
             index.ledger.get(key.0).is_some_and(|step| {
                 let mine = leaving || front.runs(&step.head.model, now_ms);
-                let listed = step.progress.get(key.1 as usize).is_none_or(|item| item.listed);
+                let listed = step
+                    .progress
+                    .get(key.1 as usize)
+                    .is_none_or(|item| item.listed);
                 !step.ended && !listed && mine
             })
         };
         self.running.retain(|key, _| wanted(key));
         self.partials.retain(|key, _| wanted(key));
         self.failed_runs.retain(|key, _| wanted(key));
-        self.data.retain(|step, _| index.ledger.get(*step).is_some_and(Step::is_open));
+        self.data
+            .retain(|step, _| index.ledger.get(*step).is_some_and(Step::is_open));
     }
 
     /// Waiting items of the steps that this front runs; asks for the data of those it lacks.
@@ -400,7 +437,9 @@
             candidates = later;
             match routes.exact(&head.host, &head.prefix) {
                 Some(route) => self.start_on(route, &head, now, now_ms),
-                None => now.iter().for_each(|item| self.give_up(item.key, ErrorCause::GivenUp)),
+                None => now
+                    .iter()
+                    .for_each(|item| self.give_up(item.key, ErrorCause::GivenUp)),
             }
         }
     }
@@ -419,9 +458,14 @@
             .map(|item| {
                 let broke_at = self.partials.get(&item.key).and_then(|(_, at)| at.as_ref());
                 let avoid = broke_at.and_then(|broke_at| {
-                    members.iter().position(|member| member.replica.id == *broke_at)
+                    members
+                        .iter()
+                        .position(|member| member.replica.id == *broke_at)
                 });
-                Waiting { avoid, ..item.waiting.clone() }
+                Waiting {
+                    avoid,
+                    ..item.waiting.clone()
+                }
             })
             .collect();
         for Placed { item, engine } in place(&waiting, &mut engines) {
@@ -429,16 +473,17 @@
         }
         for (member, engine) in members.iter().zip(engines) {
             if let Some(state) = self.engines.get_mut(&member.replica.id) {
-                state.prompts.insert(head.model.as_str().into(), (engine.version, engine.prompts));
+                state
+                    .prompts
+                    .insert(head.model.as_str().into(), (engine.version, engine.prompts));
             }
         }
     }
 
     fn engines_for(&mut self, members: &[Member], model: &str, now_ms: u64) -> Vec<Engine> {
         let listed: HashSet<&ReplicaId> = members.iter().map(|member| &member.replica.id).collect();
-        self.engines.retain(|id, state| {
-            listed.contains(id) || state.running.load(Ordering::Relaxed) > 0
-        });
+        self.engines
+            .retain(|id, state| listed.contains(id) || state.running.load(Ordering::Relaxed) > 0);
         for member in members {
             let id = Arc::clone(&member.replica.id);
             self.engines.entry(id).or_insert_with(EngineState::new);
@@ -456,7 +501,10 @@
                 let state = &self.engines[&member.replica.id];
                 let running = state.running.load(Ordering::Relaxed);
                 let version = member.replica.version_of(model).unwrap_or(0);
-                let refused = state.refused_until_ms.get(model).is_some_and(|at| now_ms < *at);
+                let refused = state
+                    .refused_until_ms
+                    .get(model)
+                    .is_some_and(|at| now_ms < *at);
                 let prompts = match state.prompts.get(model) {
                     Some((held, prompts)) if *held == version => prompts.clone(),
                     _ => Vec::new(),
@@ -475,14 +523,25 @@
 
     fn start_one(&mut self, item: &Candidate, member: &Member) {
         let (step, number) = item.key;
-        let Some(data) = self.data.get(&step).and_then(|data| data.get(number as usize)) else {
+        let Some(data) = self
+            .data
+            .get(&step)
+            .and_then(|data| data.get(number as usize))
+        else {
             return;
         };
         let replica = Arc::clone(&member.replica.id);
-        let state = self.engines.entry(Arc::clone(&replica)).or_insert_with(EngineState::new);
+        let state = self
+            .engines
+            .entry(Arc::clone(&replica))
+            .or_insert_with(EngineState::new);
         state.running.fetch_add(1, Ordering::Relaxed);
         let place = Place(Arc::clone(&state.running));
-        let mut partial = self.partials.remove(&item.key).map(|held| held.0).unwrap_or_default();
+        let mut partial = self
+            .partials
+            .remove(&item.key)
+            .map(|held| held.0)
+            .unwrap_or_default();
         let spec = RunSpec {
             id: item.head.items[number as usize].id.clone(),
             host: item.head.host.clone(),
@@ -503,7 +562,12 @@
             // The runner ends with the process only.
             let _ = news.send(News::Ran(key, replica, partial, ran));
         });
-        self.running.insert(key, Running { abort: task.abort_handle() });
+        self.running.insert(
+            key,
+            Running {
+                abort: task.abort_handle(),
+            },
+        );
     }
 }
 
@@ -520,7 +584,10 @@
     while data.len() < head.items.len() {
         let (partition, offset) = head.data_of(data.len())?;
         let within = Duration::from_millis(DATA_MS);
-        let page = front.store.read(DATA_TOPIC, partition, offset, DATA_KB, 0, within).await;
+        let page = front
+            .store
+            .read(DATA_TOPIC, partition, offset, DATA_KB, 0, within)
+            .await;
         let page = match page {
             Ok(page) => page,
             Err(error) => {
--- a/components/front/src/serve.rs
+++ b/components/front/src/serve.rs
@@ -65,9 +65,11 @@
         return ingress::own_answer(status, id, Some(UNKNOWING_AGAIN_MS), "no configuration yet");
     };
     match ingress::asked(request.method(), request.uri(), request.headers()) {
-        Asked::Results { step, after, wait } => {
-            read_answer(id, results::results(front, &step, after, wait).await, "application/json")
-        }
+        Asked::Results { step, after, wait } => read_answer(
+            id,
+            results::results(front, &step, after, wait).await,
+            "application/json",
+        ),
         Asked::ItemBody { step, item } => {
             let read = results::item_body(front, &step, &item).await;
             read_answer(id, read, "application/octet-stream")
@@ -87,7 +89,11 @@
 }
 
 async fn end_step(front: &Front, id: Option<&str>, name: &str) -> Response<ReplyBody> {
-    let step = front.index().ledger.by_name(name).map(|step| (step.id, step.ended));
+    let step = front
+        .index()
+        .ledger
+        .by_name(name)
+        .map(|step| (step.id, step.ended));
     let told = match step {
         Some((_, true)) => return ingress::own_answer(StatusCode::OK, id, None, "ended before"),
         Some((step, false)) => jobs::end(front, step).await,
@@ -173,7 +179,11 @@
             Ok(answer) => answer,
             Err(failed) => {
                 log::warn!(event = "stream_failed", id, not_run = failed.not_run, why = failed.why; "");
-                let end = if failed.not_run { CallEnd::NotRun } else { CallEnd::Unknown };
+                let end = if failed.not_run {
+                    CallEnd::NotRun
+                } else {
+                    CallEnd::Unknown
+                };
                 ended(end, id)
             }
         };
@@ -195,9 +205,12 @@
             let status = StatusCode::SERVICE_UNAVAILABLE;
             ingress::own_answer(status, Some(id), Some(BUSY_AGAIN_MS), "not run")
         }
-        CallEnd::TimedOut => {
-            ingress::own_answer(StatusCode::GATEWAY_TIMEOUT, Some(id), None, "no answer in time")
-        }
+        CallEnd::TimedOut => ingress::own_answer(
+            StatusCode::GATEWAY_TIMEOUT,
+            Some(id),
+            None,
+            "no answer in time",
+        ),
         CallEnd::Unknown => {
             ingress::own_answer(StatusCode::BAD_GATEWAY, Some(id), None, "it may have run")
         }
--- a/components/front/src/start.rs
+++ b/components/front/src/start.rs
@@ -49,7 +49,11 @@
     let front = Arc::new(Front::new(settings, lease, drain));
     let (ended, results) = mpsc::channel(runner::ENDED_MAX);
     tokio::spawn(connections::accept(Arc::clone(&front), ready, serve::ready));
-    tokio::spawn(connections::accept(Arc::clone(&front), clients, serve::client));
+    tokio::spawn(connections::accept(
+        Arc::clone(&front),
+        clients,
+        serve::client,
+    ));
     tokio::spawn(follow::operator(Arc::clone(&front)));
     tokio::spawn(follow::replicas(Arc::clone(&front)));
     tokio::spawn(follow::index(Arc::clone(&front)));
@@ -63,5 +67,7 @@
 }
 
 async fn listen(address: SocketAddr) -> Result<TcpListener, FrontError> {
-    TcpListener::bind(address).await.map_err(|reason| FrontError::Listen(address, reason))
+    TcpListener::bind(address)
+        .await
+        .map_err(|reason| FrontError::Listen(address, reason))
 }
--- a/components/front/src/state.rs
+++ b/components/front/src/state.rs
@@ -83,7 +83,11 @@
             routes: ArcSwapOption::empty(),
             replicas: ArcSwap::default(),
             named: Mutex::default(),
-            index: Mutex::new(Index { ledger: Ledger::default(), lease, read_since_ms: now_ms() }),
+            index: Mutex::new(Index {
+                ledger: Ledger::default(),
+                lease,
+                read_since_ms: now_ms(),
+            }),
             index_news: watch::Sender::new(0),
             index_current_ms: AtomicU64::new(0),
             replicas_read: AtomicU64::new(0),
--- a/components/front/src/stream.rs
+++ b/components/front/src/stream.rs
@@ -35,7 +35,10 @@
     spec: &CallSpec<'_>,
 ) -> Result<Response<ReplyBody>, NotBegun> {
     let mut tried: Vec<ReplicaId> = Vec::new();
-    let mut last = NotBegun { not_run: true, why: "no replica".to_owned() };
+    let mut last = NotBegun {
+        not_run: true,
+        why: "no replica".to_owned(),
+    };
     while (tried.len() as u32) < spec.route.attempts_max && last.not_run {
         let Some(member) = pick(front, spec, &tried) else {
             break;
@@ -52,9 +55,7 @@
 fn pick(front: &Front, spec: &CallSpec<'_>, tried: &[ReplicaId]) -> Option<Member> {
     let table = front.replicas.load();
     let service = spec.route.draw(rand::random())?;
-    let open = |member: &&Member| {
-        !member.replica.draining && !tried.contains(&member.replica.id)
-    };
+    let open = |member: &&Member| !member.replica.draining && !tried.contains(&member.replica.id);
     let members: Vec<&Member> = table.of(service).iter().filter(open).collect();
     let candidates: Vec<Candidate<'_>> = members
         .iter()
@@ -90,7 +91,10 @@
     let within = Duration::from_millis(left_ms);
     let stream = replica::open_stream(&mut connection, call, within)
         .await
-        .map_err(|error| NotBegun { not_run: error.is_not_run(), why: error.to_string() })?;
+        .map_err(|error| NotBegun {
+            not_run: error.is_not_run(),
+            why: error.to_string(),
+        })?;
     let (parts, body) = mpsc::channel(PARTS_MAX);
     let mut answer = Response::new(ReplyBody::Flow(body));
     *answer.status_mut() = stream.status;
--- a/components/front/src/writer.rs
+++ b/components/front/src/writer.rs
@@ -77,7 +77,10 @@
         encoded.push(Bytes::from(postcard::to_stdvec(record)?));
     }
     let within = Duration::from_millis(APPEND_MS);
-    Ok(front.store.append(INDEX_TOPIC, INDEX_PARTITION, &encoded, within).await?)
+    Ok(front
+        .store
+        .append(INDEX_TOPIC, INDEX_PARTITION, &encoded, within)
+        .await?)
 }
 
 /// Partition of the data topic that this front writes to.
@@ -123,7 +126,10 @@
     let mut offset = 0;
     if !texts.is_empty() {
         offset = until_done(|| async {
-            Ok(front.store.append(DATA_TOPIC, partition, &texts, within).await?)
+            Ok(front
+                .store
+                .append(DATA_TOPIC, partition, &texts, within)
+                .await?)
         })
         .await;
     }
@@ -131,8 +137,16 @@
     for ended in batch {
         let state = match &ended.outcome {
             Outcome::Error(cause) => ResultState::Errored(*cause),
-            Outcome::Text { text, versions, score } => {
-                let place = Place { partition, offset, bytes: text.len() as u32 };
+            Outcome::Text {
+                text,
+                versions,
+                score,
+            } => {
+                let place = Place {
+                    partition,
+                    offset,
+                    bytes: text.len() as u32,
+                };
                 offset += 1;
                 ResultState::Succeeded {
                     versions: versions.clone(),
--- a/components/gateway/src/completion_stream.rs
+++ b/components/gateway/src/completion_stream.rs
@@ -6,12 +6,12 @@
 //! next engine, which generates the rest. Without the ids, nobody can go on, and the
 //! caller sees a broken stream: an event with the problem, then a cut connection.
 
+use adapters::sse::Parser;
 use bytes::{Bytes, BytesMut};
 use futures_util::stream;
 use http::Response;
 use http::header::{CONTENT_LENGTH, HeaderName};
 use link::CallEvent;
-use adapters::sse::Parser;
 use protocol::Head;
 use recovery::{Flowed, Resume};
 use types::{Cause, Failure, RunState};
--- a/components/gateway/src/keyed/client.rs
+++ b/components/gateway/src/keyed/client.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use adapters::LogClient;
 use bytes::Bytes;
 use claims::{
     Claim, ClaimSettings, Holder, HolderStep, KeyDigest, Record, RequestDigest, Verdict, shard_of,
@@ -11,7 +12,6 @@
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use node::now_ms;
-use adapters::LogClient;
 use protocol::{Open, ProcessRole};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::timeout;
--- a/components/gateway/src/keyed/reader.rs
+++ b/components/gateway/src/keyed/reader.rs
@@ -3,9 +3,9 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use adapters::{LogClient, LogPage};
 use claims::{ClaimSettings, KeyDigest, RequestDigest, Shard, Verdict, stream_name};
 use node::now_ms;
-use adapters::{LogClient, LogPage};
 use tokio::sync::{mpsc, oneshot};
 use types::CallId;
 
--- a/components/gateway/src/keyed/writer.rs
+++ b/components/gateway/src/keyed/writer.rs
@@ -2,9 +2,9 @@
 
 use std::time::Duration;
 
+use adapters::LogClient;
 use claims::{Batch, ClaimSettings, Record, stream_name};
 use node::now_ms;
-use adapters::LogClient;
 use protocol::Open;
 use tokio::sync::{mpsc, oneshot};
 use types::{Cause, Failure};
--- a/components/gateway/src/start.rs
+++ b/components/gateway/src/start.rs
@@ -2,12 +2,12 @@
 
 use std::sync::Arc;
 
+use adapters::{ClientSettings, LogClient, VmList};
 use arc_swap::ArcSwap;
 use leaving::{Drain, DrainSettings};
 use link::{LinkSettings, Links, Udp};
 use node::leave::Leaving;
 use node::{ConfigFeed, Gossip, GossipSettings, Identity, Pulse};
-use adapters::{ClientSettings, LogClient, VmList};
 use routing::Locality;
 use samples::CursorKeys;
 use settings::{CommonSettings, EntrySettings, SharedKey};
--- a/components/gateway/src/training/listening.rs
+++ b/components/gateway/src/training/listening.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use link::CallEvent;
 use adapters::sse::{Parser, Piece, Transcript};
+use link::CallEvent;
 use samples::{Completion, Fault, Partial, Provenance, RunId, Stamps, StepKey};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
--- a/components/gateway/tests/common/mod.rs
+++ b/components/gateway/tests/common/mod.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use adapters::{ClientSettings, LogClient, Vm, VmRole, VmState};
 use bytes::Bytes;
 use config::{Publish, Record};
 use gateway::{Entry, Tuning};
@@ -12,7 +13,6 @@
 use http_body_util::{BodyExt, Full};
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
-use adapters::{ClientSettings, LogClient, Vm, VmRole, VmState};
 use serde_json::{Value, json};
 use settings::{
     AgentSettings, Ceilings, CommonSettings, EndpointKind, EntrySettings, Fencing, SharedKey,
--- a/components/lease/src/state.rs
+++ b/components/lease/src/state.rs
@@ -50,7 +50,11 @@
     /// Takes a record that stands at `offset` of the log, in the log's order.
     pub fn apply(&mut self, offset: u64, record: &LeaseRecord, now_ms: u64) {
         match record {
-            LeaseRecord::Take { holder, attempt, after } => {
+            LeaseRecord::Take {
+                holder,
+                attempt,
+                after,
+            } => {
                 self.apply_take(offset, holder, *attempt, *after, now_ms);
             }
             LeaseRecord::Renew { fence, attempt } => {
@@ -155,7 +159,10 @@
             return None;
         }
         let resend_ms = self.settings.resend_ms;
-        if self.sent_last_ms.is_some_and(|sent_ms| now_ms < sent_ms + resend_ms) {
+        if self
+            .sent_last_ms
+            .is_some_and(|sent_ms| now_ms < sent_ms + resend_ms)
+        {
             return None;
         }
         let held = self.held.clone();
@@ -178,7 +185,10 @@
         if now_ms < renewed_ms + self.settings.renew_ms {
             return None;
         }
-        Some(LeaseRecord::Renew { fence: held.fence, attempt: self.note_sent(now_ms) })
+        Some(LeaseRecord::Renew {
+            fence: held.fence,
+            attempt: self.note_sent(now_ms),
+        })
     }
 
     fn take(
@@ -199,7 +209,11 @@
         }
         let after = held.map(|held| held.newest_offset);
         let attempt = self.note_sent(now_ms);
-        Some(LeaseRecord::Take { holder: self.me.clone(), attempt, after })
+        Some(LeaseRecord::Take {
+            holder: self.me.clone(),
+            attempt,
+            after,
+        })
     }
 
     fn note_sent(&mut self, now_ms: u64) -> u64 {
--- a/components/node/examples/control.rs
+++ b/components/node/examples/control.rs
@@ -13,10 +13,10 @@
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
 use std::time::{Duration, Instant};
 
+use adapters::{ClientSettings, LogClient, Vm, VmList, VmRole, VmState};
 use config::{Publish, Record};
 use link::{Counters, Links};
 use node::{ConfigFeed, FeedSettings, Gossip, GossipHooks, GossipSettings, Sockets};
-use adapters::{ClientSettings, LogClient, Vm, VmList, VmRole, VmState};
 use protocol::{Hosted, Load, News, ProcessRole, Status};
 use settings::{CommonSettings, SharedKey};
 use standins::log::LogSettings;
--- a/components/node/src/feed.rs
+++ b/components/node/src/feed.rs
@@ -8,12 +8,12 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
+use adapters::LogClient;
 use arc_swap::ArcSwap;
 use bytes::Bytes;
 use config::{Accepted, KeepPolicy, Ledger, View};
 use link::Links;
 use membership::TailSettings;
-use adapters::LogClient;
 use protocol::{ConfigDigest, Head, Open};
 use tokio::sync::{Notify, mpsc, oneshot, watch};
 use types::{Cause, CustomerName, Failure};
--- a/components/node/src/feed_tail.rs
+++ b/components/node/src/feed_tail.rs
@@ -4,8 +4,8 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use membership::{Tail, TailSettings, TailStep};
 use adapters::{LogClient, LogPage, PlatformError};
+use membership::{Tail, TailSettings, TailStep};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use tokio::sync::mpsc;
--- a/components/node/src/feed_task.rs
+++ b/components/node/src/feed_task.rs
@@ -6,8 +6,8 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use config::{Keeper, Ledger, Record, Verdict, View};
 use adapters::{LogClient, LogPage, LogRecord};
+use config::{Keeper, Ledger, Record, Verdict, View};
 use protocol::ConfigDigest;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Interval, MissedTickBehavior, interval, sleep};
--- a/components/node/src/gossip.rs
+++ b/components/node/src/gossip.rs
@@ -7,11 +7,11 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use adapters::VmList;
 use arc_swap::ArcSwap;
 use leaving::{Probers, ProbersSettings};
 use link::Udp;
 use membership::{MemberSettings, Members, Own, RumourSettings, Rumours, Snapshot, TailSettings};
-use adapters::VmList;
 use protocol::{ConfigDigest, DemandDigest, News, Status};
 use tokio::sync::mpsc;
 use types::NodeId;
--- a/components/node/src/vm_poll.rs
+++ b/components/node/src/vm_poll.rs
@@ -8,8 +8,8 @@
 
 use std::time::Duration;
 
-use membership::Listed;
 use adapters::{Vm, VmList, VmRole, VmState};
+use membership::Listed;
 use protocol::ProcessRole;
 use tokio::sync::mpsc;
 
--- a/components/node/tests/node.rs
+++ b/components/node/tests/node.rs
@@ -5,14 +5,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use adapters::{
+    ClientSettings, Endpoint, EndpointSettings, LogClient, Request, Vm, VmList, VmRole, VmState,
+};
 use config::{KeepPolicy, Publish, Record};
 use futures_util::FutureExt;
 use link::Links;
 use node::admin::{self, AdminHooks};
 use node::{ConfigFeed, FeedSettings, Gossip, GossipHooks, GossipSettings, Sockets};
-use adapters::{
-    ClientSettings, Endpoint, EndpointSettings, LogClient, Request, Vm, VmList, VmRole, VmState,
-};
 use protocol::{ConfigDigest, Datagram, News, ProcessRole};
 use settings::{CommonSettings, SharedKey};
 use standins::log::LogSettings;
--- a/components/orders/src/plan.rs
+++ b/components/orders/src/plan.rs
@@ -16,7 +16,10 @@
 
 impl Default for OrderSettings {
     fn default() -> Self {
-        Self { loads_at_once: 3, lag: 1 }
+        Self {
+            loads_at_once: 3,
+            lag: 1,
+        }
     }
 }
 
@@ -88,7 +91,11 @@
         }
         collect_loads(fleet, model, &members, settings, &mut useless, &mut early);
     }
-    let running = fleet.nodes.iter().filter(|node| node.loading.is_some()).count();
+    let running = fleet
+        .nodes
+        .iter()
+        .filter(|node| node.loading.is_some())
+        .count();
     let room = settings.loads_at_once.saturating_sub(running);
     let mut taken = vec![false; fleet.nodes.len()];
     let mut loads = Vec::new();
@@ -126,7 +133,11 @@
         let version = version_of(&fleet.nodes[*at], model);
         let useful = version + settings.lag >= named;
         let newest = if useful { named } else { version };
-        (Reverse(newest), assigned[*at], (*at + model * fleet.nodes.len() / 3) % fleet.nodes.len())
+        (
+            Reverse(newest),
+            assigned[*at],
+            (*at + model * fleet.nodes.len() / 3) % fleet.nodes.len(),
+        )
     });
     order.truncate(count);
     order
@@ -148,7 +159,11 @@
     let mut missing = (members.len() / 2).saturating_sub(at_named);
     for node in members {
         let version = version_of(&fleet.nodes[*node], model);
-        let load = Load { node: *node, model, version: named };
+        let load = Load {
+            node: *node,
+            model,
+            version: named,
+        };
         if version + settings.lag < named {
             useless.push(load);
             missing = missing.saturating_sub(1);
--- a/components/sidecar/examples/swap.rs
+++ b/components/sidecar/examples/swap.rs
@@ -12,9 +12,9 @@
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::time::{Duration, Instant};
 
+use adapters::{ClientSettings, Engine, EngineModel, LogClient, Vm, VmRole, VmState};
 use config::{Publish, Record};
 use link::{LinkSettings, Udp};
-use adapters::{ClientSettings, Engine, EngineModel, LogClient, Vm, VmRole, VmState};
 use protocol::{Datagram, Key, Keys, News, ProcessRole};
 use settings::{AgentSettings, CommonSettings, EndpointKind, Fencing, SharedKey};
 use sidecar::{Sidecar, Tuning};
--- a/components/sidecar/src/agent.rs
+++ b/components/sidecar/src/agent.rs
@@ -6,11 +6,11 @@
 use crate::engine_names::EngineNames;
 use crate::health::Health;
 use crate::hosting::{Hosting, Site};
+use adapters::{ClientSettings, Endpoint, EndpointSettings, Engine};
 use arc_swap::ArcSwap;
 use config::{Kind, Service};
 use leaving::{Drain, DrainSettings};
 use node::{ConfigFeed, Identity, Pulse};
-use adapters::{ClientSettings, Endpoint, EndpointSettings, Engine};
 use settings::{AgentSettings, EndpointKind};
 use telemetry::Metrics;
 
--- a/components/sidecar/src/completion.rs
+++ b/components/sidecar/src/completion.rs
@@ -2,9 +2,9 @@
 //! in the middle of an answer, so a clean end is not enough: a stream needs its finish
 //! reason and terminator, a unary answer its finish reason.
 
-use bytes::Bytes;
 use adapters::AnswerHead;
 use adapters::sse::{Finish, Parser};
+use bytes::Bytes;
 use serde::Deserialize;
 use types::Cause;
 
--- a/components/sidecar/src/health.rs
+++ b/components/sidecar/src/health.rs
@@ -2,8 +2,8 @@
 
 use std::sync::Arc;
 
-use arc_swap::ArcSwap;
 use adapters::{EngineModel, EngineState, LoadReport};
+use arc_swap::ArcSwap;
 use tokio::sync::{Notify, watch};
 
 /// State of the endpoint at one look.
--- a/components/sidecar/src/orders.rs
+++ b/components/sidecar/src/orders.rs
@@ -2,8 +2,8 @@
 
 use std::sync::Arc;
 
-use node::now_ms;
 use adapters::PlatformError;
+use node::now_ms;
 use tokio::sync::mpsc;
 use weights::{EngineState, ModelKey, Order, OrderKind, OrderOutcome};
 
--- a/components/sidecar/src/relay.rs
+++ b/components/sidecar/src/relay.rs
@@ -1,8 +1,8 @@
 //! One exchange with the endpoint, passed on as it comes.
 
+use adapters::{AnswerHead, Body, Endpoint, Request, Response};
 use bytes::Bytes;
 use link::Answer;
-use adapters::{AnswerHead, Body, Endpoint, Request, Response};
 use protocol::{Head, Open};
 use types::{Cause, Failure};
 
--- a/components/sidecar/src/stage.rs
+++ b/components/sidecar/src/stage.rs
@@ -3,8 +3,8 @@
 //! The rule: "not run" only while no byte has gone out, "failed" only once the endpoint
 //! has shown that it began, "unknown" in between.
 
-use derive::key;
 use adapters::{ConnectFault, Loss, PlatformError};
+use derive::key;
 use types::{Cause, Failure, RunState};
 
 /// How far a call has come.
--- a/components/sidecar/src/start.rs
+++ b/components/sidecar/src/start.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use adapters::{ClientSettings, LogClient, VmList};
 use futures_util::FutureExt;
 use futures_util::future::BoxFuture;
 use link::{LinkSettings, Links, Udp};
@@ -12,7 +13,6 @@
     ConfigFeed, FeedSettings, Gossip, GossipHooks, GossipSettings, Identity, Leaving, NodeError,
     Sockets, leave,
 };
-use adapters::{ClientSettings, LogClient, VmList};
 use protocol::{News, ProcessRole};
 use settings::{AgentSettings, Fencing};
 use telemetry::{Label, Metrics, MetricsSettings};
--- a/components/sidecar/src/vitals.rs
+++ b/components/sidecar/src/vitals.rs
@@ -3,8 +3,8 @@
 //! A crash must be told apart from a slow moment: after a crash the calls in flight have
 //! failed and entries suspect them; a slow endpoint only gets no new work for a while.
 
-use derive::{key, value};
 use adapters::{ConnectFault, PlatformError};
+use derive::{key, value};
 
 /// Looks without an answer until the endpoint gets no new work.
 const MISSES_TO_DOWN: u32 = 3;
--- a/components/sidecar/src/watch.rs
+++ b/components/sidecar/src/watch.rs
@@ -5,9 +5,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use adapters::{EngineState, PlatformError, Request};
 use config::Kind;
 use node::now_ms;
-use adapters::{EngineState, PlatformError, Request};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{MissedTickBehavior, interval};
 
--- a/components/sidecar/tests/common/mod.rs
+++ b/components/sidecar/tests/common/mod.rs
@@ -4,12 +4,12 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::Bytes;
-use config::{Publish, Record};
-use link::{Call, CallEvent, LinkSettings, Links, Udp};
 use adapters::{
     ClientSettings, Endpoint, EndpointSettings, LogClient, Request, Vm, VmRole, VmState,
 };
+use bytes::Bytes;
+use config::{Publish, Record};
+use link::{Call, CallEvent, LinkSettings, Links, Udp};
 use protocol::{Datagram, Head, Key, Keys, News, Open, ProcessRole, Status};
 use settings::{AgentSettings, CommonSettings, EndpointKind, Fencing, SharedKey};
 use sidecar::{Sidecar, Tuning};
--- a/components/sidecar/tests/decisions.rs
+++ b/components/sidecar/tests/decisions.rs
@@ -1,7 +1,7 @@
 //! The agent's decisions that need no socket.
 
-use bytes::Bytes;
 use adapters::{AnswerHead, ConnectFault, Loss, MalformedPart, PlatformError};
+use bytes::Bytes;
 use quickcheck::quickcheck;
 use sidecar::{Change, Shape, Sign, Stage, StreamCheck, Vitals};
 use sidecar::{check_document, failure_of, name_call};
--- a/components/telemetry/src/logs.rs
+++ b/components/telemetry/src/logs.rs
@@ -3,8 +3,8 @@
 //! A full queue drops lines and never holds up a request: whoever reads standard error
 //! may stall for any length of time.
 
-use logforth::append::{Stderr, Stdout};
 use logforth::append::asynchronous::AsyncBuilder;
+use logforth::append::{Stderr, Stdout};
 use logforth::layout::LogfmtLayout;
 use quick_error::quick_error;
 
--- a/dev/bench/src/caller.rs
+++ b/dev/bench/src/caller.rs
@@ -4,10 +4,10 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
-use derive::value;
 use adapters::sse::{Parser, Transcript};
 use adapters::{AnswerHead, Body, Endpoint, EndpointSettings, PlatformError, Request};
+use bytes::Bytes;
+use derive::value;
 use types::WeightVersion;
 
 use crate::reply::{Ending, Problem, Reply};
--- a/dev/bench/src/fleet/publisher.rs
+++ b/dev/bench/src/fleet/publisher.rs
@@ -4,8 +4,8 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use config::{Publish, RULES_NEWEST, Record};
 use adapters::{ClientSettings, LogClient};
+use config::{Publish, RULES_NEWEST, Record};
 use serde::Deserialize;
 use tokio::time::sleep;
 use types::CustomerName;
--- a/dev/bench/src/status.rs
+++ b/dev/bench/src/status.rs
@@ -4,8 +4,8 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
 use adapters::{Endpoint, EndpointSettings, Request};
+use bytes::Bytes;
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 use tokio::time::sleep;
--- a/dev/proof/src/ask.rs
+++ b/dev/proof/src/ask.rs
@@ -1,9 +1,9 @@
 //! What callers ask, and what the whole answer to each must be.
 
-use bytes::Bytes;
-use derive::{key, value};
 use adapters::Request;
 use adapters::sse::{Parser, Transcript};
+use bytes::Bytes;
+use derive::{key, value};
 use serde_json::{Value, json};
 use standins::engine::text_hash;
 
--- a/dev/proof/src/caller.rs
+++ b/dev/proof/src/caller.rs
@@ -2,8 +2,8 @@
 
 use std::net::SocketAddr;
 
-use derive::{key, value};
 use adapters::{AnswerHead, Endpoint, EndpointSettings, PlatformError};
+use derive::{key, value};
 use serde::Deserialize;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
--- a/dev/proof/src/error.rs
+++ b/dev/proof/src/error.rs
@@ -3,8 +3,8 @@
 use std::io;
 use std::net::SocketAddr;
 
-use control::ControlError;
 use adapters::PlatformError;
+use control::ControlError;
 use quick_error::quick_error;
 use standins::StandinError;
 
--- a/dev/proof/src/site.rs
+++ b/dev/proof/src/site.rs
@@ -6,12 +6,12 @@
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicU64, Ordering};
 
+use adapters::{ClientSettings, LogClient, Request, Vm, VmRole, VmState};
 use bytes::Bytes;
 use control::{
     Checked, PublishSettings, Published, check_file, is_in_force, publish, read_history, statuses,
 };
 use derive::value;
-use adapters::{ClientSettings, LogClient, Request, Vm, VmRole, VmState};
 use standins::engine::{EngineSettings, Fencing, Speeds};
 use standins::log::LogSettings;
 use standins::scorer::ScorerSettings;
--- a/dev/proof/src/status.rs
+++ b/dev/proof/src/status.rs
@@ -2,8 +2,8 @@
 
 use std::net::SocketAddr;
 
-use bytes::Bytes;
 use adapters::{Endpoint, EndpointSettings, Request};
+use bytes::Bytes;
 use serde_json::Value;
 
 use crate::ProofError;
--- a/dev/proof/tests/crashing/mod.rs
+++ b/dev/proof/tests/crashing/mod.rs
@@ -1,8 +1,8 @@
 //! Engines that a prompt crashes, and the opinions that others ask for meanwhile.
 #![allow(dead_code, clippy::unwrap_used)] // The exemption of clippy.toml ends at helpers of tests.
 
-use futures_util::future::join_all;
 use adapters::Request;
+use futures_util::future::join_all;
 use proof::{Ask, Ending, Kind, Site, SiteSettings, exchange, until};
 use standins::{Fault, FaultKind};
 
--- a/dev/proof/tests/isolation.rs
+++ b/dev/proof/tests/isolation.rs
@@ -1,9 +1,9 @@
 //! No customer's mistakes harm another.
 #![allow(clippy::unwrap_used)] // The exemption of clippy.toml ends at helpers of tests.
 
+use adapters::{Endpoint, EndpointSettings, Request};
 use bytes::Bytes;
 use futures_util::future::join_all;
-use adapters::{Endpoint, EndpointSettings, Request};
 use proof::{Ask, Ending, Kind, Site, SiteSettings};
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpStream, UdpSocket};
--- a/dev/proof/tests/leaving.rs
+++ b/dev/proof/tests/leaving.rs
@@ -3,8 +3,8 @@
 
 use std::time::Duration;
 
-use futures_util::future::join_all;
 use adapters::VmState;
+use futures_util::future::join_all;
 use proof::{Answer, Ask, Ending, Kind, Pending, Site, SiteSettings, page, replicas, until};
 
 const SERVICE_MS: u64 = 700;
--- a/dev/standins/src/log.rs
+++ b/dev/standins/src/log.rs
@@ -5,8 +5,8 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use derive::value;
 use adapters::{LogPage, LogRecord};
+use derive::value;
 use serde::Serialize;
 use tokio::sync::watch;
 use tokio::time::{Instant, timeout_at};
--- a/dev/standins/src/run.rs
+++ b/dev/standins/src/run.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddr;
 use std::process::ExitCode;
 
-use clap::ArgMatches;
 use adapters::{Vm, VmState};
+use clap::ArgMatches;
 use quick_error::quick_error;
 use standins::engine::{EngineSettings, Fencing, Speeds};
 use standins::log::LogSettings;
--- a/dev/standins/src/trainer/entries.rs
+++ b/dev/standins/src/trainer/entries.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
 use adapters::{Endpoint, EndpointSettings, PlatformError, Request};
+use bytes::Bytes;
 use quick_error::quick_error;
 use serde::Serialize;
 use tokio::time::{Instant, sleep};
--- a/dev/standins/src/vms.rs
+++ b/dev/standins/src/vms.rs
@@ -4,8 +4,8 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use derive::{value, wire};
 use adapters::Vm;
+use derive::{value, wire};
 use serde::Serialize;
 use tokio::time::Instant;
 
