Orders: a lease whose holder announces them; failed reward calls are counted once each

Cause 1: a front cut off from the store held the lease for 5.4 s after its last renewal, longer than a trainer's step; no replica had the version of the step after next. Now orders are announced, so a holder that ordered nothing lately is replaced after 1.5 s of silence.

--- a/components/front/src/calls.rs
+++ b/components/front/src/calls.rs
@@ -109,6 +109,8 @@
                 may_have_run |= end == AttemptEnd::Unknown;
                 match (&step, answer) {
                     (NextStep::Deliver, Some(answer)) => break CallOutcome::Answer(answer),
+                    // Whoever sends calls in the background counts their failures.
+                    (_, Some(answer)) if spec.background => break CallOutcome::Answer(answer),
                     (_, Some(answer)) => failure = Some(answer),
                     (_, None) => {}
                 }
--- a/components/front/src/follow.rs
+++ b/components/front/src/follow.rs
@@ -246,15 +246,14 @@
                 if news {
                     front.index_news.send_modify(|count| *count += 1);
                     front.runner_news.notify_one();
+                    front.leader_news.notify_one();
                 }
             }
             Err(StoreError::Gone(first)) => {
                 log::info!(event = "history_gone", topic = INDEX_TOPIC, next, first; "");
                 let mut index = front.index();
-                if next > 0 {
-                    index.lease.forget();
-                    index.read_since_ms = now_ms();
-                }
+                index.lease.forget();
+                index.read_since_ms = now_ms();
                 next = first;
             }
             Err(error) => {
--- a/components/front/src/leader.rs
+++ b/components/front/src/leader.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use dispatch::ReplicaId;
-use orders::{Fleet, Load, Model, Node, OrderSettings, plan};
+use orders::{Fleet, Model, Node, OrderSettings, plan};
 use platform::replica::{self, LoadMode, Order, OrderAnswer, ReplicaError};
 
 use crate::clock::now_ms;
@@ -16,6 +16,8 @@
 
 /// How often the lease and the plan are looked at, in milliseconds.
 const LOOK_MS: u64 = 100;
+/// How old the knowledge of the log may be for taking part in the lease, in milliseconds.
+const INDEX_AGE_MS_MAX: u64 = 1_000;
 /// How long a load that was accepted is waited for, in milliseconds, before the replica is
 /// asked again: a load takes 0.9 s alone and several times that beside others.
 const LOAD_MS: u64 = 4_000;
@@ -43,26 +45,36 @@
             () = tokio::time::sleep(Duration::from_millis(LOOK_MS)) => {}
         }
         let now_ms = now_ms();
-        keep_lease(&front, now_ms);
-        let fence = front.index().lease.fence(now_ms);
-        if fence.is_some() != led {
-            led = fence.is_some();
-            log::info!(event = "lease_changed", held = led, fence = fence.unwrap_or(0); "");
+        let held = front.index().lease.is_held_here();
+        if held != led {
+            led = held;
+            log::info!(event = "lease_changed", held; "");
             locked(&ordered).clear();
         }
-        if fence.is_some() {
-            give_orders(&front, &ordered, now_ms);
+        let loads = if held {
+            planned(&front, &ordered, now_ms)
+        } else {
+            Vec::new()
+        };
+        keep_lease(&front, !loads.is_empty(), now_ms);
+        // An announcement just written comes back through the log and wakes this task.
+        if front.index().lease.fence(now_ms).is_some() {
+            for load in loads {
+                begin_order(&front, &ordered, load);
+            }
         }
     }
 }
 
-fn keep_lease(front: &Arc<Front>, now_ms: u64) {
+fn keep_lease(front: &Arc<Front>, wants_orders: bool, now_ms: u64) {
     let record = {
         let mut index = front.index();
         let read_since_ms = index.read_since_ms;
         match front.index_age_ms(now_ms) {
             // Who does not read the log does not know whether the lease is free.
-            Some(age_ms) if age_ms < LOAD_MS / 4 => index.lease.next_record(read_since_ms, now_ms),
+            Some(age_ms) if age_ms < INDEX_AGE_MS_MAX => {
+                index.lease.next_record(read_since_ms, wants_orders, now_ms)
+            }
             _ => None,
         }
     };
@@ -76,9 +88,9 @@
     }
 }
 
-/// Gives the lease up, so that another front need not wait for its end.
+/// Gives the lease up, so that another front need not wait for its silence.
 pub async fn give_up(front: &Front) {
-    let record = front.index().lease.give_up(now_ms());
+    let record = front.index().lease.give_up();
     if let Some(record) = record
         && let Err(error) = append_index(front, &[LogRecord::Lease(record)]).await
     {
@@ -86,16 +98,25 @@
     }
 }
 
-fn give_orders(front: &Arc<Front>, ordered: &Ledger, now_ms: u64) {
+/// A load to order.
+struct Planned {
+    member: Member,
+    model: Arc<str>,
+    version: u64,
+}
+
+fn planned(front: &Front, ordered: &Ledger, now_ms: u64) -> Vec<Planned> {
     let routes = front.routes.load_full();
     let Some(routes) = routes else {
-        return;
+        return Vec::new();
     };
     let table = front.replicas.load_full();
-    for (name, service) in &routes.services {
-        if service.models.is_empty() {
-            continue;
-        }
+    let mut all = Vec::new();
+    for (name, service) in routes
+        .services
+        .iter()
+        .filter(|(_, service)| !service.models.is_empty())
+    {
         let members: Vec<&Member> = table
             .of(name)
             .iter()
@@ -104,11 +125,14 @@
         let models = models(front, &service.models);
         let fleet = fleet(&members, models, ordered, now_ms);
         for load in plan(&fleet, &OrderSettings::default()) {
-            let member = members[load.node].clone();
-            let model = Arc::clone(&service.models[load.model]);
-            begin_order(front, ordered, member, model, &load);
+            all.push(Planned {
+                member: members[load.node].clone(),
+                model: Arc::clone(&service.models[load.model]),
+                version: load.version,
+            });
         }
     }
+    all
 }
 
 fn models(front: &Front, names: &[Arc<str>]) -> Vec<Model> {
@@ -154,8 +178,12 @@
     Fleet { models, nodes }
 }
 
-fn begin_order(front: &Arc<Front>, ordered: &Ledger, member: Member, model: Arc<str>, load: &Load) {
-    let version = load.version;
+fn begin_order(front: &Arc<Front>, ordered: &Ledger, load: Planned) {
+    let Planned {
+        member,
+        model,
+        version,
+    } = load;
     let until_ms = now_ms() + LOAD_MS;
     let order = Ordered {
         model: Arc::clone(&model),
--- a/components/front/src/runner.rs
+++ b/components/front/src/runner.rs
@@ -258,7 +258,10 @@
                         score,
                     }
                 }
-                None => Outcome::Error(ErrorCause::Reward),
+                None => {
+                    log::info!(event = "item_without_score", id = item_id, step = step.0, item; "");
+                    Outcome::Error(ErrorCause::Reward)
+                }
             };
             // The writer ends with the process only.
             let _ = ended
--- a/components/front/src/serve.rs
+++ b/components/front/src/serve.rs
@@ -89,20 +89,19 @@
 }
 
 async fn end_step(front: &Front, id: Option<&str>, name: &str) -> Response<ReplyBody> {
-    let step = front
-        .index()
-        .ledger
-        .by_name(name)
-        .map(|step| (step.id, step.ended));
-    let told = match step {
-        Some((_, true)) => return ingress::own_answer(StatusCode::OK, id, None, "ended before"),
-        Some((step, false)) => jobs::end(front, step).await,
-        None => {
-            let read = results::results(front, name, 0, std::time::Duration::ZERO).await;
-            return read_answer(id, read, "application/json");
-        }
+    let known = front.index().ledger.by_name(name).cloned();
+    let Some(step) = known else {
+        let read = results::results(front, name, 0, std::time::Duration::ZERO).await;
+        return read_answer(id, read, "application/json");
     };
-    log::info!(event = "step_ended", id = name, status = told.status.as_u16(); "");
+    if step.ended {
+        return ingress::own_answer(StatusCode::OK, id, None, "ended before");
+    }
+    let told = jobs::end(front, step.id).await;
+    log::info!(
+        event = "step_ended", id = name, status = told.status.as_u16(),
+        listed = step.results.len(), items = step.head.items.len(); ""
+    );
     ingress::own_answer(told.status, id, told.again_ms, told.why)
 }
 
--- a/components/front/src/state.rs
+++ b/components/front/src/state.rs
@@ -29,7 +29,8 @@
     pub ledger: Ledger,
     /// The lease on orders.
     pub lease: Lease,
-    /// Since when the log was read without a gap, in milliseconds.
+    /// Since when the log was read without a gap, in milliseconds; 0 while it was read from
+    /// its first record on.
     pub read_since_ms: u64,
 }
 
@@ -86,7 +87,7 @@
             index: Mutex::new(Index {
                 ledger: Ledger::default(),
                 lease,
-                read_since_ms: now_ms(),
+                read_since_ms: 0,
             }),
             index_news: watch::Sender::new(0),
             index_current_ms: AtomicU64::new(0),
--- a/components/lease/src/lib.rs
+++ b/components/lease/src/lib.rs
@@ -1,12 +1,17 @@
 //! The lease on giving orders, as records in the platform's log.
 //!
-//! The log's order decides: a [`LeaseRecord::Take`] holds only if no other record of the
-//! lease came between what its writer had read and its own place, so that a take that lands
-//! seconds late takes nothing from anybody. A holder counts its time from the moment at
-//! which it sent a renewal that it later read back; everybody else counts from the moment at
-//! which they read it. Both use a clock that counts suspension. The former time is shorter
-//! than the latter by the pause that must lie between orders of two holders, so a holder
-//! that was frozen or cut off has stopped before another one begins.
+//! Two holders' orders to one replica must lie a stated pause apart. The log's order decides
+//! who holds: a [`LeaseRecord::Take`] holds only if no other record of the lease came between
+//! what its writer had read and its own place, so that a take that lands seconds late takes
+//! nothing from anybody.
+//!
+//! A holder says that it lives several times a second, and that alone allows it no order. To
+//! give orders it writes a renewal that announces them, and may give them for a short time,
+//! counted from the moment at which it *sent* the announcement that it later read back.
+//! Everybody else counts from the moment at which they *read* it, and takes the lease only
+//! when that time and the pause have passed. So a holder that is frozen or cut off has
+//! stopped before another one begins, and one that fell silent while it ordered nothing is
+//! replaced within moments. Both sides use a clock that counts suspension.
 
 mod record;
 mod settings;
--- a/components/lease/src/settings.rs
+++ b/components/lease/src/settings.rs
@@ -4,32 +4,37 @@
 #[value]
 #[derive(Copy)]
 pub struct LeaseSettings {
-    /// How long a renewal holds for its sender, from its sending.
-    pub hold_ms: u64,
-    /// From reading the newest renewal until another one may take the lease.
-    pub free_ms: u64,
-    /// From reading a release until another one may take the lease.
-    pub handover_ms: u64,
+    /// How long an announcement allows orders, from its sending.
+    pub order_ms: u64,
+    /// From reading the newest announcement until another one may give orders.
+    pub order_free_ms: u64,
+    /// How long nothing of a holder is read before it counts as gone.
+    pub silent_ms: u64,
     /// Pause between renewals.
     pub renew_ms: u64,
     /// How long an unanswered record is waited for before the next one is sent.
     pub resend_ms: u64,
 }
 
-/// How long a renewal holds: three renewals may be lost or late in a row.
-const HOLD_MS: u64 = 2_000;
+/// How long an announcement allows orders: a slow store takes 240 ms to write it and as long
+/// to bring it back, and orders of one round take a few tens of milliseconds.
+const ORDER_MS: u64 = 900;
 /// Covers the way of an order that was sent at the last moment, and clocks that drift.
 const SLACK_MS: u64 = 400;
+/// Three renewals in a row that are lost or late.
+const SILENT_MS: u64 = 1_500;
+/// Pause between renewals, and before an unanswered one is sent again.
+const RENEW_MS: u64 = 400;
 
 impl LeaseSettings {
     /// Times for a deployment in which `pause_ms` must lie between two holders' orders.
     pub fn with_pause(pause_ms: u64) -> Self {
         Self {
-            hold_ms: HOLD_MS,
-            free_ms: HOLD_MS + pause_ms + SLACK_MS,
-            handover_ms: pause_ms + SLACK_MS,
-            renew_ms: HOLD_MS / 4,
-            resend_ms: HOLD_MS / 4,
+            order_ms: ORDER_MS,
+            order_free_ms: ORDER_MS + pause_ms + SLACK_MS,
+            silent_ms: SILENT_MS,
+            renew_ms: RENEW_MS,
+            resend_ms: RENEW_MS,
         }
     }
 }
--- a/components/lease/src/state.rs
+++ b/components/lease/src/state.rs
@@ -8,6 +8,9 @@
 /// which only makes this process believe less.
 const SENT_MAX: usize = 16;
 
+/// Nothing was read yet that tells when orders were announced last.
+const SINCE_START: Option<u64> = None;
+
 #[derive(Clone, Debug)]
 struct Held {
     fence: u64,
@@ -18,17 +21,26 @@
     released: bool,
 }
 
+#[derive(Clone, Copy, Debug)]
+struct Sent {
+    attempt: u64,
+    sent_ms: u64,
+    orders: bool,
+}
+
 /// The lease as one process sees it.
 #[derive(Debug)]
 pub struct Lease {
     me: String,
     settings: LeaseSettings,
     held: Option<Held>,
+    /// When the newest announcement of another VM was read; none before the first.
+    others_orders_ms: Option<u64>,
     /// This process's number of attempts; starts at a value that no earlier life used.
     attempts: u64,
-    sent: VecDeque<(u64, u64)>,
+    sent: VecDeque<Sent>,
     sent_last_ms: Option<u64>,
-    holds_until_ms: u64,
+    orders_until_ms: u64,
     given_up: bool,
 }
 
@@ -39,10 +51,11 @@
             me: me.to_owned(),
             settings,
             held: None,
+            others_orders_ms: SINCE_START,
             attempts: first_attempt,
             sent: VecDeque::new(),
             sent_last_ms: None,
-            holds_until_ms: 0,
+            orders_until_ms: 0,
             given_up: false,
         }
     }
@@ -50,28 +63,21 @@
     /// Takes a record that stands at `offset` of the log, in the log's order.
     pub fn apply(&mut self, offset: u64, record: &LeaseRecord, now_ms: u64) {
         match record {
-            LeaseRecord::Take {
-                holder,
+            LeaseRecord::Take { holder, after, .. } => {
+                self.apply_take(offset, holder, *after, now_ms);
+            }
+            LeaseRecord::Renew {
+                fence,
                 attempt,
-                after,
+                orders,
             } => {
-                self.apply_take(offset, holder, *attempt, *after, now_ms);
-            }
-            LeaseRecord::Renew { fence, attempt } => {
-                self.apply_renew(offset, *fence, *attempt, now_ms);
+                self.apply_renew(offset, *fence, *attempt, *orders, now_ms);
             }
             LeaseRecord::Release { fence } => self.apply_release(offset, *fence, now_ms),
         }
     }
 
-    fn apply_take(
-        &mut self,
-        offset: u64,
-        holder: &str,
-        attempt: u64,
-        after: Option<u64>,
-        now_ms: u64,
-    ) {
+    fn apply_take(&mut self, offset: u64, holder: &str, after: Option<u64>, now_ms: u64) {
         // A process that began to read in the middle can't judge its first take, and takes
         // it for good: to believe in a holder too many only makes it wait.
         if let Some(held) = &self.held
@@ -86,13 +92,10 @@
             read_ms: now_ms,
             released: false,
         });
-        self.holds_until_ms = 0;
-        if holder == self.me {
-            self.confirm(attempt);
-        }
+        self.orders_until_ms = 0;
     }
 
-    fn apply_renew(&mut self, offset: u64, fence: u64, attempt: u64, now_ms: u64) {
+    fn apply_renew(&mut self, offset: u64, fence: u64, attempt: u64, orders: bool, now_ms: u64) {
         let known = self.held.get_or_insert(Held {
             fence,
             holder: None,
@@ -105,7 +108,11 @@
         }
         known.newest_offset = offset;
         known.read_ms = now_ms;
-        if known.holder.as_deref() == Some(self.me.as_str()) {
+        let mine = known.holder.as_deref() == Some(self.me.as_str());
+        if orders && !mine {
+            self.others_orders_ms = Some(now_ms);
+        }
+        if mine {
             self.confirm(attempt);
         }
     }
@@ -118,97 +125,118 @@
             held.released = true;
             held.newest_offset = offset;
             held.read_ms = now_ms;
-            self.holds_until_ms = 0;
+            self.orders_until_ms = 0;
         }
     }
 
-    /// The record of this attempt was read back: it holds from its sending on.
+    /// This process's renewal was read back: it counts from its sending on.
     fn confirm(&mut self, attempt: u64) {
-        let Some(at) = self.sent.iter().position(|(sent, _)| *sent == attempt) else {
+        let Some(at) = self.sent.iter().position(|sent| sent.attempt == attempt) else {
             return;
         };
-        let (_, sent_ms) = self.sent[at];
+        let sent = self.sent[at];
         self.sent.drain(..=at);
-        let until_ms = sent_ms + self.settings.hold_ms;
-        self.holds_until_ms = self.holds_until_ms.max(until_ms);
+        if sent.orders {
+            let until_ms = sent.sent_ms + self.settings.order_ms;
+            self.orders_until_ms = self.orders_until_ms.max(until_ms);
+        }
     }
 
     /// Forgets what was read, as the log lost records that this process had not read.
     pub fn forget(&mut self) {
         self.held = None;
-        self.holds_until_ms = 0;
+        self.orders_until_ms = 0;
+        self.others_orders_ms = SINCE_START;
+    }
+
+    /// Whether this VM holds the lease.
+    pub fn is_held_here(&self) -> bool {
+        self.held.as_ref().is_some_and(|held| self.is_mine(held)) && !self.given_up
     }
 
     /// The fencing number, while this process may give orders.
     pub fn fence(&self, now_ms: u64) -> Option<u64> {
         let held = self.held.as_ref()?;
-        let mine = held.holder.as_deref() == Some(self.me.as_str()) && !held.released;
-        (mine && !self.given_up && now_ms < self.holds_until_ms).then_some(held.fence)
-    }
-
-    /// Who holds the lease as far as is known, and since when nothing was read of it.
-    pub fn holder(&self) -> Option<(&str, u64)> {
-        let held = self.held.as_ref().filter(|held| !held.released)?;
-        Some((held.holder.as_deref()?, held.read_ms))
+        (self.is_held_here() && now_ms < self.orders_until_ms).then_some(held.fence)
     }
 
     /// The record to write now, if any. `read_since_ms` is the time from which on this
-    /// process has read the log without a gap; it waits as if somebody had renewed then.
-    pub fn next_record(&mut self, read_since_ms: u64, now_ms: u64) -> Option<LeaseRecord> {
+    /// process has read the log without a gap; it waits as if somebody had announced orders
+    /// then. `wants_orders` asks for an announcement.
+    pub fn next_record(
+        &mut self,
+        read_since_ms: u64,
+        wants_orders: bool,
+        now_ms: u64,
+    ) -> Option<LeaseRecord> {
         if self.given_up {
             return None;
         }
-        let resend_ms = self.settings.resend_ms;
-        if self
-            .sent_last_ms
-            .is_some_and(|sent_ms| now_ms < sent_ms + resend_ms)
-        {
-            return None;
-        }
         let held = self.held.clone();
-        let record = match &held {
-            Some(held) if self.is_mine(held) && now_ms < self.holds_until_ms => {
-                self.renewal(held, now_ms)?
+        match &held {
+            Some(held) if self.is_mine(held) => {
+                self.renewal(held, read_since_ms, wants_orders, now_ms)
             }
-            _ => self.take(held.as_ref(), read_since_ms, now_ms)?,
-        };
-        self.sent_last_ms = Some(now_ms);
-        Some(record)
+            _ => self.take(held.as_ref(), now_ms),
+        }
     }
 
     fn is_mine(&self, held: &Held) -> bool {
         held.holder.as_deref() == Some(self.me.as_str()) && !held.released
     }
 
-    fn renewal(&mut self, held: &Held, now_ms: u64) -> Option<LeaseRecord> {
-        let renewed_ms = self.holds_until_ms - self.settings.hold_ms;
-        if now_ms < renewed_ms + self.settings.renew_ms {
+    fn renewal(
+        &mut self,
+        held: &Held,
+        read_since_ms: u64,
+        wants_orders: bool,
+        now_ms: u64,
+    ) -> Option<LeaseRecord> {
+        let orders = wants_orders && self.may_announce(read_since_ms, now_ms);
+        let announced = self
+            .sent
+            .iter()
+            .any(|sent| sent.orders && now_ms < sent.sent_ms + self.settings.resend_ms);
+        // Half of the allowed time is left when the next announcement goes out, so that a
+        // round of orders that takes longer is not interrupted.
+        let fresh = now_ms + self.settings.order_ms / 2 < self.orders_until_ms;
+        let due = self
+            .sent_last_ms
+            .is_none_or(|sent_ms| now_ms >= sent_ms + self.settings.renew_ms);
+        if !(due || orders && !announced && !fresh) {
             return None;
         }
+        let attempt = self.note_sent(orders, now_ms);
         Some(LeaseRecord::Renew {
             fence: held.fence,
-            attempt: self.note_sent(now_ms),
+            attempt,
+            orders,
         })
     }
 
-    fn take(
-        &mut self,
-        held: Option<&Held>,
-        read_since_ms: u64,
-        now_ms: u64,
-    ) -> Option<LeaseRecord> {
+    /// Whether the pause behind another VM's orders is over.
+    fn may_announce(&self, read_since_ms: u64, now_ms: u64) -> bool {
+        let last_ms = self.others_orders_ms.unwrap_or(read_since_ms);
+        now_ms >= last_ms + self.settings.order_free_ms
+    }
+
+    fn take(&mut self, held: Option<&Held>, now_ms: u64) -> Option<LeaseRecord> {
+        let resend_ms = self.settings.resend_ms;
+        if self
+            .sent_last_ms
+            .is_some_and(|sent_ms| now_ms < sent_ms + resend_ms)
+        {
+            return None;
+        }
         let free_ms = match held {
-            // A restart of the VM that held it: the same holder gives orders on.
-            Some(held) if self.is_mine(held) => 0,
-            Some(held) if held.released => held.read_ms + self.settings.handover_ms,
-            Some(held) => held.read_ms + self.settings.free_ms,
-            None => read_since_ms,
+            Some(held) if !held.released => held.read_ms + self.settings.silent_ms,
+            Some(_) | None => 0,
         };
         if now_ms < free_ms {
             return None;
         }
         let after = held.map(|held| held.newest_offset);
-        let attempt = self.note_sent(now_ms);
+        let attempt = self.note_sent(false, now_ms);
         Some(LeaseRecord::Take {
             holder: self.me.clone(),
             attempt,
@@ -216,9 +244,14 @@
         })
     }
 
-    fn note_sent(&mut self, now_ms: u64) -> u64 {
+    fn note_sent(&mut self, orders: bool, now_ms: u64) -> u64 {
         self.attempts += 1;
-        self.sent.push_back((self.attempts, now_ms));
+        self.sent_last_ms = Some(now_ms);
+        self.sent.push_back(Sent {
+            attempt: self.attempts,
+            sent_ms: now_ms,
+            orders,
+        });
         if self.sent.len() > SENT_MAX {
             self.sent.pop_front();
         }
@@ -226,9 +259,12 @@
     }
 
     /// Gives the lease up for good; the record says so to the others.
-    pub fn give_up(&mut self, now_ms: u64) -> Option<LeaseRecord> {
-        let fence = self.fence(now_ms);
+    pub fn give_up(&mut self) -> Option<LeaseRecord> {
+        let fence = self.held.as_ref().map(|held| held.fence);
+        let mine = self.is_held_here();
         self.given_up = true;
-        fence.map(|fence| LeaseRecord::Release { fence })
+        fence
+            .filter(|_| mine)
+            .map(|fence| LeaseRecord::Release { fence })
     }
 }
