Runner: items move away from slow replicas

Change: the pause between events is measured for each replica; a run on a slow one is stopped while a fast one has a place, and goes on there behind its last event.

--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -6,6 +6,7 @@
 mod choice;
 mod items;
 mod load;
+mod pace;
 mod registry;
 mod retry;
 mod routes;
@@ -13,6 +14,7 @@
 pub use choice::{Candidate, choose};
 pub use items::{Engine, Placed, Waiting, place};
 pub use load::{InFlight, ReplicaLoad, Typical};
+pub use pace::{Pace, is_worth_moving, slowness};
 pub use registry::{Registry, Replica, ReplicaId, Revision};
 pub use retry::{AttemptEnd, CallEnd, NextStep, after_attempt};
 pub use routes::{Backend, Limits, Route, RouteKind, Routes, Service};
--- /dev/null
+++ b/components/dispatch/src/pace.rs
@@ -0,0 +1,67 @@
+//! How fast a model replica makes events, against its like.
+//!
+//! A long item is made one event after the other for seconds, and a trainer waits for the
+//! last item of a group. On a replica that turned slow such an item ends a step late, so it
+//! is moved: another replica goes on behind its last event and only reads the text again,
+//! which takes a few milliseconds.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+
+/// Share of a new pause in the mean, in hundredths: a replica that turned slow is known
+/// after some four events of one run.
+const SHARE: u64 = 20;
+/// How fast a replica's slowness is forgotten while it runs nothing, in milliseconds for half
+/// of it, so that one that was slow gets items again.
+const FORGET_HALF_MS: u64 = 1_500;
+/// Slowness from which on items are moved away, in thousandths; fuller replicas are up to
+/// a quarter slower than emptier ones, and moving between those gains nothing.
+const SLOW: u64 = 1_700;
+/// A replica that takes a moved item must be this much faster, in hundredths.
+const FASTER: u64 = 150;
+
+/// Mean pause between the events that a replica makes.
+#[derive(Debug, Default)]
+pub struct Pace {
+    mean_us: AtomicU64,
+    seen_ms: AtomicU64,
+}
+
+impl Pace {
+    /// Takes the pause between two events of one run.
+    pub fn record(&self, pause_us: u64, now_ms: u64) {
+        let mean_us = match self.mean_us.load(Ordering::Relaxed) {
+            0 => pause_us,
+            mean_us => (mean_us * (100 - SHARE) + pause_us * SHARE) / 100,
+        };
+        self.mean_us.store(mean_us, Ordering::Relaxed);
+        self.seen_ms.store(now_ms, Ordering::Relaxed);
+    }
+
+    /// The mean pause in microseconds; 0 before the first.
+    pub fn mean_us(&self) -> u64 {
+        self.mean_us.load(Ordering::Relaxed)
+    }
+
+    fn age_ms(&self, now_ms: u64) -> u64 {
+        now_ms.saturating_sub(self.seen_ms.load(Ordering::Relaxed))
+    }
+}
+
+/// Slowness against `typical_us`, in thousandths; 1,000 for one like the others.
+pub fn slowness(pace: &Pace, typical_us: u64, now_ms: u64) -> u64 {
+    let mean_us = pace.mean_us();
+    if mean_us == 0 || typical_us == 0 {
+        return 1_000;
+    }
+    let now = mean_us * 1_000 / typical_us;
+    if now <= 1_000 {
+        return now;
+    }
+    let halvings = (pace.age_ms(now_ms) / FORGET_HALF_MS).min(10);
+    1_000 + ((now - 1_000) >> halvings)
+}
+
+/// Whether an item should go on elsewhere: the replica is slow, the other one much faster.
+pub fn is_worth_moving(here: u64, there: u64) -> bool {
+    here >= SLOW && here * 100 >= there * FASTER
+}
--- a/components/front/src/run_item.rs
+++ b/components/front/src/run_item.rs
@@ -1,11 +1,15 @@
 //! One run of an item at one replica.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use dispatch::Pace;
 use hyper::Method;
 use platform::replica::{self, Call, ItemRun, ItemStart, ReplicaError};
+use platform::sse::Event;
 use steps::ItemData;
+use tokio::sync::Notify;
 
 use crate::clock::now_us;
 use crate::peers::Member;
@@ -48,7 +52,7 @@
     /// Host of its route.
     pub host: String,
     /// What is sent.
-    pub data: std::sync::Arc<ItemData>,
+    pub data: Arc<ItemData>,
     /// The replica.
     pub member: Member,
     /// Oldest version that may make an event.
@@ -57,6 +61,10 @@
     pub single_version: bool,
     /// Time until the item is given up, in milliseconds.
     pub left_ms: u64,
+    /// How fast the replica makes events.
+    pub pace: Arc<Pace>,
+    /// Stops the run, so that another replica goes on.
+    pub stop: Arc<Notify>,
 }
 
 /// How a run ended.
@@ -67,74 +75,69 @@
     NotRun(String),
     /// The run broke off; another one may go on from what is there.
     Broken(String),
+    /// It was stopped.
+    Stopped,
     /// The replica failed; counts as an attempt.
     Failed,
     /// It can never be done.
     Impossible,
 }
 
-/// A run that ended, with the time for an event, in microseconds, where it had several.
-pub struct Ran {
-    /// How it ended.
-    pub end: RunEnd,
-    /// Time for an event.
-    pub event_us: Option<u64>,
-}
-
 /// Runs an item until the run ends; what it makes is added to `partial`.
-pub async fn run(spec: &RunSpec, partial: &mut Partial) -> Ran {
-    let without_pace = |end| Ran {
-        end,
-        event_us: None,
-    };
+pub async fn run(spec: &RunSpec, partial: &mut Partial) -> RunEnd {
     let mut item_run = match start(spec, partial).await {
         Ok(ItemStart::Running(run)) => run,
-        Ok(ItemStart::Failed) => return without_pace(RunEnd::Failed),
-        Ok(ItemStart::Impossible) => return without_pace(RunEnd::Impossible),
-        Err(error) => return without_pace(ended_by(error)),
+        Ok(ItemStart::Failed) => return RunEnd::Failed,
+        Ok(ItemStart::Impossible) => return RunEnd::Impossible,
+        Err(error) => return ended_by(error),
     };
     let first = partial.last_event;
-    let mut began_us = 0;
-    let end = loop {
-        match item_run.next(Duration::from_millis(PAUSE_MS)).await {
+    let mut last_us = None;
+    loop {
+        let next = tokio::select! {
+            next = item_run.next(Duration::from_millis(PAUSE_MS)) => next,
+            () = spec.stop.notified() => return RunEnd::Stopped,
+        };
+        match next {
             Ok(Some(event)) => {
-                if event.id != partial.last_event + 1 {
-                    let expected = partial.last_event + 1;
-                    break RunEnd::Broken(format!("event {} instead of {expected}", event.id));
+                if let Err(end) = take_event(spec, partial, &item_run, &event) {
+                    return end;
                 }
-                if let Err(end) = check_version(spec, partial, &item_run) {
-                    break end;
+                let now_us = now_us();
+                if let Some(last_us) = last_us.replace(now_us) {
+                    spec.pace.record(now_us - last_us, now_us / 1_000);
                 }
-                if began_us == 0 {
-                    began_us = now_us();
-                }
-                let version = item_run.version().unwrap_or(0);
-                partial.push(&event.data, event.id, version);
             }
             Ok(None) if partial.last_event == first => {
-                break RunEnd::Broken("a stream without events".to_owned());
+                return RunEnd::Broken("a stream without events".to_owned());
             }
             Ok(None) => {
                 if let Some((connection, keep_ms)) = item_run.finish().await {
                     spec.member.peer.keep(connection, keep_ms);
                 }
-                return Ran {
-                    end: RunEnd::Whole,
-                    event_us: pace(partial, first, began_us),
-                };
+                return RunEnd::Whole;
             }
-            Err(error) => break ended_by(error),
+            Err(error) => return ended_by(error),
         }
-    };
-    Ran {
-        end,
-        event_us: pace(partial, first, began_us),
     }
 }
 
-fn pace(partial: &Partial, first: u64, began_us: u64) -> Option<u64> {
-    let pauses = partial.last_event.saturating_sub(first + 1);
-    (pauses >= 3).then(|| (now_us() - began_us) / pauses)
+fn take_event(
+    spec: &RunSpec,
+    partial: &mut Partial,
+    run: &ItemRun,
+    event: &Event,
+) -> Result<(), RunEnd> {
+    let expected = partial.last_event + 1;
+    if event.id != expected {
+        return Err(RunEnd::Broken(format!(
+            "event {} instead of {expected}",
+            event.id
+        )));
+    }
+    let version = check_version(spec, partial, run)?;
+    partial.push(&event.data, event.id, version);
+    Ok(())
 }
 
 async fn start(spec: &RunSpec, partial: &Partial) -> Result<ItemStart, ReplicaError> {
@@ -157,7 +160,7 @@
 }
 
 /// An event under a version that must not stand in the text ends the run before it is taken.
-fn check_version(spec: &RunSpec, partial: &mut Partial, run: &ItemRun) -> Result<(), RunEnd> {
+fn check_version(spec: &RunSpec, partial: &mut Partial, run: &ItemRun) -> Result<u64, RunEnd> {
     let Some(version) = run.version() else {
         return Err(RunEnd::Broken(
             "the replica does not say which version it has".to_owned(),
@@ -173,7 +176,7 @@
             "version {version} came in the middle"
         )));
     }
-    Ok(())
+    Ok(version)
 }
 
 fn ended_by(error: ReplicaError) -> RunEnd {
--- /dev/null
+++ b/components/front/src/runner/mod.rs
@@ -0,0 +1,214 @@
+//! The task that runs the items of the models that belong to this front.
+//!
+//! It looks at the steps whenever something changed, places waiting items on replicas, and
+//! hands texts to the reward call and the writer. It keeps nothing that must last: another
+//! front that takes over reads the steps and begins with what is not listed.
+
+mod data;
+mod engines;
+mod look;
+mod settle;
+
+use std::collections::{HashMap, HashSet};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use dispatch::{Engine, Pace, Placed, ReplicaId, Route, Waiting, is_worth_moving, place, slowness};
+use steps::{
+    ErrorCause, FailedPart, IndexRecord, ItemData, ItemHead, Step, StepHead, StepId, decode_item,
+};
+use tokio::sync::{Notify, mpsc};
+use tokio::task::AbortHandle;
+
+use crate::clock::now_ms;
+use crate::log_record::{DATA_TOPIC, LogRecord};
+use crate::peers::Member;
+use crate::reward;
+use crate::run_item::{self, Partial, RunEnd, RunSpec};
+use crate::state::Front;
+use crate::writer::{Ended, Outcome, append_index};
+
+use data::read_data;
+use engines::{EngineState, Place};
+
+/// How often steps are looked at when nothing is heard, in milliseconds.
+const LOOK_MS: u64 = 100;
+/// How old the knowledge of the index may be when a run starts, in milliseconds; an item of
+/// a step that was ended must not reach a replica three seconds later.
+const INDEX_AGE_MS_MAX: u64 = 1_500;
+/// How long a replica that refused an item of a model gets no other, in milliseconds; a load
+/// of weights takes about a second.
+const REFUSED_MS: u64 = 120;
+/// How long one that broke a run gets no other, in milliseconds.
+const BROKEN_MS: u64 = 400;
+/// Beyond the time in which an item may be given up, in milliseconds, against early clocks.
+const GIVE_UP_SLACK_MS: u64 = 1_000;
+/// Output tokens of an item whose trainer gives no hint.
+const TOKENS_GUESS: u32 = 600;
+/// Longest time for reading items' data, in milliseconds.
+const DATA_MS: u64 = 1_200;
+/// Kibibytes of items' data in one read.
+const DATA_KB: u32 = 64;
+/// Ended items that wait for the writer, at most.
+pub const ENDED_MAX: usize = 256;
+
+type Key = (StepId, u32);
+
+/// News for the runner.
+enum News {
+    /// A step's data was read.
+    Data(StepId, Vec<Arc<ItemData>>),
+    /// It can't be read now.
+    NoData(StepId),
+    /// A run ended.
+    Ran(Key, ReplicaId, Partial, RunEnd),
+    /// An item was handed to the writer.
+    Settled,
+}
+
+struct Running {
+    abort: AbortHandle,
+    /// Where it runs; none once its text is whole.
+    at: Option<RunningAt>,
+}
+
+struct RunningAt {
+    replica: ReplicaId,
+    stop: Arc<Notify>,
+    /// Whether it was told to stop.
+    stopping: bool,
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.abort.abort();
+    }
+}
+
+struct Runner {
+    front: Arc<Front>,
+    news: mpsc::UnboundedSender<News>,
+    ended: mpsc::Sender<Ended>,
+    data: HashMap<StepId, Vec<Arc<ItemData>>>,
+    asked: HashSet<StepId>,
+    running: HashMap<Key, Running>,
+    partials: HashMap<Key, (Partial, Option<ReplicaId>)>,
+    failed_runs: HashMap<Key, u32>,
+    engines: HashMap<ReplicaId, EngineState>,
+}
+
+/// Runs items until the process ends.
+pub async fn run(front: Arc<Front>, ended: mpsc::Sender<Ended>) {
+    let (news, mut heard) = mpsc::unbounded_channel();
+    let mut runner = Runner {
+        front: Arc::clone(&front),
+        news,
+        ended,
+        data: HashMap::new(),
+        asked: HashSet::new(),
+        running: HashMap::new(),
+        partials: HashMap::new(),
+        failed_runs: HashMap::new(),
+        engines: HashMap::new(),
+    };
+    loop {
+        tokio::select! {
+            Some(news) = heard.recv() => runner.take(news),
+            () = front.runner_news.notified() => {}
+            () = tokio::time::sleep(Duration::from_millis(LOOK_MS)) => {}
+        }
+        while let Ok(news) = heard.try_recv() {
+            runner.take(news);
+        }
+        runner.look();
+    }
+}
+
+impl Runner {
+    fn take(&mut self, news: News) {
+        match news {
+            News::Data(step, data) => {
+                self.asked.remove(&step);
+                self.data.insert(step, data);
+            }
+            News::NoData(step) => {
+                self.asked.remove(&step);
+            }
+            News::Ran(key, replica, partial, end) => self.take_run(key, replica, partial, end),
+            News::Settled => {}
+        }
+    }
+
+    fn take_run(&mut self, key: Key, replica: ReplicaId, partial: Partial, end: RunEnd) {
+        self.running.remove(&key);
+        let now_ms = now_ms();
+        let Some((head, progress)) = self.step_of(key) else {
+            return;
+        };
+        let engine = self
+            .engines
+            .entry(Arc::clone(&replica))
+            .or_insert_with(EngineState::new);
+        let model: Arc<str> = head.model.as_str().into();
+        let (step, item) = key;
+        match end {
+            RunEnd::Whole => self.settle(key, &head, partial, progress.failed_rewards),
+            RunEnd::NotRun(why) => {
+                log::debug!(event = "item_not_run", step = step.0, item, replica = &*replica, why; "");
+                engine.refused_until_ms.insert(model, now_ms + REFUSED_MS);
+                self.partials.insert(key, (partial, Some(replica)));
+            }
+            RunEnd::Broken(why) => {
+                log::info!(
+                    event = "item_broken", step = step.0, item, replica = &*replica,
+                    events = partial.last_event, why; ""
+                );
+                engine.refused_until_ms.insert(model, now_ms + BROKEN_MS);
+                self.partials.insert(key, (partial, Some(replica)));
+            }
+            RunEnd::Stopped => {
+                log::info!(
+                    event = "item_moved",
+                    step = step.0,
+                    item,
+                    replica = &*replica,
+                    events = partial.last_event;
+                    ""
+                );
+                self.partials.insert(key, (partial, Some(replica)));
+            }
+            RunEnd::Failed => {
+                let here = self.failed_runs.entry(key).or_insert(0);
+                *here += 1;
+                let failed = progress.failed_runs.max(*here);
+                log::info!(event = "item_failed", step = step.0, item, replica = &*replica, failed; "");
+                if failed >= head.attempts_max {
+                    self.give_up(key, ErrorCause::Runs);
+                } else {
+                    self.note_failed_run(key);
+                    self.partials.insert(key, (partial, Some(replica)));
+                }
+            }
+            RunEnd::Impossible => self.give_up(key, ErrorCause::Impossible),
+        }
+    }
+
+    fn step_of(&self, (step, item): Key) -> Option<(Arc<StepHead>, steps::ItemProgress)> {
+        let index = self.front.index();
+        let step = index.ledger.get(step)?;
+        Some((Arc::clone(&step.head), *step.progress.get(item as usize)?))
+    }
+
+    fn note_failed_run(&self, (step, item): Key) {
+        let front = Arc::clone(&self.front);
+        tokio::spawn(async move {
+            let part = FailedPart::Run;
+            let record = [LogRecord::Index(IndexRecord::Failed { step, item, part })];
+            if let Err(error) = append_index(&front, &record).await {
+                log::warn!(event = "failure_not_written", step = step.0, item, error:% = error; "");
+            }
+        });
+    }
+}
--- /dev/null
+++ b/components/front/src/runner/settle.rs
@@ -0,0 +1,90 @@
+//! The end of an item: scoring its text, or giving it up.
+
+use super::*;
+
+impl Runner {
+    /// Has a whole text scored and written.
+    pub(super) fn settle(
+        &mut self,
+        key: Key,
+        head: &StepHead,
+        partial: Partial,
+        failed_rewards: u32,
+    ) {
+        let Some(data) = self
+            .data
+            .get(&key.0)
+            .and_then(|data| data.get(key.1 as usize))
+        else {
+            return;
+        };
+        let (front, data) = (Arc::clone(&self.front), Arc::clone(data));
+        let (ended, news) = (self.ended.clone(), self.news.clone());
+        let item_id = head.items[key.1 as usize].id.clone();
+        let task = tokio::spawn(async move {
+            let score = match &data.scorer {
+                None => Some(String::new()),
+                Some(scorer) => reward::score(&front, key, scorer, failed_rewards).await,
+            };
+            let (step, item) = key;
+            let outcome = match score {
+                Some(score) => {
+                    log::info!(
+                        event = "item_scored", id = item_id, step = step.0, item,
+                        versions:? = partial.versions; ""
+                    );
+                    let text = Bytes::from(partial.text);
+                    Outcome::Text {
+                        text,
+                        versions: partial.versions,
+                        score,
+                    }
+                }
+                None => {
+                    log::info!(event = "item_without_score", id = item_id, step = step.0, item; "");
+                    Outcome::Error(ErrorCause::Reward)
+                }
+            };
+            // The writer ends with the process only.
+            let _ = ended
+                .send(Ended {
+                    step,
+                    item,
+                    outcome,
+                })
+                .await;
+            let _ = news.send(News::Settled);
+        });
+        self.running.insert(
+            key,
+            Running {
+                abort: task.abort_handle(),
+                at: None,
+            },
+        );
+    }
+
+    /// Lists an item without a text.
+    pub(super) fn give_up(&mut self, key: Key, cause: ErrorCause) {
+        let (step, item) = key;
+        log::info!(event = "item_given_up", step = step.0, item, cause:? = cause; "");
+        let ended = self.ended.clone();
+        let task = tokio::spawn(async move {
+            let outcome = Outcome::Error(cause);
+            let _ = ended
+                .send(Ended {
+                    step,
+                    item,
+                    outcome,
+                })
+                .await;
+        });
+        self.running.insert(
+            key,
+            Running {
+                abort: task.abort_handle(),
+                at: None,
+            },
+        );
+    }
+}
