Runner: texts in progress are saved every half second and taken up by the next runner

Change: pieces of texts in the data topic, chained by random ids so that pieces of two runs are never joined; a leaving front saves, then hands its models over; membership lapses after 1.3 s instead of 2 s; slowness of a replica is forgotten in 4 s instead of 1.5 s (items went to and fro).

--- a/components/dispatch/src/pace.rs
+++ b/components/dispatch/src/pace.rs
@@ -12,7 +12,7 @@
 const SHARE: u64 = 20;
 /// How fast a replica's slowness is forgotten while it runs nothing, in milliseconds for half
 /// of it, so that one that was slow gets items again.
-const FORGET_HALF_MS: u64 = 1_500;
+const FORGET_HALF_MS: u64 = 4_000;
 /// Slowness from which on items are moved away, in thousandths; fuller replicas are up to
 /// a quarter slower than emptier ones, and moving between those gains nothing.
 const SLOW: u64 = 1_700;
--- a/components/front/src/leave.rs
+++ b/components/front/src/leave.rs
@@ -21,6 +21,8 @@
 const MARGIN_MS: u64 = 900;
 /// When a client that came too late may come again, in milliseconds.
 const AGAIN_MS: u32 = 50;
+/// Longest time for saving texts, in milliseconds; two appends of a slow store.
+const SAVE_MS: u64 = 1_000;
 /// How often the end is looked for, in milliseconds.
 const LOOK_MS: u64 = 20;
 
@@ -34,11 +36,25 @@
     }
 }
 
+/// Gives the models to other fronts once what was made of their items is saved.
+async fn hand_over(front: &Front) {
+    let mut saved = front.handed_over.subscribe();
+    let within = Duration::from_millis(SAVE_MS);
+    if tokio::time::timeout(within, saved.wait_for(|saved| *saved))
+        .await
+        .is_err()
+    {
+        log::warn!(event = "handed_over_unsaved"; "");
+    }
+    member::leave(front).await;
+}
+
 /// Leaves; returns when the process may end.
 pub async fn leave(front: &Arc<Front>) {
     front.drain.start(now_ms());
     log::info!(event = "leaving", work = front.drain.progress().count(); "");
-    tokio::join!(leader::give_up(front), member::leave(front));
+    front.runner_news.notify_one();
+    tokio::join!(leader::give_up(front), hand_over(front));
     loop {
         match front.drain.step(now_ms()) {
             Step::Exit { cut_off } => {
--- a/components/front/src/lib.rs
+++ b/components/front/src/lib.rs
@@ -14,6 +14,7 @@
 mod leave;
 mod log_record;
 mod member;
+mod partial;
 mod peers;
 mod results;
 mod reward;
--- a/components/front/src/member.rs
+++ b/components/front/src/member.rs
@@ -12,11 +12,11 @@
 use crate::state::{Front, Ownership};
 
 /// Time to live of a member, in milliseconds: how long items stand still after a front died.
-const TTL_MS: u64 = 2_000;
+const TTL_MS: u64 = 1_300;
 /// Pause between joins, in milliseconds; two may be lost before the membership is.
-const JOIN_MS: u64 = 600;
+const JOIN_MS: u64 = 350;
 /// Longest time for a join, in milliseconds.
-const WITHIN_MS: u64 = 900;
+const WITHIN_MS: u64 = 700;
 
 /// Stays in the group until the process leaves.
 pub async fn stay(front: Arc<Front>) {
--- a/components/front/src/run_item.rs
+++ b/components/front/src/run_item.rs
@@ -12,7 +12,9 @@
 use tokio::sync::Notify;
 
 use crate::clock::now_us;
+use crate::partial::{Partial, SharedPartial};
 use crate::peers::Member;
+use crate::state::locked;
 
 /// Longest wait for the head of a run's answer, in milliseconds: an engine takes up to 24
 /// requests more than it runs at once, which wait for a place.
@@ -21,30 +23,6 @@
 /// one each 150 ms; a silent one is lost.
 const PAUSE_MS: u64 = 1_500;
 
-/// What is there of an item's text.
-#[derive(Default)]
-pub struct Partial {
-    /// Data of the events so far, joined by line feeds.
-    pub text: Vec<u8>,
-    /// Id of the last event; 0 before the first.
-    pub last_event: u64,
-    /// Versions that made it, ascending.
-    pub versions: Vec<u64>,
-}
-
-impl Partial {
-    fn push(&mut self, data: &[u8], id: u64, version: u64) {
-        if self.last_event > 0 {
-            self.text.push(b'\n');
-        }
-        self.text.extend_from_slice(data);
-        self.last_event = id;
-        if let Err(at) = self.versions.binary_search(&version) {
-            self.versions.insert(at, version);
-        }
-    }
-}
-
 /// What a run is asked with.
 pub struct RunSpec {
     /// The item's id, which is the request's.
@@ -83,15 +61,15 @@
     Impossible,
 }
 
-/// Runs an item until the run ends; what it makes is added to `partial`.
-pub async fn run(spec: &RunSpec, partial: &mut Partial) -> RunEnd {
-    let mut item_run = match start(spec, partial).await {
+/// Runs an item until the run ends; what it makes is added to `shared`.
+pub async fn run(spec: &RunSpec, shared: &SharedPartial) -> RunEnd {
+    let first = locked(shared).last_event;
+    let mut item_run = match start(spec, first).await {
         Ok(ItemStart::Running(run)) => run,
         Ok(ItemStart::Failed) => return RunEnd::Failed,
         Ok(ItemStart::Impossible) => return RunEnd::Impossible,
         Err(error) => return ended_by(error),
     };
-    let first = partial.last_event;
     let mut last_us = None;
     loop {
         let next = tokio::select! {
@@ -100,7 +78,7 @@
         };
         match next {
             Ok(Some(event)) => {
-                if let Err(end) = take_event(spec, partial, &item_run, &event) {
+                if let Err(end) = take_event(spec, &mut locked(shared), &item_run, &event) {
                     return end;
                 }
                 let now_us = now_us();
@@ -108,7 +86,7 @@
                     spec.pace.record(now_us - last_us, now_us / 1_000);
                 }
             }
-            Ok(None) if partial.last_event == first => {
+            Ok(None) if locked(shared).last_event == first => {
                 return RunEnd::Broken("a stream without events".to_owned());
             }
             Ok(None) => {
@@ -140,10 +118,10 @@
     Ok(())
 }
 
-async fn start(spec: &RunSpec, partial: &Partial) -> Result<ItemStart, ReplicaError> {
+async fn start(spec: &RunSpec, last_event: u64) -> Result<ItemStart, ReplicaError> {
     let mut headers = replica::item_headers(&spec.data.headers)?;
-    if partial.last_event > 0 {
-        replica::resume_after(&mut headers, partial.last_event);
+    if last_event > 0 {
+        replica::resume_after(&mut headers, last_event);
     }
     let connection = spec.member.peer.connection(&spec.member.replica).await?;
     let call = Call {
@@ -171,7 +149,7 @@
     }
     if spec.single_version && partial.versions.iter().any(|held| *held != version) {
         // The text began under another version and is no use any more.
-        *partial = Partial::default();
+        partial.discard();
         return Err(RunEnd::Broken(format!(
             "version {version} came in the middle"
         )));
--- a/components/front/src/runner/look.rs
+++ b/components/front/src/runner/look.rs
@@ -1,5 +1,7 @@
 //! What the runner does when it looks at the steps: stops, starts and moves runs.
 
+use steps::SavedPiece;
+
 use super::*;
 
 /// A waiting item with what is needed to start it.
@@ -28,6 +30,7 @@
     pub(super) fn look(&mut self) {
         let now_ms = now_ms();
         self.stop_what_ended(now_ms);
+        self.save(now_ms);
         let index_age_ms = self.front.index_age_ms(now_ms);
         if !index_age_ms.is_some_and(|age_ms| age_ms < INDEX_AGE_MS_MAX) {
             return;
@@ -55,19 +58,42 @@
         let wanted = |key: &Key, whole: bool| {
             index.ledger.get(key.0).is_some_and(|step| {
                 // A whole text is scored and written whoever runs the model now.
-                let mine = leaving || whole || front.runs(&step.head.model, now_ms);
+                let mine = whole || !leaving && front.runs(&step.head.model, now_ms);
                 let progress = step.progress.get(key.1 as usize);
                 !step.ended && mine && progress.is_some_and(|item| !item.listed)
             })
         };
         self.running
             .retain(|key, running| wanted(key, running.at.is_none()));
-        self.partials.retain(|key, _| wanted(key, false));
+        // A leaving front still saves what its runs made.
+        self.partials.retain(|key, _| wanted(key, leaving));
         self.failed_runs.retain(|key, _| wanted(key, false));
         self.data
             .retain(|step, _| index.ledger.get(*step).is_some_and(Step::is_open));
     }
 
+    /// Saves texts that are not whole, at intervals and once more when this front leaves.
+    fn save(&mut self, now_ms: u64) {
+        let leaving = self.front.drain.is_leaving();
+        let due = now_ms >= self.saved_ms + SAVE_MS;
+        if self.saving || !due && !leaving || *self.front.handed_over.borrow() {
+            return;
+        }
+        self.saved_ms = now_ms;
+        self.saving = true;
+        let texts = self
+            .partials
+            .iter()
+            .map(|(key, held)| (*key, Arc::clone(&held.0)))
+            .collect();
+        let (front, news) = (Arc::clone(&self.front), self.news.clone());
+        tokio::spawn(async move {
+            partial::save(&front, texts).await;
+            // The runner ends with the process only.
+            let _ = news.send(News::Saved);
+        });
+    }
+
     /// Waiting items of the steps that this front runs; asks for the data of those it lacks.
     fn contests(&mut self, now_ms: u64) -> Vec<Contest> {
         let front = Arc::clone(&self.front);
@@ -110,8 +136,7 @@
         let mut waiting = Vec::new();
         for (item, progress) in step.progress.iter().enumerate() {
             let key = (step.id, item as u32);
-            let finishing = now_ms < progress.finishing_until_ms;
-            if progress.listed || finishing || self.running.contains_key(&key) {
+            if progress.listed || self.running.contains_key(&key) {
                 continue;
             }
             if step.head.retention_ms > 0 && age_ms > given_up_ms {
@@ -126,11 +151,12 @@
     fn candidate(&self, step: &Step, key: Key, left_ms: u64) -> Candidate {
         let head: &ItemHead = &step.head.items[key.1 as usize];
         let partial = self.partials.get(&key);
-        let versions = partial.map_or(&[][..], |(partial, _)| &partial.versions);
-        let only_version = match step.head.single_version {
-            true => versions.first().copied(),
-            false => None,
-        };
+        let begun = partial.and_then(|(partial, _)| locked(partial).versions.first().copied());
+        let saved = step
+            .pieces(key.1)
+            .last()
+            .and_then(|piece| piece.versions.first().copied());
+        let only_version = begun.or(saved).filter(|_| step.head.single_version);
         let guess = match head.hint_tokens {
             0 => TOKENS_GUESS,
             hint => hint,
@@ -226,11 +252,15 @@
             .or_insert_with(EngineState::new);
         state.running.fetch_add(1, Ordering::Relaxed);
         let place = Place(Arc::clone(&state.running));
-        let mut partial = self
-            .partials
-            .remove(&item.key)
-            .map(|held| held.0)
-            .unwrap_or_default();
+        let held = self.partials.entry(item.key).or_default();
+        held.1 = None;
+        let partial = Arc::clone(&held.0);
+        let saved = self
+            .front
+            .index()
+            .ledger
+            .get(step)
+            .map(|step| step.pieces(number).to_vec());
         let spec = RunSpec {
             id: item.head.items[number as usize].id.clone(),
             host: item.head.host.clone(),
@@ -249,14 +279,16 @@
         };
         log::debug!(
             event = "item_started", id = spec.id, step = step.0, item = number,
-            replica = &*replica, from_event = partial.last_event; ""
+            replica = &*replica, from_event = locked(&partial).last_event; ""
         );
         let (key, news) = (item.key, self.news.clone());
+        let front = Arc::clone(&self.front);
         let task = tokio::spawn(async move {
-            let end = run_item::run(&spec, &mut partial).await;
+            take_up(&front, &partial, &saved.unwrap_or_default()).await;
+            let end = run_item::run(&spec, &partial).await;
             drop(place);
             // The runner ends with the process only.
-            let _ = news.send(News::Ran(key, replica, partial, end));
+            let _ = news.send(News::Ran(key, replica, end));
         });
         self.running.insert(
             key,
@@ -267,3 +299,18 @@
         );
     }
 }
+
+/// Goes on from what another process saved, where this one has nothing of the text.
+async fn take_up(front: &Front, partial: &SharedPartial, saved: &[SavedPiece]) {
+    let begun = {
+        let partial = locked(partial);
+        partial.discarded || partial.last_event > 0
+    };
+    if saved.is_empty() || begun {
+        return;
+    }
+    match partial::restore(front, saved).await {
+        Ok(restored) => *locked(partial) = restored,
+        Err(error) => log::info!(event = "pieces_not_read", error:% = error; ""),
+    }
+}
--- a/components/front/src/runner/mod.rs
+++ b/components/front/src/runner/mod.rs
@@ -24,10 +24,11 @@
 
 use crate::clock::now_ms;
 use crate::log_record::{DATA_TOPIC, LogRecord};
+use crate::partial::{self, Partial, SharedPartial};
 use crate::peers::Member;
 use crate::reward;
-use crate::run_item::{self, Partial, RunEnd, RunSpec};
-use crate::state::Front;
+use crate::run_item::{self, RunEnd, RunSpec};
+use crate::state::{Front, locked};
 use crate::writer::{Ended, Outcome, append_index};
 
 use data::read_data;
@@ -47,6 +48,9 @@
 const GIVE_UP_SLACK_MS: u64 = 1_000;
 /// Output tokens of an item whose trainer gives no hint.
 const TOKENS_GUESS: u32 = 600;
+/// Pause between rounds of saving texts, in milliseconds: what a run loses with its machine,
+/// against a copy of each text in the store.
+const SAVE_MS: u64 = 500;
 /// Longest time for reading items' data, in milliseconds.
 const DATA_MS: u64 = 1_200;
 /// Kibibytes of items' data in one read.
@@ -63,7 +67,9 @@
     /// It can't be read now.
     NoData(StepId),
     /// A run ended.
-    Ran(Key, ReplicaId, Partial, RunEnd),
+    Ran(Key, ReplicaId, RunEnd),
+    /// A round of saving ended.
+    Saved,
     /// An item was handed to the writer.
     Settled,
 }
@@ -94,7 +100,11 @@
     data: HashMap<StepId, Vec<Arc<ItemData>>>,
     asked: HashSet<StepId>,
     running: HashMap<Key, Running>,
-    partials: HashMap<Key, (Partial, Option<ReplicaId>)>,
+    /// Texts that are not whole, and where their last run broke.
+    partials: HashMap<Key, (SharedPartial, Option<ReplicaId>)>,
+    /// When texts were saved last, in milliseconds.
+    saved_ms: u64,
+    saving: bool,
     failed_runs: HashMap<Key, u32>,
     engines: HashMap<ReplicaId, EngineState>,
 }
@@ -110,6 +120,8 @@
         asked: HashSet::new(),
         running: HashMap::new(),
         partials: HashMap::new(),
+        saved_ms: 0,
+        saving: false,
         failed_runs: HashMap::new(),
         engines: HashMap::new(),
     };
@@ -136,12 +148,18 @@
             News::NoData(step) => {
                 self.asked.remove(&step);
             }
-            News::Ran(key, replica, partial, end) => self.take_run(key, replica, partial, end),
+            News::Ran(key, replica, end) => self.take_run(key, replica, end),
+            News::Saved => {
+                self.saving = false;
+                if self.front.drain.is_leaving() {
+                    self.front.handed_over.send_replace(true);
+                }
+            }
             News::Settled => {}
         }
     }
 
-    fn take_run(&mut self, key: Key, replica: ReplicaId, partial: Partial, end: RunEnd) {
+    fn take_run(&mut self, key: Key, replica: ReplicaId, end: RunEnd) {
         self.running.remove(&key);
         let now_ms = now_ms();
         let Some((head, progress)) = self.step_of(key) else {
@@ -152,21 +170,34 @@
             .entry(Arc::clone(&replica))
             .or_insert_with(EngineState::new);
         let model: Arc<str> = head.model.as_str().into();
+        let events = self
+            .partials
+            .get(&key)
+            .map_or(0, |held| locked(&held.0).last_event);
         let (step, item) = key;
         match end {
-            RunEnd::Whole => self.settle(key, &head, partial, progress.failed_rewards),
+            RunEnd::Whole => {
+                let partial = self.partials.remove(&key).map(|held| held.0);
+                let text = partial.map(|partial| std::mem::take(&mut *locked(&partial)));
+                self.settle(
+                    key,
+                    &head,
+                    text.unwrap_or_default(),
+                    progress.failed_rewards,
+                );
+            }
             RunEnd::NotRun(why) => {
                 log::debug!(event = "item_not_run", step = step.0, item, replica = &*replica, why; "");
                 engine.refused_until_ms.insert(model, now_ms + REFUSED_MS);
-                self.partials.insert(key, (partial, Some(replica)));
+                self.note_broken(key, replica);
             }
             RunEnd::Broken(why) => {
                 log::info!(
                     event = "item_broken", step = step.0, item, replica = &*replica,
-                    events = partial.last_event, why; ""
+                    events, why; ""
                 );
                 engine.refused_until_ms.insert(model, now_ms + BROKEN_MS);
-                self.partials.insert(key, (partial, Some(replica)));
+                self.note_broken(key, replica);
             }
             RunEnd::Stopped => {
                 log::info!(
@@ -174,10 +205,10 @@
                     step = step.0,
                     item,
                     replica = &*replica,
-                    events = partial.last_event;
+                    events;
                     ""
                 );
-                self.partials.insert(key, (partial, Some(replica)));
+                self.note_broken(key, replica);
             }
             RunEnd::Failed => {
                 let here = self.failed_runs.entry(key).or_insert(0);
@@ -188,13 +219,20 @@
                     self.give_up(key, ErrorCause::Runs);
                 } else {
                     self.note_failed_run(key);
-                    self.partials.insert(key, (partial, Some(replica)));
+                    self.note_broken(key, replica);
                 }
             }
             RunEnd::Impossible => self.give_up(key, ErrorCause::Impossible),
         }
     }
 
+    /// The next run goes elsewhere if it can.
+    fn note_broken(&mut self, key: Key, replica: ReplicaId) {
+        if let Some(held) = self.partials.get_mut(&key) {
+            held.1 = Some(replica);
+        }
+    }
+
     fn step_of(&self, (step, item): Key) -> Option<(Arc<StepHead>, steps::ItemProgress)> {
         let index = self.front.index();
         let step = index.ledger.get(step)?;
--- a/components/front/src/state.rs
+++ b/components/front/src/state.rs
@@ -67,6 +67,8 @@
     pub owned: ArcSwap<Ownership>,
     /// Wakes the task that runs items.
     pub runner_news: Notify,
+    /// Turns true when a leaving front has saved the texts that it was making.
+    pub handed_over: watch::Sender<bool>,
     /// Wakes the task that gives orders.
     pub leader_news: Notify,
     /// The drain of this process.
@@ -94,6 +96,7 @@
             replicas_read: AtomicU64::new(0),
             owned: ArcSwap::default(),
             runner_news: Notify::new(),
+            handed_over: watch::Sender::new(false),
             leader_news: Notify::new(),
             drain,
             closing: watch::Sender::new(false),
--- a/components/steps/src/ledger.rs
+++ b/components/steps/src/ledger.rs
@@ -6,7 +6,7 @@
 use derive::value;
 
 use crate::step::ItemProgress;
-use crate::{FailedPart, IndexRecord, ListedResult, Step, StepHead, StepId};
+use crate::{FailedPart, IndexRecord, ListedResult, SavedPiece, Step, StepHead, StepId};
 
 /// What a record changed.
 #[value]
@@ -17,7 +17,7 @@
     Accepted(StepId),
     /// An item was listed.
     Listed(StepId, u32),
-    /// Counts of failures or marks of a leaving process changed.
+    /// Counts of failures or saved pieces changed.
     Progress(StepId),
     /// A step was ended.
     Ended(StepId),
@@ -40,9 +40,7 @@
             }
             IndexRecord::Failed { step, item, part } => self.fail(step, item, part),
             IndexRecord::Ended { step } => self.end(step),
-            IndexRecord::Finishing { for_ms, items, .. } => {
-                self.mark_finishing(&items, now_ms + for_ms)
-            }
+            IndexRecord::Saved { step, item, piece } => self.save(step, item, piece),
         }
     }
 
@@ -56,6 +54,7 @@
             results: Vec::new(),
             progress: vec![ItemProgress::default(); head.items.len()],
             head: Arc::new(head),
+            saved: HashMap::new(),
             ended: false,
             read_ms: now_ms,
         };
@@ -75,6 +74,7 @@
             return Change::Nothing;
         }
         progress.listed = true;
+        step.saved.remove(&item);
         step.results.push(Arc::new(result));
         Change::Listed(id, item)
     }
@@ -94,21 +94,24 @@
         match self.steps.get_mut(&id) {
             Some(step) if !step.ended => {
                 step.ended = true;
+                step.saved.clear();
                 Change::Ended(id)
             }
             _ => Change::Nothing,
         }
     }
 
-    fn mark_finishing(&mut self, items: &[(StepId, u32)], until_ms: u64) -> Change {
-        let mut change = Change::Nothing;
-        for (id, item) in items {
-            if let Some(progress) = self.progress_mut(*id, *item) {
-                progress.finishing_until_ms = until_ms;
-                change = Change::Progress(*id);
-            }
+    fn save(&mut self, id: StepId, item: u32, piece: SavedPiece) -> Change {
+        let open = |step: &&mut Step| !step.ended && !step.is_listed(item);
+        let Some(step) = self.steps.get_mut(&id).filter(open) else {
+            return Change::Nothing;
+        };
+        let newest = step.pieces(item).last().map_or(0, |newest| newest.id);
+        if piece.after != newest || piece.id == newest {
+            return Change::Nothing;
         }
-        change
+        step.saved.entry(item).or_default().push(piece);
+        Change::Progress(id)
     }
 
     fn progress_mut(&mut self, id: StepId, item: u32) -> Option<&mut ItemProgress> {
--- a/components/steps/src/lib.rs
+++ b/components/steps/src/lib.rs
@@ -16,6 +16,6 @@
 pub use ledger::{Change, Ledger};
 pub use record::{
     DataRange, ErrorCause, FailedPart, IndexError, IndexRecord, ItemHead, Place, ResultState,
-    StepHead, StepId, decode, encode,
+    SavedPiece, StepHead, StepId, decode, encode,
 };
 pub use step::{ItemProgress, ListedResult, Step};
--- a/components/steps/src/record.rs
+++ b/components/steps/src/record.rs
@@ -135,6 +135,22 @@
     Errored(ErrorCause),
 }
 
+/// A piece of a text that is not whole yet, so that another process can go on behind it.
+#[wire]
+pub struct SavedPiece {
+    /// Random id of the piece.
+    pub id: u64,
+    /// Id of the piece that it goes on from; 0 for the first. A piece of another run names
+    /// another one, so pieces of two runs are never joined.
+    pub after: u64,
+    /// Last event in it.
+    pub last_event: u64,
+    /// Versions of the weights that made the text up to here, ascending.
+    pub versions: Vec<u64>,
+    /// Where its text lies.
+    pub text: Place,
+}
+
 /// What of an item failed.
 #[key]
 #[derive(serde::Serialize, serde::Deserialize)]
@@ -173,14 +189,14 @@
         /// The step.
         step: StepId,
     },
-    /// A leaving process still runs these items; others leave them alone for a while.
-    Finishing {
-        /// VM of the process.
-        node: String,
-        /// For how long from reading this, in milliseconds.
-        for_ms: u64,
-        /// Steps and numbers of the items.
-        items: Vec<(StepId, u32)>,
+    /// The next piece of an item's text, while it is made.
+    Saved {
+        /// Its step.
+        step: StepId,
+        /// Its number in the step.
+        item: u32,
+        /// The piece.
+        piece: SavedPiece,
     },
 }
 
--- a/components/steps/src/step.rs
+++ b/components/steps/src/step.rs
@@ -1,10 +1,11 @@
 //! One accepted step.
 
+use std::collections::HashMap;
 use std::sync::Arc;
 
 use derive::value;
 
-use crate::{ResultState, StepHead, StepId};
+use crate::{ResultState, SavedPiece, StepHead, StepId};
 
 /// A result at its position.
 #[value]
@@ -25,8 +26,6 @@
     pub failed_runs: u32,
     /// Reward calls that failed, over all processes.
     pub failed_rewards: u32,
-    /// Until when another process finishes it, in milliseconds of this process's clock.
-    pub finishing_until_ms: u64,
 }
 
 /// One accepted step.
@@ -40,6 +39,8 @@
     pub results: Vec<Arc<ListedResult>>,
     /// By number of the item.
     pub progress: Vec<ItemProgress>,
+    /// Pieces of texts that are not whole, by number of the item.
+    pub saved: HashMap<u32, Vec<SavedPiece>>,
     /// Whether the trainer ended it.
     pub ended: bool,
     /// When this process read of it, in milliseconds of its clock.
@@ -57,6 +58,17 @@
         !self.ended && !self.is_complete()
     }
 
+    /// Whether an item has a result; true for one that does not exist.
+    pub fn is_listed(&self, item: u32) -> bool {
+        let progress = self.progress.get(item as usize);
+        progress.is_none_or(|progress| progress.listed)
+    }
+
+    /// Pieces of an item's text, the first one first.
+    pub fn pieces(&self, item: u32) -> &[SavedPiece] {
+        self.saved.get(&item).map_or(&[], Vec::as_slice)
+    }
+
     /// Number of the item with this id.
     pub fn item(&self, id: &str) -> Option<usize> {
         self.head.items.iter().position(|item| item.id == id)
