--- a/components/weights/src/reconcile.rs
+++ b/components/weights/src/reconcile.rs
@@ -136,9 +136,7 @@
         let Some(belief) = self.belief.as_ref().filter(|_| !self.belief_open) else {
             return self.read_after_ms.max(now_ms);
         };
-        let watch_ms = self
-            .read_after_ms
-            .max(belief.read_ms + self.watch_ms(now_ms));
+        let watch_ms = self.watch_due_ms(belief.read_ms, now_ms);
         let Some(change) = self.wanted_order(&belief.state) else {
             return watch_ms.max(now_ms);
         };
@@ -244,6 +242,19 @@
         }
     }
 
+    /// When the engine is looked at next, if nothing is ordered before.
+    ///
+    /// Doubt may end before the early look would come. Then the look is not due at that time,
+    /// and waking for it would do nothing.
+    fn watch_due_ms(&self, read_ms: u64, now_ms: u64) -> u64 {
+        let earliest_ms = self.read_after_ms.max(now_ms);
+        let early_ms = earliest_ms.max(read_ms + self.settings.doubt_watch_ms);
+        match self.doubt_until_ms {
+            Some(until_ms) if early_ms < until_ms => early_ms,
+            _ => earliest_ms.max(read_ms + self.settings.watch_ms),
+        }
+    }
+
     /// When this change may be ordered.
     fn due_ms(&self, kind: OrderKind) -> u64 {
         match kind {
