Tests of lease, steps, dispatch and orders; orders: no load beyond need

Cause (orders): replicas of use were counted as missing before those of no use were, so one load more than needed went out every second version (test: 4, 6, 4, 6 instead of 4, 5, 4, 5; red first).

--- /dev/null
+++ b/components/dispatch/tests/calls.rs
@@ -0,0 +1,165 @@
+//! Choice of a replica for a call, and what follows a failed attempt.
+
+use std::sync::Arc;
+
+use dispatch::{
+    AttemptEnd, CallEnd, Candidate, NextStep, ReplicaLoad, Typical, after_attempt, choose,
+};
+
+const MS: u64 = 1_000;
+
+fn chosen(loads: &[Arc<ReplicaLoad>], tried: &[usize], random: u64, now_ms: u64) -> Option<usize> {
+    let candidates: Vec<Candidate<'_>> = loads
+        .iter()
+        .enumerate()
+        .map(|(at, load)| Candidate {
+            load,
+            near: true,
+            tried: tried.contains(&at),
+        })
+        .collect();
+    choose(&candidates, 25 * MS, random, now_ms)
+}
+
+fn loads(count: usize) -> Vec<Arc<ReplicaLoad>> {
+    (0..count).map(|_| Arc::default()).collect()
+}
+
+#[test]
+fn can_spread_calls_over_equal_replicas() {
+    let loads = loads(4);
+    let mut held = Vec::new();
+    for random in 0..8 {
+        let at = chosen(&loads, &[], random * 7, 0).expect("one");
+        held.push(loads[at].begin(25 * MS, false));
+    }
+    assert!(loads.iter().all(|load| load.calls() == 2));
+    drop(held);
+    assert!(loads.iter().all(|load| load.calls() == 0));
+}
+
+#[test]
+fn can_keep_clerks_away_from_a_slow_replica_and_come_back_to_it() {
+    // One replica takes 3.5 times as long. A few answers show it; then calls go elsewhere,
+    // though it has less in progress. Seconds later it is tried again.
+    let loads = loads(3);
+    let typical = Typical::new(25);
+    for _ in 0..4 {
+        loads[0].succeeded(&typical, 90 * MS, 1_000);
+        loads[1].succeeded(&typical, 25 * MS, 1_000);
+        loads[2].succeeded(&typical, 25 * MS, 1_000);
+    }
+    let _busy = [
+        loads[1].begin(25 * MS, false),
+        loads[2].begin(25 * MS, false),
+    ];
+    assert!((0..9).all(|random| chosen(&loads, &[], random, 1_100) != Some(0)));
+    assert!((0..9).any(|random| chosen(&loads, &[], random, 30_000) == Some(0)));
+}
+
+#[test]
+fn can_leave_out_a_replica_that_fails_in_a_row() {
+    let loads = loads(2);
+    loads[0].failed(1_000);
+    loads[0].failed(1_010);
+    assert!((0..9).all(|random| chosen(&loads, &[], random, 1_500) == Some(1)));
+    assert_eq!(chosen(&loads, &[1], 0, 1_500), Some(0), "better than none");
+}
+
+#[test]
+fn can_choose_among_replicas_that_were_not_tried() {
+    let loads = loads(3);
+    assert_eq!(chosen(&loads, &[0, 2], 4, 0), Some(1));
+    assert_eq!(chosen(&[], &[], 4, 0), None);
+}
+
+#[test]
+fn can_decide_what_follows_an_attempt() {
+    struct Case {
+        name: &'static str,
+        end: AttemptEnd,
+        idempotent: bool,
+        ran_before: bool,
+        sent: u32,
+        left_ms: u64,
+        next: NextStep,
+    }
+    let cases = [
+        Case {
+            name: "an answer",
+            end: AttemptEnd::Answered,
+            idempotent: false,
+            ran_before: false,
+            sent: 1,
+            left_ms: 500,
+            next: NextStep::Deliver,
+        },
+        Case {
+            name: "an idempotent call that broke off",
+            end: AttemptEnd::Unknown,
+            idempotent: true,
+            ran_before: false,
+            sent: 1,
+            left_ms: 500,
+            next: NextStep::Again,
+        },
+        Case {
+            name: "a call that may run once and broke off",
+            end: AttemptEnd::Unknown,
+            idempotent: false,
+            ran_before: false,
+            sent: 1,
+            left_ms: 500,
+            next: NextStep::Finish(CallEnd::Unknown),
+        },
+        Case {
+            name: "a call that may run once and was refused",
+            end: AttemptEnd::NotRun,
+            idempotent: false,
+            ran_before: false,
+            sent: 1,
+            left_ms: 500,
+            next: NextStep::Again,
+        },
+        Case {
+            name: "all replicas refused",
+            end: AttemptEnd::NotRun,
+            idempotent: true,
+            ran_before: false,
+            sent: 2,
+            left_ms: 500,
+            next: NextStep::Finish(CallEnd::NotRun),
+        },
+        Case {
+            name: "the last one refused, an earlier one may have run it",
+            end: AttemptEnd::NotRun,
+            idempotent: true,
+            ran_before: true,
+            sent: 2,
+            left_ms: 500,
+            next: NextStep::Finish(CallEnd::Unknown),
+        },
+        Case {
+            name: "the time is up",
+            end: AttemptEnd::Unknown,
+            idempotent: true,
+            ran_before: false,
+            sent: 1,
+            left_ms: 0,
+            next: NextStep::Finish(CallEnd::TimedOut),
+        },
+    ];
+    for case in cases {
+        let untried = true;
+        let next = after_attempt(
+            case.end,
+            case.idempotent,
+            case.ran_before,
+            case.sent,
+            2,
+            untried,
+            case.left_ms,
+        );
+        assert_eq!(next, case.next, "{}", case.name);
+    }
+}
--- /dev/null
+++ b/components/dispatch/tests/items.rs
@@ -0,0 +1,132 @@
+//! Placing items on model replicas, under the load of a step that arrives at once.
+
+use dispatch::{Engine, Pace, Waiting, is_worth_moving, place, slowness};
+use quickcheck::{Arbitrary, Gen};
+
+fn engine(version: u64, free: u32) -> Engine {
+    Engine {
+        version,
+        free,
+        running: 8 - free,
+        slowness: 1_000,
+        prompts: Vec::new(),
+    }
+}
+
+fn waiting(step_rank: u64, tokens_left: u32) -> Waiting {
+    Waiting {
+        step_rank,
+        tokens_left,
+        min_version: 2,
+        only_version: None,
+        prompt: u64::from(tokens_left),
+        avoid: None,
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Item(Waiting);
+
+impl Arbitrary for Item {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let version = u64::arbitrary(g) % 4;
+        Item(Waiting {
+            step_rank: u64::arbitrary(g) % 3,
+            tokens_left: u32::arbitrary(g) % 9_000,
+            min_version: u64::arbitrary(g) % 4,
+            only_version: bool::arbitrary(g).then_some(version),
+            prompt: u64::arbitrary(g) % 5,
+            avoid: Some(usize::arbitrary(g) % 6),
+        })
+    }
+}
+
+checks::seeded! {
+    // Whatever waits: no replica gets more than it has places for, an item never goes to
+    // weights that may not make it, and nothing waits while a place fits it.
+    fn places_fit_and_none_stays_empty(items: Vec<Item>, free: Vec<u8>) -> bool {
+        let waiting: Vec<Waiting> = items.into_iter().map(|item| item.0).collect();
+        let before: Vec<Engine> = free
+            .iter()
+            .take(6)
+            .enumerate()
+            .map(|(at, free)| engine(at as u64 % 4, u32::from(free % 9)))
+            .collect();
+        let mut engines = before.clone();
+        let placed = place(&waiting, &mut engines);
+        let fits = |item: &Waiting, engine: &Engine| {
+            engine.version >= item.min_version
+                && item.only_version.is_none_or(|only| only == engine.version)
+        };
+        for (at, engine) in before.iter().enumerate() {
+            let taken = placed.iter().filter(|placed| placed.engine == at).count();
+            assert!(taken as u32 <= engine.free);
+        }
+        for placed in &placed {
+            assert!(fits(&waiting[placed.item], &before[placed.engine]));
+        }
+        let left = (0..waiting.len()).filter(|at| placed.iter().all(|one| one.item != *at));
+        left.into_iter().all(|at| {
+            engines.iter().all(|engine| engine.free == 0 || !fits(&waiting[at], engine))
+        })
+    }
+}
+
+#[test]
+fn can_start_the_longest_items_of_the_oldest_step_first() {
+    // A step of many items arrives at once behind one that is nearly done. A long item takes
+    // six seconds however many replicas are free, so it must not wait behind short ones.
+    let waiting = [
+        waiting(2, 9_000),
+        waiting(1, 100),
+        waiting(1, 8_000),
+        waiting(1, 500),
+    ];
+    let placed = place(&waiting, &mut [engine(2, 2)]);
+    let items: Vec<usize> = placed.iter().map(|placed| placed.item).collect();
+    assert_eq!(items, [2, 3]);
+}
+
+#[test]
+fn can_fill_fast_replicas_before_slow_ones() {
+    let mut engines = [engine(2, 2), engine(2, 2)];
+    engines[0].slowness = 3_500;
+    let placed = place(&[waiting(1, 500), waiting(1, 400)], &mut engines);
+    assert!(placed.iter().all(|placed| placed.engine == 1));
+}
+
+#[test]
+fn can_avoid_the_replica_where_a_run_broke_unless_there_is_no_other() {
+    let item = Waiting {
+        avoid: Some(0),
+        ..waiting(1, 500)
+    };
+    let two = place(
+        std::slice::from_ref(&item),
+        &mut [engine(2, 8), engine(2, 1)],
+    );
+    assert_eq!(two[0].engine, 1);
+    let one = place(&[item], &mut [engine(2, 8)]);
+    assert_eq!(one[0].engine, 0);
+}
+
+#[test]
+fn can_tell_a_replica_that_turned_slow_within_a_few_events() {
+    // A replica turns 3.5 times slower in the middle of long items. Four events later they
+    // are worth moving; a fuller replica, a quarter slower than the others, is not left.
+    let pace = Pace::default();
+    (0..20).for_each(|event| pace.record(35_000, event * 35));
+    assert_eq!(slowness(&pace, 35_000, 700), 1_000);
+    (0..5).for_each(|event| pace.record(122_000, 700 + event * 122));
+    assert!(is_worth_moving(slowness(&pace, 35_000, 1_400), 1_000));
+    assert!(!is_worth_moving(1_250, 1_000));
+    assert!(!is_worth_moving(2_000, 1_900), "all are slow");
+}
+
+#[test]
+fn can_give_items_again_to_a_replica_that_was_slow() {
+    let pace = Pace::default();
+    pace.record(122_000, 1_000);
+    assert!(slowness(&pace, 35_000, 1_500) > 3_000);
+    assert!(slowness(&pace, 35_000, 17_500) < 1_200);
+}
--- /dev/null
+++ b/components/dispatch/tests/registry.rs
@@ -0,0 +1,70 @@
+//! Which replicas take work, as records come, vanish and come back.
+
+use dispatch::{Registry, Replica, Revision};
+
+fn replica(id: &str, draining: bool) -> Replica {
+    Replica {
+        id: id.into(),
+        service: "service".into(),
+        address: ([127, 0, 0, 1], 80).into(),
+        domain: "domain".into(),
+        slots: 8,
+        draining,
+        models: vec![("model".into(), 3)],
+    }
+}
+
+fn ids(registry: &Registry) -> Vec<String> {
+    registry
+        .replicas()
+        .map(|replica| replica.id.to_string())
+        .collect()
+}
+
+fn with(ids: &[&str]) -> Registry {
+    let mut registry = Registry::default();
+    registry.store_seen(0);
+    for id in ids {
+        registry.put(replica(id, false));
+    }
+    registry
+}
+
+#[test]
+fn can_tell_a_changed_record_from_a_heartbeat() {
+    let mut registry = with(&["a"]);
+    assert_eq!(registry.put(replica("a", false)), Revision::Unchanged);
+    assert_eq!(registry.put(replica("a", true)), Revision::Changed);
+}
+
+#[test]
+fn can_drop_a_replica_at_once_while_the_store_is_steady() {
+    let mut registry = with(&["a", "b"]);
+    assert_eq!(registry.remove("a", 60_000), Revision::Changed);
+    assert_eq!(ids(&registry), ["b"]);
+}
+
+#[test]
+fn can_keep_replicas_whose_records_expired_while_the_store_was_away() {
+    // The store is down for longer than a heartbeat lives, so every record expires though
+    // the replicas live. Dropping them all would refuse every request. They write again
+    // within two seconds of its return; the one that does not is gone.
+    let mut registry = with(&["a", "b"]);
+    registry.store_lost();
+    registry.store_seen(60_000);
+    registry.remove("a", 60_100);
+    registry.remove("b", 60_100);
+    assert_eq!(ids(&registry), ["a", "b"]);
+    registry.put(replica("a", false));
+    assert_eq!(registry.expire(61_000), Revision::Unchanged);
+    assert_eq!(registry.expire(62_500), Revision::Changed);
+    assert_eq!(ids(&registry), ["a"]);
+}
+
+#[test]
+fn can_take_a_whole_list_after_the_history_was_lost() {
+    let mut registry = with(&["a", "b", "c"]);
+    let listed = ["a".into(), "c".into()];
+    assert_eq!(registry.keep_only(&listed, 60_000), Revision::Changed);
+    assert_eq!(ids(&registry), ["a", "c"]);
+}
--- /dev/null
+++ b/components/dispatch/tests/routes.rs
@@ -0,0 +1,95 @@
+//! The route of a request and the service that it draws.
+
+use std::collections::HashMap;
+
+use dispatch::{Backend, Limits, Route, RouteKind, Routes};
+
+fn route(name: &str, prefix: &str, backends: &[(&str, u32)]) -> Route {
+    Route {
+        name: name.into(),
+        host: "host".into(),
+        prefix: prefix.into(),
+        kind: RouteKind::Idempotent,
+        timeout_ms: 800,
+        goal_ms: 150,
+        attempts_max: 2,
+        priority: 0,
+        backends: backends
+            .iter()
+            .map(|(service, weight)| Backend {
+                service: (*service).into(),
+                weight: *weight,
+            })
+            .collect(),
+        resumable: false,
+        single_version: false,
+        due_ms: 0,
+        retention_ms: 0,
+    }
+}
+
+fn routes() -> Routes {
+    let limits = Limits {
+        header_bytes: 1,
+        body_bytes: 1,
+        idle_ms: 1,
+    };
+    let routes = vec![
+        route("short", "/a/", &[("x", 1)]),
+        route("long", "/a/b/", &[("x", 90), ("y", 10)]),
+    ];
+    Routes::new(1, routes, HashMap::new(), limits)
+}
+
+#[test]
+fn can_find_the_route_with_the_longest_prefix() {
+    struct Case {
+        host: &'static str,
+        path: &'static str,
+        found: Option<&'static str>,
+    }
+    let cases = [
+        Case {
+            host: "host",
+            path: "/a/b/c",
+            found: Some("long"),
+        },
+        Case {
+            host: "host",
+            path: "/a/bc",
+            found: Some("short"),
+        },
+        Case {
+            host: "host",
+            path: "/a",
+            found: None,
+        },
+        Case {
+            host: "host",
+            path: "/",
+            found: None,
+        },
+        Case {
+            host: "other",
+            path: "/a/b/c",
+            found: None,
+        },
+    ];
+    let routes = routes();
+    for case in cases {
+        let found = routes
+            .find(case.host, case.path)
+            .map(|route| route.name.to_string());
+        assert_eq!(found.as_deref(), case.found, "{}", case.path);
+    }
+}
+
+#[test]
+fn can_draw_services_by_their_weights() {
+    let routes = routes();
+    let route = routes.find("host", "/a/b/c").expect("there");
+    let drawn = (0..1_000).filter(|random| route.draw(*random).is_some_and(|s| &**s == "y"));
+    assert_eq!(drawn.count(), 100);
+    let none = self::route("none", "/n/", &[("x", 0)]);
+    assert_eq!(none.draw(5), None);
+}
--- /dev/null
+++ b/components/lease/tests/lease.rs
@@ -0,0 +1,249 @@
+//! The lease under faults of the store, of clocks and of processes.
+
+use lease::{Lease, LeaseRecord, LeaseSettings};
+use quickcheck::{Arbitrary, Gen};
+
+/// Pause that must lie between orders of two holders, in milliseconds.
+const PAUSE_MS: u64 = 3_000;
+
+fn settings() -> LeaseSettings {
+    LeaseSettings::with_pause(PAUSE_MS)
+}
+
+/// One log, and VMs that read it at their own pace.
+struct World {
+    log: Vec<LeaseRecord>,
+    vms: Vec<Vm>,
+    /// Records on their way: when they land, and the record.
+    flying: Vec<(u64, LeaseRecord)>,
+    now_ms: u64,
+    /// Orders: when, and which VM.
+    orders: Vec<(u64, usize)>,
+}
+
+struct Vm {
+    lease: Lease,
+    read: usize,
+    cut_until_ms: u64,
+    frozen_until_ms: u64,
+    lives: u64,
+}
+
+const NAMES: [&str; 3] = ["a", "b", "c"];
+
+fn vm(name: usize, lives: u64) -> Vm {
+    Vm {
+        lease: Lease::new(NAMES[name], lives * 1_000_000, settings()),
+        read: 0,
+        cut_until_ms: 0,
+        frozen_until_ms: 0,
+        lives,
+    }
+}
+
+impl World {
+    fn new() -> Self {
+        Self {
+            log: Vec::new(),
+            vms: (0..NAMES.len()).map(|name| vm(name, 0)).collect(),
+            flying: Vec::new(),
+            now_ms: 0,
+            orders: Vec::new(),
+        }
+    }
+
+    /// Lets 50 ms pass; `lose_ms` is how much later than usual records land now.
+    fn tick(&mut self, lose_ms: u64) {
+        self.now_ms += 50;
+        let now_ms = self.now_ms;
+        let (landed, flying) = self.flying.drain(..).partition(|(at, _)| *at <= now_ms);
+        self.flying = flying;
+        self.log.extend(
+            landed
+                .into_iter()
+                .map(|(_, record): (u64, LeaseRecord)| record),
+        );
+        for at in 0..self.vms.len() {
+            self.step(at, lose_ms);
+        }
+    }
+
+    fn step(&mut self, at: usize, lose_ms: u64) {
+        let now_ms = self.now_ms;
+        let vm = &mut self.vms[at];
+        if now_ms < vm.frozen_until_ms {
+            return;
+        }
+        // A VM that wakes gives an order before it reads, if it believes that it may.
+        if vm.lease.fence(now_ms).is_some() {
+            self.orders.push((now_ms, at));
+        }
+        if now_ms < vm.cut_until_ms {
+            return;
+        }
+        for offset in vm.read..self.log.len() {
+            vm.lease.apply(offset as u64, &self.log[offset], now_ms);
+        }
+        vm.read = self.log.len();
+        if let Some(record) = vm.lease.next_record(0, true, now_ms) {
+            self.flying.push((now_ms + 50 + lose_ms, record));
+        }
+    }
+
+    fn too_close(&self) -> Option<(u64, u64)> {
+        self.orders
+            .windows(2)
+            .find(|pair| pair[0].1 != pair[1].1 && pair[1].0 < pair[0].0 + PAUSE_MS)
+            .map(|pair| (pair[0].0, pair[1].0))
+    }
+}
+
+#[derive(Clone, Debug)]
+enum Event {
+    Run { ticks: u8 },
+    Cut { vm: usize, for_ms: u64 },
+    Freeze { vm: usize, for_ms: u64 },
+    Restart { vm: usize },
+    GiveUp { vm: usize },
+    Late { ticks: u8, ms: u64 },
+}
+
+impl Arbitrary for Event {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let vm = usize::arbitrary(g) % NAMES.len();
+        let for_ms = u64::arbitrary(g) % 8_000;
+        match u8::arbitrary(g) % 8 {
+            0..3 => Event::Run {
+                ticks: u8::arbitrary(g),
+            },
+            3 => Event::Cut { vm, for_ms },
+            4 => Event::Freeze { vm, for_ms },
+            5 => Event::Restart { vm },
+            6 => Event::GiveUp { vm },
+            _ => Event::Late {
+                ticks: u8::arbitrary(g) % 40,
+                ms: for_ms,
+            },
+        }
+    }
+}
+
+impl World {
+    fn apply(&mut self, event: &Event) {
+        match event {
+            Event::Run { ticks } => (0..*ticks).for_each(|_| self.tick(0)),
+            Event::Late { ticks, ms } => (0..*ticks).for_each(|_| self.tick(*ms)),
+            Event::Cut { vm, for_ms } => self.vms[*vm].cut_until_ms = self.now_ms + for_ms,
+            Event::Freeze { vm, for_ms } => self.vms[*vm].frozen_until_ms = self.now_ms + for_ms,
+            Event::Restart { vm: at } => self.vms[*at] = vm(*at, self.vms[*at].lives + 1),
+            Event::GiveUp { vm } => {
+                if let Some(record) = self.vms[*vm].lease.give_up() {
+                    self.flying.push((self.now_ms + 50, record));
+                }
+            }
+        }
+    }
+}
+
+checks::seeded! {
+    // Records land seconds late, VMs are cut off, frozen, restarted and leave, in any order.
+    // Whoever wakes acts before it reads. Orders of two VMs always lie the pause apart.
+    fn orders_of_two_holders_never_come_too_close(events: Vec<Event>) -> bool {
+        let mut world = World::new();
+        events.iter().for_each(|event| world.apply(event));
+        world.too_close().is_none()
+    }
+
+    // Whatever came before, once all is well a VM that did not leave gives orders again.
+    fn somebody_gives_orders_again_within_bounds(events: Vec<Event>) -> bool {
+        let mut world = World::new();
+        events.iter().for_each(|event| world.apply(event));
+        let at = 0;
+        world.vms[at] = vm(at, world.vms[at].lives + 1);
+        // 8 s of records on their way and cuts, 1.5 s of silence, the pause, and slack.
+        let until_ms = world.now_ms + 20_000;
+        let before = world.orders.len();
+        while world.now_ms < until_ms {
+            world.tick(0);
+        }
+        world.orders.len() > before
+    }
+}
+
+#[test]
+fn can_replace_a_silent_holder_that_ordered_nothing_lately() {
+    // The holder gave its last order long ago and is cut off. A trainer names a version; if
+    // nobody gave orders for the whole pause from now on, the next step but one would stand
+    // still. The pause is already over, so silence alone is waited for.
+    let mut lease = Lease::new("b", 0, settings());
+    let take = LeaseRecord::Take {
+        holder: "a".into(),
+        attempt: 1,
+        after: None,
+    };
+    lease.apply(0, &take, 0);
+    lease.apply(
+        1,
+        &LeaseRecord::Renew {
+            fence: 1,
+            attempt: 2,
+            orders: true,
+        },
+        100,
+    );
+    for (offset, at_ms) in [(2, 5_000), (3, 5_400)] {
+        let alive = LeaseRecord::Renew {
+            fence: 1,
+            attempt: offset,
+            orders: false,
+        };
+        lease.apply(offset, &alive, at_ms);
+    }
+    let silent_ms = settings().silent_ms;
+    assert_eq!(lease.next_record(0, true, 5_400 + silent_ms - 1), None);
+    let taken = lease.next_record(0, true, 5_400 + silent_ms);
+    let Some(taken @ LeaseRecord::Take { after: Some(3), .. }) = taken else {
+        panic!("{taken:?}");
+    };
+    lease.apply(4, &taken, 6_950);
+    let renewal = lease.next_record(0, true, 7_400);
+    assert!(matches!(
+        renewal,
+        Some(LeaseRecord::Renew {
+            fence: 5,
+            orders: true,
+            ..
+        })
+    ));
+}
+
+#[test]
+fn errors_on_a_take_that_lands_after_a_renewal() {
+    // A take gets no answer and lands six seconds later, when its old rival has renewed
+    // again. If it held, two VMs would give orders in turns.
+    let mut lease = Lease::new("a", 0, settings());
+    let take = lease.next_record(0, true, 0).expect("free");
+    lease.apply(0, &take, 10);
+    let renewal = lease.next_record(0, true, 5_000).expect("due");
+    lease.apply(1, &renewal, 5_010);
+    let late = LeaseRecord::Take {
+        holder: "b".into(),
+        attempt: 9,
+        after: Some(0),
+    };
+    lease.apply(2, &late, 5_020);
+    assert_eq!(lease.fence(5_030), Some(1));
+}
+
+#[test]
+fn errors_when_a_frozen_holder_wakes() {
+    // The holder announces orders, stands still for four seconds and wakes. Its clock counts
+    // the suspension, so the announcement is over before it gives an order.
+    let mut lease = Lease::new("a", 0, settings());
+    let take = lease.next_record(0, true, 0).expect("free");
+    lease.apply(0, &take, 10);
+    let renewal = lease.next_record(0, true, 5_000).expect("due");
+    lease.apply(1, &renewal, 5_010);
+    assert_eq!(lease.fence(5_100), Some(1));
+    assert_eq!(lease.fence(9_100), None);
+}
--- a/components/orders/src/plan.rs
+++ b/components/orders/src/plan.rs
@@ -152,24 +152,19 @@
     early: &mut Vec<Load>,
 ) {
     let named = fleet.models[model].named;
-    let at_named = members
-        .iter()
-        .filter(|node| version_of(&fleet.nodes[**node], model) >= named)
-        .count();
-    let mut missing = (members.len() / 2).saturating_sub(at_named);
-    for node in members {
-        let version = version_of(&fleet.nodes[*node], model);
-        let load = Load {
-            node: *node,
-            model,
-            version: named,
-        };
-        if version + settings.lag < named {
-            useless.push(load);
-            missing = missing.saturating_sub(1);
-        } else if version < named && missing > 0 {
-            missing -= 1;
-            early.push(load);
-        }
-    }
+    let held = |node: &usize| version_of(&fleet.nodes[*node], model);
+    let load = |node: &usize| Load {
+        node: *node,
+        model,
+        version: named,
+    };
+    let at_named = members.iter().filter(|node| held(node) >= named).count();
+    let behind = |node: &&usize| held(node) + settings.lag < named;
+    let before = useless.len();
+    useless.extend(members.iter().filter(behind).map(load));
+    // Replicas that are of use load only where half of them would not have the newest
+    // version otherwise, so that the next version finds half of them of use again.
+    let missing = (members.len() / 2).saturating_sub(at_named + useless.len() - before);
+    let useful = |node: &&usize| held(node) < named && !behind(node);
+    early.extend(members.iter().filter(useful).take(missing).map(load));
 }
--- /dev/null
+++ b/components/orders/tests/plan.rs
@@ -0,0 +1,151 @@
+//! The plan of loads, under trainers that name versions all the time.
+
+use orders::{Fleet, Load, Model, Node, OrderSettings, plan};
+use quickcheck::{Arbitrary, Gen};
+
+fn model(name: &str, named: u64) -> Model {
+    Model {
+        name: name.to_owned(),
+        named,
+        owed: 0,
+    }
+}
+
+fn node(id: usize, versions: &[u64]) -> Node {
+    Node {
+        id: format!("r{id}"),
+        versions: versions.to_vec(),
+        loading: None,
+        free: true,
+    }
+}
+
+fn fleet(named: &[u64], versions: &[&[u64]]) -> Fleet {
+    let names = ["a", "b", "c"];
+    Fleet {
+        models: named
+            .iter()
+            .zip(names)
+            .map(|(named, name)| model(name, *named))
+            .collect(),
+        nodes: versions
+            .iter()
+            .enumerate()
+            .map(|(id, held)| node(id, held))
+            .collect(),
+    }
+}
+
+fn loads(fleet: &Fleet) -> Vec<Load> {
+    plan(fleet, &OrderSettings::default())
+}
+
+/// Carries loads out one round after the other until nothing is planned; gives their number.
+fn settle(fleet: &mut Fleet) -> usize {
+    let mut count = 0;
+    for _ in 0..100 {
+        let planned = loads(fleet);
+        if planned.is_empty() {
+            return count;
+        }
+        for load in planned {
+            fleet.nodes[load.node].versions[load.model] = load.version;
+            count += 1;
+        }
+    }
+    panic!("the plan never settles");
+}
+
+#[derive(Clone, Debug)]
+struct Any(Fleet);
+
+impl Arbitrary for Any {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let models = usize::arbitrary(g) % 4;
+        let mut named = Vec::new();
+        (0..models).for_each(|_| named.push(u64::arbitrary(g) % 6));
+        let mut nodes = Vec::new();
+        for id in 0..usize::arbitrary(g) % 12 {
+            let held: Vec<u64> = named
+                .iter()
+                .map(|newest| newest - u64::arbitrary(g) % (newest + 1))
+                .collect();
+            let mut node = node(id, &held);
+            node.free = bool::arbitrary(g);
+            if models > 0 && bool::arbitrary(g) {
+                let model = usize::arbitrary(g) % models;
+                node.loading = Some((model, named[model]));
+                node.free = false;
+            }
+            nodes.push(node);
+        }
+        let models = named.iter().map(|named| model("m", *named)).collect();
+        Any(Fleet { models, nodes })
+    }
+}
+
+checks::seeded! {
+    // Never more loads at once than allowed, none at a replica that is busy, none back.
+    fn loads_keep_their_bounds(any: Any) -> bool {
+        let settings = OrderSettings::default();
+        let planned = loads(&any.0);
+        let running = any.0.nodes.iter().filter(|node| node.loading.is_some()).count();
+        let mut nodes: Vec<usize> = planned.iter().map(|load| load.node).collect();
+        nodes.dedup();
+        assert_eq!(nodes.len(), planned.len());
+        planned.iter().all(|load| {
+            let node = &any.0.nodes[load.node];
+            node.free && node.versions[load.model] < load.version
+        }) && planned.len() + running <= settings.loads_at_once.max(running)
+    }
+
+    // Whatever the replicas hold, each model ends with replicas of use.
+    fn every_model_gets_replicas_of_use(any: Any) -> bool {
+        let mut fleet = any.0;
+        for node in &mut fleet.nodes {
+            node.loading = None;
+            node.free = true;
+        }
+        settle(&mut fleet);
+        fleet.nodes.is_empty() || (0..fleet.models.len()).all(|model| {
+            let named = fleet.models[model].named;
+            fleet.nodes.iter().any(|node| node.versions[model] + 1 >= named)
+        })
+    }
+}
+
+#[test]
+fn can_load_every_second_version_at_each_replica() {
+    // One model on nine replicas, a version named every four seconds. A step takes the
+    // version before as well, so half of the replicas load and the others serve.
+    let mut fleet = fleet(&[1], &[&[1][..]; 9]);
+    let mut counts = Vec::new();
+    for named in 2..8 {
+        fleet.models[0].named = named;
+        counts.push(settle(&mut fleet));
+        assert!(fleet.nodes.iter().all(|node| node.versions[0] + 1 >= named));
+    }
+    assert_eq!(counts, [4, 5, 4, 5, 4, 5]);
+}
+
+#[test]
+fn can_share_replicas_among_models_without_loads_beyond_the_free_ones() {
+    // Three models on nine replicas. Three loads a version and model cost nothing.
+    let mut fleet = fleet(&[1, 1, 1], &[&[1, 1, 1][..]; 9]);
+    for named in 2..8 {
+        for model in 0..3 {
+            fleet.models[model].named = named;
+            let count = settle(&mut fleet);
+            assert!(
+                count <= 3,
+                "{count} loads for version {named} of model {model}"
+            );
+        }
+    }
+}
+
+#[test]
+fn can_leave_alone_what_is_of_use() {
+    assert_eq!(loads(&fleet(&[3], &[&[3], &[2]])), []);
+    assert_eq!(loads(&fleet(&[], &[&[]])), []);
+}
--- /dev/null
+++ b/components/steps/tests/ledger.rs
@@ -0,0 +1,313 @@
+//! The ledger of steps under repeated, late and foreign records.
+
+use quickcheck::{Arbitrary, Gen};
+use steps::{
+    DataRange, ErrorCause, FailedPart, IndexRecord, ItemData, ItemHead, Ledger, Place, ResultState,
+    SavedPiece, Scorer, StepHead, StepId, decode, decode_item, encode, encode_item,
+};
+
+const ITEMS: u32 = 4;
+
+fn head(id: &str) -> StepHead {
+    let item = |at: u32| ItemHead {
+        id: format!("item-{at}"),
+        group: (at / 2) as u16,
+        tokens: 100,
+        hint_tokens: 50,
+    };
+    StepHead {
+        id: id.to_owned(),
+        digest: [1; 16],
+        host: "host".to_owned(),
+        prefix: "/p/".to_owned(),
+        model: "model".to_owned(),
+        number: 3,
+        min_version: 2,
+        single_version: false,
+        groups_wanted: 2,
+        attempts_max: 3,
+        due_ms: 7_500,
+        retention_ms: 40_000,
+        items: (0..ITEMS).map(item).collect(),
+        data: vec![
+            DataRange {
+                partition: 1,
+                offset: 10,
+                count: 3,
+            },
+            DataRange {
+                partition: 2,
+                offset: 70,
+                count: 1,
+            },
+        ],
+    }
+}
+
+fn accepted(id: &str) -> IndexRecord {
+    IndexRecord::Accepted(Box::new(head(id)))
+}
+
+fn place(offset: u64) -> Place {
+    Place {
+        partition: 0,
+        offset,
+        bytes: 5,
+    }
+}
+
+fn listed(step: u64, item: u32, offset: u64) -> IndexRecord {
+    let state = ResultState::Succeeded {
+        versions: vec![2],
+        score: "s".to_owned(),
+        text: place(offset),
+    };
+    IndexRecord::Listed {
+        step: StepId(step),
+        item,
+        state,
+    }
+}
+
+fn piece(id: u64, after: u64, last_event: u64) -> SavedPiece {
+    SavedPiece {
+        id,
+        after,
+        last_event,
+        versions: vec![2],
+        text: place(id),
+    }
+}
+
+/// What a process may write, often more than once.
+#[derive(Clone, Debug)]
+enum Written {
+    Accepted(u8),
+    Listed {
+        step: u8,
+        item: u8,
+        offset: u8,
+    },
+    Errored {
+        step: u8,
+        item: u8,
+    },
+    Failed {
+        step: u8,
+        item: u8,
+    },
+    Saved {
+        step: u8,
+        item: u8,
+        id: u8,
+        after: u8,
+    },
+    Ended(u8),
+}
+
+impl Arbitrary for Written {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let step = u8::arbitrary(g) % 12;
+        let item = u8::arbitrary(g) % 6;
+        let (id, after) = (u8::arbitrary(g) % 4 + 1, u8::arbitrary(g) % 4);
+        match u8::arbitrary(g) % 8 {
+            0 => Written::Accepted(u8::arbitrary(g) % 3),
+            1..4 => Written::Listed {
+                step,
+                item,
+                offset: u8::arbitrary(g),
+            },
+            4 => Written::Errored { step, item },
+            5 => Written::Failed { step, item },
+            6 => Written::Saved {
+                step,
+                item,
+                id,
+                after,
+            },
+            _ => Written::Ended(step),
+        }
+    }
+}
+
+fn record(written: &Written) -> IndexRecord {
+    match *written {
+        Written::Accepted(name) => accepted(&format!("step-{name}")),
+        Written::Listed { step, item, offset } => listed(step.into(), item.into(), offset.into()),
+        Written::Errored { step, item } => IndexRecord::Listed {
+            step: StepId(step.into()),
+            item: item.into(),
+            state: ResultState::Errored(ErrorCause::Runs),
+        },
+        Written::Failed { step, item } => IndexRecord::Failed {
+            step: StepId(step.into()),
+            item: item.into(),
+            part: FailedPart::Run,
+        },
+        Written::Saved {
+            step,
+            item,
+            id,
+            after,
+        } => IndexRecord::Saved {
+            step: StepId(step.into()),
+            item: item.into(),
+            piece: piece(id.into(), after.into(), id.into()),
+        },
+        Written::Ended(step) => IndexRecord::Ended {
+            step: StepId(step.into()),
+        },
+    }
+}
+
+checks::seeded! {
+    // Two fronts run the same item, records land twice and late, a trainer repeats its step.
+    // A position that was read once always holds the same item and result.
+    fn positions_never_change(written: Vec<Written>) -> bool {
+        let mut ledger = Ledger::default();
+        let mut known: Vec<(StepId, Vec<_>)> = Vec::new();
+        for (offset, written) in written.iter().enumerate() {
+            ledger.apply(offset as u64, record(written), 0);
+            for (id, results) in &known {
+                let step = ledger.get(*id).expect("kept");
+                assert_eq!(step.results[..results.len()], results[..]);
+            }
+            known = ledger.steps().map(|step| (step.id, step.results.clone())).collect();
+            for step in ledger.steps() {
+                let mut items: Vec<u32> = step.results.iter().map(|result| result.item).collect();
+                items.sort_unstable();
+                items.dedup();
+                assert_eq!(items.len(), step.results.len(), "an item stands twice");
+            }
+        }
+        true
+    }
+
+    // One process reads the log from its beginning, another one in pieces and with pauses;
+    // both give the same answers.
+    fn every_reader_comes_to_the_same_ledger(written: Vec<Written>) -> bool {
+        let mut ledgers = [Ledger::default(), Ledger::default()];
+        for (offset, written) in written.iter().enumerate() {
+            let bytes = encode(&record(written)).expect("encodes");
+            for ledger in &mut ledgers {
+                ledger.apply(offset as u64, decode(&bytes).expect("decodes"), 0);
+            }
+        }
+        let [first, second] = &ledgers;
+        first.steps().eq(second.steps())
+    }
+
+    // Bytes that are no record end in a typed error.
+    fn odd_bytes_are_an_error_or_a_record(bytes: Vec<u8>) -> bool {
+        let _ = decode(&bytes);
+        let _ = decode_item(&bytes);
+        true
+    }
+}
+
+#[test]
+fn can_accept_a_repeated_step_once() {
+    let mut ledger = Ledger::default();
+    ledger.apply(5, accepted("one"), 0);
+    ledger.apply(6, listed(5, 0, 1), 0);
+    ledger.apply(7, accepted("one"), 0);
+    let step = ledger.by_name("one").expect("known");
+    assert_eq!(step.id, StepId(5));
+    assert_eq!(step.results.len(), 1);
+    assert_eq!(ledger.steps().count(), 1);
+}
+
+#[test]
+fn can_join_pieces_of_one_run_only() {
+    // A run saves its text in pieces. Another front begins the item anew, saves too, and the
+    // first one's record lands twice. Pieces that go on from another run would make a text
+    // that no run made.
+    struct Case {
+        name: &'static str,
+        written: Vec<SavedPiece>,
+        kept: Vec<u64>,
+    }
+    let cases = [
+        Case {
+            name: "a chain",
+            written: vec![piece(1, 0, 4), piece(2, 1, 9)],
+            kept: vec![1, 2],
+        },
+        Case {
+            name: "twice",
+            written: vec![piece(1, 0, 4), piece(1, 0, 4)],
+            kept: vec![1],
+        },
+        Case {
+            name: "a second run",
+            written: vec![
+                piece(1, 0, 4),
+                piece(7, 0, 6),
+                piece(8, 7, 9),
+                piece(2, 1, 9),
+            ],
+            kept: vec![1, 2],
+        },
+        Case {
+            name: "without its beginning",
+            written: vec![piece(2, 1, 9)],
+            kept: vec![],
+        },
+    ];
+    for case in cases {
+        let mut ledger = Ledger::default();
+        ledger.apply(0, accepted("one"), 0);
+        for (offset, piece) in case.written.into_iter().enumerate() {
+            let record = IndexRecord::Saved {
+                step: StepId(0),
+                item: 1,
+                piece,
+            };
+            ledger.apply(offset as u64 + 1, record, 0);
+        }
+        let pieces = ledger.by_name("one").expect("known").pieces(1);
+        let kept: Vec<u64> = pieces.iter().map(|piece| piece.id).collect();
+        assert_eq!(kept, case.kept, "{}", case.name);
+    }
+}
+
+#[test]
+fn can_find_the_data_of_each_item() {
+    let head = head("one");
+    let places: Vec<_> = (0..5).map(|item| head.data_of(item)).collect();
+    let wanted = [
+        Some((1, 10)),
+        Some((1, 11)),
+        Some((1, 12)),
+        Some((2, 70)),
+        None,
+    ];
+    assert_eq!(places, wanted);
+}
+
+#[test]
+fn can_forget_steps_that_nobody_may_read_any_more() {
+    let mut ledger = Ledger::default();
+    ledger.apply(0, accepted("old"), 1_000);
+    ledger.apply(1, accepted("new"), 100_000);
+    ledger.forget_before(120_000, 121_000);
+    assert!(ledger.by_name("old").is_none());
+    assert!(ledger.by_name("new").is_some());
+}
+
+#[test]
+fn can_read_an_item_back() {
+    let item = ItemData {
+        path: "/p/1".to_owned(),
+        headers: vec![("a".to_owned(), "b".to_owned())],
+        body: vec![0, 255],
+        scorer: Some(Scorer {
+            id: "id".to_owned(),
+            host: "host".to_owned(),
+            path: "/s/".to_owned(),
+            body: vec![1],
+        }),
+    };
+    let bytes = encode_item(&item).expect("encodes");
+    assert_eq!(decode_item(&bytes).expect("decodes"), item);
+}
