--- a/components/front/src/lib.rs
+++ b/components/front/src/lib.rs
@@ -26,4 +26,4 @@
 mod stream;
 mod writer;
 
-pub use start::{FrontError, run};
+pub use start::{Bound, FrontError, run};
--- a/components/front/src/start.rs
+++ b/components/front/src/start.rs
@@ -10,6 +10,7 @@
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::mpsc;
+use tokio::task::JoinSet;
 
 use crate::clock::now_us;
 use crate::state::Front;
@@ -32,40 +33,88 @@
     }
 }
 
+/// A front that listens and does nothing yet.
+pub struct Bound {
+    front: Arc<Front>,
+    clients: TcpListener,
+    ready: TcpListener,
+}
+
+impl Bound {
+    /// Listens on the addresses of the settings.
+    pub async fn new(settings: FrontSettings) -> Result<Self, FrontError> {
+        let lease_settings = LeaseSettings::with_pause(settings.bounds.holder_pause_ms);
+        // No two lives of a VM may number their records alike; time does not go back on it.
+        let lease = Lease::new(&settings.node, now_us(), lease_settings);
+        let drain = Drain::new(leave::drain_settings(settings.bounds.grace_ms));
+        let clients = listen(settings.clients).await?;
+        let ready = listen(settings.ready).await?;
+        let front = Arc::new(Front::new(settings, lease, drain));
+        Ok(Self {
+            front,
+            clients,
+            ready,
+        })
+    }
+
+    /// Where clients connect.
+    pub fn clients(&self) -> Result<SocketAddr, FrontError> {
+        local(&self.clients, self.front.settings.clients)
+    }
+
+    /// Where the balancer asks.
+    pub fn ready(&self) -> Result<SocketAddr, FrontError> {
+        local(&self.ready, self.front.settings.ready)
+    }
+
+    /// Runs until `stop` and the end of the work in progress.
+    pub async fn run(self, stop: impl Future<Output = ()>) {
+        let Self {
+            front,
+            clients,
+            ready,
+        } = self;
+        log::info!(
+            event = "started", node = front.settings.node, domain = front.settings.domain,
+            clients:% = front.settings.clients, store:% = front.settings.store.address,
+            retention_ms = front.settings.store.retention_ms; ""
+        );
+        let (ended, results) = mpsc::channel(runner::ENDED_MAX);
+        let mut tasks = JoinSet::new();
+        tasks.spawn(connections::accept(Arc::clone(&front), ready, serve::ready));
+        tasks.spawn(connections::accept(
+            Arc::clone(&front),
+            clients,
+            serve::client,
+        ));
+        tasks.spawn(follow::operator(Arc::clone(&front)));
+        tasks.spawn(follow::replicas(Arc::clone(&front)));
+        tasks.spawn(follow::index(Arc::clone(&front)));
+        tasks.spawn(member::stay(Arc::clone(&front)));
+        tasks.spawn(leader::lead(Arc::clone(&front)));
+        tasks.spawn(writer::write_results(Arc::clone(&front), results));
+        tasks.spawn(runner::run(Arc::clone(&front), ended));
+        stop.await;
+        leave::leave(&front).await;
+    }
+}
+
 /// Runs a front until the stop signal and the end of its work.
 pub async fn run(settings: FrontSettings) -> Result<(), FrontError> {
-    let lease_settings = LeaseSettings::with_pause(settings.bounds.holder_pause_ms);
-    // No two lives of a VM may number their records alike; time does not go back on it.
-    let lease = Lease::new(&settings.node, now_us(), lease_settings);
-    let drain = Drain::new(leave::drain_settings(settings.bounds.grace_ms));
-    let clients = listen(settings.clients).await?;
-    let ready = listen(settings.ready).await?;
     let mut stop = signal(SignalKind::terminate()).map_err(FrontError::Signals)?;
-    log::info!(
-        event = "started", node = settings.node, domain = settings.domain,
-        clients:% = settings.clients, store:% = settings.store.address,
-        retention_ms = settings.store.retention_ms; ""
-    );
-    let front = Arc::new(Front::new(settings, lease, drain));
-    let (ended, results) = mpsc::channel(runner::ENDED_MAX);
-    tokio::spawn(connections::accept(Arc::clone(&front), ready, serve::ready));
-    tokio::spawn(connections::accept(
-        Arc::clone(&front),
-        clients,
-        serve::client,
-    ));
-    tokio::spawn(follow::operator(Arc::clone(&front)));
-    tokio::spawn(follow::replicas(Arc::clone(&front)));
-    tokio::spawn(follow::index(Arc::clone(&front)));
-    tokio::spawn(member::stay(Arc::clone(&front)));
-    tokio::spawn(leader::lead(Arc::clone(&front)));
-    tokio::spawn(writer::write_results(Arc::clone(&front), results));
-    tokio::spawn(runner::run(Arc::clone(&front), ended));
-    stop.recv().await;
-    leave::leave(&front).await;
+    let stop = async move {
+        stop.recv().await;
+    };
+    Bound::new(settings).await?.run(stop).await;
     Ok(())
 }
 
+fn local(listener: &TcpListener, asked: SocketAddr) -> Result<SocketAddr, FrontError> {
+    listener
+        .local_addr()
+        .map_err(|reason| FrontError::Listen(asked, reason))
+}
+
 async fn listen(address: SocketAddr) -> Result<TcpListener, FrontError> {
     TcpListener::bind(address)
         .await
--- a/dev/standins/src/fault.rs
+++ b/dev/standins/src/fault.rs
@@ -16,6 +16,8 @@
     Slow,
     /// Does what was asked, then closes the connection without an answer.
     AnswerLost,
+    /// Closes the connection without an answer and does what was asked `delay_ms` later.
+    Late,
     /// Does nothing and never answers; the connection stays open.
     Silent,
     /// Engine: answers a switch with 500 and stays on its version.
--- /dev/null
+++ b/dev/standins/src/fleet.rs
@@ -0,0 +1,8 @@
+//! Stand-ins of the users' platform: its store, its replicas of both sorts, and what its
+//! operator and trainers write. They speak the platform's names, as the real ones do.
+
+mod groups;
+pub mod records;
+pub mod replica;
+pub mod store;
+mod topics;
--- /dev/null
+++ b/dev/standins/src/fleet/store.rs
@@ -0,0 +1,255 @@
+//! The platform's store. Each machine may have a door of its own, with faults of its own, so
+//! that a test can turn one away and serve the others.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use serde::Deserialize;
+use serde_json::json;
+use tokio::sync::watch;
+use tokio::time::{Instant, timeout_at};
+
+use super::groups::Group;
+use super::topics::{Partition, Refused, Terms, unframed};
+use crate::error::StandinError;
+use crate::handle::{Control, Handle};
+use crate::http::{self, Call};
+use crate::reply::{self, Reply};
+
+/// Partitions of a topic.
+const PARTITIONS: u32 = 24;
+/// Keys in one page.
+const PAGE_KEYS: usize = 500;
+const PAGE_KB: u64 = 1_024;
+
+#[derive(Default)]
+struct State {
+    partitions: BTreeMap<(String, u32), Partition>,
+    groups: BTreeMap<String, Group>,
+}
+
+/// The store; its doors share it.
+#[derive(Clone)]
+pub struct Store {
+    state: Arc<Mutex<State>>,
+    news: watch::Sender<u64>,
+}
+
+impl Default for Store {
+    fn default() -> Self {
+        Self {
+            state: Arc::default(),
+            news: watch::Sender::new(0),
+        }
+    }
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct Join {
+    group: String,
+    member: String,
+    ttl_ms: u64,
+    topics: Vec<String>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct Leave {
+    group: String,
+    member: String,
+}
+
+impl Store {
+    /// Opens a door at `listen`.
+    pub async fn open(&self, listen: SocketAddr) -> Result<Handle, StandinError> {
+        let store = self.clone();
+        http::serve(listen, Control::new(), false, move |call| {
+            let store = store.clone();
+            async move { store.answer(call).await }
+        })
+        .await
+    }
+
+    /// Writes a keyed record as the operator or a replica would.
+    pub fn put(&self, topic: &str, key: &str, value: Option<&str>) {
+        let mut record = vec![key.len() as u8];
+        record.extend_from_slice(key.as_bytes());
+        record.extend_from_slice(value.unwrap_or_default().as_bytes());
+        self.add(topic, 0, vec![record.into()]);
+    }
+
+    /// Adds records without conditions.
+    pub fn add(&self, topic: &str, partition: u32, records: Vec<Bytes>) {
+        let mut state = self.lock();
+        let there = state
+            .partitions
+            .entry((topic.to_owned(), partition))
+            .or_default();
+        // Without conditions nothing is refused.
+        let _ = there.append(topic, records, &Terms::default());
+        drop(state);
+        self.news.send_modify(|count| *count += 1);
+    }
+
+    /// Forgets the history of a partition; newest records of keys stay.
+    pub fn forget(&self, topic: &str, partition: u32) {
+        let mut state = self.lock();
+        if let Some(there) = state.partitions.get_mut(&(topic.to_owned(), partition)) {
+            let end = there.end();
+            there.forget(end);
+        }
+        drop(state);
+        self.news.send_modify(|count| *count += 1);
+    }
+
+    /// Deals all partitions of all groups anew.
+    pub fn deal_anew(&self) {
+        self.lock().groups.values_mut().for_each(Group::deal_anew);
+    }
+
+    /// Number of records that a partition ever had.
+    pub fn end(&self, topic: &str, partition: u32) -> u64 {
+        let state = self.lock();
+        let there = state.partitions.get(&(topic.to_owned(), partition));
+        there.map_or(0, Partition::end)
+    }
+
+    async fn answer(&self, call: Call) -> Reply {
+        match (call.method.as_str(), call.path.as_str()) {
+            ("POST", "/v1/log-append") => self.append(&call),
+            ("GET", "/v1/log-read") => self.read(&call).await,
+            ("GET", "/v1/log-newest") => self.newest(&call),
+            ("POST", "/v1/log-join") => self.join(&call),
+            ("POST", "/v1/log-leave") => self.leave(&call),
+            _ => reply::error(404, "no-such-call"),
+        }
+    }
+
+    fn append(&self, call: &Call) -> Reply {
+        let (topic, partition) = place(call);
+        let Some(records) = unframed(call.body.clone()) else {
+            return reply::error(400, "odd-records");
+        };
+        let terms = Terms {
+            as_of: call.query_u64("AsOf"),
+            producer: text(call, "Producer"),
+            epoch: call.query_u64("epoch").unwrap_or(0),
+            sequence: call.query_u64("Seq").unwrap_or(0),
+        };
+        let mut state = self.lock();
+        let there = state
+            .partitions
+            .entry((topic.clone(), partition))
+            .or_default();
+        let answer = match there.append(&topic, records, &terms) {
+            Ok(offset) => reply::json(200, &json!({ "Offset": offset, "End": there.end() })),
+            Err(Refused::End(end)) => reply::json(412, &json!({ "End": end })),
+            Err(Refused::Fenced) => reply::json(409, &json!({ "why": "fenced" })),
+            Err(Refused::Sequence(next)) => reply::json(409, &json!({ "why": "seq", "Seq": next })),
+        };
+        drop(state);
+        self.news.send_modify(|count| *count += 1);
+        answer
+    }
+
+    async fn read(&self, call: &Call) -> Reply {
+        let key = place(call);
+        let from = call.query_u64("From").unwrap_or(0);
+        let max_bytes = call.query_u64("MaxKb").unwrap_or(PAGE_KB) as usize * 1_024;
+        let wait = Duration::from_millis(call.query_u64("WaitMs").unwrap_or(0));
+        let until = Instant::now() + wait;
+        let mut news = self.news.subscribe();
+        loop {
+            {
+                let mut state = self.lock();
+                let there = state.partitions.entry(key.clone()).or_default();
+                if from < there.first() {
+                    return reply::json(410, &json!({ "First": there.first() }));
+                }
+                if from < there.end() || Instant::now() >= until {
+                    return reply::bytes(200, there.page(from, max_bytes));
+                }
+            }
+            // At the end of the wait the page is empty.
+            let _ = timeout_at(until, news.changed()).await;
+        }
+    }
+
+    fn newest(&self, call: &Call) -> Reply {
+        let after = text(call, "After").unwrap_or_default();
+        let mut state = self.lock();
+        let there = state.partitions.entry(place(call)).or_default();
+        let entries = there.newest(&after, PAGE_KEYS + 1);
+        let more = entries.len() > PAGE_KEYS;
+        let entries: Vec<_> = entries
+            .into_iter()
+            .take(PAGE_KEYS)
+            .map(|(key, offset, value)| {
+                json!({ "Key": key, "Value": base64(value), "Offset": offset })
+            })
+            .collect();
+        reply::json(
+            200,
+            &json!({ "Entries": entries, "More": more, "End": there.end() }),
+        )
+    }
+
+    fn join(&self, call: &Call) -> Reply {
+        let join: Join = match call.json() {
+            Ok(join) => join,
+            Err(refusal) => return *refusal,
+        };
+        let mut state = self.lock();
+        let group = state.groups.entry(join.group).or_default();
+        let (generation, mine) = group.join(&join.member, join.ttl_ms, PARTITIONS);
+        let topic = join.topics.first().cloned().unwrap_or_default();
+        let rows: Vec<_> = mine
+            .into_iter()
+            .map(|part| json!([topic, part, 0]))
+            .collect();
+        reply::json(
+            200,
+            &json!({
+                "Generation": generation, "TtlMs": join.ttl_ms, "parts": rows
+            }),
+        )
+    }
+
+    fn leave(&self, call: &Call) -> Reply {
+        let leave: Leave = match call.json() {
+            Ok(leave) => leave,
+            Err(refusal) => return *refusal,
+        };
+        if let Some(group) = self.lock().groups.get_mut(&leave.group) {
+            group.leave(&leave.member);
+        }
+        reply::json(200, &json!({}))
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn place(call: &Call) -> (String, u32) {
+    let partition = call.query_u64("part").unwrap_or(0);
+    (text(call, "Topic").unwrap_or_default(), partition as u32)
+}
+
+fn text(call: &Call, name: &str) -> Option<String> {
+    let fields = call
+        .query
+        .split('&')
+        .filter_map(|field| field.split_once('='));
+    let mut values = fields.filter(|(field, _)| *field == name);
+    values.next().map(|(_, value)| value.to_owned())
+}
+
+fn base64(value: &[u8]) -> String {
+    use base64::Engine as _;
+    base64::engine::general_purpose::STANDARD.encode(value)
+}
--- a/dev/standins/src/http.rs
+++ b/dev/standins/src/http.rs
@@ -167,6 +167,14 @@
         if faults.hit(FaultKind::Outage, &path).is_some() {
             return Ok(reply::come_back(503, "outage", OUTAGE_RETRY_AFTER_S));
         }
+        if let Some(late) = faults.hit(FaultKind::Late, &path) {
+            let handler = self.handler.clone();
+            tokio::spawn(async move {
+                sleep(Duration::from_millis(late.delay_ms)).await;
+                handler(call).await
+            });
+            return Err(NoAnswer::OnPurpose);
+        }
         let slow = faults.hit(FaultKind::Slow, &path);
         let lost = faults.hit(FaultKind::AnswerLost, &path).is_some();
         let truncated = faults.hit(FaultKind::Truncate, &path);
--- a/dev/standins/src/lib.rs
+++ b/dev/standins/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod engine;
 mod error;
 mod fault;
+pub mod fleet;
 mod handle;
 mod http;
 pub mod log;
