Front: tests with stand-ins; a leaving front starts no items, one that can't write stands back

Two faults found by the new tests, both red first: - a leaving front stopped its items, saved them and started them again until its models were gone (can_hand_a_step_over_when_its_front_leaves: runs behind events 0, 9, 9, 9, 9 instead of 0, 9); - a front whose appends the store refuses while it takes its joins kept its models and listed nothing (errors_as_not_accepted_only_when_nothing_will_run: no result in 20 s).

--- a/components/front/src/member.rs
+++ b/components/front/src/member.rs
@@ -15,6 +15,9 @@
 const TTL_MS: u64 = 1_300;
 /// Pause between joins, in milliseconds; two may be lost before the membership is.
 const JOIN_MS: u64 = 350;
+/// How long results may be unwritable before the models go to another front, in
+/// milliseconds; a slow store answers within 240.
+const UNWRITABLE_MS: u64 = 800;
 /// Longest time for a join, in milliseconds.
 const WITHIN_MS: u64 = 700;
 
@@ -25,6 +28,11 @@
     let mut generation = 0;
     while front.drain.is_ready() {
         let sent_ms = now_ms();
+        if front.unwritable_ms(sent_ms) > UNWRITABLE_MS {
+            stand_back(&front).await;
+            generation = 0;
+            continue;
+        }
         let within = Duration::from_millis(WITHIN_MS);
         let joined = front
             .store
@@ -62,6 +70,16 @@
     }
 }
 
+/// Leaves the group until results can be written again. The store may take a front's joins
+/// and refuse its appends; the front would hold on to its models and list nothing.
+async fn stand_back(front: &Front) {
+    log::warn!(event = "standing_back", unwritable_ms = front.unwritable_ms(now_ms()); "");
+    leave(front).await;
+    while front.unwritable_ms(now_ms()) > 0 && front.drain.is_ready() {
+        tokio::time::sleep(Duration::from_millis(JOIN_MS)).await;
+    }
+}
+
 /// Hands the partitions to others at once.
 pub async fn leave(front: &Front) {
     front.owned.store(Arc::default());
--- a/components/front/src/runner/look.rs
+++ b/components/front/src/runner/look.rs
@@ -31,6 +31,9 @@
         let now_ms = now_ms();
         self.stop_what_ended(now_ms);
         self.save(now_ms);
+        if self.front.drain.is_leaving() {
+            return;
+        }
         let index_age_ms = self.front.index_age_ms(now_ms);
         if !index_age_ms.is_some_and(|age_ms| age_ms < INDEX_AGE_MS_MAX) {
             return;
--- a/components/front/src/state.rs
+++ b/components/front/src/state.rs
@@ -63,6 +63,8 @@
     index_current_ms: AtomicU64,
     /// Whether the replicas' records were read.
     pub replicas_read: AtomicU64,
+    /// Since when results can't be written; 0 while they can.
+    pub unwritable_since_ms: AtomicU64,
     /// What this front runs.
     pub owned: ArcSwap<Ownership>,
     /// Wakes the task that runs items.
@@ -94,6 +96,7 @@
             index_news: watch::Sender::new(0),
             index_current_ms: AtomicU64::new(0),
             replicas_read: AtomicU64::new(0),
+            unwritable_since_ms: AtomicU64::new(0),
             owned: ArcSwap::default(),
             runner_news: Notify::new(),
             handed_over: watch::Sender::new(false),
@@ -123,6 +126,14 @@
         }
     }
 
+    /// How long results could not be written, in milliseconds; 0 while they can.
+    pub fn unwritable_ms(&self, now_ms: u64) -> u64 {
+        match self.unwritable_since_ms.load(Ordering::Relaxed) {
+            0 => 0,
+            since_ms => now_ms.saturating_sub(since_ms),
+        }
+    }
+
     /// Whether clients may be sent here.
     pub fn is_ready(&self) -> bool {
         self.routes.load().is_some()
--- a/components/front/src/writer.rs
+++ b/components/front/src/writer.rs
@@ -4,6 +4,7 @@
 //! append without an answer is simply made again.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -12,6 +13,7 @@
 use steps::{ErrorCause, IndexRecord, Place, ResultState, StepId};
 use tokio::sync::mpsc;
 
+use crate::clock::now_ms;
 use crate::log_record::{DATA_TOPIC, INDEX_PARTITION, INDEX_TOPIC, LogRecord};
 use crate::state::{Front, partition_of};
 
@@ -125,7 +127,7 @@
     let within = Duration::from_millis(APPEND_MS);
     let mut offset = 0;
     if !texts.is_empty() {
-        offset = until_done(|| async {
+        offset = until_done(front, || async {
             Ok(front
                 .store
                 .append(DATA_TOPIC, partition, &texts, within)
@@ -162,19 +164,30 @@
             state,
         }));
     }
-    until_done(|| append_index(front, &records)).await;
+    until_done(front, || append_index(front, &records)).await;
+}
+
+/// Notes since when nothing could be written.
+fn note_failure(front: &Front) {
+    let since = &front.unwritable_since_ms;
+    // Later failures of the same row change nothing.
+    let _ = since.compare_exchange(0, now_ms().max(1), Ordering::Relaxed, Ordering::Relaxed);
 }
 
 /// Repeats an append until the store takes it.
-async fn until_done<F>(mut append: impl FnMut() -> F) -> u64
+async fn until_done<F>(front: &Front, mut append: impl FnMut() -> F) -> u64
 where
     F: Future<Output = Result<u64, WriteError>>,
 {
     let mut pause_ms = PAUSE_MS;
     loop {
         match append().await {
-            Ok(offset) => return offset,
+            Ok(offset) => {
+                front.unwritable_since_ms.store(0, Ordering::Relaxed);
+                return offset;
+            }
             Err(error) => {
+                note_failure(front);
                 log::warn!(event = "results_not_written", pause_ms, error:% = error; "");
                 tokio::time::sleep(Duration::from_millis(pause_ms)).await;
                 pause_ms = (pause_ms * 2).min(PAUSE_MS_MAX);
--- /dev/null
+++ b/components/front/tests/front/calls.rs
@@ -0,0 +1,154 @@
+//! Ordinary calls through a front.
+
+use crate::common::{Site, until};
+use hyper::Method;
+use standins::fleet::records;
+use standins::{Fault, FaultKind};
+
+#[tokio::test]
+async fn can_answer_a_call_with_the_replica_s_whole_answer() {
+    let site = Site::start(3, 1).await;
+    let front = site.front("a").await;
+    let (status, body) = front.call("q-1", "/calls/x?y=1").await;
+    assert_eq!((status, body.as_str()), (200, "/calls/x 4"));
+    assert_eq!(site.runs("q-1"), [0]);
+}
+
+#[tokio::test]
+async fn errors_with_the_status_that_fits() {
+    struct Case {
+        name: &'static str,
+        path: &'static str,
+        body: String,
+        status: u16,
+    }
+    let cases = [
+        Case {
+            name: "no route",
+            path: "/nowhere/",
+            body: String::new(),
+            status: 404,
+        },
+        Case {
+            name: "a body over the limit",
+            path: "/calls/x",
+            body: "x".repeat(1_048_577),
+            status: 413,
+        },
+        Case {
+            name: "what is no step",
+            path: "/steps/x",
+            body: "{}".to_owned(),
+            status: 400,
+        },
+        Case {
+            name: "a step of an unknown model",
+            path: "/steps/x",
+            body: records::step(1, 1, 2).replace("\"Model\":\"model-a\"", "\"Model\":\"none\""),
+            status: 400,
+        },
+    ];
+    let site = Site::start(3, 1).await;
+    let front = site.front("a").await;
+    for case in cases {
+        let headers = [("hornbeamrock-request-id", "q-1")];
+        let (status, _, _) = front
+            .ask(Method::POST, case.path, &headers, &case.body)
+            .await;
+        assert_eq!(status, case.status, "{}", case.name);
+    }
+}
+
+#[tokio::test]
+async fn errors_as_not_run_while_no_configuration_is_known() {
+    // A front starts while the store is out. It knows no route, and a 404 would tell the
+    // caller that there is none; so it says when to come again, and is not ready.
+    let site = Site::start(3, 1).await;
+    let door = site
+        .store
+        .open(([127, 0, 0, 1], 0).into())
+        .await
+        .expect("a port");
+    drop(door);
+    let front = site.unready_front("a").await;
+    front.door.fault(Fault::new(FaultKind::Outage));
+    front.door.crash(0);
+    let headers = [("hornbeamrock-request-id", "q-1")];
+    let (status, again, _) = front.ask(Method::POST, "/calls/x", &headers, "").await;
+    if status == 200 {
+        // The front had read the configuration before the outage began.
+        return;
+    }
+    assert_eq!(status, 503);
+    assert!(again.is_some());
+    assert!(!front.is_ready().await);
+}
+
+#[tokio::test]
+async fn can_ask_another_replica_when_an_answer_is_torn() {
+    // A replica closes its connection in the middle of its answers. The call may run twice,
+    // so the front asks the other one and the client sees one whole answer.
+    let site = Site::start(3, 1).await;
+    let front = site.front("a").await;
+    site.replica("plain-1")
+        .handle
+        .fault(Fault::new(FaultKind::Truncate).on("/calls/"));
+    for call in 0..6 {
+        let (status, body) = front.call(&format!("q-{call}"), "/calls/x").await;
+        assert_eq!((status, body.as_str()), (200, "/calls/x 4"));
+    }
+}
+
+#[tokio::test]
+async fn errors_when_a_call_that_may_run_once_loses_its_answer() {
+    // Both replicas run the call and lose the answer. The front must not ask the second one,
+    // and must not say that it did not run.
+    let site = Site::start(3, 1).await;
+    let front = site.front("a").await;
+    for id in ["plain-1", "plain-2"] {
+        site.replica(id)
+            .handle
+            .fault(Fault::new(FaultKind::AnswerLost).on("/bids/"));
+    }
+    let (status, _) = front.call("bid-1", "/bids/x").await;
+    assert_eq!(status, 502);
+    assert_eq!(site.runs("bid-1"), [0], "once");
+}
+
+#[tokio::test]
+async fn can_turn_away_from_a_replica_that_drains() {
+    let site = Site::start(3, 1).await;
+    let front = site.front("a").await;
+    site.beat(site.replica("plain-1"), "draining", 1);
+    let number = std::sync::atomic::AtomicU32::new(0);
+    // Work in the moment before the record is read may still go there; none does later.
+    until("calls go to the other replica only", || async {
+        let first = number.fetch_add(10, std::sync::atomic::Ordering::Relaxed);
+        for call in first..first + 10 {
+            front.call(&format!("d-{call}"), "/calls/x").await;
+        }
+        let runs = site.replica("plain-1").seen.runs();
+        (first..first + 10).all(|call| !runs.contains_key(&format!("d-{call}")))
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn can_follow_the_configuration_after_the_history_was_lost() {
+    // The store forgets the records of the operator while the front reads on. The front reads
+    // the newest ones again, and never goes back to an older version.
+    let site = Site::start(3, 1).await;
+    let front = site.front("a").await;
+    site.store.forget("keyed.op", 0);
+    let next = records::config(9).replace("/calls/", "/moved/");
+    site.store.put("keyed.op", "config", Some(&next));
+    until("the new route serves", || async {
+        front.call("q-2", "/moved/x").await.0 == 200
+    })
+    .await;
+    site.store
+        .put("keyed.op", "config", Some(&records::config(4)));
+    site.store.put("keyed.servers", "nobody", Some("{}"));
+    let (status, _) = front.call("q-3", "/calls/x").await;
+    assert_eq!(status, 404);
+}
--- /dev/null
+++ b/components/front/tests/front/main.rs
@@ -0,0 +1,6 @@
+//! Fronts with a store and replicas of ours, in one process.
+
+mod calls;
+mod common;
+mod orders;
+mod steps;
--- /dev/null
+++ b/components/front/tests/front/steps.rs
@@ -0,0 +1,244 @@
+//! Steps of a trainer through fronts that die, leave, or lose the store.
+
+use std::time::Duration;
+
+use crate::common::{Site, until};
+use hyper::Method;
+use standins::fleet::records;
+use standins::{Fault, FaultKind};
+
+fn text(events: u64) -> String {
+    let words: Vec<String> = (1..=events).map(|event| format!("word-{event}")).collect();
+    words.join("\n")
+}
+
+#[tokio::test]
+async fn can_run_a_step_and_read_it_at_another_front() {
+    let site = Site::start(4, 1).await;
+    let fronts = [site.front("a").await, site.front("b").await];
+    assert_eq!(
+        fronts[0].submit("s-1", &records::step(1, 1, 6)).await.0,
+        202
+    );
+    let results = fronts[1].all_results("s-1", 6).await;
+    for result in &results {
+        assert_eq!(result["State"], "succeeded");
+        assert_eq!(result["Text"], text(4));
+        assert_eq!(result["Versions"], serde_json::json!([1]));
+        let score = result["Id"]
+            .as_str()
+            .expect("an id")
+            .replace("item", "stamp-score");
+        assert_eq!(result["Score"], score);
+    }
+    let again = fronts[0].all_results("s-1", 6).await;
+    assert_eq!(again, results, "positions are the same everywhere");
+    let (_, page) = fronts[0].results("s-1", 4).await;
+    assert_eq!((&page["Total"], &page["NextToken"]), (&6.into(), &6.into()));
+    let (status, _, body) = fronts[1]
+        .ask(Method::GET, "/v1/items/s-1?Id=item-1-0", &[], "")
+        .await;
+    assert_eq!((status, body.len()), (200, "\u{ab}\u{fffd}".len() + 1));
+}
+
+#[tokio::test]
+async fn can_accept_a_repeated_step_once_and_refuse_another_one_under_its_id() {
+    let site = Site::start(2, 1).await;
+    let fronts = [site.front("a").await, site.front("b").await];
+    let step = records::step(1, 1, 2);
+    assert_eq!(fronts[0].submit("s-1", &step).await.0, 202);
+    fronts[1].all_results("s-1", 2).await;
+    assert_eq!(fronts[1].submit("s-1", &step).await.0, 202);
+    assert_eq!(
+        fronts[1].submit("s-1", &records::step(2, 1, 2)).await.0,
+        409
+    );
+    assert_eq!(site.runs("item-1-0"), [0]);
+}
+
+#[tokio::test]
+async fn errors_as_not_accepted_only_when_nothing_will_run() {
+    // The store turns this front away. The trainer is told to come again, and whatever
+    // happens later, nothing of that step runs. Another front takes it.
+    let site = Site::start(2, 1).await;
+    let fronts = [site.front("a").await, site.front("b").await];
+    fronts[0]
+        .door
+        .fault(Fault::new(FaultKind::Outage).on("/v1/log-append"));
+    let (status, again) = fronts[0].submit("s-1", &records::step(1, 1, 2)).await;
+    assert_eq!(status, 503);
+    assert!(again.is_some());
+    assert!(site.runs("item-1-0").is_empty());
+    assert_eq!(
+        fronts[1].submit("s-1", &records::step(1, 1, 2)).await.0,
+        202
+    );
+    fronts[1].all_results("s-1", 2).await;
+}
+
+#[tokio::test]
+async fn can_accept_a_step_whose_record_landed_without_an_answer() {
+    // The store carries the appends out and loses the answers. The front must not say that
+    // the step is not accepted, as its items run; it appends again and the step is one.
+    let site = Site::start(2, 1).await;
+    let front = site.front("a").await;
+    front.door.fault(
+        Fault::new(FaultKind::AnswerLost)
+            .on("/v1/log-append")
+            .times(2),
+    );
+    assert_eq!(front.submit("s-1", &records::step(1, 1, 2)).await.0, 202);
+    let results = front.all_results("s-1", 2).await;
+    assert_eq!(results.len(), 2);
+}
+
+#[tokio::test]
+async fn can_count_a_reward_call_that_always_fails_once_each() {
+    // A scorer answers 500 to one item for ever. The item is errored after as many calls as
+    // the route allows; repeated inside the call and counted outside, they were four times
+    // as many, and the step ended seconds late.
+    let site = Site::start(2, 1).await;
+    for replica in &site.replicas {
+        replica.seen.answer_with("score-1-0", 500);
+    }
+    let front = site.front("a").await;
+    assert_eq!(front.submit("s-1", &records::step(1, 1, 2)).await.0, 202);
+    let results = front.all_results("s-1", 2).await;
+    let failed = results
+        .iter()
+        .find(|result| result["Id"] == "item-1-0")
+        .expect("listed");
+    assert_eq!(failed["State"], "errored");
+    assert_eq!(site.runs("score-1-0").len(), 3);
+}
+
+#[tokio::test]
+async fn can_end_items_that_fail_or_can_never_be_done() {
+    let site = Site::start(2, 1).await;
+    for replica in &site.replicas {
+        replica.seen.answer_with("item-1-0", 500);
+        replica.seen.answer_with("item-1-1", 422);
+    }
+    let front = site.front("a").await;
+    assert_eq!(front.submit("s-1", &records::step(1, 1, 4)).await.0, 202);
+    let results = front.all_results("s-1", 4).await;
+    let errored = results.iter().filter(|result| result["State"] == "errored");
+    assert_eq!(errored.count(), 2);
+    assert_eq!(
+        site.runs("item-1-0").len(),
+        3,
+        "as many as the route allows"
+    );
+    assert_eq!(site.runs("item-1-1").len(), 1);
+}
+
+#[tokio::test]
+async fn can_go_on_behind_the_last_event_when_a_stream_breaks() {
+    // A replica closes its connection in the middle of its streams. Another run goes on
+    // behind the last event; nothing is missing and nothing stands twice.
+    let site = Site::start(12, 1).await;
+    let front = site.front("a").await;
+    let cut = |after| Fault {
+        after,
+        ..Fault::new(FaultKind::Cut).on(records::STEPS).times(2)
+    };
+    site.replica("engine-1").handle.fault(cut(5));
+    site.replica("engine-2").handle.fault(cut(3));
+    assert_eq!(front.submit("s-1", &records::step(1, 1, 4)).await.0, 202);
+    for result in front.all_results("s-1", 4).await {
+        assert_eq!(result["Text"], text(12));
+    }
+}
+
+#[tokio::test]
+async fn can_take_over_from_a_runner_that_dies_behind_what_it_saved() {
+    // Two fronts; the one that runs the step dies in the middle of two long items. The other
+    // one takes its models over and goes on behind the saved events, so that an item of
+    // seconds is not begun anew.
+    let site = Site::start(60, 40).await;
+    let mut fronts = vec![site.front("a").await, site.front("b").await];
+    assert_eq!(
+        fronts[0].submit("s-1", &records::step(1, 1, 2)).await.0,
+        202
+    );
+    until("pieces are saved", || async {
+        site.store.end("index", 0) >= 8
+    })
+    .await;
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    // Only one of them runs the items; if it is the other one, that one dies instead.
+    fronts.remove(0);
+    let rest = fronts.remove(0);
+    for result in rest.all_results("s-1", 2).await {
+        assert_eq!(result["Text"], text(60));
+    }
+    let runs = site.runs("item-1-0");
+    let taken_up = runs.len() == 1 || runs.iter().any(|after| *after > 0);
+    assert!(taken_up, "the second run began behind an event: {runs:?}");
+}
+
+#[tokio::test]
+async fn can_hand_a_step_over_when_its_front_leaves() {
+    // The front gets the stop signal in the middle of long items. It is not ready at once,
+    // saves what was made, and another front goes on.
+    let site = Site::start(60, 40).await;
+    let mut front = site.front("a").await;
+    assert_eq!(front.submit("s-1", &records::step(1, 1, 2)).await.0, 202);
+    until("the items run", || async {
+        !site.runs("item-1-0").is_empty()
+    })
+    .await;
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    front.stop();
+    until("it is not ready", || async { !front.is_ready().await }).await;
+    let next = site.front("b").await;
+    for result in next.all_results("s-1", 2).await {
+        assert_eq!(result["Text"], text(60));
+    }
+    let runs = site.runs("item-1-0");
+    assert!(
+        runs.len() == 2 && runs.iter().any(|after| *after > 0),
+        "{runs:?}"
+    );
+}
+
+#[tokio::test]
+async fn can_stop_the_items_of_a_step_that_was_ended() {
+    let site = Site::start(400, 20).await;
+    let front = site.front("a").await;
+    assert_eq!(front.submit("s-1", &records::step(1, 1, 2)).await.0, 202);
+    until("the items run", || async {
+        !site.runs("item-1-0").is_empty()
+    })
+    .await;
+    let (status, _, _) = front.ask(Method::DELETE, "/v1/lots/s-1", &[], "").await;
+    assert_eq!(status, 200);
+    let (status, _, _) = front.ask(Method::DELETE, "/v1/lots/s-1", &[], "").await;
+    assert_eq!(status, 200, "again");
+    let (_, page) = front.results("s-1", 0).await;
+    assert_eq!(page["Results"], serde_json::json!([]));
+}
+
+#[tokio::test]
+async fn errors_without_saying_that_a_step_is_missing_while_the_log_is_not_read() {
+    // The store turns this front away, and a step is accepted elsewhere. A trainer that asks
+    // here must not hear that there is no such step.
+    let site = Site::start(2, 1).await;
+    let fronts = [site.front("a").await, site.front("b").await];
+    assert_eq!(fronts[0].results("s-1", 0).await.0, 404);
+    fronts[0].door.fault(Fault::new(FaultKind::Outage));
+    assert_eq!(
+        fronts[1].submit("s-1", &records::step(1, 1, 2)).await.0,
+        202
+    );
+    fronts[1].all_results("s-1", 2).await;
+    until("the front is not sure", || async {
+        fronts[0].results("s-1", 0).await.0 == 503
+    })
+    .await;
+    fronts[0].door.clear_faults();
+    until("it knows the step", || async {
+        fronts[0].results("s-1", 0).await.0 == 200
+    })
+    .await;
+}
