Runner: one try at a time after a refusal, single long pauses count little, two moves an item

Cause: a replica that loads weights makes no event for 0.9 s. Besides, each item that waited was refused by a loading replica every 120 ms, on a new connection each. Change: one pause counts twice the mean at most; an item moves twice at most; after a refusal one item at a time is tried; a refusal is read to its end and its connection kept.

--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -3,6 +3,7 @@
 //!
 //! No I/O, no clock and no random source: times and random bits come in as arguments.
 
+mod admission;
 mod choice;
 mod items;
 mod load;
@@ -11,6 +12,7 @@
 mod retry;
 mod routes;
 
+pub use admission::Admission;
 pub use choice::{Candidate, choose};
 pub use items::{Engine, Placed, Waiting, place};
 pub use load::{InFlight, ReplicaLoad, Typical};
--- a/components/dispatch/src/pace.rs
+++ b/components/dispatch/src/pace.rs
@@ -10,6 +10,9 @@
 /// Share of a new pause in the mean, in hundredths: a replica that turned slow is known
 /// after some four events of one run.
 const SHARE: u64 = 20;
+/// Most that one pause counts, in times the mean, so that a single long one does not make a
+/// replica slow; several in a row do.
+const LONGEST: u64 = 2;
 /// How fast a replica's slowness is forgotten while it runs nothing, in milliseconds for half
 /// of it, so that one that was slow gets items again.
 const FORGET_HALF_MS: u64 = 4_000;
@@ -31,7 +34,11 @@
     pub fn record(&self, pause_us: u64, now_ms: u64) {
         let mean_us = match self.mean_us.load(Ordering::Relaxed) {
             0 => pause_us,
-            mean_us => (mean_us * (100 - SHARE) + pause_us * SHARE) / 100,
+            // A replica that loads weights pauses once for a second and goes on as before.
+            mean_us => {
+                let counted_us = pause_us.min(mean_us * LONGEST);
+                (mean_us * (100 - SHARE) + counted_us * SHARE) / 100
+            }
         };
         self.mean_us.store(mean_us, Ordering::Relaxed);
         self.seen_ms.store(now_ms, Ordering::Relaxed);
--- a/components/front/src/calls.rs
+++ b/components/front/src/calls.rs
@@ -324,9 +324,16 @@
             }
         }
         Err(error) => {
-            if !matches!(error, ReplicaError::NotRun(_)) {
-                load.failed(now_ms());
-                member.peer.forget_connections();
+            match error {
+                // A refusal that was read to its end leaves the connection as good as before.
+                ReplicaError::NotRun(_) if connection.is_usable() => {
+                    member.peer.keep(connection, None);
+                }
+                ReplicaError::NotRun(_) => {}
+                _ => {
+                    load.failed(now_ms());
+                    member.peer.forget_connections();
+                }
             }
             let end = match error.is_not_run() {
                 true => AttemptEnd::NotRun,
--- a/components/front/src/partial.rs
+++ b/components/front/src/partial.rs
@@ -33,6 +33,8 @@
     pub versions: Vec<u64>,
     /// Whether an earlier text was of no use, so that what is saved is of none either.
     pub discarded: bool,
+    /// How often it was moved to another replica.
+    pub moves: u32,
     saved: Saved,
     unsure: Option<Saved>,
 }
@@ -113,6 +115,7 @@
             last_event: last.last_event,
             versions: last.versions.clone(),
             discarded: false,
+            moves: 0,
             saved,
             unsure: None,
         })
--- a/components/front/src/run_item.rs
+++ b/components/front/src/run_item.rs
@@ -4,9 +4,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use dispatch::Pace;
+use dispatch::{Admission, Pace};
 use hyper::Method;
-use platform::replica::{self, Call, ItemRun, ItemStart, ReplicaError};
+use platform::replica::{self, Call, ItemEnd, ItemRun, ItemStart, ReplicaError};
 use platform::sse::Event;
 use steps::ItemData;
 use tokio::sync::Notify;
@@ -41,6 +41,8 @@
     pub left_ms: u64,
     /// How fast the replica makes events.
     pub pace: Arc<Pace>,
+    /// Learns that the replica takes items.
+    pub admission: Arc<Admission>,
     /// Stops the run, so that another replica goes on.
     pub stop: Arc<Notify>,
 }
@@ -66,8 +68,16 @@
     let first = locked(shared).last_event;
     let mut item_run = match start(spec, first).await {
         Ok(ItemStart::Running(run)) => run,
-        Ok(ItemStart::Failed) => return RunEnd::Failed,
-        Ok(ItemStart::Impossible) => return RunEnd::Impossible,
+        Ok(ItemStart::Ended(end, connection)) => {
+            if let Some(connection) = connection {
+                spec.member.peer.keep(connection, None);
+            }
+            return match end {
+                ItemEnd::NotRun(why) => RunEnd::NotRun(why),
+                ItemEnd::Failed => RunEnd::Failed,
+                ItemEnd::Impossible => RunEnd::Impossible,
+            };
+        }
         Err(error) => return ended_by(error),
     };
     let mut last_us = None;
@@ -82,6 +92,7 @@
                     return end;
                 }
                 let now_us = now_us();
+                spec.admission.taken(now_us / 1_000);
                 if let Some(last_us) = last_us.replace(now_us) {
                     spec.pace.record(now_us - last_us, now_us / 1_000);
                 }
--- a/components/front/src/runner/engines.rs
+++ b/components/front/src/runner/engines.rs
@@ -2,10 +2,13 @@
 
 use super::*;
 
+/// Moves of one item, at most, so that no misjudgement sends it to and fro.
+const MOVES_MAX: u32 = 2;
+
 pub(super) struct EngineState {
     pub(super) running: Arc<AtomicU32>,
     pub(super) pace: Arc<Pace>,
-    pub(super) refused_until_ms: HashMap<Arc<str>, u64>,
+    pub(super) admissions: HashMap<Arc<str>, Arc<Admission>>,
     pub(super) prompts: HashMap<Arc<str>, (u64, Vec<u64>)>,
 }
 
@@ -14,7 +17,7 @@
         Self {
             running: Arc::default(),
             pace: Arc::default(),
-            refused_until_ms: HashMap::new(),
+            admissions: HashMap::new(),
             prompts: HashMap::new(),
         }
     }
@@ -50,18 +53,16 @@
                 let state = &self.engines[&member.replica.id];
                 let running = state.running.load(Ordering::Relaxed);
                 let version = member.replica.version_of(model).unwrap_or(0);
-                let refused = state
-                    .refused_until_ms
-                    .get(model)
-                    .is_some_and(|at| now_ms < *at);
                 let prompts = match state.prompts.get(model) {
                     Some((held, prompts)) if *held == version => prompts.clone(),
                     _ => Vec::new(),
                 };
-                let free = member.replica.slots.saturating_sub(running);
+                let unused = member.replica.slots.saturating_sub(running);
+                let admission = state.admissions.get(model);
+                let free = admission.map_or(unused, |known| known.places(unused, now_ms));
                 Engine {
                     version,
-                    free: if refused { 0 } else { free },
+                    free,
                     running,
                     slowness: slowness(&state.pace, typical_us, now_ms),
                     prompts,
@@ -70,6 +71,15 @@
             .collect()
     }
 
+    /// What is known of a replica's willingness to take items of a model.
+    pub(super) fn admission(&mut self, replica: &ReplicaId, model: &str) -> Arc<Admission> {
+        let state = self
+            .engines
+            .entry(Arc::clone(replica))
+            .or_insert_with(EngineState::new);
+        Arc::clone(state.admissions.entry(model.into()).or_default())
+    }
+
     /// The middle one of the replicas' mean pauses between events.
     fn typical_us(&self, members: &[Member]) -> u64 {
         let mut paces: Vec<u64> = members
@@ -107,17 +117,21 @@
                 room += engine.free;
             }
         }
-        for at in self
-            .running
-            .values_mut()
-            .filter_map(|running| running.at.as_mut())
-        {
+        for (key, running) in &mut self.running {
+            let Some(at) = running.at.as_mut().filter(|at| !at.stopping) else {
+                continue;
+            };
+            let Some((partial, _)) = self.partials.get(key) else {
+                continue;
+            };
             let here = members
                 .iter()
                 .position(|member| member.replica.id == at.replica);
             let slow = here.is_some_and(|here| is_worth_moving(engines[here].slowness, fastest));
-            if room > 0 && slow && !at.stopping {
+            let mut partial = locked(partial);
+            if room > 0 && slow && partial.moves < MOVES_MAX {
                 room -= 1;
+                partial.moves += 1;
                 at.stopping = true;
                 at.stop.notify_one();
             }
--- a/components/front/src/runner/look.rs
+++ b/components/front/src/runner/look.rs
@@ -245,10 +245,13 @@
             .data
             .get(&step)
             .and_then(|data| data.get(number as usize))
+            .cloned()
         else {
             return;
         };
         let replica = Arc::clone(&member.replica.id);
+        let admission = self.admission(&replica, &item.head.model);
+        admission.tried(now_ms());
         let state = self
             .engines
             .entry(Arc::clone(&replica))
@@ -267,12 +270,13 @@
         let spec = RunSpec {
             id: item.head.items[number as usize].id.clone(),
             host: item.head.host.clone(),
-            data: Arc::clone(data),
+            data,
             member: member.clone(),
             min_version: item.head.min_version,
             single_version: item.head.single_version,
             left_ms: item.left_ms,
             pace: Arc::clone(&state.pace),
+            admission,
             stop: Arc::new(Notify::new()),
         };
         let at = RunningAt {
--- a/components/front/src/runner/mod.rs
+++ b/components/front/src/runner/mod.rs
@@ -15,7 +15,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use dispatch::{Engine, Pace, Placed, ReplicaId, Route, Waiting, is_worth_moving, place, slowness};
+use dispatch::{
+    Admission, Engine, Pace, Placed, ReplicaId, Route, Waiting, is_worth_moving, place, slowness,
+};
 use steps::{
     ErrorCause, FailedPart, IndexRecord, ItemData, ItemHead, Step, StepHead, StepId, decode_item,
 };
@@ -39,11 +41,6 @@
 /// How old the knowledge of the index may be when a run starts, in milliseconds; an item of
 /// a step that was ended must not reach a replica three seconds later.
 const INDEX_AGE_MS_MAX: u64 = 1_500;
-/// How long a replica that refused an item of a model gets no other, in milliseconds; a load
-/// of weights takes about a second.
-const REFUSED_MS: u64 = 120;
-/// How long one that broke a run gets no other, in milliseconds.
-const BROKEN_MS: u64 = 400;
 /// Beyond the time in which an item may be given up, in milliseconds, against early clocks.
 const GIVE_UP_SLACK_MS: u64 = 1_000;
 /// Output tokens of an item whose trainer gives no hint.
@@ -165,11 +162,6 @@
         let Some((head, progress)) = self.step_of(key) else {
             return;
         };
-        let engine = self
-            .engines
-            .entry(Arc::clone(&replica))
-            .or_insert_with(EngineState::new);
-        let model: Arc<str> = head.model.as_str().into();
         let events = self
             .partials
             .get(&key)
@@ -188,7 +180,7 @@
             }
             RunEnd::NotRun(why) => {
                 log::debug!(event = "item_not_run", step = step.0, item, replica = &*replica, why; "");
-                engine.refused_until_ms.insert(model, now_ms + REFUSED_MS);
+                self.admission(&replica, &head.model).refused(now_ms);
                 self.note_broken(key, replica);
             }
             RunEnd::Broken(why) => {
@@ -196,7 +188,7 @@
                     event = "item_broken", step = step.0, item, replica = &*replica,
                     events, why; ""
                 );
-                engine.refused_until_ms.insert(model, now_ms + BROKEN_MS);
+                self.admission(&replica, &head.model).refused(now_ms);
                 self.note_broken(key, replica);
             }
             RunEnd::Stopped => {
