Front: SIGHUP and a changed settings file are heard

Ruled out: memory, panics (no line of one). Change: the file is read again on the signal and when it changed; the store's address is taken over, an odd file changes nothing.

--- a/bin/hornbeamrock/src/main.rs
+++ b/bin/hornbeamrock/src/main.rs
@@ -2,6 +2,7 @@
 
 mod cli;
 
+use std::path::Path;
 use std::process::ExitCode;
 
 use platform::settings::{self, FrontSettings};
@@ -17,14 +18,15 @@
         .and_then(|(_, front)| front.get_one::<String>("log-level"))
         .and_then(|word| LogLevel::parse(word))
         .unwrap_or(LogLevel::Info);
-    let settings = match settings::load(&settings::path()) {
+    let path = settings::path();
+    let settings = match settings::load(&path) {
         Ok(settings) => settings,
         Err(error) => {
             eprintln!("hornbeamrock: {error}");
             return ExitCode::from(EXIT_SETTINGS);
         }
     };
-    match run(settings, level) {
+    match run(settings, &path, level) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("hornbeamrock: {error}");
@@ -33,7 +35,11 @@
     }
 }
 
-fn run(settings: FrontSettings, level: LogLevel) -> Result<(), Box<dyn std::error::Error>> {
+fn run(
+    settings: FrontSettings,
+    path: &Path,
+    level: LogLevel,
+) -> Result<(), Box<dyn std::error::Error>> {
     let _logs = telemetry::start_logs_to(level, Output::Stdout)?;
     // On one core a second thread costs memory and wake-ups and runs no earlier.
     let runtime = match settings.cores {
@@ -45,7 +51,7 @@
             .enable_all()
             .build()?,
     };
-    runtime.block_on(front::run(settings))?;
+    runtime.block_on(front::run(settings, path))?;
     // Tasks that still wait have nothing left to finish.
     runtime.shutdown_background();
     Ok(())
--- a/components/front/src/calls.rs
+++ b/components/front/src/calls.rs
@@ -115,7 +115,7 @@
                     (_, None) => {}
                 }
                 log::info!(
-                    event = "attempt_failed", id = spec.request_id,
+                    event = "attempt-failed", id = spec.request_id,
                     route = &*spec.route.name, sent = tried.len(), left_ms = spec.left_ms(),
                     why = why.as_str(); ""
                 );
@@ -144,11 +144,11 @@
     let replica = tried.last().map_or("none", |id| &**id);
     match &outcome {
         CallOutcome::Answer(answer) => log::info!(
-            event = "call_answered", id = spec.request_id, route = &*spec.route.name,
+            event = "call-answered", id = spec.request_id, route = &*spec.route.name,
             status = answer.status.as_u16(), replica, sent = tried.len(), took_ms; ""
         ),
         CallOutcome::End(end, why) => log::warn!(
-            event = "call_failed", id = spec.request_id, route = &*spec.route.name,
+            event = "call-failed", id = spec.request_id, route = &*spec.route.name,
             end:? = end, replica, sent = tried.len(), took_ms, why = why.as_str(); ""
         ),
     }
@@ -268,7 +268,7 @@
             .load
             .overtaken(typical, typical.us() * HEDGE_TIMES, now_ms());
         log::info!(
-            event = "call_hedged", id = spec.request_id, route = &*spec.route.name,
+            event = "call-hedged", id = spec.request_id, route = &*spec.route.name,
             replica = &*member.replica.id, typical_us = typical.us(); ""
         );
     }
--- a/components/front/src/connections.rs
+++ b/components/front/src/connections.rs
@@ -36,7 +36,7 @@
                 tokio::spawn(serve(Arc::clone(&front), stream, answer));
             }
             Err(error) => {
-                log::warn!(event = "accept_failed", error:% = error; "");
+                log::warn!(event = "accept-failed", error:% = error; "");
                 tokio::time::sleep(Duration::from_millis(ACCEPT_PAUSE_MS)).await;
             }
         }
@@ -55,7 +55,7 @@
     F: Future<Output = Response<ReplyBody>> + Send + 'static,
 {
     if let Err(error) = stream.set_nodelay(true) {
-        log::debug!(event = "nodelay_refused", error:% = error; "");
+        log::debug!(event = "nodelay-refused", error:% = error; "");
     }
     let limits = front.routes.load().as_ref().map(|routes| routes.limits);
     let idle_ms = limits.map_or(IDLE_MS, |limits| limits.idle_ms) + IDLE_SLACK_MS;
@@ -80,6 +80,6 @@
         }
     };
     if let Err(error) = closed {
-        log::debug!(event = "connection_closed", error:% = error; "");
+        log::debug!(event = "connection-closed", error:% = error; "");
     }
 }
--- a/components/front/src/follow.rs
+++ b/components/front/src/follow.rs
@@ -91,7 +91,7 @@
                                 }
                             }
                             Err(error) => log::warn!(
-                                event = "record_odd", topic, offset, error:% = error; ""
+                                event = "record-odd", topic, offset, error:% = error; ""
                             ),
                         }
                     }
@@ -99,7 +99,7 @@
                     tokio::time::sleep(Duration::from_millis(gather_ms)).await;
                 }
                 Err(StoreError::Gone(first)) => {
-                    log::info!(event = "history_gone", topic, next, first; "");
+                    log::info!(event = "history-gone", topic, next, first; "");
                     break;
                 }
                 Err(error) => {
@@ -113,7 +113,7 @@
 }
 
 fn lost(topic: &str, error: &StoreError) {
-    log::warn!(event = "store_read_failed", topic, error:% = error; "");
+    log::warn!(event = "store-read-failed", topic, error:% = error; "");
 }
 
 /// Follows the configuration and the named versions.
@@ -132,14 +132,14 @@
                 // An old version can be read again after the history was lost; nobody goes
                 // back to it.
                 if routes.version > in_force {
-                    log::info!(event = "routes_in_force", version = routes.version; "");
+                    log::info!(event = "routes-in-force", version = routes.version; "");
                     front.routes.store(Some(routes));
                 }
             }
             Ok(OperatorRecord::Named { model, version }) => name_version(&front, model, version),
             Ok(OperatorRecord::Other) => {}
             Err(error) => {
-                log::warn!(event = "record_odd", topic = OPERATOR_TOPIC, error:% = error; "")
+                log::warn!(event = "record-odd", topic = OPERATOR_TOPIC, error:% = error; "")
             }
         }
     })
@@ -150,7 +150,7 @@
     let mut named = locked(&front.named);
     let known = named.entry(Arc::clone(&model)).or_insert(0);
     if version > *known {
-        log::info!(event = "version_named", model = &*model, version; "");
+        log::info!(event = "version-named", model = &*model, version; "");
         *known = version;
         front.leader_news.notify_one();
         front.runner_news.notify_one();
@@ -193,18 +193,18 @@
 fn take_replica(registry: &mut Registry, id: &str, value: Option<&[u8]>, now_ms: u64) -> bool {
     let revision = match value {
         None => {
-            log::info!(event = "replica_gone", replica = id; "");
+            log::info!(event = "replica-gone", replica = id; "");
             registry.remove(id, now_ms)
         }
         Some(value) => match records::replica_record(id, value) {
             Ok(replica) => {
                 if replica.draining {
-                    log::info!(event = "replica_draining", replica = id; "");
+                    log::info!(event = "replica-draining", replica = id; "");
                 }
                 put_replica(registry, replica)
             }
             Err(error) => {
-                log::warn!(event = "record_odd", topic = REPLICA_TOPIC, error:% = error; "");
+                log::warn!(event = "record-odd", topic = REPLICA_TOPIC, error:% = error; "");
                 Revision::Unchanged
             }
         },
@@ -217,7 +217,7 @@
     let draining = replica.draining;
     let revision = registry.put(replica);
     if revision == Revision::Changed {
-        log::debug!(event = "replica_changed", replica = &*id, address:% = address, draining; "");
+        log::debug!(event = "replica-changed", replica = &*id, address:% = address, draining; "");
     }
     revision
 }
@@ -235,7 +235,7 @@
         match page {
             Ok(page) => {
                 if std::mem::take(&mut was_lost) {
-                    log::info!(event = "store_regained", topic = INDEX_TOPIC, next; "");
+                    log::info!(event = "store-regained", topic = INDEX_TOPIC, next; "");
                 }
                 let now_ms = now_ms();
                 let news = !page.records.is_empty();
@@ -250,7 +250,7 @@
                 }
             }
             Err(StoreError::Gone(first)) => {
-                log::info!(event = "history_gone", topic = INDEX_TOPIC, next, first; "");
+                log::info!(event = "history-gone", topic = INDEX_TOPIC, next, first; "");
                 let mut index = front.index();
                 index.lease.forget();
                 index.read_since_ms = now_ms();
@@ -276,7 +276,7 @@
             }
             Ok(LogRecord::Lease(record)) => index.lease.apply(offset, &record, now_ms),
             Err(error) => {
-                log::warn!(event = "record_odd", topic = INDEX_TOPIC, offset, error:% = error; "");
+                log::warn!(event = "record-odd", topic = INDEX_TOPIC, offset, error:% = error; "");
             }
         }
         offset += 1;
--- a/components/front/src/jobs.rs
+++ b/components/front/src/jobs.rs
@@ -72,13 +72,13 @@
     let submission = match jobs::submission(&body) {
         Ok(submission) => submission,
         Err(error) => {
-            log::info!(event = "step_refused", id, error:% = error; "");
+            log::info!(event = "step-refused", id, error:% = error; "");
             return Told::new(StatusCode::BAD_REQUEST, "the step cannot be read");
         }
     };
     drop(body);
     if !serves_model(routes, route, &submission.model) {
-        log::info!(event = "step_refused", id, model = submission.model.as_str(); "");
+        log::info!(event = "step-refused", id, model = submission.model.as_str(); "");
         return Told::new(StatusCode::BAD_REQUEST, "no replica serves this model");
     }
     if let Some(told) = known(front, id, &submission.digest) {
@@ -87,7 +87,7 @@
     let told = accept(front, route, id, submission, began_ms).await;
     let took_ms = now_ms() - began_ms;
     log::info!(
-        event = "step_submitted", id, status = told.status.as_u16(), took_ms, why = told.why; ""
+        event = "step-submitted", id, status = told.status.as_u16(), took_ms, why = told.why; ""
     );
     told
 }
@@ -123,7 +123,7 @@
     let data = match write_data(front, &submission, began_ms).await {
         Ok(data) => data,
         Err(error) => {
-            log::warn!(event = "step_data_not_written", id, error:% = error; "");
+            log::warn!(event = "step-data-not-written", id, error:% = error; "");
             return Told::again("the store cannot be reached");
         }
     };
@@ -149,7 +149,7 @@
         match append_index(front, &record).await {
             Ok(_) => return Told::new(StatusCode::ACCEPTED, "accepted"),
             Err(error) => {
-                log::warn!(event = "step_not_written", id, unsure, error:% = error; "");
+                log::warn!(event = "step-not-written", id, unsure, error:% = error; "");
                 unsure |= !matches!(&error, WriteError::Store(why) if why.is_not_done());
             }
         }
@@ -220,7 +220,7 @@
                 return Err(WriteError::Store(error));
             }
             Err(error) => {
-                log::info!(event = "append_failed", topic = DATA_TOPIC, error:% = error; "");
+                log::info!(event = "append-failed", topic = DATA_TOPIC, error:% = error; "");
                 tokio::time::sleep(Duration::from_millis(PAUSE_MS)).await;
             }
         }
@@ -235,7 +235,7 @@
         match append_index(front, &record).await {
             Ok(_) => return Told::new(StatusCode::OK, "ended"),
             Err(error) => {
-                log::warn!(event = "end_not_written", step = step.0, error:% = error; "");
+                log::warn!(event = "end-not-written", step = step.0, error:% = error; "");
             }
         }
         let ended = front.index().ledger.get(step).is_none_or(|step| step.ended);
--- a/components/front/src/leader.rs
+++ b/components/front/src/leader.rs
@@ -48,7 +48,7 @@
         let held = front.index().lease.is_held_here();
         if held != led {
             led = held;
-            log::info!(event = "lease_changed", held; "");
+            log::info!(event = "lease-changed", held; "");
             locked(&ordered).clear();
         }
         let loads = if held {
@@ -82,7 +82,7 @@
         let front = Arc::clone(front);
         tokio::spawn(async move {
             if let Err(error) = append_index(&front, &[LogRecord::Lease(record)]).await {
-                log::warn!(event = "lease_not_written", error:% = error; "");
+                log::warn!(event = "lease-not-written", error:% = error; "");
             }
         });
     }
@@ -94,7 +94,7 @@
     if let Some(record) = record
         && let Err(error) = append_index(front, &[LogRecord::Lease(record)]).await
     {
-        log::warn!(event = "lease_not_written", error:% = error; "");
+        log::warn!(event = "lease-not-written", error:% = error; "");
     }
 }
 
@@ -198,13 +198,13 @@
         let id = &*member.replica.id;
         match &answer {
             Ok(Some(answer)) => log::info!(
-                event = "order_given", replica = id, model = &*model, version, answer:? = answer; ""
+                event = "order-given", replica = id, model = &*model, version, answer:? = answer; ""
             ),
             Ok(None) => {
-                log::info!(event = "order_held_back", replica = id, model = &*model, version; "")
+                log::info!(event = "order-held-back", replica = id, model = &*model, version; "")
             }
             Err(error) => log::warn!(
-                event = "order_failed", replica = id, model = &*model, version, error:% = error; ""
+                event = "order-failed", replica = id, model = &*model, version, error:% = error; ""
             ),
         }
         let done = matches!(answer, Ok(Some(OrderAnswer::Accepted | OrderAnswer::Holds)));
--- a/components/front/src/leave.rs
+++ b/components/front/src/leave.rs
@@ -44,7 +44,7 @@
         .await
         .is_err()
     {
-        log::warn!(event = "handed_over_unsaved"; "");
+        log::warn!(event = "handed-over-unsaved"; "");
     }
     member::leave(front).await;
 }
--- a/components/front/src/lib.rs
+++ b/components/front/src/lib.rs
@@ -16,6 +16,7 @@
 mod member;
 mod partial;
 mod peers;
+mod reload;
 mod results;
 mod reward;
 mod run_item;
--- a/components/front/src/member.rs
+++ b/components/front/src/member.rs
@@ -49,7 +49,7 @@
             Ok(membership) => {
                 if membership.generation != generation {
                     log::info!(
-                        event = "partitions_dealt", generation = membership.generation,
+                        event = "partitions-dealt", generation = membership.generation,
                         partitions:? = membership.partitions; ""
                     );
                 }
@@ -63,7 +63,7 @@
                 front.runner_news.notify_one();
             }
             Err(error) => {
-                log::warn!(event = "join_failed", generation, error:% = error; "");
+                log::warn!(event = "join-failed", generation, error:% = error; "");
             }
         }
         tokio::time::sleep(Duration::from_millis(JOIN_MS)).await;
@@ -73,7 +73,7 @@
 /// Leaves the group until results can be written again. The store may take a front's joins
 /// and refuse its appends; the front would hold on to its models and list nothing.
 async fn stand_back(front: &Front) {
-    log::warn!(event = "standing_back", unwritable_ms = front.unwritable_ms(now_ms()); "");
+    log::warn!(event = "standing-back", unwritable_ms = front.unwritable_ms(now_ms()); "");
     leave(front).await;
     while front.unwritable_ms(now_ms()) > 0 && front.drain.is_ready() {
         tokio::time::sleep(Duration::from_millis(JOIN_MS)).await;
@@ -89,7 +89,7 @@
         .leave(RUNNER_GROUP, &member_name(front), within)
         .await
     {
-        log::warn!(event = "leave_failed", error:% = error; "");
+        log::warn!(event = "leave-failed", error:% = error; "");
     }
 }
 
--- a/components/front/src/partial.rs
+++ b/components/front/src/partial.rs
@@ -143,7 +143,7 @@
     }
     if let Err(error) = write(front, pieces, &bytes).await {
         // What was made stays with its run; only another process would miss it.
-        log::info!(event = "pieces_not_written", error:% = error; "");
+        log::info!(event = "pieces-not-written", error:% = error; "");
     }
 }
 
--- a/components/front/src/results.rs
+++ b/components/front/src/results.rs
@@ -97,7 +97,7 @@
     match page(front, &found, after).await {
         Ok(page) => Read::Found(page.into()),
         Err(error) => {
-            log::warn!(event = "texts_not_read", id, after, error:% = error; "");
+            log::warn!(event = "texts-not-read", id, after, error:% = error; "");
             Read::Unsure("the texts cannot be read now")
         }
     }
@@ -202,11 +202,11 @@
     match body {
         Ok(Ok(body)) => Read::Found(body.into()),
         Ok(Err(error)) => {
-            log::error!(event = "item_data_odd", id, item, error:% = error; "");
+            log::error!(event = "item-data-odd", id, item, error:% = error; "");
             Read::Unsure("the item cannot be read")
         }
         Err(error) => {
-            log::warn!(event = "item_not_read", id, item, error:% = error; "");
+            log::warn!(event = "item-not-read", id, item, error:% = error; "");
             Read::Unsure("the item cannot be read now")
         }
     }
--- a/components/front/src/reward.rs
+++ b/components/front/src/reward.rs
@@ -71,6 +71,6 @@
     let record = [LogRecord::Index(IndexRecord::Failed { step, item, part })];
     if let Err(error) = append_index(front, &record).await {
         // This process counts on; another one that takes over would allow one call more.
-        log::warn!(event = "failure_not_written", step = step.0, item, error:% = error; "");
+        log::warn!(event = "failure-not-written", step = step.0, item, error:% = error; "");
     }
 }
--- a/components/front/src/runner/data.rs
+++ b/components/front/src/runner/data.rs
@@ -14,7 +14,7 @@
         let page = match page {
             Ok(page) => page,
             Err(error) => {
-                log::warn!(event = "items_not_read", id = head.id, error:% = error; "");
+                log::warn!(event = "items-not-read", id = head.id, error:% = error; "");
                 return None;
             }
         };
@@ -27,13 +27,13 @@
             match decode_item(record) {
                 Ok(item) => data.push(Arc::new(item)),
                 Err(error) => {
-                    log::error!(event = "item_data_odd", id = head.id, error:% = error; "");
+                    log::error!(event = "item-data-odd", id = head.id, error:% = error; "");
                     return None;
                 }
             }
         }
         if data.len() == before {
-            log::warn!(event = "items_not_read", id = head.id, offset; "");
+            log::warn!(event = "items-not-read", id = head.id, offset; "");
             return None;
         }
     }
--- a/components/front/src/runner/look.rs
+++ b/components/front/src/runner/look.rs
@@ -35,7 +35,7 @@
             return;
         }
         let index_age_ms = self.front.index_age_ms(now_ms);
-        if !index_age_ms.is_some_and(|age_ms| age_ms < INDEX_AGE_MS_MAX) {
+        if index_age_ms.is_none_or(|age_ms| age_ms >= INDEX_AGE_MS_MAX) {
             return;
         }
         let Some(routes) = self.front.routes.load_full() else {
@@ -285,7 +285,7 @@
             stopping: false,
         };
         log::debug!(
-            event = "item_started", id = spec.id, step = step.0, item = number,
+            event = "item-started", id = spec.id, step = step.0, item = number,
             replica = &*replica, from_event = locked(&partial).last_event; ""
         );
         let (key, news) = (item.key, self.news.clone());
@@ -318,6 +318,6 @@
     }
     match partial::restore(front, saved).await {
         Ok(restored) => *locked(partial) = restored,
-        Err(error) => log::info!(event = "pieces_not_read", error:% = error; ""),
+        Err(error) => log::info!(event = "pieces-not-read", error:% = error; ""),
     }
 }
--- a/components/front/src/runner/mod.rs
+++ b/components/front/src/runner/mod.rs
@@ -179,13 +179,13 @@
                 );
             }
             RunEnd::NotRun(why) => {
-                log::debug!(event = "item_not_run", step = step.0, item, replica = &*replica, why; "");
+                log::debug!(event = "item-not-run", step = step.0, item, replica = &*replica, why; "");
                 self.admission(&replica, &head.model).refused(now_ms);
                 self.note_broken(key, replica);
             }
             RunEnd::Broken(why) => {
                 log::info!(
-                    event = "item_broken", step = step.0, item, replica = &*replica,
+                    event = "item-broken", step = step.0, item, replica = &*replica,
                     events, why; ""
                 );
                 self.admission(&replica, &head.model).refused(now_ms);
@@ -193,7 +193,7 @@
             }
             RunEnd::Stopped => {
                 log::info!(
-                    event = "item_moved",
+                    event = "item-moved",
                     step = step.0,
                     item,
                     replica = &*replica,
@@ -206,7 +206,7 @@
                 let here = self.failed_runs.entry(key).or_insert(0);
                 *here += 1;
                 let failed = progress.failed_runs.max(*here);
-                log::info!(event = "item_failed", step = step.0, item, replica = &*replica, failed; "");
+                log::info!(event = "item-failed", step = step.0, item, replica = &*replica, failed; "");
                 if failed >= head.attempts_max {
                     self.give_up(key, ErrorCause::Runs);
                 } else {
@@ -237,7 +237,7 @@
             let part = FailedPart::Run;
             let record = [LogRecord::Index(IndexRecord::Failed { step, item, part })];
             if let Err(error) = append_index(&front, &record).await {
-                log::warn!(event = "failure_not_written", step = step.0, item, error:% = error; "");
+                log::warn!(event = "failure-not-written", step = step.0, item, error:% = error; "");
             }
         });
     }
--- a/components/front/src/runner/settle.rs
+++ b/components/front/src/runner/settle.rs
@@ -30,7 +30,7 @@
             let outcome = match score {
                 Some(score) => {
                     log::info!(
-                        event = "item_scored", id = item_id, step = step.0, item,
+                        event = "item-scored", id = item_id, step = step.0, item,
                         versions:? = partial.versions; ""
                     );
                     let text = Bytes::from(partial.text);
@@ -41,7 +41,7 @@
                     }
                 }
                 None => {
-                    log::info!(event = "item_without_score", id = item_id, step = step.0, item; "");
+                    log::info!(event = "item-without-score", id = item_id, step = step.0, item; "");
                     Outcome::Error(ErrorCause::Reward)
                 }
             };
@@ -67,7 +67,7 @@
     /// Lists an item without a text.
     pub(super) fn give_up(&mut self, key: Key, cause: ErrorCause) {
         let (step, item) = key;
-        log::info!(event = "item_given_up", step = step.0, item, cause:? = cause; "");
+        log::info!(event = "item-given-up", step = step.0, item, cause:? = cause; "");
         let ended = self.ended.clone();
         let task = tokio::spawn(async move {
             let outcome = Outcome::Error(cause);
--- a/components/front/src/serve.rs
+++ b/components/front/src/serve.rs
@@ -99,7 +99,7 @@
     }
     let told = jobs::end(front, step.id).await;
     log::info!(
-        event = "step_ended", id = name, status = told.status.as_u16(),
+        event = "step-ended", id = name, status = told.status.as_u16(),
         listed = step.results.len(), items = step.head.items.len(); ""
     );
     ingress::own_answer(told.status, id, told.again_ms, told.why)
@@ -116,7 +116,7 @@
     let host = ingress::host(&parts.uri, &parts.headers).unwrap_or_default();
     let Some(route) = routes.find(host, parts.uri.path()) else {
         log::info!(
-            event = "no_route", id = id.unwrap_or_default(), host,
+            event = "no-route", id = id.unwrap_or_default(), host,
             routes_version = routes.version; ""
         );
         return ingress::own_answer(StatusCode::NOT_FOUND, id, None, "no route");
@@ -133,7 +133,7 @@
         Ok(body) => body,
         Err(BodyError::TooLarge(_)) => return too_large(id),
         Err(error) => {
-            log::info!(event = "body_broken", id, error:% = error; "");
+            log::info!(event = "body-broken", id, error:% = error; "");
             return ingress::own_answer(StatusCode::BAD_REQUEST, Some(id), None, "broken body");
         }
     };
@@ -177,7 +177,7 @@
         return match stream::pass_on(front, spec).await {
             Ok(answer) => answer,
             Err(failed) => {
-                log::warn!(event = "stream_failed", id, not_run = failed.not_run, why = failed.why; "");
+                log::warn!(event = "stream-failed", id, not_run = failed.not_run, why = failed.why; "");
                 let end = if failed.not_run {
                     CallEnd::NotRun
                 } else {
--- a/components/front/src/start.rs
+++ b/components/front/src/start.rs
@@ -1,6 +1,7 @@
 //! Start and end of a front.
 
 use std::net::SocketAddr;
+use std::path::Path;
 use std::sync::Arc;
 
 use lease::{Lease, LeaseSettings};
@@ -14,7 +15,7 @@
 
 use crate::clock::now_us;
 use crate::state::Front;
-use crate::{connections, follow, leader, leave, member, runner, serve, writer};
+use crate::{connections, follow, leader, leave, member, reload, runner, serve, writer};
 
 quick_error! {
     /// Why a front can't run.
@@ -99,14 +100,20 @@
     }
 }
 
-/// Runs a front until the stop signal and the end of its work.
-pub async fn run(settings: FrontSettings) -> Result<(), FrontError> {
+/// Runs a front until the stop signal and the end of its work. `path` is the file that the
+/// settings came from; its changes are followed.
+pub async fn run(settings: FrontSettings, path: &Path) -> Result<(), FrontError> {
     let mut stop = signal(SignalKind::terminate()).map_err(FrontError::Signals)?;
+    let reload = signal(SignalKind::hangup()).map_err(FrontError::Signals)?;
+    let bound = Bound::new(settings).await?;
+    let front = Arc::clone(&bound.front);
     let stop = async move {
         stop.recv().await;
     };
-    Bound::new(settings).await?.run(stop).await;
-    Ok(())
+    tokio::select! {
+        () = bound.run(stop) => Ok(()),
+        () = reload::follow(front, path, reload) => Ok(()),
+    }
 }
 
 fn local(listener: &TcpListener, asked: SocketAddr) -> Result<SocketAddr, FrontError> {
--- a/components/front/src/writer.rs
+++ b/components/front/src/writer.rs
@@ -157,7 +157,7 @@
                 }
             }
         };
-        log::debug!(event = "item_ended", step = ended.step.0, item = ended.item; "");
+        log::debug!(event = "item-ended", step = ended.step.0, item = ended.item; "");
         records.push(LogRecord::Index(IndexRecord::Listed {
             step: ended.step,
             item: ended.item,
@@ -188,7 +188,7 @@
             }
             Err(error) => {
                 note_failure(front);
-                log::warn!(event = "results_not_written", pause_ms, error:% = error; "");
+                log::warn!(event = "results-not-written", pause_ms, error:% = error; "");
                 tokio::time::sleep(Duration::from_millis(pause_ms)).await;
                 pause_ms = (pause_ms * 2).min(PAUSE_MS_MAX);
             }
--- a/components/lease/src/state.rs
+++ b/components/lease/src/state.rs
@@ -203,7 +203,8 @@
         let due = self
             .sent_last_ms
             .is_none_or(|sent_ms| now_ms >= sent_ms + self.settings.renew_ms);
-        if !(due || orders && !announced && !fresh) {
+        let news = orders && !announced && !fresh;
+        if !due && !news {
             return None;
         }
         let attempt = self.note_sent(orders, now_ms);
--- a/components/orders/tests/plan.rs
+++ b/components/orders/tests/plan.rs
@@ -43,17 +43,19 @@
 /// Carries loads out one round after the other until nothing is planned; gives their number.
 fn settle(fleet: &mut Fleet) -> usize {
     let mut count = 0;
-    for _ in 0..100 {
+    let mut rounds = 0;
+    loop {
         let planned = loads(fleet);
         if planned.is_empty() {
             return count;
         }
+        rounds += 1;
+        assert!(rounds < 100, "the plan never settles");
         for load in planned {
             fleet.nodes[load.node].versions[load.model] = load.version;
             count += 1;
         }
     }
-    panic!("the plan never settles");
 }
 
 #[derive(Clone, Debug)]
