--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -17,6 +17,6 @@
 pub use items::{Engine, Placed, Waiting, place};
 pub use load::{InFlight, ReplicaLoad, Typical};
 pub use pace::{Pace, is_worth_moving, slowness};
-pub use registry::{Registry, Replica, ReplicaId, Revision};
+pub use registry::{Registry, Replica, ReplicaId, Revision, gather_ms};
 pub use retry::{AttemptEnd, CallEnd, NextStep, after_attempt};
 pub use routes::{Backend, Limits, Route, RouteKind, Routes, Service};
--- a/components/front/src/follow.rs
+++ b/components/front/src/follow.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use dispatch::{Registry, Replica, ReplicaId, Revision};
+use dispatch::{Registry, Replica, ReplicaId, Revision, gather_ms};
 use platform::records::{self, OPERATOR_TOPIC, OperatorRecord, REPLICA_TOPIC};
 use platform::store::{StoreError, keyed};
 
@@ -23,9 +23,6 @@
 const READ_KB: u32 = 64;
 /// Pause after a read that failed, in milliseconds.
 const PAUSE_MS: u64 = 100;
-/// Pause between reads of replicas' records, in milliseconds, so that the heartbeats of many
-/// cost few calls; far below the two seconds in which a leaving replica must be known.
-const GATHER_MS: u64 = 120;
 /// How long steps are kept beyond the time in which they can be read, in milliseconds.
 const KEPT_SLACK_MS: u64 = 5_000;
 
@@ -42,7 +39,12 @@
 }
 
 /// Follows a keyed topic and tells `take` what it says, in order.
-async fn follow_keyed(front: &Front, topic: &str, gather_ms: u64, mut take: impl FnMut(KeyedNews)) {
+async fn follow_keyed(
+    front: &Front,
+    topic: &str,
+    pause_ms: impl Fn(u64, u64) -> u64,
+    mut take: impl FnMut(KeyedNews),
+) {
     let within = Duration::from_millis(WAIT_MS + READ_SLACK_MS);
     let pause = Duration::from_millis(PAUSE_MS);
     let mut offsets: HashMap<String, u64> = HashMap::new();
@@ -96,7 +98,10 @@
                         }
                     }
                     take(KeyedNews::Settled);
-                    tokio::time::sleep(Duration::from_millis(gather_ms)).await;
+                    let pause_ms = pause_ms(next, page.end);
+                    if pause_ms > 0 {
+                        tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+                    }
                 }
                 Err(StoreError::Gone(first)) => {
                     log::info!(event = "history-gone", topic, next, first; "");
@@ -118,31 +123,38 @@
 
 /// Follows the configuration and the named versions.
 pub async fn operator(front: Arc<Front>) {
-    follow_keyed(&front, OPERATOR_TOPIC, 0, |news| {
-        let KeyedNews::Key(key, Some(value)) = news else {
-            return;
-        };
-        match records::operator_record(&key, &value) {
-            Ok(OperatorRecord::Routes(routes)) => {
-                let in_force = front
-                    .routes
-                    .load()
-                    .as_ref()
-                    .map_or(0, |known| known.version);
-                // An old version can be read again after the history was lost; nobody goes
-                // back to it.
-                if routes.version > in_force {
-                    log::info!(event = "routes-in-force", version = routes.version; "");
-                    front.routes.store(Some(routes));
+    follow_keyed(
+        &front,
+        OPERATOR_TOPIC,
+        |_, _| 0,
+        |news| {
+            let KeyedNews::Key(key, Some(value)) = news else {
+                return;
+            };
+            match records::operator_record(&key, &value) {
+                Ok(OperatorRecord::Routes(routes)) => {
+                    let in_force = front
+                        .routes
+                        .load()
+                        .as_ref()
+                        .map_or(0, |known| known.version);
+                    // An old version can be read again after the history was lost; nobody goes
+                    // back to it.
+                    if routes.version > in_force {
+                        log::info!(event = "routes-in-force", version = routes.version; "");
+                        front.routes.store(Some(routes));
+                    }
+                }
+                Ok(OperatorRecord::Named { model, version }) => {
+                    name_version(&front, model, version)
+                }
+                Ok(OperatorRecord::Other) => {}
+                Err(error) => {
+                    log::warn!(event = "record-odd", topic = OPERATOR_TOPIC, error:% = error; "")
                 }
             }
-            Ok(OperatorRecord::Named { model, version }) => name_version(&front, model, version),
-            Ok(OperatorRecord::Other) => {}
-            Err(error) => {
-                log::warn!(event = "record-odd", topic = OPERATOR_TOPIC, error:% = error; "")
-            }
-        }
-    })
+        },
+    )
     .await;
 }
 
@@ -161,7 +173,7 @@
 pub async fn replicas(front: Arc<Front>) {
     let mut registry = Registry::default();
     let mut changed = false;
-    follow_keyed(&front, REPLICA_TOPIC, GATHER_MS, |news| {
+    follow_keyed(&front, REPLICA_TOPIC, gather_ms, |news| {
         let now_ms = now_ms();
         match news {
             KeyedNews::Key(id, value) => {
--- a/components/front/src/runner/mod.rs
+++ b/components/front/src/runner/mod.rs
@@ -140,6 +140,7 @@
         match news {
             News::Data(step, data) => {
                 self.asked.remove(&step);
+                self.note_taken(step);
                 self.data.insert(step, data);
             }
             News::NoData(step) => {
@@ -218,6 +219,22 @@
         }
     }
 
+    /// Says which of the trainers' steps the later lines name by their number.
+    fn note_taken(&self, id: StepId) {
+        let head = self
+            .front
+            .index()
+            .ledger
+            .get(id)
+            .map(|step| Arc::clone(&step.head));
+        if let Some(head) = head {
+            log::info!(
+                event = "step-taken", id = head.id, step = id.0, model = head.model,
+                number = head.number, min_version = head.min_version, items = head.items.len(); ""
+            );
+        }
+    }
+
     /// The next run goes elsewhere if it can.
     fn note_broken(&mut self, key: Key, replica: ReplicaId) {
         if let Some(held) = self.partials.get_mut(&key) {
--- a/components/front/src/runner/settle.rs
+++ b/components/front/src/runner/settle.rs
@@ -27,10 +27,11 @@
                 Some(scorer) => reward::score(&front, key, scorer, failed_rewards).await,
             };
             let (step, item) = key;
+            let reward = data.scorer.as_ref().map_or("none", |scorer| &scorer.id);
             let outcome = match score {
                 Some(score) => {
                     log::info!(
-                        event = "item-scored", id = item_id, step = step.0, item,
+                        event = "item-scored", id = item_id, step = step.0, item, reward,
                         versions:? = partial.versions; ""
                     );
                     let text = Bytes::from(partial.text);
@@ -41,7 +42,7 @@
                     }
                 }
                 None => {
-                    log::info!(event = "item-without-score", id = item_id, step = step.0, item; "");
+                    log::info!(event = "item-without-score", id = item_id, step = step.0, item, reward; "");
                     Outcome::Error(ErrorCause::Reward)
                 }
             };
