--- a/components/front/src/calls.rs
+++ b/components/front/src/calls.rs
@@ -18,6 +18,7 @@
 use platform::replica::{self, Answer, ReplicaError};
 
 use crate::clock::{now_ms, now_us};
+use crate::figures;
 use crate::peers::{Member, ReplicaTable};
 use crate::state::Front;
 
@@ -141,6 +142,7 @@
         }
     };
     let took_ms = (now_us() - began_us) / 1_000;
+    note(front, spec, &outcome, tried.len(), took_ms);
     let replica = tried.last().map_or("none", |id| &**id);
     match &outcome {
         CallOutcome::Answer(answer) => log::info!(
@@ -155,6 +157,25 @@
     outcome
 }
 
+/// Counts a call that ended.
+fn note(front: &Front, spec: &CallSpec<'_>, outcome: &CallOutcome, sent: usize, took_ms: u64) {
+    let label = figures::call_label(spec.background);
+    front.metrics.record("front_call_ms", label, took_ms);
+    front
+        .metrics
+        .count("front_attempts_total", label, sent as u64);
+    let end = match outcome {
+        CallOutcome::Answer(answer) if answer.status.is_server_error() => {
+            "front_calls_failed_total"
+        }
+        CallOutcome::Answer(_) => "front_calls_answered_total",
+        CallOutcome::End(CallEnd::NotRun, _) => "front_calls_not_run_total",
+        CallOutcome::End(CallEnd::TimedOut, _) => "front_calls_timed_out_total",
+        CallOutcome::End(CallEnd::Unknown, _) => "front_calls_unknown_total",
+    };
+    front.metrics.count(end, label, 1);
+}
+
 /// When a second replica gets the call, if one may.
 fn hedge_after(
     spec: &CallSpec<'_>,
--- a/components/front/src/follow.rs
+++ b/components/front/src/follow.rs
@@ -9,6 +9,7 @@
 use dispatch::{Registry, Replica, ReplicaId, Revision, gather_ms};
 use platform::records::{self, OPERATOR_TOPIC, OperatorRecord, REPLICA_TOPIC};
 use platform::store::{StoreError, keyed};
+use telemetry::Label;
 
 use crate::clock::now_ms;
 use crate::log_record::{INDEX_PARTITION, INDEX_TOPIC, LogRecord};
@@ -52,7 +53,7 @@
         let (newest, end) = match front.store.newest(topic, within).await {
             Ok(newest) => newest,
             Err(error) => {
-                lost(topic, &error);
+                lost(front, topic, &error);
                 take(KeyedNews::Lost);
                 tokio::time::sleep(pause).await;
                 continue;
@@ -108,7 +109,7 @@
                     break;
                 }
                 Err(error) => {
-                    lost(topic, &error);
+                    lost(front, topic, &error);
                     take(KeyedNews::Lost);
                     tokio::time::sleep(pause).await;
                 }
@@ -117,7 +118,10 @@
     }
 }
 
-fn lost(topic: &str, error: &StoreError) {
+fn lost(front: &Front, topic: &str, error: &StoreError) {
+    front
+        .metrics
+        .count("front_store_reads_failed_total", Label::default(), 1);
     log::warn!(event = "store-read-failed", topic, error:% = error; "");
 }
 
@@ -270,7 +274,7 @@
             }
             Err(error) => {
                 if !std::mem::replace(&mut was_lost, true) {
-                    lost(INDEX_TOPIC, &error);
+                    lost(&front, INDEX_TOPIC, &error);
                 }
                 tokio::time::sleep(Duration::from_millis(PAUSE_MS)).await;
             }
--- a/components/front/src/jobs.rs
+++ b/components/front/src/jobs.rs
@@ -16,6 +16,7 @@
 use steps::{DataRange, IndexRecord, StepHead, StepId, encode_item};
 
 use crate::clock::now_ms;
+use crate::figures;
 use crate::log_record::{DATA_TOPIC, LogRecord};
 use crate::state::Front;
 use crate::writer::{WriteError, append_index, data_partition};
@@ -86,6 +87,9 @@
     }
     let told = accept(front, route, id, submission, began_ms).await;
     let took_ms = now_ms() - began_ms;
+    front
+        .metrics
+        .record("front_submission_ms", figures::item_label(), took_ms);
     log::info!(
         event = "step-submitted", id, status = told.status.as_u16(), took_ms, why = told.why; ""
     );
--- a/components/front/src/lib.rs
+++ b/components/front/src/lib.rs
@@ -8,6 +8,7 @@
 mod calls;
 mod clock;
 mod connections;
+mod figures;
 mod follow;
 mod jobs;
 mod leader;
--- a/components/front/src/runner/mod.rs
+++ b/components/front/src/runner/mod.rs
@@ -25,6 +25,7 @@
 use tokio::task::AbortHandle;
 
 use crate::clock::now_ms;
+use crate::figures;
 use crate::log_record::{DATA_TOPIC, LogRecord};
 use crate::partial::{self, Partial, SharedPartial};
 use crate::peers::Member;
@@ -168,6 +169,7 @@
             .get(&key)
             .map_or(0, |held| locked(&held.0).last_event);
         let (step, item) = key;
+        self.count_run(&end);
         match end {
             RunEnd::Whole => {
                 let partial = self.partials.remove(&key).map(|held| held.0);
@@ -219,6 +221,17 @@
         }
     }
 
+    fn count_run(&self, end: &RunEnd) {
+        let name = match end {
+            RunEnd::Whole => "front_runs_whole_total",
+            RunEnd::NotRun(_) => "front_runs_refused_total",
+            RunEnd::Broken(_) => "front_runs_broken_total",
+            RunEnd::Stopped => "front_runs_moved_total",
+            RunEnd::Failed | RunEnd::Impossible => "front_runs_failed_total",
+        };
+        self.front.metrics.count(name, figures::item_label(), 1);
+    }
+
     /// Says which of the trainers' steps the later lines name by their number.
     fn note_taken(&self, id: StepId) {
         let head = self
--- a/components/front/src/serve.rs
+++ b/components/front/src/serve.rs
@@ -13,18 +13,24 @@
 use crate::clock::now_ms;
 use crate::results::{self, Read};
 use crate::state::Front;
-use crate::{jobs, stream};
+use crate::{figures, jobs, stream};
 
 /// When a client of a front that knows no configuration yet may come again, in milliseconds.
 const UNKNOWING_AGAIN_MS: u64 = 300;
 /// When a client whose replicas were all busy may come again, in milliseconds: half of what a
 /// call takes.
 const BUSY_AGAIN_MS: u64 = 60;
+/// Path of the metrics, on the address that the balancer asks.
+const METRICS_PATH: &str = "/metrics";
 /// Longest time of a request that states none and whose route has none, in milliseconds.
 const DEADLINE_MS: u64 = 30_000;
 
-/// Answers the balancer.
-pub async fn ready(front: Arc<Front>, _request: Request<Incoming>) -> Response<ReplyBody> {
+/// Answers the balancer, and whoever fetches the metrics.
+pub async fn ready(front: Arc<Front>, request: Request<Incoming>) -> Response<ReplyBody> {
+    if request.uri().path() == METRICS_PATH {
+        let text = figures::text(&front.metrics.rows().await);
+        return ingress::success(StatusCode::OK, None, "text/plain", text.into());
+    }
     let status = match front.is_ready() {
         true => StatusCode::OK,
         false => StatusCode::SERVICE_UNAVAILABLE,
--- a/components/front/src/start.rs
+++ b/components/front/src/start.rs
@@ -15,7 +15,7 @@
 
 use crate::clock::now_us;
 use crate::state::Front;
-use crate::{connections, follow, leader, leave, member, reload, runner, serve, writer};
+use crate::{connections, figures, follow, leader, leave, member, reload, runner, serve, writer};
 
 quick_error! {
     /// Why a front can't run.
@@ -26,6 +26,12 @@
             source(reason)
             display("cannot listen on {}: {}", address, reason)
         }
+        /// Metrics can't be kept.
+        Metrics(reason: telemetry::MetricsError) {
+            source(reason)
+            from()
+            display("cannot keep metrics: {}", reason)
+        }
         /// Signals can't be heard.
         Signals(reason: std::io::Error) {
             source(reason)
@@ -50,7 +56,7 @@
         let drain = Drain::new(leave::drain_settings(settings.bounds.grace_ms));
         let clients = listen(settings.clients).await?;
         let ready = listen(settings.ready).await?;
-        let front = Arc::new(Front::new(settings, lease, drain));
+        let front = Arc::new(Front::new(settings, lease, drain, figures::start()?));
         Ok(Self {
             front,
             clients,
--- a/components/front/src/state.rs
+++ b/components/front/src/state.rs
@@ -15,6 +15,7 @@
 use platform::settings::FrontSettings;
 use platform::store::Store;
 use steps::Ledger;
+use telemetry::Metrics;
 use tokio::sync::{Notify, watch};
 
 use crate::clock::now_ms;
@@ -49,6 +50,8 @@
     pub settings: FrontSettings,
     /// The platform's store.
     pub store: Store,
+    /// Counters and histograms.
+    pub metrics: Metrics,
     /// Configuration in force; none before the first was read.
     pub routes: ArcSwapOption<Routes>,
     /// Replicas that may take work.
@@ -82,9 +85,10 @@
 
 impl Front {
     /// The state of a front that knows nothing yet.
-    pub fn new(settings: FrontSettings, lease: Lease, drain: Drain) -> Self {
+    pub fn new(settings: FrontSettings, lease: Lease, drain: Drain, metrics: Metrics) -> Self {
         Self {
             store: Store::new(settings.store.address),
+            metrics,
             routes: ArcSwapOption::empty(),
             replicas: ArcSwap::default(),
             named: Mutex::default(),
--- a/components/front/tests/front/calls.rs
+++ b/components/front/tests/front/calls.rs
@@ -152,3 +152,16 @@
     let (status, _) = front.call("q-3", "/calls/x").await;
     assert_eq!(status, 404);
 }
+
+#[tokio::test]
+async fn can_show_its_metrics_on_the_balancer_s_address() {
+    let site = Site::start(3, 1).await;
+    let front = site.front("a").await;
+    front.call("q-1", "/calls/x").await;
+    until("the call is counted", || async {
+        let text = front.metrics().await;
+        let wanted = "front_calls_answered_total{class=\"interactive\"} count=1\n";
+        text.contains(wanted) && text.contains("front_call_ms{class=\"interactive\"} count=1")
+    })
+    .await;
+}
--- a/components/front/tests/front/common.rs
+++ b/components/front/tests/front/common.rs
@@ -131,6 +131,18 @@
         all
     }
 
+    /// The text of the metrics.
+    pub async fn metrics(&self) -> String {
+        let mut connection = connect(self.ready, PATIENCE).await.expect("a connection");
+        let request = Request::builder().uri("/metrics").header("host", "h");
+        let request = request.body(Full::new(Bytes::new())).expect("a request");
+        let answer = connection.send(request, PATIENCE).await.expect("an answer");
+        let body = collect(answer.into_body(), 1 << 20)
+            .await
+            .expect("a whole body");
+        String::from_utf8_lossy(&body).into_owned()
+    }
+
     pub async fn is_ready(&self) -> bool {
         let Ok(mut connection) = connect(self.ready, PATIENCE).await else {
             return false;
--- a/components/gateway/src/start.rs
+++ b/components/gateway/src/start.rs
@@ -128,6 +128,7 @@
     let metrics = Metrics::start(&MetricsSettings {
         statsd: common.metrics,
         prefix: METRICS_PREFIX.to_owned(),
+        ..MetricsSettings::default()
     })?;
     Ok(metrics)
 }
--- a/components/sidecar/src/start.rs
+++ b/components/sidecar/src/start.rs
@@ -116,6 +116,7 @@
     let metrics = Metrics::start(&MetricsSettings {
         statsd: settings.common.metrics,
         prefix: METRICS_PREFIX.to_owned(),
+        ..MetricsSettings::default()
     })?;
     let log = LogClient::new(settings.common.log, &ClientSettings::default());
     let own = identity.node().address;
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -19,7 +19,8 @@
 
 use crate::table::{Row, Series, Table};
 
-/// Messages that wait for the owning thread at most.
+/// Messages that wait for the owning thread at most, where nothing else is set. The queue's
+/// memory is taken at the start: some 5 MB.
 const QUEUED_MAX: usize = 65_536;
 
 /// Name of the counter of messages that found the queue full.
@@ -43,12 +44,24 @@
 }
 
 /// Where metrics go.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct MetricsSettings {
     /// Statsd listener; none is needed for the admin address.
     pub statsd: Option<SocketAddr>,
     /// First part of every metric's name, such as `hornbeamrock.entry`.
     pub prefix: String,
+    /// Messages that wait for the owning thread at most; later ones are dropped and counted.
+    pub queued_max: usize,
+}
+
+impl Default for MetricsSettings {
+    fn default() -> Self {
+        Self {
+            statsd: None,
+            prefix: String::new(),
+            queued_max: QUEUED_MAX,
+        }
+    }
 }
 
 /// Whose number it is.
@@ -88,7 +101,7 @@
     /// Starts the owning thread. Errors when it or its socket can't be had.
     pub fn start(settings: &MetricsSettings) -> Result<Metrics, MetricsError> {
         let client = client(settings)?;
-        let (queue, messages) = sync_channel(QUEUED_MAX);
+        let (queue, messages) = sync_channel(settings.queued_max);
         let dropped = Arc::new(AtomicU64::new(0));
         let counted = Arc::clone(&dropped);
         thread::Builder::new()
