Runner: a resumed stream that brings no event makes the text whole

Cause: an item was stopped, or its connection broke, between the last event and the end of its stream. Besides, the place for a moved item was looked for by the oldest step's version instead of its own, and it came back to the replica that it left. Ruled out: the cut order giver (its successor held the lease after 1.1 s), the runner (not cut). Test red before (no result in 20 s).

--- a/components/front/src/run_item.rs
+++ b/components/front/src/run_item.rs
@@ -65,8 +65,8 @@
 
 /// Runs an item until the run ends; what it makes is added to `shared`.
 pub async fn run(spec: &RunSpec, shared: &SharedPartial) -> RunEnd {
-    let first = locked(shared).last_event;
-    let mut item_run = match start(spec, first).await {
+    let behind = locked(shared).last_event;
+    let mut item_run = match start(spec, behind).await {
         Ok(ItemStart::Running(run)) => run,
         Ok(ItemStart::Ended(end, connection)) => {
             if let Some(connection) = connection {
@@ -97,7 +97,10 @@
                     spec.pace.record(now_us - last_us, now_us / 1_000);
                 }
             }
-            Ok(None) if locked(shared).last_event == first => {
+            // A run that goes on behind the last event of a text has no event to bring: the run
+            // before it broke between that event and its end. Taken for broken, the item
+            // would run again and again until its time is up.
+            Ok(None) if locked(shared).last_event == 0 => {
                 return RunEnd::Broken("a stream without events".to_owned());
             }
             Ok(None) => {
--- a/components/front/src/runner/engines.rs
+++ b/components/front/src/runner/engines.rs
@@ -93,44 +93,24 @@
     }
 
     /// Stops runs on slow replicas as far as the places that are left on fast ones go.
-    pub(super) fn move_from_slow(
-        &mut self,
-        members: &[Member],
-        engines: &[Engine],
-        min_version: u64,
-    ) {
-        let mut room: u32 = 0;
-        let mut fastest = u64::MAX;
-        for engine in engines
-            .iter()
-            .filter(|engine| engine.version >= min_version)
-        {
-            if engine.free > 0 {
-                fastest = fastest.min(engine.slowness);
-            }
-        }
-        for engine in engines
-            .iter()
-            .filter(|engine| engine.version >= min_version)
-        {
-            if engine.slowness * 10 <= fastest.saturating_mul(12) {
-                room += engine.free;
-            }
-        }
+    pub(super) fn move_from_slow(&mut self, members: &[Member], engines: &mut [Engine]) {
         for (key, running) in &mut self.running {
             let Some(at) = running.at.as_mut().filter(|at| !at.stopping) else {
                 continue;
             };
-            let Some((partial, _)) = self.partials.get(key) else {
-                continue;
-            };
             let here = members
                 .iter()
                 .position(|member| member.replica.id == at.replica);
-            let slow = here.is_some_and(|here| is_worth_moving(engines[here].slowness, fastest));
+            let (Some((partial, _)), Some(here)) = (self.partials.get(key), here) else {
+                continue;
+            };
+            let Some(there) = fastest_for(at.min_version, engines) else {
+                continue;
+            };
+            let slow = is_worth_moving(engines[here].slowness, engines[there].slowness);
             let mut partial = locked(partial);
-            if room > 0 && slow && partial.moves < MOVES_MAX {
-                room -= 1;
+            if slow && partial.moves < MOVES_MAX {
+                engines[there].free -= 1;
                 partial.moves += 1;
                 at.stopping = true;
                 at.stop.notify_one();
@@ -138,3 +118,11 @@
         }
     }
 }
+
+/// The fastest engine with a place for an item that needs this version.
+fn fastest_for(min_version: u64, engines: &[Engine]) -> Option<usize> {
+    let fits = |engine: &Engine| engine.free > 0 && engine.version >= min_version;
+    (0..engines.len())
+        .filter(|at| fits(&engines[*at]))
+        .min_by_key(|at| engines[*at].slowness)
+}
--- a/components/front/src/runner/look.rs
+++ b/components/front/src/runner/look.rs
@@ -229,7 +229,7 @@
         for Placed { item, engine } in place(&waiting, &mut engines) {
             self.start_one(&items[item], &members[engine]);
         }
-        self.move_from_slow(&members, &engines, head.min_version);
+        self.move_from_slow(&members, &mut engines);
         for (member, engine) in members.iter().zip(engines) {
             if let Some(state) = self.engines.get_mut(&member.replica.id) {
                 state
@@ -283,6 +283,7 @@
             replica: Arc::clone(&replica),
             stop: Arc::clone(&spec.stop),
             stopping: false,
+            min_version: item.head.min_version,
         };
         log::debug!(
             event = "item-started", id = spec.id, step = step.0, item = number,
--- a/components/front/src/runner/mod.rs
+++ b/components/front/src/runner/mod.rs
@@ -83,6 +83,8 @@
     stop: Arc<Notify>,
     /// Whether it was told to stop.
     stopping: bool,
+    /// Oldest version that may make its events.
+    min_version: u64,
 }
 
 impl Drop for Running {
--- a/components/front/tests/front/steps.rs
+++ b/components/front/tests/front/steps.rs
@@ -150,6 +150,31 @@
     }
 }
 
+#[tokio::test]
+async fn can_finish_a_text_whose_stream_broke_behind_its_last_event() {
+    // A replica closes its connection between the last event and the end of the stream. The
+    // next run is asked behind that event, brings none, and ends: the text is whole. Taken
+    // for a broken run, the item ran again and again, and its step came too late.
+    let site = Site::start(5, 1).await;
+    let front = site.front("a").await;
+    for id in ["engine-1", "engine-2"] {
+        let cut = Fault {
+            after: 5,
+            ..Fault::new(FaultKind::Cut).on(records::STEPS).times(2)
+        };
+        site.replica(id).handle.fault(cut);
+    }
+    assert_eq!(front.submit("s-1", &records::step(1, 1, 2)).await.0, 202);
+    for result in front.all_results("s-1", 2).await {
+        assert_eq!(result["Text"], text(5));
+    }
+    assert!(
+        site.runs("item-1-0").contains(&5),
+        "{:?}",
+        site.runs("item-1-0")
+    );
+}
+
 #[tokio::test]
 async fn can_take_over_from_a_runner_that_dies_behind_what_it_saved() {
     // Two fronts; the one that runs the step dies in the middle of two long items. The other
