Orders: the model with the fewest replicas of use first; the last holder orders at once

And the VM that had held the lease waited 4.4 s for the pause behind an older holder, though its own orders lay between.

--- a/components/lease/src/state.rs
+++ b/components/lease/src/state.rs
@@ -113,6 +113,11 @@
             self.others_orders_ms = Some(now_ms);
         }
         if mine {
+            // An earlier life of this VM announced orders, so the pause behind every other
+            // VM's announcement before this one was over by then.
+            if orders {
+                self.others_orders_ms = Some(0);
+            }
             self.confirm(attempt);
         }
     }
--- a/components/lease/tests/lease.rs
+++ b/components/lease/tests/lease.rs
@@ -247,3 +247,51 @@
     assert_eq!(lease.fence(5_100), Some(1));
     assert_eq!(lease.fence(9_100), None);
 }
+
+#[test]
+fn can_give_orders_at_once_after_a_restart_of_the_last_holder() {
+    // All VMs die at once. The one that gave the last orders starts again and reads the log
+    // from its beginning: an older holder's orders, then its own. No other VM ordered since,
+    // so it need not wait out the pause; the trainers' steps stood still for it.
+    let log = [
+        LeaseRecord::Take {
+            holder: "b".into(),
+            attempt: 1,
+            after: None,
+        },
+        LeaseRecord::Renew {
+            fence: 1,
+            attempt: 2,
+            orders: true,
+        },
+        LeaseRecord::Take {
+            holder: "a".into(),
+            attempt: 1,
+            after: Some(1),
+        },
+        LeaseRecord::Renew {
+            fence: 3,
+            attempt: 2,
+            orders: true,
+        },
+    ];
+    let mut lease = Lease::new("a", 1_000, settings());
+    for (offset, record) in log.iter().enumerate() {
+        lease.apply(offset as u64, record, 50_000);
+    }
+    let announced = lease.next_record(0, true, 50_010);
+    assert!(matches!(
+        announced,
+        Some(LeaseRecord::Renew {
+            fence: 3,
+            orders: true,
+            ..
+        })
+    ));
+    // Another VM that reads the same waits.
+    let mut other = Lease::new("b", 1_000, settings());
+    for (offset, record) in log.iter().enumerate() {
+        other.apply(offset as u64, record, 50_000);
+    }
+    assert_eq!(other.next_record(0, true, 50_010), None);
+}
--- a/components/orders/src/plan.rs
+++ b/components/orders/src/plan.rs
@@ -78,7 +78,15 @@
     }
 }
 
-/// The loads to order now.
+/// Loads of one model, and how many of its replicas are of use.
+struct Wanted {
+    useful: usize,
+    loads: Vec<Load>,
+}
+
+/// The loads to order now: those at replicas of no use first, and among the models always
+/// for the one with the fewest replicas of use. In a fixed order of models the last one got
+/// no load for ten seconds behind an outage, as the others named versions all the while.
 pub fn plan(fleet: &Fleet, settings: &OrderSettings) -> Vec<Load> {
     let count = wanted(fleet.nodes.len(), fleet.models.len());
     let mut assigned = vec![0_usize; fleet.nodes.len()];
@@ -89,7 +97,16 @@
         for node in &members {
             assigned[*node] += 1;
         }
-        collect_loads(fleet, model, &members, settings, &mut useless, &mut early);
+        let (first, later) = collect_loads(fleet, model, &members, settings);
+        let useful = members.len() - first.len();
+        useless.push(Wanted {
+            useful,
+            loads: first,
+        });
+        early.push(Wanted {
+            useful,
+            loads: later,
+        });
     }
     let running = fleet
         .nodes
@@ -99,11 +116,11 @@
     let room = settings.loads_at_once.saturating_sub(running);
     let mut taken = vec![false; fleet.nodes.len()];
     let mut loads = Vec::new();
-    for load in useless.into_iter().chain(early) {
-        if loads.len() == room {
-            break;
-        }
-        if fleet.nodes[load.node].free && !taken[load.node] {
+    for mut wanted in [useless, early] {
+        while loads.len() < room {
+            let Some(load) = next_load(fleet, &mut wanted, &taken) else {
+                break;
+            };
             taken[load.node] = true;
             loads.push(load);
         }
@@ -111,6 +128,18 @@
     loads
 }
 
+/// The next load for the model with the fewest replicas of use.
+fn next_load(fleet: &Fleet, wanted: &mut [Wanted], taken: &[bool]) -> Option<Load> {
+    for model in wanted.iter_mut() {
+        let may_load = |load: &Load| fleet.nodes[load.node].free && !taken[load.node];
+        model.loads.retain(may_load);
+    }
+    let open = wanted.iter_mut().filter(|model| !model.loads.is_empty());
+    let model = open.min_by_key(|model| model.useful)?;
+    model.useful += 1;
+    Some(model.loads.remove(0))
+}
+
 fn version_of(node: &Node, model: usize) -> u64 {
     match node.loading {
         Some((loading, version)) if loading == model => version,
@@ -143,14 +172,13 @@
     order
 }
 
+/// Loads of a model at replicas of no use, and those at replicas that are of use still.
 fn collect_loads(
     fleet: &Fleet,
     model: usize,
     members: &[usize],
     settings: &OrderSettings,
-    useless: &mut Vec<Load>,
-    early: &mut Vec<Load>,
-) {
+) -> (Vec<Load>, Vec<Load>) {
     let named = fleet.models[model].named;
     let held = |node: &usize| version_of(&fleet.nodes[*node], model);
     let load = |node: &usize| Load {
@@ -160,11 +188,16 @@
     };
     let at_named = members.iter().filter(|node| held(node) >= named).count();
     let behind = |node: &&usize| held(node) + settings.lag < named;
-    let before = useless.len();
-    useless.extend(members.iter().filter(behind).map(load));
+    let useless: Vec<Load> = members.iter().filter(behind).map(load).collect();
     // Replicas that are of use load only where half of them would not have the newest
     // version otherwise, so that the next version finds half of them of use again.
-    let missing = (members.len() / 2).saturating_sub(at_named + useless.len() - before);
+    let missing = (members.len() / 2).saturating_sub(at_named + useless.len());
     let useful = |node: &&usize| held(node) < named && !behind(node);
-    early.extend(members.iter().filter(useful).take(missing).map(load));
+    let early = members
+        .iter()
+        .filter(useful)
+        .take(missing)
+        .map(load)
+        .collect();
+    (useless, early)
 }
