--- a/components/orders/tests/plan.rs
+++ b/components/orders/tests/plan.rs
@@ -156,11 +156,11 @@
 fn can_serve_the_model_without_replicas_of_use_first() {
     // Behind an outage all models are far behind, and more loads wait than fit at once. The
     // last model's trainer must not wait until the others have all their replicas.
-    let versions: Vec<Vec<u64>> = (0..9).map(|_| vec![8, 8, 5]).collect();
+    let versions: Vec<Vec<u64>> = (0..9).map(|_| vec![7, 7, 5]).collect();
     let versions: Vec<&[u64]> = versions.iter().map(Vec::as_slice).collect();
     let mut fleet = fleet(&[9, 9, 9], &versions);
     for node in &mut fleet.nodes[..3] {
-        node.versions = vec![7, 7, 5];
+        node.versions = vec![8, 8, 5];
     }
     let models: Vec<usize> = loads(&fleet).iter().map(|load| load.model).collect();
     assert_eq!(models, [2, 2, 2]);
