--- a/bin/hornbeamrock/src/main.rs
+++ b/bin/hornbeamrock/src/main.rs
@@ -5,8 +5,35 @@
 use std::path::Path;
 use std::process::ExitCode;
 
+use front::FrontError;
 use platform::settings::{self, FrontSettings};
-use telemetry::{LogLevel, Output};
+use quick_error::quick_error;
+use telemetry::{LogLevel, LogsError, Output};
+
+quick_error! {
+    /// Why the process can't run.
+    #[derive(Debug)]
+    enum RunError {
+        /// No log.
+        Logs(reason: LogsError) {
+            source(reason)
+            from()
+            display("{}", reason)
+        }
+        /// No runtime.
+        Runtime(reason: std::io::Error) {
+            source(reason)
+            from()
+            display("cannot start the runtime: {}", reason)
+        }
+        /// The front can't run.
+        Front(reason: FrontError) {
+            source(reason)
+            from()
+            display("{}", reason)
+        }
+    }
+}
 
 /// Exit code for settings that can't be used.
 const EXIT_SETTINGS: u8 = 2;
@@ -35,11 +62,7 @@
     }
 }
 
-fn run(
-    settings: FrontSettings,
-    path: &Path,
-    level: LogLevel,
-) -> Result<(), Box<dyn std::error::Error>> {
+fn run(settings: FrontSettings, path: &Path, level: LogLevel) -> Result<(), RunError> {
     let _logs = telemetry::start_logs_to(level, Output::Stdout)?;
     // On one core a second thread costs memory and wake-ups and runs no earlier.
     let runtime = match settings.cores {
--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -19,4 +19,4 @@
 pub use pace::{Pace, is_worth_moving, slowness};
 pub use registry::{Registry, Replica, ReplicaId, Revision, gather_ms};
 pub use retry::{AttemptEnd, CallEnd, NextStep, after_attempt};
-pub use routes::{Backend, Limits, Route, RouteKind, Routes, Service};
+pub use routes::{Limits, Route, RouteKind, Routes, Service, ServiceShare};
--- a/components/dispatch/src/routes.rs
+++ b/components/dispatch/src/routes.rs
@@ -20,7 +20,7 @@
 
 /// One service of a route and its share.
 #[value]
-pub struct Backend {
+pub struct ServiceShare {
     /// The service.
     pub service: Arc<str>,
     /// Its share against the other weights of the route.
@@ -47,7 +47,7 @@
     /// Rank, 0 first.
     pub priority: u32,
     /// Services with their shares.
-    pub backends: Vec<Backend>,
+    pub shares: Vec<ServiceShare>,
     /// Whether a stream may be resumed at another replica.
     pub resumable: bool,
     /// Whether one version of the weights must make a whole text.
@@ -62,18 +62,18 @@
     /// The service that these random bits draw by the weights.
     pub fn draw(&self, random: u64) -> Option<&Arc<str>> {
         let total: u64 = self
-            .backends
+            .shares
             .iter()
-            .map(|backend| u64::from(backend.weight))
+            .map(|share| u64::from(share.weight))
             .sum();
         if total == 0 {
             return None;
         }
         let mut left = random % total;
-        for backend in &self.backends {
-            let weight = u64::from(backend.weight);
+        for share in &self.shares {
+            let weight = u64::from(share.weight);
             if left < weight {
-                return Some(&backend.service);
+                return Some(&share.service);
             }
             left -= weight;
         }
--- a/components/dispatch/tests/routes.rs
+++ b/components/dispatch/tests/routes.rs
@@ -2,9 +2,9 @@
 
 use std::collections::HashMap;
 
-use dispatch::{Backend, Limits, Route, RouteKind, Routes};
+use dispatch::{Limits, Route, RouteKind, Routes, ServiceShare};
 
-fn route(name: &str, prefix: &str, backends: &[(&str, u32)]) -> Route {
+fn route(name: &str, prefix: &str, shares: &[(&str, u32)]) -> Route {
     Route {
         name: name.into(),
         host: "host".into(),
@@ -14,9 +14,9 @@
         goal_ms: 150,
         attempts_max: 2,
         priority: 0,
-        backends: backends
+        shares: shares
             .iter()
-            .map(|(service, weight)| Backend {
+            .map(|(service, weight)| ServiceShare {
                 service: (*service).into(),
                 weight: *weight,
             })
--- a/components/front/src/calls.rs
+++ b/components/front/src/calls.rs
@@ -67,10 +67,25 @@
 }
 
 impl CallSpec<'_> {
-    fn left_ms(&self) -> u64 {
+    /// Time until it is given up, in milliseconds.
+    pub fn left_ms(&self) -> u64 {
         self.deadline_at_ms.saturating_sub(now_ms())
     }
 
+    /// The call as it goes to this replica now.
+    pub fn at(&self, replica: &dispatch::Replica) -> replica::Call<'_> {
+        replica::Call {
+            method: self.method.clone(),
+            path: self.path,
+            host: &self.route.host,
+            headers: self.headers.clone(),
+            body: self.body.clone(),
+            request_id: self.request_id,
+            instance: Arc::clone(&replica.id),
+            left_ms: self.left_ms(),
+        }
+    }
+
     fn is_idempotent(&self) -> bool {
         matches!(self.route.kind, RouteKind::Idempotent)
     }
@@ -211,7 +226,7 @@
 }
 
 fn services(route: &Route) -> impl Iterator<Item = &str> {
-    route.backends.iter().map(|backend| &*backend.service)
+    route.shares.iter().map(|share| &*share.service)
 }
 
 fn takes_work(member: &Member) -> bool {
@@ -311,17 +326,8 @@
             return failed(AttemptEnd::NotRun, error.to_string());
         }
     };
-    let left_ms = spec.left_ms();
-    let call = replica::Call {
-        method: spec.method.clone(),
-        path: spec.path,
-        host: &spec.route.host,
-        headers: spec.headers.clone(),
-        body: spec.body.clone(),
-        request_id: spec.request_id,
-        instance: &member.replica.id,
-        left_ms,
-    };
+    let call = spec.at(&member.replica);
+    let left_ms = call.left_ms;
     match replica::call(&mut connection, call, Duration::from_millis(left_ms)).await {
         Ok((answer, reusable)) => {
             if reusable {
--- a/components/front/src/jobs.rs
+++ b/components/front/src/jobs.rs
@@ -98,9 +98,9 @@
 
 fn serves_model(routes: &Routes, route: &Route, model: &str) -> bool {
     route
-        .backends
+        .shares
         .iter()
-        .any(|backend| match routes.services.get(&backend.service) {
+        .any(|share| match routes.services.get(&share.service) {
             Some(service) => service.models.iter().any(|known| **known == *model),
             None => false,
         })
--- a/components/front/src/leader.rs
+++ b/components/front/src/leader.rs
@@ -33,11 +33,11 @@
 }
 
 /// Orders in progress, by replica.
-type Ledger = Arc<Mutex<HashMap<ReplicaId, Ordered>>>;
+type InProgress = Arc<Mutex<HashMap<ReplicaId, Ordered>>>;
 
 /// Takes the lease when it is free, keeps it, and gives orders while it holds.
 pub async fn lead(front: Arc<Front>) {
-    let ordered: Ledger = Arc::default();
+    let ordered: InProgress = Arc::default();
     let mut led = false;
     loop {
         tokio::select! {
@@ -105,7 +105,7 @@
     version: u64,
 }
 
-fn planned(front: &Front, ordered: &Ledger, now_ms: u64) -> Vec<Planned> {
+fn planned(front: &Front, ordered: &InProgress, now_ms: u64) -> Vec<Planned> {
     let routes = front.routes.load_full();
     let Some(routes) = routes else {
         return Vec::new();
@@ -145,7 +145,7 @@
     names.iter().map(model).collect()
 }
 
-fn fleet(members: &[&Member], models: Vec<Model>, ordered: &Ledger, now_ms: u64) -> Fleet {
+fn fleet(members: &[&Member], models: Vec<Model>, ordered: &InProgress, now_ms: u64) -> Fleet {
     let mut ordered = locked(ordered);
     ordered.retain(|id, order| {
         let member = members.iter().find(|member| member.replica.id == *id);
@@ -178,7 +178,7 @@
     Fleet { models, nodes }
 }
 
-fn begin_order(front: &Arc<Front>, ordered: &Ledger, load: Planned) {
+fn begin_order(front: &Arc<Front>, ordered: &InProgress, load: Planned) {
     let Planned {
         member,
         model,
--- a/components/front/src/run_item.rs
+++ b/components/front/src/run_item.rs
@@ -145,7 +145,7 @@
         headers,
         body: Bytes::copy_from_slice(&spec.data.body),
         request_id: &spec.id,
-        instance: &spec.member.replica.id,
+        instance: Arc::clone(&spec.member.replica.id),
         left_ms: spec.left_ms,
     };
     replica::start_item(connection, call, Duration::from_millis(HEAD_MS)).await
--- a/components/front/src/runner/look.rs
+++ b/components/front/src/runner/look.rs
@@ -204,9 +204,9 @@
             waiting: items,
         } = contest;
         let table = self.front.replicas.load_full();
-        let services = route.backends.iter().filter(|backend| backend.weight > 0);
+        let services = route.shares.iter().filter(|share| share.weight > 0);
         let members: Vec<Member> = services
-            .flat_map(|backend| table.of(&backend.service))
+            .flat_map(|share| table.of(&share.service))
             .filter(|member| !member.replica.draining)
             .cloned()
             .collect();
--- a/components/front/src/stream.rs
+++ b/components/front/src/stream.rs
@@ -77,18 +77,8 @@
         .connection(&member.replica)
         .await
         .map_err(|error| not_run(error.to_string()))?;
-    let left_ms = spec.deadline_at_ms.saturating_sub(now_ms());
-    let call = replica::Call {
-        method: spec.method.clone(),
-        path: spec.path,
-        host: &spec.route.host,
-        headers: spec.headers.clone(),
-        body: spec.body.clone(),
-        request_id: spec.request_id,
-        instance: &member.replica.id,
-        left_ms,
-    };
-    let within = Duration::from_millis(left_ms);
+    let call = spec.at(&member.replica);
+    let within = Duration::from_millis(call.left_ms);
     let stream = replica::open_stream(&mut connection, call, within)
         .await
         .map_err(|error| NotBegun {
