--- a/components/orders/src/plan.rs
+++ b/components/orders/src/plan.rs
@@ -8,8 +8,12 @@
 #[value]
 #[derive(Copy)]
 pub struct OrderSettings {
-    /// Loads at once over all replicas. More share one source and take longer each.
-    pub loads_at_once: usize,
+    /// Loads at once over all replicas, however few there are. More share one source and take
+    /// longer each.
+    pub loads_min: usize,
+    /// One load more for each so many replicas: larger fleets have larger sources, which
+    /// slow down from a fifth of the replicas on.
+    pub nodes_per_load: usize,
     /// Versions behind the named one that are still of use.
     pub lag: u64,
 }
@@ -17,12 +21,20 @@
 impl Default for OrderSettings {
     fn default() -> Self {
         Self {
-            loads_at_once: 3,
+            loads_min: 3,
+            nodes_per_load: 4,
             lag: 1,
         }
     }
 }
 
+impl OrderSettings {
+    /// Loads at once over `nodes` replicas.
+    pub fn loads_at_once(&self, nodes: usize) -> usize {
+        self.loads_min.max(nodes / self.nodes_per_load)
+    }
+}
+
 /// A model and its newest named version.
 #[value]
 pub struct Model {
@@ -113,7 +125,9 @@
         .iter()
         .filter(|node| node.loading.is_some())
         .count();
-    let room = settings.loads_at_once.saturating_sub(running);
+    let room = settings
+        .loads_at_once(fleet.nodes.len())
+        .saturating_sub(running);
     let mut taken = vec![false; fleet.nodes.len()];
     let mut loads = Vec::new();
     for mut wanted in [useless, early] {
