Crashes are told to entries that the VM list does not name yet

Cause: an entry told a crash to the entries of its published view. The view leaves out a member whose failure domain it does not know, and an entry has no status that tells it: until the VM list is read again, up to 2 s after a start, a new entry is known by its probes and told nothing. At such an entry a bystander of two crashes was the only call known to be at both and was refused for ten minutes (can_answer_the_bystanders_of_a_crashing_prompt, known red).

Ruled out: a report lost on the way, and reports of one endpoint counted as two crashes.

Change: the loop that owns the members tells every entry that was heard and is not down, whatever is known of its place. The hearing end logs the report.

Test, red before: can_tell_of_a_crash_to_an_entry_that_the_list_does_not_name_yet.

--- a/components/gateway/src/news.rs
+++ b/components/gateway/src/news.rs
@@ -4,7 +4,7 @@
 
 use node::GossipHooks;
 use node::leave::Leaving;
-use protocol::{CrashReport, DemandDigest, News, ProcessRole};
+use protocol::{CrashReport, DemandDigest, News};
 use quarantine::{CallDigest, Crashed};
 use tokio::sync::mpsc;
 use types::NodeId;
@@ -56,17 +56,13 @@
 }
 
 fn tell_crashed(gateway: &Gateway, crashed: &Crashed) {
-    let snapshot = gateway.gossip.snapshot();
-    let entries = snapshot.live(ProcessRole::Entry);
-    let entries: Vec<_> = entries.map(|entry| entry.address).collect();
     for digests in crashed.in_flight.chunks(DIGESTS_MAX) {
         let report = CrashReport {
             entry: gateway.identity.node().address,
             endpoint: crashed.endpoint,
             digests: digests.iter().map(|digest| digest.0).collect(),
         };
-        let news = News::Crashed(report);
-        gateway.gossip.tell_directly(entries.clone(), news);
+        gateway.gossip.tell_entries(News::Crashed(report));
     }
 }
 
@@ -97,6 +93,10 @@
                 quarantine.heard(CallDigest(*digest), *left_ms);
             }
             News::Crashed(report) => {
+                log::info!(
+                    event = "endpoint-crash-heard", agent:% = report.endpoint,
+                    entry:% = report.entry, in_flight = report.digests.len(); ""
+                );
                 let in_flight = report.digests.iter().copied().map(CallDigest);
                 let crashed = Crashed {
                     endpoint: report.endpoint,
--- a/components/membership/src/view.rs
+++ b/components/membership/src/view.rs
@@ -49,6 +49,16 @@
         reachable.map(|(&address, _)| address).collect()
     }
 
+    /// Entries that are not down, leaving ones too. One that came up a moment ago is among
+    /// them though the VM list, which tells its failure domain, was not read since; the
+    /// snapshot leaves it out until then.
+    pub fn entries(&self) -> Vec<SocketAddr> {
+        let entries = self.present().filter(|(_, member)| {
+            member.role == ProcessRole::Entry && member.standing(&self.settings) != Standing::Down
+        });
+        entries.map(|(&address, _)| address).collect()
+    }
+
     /// Live processes of this one's failure domain, itself among them.
     pub fn domain_peers(&self) -> Vec<SocketAddr> {
         let own = (&self.own.failure_domain, &self.own.region);
--- a/components/node/src/gossip.rs
+++ b/components/node/src/gossip.rs
@@ -134,6 +134,12 @@
         self.order(Order::TellDirectly(to, Box::new(news)));
     }
 
+    /// Tells every entry that was heard and is not down, once; leaving ones too, for they
+    /// still have calls.
+    pub fn tell_entries(&self, news: News) {
+        self.order(Order::TellEntries(Box::new(news)));
+    }
+
     /// Tells recent probers and, as a rumour, everybody that this process is leaving.
     pub fn leave(&self) {
         self.order(Order::Leave);
--- a/components/node/src/gossip_loop.rs
+++ b/components/node/src/gossip_loop.rs
@@ -35,6 +35,7 @@
 pub(crate) enum Order {
     Tell(Box<News>),
     TellDirectly(Vec<SocketAddr>, Box<News>),
+    TellEntries(Box<News>),
     Leave,
     PushStatus,
 }
@@ -169,11 +170,8 @@
                 let peers = self.members.peers().len();
                 self.rumours.hear(&news, peers, now_ms);
             }
-            Order::TellDirectly(to, news) => {
-                for peer in to {
-                    self.send(peer, vec![(*news).clone()]).await;
-                }
-            }
+            Order::TellDirectly(to, news) => self.tell(to, *news).await,
+            Order::TellEntries(news) => self.tell(self.members.entries(), *news).await,
             Order::Leave => {
                 let node = self.members.own().node;
                 let peers = self.members.peers().len();
@@ -188,6 +186,12 @@
         }
     }
 
+    async fn tell(&self, to: Vec<SocketAddr>, news: News) {
+        for peer in to {
+            self.send(peer, vec![news.clone()]).await;
+        }
+    }
+
     fn on_list(&mut self, listed: &[Listed]) {
         let now_ms = now_ms();
         let read = self.members.on_list(listed, now_ms);
--- a/components/node/tests/node.rs
+++ b/components/node/tests/node.rs
@@ -13,7 +13,7 @@
 use link::Links;
 use node::admin::{self, AdminHooks};
 use node::{ConfigFeed, FeedSettings, Gossip, GossipHooks, GossipSettings, Sockets};
-use protocol::{ConfigDigest, Datagram, News, ProcessRole};
+use protocol::{ConfigDigest, CrashReport, Datagram, News, ProcessRole};
 use settings::{CommonSettings, SharedKey};
 use standins::log::LogSettings;
 use standins::vms::VmsSettings;
@@ -50,7 +50,7 @@
 struct Process {
     address: SocketAddr,
     feed: ConfigFeed,
-    _gossip: Gossip,
+    gossip: Gossip,
 }
 
 impl Process {
@@ -87,7 +87,7 @@
         Process {
             address: own,
             feed,
-            _gossip: gossip,
+            gossip,
         }
     }
 
@@ -289,6 +289,41 @@
     }
 }
 
+// An entry came up after the VM list was read: it probes this one, which knows neither its
+// failure domain nor its region until the next read. A crash that this entry sees meanwhile
+// has to reach it all the same. Otherwise the new entry does not know of the call that caused
+// the crash, and refuses for ten minutes a call that was merely beside it.
+#[tokio::test]
+async fn can_tell_of_a_crash_to_an_entry_that_the_list_does_not_name_yet() {
+    let (log, vms, _client) = platform().await;
+    let process = Process::start(&log, &vms, KeepPolicy::for_retention(3_600_000)).await;
+    let common = common(log.address, vms.address);
+    let newer = Sockets::bind(&common, ProcessRole::Entry).await;
+    let newer = newer.expect("free ports");
+    let probe = Datagram {
+        from: newer.identity.node(),
+        role: ProcessRole::Entry,
+        news: vec![News::Probe],
+    };
+    newer
+        .udp
+        .send(process.address, &probe)
+        .await
+        .expect("a send");
+    let answered = timeout(PATIENCE, newer.udp.recv()).await;
+    answered.expect("the probe is never answered");
+    let crashed = News::Crashed(CrashReport {
+        entry: process.address,
+        endpoint: loopback(),
+        digests: vec![[7; 16]],
+    });
+    process.gossip.tell_entries(crashed.clone());
+    let told = async { while !newer.udp.recv().await.1.news.contains(&crashed) {} };
+    timeout(PATIENCE, told)
+        .await
+        .expect("the crash is never told");
+}
+
 // At the size to design for the VM list has 990 rows of some hundred bytes each. Read every
 // two seconds it would take more than all of a node's bytes for control.
 #[test]
