Stand-in of an engine: one crash ends one life

Cause: a request that was read before a crash, or came on a connection that was accepted during it, was handed to the engine's next life, which ran it and crashed again. A process that has died runs nothing that was sent to it.

Change: a request carries the number of crashes before its connection came. The engine takes it only in that life, and no answer leaves after a crash.

Test, red before (3 lives for 2): loses_one_life_to_the_copies_that_came_before_a_crash.

--- a/dev/standins/src/engine/server.rs
+++ b/dev/standins/src/engine/server.rs
@@ -64,6 +64,11 @@
     wake: Notify,
 }
 
+/// The life of an engine that has crashed so often.
+fn life_after(crashes: u64) -> u64 {
+    crashes + 1
+}
+
 #[derive(Deserialize)]
 struct Cancel {
     request_id: String,
@@ -83,7 +88,7 @@
         .store
         .map(|address| WeightStore::new(address, &store_settings));
     let engine = Arc::new(Engine {
-        inner: Mutex::new(Inner::new(&settings, 1)),
+        inner: Mutex::new(Inner::new(&settings, life_after(0))),
         settings,
         control: control.clone(),
         store,
@@ -152,7 +157,7 @@
 
     fn lose_state(&self) {
         let mut inner = self.lock();
-        let life = inner.life + 1;
+        let life = life_after(self.control.crashes());
         *inner = Inner::new(&self.settings, life);
     }
 
@@ -181,15 +186,20 @@
             return reply::error(400, "one-completion-only");
         }
         let stream = question.stream;
-        match self.submit(question) {
+        match self.submit(question, life_after(call.crashes)) {
             Ok(completion) if stream => completion.stream(),
             Ok(completion) => completion.whole().await,
             Err(refusal) => *refusal,
         }
     }
 
-    fn submit(&self, question: Question) -> Result<Completion, Box<Reply>> {
+    /// Takes a request of a connection that came in this life. Later lives don't know of it;
+    /// it ends with its connection, and the refusal goes nowhere.
+    fn submit(&self, question: Question, life: u64) -> Result<Completion, Box<Reply>> {
         let mut inner = self.lock();
+        if inner.life != life {
+            return Err(Box::new(reply::error(503, "crashed")));
+        }
         if inner.models.version(&question.model).is_none() {
             return Err(Box::new(reply::error(404, "no-such-model")));
         }
--- a/dev/standins/src/handle.rs
+++ b/dev/standins/src/handle.rs
@@ -30,6 +30,11 @@
         })
     }
 
+    /// Crashes so far.
+    pub(crate) fn crashes(&self) -> u64 {
+        self.crash.borrow().number
+    }
+
     /// Cuts all connections and listens again after `down_ms`.
     pub(crate) fn crash(&self, down_ms: u64) {
         self.crash.send_modify(|crash| {
--- a/dev/standins/src/http.rs
+++ b/dev/standins/src/http.rs
@@ -45,6 +45,8 @@
     pub(crate) query: String,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    /// Crashes of the stand-in before the connection of this request came.
+    pub(crate) crashes: u64,
 }
 
 impl Call {
@@ -120,27 +122,31 @@
         let mut crash = self.control.crash.subscribe();
         // Ends with this task: it holds the only sender.
         let (_alive, gone) = watch::channel(());
+        let mut crashes = self.control.crashes();
         loop {
             tokio::select! {
                 accepted = listener.accept() => {
-                    if let Ok((stream, _)) = accepted {
-                        tokio::spawn(self.clone().connection(stream, gone.clone()));
+                    // One that comes as the stand-in crashes finds nobody.
+                    if let Ok((stream, _)) = accepted && self.control.crashes() == crashes {
+                        let connection = self.clone().connection(stream, crashes, gone.clone());
+                        tokio::spawn(connection);
                     }
                 }
                 _ = crash.changed() => {
                     let down_ms = crash.borrow_and_update().down_ms;
                     drop(listener);
                     sleep(Duration::from_millis(down_ms)).await;
+                    crashes = self.control.crashes();
                     listener = rebind(address).await;
                 }
             }
         }
     }
 
-    async fn connection(self, stream: TcpStream, mut gone: watch::Receiver<()>) {
+    async fn connection(self, stream: TcpStream, crashes: u64, mut gone: watch::Receiver<()>) {
         let mut crash = self.control.crash.subscribe();
         let _ = stream.set_nodelay(true);
-        let service = service_fn(move |request| self.clone().answer(request));
+        let service = service_fn(move |request| self.clone().answer_alive(request, crashes));
         let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
         tokio::select! {
             _ = connection => {}
@@ -149,8 +155,23 @@
         }
     }
 
-    async fn answer(self, request: Request<Incoming>) -> Result<Reply, NoAnswer> {
-        let Some(call) = read(request).await else {
+    /// The answer, unless the stand-in crashed since the connection came.
+    async fn answer_alive(
+        self,
+        request: Request<Incoming>,
+        crashes: u64,
+    ) -> Result<Reply, NoAnswer> {
+        let control = Arc::clone(&self.control);
+        let reply = self.answer(request, crashes).await?;
+        if control.crashes() == crashes {
+            Ok(reply)
+        } else {
+            Err(NoAnswer::OnPurpose)
+        }
+    }
+
+    async fn answer(self, request: Request<Incoming>, crashes: u64) -> Result<Reply, NoAnswer> {
+        let Some(call) = read(request, crashes).await else {
             return Err(NoAnswer::OnPurpose);
         };
         if call.path == "/standin/fault" {
@@ -228,7 +249,7 @@
     }
 }
 
-async fn read(request: Request<Incoming>) -> Option<Call> {
+async fn read(request: Request<Incoming>, crashes: u64) -> Option<Call> {
     let (head, body) = request.into_parts();
     let body = Limited::new(body, BODY_BYTES_MAX).collect().await.ok()?;
     Some(Call {
@@ -237,5 +258,6 @@
         query: head.uri.query().unwrap_or_default().to_owned(),
         headers: head.headers,
         body: body.to_bytes(),
+        crashes,
     })
 }
--- a/dev/standins/tests/engine.rs
+++ b/dev/standins/tests/engine.rs
@@ -9,6 +9,7 @@
     CacheEventKind, ClientSettings, Endpoint, EndpointSettings, Engine, PlatformError, Request,
     Response, prefix_blocks,
 };
+use futures_util::future::join_all;
 use standins::engine::{EngineSettings, Fencing, Speeds, versions_in};
 use standins::store::StoreSettings;
 use standins::{Fault, FaultKind, Handle};
@@ -267,6 +268,34 @@
     assert_eq!(state.models[0].version, v("0.0"));
 }
 
+/// Copies of a prompt that crashes the engine come on many connections at once. All that came
+/// before the crash end with it, on whichever connection: none is run by the next life and
+/// crashes that as well.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn loses_one_life_to_the_copies_that_came_before_a_crash() {
+    for _ in 0..40 {
+        let settings = EngineSettings {
+            restart_ms: 20,
+            ..immediate()
+        };
+        let bench = bench(settings).await;
+        bench
+            .handle
+            .fault(Fault::new(FaultKind::CrashOn).with_text("boom"));
+        let copies = (0..8).map(|_| bench.ask("\"prompt\":\"a boom\""));
+        let answers = join_all(copies).await;
+        assert!(answers.iter().all(Result::is_err));
+        let state = loop {
+            // Nobody listens until the next life.
+            match bench.engine.state().await {
+                Ok(state) if state.life > 1 => break state,
+                _ => tokio::task::yield_now().await,
+            }
+        };
+        assert_eq!(state.life, 2);
+    }
+}
+
 #[tokio::test]
 async fn can_cancel_by_request_id() {
     let settings = EngineSettings {
