Copies of a call share two endpoints of an entry until one came whole

Weighed: to let copies wait for the first one, which makes the callers of equal calls wait for each other; to have them share endpoints. The second is built: a copy goes only where the call runs already once it is at as many endpoints as crashes condemn a call. Samples of one group are copies that have to spread and are left out, as is a call of which a copy beside it came whole.

Test, red before: can_bound_the_endpoints_lost_to_copies_submitted_at_once.

--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -8,8 +8,9 @@
 use link::{Call, CallEvent};
 use node::now_ms;
 use protocol::Head;
+use quarantine::Copies;
 use routing::{Ask, Choice, NoChoice, Outcome, Table};
-use types::{Cause, Failure, NodeId, RunState, WeightVersion};
+use types::{Cause, Class, Failure, NodeId, RunState, WeightVersion};
 
 use crate::endpoint_life::EndpointLife;
 use crate::gateway::Gateway;
@@ -187,7 +188,10 @@
             Ok(choice) => choice,
         };
         let node = choice.node;
-        match gateway.quarantine.enter(job.digest, node.address).await {
+        let entered = gateway
+            .quarantine
+            .enter(job.digest, node.address, copies(job));
+        match entered.await {
             Entered::Run(in_flight) if takes_work(gateway, job, node) => {
                 return Ok((table, Held { choice, in_flight }));
             }
@@ -199,6 +203,14 @@
     }
 }
 
+/// The samples of one group are copies of one call and have to spread.
+fn copies(job: &Job) -> Copies {
+    match job.class {
+        Class::Sampling => Copies::Apart,
+        _ => Copies::Together,
+    }
+}
+
 async fn pause(job: &Job, wait_ms: u64) {
     let wait_ms = wait_ms.min(job.left_ms(now_ms()));
     tokio::time::sleep(Duration::from_millis(wait_ms)).await;
--- a/components/gateway/src/suspects.rs
+++ b/components/gateway/src/suspects.rs
@@ -5,7 +5,8 @@
 
 use node::now_ms;
 use quarantine::{
-    CallDigest, Condemned, Crashed, Entry, RunId, Standing, SuspectSettings, Suspects, Verdict,
+    CallDigest, Condemned, Copies, Crashed, Entry, RunId, Standing, SuspectSettings, Suspects,
+    Verdict,
 };
 use tokio::sync::{mpsc, oneshot};
 use types::{Cause, Failure};
@@ -14,7 +15,7 @@
 const EXPIRE_EVERY_MS: u64 = 10_000;
 
 enum Order {
-    Enter(CallDigest, SocketAddr, oneshot::Sender<Entry>),
+    Enter(CallDigest, SocketAddr, Copies, oneshot::Sender<Entry>),
     Complete(RunId),
     Leave(RunId),
     Lost(RunId, oneshot::Sender<Verdict>),
@@ -71,14 +72,11 @@
     }
 
     /// Asks for an endpoint.
-    pub async fn enter(&self, digest: CallDigest, endpoint: SocketAddr) -> Entered {
+    pub async fn enter(&self, digest: CallDigest, endpoint: SocketAddr, copies: Copies) -> Entered {
         let (answer, answered) = oneshot::channel();
         let internal = Entered::Refused(Failure::not_run(Cause::Internal));
-        if self
-            .orders
-            .send(Order::Enter(digest, endpoint, answer))
-            .is_err()
-        {
+        let order = Order::Enter(digest, endpoint, copies, answer);
+        if self.orders.send(order).is_err() {
             return internal;
         }
         match answered.await {
@@ -173,8 +171,8 @@
 
 fn take(suspects: &mut Suspects, order: Order, now_ms: u64) {
     match order {
-        Order::Enter(digest, endpoint, answer) => {
-            let entry = suspects.enter(digest, endpoint, now_ms);
+        Order::Enter(digest, endpoint, copies, answer) => {
+            let entry = suspects.enter(digest, endpoint, copies, now_ms);
             // The one who asked may have gone; then its run never began.
             if let Err(Entry::Run(run)) = answer.send(entry) {
                 suspects.leave(run, now_ms);
--- a/components/quarantine/src/in_flight.rs
+++ b/components/quarantine/src/in_flight.rs
@@ -30,12 +30,23 @@
     at_ms: u64,
 }
 
+/// Runs of one call at once.
+#[value]
+#[derive(Default)]
+struct Siblings {
+    /// One for each run.
+    endpoints: Vec<SocketAddr>,
+    /// One of them came whole.
+    whole: bool,
+}
+
 /// The runs of this process.
 #[derive(Clone, Debug)]
 pub(crate) struct InFlight {
     /// How long a run that left counts as there, in milliseconds.
     left_ms: u64,
     runs: HashMap<RunId, Run>,
+    siblings: HashMap<CallDigest, Siblings>,
     left: VecDeque<Left>,
     next_number: u64,
 }
@@ -46,6 +57,7 @@
         Self {
             left_ms,
             runs: HashMap::new(),
+            siblings: HashMap::new(),
             left: VecDeque::new(),
             next_number: 0,
         }
@@ -61,6 +73,8 @@
             crash: None,
         };
         self.runs.insert(run, started);
+        let siblings = self.siblings.entry(digest).or_default();
+        siblings.endpoints.push(endpoint);
         run
     }
 
@@ -68,14 +82,26 @@
         self.runs.get(&run)
     }
 
-    pub(crate) fn remove(&mut self, run: RunId) {
-        self.runs.remove(&run);
+    /// A run is over.
+    pub(crate) fn remove(&mut self, run: RunId) -> Option<Run> {
+        let ended = self.runs.remove(&run)?;
+        if let Some(siblings) = self.siblings.get_mut(&ended.digest) {
+            let at = siblings.endpoints.iter().position(|&e| e == ended.endpoint);
+            at.map(|at| siblings.endpoints.swap_remove(at));
+            if siblings.endpoints.is_empty() {
+                self.siblings.remove(&ended.digest);
+            }
+        }
+        Some(ended)
     }
 
     /// A run had its whole answer; gives its digest, whose earlier runs are forgotten.
     pub(crate) fn complete(&mut self, run: RunId) -> Option<CallDigest> {
-        let digest = self.runs.remove(&run)?.digest;
+        let digest = self.remove(run)?.digest;
         self.left.retain(|left| left.digest != digest);
+        if let Some(siblings) = self.siblings.get_mut(&digest) {
+            siblings.whole = true;
+        }
         Some(digest)
     }
 
@@ -83,7 +109,7 @@
     /// ended it.
     pub(crate) fn leave(&mut self, run: RunId, now_ms: u64) {
         self.forget_left(now_ms);
-        let ended = self.runs.remove(&run).filter(|run| run.crash.is_none());
+        let ended = self.remove(run).filter(|run| run.crash.is_none());
         self.left.extend(ended.map(|run| Left {
             digest: run.digest,
             endpoint: run.endpoint,
@@ -107,6 +133,21 @@
             .any(|run| run.digest == digest && run.crash.is_none())
     }
 
+    /// Endpoints that a call may be about to crash: those where it runs, or which it left a
+    /// moment ago. None once one of the runs that are left came whole.
+    pub(crate) fn at_risk(&self, digest: CallDigest, now_ms: u64) -> BTreeSet<SocketAddr> {
+        let siblings = self.siblings.get(&digest);
+        if siblings.is_some_and(|siblings| siblings.whole) {
+            return BTreeSet::new();
+        }
+        let running = siblings
+            .into_iter()
+            .flat_map(|s| s.endpoints.iter().copied());
+        let left = self.left.iter().filter(|left| left.digest == digest);
+        let left = left.filter(|left| left.at_ms + self.left_ms > now_ms);
+        running.chain(left.map(|left| left.endpoint)).collect()
+    }
+
     /// Calls that run at an endpoint.
     pub(crate) fn running_at(&self, endpoint: SocketAddr) -> impl Iterator<Item = CallDigest> {
         let runs = self.runs.values();
--- a/components/quarantine/src/suspects.rs
+++ b/components/quarantine/src/suspects.rs
@@ -18,10 +18,10 @@
 //! in time, and one more for each crash in which one and the same other call was beside it
 //! in all. With every report lost it costs `crashes_max` for each entry that it reaches
 //! before the rumour does, so four through two entries. Copies that are in flight at once
-//! before the first crash can cost one endpoint each. A crash that no process hears of
-//! while its calls are known as there, or a moment after, counts against nobody and is
-//! outside of the bound. A bound on copies was ruled out, as the samples of one group are
-//! copies.
+//! before the first crash share `crashes_max` endpoints of each entry, so they cost no
+//! more; the samples of one group are copies that have to spread, and can cost one endpoint
+//! each. A crash that no process hears of while its calls are known as there, or a moment
+//! after, counts against nobody and is outside of the bound.
 //!
 //! A bystander is never condemned for the crashes of one other call, through whatever
 //! entries that came, as long as reports arrive: the cause was in flight at each of the
@@ -37,7 +37,9 @@
 
 use crate::crashes::Crashes;
 use crate::in_flight::InFlight;
-use crate::{CallDigest, Condemned, Crashed, Entry, RunId, Standing, SuspectSettings, Verdict};
+use crate::{
+    CallDigest, Condemned, Copies, Crashed, Entry, RunId, Standing, SuspectSettings, Verdict,
+};
 
 /// What is held against one digest.
 #[value]
@@ -96,7 +98,13 @@
 
     /// Asks for an endpoint right before the hand-over. Every call asks, so that those
     /// in flight at a crash are known.
-    pub fn enter(&mut self, digest: CallDigest, endpoint: SocketAddr, now_ms: u64) -> Entry {
+    pub fn enter(
+        &mut self,
+        digest: CallDigest,
+        endpoint: SocketAddr,
+        copies: Copies,
+        now_ms: u64,
+    ) -> Entry {
         self.judge(digest, now_ms);
         match self.standing(digest, now_ms) {
             Standing::Condemned { left_ms } => Entry::Refuse(refusal(left_ms)),
@@ -108,6 +116,9 @@
                 }
             }
             _ if self.has_suspect(endpoint, now_ms) => Entry::Elsewhere,
+            _ if copies == Copies::Together && self.spreads(digest, endpoint, now_ms) => {
+                Entry::Elsewhere
+            }
             _ => Entry::Run(self.in_flight.start(digest, endpoint)),
         }
     }
@@ -236,6 +247,14 @@
         running.any(|digest| self.standing(digest, now_ms) != Standing::Clear)
     }
 
+    /// Whether one more copy at this endpoint would put more endpoints at risk at once than
+    /// the crashes that condemn a call. Copies submitted before the first crash is known
+    /// would otherwise lose one endpoint each.
+    fn spreads(&self, digest: CallDigest, endpoint: SocketAddr, now_ms: u64) -> bool {
+        let at_risk = self.in_flight.at_risk(digest, now_ms);
+        at_risk.len() >= self.settings.crashes_max && !at_risk.contains(&endpoint)
+    }
+
     /// All in flight at the endpoint share the crash. Their own reports come one by one
     /// and must not count as crashes of their own.
     fn crash(&mut self, endpoint: SocketAddr, now_ms: u64) {
--- a/components/quarantine/src/verdict.rs
+++ b/components/quarantine/src/verdict.rs
@@ -28,6 +28,15 @@
     },
 }
 
+/// Where copies of one call may run at once.
+#[key]
+pub enum Copies {
+    /// At a few endpoints, until one of them came whole.
+    Together,
+    /// Anywhere, as the samples of one group.
+    Apart,
+}
+
 /// Whether a call may go to an endpoint now.
 #[value]
 pub enum Entry {
--- a/components/quarantine/tests/suspects.rs
+++ b/components/quarantine/tests/suspects.rs
@@ -3,7 +3,7 @@
 
 use std::net::SocketAddr;
 
-use quarantine::{CallDigest, Entry, RunId, Standing, SuspectSettings, Suspects, Verdict};
+use quarantine::{CallDigest, Copies, Entry, RunId, Standing, SuspectSettings, Suspects, Verdict};
 use types::{Cause, CustomerName, RunState, ServiceName};
 
 const BAD: u8 = 0;
@@ -21,12 +21,16 @@
 }
 
 fn run(suspects: &mut Suspects, digest: u8, at: u8, now_ms: u64) -> Option<RunId> {
-    match suspects.enter(call(digest), endpoint(at), now_ms) {
+    match enter(suspects, digest, at, now_ms) {
         Entry::Run(run) => Some(run),
         _ => None,
     }
 }
 
+fn enter(suspects: &mut Suspects, digest: u8, at: u8, now_ms: u64) -> Entry {
+    suspects.enter(call(digest), endpoint(at), Copies::Together, now_ms)
+}
+
 /// The caller of the bad call gets a final answer after two crashes, all others theirs.
 /// A call crashes an endpoint beside two others; all three are tried apart, the two
 /// complete, the bad one crashes its second endpoint beside an older call and is refused.
@@ -39,22 +43,22 @@
     }
     let older = run(&mut suspects, 3, 2, 20).unwrap();
     let bad = run(&mut suspects, BAD, 2, 20).unwrap();
-    let apart = suspects.enter(call(1), endpoint(2), 20);
+    let apart = enter(&mut suspects, 1, 2, 20);
     assert_eq!(apart, Entry::Elsewhere, "two suspects at one endpoint");
     assert!(
         !suspects.may_run_with(endpoint(2), 20),
         "a new call beside a suspect"
     );
-    let copy = suspects.enter(call(BAD), endpoint(3), 20);
+    let copy = enter(&mut suspects, BAD, 3, 20);
     assert_eq!(copy, Entry::Wait { wait_ms: 100 }, "a copy of a suspect");
     let near = run(&mut suspects, 1, 3, 20).unwrap();
     suspects.complete(near);
     assert_eq!(suspects.standing(call(1), 21), Standing::Clear);
     assert_eq!(suspects.lost(older, 30), Verdict::Retry);
     assert_eq!(suspects.lost(bad, 30), Verdict::Retry);
-    let early = suspects.enter(call(BAD), endpoint(4), 629);
+    let early = enter(&mut suspects, BAD, 4, 629);
     assert_eq!(early, Entry::Wait { wait_ms: 100 }, "a third try");
-    let Entry::Refuse(failure) = suspects.enter(call(BAD), endpoint(4), 630) else {
+    let Entry::Refuse(failure) = enter(&mut suspects, BAD, 4, 630) else {
         panic!("a third try");
     };
     assert_eq!(
@@ -71,7 +75,7 @@
         Standing::Clear,
         "its crash is explained"
     );
-    let Entry::Refuse(refusal) = suspects.enter(call(BAD), endpoint(4), 100_030) else {
+    let Entry::Refuse(refusal) = enter(&mut suspects, BAD, 4, 100_030) else {
         panic!("a repeat was let in");
     };
     assert_eq!(refusal.run, RunState::NotRun);
@@ -111,6 +115,35 @@
     }
 }
 
+/// A caller submits one call many times at once, before anything is known of it. Its copies
+/// share as many endpoints as two crashes condemn it, so no more are lost to it; once one
+/// copy came whole, or all have ended, others may spread.
+#[test]
+fn can_bound_the_endpoints_lost_to_copies_submitted_at_once() {
+    let mut suspects = Suspects::new(SuspectSettings::default());
+    let first = run(&mut suspects, BAD, 1, 0).unwrap();
+    let second = run(&mut suspects, BAD, 2, 0).unwrap();
+    let third = enter(&mut suspects, BAD, 3, 0);
+    assert_eq!(third, Entry::Elsewhere, "a third endpoint");
+    let beside = run(&mut suspects, BAD, 1, 0).unwrap();
+    assert!(run(&mut suspects, 1, 3, 0).is_some(), "another call");
+    suspects.leave(second, 10);
+    let left = enter(&mut suspects, BAD, 3, 20);
+    assert_eq!(left, Entry::Elsewhere, "its crash may not be known yet");
+    assert!(
+        run(&mut suspects, BAD, 3, 1_010).is_some(),
+        "it left long ago"
+    );
+    let apart = suspects.enter(call(BAD), endpoint(4), Copies::Apart, 1_010);
+    assert!(matches!(apart, Entry::Run(_)), "a sample of a group");
+    suspects.complete(beside);
+    assert!(
+        run(&mut suspects, BAD, 4, 1_020).is_some(),
+        "a copy came whole"
+    );
+    assert_eq!(suspects.lost(first, 1_030), Verdict::Retry);
+}
+
 // A bystander is answered though the word of a crash never came to the entry whose call
 // caused it: that call has ended there as any other. Told by the other entry that the
 // endpoint crashed, the entry names what it had there a moment ago.
