Platform: headers that a client's Connection names stay on its connection

Cause: the front passed on every header but a list of its own. What a client's Connection header names, and Proxy-Connection, went on to the replica and spoke there about a connection that other requests use.

--- a/components/adapters/src/headers.rs
+++ b/components/adapters/src/headers.rs
@@ -1,10 +1,10 @@
 //! Headers that belong to one connection and do not go further.
 
-use http::HeaderMap;
 use http::header::{
     CONNECTION, EXPECT, HOST, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE, TRAILER,
     TRANSFER_ENCODING, UPGRADE,
 };
+use http::{HeaderMap, HeaderName};
 
 use crate::error::{MalformedPart, PlatformError};
 
@@ -30,21 +30,29 @@
         .any(|other| other.eq_ignore_ascii_case(name))
 }
 
+/// Which headers of a message stay on its connection: the hop-by-hop ones, and those that
+/// its `Connection` names.
+pub fn stays_on_connection(headers: &HeaderMap) -> impl Fn(&HeaderName) -> bool + use<> {
+    let named = named_by_connection(headers);
+    move |name| {
+        let name = name.as_str();
+        is_hop_by_hop(name) || named.iter().any(|other| other == name)
+    }
+}
+
 /// The headers of a message that go on to the next hop, names in lower case.
 ///
-/// Leaves out hop-by-hop headers and those that `Connection` names. A value that is
-/// not UTF-8 is an error, since dropping it would change the message unseen.
+/// A value that is not UTF-8 is an error, since dropping it would change the message unseen.
 pub fn end_to_end(headers: &HeaderMap) -> Result<Vec<(String, String)>, PlatformError> {
-    let named = named_by_connection(headers);
+    let stays = stays_on_connection(headers);
     let mut kept = Vec::with_capacity(headers.len());
     for (name, value) in headers {
-        let name = name.as_str();
-        if is_hop_by_hop(name) || named.iter().any(|other| other == name) {
+        if stays(name) {
             continue;
         }
         let text = std::str::from_utf8(value.as_bytes())
             .map_err(|_| PlatformError::Malformed(MalformedPart::Header))?;
-        kept.push((name.to_owned(), text.to_owned()));
+        kept.push((name.as_str().to_owned(), text.to_owned()));
     }
     Ok(kept)
 }
--- a/components/adapters/src/lib.rs
+++ b/components/adapters/src/lib.rs
@@ -26,7 +26,7 @@
     CacheEvent, CacheEventKind, CachePage, Engine, EngineModel, EngineState, LoadReport,
 };
 pub use error::{ConnectFault, Loss, MalformedPart, PlatformError};
-pub use headers::end_to_end;
+pub use headers::{end_to_end, stays_on_connection};
 pub use log::{LogClient, LogPage, LogRecord};
 pub use prefix::{BLOCK_BYTES, prefix_blocks};
 pub use scorer::Scorer;
