Store: the first call that comes through tells all that it is back

The writer's append was swallowed at 24.8, ran into its 1.5 s, and a pause of 0.8 s followed. Every task found the return by itself.

Ruled out: longer outages of the store itself (its first answers are at 25.4 at every front), and the order of the index (regained at 25.49).

Change: a package without I/O keeps whether the store is within reach. A call begun before the return gets 300 ms more and is given up, pauses end, and a writer that was left behind does not pause long. While the store is lost, reads take 400 ms and do not wait for records.

Tests: components/reach, in paused time.

--- a/components/front/src/follow.rs
+++ b/components/front/src/follow.rs
@@ -14,6 +14,7 @@
 use crate::clock::now_ms;
 use crate::log_record::{INDEX_PARTITION, INDEX_TOPIC, LogRecord};
 use crate::state::{Front, locked};
+use crate::storage::ReadFrom;
 
 /// How long a read waits for a record, in milliseconds. A read that comes back empty proves
 /// that nothing is new, and answers to trainers lean on a proof below a second old.
@@ -47,15 +48,14 @@
     mut take: impl FnMut(KeyedNews),
 ) {
     let within = Duration::from_millis(WAIT_MS + READ_SLACK_MS);
-    let pause = Duration::from_millis(PAUSE_MS);
     let mut offsets: HashMap<String, u64> = HashMap::new();
     loop {
-        let (newest, end) = match front.store.newest(topic, within).await {
+        let (newest, end) = match front.storage.newest(topic, within).await {
             Ok(newest) => newest,
             Err(error) => {
                 lost(front, topic, &error);
                 take(KeyedNews::Lost);
-                tokio::time::sleep(pause).await;
+                front.storage.pause(PAUSE_MS).await;
                 continue;
             }
         };
@@ -74,11 +74,7 @@
         take(KeyedNews::Settled);
         let mut next = end;
         loop {
-            match front
-                .store
-                .read(topic, 0, next, READ_KB, WAIT_MS, within)
-                .await
-            {
+            match front.storage.read(read_from(topic, 0, next), within).await {
                 Ok(page) => {
                     for record in page.records {
                         let offset = next;
@@ -111,13 +107,23 @@
                 Err(error) => {
                     lost(front, topic, &error);
                     take(KeyedNews::Lost);
-                    tokio::time::sleep(pause).await;
+                    front.storage.pause(PAUSE_MS).await;
                 }
             }
         }
     }
 }
 
+fn read_from(topic: &str, partition: u32, offset: u64) -> ReadFrom<'_> {
+    ReadFrom {
+        topic,
+        partition,
+        offset,
+        max_kb: READ_KB,
+        wait_ms: WAIT_MS,
+    }
+}
+
 fn lost(front: &Front, topic: &str, error: &StoreError) {
     front
         .metrics
@@ -245,8 +251,8 @@
     let mut was_lost = false;
     loop {
         let page = front
-            .store
-            .read(INDEX_TOPIC, INDEX_PARTITION, next, READ_KB, WAIT_MS, within)
+            .storage
+            .read(read_from(INDEX_TOPIC, INDEX_PARTITION, next), within)
             .await;
         match page {
             Ok(page) => {
@@ -276,7 +282,7 @@
                 if !std::mem::replace(&mut was_lost, true) {
                     lost(&front, INDEX_TOPIC, &error);
                 }
-                tokio::time::sleep(Duration::from_millis(PAUSE_MS)).await;
+                front.storage.pause(PAUSE_MS).await;
             }
         }
     }
--- a/components/front/src/jobs.rs
+++ b/components/front/src/jobs.rs
@@ -167,7 +167,7 @@
         if waited_ms > UNSURE_AFTER_MS {
             return Told::new(StatusCode::GATEWAY_TIMEOUT, "it may be accepted or not");
         }
-        tokio::time::sleep(Duration::from_millis(PAUSE_MS)).await;
+        front.storage.pause(PAUSE_MS).await;
     }
 }
 
@@ -209,7 +209,7 @@
     loop {
         // Data that landed without an answer is named by nobody and expires.
         match front
-            .store
+            .storage
             .append(DATA_TOPIC, partition, records, within)
             .await
         {
@@ -225,7 +225,7 @@
             }
             Err(error) => {
                 log::info!(event = "append-failed", topic = DATA_TOPIC, error:% = error; "");
-                tokio::time::sleep(Duration::from_millis(PAUSE_MS)).await;
+                front.storage.pause(PAUSE_MS).await;
             }
         }
     }
@@ -249,6 +249,6 @@
         if now_ms() - began_ms > UNSURE_AFTER_MS {
             return Told::new(StatusCode::GATEWAY_TIMEOUT, "it may be ended or not");
         }
-        tokio::time::sleep(Duration::from_millis(PAUSE_MS)).await;
+        front.storage.pause(PAUSE_MS).await;
     }
 }
--- a/components/front/src/lib.rs
+++ b/components/front/src/lib.rs
@@ -25,6 +25,7 @@
 mod serve;
 mod start;
 mod state;
+mod storage;
 mod stream;
 mod writer;
 
--- a/components/front/src/member.rs
+++ b/components/front/src/member.rs
@@ -35,7 +35,7 @@
         }
         let within = Duration::from_millis(WITHIN_MS);
         let joined = front
-            .store
+            .storage
             .join(
                 RUNNER_GROUP,
                 &member,
@@ -66,7 +66,7 @@
                 log::warn!(event = "join-failed", generation, error:% = error; "");
             }
         }
-        tokio::time::sleep(Duration::from_millis(JOIN_MS)).await;
+        front.storage.pause(JOIN_MS).await;
     }
 }
 
@@ -76,7 +76,7 @@
     log::warn!(event = "standing-back", unwritable_ms = front.unwritable_ms(now_ms()); "");
     leave(front).await;
     while front.unwritable_ms(now_ms()) > 0 && front.drain.is_ready() {
-        tokio::time::sleep(Duration::from_millis(JOIN_MS)).await;
+        front.storage.pause(JOIN_MS).await;
     }
 }
 
@@ -85,7 +85,7 @@
     front.owned.store(Arc::default());
     let within = Duration::from_millis(WITHIN_MS);
     if let Err(error) = front
-        .store
+        .storage
         .leave(RUNNER_GROUP, &member_name(front), within)
         .await
     {
--- a/components/front/src/partial.rs
+++ b/components/front/src/partial.rs
@@ -13,6 +13,7 @@
 
 use crate::log_record::{DATA_TOPIC, LogRecord};
 use crate::state::{Front, locked};
+use crate::storage::data_from;
 use crate::writer::{APPEND_MS, WriteError, append_index, data_partition};
 
 /// Longest time for reading a piece, in milliseconds.
@@ -155,7 +156,7 @@
     let partition = data_partition(front);
     let within = Duration::from_millis(APPEND_MS);
     let mut offset = front
-        .store
+        .storage
         .append(DATA_TOPIC, partition, texts, within)
         .await?;
     let mut records = Vec::with_capacity(pieces.len());
@@ -184,8 +185,8 @@
         let within = Duration::from_millis(READ_MS);
         let kb = bytes / 1_024 + READ_EXTRA_KB;
         let page = front
-            .store
-            .read(DATA_TOPIC, partition, offset, kb, 0, within)
+            .storage
+            .read(data_from(partition, offset, kb), within)
             .await?;
         let text = page
             .records
--- a/components/front/src/reload.rs
+++ b/components/front/src/reload.rs
@@ -43,7 +43,7 @@
     match settings::load(path) {
         Ok(next) => {
             let store = next.store.address;
-            let moved = front.store.move_to(store);
+            let moved = front.storage.move_to(store);
             let same = next == front.settings;
             log::info!(event = "settings-read", signalled, same, store_moved = moved, store:% = store; "");
         }
--- a/components/front/src/results.rs
+++ b/components/front/src/results.rs
@@ -13,8 +13,8 @@
 use steps::{ListedResult, Place, ResultState, StepHead, decode_item};
 
 use crate::clock::now_ms;
-use crate::log_record::DATA_TOPIC;
 use crate::state::Front;
+use crate::storage::data_from;
 
 /// Bytes of a page after which no further result is added: peak memory against reads. A page
 /// always has one result if there is one.
@@ -156,8 +156,8 @@
         let from = first.offset + texts.len() as u64;
         let kb = bytes / 1_024 + READ_EXTRA_KB;
         let page = front
-            .store
-            .read(DATA_TOPIC, first.partition, from, kb, 0, within)
+            .storage
+            .read(data_from(first.partition, from, kb), within)
             .await?;
         if page.records.is_empty() {
             return Err(StoreError::Malformed(format!("no record at {from}")));
@@ -191,8 +191,8 @@
     };
     let within = Duration::from_millis(READ_MS);
     let read = front
-        .store
-        .read(DATA_TOPIC, partition, offset, 1, 0, within)
+        .storage
+        .read(data_from(partition, offset, 1), within)
         .await;
     let record = read.and_then(|page| {
         let first = page.records.into_iter().next();
--- a/components/front/src/runner/data.rs
+++ b/components/front/src/runner/data.rs
@@ -1,6 +1,7 @@
 //! Reading the data of a step's items.
 
 use super::*;
+use crate::storage::data_from;
 
 pub(super) async fn read_data(front: &Front, head: &StepHead) -> Option<Vec<Arc<ItemData>>> {
     let mut data = Vec::with_capacity(head.items.len());
@@ -8,8 +9,8 @@
         let (partition, offset) = head.data_of(data.len())?;
         let within = Duration::from_millis(DATA_MS);
         let page = front
-            .store
-            .read(DATA_TOPIC, partition, offset, DATA_KB, 0, within)
+            .storage
+            .read(data_from(partition, offset, DATA_KB), within)
             .await;
         let page = match page {
             Ok(page) => page,
--- a/components/front/src/runner/mod.rs
+++ b/components/front/src/runner/mod.rs
@@ -26,7 +26,7 @@
 
 use crate::clock::now_ms;
 use crate::figures;
-use crate::log_record::{DATA_TOPIC, LogRecord};
+use crate::log_record::LogRecord;
 use crate::partial::{self, Partial, SharedPartial};
 use crate::peers::Member;
 use crate::reward;
--- a/components/front/src/state.rs
+++ b/components/front/src/state.rs
@@ -13,13 +13,13 @@
 use lease::Lease;
 use leaving::Drain;
 use platform::settings::FrontSettings;
-use platform::store::Store;
 use steps::Ledger;
 use telemetry::Metrics;
 use tokio::sync::{Notify, watch};
 
 use crate::clock::now_ms;
 use crate::peers::ReplicaTable;
+use crate::storage::Storage;
 
 /// Guess at the time of a call of a route that was not seen yet, in milliseconds.
 const TYPICAL_GUESS_MS: u64 = 40;
@@ -49,7 +49,7 @@
     /// Settings of the process.
     pub settings: FrontSettings,
     /// The platform's store.
-    pub store: Store,
+    pub storage: Storage,
     /// Counters and histograms.
     pub metrics: Metrics,
     /// Configuration in force; none before the first was read.
@@ -87,7 +87,7 @@
     /// The state of a front that knows nothing yet.
     pub fn new(settings: FrontSettings, lease: Lease, drain: Drain, metrics: Metrics) -> Self {
         Self {
-            store: Store::new(settings.store.address),
+            storage: Storage::new(settings.store.address),
             metrics,
             routes: ArcSwapOption::empty(),
             replicas: ArcSwap::default(),
--- /dev/null
+++ b/components/front/src/storage.rs
@@ -0,0 +1,171 @@
+//! The platform's store as the tasks of a front use it: one client, whose calls tell each
+//! other when the store is back.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use platform::store::{KeyedRecord, Membership, Page, Store, StoreError};
+use reach::Reach;
+
+use crate::log_record::DATA_TOPIC;
+
+/// Longest time of a read while the store is lost, in milliseconds; a slow store takes 240.
+/// The reads find out that it is back.
+const LOST_READ_MS: u64 = 400;
+
+/// Where a read goes on, and how much it brings.
+pub struct ReadFrom<'a> {
+    /// Topic.
+    pub topic: &'a str,
+    /// Its partition.
+    pub partition: u32,
+    /// First offset.
+    pub offset: u64,
+    /// Most kibibytes.
+    pub max_kb: u32,
+    /// How long the read may wait for a record, in milliseconds.
+    pub wait_ms: u64,
+}
+
+/// Records of the data topic from an offset on; data is there when its place is known.
+pub fn data_from(partition: u32, offset: u64, max_kb: u32) -> ReadFrom<'static> {
+    ReadFrom {
+        topic: DATA_TOPIC,
+        partition,
+        offset,
+        max_kb,
+        wait_ms: 0,
+    }
+}
+
+/// The store and whether it is within reach.
+pub struct Storage {
+    store: Store,
+    reach: Reach,
+}
+
+impl Storage {
+    /// A client of the store at `address`; connects when it is first used.
+    pub fn new(address: SocketAddr) -> Self {
+        Self {
+            store: Store::new(address),
+            reach: Reach::default(),
+        }
+    }
+
+    /// Goes to another address from the next call on; true if it is another one.
+    pub fn move_to(&self, address: SocketAddr) -> bool {
+        self.store.move_to(address)
+    }
+
+    /// How often the store was lost and came back.
+    pub fn returns(&self) -> u64 {
+        self.reach.returns()
+    }
+
+    /// Waits, until the store is back at most.
+    pub async fn pause(&self, pause_ms: u64) {
+        self.reach.pause(Duration::from_millis(pause_ms)).await;
+    }
+
+    /// Appends records to a partition; gives the offset of the first.
+    pub async fn append(
+        &self,
+        topic: &str,
+        partition: u32,
+        records: &[Bytes],
+        within: Duration,
+    ) -> Result<u64, StoreError> {
+        let append = self.store.append(topic, partition, records, within);
+        self.call(append).await
+    }
+
+    /// Reads records; while the store is lost, without a wait and for a short time.
+    pub async fn read(&self, from: ReadFrom<'_>, within: Duration) -> Result<Page, StoreError> {
+        let within = self.read_time(within);
+        let wait_ms = match self.reach.is_lost() {
+            true => 0,
+            false => from.wait_ms,
+        };
+        let ReadFrom {
+            topic,
+            partition,
+            offset,
+            max_kb,
+            ..
+        } = from;
+        let read = self
+            .store
+            .read(topic, partition, offset, max_kb, wait_ms, within);
+        self.call(read).await
+    }
+
+    /// The newest record of each key of a keyed topic, and the end to read on from.
+    pub async fn newest(
+        &self,
+        topic: &str,
+        within: Duration,
+    ) -> Result<(Vec<KeyedRecord>, u64), StoreError> {
+        let within = self.read_time(within);
+        self.call(self.store.newest(topic, within)).await
+    }
+
+    /// Joins a group or stays in it.
+    pub async fn join(
+        &self,
+        group: &str,
+        member: &str,
+        topic: &str,
+        ttl_ms: u64,
+        generation: u64,
+        within: Duration,
+    ) -> Result<Membership, StoreError> {
+        let join = self
+            .store
+            .join(group, member, topic, ttl_ms, generation, within);
+        self.follow(join).await
+    }
+
+    /// Leaves a group.
+    pub async fn leave(
+        &self,
+        group: &str,
+        member: &str,
+        within: Duration,
+    ) -> Result<(), StoreError> {
+        self.follow(self.store.leave(group, member, within)).await
+    }
+
+    fn read_time(&self, within: Duration) -> Duration {
+        match self.reach.is_lost() {
+            true => within.min(Duration::from_millis(LOST_READ_MS)),
+            false => within,
+        }
+    }
+
+    async fn call<T>(
+        &self,
+        call: impl Future<Output = Result<T, StoreError>>,
+    ) -> Result<T, StoreError> {
+        let says_lost = |error: &StoreError| match error {
+            StoreError::Unsure(_) | StoreError::NotDone(_) => true,
+            StoreError::Gone(_) | StoreError::Conflict(_) | StoreError::Malformed(_) => false,
+        };
+        let outcome = self.reach.call(call, says_lost).await;
+        outcome.unwrap_or_else(left_behind)
+    }
+
+    /// A store that refuses every record still serves its groups, so that a join says nothing.
+    async fn follow<T>(
+        &self,
+        call: impl Future<Output = Result<T, StoreError>>,
+    ) -> Result<T, StoreError> {
+        self.reach.follow(call).await.unwrap_or_else(left_behind)
+    }
+}
+
+fn left_behind<T>() -> Result<T, StoreError> {
+    let why = "the store is back and has not answered";
+    Err(StoreError::Unsure(why.to_owned()))
+}
--- a/components/front/src/writer.rs
+++ b/components/front/src/writer.rs
@@ -80,7 +80,7 @@
     }
     let within = Duration::from_millis(APPEND_MS);
     Ok(front
-        .store
+        .storage
         .append(INDEX_TOPIC, INDEX_PARTITION, &encoded, within)
         .await?)
 }
@@ -129,7 +129,7 @@
     if !texts.is_empty() {
         offset = until_done(front, || async {
             Ok(front
-                .store
+                .storage
                 .append(DATA_TOPIC, partition, &texts, within)
                 .await?)
         })
@@ -181,6 +181,7 @@
 {
     let mut pause_ms = PAUSE_MS;
     loop {
+        let returns = front.storage.returns();
         match append().await {
             Ok(offset) => {
                 front.unwritable_since_ms.store(0, Ordering::Relaxed);
@@ -188,8 +189,11 @@
             }
             Err(error) => {
                 note_failure(front);
+                if front.storage.returns() != returns {
+                    pause_ms = PAUSE_MS;
+                }
                 log::warn!(event = "results-not-written", pause_ms, error:% = error; "");
-                tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+                front.storage.pause(pause_ms).await;
                 pause_ms = (pause_ms * 2).min(PAUSE_MS_MAX);
             }
         }
--- /dev/null
+++ b/components/reach/tests/reach.rs
@@ -0,0 +1,99 @@
+//! Calls and pauses around the return of a dependency, in paused time.
+
+use std::future::{pending, ready};
+use std::time::Duration;
+
+use reach::Reach;
+use tokio::time::{Instant, sleep};
+
+const LONG: Duration = Duration::from_secs(20);
+
+type Outcome = Result<u8, &'static str>;
+
+async fn swallowed() -> Outcome {
+    pending().await
+}
+
+async fn after(ms: u64, outcome: Outcome) -> Outcome {
+    sleep(Duration::from_millis(ms)).await;
+    outcome
+}
+
+async fn call(reach: &Reach, outcome: Outcome) -> Option<Outcome> {
+    reach.call(ready(outcome), |why| *why == "silent").await
+}
+
+#[tokio::test(start_paused = true)]
+async fn can_give_up_a_call_that_the_return_left_behind() {
+    // A dependency swallows a call that may take 20 s. One call fails at 1 s and the next
+    // comes through at 2 s; the swallowed one is given up a moment later, not at 20 s.
+    let reach = Reach::default();
+    let began = Instant::now();
+    let others = async {
+        let _ = reach.call(after(1_000, Err("silent")), |_| true).await;
+        assert!(reach.is_lost());
+        let _ = reach.call(after(1_000, Ok(1)), |_| true).await;
+        assert!(!reach.is_lost());
+    };
+    let (outcome, ()) = tokio::join!(reach.call(swallowed(), |_| true), others);
+    assert_eq!(outcome, None);
+    assert_eq!(began.elapsed(), Duration::from_millis(2_300));
+}
+
+#[tokio::test(start_paused = true)]
+async fn can_keep_a_slow_call_that_answers_after_the_return() {
+    let reach = Reach::default();
+    let others = async {
+        let _ = reach.call(after(100, Err("silent")), |_| true).await;
+        let _ = reach.call(after(100, Ok(1)), |_| true).await;
+    };
+    let slow = reach.call(after(450, Ok(7)), |_| true);
+    let (outcome, ()) = tokio::join!(slow, others);
+    assert_eq!(outcome, Some(Ok(7)));
+}
+
+#[tokio::test(start_paused = true)]
+async fn can_end_a_pause_at_the_return() {
+    let reach = Reach::default();
+    let began = Instant::now();
+    let others = async {
+        call(&reach, Err("silent")).await;
+        let _ = reach.call(after(500, Ok(1)), |_| true).await;
+    };
+    tokio::join!(reach.pause(LONG), others);
+    assert_eq!(began.elapsed(), Duration::from_millis(500));
+    reach.pause(LONG).await;
+    assert_eq!(began.elapsed(), Duration::from_millis(20_500), "no return");
+}
+
+#[tokio::test(start_paused = true)]
+async fn can_tell_a_refusal_from_silence() {
+    // A dependency that refuses is within reach; its answers leave no call behind.
+    let reach = Reach::default();
+    let others = async {
+        call(&reach, Err("refused")).await;
+        assert!(!reach.is_lost());
+        call(&reach, Ok(1)).await;
+    };
+    let slow = reach.call(after(5_000, Ok(7)), |_| true);
+    let (outcome, ()) = tokio::join!(slow, others);
+    assert_eq!(outcome, Some(Ok(7)));
+}
+
+#[tokio::test(start_paused = true)]
+async fn can_follow_without_a_say() {
+    // The groups of a store are served while its records are refused: a join that comes
+    // through must end nobody's pause, and is given up with the others at the return.
+    let reach = Reach::default();
+    let began = Instant::now();
+    let others = async {
+        call(&reach, Err("silent")).await;
+        let joined = reach.follow(after(100, Ok(1))).await;
+        assert_eq!(joined, Some(Ok(1)));
+        assert!(reach.is_lost());
+        let _ = reach.call(after(900, Ok(1)), |_| true).await;
+    };
+    let (left, (), ()) = tokio::join!(reach.follow(swallowed()), reach.pause(LONG), others);
+    assert_eq!(left, None);
+    assert_eq!(began.elapsed(), Duration::from_millis(1_300));
+}
