Steps: what the store can't hold is refused as too long; one loop for appends of clients

Cause: an item longer than a record, or a step whose items don't fit one record, was tried for 1.2 s and then refused with 503 and a time to come back. The trainer came back for ever.

Change: items are encoded and measured before any is written, the step's record before it is appended; both end in 413. The three loops that tried an append for a time (items' data, the step, its end) are one, which says done, seen, not done or unsure; an end that certainly was not written is now told so, with a time to come back, and not as unsure after 3.5 s.

Tests, red before: two cases of errors_with_the_status_that_fits (503 for 413). New and green at once: errors_when_the_head_of_a_request_is_too_long (431).

--- /dev/null
+++ b/components/front/src/jobs/mod.rs
@@ -0,0 +1,224 @@
+//! Submission and end of a trainer's step.
+//!
+//! A step is accepted once its record stands in the index. Its items' data is written first:
+//! if that fails, nothing of the step exists, and a refusal is a promise. Once the record
+//! was sent without an answer it may land seconds later; from then on the client gets either
+//! the acceptance or an answer that promises nothing.
+
+mod data;
+mod tries;
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use dispatch::{Route, Routes};
+use hyper::StatusCode;
+use platform::jobs::{self, Submission};
+use steps::{DataRange, IndexRecord, StepHead, StepId};
+
+use self::data::DataRefusal;
+use self::tries::{Tries, Wanted};
+use crate::clock::now_ms;
+use crate::figures;
+use crate::log_record::LogRecord;
+use crate::state::Front;
+use crate::writer::{append_index, encode};
+
+/// When a refused trainer may come again, in milliseconds.
+const AGAIN_MS: u64 = 250;
+
+/// What a client is told.
+pub struct Told {
+    /// Status of the answer.
+    pub status: StatusCode,
+    /// When to come again, in milliseconds.
+    pub again_ms: Option<u64>,
+    /// What happened.
+    pub why: &'static str,
+}
+
+impl Told {
+    fn new(status: StatusCode, why: &'static str) -> Self {
+        Self {
+            status,
+            again_ms: None,
+            why,
+        }
+    }
+
+    fn again(why: &'static str) -> Self {
+        Self {
+            status: StatusCode::SERVICE_UNAVAILABLE,
+            again_ms: Some(AGAIN_MS),
+            why,
+        }
+    }
+}
+
+/// Accepts a step or says why not.
+pub async fn submit(
+    front: &Front,
+    routes: &Routes,
+    route: &Arc<Route>,
+    id: &str,
+    body: Bytes,
+) -> Told {
+    let began_ms = now_ms();
+    let submission = match jobs::submission(&body) {
+        Ok(submission) => submission,
+        Err(error) => {
+            log::info!(event = "step-refused", id, error:% = error; "");
+            return Told::new(StatusCode::BAD_REQUEST, "the step cannot be read");
+        }
+    };
+    drop(body);
+    if !serves_model(routes, route, &submission.model) {
+        log::info!(event = "step-refused", id, model = submission.model.as_str(); "");
+        return Told::new(StatusCode::BAD_REQUEST, "no replica serves this model");
+    }
+    if let Some(told) = known(front, id, &submission.digest) {
+        return told;
+    }
+    let told = accept(front, route, id, submission, began_ms).await;
+    let took_ms = now_ms() - began_ms;
+    front
+        .metrics
+        .record("front_submission_ms", figures::item_label(), took_ms);
+    log::info!(
+        event = "step-submitted", id, status = told.status.as_u16(), took_ms, why = told.why; ""
+    );
+    told
+}
+
+fn serves_model(routes: &Routes, route: &Route, model: &str) -> bool {
+    route
+        .shares
+        .iter()
+        .any(|share| match routes.services.get(&share.service) {
+            Some(service) => service.models.iter().any(|known| **known == *model),
+            None => false,
+        })
+}
+
+/// What a repetition is told.
+fn known(front: &Front, id: &str, digest: &[u8; 16]) -> Option<Told> {
+    let index = front.index();
+    let step = index.ledger.by_name(id)?;
+    Some(match step.head.digest == *digest {
+        true => Told::new(StatusCode::ACCEPTED, "accepted before"),
+        false => Told::new(StatusCode::CONFLICT, "another step has this id"),
+    })
+}
+
+async fn accept(
+    front: &Front,
+    route: &Route,
+    id: &str,
+    mut submission: Submission,
+    began_ms: u64,
+) -> Told {
+    let mut wanted = Wanted {
+        what: "item-data",
+        id,
+        began_ms,
+        binds: false,
+    };
+    let items = std::mem::take(&mut submission.data);
+    let data = match data::write(front, &submission.heads, items, &wanted).await {
+        Ok(data) => data,
+        Err(refusal) => return refused(id, &refusal),
+    };
+    let digest = submission.digest;
+    let head = step_head(route, id, submission, data);
+    let record = match encode(&[LogRecord::Index(IndexRecord::Accepted(Box::new(head)))]) {
+        Ok(record) => record,
+        Err(error) => {
+            log::error!(event = "step-refused", id, error:% = error; "");
+            return Told::new(
+                StatusCode::INTERNAL_SERVER_ERROR,
+                "the step cannot be encoded",
+            );
+        }
+    };
+    let (bytes, bytes_max) = (record[0].len(), front.settings.store.record_bytes);
+    if bytes > bytes_max {
+        log::info!(event = "step-refused", id, bytes, bytes_max; "");
+        return Told::new(StatusCode::PAYLOAD_TOO_LARGE, "the step has too many items");
+    }
+    wanted.what = "step";
+    wanted.binds = true;
+    let is_known = || known(front, id, &digest).is_some();
+    match tries::append(front, &wanted, || append_index(front, &record), is_known).await {
+        Tries::Done(_) => Told::new(StatusCode::ACCEPTED, "accepted"),
+        Tries::Seen => known(front, id, &digest).unwrap_or_else(unsure),
+        Tries::NotDone => Told::again("the store cannot be reached"),
+        Tries::Unsure => unsure(),
+    }
+}
+
+fn unsure() -> Told {
+    Told::new(StatusCode::GATEWAY_TIMEOUT, "it may be accepted or not")
+}
+
+fn refused(id: &str, refusal: &DataRefusal) -> Told {
+    log::warn!(event = "step-refused", id, error:% = refusal; "");
+    match refusal {
+        DataRefusal::TooLong(..) => Told::new(
+            StatusCode::PAYLOAD_TOO_LARGE,
+            "an item is longer than the store's records",
+        ),
+        DataRefusal::Encode(_) => Told::new(
+            StatusCode::INTERNAL_SERVER_ERROR,
+            "an item cannot be encoded",
+        ),
+        DataRefusal::Unreachable => Told::again("the store cannot be reached"),
+    }
+}
+
+fn step_head(route: &Route, id: &str, submission: Submission, data: Vec<DataRange>) -> StepHead {
+    StepHead {
+        id: id.to_owned(),
+        digest: submission.digest,
+        host: route.host.to_string(),
+        prefix: route.prefix.to_string(),
+        model: submission.model,
+        number: submission.number,
+        min_version: submission.min_version,
+        single_version: route.single_version,
+        groups_wanted: submission.groups_wanted,
+        attempts_max: route.attempts_max,
+        due_ms: route.due_ms,
+        retention_ms: route.retention_ms,
+        items: submission.heads,
+        data,
+    }
+}
+
+/// Ends a step. A step that this front does not know is answered by the caller.
+pub async fn end(front: &Front, id: &str, step: StepId) -> Told {
+    let wanted = Wanted {
+        what: "end",
+        id,
+        began_ms: now_ms(),
+        binds: true,
+    };
+    let record = match encode(&[LogRecord::Index(IndexRecord::Ended { step })]) {
+        Ok(record) => record,
+        Err(error) => {
+            log::error!(event = "end-not-written", id, error:% = error; "");
+            return Told::new(
+                StatusCode::INTERNAL_SERVER_ERROR,
+                "the end cannot be encoded",
+            );
+        }
+    };
+    let is_ended = || {
+        let index = front.index();
+        index.ledger.get(step).is_none_or(|step| step.ended)
+    };
+    match tries::append(front, &wanted, || append_index(front, &record), is_ended).await {
+        Tries::Done(_) | Tries::Seen => Told::new(StatusCode::OK, "ended"),
+        Tries::NotDone => Told::again("the store cannot be reached"),
+        Tries::Unsure => Told::new(StatusCode::GATEWAY_TIMEOUT, "it may be ended or not"),
+    }
+}
--- a/components/front/src/leader.rs
+++ b/components/front/src/leader.rs
@@ -12,7 +12,7 @@
 use crate::log_record::LogRecord;
 use crate::peers::Member;
 use crate::state::{Front, locked};
-use crate::writer::append_index;
+use crate::writer::write_index;
 
 /// How often the lease and the plan are looked at, in milliseconds.
 const LOOK_MS: u64 = 100;
@@ -81,7 +81,7 @@
     if let Some(record) = record {
         let front = Arc::clone(front);
         tokio::spawn(async move {
-            if let Err(error) = append_index(&front, &[LogRecord::Lease(record)]).await {
+            if let Err(error) = write_index(&front, &[LogRecord::Lease(record)]).await {
                 log::warn!(event = "lease-not-written", error:% = error; "");
             }
         });
@@ -92,7 +92,7 @@
 pub async fn give_up(front: &Front) {
     let record = front.index().lease.give_up();
     if let Some(record) = record
-        && let Err(error) = append_index(front, &[LogRecord::Lease(record)]).await
+        && let Err(error) = write_index(front, &[LogRecord::Lease(record)]).await
     {
         log::warn!(event = "lease-not-written", error:% = error; "");
     }
--- a/components/front/src/partial.rs
+++ b/components/front/src/partial.rs
@@ -14,7 +14,7 @@
 use crate::log_record::{DATA_TOPIC, LogRecord};
 use crate::state::{Front, locked};
 use crate::storage::data_from;
-use crate::writer::{APPEND_MS, WriteError, append_index, data_partition};
+use crate::writer::{APPEND_MS, WriteError, data_partition, write_index};
 
 /// Longest time for reading a piece, in milliseconds.
 const READ_MS: u64 = 800;
@@ -169,7 +169,7 @@
         offset += 1;
         records.push(LogRecord::Index(IndexRecord::Saved { step, item, piece }));
     }
-    append_index(front, &records).await?;
+    write_index(front, &records).await?;
     Ok(())
 }
 
--- a/components/front/src/reward.rs
+++ b/components/front/src/reward.rs
@@ -10,7 +10,7 @@
 use crate::clock::now_ms;
 use crate::log_record::LogRecord;
 use crate::state::Front;
-use crate::writer::append_index;
+use crate::writer::write_index;
 
 /// Time for one reward call where its route does not say, in milliseconds.
 const CALL_MS: u64 = 3_000;
@@ -69,7 +69,7 @@
 async fn note_failure(front: &Front, (step, item): (StepId, u32)) {
     let part = FailedPart::Reward;
     let record = [LogRecord::Index(IndexRecord::Failed { step, item, part })];
-    if let Err(error) = append_index(front, &record).await {
+    if let Err(error) = write_index(front, &record).await {
         // This process counts on; another one that takes over would allow one call more.
         log::warn!(event = "failure-not-written", step = step.0, item, error:% = error; "");
     }
--- a/components/front/src/runner/mod.rs
+++ b/components/front/src/runner/mod.rs
@@ -32,7 +32,7 @@
 use crate::reward;
 use crate::run_item::{self, RunEnd, RunSpec};
 use crate::state::{Front, locked};
-use crate::writer::{Ended, Outcome, append_index};
+use crate::writer::{Ended, Outcome, write_index};
 
 use data::read_data;
 use engines::{EngineState, Place};
@@ -268,7 +268,7 @@
         tokio::spawn(async move {
             let part = FailedPart::Run;
             let record = [LogRecord::Index(IndexRecord::Failed { step, item, part })];
-            if let Err(error) = append_index(&front, &record).await {
+            if let Err(error) = write_index(&front, &record).await {
                 log::warn!(event = "failure-not-written", step = step.0, item, error:% = error; "");
             }
         });
--- a/components/front/src/serve.rs
+++ b/components/front/src/serve.rs
@@ -103,7 +103,7 @@
     if step.ended {
         return ingress::own_answer(StatusCode::OK, id, None, "ended before");
     }
-    let told = jobs::end(front, step.id).await;
+    let told = jobs::end(front, name, step.id).await;
     log::info!(
         event = "step-ended", id = name, status = told.status.as_u16(),
         listed = step.results.len(), items = step.head.items.len(); ""
--- a/components/front/src/writer.rs
+++ b/components/front/src/writer.rs
@@ -47,6 +47,16 @@
     }
 }
 
+impl WriteError {
+    /// Whether it is certain that nothing was written and nothing will be.
+    pub fn is_not_done(&self) -> bool {
+        match self {
+            WriteError::Encode(_) => true,
+            WriteError::Store(reason) => reason.is_not_done(),
+        }
+    }
+}
+
 /// An item that ended.
 pub struct Ended {
     /// Its step.
@@ -72,16 +82,23 @@
     Error(ErrorCause),
 }
 
-/// Appends one record to the index.
-pub async fn append_index(front: &Front, records: &[LogRecord]) -> Result<u64, WriteError> {
-    let mut encoded = Vec::with_capacity(records.len());
-    for record in records {
-        encoded.push(Bytes::from(postcard::to_stdvec(record)?));
-    }
+/// The bytes of records.
+pub fn encode(records: &[LogRecord]) -> Result<Vec<Bytes>, WriteError> {
+    let encoded = |record| Ok(Bytes::from(postcard::to_stdvec(record)?));
+    records.iter().map(encoded).collect()
+}
+
+/// Encodes records and appends them to the index.
+pub async fn write_index(front: &Front, records: &[LogRecord]) -> Result<u64, WriteError> {
+    append_index(front, &encode(records)?).await
+}
+
+/// Appends encoded records to the index; gives the offset of the first.
+pub async fn append_index(front: &Front, encoded: &[Bytes]) -> Result<u64, WriteError> {
     let within = Duration::from_millis(APPEND_MS);
     Ok(front
         .storage
-        .append(INDEX_TOPIC, INDEX_PARTITION, &encoded, within)
+        .append(INDEX_TOPIC, INDEX_PARTITION, encoded, within)
         .await?)
 }
 
@@ -164,7 +181,7 @@
             state,
         }));
     }
-    until_done(front, || append_index(front, &records)).await;
+    until_done(front, || write_index(front, &records)).await;
 }
 
 /// Notes since when nothing could be written.
--- a/components/front/tests/front/calls.rs
+++ b/components/front/tests/front/calls.rs
@@ -35,6 +35,18 @@
             body: "x".repeat(1_048_577),
             status: 413,
         },
+        Case {
+            name: "an item that no record of the store can hold",
+            path: "/steps/x",
+            body: records::step(1, 1, 2).replace("q80=", &"A".repeat(400_000)),
+            status: 413,
+        },
+        Case {
+            name: "more items than a record of the store can name",
+            path: "/steps/x",
+            body: records::step(1, 1, 1_500).replace("item-1-", &"i".repeat(200)),
+            status: 413,
+        },
         Case {
             name: "what is no step",
             path: "/steps/x",
@@ -59,6 +71,22 @@
     }
 }
 
+#[tokio::test]
+async fn errors_when_the_head_of_a_request_is_too_long() {
+    // The head is never read to its end. The caller reads why before the connection closes,
+    // and no replica saw anything.
+    let site = Site::start(3, 1).await;
+    let front = site.front("a").await;
+    let long = "x".repeat(40_000);
+    let headers = [
+        ("hornbeamrock-request-id", "q-1"),
+        ("x-long", long.as_str()),
+    ];
+    let (status, _, _) = front.ask(Method::POST, "/calls/x", &headers, "").await;
+    assert_eq!(status, 431);
+    assert!(site.runs("q-1").is_empty());
+}
+
 #[tokio::test]
 async fn errors_as_not_run_while_no_configuration_is_known() {
     // A front starts while the store is out. It knows no route, and a 404 would tell the
