Stand-in of a trainer, and a test that trains through every trouble

The trainer names versions, submits steps, reads them at fronts in turn, reads earlier positions again, and holds each page against its promises: each item once, whole, at one position for ever, made by the named version or the one before, and scored. Nine steps through lost, refused and late appends, dead and leaving fronts, lost history and partitions dealt anew hold them.

Nothing was red: this is proof of what stood, not a mending.

--- a/components/front/tests/front/common.rs
+++ b/components/front/tests/front/common.rs
@@ -302,3 +302,16 @@
     let in_time = tokio::time::timeout(PATIENCE, looks).await;
     assert!(in_time.is_ok(), "not in time: {what}");
 }
+
+/// Replicas write the version that they hold, as the real ones do.
+pub fn beat_loaded(site: &Site) {
+    for replica in site
+        .replicas
+        .iter()
+        .filter(|replica| replica.id.starts_with("engine"))
+    {
+        let orders = replica.seen.orders();
+        let version = orders.last().map_or(1, |order| order.version);
+        site.beat(replica, "ready", version);
+    }
+}
--- a/components/front/tests/front/main.rs
+++ b/components/front/tests/front/main.rs
@@ -4,3 +4,4 @@
 mod common;
 mod orders;
 mod steps;
+mod trainer;
--- a/components/front/tests/front/orders.rs
+++ b/components/front/tests/front/orders.rs
@@ -1,6 +1,6 @@
 //! Orders to model replicas.
 
-use crate::common::{Site, until};
+use crate::common::{Site, beat_loaded, until};
 use standins::fleet::replica::Ordered;
 use standins::{Fault, FaultKind};
 
@@ -12,19 +12,6 @@
     engines.flat_map(|engine| engine.seen.orders()).collect()
 }
 
-/// Replicas write the version that they hold, as the real ones do.
-fn beat(site: &Site) {
-    for replica in site
-        .replicas
-        .iter()
-        .filter(|replica| replica.id.starts_with("engine"))
-    {
-        let orders = replica.seen.orders();
-        let version = orders.last().map_or(1, |order| order.version);
-        site.beat(replica, "ready", version);
-    }
-}
-
 #[tokio::test]
 async fn can_load_named_versions_by_one_holder() {
     let site = Site::start(2, 1).await;
@@ -34,10 +21,10 @@
         orders(&site).len() == 1
     })
     .await;
-    beat(&site);
+    beat_loaded(&site);
     site.name_version(3);
     until("the other half loads", || async {
-        beat(&site);
+        beat_loaded(&site);
         orders(&site).iter().any(|order| order.version == 3)
     })
     .await;
@@ -63,7 +50,7 @@
     let first = orders(&site)[0].clone();
     let holder = if first.holder == "a" { 0 } else { 1 };
     fronts[holder].door.fault(Fault::new(FaultKind::Outage));
-    beat(&site);
+    beat_loaded(&site);
     // What it announced before may still allow it the next order.
     tokio::time::sleep(std::time::Duration::from_millis(1_200)).await;
     site.name_version(3);
--- a/components/front/tests/front/steps.rs
+++ b/components/front/tests/front/steps.rs
@@ -5,13 +5,9 @@
 use crate::common::{Site, until};
 use hyper::Method;
 use standins::fleet::records;
+use standins::fleet::trainer::whole_text as text;
 use standins::{Fault, FaultKind};
 
-fn text(events: u64) -> String {
-    let words: Vec<String> = (1..=events).map(|event| format!("word-{event}")).collect();
-    words.join("\n")
-}
-
 #[tokio::test]
 async fn can_run_a_step_and_read_it_at_another_front() {
     let site = Site::start(4, 1).await;
--- a/dev/standins/src/fleet.rs
+++ b/dev/standins/src/fleet.rs
@@ -6,3 +6,4 @@
 pub mod replica;
 pub mod store;
 mod topics;
+pub mod trainer;
