--- a/components/front/src/member.rs
+++ b/components/front/src/member.rs
@@ -7,9 +7,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use ownership::{Next, Ownership, OwnershipSettings};
+use platform::settings::FrontSettings;
+
 use crate::clock::now_ms;
 use crate::log_record::{RUNNER_GROUP, RUNNER_TOPIC};
-use crate::state::{Front, Ownership};
+use crate::state::Front;
 
 /// Time to live of a member, in milliseconds: how long items stand still after a front died.
 const TTL_MS: u64 = 1_300;
@@ -21,68 +24,64 @@
 /// Longest time for a join, in milliseconds.
 const WITHIN_MS: u64 = 700;
 
+/// Times of the membership.
+pub fn settings(settings: &FrontSettings) -> OwnershipSettings {
+    OwnershipSettings {
+        ttl_ms: TTL_MS.max(settings.store.member_ttl_min_ms),
+        unwritable_ms_max: UNWRITABLE_MS,
+    }
+}
+
 /// Stays in the group until the process leaves.
 pub async fn stay(front: Arc<Front>) {
-    let ttl_ms = TTL_MS.max(front.settings.store.member_ttl_min_ms);
-    let member = member_name(&front);
-    let mut generation = 0;
+    let mut ownership = Ownership::new(settings(&front.settings));
     while front.drain.is_ready() {
-        let sent_ms = now_ms();
-        if front.unwritable_ms(sent_ms) > UNWRITABLE_MS {
-            stand_back(&front).await;
-            generation = 0;
-            continue;
-        }
-        let within = Duration::from_millis(WITHIN_MS);
-        let joined = front
-            .storage
-            .join(
-                RUNNER_GROUP,
-                &member,
-                RUNNER_TOPIC,
-                ttl_ms,
-                generation,
-                within,
-            )
-            .await;
-        match joined {
-            Ok(membership) => {
-                if membership.generation != generation {
-                    log::info!(
-                        event = "partitions-dealt", generation = membership.generation,
-                        partitions:? = membership.partitions; ""
-                    );
-                }
-                generation = membership.generation;
-                let partitions = membership.partitions.into_iter().collect();
-                let until_ms = sent_ms + ttl_ms;
-                front.owned.store(Arc::new(Ownership {
-                    partitions,
-                    until_ms,
-                }));
-                front.runner_news.notify_one();
-            }
-            Err(error) => {
-                log::warn!(event = "join-failed", generation, error:% = error; "");
+        let unwritable_ms = front.unwritable_ms(now_ms());
+        match ownership.next(unwritable_ms) {
+            Next::Join { generation } => join(&front, &mut ownership, generation).await,
+            Next::StandBack => {
+                log::warn!(event = "standing-back", unwritable_ms; "");
+                ownership.stand_back();
+                leave(&front).await;
             }
+            Next::Wait => {}
         }
         front.storage.pause(JOIN_MS).await;
     }
 }
 
-/// Leaves the group until results can be written again. The store may take a front's joins
-/// and refuse its appends; the front would hold on to its models and list nothing.
-async fn stand_back(front: &Front) {
-    log::warn!(event = "standing-back", unwritable_ms = front.unwritable_ms(now_ms()); "");
-    leave(front).await;
-    while front.unwritable_ms(now_ms()) > 0 && front.drain.is_ready() {
-        front.storage.pause(JOIN_MS).await;
+async fn join(front: &Front, ownership: &mut Ownership, generation: u64) {
+    let sent_ms = now_ms();
+    let joined = front
+        .storage
+        .join(
+            RUNNER_GROUP,
+            &member_name(front),
+            RUNNER_TOPIC,
+            ownership.ttl_ms(),
+            generation,
+            Duration::from_millis(WITHIN_MS),
+        )
+        .await;
+    match joined {
+        Ok(told) => {
+            if ownership.joined(sent_ms, told.generation, told.partitions) {
+                log::info!(
+                    event = "partitions-dealt", generation = told.generation,
+                    partitions:? = ownership.partitions(); ""
+                );
+            }
+            front.owned.store(Arc::new(ownership.clone()));
+            front.runner_news.notify_one();
+        }
+        Err(error) => log::warn!(event = "join-failed", generation, error:% = error; ""),
     }
 }
 
 /// Hands the partitions to others at once.
 pub async fn leave(front: &Front) {
-    front.owned.store(Arc::default());
+    let none = Ownership::new(settings(&front.settings));
+    front.owned.store(Arc::new(none));
     let within = Duration::from_millis(WITHIN_MS);
     if let Err(error) = front
         .storage
--- a/components/front/src/state.rs
+++ b/components/front/src/state.rs
@@ -4,7 +4,7 @@
 //! lock. Steps and the lease change with the log; their lock is held for a few microseconds
 //! and never across a wait.
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
@@ -12,12 +12,14 @@
 use dispatch::{Routes, Typical};
 use lease::Lease;
 use leaving::Drain;
+use ownership::Ownership;
 use platform::settings::FrontSettings;
 use steps::Ledger;
 use telemetry::Metrics;
 use tokio::sync::{Notify, watch};
 
 use crate::clock::now_ms;
+use crate::member;
 use crate::peers::ReplicaTable;
 use crate::storage::Storage;
 
@@ -35,15 +37,6 @@
     pub read_since_ms: u64,
 }
 
-/// Partitions of the group of runners that belong to this front.
-#[derive(Default, Clone)]
-pub struct Ownership {
-    /// The partitions.
-    pub partitions: HashSet<u32>,
-    /// Until when this front may believe it, in milliseconds.
-    pub until_ms: u64,
-}
-
 /// What the tasks of a front share.
 pub struct Front {
     /// Settings of the process.
@@ -101,7 +94,7 @@
             index_current_ms: AtomicU64::new(0),
             replicas_read: AtomicU64::new(0),
             unwritable_since_ms: AtomicU64::new(0),
-            owned: ArcSwap::default(),
+            owned: ArcSwap::from_pointee(Ownership::new(member::settings(&settings))),
             runner_news: Notify::new(),
             handed_over: watch::Sender::new(false),
             leader_news: Notify::new(),
@@ -161,7 +154,7 @@
     pub fn runs(&self, model: &str, now_ms: u64) -> bool {
         let owned = self.owned.load();
         let partition = partition_of(model, self.settings.store.partitions);
-        now_ms < owned.until_ms && owned.partitions.contains(&partition)
+        owned.owns(partition, now_ms)
     }
 }
 
--- /dev/null
+++ b/components/ownership/src/lib.rs
@@ -0,0 +1,109 @@
+//! Which partitions of a group a process may act for, and when it gives them up.
+//!
+//! A store deals the partitions of a group to its members for a time to live that it counts
+//! from the arrival of a join. The member counts from the moment at which it *sent* the join,
+//! by a clock that counts suspension, so it stops before the store hands the partition on,
+//! however late an answer comes and however long it was frozen. A member that can't write what
+//! it makes stands back: a store may take its joins and refuse its records, and it would hold
+//! on to its partitions and finish nothing.
+//!
+//! A store that deals all partitions anew at once, without a request, is the one case in which
+//! two members act for a partition, for a time to live at most. What they do must bear that.
+
+use std::collections::BTreeSet;
+
+/// Times of a membership.
+#[derive(Clone, Copy, Debug)]
+pub struct OwnershipSettings {
+    /// Time to live of a member, in milliseconds.
+    pub ttl_ms: u64,
+    /// How long nothing may be written before the member stands back, in milliseconds.
+    pub unwritable_ms_max: u64,
+}
+
+/// What the member does next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Next {
+    /// Join, or stay.
+    Join {
+        /// Generation of the group that was last heard of; 0 for none. It tells the store
+        /// which partitions the member knows to have lost.
+        generation: u64,
+    },
+    /// Leave, as nothing can be written.
+    StandBack,
+    /// Stay away until something can be written.
+    Wait,
+}
+
+/// A membership as its member knows it.
+#[derive(Clone, Debug)]
+pub struct Ownership {
+    settings: OwnershipSettings,
+    generation: u64,
+    partitions: BTreeSet<u32>,
+    until_ms: u64,
+    stands_back: bool,
+}
+
+impl Ownership {
+    /// Nothing is owned.
+    pub fn new(settings: OwnershipSettings) -> Self {
+        Self {
+            settings,
+            generation: 0,
+            partitions: BTreeSet::new(),
+            until_ms: 0,
+            stands_back: false,
+        }
+    }
+
+    /// What to do, when nothing could be written for so long; 0 while writes are done.
+    pub fn next(&self, unwritable_ms: u64) -> Next {
+        match self.stands_back {
+            true if unwritable_ms > 0 => Next::Wait,
+            false if unwritable_ms > self.settings.unwritable_ms_max => Next::StandBack,
+            _ => Next::Join {
+                generation: self.generation,
+            },
+        }
+    }
+
+    /// A join that was sent at this moment was answered; true if the group changed.
+    pub fn joined(
+        &mut self,
+        sent_ms: u64,
+        generation: u64,
+        partitions: impl IntoIterator<Item = u32>,
+    ) -> bool {
+        let changed = generation != self.generation;
+        self.stands_back = false;
+        self.generation = generation;
+        self.partitions = partitions.into_iter().collect();
+        self.until_ms = sent_ms + self.settings.ttl_ms;
+        changed
+    }
+
+    /// Gives all partitions up at once, before the store is told.
+    pub fn stand_back(&mut self) {
+        *self = Self {
+            stands_back: true,
+            ..Self::new(self.settings)
+        };
+    }
+
+    /// Time to live that a join asks for, in milliseconds.
+    pub fn ttl_ms(&self) -> u64 {
+        self.settings.ttl_ms
+    }
+
+    /// The partitions, whether or not their time is over.
+    pub fn partitions(&self) -> &BTreeSet<u32> {
+        &self.partitions
+    }
+
+    /// Whether the member may act for a partition now.
+    pub fn owns(&self, partition: u32, now_ms: u64) -> bool {
+        now_ms < self.until_ms && self.partitions.contains(&partition)
+    }
+}
