hornbeamrockctl store: configuration, versions, replicas, steps and lease from the store alone

An operator had the fronts' lines and metrics only, and nothing when no front answers. components/inspect reads the store's keyed records and the index, read-only, with the product's own types, and names odd records; the command prints them as a table or JSON and ends with 6 when the store is away, 2 on wrong flags.

Tests: components/inspect/tests, bin/ctl/tests/store.rs.

--- a/bin/ctl/src/cli.rs
+++ b/bin/ctl/src/cli.rs
@@ -43,6 +43,7 @@
                 .about("Tells processes to leave: they finish what is in progress, then end")
                 .arg(admin("Admin addresses of the processes that are to leave")),
             rollback(),
+            store(),
             completions(),
         ])
 }
@@ -81,6 +82,31 @@
         .arg(flag("token-file", "FILE", "File with an operator's token"))
 }
 
+fn store() -> Command {
+    let kind = |name, about| Command::new(name).about(about).arg(store_address());
+    Command::new("store")
+        .about("Shows what stands in the platform's store, without a front")
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommands([
+            kind("routes", "The configuration in force, route by route"),
+            kind(
+                "versions",
+                "Newest named versions and how many replicas hold them",
+            ),
+            kind(
+                "replicas",
+                "Replicas with state and versions, by their own records",
+            ),
+            kind("steps", "Accepted steps with their progress"),
+            kind("lease", "Who gives orders to replicas"),
+        ])
+}
+
+fn store_address() -> Arg {
+    flag("store", "IP:PORT", "Address of the platform's store")
+}
+
 fn completions() -> Command {
     Command::new("completions")
         .about("Prints shell completions")
--- a/bin/ctl/src/cmd/failure.rs
+++ b/bin/ctl/src/cmd/failure.rs
@@ -1,6 +1,7 @@
 //! Failure of a command, with its exit code.
 
 use control::{ControlError, ExitCode};
+use inspect::InspectError;
 use quick_error::quick_error;
 use settings::SettingsError;
 
@@ -18,6 +19,12 @@
             from()
             display("{}", reason)
         }
+        /// The platform's store.
+        Store(reason: InspectError) {
+            source(reason)
+            from()
+            display("{}", reason)
+        }
         /// No runtime to be had.
         Runtime(reason: std::io::Error) {
             display("the program cannot start: {}", reason)
@@ -31,6 +38,7 @@
         let code = match self {
             Failure::Settings(_) => ExitCode::Settings,
             Failure::Control(reason) => reason.exit_code(),
+            Failure::Store(_) => ExitCode::Unreachable,
             Failure::Runtime(_) => ExitCode::Fault,
         };
         code as u8
--- a/bin/ctl/src/cmd/mod.rs
+++ b/bin/ctl/src/cmd/mod.rs
@@ -10,6 +10,7 @@
 mod rollback;
 mod show;
 mod status;
+mod store;
 
 use std::future::Future;
 use std::path::Path;
@@ -33,6 +34,7 @@
         Some(("status", flags)) => block_on(status::run(flags)),
         Some(("drain", flags)) => block_on(drain::run(flags)),
         Some(("rollback", flags)) => block_on(rollback::run(flags)),
+        Some(("store", flags)) => block_on(store::run(flags)),
         Some(("completions", flags)) => completions::run(flags),
         _ => Ok(()),
     }
--- /dev/null
+++ b/bin/ctl/tests/store.rs
@@ -0,0 +1,73 @@
+//! `hornbeamrockctl store` as an operator calls it.
+
+use std::process::{Command, Output};
+
+use standins::fleet::records;
+use standins::fleet::store::Store;
+
+fn run(address: &str, kind: &str, form: &str) -> Output {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_hornbeamrockctl"));
+    let flags = ["store", kind, "--store", address, "--output", form];
+    command.args(flags).output().expect("the program starts")
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn can_print_what_stands_in_the_store() {
+    struct Case {
+        kind: &'static str,
+        form: &'static str,
+        first_line: &'static str,
+        holds: &'static str,
+    }
+    let case = |kind, form, first_line, holds| Case {
+        kind,
+        form,
+        first_line,
+        holds,
+    };
+    let cases = [
+        case("routes", "table", "configuration 3", "/calls/"),
+        case("routes", "json", "{", "\"attempts_max\": 3"),
+        case(
+            "versions",
+            "table",
+            "model    version  replicas",
+            "model-a  2",
+        ),
+        case("replicas", "table", "replica   service", "model-a=2"),
+        case("replicas", "json", "[", "\"draining\": false"),
+        case("steps", "table", "step  model", ""),
+        case("lease", "table", "holder of orders  fence", "-"),
+    ];
+    let store = Store::default();
+    store.put("keyed.op", "config", Some(&records::config(3)));
+    let key = format!("version/{}", records::MODEL);
+    store.put("keyed.op", &key, Some(&records::version(2)));
+    let address = ([10, 0, 0, 1], 7_000).into();
+    let record = records::replica(records::ENGINES, address, "ready", 2);
+    store.put("keyed.servers", "engine-1", Some(&record));
+    let door = store
+        .open(([127, 0, 0, 1], 0).into())
+        .await
+        .expect("a port");
+    for case in cases {
+        let output = run(&door.address.to_string(), case.kind, case.form);
+        let text = String::from_utf8_lossy(&output.stdout);
+        assert!(output.status.success(), "{}: {output:?}", case.kind);
+        let first = text.lines().next().unwrap_or_default();
+        assert!(first.starts_with(case.first_line), "{}: {text}", case.kind);
+        assert!(text.contains(case.holds), "{}: {text}", case.kind);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn errors_when_the_store_is_away() {
+    let door = Store::default().open(([127, 0, 0, 1], 0).into()).await;
+    let door = door.expect("a port");
+    let address = door.address.to_string();
+    drop(door);
+    let output = run(&address, "steps", "table");
+    assert_eq!(output.status.code(), Some(6), "{output:?}");
+    let output = run("nowhere", "steps", "table");
+    assert_eq!(output.status.code(), Some(2), "{output:?}");
+}
--- a/components/dispatch/src/routes.rs
+++ b/components/dispatch/src/routes.rs
@@ -115,6 +115,13 @@
 }
 
 impl Routes {
+    /// Every route, by host and prefix.
+    pub fn all(&self) -> Vec<&Route> {
+        let mut routes: Vec<&Route> = self.by_host.values().flatten().map(Arc::as_ref).collect();
+        routes.sort_by_key(|route| (&route.host, &route.prefix));
+        routes
+    }
+
     /// Puts a version together.
     pub fn new(
         version: u64,
--- /dev/null
+++ b/components/inspect/src/read.rs
@@ -0,0 +1,162 @@
+//! Reading of the store.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use dispatch::Replica;
+use index::{INDEX_PARTITION, INDEX_TOPIC, Index};
+use lease::{Lease, LeaseSettings};
+use platform::records::{
+    self, OPERATOR_TOPIC, OperatorRecord, REPLICA_TOPIC, RecordError, operator_record,
+};
+use platform::store::{Store, StoreError};
+use quick_error::quick_error;
+
+use crate::rows::{LeaseRow, ReplicaRow, RouteRow, StepRow, VersionRow};
+
+/// Longest time of one call, in milliseconds: an operator waits, and a slow store takes 240.
+const CALL_MS: u64 = 3_000;
+/// Kibibytes of one read of the index.
+const READ_KB: u32 = 1_024;
+
+quick_error! {
+    /// Why nothing can be shown.
+    #[derive(Debug)]
+    pub enum InspectError {
+        /// The store does not give it.
+        Store(reason: StoreError) {
+            source(reason)
+            from()
+            display("cannot read the store: {}", reason)
+        }
+        /// The configuration's record can't be read.
+        Record(reason: RecordError) {
+            source(reason)
+            from()
+            display("{}", reason)
+        }
+    }
+}
+
+/// Reads a store.
+pub struct Inspector {
+    store: Store,
+}
+
+impl Inspector {
+    /// Reads the store at `address`.
+    pub fn new(address: SocketAddr) -> Self {
+        Self {
+            store: Store::new(address),
+        }
+    }
+
+    /// The configuration in force: its version and its routes, by host and prefix.
+    pub async fn routes(&self) -> Result<(u64, Vec<RouteRow>), InspectError> {
+        let (newest, _) = self.store.newest(OPERATOR_TOPIC, within()).await?;
+        let mut found = (0, Vec::new());
+        for record in newest {
+            if let OperatorRecord::Routes(routes) = operator_record(&record.key, &record.value)? {
+                let rows = routes.all().into_iter().map(RouteRow::from);
+                found = (routes.version, rows.collect());
+            }
+        }
+        Ok(found)
+    }
+
+    /// Newest named versions, by model.
+    pub async fn versions(&self) -> Result<Vec<VersionRow>, InspectError> {
+        let (newest, _) = self.store.newest(OPERATOR_TOPIC, within()).await?;
+        let mut named: BTreeMap<String, u64> = BTreeMap::new();
+        for record in newest {
+            if let OperatorRecord::Named { model, version } =
+                operator_record(&record.key, &record.value)?
+            {
+                named.insert(model.to_string(), version);
+            }
+        }
+        let replicas = self.replica_records().await?;
+        let holds = |replica: &Replica, model: &str, version| {
+            let mut models = replica.models.iter();
+            models.any(|(held, at)| **held == *model && *at == version)
+        };
+        let row = |(model, version): (String, u64)| VersionRow {
+            replicas: replicas
+                .iter()
+                .filter(|replica| holds(replica, &model, version))
+                .count(),
+            model,
+            version,
+        };
+        Ok(named.into_iter().map(row).collect())
+    }
+
+    /// Replicas by their own records.
+    pub async fn replicas(&self) -> Result<Vec<ReplicaRow>, InspectError> {
+        let replicas = self.replica_records().await?;
+        Ok(replicas.iter().map(ReplicaRow::from).collect())
+    }
+
+    /// Steps that the index still has, oldest first.
+    pub async fn steps(&self) -> Result<Vec<StepRow>, InspectError> {
+        let index = self.index().await?;
+        Ok(index.ledger.steps().map(StepRow::from).collect())
+    }
+
+    /// Who gives orders to replicas.
+    pub async fn lease(&self) -> Result<LeaseRow, InspectError> {
+        let index = self.index().await?;
+        let (holder, fence) = index.lease.holder().unzip();
+        Ok(LeaseRow {
+            holder: holder.flatten().map(str::to_owned),
+            fence,
+        })
+    }
+
+    async fn replica_records(&self) -> Result<Vec<Replica>, InspectError> {
+        let (newest, _) = self.store.newest(REPLICA_TOPIC, within()).await?;
+        let mut replicas = Vec::with_capacity(newest.len());
+        for record in newest {
+            match records::replica_record(&record.key, &record.value) {
+                Ok(replica) => replicas.push(replica),
+                Err(error) => {
+                    log::warn!(event = "record-odd", topic = REPLICA_TOPIC, error:% = error; "")
+                }
+            }
+        }
+        Ok(replicas)
+    }
+
+    /// The whole index, as far as the store still has it.
+    async fn index(&self) -> Result<Index, InspectError> {
+        // Nobody waits for this reader to give orders; the pause plays no part.
+        let mut index = Index::new(Lease::new("", 0, LeaseSettings::with_pause(0)));
+        let mut next = 0;
+        loop {
+            let page = self
+                .store
+                .read(INDEX_TOPIC, INDEX_PARTITION, next, READ_KB, 0, within())
+                .await;
+            match page {
+                Ok(page) => {
+                    next = index.apply(next, &page.records, 0, |offset, error| {
+                        log::warn!(event = "record-odd", topic = INDEX_TOPIC, offset, error:% = error; "");
+                    });
+                    if next >= page.end || page.records.is_empty() {
+                        return Ok(index);
+                    }
+                }
+                Err(StoreError::Gone(first)) => {
+                    index.skipped(0);
+                    next = first;
+                }
+                Err(error) => return Err(error.into()),
+            }
+        }
+    }
+}
+
+fn within() -> Duration {
+    Duration::from_millis(CALL_MS)
+}
--- /dev/null
+++ b/components/inspect/tests/inspect.rs
@@ -0,0 +1,176 @@
+//! What an operator sees of a store.
+
+use index::{INDEX_TOPIC, LogRecord, encode};
+use inspect::{Inspector, LeaseRow};
+use lease::LeaseRecord;
+use standins::fleet::records;
+use standins::fleet::store::Store;
+use steps::{ErrorCause, IndexRecord, ItemHead, Place, ResultState, StepHead, StepId};
+
+fn head(id: &str) -> StepHead {
+    let item = |at: u16| ItemHead {
+        id: format!("item-{at}"),
+        group: at / 2,
+        tokens: 300,
+        hint_tokens: 0,
+    };
+    StepHead {
+        id: id.to_owned(),
+        digest: [7; 16],
+        host: "h".to_owned(),
+        prefix: "/p/".to_owned(),
+        model: records::MODEL.to_owned(),
+        number: 3,
+        min_version: 2,
+        single_version: false,
+        groups_wanted: 2,
+        attempts_max: 3,
+        due_ms: 7_500,
+        retention_ms: 40_000,
+        items: (0..4).map(item).collect(),
+        data: Vec::new(),
+    }
+}
+
+fn listed(item: u32, state: ResultState) -> LogRecord {
+    LogRecord::Index(IndexRecord::Listed {
+        step: StepId(0),
+        item,
+        state,
+    })
+}
+
+fn text() -> ResultState {
+    ResultState::Succeeded {
+        versions: vec![2],
+        score: "s".to_owned(),
+        text: Place {
+            partition: 0,
+            offset: 0,
+            bytes: 1,
+        },
+    }
+}
+
+async fn inspector(store: &Store) -> (standins::Handle, Inspector) {
+    let door = store
+        .open(([127, 0, 0, 1], 0).into())
+        .await
+        .expect("a port");
+    let inspector = Inspector::new(door.address);
+    (door, inspector)
+}
+
+fn write(store: &Store, record: &LogRecord) {
+    store.add(INDEX_TOPIC, 0, vec![encode(record).expect("a record")]);
+}
+
+#[tokio::test]
+async fn can_show_the_configuration_versions_and_replicas() {
+    let store = Store::default();
+    store.put("keyed.op", "config", Some(&records::config(3)));
+    store.put(
+        "keyed.op",
+        &format!("version/{}", records::MODEL),
+        Some(&records::version(5)),
+    );
+    let at = |port| ([10, 0, 0, 1], port).into();
+    let beat = |service, state, version| records::replica(service, at(7_000), state, version);
+    store.put(
+        "keyed.servers",
+        "e-1",
+        Some(&beat(records::ENGINES, "ready", 5)),
+    );
+    store.put(
+        "keyed.servers",
+        "e-2",
+        Some(&beat(records::ENGINES, "draining", 4)),
+    );
+    store.put("keyed.servers", "odd", Some("{"));
+    let (_door, inspector) = inspector(&store).await;
+    let (version, routes) = inspector.routes().await.expect("routes");
+    let prefixes: Vec<_> = routes.iter().map(|route| route.prefix.as_str()).collect();
+    assert_eq!(
+        (version, prefixes),
+        (3, vec!["/bids/", "/calls/", "/scores/", "/steps/"])
+    );
+    let versions = inspector.versions().await.expect("versions");
+    assert_eq!((versions[0].version, versions[0].replicas), (5, 1));
+    let replicas = inspector.replicas().await.expect("replicas");
+    let states: Vec<_> = replicas
+        .iter()
+        .map(|row| (row.replica.as_str(), row.draining))
+        .collect();
+    assert_eq!(
+        states,
+        [("e-1", false), ("e-2", true)],
+        "odd records are passed over"
+    );
+}
+
+#[tokio::test]
+async fn can_show_the_progress_of_steps_and_who_gives_orders() {
+    let store = Store::default();
+    let accepted = IndexRecord::Accepted(Box::new(head("step-3")));
+    write(&store, &LogRecord::Index(accepted));
+    write(&store, &listed(0, text()));
+    write(&store, &listed(1, text()));
+    write(&store, &listed(2, ResultState::Errored(ErrorCause::Runs)));
+    let take = LeaseRecord::Take {
+        holder: "front-1".to_owned(),
+        attempt: 1,
+        after: None,
+    };
+    write(&store, &LogRecord::Lease(take));
+    let (_door, inspector) = inspector(&store).await;
+    let steps = inspector.steps().await.expect("steps");
+    let [step] = &steps[..] else {
+        panic!("one step");
+    };
+    assert_eq!((step.items, step.succeeded, step.errored), (4, 2, 1));
+    assert_eq!(
+        (step.groups_whole, step.groups_wanted, step.state),
+        (1, 2, "open")
+    );
+    let lease = inspector.lease().await.expect("the lease");
+    assert_eq!(lease.holder.as_deref(), Some("front-1"));
+    let release = LeaseRecord::Release {
+        fence: lease.fence.expect("held"),
+    };
+    write(&store, &LogRecord::Lease(release));
+    let none = LeaseRow {
+        holder: None,
+        fence: None,
+    };
+    assert_eq!(inspector.lease().await.expect("the lease"), none);
+}
+
+#[tokio::test]
+async fn can_show_what_is_left_of_a_shortened_index() {
+    // The store has dropped the records of a step, and keeps the later ones.
+    let store = Store::default();
+    write(
+        &store,
+        &LogRecord::Index(IndexRecord::Accepted(Box::new(head("gone")))),
+    );
+    store.forget(INDEX_TOPIC, 0);
+    write(
+        &store,
+        &LogRecord::Index(IndexRecord::Accepted(Box::new(head("kept")))),
+    );
+    let (_door, inspector) = inspector(&store).await;
+    let steps = inspector.steps().await.expect("steps");
+    let names: Vec<_> = steps.iter().map(|step| step.step.as_str()).collect();
+    assert_eq!(names, ["kept"]);
+}
+
+#[tokio::test]
+async fn errors_when_the_store_does_not_answer() {
+    let (door, inspector) = inspector(&Store::default()).await;
+    drop(door);
+    let error = inspector.steps().await.expect_err("no store");
+    assert!(
+        error.to_string().starts_with("cannot read the store"),
+        "{error}"
+    );
+}
--- a/components/lease/src/state.rs
+++ b/components/lease/src/state.rs
@@ -159,6 +159,13 @@
         self.held.as_ref().is_some_and(|held| self.is_mine(held)) && !self.given_up
     }
 
+    /// Who holds the lease, by the log alone: the VM, if its record is still there, and its
+    /// fencing number. None once it was given up.
+    pub fn holder(&self) -> Option<(Option<&str>, u64)> {
+        let held = self.held.as_ref().filter(|held| !held.released)?;
+        Some((held.holder.as_deref(), held.fence))
+    }
+
     /// The fencing number, while this process may give orders.
     pub fn fence(&self, now_ms: u64) -> Option<u64> {
         let held = self.held.as_ref()?;
