Items: a text that lost its one version is begun anew; two promises get a test

Cause, found by a test of what was not proved: on a route that asks for one version, a text that broke off was kept for replicas with the version that began it. When all of them had loaded the next one, the item waited until its step was over.

Change: where some replica could make the item from its beginning and none has its version, the text is thrown away and the item begins anew (text-begun-anew). Without replicas nothing is thrown away.

Test, red before (no result in 20 s): can_make_a_text_by_one_version_where_the_route_asks_for_it. New and green at once: can_stop_the_work_for_a_client_that_leaves.

--- a/components/dispatch/src/items.rs
+++ b/components/dispatch/src/items.rs
@@ -55,6 +55,19 @@
 /// What a prompt that is read already is worth, in thousandths of the time for a token.
 const SHARED_PROMPT: u64 = 120;
 
+/// Whether a text that has to go on under one version can't: no replica has that version any
+/// more, and some could make the item from its beginning. Without replicas nothing is said,
+/// as they may come back as they were.
+pub fn lost_its_version(item: &Waiting, engines: &[Engine]) -> bool {
+    let Some(only) = item.only_version else {
+        return false;
+    };
+    let could_begin = engines
+        .iter()
+        .any(|engine| engine.version >= item.min_version);
+    could_begin && engines.iter().all(|engine| engine.version != only)
+}
+
 /// Places as many items as there are places, in the order in which they should start.
 pub fn place(waiting: &[Waiting], engines: &mut [Engine]) -> Vec<Placed> {
     let mut order: Vec<usize> = (0..waiting.len()).collect();
--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -14,7 +14,7 @@
 
 pub use admission::Admission;
 pub use choice::{Candidate, choose};
-pub use items::{Engine, Placed, Waiting, place};
+pub use items::{Engine, Placed, Waiting, lost_its_version, place};
 pub use load::{InFlight, ReplicaLoad, Typical};
 pub use pace::{Pace, is_worth_moving, slowness};
 pub use registry::{Registry, Replica, ReplicaId, Revision, gather_ms};
--- a/components/dispatch/tests/items.rs
+++ b/components/dispatch/tests/items.rs
@@ -1,6 +1,8 @@
 //! Placing items on model replicas, under the load of a step that arrives at once.
 
-use dispatch::{Admission, Engine, Pace, Waiting, is_worth_moving, place, slowness};
+use dispatch::{
+    Admission, Engine, Pace, Waiting, is_worth_moving, lost_its_version, place, slowness,
+};
 use quickcheck::{Arbitrary, Gen};
 
 fn engine(version: u64, free: u32) -> Engine {
@@ -72,6 +74,44 @@
     }
 }
 
+#[test]
+fn can_tell_that_a_text_has_lost_its_version() {
+    // A text that must not mix versions broke off, and its replicas load the next version.
+    // Kept for the old one, the item would wait until its step is over.
+    struct Case {
+        name: &'static str,
+        only_version: Option<u64>,
+        engines: Vec<u64>,
+        lost: bool,
+    }
+    let case = |name, only_version, engines: &[u64], lost| Case {
+        name,
+        only_version,
+        engines: engines.to_vec(),
+        lost,
+    };
+    let cases = [
+        case("may mix", None, &[3], false),
+        case("still there", Some(2), &[3, 2], false),
+        case("gone", Some(2), &[3, 4], true),
+        case("nobody there", Some(2), &[], false),
+        case("only too old ones", Some(3), &[1], false),
+    ];
+    for case in cases {
+        let item = Waiting {
+            only_version: case.only_version,
+            ..waiting(1, 10)
+        };
+        let engines: Vec<Engine> = case.engines.iter().map(|v| engine(*v, 0)).collect();
+        assert_eq!(
+            lost_its_version(&item, &engines),
+            case.lost,
+            "{}",
+            case.name
+        );
+    }
+}
+
 #[test]
 fn can_start_the_longest_items_of_the_oldest_step_first() {
     // A step of many items arrives at once behind one that is nearly done. A long item takes
--- a/components/front/src/runner/look.rs
+++ b/components/front/src/runner/look.rs
@@ -153,13 +153,10 @@
 
     fn candidate(&self, step: &Step, key: Key, left_ms: u64) -> Candidate {
         let head: &ItemHead = &step.head.items[key.1 as usize];
-        let partial = self.partials.get(&key);
-        let begun = partial.and_then(|(partial, _)| locked(partial).versions.first().copied());
-        let saved = step
-            .pieces(key.1)
-            .last()
-            .and_then(|piece| piece.versions.first().copied());
-        let only_version = begun.or(saved).filter(|_| step.head.single_version);
+        let only_version = match step.head.single_version {
+            true => self.begun_under(step, key),
+            false => None,
+        };
         let guess = match head.hint_tokens {
             0 => TOKENS_GUESS,
             hint => hint,
@@ -179,6 +176,18 @@
         }
     }
 
+    /// Version under which the text of an item began, here or as it is saved; none if what is
+    /// saved is of no use.
+    fn begun_under(&self, step: &Step, key: Key) -> Option<u64> {
+        if let Some((partial, _)) = self.partials.get(&key) {
+            let partial = locked(partial);
+            if partial.discarded || !partial.versions.is_empty() {
+                return partial.versions.first().copied();
+            }
+        }
+        step.pieces(key.1).last()?.versions.first().copied()
+    }
+
     fn ask_for_data(&mut self, step: StepId, head: Arc<StepHead>) {
         if !self.asked.insert(step) {
             return;
@@ -220,10 +229,15 @@
                         .iter()
                         .position(|member| member.replica.id == *broke_at)
                 });
-                Waiting {
+                let mut waiting = Waiting {
                     avoid,
                     ..item.waiting.clone()
+                };
+                if lost_its_version(&waiting, &engines) {
+                    self.begin_anew(item.key);
+                    waiting.only_version = None;
                 }
+                waiting
             })
             .collect();
         for Placed { item, engine } in place(&waiting, &mut engines) {
@@ -239,6 +253,15 @@
         }
     }
 
+    /// Throws away what there is of a text: it has to be made by one version, and no replica
+    /// has the one that began it.
+    fn begin_anew(&mut self, key: Key) {
+        let (step, item) = (key.0.0, key.1);
+        log::info!(event = "text-begun-anew", step, item; "");
+        let held = self.partials.entry(key).or_default();
+        locked(&held.0).discard();
+    }
+
     fn start_one(&mut self, item: &Candidate, member: &Member) {
         let (step, number) = item.key;
         let Some(data) = self
--- a/components/front/src/runner/mod.rs
+++ b/components/front/src/runner/mod.rs
@@ -16,7 +16,8 @@
 
 use bytes::Bytes;
 use dispatch::{
-    Admission, Engine, Pace, Placed, ReplicaId, Route, Waiting, is_worth_moving, place, slowness,
+    Admission, Engine, Pace, Placed, ReplicaId, Route, Waiting, is_worth_moving, lost_its_version,
+    place, slowness,
 };
 use steps::{
     ErrorCause, FailedPart, IndexRecord, ItemData, ItemHead, Step, StepHead, StepId, decode_item,
--- a/components/front/tests/front/calls.rs
+++ b/components/front/tests/front/calls.rs
@@ -193,3 +193,23 @@
     })
     .await;
 }
+
+#[tokio::test]
+async fn can_stop_the_work_for_a_client_that_leaves() {
+    // A client closes its connection while a replica works on its call. The front closes its
+    // own connection to the replica, which stops; it does not wait for the answer.
+    let site = Site::start_with(3, 1, 600_000).await;
+    let front = site.front("a").await;
+    let call = front.call("q-1", "/calls/x");
+    let working = || {
+        site.replicas
+            .iter()
+            .map(|r| r.seen.working())
+            .sum::<usize>()
+    };
+    tokio::select! {
+        answer = call => panic!("answered: {answer:?}"),
+        () = until("a replica works on it", || async { working() > 0 }) => {}
+    }
+    until("no replica works on it", || async { working() == 0 }).await;
+}
--- a/components/front/tests/front/common.rs
+++ b/components/front/tests/front/common.rs
@@ -164,6 +164,11 @@
     /// A store with a configuration, two plain replicas and two model replicas that make
     /// `events` events, one each `pause_ms`.
     pub async fn start(events: u64, pause_ms: u64) -> Self {
+        Self::start_with(events, pause_ms, 5).await
+    }
+
+    /// The same, whose plain replicas take `call_ms` for a call.
+    pub async fn start_with(events: u64, pause_ms: u64, call_ms: u64) -> Self {
         let mut site = Self {
             store: Store::default(),
             replicas: Vec::new(),
@@ -171,7 +176,7 @@
         site.store
             .put("keyed.op", "config", Some(&records::config(3)));
         for id in ["plain-1", "plain-2"] {
-            site.add(id, PLAIN, 0, 5).await;
+            site.add(id, PLAIN, 0, call_ms).await;
         }
         for id in ["engine-1", "engine-2"] {
             site.add(id, ENGINES, events, pause_ms).await;
--- a/components/front/tests/front/steps.rs
+++ b/components/front/tests/front/steps.rs
@@ -263,3 +263,57 @@
     })
     .await;
 }
+
+#[tokio::test]
+async fn can_make_a_text_by_one_version_where_the_route_asks_for_it() {
+    // Both replicas break off a text, and hold another version when it goes on. Where a route
+    // asks for one version, the text is begun anew; elsewhere it goes on and names both.
+    struct Case {
+        name: &'static str,
+        single_version: bool,
+        versions: serde_json::Value,
+    }
+    let cases = [
+        Case {
+            name: "one version",
+            single_version: true,
+            versions: serde_json::json!([2]),
+        },
+        Case {
+            name: "any",
+            single_version: false,
+            versions: serde_json::json!([1, 2]),
+        },
+    ];
+    for case in cases {
+        let site = Site::start(12, 20).await;
+        let single = format!(
+            "\"RetentionS\":40.0,\"SingleVersion\":{}",
+            case.single_version
+        );
+        let config = records::config(4).replace("\"RetentionS\":40.0", &single);
+        site.store.put("keyed.op", "config", Some(&config));
+        let front = site.front("a").await;
+        let engines = ["engine-1", "engine-2"].map(|id| site.replica(id));
+        for engine in engines {
+            let cut = Fault {
+                after: 5,
+                ..Fault::new(FaultKind::Cut).on(records::STEPS).times(2)
+            };
+            engine.handle.fault(cut);
+        }
+        assert_eq!(front.submit("s-1", &records::step(1, 1, 2)).await.0, 202);
+        until("the items run", || async {
+            !site.runs("item-1-0").is_empty() && !site.runs("item-1-1").is_empty()
+        })
+        .await;
+        for engine in engines {
+            engine.seen.set_version(2);
+            site.beat(engine, "ready", 2);
+        }
+        for result in front.all_results("s-1", 2).await {
+            assert_eq!(result["Text"], text(12), "{}", case.name);
+            assert_eq!(result["Versions"], case.versions, "{}", case.name);
+        }
+    }
+}
--- a/dev/standins/src/fleet/replica.rs
+++ b/dev/standins/src/fleet/replica.rs
@@ -42,6 +42,16 @@
     runs: BTreeMap<String, Vec<u64>>,
     orders: Vec<Ordered>,
     answers: BTreeMap<String, u16>,
+    working: usize,
+}
+
+/// A run in progress.
+struct Working(Seen);
+
+impl Drop for Working {
+    fn drop(&mut self) {
+        self.0.lock().working -= 1;
+    }
 }
 
 /// What a replica was asked, and how it shall answer.
@@ -59,6 +69,16 @@
         self.lock().orders.clone()
     }
 
+    /// Runs in progress.
+    pub fn working(&self) -> usize {
+        self.lock().working
+    }
+
+    fn begin(&self) -> Working {
+        self.lock().working += 1;
+        Working(self.clone())
+    }
+
     /// Sets the version of the weights.
     pub fn set_version(&self, version: u64) {
         self.lock().version = version;
@@ -151,6 +171,7 @@
         state.runs.entry(id.clone()).or_default().push(last);
         (state.version, state.answers.get(&id).copied())
     };
+    let working = seen.begin();
     let stamp = format!("stamp-{id}");
     if let Some(status) = status {
         return with(
@@ -167,6 +188,7 @@
     let (chunks, answer) = reply::stream();
     let (events, pause_ms) = (settings.events, settings.pause_ms);
     tokio::spawn(async move {
+        let _working = working;
         for event in last + 1..=events {
             tokio::time::sleep(Duration::from_millis(pause_ms)).await;
             let text = format!("id: {event}\ndata: word-{event}\n\n");
