Replicas: a refused read is no outage of the store

One failed read reset the trust in vanished records, and a replica whose record was gone counted for 2.3 s more, as behind an outage in which records of live replicas expire.

Change: only a time of 0.9 s without an answer behind a failed call counts; a refused read is made again within 0.3 s, one that is not answered takes 1.3 s and counts as before. A whole list is compared by hash and not each with each. Sooner joins are for owners of partitions; reads of a lost store keep their time but for every second one.

Test, red before: can_drop_a_gone_replica_behind_a_refused_read.

--- a/components/dispatch/src/registry.rs
+++ b/components/dispatch/src/registry.rs
@@ -5,7 +5,7 @@
 //! Each life of a replica has an id of its own; the address alone names nobody, as it is
 //! given to other services later.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -19,6 +19,11 @@
 /// replica is gone binds only once the store has been steady for three seconds.
 const RETURN_MS: u64 = 2_300;
 
+/// How long the store must have given no answer, behind a failed call, for records of live
+/// replicas to be missing, in milliseconds. They write each second and more; a refused read is
+/// made again within 0.3 s, and one that is not answered takes 1.3 s.
+const AWAY_MS: u64 = 900;
+
 /// Pause between reads of replicas' records, in milliseconds, so that the heartbeats of many
 /// cost few calls; far below the two seconds in which a leaving replica must be known.
 const GATHER_MS: u64 = 120;
@@ -77,8 +82,13 @@
 #[derive(Debug, Default)]
 pub struct Registry {
     entries: BTreeMap<ReplicaId, Entry>,
-    /// When the store came back last; none while it is away.
+    /// When the store came back last from a time in which records may have expired; none
+    /// before it was seen.
     store_since_ms: Option<u64>,
+    /// When it answered last, in milliseconds.
+    seen_ms: u64,
+    /// Whether a call has failed since.
+    failing: bool,
 }
 
 impl Registry {
@@ -118,10 +128,11 @@
 
     /// Takes a whole list: every other replica has no record any more.
     pub fn keep_only(&mut self, listed: &[ReplicaId], now_ms: u64) -> Revision {
+        let listed: HashSet<&ReplicaId> = listed.iter().collect();
         let missing: Vec<ReplicaId> = self
             .entries
             .keys()
-            .filter(|id| !listed.contains(id))
+            .filter(|id| !listed.contains(*id))
             .cloned()
             .collect();
         let mut revision = Revision::Unchanged;
@@ -133,19 +144,27 @@
         revision
     }
 
-    /// The store can't be reached.
+    /// A call to the store failed.
     pub fn store_lost(&mut self) {
-        self.store_since_ms = None;
+        self.failing = true;
     }
 
-    /// The store answers; repeated calls change nothing.
+    /// The store answers.
     pub fn store_seen(&mut self, now_ms: u64) {
-        self.store_since_ms.get_or_insert(now_ms);
+        if self.store_since_ms.is_none() || self.is_away(now_ms) {
+            self.store_since_ms = Some(now_ms);
+        }
+        self.failing = false;
+        self.seen_ms = now_ms;
+    }
+
+    fn is_away(&self, now_ms: u64) -> bool {
+        self.failing && now_ms >= self.seen_ms + AWAY_MS
     }
 
     fn is_trusted(&self, now_ms: u64) -> bool {
-        self.store_since_ms
-            .is_some_and(|since_ms| now_ms >= since_ms + RETURN_MS)
+        let since_ms = self.store_since_ms;
+        !self.is_away(now_ms) && since_ms.is_some_and(|since_ms| now_ms >= since_ms + RETURN_MS)
     }
 
     /// Drops replicas whose record did not come back in time.
--- a/components/dispatch/tests/registry.rs
+++ b/components/dispatch/tests/registry.rs
@@ -61,6 +61,38 @@
     assert_eq!(ids(&registry), ["a"]);
 }
 
+#[test]
+fn can_drop_a_gone_replica_behind_a_refused_read() {
+    // With hundreds of fronts the store refuses a read now and then, and the next one is
+    // answered. No record expires in that time. Taken for an outage, it kept a replica that
+    // had left in use for 2.3 s more, and it got work.
+    struct Case {
+        name: &'static str,
+        away_ms: u64,
+        kept: &'static [&'static str],
+    }
+    let cases = [
+        Case {
+            name: "refused for a moment",
+            away_ms: 250,
+            kept: &["a"],
+        },
+        Case {
+            name: "a read without an answer",
+            away_ms: 1_450,
+            kept: &["a", "b"],
+        },
+    ];
+    for case in cases {
+        let mut registry = with(&["a", "b"]);
+        registry.store_seen(60_000);
+        registry.store_lost();
+        registry.store_seen(60_000 + case.away_ms);
+        registry.remove("b", 60_000 + case.away_ms);
+        assert_eq!(ids(&registry), case.kept, "{}", case.name);
+    }
+}
+
 #[test]
 fn can_take_a_whole_list_after_the_history_was_lost() {
     let mut registry = with(&["a", "b", "c"]);
--- a/components/front/src/follow.rs
+++ b/components/front/src/follow.rs
@@ -21,6 +21,8 @@
 const WAIT_MS: u64 = 450;
 /// Time for a read beyond its wait, in milliseconds: a slow store takes 240.
 const READ_SLACK_MS: u64 = 900;
+/// Time for a read that finds out whether a silent store is back, in milliseconds.
+const PROBE_MS: u64 = 400;
 /// Most kibibytes of one read: peak memory against calls after a start.
 const READ_KB: u32 = 64;
 /// Pause after a read that failed, in milliseconds.
@@ -73,9 +75,12 @@
         take(KeyedNews::All(keys));
         take(KeyedNews::Settled);
         let mut next = end;
+        let mut failed = 0;
         loop {
-            match front.storage.read(read_from(topic, 0, next), within).await {
+            let from = read_from(topic, 0, next);
+            match front.storage.read(from, read_time(failed)).await {
                 Ok(page) => {
+                    failed = 0;
                     for record in page.records {
                         let offset = next;
                         next += 1;
@@ -105,6 +110,7 @@
                     break;
                 }
                 Err(error) => {
+                    failed += 1;
                     lost(front, topic, &error);
                     take(KeyedNews::Lost);
                     front.storage.pause(PAUSE_MS).await;
@@ -246,17 +252,17 @@
 
 /// Follows the index: steps, results and the lease.
 pub async fn index(front: Arc<Front>) {
-    let within = Duration::from_millis(WAIT_MS + READ_SLACK_MS);
     let mut next = 0;
-    let mut was_lost = false;
+    let mut failed = 0;
     loop {
+        let within = read_time(failed);
         let page = front
             .storage
             .read(read_from(INDEX_TOPIC, INDEX_PARTITION, next), within)
             .await;
         match page {
             Ok(page) => {
-                if std::mem::take(&mut was_lost) {
+                if std::mem::take(&mut failed) > 0 {
                     log::info!(event = "store-regained", topic = INDEX_TOPIC, next; "");
                 }
                 let now_ms = now_ms();
@@ -277,7 +283,8 @@
                 next = first;
             }
             Err(error) => {
-                if !std::mem::replace(&mut was_lost, true) {
+                failed += 1;
+                if failed == 1 {
                     lost(&front, INDEX_TOPIC, &error);
                 }
                 front.storage.pause(PAUSE_MS).await;
@@ -286,6 +293,16 @@
     }
 }
 
+/// Longest time for a read after so many failed ones in a row. Every second one is short and
+/// finds out soon that a silent store, or a connection that lost an answer, is back; the
+/// others get through to a store that is slow under the reads of many fronts.
+fn read_time(failed: u32) -> Duration {
+    match failed % 2 {
+        0 => Duration::from_millis(WAIT_MS + READ_SLACK_MS),
+        _ => Duration::from_millis(PROBE_MS),
+    }
+}
+
 fn apply_page(front: &Front, from: u64, records: &[Bytes], now_ms: u64) -> u64 {
     let mut index = front.index();
     let next = index.apply(from, records, now_ms, |offset, error| {
--- a/components/front/src/member.rs
+++ b/components/front/src/member.rs
@@ -45,7 +45,9 @@
         let unwritable_ms = front.unwritable_ms(now_ms());
         match ownership.next(unwritable_ms) {
             Next::Join { generation } => {
-                if join(&front, &mut ownership, generation).await {
+                let changed = join(&front, &mut ownership, generation).await;
+                // Of hundreds of fronts few have a partition to hand on or to wait for.
+                if changed && !ownership.partitions().is_empty() {
                     settling_until_ms = now_ms() + SETTLING_MS;
                 }
             }
--- a/components/front/src/storage.rs
+++ b/components/front/src/storage.rs
@@ -10,10 +10,6 @@
 
 use index::DATA_TOPIC;
 
-/// Longest time of a read while the store is lost, in milliseconds; a slow store takes 240.
-/// The reads find out that it is back.
-const LOST_READ_MS: u64 = 400;
-
 /// Where a read goes on, and how much it brings.
 pub struct ReadFrom<'a> {
     /// Topic.
@@ -81,9 +77,8 @@
         self.call(append).await
     }
 
-    /// Reads records; while the store is lost, without a wait and for a short time.
+    /// Reads records; while the store is lost, without a wait for them.
     pub async fn read(&self, from: ReadFrom<'_>, within: Duration) -> Result<Page, StoreError> {
-        let within = self.read_time(within);
         let wait_ms = match self.reach.is_lost() {
             true => 0,
             false => from.wait_ms,
@@ -107,7 +102,6 @@
         topic: &str,
         within: Duration,
     ) -> Result<(Vec<KeyedRecord>, u64), StoreError> {
-        let within = self.read_time(within);
         self.call(self.store.newest(topic, within)).await
     }
 
@@ -137,13 +131,6 @@
         self.follow(self.store.leave(group, member, within)).await
     }
 
-    fn read_time(&self, within: Duration) -> Duration {
-        match self.reach.is_lost() {
-            true => within.min(Duration::from_millis(LOST_READ_MS)),
-            false => within,
-        }
-    }
-
     async fn call<T>(
         &self,
         call: impl Future<Output = Result<T, StoreError>>,
