House: three circles between files undone

body and delivery of the gateway, entry and start, admission and fair queue of limits each needed the other for one type. AnswerBroken, Tuning and Ticket have a file of their own; moves only. Left: gate and queue_task (a permit and what it shares with the queue), the feed files.

--- a/components/gateway/src/body.rs
+++ b/components/gateway/src/body.rs
@@ -7,23 +7,11 @@
 use futures_util::Stream;
 use http_body_util::Full;
 use hyper::body::{Body as HttpBody, Frame, SizeHint};
-use quick_error::quick_error;
-use types::Failure;
 
 use crate::connections::Busy;
 use crate::delivery::{Cut, Received, deliver};
 
-quick_error! {
-    /// An answer that ends before its stated end. `hyper` then aborts the connection, so
-    /// that the caller can't take what it has for the whole.
-    #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-    pub enum AnswerBroken {
-        /// The call failed after part of its answer was given.
-        Cut(failure: Failure) {
-            display("the answer was cut: {}", failure)
-        }
-    }
-}
+pub use crate::answer_broken::AnswerBroken;
 
 /// Body of an answer.
 pub struct Body {
--- a/components/gateway/src/delivery.rs
+++ b/components/gateway/src/delivery.rs
@@ -24,7 +24,7 @@
 use tokio::time::timeout;
 use types::{Cause, Failure, RunState};
 
-use crate::body::AnswerBroken;
+use crate::answer_broken::AnswerBroken;
 
 /// Parts between the task and the caller's connection.
 const PARTS_MAX: usize = 8;
--- a/components/gateway/src/entry.rs
+++ b/components/gateway/src/entry.rs
@@ -9,7 +9,7 @@
 use link::LinkSettings;
 use node::admin::{self, AdminHooks};
 use node::leave::{self, Leaving};
-use node::{FeedSettings, GossipSettings, NodeError, Sockets};
+use node::{NodeError, Sockets};
 use protocol::ProcessRole;
 use settings::EntrySettings;
 use tokio::net::TcpListener;
@@ -19,27 +19,9 @@
 use crate::gateway::Gateway;
 use crate::readiness::Readiness;
 use crate::start::{Parts, start};
+use crate::tuning::Tuning;
 use crate::{inner, routes, server, status};
 
-/// Times and bounds that are not among the flags; tests shorten them.
-#[derive(Clone, Debug, Default)]
-pub struct Tuning {
-    /// Configuration.
-    pub feed: FeedSettings,
-    /// News over UDP.
-    pub gossip: GossipSettings,
-    /// Choice of replicas.
-    pub routing: routing::Settings,
-    /// Second copies of slow calls; with [`u32::MAX`] calls to know there are none.
-    pub hedging: routing::hedge::HedgeSettings,
-    /// Shares of customers' limits.
-    pub shares: limits::ShareSettings,
-    /// Queues of services.
-    pub admission: limits::AdmissionSettings,
-    /// Retries of a customer.
-    pub retries: limits::BudgetSettings,
-}
-
 /// An entry that has its addresses and runs when told to.
 pub struct Entry {
     settings: EntrySettings,
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -4,6 +4,7 @@
 mod accounts;
 mod admission;
 mod answer;
+mod answer_broken;
 mod attempt;
 pub mod auth;
 pub mod body;
@@ -49,7 +50,9 @@
 pub mod target;
 mod trace;
 mod training;
+mod tuning;
 mod weight_news;
 
-pub use entry::{Entry, Tuning};
+pub use entry::Entry;
 pub use error::EntryError;
+pub use tuning::Tuning;
--- a/components/gateway/src/start.rs
+++ b/components/gateway/src/start.rs
@@ -15,7 +15,6 @@
 use tokio::sync::mpsc;
 
 use crate::accounts::Accounts;
-use crate::entry::Tuning;
 use crate::error::EntryError;
 use crate::gateway::Gateway;
 use crate::keyed::{self, Claims};
@@ -26,6 +25,7 @@
 use crate::services::Services;
 use crate::suspects::Quarantine;
 use crate::training::{Coordinator, Copier, spawn};
+use crate::tuning::Tuning;
 use crate::weight_news::WeightNews;
 
 /// First part of the names of an entry's metrics.
--- a/components/limits/src/admission.rs
+++ b/components/limits/src/admission.rs
@@ -15,10 +15,7 @@
 use crate::fair::{FairQueue, Place};
 use crate::retry_after::retry_after_ms;
 use crate::settings::AdmissionSettings;
-
-/// Number of a waiting request, given by the queue's owner in the order of arrival.
-#[key]
-pub struct Ticket(pub u64);
+use crate::ticket::Ticket;
 
 /// A request that finds no room.
 #[value]
--- a/components/limits/src/fair.rs
+++ b/components/limits/src/fair.rs
@@ -10,7 +10,7 @@
 use derive::key;
 use types::CustomerName;
 
-use crate::admission::Ticket;
+use crate::ticket::Ticket;
 
 /// Virtual time of one unit of cost at weight 1; the weights up to 10 divide it.
 const UNIT: u64 = 5_040;
--- a/components/limits/src/gate.rs
+++ b/components/limits/src/gate.rs
@@ -15,10 +15,11 @@
 use tokio::sync::{Notify, mpsc, oneshot};
 use types::{Cause, Class, CustomerName, Failure};
 
-use crate::admission::{Arrival, Room, Ticket};
+use crate::admission::{Arrival, Room};
 use crate::queue_task::{self, Event};
 use crate::retry_after::retry_after_ms;
 use crate::settings::AdmissionSettings;
+use crate::ticket::Ticket;
 
 /// Arrivals on their way to the queue's task.
 const CHANNEL_MAX: usize = 1_024;
--- a/components/limits/src/lib.rs
+++ b/components/limits/src/lib.rs
@@ -20,8 +20,9 @@
 mod settings;
 mod share;
 mod shares;
+mod ticket;
 
-pub use admission::{Action, Admission, Arrival, Room, Ticket};
+pub use admission::{Action, Admission, Arrival, Room};
 pub use asked::{Asked, Offered};
 pub use bucket::Bucket;
 pub use budget::{BudgetSettings, RetryBudget};
@@ -32,3 +33,4 @@
 pub use settings::AdmissionSettings;
 pub use share::{Share, ShareSettings};
 pub use shares::{BYTES_PER_S_MAX, DIGEST_BYTES_MAX, Shares, period_ms};
+pub use ticket::Ticket;
--- a/components/limits/src/queue_task.rs
+++ b/components/limits/src/queue_task.rs
@@ -8,8 +8,9 @@
 use tokio::time;
 use types::Failure;
 
-use crate::admission::{Action, Admission, Arrival, Ticket};
+use crate::admission::{Action, Admission, Arrival};
 use crate::gate::{Permit, Shared};
+use crate::ticket::Ticket;
 
 /// Longest sleep, so that the task finds out when its gate is gone.
 const SLEEP_MAX_MS: u64 = 1_000;
