Reads: patience after failed reads is a function of its own, and never waits in vain

Found in reading the change: the short second read of the followers asked the store to wait 450 ms for news and gave up after 400. Where another task's success had cleared the state of loss in between, an idle topic failed it each second time.

Change: reach::patience gives both times together; a short read asks for what is there. Test: can_wait_for_news_no_longer_than_a_read_may_take (the rule that was broken; the function is new, so the test was not red before).

--- a/components/front/src/follow.rs
+++ b/components/front/src/follow.rs
@@ -7,22 +7,21 @@
 
 use bytes::Bytes;
 use dispatch::{Registry, Replica, ReplicaId, Revision, gather_ms};
+use index::{INDEX_PARTITION, INDEX_TOPIC};
 use platform::records::{self, OPERATOR_TOPIC, OperatorRecord, REPLICA_TOPIC};
-use platform::store::{StoreError, keyed};
+use platform::store::{Page, StoreError, keyed};
+use reach::{Patience, patience};
 use telemetry::Label;
 
 use crate::clock::now_ms;
 use crate::state::{Front, locked};
 use crate::storage::ReadFrom;
-use index::{INDEX_PARTITION, INDEX_TOPIC};
 
 /// How long a read waits for a record, in milliseconds. A read that comes back empty proves
 /// that nothing is new, and answers to trainers lean on a proof below a second old.
 const WAIT_MS: u64 = 450;
 /// Time for a read beyond its wait, in milliseconds: a slow store takes 240.
 const READ_SLACK_MS: u64 = 900;
-/// Time for a read that finds out whether a silent store is back, in milliseconds.
-const PROBE_MS: u64 = 400;
 /// Most kibibytes of one read: peak memory against calls after a start.
 const READ_KB: u32 = 64;
 /// Pause after a read that failed, in milliseconds.
@@ -77,8 +76,7 @@
         let mut next = end;
         let mut failed = 0;
         loop {
-            let from = read_from(topic, 0, next);
-            match front.storage.read(from, read_time(failed)).await {
+            match read(front, topic, 0, next, failed).await {
                 Ok(page) => {
                     failed = 0;
                     for record in page.records {
@@ -120,14 +118,23 @@
     }
 }
 
-fn read_from(topic: &str, partition: u32, offset: u64) -> ReadFrom<'_> {
-    ReadFrom {
+/// Reads on from an offset, after so many reads that failed.
+async fn read(
+    front: &Front,
+    topic: &str,
+    partition: u32,
+    offset: u64,
+    failed: u32,
+) -> Result<Page, StoreError> {
+    let Patience { wait_ms, within } = patience(failed, WAIT_MS, READ_SLACK_MS);
+    let from = ReadFrom {
         topic,
         partition,
         offset,
         max_kb: READ_KB,
-        wait_ms: WAIT_MS,
-    }
+        wait_ms,
+    };
+    front.storage.read(from, within).await
 }
 
 fn lost(front: &Front, topic: &str, error: &StoreError) {
@@ -255,12 +262,7 @@
     let mut next = 0;
     let mut failed = 0;
     loop {
-        let within = read_time(failed);
-        let page = front
-            .storage
-            .read(read_from(INDEX_TOPIC, INDEX_PARTITION, next), within)
-            .await;
-        match page {
+        match read(&front, INDEX_TOPIC, INDEX_PARTITION, next, failed).await {
             Ok(page) => {
                 if std::mem::take(&mut failed) > 0 {
                     log::info!(event = "store-regained", topic = INDEX_TOPIC, next; "");
@@ -293,16 +295,6 @@
     }
 }
 
-/// Longest time for a read after so many failed ones in a row. Every second one is short and
-/// finds out soon that a silent store, or a connection that lost an answer, is back; the
-/// others get through to a store that is slow under the reads of many fronts.
-fn read_time(failed: u32) -> Duration {
-    match failed % 2 {
-        0 => Duration::from_millis(WAIT_MS + READ_SLACK_MS),
-        _ => Duration::from_millis(PROBE_MS),
-    }
-}
-
 fn apply_page(front: &Front, from: u64, records: &[Bytes], now_ms: u64) -> u64 {
     let mut index = front.index();
     let next = index.apply(from, records, now_ms, |offset, error| {
--- a/components/front/src/jobs/data.rs
+++ b/components/front/src/jobs/data.rs
@@ -4,13 +4,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use index::DATA_TOPIC;
 use quick_error::quick_error;
 use steps::{DataError, DataRange, ItemData, ItemHead, encode_item};
 
 use super::tries::{self, Tries, Wanted};
 use crate::state::Front;
 use crate::writer::data_partition;
-use index::DATA_TOPIC;
 
 /// Longest time for one append on the path of a client, in milliseconds.
 const APPEND_MS: u64 = 1_000;
--- a/components/front/src/jobs/mod.rs
+++ b/components/front/src/jobs/mod.rs
@@ -13,6 +13,7 @@
 use bytes::Bytes;
 use dispatch::{Route, Routes};
 use hyper::StatusCode;
+use index::LogRecord;
 use platform::jobs::{self, Submission};
 use steps::{DataRange, IndexRecord, StepHead, StepId};
 
@@ -22,7 +23,6 @@
 use crate::figures;
 use crate::state::Front;
 use crate::writer::{append_index, encode};
-use index::LogRecord;
 
 /// When a refused trainer may come again, in milliseconds.
 const AGAIN_MS: u64 = 250;
--- a/components/front/src/leader.rs
+++ b/components/front/src/leader.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use dispatch::ReplicaId;
+use index::LogRecord;
 use orders::{Fleet, Model, Node, OrderSettings, plan};
 use platform::replica::{self, LoadMode, Order, OrderAnswer, ReplicaError};
 
@@ -12,7 +13,6 @@
 use crate::peers::Member;
 use crate::state::{Front, locked};
 use crate::writer::write_index;
-use index::LogRecord;
 
 /// How often the lease and the plan are looked at, in milliseconds.
 const LOOK_MS: u64 = 100;
--- a/components/front/src/member.rs
+++ b/components/front/src/member.rs
@@ -7,12 +7,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use index::{RUNNER_GROUP, RUNNER_TOPIC};
 use ownership::{Next, Ownership, OwnershipSettings};
 use platform::settings::FrontSettings;
 
 use crate::clock::now_ms;
 use crate::state::Front;
-use index::{RUNNER_GROUP, RUNNER_TOPIC};
 
 /// Time to live of a member, in milliseconds: how long items stand still after a front died.
 const TTL_MS: u64 = 1_300;
--- a/components/front/src/partial.rs
+++ b/components/front/src/partial.rs
@@ -8,13 +8,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use index::{DATA_TOPIC, LogRecord};
 use platform::store::StoreError;
 use steps::{IndexRecord, Place, SavedPiece, StepId};
 
 use crate::state::{Front, locked};
 use crate::storage::data_from;
 use crate::writer::{APPEND_MS, WriteError, data_partition, write_index};
-use index::{DATA_TOPIC, LogRecord};
 
 /// Longest time for reading a piece, in milliseconds.
 const READ_MS: u64 = 800;
--- a/components/front/src/reward.rs
+++ b/components/front/src/reward.rs
@@ -4,13 +4,13 @@
 use std::time::Duration;
 
 use hyper::{HeaderMap, Method};
+use index::LogRecord;
 use steps::{FailedPart, IndexRecord, Scorer, StepId};
 
 use crate::calls::{self, CallOutcome, CallSpec};
 use crate::clock::now_ms;
 use crate::state::Front;
 use crate::writer::write_index;
-use index::LogRecord;
 
 /// Time for one reward call where its route does not say, in milliseconds.
 const CALL_MS: u64 = 3_000;
--- a/components/front/src/runner/mod.rs
+++ b/components/front/src/runner/mod.rs
@@ -19,6 +19,7 @@
     Admission, Engine, Pace, Placed, ReplicaId, Route, Waiting, is_worth_moving, lost_its_version,
     place, slowness,
 };
+use index::LogRecord;
 use steps::{
     ErrorCause, FailedPart, IndexRecord, ItemData, ItemHead, Step, StepHead, StepId, decode_item,
 };
@@ -33,7 +34,6 @@
 use crate::run_item::{self, RunEnd, RunSpec};
 use crate::state::{Front, locked};
 use crate::writer::{Ended, Outcome, write_index};
-use index::LogRecord;
 
 use data::read_data;
 use engines::{EngineState, Place};
--- a/components/front/src/storage.rs
+++ b/components/front/src/storage.rs
@@ -5,11 +5,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use index::DATA_TOPIC;
 use platform::store::{KeyedRecord, Membership, Page, Store, StoreError};
 use reach::Reach;
 
-use index::DATA_TOPIC;
-
 /// Where a read goes on, and how much it brings.
 pub struct ReadFrom<'a> {
     /// Topic.
@@ -77,18 +76,14 @@
         self.call(append).await
     }
 
-    /// Reads records; while the store is lost, without a wait for them.
+    /// Reads records.
     pub async fn read(&self, from: ReadFrom<'_>, within: Duration) -> Result<Page, StoreError> {
-        let wait_ms = match self.reach.is_lost() {
-            true => 0,
-            false => from.wait_ms,
-        };
         let ReadFrom {
             topic,
             partition,
             offset,
             max_kb,
-            ..
+            wait_ms,
         } = from;
         let read = self
             .store
--- a/components/front/src/writer.rs
+++ b/components/front/src/writer.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use index::{DATA_TOPIC, INDEX_PARTITION, INDEX_TOPIC, IndexError, LogRecord};
 use platform::store::StoreError;
 use quick_error::quick_error;
 use steps::{ErrorCause, IndexRecord, Place, ResultState, StepId};
@@ -15,7 +16,6 @@
 
 use crate::clock::now_ms;
 use crate::state::Front;
-use index::{DATA_TOPIC, INDEX_PARTITION, INDEX_TOPIC, IndexError, LogRecord};
 
 /// Longest time for an append, in milliseconds; the store refuses when two seconds wait.
 pub const APPEND_MS: u64 = 1_500;
--- a/components/reach/tests/reach.rs
+++ b/components/reach/tests/reach.rs
@@ -3,7 +3,7 @@
 use std::future::{pending, ready};
 use std::time::Duration;
 
-use reach::Reach;
+use reach::{Reach, patience};
 use tokio::time::{Instant, sleep};
 
 const LONG: Duration = Duration::from_secs(20);
@@ -97,3 +97,17 @@
     assert_eq!(left, None);
     assert_eq!(began.elapsed(), Duration::from_millis(1_300));
 }
+
+#[test]
+fn can_wait_for_news_no_longer_than_a_read_may_take() {
+    // A read that waited at the store for longer than it may take would fail on every quiet
+    // day, and pass for a store that is lost.
+    for failed in 0..6 {
+        for (wait_ms, slack_ms) in [(450, 900), (0, 900), (2_000, 300)] {
+            let patience = patience(failed, wait_ms, slack_ms);
+            assert!(Duration::from_millis(patience.wait_ms) < patience.within);
+        }
+    }
+    assert_eq!(patience(1, 450, 900).within, Duration::from_millis(400));
+    assert_eq!(patience(2, 450, 900), patience(0, 450, 900));
+}
