--- a/components/lease/tests/lease.rs
+++ b/components/lease/tests/lease.rs
@@ -13,6 +13,8 @@
 /// One log, and VMs that read it at their own pace.
 struct World {
     log: Vec<LeaseRecord>,
+    /// Records before this offset are gone.
+    first: usize,
     vms: Vec<Vm>,
     /// Records on their way: when they land, and the record.
     flying: Vec<(u64, LeaseRecord)>,
@@ -24,6 +26,7 @@
 struct Vm {
     lease: Lease,
     read: usize,
+    read_since_ms: u64,
     cut_until_ms: u64,
     frozen_until_ms: u64,
     lives: u64,
@@ -35,6 +38,7 @@
     Vm {
         lease: Lease::new(NAMES[name], lives * 1_000_000, settings()),
         read: 0,
+        read_since_ms: 0,
         cut_until_ms: 0,
         frozen_until_ms: 0,
         lives,
@@ -45,6 +49,7 @@
     fn new() -> Self {
         Self {
             log: Vec::new(),
+            first: 0,
             vms: (0..NAMES.len()).map(|name| vm(name, 0)).collect(),
             flying: Vec::new(),
             now_ms: 0,
@@ -81,11 +86,16 @@
         if now_ms < vm.cut_until_ms {
             return;
         }
+        if vm.read < self.first {
+            vm.lease.forget();
+            vm.read = self.first;
+            vm.read_since_ms = now_ms;
+        }
         for offset in vm.read..self.log.len() {
             vm.lease.apply(offset as u64, &self.log[offset], now_ms);
         }
         vm.read = self.log.len();
-        if let Some(record) = vm.lease.next_record(0, true, now_ms) {
+        if let Some(record) = vm.lease.next_record(vm.read_since_ms, true, now_ms) {
             self.flying.push((now_ms + 50 + lose_ms, record));
         }
     }
@@ -295,3 +305,16 @@
     }
     assert_eq!(other.next_record(0, true, 50_010), None);
 }
+
+#[test]
+fn can_keep_one_holder_when_the_whole_log_is_gone() {
+    // Every record of the lease is gone at once, and a VM that was restarted reads none before
+    // it takes the lease for itself. The others know the holder and pass its take over, so that
+    // two give orders, each sure of itself.
+    let mut world = World::new();
+    world.apply(&Event::Run { ticks: 251 });
+    world.first = world.log.len();
+    world.apply(&Event::Restart { vm: 2 });
+    world.apply(&Event::Run { ticks: 134 });
+    assert_eq!(world.too_close(), None);
+}
