House: what the change had written twice, once

Found in reading the whole change again; behaviour as it is.

- runner: the end of an item, with a text or without, is handed to the writer by one function; two had the same task around their outcome.
- a failed run and a failed reward call are noted in the index by one function.
- one record of the data topic is read by one function of the storage; bodies of items and saved pieces had a loop's worth of it each.
- slowness of replicas for calls and for items is forgotten by one formula.
- peers take their lock as the rest of the front does.
- the plan of loads no longer asks for a replica's id (a string for each replica ten times a second) and for work owed, which nothing read.
Its tests lose these fields and no assertion.

--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod admission;
 mod choice;
+mod fade;
 mod items;
 mod load;
 mod pace;
--- a/components/dispatch/src/load.rs
+++ b/components/dispatch/src/load.rs
@@ -3,6 +3,8 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 
+use crate::fade::faded;
+
 /// Slowness is kept in thousandths; a replica like the others has this much.
 const EVEN: u64 = 1_000;
 /// Share of a new observation in the mean, in thousandths: a slow replica is known after
@@ -125,11 +127,7 @@
             kept => kept,
         };
         let age_ms = now_ms.saturating_sub(self.observed_ms.load(Ordering::Relaxed));
-        let halvings = (age_ms / FORGET_HALF_MS).min(10);
-        if kept <= EVEN {
-            return kept;
-        }
-        EVEN + ((kept - EVEN) >> halvings)
+        faded(kept, EVEN, age_ms, FORGET_HALF_MS)
     }
 
     /// Expected time until a new call of `typical_us` ends here, in arbitrary units.
--- a/components/dispatch/src/pace.rs
+++ b/components/dispatch/src/pace.rs
@@ -7,6 +7,10 @@
 
 use std::sync::atomic::{AtomicU64, Ordering};
 
+use crate::fade::faded;
+
+/// Slowness of a replica like the others, in thousandths.
+const EVEN: u64 = 1_000;
 /// Share of a new pause in the mean, in hundredths: a replica that turned slow is known
 /// after some four events of one run.
 const SHARE: u64 = 20;
@@ -58,14 +62,10 @@
 pub fn slowness(pace: &Pace, typical_us: u64, now_ms: u64) -> u64 {
     let mean_us = pace.mean_us();
     if mean_us == 0 || typical_us == 0 {
-        return 1_000;
-    }
-    let now = mean_us * 1_000 / typical_us;
-    if now <= 1_000 {
-        return now;
+        return EVEN;
     }
-    let halvings = (pace.age_ms(now_ms) / FORGET_HALF_MS).min(10);
-    1_000 + ((now - 1_000) >> halvings)
+    let now = mean_us * EVEN / typical_us;
+    faded(now, EVEN, pace.age_ms(now_ms), FORGET_HALF_MS)
 }
 
 /// Whether an item should go on elsewhere: the replica is slow, the other one much faster.
--- a/components/front/src/leader.rs
+++ b/components/front/src/leader.rs
@@ -140,7 +140,6 @@
     let model = |name: &Arc<str>| Model {
         name: name.to_string(),
         named: named.get(name).copied().unwrap_or(0),
-        owed: 0,
     };
     names.iter().map(model).collect()
 }
@@ -168,7 +167,6 @@
             .map(|model| member.replica.version_of(&model.name).unwrap_or(0))
             .collect();
         Node {
-            id: member.replica.id.to_string(),
             versions,
             loading,
             free: order.is_none(),
--- a/components/front/src/partial.rs
+++ b/components/front/src/partial.rs
@@ -13,7 +13,6 @@
 use steps::{IndexRecord, Place, SavedPiece, StepId};
 
 use crate::state::{Front, locked};
-use crate::storage::data_from;
 use crate::writer::{APPEND_MS, WriteError, data_partition, write_index};
 
 /// Longest time for reading a piece, in milliseconds.
@@ -184,18 +183,12 @@
         } = piece.text;
         let within = Duration::from_millis(READ_MS);
         let kb = bytes / 1_024 + READ_EXTRA_KB;
-        let page = front
-            .storage
-            .read(data_from(partition, offset, kb), within)
-            .await?;
-        let text = page
-            .records
-            .into_iter()
-            .next()
-            .filter(|text| text.len() == bytes as usize);
-        texts.push(text.ok_or_else(|| {
-            StoreError::Malformed(format!("no piece of {bytes} bytes at {offset}"))
-        })?);
+        let text = front.storage.record(partition, offset, kb, within).await?;
+        if text.len() != bytes as usize {
+            let why = format!("no piece of {bytes} bytes at {offset}");
+            return Err(StoreError::Malformed(why));
+        }
+        texts.push(text);
     }
     Partial::from_pieces(pieces, &texts)
         .ok_or_else(|| StoreError::Malformed("no pieces".to_owned()))
--- a/components/front/src/peers.rs
+++ b/components/front/src/peers.rs
@@ -1,13 +1,14 @@
 //! Replicas with what this process has there: connections and load.
 
 use std::collections::HashMap;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use dispatch::{Replica, ReplicaId, ReplicaLoad};
 use platform::{Connection, ExchangeError, connect};
 
 use crate::clock::now_ms;
+use crate::state::locked;
 
 /// Longest time for a connection to a replica, in milliseconds. The way is below 3 ms and a
 /// replica takes 1 ms for it; one that takes longer is cut off or overrun.
@@ -46,7 +47,7 @@
 
     fn kept(&self) -> Option<Connection> {
         let now_ms = now_ms();
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut idle = locked(&self.idle);
         while let Some(newest) = idle.pop() {
             if now_ms < newest.until_ms && newest.connection.is_usable() {
                 return Some(newest.connection);
@@ -60,7 +61,7 @@
         let now_ms = now_ms();
         let keep_ms = keep_ms.map_or(KEEP_MS, |stated| stated.saturating_sub(KEEP_MARGIN_MS));
         let until_ms = now_ms + keep_ms;
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut idle = locked(&self.idle);
         if idle.len() == IDLE_MAX {
             idle.remove(0);
         }
@@ -72,10 +73,7 @@
 
     /// Closes all kept connections, as one of them was silent or brought odd bytes.
     pub fn forget_connections(&self) {
-        self.idle
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .clear();
+        locked(&self.idle).clear();
     }
 }
 
--- a/components/front/src/results.rs
+++ b/components/front/src/results.rs
@@ -190,14 +190,7 @@
         return missing(front);
     };
     let within = Duration::from_millis(READ_MS);
-    let read = front
-        .storage
-        .read(data_from(partition, offset, 1), within)
-        .await;
-    let record = read.and_then(|page| {
-        let first = page.records.into_iter().next();
-        first.ok_or_else(|| StoreError::Malformed(format!("no record at {offset}")))
-    });
+    let record = front.storage.record(partition, offset, 1, within).await;
     let body = record.map(|record| decode_item(&record).map(|data| data.body));
     match body {
         Ok(Ok(body)) => Read::Found(body.into()),
--- a/components/front/src/reward.rs
+++ b/components/front/src/reward.rs
@@ -4,13 +4,12 @@
 use std::time::Duration;
 
 use hyper::{HeaderMap, Method};
-use index::LogRecord;
-use steps::{FailedPart, IndexRecord, Scorer, StepId};
+use steps::{FailedPart, Scorer, StepId};
 
 use crate::calls::{self, CallOutcome, CallSpec};
 use crate::clock::now_ms;
 use crate::state::Front;
-use crate::writer::write_index;
+use crate::writer::note_failed;
 
 /// Time for one reward call where its route does not say, in milliseconds.
 const CALL_MS: u64 = 3_000;
@@ -56,7 +55,7 @@
             }
             if answer.status.as_u16() == 500 {
                 failed += 1;
-                note_failure(front, key).await;
+                note_failed(front, key, FailedPart::Reward).await;
                 if failed >= route.attempts_max {
                     return None;
                 }
@@ -65,12 +64,3 @@
         tokio::time::sleep(Duration::from_millis(PAUSE_MS)).await;
     }
 }
-
-async fn note_failure(front: &Front, (step, item): (StepId, u32)) {
-    let part = FailedPart::Reward;
-    let record = [LogRecord::Index(IndexRecord::Failed { step, item, part })];
-    if let Err(error) = write_index(front, &record).await {
-        // This process counts on; another one that takes over would allow one call more.
-        log::warn!(event = "failure-not-written", step = step.0, item, error:% = error; "");
-    }
-}
--- a/components/front/src/runner/mod.rs
+++ b/components/front/src/runner/mod.rs
@@ -19,10 +19,7 @@
     Admission, Engine, Pace, Placed, ReplicaId, Route, Waiting, is_worth_moving, lost_its_version,
     place, slowness,
 };
-use index::LogRecord;
-use steps::{
-    ErrorCause, FailedPart, IndexRecord, ItemData, ItemHead, Step, StepHead, StepId, decode_item,
-};
+use steps::{ErrorCause, FailedPart, ItemData, ItemHead, Step, StepHead, StepId, decode_item};
 use tokio::sync::{Notify, mpsc};
 use tokio::task::AbortHandle;
 
@@ -33,7 +30,7 @@
 use crate::reward;
 use crate::run_item::{self, RunEnd, RunSpec};
 use crate::state::{Front, locked};
-use crate::writer::{Ended, Outcome, write_index};
+use crate::writer::{Ended, Outcome, note_failed};
 
 use data::read_data;
 use engines::{EngineState, Place};
@@ -261,14 +258,8 @@
         Some((Arc::clone(&step.head), *step.progress.get(item as usize)?))
     }
 
-    fn note_failed_run(&self, (step, item): Key) {
+    fn note_failed_run(&self, key: Key) {
         let front = Arc::clone(&self.front);
-        tokio::spawn(async move {
-            let part = FailedPart::Run;
-            let record = [LogRecord::Index(IndexRecord::Failed { step, item, part })];
-            if let Err(error) = write_index(&front, &record).await {
-                log::warn!(event = "failure-not-written", step = step.0, item, error:% = error; "");
-            }
-        });
+        tokio::spawn(async move { note_failed(&front, key, FailedPart::Run).await });
     }
 }
--- a/components/front/src/runner/settle.rs
+++ b/components/front/src/runner/settle.rs
@@ -19,58 +19,49 @@
             return;
         };
         let (front, data) = (Arc::clone(&self.front), Arc::clone(data));
-        let ended = self.ended.clone();
         let item_id = head.items[key.1 as usize].id.clone();
-        let task = tokio::spawn(async move {
+        self.hand_to_writer(key, async move {
             let score = match &data.scorer {
                 None => Some(String::new()),
                 Some(scorer) => reward::score(&front, key, scorer, failed_rewards).await,
             };
             let (step, item) = key;
             let reward = data.scorer.as_ref().map_or("none", |scorer| &scorer.id);
-            let outcome = match score {
-                Some(score) => {
-                    log::info!(
-                        event = "item-scored", id = item_id, step = step.0, item, reward,
-                        versions:? = partial.versions; ""
-                    );
-                    let text = Bytes::from(partial.text);
-                    Outcome::Text {
-                        text,
-                        versions: partial.versions,
-                        score,
-                    }
-                }
-                None => {
-                    log::info!(event = "item-without-score", id = item_id, step = step.0, item, reward; "");
-                    Outcome::Error(ErrorCause::Reward)
-                }
+            let Some(score) = score else {
+                log::info!(event = "item-without-score", id = item_id, step = step.0, item, reward; "");
+                return Outcome::Error(ErrorCause::Reward);
             };
-            // The writer ends with the process only.
-            let _ = ended
-                .send(Ended {
-                    step,
-                    item,
-                    outcome,
-                })
-                .await;
+            log::info!(
+                event = "item-scored", id = item_id, step = step.0, item, reward,
+                versions:? = partial.versions; ""
+            );
+            Outcome::Text {
+                text: Bytes::from(partial.text),
+                versions: partial.versions,
+                score,
+            }
         });
-        self.running.insert(
-            key,
-            Running {
-                abort: task.abort_handle(),
-                at: None,
-            },
-        );
     }
 
     /// Lists an item without a text.
     pub(super) fn give_up(&mut self, key: Key, cause: ErrorCause) {
         let (step, item) = key;
         log::info!(event = "item-given-up", step = step.0, item, cause:? = cause; "");
+        self.hand_to_writer(key, std::future::ready(Outcome::Error(cause)));
+    }
+
+    /// Hands an item to the writer once its outcome is there; until it is listed it counts as
+    /// running, with its text whole.
+    fn hand_to_writer(
+        &mut self,
+        key: Key,
+        outcome: impl Future<Output = Outcome> + Send + 'static,
+    ) {
         let ended = self.ended.clone();
         let task = tokio::spawn(async move {
-            let outcome = Outcome::Error(cause);
+            let (step, item) = key;
+            let outcome = outcome.await;
+            // The writer ends with the process only.
             let _ = ended
                 .send(Ended {
                     step,
--- a/components/front/src/storage.rs
+++ b/components/front/src/storage.rs
@@ -91,6 +91,21 @@
         self.call(read).await
     }
 
+    /// One record of the data topic; `max_kb` is at least its length.
+    pub async fn record(
+        &self,
+        partition: u32,
+        offset: u64,
+        max_kb: u32,
+        within: Duration,
+    ) -> Result<Bytes, StoreError> {
+        let page = self
+            .read(data_from(partition, offset, max_kb), within)
+            .await?;
+        let first = page.records.into_iter().next();
+        first.ok_or_else(|| StoreError::Malformed(format!("no record at {offset}")))
+    }
+
     /// The newest record of each key of a keyed topic, and the end to read on from.
     pub async fn newest(
         &self,
--- a/components/front/src/writer.rs
+++ b/components/front/src/writer.rs
@@ -11,7 +11,7 @@
 use index::{DATA_TOPIC, INDEX_PARTITION, INDEX_TOPIC, IndexError, LogRecord};
 use platform::store::StoreError;
 use quick_error::quick_error;
-use steps::{ErrorCause, IndexRecord, Place, ResultState, StepId};
+use steps::{ErrorCause, FailedPart, IndexRecord, Place, ResultState, StepId};
 use tokio::sync::mpsc;
 
 use crate::clock::now_ms;
@@ -104,6 +104,15 @@
         .await?)
 }
 
+/// Notes in the index that a part of an item failed.
+pub async fn note_failed(front: &Front, (step, item): (StepId, u32), part: FailedPart) {
+    let record = [LogRecord::Index(IndexRecord::Failed { step, item, part })];
+    if let Err(error) = write_index(front, &record).await {
+        // This process counts on; another one that takes over allows one attempt more.
+        log::warn!(event = "failure-not-written", step = step.0, item, error:% = error; "");
+    }
+}
+
 /// Partition of the data topic that this front writes to.
 pub fn data_partition(front: &Front) -> u32 {
     ownership::partition_of(&front.settings.node, front.settings.store.partitions)
--- a/components/orders/src/plan.rs
+++ b/components/orders/src/plan.rs
@@ -42,15 +42,11 @@
     pub name: String,
     /// Newest version that was named.
     pub named: u64,
-    /// Work that its open steps owe, in tokens; decides on shares.
-    pub owed: u64,
 }
 
 /// A replica.
 #[value]
 pub struct Node {
-    /// Id of this life.
-    pub id: String,
     /// Versions that it has, in the order of [`Fleet::models`].
     pub versions: Vec<u64>,
     /// The load that it has accepted or may have accepted: index of the model, version.
--- a/components/orders/tests/plan.rs
+++ b/components/orders/tests/plan.rs
@@ -7,13 +7,11 @@
     Model {
         name: name.to_owned(),
         named,
-        owed: 0,
     }
 }
 
-fn node(id: usize, versions: &[u64]) -> Node {
+fn node(versions: &[u64]) -> Node {
     Node {
-        id: format!("r{id}"),
         versions: versions.to_vec(),
         loading: None,
         free: true,
@@ -28,11 +26,7 @@
             .zip(names)
             .map(|(named, name)| model(name, *named))
             .collect(),
-        nodes: versions
-            .iter()
-            .enumerate()
-            .map(|(id, held)| node(id, held))
-            .collect(),
+        nodes: versions.iter().map(|held| node(held)).collect(),
     }
 }
 
@@ -67,12 +61,12 @@
         let mut named = Vec::new();
         (0..models).for_each(|_| named.push(u64::arbitrary(g) % 6));
         let mut nodes = Vec::new();
-        for id in 0..usize::arbitrary(g) % 12 {
+        for _ in 0..usize::arbitrary(g) % 12 {
             let held: Vec<u64> = named
                 .iter()
                 .map(|newest| newest - u64::arbitrary(g) % (newest + 1))
                 .collect();
-            let mut node = node(id, &held);
+            let mut node = node(&held);
             node.free = bool::arbitrary(g);
             if models > 0 && bool::arbitrary(g) {
                 let model = usize::arbitrary(g) % models;
