Lease: orders of two holders lie the pause apart also where the whole log is gone

Cause: a VM that reads nothing of the lease takes it; the others know its holder and pass the take over, and each is sure of itself. The pause was counted from announcements of the *known* holder only. Ruled out: waiting out the silence behind the gap (fails with cuts and freezes beside it). Change: announcements of every other holder are waited behind, but those of holders that the log's order replaced; an announcement that has another holder's before it in the log allows nothing; none from before a gap counts. Two holders that hear each other leave it to the older one, or to the one that is heard. Events of the generated tests drop the log now.

--- a/components/lease/src/lib.rs
+++ b/components/lease/src/lib.rs
@@ -12,6 +12,12 @@
 //! when that time and the pause have passed. So a holder that is frozen or cut off has
 //! stopped before another one begins, and one that fell silent while it ordered nothing is
 //! replaced within moments. Both sides use a clock that counts suspension.
+//!
+//! Who holds is not what keeps orders apart: the announcements do. Whoever announces has read
+//! no other holder's announcement for the pause, and an announcement that has one of another
+//! holder right before it in the log allows nothing. So where the log lost every record and
+//! two VMs believe that they hold the lease, they still don't order in turns; and as soon as
+//! one hears the other, the older holder keeps the lease.
 
 mod record;
 mod settings;
--- a/components/lease/src/state.rs
+++ b/components/lease/src/state.rs
@@ -8,6 +8,10 @@
 /// which only makes this process believe less.
 const SENT_MAX: usize = 16;
 
+/// Former holders whose late renewals are told from those of another holder: records land
+/// seconds late, and a change of holder takes more than one.
+const SUPERSEDED_MAX: usize = 8;
+
 /// Nothing was read yet that tells when orders were announced last.
 const SINCE_START: Option<u64> = None;
 
@@ -19,6 +23,24 @@
     newest_offset: u64,
     read_ms: u64,
     released: bool,
+    /// Announcements of other holders were read since the take.
+    disputed: bool,
+    /// Holders that lost the lease to this one in the log's order, newest first.
+    superseded: VecDeque<u64>,
+}
+
+impl Held {
+    fn unknown(fence: u64, offset: u64, now_ms: u64) -> Self {
+        Self {
+            fence,
+            holder: None,
+            newest_offset: offset,
+            read_ms: now_ms,
+            released: false,
+            disputed: false,
+            superseded: VecDeque::new(),
+        }
+    }
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -36,6 +58,8 @@
     held: Option<Held>,
     /// When the newest announcement of another VM was read; none before the first.
     others_orders_ms: Option<u64>,
+    /// When a holder beside the known one was heard last.
+    other_ms: Option<u64>,
     /// This process's number of attempts; starts at a value that no earlier life used.
     attempts: u64,
     sent: VecDeque<Sent>,
@@ -52,6 +76,7 @@
             settings,
             held: None,
             others_orders_ms: SINCE_START,
+            other_ms: None,
             attempts: first_attempt,
             sent: VecDeque::new(),
             sent_last_ms: None,
@@ -85,41 +110,68 @@
         {
             return;
         }
+        let superseded = self.held.take().map_or_else(VecDeque::new, |held| {
+            let mut superseded = held.superseded;
+            superseded.push_front(held.fence);
+            superseded.truncate(SUPERSEDED_MAX);
+            superseded
+        });
         self.held = Some(Held {
-            fence: offset + 1,
             holder: Some(holder.to_owned()),
-            newest_offset: offset,
-            read_ms: now_ms,
-            released: false,
+            superseded,
+            ..Held::unknown(offset + 1, offset, now_ms)
         });
         self.orders_until_ms = 0;
     }
 
     fn apply_renew(&mut self, offset: u64, fence: u64, attempt: u64, orders: bool, now_ms: u64) {
-        let known = self.held.get_or_insert(Held {
-            fence,
-            holder: None,
-            newest_offset: offset,
-            read_ms: now_ms,
-            released: false,
-        });
-        if known.fence != fence || known.released {
+        let known = self
+            .held
+            .get_or_insert_with(|| Held::unknown(fence, offset, now_ms));
+        if known.superseded.contains(&fence) {
             return;
         }
-        known.newest_offset = offset;
-        known.read_ms = now_ms;
-        let mine = known.holder.as_deref() == Some(self.me.as_str());
-        if orders && !mine {
-            self.others_orders_ms = Some(now_ms);
+        if known.fence != fence {
+            self.apply_other(offset, fence, now_ms);
+        } else if !known.released {
+            known.newest_offset = offset;
+            known.read_ms = now_ms;
         }
-        if mine {
-            // An earlier life of this VM announced orders, so the pause behind every other
-            // VM's announcement before this one was over by then.
+        self.apply_announcement(fence, attempt, orders, now_ms);
+    }
+
+    /// Another holder than the known one lives: each has taken the lease without knowing of
+    /// the other, as the log lost what would have told. The older one keeps it, or the one
+    /// that is heard.
+    fn apply_other(&mut self, offset: u64, fence: u64, now_ms: u64) {
+        let Some(held) = &self.held else { return };
+        self.other_ms = Some(now_ms);
+        let silent = held.released || now_ms >= held.read_ms + self.settings.silent_ms;
+        if fence < held.fence || silent {
+            self.held = Some(Held::unknown(fence, offset, now_ms));
+            self.orders_until_ms = 0;
+        }
+    }
+
+    fn apply_announcement(&mut self, fence: u64, attempt: u64, orders: bool, now_ms: u64) {
+        let Some(held) = &mut self.held else { return };
+        if held.released && held.fence == fence {
+            return;
+        }
+        let mine = held.fence == fence && held.holder.as_deref() == Some(self.me.as_str());
+        if !mine {
             if orders {
-                self.others_orders_ms = Some(0);
+                self.others_orders_ms = Some(now_ms);
+                held.disputed = true;
             }
-            self.confirm(attempt);
+            return;
+        }
+        // An earlier life of this VM announced orders, so the pause behind every other VM's
+        // announcement before the take was over by then. It tells nothing of those behind it.
+        if orders && !held.disputed {
+            self.others_orders_ms = Some(0);
         }
+        self.confirm(attempt);
     }
 
     fn apply_release(&mut self, offset: u64, fence: u64, now_ms: u64) {
@@ -141,7 +193,12 @@
         };
         let sent = self.sent[at];
         self.sent.drain(..=at);
-        if sent.orders {
+        // Another holder's announcement stands before this one: the pause behind it holds
+        // whoever has the lease, so two holders that don't know of each other never order
+        // in turns.
+        let others_ms = self.others_orders_ms.unwrap_or(0);
+        let in_pause = others_ms > 0 && sent.sent_ms < others_ms + self.settings.order_free_ms;
+        if sent.orders && !in_pause {
             let until_ms = sent.sent_ms + self.settings.order_ms;
             self.orders_until_ms = self.orders_until_ms.max(until_ms);
         }
@@ -150,6 +207,9 @@
     /// Forgets what was read, as the log lost records that this process had not read.
     pub fn forget(&mut self) {
         self.held = None;
+        self.other_ms = None;
+        // What stood between an announcement and the gap is not known any more.
+        self.sent.clear();
         self.orders_until_ms = 0;
         self.others_orders_ms = SINCE_START;
     }
@@ -245,7 +305,11 @@
             Some(held) if !held.released => held.read_ms + self.settings.silent_ms,
             Some(_) | None => 0,
         };
-        if now_ms < free_ms {
+        // While another holder is heard, its next renewal makes it the known one.
+        let other_free_ms = self
+            .other_ms
+            .map_or(0, |other_ms| other_ms + self.settings.silent_ms);
+        if now_ms < free_ms.max(other_free_ms) {
             return None;
         }
         let after = held.map(|held| held.newest_offset);
--- a/components/lease/tests/lease.rs
+++ b/components/lease/tests/lease.rs
@@ -116,13 +116,14 @@
     Restart { vm: usize },
     GiveUp { vm: usize },
     Late { ticks: u8, ms: u64 },
+    Drop,
 }
 
 impl Arbitrary for Event {
     fn arbitrary(g: &mut Gen) -> Self {
         let vm = usize::arbitrary(g) % NAMES.len();
         let for_ms = u64::arbitrary(g) % 8_000;
-        match u8::arbitrary(g) % 8 {
+        match u8::arbitrary(g) % 9 {
             0..3 => Event::Run {
                 ticks: u8::arbitrary(g),
             },
@@ -130,6 +131,7 @@
             4 => Event::Freeze { vm, for_ms },
             5 => Event::Restart { vm },
             6 => Event::GiveUp { vm },
+            7 => Event::Drop,
             _ => Event::Late {
                 ticks: u8::arbitrary(g) % 40,
                 ms: for_ms,
@@ -146,6 +148,7 @@
             Event::Cut { vm, for_ms } => self.vms[*vm].cut_until_ms = self.now_ms + for_ms,
             Event::Freeze { vm, for_ms } => self.vms[*vm].frozen_until_ms = self.now_ms + for_ms,
             Event::Restart { vm: at } => self.vms[*at] = vm(*at, self.vms[*at].lives + 1),
+            Event::Drop => self.first = self.log.len(),
             Event::GiveUp { vm } => {
                 if let Some(record) = self.vms[*vm].lease.give_up() {
                     self.flying.push((self.now_ms + 50, record));
@@ -318,3 +321,84 @@
     world.apply(&Event::Run { ticks: 134 });
     assert_eq!(world.too_close(), None);
 }
+
+/// The lease of a VM that took it as the first record that it read, and was heard at 4,500.
+fn holder(me: &str) -> Lease {
+    let mut lease = Lease::new(me, 0, settings());
+    let take = lease.next_record(0, true, 0).expect("free");
+    lease.apply(10, &take, 10);
+    let alive = lease.next_record(0, false, 4_500).expect("due");
+    lease.apply(11, &alive, 4_500);
+    lease
+}
+
+fn announcement(fence: u64) -> LeaseRecord {
+    LeaseRecord::Renew {
+        fence,
+        attempt: 1,
+        orders: true,
+    }
+}
+
+#[test]
+fn errors_on_an_announcement_behind_one_of_an_unknown_holder() {
+    // Two VMs hold the lease without knowing of each other, as the log was lost. Both announce
+    // orders at once. The announcement that stands second in the log allows none: its writer
+    // had not read the first, and would order beside the other.
+    let mut lease = holder("a");
+    let mine = lease.next_record(0, true, 5_000).expect("due");
+    lease.apply(12, &announcement(40), 5_010);
+    lease.apply(13, &mine, 5_010);
+    assert!(lease.is_held_here());
+    assert_eq!(lease.fence(5_020), None);
+}
+
+#[test]
+fn errors_on_orders_of_an_earlier_life_behind_those_of_an_unknown_holder() {
+    // A VM restarts and reads its own take, another holder's orders, and orders that its
+    // earlier life announced without having read of the other. They do not tell that the
+    // pause behind the other one's orders is over.
+    let mut lease = holder("a");
+    lease.apply(12, &announcement(40), 5_000);
+    lease.apply(13, &announcement(11), 5_000);
+    assert!(lease.is_held_here());
+    let next = lease.next_record(0, true, 5_100);
+    assert!(!matches!(
+        next,
+        Some(LeaseRecord::Renew { orders: true, .. })
+    ));
+}
+
+#[test]
+fn errors_on_an_announcement_from_before_a_gap() {
+    // A holder announces orders, and the log loses records that it has not read, another
+    // holder's announcement perhaps among them. What it announced allows nothing any more.
+    let mut lease = holder("a");
+    let mine = lease.next_record(0, true, 5_000).expect("due");
+    let take = LeaseRecord::Take {
+        holder: "a".into(),
+        attempt: 9,
+        after: None,
+    };
+    lease.forget();
+    lease.apply(10, &take, 5_010);
+    lease.apply(11, &mine, 5_010);
+    assert_eq!(lease.fence(5_020), None);
+}
+
+#[test]
+fn can_end_with_one_holder_where_two_took_the_lease_unknown_to_each_other() {
+    // The log is gone and a restarted VM takes the lease beside its holder. Who read only the
+    // younger take leaves the lease to the older holder as soon as it is heard.
+    let mut younger = holder("c");
+    assert!(younger.is_held_here());
+    let alive = LeaseRecord::Renew {
+        fence: 4,
+        attempt: 1,
+        orders: false,
+    };
+    younger.apply(12, &alive, 4_600);
+    assert!(!younger.is_held_here());
+    assert_eq!(younger.holder(), Some((None, 4)));
+    assert_eq!(younger.next_record(0, true, 5_500), None);
+}
