Items: a run that makes nothing goes on at another replica

Cause: fronts share replicas and each counts its own runs only, so a request waits in a queue that its front can't see; or it is preempted in the middle, its replica loads weights, or it went dark. Ruled out: static shares of the replicas for each model (a replica serves two of three models at 2/3 each; it would leave the places of the others idle); one front for all models (a bigger loss when it dies). Change: silence of five usual pauses, 200 ms at least, moves a run while another replica has a place; no item goes where one is silent. The choice of runs to move stands in dispatch, with a test that needs no network, and looks at the model of a run and at the only version that may go on with it, which the choice before forgot.

--- /dev/null
+++ b/components/dispatch/tests/moves.rs
@@ -0,0 +1,132 @@
+//! Runs that go on at another replica, under the load of several fronts on the same replicas.
+
+use dispatch::{Engine, MoveCause, Run, runs_to_move, stalled_ms};
+
+fn engine(version: u64, free: u32, slowness: u64) -> Engine {
+    Engine {
+        version,
+        free,
+        running: 1,
+        slowness,
+        prompts: Vec::new(),
+    }
+}
+
+fn run(silent_ms: u64) -> Run {
+    Run {
+        engine: 0,
+        silent_ms,
+        min_version: 2,
+        only_version: None,
+        slow_moves: 0,
+    }
+}
+
+#[test]
+fn can_move_runs_that_make_nothing_while_another_replica_has_a_place() {
+    // Other fronts fill a replica that this front believes to be free, its memory runs out, it
+    // loads weights, or it went dark: a text stands still, and the trainer waits for the whole
+    // group. It goes on elsewhere as soon as that is known, and only where there is room.
+    struct Case {
+        name: &'static str,
+        run: Run,
+        elsewhere: Engine,
+        moved: Option<MoveCause>,
+    }
+    let single = |version| Run {
+        only_version: Some(version),
+        ..run(900)
+    };
+    let case = |name, run, elsewhere, moved| Case {
+        name,
+        run,
+        elsewhere,
+        moved,
+    };
+    let stalled = Some(MoveCause::Stalled);
+    let cases = [
+        case("silent", run(900), engine(2, 1, 1_000), stalled),
+        case(
+            "silent at its slow replica",
+            run(900),
+            engine(2, 1, 3_000),
+            stalled,
+        ),
+        case("it makes events", run(60), engine(2, 1, 1_000), None),
+        case("no place", run(900), engine(2, 0, 1_000), None),
+        case("too old a version", run(900), engine(1, 1, 1_000), None),
+        case(
+            "must not mix, same version",
+            single(3),
+            engine(3, 1, 1_000),
+            stalled,
+        ),
+        case(
+            "must not mix, other version",
+            single(2),
+            engine(3, 1, 1_000),
+            None,
+        ),
+    ];
+    for case in cases {
+        let mut engines = [engine(2, 4, 1_000), case.elsewhere];
+        let moved = runs_to_move(&[case.run], &mut engines, stalled_ms(50_000));
+        let cause = moved.first().map(|(_, cause)| *cause);
+        assert_eq!(cause, case.moved, "{}", case.name);
+    }
+}
+
+#[test]
+fn can_move_as_many_runs_as_there_are_places() {
+    let mut engines = [engine(2, 0, 1_000), engine(2, 2, 1_000)];
+    let moved = runs_to_move(&[run(900), run(900), run(900)], &mut engines, 250);
+    assert_eq!(moved.len(), 2);
+    assert_eq!(engines[1].free, 0);
+}
+
+#[test]
+fn can_move_away_from_a_slow_replica_twice_at_most() {
+    for (slow_moves, moved) in [(0, 1), (1, 1), (2, 0)] {
+        let mut engines = [engine(2, 0, 3_500), engine(2, 8, 1_000)];
+        let run = Run {
+            slow_moves,
+            ..run(120)
+        };
+        assert_eq!(
+            runs_to_move(&[run], &mut engines, 250).len(),
+            moved,
+            "{slow_moves}"
+        );
+    }
+}
+
+#[test]
+fn can_tell_silence_by_the_usual_pause() {
+    struct Case {
+        typical_us: u64,
+        stalled_ms: u64,
+    }
+    for Case {
+        typical_us,
+        stalled_ms: expected,
+    } in [
+        Case {
+            typical_us: 0,
+            stalled_ms: 200,
+        },
+        Case {
+            typical_us: 35_000,
+            stalled_ms: 200,
+        },
+        Case {
+            typical_us: 50_000,
+            stalled_ms: 250,
+        },
+        Case {
+            typical_us: 150_000,
+            stalled_ms: 750,
+        },
+    ] {
+        assert_eq!(stalled_ms(typical_us), expected);
+    }
+}
--- a/components/front/src/partial.rs
+++ b/components/front/src/partial.rs
@@ -33,7 +33,7 @@
     pub versions: Vec<u64>,
     /// Whether an earlier text was of no use, so that what is saved is of none either.
     pub discarded: bool,
-    /// How often it was moved to another replica.
+    /// How often it was moved away from a slow replica.
     pub moves: u32,
     saved: Saved,
     unsure: Option<Saved>,
--- a/components/front/src/run_item.rs
+++ b/components/front/src/run_item.rs
@@ -1,6 +1,7 @@
 //! One run of an item at one replica.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -45,6 +46,8 @@
     pub admission: Arc<Admission>,
     /// Stops the run, so that another replica goes on.
     pub stop: Arc<Notify>,
+    /// When the run was sent or made its newest event, in milliseconds.
+    pub heard_ms: Arc<AtomicU64>,
 }
 
 /// How a run ended.
@@ -66,7 +69,11 @@
 /// Runs an item until the run ends; what it makes is added to `shared`.
 pub async fn run(spec: &RunSpec, shared: &SharedPartial) -> RunEnd {
     let behind = locked(shared).last_event;
-    let mut item_run = match start(spec, behind).await {
+    let started = tokio::select! {
+        started = start(spec, behind) => started,
+        () = spec.stop.notified() => return RunEnd::Stopped,
+    };
+    let mut item_run = match started {
         Ok(ItemStart::Running(run)) => run,
         Ok(ItemStart::Ended(end, connection)) => {
             if let Some(connection) = connection {
@@ -92,6 +99,7 @@
                     return end;
                 }
                 let now_us = now_us();
+                spec.heard_ms.store(now_us / 1_000, Ordering::Relaxed);
                 spec.admission.taken(now_us / 1_000);
                 if let Some(last_us) = last_us.replace(now_us) {
                     spec.pace.record(now_us - last_us, now_us / 1_000);
--- a/components/front/src/runner/engines.rs
+++ b/components/front/src/runner/engines.rs
@@ -2,9 +2,6 @@
 
 use super::*;
 
-/// Moves of one item, at most, so that no misjudgement sends it to and fro.
-const MOVES_MAX: u32 = 2;
-
 pub(super) struct EngineState {
     pub(super) running: Arc<AtomicU32>,
     pub(super) pace: Arc<Pace>,
@@ -47,6 +44,7 @@
             self.engines.entry(id).or_insert_with(EngineState::new);
         }
         let typical_us = self.typical_us(members);
+        let full = self.with_stalled_runs(stalled_ms(typical_us), now_ms);
         members
             .iter()
             .map(|member| {
@@ -59,7 +57,10 @@
                 };
                 let unused = member.replica.slots.saturating_sub(running);
                 let admission = state.admissions.get(model);
-                let free = admission.map_or(unused, |known| known.places(unused, now_ms));
+                let free = match full.contains(&member.replica.id) {
+                    true => 0,
+                    false => admission.map_or(unused, |known| known.places(unused, now_ms)),
+                };
                 Engine {
                     version,
                     free,
@@ -92,37 +93,74 @@
         paces.get(paces.len() / 2).copied().unwrap_or(0)
     }
 
-    /// Stops runs on slow replicas as far as the places that are left on fast ones go.
-    pub(super) fn move_from_slow(&mut self, members: &[Member], engines: &mut [Engine]) {
-        for (key, running) in &mut self.running {
-            let Some(at) = running.at.as_mut().filter(|at| !at.stopping) else {
-                continue;
-            };
-            let here = members
-                .iter()
-                .position(|member| member.replica.id == at.replica);
-            let (Some((partial, _)), Some(here)) = (self.partials.get(key), here) else {
-                continue;
-            };
-            let Some(there) = fastest_for(at.min_version, engines) else {
-                continue;
-            };
-            let slow = is_worth_moving(engines[here].slowness, engines[there].slowness);
-            let mut partial = locked(partial);
-            if slow && partial.moves < MOVES_MAX {
-                engines[there].free -= 1;
-                partial.moves += 1;
-                at.stopping = true;
-                at.stop.notify_one();
-            }
+    /// Replicas at which a run of this front makes nothing.
+    fn with_stalled_runs(&self, stalled_ms: u64, now_ms: u64) -> HashSet<&ReplicaId> {
+        let runs = self
+            .running
+            .values()
+            .filter_map(|running| running.at.as_ref());
+        runs.filter(|at| at.silent_ms(now_ms) >= stalled_ms)
+            .map(|at| &at.replica)
+            .collect()
+    }
+
+    /// Stops the runs of a model that go on better elsewhere.
+    pub(super) fn move_runs(
+        &mut self,
+        model: &str,
+        members: &[Member],
+        engines: &mut [Engine],
+        now_ms: u64,
+    ) {
+        let stalled_ms = stalled_ms(self.typical_us(members));
+        let (keys, runs): (Vec<Key>, Vec<Run>) = self
+            .running
+            .iter()
+            .filter_map(|(key, running)| {
+                let at = running.at.as_ref()?;
+                let movable = at.stopping.is_none() && *at.model == *model;
+                let run = movable.then(|| self.run_at(key, at, members, now_ms))??;
+                Some((*key, run))
+            })
+            .unzip();
+        for (run, cause) in runs_to_move(&runs, engines, stalled_ms) {
+            self.stop_run(keys[run], cause);
+        }
+    }
+
+    fn run_at(&self, key: &Key, at: &RunningAt, members: &[Member], now_ms: u64) -> Option<Run> {
+        let engine = members
+            .iter()
+            .position(|member| member.replica.id == at.replica)?;
+        let partial = locked(&self.partials.get(key)?.0);
+        let begun_under = partial.versions.first().copied();
+        Some(Run {
+            engine,
+            silent_ms: at.silent_ms(now_ms),
+            min_version: at.min_version,
+            only_version: begun_under.filter(|_| at.single_version),
+            slow_moves: partial.moves,
+        })
+    }
+
+    fn stop_run(&mut self, key: Key, cause: MoveCause) {
+        let at = self
+            .running
+            .get_mut(&key)
+            .and_then(|running| running.at.as_mut());
+        let (Some(at), Some((partial, _))) = (at, self.partials.get(&key)) else {
+            return;
+        };
+        if cause == MoveCause::Slow {
+            locked(partial).moves += 1;
         }
+        at.stopping = Some(cause);
+        at.stop.notify_one();
     }
 }
 
-/// The fastest engine with a place for an item that needs this version.
-fn fastest_for(min_version: u64, engines: &[Engine]) -> Option<usize> {
-    let fits = |engine: &Engine| engine.free > 0 && engine.version >= min_version;
-    (0..engines.len())
-        .filter(|at| fits(&engines[*at]))
-        .min_by_key(|at| engines[*at].slowness)
+impl RunningAt {
+    fn silent_ms(&self, now_ms: u64) -> u64 {
+        now_ms.saturating_sub(self.heard_ms.load(Ordering::Relaxed))
+    }
 }
--- a/components/front/src/runner/look.rs
+++ b/components/front/src/runner/look.rs
@@ -243,7 +243,7 @@
         for Placed { item, engine } in place(&waiting, &mut engines) {
             self.start_one(&items[item], &members[engine]);
         }
-        self.move_from_slow(&members, &mut engines);
+        self.move_runs(&head.model, &members, &mut engines, now_ms);
         for (member, engine) in members.iter().zip(engines) {
             if let Some(state) = self.engines.get_mut(&member.replica.id) {
                 state
@@ -301,12 +301,16 @@
             pace: Arc::clone(&state.pace),
             admission,
             stop: Arc::new(Notify::new()),
+            heard_ms: Arc::new(AtomicU64::new(now_ms())),
         };
         let at = RunningAt {
             replica: Arc::clone(&replica),
             stop: Arc::clone(&spec.stop),
-            stopping: false,
+            stopping: None,
             min_version: item.head.min_version,
+            single_version: item.head.single_version,
+            model: item.head.model.as_str().into(),
+            heard_ms: Arc::clone(&spec.heard_ms),
         };
         log::debug!(
             event = "item-started", id = spec.id, step = step.0, item = number,
--- a/components/front/src/runner/mod.rs
+++ b/components/front/src/runner/mod.rs
@@ -11,13 +11,13 @@
 
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
 use dispatch::{
-    Admission, Engine, Pace, Placed, ReplicaId, Route, Waiting, is_worth_moving, lost_its_version,
-    place, slowness,
+    Admission, Engine, MoveCause, Pace, Placed, ReplicaId, Route, Run, Waiting, lost_its_version,
+    place, runs_to_move, slowness, stalled_ms,
 };
 use steps::{ErrorCause, FailedPart, ItemData, ItemHead, Step, StepHead, StepId, decode_item};
 use tokio::sync::{Notify, mpsc};
@@ -77,10 +77,15 @@
 struct RunningAt {
     replica: ReplicaId,
     stop: Arc<Notify>,
-    /// Whether it was told to stop.
-    stopping: bool,
+    /// Why it was told to stop.
+    stopping: Option<MoveCause>,
     /// Oldest version that may make its events.
     min_version: u64,
+    /// Whether one version must make the whole text.
+    single_version: bool,
+    model: Arc<str>,
+    /// When it was sent or made its newest event, in milliseconds.
+    heard_ms: Arc<AtomicU64>,
 }
 
 impl Drop for Running {
@@ -156,7 +161,7 @@
     }
 
     fn take_run(&mut self, key: Key, replica: ReplicaId, end: RunEnd) {
-        self.running.remove(&key);
+        let running = self.running.remove(&key);
         let now_ms = now_ms();
         let Some((head, progress)) = self.step_of(key) else {
             return;
@@ -197,7 +202,8 @@
                     step = step.0,
                     item,
                     replica = &*replica,
-                    events;
+                    events,
+                    why:? = running.as_ref().and_then(|running| running.at.as_ref()?.stopping);
                     ""
                 );
                 self.note_broken(key, replica);
