Items: runs go on while nobody else can be known to have them

Ruled out: who owns by age of the index (a front that is only turned away by the store may have lost its models; a join's answer says so). Both tests with the store away failed before.

--- a/components/front/src/leave.rs
+++ b/components/front/src/leave.rs
@@ -37,7 +37,7 @@
 }
 
 /// Gives the models to other fronts once what was made of their items is saved.
-async fn hand_over(front: &Front) {
+async fn hand_over(front: &Arc<Front>) {
     let mut saved = front.handed_over.subscribe();
     let within = Duration::from_millis(SAVE_MS);
     if tokio::time::timeout(within, saved.wait_for(|saved| *saved))
@@ -46,7 +46,8 @@
     {
         log::warn!(event = "handed-over-unsaved"; "");
     }
-    member::leave(front).await;
+    // Ends with the process at the latest.
+    tokio::spawn(member::leave(Arc::clone(front)));
 }
 
 /// Leaves; returns when the process may end.
--- a/components/front/src/member.rs
+++ b/components/front/src/member.rs
@@ -54,7 +54,11 @@
             Next::StandBack => {
                 log::warn!(event = "standing-back", unwritable_ms; "");
                 ownership.stand_back();
-                leave(&front).await;
+                front.owned.store(Arc::new(ownership.clone()));
+                if leave_group(&front).await {
+                    ownership.left();
+                    front.owned.store(Arc::new(ownership.clone()));
+                }
             }
             Next::Wait => {}
         }
@@ -98,18 +102,28 @@
     }
 }
 
-/// Hands the partitions to others at once.
-pub async fn leave(front: &Front) {
-    let none = Ownership::new(settings(&front.settings));
-    front.owned.store(Arc::new(none));
+/// Hands the partitions to others at once; while the store does not know of it, they stand
+/// still for a time to live that it may not count while it is away, so it is told again.
+pub async fn leave(front: Arc<Front>) {
+    let mut given_up = Ownership::clone(&front.owned.load());
+    given_up.stand_back();
+    front.owned.store(Arc::new(given_up));
+    while !leave_group(&front).await {
+        front.storage.pause(JOIN_MS).await;
+    }
+}
+
+/// Whether the store knows of it.
+async fn leave_group(front: &Front) -> bool {
     let within = Duration::from_millis(WITHIN_MS);
-    if let Err(error) = front
+    let left = front
         .storage
         .leave(RUNNER_GROUP, &member_name(front), within)
-        .await
-    {
+        .await;
+    if let Err(error) = &left {
         log::warn!(event = "leave-failed", error:% = error; "");
     }
+    left.is_ok()
 }
 
 fn member_name(front: &Front) -> String {
--- a/components/front/src/runner/look.rs
+++ b/components/front/src/runner/look.rs
@@ -56,12 +56,12 @@
     /// Stops items that are listed, whose step was ended, or that belong to another front.
     fn stop_what_ended(&mut self, now_ms: u64) {
         let front = Arc::clone(&self.front);
+        let leaving = self.is_handing_over(now_ms);
         let index = front.index();
-        let leaving = front.drain.is_leaving();
         let wanted = |key: &Key, whole: bool| {
             index.ledger.get(key.0).is_some_and(|step| {
                 // A whole text is scored and written whoever runs the model now.
-                let mine = whole || !leaving && front.runs(&step.head.model, now_ms);
+                let mine = whole || !leaving && front.may_finish(&step.head.model);
                 let progress = step.progress.get(key.1 as usize);
                 !step.ended && mine && progress.is_some_and(|item| !item.listed)
             })
@@ -75,6 +75,21 @@
             .retain(|step, _| index.ledger.get(*step).is_some_and(Step::is_open));
     }
 
+    /// Whether this front leaves and hands its runs over. Where the store was away when the stop
+    /// signal came, nothing can be saved and nobody would take over: the runs go on then, as
+    /// long as the process may.
+    fn is_handing_over(&mut self, now_ms: u64) -> bool {
+        if !self.front.drain.is_leaving() {
+            return false;
+        }
+        let front = &self.front;
+        !*self.leaves_late.get_or_insert_with(|| {
+            let index_age_ms = front.index_age_ms(now_ms);
+            let silent = index_age_ms.is_some_and(|age_ms| age_ms >= STORE_AWAY_MS);
+            silent || front.storage.is_lost()
+        })
+    }
+
     /// Saves texts that are not whole, at intervals and once more when this front leaves.
     fn save(&mut self, now_ms: u64) {
         let leaving = self.front.drain.is_leaving();
@@ -330,6 +345,7 @@
             Running {
                 abort: task.abort_handle(),
                 at: Some(at),
+                _working: self.front.drain.progress().enter(),
             },
         );
     }
--- a/components/front/src/runner/mod.rs
+++ b/components/front/src/runner/mod.rs
@@ -19,6 +19,7 @@
     Admission, Engine, MoveCause, Pace, Placed, ReplicaId, Route, Run, Waiting, lost_its_version,
     place, runs_to_move, slowness, stalled_ms,
 };
+use leaving::Working;
 use steps::{ErrorCause, FailedPart, ItemData, ItemHead, Step, StepHead, StepId, decode_item};
 use tokio::sync::{Notify, mpsc};
 use tokio::task::AbortHandle;
@@ -40,6 +41,9 @@
 /// How old the knowledge of the index may be when a run starts, in milliseconds; an item of
 /// a step that was ended must not reach a replica three seconds later.
 const INDEX_AGE_MS_MAX: u64 = 1_500;
+/// Time without news of the index from which on the store counts as away, in milliseconds: a
+/// read that waits for news comes back twice within it.
+const STORE_AWAY_MS: u64 = 900;
 /// Beyond the time in which an item may be given up, in milliseconds, against early clocks.
 const GIVE_UP_SLACK_MS: u64 = 1_000;
 /// Output tokens of an item whose trainer gives no hint.
@@ -72,6 +76,8 @@
     abort: AbortHandle,
     /// Where it runs; none once its text is whole.
     at: Option<RunningAt>,
+    /// A leaving process stays until the text is listed, or its run is given up.
+    _working: Working,
 }
 
 struct RunningAt {
@@ -108,6 +114,8 @@
     saving: bool,
     failed_runs: HashMap<Key, u32>,
     engines: HashMap<ReplicaId, EngineState>,
+    /// Whether the store was away when this front was told to leave; none before.
+    leaves_late: Option<bool>,
 }
 
 /// Runs items until the process ends.
@@ -125,6 +133,7 @@
         saving: false,
         failed_runs: HashMap::new(),
         engines: HashMap::new(),
+        leaves_late: None,
     };
     loop {
         tokio::select! {
--- a/components/front/src/runner/settle.rs
+++ b/components/front/src/runner/settle.rs
@@ -75,6 +75,7 @@
             Running {
                 abort: task.abort_handle(),
                 at: None,
+                _working: self.front.drain.progress().enter(),
             },
         );
     }
--- a/components/front/src/state.rs
+++ b/components/front/src/state.rs
@@ -141,6 +141,12 @@
         let partition = ownership::model_partition(model, self.settings.store.partitions);
         owned.owns(partition, now_ms)
     }
+
+    /// Whether runs of a model's items that were begun here may go on.
+    pub fn may_finish(&self, model: &str) -> bool {
+        let partition = ownership::model_partition(model, self.settings.store.partitions);
+        self.owned.load().may_finish(partition)
+    }
 }
 
 /// Takes a lock; a panic under it left a whole value, as each change is one assignment.
--- a/components/front/src/storage.rs
+++ b/components/front/src/storage.rs
@@ -59,6 +59,11 @@
         self.reach.returns()
     }
 
+    /// Whether the last call that ended found the store out of reach.
+    pub fn is_lost(&self) -> bool {
+        self.reach.is_lost()
+    }
+
     /// Waits, until the store is back at most.
     pub async fn pause(&self, pause_ms: u64) {
         self.reach.pause(Duration::from_millis(pause_ms)).await;
--- a/components/front/tests/front/steps.rs
+++ b/components/front/tests/front/steps.rs
@@ -223,6 +223,58 @@
     );
 }
 
+#[tokio::test]
+async fn can_finish_items_while_the_store_is_away() {
+    // The store is away for longer than a membership lasts while items of seconds run. Nobody
+    // else can take them over, so they are finished and listed when it returns; stopped, they
+    // would end a step late that was nearly whole.
+    let site = Site::start(60, 40).await;
+    let front = site.front("a").await;
+    assert_eq!(front.submit("s-1", &records::step(1, 1, 2)).await.0, 202);
+    until("the items run", || async {
+        !site.runs("item-1-0").is_empty() && !site.runs("item-1-1").is_empty()
+    })
+    .await;
+    front.door.fault(Fault::new(FaultKind::Outage));
+    tokio::time::sleep(Duration::from_millis(3_000)).await;
+    front.door.clear_faults();
+    for result in front.all_results("s-1", 2).await {
+        assert_eq!(result["Text"], text(60));
+    }
+    assert_eq!(
+        (site.runs("item-1-0"), site.runs("item-1-1")),
+        (vec![0], vec![0])
+    );
+}
+
+#[tokio::test]
+async fn can_leave_without_losing_what_it_makes_while_the_store_is_away() {
+    // The stop signal comes while the store is away: nothing can be saved, and nobody takes
+    // over. The front stays within its time, finishes its items and lists them when the store
+    // is back; another front has nothing left to run.
+    let site = Site::start(60, 40).await;
+    let mut front = site.front("a").await;
+    assert_eq!(front.submit("s-1", &records::step(1, 1, 2)).await.0, 202);
+    until("the items run", || async {
+        !site.runs("item-1-0").is_empty() && !site.runs("item-1-1").is_empty()
+    })
+    .await;
+    front.door.fault(Fault::new(FaultKind::Outage));
+    tokio::time::sleep(Duration::from_millis(1_200)).await;
+    front.stop();
+    tokio::time::sleep(Duration::from_millis(2_000)).await;
+    front.door.clear_faults();
+    until("it has left", || async { front.task.is_finished() }).await;
+    let next = site.front("b").await;
+    for result in next.all_results("s-1", 2).await {
+        assert_eq!(result["Text"], text(60));
+    }
+    assert_eq!(
+        (site.runs("item-1-0"), site.runs("item-1-1")),
+        (vec![0], vec![0])
+    );
+}
+
 #[tokio::test]
 async fn can_stop_the_items_of_a_step_that_was_ended() {
     let site = Site::start(400, 20).await;
--- a/components/ownership/src/lib.rs
+++ b/components/ownership/src/lib.rs
@@ -46,6 +46,8 @@
     settings: OwnershipSettings,
     generation: u64,
     partitions: BTreeSet<u32>,
+    /// Partitions that were owned last and that no answer has dealt to another member.
+    last_owned: BTreeSet<u32>,
     until_ms: u64,
     stands_back: bool,
 }
@@ -57,6 +59,7 @@
             settings,
             generation: 0,
             partitions: BTreeSet::new(),
+            last_owned: BTreeSet::new(),
             until_ms: 0,
             stands_back: false,
         }
@@ -84,6 +87,7 @@
         self.stands_back = false;
         self.generation = generation;
         self.partitions = partitions.into_iter().collect();
+        self.last_owned.clone_from(&self.partitions);
         self.until_ms = sent_ms + self.settings.ttl_ms;
         changed
     }
@@ -92,10 +96,16 @@
     pub fn stand_back(&mut self) {
         *self = Self {
             stands_back: true,
+            last_owned: std::mem::take(&mut self.last_owned),
             ..Self::new(self.settings)
         };
     }
 
+    /// The store knows that the partitions are given up, and deals them to others.
+    pub fn left(&mut self) {
+        self.last_owned.clear();
+    }
+
     /// Time to live that a join asks for, in milliseconds.
     pub fn ttl_ms(&self) -> u64 {
         self.settings.ttl_ms
@@ -106,6 +116,14 @@
         &self.partitions
     }
 
+    /// Whether work that was begun for a partition may go on. It may while nothing is known of
+    /// another owner: a store that is away as a whole deals to nobody, and what is finished
+    /// meanwhile is there when it returns. Where another member was dealt the partition, the
+    /// work is done twice for as long as one item takes.
+    pub fn may_finish(&self, partition: u32) -> bool {
+        self.last_owned.contains(&partition)
+    }
+
     /// Whether the member may act for a partition now.
     pub fn owns(&self, partition: u32, now_ms: u64) -> bool {
         now_ms < self.until_ms && self.partitions.contains(&partition)
--- a/components/ownership/tests/ownership.rs
+++ b/components/ownership/tests/ownership.rs
@@ -317,6 +317,51 @@
     }
 }
 
+#[test]
+fn can_go_on_with_what_was_begun_until_another_member_is_known() {
+    // A store that is away deals to nobody: what was begun goes on, and nothing new begins.
+    // Once it is known that another member has or gets the partition, it ends.
+    struct Case {
+        name: &'static str,
+        happens: fn(&mut Ownership),
+        goes_on: bool,
+    }
+    let cases = [
+        Case {
+            name: "the time to live is over",
+            happens: |_| {},
+            goes_on: true,
+        },
+        Case {
+            name: "it can't write",
+            happens: Ownership::stand_back,
+            goes_on: true,
+        },
+        Case {
+            name: "the store knows that it left",
+            happens: |ownership| {
+                ownership.stand_back();
+                ownership.left();
+            },
+            goes_on: false,
+        },
+        Case {
+            name: "another member was dealt it",
+            happens: |ownership| {
+                ownership.joined(3_000, 2, [4]);
+            },
+            goes_on: false,
+        },
+    ];
+    for case in cases {
+        let mut ownership = Ownership::new(SETTINGS);
+        ownership.joined(1_000, 1, [3]);
+        (case.happens)(&mut ownership);
+        assert_eq!(ownership.may_finish(3), case.goes_on, "{}", case.name);
+        assert!(!ownership.owns(3, 4_000), "{}", case.name);
+    }
+}
+
 #[test]
 fn can_come_back_after_a_time_without_writing() {
     // Every member stands back in an outage, and all take their partitions again behind it.
