Results: a read that has some waits a moment for more

Cause: a trainer pauses 0.5 to 1 s between its reads. The long items that end a step start together and end within a few tenths of a second; a read was answered with the first of them and the last was read a pause later, so a trainer stood idle with all results listed. Ruled out: the writer (its texts and index records are there within 30 ms), the wait of the read itself (it ends with the first news). Change: a read with results is answered after 0.4 s, or at once when as many groups are whole as the trainer waits for.

--- a/components/front/src/results.rs
+++ b/components/front/src/results.rs
@@ -21,6 +21,10 @@
 const PAGE_BYTES: usize = 192 * 1024;
 /// Longest time for reading texts, in milliseconds.
 const READ_MS: u64 = 1_200;
+/// How long a read waits for more once it has a result, in milliseconds. A trainer reads again
+/// after a pause, some 0.5 to 1 s. The long items that end a step start together and end within
+/// a few tenths of a second, and each but the last would be answered alone and cost that pause.
+const GATHER_MS: u64 = 400;
 /// Kibibytes asked for beyond the texts: their lengths, rounding.
 const READ_EXTRA_KB: u32 = 2;
 
@@ -61,7 +65,8 @@
 struct Window {
     head: Arc<StepHead>,
     results: Vec<Arc<ListedResult>>,
-    complete: bool,
+    /// Whether nothing more is worth waiting for: all that the trainer waits for is listed.
+    enough: bool,
 }
 
 fn window(front: &Front, id: &str, after: usize) -> Option<Window> {
@@ -70,22 +75,28 @@
     Some(Window {
         head: Arc::clone(&step.head),
         results: step.results.iter().skip(after).cloned().collect(),
-        complete: step.is_complete() || step.ended,
+        enough: step.is_complete() || step.ended || step.has_enough_groups(),
     })
 }
 
-/// Results of a step from a position on; waits up to `wait` for the first.
+/// Results of a step from a position on; waits up to `wait` for the first, and a little for
+/// more.
 pub async fn results(front: &Front, id: &str, after: usize, wait: Duration) -> Read {
     let mut news = front.index_news.subscribe();
-    let until = tokio::time::Instant::now() + wait;
+    let mut until = tokio::time::Instant::now() + wait;
+    let mut gathers = false;
     let found = loop {
         news.mark_unchanged();
         let Some(found) = window(front, id, after) else {
             return missing(front);
         };
-        if !found.results.is_empty() || found.complete {
+        if found.enough {
             break found;
         }
+        if !found.results.is_empty() && !gathers {
+            gathers = true;
+            until = until.min(tokio::time::Instant::now() + Duration::from_millis(GATHER_MS));
+        }
         let changed = tokio::time::timeout_at(until, news.changed()).await;
         if !matches!(changed, Ok(Ok(()))) {
             break found;
--- a/components/front/tests/front/steps.rs
+++ b/components/front/tests/front/steps.rs
@@ -37,6 +37,19 @@
     assert_eq!((status, body.len()), (200, "\u{ab}\u{fffd}".len() + 1));
 }
 
+#[tokio::test]
+async fn can_read_results_that_come_shortly_after_one_another_at_once() {
+    // Items end in rows, as replicas run eight at a time, some 60 ms apart. A
+    // trainer pauses between its reads; answered with the first row alone, it would hear of
+    // the last one a pause later and begin to train as much later.
+    let site = Site::start(3, 20).await;
+    let front = site.front("a").await;
+    assert_eq!(front.submit("s-1", &records::step(1, 1, 16)).await.0, 202);
+    let (status, page) = front.results("s-1", 0).await;
+    assert_eq!(status, 200);
+    assert_eq!(page["NextToken"], 16, "in one read");
+}
+
 #[tokio::test]
 async fn can_accept_a_repeated_step_once_and_refuse_another_one_under_its_id() {
     let site = Site::start(2, 1).await;
--- a/components/steps/src/step.rs
+++ b/components/steps/src/step.rs
@@ -53,6 +53,16 @@
         self.results.len() == self.head.items.len()
     }
 
+    /// Whether as many whole groups have results as the trainer waits for.
+    pub fn has_enough_groups(&self) -> bool {
+        let mut missing: HashMap<u16, bool> = HashMap::new();
+        for (item, progress) in self.head.items.iter().zip(&self.progress) {
+            *missing.entry(item.group).or_default() |= !progress.listed;
+        }
+        let whole = missing.values().filter(|missing| !**missing).count();
+        whole >= self.head.groups_wanted as usize
+    }
+
     /// Whether items may still be run.
     pub fn is_open(&self) -> bool {
         !self.ended && !self.is_complete()
--- a/components/steps/tests/ledger.rs
+++ b/components/steps/tests/ledger.rs
@@ -337,3 +337,41 @@
     let bytes = encode_item(&item).expect("encodes");
     assert_eq!(decode_item(&bytes).expect("decodes"), item);
 }
+
+#[test]
+fn can_tell_when_as_many_groups_are_whole_as_the_trainer_waits_for() {
+    // Two groups of two items, one of which is waited for. A read is held for a moment while
+    // more is to come, and must not be once the trainer could go on.
+    struct Case {
+        listed: &'static [u32],
+        enough: bool,
+    }
+    let cases = [
+        Case {
+            listed: &[],
+            enough: false,
+        },
+        Case {
+            listed: &[0, 2],
+            enough: false,
+        },
+        Case {
+            listed: &[2, 3],
+            enough: true,
+        },
+    ];
+    for case in cases {
+        let mut ledger = Ledger::default();
+        let head = StepHead {
+            groups_wanted: 1,
+            ..head("s")
+        };
+        ledger.apply(7, IndexRecord::Accepted(Box::new(head)), 0);
+        for (at, item) in case.listed.iter().enumerate() {
+            let offset = 8 + at as u64;
+            ledger.apply(offset, listed(7, *item, offset), 0);
+        }
+        let step = ledger.get(StepId(7)).expect("accepted");
+        assert_eq!(step.has_enough_groups(), case.enough, "{:?}", case.listed);
+    }
+}
