Shards: one front runs a part of the work of all models that share replicas

Cause: each model had an owner of its own, and all owners fill the same replicas blind to each other; they learn of each other by refusals and silence. Change: the work of a pool of replicas is cut into shards; a shard has a part of the replicas and of each step's groups, dealt by the work in them. Their number stands in the step's record, so all fronts deal it alike. Items of all models compete for places together.

--- a/components/dispatch/src/items.rs
+++ b/components/dispatch/src/items.rs
@@ -10,6 +10,8 @@
 /// An item that waits for a place.
 #[value]
 pub struct Waiting {
+    /// Number of its model among those that share the replicas.
+    pub model: usize,
     /// Rank of its step, the oldest lowest.
     pub step_rank: u64,
     /// Tokens that are still to be made, by the hint or the mean.
@@ -27,16 +29,40 @@
 /// A model replica.
 #[value]
 pub struct Engine {
-    /// Version of the weights that it has.
-    pub version: u64,
-    /// Items that it may still take.
+    /// Whether it belongs to another front's part of the replicas first.
+    pub foreign: bool,
+    /// Versions of the weights that it has, by model.
+    pub versions: Vec<u64>,
+    /// Items of each model that it may still take.
+    pub open: Vec<u32>,
+    /// Items that it may still take in all.
     pub free: u32,
     /// Items of this process that it runs.
     pub running: u32,
     /// Time for a token against its like, in thousandths.
     pub slowness: u64,
-    /// Prompts that it has read under this version.
-    pub prompts: Vec<u64>,
+    /// Prompts that it has read under its versions, by model.
+    pub prompts: Vec<Vec<u64>>,
+}
+
+impl Engine {
+    /// Whether it has weights that may make this item.
+    pub fn can_make(&self, model: usize, min_version: u64, only_version: Option<u64>) -> bool {
+        let version = self.versions[model];
+        version >= min_version && only_version.is_none_or(|only| only == version)
+    }
+
+    /// Whether it has a place for an item of a model.
+    pub fn has_place(&self, model: usize) -> bool {
+        self.free > 0 && self.open[model] > 0
+    }
+
+    /// Takes an item of a model in.
+    pub fn take(&mut self, model: usize) {
+        self.free -= 1;
+        self.open[model] -= 1;
+        self.running += 1;
+    }
 }
 
 /// An item and its engine, by their indices.
@@ -65,10 +91,11 @@
     let Some(only) = item.only_version else {
         return false;
     };
+    let version = |engine: &Engine| engine.versions[item.model];
     let could_begin = engines
         .iter()
-        .any(|engine| engine.version >= item.min_version);
-    could_begin && engines.iter().all(|engine| engine.version != only)
+        .any(|engine| version(engine) >= item.min_version);
+    could_begin && engines.iter().all(|engine| version(engine) != only)
 }
 
 /// Places as many items as there are places, in the order in which they should start.
@@ -84,21 +111,26 @@
             continue;
         };
         let taken = &mut engines[engine];
-        taken.free -= 1;
-        taken.running += 1;
-        if !taken.prompts.contains(&waiting[item].prompt) {
-            taken.prompts.push(waiting[item].prompt);
+        let Waiting { model, prompt, .. } = waiting[item];
+        taken.take(model);
+        if !taken.prompts[model].contains(&prompt) {
+            taken.prompts[model].push(prompt);
         }
         placed.push(Placed { item, engine });
     }
     placed
 }
 
+/// The engine for an item: one of this front's part, as long as one of them has weights that may
+/// make it. An engine of another part is full of runs that this front can't see, as a rule.
 fn best_engine(item: &Waiting, engines: &[Engine]) -> Option<usize> {
+    let can_make =
+        |engine: &Engine| engine.can_make(item.model, item.min_version, item.only_version);
+    let abroad = !engines
+        .iter()
+        .any(|engine| !engine.foreign && can_make(engine));
     let fits = |engine: &Engine| {
-        engine.free > 0
-            && engine.version >= item.min_version
-            && item.only_version.is_none_or(|only| only == engine.version)
+        (abroad || !engine.foreign) && engine.has_place(item.model) && can_make(engine)
     };
     let best = |avoid: Option<usize>| {
         (0..engines.len())
@@ -111,7 +143,7 @@
 fn token_time(item: &Waiting, engine: &Engine) -> u64 {
     let each = TOKEN_BASE + TOKEN_EACH * u64::from(engine.running + 1);
     let time = each * engine.slowness;
-    match engine.prompts.contains(&item.prompt) {
+    match engine.prompts[item.model].contains(&item.prompt) {
         true => time / 1_000 * (1_000 - SHARED_PROMPT),
         false => time,
     }
--- a/components/dispatch/src/moves.rs
+++ b/components/dispatch/src/moves.rs
@@ -26,6 +26,8 @@
 pub struct Run {
     /// Index of its engine.
     pub engine: usize,
+    /// Number of its model among those that share the replicas.
+    pub model: usize,
     /// Time since it was sent or made its newest event, in milliseconds.
     pub silent_ms: u64,
     /// Oldest version that may make its events.
@@ -66,7 +68,7 @@
         let Some(cause) = cause(run, engines, there, stalled_ms) else {
             continue;
         };
-        engines[there].free -= 1;
+        engines[there].take(run.model);
         moved.push((at, cause));
     }
     moved
@@ -83,9 +85,9 @@
 /// The fastest other engine with a place for a run.
 fn fastest_for(run: &Run, engines: &[Engine]) -> Option<usize> {
     let fits = |engine: &Engine| {
-        engine.free > 0
-            && engine.version >= run.min_version
-            && run.only_version.is_none_or(|only| only == engine.version)
+        !engine.foreign
+            && engine.has_place(run.model)
+            && engine.can_make(run.model, run.min_version, run.only_version)
     };
     (0..engines.len())
         .filter(|at| *at != run.engine && fits(&engines[*at]))
--- a/components/dispatch/src/routes.rs
+++ b/components/dispatch/src/routes.rs
@@ -53,6 +53,19 @@
 }
 
 impl Route {
+    /// The services that may serve it now.
+    pub fn services(&self) -> impl Iterator<Item = &Arc<str>> {
+        let used = self.shares.iter().filter(|share| share.weight > 0);
+        used.map(|share| &share.service)
+    }
+
+    /// Names the replicas that may serve it: the same for all routes of the same services.
+    pub fn pool(&self) -> String {
+        let mut services: Vec<&str> = self.services().map(|service| &**service).collect();
+        services.sort_unstable();
+        services.join(",")
+    }
+
     /// The service that these random bits draw by the weights.
     pub fn draw(&self, random: u64) -> Option<&Arc<str>> {
         let total: u64 = self
--- a/components/front/src/jobs/mod.rs
+++ b/components/front/src/jobs/mod.rs
@@ -129,7 +129,7 @@
         Err(refusal) => return refused(id, &refusal),
     };
     let digest = submission.digest;
-    let head = step_head(route, id, submission, data);
+    let head = step_head(front, route, id, submission, data);
     let record = match encode(&[LogRecord::Index(IndexRecord::Accepted(Box::new(head)))]) {
         Ok(record) => record,
         Err(error) => {
@@ -175,7 +175,15 @@
     }
 }
 
-fn step_head(route: &Route, id: &str, submission: Submission, data: Vec<DataRange>) -> StepHead {
+fn step_head(
+    front: &Front,
+    route: &Route,
+    id: &str,
+    submission: Submission,
+    data: Vec<DataRange>,
+) -> StepHead {
+    let pool = route.pool();
+    let shards = shards(front, route, &pool);
     StepHead {
         id: id.to_owned(),
         digest: submission.digest,
@@ -191,9 +199,29 @@
         retention_ms: route.retention_ms,
         items: submission.heads,
         data,
+        pool,
+        shards,
     }
 }
 
+/// Shards of a pool, by its replicas and what the step before was dealt among.
+fn shards(front: &Front, route: &Route, pool: &str) -> u32 {
+    let table = front.replicas.load();
+    let places = route
+        .services()
+        .flat_map(|service| table.of(service))
+        .filter(|member| !member.replica.draining)
+        .map(|member| member.replica.slots)
+        .sum();
+    let index = front.index();
+    let heads = index.ledger.steps().map(|step| &step.head);
+    let before = heads
+        .filter(|head| head.pool == *pool)
+        .last()
+        .map(|head| head.shards);
+    ownership::shard_count(places, before, front.settings.store.partitions)
+}
+
 /// Ends a step. A step that this front does not know is answered by the caller.
 pub async fn end(front: &Front, id: &str, step: StepId) -> Told {
     let wanted = Wanted {
--- /dev/null
+++ b/components/front/src/runner/contests.rs
@@ -0,0 +1,216 @@
+//! What waits, put together by the replicas that it waits for.
+
+use super::*;
+
+/// A waiting item with what is needed to start it.
+pub(super) struct Candidate {
+    pub(super) key: Key,
+    pub(super) head: Arc<StepHead>,
+    pub(super) waiting: Waiting,
+    pub(super) left_ms: u64,
+}
+
+/// Items that compete for the same replicas, of all models that share them.
+pub(super) struct Contest {
+    /// Services of the replicas.
+    pub(super) services: Vec<Arc<str>>,
+    /// Names of the models; items and engines name them by their numbers here.
+    pub(super) models: Vec<Arc<str>>,
+    /// Shards that the pool is cut into, and those of them that this front runs.
+    shards: u32,
+    owned: BTreeSet<u32>,
+    pub(super) waiting: Vec<Candidate>,
+}
+
+impl Contest {
+    fn new(services: Vec<Arc<str>>, shards: u32) -> Self {
+        Self {
+            services,
+            models: Vec::new(),
+            shards,
+            owned: BTreeSet::new(),
+            waiting: Vec::new(),
+        }
+    }
+
+    /// Number of a model, if items of it were seen.
+    pub(super) fn model(&self, name: &str) -> Option<usize> {
+        self.models.iter().position(|known| **known == *name)
+    }
+
+    fn number_model(&mut self, name: &str) -> usize {
+        self.model(name).unwrap_or_else(|| {
+            self.models.push(name.into());
+            self.models.len() - 1
+        })
+    }
+
+    /// Replicas that may take work, and whether each belongs to another front's part first.
+    pub(super) fn members(&self, table: &ReplicaTable) -> Vec<(Member, bool)> {
+        let of_service = |service: &Arc<str>| table.of(service).iter();
+        let members = self.services.iter().flat_map(of_service);
+        let members: Vec<&Member> = members
+            .filter(|member| !member.replica.draining)
+            .collect();
+        let ids = members.iter().map(|member| &*member.replica.id);
+        let shards = replica_shards(ids, self.shards);
+        members
+            .into_iter()
+            .zip(shards)
+            .map(|(member, shard)| (member.clone(), !self.owned.contains(&shard)))
+            .collect()
+    }
+}
+
+/// What the steps that this front has a part of ask for.
+#[derive(Default)]
+pub(super) struct Found {
+    pub(super) contests: Vec<Contest>,
+    /// Steps whose data is missing.
+    missing: Vec<(StepId, Arc<StepHead>)>,
+    /// Items whose time is up, or whose route is gone.
+    hopeless: Vec<Key>,
+}
+
+impl Found {
+    fn contest(&mut self, route: &Route, shards: u32) -> &mut Contest {
+        let mut services: Vec<Arc<str>> = route.services().cloned().collect();
+        services.sort_unstable();
+        let known = self
+            .contests
+            .iter()
+            .position(|contest| contest.services == services && contest.shards == shards);
+        let at = known.unwrap_or_else(|| {
+            self.contests.push(Contest::new(services, shards));
+            self.contests.len() - 1
+        });
+        &mut self.contests[at]
+    }
+}
+
+impl Runner {
+    /// Waiting items of the shards that this front runs; asks for the data of those it lacks.
+    pub(super) fn contests(&mut self, routes: &Routes, now_ms: u64) -> Vec<Contest> {
+        let front = Arc::clone(&self.front);
+        let mut found = Found::default();
+        {
+            let index = front.index();
+            for step in index.ledger.steps().filter(|step| step.is_open()) {
+                let shards = 0..step.head.shards;
+                let owned: BTreeSet<u32> = shards
+                    .filter(|shard| front.runs(&step.head, *shard, now_ms))
+                    .collect();
+                if !owned.is_empty() {
+                    self.look_at(step, owned, routes, &mut found, now_ms);
+                }
+            }
+        }
+        for (step, head) in found.missing {
+            self.ask_for_data(step, head);
+        }
+        for key in found.hopeless {
+            self.give_up(key, ErrorCause::GivenUp);
+        }
+        found.contests
+    }
+
+    fn look_at(
+        &self,
+        step: &Step,
+        owned: BTreeSet<u32>,
+        routes: &Routes,
+        found: &mut Found,
+        now_ms: u64,
+    ) {
+        if !self.data.contains_key(&step.id) {
+            found.missing.push((step.id, Arc::clone(&step.head)));
+            return;
+        }
+        let waiting = self.waiting_of(step, &owned);
+        let Some(route) = routes.exact(&step.head.host, &step.head.prefix) else {
+            found.hopeless.extend(waiting);
+            return;
+        };
+        let left_ms = left_ms(step, now_ms);
+        let Some(left_ms) = left_ms else {
+            found.hopeless.extend(waiting);
+            return;
+        };
+        let contest = found.contest(route, step.head.shards);
+        contest.owned.extend(owned);
+        let model = contest.number_model(&step.head.model);
+        let candidates = waiting
+            .into_iter()
+            .map(|key| self.candidate(step, key, model, left_ms));
+        contest.waiting.extend(candidates);
+    }
+
+    fn waiting_of(&self, step: &Step, owned: &BTreeSet<u32>) -> Vec<Key> {
+        let waits = |(item, progress): (usize, &steps::ItemProgress)| {
+            let key = (step.id, item as u32);
+            let waits = !progress.listed && !self.running.contains_key(&key);
+            (waits && owned.contains(&step.shard(key.1))).then_some(key)
+        };
+        step.progress.iter().enumerate().filter_map(waits).collect()
+    }
+
+    fn candidate(&self, step: &Step, key: Key, model: usize, left_ms: u64) -> Candidate {
+        let head: &ItemHead = &step.head.items[key.1 as usize];
+        let only_version = match step.head.single_version {
+            true => self.begun_under(step, key),
+            false => None,
+        };
+        Candidate {
+            key,
+            head: Arc::clone(&step.head),
+            left_ms,
+            waiting: Waiting {
+                model,
+                step_rank: step.id.0,
+                tokens_left: head.expected_tokens(),
+                min_version: step.head.min_version,
+                only_version,
+                prompt: step.id.0 << 16 | u64::from(head.group),
+                avoid: None,
+            },
+        }
+    }
+
+    /// Version under which the text of an item began, here or as it is saved; none if what is
+    /// saved is of no use.
+    fn begun_under(&self, step: &Step, key: Key) -> Option<u64> {
+        if let Some((partial, _)) = self.partials.get(&key) {
+            let partial = locked(partial);
+            if partial.discarded || !partial.versions.is_empty() {
+                return partial.versions.first().copied();
+            }
+        }
+        step.pieces(key.1).last()?.versions.first().copied()
+    }
+
+    fn ask_for_data(&mut self, step: StepId, head: Arc<StepHead>) {
+        if !self.asked.insert(step) {
+            return;
+        }
+        let (front, news) = (Arc::clone(&self.front), self.news.clone());
+        tokio::spawn(async move {
+            let answer = match read_data(&front, &head).await {
+                Some(data) => News::Data(step, data),
+                None => {
+                    tokio::time::sleep(Duration::from_millis(LOOK_MS)).await;
+                    News::NoData(step)
+                }
+            };
+            // The runner ends with the process only.
+            let _ = news.send(answer);
+        });
+    }
+}
+
+/// Time until the items of a step are given up, in milliseconds; none once it is up.
+fn left_ms(step: &Step, now_ms: u64) -> Option<u64> {
+    let age_ms = now_ms - step.read_ms;
+    let given_up_ms = step.head.retention_ms + GIVE_UP_SLACK_MS;
+    let too_late = step.head.retention_ms > 0 && age_ms > given_up_ms;
+    (!too_late).then(|| given_up_ms.saturating_sub(age_ms))
+}
--- a/components/front/src/runner/engines.rs
+++ b/components/front/src/runner/engines.rs
@@ -1,5 +1,6 @@
 //! Model replicas as the runner sees them.
 
+use super::contests::Contest;
 use super::*;
 
 pub(super) struct EngineState {
@@ -18,6 +19,34 @@
             prompts: HashMap::new(),
         }
     }
+
+    /// Items of a model that it takes, where `free` places are free.
+    fn open(&self, model: &str, free: u32, now_ms: u64) -> u32 {
+        let admission = self.admissions.get(model);
+        admission.map_or(free, |known| known.places(free, now_ms))
+    }
+
+    /// Prompts that it has read under the version that it has.
+    fn prompts_of(&self, member: &Member, model: &str) -> Vec<u64> {
+        let version = member.replica.version_of(model).unwrap_or(0);
+        match self.prompts.get(model) {
+            Some((held, prompts)) if *held == version => prompts.clone(),
+            _ => Vec::new(),
+        }
+    }
+
+    /// Keeps what it has read, by model.
+    pub(super) fn keep_prompts(&mut self, models: &[Arc<str>], engine: Engine) {
+        let read = engine.versions.into_iter().zip(engine.prompts);
+        for (model, read) in models.iter().zip(read) {
+            self.prompts.insert(Arc::clone(model), read);
+        }
+    }
+}
+
+fn versions(member: &Member, models: &[Arc<str>]) -> Vec<u64> {
+    let version = |model: &Arc<str>| member.replica.version_of(model).unwrap_or(0);
+    models.iter().map(version).collect()
 }
 
 /// A place at a replica, given back when dropped.
@@ -30,16 +59,18 @@
 }
 
 impl Runner {
+    /// The replicas of a contest; a flag says which belong to another front's part first.
     pub(super) fn engines_for(
         &mut self,
-        members: &[Member],
-        model: &str,
+        members: &[(Member, bool)],
+        models: &[Arc<str>],
         now_ms: u64,
     ) -> Vec<Engine> {
-        let listed: HashSet<&ReplicaId> = members.iter().map(|member| &member.replica.id).collect();
+        let listed: HashSet<&ReplicaId> =
+            members.iter().map(|(member, _)| &member.replica.id).collect();
         self.engines
             .retain(|id, state| listed.contains(id) || state.running.load(Ordering::Relaxed) > 0);
-        for member in members {
+        for (member, _) in members {
             let id = Arc::clone(&member.replica.id);
             self.engines.entry(id).or_insert_with(EngineState::new);
         }
@@ -47,26 +78,27 @@
         let full = self.with_stalled_runs(stalled_ms(typical_us), now_ms);
         members
             .iter()
-            .map(|member| {
+            .map(|(member, foreign)| {
                 let state = &self.engines[&member.replica.id];
                 let running = state.running.load(Ordering::Relaxed);
-                let version = member.replica.version_of(model).unwrap_or(0);
-                let prompts = match state.prompts.get(model) {
-                    Some((held, prompts)) if *held == version => prompts.clone(),
-                    _ => Vec::new(),
-                };
-                let unused = member.replica.slots.saturating_sub(running);
-                let admission = state.admissions.get(model);
                 let free = match full.contains(&member.replica.id) {
                     true => 0,
-                    false => admission.map_or(unused, |known| known.places(unused, now_ms)),
+                    false => member.replica.slots.saturating_sub(running),
                 };
                 Engine {
-                    version,
+                    foreign: *foreign,
+                    versions: versions(member, models),
+                    open: models
+                        .iter()
+                        .map(|model| state.open(model, free, now_ms))
+                        .collect(),
                     free,
                     running,
                     slowness: slowness(&state.pace, typical_us, now_ms),
-                    prompts,
+                    prompts: models
+                        .iter()
+                        .map(|model| state.prompts_of(member, model))
+                        .collect(),
                 }
             })
             .collect()
@@ -82,10 +114,10 @@
     }
 
     /// The middle one of the replicas' mean pauses between events.
-    fn typical_us(&self, members: &[Member]) -> u64 {
+    fn typical_us(&self, members: &[(Member, bool)]) -> u64 {
         let mut paces: Vec<u64> = members
             .iter()
-            .filter_map(|member| self.engines.get(&member.replica.id))
+            .filter_map(|(member, _)| self.engines.get(&member.replica.id))
             .map(|state| state.pace.mean_us())
             .filter(|mean_us| *mean_us > 0)
             .collect();
@@ -104,23 +136,28 @@
             .collect()
     }
 
-    /// Stops the runs of a model that go on better elsewhere.
+    /// Stops the runs that go on better elsewhere.
     pub(super) fn move_runs(
         &mut self,
-        model: &str,
-        members: &[Member],
+        contest: &Contest,
+        members: &[(Member, bool)],
         engines: &mut [Engine],
         now_ms: u64,
     ) {
         let stalled_ms = stalled_ms(self.typical_us(members));
+        let numbers: HashMap<&ReplicaId, usize> = members
+            .iter()
+            .enumerate()
+            .map(|(number, (member, _))| (&member.replica.id, number))
+            .collect();
         let (keys, runs): (Vec<Key>, Vec<Run>) = self
             .running
             .iter()
             .filter_map(|(key, running)| {
-                let at = running.at.as_ref()?;
-                let movable = at.stopping.is_none() && *at.model == *model;
-                let run = movable.then(|| self.run_at(key, at, members, now_ms))??;
-                Some((*key, run))
+                let at = running.at.as_ref().filter(|at| at.stopping.is_none())?;
+                let engine = *numbers.get(&at.replica)?;
+                let model = contest.model(&at.model)?;
+                Some((*key, self.run_at(key, at, engine, model, now_ms)?))
             })
             .unzip();
         for (run, cause) in runs_to_move(&runs, engines, stalled_ms) {
@@ -128,14 +165,19 @@
         }
     }
 
-    fn run_at(&self, key: &Key, at: &RunningAt, members: &[Member], now_ms: u64) -> Option<Run> {
-        let engine = members
-            .iter()
-            .position(|member| member.replica.id == at.replica)?;
+    fn run_at(
+        &self,
+        key: &Key,
+        at: &RunningAt,
+        engine: usize,
+        model: usize,
+        now_ms: u64,
+    ) -> Option<Run> {
         let partial = locked(&self.partials.get(key)?.0);
         let begun_under = partial.versions.first().copied();
         Some(Run {
             engine,
+            model,
             silent_ms: at.silent_ms(now_ms),
             min_version: at.min_version,
             only_version: begun_under.filter(|_| at.single_version),
--- a/components/front/src/runner/look.rs
+++ b/components/front/src/runner/look.rs
@@ -2,30 +2,9 @@
 
 use steps::SavedPiece;
 
+use super::contests::{Candidate, Contest};
 use super::*;
 
-/// A waiting item with what is needed to start it.
-struct Candidate {
-    key: Key,
-    head: Arc<StepHead>,
-    waiting: Waiting,
-    left_ms: u64,
-}
-
-/// Steps whose items compete for the same replicas.
-struct Contest {
-    head: Arc<StepHead>,
-    waiting: Vec<Candidate>,
-}
-
-impl Contest {
-    fn takes(&self, head: &StepHead) -> bool {
-        self.head.host == head.host
-            && self.head.prefix == head.prefix
-            && self.head.model == head.model
-    }
-}
-
 impl Runner {
     pub(super) fn look(&mut self) {
         let now_ms = now_ms();
@@ -41,15 +20,8 @@
         let Some(routes) = self.front.routes.load_full() else {
             return;
         };
-        for contest in self.contests(now_ms) {
-            match routes.exact(&contest.head.host, &contest.head.prefix) {
-                Some(route) => self.start(route, contest, now_ms),
-                None => {
-                    for item in &contest.waiting {
-                        self.give_up(item.key, ErrorCause::GivenUp);
-                    }
-                }
-            }
+        for contest in self.contests(&routes, now_ms) {
+            self.start(contest, now_ms);
         }
     }
 
@@ -61,7 +33,8 @@
         let wanted = |key: &Key, whole: bool| {
             index.ledger.get(key.0).is_some_and(|step| {
                 // A whole text is scored and written whoever runs the model now.
-                let mine = whole || !leaving && front.may_finish(&step.head.model);
+                let shard = step.shard(key.1);
+                let mine = whole || !leaving && front.may_finish(&step.head, shard);
                 let progress = step.progress.get(key.1 as usize);
                 !step.ended && mine && progress.is_some_and(|item| !item.listed)
             })
@@ -112,162 +85,50 @@
         });
     }
 
-    /// Waiting items of the steps that this front runs; asks for the data of those it lacks.
-    fn contests(&mut self, now_ms: u64) -> Vec<Contest> {
-        let front = Arc::clone(&self.front);
-        let mut contests: Vec<Contest> = Vec::new();
-        let mut missing = Vec::new();
-        let mut too_late = Vec::new();
-        {
-            let index = front.index();
-            let open = |step: &&Step| step.is_open() && front.runs(&step.head.model, now_ms);
-            for step in index.ledger.steps().filter(open) {
-                if !self.data.contains_key(&step.id) {
-                    missing.push((step.id, Arc::clone(&step.head)));
-                    continue;
-                }
-                let waiting = self.waiting_of(step, now_ms, &mut too_late);
-                match contests
-                    .iter_mut()
-                    .find(|contest| contest.takes(&step.head))
-                {
-                    Some(contest) => contest.waiting.extend(waiting),
-                    None => contests.push(Contest {
-                        head: Arc::clone(&step.head),
-                        waiting,
-                    }),
-                }
-            }
-        }
-        for (step, head) in missing {
-            self.ask_for_data(step, head);
-        }
-        for key in too_late {
-            self.give_up(key, ErrorCause::GivenUp);
-        }
-        contests
-    }
-
-    fn waiting_of(&self, step: &Step, now_ms: u64, too_late: &mut Vec<Key>) -> Vec<Candidate> {
-        let age_ms = now_ms - step.read_ms;
-        let given_up_ms = step.head.retention_ms + GIVE_UP_SLACK_MS;
-        let mut waiting = Vec::new();
-        for (item, progress) in step.progress.iter().enumerate() {
-            let key = (step.id, item as u32);
-            if progress.listed || self.running.contains_key(&key) {
-                continue;
-            }
-            if step.head.retention_ms > 0 && age_ms > given_up_ms {
-                too_late.push(key);
-            } else {
-                waiting.push(self.candidate(step, key, given_up_ms.saturating_sub(age_ms)));
-            }
-        }
-        waiting
-    }
-
-    fn candidate(&self, step: &Step, key: Key, left_ms: u64) -> Candidate {
-        let head: &ItemHead = &step.head.items[key.1 as usize];
-        let only_version = match step.head.single_version {
-            true => self.begun_under(step, key),
-            false => None,
-        };
-        let guess = match head.hint_tokens {
-            0 => TOKENS_GUESS,
-            hint => hint,
-        };
-        Candidate {
-            key,
-            head: Arc::clone(&step.head),
-            left_ms,
-            waiting: Waiting {
-                step_rank: step.id.0,
-                tokens_left: guess,
-                min_version: step.head.min_version,
-                only_version,
-                prompt: step.id.0 << 16 | u64::from(head.group),
-                avoid: None,
-            },
-        }
-    }
-
-    /// Version under which the text of an item began, here or as it is saved; none if what is
-    /// saved is of no use.
-    fn begun_under(&self, step: &Step, key: Key) -> Option<u64> {
-        if let Some((partial, _)) = self.partials.get(&key) {
-            let partial = locked(partial);
-            if partial.discarded || !partial.versions.is_empty() {
-                return partial.versions.first().copied();
-            }
-        }
-        step.pieces(key.1).last()?.versions.first().copied()
-    }
-
-    fn ask_for_data(&mut self, step: StepId, head: Arc<StepHead>) {
-        if !self.asked.insert(step) {
-            return;
-        }
-        let (front, news) = (Arc::clone(&self.front), self.news.clone());
-        tokio::spawn(async move {
-            let answer = match read_data(&front, &head).await {
-                Some(data) => News::Data(step, data),
-                None => {
-                    tokio::time::sleep(Duration::from_millis(LOOK_MS)).await;
-                    News::NoData(step)
-                }
-            };
-            // The runner ends with the process only.
-            let _ = news.send(answer);
-        });
-    }
-
     /// Places waiting items and moves running ones away from slow replicas.
-    fn start(&mut self, route: &Route, contest: Contest, now_ms: u64) {
-        let Contest {
-            head,
-            waiting: items,
-        } = contest;
+    fn start(&mut self, contest: Contest, now_ms: u64) {
         let table = self.front.replicas.load_full();
-        let services = route.shares.iter().filter(|share| share.weight > 0);
-        let members: Vec<Member> = services
-            .flat_map(|share| table.of(&share.service))
-            .filter(|member| !member.replica.draining)
-            .cloned()
-            .collect();
-        let mut engines = self.engines_for(&members, &head.model, now_ms);
-        let waiting: Vec<Waiting> = items
+        let members = contest.members(&table);
+        let mut engines = self.engines_for(&members, &contest.models, now_ms);
+        let waiting: Vec<Waiting> = contest
+            .waiting
             .iter()
-            .map(|item| {
-                let broke_at = self.partials.get(&item.key).and_then(|(_, at)| at.as_ref());
-                let avoid = broke_at.and_then(|broke_at| {
-                    members
-                        .iter()
-                        .position(|member| member.replica.id == *broke_at)
-                });
-                let mut waiting = Waiting {
-                    avoid,
-                    ..item.waiting.clone()
-                };
-                if lost_its_version(&waiting, &engines) {
-                    self.begin_anew(item.key);
-                    waiting.only_version = None;
-                }
-                waiting
-            })
+            .map(|item| self.as_it_waits(item, &members, &engines))
             .collect();
         for Placed { item, engine } in place(&waiting, &mut engines) {
-            self.start_one(&items[item], &members[engine]);
+            self.start_one(&contest.waiting[item], &members[engine].0);
         }
-        self.move_runs(&head.model, &members, &mut engines, now_ms);
-        for (member, engine) in members.iter().zip(engines) {
+        self.move_runs(&contest, &members, &mut engines, now_ms);
+        for ((member, _), engine) in members.iter().zip(engines) {
             if let Some(state) = self.engines.get_mut(&member.replica.id) {
-                state
-                    .prompts
-                    .insert(head.model.as_str().into(), (engine.version, engine.prompts));
+                state.keep_prompts(&contest.models, engine);
             }
         }
     }
 
+    fn as_it_waits(
+        &mut self,
+        item: &Candidate,
+        members: &[(Member, bool)],
+        engines: &[Engine],
+    ) -> Waiting {
+        let broke_at = self.partials.get(&item.key).and_then(|(_, at)| at.as_ref());
+        let avoid = broke_at.and_then(|broke_at| {
+            members
+                .iter()
+                .position(|(member, _)| member.replica.id == *broke_at)
+        });
+        let mut waiting = Waiting {
+            avoid,
+            ..item.waiting.clone()
+        };
+        if lost_its_version(&waiting, engines) {
+            self.begin_anew(item.key);
+            waiting.only_version = None;
+        }
+        waiting
+    }
+
     /// Throws away what there is of a text: it has to be made by one version, and no replica
     /// has the one that began it.
     fn begin_anew(&mut self, key: Key) {
--- a/components/front/src/runner/mod.rs
+++ b/components/front/src/runner/mod.rs
@@ -4,22 +4,24 @@
 //! hands texts to the reward call and the writer. It keeps nothing that must last: another
 //! front that takes over reads the steps and begins with what is not listed.
 
+mod contests;
 mod data;
 mod engines;
 mod look;
 mod settle;
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
 use dispatch::{
-    Admission, Engine, MoveCause, Pace, Placed, ReplicaId, Route, Run, Waiting, lost_its_version,
-    place, runs_to_move, slowness, stalled_ms,
+    Admission, Engine, MoveCause, Pace, Placed, ReplicaId, Route, Routes, Run, Waiting,
+    lost_its_version, place, runs_to_move, slowness, stalled_ms,
 };
 use leaving::Working;
+use ownership::replica_shards;
 use steps::{ErrorCause, FailedPart, ItemData, ItemHead, Step, StepHead, StepId, decode_item};
 use tokio::sync::{Notify, mpsc};
 use tokio::task::AbortHandle;
@@ -27,7 +29,7 @@
 use crate::clock::now_ms;
 use crate::figures;
 use crate::partial::{self, Partial, SharedPartial};
-use crate::peers::Member;
+use crate::peers::{Member, ReplicaTable};
 use crate::reward;
 use crate::run_item::{self, RunEnd, RunSpec};
 use crate::state::{Front, locked};
@@ -46,8 +48,6 @@
 const STORE_AWAY_MS: u64 = 900;
 /// Beyond the time in which an item may be given up, in milliseconds, against early clocks.
 const GIVE_UP_SLACK_MS: u64 = 1_000;
-/// Output tokens of an item whose trainer gives no hint.
-const TOKENS_GUESS: u32 = 600;
 /// Pause between rounds of saving texts, in milliseconds: what a run loses with its machine,
 /// against a copy of each text in the store.
 const SAVE_MS: u64 = 500;
--- a/components/front/src/state.rs
+++ b/components/front/src/state.rs
@@ -15,6 +15,7 @@
 use leaving::Drain;
 use ownership::Ownership;
 use platform::settings::FrontSettings;
+use steps::StepHead;
 use telemetry::Metrics;
 use tokio::sync::{Notify, watch};
 
@@ -135,17 +136,18 @@
         new
     }
 
-    /// Whether this front runs the steps of this model now.
-    pub fn runs(&self, model: &str, now_ms: u64) -> bool {
-        let owned = self.owned.load();
-        let partition = ownership::model_partition(model, self.settings.store.partitions);
-        owned.owns(partition, now_ms)
+    /// Whether this front runs a shard of a step now.
+    pub fn runs(&self, head: &StepHead, shard: u32, now_ms: u64) -> bool {
+        self.owned.load().owns(self.partition(head, shard), now_ms)
     }
 
-    /// Whether runs of a model's items that were begun here may go on.
-    pub fn may_finish(&self, model: &str) -> bool {
-        let partition = ownership::model_partition(model, self.settings.store.partitions);
-        self.owned.load().may_finish(partition)
+    /// Whether runs of items of a shard that were begun here may go on.
+    pub fn may_finish(&self, head: &StepHead, shard: u32) -> bool {
+        self.owned.load().may_finish(self.partition(head, shard))
+    }
+
+    fn partition(&self, head: &StepHead, shard: u32) -> u32 {
+        ownership::shard_partition(&head.pool, shard, self.settings.store.partitions)
     }
 }
 
--- a/components/ownership/src/lib.rs
+++ b/components/ownership/src/lib.rs
@@ -1,4 +1,5 @@
-//! Which partitions of a group a process may act for, and when it gives them up.
+//! Which partitions of a group a process may act for, when it gives them up, and which part of
+//! the work stands behind each.
 //!
 //! A store deals the partitions of a group to its members for a time to live that it counts
 //! from the arrival of a join. The member counts from the moment at which it *sent* the join,
@@ -11,10 +12,12 @@
 //! two members act for a partition, for a time to live at most. What they do must bear that.
 
 mod partition;
+mod shard;
 
 use std::collections::BTreeSet;
 
-pub use partition::{model_partition, partition_of};
+pub use partition::partition_of;
+pub use shard::{deal, replica_shards, shard_count, shard_partition};
 
 /// Times of a membership.
 #[derive(Clone, Copy, Debug)]
--- a/components/steps/src/ledger.rs
+++ b/components/steps/src/ledger.rs
@@ -49,16 +49,7 @@
             return Change::Nothing;
         }
         self.by_name.insert(head.id.clone(), id);
-        let step = Step {
-            id,
-            results: Vec::new(),
-            progress: vec![ItemProgress::default(); head.items.len()],
-            head: Arc::new(head),
-            saved: HashMap::new(),
-            ended: false,
-            read_ms: now_ms,
-        };
-        self.steps.insert(id, step);
+        self.steps.insert(id, Step::new(id, head, now_ms));
         Change::Accepted(id)
     }
 
--- a/components/steps/src/record.rs
+++ b/components/steps/src/record.rs
@@ -72,6 +72,23 @@
     pub items: Vec<ItemHead>,
     /// Where the items' data lies.
     pub data: Vec<DataRange>,
+    /// Names the replicas that may run the items.
+    pub pool: String,
+    /// Shards among which its groups are dealt.
+    pub shards: u32,
+}
+
+/// Output tokens of an item whose trainer gives no hint.
+const TOKENS_GUESS: u32 = 600;
+
+impl ItemHead {
+    /// Output tokens to expect.
+    pub fn expected_tokens(&self) -> u32 {
+        match self.hint_tokens {
+            0 => TOKENS_GUESS,
+            hint => hint,
+        }
+    }
 }
 
 impl StepHead {
--- a/components/steps/src/step.rs
+++ b/components/steps/src/step.rs
@@ -43,11 +43,34 @@
     pub saved: HashMap<u32, Vec<SavedPiece>>,
     /// Whether the trainer ended it.
     pub ended: bool,
+    /// Shard by group.
+    pub shard_by_group: Vec<u32>,
     /// When this process read of it, in milliseconds of its clock.
     pub read_ms: u64,
 }
 
 impl Step {
+    /// A step that was just accepted.
+    pub fn new(id: StepId, head: StepHead, read_ms: u64) -> Self {
+        Self {
+            id,
+            results: Vec::new(),
+            progress: vec![ItemProgress::default(); head.items.len()],
+            saved: HashMap::new(),
+            ended: false,
+            shard_by_group: shard_by_group(id, &head),
+            read_ms,
+            head: Arc::new(head),
+        }
+    }
+
+    /// Shard that runs an item.
+    pub fn shard(&self, item: u32) -> u32 {
+        let group = self.head.items.get(item as usize).map(|head| head.group);
+        let shard = group.and_then(|group| self.shard_by_group.get(usize::from(group)));
+        shard.copied().unwrap_or(0)
+    }
+
     /// Whether every item has a result.
     pub fn is_complete(&self) -> bool {
         self.results.len() == self.head.items.len()
@@ -84,3 +107,12 @@
         self.head.items.iter().position(|item| item.id == id)
     }
 }
+
+fn shard_by_group(id: StepId, head: &StepHead) -> Vec<u32> {
+    let groups = head.items.iter().map(|item| usize::from(item.group) + 1);
+    let mut work = vec![0_u64; groups.max().unwrap_or(0)];
+    for item in &head.items {
+        work[usize::from(item.group)] += u64::from(item.expected_tokens());
+    }
+    ownership::deal(&work, head.shards, id.0)
+}
