Items: least slack first, moves for what they gain; tests of shards

Cause: of a step's long items every third runs on a replica that is a third slower and ends 1.6 s later; steps of 7 s and more ended with one of them. Change: a text moves where that saves 0.3 s of what is left by the hint; what should have begun first is placed first, over all steps.

--- a/components/dispatch/src/items.rs
+++ b/components/dispatch/src/items.rs
@@ -1,9 +1,11 @@
 //! Placing of a step's items on model replicas.
 //!
-//! A trainer waits for whole groups, so items of the oldest step go first, and within a step
-//! the longest ones by the trainer's hint: an item makes its tokens one after the other, and
-//! a long one that starts late ends the step late. A replica makes each token hardly slower
-//! when it runs eight requests than when it runs one, so free places are worth taking.
+//! An item makes its tokens one after the other, and a long one that starts late ends its step
+//! late however many replicas are free. So what should have begun first goes first: the items
+//! whose step is the oldest and whose text, by the trainer's hint, takes the longest. A short
+//! item of an older step loses nothing by that, as its step waits for its own long ones.
+//! A replica makes each token hardly slower when it runs eight requests than when it runs one,
+//! so free places are worth taking.
 
 use derive::value;
 
@@ -12,10 +14,10 @@
 pub struct Waiting {
     /// Number of its model among those that share the replicas.
     pub model: usize,
-    /// Rank of its step, the oldest lowest.
-    pub step_rank: u64,
-    /// Tokens that are still to be made, by the hint or the mean.
-    pub tokens_left: u32,
+    /// When its step was accepted, in milliseconds of this process's clock.
+    pub accepted_ms: u64,
+    /// Time until its text is whole once it runs, as far as can be told, in milliseconds.
+    pub left_ms: u64,
     /// Oldest version of the weights that may make them.
     pub min_version: u64,
     /// The only version that may, where a text began under it and must not mix.
@@ -84,6 +86,21 @@
 /// (with 120 the days with trouble of 32 fronts are worth 0.05 less, six seeds each).
 const SHARED_PROMPT: u64 = 10;
 
+/// Requests at once for which the time of a text is told.
+const USUAL_RUNNING: u64 = 4;
+/// A text that is longer than its hint goes on for a part of what it has, as far as can be
+/// told: lengths have long tails.
+const BEYOND_HINT: u64 = 2;
+
+/// Time until a text is whole, in milliseconds, from the trainer's hint at its tokens, the events
+/// that it has, and the usual pause between events; 0 for a pause that is not known.
+pub fn text_left_ms(expected_tokens: u32, made_events: u64, pause_us: u64) -> u64 {
+    let token_us = TOKEN_BASE + USUAL_RUNNING * TOKEN_EACH;
+    let whole_ms = u64::from(expected_tokens) * token_us / 1_000;
+    let made_ms = made_events * pause_us / 1_000;
+    whole_ms.saturating_sub(made_ms).max(made_ms / BEYOND_HINT)
+}
+
 /// Whether a text that has to go on under one version can't: no replica has that version any
 /// more, and some could make the item from its beginning. Without replicas nothing is said,
 /// as they may come back as they were.
@@ -103,7 +120,7 @@
     let mut order: Vec<usize> = (0..waiting.len()).collect();
     order.sort_by_key(|at| {
         let item = &waiting[*at];
-        (item.step_rank, std::cmp::Reverse(item.tokens_left))
+        item.accepted_ms as i64 - item.left_ms as i64
     });
     let mut placed = Vec::new();
     for item in order {
--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -16,7 +16,7 @@
 
 pub use admission::Admission;
 pub use choice::{Candidate, choose};
-pub use items::{Engine, Placed, Waiting, lost_its_version, place};
+pub use items::{Engine, Placed, Waiting, lost_its_version, place, text_left_ms};
 pub use load::{InFlight, ReplicaLoad, Typical};
 pub use moves::{MoveCause, Run, runs_to_move, stalled_ms};
 pub use pace::{Pace, is_worth_moving, slowness};
--- a/components/dispatch/src/moves.rs
+++ b/components/dispatch/src/moves.rs
@@ -28,6 +28,8 @@
     pub engine: usize,
     /// Number of its model among those that share the replicas.
     pub model: usize,
+    /// Time until its text is whole at a replica like the others, in milliseconds.
+    pub left_ms: u64,
     /// Time since it was sent or made its newest event, in milliseconds.
     pub silent_ms: u64,
     /// Oldest version that may make its events.
@@ -78,7 +80,8 @@
     if run.silent_ms >= stalled_ms {
         return Some(MoveCause::Stalled);
     }
-    let slow = is_worth_moving(engines[run.engine].slowness, engines[there].slowness);
+    let (here, there) = (engines[run.engine].slowness, engines[there].slowness);
+    let slow = is_worth_moving(run.left_ms, here, there);
     (slow && run.slow_moves < SLOW_MOVES_MAX).then_some(MoveCause::Slow)
 }
 
--- a/components/dispatch/src/pace.rs
+++ b/components/dispatch/src/pace.rs
@@ -20,11 +20,12 @@
 /// How fast a replica's slowness is forgotten while it runs nothing, in milliseconds for half
 /// of it, so that one that was slow gets items again.
 const FORGET_HALF_MS: u64 = 4_000;
-/// Slowness from which on items are moved away, in thousandths; fuller replicas are up to
-/// a quarter slower than emptier ones, and moving between those gains nothing.
-const SLOW: u64 = 1_700;
-/// A replica that takes a moved item must be this much faster, in hundredths.
-const FASTER: u64 = 150;
+/// Least time that a move must gain, in milliseconds. It costs some 60: the event that was being
+/// made, a way, and the text that is read again.
+const GAIN_MS_MIN: u64 = 300;
+/// A replica that takes a moved item must be this much faster, in hundredths: fuller replicas are
+/// up to a seventh slower than emptier ones, and a single long pause shows as a fifth.
+const FASTER: u64 = 125;
 
 /// Mean pause between the events that a replica makes.
 #[derive(Debug, Default)]
@@ -68,7 +69,9 @@
     faded(now, EVEN, pace.age_ms(now_ms), FORGET_HALF_MS)
 }
 
-/// Whether an item should go on elsewhere: the replica is slow, the other one much faster.
-pub fn is_worth_moving(here: u64, there: u64) -> bool {
-    here >= SLOW && here * 100 >= there * FASTER
+/// Whether a text that takes `left_ms` more at a replica like the others should go on at a replica
+/// of slowness `there` instead of `here`.
+pub fn is_worth_moving(left_ms: u64, here: u64, there: u64) -> bool {
+    let gained_ms = left_ms * here.saturating_sub(there) / EVEN;
+    gained_ms >= GAIN_MS_MIN && here * 100 >= there * FASTER
 }
--- a/components/dispatch/tests/items.rs
+++ b/components/dispatch/tests/items.rs
@@ -2,26 +2,30 @@
 
 use dispatch::{
     Admission, Engine, Pace, Waiting, is_worth_moving, lost_its_version, place, slowness,
+    text_left_ms,
 };
 use quickcheck::{Arbitrary, Gen};
 
 fn engine(version: u64, free: u32) -> Engine {
     Engine {
-        version,
+        foreign: false,
+        versions: vec![version, version],
+        open: vec![free, free],
         free,
         running: 8 - free,
         slowness: 1_000,
-        prompts: Vec::new(),
+        prompts: vec![Vec::new(), Vec::new()],
     }
 }
 
-fn waiting(step_rank: u64, tokens_left: u32) -> Waiting {
+fn waiting(accepted_ms: u64, left_ms: u64) -> Waiting {
     Waiting {
-        step_rank,
-        tokens_left,
+        model: 0,
+        accepted_ms,
+        left_ms,
         min_version: 2,
         only_version: None,
-        prompt: u64::from(tokens_left),
+        prompt: left_ms,
         avoid: None,
     }
 }
@@ -33,8 +37,9 @@
     fn arbitrary(g: &mut Gen) -> Self {
         let version = u64::arbitrary(g) % 4;
         Item(Waiting {
-            step_rank: u64::arbitrary(g) % 3,
-            tokens_left: u32::arbitrary(g) % 9_000,
+            model: usize::arbitrary(g) % 2,
+            accepted_ms: u64::arbitrary(g) % 9_000,
+            left_ms: u64::arbitrary(g) % 9_000,
             min_version: u64::arbitrary(g) % 4,
             only_version: bool::arbitrary(g).then_some(version),
             prompt: u64::arbitrary(g) % 5,
@@ -52,24 +57,37 @@
             .iter()
             .take(6)
             .enumerate()
-            .map(|(at, free)| engine(at as u64 % 4, u32::from(free % 9)))
+            .map(|(at, free)| Engine {
+                // One that refused items of the second model takes one of them.
+                open: vec![u32::from(free % 9), u32::from(free % 9).min(1)],
+                foreign: at % 2 == 1,
+                ..engine(at as u64 % 4, u32::from(free % 9))
+            })
             .collect();
         let mut engines = before.clone();
         let placed = place(&waiting, &mut engines);
         let fits = |item: &Waiting, engine: &Engine| {
-            engine.version >= item.min_version
-                && item.only_version.is_none_or(|only| only == engine.version)
+            let version = engine.versions[item.model];
+            version >= item.min_version && item.only_version.is_none_or(|only| only == version)
+        };
+        let has_home = |item: &Waiting| before.iter().any(|one| !one.foreign && fits(item, one));
+        let allowed = |item: &Waiting, engine: &Engine| {
+            fits(item, engine) && (!engine.foreign || !has_home(item))
         };
         for (at, engine) in before.iter().enumerate() {
             let taken = placed.iter().filter(|placed| placed.engine == at).count();
             assert!(taken as u32 <= engine.free);
+            let of_second = |placed: &&dispatch::Placed| waiting[placed.item].model == 1;
+            let here = placed.iter().filter(|placed| placed.engine == at);
+            assert!(here.filter(of_second).count() as u32 <= engine.open[1]);
         }
         for placed in &placed {
-            assert!(fits(&waiting[placed.item], &before[placed.engine]));
+            assert!(allowed(&waiting[placed.item], &before[placed.engine]));
         }
         let left = (0..waiting.len()).filter(|at| placed.iter().all(|one| one.item != *at));
         left.into_iter().all(|at| {
-            engines.iter().all(|engine| engine.free == 0 || !fits(&waiting[at], engine))
+            let item = &waiting[at];
+            engines.iter().all(|engine| !engine.has_place(item.model) || !allowed(item, engine))
         })
     }
 }
@@ -113,18 +131,114 @@
 }
 
 #[test]
-fn can_start_the_longest_items_of_the_oldest_step_first() {
-    // A step of many items arrives at once behind one that is nearly done. A long item takes
-    // six seconds however many replicas are free, so it must not wait behind short ones.
-    let waiting = [
-        waiting(2, 9_000),
-        waiting(1, 100),
-        waiting(1, 8_000),
-        waiting(1, 500),
+fn can_start_first_what_should_have_begun_first() {
+    // A step of many items arrives at once four seconds behind one that is under way. A long item
+    // takes six seconds however many replicas are free, so it must wait neither behind short
+    // ones of its own step nor behind those of the older step, which waits for its own long
+    // ones.
+    struct Case {
+        name: &'static str,
+        waiting: Vec<Waiting>,
+        first: [usize; 2],
+    }
+    let case = |name, waiting: &[Waiting], first| Case {
+        name,
+        waiting: waiting.to_vec(),
+        first,
+    };
+    let cases = [
+        case(
+            "long ones of one step",
+            &[waiting(0, 100), waiting(0, 5_000), waiting(0, 300)],
+            [1, 2],
+        ),
+        case(
+            "of two steps, alike",
+            &[waiting(4_000, 300), waiting(0, 300), waiting(0, 300)],
+            [1, 2],
+        ),
+        case(
+            "a long one of the newer step",
+            &[waiting(0, 300), waiting(4_000, 5_800), waiting(0, 400)],
+            [1, 2],
+        ),
+        case(
+            "a long one of the older step",
+            &[waiting(4_000, 5_800), waiting(0, 5_000), waiting(0, 400)],
+            [1, 0],
+        ),
+    ];
+    for case in cases {
+        let placed = place(&case.waiting, &mut [engine(2, 2)]);
+        let items: Vec<usize> = placed.iter().map(|placed| placed.item).collect();
+        assert_eq!(items, case.first, "{}", case.name);
+    }
+}
+
+#[test]
+fn can_tell_how_long_a_text_goes_on() {
+    struct Case {
+        name: &'static str,
+        made_events: u64,
+        pause_us: u64,
+        left_ms: u64,
+    }
+    let case = |name, made_events, pause_us, left_ms| Case {
+        name,
+        made_events,
+        pause_us,
+        left_ms,
+    };
+    // A thousand tokens take 632 ms at a replica that runs four requests.
+    let cases = [
+        case("not begun, no pause known", 0, 0, 632),
+        case("not begun", 0, 35_000, 632),
+        case("half of it", 9, 35_000, 317),
+        case("as long as the hint", 18, 35_000, 315),
+        case("far longer", 100, 35_000, 1_750),
     ];
-    let placed = place(&waiting, &mut [engine(2, 2)]);
+    for case in cases {
+        let left_ms = text_left_ms(1_000, case.made_events, case.pause_us);
+        assert_eq!(left_ms, case.left_ms, "{}", case.name);
+    }
+}
+
+#[test]
+fn can_keep_to_the_own_part_of_the_replicas_as_long_as_it_can_make_an_item() {
+    // Each of many fronts has its part. Sent to all replicas, items of one front wait unseen
+    // in the queues of another's; kept at home where no replica has the version, they never run.
+    let abroad = |version| Engine {
+        foreign: true,
+        ..engine(version, 8)
+    };
+    let place_one = |home| place(&[waiting(0, 500)], &mut [home, abroad(2)]);
+    assert!(place_one(engine(2, 0)).is_empty(), "home is full");
+    assert_eq!(place_one(engine(2, 1))[0].engine, 0, "home has a place");
+    assert_eq!(place_one(engine(1, 8))[0].engine, 1, "home has old weights");
+}
+
+#[test]
+fn can_share_places_among_models() {
+    // Two models have items for the same replica, which refused those of the second a moment
+    // ago. Together they take no more than it has, and of the second one is tried.
+    let second = |left_ms| Waiting {
+        model: 1,
+        ..waiting(0, left_ms)
+    };
+    let refused = Engine {
+        open: vec![3, 1],
+        ..engine(2, 3)
+    };
+    let items = [
+        second(900),
+        second(800),
+        waiting(0, 700),
+        waiting(0, 600),
+        waiting(0, 500),
+    ];
+    let placed = place(&items, &mut [refused]);
     let items: Vec<usize> = placed.iter().map(|placed| placed.item).collect();
-    assert_eq!(items, [2, 3]);
+    assert_eq!(items, [0, 2, 3]);
 }
 
 #[test]
@@ -158,9 +272,45 @@
     (0..20).for_each(|event| pace.record(35_000, event * 35));
     assert_eq!(slowness(&pace, 35_000, 700), 1_000);
     (0..4).for_each(|event| pace.record(122_000, 700 + event * 122));
-    assert!(is_worth_moving(slowness(&pace, 35_000, 1_400), 1_000));
-    assert!(!is_worth_moving(1_250, 1_000));
-    assert!(!is_worth_moving(2_000, 1_900), "all are slow");
+    assert!(is_worth_moving(
+        1_000,
+        slowness(&pace, 35_000, 1_400),
+        1_000
+    ));
+}
+
+#[test]
+fn can_tell_what_a_move_gains() {
+    // One replica of three is a third slower than the others. A long text that stays there ends
+    // its step almost two seconds late; a short one would gain less than the move costs, and so
+    // would any at a replica that is only fuller.
+    struct Case {
+        name: &'static str,
+        left_ms: u64,
+        here: u64,
+        there: u64,
+        moves: bool,
+    }
+    let case = |name, left_ms, here, there, moves| Case {
+        name,
+        left_ms,
+        here,
+        there,
+        moves,
+    };
+    let cases = [
+        case("long, a third slower", 5_000, 1_300, 1_000, true),
+        case("short, a third slower", 900, 1_300, 1_000, false),
+        case("short, far slower", 200, 3_500, 1_000, true),
+        case("nearly done, far slower", 60, 3_500, 1_000, false),
+        case("long, a fuller replica", 9_000, 1_140, 1_000, false),
+        case("all are slow", 5_000, 2_000, 1_900, false),
+        case("the other is slower", 5_000, 1_000, 1_300, false),
+    ];
+    for case in cases {
+        let moves = is_worth_moving(case.left_ms, case.here, case.there);
+        assert_eq!(moves, case.moves, "{}", case.name);
+    }
 }
 
 #[test]
@@ -170,7 +320,11 @@
     let pace = Pace::default();
     (0..20).for_each(|event| pace.record(35_000, event * 35));
     pace.record(900_000, 1_600);
-    assert!(!is_worth_moving(slowness(&pace, 35_000, 1_600), 1_000));
+    assert!(!is_worth_moving(
+        9_000,
+        slowness(&pace, 35_000, 1_600),
+        1_000
+    ));
 }
 
 #[test]
@@ -219,6 +373,6 @@
         ..waiting(1, 500)
     };
     let mut engines = vec![engine(2, 8), engine(2, 8), engine(2, 8)];
-    engines[2].prompts.push(7);
+    engines[2].prompts[0].push(7);
     assert_eq!(place(&[first], &mut engines)[0].engine, 2);
 }
--- a/components/dispatch/tests/moves.rs
+++ b/components/dispatch/tests/moves.rs
@@ -4,17 +4,21 @@
 
 fn engine(version: u64, free: u32, slowness: u64) -> Engine {
     Engine {
-        version,
+        foreign: false,
+        versions: vec![version],
+        open: vec![free],
         free,
         running: 1,
         slowness,
-        prompts: Vec::new(),
+        prompts: vec![Vec::new()],
     }
 }
 
 fn run(silent_ms: u64) -> Run {
     Run {
         engine: 0,
+        model: 0,
+        left_ms: 2_000,
         silent_ms,
         min_version: 2,
         only_version: None,
--- a/components/front/src/jobs/mod.rs
+++ b/components/front/src/jobs/mod.rs
@@ -205,7 +205,7 @@
 }
 
 /// Shards of a pool, by its replicas and what the step before was dealt among.
-fn shards(front: &Front, route: &Route, pool: &str) -> u32 {
+fn shards(front: &Front, route: &Route, pool: &str) -> u16 {
     let table = front.replicas.load();
     let places = route
         .services()
--- a/components/front/src/runner/contests.rs
+++ b/components/front/src/runner/contests.rs
@@ -17,13 +17,13 @@
     /// Names of the models; items and engines name them by their numbers here.
     pub(super) models: Vec<Arc<str>>,
     /// Shards that the pool is cut into, and those of them that this front runs.
-    shards: u32,
-    owned: BTreeSet<u32>,
+    shards: u16,
+    owned: BTreeSet<u16>,
     pub(super) waiting: Vec<Candidate>,
 }
 
 impl Contest {
-    fn new(services: Vec<Arc<str>>, shards: u32) -> Self {
+    fn new(services: Vec<Arc<str>>, shards: u16) -> Self {
         Self {
             services,
             models: Vec::new(),
@@ -49,9 +49,7 @@
     pub(super) fn members(&self, table: &ReplicaTable) -> Vec<(Member, bool)> {
         let of_service = |service: &Arc<str>| table.of(service).iter();
         let members = self.services.iter().flat_map(of_service);
-        let members: Vec<&Member> = members
-            .filter(|member| !member.replica.draining)
-            .collect();
+        let members: Vec<&Member> = members.filter(|member| !member.replica.draining).collect();
         let ids = members.iter().map(|member| &*member.replica.id);
         let shards = replica_shards(ids, self.shards);
         members
@@ -73,7 +71,7 @@
 }
 
 impl Found {
-    fn contest(&mut self, route: &Route, shards: u32) -> &mut Contest {
+    fn contest(&mut self, route: &Route, shards: u16) -> &mut Contest {
         let mut services: Vec<Arc<str>> = route.services().cloned().collect();
         services.sort_unstable();
         let known = self
@@ -97,7 +95,7 @@
             let index = front.index();
             for step in index.ledger.steps().filter(|step| step.is_open()) {
                 let shards = 0..step.head.shards;
-                let owned: BTreeSet<u32> = shards
+                let owned: BTreeSet<u16> = shards
                     .filter(|shard| front.runs(&step.head, *shard, now_ms))
                     .collect();
                 if !owned.is_empty() {
@@ -117,7 +115,7 @@
     fn look_at(
         &self,
         step: &Step,
-        owned: BTreeSet<u32>,
+        owned: BTreeSet<u16>,
         routes: &Routes,
         found: &mut Found,
         now_ms: u64,
@@ -145,7 +143,7 @@
         contest.waiting.extend(candidates);
     }
 
-    fn waiting_of(&self, step: &Step, owned: &BTreeSet<u32>) -> Vec<Key> {
+    fn waiting_of(&self, step: &Step, owned: &BTreeSet<u16>) -> Vec<Key> {
         let waits = |(item, progress): (usize, &steps::ItemProgress)| {
             let key = (step.id, item as u32);
             let waits = !progress.listed && !self.running.contains_key(&key);
@@ -166,8 +164,12 @@
             left_ms,
             waiting: Waiting {
                 model,
-                step_rank: step.id.0,
-                tokens_left: head.expected_tokens(),
+                accepted_ms: step.read_ms,
+                left_ms: text_left_ms(
+                    head.expected_tokens(),
+                    self.made_events(&key),
+                    self.pause_us,
+                ),
                 min_version: step.head.min_version,
                 only_version,
                 prompt: step.id.0 << 16 | u64::from(head.group),
@@ -176,6 +178,12 @@
         }
     }
 
+    /// Events that this front has of an item's text.
+    fn made_events(&self, key: &Key) -> u64 {
+        let partial = self.partials.get(key);
+        partial.map_or(0, |(partial, _)| locked(partial).last_event)
+    }
+
     /// Version under which the text of an item began, here or as it is saved; none if what is
     /// saved is of no use.
     fn begun_under(&self, step: &Step, key: Key) -> Option<u64> {
--- a/components/front/src/runner/engines.rs
+++ b/components/front/src/runner/engines.rs
@@ -66,8 +66,10 @@
         models: &[Arc<str>],
         now_ms: u64,
     ) -> Vec<Engine> {
-        let listed: HashSet<&ReplicaId> =
-            members.iter().map(|(member, _)| &member.replica.id).collect();
+        let listed: HashSet<&ReplicaId> = members
+            .iter()
+            .map(|(member, _)| &member.replica.id)
+            .collect();
         self.engines
             .retain(|id, state| listed.contains(id) || state.running.load(Ordering::Relaxed) > 0);
         for (member, _) in members {
@@ -75,6 +77,7 @@
             self.engines.entry(id).or_insert_with(EngineState::new);
         }
         let typical_us = self.typical_us(members);
+        self.pause_us = typical_us;
         let full = self.with_stalled_runs(stalled_ms(typical_us), now_ms);
         members
             .iter()
@@ -144,7 +147,7 @@
         engines: &mut [Engine],
         now_ms: u64,
     ) {
-        let stalled_ms = stalled_ms(self.typical_us(members));
+        let stalled_ms = stalled_ms(self.pause_us);
         let numbers: HashMap<&ReplicaId, usize> = members
             .iter()
             .enumerate()
@@ -174,10 +177,12 @@
         now_ms: u64,
     ) -> Option<Run> {
         let partial = locked(&self.partials.get(key)?.0);
+        let left_ms = text_left_ms(at.expected_tokens, partial.last_event, self.pause_us);
         let begun_under = partial.versions.first().copied();
         Some(Run {
             engine,
             model,
+            left_ms,
             silent_ms: at.silent_ms(now_ms),
             min_version: at.min_version,
             only_version: begun_under.filter(|_| at.single_version),
--- a/components/front/src/runner/look.rs
+++ b/components/front/src/runner/look.rs
@@ -186,6 +186,7 @@
             min_version: item.head.min_version,
             single_version: item.head.single_version,
             model: item.head.model.as_str().into(),
+            expected_tokens: item.head.items[number as usize].expected_tokens(),
             heard_ms: Arc::clone(&spec.heard_ms),
         };
         log::debug!(
--- a/components/front/src/runner/mod.rs
+++ b/components/front/src/runner/mod.rs
@@ -18,7 +18,7 @@
 use bytes::Bytes;
 use dispatch::{
     Admission, Engine, MoveCause, Pace, Placed, ReplicaId, Route, Routes, Run, Waiting,
-    lost_its_version, place, runs_to_move, slowness, stalled_ms,
+    lost_its_version, place, runs_to_move, slowness, stalled_ms, text_left_ms,
 };
 use leaving::Working;
 use ownership::replica_shards;
@@ -90,6 +90,8 @@
     /// Whether one version must make the whole text.
     single_version: bool,
     model: Arc<str>,
+    /// Output tokens of its text, by the trainer's hint.
+    expected_tokens: u32,
     /// When it was sent or made its newest event, in milliseconds.
     heard_ms: Arc<AtomicU64>,
 }
@@ -114,6 +116,8 @@
     saving: bool,
     failed_runs: HashMap<Key, u32>,
     engines: HashMap<ReplicaId, EngineState>,
+    /// Usual pause between the events of a text, in microseconds; 0 before it is known.
+    pause_us: u64,
     /// Whether the store was away when this front was told to leave; none before.
     leaves_late: Option<bool>,
 }
@@ -133,6 +137,7 @@
         saving: false,
         failed_runs: HashMap::new(),
         engines: HashMap::new(),
+        pause_us: 0,
         leaves_late: None,
     };
     loop {
--- a/components/front/src/state.rs
+++ b/components/front/src/state.rs
@@ -137,16 +137,16 @@
     }
 
     /// Whether this front runs a shard of a step now.
-    pub fn runs(&self, head: &StepHead, shard: u32, now_ms: u64) -> bool {
+    pub fn runs(&self, head: &StepHead, shard: u16, now_ms: u64) -> bool {
         self.owned.load().owns(self.partition(head, shard), now_ms)
     }
 
     /// Whether runs of items of a shard that were begun here may go on.
-    pub fn may_finish(&self, head: &StepHead, shard: u32) -> bool {
+    pub fn may_finish(&self, head: &StepHead, shard: u16) -> bool {
         self.owned.load().may_finish(self.partition(head, shard))
     }
 
-    fn partition(&self, head: &StepHead, shard: u32) -> u32 {
+    fn partition(&self, head: &StepHead, shard: u16) -> u32 {
         ownership::shard_partition(&head.pool, shard, self.settings.store.partitions)
     }
 }
--- a/components/inspect/tests/inspect.rs
+++ b/components/inspect/tests/inspect.rs
@@ -29,6 +29,8 @@
         retention_ms: 40_000,
         items: (0..4).map(item).collect(),
         data: Vec::new(),
+        pool: records::ENGINES.to_owned(),
+        shards: 1,
     }
 }
 
--- a/components/ownership/src/shard.rs
+++ b/components/ownership/src/shard.rs
@@ -16,25 +16,28 @@
 /// in each other's way.
 const MOST_HALVES: u32 = 3;
 const LEAST_HALVES: u32 = 1;
+/// Share of the partitions among which pools begin: the last sixth.
+const POOL_SHARE: u32 = 6;
 
 /// Number of shards for a pool with this many places, where the step before had `before`.
-pub fn shard_count(places: u32, before: Option<u32>, partitions: u32) -> u32 {
-    let most = partitions.max(1);
+pub fn shard_count(places: u32, before: Option<u16>, partitions: u32) -> u16 {
+    let most = u16::try_from(partitions.max(1)).unwrap_or(u16::MAX);
     if let Some(before) = before.filter(|before| (1..=most).contains(before)) {
-        let halves = places.saturating_mul(2) / before / SHARD_PLACES.max(1);
+        let halves = places.saturating_mul(2) / u32::from(before) / SHARD_PLACES;
         let too_few = halves >= MOST_HALVES && before < most;
         let too_many = halves < LEAST_HALVES && before > 1;
         if !too_few && !too_many {
             return before;
         }
     }
-    places.div_ceil(SHARD_PLACES).clamp(1, most)
+    let wanted = places.div_ceil(SHARD_PLACES);
+    u16::try_from(wanted).unwrap_or(most).clamp(1, most)
 }
 
 /// Shard of each group, by the work in it: the next largest group goes to the shard with the
 /// least. `salt` turns the shards, so that the largest groups of all steps don't meet.
-pub fn deal(work: &[u64], shards: u32, salt: u64) -> Vec<u32> {
-    let shards = shards.max(1) as usize;
+pub fn deal(work: &[u64], shards: u16, salt: u64) -> Vec<u16> {
+    let shards = usize::from(shards.max(1));
     let first = (salt % shards as u64) as usize;
     let mut order: Vec<usize> = (0..work.len()).collect();
     order.sort_by_key(|group| std::cmp::Reverse(work[*group]));
@@ -46,20 +49,21 @@
             .min_by_key(|shard| loads[*shard])
             .unwrap_or(0);
         loads[next] += work[group].max(1);
-        dealt[group] = next as u32;
+        dealt[group] = next as u16;
     }
     dealt
 }
 
 /// Shard of each replica of a pool, by their ids: equal parts of the order of their hashes.
 /// One that comes or goes moves at most one replica across each border.
-pub fn replica_shards<'a>(ids: impl Iterator<Item = &'a str>, shards: u32) -> Vec<u32> {
+pub fn replica_shards<'a>(ids: impl Iterator<Item = &'a str>, shards: u16) -> Vec<u16> {
     let hashes: Vec<u64> = ids.map(name_hash).collect();
     let mut order: Vec<usize> = (0..hashes.len()).collect();
     order.sort_by_key(|replica| hashes[*replica]);
+    let shards = usize::from(shards.max(1));
     let mut dealt = vec![0; hashes.len()];
     for (rank, replica) in order.into_iter().enumerate() {
-        dealt[replica] = (rank * shards.max(1) as usize / hashes.len()) as u32;
+        dealt[replica] = (rank * shards / hashes.len()) as u16;
     }
     dealt
 }
@@ -71,12 +75,9 @@
 /// The last partitions move least. Nothing but the number of moves depends on it: on a day
 /// with two rolling restarts the worst of ten seeds went from 0.815 to 0.931 of its worth, the
 /// mean from 0.923 to 0.944. Pools begin at different ones among the last sixth.
-pub fn shard_partition(pool: &str, shard: u32, partitions: u32) -> u32 {
+pub fn shard_partition(pool: &str, shard: u16, partitions: u32) -> u32 {
     let partitions = partitions.max(1);
     let firsts = u64::from((partitions / POOL_SHARE).max(1));
     let first = (name_hash(pool) % firsts) as u32;
-    partitions - 1 - (first + shard) % partitions
+    partitions - 1 - (first + u32::from(shard)) % partitions
 }
-
-/// Share of the partitions among which pools begin.
-const POOL_SHARE: u32 = 6;
--- a/components/ownership/tests/ownership.rs
+++ b/components/ownership/tests/ownership.rs
@@ -1,7 +1,7 @@
 //! Members of a group under lost and late joins, frozen and killed members, members that can't
 //! write, and partitions that are dealt anew.
 
-use ownership::{Next, Ownership, OwnershipSettings, model_partition, partition_of};
+use ownership::{Next, Ownership, OwnershipSettings, partition_of, shard_partition};
 
 const SETTINGS: OwnershipSettings = OwnershipSettings {
     ttl_ms: 1_300,
@@ -386,27 +386,27 @@
         name: &'static str,
         partitions: u32,
         partition: u32,
-        model: u32,
+        shards: [u32; 3],
     }
-    let case = |name, partitions, partition, model| Case {
+    let case = |name, partitions, partition, shards| Case {
         name,
         partitions,
         partition,
-        model,
+        shards,
     };
     let cases = [
-        case("", 24, 5, 22),
-        case("model-a", 24, 4, 23),
-        case("model-b", 24, 13, 22),
-        case("model-b", 1, 0, 0),
-        case("model-b", 4, 1, 3),
+        case("", 24, 5, [22, 21, 20]),
+        case("pool-a", 24, 9, [22, 21, 20]),
+        case("model-a", 24, 4, [23, 22, 21]),
+        case("model-b", 24, 13, [22, 21, 20]),
+        case("model-b", 1, 0, [0, 0, 0]),
+        case("model-b", 4, 1, [3, 2, 1]),
     ];
     for case in cases {
-        let found = (
-            partition_of(case.name, case.partitions),
-            model_partition(case.name, case.partitions),
-        );
-        let expected = (case.partition, case.model);
+        let partition = partition_of(case.name, case.partitions);
+        let shards = [0, 1, 2].map(|shard| shard_partition(case.name, shard, case.partitions));
+        let found = (partition, shards);
+        let expected = (case.partition, case.shards);
         assert_eq!(found, expected, "{} of {}", case.name, case.partitions);
     }
 }
--- a/components/steps/src/record.rs
+++ b/components/steps/src/record.rs
@@ -75,7 +75,7 @@
     /// Names the replicas that may run the items.
     pub pool: String,
     /// Shards among which its groups are dealt.
-    pub shards: u32,
+    pub shards: u16,
 }
 
 /// Output tokens of an item whose trainer gives no hint.
--- a/components/steps/src/step.rs
+++ b/components/steps/src/step.rs
@@ -44,7 +44,7 @@
     /// Whether the trainer ended it.
     pub ended: bool,
     /// Shard by group.
-    pub shard_by_group: Vec<u32>,
+    pub shard_by_group: Vec<u16>,
     /// When this process read of it, in milliseconds of its clock.
     pub read_ms: u64,
 }
@@ -65,7 +65,7 @@
     }
 
     /// Shard that runs an item.
-    pub fn shard(&self, item: u32) -> u32 {
+    pub fn shard(&self, item: u32) -> u16 {
         let group = self.head.items.get(item as usize).map(|head| head.group);
         let shard = group.and_then(|group| self.shard_by_group.get(usize::from(group)));
         shard.copied().unwrap_or(0)
@@ -108,7 +108,7 @@
     }
 }
 
-fn shard_by_group(id: StepId, head: &StepHead) -> Vec<u32> {
+fn shard_by_group(id: StepId, head: &StepHead) -> Vec<u16> {
     let groups = head.items.iter().map(|item| usize::from(item.group) + 1);
     let mut work = vec![0_u64; groups.max().unwrap_or(0)];
     for item in &head.items {
--- a/components/steps/tests/ledger.rs
+++ b/components/steps/tests/ledger.rs
@@ -43,6 +43,8 @@
                 count: 1,
             },
         ],
+        pool: "engines".to_owned(),
+        shards: 2,
     }
 }
 
