Membership: small fronts stand by for larger ones

Cause: partitions are dealt evenly whatever a front's size. Change: fronts with less than a fifth of a core read the group's owners twice a second and join only when no larger front has had a partition for 1.5 s. The name of the answer's rows is what the store says.

--- a/components/front/src/member.rs
+++ b/components/front/src/member.rs
@@ -1,14 +1,15 @@
 //! Membership in the group of fronts that run steps.
 //!
-//! The store deals partitions to members, and a model's steps are run by the owner of its
+//! The store deals partitions to members, and a shard of the steps is run by the owner of its
 //! partition. Two owners for a moment cost runs of items, never a result: the index says
-//! which result holds. So partitions that are dealt anew at any time do no harm.
+//! which result holds. So partitions that are dealt anew at any time do no harm. Fronts with
+//! little processor time are members only while no other front is one.
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use index::{RUNNER_GROUP, RUNNER_TOPIC};
-use ownership::{Next, Ownership, OwnershipSettings};
+use ownership::{Next, Ownership, OwnershipSettings, Standby};
 use platform::settings::FrontSettings;
 
 use crate::clock::now_ms;
@@ -29,6 +30,15 @@
 /// Longest time for a join, in milliseconds.
 const WITHIN_MS: u64 = 700;
 
+/// Least share of a core, in thousandths, of a front that runs shards beside others of its like.
+/// A shard of 96 places keeps a front at work for a twentieth of a core on average, and for
+/// several times that while steps begin.
+const LARGE_THOUSANDTHS: u32 = 200;
+/// Pause between looks at who owns partitions, in milliseconds, of a front that stands by.
+const STANDBY_MS: u64 = 500;
+/// Begins the names of members that stand by for others.
+const STANDBY_PREFIX: &str = "standby:";
+
 /// Times of the membership.
 pub fn settings(settings: &FrontSettings) -> OwnershipSettings {
     OwnershipSettings {
@@ -40,8 +50,18 @@
 /// Stays in the group until the process leaves.
 pub async fn stay(front: Arc<Front>) {
     let mut ownership = Ownership::new(settings(&front.settings));
+    let mut standby = is_small(&front).then(Standby::default);
     let mut settling_until_ms = 0;
     while front.drain.is_ready() {
+        if let Some(standby) = &mut standby
+            && !takes_part(&front, standby).await
+        {
+            if !ownership.partitions().is_empty() {
+                stand_back(&front, &mut ownership, "larger fronts are back").await;
+            }
+            front.storage.pause(STANDBY_MS).await;
+            continue;
+        }
         let unwritable_ms = front.unwritable_ms(now_ms());
         match ownership.next(unwritable_ms) {
             Next::Join { generation } => {
@@ -52,13 +72,7 @@
                 }
             }
             Next::StandBack => {
-                log::warn!(event = "standing-back", unwritable_ms; "");
-                ownership.stand_back();
-                front.owned.store(Arc::new(ownership.clone()));
-                if leave_group(&front).await {
-                    ownership.left();
-                    front.owned.store(Arc::new(ownership.clone()));
-                }
+                stand_back(&front, &mut ownership, "results cannot be written").await;
             }
             Next::Wait => {}
         }
@@ -68,6 +82,34 @@
     }
 }
 
+fn is_small(front: &Front) -> bool {
+    front.settings.processor_thousandths < LARGE_THOUSANDTHS
+}
+
+/// Whether a front that stands by takes part now.
+async fn takes_part(front: &Front, standby: &mut Standby) -> bool {
+    let within = Duration::from_millis(WITHIN_MS);
+    match front.storage.owners(RUNNER_GROUP, within).await {
+        Ok(owners) => {
+            let larger = |(_, owner): &(u32, String)| !owner.starts_with(STANDBY_PREFIX);
+            standby.owners_read(owners.iter().any(larger), now_ms());
+        }
+        Err(error) => log::warn!(event = "owners-not-read", error:% = error; ""),
+    }
+    standby.takes_part(now_ms())
+}
+
+/// Gives all partitions up, so that other members are dealt them.
+async fn stand_back(front: &Front, ownership: &mut Ownership, why: &str) {
+    log::warn!(event = "standing-back", unwritable_ms = front.unwritable_ms(now_ms()), why; "");
+    ownership.stand_back();
+    front.owned.store(Arc::new(ownership.clone()));
+    if leave_group(front).await {
+        ownership.left();
+        front.owned.store(Arc::new(ownership.clone()));
+    }
+}
+
 /// Joins or stays; true if the group changed.
 async fn join(front: &Front, ownership: &mut Ownership, generation: u64) -> bool {
     let sent_ms = now_ms();
@@ -127,5 +169,9 @@
 }
 
 fn member_name(front: &Front) -> String {
-    front.settings.node.clone()
+    let node = &front.settings.node;
+    match is_small(front) {
+        true => format!("{STANDBY_PREFIX}{node}"),
+        false => node.clone(),
+    }
 }
--- a/components/front/src/storage.rs
+++ b/components/front/src/storage.rs
@@ -136,6 +136,15 @@
         self.follow(join).await
     }
 
+    /// Partitions of a group that have an owner, with its name.
+    pub async fn owners(
+        &self,
+        group: &str,
+        within: Duration,
+    ) -> Result<Vec<(u32, String)>, StoreError> {
+        self.follow(self.store.owners(group, within)).await
+    }
+
     /// Leaves a group.
     pub async fn leave(
         &self,
--- a/components/front/tests/front/common.rs
+++ b/components/front/tests/front/common.rs
@@ -158,6 +158,8 @@
 pub struct Site {
     pub store: Store,
     pub replicas: Vec<Replica>,
+    /// Places that each replica says it has.
+    pub slots: u32,
 }
 
 impl Site {
@@ -172,6 +174,7 @@
         let mut site = Self {
             store: Store::default(),
             replicas: Vec::new(),
+            slots: records::SLOTS,
         };
         site.store
             .put("keyed.op", "config", Some(&records::config(3)));
@@ -204,7 +207,8 @@
 
     /// Writes a replica's record.
     pub fn beat(&self, replica: &Replica, state: &str, version: u64) {
-        let record = records::replica(replica.service, replica.handle.address, state, version);
+        let address = replica.handle.address;
+        let record = records::replica_with(replica.service, address, state, version, self.slots);
         self.store.put("keyed.servers", &replica.id, Some(&record));
     }
 
@@ -236,16 +240,29 @@
         front
     }
 
+    /// Starts a front with little processor time and waits until it is ready.
+    pub async fn small_front(&self, node: &str) -> FrontHandle {
+        let front = self.start_front(node, 90).await;
+        until("the front is ready", || front.is_ready()).await;
+        front
+    }
+
     /// Starts a front.
     pub async fn unready_front(&self, node: &str) -> FrontHandle {
+        self.start_front(node, 500).await
+    }
+
+    async fn start_front(&self, node: &str, processor_thousandths: u32) -> FrontHandle {
         let door = self
             .store
             .open(([127, 0, 0, 1], 0).into())
             .await
             .expect("a port");
-        let bound = Bound::new(settings(node, door.address))
-            .await
-            .expect("ports");
+        let settings = FrontSettings {
+            processor_thousandths,
+            ..settings(node, door.address)
+        };
+        let bound = Bound::new(settings).await.expect("ports");
         let (clients, ready) = (
             bound.clients().expect("bound"),
             bound.ready().expect("bound"),
@@ -276,6 +293,7 @@
         clients: any,
         ready: any,
         cores: 1,
+        processor_thousandths: 500,
         store: StoreSettings {
             address: store,
             retention_ms: 300_000,
--- a/components/front/tests/front/main.rs
+++ b/components/front/tests/front/main.rs
@@ -3,5 +3,6 @@
 mod calls;
 mod common;
 mod orders;
+mod shards;
 mod steps;
 mod trainer;
--- a/components/ownership/src/lib.rs
+++ b/components/ownership/src/lib.rs
@@ -13,11 +13,13 @@
 
 mod partition;
 mod shard;
+mod standby;
 
 use std::collections::BTreeSet;
 
 pub use partition::partition_of;
 pub use shard::{deal, replica_shards, shard_count, shard_partition};
+pub use standby::Standby;
 
 /// Times of a membership.
 #[derive(Clone, Copy, Debug)]
--- a/dev/standins/src/fleet/groups.rs
+++ b/dev/standins/src/fleet/groups.rs
@@ -43,6 +43,16 @@
         (self.generation, mine)
     }
 
+    /// Partitions that members were told of, with their names.
+    pub(super) fn owners(&mut self) -> Vec<(u32, String)> {
+        self.expire();
+        let held = |(name, member): (&String, &Member)| {
+            let holds = member.holds.iter();
+            holds.map(|held| (*held, name.clone())).collect::<Vec<_>>()
+        };
+        self.members.iter().flat_map(held).collect()
+    }
+
     pub(super) fn leave(&mut self, name: &str) {
         if self.members.remove(name).is_some() {
             self.generation += 1;
--- a/dev/standins/src/fleet/records.rs
+++ b/dev/standins/src/fleet/records.rs
@@ -47,15 +47,29 @@
     .to_string()
 }
 
+/// Places of a replica.
+pub const SLOTS: u32 = 8;
+
 /// The record of a replica.
 pub fn replica(service: &str, address: SocketAddr, state: &str, version: u64) -> String {
+    replica_with(service, address, state, version, SLOTS)
+}
+
+/// The record of a replica with so many places.
+pub fn replica_with(
+    service: &str,
+    address: SocketAddr,
+    state: &str,
+    version: u64,
+    slots: u32,
+) -> String {
     let models = match service {
         ENGINES => json!([{ "Name": MODEL, "Version": version, "Adapters": [] }]),
         _ => json!([]),
     };
     json!({
         "Service": service, "Address": address, "Zone": "zone-a", "Version": "v1",
-        "Slots": 8, "State": state, "ColdLeftMs": 0, "Models": models, "Seq": 1
+        "Slots": slots, "State": state, "ColdLeftMs": 0, "Models": models, "Seq": 1
     })
     .to_string()
 }
--- a/dev/standins/src/fleet/store.rs
+++ b/dev/standins/src/fleet/store.rs
@@ -106,6 +106,13 @@
         self.news.send_modify(|count| *count += 1);
     }
 
+    /// Partitions of a group that members were told of, with their names.
+    pub fn owners_of(&self, group: &str) -> Vec<(u32, String)> {
+        let mut state = self.lock();
+        let group = state.groups.get_mut(group);
+        group.map(Group::owners).unwrap_or_default()
+    }
+
     /// Deals all partitions of all groups anew.
     pub fn deal_anew(&self) {
         self.lock().groups.values_mut().for_each(Group::deal_anew);
@@ -125,6 +132,7 @@
             ("GET", "/v1/log-newest") => self.newest(&call),
             ("POST", "/v1/log-join") => self.join(&call),
             ("POST", "/v1/log-leave") => self.leave(&call),
+            ("GET", "/v1/log-owners") => self.owners(&call),
             _ => reply::error(404, "no-such-call"),
         }
     }
@@ -219,6 +227,18 @@
         )
     }
 
+    fn owners(&self, call: &Call) -> Reply {
+        let mut state = self.lock();
+        let group = state.groups.entry(text(call, "Group").unwrap_or_default());
+        let rows: Vec<_> = group
+            .or_default()
+            .owners()
+            .into_iter()
+            .map(|(part, member)| json!(["runners", part, member, 0]))
+            .collect();
+        reply::json(200, &json!({ "Generation": 0, "parts": rows }))
+    }
+
     fn leave(&self, call: &Call) -> Reply {
         let leave: Leave = match call.json() {
             Ok(leave) => leave,
