Shards: one up to 288 places; loads by the work that trainers owe

Cause: a step is late whenever one of its shards changes its owner, so more shards are more hits; all models got as many replicas whatever they ask for. Change: a shard has up to 288 places where larger fronts are there, 48 where only small ones are. Replicas are wanted by the tokens of each model's newest step.

--- a/components/front/src/jobs/mod.rs
+++ b/components/front/src/jobs/mod.rs
@@ -9,6 +9,7 @@
 mod tries;
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 use bytes::Bytes;
 use dispatch::{Route, Routes};
@@ -219,7 +220,8 @@
         .filter(|head| head.pool == *pool)
         .last()
         .map(|head| head.shards);
-    ownership::shard_count(places, before, front.settings.store.partitions)
+    let places_each = front.shard_places.load(Ordering::Relaxed);
+    ownership::shard_count(places, places_each, before, front.settings.store.partitions)
 }
 
 /// Ends a step. A step that this front does not know is answered by the caller.
--- a/components/front/src/leader.rs
+++ b/components/front/src/leader.rs
@@ -8,6 +8,7 @@
 use index::LogRecord;
 use orders::{Fleet, Model, Node, OrderSettings, plan};
 use platform::replica::{self, LoadMode, Order, OrderAnswer, ReplicaError};
+use steps::StepHead;
 
 use crate::clock::now_ms;
 use crate::peers::Member;
@@ -146,14 +147,31 @@
 }
 
 fn models(front: &Front, names: &[Arc<str>]) -> Vec<Model> {
+    let owed = owed_work(front);
     let named = locked(&front.named);
     let model = |name: &Arc<str>| Model {
         name: name.to_string(),
         named: named.get(name).copied().unwrap_or(0),
+        work: owed.get(&**name).copied().unwrap_or(0),
     };
     names.iter().map(model).collect()
 }
 
+/// Tokens that the newest step of each model asks for.
+fn owed_work(front: &Front) -> HashMap<String, u64> {
+    let heads: HashMap<String, Arc<StepHead>> = {
+        let index = front.index();
+        let steps = index.ledger.steps();
+        steps
+            .map(|step| (step.head.model.clone(), Arc::clone(&step.head)))
+            .collect()
+    };
+    heads
+        .into_iter()
+        .map(|(model, head)| (model, head.expected_tokens()))
+        .collect()
+}
+
 fn fleet(members: &[&Member], models: Vec<Model>, ordered: &InProgress, now_ms: u64) -> Fleet {
     let mut ordered = locked(ordered);
     ordered.retain(|id, order| {
--- a/components/front/src/member.rs
+++ b/components/front/src/member.rs
@@ -6,10 +6,13 @@
 //! little processor time are members only while no other front is one.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use index::{RUNNER_GROUP, RUNNER_TOPIC};
-use ownership::{Next, Ownership, OwnershipSettings, Standby};
+use ownership::{
+    LARGE_SHARD_PLACES, Next, Ownership, OwnershipSettings, SMALL_SHARD_PLACES, Standby,
+};
 use platform::settings::FrontSettings;
 
 use crate::clock::now_ms;
@@ -96,7 +99,13 @@
         }
         Err(error) => log::warn!(event = "owners-not-read", error:% = error; ""),
     }
-    standby.takes_part(now_ms())
+    let takes_part = standby.takes_part(now_ms());
+    let shard_places = match takes_part {
+        true => SMALL_SHARD_PLACES,
+        false => LARGE_SHARD_PLACES,
+    };
+    front.shard_places.store(shard_places, Ordering::Relaxed);
+    takes_part
 }
 
 /// Gives all partitions up, so that other members are dealt them.
--- a/components/front/src/state.rs
+++ b/components/front/src/state.rs
@@ -5,7 +5,7 @@
 //! and never across a wait.
 
 use std::collections::{BTreeMap, HashMap};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
@@ -13,7 +13,7 @@
 use index::Index;
 use lease::Lease;
 use leaving::Drain;
-use ownership::Ownership;
+use ownership::{LARGE_SHARD_PLACES, Ownership};
 use platform::settings::FrontSettings;
 use steps::StepHead;
 use telemetry::Metrics;
@@ -53,6 +53,8 @@
     pub unwritable_since_ms: AtomicU64,
     /// What this front runs.
     pub owned: ArcSwap<Ownership>,
+    /// Places of model replicas that a shard has, by the size of the fronts that run shards.
+    pub shard_places: AtomicU32,
     /// Wakes the task that runs items.
     pub runner_news: Notify,
     /// Turns true when a leaving front has saved the texts that it was making.
@@ -81,6 +83,7 @@
             replicas_read: AtomicU64::new(0),
             unwritable_since_ms: AtomicU64::new(0),
             owned: ArcSwap::from_pointee(Ownership::new(member::settings(&settings))),
+            shard_places: AtomicU32::new(LARGE_SHARD_PLACES),
             runner_news: Notify::new(),
             handed_over: watch::Sender::new(false),
             leader_news: Notify::new(),
--- a/components/orders/src/plan.rs
+++ b/components/orders/src/plan.rs
@@ -4,6 +4,14 @@
 
 use derive::value;
 
+/// Replicas that a model uses, in hundredths of its part. A replica that serves two models loads
+/// for both, and all loads share one source: at two parts, a fleet of 38 replicas for three
+/// models loads without a pause, and steps wait for replicas with weights of use.
+const SHARE_HUNDREDTHS: u64 = 100;
+
+/// Replicas that a model uses at least, however little it owes: one loads while the other serves.
+const NODES_MIN: usize = 2;
+
 /// Settings of the plan.
 #[value]
 #[derive(Copy)]
@@ -16,6 +24,9 @@
     pub nodes_per_load: usize,
     /// Versions behind the named one that are still of use.
     pub lag: u64,
+    /// Replicas that a model uses, in hundredths of its part by the work that it owes, where
+    /// several models share the replicas.
+    pub share_hundredths: u64,
 }
 
 impl Default for OrderSettings {
@@ -24,6 +35,7 @@
             loads_min: 3,
             nodes_per_load: 4,
             lag: 1,
+            share_hundredths: SHARE_HUNDREDTHS,
         }
     }
 }
@@ -42,6 +54,8 @@
     pub name: String,
     /// Newest version that was named.
     pub named: u64,
+    /// Tokens that its newest step asks for; 0 if it has none yet.
+    pub work: u64,
 }
 
 /// A replica.
@@ -75,14 +89,27 @@
     pub version: u64,
 }
 
-/// Replicas that a model uses, of `nodes` for `models` models: two thirds of them where
-/// several models share the replicas, as a replica loads every second version only; all of
-/// them where there is one model.
-fn wanted(nodes: usize, models: usize) -> usize {
-    match models {
-        0 => 0,
-        1 => nodes,
-        _ => (2 * nodes).div_ceil(models).min(nodes),
+/// Replicas that each model uses: all where there is one model, else its part by the work that
+/// it owes. A model without a step counts as the mean of the others.
+fn wanted(fleet: &Fleet, settings: &OrderSettings) -> Vec<usize> {
+    let nodes = fleet.nodes.len();
+    let known: Vec<u64> = fleet.models.iter().map(|model| model.work).collect();
+    let steps = known.iter().filter(|work| **work > 0).count() as u64;
+    let mean = (known.iter().sum::<u64>() / steps.max(1)).max(1);
+    let work: Vec<u64> = known
+        .into_iter()
+        .map(|work| if work == 0 { mean } else { work })
+        .collect();
+    let total: u64 = work.iter().sum();
+    let part = |work: &u64| {
+        let hundredths = nodes as u64 * work * settings.share_hundredths;
+        (hundredths.div_ceil(total * 100) as usize)
+            .max(NODES_MIN)
+            .min(nodes)
+    };
+    match work.len() {
+        1 => vec![nodes],
+        _ => work.iter().map(part).collect(),
     }
 }
 
@@ -96,12 +123,12 @@
 /// for the one with the fewest replicas of use. In a fixed order of models the last one got
 /// no load for ten seconds behind an outage, as the others named versions all the while.
 pub fn plan(fleet: &Fleet, settings: &OrderSettings) -> Vec<Load> {
-    let count = wanted(fleet.nodes.len(), fleet.models.len());
+    let counts = wanted(fleet, settings);
     let mut assigned = vec![0_usize; fleet.nodes.len()];
     let mut useless = Vec::new();
     let mut early = Vec::new();
     for model in 0..fleet.models.len() {
-        let members = members(fleet, model, count, &assigned, settings);
+        let members = members(fleet, model, counts[model], &assigned, settings);
         for node in &members {
             assigned[*node] += 1;
         }
--- a/components/orders/tests/plan.rs
+++ b/components/orders/tests/plan.rs
@@ -7,6 +7,7 @@
     Model {
         name: name.to_owned(),
         named,
+        work: 0,
     }
 }
 
@@ -167,3 +168,65 @@
     let fleet = fleet(&[9, 9, 9], &[&[5, 5, 5][..]; 41]);
     assert_eq!(loads(&fleet).len(), 10);
 }
+
+#[test]
+fn can_give_a_model_replicas_by_the_work_that_it_owes() {
+    // Three trainers of different sizes share twelve replicas. Given as many each, the largest
+    // one's items wait for places while the smallest one's replicas stand idle; and a trainer
+    // that owes almost nothing still needs one replica that serves while another loads.
+    struct Case {
+        name: &'static str,
+        work: [u64; 3],
+        useful: [usize; 3],
+    }
+    let cases = [
+        Case {
+            name: "even",
+            work: [500, 500, 500],
+            useful: [4, 4, 4],
+        },
+        Case {
+            name: "uneven",
+            work: [600, 300, 300],
+            useful: [6, 3, 3],
+        },
+        Case {
+            name: "one owes almost nothing",
+            work: [900, 900, 1],
+            useful: [6, 6, 2],
+        },
+        Case {
+            name: "one has no step yet",
+            work: [400, 200, 0],
+            useful: [6, 3, 4],
+        },
+    ];
+    for case in cases {
+        let mut fleet = fleet(&[9, 9, 9], &[&[1, 1, 1][..]; 12]);
+        for (model, work) in fleet.models.iter_mut().zip(case.work) {
+            model.work = work;
+        }
+        settle(&mut fleet);
+        let of_use = |model| {
+            let of_use = |node: &&Node| node.versions[model] + 1 >= 9;
+            fleet.nodes.iter().filter(of_use).count()
+        };
+        assert_eq!([0, 1, 2].map(of_use), case.useful, "{}", case.name);
+    }
+}
+
+#[test]
+fn can_load_no_more_than_half_of_the_fleet_for_a_round_of_versions() {
+    // Three trainers on 38 replicas name a version each four seconds, and nine replicas load at
+    // once for a second each: 36 loads in that time, however many are wanted. When each round
+    // wants more, replicas of use come later from step to step.
+    let mut fleet = fleet(&[1, 1, 1], &[&[1, 1, 1][..]; 38]);
+    let mut counts = Vec::new();
+    for named in 2..10 {
+        for model in &mut fleet.models {
+            model.named = named;
+        }
+        counts.push(settle(&mut fleet));
+    }
+    assert!(counts.iter().all(|count| *count <= 21), "{counts:?}");
+}
--- a/components/ownership/src/lib.rs
+++ b/components/ownership/src/lib.rs
@@ -18,7 +18,9 @@
 use std::collections::BTreeSet;
 
 pub use partition::partition_of;
-pub use shard::{deal, replica_shards, shard_count, shard_partition};
+pub use shard::{
+    LARGE_SHARD_PLACES, SMALL_SHARD_PLACES, deal, replica_shards, shard_count, shard_partition,
+};
 pub use standby::Standby;
 
 /// Times of a membership.
--- a/components/steps/src/record.rs
+++ b/components/steps/src/record.rs
@@ -92,6 +92,12 @@
 }
 
 impl StepHead {
+    /// Output tokens to expect of all its items.
+    pub fn expected_tokens(&self) -> u64 {
+        let tokens = self.items.iter().map(ItemHead::expected_tokens);
+        tokens.map(u64::from).sum()
+    }
+
     /// Place of an item's data: partition and offset.
     pub fn data_of(&self, item: usize) -> Option<(u32, u64)> {
         let mut left = item as u64;
