Runs: a front that leaves or hands a shard on finishes what it runs

Cause: with the shard all its items change hands: they stand still together while some hundred texts are read back. At the end of its time it saves and gives them up. The test of a handing over held that a second run begins; its front now has the time to finish, so it is asked for longer items, and two tests are new: finishing, and dying while leaving.

--- a/components/front/src/leave.rs
+++ b/components/front/src/leave.rs
@@ -36,7 +36,13 @@
     }
 }
 
-/// Gives the models to other fronts once what was made of their items is saved.
+/// How long a leaving front goes on with the items that it runs, in milliseconds after the stop
+/// signal. The longest take six seconds; what is left then is saved once more.
+pub fn keep_runs_ms(grace_ms: u64) -> u64 {
+    grace_ms.saturating_sub(MARGIN_MS + SAVE_MS)
+}
+
+/// Gives the shards to other fronts once what was made of their items is saved.
 async fn hand_over(front: &Arc<Front>) {
     let mut saved = front.handed_over.subscribe();
     let within = Duration::from_millis(SAVE_MS);
--- a/components/front/src/member.rs
+++ b/components/front/src/member.rs
@@ -143,6 +143,9 @@
                 );
             }
             front.owned.store(Arc::new(ownership.clone()));
+            if changed {
+                front.handed_on.store(true, Ordering::Relaxed);
+            }
             front.runner_news.notify_one();
             changed
         }
--- a/components/front/src/partial.rs
+++ b/components/front/src/partial.rs
@@ -147,6 +147,20 @@
     }
 }
 
+/// Tells how long this front goes on with items, in milliseconds.
+pub async fn keep(front: &Front, items: Vec<(StepId, u32)>, for_ms: u32) {
+    if items.is_empty() {
+        return;
+    }
+    let count = items.len();
+    let record = [LogRecord::Index(IndexRecord::Kept { items, for_ms })];
+    match write_index(front, &record).await {
+        Ok(_) => log::info!(event = "items-kept", items = count, for_ms; ""),
+        // Others begin with them too, which costs runs and no result.
+        Err(error) => log::warn!(event = "kept-not-written", error:% = error; ""),
+    }
+}
+
 async fn write(
     front: &Front,
     pieces: Vec<(StepId, u32, SavedPiece)>,
--- a/components/front/src/runner/contests.rs
+++ b/components/front/src/runner/contests.rs
@@ -124,7 +124,7 @@
             found.missing.push((step.id, Arc::clone(&step.head)));
             return;
         }
-        let waiting = self.waiting_of(step, &owned);
+        let waiting = self.waiting_of(step, &owned, now_ms);
         let Some(route) = routes.exact(&step.head.host, &step.head.prefix) else {
             found.hopeless.extend(waiting);
             return;
@@ -143,11 +143,12 @@
         contest.waiting.extend(candidates);
     }
 
-    fn waiting_of(&self, step: &Step, owned: &BTreeSet<u16>) -> Vec<Key> {
+    fn waiting_of(&self, step: &Step, owned: &BTreeSet<u16>, now_ms: u64) -> Vec<Key> {
         let waits = |(item, progress): (usize, &steps::ItemProgress)| {
             let key = (step.id, item as u32);
+            let mine = owned.contains(&step.shard(key.1)) && !step.is_kept(key.1, now_ms);
             let waits = !progress.listed && !self.running.contains_key(&key);
-            (waits && owned.contains(&step.shard(key.1))).then_some(key)
+            (mine && waits).then_some(key)
         };
         step.progress.iter().enumerate().filter_map(waits).collect()
     }
--- a/components/front/src/runner/look.rs
+++ b/components/front/src/runner/look.rs
@@ -48,26 +48,29 @@
             .retain(|step, _| index.ledger.get(*step).is_some_and(Step::is_open));
     }
 
-    /// Whether this front leaves and hands its runs over. Where the store was away when the stop
-    /// signal came, nothing can be saved and nobody would take over: the runs go on then, as
-    /// long as the process may.
+    /// Whether this front leaves and has no more time for what it runs. While the store is out of
+    /// reach nothing can be saved and nobody would take over: the runs go on then, as long as
+    /// the process may.
     fn is_handing_over(&mut self, now_ms: u64) -> bool {
         if !self.front.drain.is_leaving() {
             return false;
         }
-        let front = &self.front;
-        !*self.leaves_late.get_or_insert_with(|| {
-            let index_age_ms = front.index_age_ms(now_ms);
-            let silent = index_age_ms.is_some_and(|age_ms| age_ms >= STORE_AWAY_MS);
-            silent || front.storage.is_lost()
-        })
+        let since_ms = *self.leaves_since_ms.get_or_insert(now_ms);
+        let keep_ms = leave::keep_runs_ms(self.front.settings.bounds.grace_ms);
+        now_ms >= since_ms + keep_ms && !self.front.storage.is_lost()
     }
 
-    /// Saves texts that are not whole, at intervals and once more when this front leaves.
+    /// Saves texts that are not whole, at intervals. With each round others are told what this
+    /// front goes on with beside its own shards; at once when it begins to leave, or was dealt
+    /// other partitions.
     fn save(&mut self, now_ms: u64) {
-        let leaving = self.front.drain.is_leaving();
+        if self.saving {
+            return;
+        }
+        let first = self.front.drain.is_leaving() && !*self.front.handed_over.borrow();
+        let dealt = self.front.handed_on.swap(false, Ordering::Relaxed);
         let due = now_ms >= self.saved_ms + SAVE_MS;
-        if self.saving || !due && !leaving || *self.front.handed_over.borrow() {
+        if !due && !first && !dealt {
             return;
         }
         self.saved_ms = now_ms;
@@ -77,14 +80,33 @@
             .iter()
             .map(|(key, held)| (*key, Arc::clone(&held.0)))
             .collect();
+        let (kept, given_up) = self.kept_and_given_up();
         let (front, news) = (Arc::clone(&self.front), self.news.clone());
         tokio::spawn(async move {
+            partial::keep(&front, kept, KEPT_MS).await;
             partial::save(&front, texts).await;
+            partial::keep(&front, given_up, 0).await;
             // The runner ends with the process only.
             let _ = news.send(News::Saved);
         });
     }
 
+    /// Items of others' shards that this front runs, and those of which it has a text that it
+    /// does not run.
+    fn kept_and_given_up(&self) -> (Vec<Key>, Vec<Key>) {
+        let leaving = self.front.drain.is_leaving();
+        let index = self.front.index();
+        let of_others = |key: &&Key| {
+            let step = index.ledger.get(key.0);
+            leaving
+                || step.is_some_and(|step| self.front.is_handed_on(&step.head, step.shard(key.1)))
+        };
+        let kept = self.running.keys().filter(of_others).copied().collect();
+        let given_up = self.partials.keys().filter(of_others);
+        let given_up = given_up.filter(|key| !self.running.contains_key(key));
+        (kept, given_up.copied().collect())
+    }
+
     /// Places waiting items and moves running ones away from slow replicas.
     fn start(&mut self, contest: Contest, now_ms: u64) {
         let table = self.front.replicas.load_full();
--- a/components/front/src/runner/mod.rs
+++ b/components/front/src/runner/mod.rs
@@ -28,6 +28,7 @@
 
 use crate::clock::now_ms;
 use crate::figures;
+use crate::leave;
 use crate::partial::{self, Partial, SharedPartial};
 use crate::peers::{Member, ReplicaTable};
 use crate::reward;
@@ -43,9 +44,9 @@
 /// How old the knowledge of the index may be when a run starts, in milliseconds; an item of
 /// a step that was ended must not reach a replica three seconds later.
 const INDEX_AGE_MS_MAX: u64 = 1_500;
-/// Time without news of the index from which on the store counts as away, in milliseconds: a
-/// read that waits for news comes back twice within it.
-const STORE_AWAY_MS: u64 = 900;
+/// How long nobody else need run what a leaving front goes on with, in milliseconds; it says so
+/// anew with each round of saving. What it had stands still for so long if it dies.
+const KEPT_MS: u32 = 1_200;
 /// Beyond the time in which an item may be given up, in milliseconds, against early clocks.
 const GIVE_UP_SLACK_MS: u64 = 1_000;
 /// Pause between rounds of saving texts, in milliseconds: what a run loses with its machine,
@@ -118,8 +119,8 @@
     engines: HashMap<ReplicaId, EngineState>,
     /// Usual pause between the events of a text, in microseconds; 0 before it is known.
     pause_us: u64,
-    /// Whether the store was away when this front was told to leave; none before.
-    leaves_late: Option<bool>,
+    /// When this front was told to leave, in milliseconds; none before.
+    leaves_since_ms: Option<u64>,
 }
 
 /// Runs items until the process ends.
@@ -138,7 +139,7 @@
         failed_runs: HashMap::new(),
         engines: HashMap::new(),
         pause_us: 0,
-        leaves_late: None,
+        leaves_since_ms: None,
     };
     loop {
         tokio::select! {
--- a/components/front/src/state.rs
+++ b/components/front/src/state.rs
@@ -5,7 +5,7 @@
 //! and never across a wait.
 
 use std::collections::{BTreeMap, HashMap};
-use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
@@ -53,6 +53,8 @@
     pub unwritable_since_ms: AtomicU64,
     /// What this front runs.
     pub owned: ArcSwap<Ownership>,
+    /// Whether partitions were dealt to others since the runner looked.
+    pub handed_on: AtomicBool,
     /// Places of model replicas that a shard has, by the size of the fronts that run shards.
     pub shard_places: AtomicU32,
     /// Wakes the task that runs items.
@@ -83,6 +85,7 @@
             replicas_read: AtomicU64::new(0),
             unwritable_since_ms: AtomicU64::new(0),
             owned: ArcSwap::from_pointee(Ownership::new(member::settings(&settings))),
+            handed_on: AtomicBool::new(false),
             shard_places: AtomicU32::new(LARGE_SHARD_PLACES),
             runner_news: Notify::new(),
             handed_over: watch::Sender::new(false),
@@ -149,6 +152,11 @@
         self.owned.load().may_finish(self.partition(head, shard))
     }
 
+    /// Whether another front has a shard and must be told of its items that this one runs.
+    pub fn is_handed_on(&self, head: &StepHead, shard: u16) -> bool {
+        self.owned.load().is_handed_on(self.partition(head, shard))
+    }
+
     fn partition(&self, head: &StepHead, shard: u16) -> u32 {
         ownership::shard_partition(&head.pool, shard, self.settings.store.partitions)
     }
--- a/components/front/tests/front/steps.rs
+++ b/components/front/tests/front/steps.rs
@@ -212,12 +212,38 @@
 }
 
 #[tokio::test]
-async fn can_hand_a_step_over_when_its_front_leaves() {
-    // The front gets the stop signal in the middle of long items. It is not ready at once,
-    // saves what was made, and another front goes on.
+async fn can_finish_what_it_runs_while_it_leaves() {
+    // The front gets the stop signal in the middle of items of seconds. It is not ready at once,
+    // and another front has its shards; but it makes the items whole itself, and the other one,
+    // which was told, begins none of them. Begun again, all items of a step would stand still
+    // together while they change hands.
     let site = Site::start(60, 40).await;
     let mut front = site.front("a").await;
     assert_eq!(front.submit("s-1", &records::step(1, 1, 2)).await.0, 202);
+    let next = site.front("b").await;
+    until("the items run", || async {
+        !site.runs("item-1-0").is_empty() && !site.runs("item-1-1").is_empty()
+    })
+    .await;
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    front.stop();
+    until("it is not ready", || async { !front.is_ready().await }).await;
+    for result in next.all_results("s-1", 2).await {
+        assert_eq!(result["Text"], text(60));
+    }
+    assert_eq!(
+        (site.runs("item-1-0"), site.runs("item-1-1")),
+        (vec![0], vec![0])
+    );
+}
+
+#[tokio::test]
+async fn can_hand_a_step_over_when_its_front_leaves() {
+    // The front gets the stop signal in the middle of items that take longer than it has. It
+    // makes them for as long as it may, saves what there is, and another front goes on.
+    let site = Site::start(60, 130).await;
+    let mut front = site.front("a").await;
+    assert_eq!(front.submit("s-1", &records::step(1, 1, 2)).await.0, 202);
     until("the items run", || async {
         !site.runs("item-1-0").is_empty()
     })
@@ -230,6 +256,32 @@
         assert_eq!(result["Text"], text(60));
     }
     let runs = site.runs("item-1-0");
+    assert!(
+        runs.len() == 2 && runs.iter().any(|after| *after > 30),
+        "{runs:?}"
+    );
+}
+
+#[tokio::test]
+async fn can_take_over_from_a_front_that_dies_while_it_leaves() {
+    // A leaving front says that it goes on with its items, and is killed. What it had must not
+    // stand still until its time is up: another front begins where the last piece ends.
+    let site = Site::start(60, 60).await;
+    let mut front = site.front("a").await;
+    assert_eq!(front.submit("s-1", &records::step(1, 1, 2)).await.0, 202);
+    let next = site.front("b").await;
+    until("the items run", || async {
+        !site.runs("item-1-0").is_empty()
+    })
+    .await;
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    front.stop();
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    drop(front);
+    for result in next.all_results("s-1", 2).await {
+        assert_eq!(result["Text"], text(60));
+    }
+    let runs = site.runs("item-1-0");
     assert!(
         runs.len() == 2 && runs.iter().any(|after| *after > 0),
         "{runs:?}"
--- a/components/ownership/src/lib.rs
+++ b/components/ownership/src/lib.rs
@@ -55,6 +55,9 @@
     partitions: BTreeSet<u32>,
     /// Partitions that were owned last and that no answer has dealt to another member.
     last_owned: BTreeSet<u32>,
+    /// Partitions that an answer dealt to others while the membership held: nobody acted for them
+    /// before that answer.
+    handed_on: BTreeSet<u32>,
     until_ms: u64,
     stands_back: bool,
 }
@@ -67,6 +70,7 @@
             generation: 0,
             partitions: BTreeSet::new(),
             last_owned: BTreeSet::new(),
+            handed_on: BTreeSet::new(),
             until_ms: 0,
             stands_back: false,
         }
@@ -94,6 +98,12 @@
         self.stands_back = false;
         self.generation = generation;
         self.partitions = partitions.into_iter().collect();
+        if sent_ms >= self.until_ms {
+            self.handed_on.clear();
+        } else {
+            self.handed_on.append(&mut self.last_owned);
+        }
+        self.handed_on = &self.handed_on - &self.partitions;
         self.last_owned.clone_from(&self.partitions);
         self.until_ms = sent_ms + self.settings.ttl_ms;
         changed
@@ -104,6 +114,7 @@
         *self = Self {
             stands_back: true,
             last_owned: std::mem::take(&mut self.last_owned),
+            handed_on: std::mem::take(&mut self.handed_on),
             ..Self::new(self.settings)
         };
     }
@@ -111,6 +122,7 @@
     /// The store knows that the partitions are given up, and deals them to others.
     pub fn left(&mut self) {
         self.last_owned.clear();
+        self.handed_on.clear();
     }
 
     /// Time to live that a join asks for, in milliseconds.
@@ -125,10 +137,16 @@
 
     /// Whether work that was begun for a partition may go on. It may while nothing is known of
     /// another owner: a store that is away as a whole deals to nobody, and what is finished
-    /// meanwhile is there when it returns. Where another member was dealt the partition, the
-    /// work is done twice for as long as one item takes.
+    /// meanwhile is there when it returns. It may as well where the partition was handed on
+    /// while the membership held, as its next owner is told what goes on. Else, where another
+    /// member was dealt the partition, the work is done twice for as long as one item takes.
     pub fn may_finish(&self, partition: u32) -> bool {
-        self.last_owned.contains(&partition)
+        self.last_owned.contains(&partition) || self.is_handed_on(partition)
+    }
+
+    /// Whether another member has the partition, and must be told of work that goes on here.
+    pub fn is_handed_on(&self, partition: u32) -> bool {
+        self.handed_on.contains(&partition)
     }
 
     /// Whether the member may act for a partition now.
--- a/components/ownership/tests/ownership.rs
+++ b/components/ownership/tests/ownership.rs
@@ -352,6 +352,22 @@
             },
             goes_on: false,
         },
+        Case {
+            name: "another member was dealt it while the membership held",
+            happens: |ownership| {
+                ownership.joined(1_300, 2, [4]);
+                ownership.joined(1_600, 2, [4]);
+            },
+            goes_on: true,
+        },
+        Case {
+            name: "the same, and it lapsed since",
+            happens: |ownership| {
+                ownership.joined(1_300, 2, [4]);
+                ownership.joined(9_000, 2, [4]);
+            },
+            goes_on: false,
+        },
     ];
     for case in cases {
         let mut ownership = Ownership::new(SETTINGS);
--- a/components/steps/src/ledger.rs
+++ b/components/steps/src/ledger.rs
@@ -41,6 +41,7 @@
             IndexRecord::Failed { step, item, part } => self.fail(step, item, part),
             IndexRecord::Ended { step } => self.end(step),
             IndexRecord::Saved { step, item, piece } => self.save(step, item, piece),
+            IndexRecord::Kept { items, for_ms } => self.keep(&items, now_ms + u64::from(for_ms)),
         }
     }
 
@@ -105,6 +106,17 @@
         Change::Progress(id)
     }
 
+    fn keep(&mut self, items: &[(StepId, u32)], until_ms: u64) -> Change {
+        let mut change = Change::Nothing;
+        for (id, item) in items {
+            if let Some(step) = self.steps.get_mut(id).filter(|step| step.is_open()) {
+                step.kept_until_ms.insert(*item, until_ms);
+                change = Change::Progress(*id);
+            }
+        }
+        change
+    }
+
     fn progress_mut(&mut self, id: StepId, item: u32) -> Option<&mut ItemProgress> {
         self.steps.get_mut(&id)?.progress.get_mut(item as usize)
     }
--- a/components/steps/src/record.rs
+++ b/components/steps/src/record.rs
@@ -203,4 +203,11 @@
         /// The piece.
         piece: SavedPiece,
     },
+    /// A process that leaves goes on with items that it runs.
+    Kept {
+        /// The items: their step, their number in it.
+        items: Vec<(StepId, u32)>,
+        /// How long nobody else need run them, in milliseconds; 0 from now on.
+        for_ms: u32,
+    },
 }
--- a/components/steps/src/step.rs
+++ b/components/steps/src/step.rs
@@ -41,6 +41,9 @@
     pub progress: Vec<ItemProgress>,
     /// Pieces of texts that are not whole, by number of the item.
     pub saved: HashMap<u32, Vec<SavedPiece>>,
+    /// Until when another process goes on with an item, by number of the item, in milliseconds of
+    /// this process's clock.
+    pub kept_until_ms: HashMap<u32, u64>,
     /// Whether the trainer ended it.
     pub ended: bool,
     /// Shard by group.
@@ -57,6 +60,7 @@
             results: Vec::new(),
             progress: vec![ItemProgress::default(); head.items.len()],
             saved: HashMap::new(),
+            kept_until_ms: HashMap::new(),
             ended: false,
             shard_by_group: shard_by_group(id, &head),
             read_ms,
@@ -97,6 +101,12 @@
         progress.is_none_or(|progress| progress.listed)
     }
 
+    /// Whether another process goes on with an item.
+    pub fn is_kept(&self, item: u32, now_ms: u64) -> bool {
+        let until_ms = self.kept_until_ms.get(&item);
+        until_ms.is_some_and(|until_ms| now_ms < *until_ms)
+    }
+
     /// Pieces of an item's text, the first one first.
     pub fn pieces(&self, item: u32) -> &[SavedPiece] {
         self.saved.get(&item).map_or(&[], Vec::as_slice)
