Runs: a front that can't write goes on; no text begins anew because its pieces can't be read now

The owner gave its shard up after 0.8 s and dropped its runs; the next one was refused the saved pieces and began every item from its first event. Change: runs go on after standing back, until another front's pieces are seen; an item whose pieces can't be read now waits.

--- a/bin/ctl/src/cli.rs
+++ b/bin/ctl/src/cli.rs
@@ -99,6 +99,10 @@
                 "Replicas with state and versions, by their own records",
             ),
             kind("steps", "Accepted steps with their progress"),
+            kind(
+                "shards",
+                "Shards with items to run, and the fronts that run them",
+            ),
             kind("lease", "Who gives orders to replicas"),
         ])
 }
--- a/bin/ctl/src/cmd/store.rs
+++ b/bin/ctl/src/cmd/store.rs
@@ -1,7 +1,7 @@
 //! `store`: what stands in the platform's store.
 
 use clap::ArgMatches;
-use inspect::{Inspector, LeaseRow, ReplicaRow, RouteRow, StepRow, VersionRow};
+use inspect::{Inspector, LeaseRow, ReplicaRow, RouteRow, ShardRow, StepRow, VersionRow};
 use serde::Serialize;
 use settings::address;
 
@@ -29,6 +29,7 @@
         "versions" => print(form, &store.versions().await?, |rows| versions_table(rows)),
         "replicas" => print(form, &store.replicas().await?, |rows| replicas_table(rows)),
         "steps" => print(form, &store.steps().await?, |rows| steps_table(rows)),
+        "shards" => print(form, &store.shards().await?, |rows| shards_table(rows)),
         _ => print(form, &store.lease().await?, lease_table),
     }
     Ok(())
@@ -127,6 +128,17 @@
     print_table(titles, &rows);
 }
 
+fn shards_table(rows: &[ShardRow]) {
+    let row = |row: &ShardRow| {
+        let front = row.front.clone().unwrap_or_else(|| "-".to_owned());
+        let numbers = [row.shard.to_string(), row.items_open.to_string()];
+        let [shard, items_open] = numbers;
+        [row.pool.clone(), shard, front, items_open]
+    };
+    let rows: Vec<_> = rows.iter().map(row).collect();
+    print_table(["pool", "shard", "front", "items open"], &rows);
+}
+
 fn lease_table(lease: &LeaseRow) {
     let dash = || "-".to_owned();
     let holder = lease.holder.clone().unwrap_or_else(dash);
--- a/bin/ctl/tests/store.rs
+++ b/bin/ctl/tests/store.rs
@@ -37,6 +37,7 @@
         case("replicas", "table", "replica   service", "model-a=2"),
         case("replicas", "json", "[", "\"draining\": false"),
         case("steps", "table", "step  model", ""),
+        case("shards", "table", "pool  shard  front", ""),
         case("lease", "table", "holder of orders  fence", "-"),
     ];
     let store = Store::default();
--- a/components/dispatch/src/moves.rs
+++ b/components/dispatch/src/moves.rs
@@ -49,6 +49,16 @@
     Slow,
 }
 
+impl MoveCause {
+    /// The cause in one word, for lines.
+    pub fn word(self) -> &'static str {
+        match self {
+            MoveCause::Stalled => "stalled",
+            MoveCause::Slow => "slow",
+        }
+    }
+}
+
 /// Silence from which on a run counts as stalled, in milliseconds, where replicas make an event
 /// each `typical_us`; 0 if that is not known yet.
 pub fn stalled_ms(typical_us: u64) -> u64 {
--- a/components/front/src/partial.rs
+++ b/components/front/src/partial.rs
@@ -71,6 +71,12 @@
         };
     }
 
+    /// Whether the newest piece in the index is of another run: another front makes this text too.
+    pub fn is_overtaken(&self, newest: u64) -> bool {
+        let unsure = self.unsure.is_some_and(|unsure| unsure.piece == newest);
+        newest != 0 && newest != self.saved.piece && !unsure
+    }
+
     /// The piece that is not saved yet, if it is worth saving. `newest` is the newest piece
     /// that stands in the index.
     fn unsaved(&mut self, newest: u64) -> Option<(SavedPiece, Bytes)> {
--- a/components/front/src/run_item.rs
+++ b/components/front/src/run_item.rs
@@ -60,6 +60,8 @@
     Broken(String),
     /// It was stopped.
     Stopped,
+    /// It was not sent: what is saved of its text can't be read now.
+    Unready,
     /// The replica failed; counts as an attempt.
     Failed,
     /// It can never be done.
--- a/components/front/src/runner/look.rs
+++ b/components/front/src/runner/look.rs
@@ -1,5 +1,6 @@
 //! What the runner does when it looks at the steps: stops, starts and moves runs.
 
+use platform::store::StoreError;
 use steps::SavedPiece;
 
 use super::contests::{Candidate, Contest};
@@ -29,12 +30,14 @@
     fn stop_what_ended(&mut self, now_ms: u64) {
         let front = Arc::clone(&self.front);
         let leaving = self.is_handing_over(now_ms);
+        let overtaken = self.overtaken();
         let index = front.index();
         let wanted = |key: &Key, whole: bool| {
             index.ledger.get(key.0).is_some_and(|step| {
                 // A whole text is scored and written whoever runs the model now.
                 let shard = step.shard(key.1);
-                let mine = whole || !leaving && front.may_finish(&step.head, shard);
+                let may_finish = front.may_finish(&step.head, shard) && !overtaken.contains(key);
+                let mine = whole || !leaving && may_finish;
                 let progress = step.progress.get(key.1 as usize);
                 !step.ended && mine && progress.is_some_and(|item| !item.listed)
             })
@@ -48,6 +51,21 @@
             .retain(|step, _| index.ledger.get(*step).is_some_and(Step::is_open));
     }
 
+    /// Items of shards that were handed on, of which another front has saved more.
+    fn overtaken(&self) -> HashSet<Key> {
+        let index = self.front.index();
+        let is_overtaken = |key: &&Key| {
+            let Some(step) = index.ledger.get(key.0) else {
+                return false;
+            };
+            let newest = step.pieces(key.1).last().map_or(0, |piece| piece.id);
+            let partial = self.partials.get(*key);
+            self.front.is_handed_on(&step.head, step.shard(key.1))
+                && partial.is_some_and(|(partial, _)| locked(partial).is_overtaken(newest))
+        };
+        self.running.keys().filter(is_overtaken).copied().collect()
+    }
+
     /// Whether this front leaves and has no more time for what it runs. While the store is out of
     /// reach nothing can be saved and nobody would take over: the runs go on then, as long as
     /// the process may.
@@ -218,8 +236,10 @@
         let (key, news) = (item.key, self.news.clone());
         let front = Arc::clone(&self.front);
         let task = tokio::spawn(async move {
-            take_up(&front, &partial, &saved.unwrap_or_default()).await;
-            let end = run_item::run(&spec, &partial).await;
+            let end = match take_up(&front, &partial, &saved.unwrap_or_default()).await {
+                true => run_item::run(&spec, &partial).await,
+                false => RunEnd::Unready,
+            };
             drop(place);
             // The runner ends with the process only.
             let _ = news.send(News::Ran(key, replica, end));
@@ -235,17 +255,29 @@
     }
 }
 
-/// Goes on from what another process saved, where this one has nothing of the text.
-async fn take_up(front: &Front, partial: &SharedPartial, saved: &[SavedPiece]) {
+/// Goes on from what another process saved, where this one has nothing of the text; false if it
+/// can't be read now. A store that refuses it takes no result either, so that an item that was
+/// begun from its first event would end late for nothing.
+async fn take_up(front: &Front, partial: &SharedPartial, saved: &[SavedPiece]) -> bool {
     let begun = {
         let partial = locked(partial);
         partial.discarded || partial.last_event > 0
     };
     if saved.is_empty() || begun {
-        return;
+        return true;
     }
     match partial::restore(front, saved).await {
-        Ok(restored) => *locked(partial) = restored,
-        Err(error) => log::info!(event = "pieces-not-read", error:% = error; ""),
+        Ok(restored) => {
+            *locked(partial) = restored;
+            true
+        }
+        Err(error) => {
+            let lost = matches!(error, StoreError::Gone(_) | StoreError::Malformed(_));
+            log::info!(event = "pieces-not-read", lost, error:% = error; "");
+            if !lost {
+                tokio::time::sleep(Duration::from_millis(LOOK_MS)).await;
+            }
+            lost
+        }
     }
 }
--- a/components/front/src/runner/mod.rs
+++ b/components/front/src/runner/mod.rs
@@ -211,15 +211,16 @@
                 self.admission(&replica, &head.model).refused(now_ms);
                 self.note_broken(key, replica);
             }
+            RunEnd::Unready => {
+                log::debug!(event = "item-unready", step = step.0, item; "");
+            }
             RunEnd::Stopped => {
+                let stopping = running
+                    .as_ref()
+                    .and_then(|running| running.at.as_ref()?.stopping);
+                let why = stopping.map_or("told", MoveCause::word);
                 log::info!(
-                    event = "item-moved",
-                    step = step.0,
-                    item,
-                    replica = &*replica,
-                    events,
-                    why:? = running.as_ref().and_then(|running| running.at.as_ref()?.stopping);
-                    ""
+                    event = "item-moved", step = step.0, item, replica = &*replica, events, why; ""
                 );
                 self.note_broken(key, replica);
             }
@@ -244,6 +245,7 @@
             RunEnd::Whole => "front_runs_whole_total",
             RunEnd::NotRun(_) => "front_runs_refused_total",
             RunEnd::Broken(_) => "front_runs_broken_total",
+            RunEnd::Unready => "front_runs_unready_total",
             RunEnd::Stopped => "front_runs_moved_total",
             RunEnd::Failed | RunEnd::Impossible => "front_runs_failed_total",
         };
--- a/components/front/tests/front/steps.rs
+++ b/components/front/tests/front/steps.rs
@@ -312,6 +312,41 @@
     );
 }
 
+#[tokio::test]
+async fn can_wait_for_what_was_saved_of_a_text() {
+    // A front dies in the middle of long items, and the next one has their data but is refused
+    // what was saved of them, as the store comes and goes. It could list nothing now anyway;
+    // begun from the first event, the items would end as late as if nothing had been saved.
+    let site = Site::start(100, 40).await;
+    let front = site.front("a").await;
+    let next = site.small_front("s").await;
+    assert_eq!(next.submit("s-1", &records::step(1, 1, 2)).await.0, 202);
+    until("the items run", || async {
+        !site.runs("item-1-0").is_empty() && !site.runs("item-1-1").is_empty()
+    })
+    .await;
+    tokio::time::sleep(Duration::from_millis(1_200)).await;
+    let pieces = ownership::partition_of("a", 24);
+    let read = format!("/v1/log-read?Topic=data&part={pieces}&");
+    next.door.fault(Fault::new(FaultKind::Outage).on(read));
+    drop(front);
+    until("the next front has the shard", || async {
+        let owners = site.store.owners_of("fronts");
+        owners.iter().any(|(_, owner)| owner == "standby:s")
+    })
+    .await;
+    tokio::time::sleep(Duration::from_millis(800)).await;
+    next.door.clear_faults();
+    for result in next.all_results("s-1", 2).await {
+        assert_eq!(result["Text"], text(100));
+    }
+    for item in ["item-1-0", "item-1-1"] {
+        let runs = site.runs(item);
+        let anew = runs.iter().filter(|after| **after == 0);
+        assert_eq!(anew.count(), 1, "{item}: {runs:?}");
+    }
+}
+
 #[tokio::test]
 async fn can_leave_without_losing_what_it_makes_while_the_store_is_away() {
     // The stop signal comes while the store is away: nothing can be saved, and nobody takes
--- a/components/inspect/src/lib.rs
+++ b/components/inspect/src/lib.rs
@@ -5,4 +5,4 @@
 mod rows;
 
 pub use read::{InspectError, Inspector};
-pub use rows::{LeaseRow, ReplicaRow, RouteRow, StepRow, VersionRow};
+pub use rows::{LeaseRow, ReplicaRow, RouteRow, ShardRow, StepRow, VersionRow};
--- a/components/inspect/src/read.rs
+++ b/components/inspect/src/read.rs
@@ -5,15 +5,16 @@
 use std::time::Duration;
 
 use dispatch::Replica;
-use index::{INDEX_PARTITION, INDEX_TOPIC, Index};
+use index::{INDEX_PARTITION, INDEX_TOPIC, Index, RUNNER_GROUP};
 use lease::{Lease, LeaseSettings};
+use ownership::shard_partition;
 use platform::records::{
     self, OPERATOR_TOPIC, OperatorRecord, REPLICA_TOPIC, RecordError, operator_record,
 };
 use platform::store::{Store, StoreError};
 use quick_error::quick_error;
 
-use crate::rows::{LeaseRow, ReplicaRow, RouteRow, StepRow, VersionRow};
+use crate::rows::{LeaseRow, ReplicaRow, RouteRow, ShardRow, StepRow, VersionRow};
 
 /// Longest time of one call, in milliseconds: an operator waits, and a slow store takes 240.
 const CALL_MS: u64 = 3_000;
@@ -104,6 +105,32 @@
         Ok(index.ledger.steps().map(StepRow::from).collect())
     }
 
+    /// Shards that have items to run, and the fronts that run them.
+    pub async fn shards(&self) -> Result<Vec<ShardRow>, InspectError> {
+        let index = self.index().await?;
+        let owners = self.store.owners(RUNNER_GROUP, within()).await?;
+        let owners: BTreeMap<u32, String> = owners.into_iter().collect();
+        // Every partition has an owner as long as there is a member.
+        let partitions = owners.keys().next_back().map_or(1, |last| last + 1);
+        let mut open: BTreeMap<(String, u16), usize> = BTreeMap::new();
+        for step in index.ledger.steps().filter(|step| step.is_open()) {
+            for (item, progress) in (0..).zip(&step.progress) {
+                let shard = (step.head.pool.clone(), step.shard(item));
+                *open.entry(shard).or_default() += usize::from(!progress.listed);
+            }
+        }
+        let row = |((pool, shard), items_open): ((String, u16), usize)| {
+            let partition = shard_partition(&pool, shard, partitions);
+            ShardRow {
+                front: owners.get(&partition).cloned(),
+                pool,
+                shard,
+                items_open,
+            }
+        };
+        Ok(open.into_iter().map(row).collect())
+    }
+
     /// Who gives orders to replicas.
     pub async fn lease(&self) -> Result<LeaseRow, InspectError> {
         let index = self.index().await?;
--- a/components/inspect/src/rows.rs
+++ b/components/inspect/src/rows.rs
@@ -53,6 +53,19 @@
     pub models: Vec<(String, u64)>,
 }
 
+/// A shard of the work of a pool of model replicas.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct ShardRow {
+    /// Services of the replicas.
+    pub pool: String,
+    /// Number of the shard.
+    pub shard: u16,
+    /// The front that runs it; none where nobody does.
+    pub front: Option<String>,
+    /// Items of steps in progress that are not listed.
+    pub items_open: usize,
+}
+
 /// An accepted step.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct StepRow {
--- a/components/orders/src/plan.rs
+++ b/components/orders/src/plan.rs
@@ -9,7 +9,7 @@
 /// models wants 38 loads while the trainers make a step, and 36 can be done. At one part too few
 /// replicas have weights of use when a step begins (nine days: 0.653 of a day's worth at one
 /// part, 0.692 at one and a half, 0.689 at two).
-const SHARE_HUNDREDTHS: u64 = 150;
+const SHARE_HUNDREDTHS: u64 = 200;
 
 /// Replicas that a model uses at least, however little it owes: one loads while the other serves.
 const NODES_MIN: usize = 2;
--- a/components/ownership/src/lib.rs
+++ b/components/ownership/src/lib.rs
@@ -55,8 +55,8 @@
     partitions: BTreeSet<u32>,
     /// Partitions that were owned last and that no answer has dealt to another member.
     last_owned: BTreeSet<u32>,
-    /// Partitions that an answer dealt to others while the membership held: nobody acted for them
-    /// before that answer.
+    /// Partitions that were given to others while the membership held: nobody acted for them
+    /// before.
     handed_on: BTreeSet<u32>,
     until_ms: u64,
     stands_back: bool,
@@ -98,7 +98,7 @@
         self.stands_back = false;
         self.generation = generation;
         self.partitions = partitions.into_iter().collect();
-        if sent_ms >= self.until_ms {
+        if self.until_ms > 0 && sent_ms >= self.until_ms {
             self.handed_on.clear();
         } else {
             self.handed_on.append(&mut self.last_owned);
@@ -121,8 +121,7 @@
 
     /// The store knows that the partitions are given up, and deals them to others.
     pub fn left(&mut self) {
-        self.last_owned.clear();
-        self.handed_on.clear();
+        self.handed_on.append(&mut self.last_owned);
     }
 
     /// Time to live that a join asks for, in milliseconds.
@@ -138,8 +137,10 @@
     /// Whether work that was begun for a partition may go on. It may while nothing is known of
     /// another owner: a store that is away as a whole deals to nobody, and what is finished
     /// meanwhile is there when it returns. It may as well where the partition was handed on
-    /// while the membership held, as its next owner is told what goes on. Else, where another
-    /// member was dealt the partition, the work is done twice for as long as one item takes.
+    /// while the membership held, as its next owner is told what goes on; and where it was given
+    /// up as nothing can be written: a store that refuses all records may go on with its
+    /// groups, and the next owner can't write either. Else, where another member was dealt the
+    /// partition, the work is done twice for as long as one item takes.
     pub fn may_finish(&self, partition: u32) -> bool {
         self.last_owned.contains(&partition) || self.is_handed_on(partition)
     }
--- a/dev/standins/src/fault.rs
+++ b/dev/standins/src/fault.rs
@@ -49,7 +49,7 @@
     /// Length of a delay, lag or restart.
     #[serde(default)]
     pub delay_ms: u64,
-    /// Only requests whose path begins so.
+    /// Only requests whose path, with the query if there is one, begins so.
     #[serde(default)]
     pub path: String,
     /// Text that crashes.
--- a/dev/standins/src/http.rs
+++ b/dev/standins/src/http.rs
@@ -180,7 +180,10 @@
         if call.path.starts_with("/standin/") {
             return Ok((self.handler)(call).await);
         }
-        let path = call.path.clone();
+        let path = match call.query.is_empty() {
+            true => call.path.clone(),
+            false => format!("{}?{}", call.path, call.query),
+        };
         let faults = &self.control.faults;
         if faults.hit(FaultKind::Silent, &path).is_some() {
             return std::future::pending().await;
