--- a/components/front/src/state.rs
+++ b/components/front/src/state.rs
@@ -27,6 +27,10 @@
 /// Guess at the time of a call of a route that was not seen yet, in milliseconds.
 const TYPICAL_GUESS_MS: u64 = 40;
 
+/// How old the knowledge of the index may be at a front that is ready, in milliseconds: longer than
+/// a read of it that gets no answer.
+const READY_INDEX_AGE_MS_MAX: u64 = 1_600;
+
 /// What the tasks of a front share.
 pub struct Front {
     /// Settings of the process.
@@ -123,11 +127,14 @@
         }
     }
 
-    /// Whether clients may be sent here.
+    /// Whether clients may be sent here. A front that is cut off from the store alone has nothing
+    /// for trainers, who read nothing there for as long as the cut lasts. When the store is away
+    /// from all fronts, none is ready, and the balancer uses them all.
     pub fn is_ready(&self) -> bool {
+        let index_age_ms = self.index_age_ms(now_ms());
         self.routes.load().is_some()
             && self.replicas_read.load(Ordering::Relaxed) > 0
-            && self.index_age_ms(now_ms()).is_some()
+            && index_age_ms.is_some_and(|age_ms| age_ms < READY_INDEX_AGE_MS_MAX)
             && self.drain.is_ready()
     }
 
--- a/components/front/tests/front/calls.rs
+++ b/components/front/tests/front/calls.rs
@@ -213,3 +213,17 @@
     }
     until("no replica works on it", || async { working() == 0 }).await;
 }
+
+#[tokio::test]
+async fn can_turn_the_balancer_away_while_the_store_is_out_of_reach() {
+    // A front is cut off from the store and not from its clients. Trainers that the balancer
+    // sends to it read nothing for as long as the cut lasts, while their steps are whole; so it
+    // is not ready, and it is again when the store is back. Calls that reach it are answered.
+    let site = Site::start(4, 1).await;
+    let front = site.front("a").await;
+    front.door.fault(Fault::new(FaultKind::Silent));
+    until("it is not ready", || async { !front.is_ready().await }).await;
+    assert_eq!(front.call("c-1", "/calls/1").await.0, 200);
+    front.door.clear_faults();
+    until("it is ready", || front.is_ready()).await;
+}
