Ready: a front that hears nothing of the store is not; one that is refused is

Change: silence counts, and not the age of the index: a store that is down answers or resets, as a rule.

--- a/components/front/src/state.rs
+++ b/components/front/src/state.rs
@@ -27,9 +27,9 @@
 /// Guess at the time of a call of a route that was not seen yet, in milliseconds.
 const TYPICAL_GUESS_MS: u64 = 40;
 
-/// How old the knowledge of the index may be at a front that is ready, in milliseconds: longer than
-/// a read of it that gets no answer.
-const READY_INDEX_AGE_MS_MAX: u64 = 1_600;
+/// How long nothing may be heard of the store at a front that is ready, in milliseconds: longer
+/// than a read of the index that gets no answer.
+const READY_SILENT_MS_MAX: u64 = 1_600;
 
 /// What the tasks of a front share.
 pub struct Front {
@@ -128,13 +128,15 @@
     }
 
     /// Whether clients may be sent here. A front that is cut off from the store alone has nothing
-    /// for trainers, who read nothing there for as long as the cut lasts. When the store is away
-    /// from all fronts, none is ready, and the balancer uses them all.
+    /// for trainers, who read nothing there for as long as the cut lasts. A store that is down
+    /// for all is heard of, as a rule; where it isn't, no front is ready and the balancer uses
+    /// all of them, also those that leave.
     pub fn is_ready(&self) -> bool {
-        let index_age_ms = self.index_age_ms(now_ms());
+        let now_ms = now_ms();
         self.routes.load().is_some()
             && self.replicas_read.load(Ordering::Relaxed) > 0
-            && index_age_ms.is_some_and(|age_ms| age_ms < READY_INDEX_AGE_MS_MAX)
+            && self.index_age_ms(now_ms).is_some()
+            && self.storage.silent_ms(now_ms) < READY_SILENT_MS_MAX
             && self.drain.is_ready()
     }
 
--- a/components/front/src/storage.rs
+++ b/components/front/src/storage.rs
@@ -2,6 +2,7 @@
 //! other when the store is back.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -9,6 +10,8 @@
 use platform::store::{KeyedRecord, Membership, Page, Store, StoreError};
 use reach::Reach;
 
+use crate::clock::now_ms;
+
 /// Where a read goes on, and how much it brings.
 pub struct ReadFrom<'a> {
     /// Topic.
@@ -38,6 +41,8 @@
 pub struct Storage {
     store: Store,
     reach: Reach,
+    /// When anything was heard of the store last, in milliseconds.
+    heard_ms: AtomicU64,
 }
 
 impl Storage {
@@ -46,6 +51,7 @@
         Self {
             store: Store::new(address),
             reach: Reach::default(),
+            heard_ms: AtomicU64::new(now_ms()),
         }
     }
 
@@ -64,6 +70,11 @@
         self.reach.is_lost()
     }
 
+    /// How long nothing was heard of the store, in milliseconds: no answer, not even a refusal.
+    pub fn silent_ms(&self, now_ms: u64) -> u64 {
+        now_ms.saturating_sub(self.heard_ms.load(Ordering::Relaxed))
+    }
+
     /// Waits, until the store is back at most.
     pub async fn pause(&self, pause_ms: u64) {
         self.reach.pause(Duration::from_millis(pause_ms)).await;
@@ -160,11 +171,14 @@
         call: impl Future<Output = Result<T, StoreError>>,
     ) -> Result<T, StoreError> {
         let says_lost = |error: &StoreError| match error {
-            StoreError::Unsure(_) | StoreError::NotDone(_) => true,
+            StoreError::Unsure(_)
+            | StoreError::NotDone(_)
+            | StoreError::Unreachable(_)
+            | StoreError::Silent(_) => true,
             StoreError::Gone(_) | StoreError::Conflict(_) | StoreError::Malformed(_) => false,
         };
         let outcome = self.reach.call(call, says_lost).await;
-        outcome.unwrap_or_else(left_behind)
+        self.note(outcome.unwrap_or_else(left_behind))
     }
 
     /// A store that refuses every record still serves its groups, so that a join says nothing.
@@ -172,7 +186,14 @@
         &self,
         call: impl Future<Output = Result<T, StoreError>>,
     ) -> Result<T, StoreError> {
-        self.reach.follow(call).await.unwrap_or_else(left_behind)
+        self.note(self.reach.follow(call).await.unwrap_or_else(left_behind))
+    }
+
+    fn note<T>(&self, outcome: Result<T, StoreError>) -> Result<T, StoreError> {
+        if !outcome.as_ref().is_err_and(StoreError::is_silence) {
+            self.heard_ms.store(now_ms(), Ordering::Relaxed);
+        }
+        outcome
     }
 }
 
--- a/components/front/tests/front/calls.rs
+++ b/components/front/tests/front/calls.rs
@@ -227,3 +227,16 @@
     front.door.clear_faults();
     until("it is ready", || front.is_ready()).await;
 }
+
+#[tokio::test]
+async fn can_stay_ready_while_the_store_refuses_everybody() {
+    // The store is down and says so. Were no front ready, the balancer would use all of them,
+    // also those that leave or are gone, and calls that need no store would be lost there.
+    let site = Site::start(4, 1).await;
+    let front = site.front("a").await;
+    front.door.fault(Fault::new(FaultKind::Outage));
+    for _ in 0..25 {
+        tokio::time::sleep(std::time::Duration::from_millis(100)).await;
+        assert!(front.is_ready().await);
+    }
+}
