Reads: a trainer is sent on at once while the store is silent

Change: without a word of the store for 0.9 s such a read is refused at once. The test failed first (and fails with the change taken out).

--- a/components/front/src/results.rs
+++ b/components/front/src/results.rs
@@ -25,6 +25,9 @@
 /// after a pause, some 0.5 to 1 s. The long items that end a step start together and end within
 /// a few tenths of a second, and each but the last would be answered alone and cost that pause.
 const GATHER_MS: u64 = 400;
+/// Time without a word of the store from which on texts are not asked for, in milliseconds: a read
+/// of the index that waits for news comes back twice within it.
+const SILENT_MS: u64 = 900;
 /// Kibibytes asked for beyond the texts: their lengths, rounding.
 const READ_EXTRA_KB: u32 = 2;
 
@@ -82,6 +85,9 @@
 /// Results of a step from a position on; waits up to `wait` for the first, and a little for
 /// more.
 pub async fn results(front: &Front, id: &str, after: usize, wait: Duration) -> Read {
+    if front.storage.silent_ms(now_ms()) >= SILENT_MS {
+        return Read::Unsure("the store is silent");
+    }
     let mut news = front.index_news.subscribe();
     let mut until = tokio::time::Instant::now() + wait;
     let mut gathers = false;
--- a/components/front/tests/front/steps.rs
+++ b/components/front/tests/front/steps.rs
@@ -347,6 +347,23 @@
     }
 }
 
+#[tokio::test]
+async fn can_send_a_trainer_on_at_once_while_the_store_is_silent() {
+    // A front was cut off from the store a second ago, and a trainer reads there before the
+    // balancer has turned away. The texts can't be read; told so after the time that it would
+    // wait for news and that of a call to the store, the trainer loses more than two seconds.
+    let site = Site::start(2, 1).await;
+    let front = site.front("a").await;
+    assert_eq!(front.submit("s-1", &records::step(1, 1, 2)).await.0, 202);
+    front.all_results("s-1", 2).await;
+    front.door.fault(Fault::new(FaultKind::Silent));
+    // A read that was under way ends once more.
+    tokio::time::sleep(Duration::from_millis(1_600)).await;
+    let began = std::time::Instant::now();
+    assert_eq!(front.results("s-1", 0).await.0, 503);
+    assert!(began.elapsed() < Duration::from_millis(500));
+}
+
 #[tokio::test]
 async fn can_leave_without_losing_what_it_makes_while_the_store_is_away() {
     // The stop signal comes while the store is away: nothing can be saved, and nobody takes
