--- a/components/front/src/runner/look.rs
+++ b/components/front/src/runner/look.rs
@@ -34,7 +34,7 @@
         let index = front.index();
         let wanted = |key: &Key, whole: bool| {
             index.ledger.get(key.0).is_some_and(|step| {
-                // A whole text is scored and written whoever runs the model now.
+                // A whole text is scored and written whoever has the shard now.
                 let shard = step.shard(key.1);
                 let may_finish = front.may_finish(&step.head, shard) && !overtaken.contains(key);
                 let mine = whole || !leaving && may_finish;
@@ -51,80 +51,6 @@
             .retain(|step, _| index.ledger.get(*step).is_some_and(Step::is_open));
     }
 
-    /// Items of shards that were handed on, of which another front has saved more.
-    fn overtaken(&self) -> HashSet<Key> {
-        let index = self.front.index();
-        let is_overtaken = |key: &&Key| {
-            let Some(step) = index.ledger.get(key.0) else {
-                return false;
-            };
-            let newest = step.pieces(key.1).last().map_or(0, |piece| piece.id);
-            let partial = self.partials.get(*key);
-            self.front.is_handed_on(&step.head, step.shard(key.1))
-                && partial.is_some_and(|(partial, _)| locked(partial).is_overtaken(newest))
-        };
-        self.running.keys().filter(is_overtaken).copied().collect()
-    }
-
-    /// Whether this front leaves and has no more time for what it runs. While the store is out of
-    /// reach nothing can be saved and nobody would take over: the runs go on then, as long as
-    /// the process may.
-    fn is_handing_over(&mut self, now_ms: u64) -> bool {
-        if !self.front.drain.is_leaving() {
-            return false;
-        }
-        let since_ms = *self.leaves_since_ms.get_or_insert(now_ms);
-        let keep_ms = leave::keep_runs_ms(self.front.settings.bounds.grace_ms);
-        now_ms >= since_ms + keep_ms && !self.front.storage.is_lost()
-    }
-
-    /// Saves texts that are not whole, at intervals. With each round others are told what this
-    /// front goes on with beside its own shards; at once when it begins to leave, or was dealt
-    /// other partitions.
-    fn save(&mut self, now_ms: u64) {
-        if self.saving {
-            return;
-        }
-        let first = self.front.drain.is_leaving() && !*self.front.handed_over.borrow();
-        let dealt = self.front.handed_on.swap(false, Ordering::Relaxed);
-        let due = now_ms >= self.saved_ms + SAVE_MS;
-        if !due && !first && !dealt {
-            return;
-        }
-        self.saved_ms = now_ms;
-        self.saving = true;
-        let texts = self
-            .partials
-            .iter()
-            .map(|(key, held)| (*key, Arc::clone(&held.0)))
-            .collect();
-        let (kept, given_up) = self.kept_and_given_up();
-        let (front, news) = (Arc::clone(&self.front), self.news.clone());
-        tokio::spawn(async move {
-            partial::keep(&front, kept, KEPT_MS).await;
-            partial::save(&front, texts).await;
-            partial::keep(&front, given_up, 0).await;
-            // The runner ends with the process only.
-            let _ = news.send(News::Saved);
-        });
-    }
-
-    /// Items of others' shards that this front runs, and those of which it has a text that it
-    /// does not run.
-    fn kept_and_given_up(&self) -> (Vec<Key>, Vec<Key>) {
-        let leaving = self.front.drain.is_leaving();
-        let index = self.front.index();
-        let of_others = |key: &&Key| {
-            let step = index.ledger.get(key.0);
-            leaving
-                || step.is_some_and(|step| self.front.is_handed_on(&step.head, step.shard(key.1)))
-        };
-        let kept = self.running.keys().filter(of_others).copied().collect();
-        let given_up = self.partials.keys().filter(of_others);
-        let given_up = given_up.filter(|key| !self.running.contains_key(key));
-        (kept, given_up.copied().collect())
-    }
-
     /// Places waiting items and moves running ones away from slow replicas.
     fn start(&mut self, contest: Contest, now_ms: u64) {
         let table = self.front.replicas.load_full();
--- a/components/front/src/runner/mod.rs
+++ b/components/front/src/runner/mod.rs
@@ -7,6 +7,7 @@
 mod contests;
 mod data;
 mod engines;
+mod handover;
 mod look;
 mod settle;
 
