--- a/components/dispatch/src/items.rs
+++ b/components/dispatch/src/items.rs
@@ -23,8 +23,6 @@
     pub min_version: u64,
     /// The only version that may, where a text began under it and must not mix.
     pub only_version: Option<u64>,
-    /// Names the prompt that it shares with its group.
-    pub prompt: u64,
     /// Engine to avoid, where a run just broke.
     pub avoid: Option<usize>,
 }
@@ -44,8 +42,6 @@
     pub running: u32,
     /// Time for a token against its like, in thousandths.
     pub slowness: u64,
-    /// Prompts that it has read under its versions, by model.
-    pub prompts: Vec<Vec<u64>>,
 }
 
 impl Engine {
@@ -81,12 +77,6 @@
 /// (figures of the deployments' engines), in thousandths of a millisecond.
 const TOKEN_BASE: u64 = 568;
 const TOKEN_EACH: u64 = 16;
-/// What a prompt that is read already is worth, in thousandths of the time for a token: less
-/// than one more request at the replica. Reading a prompt again takes a millisecond; a group
-/// that is kept together fills a replica's memory, and its long items are preempted in turns
-/// (with 120 the days with trouble of 32 fronts are worth 0.05 less, six seeds each).
-const SHARED_PROMPT: u64 = 10;
-
 /// Requests at once for which the time of a text is told.
 const USUAL_RUNNING: u64 = 4;
 /// A text that is longer than its hint goes on for a part of what it has, as far as can be
@@ -128,12 +118,7 @@
         let Some(engine) = best_engine(&waiting[item], engines) else {
             continue;
         };
-        let taken = &mut engines[engine];
-        let Waiting { model, prompt, .. } = waiting[item];
-        taken.take(model);
-        if !taken.prompts[model].contains(&prompt) {
-            taken.prompts[model].push(prompt);
-        }
+        engines[engine].take(waiting[item].model);
         placed.push(Placed { item, engine });
     }
     placed
@@ -153,16 +138,12 @@
     let best = |avoid: Option<usize>| {
         (0..engines.len())
             .filter(|at| fits(&engines[*at]) && Some(*at) != avoid)
-            .min_by_key(|at| token_time(item, &engines[*at]))
+            .min_by_key(|at| token_time(&engines[*at]))
     };
     best(item.avoid).or_else(|| best(None))
 }
 
-fn token_time(item: &Waiting, engine: &Engine) -> u64 {
+fn token_time(engine: &Engine) -> u64 {
     let each = TOKEN_BASE + TOKEN_EACH * u64::from(engine.running + 1);
-    let time = each * engine.slowness;
-    match engine.prompts[item.model].contains(&item.prompt) {
-        true => time / 1_000 * (1_000 - SHARED_PROMPT),
-        false => time,
-    }
+    each * engine.slowness
 }
--- a/components/dispatch/tests/items.rs
+++ b/components/dispatch/tests/items.rs
@@ -14,7 +14,6 @@
         free,
         running: 8 - free,
         slowness: 1_000,
-        prompts: vec![Vec::new(), Vec::new()],
     }
 }
 
@@ -25,7 +24,6 @@
         left_ms,
         min_version: 2,
         only_version: None,
-        prompt: left_ms,
         avoid: None,
     }
 }
@@ -42,7 +40,6 @@
             left_ms: u64::arbitrary(g) % 9_000,
             min_version: u64::arbitrary(g) % 4,
             only_version: bool::arbitrary(g).then_some(version),
-            prompt: u64::arbitrary(g) % 5,
             avoid: Some(usize::arbitrary(g) % 6),
         })
     }
@@ -329,24 +326,8 @@
     // Sixteen items of one prompt arrive while sixteen replicas are idle. Kept together for
     // the prompt's sake, five long ones on a replica fill its memory, preempt one another and
     // end the step late; a prompt is read again in a millisecond.
-    let group: Vec<Waiting> = (0..16)
-        .map(|item| Waiting {
-            prompt: 7,
-            ..waiting(1, 500 + item)
-        })
-        .collect();
+    let group: Vec<Waiting> = (0..16).map(|item| waiting(1, 500 + item)).collect();
     let mut engines = vec![engine(2, 8); 16];
     place(&group, &mut engines);
     assert!(engines.iter().all(|engine| engine.running == 1));
 }
-
-#[test]
-fn can_keep_a_group_together_among_replicas_that_are_alike() {
-    let first = Waiting {
-        prompt: 7,
-        ..waiting(1, 500)
-    };
-    let mut engines = vec![engine(2, 8), engine(2, 8), engine(2, 8)];
-    engines[2].prompts[0].push(7);
-    assert_eq!(place(&[first], &mut engines)[0].engine, 2);
-}
--- a/components/dispatch/tests/moves.rs
+++ b/components/dispatch/tests/moves.rs
@@ -10,7 +10,6 @@
         free,
         running: 1,
         slowness,
-        prompts: vec![Vec::new()],
     }
 }
 
--- a/components/front/src/runner/contests.rs
+++ b/components/front/src/runner/contests.rs
@@ -173,7 +173,6 @@
                 ),
                 min_version: step.head.min_version,
                 only_version,
-                prompt: step.id.0 << 16 | u64::from(head.group),
                 avoid: None,
             },
         }
--- a/components/front/src/runner/engines.rs
+++ b/components/front/src/runner/engines.rs
@@ -7,7 +7,8 @@
     pub(super) running: Arc<AtomicU32>,
     pub(super) pace: Arc<Pace>,
     pub(super) admissions: HashMap<Arc<str>, Arc<Admission>>,
-    pub(super) prompts: HashMap<Arc<str>, (u64, Vec<u64>)>,
+    /// Versions that it had at the last look, by model.
+    pub(super) versions: HashMap<Arc<str>, u64>,
 }
 
 impl EngineState {
@@ -16,15 +17,16 @@
             running: Arc::default(),
             pace: Arc::default(),
             admissions: HashMap::new(),
-            prompts: HashMap::new(),
+            versions: HashMap::new(),
         }
     }
 
     /// Takes in which versions it has: a load that ended is no reason to hold items back.
-    fn note_versions(&self, member: &Member, models: &[Arc<str>]) {
+    fn note_versions(&mut self, member: &Member, models: &[Arc<str>]) {
         for model in models {
-            let held = self.prompts.get(model).map(|(version, _)| *version);
-            let renewed = held.is_some() && held != member.replica.version_of(model);
+            let version = member.replica.version_of(model).unwrap_or(0);
+            let before = self.versions.insert(Arc::clone(model), version);
+            let renewed = before.is_some_and(|before| before != version);
             if let Some(admission) = self.admissions.get(model).filter(|_| renewed) {
                 admission.renewed();
             }
@@ -36,23 +38,6 @@
         let admission = self.admissions.get(model);
         admission.map_or(free, |known| known.places(free, now_ms))
     }
-
-    /// Prompts that it has read under the version that it has.
-    fn prompts_of(&self, member: &Member, model: &str) -> Vec<u64> {
-        let version = member.replica.version_of(model).unwrap_or(0);
-        match self.prompts.get(model) {
-            Some((held, prompts)) if *held == version => prompts.clone(),
-            _ => Vec::new(),
-        }
-    }
-
-    /// Keeps what it has read, by model.
-    pub(super) fn keep_prompts(&mut self, models: &[Arc<str>], engine: Engine) {
-        let read = engine.versions.into_iter().zip(engine.prompts);
-        for (model, read) in models.iter().zip(read) {
-            self.prompts.insert(Arc::clone(model), read);
-        }
-    }
 }
 
 fn versions(member: &Member, models: &[Arc<str>]) -> Vec<u64> {
@@ -88,7 +73,9 @@
             self.engines.entry(id).or_insert_with(EngineState::new);
         }
         for (member, _) in members {
-            self.engines[&member.replica.id].note_versions(member, models);
+            if let Some(state) = self.engines.get_mut(&member.replica.id) {
+                state.note_versions(member, models);
+            }
         }
         let typical_us = self.typical_us(members);
         self.pause_us = typical_us;
@@ -112,10 +99,6 @@
                     free,
                     running,
                     slowness: slowness(&state.pace, typical_us, now_ms),
-                    prompts: models
-                        .iter()
-                        .map(|model| state.prompts_of(member, model))
-                        .collect(),
                 }
             })
             .collect()
--- a/components/front/src/runner/look.rs
+++ b/components/front/src/runner/look.rs
@@ -65,11 +65,6 @@
             self.start_one(&contest.waiting[item], &members[engine].0);
         }
         self.move_runs(&contest, &members, &mut engines, now_ms);
-        for ((member, _), engine) in members.iter().zip(engines) {
-            if let Some(state) = self.engines.get_mut(&member.replica.id) {
-                state.keep_prompts(&contest.models, engine);
-            }
-        }
     }
 
     fn as_it_waits(
