--- a/components/front/src/runner/contests.rs
+++ b/components/front/src/runner/contests.rs
@@ -16,6 +16,8 @@
     pub(super) services: Vec<Arc<str>>,
     /// Names of the models; items and engines name them by their numbers here.
     pub(super) models: Vec<Arc<str>>,
+    /// Oldest version that may make an item, by model.
+    min_versions: Vec<u64>,
     /// Shards that the pool is cut into, and those of them that this front runs.
     shards: u16,
     owned: BTreeSet<u16>,
@@ -27,6 +29,7 @@
         Self {
             services,
             models: Vec::new(),
+            min_versions: Vec::new(),
             shards,
             owned: BTreeSet::new(),
             waiting: Vec::new(),
@@ -38,23 +41,48 @@
         self.models.iter().position(|known| **known == *name)
     }
 
-    fn number_model(&mut self, name: &str) -> usize {
-        self.model(name).unwrap_or_else(|| {
-            self.models.push(name.into());
-            self.models.len() - 1
+    fn number_model(&mut self, name: &str, min_version: u64) -> usize {
+        match self.model(name) {
+            Some(model) => {
+                let known = &mut self.min_versions[model];
+                *known = min_version.min(*known);
+                model
+            }
+            None => {
+                self.models.push(name.into());
+                self.min_versions.push(min_version);
+                self.models.len() - 1
+            }
+        }
+    }
+
+    /// Whether a replica has weights that may make some item.
+    fn can_use(&self, replica: &Replica) -> bool {
+        let mut models = self.models.iter().zip(&self.min_versions);
+        models.any(|(model, min_version)| {
+            let version = replica.version_of(model);
+            version.is_some_and(|version| version >= *min_version)
         })
     }
 
-    /// Replicas that may take work, and whether each belongs to another front's part first.
-    pub(super) fn members(&self, table: &ReplicaTable) -> Vec<(Member, bool)> {
+    /// Replicas that may take work, and whether each belongs to another front's part first. Of
+    /// thousands few have weights of use; `runs_at` names those to keep that have runs.
+    pub(super) fn members(
+        &self,
+        table: &ReplicaTable,
+        runs_at: impl Fn(&ReplicaId) -> bool,
+    ) -> Vec<(Member, bool)> {
         let of_service = |service: &Arc<str>| table.of(service).iter();
         let members = self.services.iter().flat_map(of_service);
         let members: Vec<&Member> = members.filter(|member| !member.replica.draining).collect();
-        let ids = members.iter().map(|member| &*member.replica.id);
-        let shards = replica_shards(ids, self.shards);
+        let shards = match self.shards {
+            0 | 1 => vec![0; members.len()],
+            shards => replica_shards(members.iter().map(|member| &*member.replica.id), shards),
+        };
         members
             .into_iter()
             .zip(shards)
+            .filter(|(member, _)| self.can_use(&member.replica) || runs_at(&member.replica.id))
             .map(|(member, shard)| (member.clone(), !self.owned.contains(&shard)))
             .collect()
     }
@@ -136,7 +164,7 @@
         };
         let contest = found.contest(route, step.head.shards);
         contest.owned.extend(owned);
-        let model = contest.number_model(&step.head.model);
+        let model = contest.number_model(&step.head.model, step.head.min_version);
         let candidates = waiting
             .into_iter()
             .map(|key| self.candidate(step, key, model, left_ms));
--- a/components/front/src/runner/engines.rs
+++ b/components/front/src/runner/engines.rs
@@ -62,12 +62,6 @@
         models: &[Arc<str>],
         now_ms: u64,
     ) -> Vec<Engine> {
-        let listed: HashSet<&ReplicaId> = members
-            .iter()
-            .map(|(member, _)| &member.replica.id)
-            .collect();
-        self.engines
-            .retain(|id, state| listed.contains(id) || state.running.load(Ordering::Relaxed) > 0);
         for (member, _) in members {
             let id = Arc::clone(&member.replica.id);
             self.engines.entry(id).or_insert_with(EngineState::new);
@@ -104,6 +98,23 @@
             .collect()
     }
 
+    /// Forgets replicas that are gone. What is known of one that has no weights of use now is kept.
+    pub(super) fn forget_gone(&mut self, table: &Arc<ReplicaTable>) {
+        if Arc::ptr_eq(table, &self.table) {
+            return;
+        }
+        self.table = Arc::clone(table);
+        let listed: HashSet<&ReplicaId> = table.iter().map(|member| &member.replica.id).collect();
+        self.engines
+            .retain(|id, state| listed.contains(id) || state.running.load(Ordering::Relaxed) > 0);
+    }
+
+    /// Whether this front has runs at a replica.
+    pub(super) fn runs_at(&self, replica: &ReplicaId) -> bool {
+        let state = self.engines.get(replica);
+        state.is_some_and(|state| state.running.load(Ordering::Relaxed) > 0)
+    }
+
     /// What is known of a replica's willingness to take items of a model.
     pub(super) fn admission(&mut self, replica: &ReplicaId, model: &str) -> Arc<Admission> {
         let state = self
--- a/components/front/src/runner/look.rs
+++ b/components/front/src/runner/look.rs
@@ -54,7 +54,8 @@
     /// Places waiting items and moves running ones away from slow replicas.
     fn start(&mut self, contest: Contest, now_ms: u64) {
         let table = self.front.replicas.load_full();
-        let members = contest.members(&table);
+        self.forget_gone(&table);
+        let members = contest.members(&table, |replica| self.runs_at(replica));
         let mut engines = self.engines_for(&members, &contest.models, now_ms);
         let waiting: Vec<Waiting> = contest
             .waiting
--- a/components/front/src/runner/mod.rs
+++ b/components/front/src/runner/mod.rs
@@ -18,7 +18,7 @@
 
 use bytes::Bytes;
 use dispatch::{
-    Admission, Engine, MoveCause, Pace, Placed, ReplicaId, Route, Routes, Run, Waiting,
+    Admission, Engine, MoveCause, Pace, Placed, Replica, ReplicaId, Route, Routes, Run, Waiting,
     lost_its_version, place, runs_to_move, slowness, stalled_ms, text_left_ms,
 };
 use leaving::Working;
@@ -118,6 +118,8 @@
     saving: bool,
     failed_runs: HashMap<Key, u32>,
     engines: HashMap<ReplicaId, EngineState>,
+    /// Replicas at the last look.
+    table: Arc<ReplicaTable>,
     /// Usual pause between the events of a text, in microseconds; 0 before it is known.
     pause_us: u64,
     /// When this front was told to leave, in milliseconds; none before.
@@ -139,6 +141,7 @@
         saving: false,
         failed_runs: HashMap::new(),
         engines: HashMap::new(),
+        table: Arc::default(),
         pause_us: 0,
         leaves_since_ms: None,
     };
