Customers on the platform: keys, walls between customers, refusals

Cause: the program knew no customer.

Change: customers is a package of its own; its table stands in the routes of one version and is swapped with them. Keys are looked up by digest (the one of the configuration text, moved there) and are not kept. Every way in is authenticated; the customer is named by the front alone, for calls, items, runs that are taken over and reward calls, from the step's record. A step is its customer's: to others it is not there, and its id is free for them. A front that has not read the operator's records for a second answers 503 with a time to come again instead of 401 or 404: a false 401 makes a client give up for good.

--- a/components/dispatch/src/routes.rs
+++ b/components/dispatch/src/routes.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
+use customers::{Customer, Customers, Refusal, ShownKey};
 use derive::{key, value};
 
 /// What may be repeated on a route.
@@ -44,6 +45,10 @@
     pub attempts_max: u32,
     /// Services with their shares.
     pub shares: Vec<ServiceShare>,
+    /// Rank of its requests, 0 the highest; a customer's own goes before it.
+    pub rank: Option<u8>,
+    /// Whether it serves everybody, whatever key is shown.
+    pub public: bool,
     /// Whether one version of the weights must make a whole text.
     pub single_version: bool,
     /// When the results of a step are due, in milliseconds after its submission.
@@ -53,6 +58,11 @@
 }
 
 impl Route {
+    /// Rank of a customer's request.
+    pub fn rank_for(&self, customer: Option<&Customer>) -> Option<u8> {
+        customer.and_then(|customer| customer.rank).or(self.rank)
+    }
+
     /// The services that may serve it now.
     pub fn services(&self) -> impl Iterator<Item = &Arc<str>> {
         let used = self.shares.iter().filter(|share| share.weight > 0);
@@ -119,9 +129,25 @@
     pub services: HashMap<Arc<str>, Service>,
     /// What clients may send.
     pub limits: Limits,
+    /// Customers and their keys.
+    pub customers: Customers,
 }
 
 impl Routes {
+    /// The customer of a request on a route; none where the route asks for no key and the one
+    /// that is shown is nobody's.
+    pub fn customer(
+        &self,
+        route: &Route,
+        shown: ShownKey<'_>,
+    ) -> Result<Option<Arc<Customer>>, Refusal> {
+        match self.customers.holder(shown) {
+            Ok(holder) => Ok(holder.cloned()),
+            Err(_) if route.public => Ok(None),
+            Err(refusal) => Err(refusal),
+        }
+    }
+
     /// Every route, by host and prefix.
     pub fn all(&self) -> Vec<&Route> {
         let mut routes: Vec<&Route> = self.by_host.values().flatten().map(Arc::as_ref).collect();
@@ -135,6 +161,7 @@
         routes: Vec<Route>,
         services: HashMap<Arc<str>, Service>,
         limits: Limits,
+        customers: Customers,
     ) -> Self {
         let mut by_host: HashMap<Arc<str>, Vec<Arc<Route>>> = HashMap::new();
         for route in routes {
@@ -151,6 +178,7 @@
             by_host,
             services,
             limits,
+            customers,
         }
     }
 
--- a/components/dispatch/tests/routes.rs
+++ b/components/dispatch/tests/routes.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 
+use customers::{Customer, Customers, Entry, Refusal, ShownKey};
 use dispatch::{Limits, Route, RouteKind, Routes, ServiceShare};
 
 fn route(name: &str, prefix: &str, shares: &[(&str, u32)]) -> Route {
@@ -19,6 +20,8 @@
                 weight: *weight,
             })
             .collect(),
+        rank: Some(2),
+        public: false,
         single_version: false,
         due_ms: 0,
         retention_ms: 0,
@@ -35,7 +38,7 @@
         route("short", "/a/", &[("x", 1)]),
         route("long", "/a/b/", &[("x", 90), ("y", 10)]),
     ];
-    Routes::new(1, routes, HashMap::new(), limits)
+    Routes::new(1, routes, HashMap::new(), limits, Customers::open())
 }
 
 #[test]
@@ -105,8 +108,90 @@
         ..route("single", "/a/", &[("x", 1), ("y", 1)])
     };
     let mixed = route("mixed", "/b/", &[("y", 1), ("z", 1)]);
-    let routes = Routes::new(1, vec![single, mixed], HashMap::new(), limits);
+    let routes = Routes::new(
+        1,
+        vec![single, mixed],
+        HashMap::new(),
+        limits,
+        Customers::open(),
+    );
     for (service, needs) in [("x", true), ("y", true), ("z", false), ("none", false)] {
         assert_eq!(routes.needs_one_version(service), needs, "{service}");
     }
 }
+
+#[test]
+fn can_tell_the_customer_of_a_request() {
+    struct Case {
+        name: &'static str,
+        public: bool,
+        shown: ShownKey<'static>,
+        customer: Result<Option<&'static str>, Refusal>,
+    }
+    let cases = [
+        Case {
+            name: "a key",
+            public: false,
+            shown: ShownKey::One("key"),
+            customer: Ok(Some("a")),
+        },
+        Case {
+            name: "no key",
+            public: false,
+            shown: ShownKey::Nothing,
+            customer: Err(Refusal::Missing),
+        },
+        Case {
+            name: "no key on a public route",
+            public: true,
+            shown: ShownKey::Nothing,
+            customer: Ok(None),
+        },
+        Case {
+            name: "an unknown key on a public route",
+            public: true,
+            shown: ShownKey::One("other"),
+            customer: Ok(None),
+        },
+        Case {
+            name: "a key on a public route",
+            public: true,
+            shown: ShownKey::One("key"),
+            customer: Ok(Some("a")),
+        },
+    ];
+    let keys = ["key".to_owned()];
+    let entry = Entry {
+        name: "a",
+        keys: &keys,
+        rank: None,
+    };
+    let limits = routes().limits;
+    let routes = Routes::new(
+        1,
+        vec![],
+        HashMap::new(),
+        limits,
+        Customers::listed([entry]),
+    );
+    for case in cases {
+        let mut route = route("r", "/a/", &[("x", 1)]);
+        route.public = case.public;
+        let customer = routes.customer(&route, case.shown);
+        let customer = customer.map(|found| found.map(|customer| customer.name.to_string()));
+        let expected = case.customer.map(|name| name.map(str::to_owned));
+        assert_eq!(customer, expected, "{}", case.name);
+    }
+}
+
+#[test]
+fn a_customer_s_rank_goes_before_the_route_s() {
+    let route = route("r", "/a/", &[("x", 1)]);
+    let customer = |rank| Customer {
+        name: "a".into(),
+        rank,
+    };
+    assert_eq!(route.rank_for(None), Some(2));
+    assert_eq!(route.rank_for(Some(&customer(None))), Some(2));
+    assert_eq!(route.rank_for(Some(&customer(Some(0)))), Some(0));
+}
--- a/components/front/src/calls.rs
+++ b/components/front/src/calls.rs
@@ -46,6 +46,10 @@
     pub body: Bytes,
     /// Id of the request.
     pub request_id: &'a str,
+    /// The customer for whom it runs; none where no key was asked for.
+    pub customer: Option<&'a str>,
+    /// Its rank at a model replica, 0 the highest.
+    pub rank: Option<u8>,
     /// Whether nobody waits for it.
     pub background: bool,
     /// When it is given up, in milliseconds of this process's clock.
@@ -83,6 +87,8 @@
             request_id: self.request_id,
             instance: Arc::clone(&replica.id),
             left_ms: self.left_ms(),
+            customer: self.customer,
+            rank: self.rank,
         }
     }
 
--- a/components/front/src/follow.rs
+++ b/components/front/src/follow.rs
@@ -35,8 +35,8 @@
     Key(String, Option<Bytes>),
     /// These are all keys that have a value.
     All(Vec<ReplicaId>),
-    /// All news so far were told.
-    Settled,
+    /// All news so far were told; whether nothing is left to be read.
+    Settled { current: bool },
     /// The store can't be reached.
     Lost,
 }
@@ -72,7 +72,7 @@
             }
         }
         take(KeyedNews::All(keys));
-        take(KeyedNews::Settled);
+        take(KeyedNews::Settled { current: true });
         let mut next = end;
         let mut failed = 0;
         loop {
@@ -97,7 +97,8 @@
                             ),
                         }
                     }
-                    take(KeyedNews::Settled);
+                    let current = next >= page.end;
+                    take(KeyedNews::Settled { current });
                     let pause_ms = pause_ms(next, page.end);
                     if pause_ms > 0 {
                         tokio::time::sleep(Duration::from_millis(pause_ms)).await;
@@ -151,8 +152,13 @@
         OPERATOR_TOPIC,
         |_, _| 0,
         |news| {
-            let KeyedNews::Key(key, Some(value)) = news else {
-                return;
+            let (key, value) = match news {
+                KeyedNews::Key(key, Some(value)) => (key, value),
+                KeyedNews::Settled { current: true } => {
+                    front.operator_is_current(now_ms());
+                    return;
+                }
+                _ => return,
             };
             match records::operator_record(&key, &value) {
                 Ok(OperatorRecord::Routes(routes)) => {
@@ -164,7 +170,11 @@
                     // An old version can be read again after the history was lost; nobody goes
                     // back to it.
                     if routes.version > in_force {
-                        log::info!(event = "routes-in-force", version = routes.version; "");
+                        log::info!(
+                            event = "routes-in-force", version = routes.version,
+                            customers = routes.customers.iter().count(),
+                            keys = routes.customers.keys(); ""
+                        );
                         front.routes.store(Some(routes));
                     }
                 }
@@ -208,7 +218,7 @@
                 changed |= registry.keep_only(&ids, now_ms) == Revision::Changed;
             }
             KeyedNews::Lost => registry.store_lost(),
-            KeyedNews::Settled => {
+            KeyedNews::Settled { .. } => {
                 registry.store_seen(now_ms);
                 changed |= registry.expire(now_ms) == Revision::Changed;
                 front.replicas_read.store(1, Ordering::Relaxed);
--- a/components/front/src/jobs/mod.rs
+++ b/components/front/src/jobs/mod.rs
@@ -58,14 +58,28 @@
     }
 }
 
+/// A step as it came in.
+pub struct Submitted<'a> {
+    /// The route.
+    pub route: &'a Arc<Route>,
+    /// The customer; none where no key was asked for.
+    pub customer: Option<&'a str>,
+    /// The trainer's id of the step.
+    pub id: &'a str,
+}
+
 /// Accepts a step or says why not.
 pub async fn submit(
     front: &Front,
     routes: &Routes,
-    route: &Arc<Route>,
-    id: &str,
+    submitted: &Submitted<'_>,
     body: Bytes,
 ) -> Told {
+    let &Submitted {
+        route,
+        customer,
+        id,
+    } = submitted;
     let began_ms = now_ms();
     let submission = match jobs::submission(&body) {
         Ok(submission) => submission,
@@ -79,16 +93,16 @@
         log::info!(event = "step-refused", id, model = submission.model.as_str(); "");
         return Told::new(StatusCode::BAD_REQUEST, "no replica serves this model");
     }
-    if let Some(told) = known(front, id, &submission.digest) {
+    if let Some(told) = known(front, submitted, &submission.digest) {
         return told;
     }
-    let told = accept(front, route, id, submission, began_ms).await;
+    let told = accept(front, submitted, submission, began_ms).await;
     let took_ms = now_ms() - began_ms;
     front
         .metrics
         .record("front_submission_ms", figures::item_label(), took_ms);
     log::info!(
-        event = "step-submitted", id, status = told.status.as_u16(), took_ms, why = told.why; ""
+        event = "step-submitted", id, customer = customer.unwrap_or_default(), status = told.status.as_u16(), took_ms, why = told.why; ""
     );
     told
 }
@@ -104,9 +118,9 @@
 }
 
 /// What a repetition is told.
-fn known(front: &Front, id: &str, digest: &[u8; 16]) -> Option<Told> {
+fn known(front: &Front, submitted: &Submitted<'_>, digest: &[u8; 16]) -> Option<Told> {
     let index = front.index();
-    let step = index.ledger.by_name(id)?;
+    let step = index.ledger.by_name(submitted.customer, submitted.id)?;
     Some(match step.head.digest == *digest {
         true => Told::new(StatusCode::ACCEPTED, "accepted before"),
         false => Told::new(StatusCode::CONFLICT, "another step has this id"),
@@ -115,11 +129,11 @@
 
 async fn accept(
     front: &Front,
-    route: &Route,
-    id: &str,
+    submitted: &Submitted<'_>,
     mut submission: Submission,
     began_ms: u64,
 ) -> Told {
+    let id = submitted.id;
     let mut wanted = Wanted {
         what: "item-data",
         id,
@@ -132,7 +146,7 @@
         Err(refusal) => return refused(id, &refusal),
     };
     let digest = submission.digest;
-    let head = step_head(front, route, id, submission, data);
+    let head = step_head(front, submitted, submission, data);
     let record = match encode(&[LogRecord::Index(IndexRecord::Accepted(Box::new(head)))]) {
         Ok(record) => record,
         Err(error) => {
@@ -150,10 +164,10 @@
     }
     wanted.what = "step";
     wanted.binds = true;
-    let is_known = || known(front, id, &digest).is_some();
+    let is_known = || known(front, submitted, &digest).is_some();
     match tries::append(front, &wanted, || append_index(front, &record), is_known).await {
         Tries::Done(_) => Told::new(StatusCode::ACCEPTED, "accepted"),
-        Tries::Seen => known(front, id, &digest).unwrap_or_else(unsure),
+        Tries::Seen => known(front, submitted, &digest).unwrap_or_else(unsure),
         Tries::NotDone => Told::again("the store cannot be reached"),
         Tries::Unsure => unsure(),
     }
@@ -180,15 +194,16 @@
 
 fn step_head(
     front: &Front,
-    route: &Route,
-    id: &str,
+    submitted: &Submitted<'_>,
     submission: Submission,
     data: Vec<DataRange>,
 ) -> StepHead {
+    let route = submitted.route;
     let pool = route.pool();
     let shards = shards(front, route, &pool, &submission);
     StepHead {
-        id: id.to_owned(),
+        id: submitted.id.to_owned(),
+        customer: submitted.customer.map(str::to_owned),
         digest: submission.digest,
         host: route.host.to_string(),
         prefix: route.prefix.to_string(),
--- a/components/front/src/lib.rs
+++ b/components/front/src/lib.rs
@@ -5,6 +5,7 @@
 //! must last lies in the platform's store; a front that starts reads it again. Decisions are
 //! in packages without I/O; this package carries them out.
 
+mod access;
 mod calls;
 mod clock;
 mod connections;
--- a/components/front/src/results.rs
+++ b/components/front/src/results.rs
@@ -72,9 +72,9 @@
     enough: bool,
 }
 
-fn window(front: &Front, id: &str, after: usize) -> Option<Window> {
+fn window(front: &Front, customer: Option<&str>, id: &str, after: usize) -> Option<Window> {
     let index = front.index();
-    let step = index.ledger.by_name(id)?;
+    let step = index.ledger.visible(customer, id)?;
     Some(Window {
         head: Arc::clone(&step.head),
         results: step.results.iter().skip(after).cloned().collect(),
@@ -82,9 +82,15 @@
     })
 }
 
-/// Results of a step from a position on; waits up to `wait` for the first, and a little for
-/// more.
-pub async fn results(front: &Front, id: &str, after: usize, wait: Duration) -> Read {
+/// Results of a customer's step from a position on; waits up to `wait` for the first, and a
+/// little for more.
+pub async fn results(
+    front: &Front,
+    customer: Option<&str>,
+    id: &str,
+    after: usize,
+    wait: Duration,
+) -> Read {
     if front.storage.silent_ms(now_ms()) >= SILENT_MS {
         return Read::Unsure("the store is silent");
     }
@@ -93,7 +99,7 @@
     let mut gathers = false;
     let found = loop {
         news.mark_unchanged();
-        let Some(found) = window(front, id, after) else {
+        let Some(found) = window(front, customer, id, after) else {
             return missing(front);
         };
         if found.enough {
@@ -196,11 +202,11 @@
     }
 }
 
-/// The body of an item.
-pub async fn item_body(front: &Front, id: &str, item: &str) -> Read {
+/// The body of an item of a customer's step.
+pub async fn item_body(front: &Front, customer: Option<&str>, id: &str, item: &str) -> Read {
     let place = {
         let index = front.index();
-        let step = index.ledger.by_name(id);
+        let step = index.ledger.visible(customer, id);
         step.and_then(|step| step.head.data_of(step.item(item)?))
     };
     let Some((partition, offset)) = place else {
--- a/components/front/src/reward.rs
+++ b/components/front/src/reward.rs
@@ -21,6 +21,7 @@
     front: &Arc<Front>,
     key: (StepId, u32),
     scorer: &Scorer,
+    customer: Option<&str>,
     mut failed: u32,
 ) -> Option<String> {
     loop {
@@ -44,6 +45,8 @@
             headers: HeaderMap::new(),
             body: scorer.body.clone().into(),
             request_id: &scorer.id,
+            customer,
+            rank: None,
             background: true,
             deadline_at_ms: now_ms() + within_ms,
         };
--- a/components/front/src/run_item.rs
+++ b/components/front/src/run_item.rs
@@ -28,6 +28,8 @@
 pub struct RunSpec {
     /// The item's id, which is the request's.
     pub id: String,
+    /// The customer for whom it runs; none where no key was asked for.
+    pub customer: Option<String>,
     /// Host of its route.
     pub host: String,
     /// What is sent.
@@ -157,6 +159,8 @@
         request_id: &spec.id,
         instance: Arc::clone(&spec.member.replica.id),
         left_ms: spec.left_ms,
+        customer: spec.customer.as_deref(),
+        rank: None,
     };
     replica::start_item(connection, call, Duration::from_millis(HEAD_MS)).await
 }
--- a/components/front/src/runner/look.rs
+++ b/components/front/src/runner/look.rs
@@ -130,6 +130,7 @@
             .map(|step| step.pieces(number).to_vec());
         let spec = RunSpec {
             id: item.head.items[number as usize].id.clone(),
+            customer: item.head.customer.clone(),
             host: item.head.host.clone(),
             data,
             member: member.clone(),
--- a/components/front/src/runner/settle.rs
+++ b/components/front/src/runner/settle.rs
@@ -19,11 +19,15 @@
             return;
         };
         let (front, data) = (Arc::clone(&self.front), Arc::clone(data));
+        let customer = head.customer.clone();
         let item_id = head.items[key.1 as usize].id.clone();
         self.hand_to_writer(key, async move {
             let score = match &data.scorer {
                 None => Some(String::new()),
-                Some(scorer) => reward::score(&front, key, scorer, failed_rewards).await,
+                Some(scorer) => {
+                    let customer = customer.as_deref();
+                    reward::score(&front, key, scorer, customer, failed_rewards).await
+                }
             };
             let (step, item) = key;
             let reward = data.scorer.as_ref().map_or("none", |scorer| &scorer.id);
--- a/components/front/src/serve.rs
+++ b/components/front/src/serve.rs
@@ -3,17 +3,19 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use customers::Customer;
 use dispatch::{CallEnd, Route, RouteKind, Routes};
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use platform::ingress::{self, Asked};
 use platform::{BodyError, ReplyBody, collect};
 
+use crate::access::Refused;
 use crate::calls::{self, CallOutcome, CallSpec};
 use crate::clock::now_ms;
 use crate::results::{self, Read};
 use crate::state::Front;
-use crate::{figures, jobs, stream};
+use crate::{access, figures, jobs, stream};
 
 /// When a client of a front that knows no configuration yet may come again, in milliseconds.
 const UNKNOWING_AGAIN_MS: u64 = 300;
@@ -70,21 +72,45 @@
         let status = StatusCode::SERVICE_UNAVAILABLE;
         return ingress::own_answer(status, id, Some(UNKNOWING_AGAIN_MS), "no configuration yet");
     };
-    match ingress::asked(request.method(), request.uri(), request.headers()) {
-        Asked::Results { step, after, wait } => read_answer(
-            id,
-            results::results(front, &step, after, wait).await,
-            "application/json",
-        ),
+    let asked = ingress::asked(request.method(), request.uri(), request.headers());
+    let Some(step) = asked.step() else {
+        return call(front, &routes, request, id).await;
+    };
+    let customer = match access::reader(front, &routes, request.headers(), step) {
+        Ok(customer) => customer,
+        Err(refused) => {
+            let (parts, body) = request.into_parts();
+            return access::refuse(front, &routes, &parts.headers, body, id, refused).await;
+        }
+    };
+    step_call(front, name_of(&customer), &asked, id).await
+}
+
+/// A customer's call about a step that it submitted.
+async fn step_call(
+    front: &Front,
+    customer: Option<&str>,
+    asked: &Asked,
+    id: Option<&str>,
+) -> Response<ReplyBody> {
+    match asked {
+        Asked::Results { step, after, wait } => {
+            let read = results::results(front, customer, step, *after, *wait).await;
+            read_answer(id, read, "application/json")
+        }
         Asked::ItemBody { step, item } => {
-            let read = results::item_body(front, &step, &item).await;
+            let read = results::item_body(front, customer, step, item).await;
             read_answer(id, read, "application/octet-stream")
         }
-        Asked::EndStep { step } => end_step(front, id, &step).await,
-        Asked::Call => call(front, &routes, request, id).await,
+        Asked::EndStep { step } => end_step(front, customer, id, step).await,
+        Asked::Call => ingress::own_answer(StatusCode::NOT_FOUND, id, None, "no route"),
     }
 }
 
+fn name_of(customer: &Option<Arc<Customer>>) -> Option<&str> {
+    customer.as_ref().map(|customer| &*customer.name)
+}
+
 fn read_answer(id: Option<&str>, read: Read, content_type: &str) -> Response<ReplyBody> {
     let status = read.status();
     match read {
@@ -94,10 +120,15 @@
     }
 }
 
-async fn end_step(front: &Front, id: Option<&str>, name: &str) -> Response<ReplyBody> {
-    let known = front.index().ledger.by_name(name).cloned();
+async fn end_step(
+    front: &Front,
+    customer: Option<&str>,
+    id: Option<&str>,
+    name: &str,
+) -> Response<ReplyBody> {
+    let known = front.index().ledger.visible(customer, name).cloned();
     let Some(step) = known else {
-        let read = results::results(front, name, 0, std::time::Duration::ZERO).await;
+        let read = results::results(front, customer, name, 0, std::time::Duration::ZERO).await;
         return read_answer(id, read, "application/json");
     };
     if step.ended {
@@ -121,11 +152,14 @@
     let (parts, body) = request.into_parts();
     let host = ingress::host(&parts.uri, &parts.headers).unwrap_or_default();
     let Some(route) = routes.find(host, parts.uri.path()) else {
-        log::info!(
-            event = "no-route", id = id.unwrap_or_default(), host,
-            routes_version = routes.version; ""
-        );
-        return ingress::own_answer(StatusCode::NOT_FOUND, id, None, "no route");
+        let refused = Refused::NoRoute;
+        return access::refuse(front, routes, &parts.headers, body, id, refused).await;
+    };
+    let customer = match access::caller(routes, route, &parts.headers) {
+        Ok(customer) => customer,
+        Err(refused) => {
+            return access::refuse(front, routes, &parts.headers, body, id, refused).await;
+        }
     };
     let Some(id) = id else {
         return ingress::own_answer(StatusCode::BAD_REQUEST, None, None, "no request id");
@@ -144,7 +178,12 @@
         }
     };
     if route.kind == RouteKind::Rollout {
-        let told = jobs::submit(front, routes, route, id, body).await;
+        let submitted = jobs::Submitted {
+            route,
+            customer: name_of(&customer),
+            id,
+        };
+        let told = jobs::submit(front, routes, &submitted, body).await;
         return ingress::own_answer(told.status, Some(id), told.again_ms, told.why);
     }
     let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
@@ -157,15 +196,23 @@
         route,
         method: parts.method,
         path,
-        headers: ingress::end_to_end(&parts.headers),
+        headers: ingress::to_replica(&parts.headers),
         body,
         request_id: id,
+        customer: name_of(&customer),
+        rank: rank(route, customer.as_deref()),
         background: false,
         deadline_at_ms: began_ms + allowed_ms,
     };
     ordinary(front, route, &spec, id).await
 }
 
+/// Rank of a call at its replica; only model replicas know of ranks.
+fn rank(route: &Route, customer: Option<&Customer>) -> Option<u8> {
+    let known = route.kind == RouteKind::Stream;
+    known.then(|| route.rank_for(customer)).flatten()
+}
+
 fn too_large(id: &str) -> Response<ReplyBody> {
     let status = StatusCode::PAYLOAD_TOO_LARGE;
     let mut answer = ingress::own_answer(status, Some(id), None, "the body is too long");
--- a/components/front/src/state.rs
+++ b/components/front/src/state.rs
@@ -9,6 +9,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
+use customers::KeyMarks;
 use dispatch::{Routes, Typical};
 use index::Index;
 use lease::Lease;
@@ -41,6 +42,10 @@
     pub metrics: Metrics,
     /// Configuration in force; none before the first was read.
     pub routes: ArcSwapOption<Routes>,
+    /// When the operator's records were last known to be read to their end; 0 before.
+    operator_current_ms: AtomicU64,
+    /// Marks of refused keys in the log.
+    pub key_marks: KeyMarks,
     /// Replicas that may take work.
     pub replicas: ArcSwap<ReplicaTable>,
     /// Newest named version by model.
@@ -81,6 +86,8 @@
             storage: Storage::new(settings.store.address),
             metrics,
             routes: ArcSwapOption::empty(),
+            operator_current_ms: AtomicU64::new(0),
+            key_marks: KeyMarks::new(rand::random()),
             replicas: ArcSwap::default(),
             named: Mutex::default(),
             index: Mutex::new(Index::new(lease)),
@@ -106,6 +113,16 @@
         locked(&self.index)
     }
 
+    /// Notes that the operator's records were read to their end at `now_ms`.
+    pub fn operator_is_current(&self, now_ms: u64) {
+        self.operator_current_ms.store(now_ms, Ordering::Relaxed);
+    }
+
+    /// How old the knowledge of the configuration is, in milliseconds.
+    pub fn operator_age_ms(&self, now_ms: u64) -> u64 {
+        now_ms.saturating_sub(self.operator_current_ms.load(Ordering::Relaxed))
+    }
+
     /// Notes that the index was read to its end at `now_ms`.
     pub fn index_is_current(&self, now_ms: u64) {
         self.index_current_ms.store(now_ms, Ordering::Relaxed);
--- a/components/front/tests/front/main.rs
+++ b/components/front/tests/front/main.rs
@@ -2,6 +2,7 @@
 
 mod calls;
 mod common;
+mod customers;
 mod orders;
 mod shards;
 mod steps;
--- a/components/inspect/tests/inspect.rs
+++ b/components/inspect/tests/inspect.rs
@@ -16,6 +16,7 @@
     };
     StepHead {
         id: id.to_owned(),
+        customer: None,
         digest: [7; 16],
         host: "h".to_owned(),
         prefix: "/p/".to_owned(),
--- a/components/steps/src/ledger.rs
+++ b/components/steps/src/ledger.rs
@@ -27,7 +27,8 @@
 #[derive(Debug, Default)]
 pub struct Ledger {
     steps: BTreeMap<StepId, Step>,
-    by_name: HashMap<String, StepId>,
+    /// Steps by the trainer's id; those of several customers may have the same.
+    by_name: HashMap<String, Vec<StepId>>,
 }
 
 impl Ledger {
@@ -46,10 +47,10 @@
     }
 
     fn accept(&mut self, id: StepId, head: StepHead, now_ms: u64) -> Change {
-        if self.by_name.contains_key(&head.id) {
+        if self.by_name(head.customer.as_deref(), &head.id).is_some() {
             return Change::Nothing;
         }
-        self.by_name.insert(head.id.clone(), id);
+        self.by_name.entry(head.id.clone()).or_default().push(id);
         self.steps.insert(id, Step::new(id, head, now_ms));
         Change::Accepted(id)
     }
@@ -121,9 +122,19 @@
         self.steps.get_mut(&id)?.progress.get_mut(item as usize)
     }
 
-    /// The step with the trainer's id.
-    pub fn by_name(&self, name: &str) -> Option<&Step> {
-        self.steps.get(self.by_name.get(name)?)
+    /// The customer's step with the trainer's id. Another customer's step with that id is
+    /// another step: nobody learns from an answer which ids others use.
+    pub fn by_name(&self, customer: Option<&str>, name: &str) -> Option<&Step> {
+        let steps = self.by_name.get(name)?.iter();
+        let mut steps = steps.filter_map(|id| self.steps.get(id));
+        steps.find(|step| step.head.customer.as_deref() == customer)
+    }
+
+    /// The step that a customer may read and end under this id: its own, else one that nobody
+    /// showed a key for.
+    pub fn visible(&self, customer: Option<&str>, name: &str) -> Option<&Step> {
+        let own = self.by_name(customer, name);
+        own.or_else(|| self.by_name(None, name))
     }
 
     /// The step that this offset names.
@@ -140,6 +151,9 @@
     pub fn forget_before(&mut self, kept_ms: u64, now_ms: u64) {
         let Self { steps, by_name } = self;
         steps.retain(|_, step| now_ms < step.read_ms + kept_ms);
-        by_name.retain(|_, id| steps.contains_key(id));
+        by_name.retain(|_, ids| {
+            ids.retain(|id| steps.contains_key(id));
+            !ids.is_empty()
+        });
     }
 }
--- a/components/steps/src/record.rs
+++ b/components/steps/src/record.rs
@@ -46,6 +46,8 @@
 pub struct StepHead {
     /// The trainer's id of the step.
     pub id: String,
+    /// The customer that submitted it; none where no key was asked for.
+    pub customer: Option<String>,
     /// Digest of what was submitted, so that a repetition is told from another step.
     pub digest: [u8; 16],
     /// Host of the route.
--- a/components/steps/tests/ledger.rs
+++ b/components/steps/tests/ledger.rs
@@ -19,6 +19,7 @@
     };
     StepHead {
         id: id.to_owned(),
+        customer: None,
         digest: [1; 16],
         host: "host".to_owned(),
         prefix: "/p/".to_owned(),
@@ -221,7 +222,7 @@
             ledger.apply(offset, record, 0);
         }
         let is_first = |(name, id): (&String, &StepId)| {
-            ledger.by_name(name).is_some_and(|step| step.id == *id)
+            ledger.by_name(None, name).is_some_and(|step| step.id == *id)
         };
         let is_closed = |step: &Step| {
             step.ended == ended.contains(&step.id)
@@ -239,12 +240,51 @@
     ledger.apply(5, accepted("one"), 0);
     ledger.apply(6, listed(5, 0, 1), 0);
     ledger.apply(7, accepted("one"), 0);
-    let step = ledger.by_name("one").expect("known");
+    let step = ledger.by_name(None, "one").expect("known");
     assert_eq!(step.id, StepId(5));
     assert_eq!(step.results.len(), 1);
     assert_eq!(ledger.steps().count(), 1);
 }
 
+#[test]
+fn can_keep_steps_of_two_customers_apart() {
+    // Two customers choose the same id. Each reads and ends its own step, and neither learns
+    // that the other's exists. A step that was submitted without a key is open to both.
+    let of = |customer: Option<&str>, id: &str| {
+        IndexRecord::Accepted(Box::new(StepHead {
+            customer: customer.map(str::to_owned),
+            ..head(id)
+        }))
+    };
+    let mut ledger = Ledger::default();
+    ledger.apply(0, of(Some("a"), "one"), 0);
+    ledger.apply(1, of(Some("b"), "one"), 0);
+    ledger.apply(2, of(Some("a"), "one"), 0);
+    ledger.apply(3, of(Some("a"), "two"), 0);
+    ledger.apply(4, of(None, "open"), 0);
+    struct Case {
+        customer: Option<&'static str>,
+        id: &'static str,
+        step: Option<u64>,
+    }
+    let case = |customer, id, step| Case { customer, id, step };
+    let cases = [
+        case(Some("a"), "one", Some(0)),
+        case(Some("b"), "one", Some(1)),
+        case(Some("b"), "two", None),
+        case(None, "one", None),
+        case(Some("b"), "open", Some(4)),
+        case(None, "open", Some(4)),
+    ];
+    for Case { customer, id, step } in cases {
+        let seen = ledger.visible(customer, id).map(|step| step.id.0);
+        assert_eq!(seen, step, "{customer:?} {id}");
+    }
+    assert_eq!(ledger.steps().count(), 4);
+    ledger.forget_before(10, 100);
+    assert!(ledger.by_name(Some("a"), "one").is_none());
+}
+
 #[test]
 fn can_join_pieces_of_one_run_only() {
     // A run saves its text in pieces. Another front begins the item anew, saves too, and the
@@ -293,7 +333,7 @@
             };
             ledger.apply(offset as u64 + 1, record, 0);
         }
-        let pieces = ledger.by_name("one").expect("known").pieces(1);
+        let pieces = ledger.by_name(None, "one").expect("known").pieces(1);
         let kept: Vec<u64> = pieces.iter().map(|piece| piece.id).collect();
         assert_eq!(kept, case.kept, "{}", case.name);
     }
@@ -319,8 +359,8 @@
     ledger.apply(0, accepted("old"), 1_000);
     ledger.apply(1, accepted("new"), 100_000);
     ledger.forget_before(120_000, 121_000);
-    assert!(ledger.by_name("old").is_none());
-    assert!(ledger.by_name("new").is_some());
+    assert!(ledger.by_name(None, "old").is_none());
+    assert!(ledger.by_name(None, "new").is_some());
 }
 
 #[test]
--- a/dev/standins/src/fleet/records.rs
+++ b/dev/standins/src/fleet/records.rs
@@ -47,6 +47,15 @@
     .to_string()
 }
 
+/// The configuration with customers, each with its keys; the scorers' route is public.
+pub fn config_for(version: u64, customers: &[(&str, &[&str])]) -> String {
+    let mut config: Value = serde_json::from_str(&config(version)).unwrap_or_default();
+    let customer = |(name, keys): &(&str, &[&str])| json!({ "Name": name, "ApiKeys": keys });
+    config["Tenants"] = customers.iter().map(customer).collect();
+    config["Routes"][2]["Public"] = true.into();
+    config.to_string()
+}
+
 /// Places of a replica.
 pub const SLOTS: u32 = 8;
 
--- a/dev/standins/src/fleet/replica.rs
+++ b/dev/standins/src/fleet/replica.rs
@@ -1,6 +1,6 @@
 //! Replicas of both sorts: plain ones, and model replicas that stream events and take orders.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -42,6 +42,8 @@
 struct State {
     version: u64,
     runs: BTreeMap<String, Vec<u64>>,
+    customers: BTreeMap<String, BTreeSet<String>>,
+    keys: usize,
     orders: Vec<Ordered>,
     answers: BTreeMap<String, u16>,
     working: usize,
@@ -66,6 +68,17 @@
         self.lock().runs.clone()
     }
 
+    /// Customers that were named with requests of this id; empty text where none was.
+    pub fn customers(&self, request_id: &str) -> BTreeSet<String> {
+        let state = self.lock();
+        state.customers.get(request_id).cloned().unwrap_or_default()
+    }
+
+    /// Requests that came with a customer's key.
+    pub fn keys(&self) -> usize {
+        self.lock().keys
+    }
+
     /// Orders that were accepted.
     pub fn orders(&self) -> Vec<Ordered> {
         self.lock().orders.clone()
@@ -172,6 +185,10 @@
     let (version, status) = {
         let mut state = seen.lock();
         state.runs.entry(id.clone()).or_default().push(last);
+        let customer = call.header("hornbeamrock-tenant").unwrap_or_default();
+        let named = state.customers.entry(id.clone()).or_default();
+        named.insert(customer.to_owned());
+        state.keys += usize::from(call.header("hornbeamrock-key").is_some());
         (state.version, state.answers.get(&id).copied())
     };
     let working = seen.begin();
