--- a/components/front/src/meter.rs
+++ b/components/front/src/meter.rs
@@ -154,7 +154,7 @@
 async fn write(front: &Front, record: UsageRecord) {
     match encode(&[LogRecord::Usage(record)]) {
         Ok(encoded) => {
-            until_done(front, "usage-not-written", || append_index(front, &encoded)).await;
+            until_done(front, "usage", || append_index(front, &encoded)).await;
         }
         Err(error) => log::error!(event = "usage-not-written", error:% = error; ""),
     }
--- a/components/front/src/writer.rs
+++ b/components/front/src/writer.rs
@@ -155,7 +155,7 @@
     let within = Duration::from_millis(APPEND_MS);
     let mut offset = 0;
     if !texts.is_empty() {
-        offset = until_done(front, "results-not-written", || async {
+        offset = until_done(front, "results", || async {
             Ok(front
                 .storage
                 .append(DATA_TOPIC, partition, &texts, within)
@@ -192,10 +192,7 @@
             state,
         }));
     }
-    until_done(front, "results-not-written", || {
-        write_index(front, &records)
-    })
-    .await;
+    until_done(front, "results", || write_index(front, &records)).await;
 }
 
 /// Notes since when nothing could be written.
@@ -205,8 +202,8 @@
     let _ = since.compare_exchange(0, now_ms().max(1), Ordering::Relaxed, Ordering::Relaxed);
 }
 
-/// Repeats an append until the store takes it; `event` names a failure in the log.
-pub async fn until_done<F>(front: &Front, event: &'static str, mut append: impl FnMut() -> F) -> u64
+/// Repeats an append until the store takes it; `what` it is stands in the log.
+pub async fn until_done<F>(front: &Front, what: &'static str, mut append: impl FnMut() -> F) -> u64
 where
     F: Future<Output = Result<u64, WriteError>>,
 {
@@ -223,7 +220,7 @@
                 if front.storage.returns() != returns {
                     pause_ms = PAUSE_MS;
                 }
-                log::warn!(event, pause_ms, error:% = error; "");
+                log::warn!(event = "records-not-written", what, pause_ms, error:% = error; "");
                 front.storage.pause(pause_ms).await;
                 pause_ms = (pause_ms * 2).min(PAUSE_MS_MAX);
             }
