Items: customers take turns by steps; ctl shows customers, usage and duties

Cause: items go by the age of their step alone, so a customer that asks for many steps at once delays every other by all of them.

Change: the oldest step with waiting items of each customer goes before the second one of any. Where nobody shows a key nothing changes. The load test plays a flood of twenty steps beside seventy-six small customers: 11 rounds until the last small item has a place by age alone, 5 in turns.

hornbeamrockctl store customers, usage, duties: no keys are shown.

--- a/bin/ctl/src/cli.rs
+++ b/bin/ctl/src/cli.rs
@@ -104,6 +104,12 @@
                 "Shards with items to run, and the fronts that run them",
             ),
             kind("lease", "Who gives orders to replicas"),
+            kind("customers", "Customers in force, without their keys"),
+            kind(
+                "usage",
+                "Requests of customers by windows, and which were reported",
+            ),
+            kind("duties", "Duties towards the platform, and who does them"),
         ])
 }
 
--- a/bin/ctl/src/cmd/store.rs
+++ b/bin/ctl/src/cmd/store.rs
@@ -1,7 +1,10 @@
 //! `store`: what stands in the platform's store.
 
 use clap::ArgMatches;
-use inspect::{Inspector, LeaseRow, ReplicaRow, RouteRow, ShardRow, StepRow, VersionRow};
+use inspect::{
+    CustomerRow, DutyRow, Inspector, LeaseRow, ReplicaRow, RouteRow, ShardRow, StepRow, UsageRow,
+    VersionRow,
+};
 use serde::Serialize;
 use settings::address;
 
@@ -30,6 +33,11 @@
         "replicas" => print(form, &store.replicas().await?, |rows| replicas_table(rows)),
         "steps" => print(form, &store.steps().await?, |rows| steps_table(rows)),
         "shards" => print(form, &store.shards().await?, |rows| shards_table(rows)),
+        "customers" => print(form, &store.customers().await?, |rows| {
+            customers_table(rows)
+        }),
+        "usage" => print(form, &store.usage().await?, |rows| usage_table(rows)),
+        "duties" => print(form, &store.duties().await?, |rows| duties_table(rows)),
         _ => print(form, &store.lease().await?, lease_table),
     }
     Ok(())
@@ -146,6 +154,50 @@
     print_table(["holder of orders", "fence"], &[[holder, fence]]);
 }
 
+fn customers_table(rows: &[CustomerRow]) {
+    let row = |row: &CustomerRow| {
+        let rank = row
+            .rank
+            .map_or_else(|| "-".to_owned(), |rank| rank.to_string());
+        let numbers = [row.keys.to_string(), row.steps.to_string()];
+        let [keys, steps] = numbers;
+        [row.customer.clone(), rank, keys, steps]
+    };
+    let rows: Vec<_> = rows.iter().map(row).collect();
+    print_table(["customer", "rank", "keys", "steps"], &rows);
+}
+
+fn usage_table(rows: &[UsageRow]) {
+    let row = |row: &UsageRow| {
+        let numbers = [row.window.to_string(), row.requests.to_string()];
+        let [window, requests] = numbers;
+        [
+            window,
+            row.state.to_owned(),
+            requests,
+            pairs(&row.customers),
+        ]
+    };
+    let rows: Vec<_> = rows.iter().map(row).collect();
+    print_table(["window", "state", "requests", "customers"], &rows);
+}
+
+fn duties_table(rows: &[DutyRow]) {
+    let dash = || "-".to_owned();
+    let row = |row: &DutyRow| {
+        let waiting: Vec<String> = row.waiting.iter().map(u64::to_string).collect();
+        [
+            row.duty.to_owned(),
+            row.holder.clone().unwrap_or_else(dash),
+            row.fence.map_or_else(dash, |fence| fence.to_string()),
+            row.reported.map_or_else(dash, |window| window.to_string()),
+            waiting.join(" "),
+        ]
+    };
+    let rows: Vec<_> = rows.iter().map(row).collect();
+    print_table(["duty", "holder", "fence", "reported", "waiting"], &rows);
+}
+
 fn pairs<T: ToString>(pairs: &[(String, T)]) -> String {
     let shown = pairs
         .iter()
--- a/components/customers/src/table.rs
+++ b/components/customers/src/table.rs
@@ -146,6 +146,12 @@
         self.by_name.values()
     }
 
+    /// Number of keys that open something for a customer.
+    pub fn keys_of(&self, name: &str) -> usize {
+        let holders = self.by_key.values();
+        holders.filter(|holder| *holder.name == *name).count()
+    }
+
     /// Number of keys that open something.
     pub fn keys(&self) -> usize {
         self.by_key.len()
--- a/components/dispatch/src/items.rs
+++ b/components/dispatch/src/items.rs
@@ -1,10 +1,14 @@
 //! Placing of a step's items on model replicas.
 //!
+//! Customers take turns by steps: the oldest step of each that has items waiting goes before the
+//! second one of any. A customer that asks for many steps at once so delays its own later ones,
+//! and a customer with one step waits for one step of each other at most.
+//!
 //! A trainer waits for whole groups, so items of the oldest step go first, and within a step
 //! the longest ones by the trainer's hint: an item makes its tokens one after the other, and
 //! a long one that starts late ends the step late. A long item of the next step does not go
 //! before a short one of the oldest: where places are short, as behind an outage, both steps
-//! would end late (0.015 of a day's worth, 50 days of nine replicas). A replica makes each token
+//! would end late. A replica makes each token
 //! hardly slower when it runs eight requests than when it runs one, so free places are worth
 //! taking.
 
@@ -15,6 +19,8 @@
 pub struct Waiting {
     /// Number of its model among those that share the replicas.
     pub model: usize,
+    /// Steps of its customer before its own that have waiting items too.
+    pub turn: u32,
     /// Rank of its step, the oldest lowest.
     pub step_rank: u64,
     /// Time until its text is whole once it runs, as far as can be told, in milliseconds.
@@ -111,7 +117,7 @@
     let mut order: Vec<usize> = (0..waiting.len()).collect();
     order.sort_by_key(|at| {
         let item = &waiting[*at];
-        (item.step_rank, std::cmp::Reverse(item.left_ms))
+        (item.turn, item.step_rank, std::cmp::Reverse(item.left_ms))
     });
     let mut placed = Vec::new();
     for item in order {
--- a/components/dispatch/tests/items.rs
+++ b/components/dispatch/tests/items.rs
@@ -20,6 +20,7 @@
 fn waiting(step_rank: u64, left_ms: u64) -> Waiting {
     Waiting {
         model: 0,
+        turn: 0,
         step_rank,
         left_ms,
         min_version: 2,
@@ -36,6 +37,7 @@
         let version = u64::arbitrary(g) % 4;
         Item(Waiting {
             model: usize::arbitrary(g) % 2,
+            turn: u32::arbitrary(g) % 3,
             step_rank: u64::arbitrary(g) % 3,
             left_ms: u64::arbitrary(g) % 9_000,
             min_version: u64::arbitrary(g) % 4,
@@ -331,3 +333,57 @@
     place(&group, &mut engines);
     assert!(engines.iter().all(|engine| engine.running == 1));
 }
+
+/// Rounds of placing until the last item of a customer's first step has a place, where places
+/// come free all at once.
+fn rounds_until_placed(waiting: &[Waiting], of: impl Fn(&Waiting) -> bool) -> usize {
+    let mut left: Vec<Waiting> = waiting.to_vec();
+    for round in 1.. {
+        let mut engines: Vec<Engine> = (0..10).map(|_| engine(2, 8)).collect();
+        let placed = place(&left, &mut engines);
+        assert!(!placed.is_empty(), "something is placed in each round");
+        let taken: std::collections::HashSet<usize> = placed.iter().map(|one| one.item).collect();
+        let mut at = 0;
+        left.retain(|_| {
+            at += 1;
+            !taken.contains(&(at - 1))
+        });
+        if !left.iter().any(&of) {
+            return round;
+        }
+    }
+    unreachable!("rounds go on")
+}
+
+#[test]
+fn a_flood_of_one_customer_delays_a_small_one_by_one_step() {
+    // Pattern: one large customer asks for twenty steps of forty items at once; later
+    // seventy-six small ones ask for a step of four items each. Eighty places come free a
+    // round. By age alone the small ones wait for all eight hundred items of the flood: they
+    // begin in the eleventh round. In turns they wait for one step.
+    let of_flood = |step: u64| {
+        (0..40).map(move |_| Waiting {
+            turn: step as u32,
+            ..waiting(step, 3_000)
+        })
+    };
+    let of_small = |step: u64| (0..4).map(move |_| waiting(100 + step, 1_000));
+    let mut all: Vec<Waiting> = (0..20).flat_map(of_flood).collect();
+    all.extend((0..76).flat_map(of_small));
+    let small_items = 76 * 4;
+    let aim = (40 + small_items as usize).div_ceil(80);
+    let rounds = rounds_until_placed(&all, |item| item.step_rank >= 100);
+    assert!(rounds <= aim, "{rounds} rounds, aim {aim}");
+    let by_age: Vec<Waiting> = all
+        .iter()
+        .map(|item| Waiting {
+            turn: 0,
+            ..item.clone()
+        })
+        .collect();
+    let before = rounds_until_placed(&by_age, |item| item.step_rank >= 100);
+    assert!(
+        before > 2 * aim,
+        "by age alone the flood goes first: {before} rounds"
+    );
+}
--- a/components/front/src/runner/contests.rs
+++ b/components/front/src/runner/contests.rs
@@ -21,6 +21,8 @@
     /// Shards that the pool is cut into, and those of them that this front runs.
     shards: u16,
     owned: BTreeSet<u16>,
+    /// Steps with waiting items that were seen, by customer.
+    turns: HashMap<String, u32>,
     pub(super) waiting: Vec<Candidate>,
 }
 
@@ -32,6 +34,7 @@
             min_versions: Vec::new(),
             shards,
             owned: BTreeSet::new(),
+            turns: HashMap::new(),
             waiting: Vec::new(),
         }
     }
@@ -41,6 +44,16 @@
         self.models.iter().position(|known| **known == *name)
     }
 
+    /// Steps of a customer before this one that have waiting items; steps come oldest first. Where
+    /// nobody shows a key, all steps are nobody's and go by their age.
+    fn turn(&mut self, customer: Option<&str>) -> u32 {
+        let Some(customer) = customer else { return 0 };
+        let seen = self.turns.entry(customer.to_owned()).or_insert(0);
+        let turn = *seen;
+        *seen += 1;
+        turn
+    }
+
     fn number_model(&mut self, name: &str, min_version: u64) -> usize {
         match self.model(name) {
             Some(model) => {
@@ -165,9 +178,13 @@
         let contest = found.contest(route, step.head.shards);
         contest.owned.extend(owned);
         let model = contest.number_model(&step.head.model, step.head.min_version);
+        let turn = match waiting.is_empty() {
+            true => 0,
+            false => contest.turn(step.head.customer.as_deref()),
+        };
         let candidates = waiting
             .into_iter()
-            .map(|key| self.candidate(step, key, model, left_ms));
+            .map(|key| self.candidate(step, key, (model, turn), left_ms));
         contest.waiting.extend(candidates);
     }
 
@@ -181,7 +198,13 @@
         step.progress.iter().enumerate().filter_map(waits).collect()
     }
 
-    fn candidate(&self, step: &Step, key: Key, model: usize, left_ms: u64) -> Candidate {
+    fn candidate(
+        &self,
+        step: &Step,
+        key: Key,
+        (model, turn): (usize, u32),
+        left_ms: u64,
+    ) -> Candidate {
         let head: &ItemHead = &step.head.items[key.1 as usize];
         let only_version = match step.head.single_version {
             true => self.begun_under(step, key),
@@ -193,6 +216,7 @@
             left_ms,
             waiting: Waiting {
                 model,
+                turn,
                 step_rank: step.id.0,
                 left_ms: text_left_ms(
                     head.expected_tokens(),
--- a/components/inspect/src/lib.rs
+++ b/components/inspect/src/lib.rs
@@ -5,4 +5,6 @@
 mod rows;
 
 pub use read::{InspectError, Inspector};
-pub use rows::{LeaseRow, ReplicaRow, RouteRow, ShardRow, StepRow, VersionRow};
+pub use rows::{
+    CustomerRow, DutyRow, LeaseRow, ReplicaRow, RouteRow, ShardRow, StepRow, UsageRow, VersionRow,
+};
--- a/components/inspect/src/read.rs
+++ b/components/inspect/src/read.rs
@@ -14,7 +14,10 @@
 use platform::store::{Store, StoreError};
 use quick_error::quick_error;
 
-use crate::rows::{LeaseRow, ReplicaRow, RouteRow, ShardRow, StepRow, VersionRow};
+use crate::rows::{
+    CustomerRow, DutyRow, LeaseRow, ReplicaRow, RouteRow, ShardRow, StepRow, UsageRow, VersionRow,
+    customer_rows,
+};
 
 /// Longest time of one call, in milliseconds: an operator waits, and a slow store takes 240.
 const CALL_MS: u64 = 3_000;
@@ -66,6 +69,60 @@
         Ok(found)
     }
 
+    /// Customers in force, by name.
+    pub async fn customers(&self) -> Result<Vec<CustomerRow>, InspectError> {
+        let (newest, _) = self.store.newest(OPERATOR_TOPIC, within()).await?;
+        let mut rows = Vec::new();
+        for record in newest {
+            if let OperatorRecord::Routes(routes) = operator_record(&record.key, &record.value)? {
+                rows = customer_rows(&routes.customers);
+            }
+        }
+        let index = self.index().await?;
+        for row in &mut rows {
+            let steps = index.ledger.steps();
+            let own = steps.filter(|step| step.head.customer.as_deref() == Some(&row.customer));
+            row.steps = own.count();
+        }
+        Ok(rows)
+    }
+
+    /// Windows of usage that the index still has, oldest first.
+    pub async fn usage(&self) -> Result<Vec<UsageRow>, InspectError> {
+        let index = self.index().await?;
+        let rows = index.usage.windows().map(|window| UsageRow {
+            window: window.window.0,
+            state: match (window.reported, window.sealed) {
+                (true, _) => "reported",
+                (false, true) => "sealed",
+                (false, false) => "open",
+            },
+            requests: window.counts.values().sum(),
+            customers: window
+                .counts
+                .iter()
+                .map(|(customer, requests)| (customer.clone(), *requests))
+                .collect(),
+        });
+        Ok(rows.collect())
+    }
+
+    /// Duties towards the platform, and who does them.
+    pub async fn duties(&self) -> Result<Vec<DutyRow>, InspectError> {
+        let index = self.index().await?;
+        let (holder, fence) = index.lease.holder().unzip();
+        let reported = index.usage.windows().filter(|window| window.reported);
+        let waiting = index.usage.windows();
+        let waiting = waiting.filter(|window| window.sealed && !window.reported);
+        Ok(vec![DutyRow {
+            duty: "usage",
+            holder: holder.flatten().map(str::to_owned),
+            fence,
+            reported: reported.map(|window| window.window.0).max(),
+            waiting: waiting.map(|window| window.window.0).collect(),
+        }])
+    }
+
     /// Newest named versions, by model.
     pub async fn versions(&self) -> Result<Vec<VersionRow>, InspectError> {
         let (newest, _) = self.store.newest(OPERATOR_TOPIC, within()).await?;
--- a/components/inspect/src/rows.rs
+++ b/components/inspect/src/rows.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashSet;
 
+use customers::Customers;
 use dispatch::{Replica, Route};
 use serde::Serialize;
 use steps::{ResultState, Step};
@@ -93,6 +94,47 @@
     pub state: &'static str,
 }
 
+/// A customer in force.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct CustomerRow {
+    /// Its name.
+    pub customer: String,
+    /// Its rank, 0 the highest.
+    pub rank: Option<u8>,
+    /// Number of its keys; no key is shown.
+    pub keys: usize,
+    /// Steps of it that the index still has.
+    pub steps: usize,
+}
+
+/// Usage of a window.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct UsageRow {
+    /// Number of the window.
+    pub window: u64,
+    /// `open`, `sealed` or `reported`.
+    pub state: &'static str,
+    /// Requests of all customers that its report has, or would have now.
+    pub requests: u64,
+    /// Requests by customer.
+    pub customers: Vec<(String, u64)>,
+}
+
+/// A duty towards the platform.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct DutyRow {
+    /// The duty.
+    pub duty: &'static str,
+    /// VM that does it; none where nobody is known to.
+    pub holder: Option<String>,
+    /// Its fencing number.
+    pub fence: Option<u64>,
+    /// Newest window whose report was taken.
+    pub reported: Option<u64>,
+    /// Sealed windows whose report was not taken yet.
+    pub waiting: Vec<u64>,
+}
+
 /// The lease on orders to replicas.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct LeaseRow {
@@ -102,6 +144,21 @@
     pub fence: Option<u64>,
 }
 
+/// Rows of the customers of a configuration, by name.
+pub fn customer_rows(customers: &Customers) -> Vec<CustomerRow> {
+    let mut rows: Vec<CustomerRow> = customers
+        .iter()
+        .map(|customer| CustomerRow {
+            customer: customer.name.to_string(),
+            rank: customer.rank,
+            keys: customers.keys_of(&customer.name),
+            steps: 0,
+        })
+        .collect();
+    rows.sort_by(|one, other| one.customer.cmp(&other.customer));
+    rows
+}
+
 impl From<&Route> for RouteRow {
     fn from(route: &Route) -> Self {
         let shares = route.shares.iter();
--- a/components/inspect/tests/inspect.rs
+++ b/components/inspect/tests/inspect.rs
@@ -6,6 +6,7 @@
 use standins::fleet::records;
 use standins::fleet::store::Store;
 use steps::{ErrorCause, IndexRecord, ItemHead, Place, ResultState, StepHead, StepId};
+use usage::{CustomerCount, UsageRecord, Window, WindowCounts};
 
 fn head(id: &str) -> StepHead {
     let item = |at: u16| ItemHead {
@@ -177,3 +178,47 @@
         "{error}"
     );
 }
+
+#[tokio::test]
+async fn can_show_customers_and_their_usage_without_keys() {
+    let store = Store::default();
+    let config = records::config_for(3, &[("anna", &["key-1", "key-2"]), ("bert", &[])]);
+    store.put("keyed.op", "config", Some(&config));
+    let step = StepHead {
+        customer: Some("anna".to_owned()),
+        ..head("step-3")
+    };
+    let accepted = IndexRecord::Accepted(Box::new(step));
+    write(&store, &LogRecord::Index(accepted));
+    let counted = UsageRecord::Counted {
+        writer: 1,
+        number: 1,
+        windows: vec![WindowCounts {
+            window: Window(7),
+            customers: vec![CustomerCount {
+                customer: "anna".to_owned(),
+                requests: 3,
+            }],
+        }],
+    };
+    write(&store, &LogRecord::Usage(counted));
+    write(
+        &store,
+        &LogRecord::Usage(UsageRecord::Sealed { window: Window(7) }),
+    );
+    let (_door, inspector) = inspector(&store).await;
+    let customers = inspector.customers().await.expect("customers");
+    let shown: Vec<_> = customers
+        .iter()
+        .map(|row| (row.customer.as_str(), row.keys, row.steps))
+        .collect();
+    assert_eq!(shown, [("anna", 2, 1), ("bert", 0, 0)]);
+    assert!(!format!("{customers:?}").contains("key-1"));
+    let usage = inspector.usage().await.expect("usage");
+    assert_eq!((usage[0].state, usage[0].requests), ("sealed", 3));
+    let duties = inspector.duties().await.expect("duties");
+    assert_eq!(
+        (duties[0].reported, &duties[0].waiting[..]),
+        (None, &[7][..])
+    );
+}
--- a/components/usage/src/ledger.rs
+++ b/components/usage/src/ledger.rs
@@ -28,6 +28,19 @@
     pub counts: BTreeMap<String, u64>,
 }
 
+/// What is known of a window.
+#[derive(Clone, Copy, Debug)]
+pub struct KnownWindow<'a> {
+    /// The window.
+    pub window: Window,
+    /// Requests by customer that its report has, or would have now.
+    pub counts: &'a BTreeMap<String, u64>,
+    /// Whether it is sealed.
+    pub sealed: bool,
+    /// Whether its report was taken.
+    pub reported: bool,
+}
+
 #[derive(Debug, Default)]
 struct State {
     counts: BTreeMap<String, u64>,
@@ -174,12 +187,14 @@
         })
     }
 
-    /// Windows that are known, with their counts, and whether each is sealed and reported.
-    pub fn windows(&self) -> impl Iterator<Item = (Window, &BTreeMap<String, u64>, bool, bool)> {
-        let row = |(window, state): (&Window, &State)| (*window, state.sealed, state.reported);
-        self.windows.iter().map(move |entry| {
-            let (window, sealed, reported) = row(entry);
-            (window, &entry.1.counts, sealed, reported)
+    /// Windows that are known, oldest first.
+    pub fn windows(&self) -> impl Iterator<Item = KnownWindow<'_>> {
+        let known = self.windows.iter();
+        known.map(|(window, state)| KnownWindow {
+            window: *window,
+            counts: &state.counts,
+            sealed: state.sealed,
+            reported: state.reported,
         })
     }
 
--- a/components/usage/src/lib.rs
+++ b/components/usage/src/lib.rs
@@ -22,7 +22,7 @@
 mod time;
 mod window;
 
-pub use ledger::{Change, Report, UsageLedger};
+pub use ledger::{Change, KnownWindow, Report, UsageLedger};
 pub use record::{CustomerCount, UsageRecord, WindowCounts};
 pub use sender::{Outcome, Sender};
 pub use tally::{Batch, Tally};
--- a/components/usage/tests/reports.rs
+++ b/components/usage/tests/reports.rs
@@ -47,8 +47,8 @@
 fn total(ledger: &UsageLedger, window: u64) -> u64 {
     let mut windows = ledger.windows();
     windows
-        .find(|row| row.0 == Window(window))
-        .map_or(0, |row| row.1.values().sum())
+        .find(|known| known.window == Window(window))
+        .map_or(0, |known| known.counts.values().sum())
 }
 
 #[test]
