--- a/components/front/src/figures.rs
+++ b/components/front/src/figures.rs
@@ -39,6 +39,15 @@
     }
 }
 
+/// One line a customer, the small ones together in the last.
+pub fn customers_text(series: &[(String, u64)]) -> String {
+    let line = |(customer, count): &(String, u64)| {
+        let name = "front_customer_requests_total";
+        format!("{name}{{customer=\"{customer}\"}} count={count}\n")
+    };
+    series.iter().map(line).collect()
+}
+
 /// One line a series: name, class, count, and of histograms the quantiles.
 pub fn text(rows: &[Row]) -> String {
     let mut text = String::new();
--- a/components/front/src/meter.rs
+++ b/components/front/src/meter.rs
@@ -11,7 +11,7 @@
 use index::LogRecord;
 use leaving::{Progress, Working};
 use tokio::sync::Notify;
-use usage::{Batch, Tally, TrueTime, UsageRecord, WindowSettings};
+use usage::{Batch, CustomerSeries, Tally, TrueTime, UsageRecord, WindowSettings};
 
 use crate::clock::now_ms;
 use crate::state::{Front, locked};
@@ -35,6 +35,7 @@
     windows: Option<WindowSettings>,
     time: Mutex<TrueTime>,
     noted: Mutex<Noted>,
+    series: Mutex<CustomerSeries>,
     news: Notify,
 }
 
@@ -45,6 +46,7 @@
             windows,
             time: Mutex::default(),
             noted: Mutex::default(),
+            series: Mutex::default(),
             news: Notify::new(),
         };
         meter.sample();
@@ -67,7 +69,13 @@
         locked(&self.time).sample(day_ms, now_ms());
     }
 
+    /// Requests by customer for the metrics page.
+    pub fn series(&self) -> Vec<(String, u64)> {
+        locked(&self.series).rows()
+    }
+
     fn note(&self, customer: &str, began_ms: u64, progress: &Progress) {
+        locked(&self.series).note(customer);
         let Some(windows) = &self.windows else { return };
         let window = windows.window_at(self.true_ms(began_ms));
         let mut noted = locked(&self.noted);
--- a/components/front/src/serve.rs
+++ b/components/front/src/serve.rs
@@ -30,7 +30,8 @@
 /// Answers the balancer, and whoever fetches the metrics.
 pub async fn ready(front: Arc<Front>, request: Request<Incoming>) -> Response<ReplyBody> {
     if request.uri().path() == METRICS_PATH {
-        let text = figures::text(&front.metrics.rows().await);
+        let mut text = figures::text(&front.metrics.rows().await);
+        text.push_str(&figures::customers_text(&front.meter.series()));
         return ingress::success(StatusCode::OK, None, "text/plain", text.into());
     }
     let status = match front.is_ready() {
--- a/components/usage/src/lib.rs
+++ b/components/usage/src/lib.rs
@@ -18,6 +18,7 @@
 mod ledger;
 mod record;
 mod sender;
+mod series;
 mod tally;
 mod time;
 mod window;
@@ -25,6 +26,7 @@
 pub use ledger::{Change, KnownWindow, Report, UsageLedger};
 pub use record::{CustomerCount, UsageRecord, WindowCounts};
 pub use sender::{Outcome, Sender};
+pub use series::CustomerSeries;
 pub use tally::{Batch, Tally};
 pub use time::TrueTime;
 pub use window::{Window, WindowSettings};
--- a/components/usage/tests/reports.rs
+++ b/components/usage/tests/reports.rs
@@ -5,8 +5,8 @@
 
 use quickcheck::{Arbitrary, Gen, QuickCheck, TestResult};
 use usage::{
-    Change, CustomerCount, Outcome, Report, Sender, Tally, TrueTime, UsageLedger, UsageRecord,
-    Window, WindowCounts, WindowSettings,
+    Change, CustomerCount, CustomerSeries, Outcome, Report, Sender, Tally, TrueTime, UsageLedger,
+    UsageRecord, Window, WindowCounts, WindowSettings,
 };
 
 const SETTINGS: WindowSettings = WindowSettings {
@@ -182,6 +182,27 @@
     assert!(sender.has_sent(Window(7)) && sender.is_free(1_700));
 }
 
+#[test]
+fn can_count_hundreds_of_customers_in_a_bounded_number_of_series() {
+    // Pattern: one customer sends half of all requests, three hundred the rest.
+    let mut series = CustomerSeries::default();
+    let mut large_before = 0;
+    for request in 0..6_000 {
+        let small = format!("small-{}", request % 300);
+        series.note("large");
+        series.note(&small);
+        let rows = series.rows();
+        let large = rows.iter().find(|row| row.0 == "large");
+        let large = large.map_or(0, |row| row.1);
+        assert!(large >= large_before, "a counter never falls");
+        large_before = large;
+    }
+    let rows = series.rows();
+    assert!(rows.len() <= 17, "{}", rows.len());
+    assert!(large_before > 5_000, "{large_before}");
+    assert_eq!(rows.iter().map(|row| row.1).sum::<u64>(), 12_000);
+}
+
 #[test]
 fn can_tell_true_time_while_the_time_of_day_steps() {
     // The time of day of one VM jumps by two seconds for five and back. A window that it
