Refused bodies are not kept; counts of usage are gathered longer beside many fronts

A refused request was read into memory up to the route's bound, 33 MB, by anybody without a key. It is read and dropped now.

--- a/components/front/src/access.rs
+++ b/components/front/src/access.rs
@@ -11,7 +11,7 @@
 use dispatch::{Route, Routes};
 use hyper::body::Incoming;
 use hyper::{HeaderMap, Response, StatusCode};
-use platform::{ReplyBody, collect, ingress};
+use platform::{ReplyBody, discard, ingress};
 
 use crate::clock::now_ms;
 use crate::figures;
@@ -83,7 +83,8 @@
 }
 
 /// Refuses a request, of which the rest is read first: a connection that closes with unread
-/// bytes is reset, and the client would not see why.
+/// bytes is reset, and the client would not see why. Nothing of it is kept, as anybody may send
+/// it.
 pub async fn refuse(
     front: &Front,
     routes: &Routes,
@@ -107,7 +108,7 @@
         figures::call_label(false),
         1,
     );
-    let rest = collect(body, routes.limits.body_bytes);
+    let rest = discard(body, routes.limits.body_bytes);
     let read = tokio::time::timeout(Duration::from_millis(REST_MS), rest).await;
     let mut answer = match behind {
         false => ingress::own_answer(refused.status(), id, None, refused.why()),
--- a/components/front/src/meter.rs
+++ b/components/front/src/meter.rs
@@ -17,9 +17,6 @@
 use crate::state::{Front, locked};
 use crate::writer::{append_index, encode, until_done};
 
-/// How long counts are gathered before they are written, in milliseconds: what a front that is
-/// killed loses, against appends of each front.
-const GATHER_MS: u64 = 500;
 /// How often true time is sampled, in milliseconds.
 const SAMPLE_MS: u64 = 1_000;
 
@@ -149,7 +146,7 @@
     loop {
         front.meter.news.notified().await;
         if !front.drain.is_leaving() {
-            tokio::time::sleep(Duration::from_millis(GATHER_MS)).await;
+            tokio::time::sleep(gather(&front)).await;
         }
         while let Some((batch, unwritten)) = front.meter.next_batch() {
             write(&front, batch.record(writer)).await;
@@ -159,6 +156,13 @@
     }
 }
 
+/// How long counts are gathered now.
+fn gather(front: &Front) -> Duration {
+    let writers = front.index().usage.writers();
+    let windows = front.meter.windows();
+    Duration::from_millis(windows.map_or(0, |windows| windows.gather_ms(writers)))
+}
+
 async fn write(front: &Front, record: UsageRecord) {
     match encode(&[LogRecord::Usage(record)]) {
         Ok(encoded) => {
