--- a/components/dispatch/src/items.rs
+++ b/components/dispatch/src/items.rs
@@ -1,8 +1,11 @@
 //! Placing of a step's items on model replicas.
 //!
-//! Customers take turns by steps: the oldest step of each that has items waiting goes before the
-//! second one of any. A customer that asks for many steps at once so delays its own later ones,
-//! and a customer with one step waits for one step of each other at most.
+//! Trainers take turns by steps: the oldest step of each customer's model that has items waiting
+//! goes before the second one of any. A customer that asks for many steps at once so delays its
+//! own later ones, and a customer with one step waits for one step of each other trainer at
+//! most. Turns of customers alone would set one that trains several models back behind one that
+//! trains one; models are the operator's, so a customer gets no more turns by itself.
+//! Within a turn the higher rank goes first; nobody waits longer for it than a turn.
 //!
 //! A trainer waits for whole groups, so items of the oldest step go first, and within a step
 //! the longest ones by the trainer's hint: an item makes its tokens one after the other, and
@@ -14,13 +17,17 @@
 
 use derive::value;
 
+use crate::WaitingRank;
+
 /// An item that waits for a place.
 #[value]
 pub struct Waiting {
     /// Number of its model among those that share the replicas.
     pub model: usize,
-    /// Steps of its customer before its own that have waiting items too.
+    /// Steps of its customer's model before its own that have waiting items too.
     pub turn: u32,
+    /// Rank of its customer and route.
+    pub rank: WaitingRank,
     /// Rank of its step, the oldest lowest.
     pub step_rank: u64,
     /// Time until its text is whole once it runs, as far as can be told, in milliseconds.
@@ -117,7 +124,12 @@
     let mut order: Vec<usize> = (0..waiting.len()).collect();
     order.sort_by_key(|at| {
         let item = &waiting[*at];
-        (item.turn, item.step_rank, std::cmp::Reverse(item.left_ms))
+        (
+            item.turn,
+            item.rank,
+            item.step_rank,
+            std::cmp::Reverse(item.left_ms),
+        )
     });
     let mut placed = Vec::new();
     for item in order {
--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -22,4 +22,4 @@
 pub use pace::{Pace, is_worth_moving, slowness};
 pub use registry::{Registry, Replica, ReplicaId, Revision, gather_ms};
 pub use retry::{AttemptEnd, CallEnd, NextStep, after_attempt};
-pub use routes::{Limits, Route, RouteKind, Routes, Service, ServiceShare};
+pub use routes::{Limits, Route, RouteKind, Routes, Service, ServiceShare, WaitingRank};
--- a/components/dispatch/src/routes.rs
+++ b/components/dispatch/src/routes.rs
@@ -19,6 +19,16 @@
     Rollout,
 }
 
+/// Rank of work that waits, the highest first.
+#[key]
+#[derive(Default)]
+pub struct WaitingRank {
+    /// Rank of its customer, 0 the highest.
+    pub customer: u8,
+    /// Rank of its route, 0 the highest.
+    pub route: u8,
+}
+
 /// One service of a route and its share.
 #[value]
 pub struct ServiceShare {
@@ -63,6 +73,15 @@
         customer.and_then(|customer| customer.rank).or(self.rank)
     }
 
+    /// Rank of a customer's waiting work: the customer's own, then the route's between customers
+    /// of one rank.
+    pub fn waiting_rank(&self, customer: &Customer) -> WaitingRank {
+        WaitingRank {
+            customer: customer.rank.unwrap_or(u8::MAX),
+            route: self.rank.unwrap_or(u8::MAX),
+        }
+    }
+
     /// The services that may serve it now.
     pub fn services(&self) -> impl Iterator<Item = &Arc<str>> {
         let used = self.shares.iter().filter(|share| share.weight > 0);
--- a/components/dispatch/tests/items.rs
+++ b/components/dispatch/tests/items.rs
@@ -1,8 +1,8 @@
 //! Placing items on model replicas, under the load of a step that arrives at once.
 
 use dispatch::{
-    Admission, Engine, Pace, Waiting, is_worth_moving, lost_its_version, place, slowness,
-    text_left_ms,
+    Admission, Engine, Pace, Waiting, WaitingRank, is_worth_moving, lost_its_version, place,
+    slowness, text_left_ms,
 };
 use quickcheck::{Arbitrary, Gen};
 
@@ -21,6 +21,7 @@
     Waiting {
         model: 0,
         turn: 0,
+        rank: WaitingRank::default(),
         step_rank,
         left_ms,
         min_version: 2,
@@ -38,6 +39,10 @@
         Item(Waiting {
             model: usize::arbitrary(g) % 2,
             turn: u32::arbitrary(g) % 3,
+            rank: WaitingRank {
+                customer: u8::arbitrary(g) % 3,
+                route: u8::arbitrary(g) % 3,
+            },
             step_rank: u64::arbitrary(g) % 3,
             left_ms: u64::arbitrary(g) % 9_000,
             min_version: u64::arbitrary(g) % 4,
@@ -387,3 +392,25 @@
         "by age alone the flood goes first: {before} rounds"
     );
 }
+
+#[test]
+fn a_higher_rank_goes_first_within_a_turn() {
+    // Pattern: places for most of what waits come free. The customer's rank goes before the
+    // route's, both before age, and none before a turn.
+    let ranked = |turn, customer, route, step_rank| Waiting {
+        turn,
+        rank: WaitingRank { customer, route },
+        ..waiting(step_rank, 1_000)
+    };
+    let all = [
+        ranked(0, 1, 0, 1),
+        ranked(0, 0, 2, 9),
+        ranked(0, 0, 1, 10),
+        ranked(1, 0, 0, 0),
+        ranked(0, 1, 0, 0),
+    ];
+    let mut engines = [engine(2, 4)];
+    let placed = place(&all, &mut engines);
+    let order: Vec<usize> = placed.iter().map(|one| one.item).collect();
+    assert_eq!(order, [2, 1, 4, 0]);
+}
--- a/components/dispatch/tests/routes.rs
+++ b/components/dispatch/tests/routes.rs
@@ -194,4 +194,6 @@
     assert_eq!(route.rank_for(None), Some(2));
     assert_eq!(route.rank_for(Some(&customer(None))), Some(2));
     assert_eq!(route.rank_for(Some(&customer(Some(0)))), Some(0));
+    let waiting = |rank| route.waiting_rank(&customer(rank));
+    assert!(waiting(Some(0)) < waiting(Some(1)) && waiting(Some(1)) < waiting(None));
 }
--- a/components/front/src/runner/contests.rs
+++ b/components/front/src/runner/contests.rs
@@ -10,6 +10,15 @@
     pub(super) left_ms: u64,
 }
 
+/// What of a step goes before its age when its items are placed.
+#[derive(Clone, Copy)]
+struct Precedence {
+    /// Steps of the customer's model before it that have waiting items too.
+    turn: u32,
+    /// Rank of its customer and route.
+    rank: WaitingRank,
+}
+
 /// Items that compete for the same replicas, of all models that share them.
 pub(super) struct Contest {
     /// Services of the replicas.
@@ -21,8 +30,8 @@
     /// Shards that the pool is cut into, and those of them that this front runs.
     shards: u16,
     owned: BTreeSet<u16>,
-    /// Steps with waiting items that were seen, by customer.
-    turns: HashMap<String, u32>,
+    /// Steps with waiting items that were seen, by customer and model.
+    turns: HashMap<(String, usize), u32>,
     pub(super) waiting: Vec<Candidate>,
 }
 
@@ -44,11 +53,12 @@
         self.models.iter().position(|known| **known == *name)
     }
 
-    /// Steps of a customer before this one that have waiting items; steps come oldest first. Where
-    /// nobody shows a key, all steps are nobody's and go by their age.
-    fn turn(&mut self, customer: Option<&str>) -> u32 {
+    /// Steps of a customer's model before this one that have waiting items; steps come oldest
+    /// first. Where nobody shows a key, all steps are nobody's and go by their age.
+    fn turn(&mut self, customer: Option<&str>, model: usize) -> u32 {
         let Some(customer) = customer else { return 0 };
-        let seen = self.turns.entry(customer.to_owned()).or_insert(0);
+        let key = (customer.to_owned(), model);
+        let seen = self.turns.entry(key).or_insert(0);
         let turn = *seen;
         *seen += 1;
         turn
@@ -180,11 +190,15 @@
         let model = contest.number_model(&step.head.model, step.head.min_version);
         let turn = match waiting.is_empty() {
             true => 0,
-            false => contest.turn(step.head.customer.as_deref()),
+            false => contest.turn(step.head.customer.as_deref(), model),
         };
+        let customer = step.head.customer.as_deref();
+        let customer = customer.and_then(|name| routes.customers.named(name));
+        let rank = customer.map_or_else(WaitingRank::default, |known| route.waiting_rank(known));
+        let precedence = Precedence { turn, rank };
         let candidates = waiting
             .into_iter()
-            .map(|key| self.candidate(step, key, (model, turn), left_ms));
+            .map(|key| self.candidate(step, key, (model, precedence), left_ms));
         contest.waiting.extend(candidates);
     }
 
@@ -198,13 +212,7 @@
         step.progress.iter().enumerate().filter_map(waits).collect()
     }
 
-    fn candidate(
-        &self,
-        step: &Step,
-        key: Key,
-        (model, turn): (usize, u32),
-        left_ms: u64,
-    ) -> Candidate {
+    fn candidate(&self, step: &Step, key: Key, in_line: InLine, left_ms: u64) -> Candidate {
         let head: &ItemHead = &step.head.items[key.1 as usize];
         let only_version = match step.head.single_version {
             true => self.begun_under(step, key),
@@ -216,7 +224,8 @@
             left_ms,
             waiting: Waiting {
                 model,
-                turn,
+                turn: precedence.turn,
+                rank: precedence.rank,
                 step_rank: step.id.0,
                 left_ms: text_left_ms(
                     head.expected_tokens(),
--- a/components/front/src/runner/mod.rs
+++ b/components/front/src/runner/mod.rs
@@ -19,7 +19,7 @@
 use bytes::Bytes;
 use dispatch::{
     Admission, Engine, MoveCause, Pace, Placed, Replica, ReplicaId, Route, Routes, Run, Waiting,
-    lost_its_version, place, runs_to_move, slowness, stalled_ms, text_left_ms,
+    WaitingRank, lost_its_version, place, runs_to_move, slowness, stalled_ms, text_left_ms,
 };
 use leaving::Working;
 use ownership::replica_shards;
