--- a/components/front/src/runner/contests.rs
+++ b/components/front/src/runner/contests.rs
@@ -212,7 +212,13 @@
         step.progress.iter().enumerate().filter_map(waits).collect()
     }
 
-    fn candidate(&self, step: &Step, key: Key, in_line: InLine, left_ms: u64) -> Candidate {
+    fn candidate(
+        &self,
+        step: &Step,
+        key: Key,
+        (model, precedence): (usize, Precedence),
+        left_ms: u64,
+    ) -> Candidate {
         let head: &ItemHead = &step.head.items[key.1 as usize];
         let only_version = match step.head.single_version {
             true => self.begun_under(step, key),
