--- a/components/dispatch/src/items.rs
+++ b/components/dispatch/src/items.rs
@@ -11,9 +11,8 @@
 //! the longest ones by the trainer's hint: an item makes its tokens one after the other, and
 //! a long one that starts late ends the step late. A long item of the next step does not go
 //! before a short one of the oldest: where places are short, as behind an outage, both steps
-//! would end late. A replica makes each token
-//! hardly slower when it runs eight requests than when it runs one, so free places are worth
-//! taking.
+//! would end late. A replica makes each token hardly slower when it runs eight requests than
+//! when it runs one, so free places are worth taking.
 
 use derive::value;
 
--- a/components/front/src/jobs/mod.rs
+++ b/components/front/src/jobs/mod.rs
@@ -102,7 +102,8 @@
         .metrics
         .record("front_submission_ms", figures::item_label(), took_ms);
     log::info!(
-        event = "step-submitted", id, customer = customer.unwrap_or_default(), status = told.status.as_u16(), took_ms, why = told.why; ""
+        event = "step-submitted", id, customer = customer.unwrap_or_default(),
+        status = told.status.as_u16(), took_ms, why = told.why; ""
     );
     told
 }
--- a/components/usage/src/sender.rs
+++ b/components/usage/src/sender.rs
@@ -1,5 +1,7 @@
 use std::collections::BTreeSet;
 
+use derive::key;
+
 use crate::{Report, Window};
 
 /// First pause after a report that was not taken, in milliseconds; doubles up to the greatest.
@@ -10,7 +12,7 @@
 const TAKEN_MAX: usize = 64;
 
 /// How sending a report ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[key]
 pub enum Outcome {
     /// The receiver took it, now or before.
     Taken,
--- a/components/usage/src/tally.rs
+++ b/components/usage/src/tally.rs
@@ -1,10 +1,12 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use derive::value;
+
 use crate::{CustomerCount, UsageRecord, Window, WindowCounts};
 
 /// A batch of counts, written until the log has it.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[value]
 pub struct Batch {
     /// Its number in the life of this front, from 1 on.
     pub number: u32,
