Usage in a log of its own, which the holder of the lease alone reads

Change: counts, seals and what was reported stand in a topic of their own, which the holder reads, from what is kept of it when it takes the lease. A front that can't write counts no longer counts as one that can't write results.

Tests: a run that is taken over keeps its customer; keys that are taken away in quick succession; a route that a front behind does not know.

--- a/components/front/src/follow.rs
+++ b/components/front/src/follow.rs
@@ -25,7 +25,7 @@
 /// Most kibibytes of one read: peak memory against calls after a start.
 const READ_KB: u32 = 64;
 /// Pause after a read that failed, in milliseconds.
-const PAUSE_MS: u64 = 100;
+pub const PAUSE_MS: u64 = 100;
 /// How long steps are kept beyond the time in which they can be read, in milliseconds.
 const KEPT_SLACK_MS: u64 = 5_000;
 
@@ -120,7 +120,7 @@
 }
 
 /// Reads on from an offset, after so many reads that failed.
-async fn read(
+pub async fn read(
     front: &Front,
     topic: &str,
     partition: u32,
@@ -138,7 +138,7 @@
     front.storage.read(from, within).await
 }
 
-fn lost(front: &Front, topic: &str, error: &StoreError) {
+pub fn lost(front: &Front, topic: &str, error: &StoreError) {
     front
         .metrics
         .count("front_store_reads_failed_total", Label::default(), 1);
@@ -291,7 +291,7 @@
             }
             Err(StoreError::Gone(first)) => {
                 log::info!(event = "history-gone", topic = INDEX_TOPIC, next, first; "");
-                skipped(&front);
+                front.index().skipped(now_ms());
                 next = first;
             }
             Err(error) => {
@@ -305,33 +305,12 @@
     }
 }
 
-/// Records were lost: the window that goes on now is the last one that is known in part.
-fn skipped(front: &Front) {
-    let now_ms = now_ms();
-    let mut index = front.index();
-    index.skipped(now_ms);
-    if let Some(windows) = front.meter.windows() {
-        let window = windows.window_at(front.meter.true_ms(now_ms));
-        index.usage.skipped(window.next());
-    }
-}
-
 fn apply_page(front: &Front, from: u64, records: &[Bytes], now_ms: u64) -> u64 {
     let mut index = front.index();
-    let late_before = index.late_requests;
     let next = index.apply(from, records, now_ms, |offset, error| {
         log::warn!(event = "record-odd", topic = INDEX_TOPIC, offset, error:% = error; "");
     });
-    let late = index.late_requests - late_before;
-    if late > 0 {
-        log::warn!(event = "usage-late", requests = late, all = index.late_requests; "");
-    }
     let kept_ms = front.settings.bounds.readable_ms + KEPT_SLACK_MS;
     index.ledger.forget_before(kept_ms, now_ms);
-    if let Some(windows) = front.meter.windows() {
-        let true_ms = front.meter.true_ms(now_ms);
-        index.usage.saw(windows.window_at(true_ms));
-        index.usage.forget(windows, true_ms);
-    }
     next
 }
--- a/components/front/src/meter.rs
+++ b/components/front/src/meter.rs
@@ -1,4 +1,4 @@
-//! How often customers' requests begin to run, noted here and written to the index.
+//! How often customers' requests begin to run, noted here and written to the log of usage.
 //!
 //! A count is noted when a request has ended, for the moment at which it was sent to the replica
 //! that ran it first. Counts are written several times a window, so that a front that is killed
@@ -8,15 +8,17 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use index::LogRecord;
 use leaving::{Progress, Working};
 use tokio::sync::Notify;
-use usage::{Batch, CustomerSeries, Tally, TrueTime, UsageRecord, WindowSettings};
+use usage::{Batch, CustomerSeries, Tally, TrueTime, WindowSettings};
 
 use crate::clock::now_ms;
 use crate::state::{Front, locked};
-use crate::writer::{append_index, encode, until_done};
+use crate::writer::{append_usage, until_done};
 
+/// How long counts are gathered before they are written, in milliseconds: what a front that is
+/// killed loses, against appends of each front.
+const GATHER_MS: u64 = 500;
 /// How often true time is sampled, in milliseconds.
 const SAMPLE_MS: u64 = 1_000;
 
@@ -146,28 +148,13 @@
     loop {
         front.meter.news.notified().await;
         if !front.drain.is_leaving() {
-            tokio::time::sleep(gather(&front)).await;
+            tokio::time::sleep(Duration::from_millis(GATHER_MS)).await;
         }
         while let Some((batch, unwritten)) = front.meter.next_batch() {
-            write(&front, batch.record(writer)).await;
+            let record = batch.record(writer);
+            until_done(&front, "usage", || append_usage(&front, &record)).await;
             log::debug!(event = "usage-counted", writer, number = batch.number; "");
             drop(unwritten);
         }
     }
 }
-
-/// How long counts are gathered now.
-fn gather(front: &Front) -> Duration {
-    let writers = front.index().usage.writers();
-    let windows = front.meter.windows();
-    Duration::from_millis(windows.map_or(0, |windows| windows.gather_ms(writers)))
-}
-
-async fn write(front: &Front, record: UsageRecord) {
-    match encode(&[LogRecord::Usage(record)]) {
-        Ok(encoded) => {
-            until_done(front, "usage", || append_index(front, &encoded)).await;
-        }
-        Err(error) => log::error!(event = "usage-not-written", error:% = error; ""),
-    }
-}
--- a/components/front/src/reports.rs
+++ b/components/front/src/reports.rs
@@ -2,21 +2,23 @@
 //!
 //! The lease is the one that orders have: a report is announced like an order and goes out
 //! under the same fencing number, so two fronts never report in turns. What a report says is not
-//! the holder's: it is what stands in the index before the seal of its window.
+//! the holder's: it is what stands in the log of usage before the seal of its window.
 
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use index::LogRecord;
+use bytes::Bytes;
+use index::{INDEX_PARTITION, USAGE_TOPIC, decode_usage};
 use platform::duty::{self, DutyAnswer, Holder};
 use platform::settings::DutySettings;
-use usage::{Outcome, Report, Sender, UsageRecord, Window};
+use platform::store::StoreError;
+use usage::{Change, Outcome, Report, Sender, UsageRecord, Window};
 
 use crate::clock::now_ms;
-use crate::figures;
 use crate::state::{Front, locked};
-use crate::writer::write_index;
+use crate::writer::append_usage;
+use crate::{figures, follow};
 
 /// Longest time for sending a report, in milliseconds; within the time that an announcement
 /// allows, as a rule.
@@ -27,6 +29,74 @@
 /// fronts write then what they counted meanwhile.
 const RETURN_MS: u64 = 1_500;
 
+/// How often a front that does not hold the lease looks whether it does, in milliseconds.
+const IDLE_MS: u64 = 200;
+/// How old the knowledge of usage may be for sealing and sending, in milliseconds.
+const USAGE_AGE_MS_MAX: u64 = 1_000;
+
+/// Follows the log of usage while this front holds the lease. One that takes the lease reads what
+/// is kept of it first.
+pub async fn follow_usage(front: Arc<Front>) {
+    if front.meter.windows().is_none() {
+        return;
+    }
+    let mut next = 0;
+    let mut failed = 0;
+    loop {
+        if !front.index().lease.is_held_here() {
+            tokio::time::sleep(Duration::from_millis(IDLE_MS)).await;
+            continue;
+        }
+        match follow::read(&front, USAGE_TOPIC, INDEX_PARTITION, next, failed).await {
+            Ok(page) => {
+                failed = 0;
+                next = apply_page(&front, next, &page.records);
+                if next >= page.end {
+                    front.usage_is_current(now_ms());
+                }
+                front.leader_news.notify_one();
+            }
+            Err(StoreError::Gone(first)) => {
+                log::info!(event = "history-gone", topic = USAGE_TOPIC, next, first; "");
+                skipped(&front);
+                next = first;
+            }
+            Err(error) => {
+                failed += 1;
+                follow::lost(&front, USAGE_TOPIC, &error);
+                front.storage.pause(follow::PAUSE_MS).await;
+            }
+        }
+    }
+}
+
+fn apply_page(front: &Front, from: u64, records: &[Bytes]) -> u64 {
+    let mut usage = front.usage();
+    for (offset, record) in (from..).zip(records) {
+        match decode_usage(record).map(|record| usage.apply(record)) {
+            Ok(Change::Late(requests)) => log::warn!(event = "usage-late", requests; ""),
+            Ok(_) => {}
+            Err(error) => {
+                log::warn!(event = "record-odd", topic = USAGE_TOPIC, offset, error:% = error; "")
+            }
+        }
+    }
+    if let Some(windows) = front.meter.windows() {
+        let true_ms = front.meter.true_ms(now_ms());
+        usage.saw(windows.window_at(true_ms));
+        usage.forget(windows, true_ms);
+    }
+    from + records.len() as u64
+}
+
+/// Records were lost: the window that goes on now is the last one that is known in part.
+fn skipped(front: &Front) {
+    if let Some(windows) = front.meter.windows() {
+        let window = windows.window_at(front.meter.true_ms(now_ms()));
+        front.usage().skipped(window.next());
+    }
+}
+
 /// The reports of this front.
 pub struct Reports {
     duty: Option<DutySettings>,
@@ -63,10 +133,13 @@
         let (to_seal, report) = {
             let sender = locked(&self.sender);
             let sent = |window| sender.has_sent(window);
-            let index = front.index();
-            let to_seal = index.usage.to_seal(&windows, true_ms);
-            (to_seal, index.usage.to_send(&windows, true_ms, sent))
+            let usage = front.usage();
+            let to_seal = usage.to_seal(&windows, true_ms);
+            (to_seal, usage.to_send(&windows, true_ms, sent))
         };
+        if front.usage_age_ms(now_ms) >= USAGE_AGE_MS_MAX {
+            return None;
+        }
         let settled = !front.storage.is_lost() && now_ms >= self.returned_ms + RETURN_MS;
         if settled {
             self.seal(front, &to_seal, now_ms);
@@ -77,22 +150,20 @@
     fn seal(&mut self, front: &Arc<Front>, windows: &[Window], now_ms: u64) {
         self.sealing_ms
             .retain(|_, sent_ms| now_ms < *sent_ms + SEAL_AGAIN_MS);
-        let records: Vec<LogRecord> = windows
-            .iter()
+        let unsealed = windows.iter().copied();
+        let unsealed: Vec<Window> = unsealed
             .filter(|window| !self.sealing_ms.contains_key(window))
-            .map(|window| LogRecord::Usage(UsageRecord::Sealed { window: *window }))
             .collect();
-        if records.is_empty() {
-            return;
-        }
         self.sealing_ms
             .extend(windows.iter().map(|window| (*window, now_ms)));
-        let front = Arc::clone(front);
-        tokio::spawn(async move {
-            if let Err(error) = write_index(&front, &records).await {
-                log::warn!(event = "usage-not-sealed", error:% = error; "");
-            }
-        });
+        for window in unsealed {
+            let front = Arc::clone(front);
+            tokio::spawn(async move {
+                if let Err(error) = append_usage(&front, &UsageRecord::Sealed { window }).await {
+                    log::warn!(event = "usage-not-sealed", window = window.0, error:% = error; "");
+                }
+            });
+        }
     }
 
     /// Sends a report under a fencing number that allows it now.
@@ -159,8 +230,7 @@
 
 /// Tells the next holder; without the record it sends the same report once more.
 async fn note_reported(front: &Front, window: Window) {
-    let record = [LogRecord::Usage(UsageRecord::Reported { window })];
-    if let Err(error) = write_index(front, &record).await {
+    if let Err(error) = append_usage(front, &UsageRecord::Reported { window }).await {
         log::warn!(event = "usage-not-noted", window = window.0, error:% = error; "");
     }
 }
--- a/components/front/src/start.rs
+++ b/components/front/src/start.rs
@@ -16,7 +16,8 @@
 use crate::clock::now_us;
 use crate::state::Front;
 use crate::{
-    connections, figures, follow, leader, leave, member, meter, reload, runner, serve, writer,
+    connections, figures, follow, leader, leave, member, meter, reload, reports, runner, serve,
+    writer,
 };
 
 quick_error! {
@@ -101,6 +102,7 @@
         tasks.spawn(follow::replicas(Arc::clone(&front)));
         tasks.spawn(follow::index(Arc::clone(&front)));
         tasks.spawn(member::stay(Arc::clone(&front)));
+        tasks.spawn(reports::follow_usage(Arc::clone(&front)));
         tasks.spawn(meter::keep_time(Arc::clone(&front)));
         tasks.spawn(meter::write_counts(Arc::clone(&front)));
         tasks.spawn(leader::lead(Arc::clone(&front)));
--- a/components/front/src/state.rs
+++ b/components/front/src/state.rs
@@ -19,7 +19,7 @@
 use steps::StepHead;
 use telemetry::Metrics;
 use tokio::sync::{Notify, watch};
-use usage::WindowSettings;
+use usage::{UsageLedger, WindowSettings};
 
 use crate::clock::now_ms;
 use crate::member;
@@ -74,6 +74,10 @@
     pub handed_over: watch::Sender<bool>,
     /// Wakes the task that gives orders.
     pub leader_news: Notify,
+    /// Usage of customers, at the holder of the lease.
+    usage: Mutex<UsageLedger>,
+    /// When the records of usage were last known to be read to their end; 0 before.
+    usage_current_ms: AtomicU64,
     /// Counts customers' requests.
     pub meter: Meter,
     /// The drain of this process.
@@ -105,6 +109,8 @@
             runner_news: Notify::new(),
             handed_over: watch::Sender::new(false),
             leader_news: Notify::new(),
+            usage: Mutex::default(),
+            usage_current_ms: AtomicU64::new(0),
             meter: Meter::new(report_windows(&settings)),
             drain,
             closing: watch::Sender::new(false),
@@ -118,6 +124,21 @@
         locked(&self.index)
     }
 
+    /// Usage of customers. Not held across a wait.
+    pub fn usage(&self) -> MutexGuard<'_, UsageLedger> {
+        locked(&self.usage)
+    }
+
+    /// Notes that the records of usage were read to their end at `now_ms`.
+    pub fn usage_is_current(&self, now_ms: u64) {
+        self.usage_current_ms.store(now_ms, Ordering::Relaxed);
+    }
+
+    /// How old the knowledge of usage is, in milliseconds.
+    pub fn usage_age_ms(&self, now_ms: u64) -> u64 {
+        now_ms.saturating_sub(self.usage_current_ms.load(Ordering::Relaxed))
+    }
+
     /// Notes that the operator's records were read to their end at `now_ms`.
     pub fn operator_is_current(&self, now_ms: u64) {
         self.operator_current_ms.store(now_ms, Ordering::Relaxed);
--- a/components/front/src/writer.rs
+++ b/components/front/src/writer.rs
@@ -8,11 +8,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use index::{DATA_TOPIC, INDEX_PARTITION, INDEX_TOPIC, IndexError, LogRecord};
+use index::{DATA_TOPIC, INDEX_PARTITION, INDEX_TOPIC, IndexError, LogRecord, USAGE_TOPIC};
 use platform::store::StoreError;
 use quick_error::quick_error;
 use steps::{ErrorCause, FailedPart, IndexRecord, Place, ResultState, StepId};
 use tokio::sync::mpsc;
+use usage::UsageRecord;
 
 use crate::clock::now_ms;
 use crate::state::Front;
@@ -104,6 +105,16 @@
         .await?)
 }
 
+/// Appends a record of usage.
+pub async fn append_usage(front: &Front, record: &UsageRecord) -> Result<u64, WriteError> {
+    let encoded = [index::encode_usage(record)?];
+    let within = Duration::from_millis(APPEND_MS);
+    Ok(front
+        .storage
+        .append(USAGE_TOPIC, INDEX_PARTITION, &encoded, within)
+        .await?)
+}
+
 /// Notes in the index that a part of an item failed.
 pub async fn note_failed(front: &Front, (step, item): (StepId, u32), part: FailedPart) {
     let record = [LogRecord::Index(IndexRecord::Failed { step, item, part })];
@@ -156,10 +167,8 @@
     let mut offset = 0;
     if !texts.is_empty() {
         offset = until_done(front, "results", || async {
-            Ok(front
-                .storage
-                .append(DATA_TOPIC, partition, &texts, within)
-                .await?)
+            let append = front.storage.append(DATA_TOPIC, partition, &texts, within);
+            noted(front, append.await.map_err(WriteError::from))
         })
         .await;
     }
@@ -192,14 +201,24 @@
             state,
         }));
     }
-    until_done(front, "results", || write_index(front, &records)).await;
+    until_done(front, "results", || async {
+        noted(front, write_index(front, &records).await)
+    })
+    .await;
 }
 
-/// Notes since when nothing could be written.
-fn note_failure(front: &Front) {
+/// Notes since when no result could be written.
+fn noted(front: &Front, appended: Result<u64, WriteError>) -> Result<u64, WriteError> {
     let since = &front.unwritable_since_ms;
-    // Later failures of the same row change nothing.
-    let _ = since.compare_exchange(0, now_ms().max(1), Ordering::Relaxed, Ordering::Relaxed);
+    match &appended {
+        Ok(_) => since.store(0, Ordering::Relaxed),
+        Err(_) => {
+            // Later failures of the same row change nothing.
+            let now_ms = now_ms().max(1);
+            let _ = since.compare_exchange(0, now_ms, Ordering::Relaxed, Ordering::Relaxed);
+        }
+    }
+    appended
 }
 
 /// Repeats an append until the store takes it; `what` it is stands in the log.
@@ -211,12 +230,8 @@
     loop {
         let returns = front.storage.returns();
         match append().await {
-            Ok(offset) => {
-                front.unwritable_since_ms.store(0, Ordering::Relaxed);
-                return offset;
-            }
+            Ok(offset) => return offset,
             Err(error) => {
-                note_failure(front);
                 if front.storage.returns() != returns {
                     pause_ms = PAUSE_MS;
                 }
--- a/components/front/tests/front/customers.rs
+++ b/components/front/tests/front/customers.rs
@@ -294,3 +294,109 @@
     let known = ask(&front, "key-anna", Method::POST, "/calls/x", "").await;
     assert_eq!(known.0, 200, "what it knows still works");
 }
+
+#[tokio::test]
+async fn a_run_that_another_front_takes_over_is_its_customer_s_still() {
+    // The front that runs the items dies in the middle of them, behind the taking away of its
+    // customer's last key. The other front goes on; replicas hear the same customer.
+    let site = Site::start(60, 40).await;
+    let config = |version, keys: &[&str]| records::config_for(version, &[("anna", keys)]);
+    site.store
+        .put("keyed.op", "config", Some(&config(4, &["key"])));
+    let runner = site.front("a").await;
+    let step = records::step(1, 1, 2);
+    let submitted = ask(&runner, "key", Method::POST, "/steps/s-1", &step).await;
+    assert_eq!(submitted.0, 202);
+    until("the items run", async || {
+        !site.runs("item-1-0").is_empty() && !site.runs("item-1-1").is_empty()
+    })
+    .await;
+    site.store.put("keyed.op", "config", Some(&config(5, &[])));
+    let _other = site.front("b").await;
+    drop(runner);
+    until("the other front runs them", async || {
+        site.runs("item-1-0").len() > 1
+    })
+    .await;
+    until("they are scored", async || {
+        !named(&site, "score-1-0").is_empty() && !named(&site, "score-1-1").is_empty()
+    })
+    .await;
+    for id in ["item-1-0", "item-1-1", "score-1-0", "score-1-1"] {
+        let mut customers = named(&site, id);
+        customers.dedup();
+        assert_eq!(customers, ["anna"], "{id}");
+    }
+}
+
+#[tokio::test]
+async fn keys_taken_away_in_quick_succession_are_gone_after_a_cut() {
+    // A front is cut off from the store while the operator takes keys away and gives others,
+    // one version behind the other. It may know the old ones as long as it is cut off; once
+    // the store is back, the newest version holds, and none before it.
+    let site = site(3).await;
+    let front = site.front("a").await;
+    front.door.fault(Fault::new(FaultKind::Outage));
+    front.door.crash(0);
+    let versions: [&[(&str, &[&str])]; 4] = [
+        &[("anna", &["key-spare"]), ("bert", &["key-bert"])],
+        &[("anna", &[]), ("bert", &["key-bert", "key-new"])],
+        &[("anna", &["key-anna"]), ("bert", &[])],
+        &[("anna", &["key-new"]), ("bert", &["key-bert"])],
+    ];
+    for (number, customers) in (5..).zip(versions) {
+        let config = records::config_for(number, customers);
+        site.store.put("keyed.op", "config", Some(&config));
+    }
+    front.door.clear_faults();
+    until("the newest version is in force", async || {
+        let old = ask(&front, "key-anna", Method::POST, "/calls/x", "").await;
+        old.0 == 401
+    })
+    .await;
+    struct Case {
+        key: &'static str,
+        status: u16,
+        customer: &'static str,
+    }
+    let cases = [
+        Case {
+            key: "key-new",
+            status: 200,
+            customer: "anna",
+        },
+        Case {
+            key: "key-bert",
+            status: 200,
+            customer: "bert",
+        },
+        Case {
+            key: "key-spare",
+            status: 401,
+            customer: "",
+        },
+    ];
+    for case in cases {
+        let path = format!("/calls/{}", case.key);
+        let (status, _) = ask(&front, case.key, Method::POST, &path, "").await;
+        assert_eq!(status, case.status, "{}", case.key);
+        let customers = named(&site, case.key).concat();
+        assert_eq!(customers, case.customer, "{}", case.key);
+    }
+}
+
+#[tokio::test]
+async fn errors_as_not_run_when_a_front_behind_knows_no_route() {
+    // The operator adds a route while a front is cut off. A 404 would be final for its callers;
+    // they are told to come again.
+    let site = site(3).await;
+    let front = site.front("a").await;
+    let (status, _) = ask(&front, "key-anna", Method::POST, "/new/x", "").await;
+    assert_eq!(status, 404, "as long as it hears of the configuration");
+    front.door.fault(Fault::new(FaultKind::Outage));
+    front.door.crash(0);
+    until("it knows that it is behind", async || {
+        ask(&front, "key-anna", Method::POST, "/new/x", "").await.0 == 503
+    })
+    .await;
+}
--- a/components/index/src/lib.rs
+++ b/components/index/src/lib.rs
@@ -7,6 +7,6 @@
 
 pub use record::{
     DATA_TOPIC, INDEX_PARTITION, INDEX_TOPIC, IndexError, LogRecord, RUNNER_GROUP, RUNNER_TOPIC,
-    decode, encode,
+    USAGE_TOPIC, decode, decode_usage, encode, encode_usage,
 };
 pub use view::Index;
--- a/components/index/src/record.rs
+++ b/components/index/src/record.rs
@@ -11,6 +11,9 @@
 pub const INDEX_TOPIC: &str = "index";
 /// Partition of the index: one, so that all records have one order.
 pub const INDEX_PARTITION: u32 = 0;
+/// Topic of usage: one partition, so that counts and seals have one order. The holder of the lease
+/// alone reads it; in the index each count would wake every front.
+pub const USAGE_TOPIC: &str = "usage";
 /// Topic of items' data and texts, read when somebody asks.
 pub const DATA_TOPIC: &str = "data";
 /// Topic whose partitions stand for models in the group of runners.
@@ -42,8 +45,6 @@
     Index(IndexRecord),
     /// About the lease on orders.
     Lease(LeaseRecord),
-    /// About usage.
-    Usage(UsageRecord),
 }
 
 /// A record's bytes.
@@ -52,6 +53,17 @@
     Ok(bytes.into())
 }
 
+/// A record of usage as bytes.
+pub fn encode_usage(record: &UsageRecord) -> Result<Bytes, IndexError> {
+    let bytes = postcard::to_stdvec(record).map_err(IndexError::Encode)?;
+    Ok(bytes.into())
+}
+
+/// The record of usage in these bytes.
+pub fn decode_usage(bytes: &[u8]) -> Result<UsageRecord, IndexError> {
+    postcard::from_bytes(bytes).map_err(IndexError::Decode)
+}
+
 /// The record in these bytes.
 pub fn decode(bytes: &[u8]) -> Result<LogRecord, IndexError> {
     postcard::from_bytes(bytes).map_err(IndexError::Decode)
--- a/components/index/src/view.rs
+++ b/components/index/src/view.rs
@@ -3,7 +3,6 @@
 use bytes::Bytes;
 use lease::Lease;
 use steps::Ledger;
-use usage::{Change, UsageLedger};
 
 use crate::record::{IndexError, LogRecord, decode};
 
@@ -13,10 +12,6 @@
     pub ledger: Ledger,
     /// The lease on orders.
     pub lease: Lease,
-    /// Usage of customers.
-    pub usage: UsageLedger,
-    /// Requests whose counts came too late for the report of their window.
-    pub late_requests: u64,
     /// Since when the log was read without a gap, in milliseconds; 0 while it was read from
     /// its first record on.
     pub read_since_ms: u64,
@@ -28,8 +23,6 @@
         Self {
             ledger: Ledger::default(),
             lease,
-            usage: UsageLedger::default(),
-            late_requests: 0,
             read_since_ms: 0,
         }
     }
@@ -49,11 +42,6 @@
                     self.ledger.apply(offset, record, now_ms);
                 }
                 Ok(LogRecord::Lease(record)) => self.lease.apply(offset, &record, now_ms),
-                Ok(LogRecord::Usage(record)) => {
-                    if let Change::Late(requests) = self.usage.apply(record) {
-                        self.late_requests += requests;
-                    }
-                }
                 Err(error) => odd(offset, error),
             }
         }
--- a/components/inspect/src/read.rs
+++ b/components/inspect/src/read.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use dispatch::Replica;
-use index::{INDEX_PARTITION, INDEX_TOPIC, Index, RUNNER_GROUP};
+use index::{INDEX_PARTITION, INDEX_TOPIC, Index, RUNNER_GROUP, USAGE_TOPIC, decode_usage};
 use lease::{Lease, LeaseSettings};
 use ownership::shard_partition;
 use platform::records::{
@@ -13,6 +13,7 @@
 };
 use platform::store::{Store, StoreError};
 use quick_error::quick_error;
+use usage::UsageLedger;
 
 use crate::rows::{
     CustomerRow, DutyRow, LeaseRow, ReplicaRow, RouteRow, ShardRow, StepRow, UsageRow, VersionRow,
@@ -89,8 +90,8 @@
 
     /// Windows of usage that the index still has, oldest first.
     pub async fn usage(&self) -> Result<Vec<UsageRow>, InspectError> {
-        let index = self.index().await?;
-        let rows = index.usage.windows().map(|window| UsageRow {
+        let usage = self.usage_ledger().await?;
+        let rows = usage.windows().map(|window| UsageRow {
             window: window.window.0,
             state: match (window.reported, window.sealed) {
                 (true, _) => "reported",
@@ -111,8 +112,9 @@
     pub async fn duties(&self) -> Result<Vec<DutyRow>, InspectError> {
         let index = self.index().await?;
         let (holder, fence) = index.lease.holder().unzip();
-        let reported = index.usage.windows().filter(|window| window.reported);
-        let waiting = index.usage.windows();
+        let usage = self.usage_ledger().await?;
+        let reported = usage.windows().filter(|window| window.reported);
+        let waiting = usage.windows();
         let waiting = waiting.filter(|window| window.sealed && !window.reported);
         Ok(vec![DutyRow {
             duty: "usage",
@@ -198,6 +200,37 @@
         })
     }
 
+    /// The log of usage, as far as the store still has it.
+    async fn usage_ledger(&self) -> Result<UsageLedger, InspectError> {
+        let mut usage = UsageLedger::default();
+        let mut next = 0;
+        loop {
+            let page = self
+                .store
+                .read(USAGE_TOPIC, INDEX_PARTITION, next, READ_KB, 0, within())
+                .await;
+            match page {
+                Ok(page) => {
+                    for (offset, record) in (next..).zip(&page.records) {
+                        match decode_usage(record) {
+                            Ok(record) => drop(usage.apply(record)),
+                            Err(error) => log::warn!(
+                                event = "record-odd", topic = USAGE_TOPIC, offset,
+                                error:% = error; ""
+                            ),
+                        }
+                    }
+                    next += page.records.len() as u64;
+                    if next >= page.end || page.records.is_empty() {
+                        return Ok(usage);
+                    }
+                }
+                Err(StoreError::Gone(first)) => next = first,
+                Err(error) => return Err(error.into()),
+            }
+        }
+    }
+
     async fn replica_records(&self) -> Result<Vec<Replica>, InspectError> {
         let (newest, _) = self.store.newest(REPLICA_TOPIC, within()).await?;
         let mut replicas = Vec::with_capacity(newest.len());
--- a/components/inspect/tests/inspect.rs
+++ b/components/inspect/tests/inspect.rs
@@ -1,6 +1,6 @@
 //! What an operator sees of a store.
 
-use index::{INDEX_TOPIC, LogRecord, encode};
+use index::{INDEX_TOPIC, LogRecord, USAGE_TOPIC, encode, encode_usage};
 use inspect::{Inspector, LeaseRow};
 use lease::LeaseRecord;
 use standins::fleet::records;
@@ -65,6 +65,14 @@
     (door, inspector)
 }
 
+fn write_usage(store: &Store, record: &UsageRecord) {
+    store.add(
+        USAGE_TOPIC,
+        0,
+        vec![encode_usage(record).expect("a record")],
+    );
+}
+
 fn write(store: &Store, record: &LogRecord) {
     store.add(INDEX_TOPIC, 0, vec![encode(record).expect("a record")]);
 }
@@ -201,11 +209,8 @@
             }],
         }],
     };
-    write(&store, &LogRecord::Usage(counted));
-    write(
-        &store,
-        &LogRecord::Usage(UsageRecord::Sealed { window: Window(7) }),
-    );
+    write_usage(&store, &counted);
+    write_usage(&store, &UsageRecord::Sealed { window: Window(7) });
     let (_door, inspector) = inspector(&store).await;
     let customers = inspector.customers().await.expect("customers");
     let shown: Vec<_> = customers
--- a/components/usage/src/ledger.rs
+++ b/components/usage/src/ledger.rs
@@ -187,11 +187,6 @@
         })
     }
 
-    /// Fronts that counted something lately.
-    pub fn writers(&self) -> usize {
-        self.writers.len()
-    }
-
     /// Windows that are known, oldest first.
     pub fn windows(&self) -> impl Iterator<Item = KnownWindow<'_>> {
         let known = self.windows.iter();
--- a/components/usage/src/window.rs
+++ b/components/usage/src/window.rs
@@ -25,12 +25,6 @@
     pub give_up_ms: u64,
 }
 
-/// How long counts are gathered at least, in milliseconds.
-const GATHER_MS: u64 = 500;
-/// Appends of counts a second by all fronts, as long as windows are long enough for it: a part
-/// of the several hundred that the store takes.
-const APPENDS_PER_S: u64 = 100;
-
 /// How long a late report is still sent, in milliseconds: it is worth nothing in time, and
 /// the customers' bills are right.
 const LATE_MS: u64 = 60_000;
@@ -48,14 +42,6 @@
         }
     }
 
-    /// How long a front gathers counts before it writes them, in milliseconds, beside so many
-    /// others: what it loses when it is killed, against appends of all fronts together. Two
-    /// batches a window are written at least.
-    pub fn gather_ms(&self, writers: usize) -> u64 {
-        let spread_ms = writers as u64 * 1_000 / APPENDS_PER_S;
-        spread_ms.clamp(GATHER_MS, (self.length_ms / 2).max(GATHER_MS))
-    }
-
     /// The window in which a point of true time lies.
     pub fn window_at(&self, true_ms: u64) -> Window {
         Window(true_ms / self.length_ms)
--- a/components/usage/tests/reports.rs
+++ b/components/usage/tests/reports.rs
@@ -148,13 +148,6 @@
     assert_eq!(ledger.to_seal(&SETTINGS, 60_000), [Window(9), Window(10)]);
 }
 
-#[test]
-fn can_write_more_rarely_where_more_fronts_count() {
-    let gather_ms = |writers| SETTINGS.gather_ms(writers);
-    assert_eq!((gather_ms(0), gather_ms(32)), (500, 500));
-    assert_eq!((gather_ms(150), gather_ms(1_000)), (1_500, 2_500));
-}
-
 #[test]
 fn can_put_what_was_noted_into_numbered_batches() {
     let mut tally = Tally::default();
