Reports: a seal is noted when it is sent, and nothing is worked out for a log that is not read

Noting every window that is to be sealed renewed the time of those on their way at each look; that the pause behind a lost store is longer hid it, so no seal was seen to stay away. The age of what is known is looked at before the windows are walked. The new test passes before the change, too: it holds the behaviour, it did not find it.

--- a/components/front/src/reports.rs
+++ b/components/front/src/reports.rs
@@ -129,6 +129,9 @@
         if std::mem::replace(&mut self.returns, returns) != returns {
             self.returned_ms = now_ms;
         }
+        if front.usage_age_ms(now_ms) >= USAGE_AGE_MS_MAX {
+            return None;
+        }
         let true_ms = front.meter.true_ms(now_ms);
         let (to_seal, report) = {
             let sender = locked(&self.sender);
@@ -137,9 +140,6 @@
             let to_seal = usage.to_seal(&windows, true_ms);
             (to_seal, usage.to_send(&windows, true_ms, sent))
         };
-        if front.usage_age_ms(now_ms) >= USAGE_AGE_MS_MAX {
-            return None;
-        }
         let settled = !front.storage.is_lost() && now_ms >= self.returned_ms + RETURN_MS;
         if settled {
             self.seal(front, &to_seal, now_ms);
@@ -150,13 +150,11 @@
     fn seal(&mut self, front: &Arc<Front>, windows: &[Window], now_ms: u64) {
         self.sealing_ms
             .retain(|_, sent_ms| now_ms < *sent_ms + SEAL_AGAIN_MS);
-        let unsealed = windows.iter().copied();
-        let unsealed: Vec<Window> = unsealed
-            .filter(|window| !self.sealing_ms.contains_key(window))
-            .collect();
-        self.sealing_ms
-            .extend(windows.iter().map(|window| (*window, now_ms)));
-        for window in unsealed {
+        for window in windows.iter().copied() {
+            if self.sealing_ms.contains_key(&window) {
+                continue;
+            }
+            self.sealing_ms.insert(window, now_ms);
             let front = Arc::clone(front);
             tokio::spawn(async move {
                 if let Err(error) = append_usage(&front, &UsageRecord::Sealed { window }).await {
@@ -221,10 +219,8 @@
 
 /// How long after the end of its window a report goes out, in milliseconds.
 fn lateness_ms(front: &Front, window: Window) -> u64 {
-    let end_ms = front
-        .meter
-        .windows()
-        .map_or(0, |windows| windows.end_ms(window));
+    let windows = front.meter.windows();
+    let end_ms = windows.map_or(0, |windows| windows.end_ms(window));
     front.meter.true_ms(now_ms()).saturating_sub(end_ms)
 }
 
--- a/components/front/tests/front/usage.rs
+++ b/components/front/tests/front/usage.rs
@@ -177,3 +177,22 @@
     assert_eq!(call(&cut, "key-bert", "b-1", "/calls/x", "").await, 200);
     reported(&told, &expected(1, 1)).await;
 }
+
+#[tokio::test]
+async fn can_seal_a_window_whose_seal_was_not_written() {
+    // The store takes the counts and refuses the holder's appends while their window is due to
+    // be sealed. The window is sealed later and reported; a seal that counts as on its way for
+    // ever keeps its requests from every report.
+    let (site, _receiver, told) = site().await;
+    let front = site.front("a").await;
+    assert_eq!(call(&front, "key-anna", "a-1", "/calls/x", "").await, 200);
+    assert_eq!(call(&front, "key-bert", "b-1", "/calls/x", "").await, 200);
+    until("the counts are written", async || {
+        site.store.end("usage", 0) > 0
+    })
+    .await;
+    let mut refused = Fault::new(FaultKind::Outage).on("/v1/log-append?Topic=usage");
+    refused.for_ms = Some(3_000);
+    front.door.fault(refused);
+    reported(&told, &expected(1, 1)).await;
+}
