--- a/components/dispatch/src/moves.rs
+++ b/components/dispatch/src/moves.rs
@@ -17,8 +17,8 @@
 /// four times as long and are told by their pace.
 const PAUSES: u64 = 5;
 /// Silence that never counts, in milliseconds: ways between failure domains, a prompt that is
-/// read in chunks between the tokens of others, and a busy front. With 400 the trainers' steps
-/// end later again (0.01 to 0.02 of a day's worth).
+/// read in chunks between the tokens of others, and a busy front. Longer silence ends trainers'
+/// steps later.
 const SILENT_MS_MIN: u64 = 200;
 
 /// A run in progress.
--- a/components/dispatch/src/pace.rs
+++ b/components/dispatch/src/pace.rs
@@ -22,9 +22,7 @@
 const FORGET_HALF_MS: u64 = 4_000;
 /// Least time that a move must gain, in milliseconds. It costs some 60, and a connection: the
 /// event that was being made, a way, and the text that is read again. Where replicas are full
-/// each move takes a place from an item that waits (0.018 of a day's worth against moves away
-/// from replicas 1.7 times as slow as others only, 50 days of nine replicas; with 300, 0.008
-/// less than with 700, 30 days of eight replicas).
+/// each move takes a place from an item that waits.
 const GAIN_MS_MIN: u64 = 700;
 /// A replica that takes a moved item must be this much faster, in hundredths: fuller replicas are
 /// up to a seventh slower than emptier ones, and a single long pause shows as a fifth.
--- a/components/inspect/src/read.rs
+++ b/components/inspect/src/read.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use bytes::Bytes;
 use dispatch::Replica;
 use index::{INDEX_PARTITION, INDEX_TOPIC, Index, RUNNER_GROUP, USAGE_TOPIC, decode_usage};
 use lease::{Lease, LeaseSettings};
@@ -203,32 +204,21 @@
     /// The log of usage, as far as the store still has it.
     async fn usage_ledger(&self) -> Result<UsageLedger, InspectError> {
         let mut usage = UsageLedger::default();
-        let mut next = 0;
-        loop {
-            let page = self
-                .store
-                .read(USAGE_TOPIC, INDEX_PARTITION, next, READ_KB, 0, within())
-                .await;
-            match page {
-                Ok(page) => {
-                    for (offset, record) in (next..).zip(&page.records) {
-                        match decode_usage(record) {
-                            Ok(record) => drop(usage.apply(record)),
-                            Err(error) => log::warn!(
-                                event = "record-odd", topic = USAGE_TOPIC, offset,
-                                error:% = error; ""
-                            ),
-                        }
-                    }
-                    next += page.records.len() as u64;
-                    if next >= page.end || page.records.is_empty() {
-                        return Ok(usage);
-                    }
+        self.read_whole(USAGE_TOPIC, |read| {
+            let Read::Records(from, records) = read else {
+                return;
+            };
+            for (offset, record) in (from..).zip(records) {
+                match decode_usage(record) {
+                    Ok(record) => drop(usage.apply(record)),
+                    Err(error) => log::warn!(
+                        event = "record-odd", topic = USAGE_TOPIC, offset, error:% = error; ""
+                    ),
                 }
-                Err(StoreError::Gone(first)) => next = first,
-                Err(error) => return Err(error.into()),
             }
-        }
+        })
+        .await?;
+        Ok(usage)
     }
 
     async fn replica_records(&self) -> Result<Vec<Replica>, InspectError> {
@@ -249,23 +239,40 @@
     async fn index(&self) -> Result<Index, InspectError> {
         // Nobody waits for this reader to give orders; the pause plays no part.
         let mut index = Index::new(Lease::new("", 0, LeaseSettings::with_pause(0)));
+        self.read_whole(INDEX_TOPIC, |read| match read {
+            Read::Records(from, records) => {
+                index.apply(from, records, 0, |offset, error| {
+                    log::warn!(event = "record-odd", topic = INDEX_TOPIC, offset, error:% = error; "");
+                });
+            }
+            Read::Gone => index.skipped(0),
+        })
+        .await?;
+        Ok(index)
+    }
+
+    /// Reads the one partition of a log to its end.
+    async fn read_whole(
+        &self,
+        topic: &str,
+        mut take: impl FnMut(Read<'_>),
+    ) -> Result<(), InspectError> {
         let mut next = 0;
         loop {
             let page = self
                 .store
-                .read(INDEX_TOPIC, INDEX_PARTITION, next, READ_KB, 0, within())
+                .read(topic, INDEX_PARTITION, next, READ_KB, 0, within())
                 .await;
             match page {
                 Ok(page) => {
-                    next = index.apply(next, &page.records, 0, |offset, error| {
-                        log::warn!(event = "record-odd", topic = INDEX_TOPIC, offset, error:% = error; "");
-                    });
+                    take(Read::Records(next, &page.records));
+                    next += page.records.len() as u64;
                     if next >= page.end || page.records.is_empty() {
-                        return Ok(index);
+                        return Ok(());
                     }
                 }
                 Err(StoreError::Gone(first)) => {
-                    index.skipped(0);
+                    take(Read::Gone);
                     next = first;
                 }
                 Err(error) => return Err(error.into()),
@@ -274,6 +281,14 @@
     }
 }
 
+/// What a read of a log brought.
+enum Read<'a> {
+    /// Records from an offset on.
+    Records(u64, &'a [Bytes]),
+    /// Earlier records are gone.
+    Gone,
+}
+
 fn within() -> Duration {
     Duration::from_millis(CALL_MS)
 }
--- a/components/orders/src/plan.rs
+++ b/components/orders/src/plan.rs
@@ -7,8 +7,7 @@
 /// Replicas that a model uses, in hundredths of its part. A replica that serves two models loads
 /// for both, and all loads share one source: at two parts a fleet of 38 replicas for three
 /// models loads nearly without a pause. At one part too few replicas have weights of use when
-/// a step begins (nine days of 88 fronts: 0.653 of a day's worth); at one and a half days are
-/// worth as much, and more of them fall behind (twenty days: 0.731 against 0.739).
+/// a step begins.
 const SHARE_HUNDREDTHS: u64 = 200;
 
 /// Replicas that a model uses at least, however little it owes: one loads while the other serves.
