Reads of the store are paced by demand: watch coalescing in a package of its own

Cause: every front followed every record of three topics, and asked again after 100 ms when refused. Reads grow with fronts times records: 871,460 calls in 59 s at 635 fronts, 40,000 of 44,000 failed reads of ten seconds were refusals for the store's budget. A refusal for the budget also counted as an outage, so the next served call made every wait of that front be left behind and made again.

Ruled out: places (2,100 for 214 items a second), processor (0.003 of a core), memory. Worked out for three ways, in reads a second of the budget of 16,000, at 635 and 1,270 fronts: a relay a failure domain 0.6 k and 0.6 k, with connections between fronts and beliefs to check; an index by model 9 k and 18 k, as the replicas' records stay; intervals by demand 4.3 k and 8.1 k. The last is built: no new trust, no new state.

Change: a front that runs items or gives orders reads as before, one whose client waits each 50 ms, all others take what has gathered each half second, jittered, and longer while the store refuses. A step that is not known is looked up behind a read barrier before anybody is told 404 or 401. Owners of partitions go first for the lease, so that not all fronts write when a holder falls silent. Counts of calls by topic in the metrics, and at the end.

--- a/components/dispatch/src/routes.rs
+++ b/components/dispatch/src/routes.rs
@@ -1,6 +1,6 @@
 //! The configuration in force: routes, services and what clients may send.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 
 use customers::{Customer, Customers, Refusal, ShownKey};
@@ -144,6 +144,8 @@
     pub version: u64,
     /// By host, the longest prefix first.
     by_host: HashMap<Arc<str>, Vec<Arc<Route>>>,
+    /// Pools of the routes of steps.
+    step_pools: BTreeSet<String>,
     /// By name.
     pub services: HashMap<Arc<str>, Service>,
     /// What clients may send.
@@ -182,6 +184,10 @@
         limits: Limits,
         customers: Customers,
     ) -> Self {
+        let steps = routes
+            .iter()
+            .filter(|route| route.kind == RouteKind::Rollout);
+        let step_pools = steps.map(Route::pool).collect();
         let mut by_host: HashMap<Arc<str>, Vec<Arc<Route>>> = HashMap::new();
         for route in routes {
             by_host
@@ -195,6 +201,7 @@
         Self {
             version,
             by_host,
+            step_pools,
             services,
             limits,
             customers,
@@ -223,6 +230,11 @@
         self.iter().any(|route| asks(&route))
     }
 
+    /// Names of the pools of replicas that run items.
+    pub fn step_pools(&self) -> impl Iterator<Item = &str> {
+        self.step_pools.iter().map(String::as_str)
+    }
+
     /// All routes.
     pub fn iter(&self) -> impl Iterator<Item = &Arc<Route>> {
         self.by_host.values().flatten()
--- a/components/front/src/access.rs
+++ b/components/front/src/access.rs
@@ -15,6 +15,7 @@
 
 use crate::clock::now_ms;
 use crate::figures;
+use crate::results;
 use crate::state::Front;
 
 /// Age of what is known of the configuration from which on a front is behind, in milliseconds;
@@ -69,16 +70,22 @@
 
 /// The customer that reads or ends a step. Without a key only a step is open that was
 /// submitted without one.
-pub fn reader(
+pub async fn reader(
     front: &Front,
     routes: &Routes,
     headers: &HeaderMap,
     step: &str,
 ) -> Result<Option<Arc<Customer>>, Refused> {
-    match routes.customers.holder(ingress::shown_key(headers)) {
-        Ok(holder) => Ok(holder.cloned()),
-        Err(_) if front.index().ledger.by_name(None, step).is_some() => Ok(None),
-        Err(refusal) => Err(Refused::Key(refusal)),
+    let refusal = match routes.customers.holder(ingress::shown_key(headers)) {
+        Ok(holder) => return Ok(holder.cloned()),
+        Err(refusal) => refusal,
+    };
+    let open = results::find(front, |index| {
+        index.ledger.by_name(None, step).map(|step| step.id)
+    });
+    match open.await {
+        Some(_) => Ok(None),
+        None => Err(Refused::Key(refusal)),
     }
 }
 
--- /dev/null
+++ b/components/front/src/follow/replicas.rs
@@ -0,0 +1,88 @@
+//! The replicas' records.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use dispatch::{Registry, Replica, Revision};
+use pacing::TopicPace;
+use platform::records::{self, REPLICA_TOPIC};
+
+use super::keyed::{KeyedNews, follow};
+use super::{IDLE_WAIT_MS, WAIT_MS};
+use crate::clock::now_ms;
+use crate::state::Front;
+
+/// Intervals between reads of replicas' records, so that the heartbeats of many cost few calls;
+/// far below the two seconds in which a leaving replica must be known.
+const REPLICA_PACE: TopicPace = TopicPace {
+    acting_ms: 120,
+    waiting_ms: 500,
+    idle_ms: 500,
+    wait_ms: WAIT_MS,
+    idle_wait_ms: IDLE_WAIT_MS,
+};
+
+/// Follows the replicas' records.
+pub async fn replicas(front: Arc<Front>) {
+    let mut registry = Registry::default();
+    let mut changed = false;
+    follow(&front, REPLICA_TOPIC, REPLICA_PACE, |news| {
+        let now_ms = now_ms();
+        match news {
+            KeyedNews::Key(id, value) => {
+                registry.store_seen(now_ms);
+                changed |= take_replica(&mut registry, &id, value.as_deref(), now_ms);
+            }
+            KeyedNews::All(ids) => {
+                registry.store_seen(now_ms);
+                changed |= registry.keep_only(&ids, now_ms) == Revision::Changed;
+            }
+            KeyedNews::Lost => registry.store_lost(),
+            KeyedNews::Settled { .. } => {
+                registry.store_seen(now_ms);
+                changed |= registry.expire(now_ms) == Revision::Changed;
+                front.replicas_read.store(1, Ordering::Relaxed);
+                if std::mem::take(&mut changed) {
+                    let next = front.replicas.load().next(registry.replicas());
+                    front.replicas.store(Arc::new(next));
+                    front.runner_news.notify_one();
+                    front.leader_news.notify_one();
+                }
+            }
+        }
+    })
+    .await;
+}
+
+/// Whether something changed.
+fn take_replica(registry: &mut Registry, id: &str, value: Option<&[u8]>, now_ms: u64) -> bool {
+    let revision = match value {
+        None => {
+            log::info!(event = "replica-gone", replica = id; "");
+            registry.remove(id, now_ms)
+        }
+        Some(value) => match records::replica_record(id, value) {
+            Ok(replica) => {
+                if replica.draining {
+                    log::info!(event = "replica-draining", replica = id; "");
+                }
+                put_replica(registry, replica)
+            }
+            Err(error) => {
+                log::warn!(event = "record-odd", topic = REPLICA_TOPIC, error:% = error; "");
+                Revision::Unchanged
+            }
+        },
+    };
+    revision == Revision::Changed
+}
+
+fn put_replica(registry: &mut Registry, replica: Replica) -> Revision {
+    let (id, address) = (Arc::clone(&replica.id), replica.address);
+    let draining = replica.draining;
+    let revision = registry.put(replica);
+    if revision == Revision::Changed {
+        log::debug!(event = "replica-changed", replica = &*id, address:% = address, draining; "");
+    }
+    revision
+}
--- a/components/front/src/leave.rs
+++ b/components/front/src/leave.rs
@@ -65,6 +65,7 @@
     loop {
         match front.drain.step(now_ms()) {
             Step::Exit { cut_off } => {
+                front.storage.calls.log();
                 log::info!(event = "left", cut_off; "");
                 return;
             }
--- a/components/front/src/lib.rs
+++ b/components/front/src/lib.rs
@@ -28,6 +28,7 @@
 mod start;
 mod state;
 mod storage;
+mod store_calls;
 mod stream;
 mod writer;
 
--- a/components/front/src/member.rs
+++ b/components/front/src/member.rs
@@ -38,7 +38,7 @@
 /// several times that while steps begin.
 const LARGE_THOUSANDTHS: u32 = 200;
 /// Pause between looks at who owns partitions, in milliseconds, of a front that stands by.
-const STANDBY_MS: u64 = 500;
+const STANDBY_MS: u64 = 1_000;
 /// Begins the names of members that stand by for others.
 const STANDBY_PREFIX: &str = "standby:";
 
@@ -145,6 +145,7 @@
             front.owned.store(Arc::new(ownership.clone()));
             if changed {
                 front.handed_on.store(true, Ordering::Relaxed);
+                front.demand.refresh();
             }
             front.runner_news.notify_one();
             changed
--- a/components/front/src/reports.rs
+++ b/components/front/src/reports.rs
@@ -12,13 +12,13 @@
 use index::{INDEX_PARTITION, USAGE_TOPIC, decode_usage};
 use platform::duty::{self, DutyAnswer, Holder};
 use platform::settings::DutySettings;
-use platform::store::StoreError;
 use usage::{Change, Outcome, Report, Sender, UsageRecord, Window};
 
 use crate::clock::now_ms;
+use crate::figures;
+use crate::follow::{Batch, Follower, LOG_PACE};
 use crate::state::{Front, locked};
 use crate::writer::append_usage;
-use crate::{figures, follow};
 
 /// Longest time for sending a report, in milliseconds; within the time that an announcement
 /// allows, as a rule.
@@ -40,37 +40,31 @@
     if front.meter.windows().is_none() {
         return;
     }
-    let mut next = 0;
-    let mut failed = 0;
+    let mut follower = Follower::new(&front, USAGE_TOPIC, INDEX_PARTITION, LOG_PACE);
     loop {
         if !front.index().lease.is_held_here() {
             tokio::time::sleep(Duration::from_millis(IDLE_MS)).await;
             continue;
         }
-        match follow::read(&front, USAGE_TOPIC, INDEX_PARTITION, next, failed).await {
-            Ok(page) => {
-                failed = 0;
-                next = apply_page(&front, next, &page.records);
-                if next >= page.end {
+        match follower.read().await {
+            Batch::Records {
+                from,
+                records,
+                current,
+            } => {
+                apply(&front, from, &records);
+                if current {
                     front.usage_is_current(now_ms());
                 }
                 front.leader_news.notify_one();
             }
-            Err(StoreError::Gone(first)) => {
-                log::info!(event = "history-gone", topic = USAGE_TOPIC, next, first; "");
-                skipped(&front);
-                next = first;
-            }
-            Err(error) => {
-                failed += 1;
-                follow::lost(&front, USAGE_TOPIC, &error);
-                front.storage.pause(follow::PAUSE_MS).await;
-            }
+            Batch::Trimmed => skipped(&front),
+            Batch::Failed => {}
         }
     }
 }
 
-fn apply_page(front: &Front, from: u64, records: &[Bytes]) -> u64 {
+fn apply(front: &Front, from: u64, records: &[Bytes]) {
     let mut usage = front.usage();
     for (offset, record) in (from..).zip(records) {
         match decode_usage(record).map(|record| usage.apply(record)) {
@@ -86,7 +80,6 @@
         usage.saw(windows.window_at(true_ms));
         usage.forget(windows, true_ms);
     }
-    from + records.len() as u64
 }
 
 /// Records were lost: the window that goes on now is the last one that is known in part.
--- a/components/front/src/results.rs
+++ b/components/front/src/results.rs
@@ -8,11 +8,13 @@
 
 use bytes::Bytes;
 use hyper::StatusCode;
+use index::Index;
 use platform::jobs::ResultsPage;
 use platform::store::StoreError;
 use steps::{ListedResult, Place, ResultState, StepHead, decode_item};
 
 use crate::clock::now_ms;
+use crate::follow;
 use crate::state::Front;
 use crate::storage::data_from;
 
@@ -65,6 +67,16 @@
     }
 }
 
+/// What `look` finds in the index, which is read to its end first if it finds nothing.
+pub async fn find<T>(front: &Front, look: impl Fn(&Index) -> Option<T>) -> Option<T> {
+    let known = look(&front.index());
+    if known.is_some() {
+        return known;
+    }
+    follow::wait_for_newest(front).await;
+    look(&front.index())
+}
+
 struct Window {
     head: Arc<StepHead>,
     results: Vec<Arc<ListedResult>>,
@@ -72,8 +84,7 @@
     enough: bool,
 }
 
-fn window(front: &Front, customer: Option<&str>, id: &str, after: usize) -> Option<Window> {
-    let index = front.index();
+fn window(index: &Index, customer: Option<&str>, id: &str, after: usize) -> Option<Window> {
     let step = index.ledger.visible(customer, id)?;
     Some(Window {
         head: Arc::clone(&step.head),
@@ -94,12 +105,14 @@
     if front.storage.silent_ms(now_ms()) >= SILENT_MS {
         return Read::Unsure("the store is silent");
     }
+    let _waiting = front.demand.wait();
     let mut news = front.index_news.subscribe();
     let mut until = tokio::time::Instant::now() + wait;
     let mut gathers = false;
     let found = loop {
         news.mark_unchanged();
-        let Some(found) = window(front, customer, id, after) else {
+        let found = find(front, |index| window(index, customer, id, after)).await;
+        let Some(found) = found else {
             return missing(front);
         };
         if found.enough {
@@ -204,12 +217,11 @@
 
 /// The body of an item of a customer's step.
 pub async fn item_body(front: &Front, customer: Option<&str>, id: &str, item: &str) -> Read {
-    let place = {
-        let index = front.index();
-        let step = index.ledger.visible(customer, id);
-        step.and_then(|step| step.head.data_of(step.item(item)?))
-    };
-    let Some((partition, offset)) = place else {
+    let place = find(front, |index| {
+        let step = index.ledger.visible(customer, id)?;
+        step.head.data_of(step.item(item)?)
+    });
+    let Some((partition, offset)) = place.await else {
         return missing(front);
     };
     let within = Duration::from_millis(READ_MS);
--- a/components/front/src/runner/contests.rs
+++ b/components/front/src/runner/contests.rs
@@ -115,6 +115,8 @@
 #[derive(Default)]
 pub(super) struct Found {
     pub(super) contests: Vec<Contest>,
+    /// Whether a shard of an open step belongs to this front.
+    owns_steps: bool,
     /// Steps whose data is missing.
     missing: Vec<(StepId, Arc<StepHead>)>,
     /// Items whose time is up, or whose route is gone.
@@ -150,10 +152,14 @@
                     .filter(|shard| front.runs(&step.head, *shard, now_ms))
                     .collect();
                 if !owned.is_empty() {
+                    found.owns_steps = true;
                     self.look_at(step, owned, routes, &mut found, now_ms);
                 }
             }
         }
+        let active =
+            found.owns_steps || !self.running.is_empty() || owns_pool(&front, routes, now_ms);
+        front.demand.set_active(Activity::Items, active);
         for (step, head) in found.missing {
             self.ask_for_data(step, head);
         }
@@ -282,6 +288,16 @@
     }
 }
 
+/// Whether this front runs the first shard of a pool, and so the items of the next step.
+fn owns_pool(front: &Front, routes: &Routes, now_ms: u64) -> bool {
+    let owned = front.owned.load();
+    let partitions = front.settings.store.partitions;
+    let mut firsts = routes
+        .step_pools()
+        .map(|pool| shard_partition(pool, 0, partitions));
+    firsts.any(|partition| owned.owns(partition, now_ms))
+}
+
 /// Time until the items of a step are given up, in milliseconds; none once it is up.
 fn left_ms(step: &Step, now_ms: u64) -> Option<u64> {
     let age_ms = now_ms - step.read_ms;
--- a/components/front/src/runner/mod.rs
+++ b/components/front/src/runner/mod.rs
@@ -22,7 +22,8 @@
     WaitingRank, lost_its_version, place, runs_to_move, slowness, stalled_ms, text_left_ms,
 };
 use leaving::Working;
-use ownership::replica_shards;
+use ownership::{replica_shards, shard_partition};
+use pacing::Activity;
 use steps::{ErrorCause, FailedPart, ItemData, ItemHead, Step, StepHead, StepId, decode_item};
 use tokio::sync::{Notify, mpsc};
 use tokio::task::AbortHandle;
--- a/components/front/src/serve.rs
+++ b/components/front/src/serve.rs
@@ -31,6 +31,7 @@
 pub async fn ready(front: Arc<Front>, request: Request<Incoming>) -> Response<ReplyBody> {
     if request.uri().path() == METRICS_PATH {
         let mut text = figures::text(&front.metrics.rows().await);
+        text.push_str(&front.storage.calls.text());
         text.push_str(&figures::customers_text(&front.meter.series()));
         return ingress::success(StatusCode::OK, None, "text/plain", text.into());
     }
@@ -77,7 +78,7 @@
     let Some(step) = asked.step() else {
         return call(front, &routes, request, id).await;
     };
-    let customer = match access::reader(front, &routes, request.headers(), step) {
+    let customer = match access::reader(front, &routes, request.headers(), step).await {
         Ok(customer) => customer,
         Err(refused) => {
             let (parts, body) = request.into_parts();
@@ -127,8 +128,8 @@
     id: Option<&str>,
     name: &str,
 ) -> Response<ReplyBody> {
-    let known = front.index().ledger.visible(customer, name).cloned();
-    let Some(step) = known else {
+    let known = results::find(front, |index| index.ledger.visible(customer, name).cloned());
+    let Some(step) = known.await else {
         let read = results::results(front, customer, name, 0, std::time::Duration::ZERO).await;
         return read_answer(id, read, "application/json");
     };
--- a/components/front/src/state.rs
+++ b/components/front/src/state.rs
@@ -15,6 +15,7 @@
 use lease::Lease;
 use leaving::Drain;
 use ownership::{LARGE_SHARD_PLACES, Ownership};
+use pacing::Demand;
 use platform::settings::FrontSettings;
 use steps::StepHead;
 use telemetry::Metrics;
@@ -36,6 +37,8 @@
 
 /// What the tasks of a front share.
 pub struct Front {
+    /// When the process started, on its clock.
+    pub started_ms: u64,
     /// Settings of the process.
     pub settings: FrontSettings,
     /// The platform's store.
@@ -58,6 +61,10 @@
     pub index_news: watch::Sender<u64>,
     /// When the index was last known to be read to its end; 0 before.
     index_current_ms: AtomicU64,
+    /// Notified when the index was read to its end.
+    pub index_read: Notify,
+    /// Who needs the newest records of the store.
+    pub demand: Demand,
     /// Whether the replicas' records were read.
     pub replicas_read: AtomicU64,
     /// Since when results can't be written; 0 while they can.
@@ -91,6 +98,7 @@
     /// The state of a front that knows nothing yet.
     pub fn new(settings: FrontSettings, lease: Lease, drain: Drain, metrics: Metrics) -> Self {
         Self {
+            started_ms: now_ms(),
             storage: Storage::new(settings.store.address),
             metrics,
             routes: ArcSwapOption::empty(),
@@ -101,6 +109,8 @@
             index: Mutex::new(Index::new(lease)),
             index_news: watch::Sender::new(0),
             index_current_ms: AtomicU64::new(0),
+            index_read: Notify::new(),
+            demand: Demand::default(),
             replicas_read: AtomicU64::new(0),
             unwritable_since_ms: AtomicU64::new(0),
             owned: ArcSwap::from_pointee(Ownership::new(member::settings(&settings))),
@@ -152,11 +162,17 @@
     /// Notes that the index was read to its end at `now_ms`.
     pub fn index_is_current(&self, now_ms: u64) {
         self.index_current_ms.store(now_ms, Ordering::Relaxed);
+        self.index_read.notify_waiters();
+    }
+
+    /// When the index was last known to be read to its end, in milliseconds; 0 before.
+    pub fn index_current_ms(&self) -> u64 {
+        self.index_current_ms.load(Ordering::Relaxed)
     }
 
     /// How old the knowledge of the index is, in milliseconds; none before it was read once.
     pub fn index_age_ms(&self, now_ms: u64) -> Option<u64> {
-        match self.index_current_ms.load(Ordering::Relaxed) {
+        match self.index_current_ms() {
             0 => None,
             current_ms => Some(now_ms.saturating_sub(current_ms)),
         }
--- a/components/front/src/storage.rs
+++ b/components/front/src/storage.rs
@@ -8,9 +8,10 @@
 use bytes::Bytes;
 use index::DATA_TOPIC;
 use platform::store::{KeyedRecord, Membership, Page, Store, StoreError};
-use reach::Reach;
+use reach::{Reach, Sign};
 
 use crate::clock::now_ms;
+use crate::store_calls::{GROUP, StoreCalls, TopicCalls};
 
 /// Where a read goes on, and how much it brings.
 pub struct ReadFrom<'a> {
@@ -41,6 +42,8 @@
 pub struct Storage {
     store: Store,
     reach: Reach,
+    /// Calls by topic.
+    pub calls: StoreCalls,
     /// When anything was heard of the store last, in milliseconds.
     heard_ms: AtomicU64,
 }
@@ -51,6 +54,7 @@
         Self {
             store: Store::new(address),
             reach: Reach::default(),
+            calls: StoreCalls::default(),
             heard_ms: AtomicU64::new(now_ms()),
         }
     }
@@ -88,8 +92,10 @@
         records: &[Bytes],
         within: Duration,
     ) -> Result<u64, StoreError> {
+        let calls = self.calls.of(topic);
+        calls.count_append();
         let append = self.store.append(topic, partition, records, within);
-        self.call(append).await
+        self.call(calls, append).await
     }
 
     /// Reads records.
@@ -101,10 +107,14 @@
             max_kb,
             wait_ms,
         } = from;
+        let calls = self.calls.of(topic);
+        calls.count_read();
         let read = self
             .store
             .read(topic, partition, offset, max_kb, wait_ms, within);
-        self.call(read).await
+        let page = self.call(calls, read).await?;
+        calls.count_records(page.records.iter().map(|record| &record[..]));
+        Ok(page)
     }
 
     /// One record of the data topic; `max_kb` is at least its length.
@@ -128,7 +138,11 @@
         topic: &str,
         within: Duration,
     ) -> Result<(Vec<KeyedRecord>, u64), StoreError> {
-        self.call(self.store.newest(topic, within)).await
+        let calls = self.calls.of(topic);
+        calls.count_read();
+        let (records, end) = self.call(calls, self.store.newest(topic, within)).await?;
+        calls.count_records(records.iter().map(|record| &record.value[..]));
+        Ok((records, end))
     }
 
     /// Joins a group or stays in it.
@@ -144,7 +158,7 @@
         let join = self
             .store
             .join(group, member, topic, ttl_ms, generation, within);
-        self.follow(join).await
+        self.group_call(join).await
     }
 
     /// Partitions of a group that have an owner, with its name.
@@ -153,7 +167,7 @@
         group: &str,
         within: Duration,
     ) -> Result<Vec<(u32, String)>, StoreError> {
-        self.follow(self.store.owners(group, within)).await
+        self.group_call(self.store.owners(group, within)).await
     }
 
     /// Leaves a group.
@@ -163,33 +177,44 @@
         member: &str,
         within: Duration,
     ) -> Result<(), StoreError> {
-        self.follow(self.store.leave(group, member, within)).await
+        self.group_call(self.store.leave(group, member, within))
+            .await
     }
 
     async fn call<T>(
         &self,
+        calls: &TopicCalls,
         call: impl Future<Output = Result<T, StoreError>>,
     ) -> Result<T, StoreError> {
-        let says_lost = |error: &StoreError| match error {
+        let sign_of = |error: &StoreError| match error {
             StoreError::Unsure(_)
             | StoreError::NotDone(_)
             | StoreError::Unreachable(_)
-            | StoreError::Silent(_) => true,
-            StoreError::Gone(_) | StoreError::Conflict(_) | StoreError::Malformed(_) => false,
+            | StoreError::Silent(_) => Sign::Unavailable,
+            StoreError::Gone(_) | StoreError::Conflict(_) | StoreError::Malformed(_) => {
+                Sign::Available
+            }
+            StoreError::Throttled(_) => Sign::Nothing,
         };
-        let outcome = self.reach.call(call, says_lost).await;
-        self.note(outcome.unwrap_or_else(left_behind))
+        let outcome = self.reach.call(call, sign_of).await;
+        self.note(calls, outcome.unwrap_or_else(left_behind))
     }
 
     /// A store that refuses every record still serves its groups, so that a join says nothing.
-    async fn follow<T>(
+    async fn group_call<T>(
         &self,
         call: impl Future<Output = Result<T, StoreError>>,
     ) -> Result<T, StoreError> {
-        self.note(self.reach.follow(call).await.unwrap_or_else(left_behind))
+        let calls = self.calls.of(GROUP);
+        calls.count_read();
+        let outcome = self.reach.follow(call).await;
+        self.note(calls, outcome.unwrap_or_else(left_behind))
     }
 
-    fn note<T>(&self, outcome: Result<T, StoreError>) -> Result<T, StoreError> {
+    fn note<T>(&self, calls: &TopicCalls, outcome: Result<T, StoreError>) -> Result<T, StoreError> {
+        if let Err(error) = &outcome {
+            calls.count_error(error);
+        }
         if !outcome.as_ref().is_err_and(StoreError::is_silence) {
             self.heard_ms.store(now_ms(), Ordering::Relaxed);
         }
--- a/components/lease/src/state.rs
+++ b/components/lease/src/state.rs
@@ -226,6 +226,13 @@
         Some((held.holder.as_deref(), held.fence))
     }
 
+    /// How long nothing of a holder was read, in milliseconds; since `started_ms` where nothing
+    /// ever was.
+    pub fn unheard_ms(&self, started_ms: u64, now_ms: u64) -> u64 {
+        let heard_ms = self.held.as_ref().map_or(started_ms, |held| held.read_ms);
+        now_ms.saturating_sub(heard_ms)
+    }
+
     /// The fencing number, while this process may give orders.
     pub fn fence(&self, now_ms: u64) -> Option<u64> {
         let held = self.held.as_ref()?;
--- /dev/null
+++ b/components/pacing/tests/pacer.rs
@@ -0,0 +1,153 @@
+//! Intervals between the reads of one follower.
+
+use pacing::{Activity, Demand, Pacer, ReadEnd, TopicPace, Urgency};
+
+const PACE: TopicPace = TopicPace {
+    acting_ms: 20,
+    waiting_ms: 50,
+    idle_ms: 500,
+    wait_ms: 450,
+    idle_wait_ms: 250,
+};
+/// Draws in the middle of the jitter's span.
+const MIDDLE: [(u64, u64); 6] = [(0, 0), (20, 5), (50, 12), (100, 25), (200, 50), (500, 125)];
+
+fn middle(interval_ms: u64) -> u64 {
+    let known = MIDDLE.iter().find(|(known, _)| *known == interval_ms);
+    known.map_or(200, |(_, draw)| *draw)
+}
+
+struct Case {
+    name: &'static str,
+    end: ReadEnd,
+    urgency: Urgency,
+    failed: u32,
+    interval_ms: u64,
+}
+
+#[test]
+fn can_pace_reads_by_urgency_and_by_how_the_last_one_ended() {
+    let case = |name, end, urgency, failed, interval_ms| Case {
+        name,
+        end,
+        urgency,
+        failed,
+        interval_ms,
+    };
+    let cases = [
+        case("more is there", ReadEnd::Behind, Urgency::Idle, 0, 0),
+        case("records, acting", ReadEnd::Records, Urgency::Acting, 0, 20),
+        case(
+            "records, a client waits",
+            ReadEnd::Records,
+            Urgency::Waiting,
+            0,
+            50,
+        ),
+        case("records, idle", ReadEnd::Records, Urgency::Idle, 0, 500),
+        case("nothing, acting", ReadEnd::Nothing, Urgency::Acting, 0, 0),
+        case(
+            "nothing, a client waits",
+            ReadEnd::Nothing,
+            Urgency::Waiting,
+            0,
+            0,
+        ),
+        case("nothing, idle", ReadEnd::Nothing, Urgency::Idle, 0, 500),
+        case("throttled once", ReadEnd::Throttled, Urgency::Idle, 1, 100),
+        case(
+            "throttled often, idle",
+            ReadEnd::Throttled,
+            Urgency::Idle,
+            40,
+            800,
+        ),
+        case(
+            "throttled often, acting",
+            ReadEnd::Throttled,
+            Urgency::Acting,
+            40,
+            200,
+        ),
+        case("failed twice", ReadEnd::Failed, Urgency::Idle, 2, 200),
+    ];
+    for case in cases {
+        let mut pacer = Pacer::new(PACE);
+        for _ in 0..case.failed {
+            pacer.ended(case.end);
+        }
+        let interval_ms = pacer.interval_ms(case.end, case.urgency, middle(case.interval_ms));
+        assert_eq!(interval_ms, case.interval_ms, "{}", case.name);
+    }
+}
+
+#[test]
+fn can_prove_within_a_second_that_nothing_is_new() {
+    // An idle front answers that a step does not exist, on the strength of its last read.
+    let pacer = Pacer::new(PACE);
+    let draws = 0..1_000;
+    let longest_ms = draws
+        .map(|draw| pacer.interval_ms(ReadEnd::Nothing, Urgency::Idle, draw))
+        .max();
+    assert!(longest_ms.unwrap_or(0) + pacer.wait_ms(Urgency::Idle) < 900);
+}
+
+#[test]
+fn can_start_at_the_first_interval_again_behind_a_read_that_came_through() {
+    let mut pacer = Pacer::new(PACE);
+    for _ in 0..9 {
+        pacer.ended(ReadEnd::Throttled);
+    }
+    pacer.ended(ReadEnd::Nothing);
+    pacer.ended(ReadEnd::Throttled);
+    assert_eq!(
+        pacer.interval_ms(ReadEnd::Throttled, Urgency::Idle, 25),
+        100
+    );
+}
+
+#[tokio::test]
+async fn can_end_an_interval_when_a_client_begins_to_wait_or_the_process_to_act() {
+    type Raise = fn(&Demand);
+    let raises: [(&str, Raise, Urgency); 4] = [
+        (
+            "a client waits",
+            |demand| std::mem::forget(demand.wait()),
+            Urgency::Waiting,
+        ),
+        (
+            "items",
+            |demand| demand.set_active(Activity::Items, true),
+            Urgency::Acting,
+        ),
+        (
+            "orders",
+            |demand| demand.set_active(Activity::Orders, true),
+            Urgency::Acting,
+        ),
+        ("partitions", Demand::refresh, Urgency::Idle),
+    ];
+    for (name, raise, urgency) in raises {
+        let demand = Demand::default();
+        assert_eq!(demand.urgency(), Urgency::Idle);
+        let raised = demand.raised();
+        raise(&demand);
+        raised.await;
+        assert_eq!(demand.urgency(), urgency, "{name}");
+    }
+}
+
+#[test]
+fn can_be_idle_again_when_the_last_client_and_activity_are_gone() {
+    let demand = Demand::default();
+    demand.set_active(Activity::Items, true);
+    demand.set_active(Activity::Orders, true);
+    demand.set_active(Activity::Items, false);
+    assert_eq!(demand.urgency(), Urgency::Acting);
+    demand.set_active(Activity::Orders, false);
+    let (first, second) = (demand.wait(), demand.wait());
+    drop(first);
+    assert_eq!(demand.urgency(), Urgency::Waiting);
+    drop(second);
+    assert_eq!(demand.urgency(), Urgency::Idle);
+}
--- a/components/reach/src/lib.rs
+++ b/components/reach/src/lib.rs
@@ -21,6 +21,18 @@
 /// slow and not silent answers within 240, as measured; a call that it swallowed never does.
 const GRACE_MS: u64 = 300;
 
+/// What an error says of the dependency.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Sign {
+    /// It serves.
+    Available,
+    /// It is out of reach.
+    Unavailable,
+    /// Neither: a refusal for a budget of calls comes while others are served, and the next call
+    /// that is served is no recovery that leaves calls behind.
+    Nothing,
+}
+
 /// Reach of one dependency, shared by the tasks that call it.
 #[derive(Debug)]
 pub struct Reach {
@@ -49,16 +61,18 @@
     }
 
     /// Makes a call; nothing comes back if the dependency returned meanwhile and the call was
-    /// left behind. `says_lost` tells the errors of a dependency out of reach from others.
+    /// left behind. `sign_of` tells what an error says of the dependency.
     pub async fn call<T, E>(
         &self,
         call: impl Future<Output = Result<T, E>>,
-        says_lost: impl Fn(&E) -> bool,
+        sign_of: impl Fn(&E) -> Sign,
     ) -> Option<Result<T, E>> {
         let outcome = self.follow(call).await?;
-        match &outcome {
-            Err(error) if says_lost(error) => self.lost.store(true, Ordering::Relaxed),
-            _ => self.answered(),
+        let sign = outcome.as_ref().map_or_else(sign_of, |_| Sign::Available);
+        match sign {
+            Sign::Unavailable => self.lost.store(true, Ordering::Relaxed),
+            Sign::Available => self.answered(),
+            Sign::Nothing => {}
         }
         Some(outcome)
     }
--- a/components/reach/tests/reach.rs
+++ b/components/reach/tests/reach.rs
@@ -3,13 +3,21 @@
 use std::future::{pending, ready};
 use std::time::Duration;
 
-use reach::{Reach, patience};
+use reach::{Reach, Sign, patience};
 use tokio::time::{Instant, sleep};
 
 const LONG: Duration = Duration::from_secs(20);
 
 type Outcome = Result<u8, &'static str>;
 
+fn sign_of(why: &str) -> Sign {
+    match why {
+        "silent" => Sign::Unavailable,
+        "throttled" => Sign::Nothing,
+        _ => Sign::Available,
+    }
+}
+
 async fn swallowed() -> Outcome {
     pending().await
 }
@@ -20,7 +28,7 @@
 }
 
 async fn call(reach: &Reach, outcome: Outcome) -> Option<Outcome> {
-    reach.call(ready(outcome), |why| *why == "silent").await
+    reach.call(ready(outcome), |why| sign_of(why)).await
 }
 
 #[tokio::test(start_paused = true)]
@@ -30,12 +38,14 @@
     let reach = Reach::default();
     let began = Instant::now();
     let others = async {
-        let _ = reach.call(after(1_000, Err("silent")), |_| true).await;
+        let _ = reach
+            .call(after(1_000, Err("silent")), |_| Sign::Unavailable)
+            .await;
         assert!(reach.is_lost());
-        let _ = reach.call(after(1_000, Ok(1)), |_| true).await;
+        let _ = reach.call(after(1_000, Ok(1)), |_| Sign::Unavailable).await;
         assert!(!reach.is_lost());
     };
-    let (outcome, ()) = tokio::join!(reach.call(swallowed(), |_| true), others);
+    let (outcome, ()) = tokio::join!(reach.call(swallowed(), |_| Sign::Unavailable), others);
     assert_eq!(outcome, None);
     assert_eq!(began.elapsed(), Duration::from_millis(2_300));
 }
@@ -44,10 +54,12 @@
 async fn can_keep_a_slow_call_that_answers_after_the_return() {
     let reach = Reach::default();
     let others = async {
-        let _ = reach.call(after(100, Err("silent")), |_| true).await;
-        let _ = reach.call(after(100, Ok(1)), |_| true).await;
+        let _ = reach
+            .call(after(100, Err("silent")), |_| Sign::Unavailable)
+            .await;
+        let _ = reach.call(after(100, Ok(1)), |_| Sign::Unavailable).await;
     };
-    let slow = reach.call(after(450, Ok(7)), |_| true);
+    let slow = reach.call(after(450, Ok(7)), |_| Sign::Unavailable);
     let (outcome, ()) = tokio::join!(slow, others);
     assert_eq!(outcome, Some(Ok(7)));
 }
@@ -58,7 +70,7 @@
     let began = Instant::now();
     let others = async {
         call(&reach, Err("silent")).await;
-        let _ = reach.call(after(500, Ok(1)), |_| true).await;
+        let _ = reach.call(after(500, Ok(1)), |_| Sign::Unavailable).await;
     };
     tokio::join!(reach.pause(LONG), others);
     assert_eq!(began.elapsed(), Duration::from_millis(500));
@@ -75,7 +87,7 @@
         assert!(!reach.is_lost());
         call(&reach, Ok(1)).await;
     };
-    let slow = reach.call(after(5_000, Ok(7)), |_| true);
+    let slow = reach.call(after(5_000, Ok(7)), |_| Sign::Unavailable);
     let (outcome, ()) = tokio::join!(slow, others);
     assert_eq!(outcome, Some(Ok(7)));
 }
@@ -91,7 +103,7 @@
         let joined = reach.follow(after(100, Ok(1))).await;
         assert_eq!(joined, Some(Ok(1)));
         assert!(reach.is_lost());
-        let _ = reach.call(after(900, Ok(1)), |_| true).await;
+        let _ = reach.call(after(900, Ok(1)), |_| Sign::Unavailable).await;
     };
     let (left, (), ()) = tokio::join!(reach.follow(swallowed()), reach.pause(LONG), others);
     assert_eq!(left, None);
@@ -111,3 +123,19 @@
     assert_eq!(patience(1, 450, 900).within, Duration::from_millis(400));
     assert_eq!(patience(2, 450, 900), patience(0, 450, 900));
 }
+
+/// Guards against waits that a refusal for the budget of calls ends: each long read that is then
+/// left behind is made again, and the reads that are refused double.
+#[tokio::test(start_paused = true)]
+async fn can_keep_a_long_read_beside_throttled_ones() {
+    let reach = Reach::default();
+    let others = async {
+        for outcome in [Err("throttled"), Ok(1), Err("throttled"), Ok(1)] {
+            let _ = reach.call(after(50, outcome), |why| sign_of(why)).await;
+        }
+    };
+    let long = reach.call(after(900, Ok(7)), |why| sign_of(why));
+    let (outcome, ()) = tokio::join!(long, others);
+    assert_eq!(outcome, Some(Ok(7)));
+    assert_eq!(reach.returns(), 0);
+}
