Reads: successors of the lease read soon, a row of refusals stretches the interval once

Each refusal of a long row stretched the interval, so that fronts that were back read each 1.5 s for many seconds; a read barrier of 0.7 s stood before each 503; the lease's next holder read each half second.

--- a/components/front/src/follow/index.rs
+++ b/components/front/src/follow/index.rs
@@ -1,6 +1,7 @@
 //! The index: steps, results and the lease.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -20,7 +21,10 @@
 pub async fn index(front: Arc<Front>) {
     let mut follower = Follower::new(&front, INDEX_TOPIC, INDEX_PARTITION, LOG_PACE);
     loop {
-        match follower.read().await {
+        let batch = follower.read().await;
+        let failed = matches!(batch, Batch::Failed);
+        front.index_failing.store(failed, Ordering::Relaxed);
+        match batch {
             Batch::Records {
                 from,
                 records,
@@ -55,8 +59,12 @@
 
 /// Read barrier: waits until the index was read to its end after this call. A front for which
 /// nobody waited may be half a second behind, and a step that it does not know may have been
-/// accepted at another front just before. Gives up where the store does not answer in time.
+/// accepted at another front just before. Gives up where the store does not answer in time, and at
+/// once where it did not answer last: another front may know more, and the client is sent there.
 pub async fn wait_for_newest(front: &Front) {
+    if front.index_failing.load(Ordering::Relaxed) {
+        return;
+    }
     let _waiting = front.demand.wait();
     let asked_ms = now_ms();
     let until = Instant::now() + Duration::from_millis(NEWEST_MS);
--- a/components/front/src/member.rs
+++ b/components/front/src/member.rs
@@ -13,6 +13,7 @@
 use ownership::{
     LARGE_SHARD_PLACES, Next, Ownership, OwnershipSettings, SMALL_SHARD_PLACES, Standby,
 };
+use pacing::Activity;
 use platform::settings::FrontSettings;
 
 use crate::clock::now_ms;
@@ -39,6 +40,9 @@
 const LARGE_THOUSANDTHS: u32 = 200;
 /// Pause between looks at who owns partitions, in milliseconds, of a front that stands by.
 const STANDBY_MS: u64 = 1_000;
+/// Partitions whose owners take the lease on orders first. As many as survive the loss of a third
+/// of all fronts, as a rule.
+const SUCCESSORS: u32 = 8;
 /// Begins the names of members that stand by for others.
 const STANDBY_PREFIX: &str = "standby:";
 
@@ -142,6 +146,9 @@
                     partitions:? = ownership.partitions(); ""
                 );
             }
+            let partitions = ownership.partitions();
+            let succeeds = partitions.iter().any(|owned| *owned < SUCCESSORS);
+            front.demand.set_active(Activity::Succession, succeeds);
             front.owned.store(Arc::new(ownership.clone()));
             if changed {
                 front.handed_on.store(true, Ordering::Relaxed);
--- a/components/front/src/results.rs
+++ b/components/front/src/results.rs
@@ -4,6 +4,7 @@
 //! knowledge of the index is younger than the time in which every front must know of it.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -118,6 +119,10 @@
         if found.enough {
             break found;
         }
+        if front.index_failing.load(Ordering::Relaxed) && !is_sure(front) {
+            // Another front may be served; the trainer loses no second here.
+            break found;
+        }
         if !found.results.is_empty() && !gathers {
             gathers = true;
             until = until.min(tokio::time::Instant::now() + Duration::from_millis(GATHER_MS));
--- a/components/front/src/state.rs
+++ b/components/front/src/state.rs
@@ -61,6 +61,8 @@
     pub index_news: watch::Sender<u64>,
     /// When the index was last known to be read to its end; 0 before.
     index_current_ms: AtomicU64,
+    /// Whether the last read of the index failed.
+    pub index_failing: AtomicBool,
     /// Notified when the index was read to its end.
     pub index_read: Notify,
     /// Who needs the newest records of the store.
@@ -109,6 +111,7 @@
             index: Mutex::new(Index::new(lease)),
             index_news: watch::Sender::new(0),
             index_current_ms: AtomicU64::new(0),
+            index_failing: AtomicBool::new(false),
             index_read: Notify::new(),
             demand: Demand::default(),
             replicas_read: AtomicU64::new(0),
--- a/components/pacing/src/demand.rs
+++ b/components/pacing/src/demand.rs
@@ -14,8 +14,13 @@
     Items = 1,
     /// It gives orders to replicas.
     Orders = 2,
+    /// It is the first to give orders when nobody does, and must notice that soon.
+    Succession = 4,
 }
 
+/// Activities whose records are wanted as they are written.
+const ACTING: u8 = Activity::Items as u8 | Activity::Orders as u8;
+
 /// Demand of a process for the newest records, shared by its followers.
 #[derive(Debug, Default)]
 pub struct Demand {
@@ -53,12 +58,12 @@
 
     /// How soon the next read is needed.
     pub fn urgency(&self) -> Urgency {
-        if self.activities.load(Ordering::Relaxed) != 0 {
-            Urgency::Acting
-        } else if self.waiting.load(Ordering::Relaxed) > 0 {
-            Urgency::Waiting
-        } else {
-            Urgency::Idle
+        let activities = self.activities.load(Ordering::Relaxed);
+        let waiting = self.waiting.load(Ordering::Relaxed) > 0;
+        match (activities & ACTING != 0, activities != 0 || waiting) {
+            (true, _) => Urgency::Acting,
+            (false, true) => Urgency::Waiting,
+            (false, false) => Urgency::Idle,
         }
     }
 
--- a/components/pacing/src/pacer.rs
+++ b/components/pacing/src/pacer.rs
@@ -48,13 +48,14 @@
 /// Greatest backoff of an idle process, in milliseconds: below the second in which every process
 /// must know of an accepted step.
 const IDLE_BACKOFF_MS_MAX: u64 = 800;
-/// Stretch of an idle process's interval, in hundredths: grows with each refusal for the store's
-/// budget and shrinks with each read that comes through, so that a fleet finds by itself how
-/// often each of its processes can read (additive increase, multiplicative decrease of its rate).
+/// Stretch of an idle process's interval, in hundredths: grows with each row of refusals for the
+/// store's budget and shrinks with each read that comes through, so that a fleet finds by itself
+/// how often each of its processes can read. A long row counts once, as a store may turn one
+/// process away for seconds and have budget for all when it is back.
 const STRETCH_MIN: u64 = 100;
 const STRETCH_MAX: u64 = 300;
 const STRETCH_MORE: u64 = 100;
-const STRETCH_LESS: u64 = 5;
+const STRETCH_LESS: u64 = 10;
 /// Jitter takes this share of an interval either way, in hundredths.
 const JITTER_HUNDREDTHS: u64 = 25;
 
@@ -91,16 +92,16 @@
 
     /// Notes how a read ended.
     pub fn ended(&mut self, end: ReadEnd) {
-        self.failed = match end {
-            ReadEnd::Throttled | ReadEnd::Failed => self.failed.saturating_add(1),
-            ReadEnd::Behind | ReadEnd::Records | ReadEnd::Nothing => 0,
-        };
         let stretch = self.stretch_hundredths;
         self.stretch_hundredths = match end {
-            ReadEnd::Throttled => (stretch + STRETCH_MORE).min(STRETCH_MAX),
-            ReadEnd::Failed => stretch,
+            ReadEnd::Throttled if self.failed == 0 => (stretch + STRETCH_MORE).min(STRETCH_MAX),
+            ReadEnd::Throttled | ReadEnd::Failed => stretch,
             _ => stretch.saturating_sub(STRETCH_LESS).max(STRETCH_MIN),
         };
+        self.failed = match end {
+            ReadEnd::Throttled | ReadEnd::Failed => self.failed.saturating_add(1),
+            ReadEnd::Behind | ReadEnd::Records | ReadEnd::Nothing => 0,
+        };
     }
 
     /// Interval until the next read, in milliseconds. `random` is drawn evenly for each interval.
--- a/components/pacing/tests/pacer.rs
+++ b/components/pacing/tests/pacer.rs
@@ -109,7 +109,7 @@
 #[tokio::test]
 async fn can_end_an_interval_when_a_client_begins_to_wait_or_the_process_to_act() {
     type Raise = fn(&Demand);
-    let raises: [(&str, Raise, Urgency); 4] = [
+    let raises: [(&str, Raise, Urgency); 5] = [
         (
             "a client waits",
             |demand| std::mem::forget(demand.wait()),
@@ -125,6 +125,11 @@
             |demand| demand.set_active(Activity::Orders, true),
             Urgency::Acting,
         ),
+        (
+            "succession",
+            |demand| demand.set_active(Activity::Succession, true),
+            Urgency::Waiting,
+        ),
         ("partitions", Demand::refresh, Urgency::Idle),
     ];
     for (name, raise, urgency) in raises {
