Sim: fleets of fronts before one store, by the product's own decisions

A discrete-event simulation (dev/sim): pacing, ownership and the lease are the product's packages; store, groups, network and losses are models of a few lines.

Paces, times of the membership and the rule who takes the lease first move into the pure packages, so that the front and the simulation share them.

--- a/components/front/src/follow/index.rs
+++ b/components/front/src/follow/index.rs
@@ -6,9 +6,10 @@
 
 use bytes::Bytes;
 use index::{INDEX_PARTITION, INDEX_TOPIC};
+use pacing::LOG_PACE;
 use tokio::time::{Instant, timeout_at};
 
-use super::{Batch, Follower, LOG_PACE};
+use super::{Batch, Follower};
 use crate::clock::now_ms;
 use crate::state::Front;
 
--- a/components/front/src/follow/mod.rs
+++ b/components/front/src/follow/mod.rs
@@ -23,25 +23,13 @@
 use crate::state::Front;
 use crate::storage::ReadFrom;
 
-/// How long a read waits for a record. One that comes back empty proves that nothing is new,
-/// and answers to trainers rely on a proof that is younger than a second.
-const WAIT_MS: u64 = 450;
-/// The same at a front for which nobody waits: the interval behind the read is part of the second.
-const IDLE_WAIT_MS: u64 = 250;
 /// Time for a read beyond its wait; covers a store that is slow.
 const READ_SLACK_MS: u64 = 900;
+/// Time for the newest records of all keys.
+const NEWEST_MS: u64 = 1_350;
 /// Most kibibytes of one read: peak memory against calls after a start.
 const READ_KB: u32 = 64;
 
-/// Intervals between reads of the index and of the operator's records.
-pub const LOG_PACE: TopicPace = TopicPace {
-    acting_ms: 20,
-    waiting_ms: 50,
-    idle_ms: 500,
-    wait_ms: WAIT_MS,
-    idle_wait_ms: IDLE_WAIT_MS,
-};
-
 /// What a read brought.
 pub enum Batch {
     /// Records from this offset on; `current` if they reach the end of the log.
@@ -129,7 +117,7 @@
     /// read failed.
     pub async fn newest(&mut self) -> Option<Vec<platform::store::KeyedRecord>> {
         self.pause().await;
-        let within = Duration::from_millis(WAIT_MS + READ_SLACK_MS);
+        let within = Duration::from_millis(NEWEST_MS);
         match self.front.storage.newest(self.topic, within).await {
             Ok((records, end)) => {
                 self.next = end;
--- a/components/front/src/follow/operator.rs
+++ b/components/front/src/follow/operator.rs
@@ -3,9 +3,9 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use pacing::LOG_PACE;
 use platform::records::{self, OPERATOR_TOPIC, OperatorRecord};
 
-use super::LOG_PACE;
 use super::keyed::{KeyedNews, follow};
 use crate::clock::now_ms;
 use crate::state::{Front, locked};
--- a/components/front/src/follow/replicas.rs
+++ b/components/front/src/follow/replicas.rs
@@ -4,24 +4,13 @@
 use std::sync::atomic::Ordering;
 
 use dispatch::{Registry, Replica, Revision};
-use pacing::TopicPace;
+use pacing::REPLICA_PACE;
 use platform::records::{self, REPLICA_TOPIC};
 
 use super::keyed::{KeyedNews, follow};
-use super::{IDLE_WAIT_MS, WAIT_MS};
 use crate::clock::now_ms;
 use crate::state::Front;
 
-/// Intervals between reads of replicas' records, so that the heartbeats of many cost few calls;
-/// far below the two seconds in which a leaving replica must be known.
-const REPLICA_PACE: TopicPace = TopicPace {
-    acting_ms: 120,
-    waiting_ms: 500,
-    idle_ms: 500,
-    wait_ms: WAIT_MS,
-    idle_wait_ms: IDLE_WAIT_MS,
-};
-
 /// Follows the replicas' records.
 pub async fn replicas(front: Arc<Front>) {
     let mut registry = Registry::default();
--- a/components/front/src/leader.rs
+++ b/components/front/src/leader.rs
@@ -6,7 +6,7 @@
 
 use dispatch::ReplicaId;
 use index::LogRecord;
-use lease::Lease;
+use lease::is_candidate;
 use orders::{Fleet, Model, Node, OrderSettings, plan};
 use pacing::Activity;
 use platform::replica::{self, LoadMode, Order, OrderAnswer, ReplicaError};
@@ -27,8 +27,6 @@
 const LOAD_MS: u64 = 4_000;
 /// The same where the replica finishes its texts first: the longest take six seconds.
 const WAITING_LOAD_MS: u64 = 10_000;
-/// How long nothing may be heard of a holder before any front takes the lease.
-const ANYBODY_MS: u64 = 4_000;
 /// Pause after an order that was not accepted, in milliseconds.
 const PAUSE_MS: u64 = 300;
 
@@ -85,7 +83,8 @@
 fn keep_lease(front: &Arc<Front>, wants_orders: bool, now_ms: u64) {
     let record = {
         let mut index = front.index();
-        if !is_candidate(front, &index.lease, now_ms) {
+        let owns = !front.owned.load().partitions().is_empty();
+        if !is_candidate(&index.lease, owns, front.started_ms, now_ms) {
             return;
         }
         let read_since_ms = index.read_since_ms;
@@ -107,14 +106,6 @@
     }
 }
 
-/// Whether this front holds the lease or takes it when it is free. Owners of partitions go first:
-/// there are as many of them as partitions at most, so that not all fronts of a large fleet write
-/// at the moment at which a holder falls silent.
-fn is_candidate(front: &Front, lease: &Lease, now_ms: u64) -> bool {
-    let owns = !front.owned.load().partitions().is_empty();
-    owns || lease.is_held_here() || lease.unheard_ms(front.started_ms, now_ms) >= ANYBODY_MS
-}
-
 /// Gives the lease up, so that another front need not wait for its silence.
 pub async fn give_up(front: &Front) {
     let record = front.index().lease.give_up();
--- a/components/front/src/member.rs
+++ b/components/front/src/member.rs
@@ -11,7 +11,8 @@
 
 use index::{RUNNER_GROUP, RUNNER_TOPIC};
 use ownership::{
-    LARGE_SHARD_PLACES, Next, Ownership, OwnershipSettings, SMALL_SHARD_PLACES, Standby,
+    LARGE_SHARD_PLACES, MEMBER_TTL_MS, Next, Ownership, OwnershipSettings, SETTLING_MS,
+    SMALL_SHARD_PLACES, Standby, join_interval_ms,
 };
 use pacing::Activity;
 use platform::settings::FrontSettings;
@@ -19,15 +20,6 @@
 use crate::clock::now_ms;
 use crate::state::Front;
 
-/// Time to live of a member, in milliseconds: how long items stand still after a front died.
-const TTL_MS: u64 = 1_300;
-/// Pause between joins, in milliseconds; two may be lost before the membership is.
-const JOIN_MS: u64 = 350;
-/// Pause between joins while partitions change hands, in milliseconds. A partition stands
-/// still until its old owner has joined again and the new one behind it.
-const SETTLING_JOIN_MS: u64 = 70;
-/// How long that may take, in milliseconds.
-const SETTLING_MS: u64 = 700;
 /// How long results may be unwritable before the models go to another front, in
 /// milliseconds; a slow store answers within 240.
 const UNWRITABLE_MS: u64 = 800;
@@ -40,16 +32,13 @@
 const LARGE_THOUSANDTHS: u32 = 200;
 /// Pause between looks at who owns partitions, in milliseconds, of a front that stands by.
 const STANDBY_MS: u64 = 1_000;
-/// Partitions whose owners take the lease on orders first. As many as survive the loss of a third
-/// of all fronts, as a rule.
-const SUCCESSORS: u32 = 8;
 /// Begins the names of members that stand by for others.
 const STANDBY_PREFIX: &str = "standby:";
 
 /// Times of the membership.
 pub fn settings(settings: &FrontSettings) -> OwnershipSettings {
     OwnershipSettings {
-        ttl_ms: TTL_MS.max(settings.store.member_ttl_min_ms),
+        ttl_ms: MEMBER_TTL_MS.max(settings.store.member_ttl_min_ms),
         unwritable_ms_max: UNWRITABLE_MS,
     }
 }
@@ -84,7 +73,7 @@
             Next::Wait => {}
         }
         let settling = now_ms() < settling_until_ms;
-        let pause_ms = if settling { SETTLING_JOIN_MS } else { JOIN_MS };
+        let pause_ms = join_interval_ms(settling);
         front.storage.pause(pause_ms).await;
     }
 }
@@ -146,8 +135,7 @@
                     partitions:? = ownership.partitions(); ""
                 );
             }
-            let partitions = ownership.partitions();
-            let succeeds = partitions.iter().any(|owned| *owned < SUCCESSORS);
+            let succeeds = lease::is_successor(ownership.partitions().iter());
             front.demand.set_active(Activity::Succession, succeeds);
             front.owned.store(Arc::new(ownership.clone()));
             if changed {
@@ -171,7 +159,7 @@
     given_up.stand_back();
     front.owned.store(Arc::new(given_up));
     while !leave_group(&front).await {
-        front.storage.pause(JOIN_MS).await;
+        front.storage.pause(join_interval_ms(false)).await;
     }
 }
 
--- a/components/front/src/reports.rs
+++ b/components/front/src/reports.rs
@@ -10,13 +10,14 @@
 
 use bytes::Bytes;
 use index::{INDEX_PARTITION, USAGE_TOPIC, decode_usage};
+use pacing::LOG_PACE;
 use platform::duty::{self, DutyAnswer, Holder};
 use platform::settings::DutySettings;
 use usage::{Change, Outcome, Report, Sender, UsageRecord, Window};
 
 use crate::clock::now_ms;
 use crate::figures;
-use crate::follow::{Batch, Follower, LOG_PACE};
+use crate::follow::{Batch, Follower};
 use crate::state::{Front, locked};
 use crate::writer::append_usage;
 
--- a/components/lease/src/lib.rs
+++ b/components/lease/src/lib.rs
@@ -22,7 +22,9 @@
 mod record;
 mod settings;
 mod state;
+mod succession;
 
 pub use record::LeaseRecord;
 pub use settings::LeaseSettings;
 pub use state::Lease;
+pub use succession::{is_candidate, is_successor};
--- a/components/ownership/src/lib.rs
+++ b/components/ownership/src/lib.rs
@@ -14,6 +14,7 @@
 mod partition;
 mod shard;
 mod standby;
+mod times;
 
 use std::collections::BTreeSet;
 
@@ -22,6 +23,7 @@
     LARGE_SHARD_PLACES, SMALL_SHARD_PLACES, deal, replica_shards, shard_count, shard_partition,
 };
 pub use standby::Standby;
+pub use times::{MEMBER_TTL_MS, SETTLING_MS, join_interval_ms};
 
 /// Times of a membership.
 #[derive(Clone, Copy, Debug)]
--- a/components/pacing/src/lib.rs
+++ b/components/pacing/src/lib.rs
@@ -13,6 +13,8 @@
 
 mod demand;
 mod pacer;
+mod paces;
 
 pub use demand::{Activity, Demand, Waiting};
 pub use pacer::{Pacer, ReadEnd, TopicPace, Urgency};
+pub use paces::{LOG_PACE, REPLICA_PACE};
--- a/components/pacing/tests/load.rs
+++ b/components/pacing/tests/load.rs
@@ -2,15 +2,8 @@
 //!
 //! Load pattern: many followers of one log into which records are written all the time.
 
-use pacing::{Pacer, ReadEnd, TopicPace, Urgency};
+use pacing::{LOG_PACE, Pacer, ReadEnd, Urgency};
 
-const PACE: TopicPace = TopicPace {
-    acting_ms: 20,
-    waiting_ms: 50,
-    idle_ms: 500,
-    wait_ms: 450,
-    idle_wait_ms: 250,
-};
 /// Simulated time.
 const DAY_MS: u64 = 10_000;
 /// Fronts that act on the records.
@@ -71,7 +64,7 @@
         };
         let mut followers: Vec<Follower> = (0..self.fronts)
             .map(|front| Follower {
-                pacer: Pacer::new(PACE),
+                pacer: Pacer::new(LOG_PACE),
                 urgency: urgency(front),
                 seen: 0,
                 until_ms: None,
@@ -149,7 +142,7 @@
                 appends_per_s,
                 budget: u64::MAX,
             };
-            let acting_per_s = 1_000 / PACE.acting_ms;
+            let acting_per_s = 1_000 / LOG_PACE.acting_ms;
             let idle_per_s = fronts as u64 * BUDGET_PER_S / 2 / TOPICS / FLEET_MAX;
             let reads_max = ACTING as u64 * acting_per_s + idle_per_s;
             let reads_per_s = sim.play().served * 1_000 / DAY_MS;
--- a/components/pacing/tests/pacer.rs
+++ b/components/pacing/tests/pacer.rs
@@ -1,14 +1,7 @@
 //! Intervals between the reads of one follower.
 
-use pacing::{Activity, Demand, Pacer, ReadEnd, TopicPace, Urgency};
+use pacing::{Activity, Demand, LOG_PACE, Pacer, ReadEnd, Urgency};
 
-const PACE: TopicPace = TopicPace {
-    acting_ms: 20,
-    waiting_ms: 50,
-    idle_ms: 500,
-    wait_ms: 450,
-    idle_wait_ms: 250,
-};
 /// Draws in the middle of the jitter's span.
 const MIDDLE: [(u64, u64); 6] = [(0, 0), (20, 5), (50, 12), (100, 25), (200, 50), (500, 125)];
 
@@ -72,7 +65,7 @@
         case("failed twice", ReadEnd::Failed, Urgency::Idle, 2, 200),
     ];
     for case in cases {
-        let mut pacer = Pacer::new(PACE);
+        let mut pacer = Pacer::new(LOG_PACE);
         for _ in 0..case.failed {
             pacer.ended(case.end);
         }
@@ -84,7 +77,7 @@
 #[test]
 fn can_prove_within_a_second_that_nothing_is_new() {
     // An idle front answers that a step does not exist, on the strength of its last read.
-    let pacer = Pacer::new(PACE);
+    let pacer = Pacer::new(LOG_PACE);
     let draws = 0..1_000;
     let longest_ms = draws
         .map(|draw| pacer.interval_ms(ReadEnd::Nothing, Urgency::Idle, draw))
@@ -94,7 +87,7 @@
 
 #[test]
 fn can_start_at_the_first_interval_again_behind_a_read_that_came_through() {
-    let mut pacer = Pacer::new(PACE);
+    let mut pacer = Pacer::new(LOG_PACE);
     for _ in 0..9 {
         pacer.ended(ReadEnd::Throttled);
     }
--- /dev/null
+++ b/dev/sim/src/front.rs
@@ -0,0 +1,121 @@
+//! One front: three followers, a membership and a view of the lease.
+
+use lease::{Lease, LeaseSettings};
+use ownership::{MEMBER_TTL_MS, Ownership, OwnershipSettings};
+use pacing::{Activity, Demand, Pacer};
+
+use crate::settings::SimSettings;
+use crate::store::TOPICS;
+
+/// How long nothing may be written before a member steps down; nothing of it is simulated.
+const UNWRITABLE_MS: u64 = 800;
+/// Pause between the orders of two holders.
+const HOLDER_PAUSE_MS: u64 = 3_000;
+
+/// One follower.
+#[derive(Debug)]
+pub struct Follower {
+    /// When it reads next.
+    pub pacer: Pacer,
+    /// Next offset.
+    pub next: usize,
+    /// Number of the read in progress; events of earlier ones are void.
+    pub read: u64,
+    /// Whether a read waits at the store.
+    pub waits: bool,
+    /// Whether the interval before the next read goes on.
+    pub pauses: bool,
+}
+
+/// One front.
+pub struct Front {
+    /// Its followers, by topic.
+    pub followers: [Follower; TOPICS.len()],
+    /// Who needs the newest records.
+    pub demand: Demand,
+    /// Its membership; none where it stands by.
+    pub ownership: Option<Ownership>,
+    /// The lease as it sees it.
+    pub lease: Lease,
+    /// When the index was read to its end last.
+    pub index_current_ms: u64,
+    /// Whether it runs.
+    pub runs: bool,
+    /// Whether the store refuses it.
+    pub turned_away: bool,
+    /// Counts its starts; events of an earlier one are void.
+    pub incarnation: u64,
+    /// When it started.
+    pub started_ms: u64,
+    /// Whether a client waits there all the time.
+    pub has_trainer: bool,
+}
+
+impl Front {
+    /// A front that knows nothing yet.
+    pub fn new(number: usize, settings: &SimSettings, incarnation: u64, now_ms: u64) -> Self {
+        let members = settings.fronts as u64 * settings.members_hundredths / 100;
+        let is_member = (number as u64) < members.max(1);
+        let follower = |topic| Follower {
+            pacer: Pacer::new(match topic {
+                crate::store::REPLICAS => settings.replica_pace,
+                _ => settings.log_pace,
+            }),
+            next: 0,
+            read: 0,
+            waits: false,
+            pauses: false,
+        };
+        // Attempts of two incarnations must differ.
+        let first_attempt = (number as u64) << 40 | incarnation << 32;
+        let lease_settings = LeaseSettings::with_pause(HOLDER_PAUSE_MS);
+        Self {
+            followers: std::array::from_fn(follower),
+            demand: Demand::default(),
+            ownership: is_member.then(|| {
+                Ownership::new(OwnershipSettings {
+                    ttl_ms: MEMBER_TTL_MS,
+                    unwritable_ms_max: UNWRITABLE_MS,
+                })
+            }),
+            lease: Lease::new(&number.to_string(), first_attempt, lease_settings),
+            index_current_ms: 0,
+            runs: true,
+            turned_away: false,
+            incarnation,
+            started_ms: now_ms,
+            has_trainer: number as u64 >= members
+                && (number as u64) < members + settings.workload.trainers,
+        }
+    }
+
+    /// Whether it may run a shard now.
+    pub fn owns(&self, partition: u32, now_ms: u64) -> bool {
+        let ownership = self.ownership.as_ref();
+        ownership.is_some_and(|ownership| ownership.owns(partition, now_ms))
+    }
+
+    /// Whether a partition was assigned to it.
+    pub fn owns_any(&self) -> bool {
+        let ownership = self.ownership.as_ref();
+        ownership.is_some_and(|ownership| !ownership.partitions().is_empty())
+    }
+
+    /// Notes what it acts on.
+    pub fn note_demand(&self, shards: u32, partitions: u32, now_ms: u64) {
+        let runs_items = (0..shards).any(|shard| self.owns(partitions - 1 - shard, now_ms));
+        self.demand.set_active(Activity::Items, runs_items);
+        self.demand
+            .set_active(Activity::Orders, self.lease.is_held_here());
+        let owned = self.ownership.as_ref().map(Ownership::partitions);
+        let succeeds = owned.is_some_and(|owned| lease::is_successor(owned.iter()));
+        // A trainer reads at one front all day here; its urgency is the same.
+        let active = succeeds || self.has_trainer;
+        self.demand.set_active(Activity::Succession, active);
+    }
+
+    /// How old its knowledge of the index is; none before it was read once.
+    pub fn index_age_ms(&self, now_ms: u64) -> Option<u64> {
+        (self.index_current_ms > 0).then(|| now_ms - self.index_current_ms)
+    }
+}
