--- a/dev/sim/src/group.rs
+++ b/dev/sim/src/group.rs
@@ -1,5 +1,6 @@
 //! The store's group: sticky assignment of partitions to members with a time to live.
 
+use std::collections::btree_map::Entry;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// A group over one topic.
@@ -40,8 +41,8 @@
             if owned.len() == even {
                 break;
             }
-            if !self.owners.contains_key(&partition) {
-                self.owners.insert(partition, member);
+            if let Entry::Vacant(free) = self.owners.entry(partition) {
+                free.insert(member);
                 owned.push(partition);
             }
         }
