--- a/bin/ctl/src/cli.rs
+++ b/bin/ctl/src/cli.rs
@@ -1,5 +1,7 @@
 //! The command line.
 
+use std::path::PathBuf;
+
 use clap::{Arg, Command};
 use clap_complete::Shell;
 use settings::flag;
@@ -44,6 +46,7 @@
                 .arg(admin("Admin addresses of the processes that are to leave")),
             rollback(),
             store(),
+            spread(),
             completions(),
         ])
 }
@@ -117,6 +120,20 @@
     flag("store", "IP:PORT", "Address of the platform's store")
 }
 
+fn spread() -> Command {
+    Command::new("spread")
+        .about("Shows how long changes take from the first front that knows them to the last")
+        .after_help("Each line begins with the seconds and the front that the collector adds.")
+        .arg(
+            Arg::new("logs")
+                .value_name("FILE")
+                .required(true)
+                .num_args(1..)
+                .value_parser(clap::value_parser!(PathBuf))
+                .help("Logs of the fronts"),
+        )
+}
+
 fn completions() -> Command {
     Command::new("completions")
         .about("Prints shell completions")
--- a/bin/ctl/src/cmd/failure.rs
+++ b/bin/ctl/src/cmd/failure.rs
@@ -1,5 +1,7 @@
 //! Failure of a command, with its exit code.
 
+use std::path::PathBuf;
+
 use control::{ControlError, ExitCode};
 use inspect::InspectError;
 use quick_error::quick_error;
@@ -25,6 +27,11 @@
             from()
             display("{}", reason)
         }
+        /// A log that can't be read.
+        Logs(path: PathBuf, reason: std::io::Error) {
+            source(reason)
+            display("cannot read the log {}: {}", path.display(), reason)
+        }
         /// No runtime to be had.
         Runtime(reason: std::io::Error) {
             display("the program cannot start: {}", reason)
@@ -39,7 +46,7 @@
             Failure::Settings(_) => ExitCode::Settings,
             Failure::Control(reason) => reason.exit_code(),
             Failure::Store(_) => ExitCode::Unreachable,
-            Failure::Runtime(_) => ExitCode::Fault,
+            Failure::Logs(..) | Failure::Runtime(_) => ExitCode::Fault,
         };
         code as u8
     }
--- a/bin/ctl/src/cmd/mod.rs
+++ b/bin/ctl/src/cmd/mod.rs
@@ -9,6 +9,7 @@
 mod publish;
 mod rollback;
 mod show;
+mod spread;
 mod status;
 mod store;
 
@@ -35,6 +36,7 @@
         Some(("drain", flags)) => block_on(drain::run(flags)),
         Some(("rollback", flags)) => block_on(rollback::run(flags)),
         Some(("store", flags)) => block_on(store::run(flags)),
+        Some(("spread", flags)) => spread::run(flags),
         Some(("completions", flags)) => completions::run(flags),
         _ => Ok(()),
     }
--- /dev/null
+++ b/bin/ctl/src/cmd/spread.rs
@@ -0,0 +1,61 @@
+//! `spread`: how long changes take to the last front, from the fronts' logs.
+
+use std::fs::File;
+use std::io::{BufRead, BufReader};
+use std::path::PathBuf;
+
+use clap::ArgMatches;
+use loglines::{ChangeRow, Spreads, parse};
+
+use super::failure::Failure;
+use crate::output::{Form, print_json, print_table};
+
+/// A front that learns of a change later than this was away.
+const WITHIN_MS: f64 = 10_000.0;
+
+/// Reads the logs and prints a row a kind of change.
+pub fn run(flags: &ArgMatches) -> Result<(), Failure> {
+    let form = Form::of(flags)?;
+    let mut spreads = Spreads::default();
+    for path in flags.get_many::<PathBuf>("logs").into_iter().flatten() {
+        take(path, &mut spreads).map_err(|reason| Failure::Logs(path.clone(), reason))?;
+    }
+    let rows = spreads.rows(WITHIN_MS);
+    match form {
+        Form::Json => print_json(&rows),
+        Form::Table => table(&rows),
+    }
+    Ok(())
+}
+
+fn take(path: &PathBuf, spreads: &mut Spreads) -> std::io::Result<()> {
+    for line in BufReader::new(File::open(path)?).split(b'\n') {
+        let line = line?;
+        if let Some(line) = parse(&String::from_utf8_lossy(&line)) {
+            spreads.take(&line);
+        }
+    }
+    Ok(())
+}
+
+fn table(rows: &[ChangeRow]) {
+    let row = |row: &ChangeRow| {
+        [
+            row.kind.as_str().to_owned(),
+            row.changes.to_string(),
+            row.fronts.to_string(),
+            format!("{:.0}", row.half_ms),
+            format!("{:.0}", row.last_ms),
+            format!("{:.0}", row.slowest_ms),
+        ]
+    };
+    let titles = [
+        "change",
+        "changes",
+        "fronts",
+        "half ms",
+        "last ms",
+        "slowest ms",
+    ];
+    print_table(titles, &rows.iter().map(row).collect::<Vec<_>>());
+}
--- /dev/null
+++ b/components/loglines/src/line.rs
@@ -0,0 +1,39 @@
+//! One line of a front's log.
+
+/// A line: when, of which front, which event, and its fields.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Line<'a> {
+    /// When, in milliseconds of the collector's clock.
+    pub at_ms: f64,
+    /// The front, as the collector names it.
+    pub front: &'a str,
+    /// The event.
+    pub event: &'a str,
+    fields: &'a str,
+}
+
+impl<'a> Line<'a> {
+    /// The value of a field.
+    pub fn field(&self, name: &str) -> Option<&'a str> {
+        let fields = self.fields.split_ascii_whitespace();
+        let mut pairs = fields.filter_map(|field| field.split_once('='));
+        pairs
+            .find(|(known, _)| *known == name)
+            .map(|(_, value)| value)
+    }
+}
+
+/// Reads a line as a collector writes it: seconds, the front, then the front's own line.
+pub fn parse(text: &str) -> Option<Line<'_>> {
+    let (seconds, rest) = text.trim_start().split_once(' ')?;
+    let seconds: f64 = seconds.parse().ok()?;
+    let (front, rest) = rest.split_once(' ')?;
+    let (_, event) = rest.split_once("event=")?;
+    let (event, fields) = event.split_once(' ').unwrap_or((event, ""));
+    Some(Line {
+        at_ms: seconds * 1e3,
+        front,
+        event,
+        fields,
+    })
+}
--- /dev/null
+++ b/components/loglines/tests/spread.rs
@@ -0,0 +1,79 @@
+//! Changes and the fronts that learn of them, from the lines of a collector.
+
+use loglines::{ChangeKind, Spreads, parse};
+
+struct Case {
+    name: &'static str,
+    lines: &'static [&'static str],
+    /// Kind, changes, half, last and slowest in milliseconds, fronts.
+    rows: &'static [(ChangeKind, usize, f64, f64, f64, usize)],
+}
+
+const CASES: [Case; 4] = [
+    Case {
+        name: "a version of the configuration at three fronts",
+        lines: &[
+            "   1.000 a timestamp=x level=INFO message= event=routes-in-force version=3 customers=0",
+            "   1.250 b timestamp=x level=INFO message= event=routes-in-force version=3 customers=0",
+            "   1.500 c timestamp=x level=INFO message= event=routes-in-force version=3 customers=0",
+        ],
+        rows: &[(ChangeKind::Configuration, 1, 250.0, 500.0, 500.0, 3)],
+    },
+    Case {
+        name: "a front that was away does not count, a repeated word neither",
+        lines: &[
+            "1 a event=replica-draining replica=r1",
+            "2 a event=replica-draining replica=r1",
+            "1.5 b event=replica-draining replica=r1",
+            "60 c event=replica-draining replica=r1",
+        ],
+        rows: &[(ChangeKind::Draining, 1, 500.0, 500.0, 500.0, 2)],
+    },
+    Case {
+        name: "two models with the same version are two changes",
+        lines: &[
+            "1 a event=version-named model=m version=2",
+            "1.5 b event=version-named model=m version=2",
+            "1 a event=version-named model=n version=2",
+            "2 b event=version-named model=n version=2",
+        ],
+        rows: &[(ChangeKind::Weights, 2, 1_000.0, 1_000.0, 1_000.0, 2)],
+    },
+    Case {
+        name: "lines that are no events of fronts, and a change that one front knows",
+        lines: &[
+            "",
+            "day own/srv score",
+            "1 a no event here",
+            "x a event=replica-gone replica=r",
+            "1 a event=replica-gone replica=r",
+            "1 a event=started",
+        ],
+        rows: &[],
+    },
+];
+
+#[test]
+fn can_tell_how_long_a_change_takes_to_the_last_front() {
+    for case in CASES {
+        let mut spreads = Spreads::default();
+        for line in case.lines.iter().filter_map(|line| parse(line)) {
+            spreads.take(&line);
+        }
+        let rows: Vec<_> = spreads
+            .rows(10_000.0)
+            .into_iter()
+            .map(|row| {
+                (
+                    row.kind,
+                    row.changes,
+                    row.half_ms,
+                    row.last_ms,
+                    row.slowest_ms,
+                    row.fronts,
+                )
+            })
+            .collect();
+        assert_eq!(rows, case.rows, "{}", case.name);
+    }
+}
