Calls go to a replica with a pooled connection; stages of an item in histograms

A front has a call each second and a half and draws one of 35 replicas each time; a pooled connection lives for four seconds.

With it four histograms of where an item's time goes (placed, text, score, listed).

--- a/components/dispatch/src/choice.rs
+++ b/components/dispatch/src/choice.rs
@@ -4,6 +4,10 @@
 
 /// Penalty for another failure domain, in thousandths of the cost: a millisecond of way.
 const FAR: u64 = 1_050;
+/// Time for a new connection: a round trip, the replica's work for it, and its place in the queue.
+/// Fronts with few calls so stay with a replica, and a fleet of them opens a connection for few of
+/// its calls; under load what is in progress decides.
+const CONNECT_US: u64 = 5_000;
 
 /// A replica that may be chosen.
 pub struct Candidate<'a> {
@@ -11,6 +15,8 @@
     pub load: &'a ReplicaLoad,
     /// Whether it stands in this process's failure domain.
     pub near: bool,
+    /// Whether an idle connection to it is pooled here.
+    pub connected: bool,
 }
 
 /// Index of the replica to take: the one with the least expected time among those that are
@@ -34,7 +40,11 @@
 }
 
 fn cost(candidate: &Candidate<'_>, typical_us: u64, now_ms: u64) -> u64 {
-    let cost = candidate.load.cost(typical_us, now_ms);
+    let work_us = match candidate.connected {
+        true => typical_us,
+        false => typical_us + CONNECT_US,
+    };
+    let cost = candidate.load.cost(work_us, now_ms);
     match candidate.near {
         true => cost,
         false => cost / 1_000 * FAR,
--- a/components/dispatch/tests/calls.rs
+++ b/components/dispatch/tests/calls.rs
@@ -10,10 +10,22 @@
 
 /// Place in `loads` of the choice among those that were not tried, as callers put it.
 fn chosen(loads: &[Arc<ReplicaLoad>], tried: &[usize], random: u64, now_ms: u64) -> Option<usize> {
+    chosen_with(loads, tried, &[], random, now_ms)
+}
+
+/// The same where idle connections to some are pooled.
+fn chosen_with(
+    loads: &[Arc<ReplicaLoad>],
+    tried: &[usize],
+    connected: &[usize],
+    random: u64,
+    now_ms: u64,
+) -> Option<usize> {
     let left: Vec<usize> = (0..loads.len()).filter(|at| !tried.contains(at)).collect();
     let candidate = |at: &usize| Candidate {
         load: &loads[*at],
         near: true,
+        connected: connected.contains(at),
     };
     let candidates: Vec<Candidate<'_>> = left.iter().map(candidate).collect();
     choose(&candidates, 25 * MS, random, now_ms).map(|at| left[at])
@@ -64,6 +76,25 @@
     assert_eq!(chosen(&loads, &[1], 0, 1_500), Some(0), "better than none");
 }
 
+/// Load pattern: many fronts with a call each few seconds before many replicas. Guards against a new
+/// connection for each of them.
+#[test]
+fn can_stay_with_a_connected_replica_while_it_has_nothing_else_to_do() {
+    let loads = loads(35);
+    let choice = |connected: &[usize]| {
+        let randoms = 0..70;
+        let chosen = randoms.map(|random| chosen_with(&loads, &[], connected, random, 0));
+        chosen.collect::<Vec<_>>()
+    };
+    assert!(choice(&[7]).iter().all(|at| *at == Some(7)));
+    let _busy = loads[7].begin(25 * MS, false);
+    assert!(
+        choice(&[7]).iter().all(|at| *at != Some(7)),
+        "it is at work"
+    );
+    assert!(choice(&[7, 9]).iter().all(|at| *at == Some(9)));
+}
+
 #[test]
 fn can_choose_among_replicas_that_were_not_tried() {
     let loads = loads(3);
--- a/components/front/src/calls.rs
+++ b/components/front/src/calls.rs
@@ -294,14 +294,16 @@
         .filter(|member| takes_work(member) && !tried.contains(&member.replica.id))
         .filter(|member| !with_room || member.peer.load.background() < BACKGROUND_MAX)
         .collect();
+    let now_ms = now_ms();
     let candidates: Vec<Candidate<'_>> = members
         .iter()
         .map(|member| Candidate {
             load: &member.peer.load,
             near: *member.replica.domain == *front.settings.domain,
+            connected: member.peer.is_connected(now_ms),
         })
         .collect();
-    let at = choose(&candidates, typical.us(), rand::random(), now_ms())?;
+    let at = choose(&candidates, typical.us(), rand::random(), now_ms)?;
     Some(members[at].clone())
 }
 
--- a/components/front/src/peers.rs
+++ b/components/front/src/peers.rs
@@ -45,6 +45,13 @@
         Ok(new)
     }
 
+    /// Whether an idle connection is pooled.
+    pub fn is_connected(&self, now_ms: u64) -> bool {
+        let idle = locked(&self.idle);
+        let newest = idle.last();
+        newest.is_some_and(|idle| now_ms < idle.until_ms && idle.connection.is_usable())
+    }
+
     fn kept(&self) -> Option<Connection> {
         let now_ms = now_ms();
         let mut idle = locked(&self.idle);
--- a/components/front/src/runner/look.rs
+++ b/components/front/src/runner/look.rs
@@ -47,6 +47,8 @@
         // A leaving front still saves what its runs made.
         self.partials.retain(|key, _| wanted(key, leaving));
         self.failed_runs.retain(|key, _| wanted(key, false));
+        self.stages
+            .keep_only(&front, |key| wanted(key, true), now_ms);
         self.data
             .retain(|step, _| index.ledger.get(*step).is_some_and(Step::is_open));
     }
@@ -122,12 +124,15 @@
         let held = self.partials.entry(item.key).or_default();
         held.1 = None;
         let partial = Arc::clone(&held.0);
-        let saved = self
-            .front
-            .index()
-            .ledger
-            .get(step)
-            .map(|step| step.pieces(number).to_vec());
+        let known = self.front.index().ledger.get(step).map(|step| {
+            let saved = step.pieces(number).to_vec();
+            (saved, step.read_ms)
+        });
+        let Some((saved, accepted_ms)) = known else {
+            return;
+        };
+        self.stages
+            .sent(&self.front, item.key, accepted_ms, now_ms());
         let spec = RunSpec {
             id: item.head.items[number as usize].id.clone(),
             customer: item.head.customer.clone(),
@@ -159,7 +164,7 @@
         let (key, news) = (item.key, self.news.clone());
         let front = Arc::clone(&self.front);
         let task = tokio::spawn(async move {
-            let end = match take_up(&front, &partial, &saved.unwrap_or_default()).await {
+            let end = match take_up(&front, &partial, &saved).await {
                 true => run_item::run(&spec, &partial).await,
                 false => RunEnd::Unready,
             };
--- a/components/front/src/runner/mod.rs
+++ b/components/front/src/runner/mod.rs
@@ -10,6 +10,7 @@
 mod handover;
 mod look;
 mod settle;
+mod stages;
 
 use std::collections::{BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
@@ -40,6 +41,7 @@
 
 use data::read_data;
 use engines::{EngineState, Place};
+use stages::Stages;
 
 /// How often steps are looked at when nothing is heard, in milliseconds.
 const LOOK_MS: u64 = 100;
@@ -118,6 +120,7 @@
     saved_ms: u64,
     saving: bool,
     failed_runs: HashMap<Key, u32>,
+    stages: Stages,
     engines: HashMap<ReplicaId, EngineState>,
     /// Replicas at the last look.
     table: Arc<ReplicaTable>,
@@ -141,6 +144,7 @@
         saved_ms: 0,
         saving: false,
         failed_runs: HashMap::new(),
+        stages: Stages::default(),
         engines: HashMap::new(),
         table: Arc::default(),
         pause_us: 0,
@@ -194,6 +198,7 @@
         self.count_run(&end);
         match end {
             RunEnd::Whole => {
+                self.stages.whole(&self.front, key, now_ms);
                 let partial = self.partials.remove(&key).map(|held| held.0);
                 let text = partial.map(|partial| std::mem::take(&mut *locked(&partial)));
                 self.settle(
--- a/components/front/src/runner/settle.rs
+++ b/components/front/src/runner/settle.rs
@@ -25,8 +25,12 @@
             let score = match &data.scorer {
                 None => Some(String::new()),
                 Some(scorer) => {
-                    let customer = customer.as_deref();
-                    reward::score(&front, key, scorer, customer, failed_rewards).await
+                    let (customer, began_ms) = (customer.as_deref(), now_ms());
+                    let score = reward::score(&front, key, scorer, customer, failed_rewards).await;
+                    let took_ms = now_ms() - began_ms;
+                    let label = figures::item_label();
+                    front.metrics.record("front_item_score_ms", label, took_ms);
+                    score
                 }
             };
             let (step, item) = key;
--- a/components/loglines/src/line.rs
+++ b/components/loglines/src/line.rs
@@ -15,11 +15,7 @@
 impl<'a> Line<'a> {
     /// The value of a field.
     pub fn field(&self, name: &str) -> Option<&'a str> {
-        let fields = self.fields.split_ascii_whitespace();
-        let mut pairs = fields.filter_map(|field| field.split_once('='));
-        pairs
-            .find(|(known, _)| *known == name)
-            .map(|(_, value)| value)
+        value_of(self.fields, name)
     }
 }
 
@@ -27,13 +23,18 @@
 pub fn parse(text: &str) -> Option<Line<'_>> {
     let (seconds, rest) = text.trim_start().split_once(' ')?;
     let seconds: f64 = seconds.parse().ok()?;
-    let (front, rest) = rest.split_once(' ')?;
-    let (_, event) = rest.split_once("event=")?;
-    let (event, fields) = event.split_once(' ').unwrap_or((event, ""));
+    let (front, fields) = rest.split_once(' ')?;
     Some(Line {
         at_ms: seconds * 1e3,
         front,
-        event,
+        event: value_of(fields, "event")?,
         fields,
     })
 }
+
+fn value_of<'a>(fields: &'a str, name: &str) -> Option<&'a str> {
+    let fields = fields.split_ascii_whitespace();
+    let mut pairs = fields.filter_map(|field| field.split_once('='));
+    let found = pairs.find(|(known, _)| *known == name);
+    found.map(|(_, value)| value)
+}
