--- a/dev/sim/src/group.rs
+++ b/dev/sim/src/group.rs
@@ -49,6 +49,20 @@
         (self.generation, owned)
     }
 
+    /// Leaves.
+    pub fn leave(&mut self, member: usize) {
+        if self.members.remove(&member).is_some() {
+            self.generation += 1;
+            self.owners.retain(|_, owner| *owner != member);
+        }
+    }
+
+    /// Whether a member below this number has a partition.
+    pub fn is_owned_below(&mut self, member: usize, now_ms: u64) -> bool {
+        self.expire(now_ms);
+        self.owners.values().any(|owner| *owner < member)
+    }
+
     fn owned(&self, member: usize) -> Vec<u32> {
         let owned = self.owners.iter().filter(|(_, owner)| **owner == member);
         owned.map(|(partition, _)| *partition).collect()
--- a/dev/sim/src/log.rs
+++ b/dev/sim/src/log.rs
@@ -5,8 +5,8 @@
 /// What a record means to the simulation.
 #[derive(Clone, Debug)]
 pub enum Body {
-    /// A replica lives.
-    Heartbeat,
+    /// Something of a replica.
+    Replica,
     /// A change whose way to all fronts is timed.
     Marked(usize),
     /// Something of a step.
