--- a/components/front/src/results.rs
+++ b/components/front/src/results.rs
@@ -24,14 +24,10 @@
 const PAGE_BYTES: usize = 192 * 1024;
 /// Longest time for reading texts, in milliseconds.
 const READ_MS: u64 = 1_200;
-/// How long a read waits for more once it has a result and its step is due soon, in milliseconds. A
-/// trainer reads again after a pause, some 0.5 to 1 s. The long items that end a step start
-/// together and end within a few tenths of a second, and each but the last would be answered
-/// alone and cost that pause.
+/// How long a read waits for more once it has a result, in milliseconds. A trainer reads again
+/// after a pause, some 0.5 to 1 s. The long items that end a step start together and end within
+/// a few tenths of a second, and each but the last would be answered alone and cost that pause.
 const GATHER_MS: u64 = 400;
-/// Bytes of results from which on a read waits for no more, so that few are left to be read in
-/// pages of their own when the step is complete.
-const GATHER_BYTES: usize = PAGE_BYTES / 2;
 /// Time without a word of the store from which on texts are not asked for, in milliseconds: a read
 /// of the index that waits for news comes back twice within it.
 const SILENT_MS: u64 = 900;
@@ -87,27 +83,6 @@
     results: Vec<Arc<ListedResult>>,
     /// Whether nothing more is worth waiting for: all that the trainer waits for is listed.
     enough: bool,
-    /// How long the step has been known, in milliseconds.
-    age_ms: u64,
-}
-
-impl Window {
-    /// How long a read that may take `wait` waits for more once it has a result: all of it, as the
-    /// trainer can use nothing before its groups are whole, but not past the time at which whole
-    /// groups are due.
-    fn gather(&self, wait: Duration) -> Duration {
-        let due_before = Duration::from_millis(self.age_ms) + wait;
-        match due_before < Duration::from_millis(self.head.due_ms) {
-            true => wait,
-            false => wait.min(Duration::from_millis(GATHER_MS)),
-        }
-    }
-
-    /// Whether so much is to be read that no more should be gathered.
-    fn is_large(&self) -> bool {
-        let texts = self.results.iter().filter_map(|result| place(result));
-        texts.map(|text| text.bytes as usize).sum::<usize>() >= GATHER_BYTES
-    }
 }
 
 fn window(index: &Index, customer: Option<&str>, id: &str, after: usize) -> Option<Window> {
@@ -116,7 +91,6 @@
         head: Arc::clone(&step.head),
         results: step.results.iter().skip(after).cloned().collect(),
         enough: step.is_complete() || step.ended || step.has_enough_groups(),
-        age_ms: now_ms().saturating_sub(step.read_ms),
     })
 }
 
@@ -142,7 +116,7 @@
         let Some(found) = found else {
             return missing(front);
         };
-        if found.enough || found.is_large() {
+        if found.enough {
             break found;
         }
         if front.index_failing.load(Ordering::Relaxed) && !is_sure(front) {
@@ -151,7 +125,7 @@
         }
         if !found.results.is_empty() && !gathers {
             gathers = true;
-            until = until.min(tokio::time::Instant::now() + found.gather(wait));
+            until = until.min(tokio::time::Instant::now() + Duration::from_millis(GATHER_MS));
         }
         let changed = tokio::time::timeout_at(until, news.changed()).await;
         if !matches!(changed, Ok(Ok(()))) {
