Replicas that start again under their id; records of another writer name no replica

Change: the start is a part of the replica; connections, load and the runner's pace begin anew with it.

gather_ms goes, as the paces of reads have taken its place; its test moves to pacing with the same bound, and one for idle fronts.

--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -20,6 +20,6 @@
 pub use load::{InFlight, ReplicaLoad, Typical};
 pub use moves::{MoveCause, Run, runs_to_move, stalled_ms};
 pub use pace::{Pace, is_worth_moving, slowness};
-pub use registry::{Registry, Replica, ReplicaId, Revision, gather_ms};
+pub use registry::{Registry, Replica, ReplicaId, Revision};
 pub use retry::{AttemptEnd, CallEnd, NextStep, after_attempt};
 pub use routes::{Limits, Route, RouteKind, Routes, Service, ServiceShare, WaitingRank};
--- a/components/dispatch/src/registry.rs
+++ b/components/dispatch/src/registry.rs
@@ -24,23 +24,14 @@
 /// made again within 0.3 s, and one that is not answered takes 1.3 s.
 const AWAY_MS: u64 = 900;
 
-/// Pause between reads of replicas' records, in milliseconds, so that the heartbeats of many
-/// cost few calls; far below the two seconds in which a leaving replica must be known.
-const GATHER_MS: u64 = 120;
-
-/// Pause before the next read of replicas' records, in milliseconds, when `next` is the next
-/// offset to read and the records end at `end`. None while records wait: three thousand
-/// replicas write 2,500 a second, more than one read brings, and with a pause behind each
-/// read a front fell behind by seconds and sent work to replicas that had left.
-pub fn gather_ms(next: u64, end: u64) -> u64 {
-    if next < end { 0 } else { GATHER_MS }
-}
-
 /// A replica as its record tells.
 #[value]
 pub struct Replica {
     /// Id of this life.
     pub id: ReplicaId,
+    /// When it started, in milliseconds of true time, where it says so. A replica may start again
+    /// under its id, and knows nothing then of what it was told before.
+    pub born_ms: Option<u64>,
     /// Its service.
     pub service: Arc<str>,
     /// Where it listens.
--- a/components/front/src/follow/replicas.rs
+++ b/components/front/src/follow/replicas.rs
@@ -1,5 +1,6 @@
 //! The replicas' records.
 
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
@@ -11,16 +12,21 @@
 use crate::clock::now_ms;
 use crate::state::Front;
 
+/// Ids of records that can't be read that are remembered, so that each is logged once.
+const MALFORMED_MAX: usize = 256;
+
 /// Follows the replicas' records.
 pub async fn replicas(front: Arc<Front>) {
     let mut registry = Registry::default();
+    let mut malformed = HashSet::new();
     let mut changed = false;
     follow(&front, REPLICA_TOPIC, REPLICA_PACE, |news| {
         let now_ms = now_ms();
         match news {
             KeyedNews::Key(id, value) => {
                 registry.store_seen(now_ms);
-                changed |= take_replica(&mut registry, &id, value.as_deref(), now_ms);
+                changed |=
+                    take_replica(&mut registry, &mut malformed, &id, value.as_deref(), now_ms);
             }
             KeyedNews::All(ids) => {
                 registry.store_seen(now_ms);
@@ -43,23 +49,34 @@
     .await;
 }
 
-/// Whether something changed.
-fn take_replica(registry: &mut Registry, id: &str, value: Option<&[u8]>, now_ms: u64) -> bool {
+/// Whether something changed. A record that nobody can read names no replica: another writer's, as a
+/// rule, which may write it again and again, so that a row of them is logged once.
+fn take_replica(
+    registry: &mut Registry,
+    malformed: &mut HashSet<String>,
+    id: &str,
+    value: Option<&[u8]>,
+    now_ms: u64,
+) -> bool {
     let revision = match value {
         None => {
             log::info!(event = "replica-gone", replica = id; "");
+            malformed.remove(id);
             registry.remove(id, now_ms)
         }
         Some(value) => match records::replica_record(id, value) {
             Ok(replica) => {
+                malformed.remove(id);
                 if replica.draining {
                     log::info!(event = "replica-draining", replica = id; "");
                 }
                 put_replica(registry, replica)
             }
             Err(error) => {
-                log::warn!(event = "record-odd", topic = REPLICA_TOPIC, error:% = error; "");
-                Revision::Unchanged
+                if malformed.len() < MALFORMED_MAX && malformed.insert(id.to_owned()) {
+                    log::warn!(event = "record-odd", topic = REPLICA_TOPIC, error:% = error; "");
+                }
+                registry.remove(id, now_ms)
             }
         },
     };
--- a/components/front/src/peers.rs
+++ b/components/front/src/peers.rs
@@ -102,13 +102,14 @@
 impl ReplicaTable {
     /// The next table: peers of replicas that stay are kept.
     pub fn next<'a>(&self, replicas: impl Iterator<Item = &'a Arc<Replica>>) -> Self {
-        let mut known: HashMap<ReplicaId, Arc<Peer>> = HashMap::new();
+        let incarnation = |replica: &Replica| (Arc::clone(&replica.id), replica.born_ms);
+        let mut known: HashMap<(ReplicaId, Option<u64>), Arc<Peer>> = HashMap::new();
         for member in self.iter() {
-            known.insert(Arc::clone(&member.replica.id), Arc::clone(&member.peer));
+            known.insert(incarnation(&member.replica), Arc::clone(&member.peer));
         }
         let mut by_service: HashMap<Arc<str>, Vec<Member>> = HashMap::new();
         for replica in replicas {
-            let peer = known.remove(&replica.id).unwrap_or_default();
+            let peer = known.remove(&incarnation(replica)).unwrap_or_default();
             let member = Member {
                 replica: Arc::clone(replica),
                 peer,
--- a/components/front/src/runner/engines.rs
+++ b/components/front/src/runner/engines.rs
@@ -4,6 +4,8 @@
 use super::*;
 
 pub(super) struct EngineState {
+    /// When the replica started, where it says so.
+    pub(super) born_ms: Option<u64>,
     pub(super) running: Arc<AtomicU32>,
     pub(super) pace: Arc<Pace>,
     pub(super) admissions: HashMap<Arc<str>, Arc<Admission>>,
@@ -14,6 +16,7 @@
 impl EngineState {
     pub(super) fn new() -> Self {
         Self {
+            born_ms: None,
             running: Arc::default(),
             pace: Arc::default(),
             admissions: HashMap::new(),
@@ -107,6 +110,19 @@
         let listed: HashSet<&ReplicaId> = table.iter().map(|member| &member.replica.id).collect();
         self.engines
             .retain(|id, state| listed.contains(id) || state.running.load(Ordering::Relaxed) > 0);
+        // Pace and refusals of a replica that started again under its id are another one's.
+        for member in table.iter() {
+            let born_ms = member.replica.born_ms;
+            let started_again =
+                |state: &EngineState| state.born_ms.is_some() && state.born_ms != born_ms;
+            match self.engines.get_mut(&member.replica.id) {
+                Some(state) if started_again(state) => *state = EngineState::new(),
+                _ => {}
+            }
+            if let Some(state) = self.engines.get_mut(&member.replica.id) {
+                state.born_ms = born_ms;
+            }
+        }
     }
 
     /// Whether this front has runs at a replica.
--- a/components/pacing/tests/load.rs
+++ b/components/pacing/tests/load.rs
@@ -2,7 +2,7 @@
 //!
 //! Load pattern: many followers of one log into which records are written all the time.
 
-use pacing::{LOG_PACE, Pacer, ReadEnd, Urgency};
+use pacing::{LOG_PACE, Pacer, REPLICA_PACE, ReadEnd, Urgency};
 
 /// Simulated time.
 const DAY_MS: u64 = 10_000;
@@ -175,3 +175,47 @@
         counts.gap_ms
     );
 }
+
+/// Load pattern: 3,000 replicas write 2,500 records a second, and a read brings 250. Guards against a
+/// pause behind each read: a front then reads 2,000 a second, knows of a leaving replica 3.5 s late,
+/// and sends it work.
+#[test]
+fn can_catch_up_with_the_heartbeats_of_thousands() {
+    struct Case {
+        urgency: Urgency,
+        behind_max: u64,
+    }
+    let cases = [
+        Case {
+            urgency: Urgency::Acting,
+            behind_max: 1_000,
+        },
+        // A leaving replica must be known within two seconds.
+        Case {
+            urgency: Urgency::Idle,
+            behind_max: 5_000,
+        },
+    ];
+    for case in cases {
+        let mut pacer = Pacer::new(REPLICA_PACE);
+        let mut draws = Draws(3);
+        let (mut now_ms, mut next, mut behind_max) = (0, 0, 0);
+        while now_ms < 20_000 {
+            let end = now_ms * 5 / 2;
+            behind_max = behind_max.max(end - next);
+            next = end.min(next + 250);
+            let read = match next < end {
+                true => ReadEnd::Behind,
+                false => ReadEnd::Records,
+            };
+            pacer.ended(read);
+            // A read takes 5 ms besides the interval.
+            now_ms += 5 + pacer.interval_ms(read, case.urgency, draws.next());
+        }
+        let urgency = case.urgency;
+        assert!(
+            behind_max < case.behind_max,
+            "{behind_max} records behind, {urgency:?}"
+        );
+    }
+}
