--- a/bin/hornbeamrock/tests/process.rs
+++ b/bin/hornbeamrock/tests/process.rs
@@ -78,7 +78,7 @@
     assert!(line.contains("same=false"), "{line}");
     fs::write(&path, "{").expect("a file");
     process.signal(Signal::HUP);
-    process.wait_for("settings-odd");
+    process.wait_for("settings-malformed");
     process.signal(Signal::TERM);
     process.wait_for("left");
     let status = process.child.wait().expect("it ends");
--- a/components/front/src/calls.rs
+++ b/components/front/src/calls.rs
@@ -20,7 +20,7 @@
 
 use crate::clock::{now_ms, now_us};
 use crate::figures;
-use crate::meter::{Begun, SentAt};
+use crate::meter::{SentAt, Started};
 use crate::peers::{Member, ReplicaTable};
 use crate::state::Front;
 
@@ -106,7 +106,7 @@
     let mut flights = FuturesUnordered::new();
     let mut tried: Vec<ReplicaId> = Vec::new();
     let counted = spec.customer.filter(|_| !spec.background);
-    let mut begun = Begun::new(front, counted);
+    let mut started = Started::new(front, counted);
     let mut may_have_run = false;
     let mut failure: Option<Box<Answer>> = None;
     let outcome = loop {
@@ -114,7 +114,7 @@
             match pick(front, spec, &typical, &tried).await {
                 Some(member) => {
                     tried.push(Arc::clone(&member.replica.id));
-                    let sent = begun.attempt();
+                    let sent = started.attempt();
                     flights.push(attempt(spec, member, Arc::clone(&typical), sent));
                 }
                 None => {
@@ -159,7 +159,7 @@
                 if let Some(member) = next {
                     overtake(front, spec, &typical, &tried);
                     tried.push(Arc::clone(&member.replica.id));
-                    let sent = begun.attempt();
+                    let sent = started.attempt();
                     flights.push(attempt(spec, member, Arc::clone(&typical), sent));
                 }
             }
--- a/components/front/src/follow/index.rs
+++ b/components/front/src/follow/index.rs
@@ -52,7 +52,7 @@
 fn apply(front: &Front, from: u64, records: &[Bytes], now_ms: u64) {
     let mut index = front.index();
     index.apply(from, records, now_ms, |offset, error| {
-        log::warn!(event = "record-odd", topic = INDEX_TOPIC, offset, error:% = error; "");
+        log::warn!(event = "record-malformed", topic = INDEX_TOPIC, offset, error:% = error; "");
     });
     let kept_ms = front.settings.bounds.readable_ms + KEPT_SLACK_MS;
     index.ledger.forget_before(kept_ms, now_ms);
--- a/components/front/src/follow/keyed.rs
+++ b/components/front/src/follow/keyed.rs
@@ -80,7 +80,7 @@
     let (key, value) = match keyed(record) {
         Ok(read) => read,
         Err(error) => {
-            log::warn!(event = "record-odd", topic, offset, error:% = error; "");
+            log::warn!(event = "record-malformed", topic, offset, error:% = error; "");
             return;
         }
     };
--- a/components/front/src/follow/mod.rs
+++ b/components/front/src/follow/mod.rs
@@ -13,7 +13,7 @@
 use bytes::Bytes;
 use pacing::{Pacer, ReadEnd, TopicPace};
 use platform::store::StoreError;
-use reach::{Patience, patience};
+use reach::{ReadTimeout, read_timeout};
 use telemetry::Label;
 
 pub use self::index::{index, wait_for_newest};
@@ -76,7 +76,8 @@
             ReadEnd::Behind => 0,
             _ => self.pacer.wait_ms(self.front.demand.urgency()),
         };
-        let Patience { wait_ms, within } = patience(self.pacer.failed(), wait_ms, READ_SLACK_MS);
+        let ReadTimeout { wait_ms, within } =
+            read_timeout(self.pacer.failed(), wait_ms, READ_SLACK_MS);
         let from = ReadFrom {
             topic: self.topic,
             partition: self.partition,
--- a/components/front/src/follow/operator.rs
+++ b/components/front/src/follow/operator.rs
@@ -39,7 +39,7 @@
         Ok(OperatorRecord::Named { model, version }) => name_version(front, model, version),
         Ok(OperatorRecord::Other) => {}
         Err(error) => {
-            log::warn!(event = "record-odd", topic = OPERATOR_TOPIC, error:% = error; "");
+            log::warn!(event = "record-malformed", topic = OPERATOR_TOPIC, error:% = error; "");
         }
     }
 }
--- a/components/front/src/follow/replicas.rs
+++ b/components/front/src/follow/replicas.rs
@@ -74,7 +74,7 @@
             }
             Err(error) => {
                 if malformed.len() < MALFORMED_MAX && malformed.insert(id.to_owned()) {
-                    log::warn!(event = "record-odd", topic = REPLICA_TOPIC, error:% = error; "");
+                    log::warn!(event = "record-malformed", topic = REPLICA_TOPIC, error:% = error; "");
                 }
                 registry.remove(id, now_ms)
             }
--- a/components/front/src/jobs/tries.rs
+++ b/components/front/src/jobs/append.rs
@@ -1,4 +1,4 @@
-//! An append on the path of a client, tried again for a time.
+//! An append on the path of a client, retried for a time.
 
 use crate::clock::now_ms;
 use crate::state::Front;
@@ -12,8 +12,8 @@
 /// Pause after an append that failed, in milliseconds.
 const PAUSE_MS: u64 = 60;
 
-/// What is appended, and for whom.
-pub struct Wanted<'a> {
+/// Append in progress, and for whom.
+pub struct PendingAppend<'a> {
     /// What it is, for the log.
     pub what: &'static str,
     /// The trainer's id of the step.
@@ -24,8 +24,8 @@
     pub binds: bool,
 }
 
-/// How the tries ended.
-pub enum Tries {
+/// How the attempts ended.
+pub enum Appended {
     /// The record stands at this offset.
     Done(u64),
     /// It was seen in the index, whoever wrote it.
@@ -38,34 +38,34 @@
 
 /// Appends until it is done, is seen, or has been tried for long enough. A record that may
 /// have landed once is never reported as not done.
-pub async fn append<F>(
+pub async fn until_settled<F>(
     front: &Front,
-    wanted: &Wanted<'_>,
+    pending: &PendingAppend<'_>,
     mut append: impl FnMut() -> F,
     is_seen: impl Fn() -> bool,
-) -> Tries
+) -> Appended
 where
     F: Future<Output = Result<u64, WriteError>>,
 {
     let mut unsure = false;
     loop {
         match append().await {
-            Ok(offset) => return Tries::Done(offset),
+            Ok(offset) => return Appended::Done(offset),
             Err(error) => {
-                unsure |= wanted.binds && !error.is_not_done();
+                unsure |= pending.binds && !error.is_not_done();
                 log::warn!(
-                    event = "append-failed", what = wanted.what, id = wanted.id, unsure,
+                    event = "append-failed", what = pending.what, id = pending.id, unsure,
                     error:% = error; ""
                 );
             }
         }
         if is_seen() {
-            return Tries::Seen;
+            return Appended::Seen;
         }
-        let waited_ms = now_ms() - wanted.began_ms;
+        let waited_ms = now_ms() - pending.began_ms;
         match unsure {
-            false if waited_ms > REFUSE_AFTER_MS => return Tries::NotDone,
-            true if waited_ms > UNSURE_AFTER_MS => return Tries::Unsure,
+            false if waited_ms > REFUSE_AFTER_MS => return Appended::NotDone,
+            true if waited_ms > UNSURE_AFTER_MS => return Appended::Unsure,
             _ => front.storage.pause(PAUSE_MS).await,
         }
     }
--- a/components/front/src/jobs/data.rs
+++ b/components/front/src/jobs/data.rs
@@ -8,7 +8,7 @@
 use quick_error::quick_error;
 use steps::{DataError, DataRange, ItemData, ItemHead, encode_item};
 
-use super::tries::{self, Tries, Wanted};
+use super::append::{self, Appended, PendingAppend};
 use crate::state::Front;
 use crate::writer::data_partition;
 
@@ -44,11 +44,11 @@
     front: &Front,
     heads: &[ItemHead],
     items: Vec<ItemData>,
-    wanted: &Wanted<'_>,
+    pending: &PendingAppend<'_>,
 ) -> Result<Vec<DataRange>, DataRefusal> {
     let mut ranges = Vec::new();
     for batch in batches(front, heads, items)? {
-        ranges.push(write_batch(front, &batch, wanted).await?);
+        ranges.push(write_batch(front, &batch, pending).await?);
     }
     Ok(ranges)
 }
@@ -86,7 +86,7 @@
 async fn write_batch(
     front: &Front,
     records: &[Bytes],
-    wanted: &Wanted<'_>,
+    pending: &PendingAppend<'_>,
 ) -> Result<DataRange, DataRefusal> {
     let partition = data_partition(front);
     let within = Duration::from_millis(APPEND_MS);
@@ -94,12 +94,12 @@
         let appended = front.storage.append(DATA_TOPIC, partition, records, within);
         Ok(appended.await?)
     };
-    match tries::append(front, wanted, append, || false).await {
-        Tries::Done(offset) => Ok(DataRange {
+    match append::until_settled(front, pending, append, || false).await {
+        Appended::Done(offset) => Ok(DataRange {
             partition,
             offset,
             count: records.len() as u32,
         }),
-        Tries::Seen | Tries::NotDone | Tries::Unsure => Err(DataRefusal::Unreachable),
+        Appended::Seen | Appended::NotDone | Appended::Unsure => Err(DataRefusal::Unreachable),
     }
 }
--- a/components/front/src/jobs/mod.rs
+++ b/components/front/src/jobs/mod.rs
@@ -5,8 +5,8 @@
 //! was sent without an answer it may land seconds later; from then on the client gets either
 //! the acceptance or an answer that promises nothing.
 
+mod append;
 mod data;
-mod tries;
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -20,8 +20,8 @@
 use platform::jobs::{self, Submission};
 use steps::{DataRange, IndexRecord, StepHead, StepId};
 
+use self::append::{Appended, PendingAppend};
 use self::data::DataRefusal;
-use self::tries::{Tries, Wanted};
 use crate::clock::now_ms;
 use crate::figures;
 use crate::state::Front;
@@ -30,8 +30,8 @@
 /// When a refused trainer may come again, in milliseconds.
 const AGAIN_MS: u64 = 250;
 
-/// What a client is told.
-pub struct Told {
+/// Reply to a submission or an end.
+pub struct StepReply {
     /// Status of the answer.
     pub status: StatusCode,
     /// When to come again, in milliseconds.
@@ -40,7 +40,7 @@
     pub why: &'static str,
 }
 
-impl Told {
+impl StepReply {
     fn new(status: StatusCode, why: &'static str) -> Self {
         Self {
             status,
@@ -74,7 +74,7 @@
     routes: &Routes,
     submitted: &Submitted<'_>,
     body: Bytes,
-) -> Told {
+) -> StepReply {
     let &Submitted {
         route,
         customer,
@@ -85,27 +85,27 @@
         Ok(submission) => submission,
         Err(error) => {
             log::info!(event = "step-refused", id, error:% = error; "");
-            return Told::new(StatusCode::BAD_REQUEST, "the step cannot be read");
+            return StepReply::new(StatusCode::BAD_REQUEST, "the step cannot be read");
         }
     };
     drop(body);
     if !serves_model(routes, route, &submission.model) {
         log::info!(event = "step-refused", id, model = submission.model.as_str(); "");
-        return Told::new(StatusCode::BAD_REQUEST, "no replica serves this model");
+        return StepReply::new(StatusCode::BAD_REQUEST, "no replica serves this model");
     }
-    if let Some(told) = known(front, submitted, &submission.digest) {
-        return told;
+    if let Some(reply) = known(front, submitted, &submission.digest) {
+        return reply;
     }
-    let told = accept(front, submitted, submission, began_ms).await;
+    let reply = accept(front, submitted, submission, began_ms).await;
     let took_ms = now_ms() - began_ms;
     front
         .metrics
         .record("front_submission_ms", figures::item_label(), took_ms);
     log::info!(
         event = "step-submitted", id, customer = customer.unwrap_or_default(),
-        status = told.status.as_u16(), took_ms, why = told.why; ""
+        status = reply.status.as_u16(), took_ms, why = reply.why; ""
     );
-    told
+    reply
 }
 
 fn serves_model(routes: &Routes, route: &Route, model: &str) -> bool {
@@ -118,13 +118,13 @@
         })
 }
 
-/// What a repetition is told.
-fn known(front: &Front, submitted: &Submitted<'_>, digest: &[u8; 16]) -> Option<Told> {
+/// Reply to a repeated submission.
+fn known(front: &Front, submitted: &Submitted<'_>, digest: &[u8; 16]) -> Option<StepReply> {
     let index = front.index();
     let step = index.ledger.by_name(submitted.customer, submitted.id)?;
     Some(match step.head.digest == *digest {
-        true => Told::new(StatusCode::ACCEPTED, "accepted before"),
-        false => Told::new(StatusCode::CONFLICT, "another step has this id"),
+        true => StepReply::new(StatusCode::ACCEPTED, "accepted before"),
+        false => StepReply::new(StatusCode::CONFLICT, "another step has this id"),
     })
 }
 
@@ -133,16 +133,16 @@
     submitted: &Submitted<'_>,
     mut submission: Submission,
     began_ms: u64,
-) -> Told {
+) -> StepReply {
     let id = submitted.id;
-    let mut wanted = Wanted {
+    let mut pending = PendingAppend {
         what: "item-data",
         id,
         began_ms,
         binds: false,
     };
     let items = std::mem::take(&mut submission.data);
-    let data = match data::write(front, &submission.heads, items, &wanted).await {
+    let data = match data::write(front, &submission.heads, items, &pending).await {
         Ok(data) => data,
         Err(refusal) => return refused(id, &refusal),
     };
@@ -152,7 +152,7 @@
         Ok(record) => record,
         Err(error) => {
             log::error!(event = "step-refused", id, error:% = error; "");
-            return Told::new(
+            return StepReply::new(
                 StatusCode::INTERNAL_SERVER_ERROR,
                 "the step cannot be encoded",
             );
@@ -161,35 +161,35 @@
     let (bytes, bytes_max) = (record[0].len(), front.settings.store.record_bytes);
     if bytes > bytes_max {
         log::info!(event = "step-refused", id, bytes, bytes_max; "");
-        return Told::new(StatusCode::PAYLOAD_TOO_LARGE, "the step has too many items");
+        return StepReply::new(StatusCode::PAYLOAD_TOO_LARGE, "the step has too many items");
     }
-    wanted.what = "step";
-    wanted.binds = true;
+    pending.what = "step";
+    pending.binds = true;
     let is_known = || known(front, submitted, &digest).is_some();
-    match tries::append(front, &wanted, || append_index(front, &record), is_known).await {
-        Tries::Done(_) => Told::new(StatusCode::ACCEPTED, "accepted"),
-        Tries::Seen => known(front, submitted, &digest).unwrap_or_else(unsure),
-        Tries::NotDone => Told::again("the store cannot be reached"),
-        Tries::Unsure => unsure(),
+    match append::until_settled(front, &pending, || append_index(front, &record), is_known).await {
+        Appended::Done(_) => StepReply::new(StatusCode::ACCEPTED, "accepted"),
+        Appended::Seen => known(front, submitted, &digest).unwrap_or_else(unsure),
+        Appended::NotDone => StepReply::again("the store cannot be reached"),
+        Appended::Unsure => unsure(),
     }
 }
 
-fn unsure() -> Told {
-    Told::new(StatusCode::GATEWAY_TIMEOUT, "it may be accepted or not")
+fn unsure() -> StepReply {
+    StepReply::new(StatusCode::GATEWAY_TIMEOUT, "it may be accepted or not")
 }
 
-fn refused(id: &str, refusal: &DataRefusal) -> Told {
+fn refused(id: &str, refusal: &DataRefusal) -> StepReply {
     log::warn!(event = "step-refused", id, error:% = refusal; "");
     match refusal {
-        DataRefusal::TooLong(..) => Told::new(
+        DataRefusal::TooLong(..) => StepReply::new(
             StatusCode::PAYLOAD_TOO_LARGE,
             "an item is longer than the store's records",
         ),
-        DataRefusal::Encode(_) => Told::new(
+        DataRefusal::Encode(_) => StepReply::new(
             StatusCode::INTERNAL_SERVER_ERROR,
             "an item cannot be encoded",
         ),
-        DataRefusal::Unreachable => Told::again("the store cannot be reached"),
+        DataRefusal::Unreachable => StepReply::again("the store cannot be reached"),
     }
 }
 
@@ -253,8 +253,8 @@
 }
 
 /// Ends a step. A step that this front does not know is answered by the caller.
-pub async fn end(front: &Front, id: &str, step: StepId) -> Told {
-    let wanted = Wanted {
+pub async fn end(front: &Front, id: &str, step: StepId) -> StepReply {
+    let pending = PendingAppend {
         what: "end",
         id,
         began_ms: now_ms(),
@@ -264,7 +264,7 @@
         Ok(record) => record,
         Err(error) => {
             log::error!(event = "end-not-written", id, error:% = error; "");
-            return Told::new(
+            return StepReply::new(
                 StatusCode::INTERNAL_SERVER_ERROR,
                 "the end cannot be encoded",
             );
@@ -274,9 +274,9 @@
         let index = front.index();
         index.ledger.get(step).is_none_or(|step| step.ended)
     };
-    match tries::append(front, &wanted, || append_index(front, &record), is_ended).await {
-        Tries::Done(_) | Tries::Seen => Told::new(StatusCode::OK, "ended"),
-        Tries::NotDone => Told::again("the store cannot be reached"),
-        Tries::Unsure => Told::new(StatusCode::GATEWAY_TIMEOUT, "it may be ended or not"),
+    match append::until_settled(front, &pending, || append_index(front, &record), is_ended).await {
+        Appended::Done(_) | Appended::Seen => StepReply::new(StatusCode::OK, "ended"),
+        Appended::NotDone => StepReply::again("the store cannot be reached"),
+        Appended::Unsure => StepReply::new(StatusCode::GATEWAY_TIMEOUT, "it may be ended or not"),
     }
 }
--- a/components/front/src/member.rs
+++ b/components/front/src/member.rs
@@ -53,7 +53,7 @@
             && !takes_part(&front, standby).await
         {
             if !ownership.partitions().is_empty() {
-                stand_back(&front, &mut ownership, "larger fronts are back").await;
+                step_down(&front, &mut ownership, "larger fronts are back").await;
             }
             front.storage.pause(STANDBY_MS).await;
             continue;
@@ -67,8 +67,8 @@
                     settling_until_ms = now_ms() + SETTLING_MS;
                 }
             }
-            Next::StandBack => {
-                stand_back(&front, &mut ownership, "results cannot be written").await;
+            Next::StepDown => {
+                step_down(&front, &mut ownership, "results cannot be written").await;
             }
             Next::Wait => {}
         }
@@ -102,9 +102,9 @@
 }
 
 /// Gives all partitions up, so that other members are dealt them.
-async fn stand_back(front: &Front, ownership: &mut Ownership, why: &str) {
-    log::warn!(event = "standing-back", unwritable_ms = front.unwritable_ms(now_ms()), why; "");
-    ownership.stand_back();
+async fn step_down(front: &Front, ownership: &mut Ownership, why: &str) {
+    log::warn!(event = "stepping-down", unwritable_ms = front.unwritable_ms(now_ms()), why; "");
+    ownership.step_down();
     front.owned.store(Arc::new(ownership.clone()));
     if leave_group(front).await {
         ownership.left();
@@ -127,11 +127,11 @@
         )
         .await;
     match joined {
-        Ok(told) => {
-            let changed = ownership.joined(sent_ms, told.generation, told.partitions);
+        Ok(joined) => {
+            let changed = ownership.joined(sent_ms, joined.generation, joined.partitions);
             if changed {
                 log::info!(
-                    event = "partitions-dealt", generation = told.generation,
+                    event = "partitions-dealt", generation = joined.generation,
                     partitions:? = ownership.partitions(); ""
                 );
             }
@@ -156,7 +156,7 @@
 /// still for a time to live that it may not count while it is away, so it is told again.
 pub async fn leave(front: Arc<Front>) {
     let mut given_up = Ownership::clone(&front.owned.load());
-    given_up.stand_back();
+    given_up.step_down();
     front.owned.store(Arc::new(given_up));
     while !leave_group(&front).await {
         front.storage.pause(join_interval_ms(false)).await;
--- a/components/front/src/meter.rs
+++ b/components/front/src/meter.rs
@@ -94,7 +94,7 @@
 
 /// Where one request was sent, and when; counted when dropped, so that one whose client goes
 /// away counts too.
-pub struct Begun<'a> {
+pub struct Started<'a> {
     front: &'a Front,
     customer: Option<&'a str>,
     sent: Vec<SentAt>,
@@ -103,7 +103,7 @@
 /// When a request was sent to one replica; 0 while it is not, or was not run.
 pub type SentAt = Arc<AtomicU64>;
 
-impl<'a> Begun<'a> {
+impl<'a> Started<'a> {
     /// A request that was sent nowhere; one that has no customer is not counted.
     pub fn new(front: &'a Front, customer: Option<&'a str>) -> Self {
         Self {
@@ -121,7 +121,7 @@
     }
 }
 
-impl Drop for Begun<'_> {
+impl Drop for Started<'_> {
     fn drop(&mut self) {
         let sent = self.sent.iter().map(|sent| sent.load(Ordering::Relaxed));
         let first_ms = sent.filter(|at_ms| *at_ms > 0).min();
--- a/components/front/src/reload.rs
+++ b/components/front/src/reload.rs
@@ -47,6 +47,6 @@
             let same = next == front.settings;
             log::info!(event = "settings-read", signalled, same, store_moved = moved, store:% = store; "");
         }
-        Err(error) => log::error!(event = "settings-odd", signalled, error:% = error; ""),
+        Err(error) => log::error!(event = "settings-malformed", signalled, error:% = error; ""),
     }
 }
--- a/components/front/src/reports.rs
+++ b/components/front/src/reports.rs
@@ -72,7 +72,7 @@
             Ok(Change::Late(requests)) => log::warn!(event = "usage-late", requests; ""),
             Ok(_) => {}
             Err(error) => {
-                log::warn!(event = "record-odd", topic = USAGE_TOPIC, offset, error:% = error; "")
+                log::warn!(event = "record-malformed", topic = USAGE_TOPIC, offset, error:% = error; "")
             }
         }
     }
--- a/components/front/src/results.rs
+++ b/components/front/src/results.rs
@@ -235,7 +235,7 @@
     match body {
         Ok(Ok(body)) => Read::Found(body.into()),
         Ok(Err(error)) => {
-            log::error!(event = "item-data-odd", id, item, error:% = error; "");
+            log::error!(event = "item-data-malformed", id, item, error:% = error; "");
             Read::Unsure("the item cannot be read")
         }
         Err(error) => {
--- a/components/front/src/runner/contests.rs
+++ b/components/front/src/runner/contests.rs
@@ -227,7 +227,7 @@
     ) -> Candidate {
         let head: &ItemHead = &step.head.items[key.1 as usize];
         let only_version = match step.head.single_version {
-            true => self.begun_under(step, key),
+            true => self.started_under(step, key),
             false => None,
         };
         Candidate {
@@ -259,7 +259,7 @@
 
     /// Version under which the text of an item began, here or as it is saved; none if what is
     /// saved is of no use.
-    fn begun_under(&self, step: &Step, key: Key) -> Option<u64> {
+    fn started_under(&self, step: &Step, key: Key) -> Option<u64> {
         if let Some((partial, _)) = self.partials.get(&key) {
             let partial = locked(partial);
             if partial.discarded || !partial.versions.is_empty() {
--- a/components/front/src/runner/data.rs
+++ b/components/front/src/runner/data.rs
@@ -28,7 +28,7 @@
             match decode_item(record) {
                 Ok(item) => data.push(Arc::new(item)),
                 Err(error) => {
-                    log::error!(event = "item-data-odd", id = head.id, error:% = error; "");
+                    log::error!(event = "item-data-malformed", id = head.id, error:% = error; "");
                     return None;
                 }
             }
--- a/components/front/src/runner/engines.rs
+++ b/components/front/src/runner/engines.rs
@@ -202,14 +202,14 @@
     ) -> Option<Run> {
         let partial = locked(&self.partials.get(key)?.0);
         let left_ms = text_left_ms(at.expected_tokens, partial.last_event, self.pause_us);
-        let begun_under = partial.versions.first().copied();
+        let started_under = partial.versions.first().copied();
         Some(Run {
             engine,
             model,
             left_ms,
             silent_ms: at.silent_ms(now_ms),
             min_version: at.min_version,
-            only_version: begun_under.filter(|_| at.single_version),
+            only_version: started_under.filter(|_| at.single_version),
             slow_moves: partial.moves,
         })
     }
--- a/components/front/src/runner/look.rs
+++ b/components/front/src/runner/look.rs
@@ -87,7 +87,7 @@
             ..item.waiting.clone()
         };
         if lost_its_version(&waiting, engines) {
-            self.begin_anew(item.key);
+            self.restart_text(item.key);
             waiting.only_version = None;
         }
         waiting
@@ -95,9 +95,9 @@
 
     /// Throws away what there is of a text: it has to be made by one version, and no replica
     /// has the one that began it.
-    fn begin_anew(&mut self, key: Key) {
+    fn restart_text(&mut self, key: Key) {
         let (step, item) = (key.0.0, key.1);
-        log::info!(event = "text-begun-anew", step, item; "");
+        log::info!(event = "text-restarted", step, item; "");
         let held = self.partials.entry(key).or_default();
         locked(&held.0).discard();
     }
--- a/components/front/src/serve.rs
+++ b/components/front/src/serve.rs
@@ -136,12 +136,12 @@
     if step.ended {
         return ingress::own_answer(StatusCode::OK, id, None, "ended before");
     }
-    let told = jobs::end(front, name, step.id).await;
+    let reply = jobs::end(front, name, step.id).await;
     log::info!(
-        event = "step-ended", id = name, status = told.status.as_u16(),
+        event = "step-ended", id = name, status = reply.status.as_u16(),
         listed = step.results.len(), items = step.head.items.len(); ""
     );
-    ingress::own_answer(told.status, id, told.again_ms, told.why)
+    ingress::own_answer(reply.status, id, reply.again_ms, reply.why)
 }
 
 async fn call(
@@ -185,8 +185,8 @@
             customer: name_of(&customer),
             id,
         };
-        let told = jobs::submit(front, routes, &submitted, body).await;
-        return ingress::own_answer(told.status, Some(id), told.again_ms, told.why);
+        let reply = jobs::submit(front, routes, &submitted, body).await;
+        return ingress::own_answer(reply.status, Some(id), reply.again_ms, reply.why);
     }
     let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
     let allowed_ms = ingress::deadline_ms(&parts.headers).unwrap_or(DEADLINE_MS);
--- a/components/front/src/stream.rs
+++ b/components/front/src/stream.rs
@@ -16,7 +16,7 @@
 
 use crate::calls::{CallSpec, choose_of};
 use crate::clock::now_ms;
-use crate::meter::Begun;
+use crate::meter::Started;
 use crate::peers::Member;
 use crate::state::Front;
 
@@ -24,7 +24,7 @@
 const PARTS_MAX: usize = 8;
 
 /// Why a stream did not begin.
-pub struct NotBegun {
+pub struct NotStarted {
     /// Whether it is certain that no replica runs it.
     pub not_run: bool,
     /// What happened.
@@ -35,10 +35,10 @@
 pub async fn pass_on(
     front: &Arc<Front>,
     spec: &CallSpec<'_>,
-) -> Result<Response<ReplyBody>, NotBegun> {
+) -> Result<Response<ReplyBody>, NotStarted> {
     let mut tried: Vec<ReplicaId> = Vec::new();
-    let mut begun = Begun::new(front, spec.customer);
-    let mut last = NotBegun {
+    let mut started = Started::new(front, spec.customer);
+    let mut last = NotStarted {
         not_run: true,
         why: "no replica".to_owned(),
     };
@@ -47,7 +47,7 @@
             break;
         };
         tried.push(Arc::clone(&member.replica.id));
-        let sent = begun.attempt();
+        let sent = started.attempt();
         match begin(&member, spec).await {
             Ok(response) => {
                 sent.store(now_ms(), Ordering::Relaxed);
@@ -66,8 +66,8 @@
     choose_of(front, &table, service, &typical, tried, false)
 }
 
-async fn begin(member: &Member, spec: &CallSpec<'_>) -> Result<Response<ReplyBody>, NotBegun> {
-    let not_run = |why: String| NotBegun { not_run: true, why };
+async fn begin(member: &Member, spec: &CallSpec<'_>) -> Result<Response<ReplyBody>, NotStarted> {
+    let not_run = |why: String| NotStarted { not_run: true, why };
     let mut connection = member
         .peer
         .connection(&member.replica)
@@ -77,7 +77,7 @@
     let within = Duration::from_millis(call.left_ms);
     let stream = replica::open_stream(&mut connection, call, within)
         .await
-        .map_err(|error| NotBegun {
+        .map_err(|error| NotStarted {
             not_run: error.is_not_run(),
             why: error.to_string(),
         })?;
--- a/components/inspect/src/read.rs
+++ b/components/inspect/src/read.rs
@@ -212,7 +212,7 @@
                 match decode_usage(record) {
                     Ok(record) => drop(usage.apply(record)),
                     Err(error) => log::warn!(
-                        event = "record-odd", topic = USAGE_TOPIC, offset, error:% = error; ""
+                        event = "record-malformed", topic = USAGE_TOPIC, offset, error:% = error; ""
                     ),
                 }
             }
@@ -228,7 +228,7 @@
             match records::replica_record(&record.key, &record.value) {
                 Ok(replica) => replicas.push(replica),
                 Err(error) => {
-                    log::warn!(event = "record-odd", topic = REPLICA_TOPIC, error:% = error; "")
+                    log::warn!(event = "record-malformed", topic = REPLICA_TOPIC, error:% = error; "")
                 }
             }
         }
@@ -242,7 +242,7 @@
         self.read_whole(INDEX_TOPIC, |read| match read {
             Read::Records(from, records) => {
                 index.apply(from, records, 0, |offset, error| {
-                    log::warn!(event = "record-odd", topic = INDEX_TOPIC, offset, error:% = error; "");
+                    log::warn!(event = "record-malformed", topic = INDEX_TOPIC, offset, error:% = error; "");
                 });
             }
             Read::Gone => index.skipped(0),
--- a/components/ownership/src/lib.rs
+++ b/components/ownership/src/lib.rs
@@ -44,7 +44,7 @@
         generation: u64,
     },
     /// Leave, as nothing can be written.
-    StandBack,
+    StepDown,
     /// Stay away until something can be written.
     Wait,
 }
@@ -61,7 +61,7 @@
     /// before.
     handed_on: BTreeSet<u32>,
     until_ms: u64,
-    stands_back: bool,
+    stepped_down: bool,
 }
 
 impl Ownership {
@@ -74,15 +74,15 @@
             last_owned: BTreeSet::new(),
             handed_on: BTreeSet::new(),
             until_ms: 0,
-            stands_back: false,
+            stepped_down: false,
         }
     }
 
     /// What to do, when nothing could be written for so long; 0 while writes are done.
     pub fn next(&self, unwritable_ms: u64) -> Next {
-        match self.stands_back {
+        match self.stepped_down {
             true if unwritable_ms > 0 => Next::Wait,
-            false if unwritable_ms > self.settings.unwritable_ms_max => Next::StandBack,
+            false if unwritable_ms > self.settings.unwritable_ms_max => Next::StepDown,
             _ => Next::Join {
                 generation: self.generation,
             },
@@ -97,7 +97,7 @@
         partitions: impl IntoIterator<Item = u32>,
     ) -> bool {
         let changed = generation != self.generation;
-        self.stands_back = false;
+        self.stepped_down = false;
         self.generation = generation;
         self.partitions = partitions.into_iter().collect();
         if self.until_ms > 0 && sent_ms >= self.until_ms {
@@ -112,9 +112,9 @@
     }
 
     /// Gives all partitions up at once, before the store is told.
-    pub fn stand_back(&mut self) {
+    pub fn step_down(&mut self) {
         *self = Self {
-            stands_back: true,
+            stepped_down: true,
             last_owned: std::mem::take(&mut self.last_owned),
             handed_on: std::mem::take(&mut self.handed_on),
             ..Self::new(self.settings)
--- a/components/ownership/tests/ownership.rs
+++ b/components/ownership/tests/ownership.rs
@@ -205,8 +205,8 @@
                 member.pending.push(pending);
                 member.next_ms = now_ms;
             }
-            Next::StandBack => {
-                member.ownership.stand_back();
+            Next::StepDown => {
+                member.ownership.step_down();
                 self.group.leave(at);
             }
             Next::Wait => {}
@@ -279,10 +279,10 @@
     fn a_member_that_cannot_write_stands_back(unwritable_ms: u64) -> bool {
         let mut ownership = Ownership::new(SETTINGS);
         ownership.joined(1_000, 7, [1, 2]);
-        if ownership.next(unwritable_ms) != Next::StandBack {
+        if ownership.next(unwritable_ms) != Next::StepDown {
             return unwritable_ms <= SETTINGS.unwritable_ms_max;
         }
-        ownership.stand_back();
+        ownership.step_down();
         let waits = ownership.next(unwritable_ms) == Next::Wait;
         waits && !ownership.owns(1, 1_001) && ownership.next(0) == Next::Join { generation: 0 }
     }
@@ -334,13 +334,13 @@
         },
         Case {
             name: "it can't write",
-            happens: Ownership::stand_back,
+            happens: Ownership::step_down,
             goes_on: true,
         },
         Case {
             name: "it can't write and the store knows that it left",
             happens: |ownership| {
-                ownership.stand_back();
+                ownership.step_down();
                 ownership.left();
             },
             goes_on: true,
@@ -348,7 +348,7 @@
         Case {
             name: "the same, and it is a member again",
             happens: |ownership| {
-                ownership.stand_back();
+                ownership.step_down();
                 ownership.left();
                 ownership.joined(3_000, 3, [4]);
             },
--- a/components/reach/src/lib.rs
+++ b/components/reach/src/lib.rs
@@ -8,14 +8,14 @@
 //! up, and pauses end. Decides nothing about what a given up call means: its outcome is
 //! unknown, as after any timeout.
 
-mod patience;
+mod timeout;
 
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use tokio::sync::watch;
 
-pub use patience::{Patience, patience};
+pub use timeout::{ReadTimeout, read_timeout};
 
 /// Time that a call from before the return still gets, in milliseconds. A dependency that is
 /// slow and not silent answers within 240, as measured; a call that it swallowed never does.
--- a/components/reach/src/patience.rs
+++ b/components/reach/src/timeout.rs
@@ -8,7 +8,7 @@
 
 /// Times of one read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Patience {
+pub struct ReadTimeout {
     /// How long it waits for news at the dependency, in milliseconds.
     pub wait_ms: u64,
     /// Longest time for all of it.
@@ -21,13 +21,13 @@
 /// Every second one asks for what is there and is short: it finds out soon that a silent
 /// dependency, or a connection that lost an answer, is back. The others get through to one
 /// that is slow under the reads of many processes.
-pub fn patience(failed: u32, wait_ms: u64, slack_ms: u64) -> Patience {
+pub fn read_timeout(failed: u32, wait_ms: u64, slack_ms: u64) -> ReadTimeout {
     match failed % 2 {
-        0 => Patience {
+        0 => ReadTimeout {
             wait_ms,
             within: Duration::from_millis(wait_ms + slack_ms),
         },
-        _ => Patience {
+        _ => ReadTimeout {
             wait_ms: 0,
             within: Duration::from_millis(PROBE_MS.min(wait_ms + slack_ms)),
         },
--- a/components/reach/tests/reach.rs
+++ b/components/reach/tests/reach.rs
@@ -3,7 +3,7 @@
 use std::future::{pending, ready};
 use std::time::Duration;
 
-use reach::{Reach, Sign, patience};
+use reach::{Reach, Sign, read_timeout};
 use tokio::time::{Instant, sleep};
 
 const LONG: Duration = Duration::from_secs(20);
@@ -116,12 +116,12 @@
     // day, and pass for a store that is lost.
     for failed in 0..6 {
         for (wait_ms, slack_ms) in [(450, 900), (0, 900), (2_000, 300)] {
-            let patience = patience(failed, wait_ms, slack_ms);
-            assert!(Duration::from_millis(patience.wait_ms) < patience.within);
+            let read_timeout = read_timeout(failed, wait_ms, slack_ms);
+            assert!(Duration::from_millis(read_timeout.wait_ms) < read_timeout.within);
         }
     }
-    assert_eq!(patience(1, 450, 900).within, Duration::from_millis(400));
-    assert_eq!(patience(2, 450, 900), patience(0, 450, 900));
+    assert_eq!(read_timeout(1, 450, 900).within, Duration::from_millis(400));
+    assert_eq!(read_timeout(2, 450, 900), read_timeout(0, 450, 900));
 }
 
 /// Guards against waits that a refusal for the budget of calls ends: each long read that is then
--- a/dev/sim/src/fleet.rs
+++ b/dev/sim/src/fleet.rs
@@ -455,7 +455,7 @@
         }
         let takes_part = standby.takes_part(now_ms);
         if !takes_part && self.fronts[front].owns_any() {
-            self.fronts[front].ownership.stand_back();
+            self.fronts[front].ownership.step_down();
             self.store.group.leave(front);
         }
         takes_part
