--- a/components/front/tests/front/steps.rs
+++ b/components/front/tests/front/steps.rs
@@ -37,6 +37,25 @@
     assert_eq!((status, body.len()), (200, "\u{ab}\u{fffd}".len() + 1));
 }
 
+/// Guards against 404 for a step that was accepted elsewhere a moment ago: a front at which nobody
+/// waits reads the store each half second.
+#[tokio::test]
+async fn can_find_a_step_at_an_idle_front_at_once() {
+    let site = Site::start(4, 1).await;
+    let fronts = [site.front("a").await, site.front("b").await];
+    // The second one has read what there is, and pauses.
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    for step in 0..4 {
+        let id = format!("s-{step}");
+        let submitted = fronts[0].submit(&id, &records::step(1, 1, 2)).await;
+        assert_eq!(submitted.0, 202);
+        assert_eq!(fronts[1].results(&id, 0).await.0, 200, "{id}");
+        let path = format!("/v1/lots/{id}");
+        let (status, _, body) = fronts[1].ask(Method::DELETE, &path, &[], "").await;
+        assert_eq!((status, body.contains("Results")), (200, false), "{id}");
+    }
+}
+
 #[tokio::test]
 async fn can_read_results_that_come_shortly_after_one_another_at_once() {
     // Items end in rows, as replicas run eight at a time, some 60 ms apart. A
