Simulation: a fault that affects a part of the fleet spares at least one front

From 9,737 ms to the end of the fault at 19,059 ms no front joined the group, as none was running; the first join after the fault got all partitions, which gave owner_gap_ms 9326. A share of 59 % among 10 fronts besides the lease holder and the owner hits all of them in 0.5 % of draws, so the drawing test met it now and then.

Ruled out: ownership, lease and member.rs. In the trace the group expired the members on time, every join got its share, and the large fronts owned all partitions 350 ms after they ran again.

Below 100 %, the simulation now spares one front, drawn among those that are neither the lease holder nor the owner, if the draw hit all.

--- a/dev/sim/src/fleet/fault_impact.rs
+++ b/dev/sim/src/fleet/fault_impact.rs
@@ -17,6 +17,14 @@
                 affected.insert(front);
             }
         }
+        if fault.share_percent < 100 && affected.len() == self.fronts.len() {
+            let is_lost = |front: &usize| holder == Some(*front) || owner == Some(*front);
+            let others: Vec<usize> = affected.iter().copied().filter(|f| !is_lost(f)).collect();
+            let drawn = self.rng.below(others.len() as u64) as usize;
+            if let Some(spared) = others.get(drawn) {
+                affected.remove(spared);
+            }
+        }
         for front in &affected {
             let state = &mut self.fronts[*front];
             match fault.kind {
--- a/dev/sim/src/settings.rs
+++ b/dev/sim/src/settings.rs
@@ -47,7 +47,8 @@
     /// Time after which the affected fronts recover.
     pub duration_ms: u64,
     /// Probability that a front is affected, in per cent. The lease holder and the owner of the
-    /// first shard are always affected.
+    /// first shard are always affected. Below 100, at least one other front is spared: without it
+    /// no front is left whose takeover could be measured.
     pub share_percent: u64,
 }
 
--- a/dev/sim/tests/fleet.rs
+++ b/dev/sim/tests/fleet.rs
@@ -104,8 +104,8 @@
     assert!(owners.holder_gap_ms < HOLDER_GAP_MS, "{}", owners.row());
 }
 
-/// Guards against shards without an owner: when 59 % of 12 fronts freeze for 9.3 s, the other fronts
-/// must take over their partitions in time.
+/// Guards against shards without an owner: with this seed all fronts but one freeze for 9.3 s, and
+/// the remaining one must take over all partitions in time.
 #[test]
 fn can_replace_owners_when_most_of_a_small_fleet_freezes() {
     let report = run_simulation(&SimSettings {
