Front: end calls to the former life of a replica; forward no refusal in doubt

A replica that lost power and started again under its id left its connections open, so a call in flight waited for its deadline, a hedged call for a third replica, and an item for 1.5 s of silence. Once a record shows another start time, requests that were sent before that time end: an idempotent call is resent at once, also to the new life of the same replica, an at-most-once call ends with 502, a stream breaks and an item starts again. A request that was sent after the new life began has reached it and goes on. Former lives are kept while they have requests in flight, since a record may be removed before the new one is written. Without start times, nothing changes.

429, 503, 408 and 421 promise that a request has not run. The front forwarded such an answer of one replica although an earlier attempt had lost its answer (503 instead of 502) or a hedged attempt was still running (429 instead of the answer). It now waits for the attempt in flight, and answers 502 or 504 if an attempt may have run. A refusal of the only replica that got the call is still forwarded, and an at-most-once call is still resent only if the refusal has the header that confirms it.

The removal test fails with 504 if former lives are not kept.

--- a/components/front/src/calls.rs
+++ b/components/front/src/calls.rs
@@ -10,8 +10,8 @@
 
 use bytes::Bytes;
 use dispatch::{
-    AttemptOutcome, CallFailure, Candidate, NextAction, ReplicaId, Route, RouteKind,
-    TypicalDuration, choose_replica, next_action,
+    AttemptOutcome, CallFailure, Candidate, NextAction, Route, RouteKind, TypicalDuration,
+    choose_replica, next_action,
 };
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
@@ -21,7 +21,7 @@
 use crate::clock::{now_ms, now_us};
 use crate::meter::{CountedRequest, SentAt};
 use crate::metrics;
-use crate::peers::{Member, ReplicaTable};
+use crate::peers::{Incarnation, Member, ReplicaTable, incarnation};
 use crate::state::Front;
 
 /// A hedged request is sent after this multiple of the route's typical latency.
@@ -103,16 +103,18 @@
     let began_us = now_us();
     let typical = front.typical_duration(&spec.route.name);
     let mut attempts = FuturesUnordered::new();
-    let mut tried: Vec<ReplicaId> = Vec::new();
+    let mut tried: Vec<Incarnation> = Vec::new();
     let counted = spec.customer.filter(|_| !spec.background);
     let mut counted_request = CountedRequest::new(front, counted);
     let mut may_have_run = false;
+    // Whether an attempt that no replica answered with a refusal may have run.
+    let mut may_run_elsewhere = false;
     let mut failure: Option<Box<ReplicaResponse>> = None;
     let outcome = loop {
         if attempts.is_empty() {
             match select_replica(front, spec, &typical, &tried).await {
                 Some(member) => {
-                    tried.push(Arc::clone(&member.replica.id));
+                    tried.push(incarnation(&member.replica));
                     let sent = counted_request.start_attempt();
                     attempts.push(attempt(spec, member, Arc::clone(&typical), sent));
                 }
@@ -131,6 +133,13 @@
         tokio::select! {
             Some(done) = attempts.next() => {
                 let Attempt { end, answer, reason } = done;
+                let is_refusal = answer.as_ref().is_some_and(|answer| answer.is_refusal());
+                // The client must not receive a refusal while another attempt may run the request.
+                let (end, answer) = match is_refusal && (may_run_elsewhere || !attempts.is_empty()) {
+                    true => (AttemptOutcome::NotRun, None),
+                    false => (end, answer),
+                };
+                may_run_elsewhere |= end == AttemptOutcome::Unknown && !is_refusal;
                 let action = action_after_attempt(front, spec, end, may_have_run, &tried);
                 may_have_run |= end == AttemptOutcome::Unknown;
                 match (&action, answer) {
@@ -148,8 +157,10 @@
                 );
                 match action {
                     NextAction::Finish(end) if attempts.is_empty() => match failure.take() {
-                        Some(answer) => break CallOutcome::Answer(answer),
-                        None => break CallOutcome::Failed(end, reason),
+                        Some(answer) if !(answer.is_refusal() && may_run_elsewhere) => {
+                            break CallOutcome::Answer(answer);
+                        }
+                        _ => break CallOutcome::Failed(end, reason),
                     },
                     _ => {}
                 }
@@ -158,7 +169,7 @@
                 let next = choose_member(front, spec, &typical, &tried, false);
                 if let Some(member) = next {
                     record_hedge(front, spec, &typical, &tried);
-                    tried.push(Arc::clone(&member.replica.id));
+                    tried.push(incarnation(&member.replica));
                     let sent = counted_request.start_attempt();
                     attempts.push(attempt(spec, member, Arc::clone(&typical), sent));
                 }
@@ -170,7 +181,7 @@
     };
     let took_ms = (now_us() - began_us) / 1_000;
     count_call(front, spec, &outcome, tried.len(), took_ms);
-    let replica = tried.last().map_or("none", |id| &**id);
+    let replica = tried.last().map_or("none", |(id, _)| &**id);
     match &outcome {
         CallOutcome::Answer(answer) => log::info!(
             event = "call-answered", id = spec.request_id, route = &*spec.route.name,
@@ -227,12 +238,12 @@
     spec: &CallSpec<'_>,
     end: AttemptOutcome,
     may_have_run: bool,
-    tried: &[ReplicaId],
+    tried: &[Incarnation],
 ) -> NextAction {
     let table = front.replicas.load();
     let untried = services(spec.route)
         .flat_map(|service| table.of(service))
-        .any(|member| accepts_work(member) && !tried.contains(&member.replica.id));
+        .any(|member| accepts_work(member) && !tried.contains(&incarnation(&member.replica)));
     next_action(
         end,
         spec.is_idempotent(),
@@ -258,7 +269,7 @@
     front: &Front,
     spec: &CallSpec<'_>,
     typical: &TypicalDuration,
-    tried: &[ReplicaId],
+    tried: &[Incarnation],
 ) -> Option<Member> {
     loop {
         let member = choose_member(front, spec, typical, tried, spec.background);
@@ -274,7 +285,7 @@
     front: &Front,
     spec: &CallSpec<'_>,
     typical: &TypicalDuration,
-    tried: &[ReplicaId],
+    tried: &[Incarnation],
     with_room: bool,
 ) -> Option<Member> {
     let table = front.replicas.load();
@@ -293,13 +304,13 @@
     table: &ReplicaTable,
     service: &str,
     typical: &TypicalDuration,
-    tried: &[ReplicaId],
+    tried: &[Incarnation],
     with_room: bool,
 ) -> Option<Member> {
     let members: Vec<&Member> = table
         .of(service)
         .iter()
-        .filter(|member| accepts_work(member) && !tried.contains(&member.replica.id))
+        .filter(|member| accepts_work(member) && !tried.contains(&incarnation(&member.replica)))
         .filter(|member| !with_room || member.peer.load.background() < BACKGROUND_MAX)
         .collect();
     let now_ms = now_ms();
@@ -320,12 +331,12 @@
     front: &Front,
     spec: &CallSpec<'_>,
     typical: &TypicalDuration,
-    tried: &[ReplicaId],
+    tried: &[Incarnation],
 ) {
     let table = front.replicas.load();
     let slow = services(spec.route)
         .flat_map(|service| table.of(service))
-        .find(|member| tried.contains(&member.replica.id));
+        .find(|member| tried.contains(&incarnation(&member.replica)));
     if let Some(member) = slow {
         member
             .peer
@@ -362,8 +373,15 @@
     };
     let call = spec.replica_call(&member.replica);
     let left_ms = call.timeout_ms;
-    sent.store(now_ms(), Ordering::Relaxed);
-    match replica::call(&mut connection, call, Duration::from_millis(left_ms)).await {
+    let sent_ms = now_ms();
+    sent.store(sent_ms, Ordering::Relaxed);
+    let answered = tokio::select! {
+        answered = replica::call(&mut connection, call, Duration::from_millis(left_ms)) => answered,
+        () = member.peer.wait_for_restart(sent_ms) => {
+            return failed(AttemptOutcome::Unknown, "the replica restarted".to_owned());
+        }
+    };
+    match answered {
         Ok((answer, reusable)) => {
             if reusable {
                 member
--- a/components/front/src/follow/replicas.rs
+++ b/components/front/src/follow/replicas.rs
@@ -43,7 +43,12 @@
                 changed |= registry.expire(now_ms) == RegistryChange::Changed;
                 front.replicas_read.store(1, Ordering::Relaxed);
                 if std::mem::take(&mut changed) {
-                    let next = front.replicas.load().rebuild(registry.replicas());
+                    // Start times are those of the replicas' wall clocks.
+                    let utc_ms = front.meter.utc_ms(now_ms);
+                    let local_ms =
+                        |unix_ms: u64| now_ms.saturating_add(unix_ms).saturating_sub(utc_ms);
+                    let table = front.replicas.load();
+                    let next = table.rebuild(registry.replicas(), local_ms);
                     front.replicas.store(Arc::new(next));
                     front.runner_wakeup.notify_one();
                     front.leader_wakeup.notify_one();
--- a/components/front/src/peers.rs
+++ b/components/front/src/peers.rs
@@ -1,11 +1,12 @@
 //! The table of replicas, with this process's connection pool and load estimate for each.
 
 use std::collections::HashMap;
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, Weak};
 use std::time::Duration;
 
 use dispatch::{Replica, ReplicaId, ReplicaLoad};
 use platform::{Connection, ExchangeError, connect};
+use tokio::sync::watch;
 
 use crate::clock::now_ms;
 use crate::state::lock;
@@ -26,6 +27,14 @@
     until_ms: u64,
 }
 
+/// Identifies one incarnation of a replica: its id and, if its record has one, its start time.
+pub type Incarnation = (ReplicaId, Option<u64>);
+
+/// The incarnation that a record describes.
+pub fn incarnation(replica: &Replica) -> Incarnation {
+    (Arc::clone(&replica.id), replica.started_ms)
+}
+
 /// Connection pool and load estimate for one incarnation of a replica. A restarted replica gets a
 /// new one.
 #[derive(Default)]
@@ -33,6 +42,8 @@
     /// This process's calls in flight at the replica, and their latency.
     pub load: Arc<ReplicaLoad>,
     idle: Mutex<Vec<Idle>>,
+    /// Start of the next incarnation, in milliseconds of [`now_ms`]; `None` while none is known.
+    next_started_ms: watch::Sender<Option<u64>>,
 }
 
 impl Peer {
@@ -82,6 +93,17 @@
         });
     }
 
+    /// Waits until a record shows that the replica has restarted since `sent_ms`. A request that was
+    /// sent then has failed, even if its connection does not end: a machine that lost power closes
+    /// no connection. A request that was sent later has reached the next incarnation.
+    pub async fn wait_for_restart(&self, sent_ms: u64) {
+        let mut next = self.next_started_ms.subscribe();
+        let has_restarted =
+            |started_ms: &Option<u64>| started_ms.is_some_and(|started_ms| sent_ms < started_ms);
+        // `wait_for` fails only if the sender is dropped, and `self` holds the sender.
+        let _ = next.wait_for(has_restarted).await;
+    }
+
     /// Closes all idle connections, after a call on one connection timed out or failed.
     pub fn close_idle(&self) {
         lock(&self.idle).clear();
@@ -100,17 +122,21 @@
 #[derive(Default)]
 pub struct ReplicaTable {
     by_service: HashMap<Arc<str>, Vec<Member>>,
+    /// Incarnations that are no longer listed but still have requests in flight.
+    former: HashMap<Incarnation, Weak<Peer>>,
 }
 
 impl ReplicaTable {
     /// A table of `replicas`. Replicas with the same id and start time keep their connections and
-    /// load estimates.
-    pub fn rebuild<'a>(&self, replicas: impl Iterator<Item = &'a Arc<Replica>>) -> Self {
-        let incarnation = |replica: &Replica| (Arc::clone(&replica.id), replica.started_ms);
-        let mut known: HashMap<(ReplicaId, Option<u64>), Arc<Peer>> = HashMap::new();
-        for member in self.iter() {
-            known.insert(incarnation(&member.replica), Arc::clone(&member.peer));
-        }
+    /// load estimates. Requests in flight at a replica whose start time has changed end; `local_ms`
+    /// converts a start time to milliseconds of [`now_ms`].
+    pub fn rebuild<'a>(
+        &self,
+        replicas: impl Iterator<Item = &'a Arc<Replica>>,
+        local_ms: impl Fn(u64) -> u64,
+    ) -> Self {
+        let mut known = self.known_peers();
+        let mut started_ms: HashMap<ReplicaId, u64> = HashMap::new();
         let mut by_service: HashMap<Arc<str>, Vec<Member>> = HashMap::new();
         for replica in replicas {
             let peer = known.remove(&incarnation(replica)).unwrap_or_default();
@@ -118,12 +144,33 @@
                 replica: Arc::clone(replica),
                 peer,
             };
+            if let Some(at_ms) = replica.started_ms {
+                started_ms.insert(Arc::clone(&replica.id), at_ms);
+            }
             by_service
                 .entry(Arc::clone(&replica.service))
                 .or_default()
                 .push(member);
         }
-        Self { by_service }
+        let mut former = HashMap::new();
+        for ((id, former_started_ms), peer) in known {
+            if former_started_ms.is_some()
+                && let Some(next_ms) = started_ms.get(&id)
+            {
+                peer.next_started_ms.send_replace(Some(local_ms(*next_ms)));
+            }
+            former.insert((id, former_started_ms), Arc::downgrade(&peer));
+        }
+        Self { by_service, former }
+    }
+
+    /// Peers of the listed replicas, and of former incarnations with requests in flight.
+    fn known_peers(&self) -> HashMap<Incarnation, Arc<Peer>> {
+        let former = self.former.iter();
+        let former = former.filter_map(|(key, peer)| Some((key.clone(), peer.upgrade()?)));
+        let listed = self.iter();
+        let listed = listed.map(|member| (incarnation(&member.replica), Arc::clone(&member.peer)));
+        former.chain(listed).collect()
     }
 
     /// Replicas of a service, including draining ones.
--- a/components/front/src/run_item.rs
+++ b/components/front/src/run_item.rs
@@ -74,9 +74,14 @@
 /// Runs an item at one replica until the run ends; appends its events to `shared`.
 pub async fn run(spec: &RunSpec, shared: &SharedPartialText) -> RunEnd {
     let last_event = lock(shared).last_event;
+    let sent_ms = now_us() / 1_000;
+    let restarted = spec.member.peer.wait_for_restart(sent_ms);
+    let mut restarted = std::pin::pin!(restarted);
+    let interrupted = || RunEnd::Interrupted("the replica restarted".to_owned());
     let started = tokio::select! {
         started = start(spec, last_event) => started,
         () = spec.stop.notified() => return RunEnd::Stopped,
+        () = restarted.as_mut() => return interrupted(),
     };
     let mut item_run = match started {
         Ok(ItemStart::Running(run)) => run,
@@ -97,6 +102,7 @@
         let next = tokio::select! {
             next = item_run.next(Duration::from_millis(EVENT_TIMEOUT_MS)) => next,
             () = spec.stop.notified() => return RunEnd::Stopped,
+            () = restarted.as_mut() => return interrupted(),
         };
         match next {
             Ok(Some(event)) => {
--- a/components/front/src/stream.rs
+++ b/components/front/src/stream.rs
@@ -8,7 +8,6 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use dispatch::ReplicaId;
 use http_body_util::BodyExt;
 use hyper::Response;
 use platform::replica;
@@ -18,12 +17,15 @@
 use crate::calls::{CallSpec, choose_in_service};
 use crate::clock::now_ms;
 use crate::meter::CountedRequest;
-use crate::peers::Member;
+use crate::peers::{Incarnation, Member, incarnation};
 use crate::state::Front;
 
 /// Frames of a stream that are buffered for a slow client, at most.
 const BUFFERED_FRAMES_MAX: usize = 8;
 
+/// Error of a request that was sent to a former incarnation of a replica.
+const RESTARTED: &str = "the replica restarted";
+
 /// Why a stream did not begin.
 pub struct NotStarted {
     /// Whether it is certain that no replica ran the request.
@@ -38,7 +40,7 @@
     front: &Arc<Front>,
     spec: &CallSpec<'_>,
 ) -> Result<Response<ResponseBody>, NotStarted> {
-    let mut tried: Vec<ReplicaId> = Vec::new();
+    let mut tried: Vec<Incarnation> = Vec::new();
     let mut counted_request = CountedRequest::new(front, spec.customer);
     let mut last_error = NotStarted {
         not_run: true,
@@ -48,7 +50,7 @@
         let Some(member) = choose_untried(front, spec, &tried) else {
             break;
         };
-        tried.push(Arc::clone(&member.replica.id));
+        tried.push(incarnation(&member.replica));
         let sent = counted_request.start_attempt();
         match open(&member, spec).await {
             Ok(response) => {
@@ -61,7 +63,7 @@
     Err(last_error)
 }
 
-fn choose_untried(front: &Front, spec: &CallSpec<'_>, tried: &[ReplicaId]) -> Option<Member> {
+fn choose_untried(front: &Front, spec: &CallSpec<'_>, tried: &[Incarnation]) -> Option<Member> {
     let table = front.replicas.load();
     let service = spec.route.pick_service(rand::random())?;
     let typical = front.typical_duration(&spec.route.name);
@@ -80,12 +82,19 @@
         .map_err(|error| not_run(error.to_string()))?;
     let call = spec.replica_call(&member.replica);
     let timeout = Duration::from_millis(call.timeout_ms);
-    let stream = replica::open_stream(&mut connection, call, timeout)
-        .await
-        .map_err(|error| NotStarted {
-            not_run: error.is_not_run(),
-            reason: error.to_string(),
-        })?;
+    let peer = Arc::clone(&member.peer);
+    let sent_ms = now_ms();
+    let opened = tokio::select! {
+        opened = replica::open_stream(&mut connection, call, timeout) => opened,
+        () = peer.wait_for_restart(sent_ms) => {
+            let reason = RESTARTED.to_owned();
+            return Err(NotStarted { not_run: false, reason });
+        }
+    };
+    let stream = opened.map_err(|error| NotStarted {
+        not_run: error.is_not_run(),
+        reason: error.to_string(),
+    })?;
     let (frames, body) = mpsc::channel(BUFFERED_FRAMES_MAX);
     let mut response = Response::new(ResponseBody::Stream(body));
     *response.status_mut() = stream.status;
@@ -99,6 +108,12 @@
             let frame = tokio::select! {
                 () = frames.closed() => return,
                 frame = tokio::time::timeout(timeout, replica_body.frame()) => frame,
+                () = peer.wait_for_restart(sent_ms) => {
+                    let error = BodyError::Interrupted(RESTARTED.to_owned());
+                    // Fails only if the client is gone.
+                    let _ = frames.send(Err(error)).await;
+                    return;
+                }
             };
             let relayed = match frame {
                 Ok(None) => return,
--- a/components/front/tests/front/calls.rs
+++ b/components/front/tests/front/calls.rs
@@ -250,3 +250,62 @@
         assert!(front.is_ready().await);
     }
 }
+
+/// Statuses that promise that a request has not run and never will.
+const PROMISES: [u16; 4] = [429, 503, 408, 421];
+
+/// Moves the replica "plain-2" to another failure domain, so that calls go to "plain-1" first.
+fn prefer_plain_1(site: &Site) {
+    let replica = site.replica("plain-2");
+    let record = records::replica(replica.service, replica.handle.address, "ready", 1);
+    let record = record.replace("zone-a", "zone-b");
+    site.store.put("keyed.servers", &replica.id, Some(&record));
+}
+
+#[tokio::test]
+async fn errors_without_a_promise_when_an_earlier_attempt_may_have_run() {
+    // The first replica runs the call and loses its answer, and the second one refuses the call.
+    // The client must not be told that the call has not run.
+    for status in PROMISES {
+        let site = Site::start(3, 1).await;
+        prefer_plain_1(&site);
+        let front = site.front("a").await;
+        site.replica("plain-1")
+            .handle
+            .inject_fault(Fault::new(FaultKind::AnswerLost).on("/calls/"));
+        site.replica("plain-2").seen.answer_with("q-1", status);
+        let (answered, _) = front.call("q-1", "/calls/x").await;
+        let runs = site.replica("plain-1").seen.runs();
+        assert!(runs.contains_key("q-1"), "{status}: the first attempt runs");
+        assert_eq!(answered, 502, "{status}");
+    }
+}
+
+#[tokio::test]
+async fn can_wait_for_an_attempt_in_flight_when_the_hedged_request_is_refused() {
+    // The first replica is slow and the second one refuses the hedged request. The refusal must not
+    // reach the client while the first replica still works on the call.
+    for status in PROMISES {
+        let site = Site::start_with(3, 1, 700).await;
+        prefer_plain_1(&site);
+        let front = site.front("a").await;
+        site.replica("plain-2").seen.answer_with("q-1", status);
+        let (answered, _) = front.call("q-1", "/calls/x").await;
+        assert_eq!(answered, 200, "{status}");
+    }
+}
+
+#[tokio::test]
+async fn can_forward_the_refusal_of_the_only_replica_that_received_a_call() {
+    // The refusal is the replica's own promise, and the client may act on it. The call must not go
+    // to a second replica, as the refusal lacks the header that confirms it.
+    for status in [429, 503, 408] {
+        let site = Site::start(3, 1).await;
+        let front = site.front("a").await;
+        for id in ["plain-1", "plain-2"] {
+            site.replica(id).seen.answer_with("bid-1", status);
+        }
+        let (answered, _) = front.call("bid-1", "/bids/x").await;
+        assert_eq!((answered, site.runs("bid-1")), (status, vec![0]));
+    }
+}
--- a/components/front/tests/front/main.rs
+++ b/components/front/tests/front/main.rs
@@ -4,6 +4,7 @@
 mod common;
 mod customers;
 mod orders;
+mod restarts;
 mod shards;
 mod steps;
 mod trainer;
--- /dev/null
+++ b/components/front/tests/front/restarts.rs
@@ -0,0 +1,173 @@
+//! Restarts of replicas under their id, which their records show by another start time.
+
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use crate::common::{Replica, Site};
+use serde_json::Value;
+use standins::fleet::records;
+use standins::{Fault, FaultKind};
+
+/// Time for a call to reach its replica and for a hedged request to follow it.
+const IN_FLIGHT: Duration = Duration::from_millis(400);
+/// Well below the deadline of a call, 2 s.
+const AT_ONCE: Duration = Duration::from_millis(1_500);
+/// Start time of the first life of each replica.
+const FIRST_LIFE_MS: u64 = 1_000;
+
+fn unix_ms() -> u64 {
+    let since_1970 = SystemTime::now().duration_since(UNIX_EPOCH);
+    since_1970.expect("a time after 1970").as_millis() as u64
+}
+
+/// Writes a replica's record with a start time and a number of slots.
+fn write_life(site: &Site, replica: &Replica, started_ms: Option<u64>, slots: u32) {
+    let address = replica.handle.address;
+    let record = records::replica_with_slots(replica.service, address, "ready", 1, slots);
+    let mut record: Value = serde_json::from_str(&record).expect("a valid record");
+    if let Some(started_ms) = started_ms {
+        record["born"] = started_ms.into();
+    }
+    let record = record.to_string();
+    site.store.put("keyed.servers", &replica.id, Some(&record));
+}
+
+fn write_lives(site: &Site, started_ms: Option<u64>, slots: u32) {
+    for replica in &site.replicas {
+        write_life(site, replica, started_ms, slots);
+    }
+}
+
+/// Makes both plain replicas ignore the next request under a path, as machines do that lose power.
+fn lose_next_requests(site: &Site, path: &str) {
+    for id in ["plain-1", "plain-2"] {
+        let fault = Fault::new(FaultKind::Silent).on(path).times(1);
+        site.replica(id).handle.inject_fault(fault);
+    }
+}
+
+#[tokio::test]
+async fn can_resend_a_call_at_once_when_its_replicas_restart() {
+    // Replicas lose power with a call in flight and no packet ends the connections. The call must
+    // go to a new life once the records show one, instead of waiting for its deadline.
+    let site = Site::start(3, 1).await;
+    write_lives(&site, Some(FIRST_LIFE_MS), 8);
+    let front = site.front("a").await;
+    lose_next_requests(&site, "/calls/");
+    let began = Instant::now();
+    let restart = async {
+        tokio::time::sleep(IN_FLIGHT).await;
+        write_lives(&site, Some(unix_ms()), 8);
+    };
+    let (answer, ()) = tokio::join!(front.call("q-1", "/calls/x"), restart);
+    assert_eq!(answer, (200, "/calls/x 4".to_owned()));
+    assert!(began.elapsed() < AT_ONCE, "{:?}", began.elapsed());
+}
+
+#[tokio::test]
+async fn errors_at_once_when_the_replica_of_an_at_most_once_call_restarts() {
+    // The former life may have run the call, so the call must not be sent again, and the client
+    // must not wait for an answer that cannot come.
+    let site = Site::start(3, 1).await;
+    write_lives(&site, Some(FIRST_LIFE_MS), 8);
+    let front = site.front("a").await;
+    lose_next_requests(&site, "/bids/");
+    let began = Instant::now();
+    let restart = async {
+        tokio::time::sleep(IN_FLIGHT).await;
+        write_lives(&site, Some(unix_ms()), 8);
+    };
+    let ((status, _), ()) = tokio::join!(front.call("bid-1", "/bids/x"), restart);
+    assert_eq!(status, 502);
+    assert!(began.elapsed() < AT_ONCE, "{:?}", began.elapsed());
+    assert!(site.runs("bid-1").is_empty(), "the call must not be resent");
+}
+
+#[tokio::test]
+async fn errors_at_once_when_a_record_is_removed_before_it_shows_a_restart() {
+    // The record of a replica that lost power may be removed before the next life writes one. A
+    // call in flight at the former life must end also then.
+    let site = Site::start(3, 1).await;
+    write_lives(&site, Some(FIRST_LIFE_MS), 8);
+    let front = site.front("a").await;
+    // Removals are trusted some time after the first answer of the store.
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    lose_next_requests(&site, "/bids/");
+    let began = Instant::now();
+    let restart = async {
+        tokio::time::sleep(IN_FLIGHT).await;
+        for replica in &site.replicas {
+            site.store.put("keyed.servers", &replica.id, None);
+        }
+        tokio::time::sleep(IN_FLIGHT).await;
+        write_lives(&site, Some(unix_ms()), 8);
+    };
+    let ((status, _), ()) = tokio::join!(front.call("bid-1", "/bids/x"), restart);
+    assert_eq!(status, 502);
+    assert!(began.elapsed() < AT_ONCE, "{:?}", began.elapsed());
+}
+
+#[tokio::test]
+async fn can_keep_a_call_when_the_record_of_its_replica_shows_no_later_life() {
+    // A call that its replica is working on must not be given up because of any other change of
+    // the record.
+    struct Case {
+        name: &'static str,
+        first_ms: Option<u64>,
+        second_ms: Option<u64>,
+    }
+    let cases = [
+        Case {
+            name: "a record without start times",
+            first_ms: None,
+            second_ms: None,
+        },
+        Case {
+            name: "the same life with other slots",
+            first_ms: Some(FIRST_LIFE_MS),
+            second_ms: Some(FIRST_LIFE_MS),
+        },
+        Case {
+            name: "a start time that the first record did not have",
+            first_ms: None,
+            second_ms: Some(unix_ms() + 60_000),
+        },
+        Case {
+            name: "a life that had begun before the call was sent",
+            first_ms: Some(FIRST_LIFE_MS),
+            second_ms: Some(unix_ms() - 5_000),
+        },
+    ];
+    for case in cases {
+        let site = Site::start_with(3, 1, 900).await;
+        write_lives(&site, case.first_ms, 8);
+        let front = site.front("a").await;
+        let change = async {
+            tokio::time::sleep(IN_FLIGHT).await;
+            write_lives(&site, case.second_ms, 7);
+        };
+        let ((status, _), ()) = tokio::join!(front.call("bid-1", "/bids/x"), change);
+        assert_eq!(status, 200, "{}", case.name);
+        assert_eq!(site.runs("bid-1"), [0], "{}", case.name);
+    }
+}
+
+#[tokio::test]
+async fn can_start_an_item_again_at_once_when_its_replica_restarts() {
+    // Without the start time, the run of the former life ends only by a silence of more than a
+    // second, and the text waits for that long.
+    let site = Site::start(3, 1_200).await;
+    write_lives(&site, Some(FIRST_LIFE_MS), 8);
+    site.name_version(1);
+    let front = site.front("a").await;
+    front.submit("step-1", &records::step(1, 1, 2)).await;
+    crate::common::wait_until("both items run", || async {
+        !site.runs("item-1-0").is_empty() && !site.runs("item-1-1").is_empty()
+    })
+    .await;
+    write_lives(&site, Some(unix_ms() + 50), 8);
+    let results = front.all_results("step-1", 2).await;
+    assert_eq!(results.len(), 2);
+    for item in ["item-1-0", "item-1-1"] {
+        assert_eq!(site.runs(item).len(), 2, "{item}");
+    }
+}
