Runner: keep the items at a model replica within its KV memory

The free slots that the placement sees are now reduced to the number of waiting items that fit whichever of them are chosen (the largest ones counted). An idle replica keeps one slot, so that an item above its whole memory is refused for good instead of waiting. Active where more than half of the replicas report their start; a test shows that all slots are filled otherwise.

The size of an item is ItemHead::tokens, prompt and maximum output.

--- a/components/front/src/runner/mod.rs
+++ b/components/front/src/runner/mod.rs
@@ -11,6 +11,7 @@
 mod engines;
 mod finish;
 mod handover;
+mod memory;
 mod pool_queues;
 mod reconcile;
 mod timings;
--- a/components/front/tests/front/steps.rs
+++ b/components/front/tests/front/steps.rs
@@ -527,3 +527,52 @@
         }
     }
 }
+
+/// Writes a configuration whose model replicas have KV memory for `tokens`.
+fn limit_memory(site: &Site, tokens: u64) {
+    let config = records::config(4);
+    let mut config: serde_json::Value = serde_json::from_str(&config).expect("a configuration");
+    config["Services"][1]["Engine"]["KvCapacity"] = tokens.into();
+    let config = config.to_string();
+    site.store.put("keyed.op", "config", Some(&config));
+}
+
+/// Runs a step of 12 items of 300 tokens each; returns the most runs that a replica had at once.
+async fn most_runs_at_once(site: &Site) -> usize {
+    let front = site.front("a").await;
+    front.submit("step-1", &records::step(1, 1, 12)).await;
+    let most = std::cell::Cell::new(0);
+    let watch = async {
+        loop {
+            for replica in &site.replicas {
+                most.set(most.get().max(replica.seen.active_runs()));
+            }
+            tokio::time::sleep(std::time::Duration::from_millis(2)).await;
+        }
+    };
+    tokio::select! {
+        results = front.all_results("step-1", 12) => assert_eq!(results.len(), 12),
+        () = watch => {}
+    }
+    most.get()
+}
+
+#[tokio::test]
+async fn can_keep_the_items_at_a_replica_within_its_memory() {
+    // A replica with eight slots has memory for three items. It must never have more at once, and
+    // the others must run once memory is free.
+    let site = Site::start(4, 50).await;
+    limit_memory(&site, 1_000);
+    site.name_version(1);
+    crate::restarts::write_lives(&site, Some(1_000), 8);
+    assert_eq!(most_runs_at_once(&site).await, 3);
+}
+
+#[tokio::test]
+async fn can_fill_all_slots_of_replicas_that_do_not_report_their_start() {
+    // The limit by memory is not active there: all items must run at once, as before.
+    let site = Site::start(4, 50).await;
+    limit_memory(&site, 1_000);
+    site.name_version(1);
+    assert!(most_runs_at_once(&site).await >= 6);
+}
