--- a/components/front/tests/front/calls.rs
+++ b/components/front/tests/front/calls.rs
@@ -309,3 +309,67 @@
         assert_eq!((answered, site.runs("bid-1")), (status, vec![0]));
     }
 }
+
+/// Records of another writer in the replicas' topic, each as key and value.
+fn entries_of_another_writer(address: std::net::SocketAddr) -> Vec<(Vec<u8>, Vec<u8>)> {
+    let text = |record: serde_json::Value| record.to_string().into_bytes();
+    let valid: serde_json::Value =
+        serde_json::from_str(&records::replica(records::PLAIN, address, "ready", 1))
+            .expect("a valid record");
+    let with = |field: &str, value: serde_json::Value| {
+        let mut record = valid.clone();
+        record[field] = value;
+        text(record)
+    };
+    vec![
+        (b"no-fields".to_vec(), b"{}".to_vec()),
+        (b"unreadable".to_vec(), vec![0xff, 0x00, 0xfe]),
+        (vec![0xff, 0xfe], b"{}".to_vec()),
+        (
+            b"no-address".to_vec(),
+            with("Address", serde_json::Value::Null),
+        ),
+        (b"odd-slots".to_vec(), with("Slots", "many".into())),
+        (b"odd-state".to_vec(), with("State", "resting".into())),
+        (b"odd-service".to_vec(), with("Service", "nobody".into())),
+        (b"odd-start".to_vec(), with("born", "yesterday".into())),
+    ]
+}
+
+#[tokio::test]
+async fn can_use_valid_replicas_beside_entries_of_another_writer() {
+    // Another program writes to the replicas' topic, before the front starts and while it runs. No
+    // entry may become a replica or hide the valid ones.
+    let site = Site::start(3, 1).await;
+    let stray = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    stray.set_nonblocking(true).expect("set");
+    let stray_address = stray.local_addr().expect("bound");
+    let write_entries = || {
+        for (key, value) in entries_of_another_writer(stray_address) {
+            let mut record = vec![key.len() as u8];
+            record.extend(key);
+            record.extend(value);
+            site.store.add("keyed.servers", 0, vec![record.into()]);
+        }
+    };
+    write_entries();
+    let front = site.front("a").await;
+    write_entries();
+    site.write_heartbeat(site.replica("plain-1"), "draining", 1);
+    let called = std::sync::atomic::AtomicU32::new(0);
+    // The front has read all entries once it obeys the record behind them.
+    wait_until("all calls go to the other replica", || async {
+        let first = called.fetch_add(10, std::sync::atomic::Ordering::Relaxed);
+        for call in first..first + 10 {
+            assert_eq!(front.call(&format!("d-{call}"), "/calls/x").await.0, 200);
+        }
+        let runs = site.replica("plain-1").seen.runs();
+        (first..first + 10).all(|call| !runs.contains_key(&format!("d-{call}")))
+    })
+    .await;
+    let connected = stray.accept();
+    assert!(
+        connected.is_err(),
+        "an entry became a replica: {connected:?}"
+    );
+}
