Front: bound, count and show the data held for slow clients and replicas

A client that sent a call and read nothing kept its answer (8 MiB at most) in the front for as long as its connection stayed open, and nothing bounded the number of such clients.

- Each request counts the part of its body and of its answer that the front holds; front_held_bytes on the metrics page has the sum.
Answers are passed to the connection in parts of 64 KiB, so the count falls as the client reads.
- From 48 MiB on, new requests get 503 before anything runs.
An answer that would raise the sum above 64 MiB is dropped: 502 for a call, 503 for a read of results.
The smallest fronts have 160 MB.
- A client that takes no data for 10 s is cut off.
One that pauses for 5 s gets its whole answer.

Replicas that read a request slowly are bounded by the deadline of the call.

--- a/components/front/src/connections.rs
+++ b/components/front/src/connections.rs
@@ -11,6 +11,8 @@
 use platform::ResponseBody;
 use tokio::net::{TcpListener, TcpStream};
 
+use crate::client_io::ClientIo;
+use crate::held::HeldBody;
 use crate::state::Front;
 
 /// Added to the idle time that clients are allowed, in milliseconds, so that a client never sends
@@ -64,14 +66,14 @@
     let mut closing = front.close_connections.subscribe();
     let service = service_fn(move |request| {
         let answer = answer(Arc::clone(&front), request);
-        async move { Ok::<_, std::convert::Infallible>(answer.await) }
+        async move { Ok::<_, std::convert::Infallible>(HeldBody::wrap(answer.await)) }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         // hyper counts this time from the last answer, so it also limits the idle time.
         .header_read_timeout(Duration::from_millis(idle_ms))
         .max_buf_size(head_bytes.max(HEADER_BYTES_MIN))
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(ClientIo::new(stream)), service);
     let mut connection = std::pin::pin!(connection);
     let closed = tokio::select! {
         closed = connection.as_mut() => closed,
--- a/components/front/src/lib.rs
+++ b/components/front/src/lib.rs
@@ -9,9 +9,11 @@
 
 mod access;
 mod calls;
+mod client_io;
 mod clock;
 mod connections;
 mod follow;
+mod held;
 mod jobs;
 mod leader;
 mod leave;
--- a/components/front/src/serve.rs
+++ b/components/front/src/serve.rs
@@ -13,6 +13,7 @@
 use crate::access::Refused;
 use crate::calls::{self, CallOutcome, CallSpec};
 use crate::clock::now_ms;
+use crate::held::{self, HeldGuard};
 use crate::results::{self, ReadResult};
 use crate::state::Front;
 use crate::{access, jobs, metrics, stream};
@@ -21,6 +22,8 @@
 const UNCONFIGURED_RETRY_AFTER_MS: u64 = 300;
 /// Retry-After when all replicas are busy, in milliseconds: half the duration of a call.
 const BUSY_RETRY_AFTER_MS: u64 = 60;
+/// Retry-After while too much data is held for slow clients, in milliseconds.
+const OVERFULL_RETRY_AFTER_MS: u64 = 1_000;
 /// Path of the metrics page, on the address of the readiness probe.
 const METRICS_PATH: &str = "/metrics";
 /// Timeout of a request without a deadline header, in milliseconds. A shorter timeout of the route
@@ -36,6 +39,7 @@
         let mut text = metrics::text(&front.metrics.rows().await);
         text.push_str(&front.storage.calls.text());
         text.push_str(&metrics::customers_text(&front.meter.series()));
+        text.push_str(&metrics::held_text(front.held.bytes()));
         return ingress::success_response(StatusCode::OK, None, "text/plain", text.into());
     }
     let status = match front.is_ready() {
@@ -95,7 +99,15 @@
                 return access::refuse(front, &routes, &parts.headers, body, id, refused).await;
             }
         };
-    serve_step_request(front, name_of(&customer), &operation, id).await
+    let Some(held) = front.held.admit(0) else {
+        return overfull_response(id, front.held.bytes());
+    };
+    let mut answer = serve_step_request(front, name_of(&customer), &operation, id).await;
+    let is_read = !matches!(operation, Operation::EndStep { .. });
+    match is_read && !held::try_hold_answer(&mut answer, held) {
+        true => overfull_response(id, front.held.bytes()),
+        false => answer,
+    }
 }
 
 /// Serves a request about a step that the customer submitted before.
@@ -188,6 +200,9 @@
     if content_length > limit_bytes as u64 {
         return too_large_response(id);
     }
+    let Some(held) = front.held.admit(content_length) else {
+        return overfull_response(Some(id), front.held.bytes());
+    };
     let body = match collect(body, limit_bytes).await {
         Ok(body) => body,
         Err(BodyError::TooLarge(_)) => return too_large_response(id),
@@ -201,6 +216,11 @@
             );
         }
     };
+    // The length of a body without a header is known only now.
+    let unannounced_bytes = (body.len() as u64).saturating_sub(content_length);
+    if !held.try_hold(unannounced_bytes) {
+        return overfull_response(Some(id), front.held.bytes());
+    }
     if route.kind == RouteKind::Rollout {
         let submitted = jobs::Submitted {
             route,
@@ -233,7 +253,18 @@
         background: false,
         deadline_at_ms: began_ms + timeout_ms,
     };
-    perform_call(front, route, &spec, id).await
+    perform_call(front, route, &spec, held).await
+}
+
+/// Refuses a request, which has not run, because too much data is held for others.
+fn overfull_response(id: Option<&str>, held_bytes: u64) -> Response<ResponseBody> {
+    let id_text = id.unwrap_or_default();
+    let why = "too much data is held";
+    log::warn!(event = "request-refused", id = id_text, held_bytes, why; "");
+    let status = StatusCode::SERVICE_UNAVAILABLE;
+    let mut answer = ingress::status_response(status, id, Some(OVERFULL_RETRY_AFTER_MS), "not run");
+    ingress::set_connection_close(&mut answer);
+    answer
 }
 
 /// Priority of a call in the replica's queue; only model replicas support priorities.
@@ -253,10 +284,11 @@
     front: &Arc<Front>,
     route: &Route,
     spec: &CallSpec<'_>,
-    id: &str,
+    held: Arc<HeldGuard>,
 ) -> Response<ResponseBody> {
+    let id = spec.request_id;
     if route.kind == RouteKind::Stream {
-        return match stream::relay(front, spec).await {
+        return match stream::relay(front, spec, held).await {
             Ok(answer) => answer,
             Err(failed) => {
                 log::warn!(event = "stream-failed", id, not_run = failed.not_run, why = failed.reason; "");
@@ -274,6 +306,11 @@
             let mut response = Response::new(ResponseBody::Full(Bytes::clone(&answer.body)));
             *response.status_mut() = answer.status;
             *response.headers_mut() = answer.headers;
+            if !held::try_hold_answer(&mut response, held) {
+                let held_bytes = front.held.bytes();
+                log::warn!(event = "answer-dropped", id, held_bytes; "");
+                return failure_response(CallFailure::Unknown, id);
+            }
             response
         }
         CallOutcome::Failed(end, _) => failure_response(end, id),
--- a/components/front/src/state.rs
+++ b/components/front/src/state.rs
@@ -23,6 +23,7 @@
 use usage::{UsageLedger, WindowSettings};
 
 use crate::clock::now_ms;
+use crate::held::HeldBytes;
 use crate::member;
 use crate::meter::Meter;
 use crate::peers::ReplicaTable;
@@ -87,6 +88,8 @@
     /// When the usage log was last read to its end; 0 if never.
     usage_current_ms: AtomicU64,
     pub meter: Meter,
+    /// Data that is held for clients and replicas that read slowly.
+    pub held: Arc<HeldBytes>,
     pub drain: Drain,
     /// Turns true when idle connections of clients are to be closed.
     pub close_connections: watch::Sender<bool>,
@@ -123,6 +126,7 @@
             usage: Mutex::default(),
             usage_current_ms: AtomicU64::new(0),
             meter: Meter::new(report_windows(&settings)),
+            held: Arc::default(),
             drain,
             close_connections: watch::Sender::new(false),
             typical_durations: Mutex::default(),
--- a/components/front/src/stream.rs
+++ b/components/front/src/stream.rs
@@ -16,6 +16,7 @@
 
 use crate::calls::{CallSpec, choose_in_service};
 use crate::clock::now_ms;
+use crate::held::HeldGuard;
 use crate::meter::CountedRequest;
 use crate::peers::{Incarnation, Member, incarnation};
 use crate::state::Front;
@@ -39,6 +40,7 @@
 pub async fn relay(
     front: &Arc<Front>,
     spec: &CallSpec<'_>,
+    held: Arc<HeldGuard>,
 ) -> Result<Response<ResponseBody>, NotStarted> {
     let mut tried: Vec<Incarnation> = Vec::new();
     let mut counted_request = CountedRequest::new(front, spec.customer);
@@ -52,7 +54,7 @@
         };
         tried.push(incarnation(&member.replica));
         let sent = counted_request.start_attempt();
-        match open(&member, spec).await {
+        match open(&member, spec, &held).await {
             Ok(response) => {
                 sent.store(now_ms(), Ordering::Relaxed);
                 return Ok(response);
@@ -70,7 +72,11 @@
     choose_in_service(front, &table, service, &typical, tried, false)
 }
 
-async fn open(member: &Member, spec: &CallSpec<'_>) -> Result<Response<ResponseBody>, NotStarted> {
+async fn open(
+    member: &Member,
+    spec: &CallSpec<'_>,
+    held: &Arc<HeldGuard>,
+) -> Result<Response<ResponseBody>, NotStarted> {
     let not_run = |reason: String| NotStarted {
         not_run: true,
         reason,
@@ -99,6 +105,9 @@
     let mut response = Response::new(ResponseBody::Stream(body));
     *response.status_mut() = stream.status;
     *response.headers_mut() = stream.headers;
+    held.release_all();
+    response.extensions_mut().insert(Arc::clone(held));
+    let held = Arc::clone(held);
     let mut replica_body = stream.body;
     let in_flight = member.peer.load.begin(0, false);
     tokio::spawn(async move {
@@ -118,6 +127,9 @@
             let relayed = match frame {
                 Ok(None) => return,
                 Ok(Some(Ok(frame))) => match frame.into_data() {
+                    Ok(data) if !held.try_hold(data.len() as u64) => {
+                        Err(BodyError::Interrupted("too much data is held".to_owned()))
+                    }
                     Ok(data) => Ok(data),
                     Err(_) => continue,
                 },
--- a/components/front/tests/front/main.rs
+++ b/components/front/tests/front/main.rs
@@ -3,6 +3,7 @@
 mod calls;
 mod common;
 mod customers;
+mod held;
 mod orders;
 mod restarts;
 mod shards;
--- a/dev/standins/src/fleet/replica.rs
+++ b/dev/standins/src/fleet/replica.rs
@@ -46,6 +46,7 @@
     keys: usize,
     orders: Vec<ReceivedOrder>,
     answers: BTreeMap<String, u16>,
+    answer_bytes: Option<usize>,
     active_runs: usize,
 }
 
@@ -105,6 +106,11 @@
         self.lock().answers.insert(request_id.to_owned(), status);
     }
 
+    /// Answers later plain calls with a body of this length.
+    pub fn answer_with_bytes(&self, bytes: usize) {
+        self.lock().answer_bytes = Some(bytes);
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -203,7 +209,11 @@
     }
     if settings.events == 0 {
         tokio::time::sleep(Duration::from_millis(settings.pause_ms)).await;
-        let body = Bytes::from(format!("{} {}", call.path, call.body.len()));
+        let bytes = control.lock().answer_bytes;
+        let body = match bytes {
+            Some(bytes) => Bytes::from(vec![b'x'; bytes]),
+            None => Bytes::from(format!("{} {}", call.path, call.body.len())),
+        };
         return with_headers(reply::bytes(200, body), call, &[("server-stamp", &stamp)]);
     }
     let (chunks, answer) = reply::stream();
