--- a/components/front/src/metrics.rs
+++ b/components/front/src/metrics.rs
@@ -47,11 +47,6 @@
     series.iter().map(line).collect()
 }
 
-/// The line of the data that is held for clients and replicas that read slowly, in bytes.
-pub fn held_text(bytes: u64) -> String {
-    format!("front_held_bytes count={bytes}\n")
-}
-
 /// One line per series with name, class and count, and for histograms the quantiles.
 pub fn text(rows: &[Row]) -> String {
     let mut text = String::new();
--- a/components/front/src/serve.rs
+++ b/components/front/src/serve.rs
@@ -9,6 +9,7 @@
 use hyper::{Request, Response, StatusCode};
 use platform::ingress::{self, Operation};
 use platform::{BodyError, ResponseBody, collect};
+use telemetry::Label;
 
 use crate::access::Refused;
 use crate::calls::{self, CallOutcome, CallSpec};
@@ -36,10 +37,11 @@
     request: Request<Incoming>,
 ) -> Response<ResponseBody> {
     if request.uri().path() == METRICS_PATH {
-        let mut text = metrics::text(&front.metrics.rows().await);
+        let (metrics, held_bytes) = (&front.metrics, front.held.bytes());
+        metrics.set_gauge("front_held_bytes", Label::default(), held_bytes);
+        let mut text = metrics::text(&metrics.rows().await);
         text.push_str(&front.storage.calls.text());
         text.push_str(&metrics::customers_text(&front.meter.series()));
-        text.push_str(&metrics::held_text(front.held.bytes()));
         return ingress::success_response(StatusCode::OK, None, "text/plain", text.into());
     }
     let status = match front.is_ready() {
--- a/components/front/tests/front/held.rs
+++ b/components/front/tests/front/held.rs
@@ -46,7 +46,7 @@
 async fn held_bytes(front: &FrontHandle) -> u64 {
     let metrics = front.metrics().await;
     let mut lines = metrics.lines();
-    let count = lines.find_map(|line| line.strip_prefix("front_held_bytes count="));
+    let count = lines.find_map(|line| line.strip_prefix("front_held_bytes{class=\"\"} count="));
     count.map_or(0, |count| count.parse().expect("a number"))
 }
 
