--- a/components/front/tests/front/restarts.rs
+++ b/components/front/tests/front/restarts.rs
@@ -2,7 +2,11 @@
 
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use crate::common::{Replica, Site};
+use crate::common::{FrontHandle, Replica, Site, TEST_TIMEOUT, wait_until};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Method, Request};
+use platform::{collect, connect};
 use serde_json::Value;
 use standins::fleet::records;
 use standins::{Fault, FaultKind};
@@ -151,6 +155,45 @@
     }
 }
 
+/// Reads a stream of the front to its end; false if it broke.
+async fn is_stream_complete(front: &FrontHandle) -> bool {
+    let mut connection = connect(front.client_address, TEST_TIMEOUT)
+        .await
+        .expect("a connection");
+    let request = Request::builder()
+        .method(Method::POST)
+        .uri("/calls/x")
+        .header("host", records::HOST)
+        .header("hornbeamrock-request-id", "s-1")
+        .body(Full::new(Bytes::new()))
+        .expect("a request");
+    let answer = connection.send(request, TEST_TIMEOUT).await;
+    let body = answer.expect("an answer").into_body();
+    collect(body, 1 << 20).await.is_ok()
+}
+
+#[tokio::test]
+async fn can_break_a_stream_at_once_when_its_replica_restarts() {
+    // The client must not wait for events of a replica that has lost the request, and must not take
+    // what it has received for the whole stream.
+    let site = Site::start(4, 1_200).await;
+    let mut config: Value = serde_json::from_str(&records::config(4)).expect("a configuration");
+    config["Routes"][0]["Kind"] = "stream".into();
+    config["Routes"][0]["Service"] = records::ENGINES.into();
+    let config = config.to_string();
+    site.store.put("keyed.op", "config", Some(&config));
+    write_lives(&site, Some(FIRST_LIFE_MS), 8);
+    let front = site.front("a").await;
+    let began = Instant::now();
+    let restart = async {
+        tokio::time::sleep(IN_FLIGHT).await;
+        write_lives(&site, Some(unix_ms()), 8);
+    };
+    let (is_complete, ()) = tokio::join!(is_stream_complete(&front), restart);
+    assert!(!is_complete);
+    assert!(began.elapsed() < AT_ONCE, "{:?}", began.elapsed());
+}
+
 #[tokio::test]
 async fn can_start_an_item_again_at_once_when_its_replica_restarts() {
     // Without the start time, the run of the former life ends only by a silence of more than a
@@ -160,7 +203,7 @@
     site.name_version(1);
     let front = site.front("a").await;
     front.submit("step-1", &records::step(1, 1, 2)).await;
-    crate::common::wait_until("both items run", || async {
+    wait_until("both items run", || async {
         !site.runs("item-1-0").is_empty() && !site.runs("item-1-1").is_empty()
     })
     .await;
