Runner: no limit by KV memory

Reverts the limit that counts each item with its maximum output. An engine preempts a run when its memory is full; the limit left half of the slots empty. The tests of the limit go with it.

--- a/components/dispatch/src/routes.rs
+++ b/components/dispatch/src/routes.rs
@@ -125,8 +125,6 @@
 pub struct Service {
     /// Models that the replicas serve; empty for a service without models.
     pub models: Vec<Arc<str>>,
-    /// Tokens that the KV memory of one replica holds; `None` if the configuration has no limit.
-    pub kv_capacity_tokens: Option<u64>,
 }
 
 /// Limits on clients' requests and connections.
--- a/components/front/src/runner/mod.rs
+++ b/components/front/src/runner/mod.rs
@@ -11,7 +11,6 @@
 mod engines;
 mod finish;
 mod handover;
-mod memory;
 mod pool_queues;
 mod reconcile;
 mod timings;
--- a/components/front/src/runner/reconcile.rs
+++ b/components/front/src/runner/reconcile.rs
@@ -65,7 +65,6 @@
         self.remove_gone(&table);
         let members = queue.members(&table, |replica| self.has_runs_at(replica));
         let mut engines = self.engines_for(&members, &queue.models, now_ms);
-        self.limit_to_memory(&queue, &members, &mut engines);
         let waiting: Vec<WaitingItem> = queue
             .waiting
             .iter()
--- a/components/front/tests/front/restarts.rs
+++ b/components/front/tests/front/restarts.rs
@@ -35,7 +35,7 @@
     site.store.put("keyed.servers", &replica.id, Some(&record));
 }
 
-pub fn write_lives(site: &Site, started_ms: Option<u64>, slots: u32) {
+fn write_lives(site: &Site, started_ms: Option<u64>, slots: u32) {
     for replica in &site.replicas {
         write_life(site, replica, started_ms, slots);
     }
