--- a/dev/sim/src/fleet/outcome.rs
+++ b/dev/sim/src/fleet/outcome.rs
@@ -22,9 +22,30 @@
         }
     }
 
+    /// Time until a lost front was replaced; the time since its loss if no running front acts in
+    /// its place at the end, not even the lost one.
+    fn gap_ms(
+        &self,
+        lost: Option<(usize, u64)>,
+        replaced_after_ms: u64,
+        acts: impl Fn(&Front) -> bool,
+    ) -> u64 {
+        match lost {
+            Some((_, at_ms)) if self.find_running(acts).is_none() => self.now_ms - at_ms,
+            _ => replaced_after_ms,
+        }
+    }
+
     pub(super) fn report(self) -> Report {
         let seconds = (self.settings.day_ms - COUNTING_STARTS_MS) as f64 / 1e3;
         let per_s = |count: u64| count as f64 / seconds;
+        let (impact, first) = (&self.fault_impact, self.first_partition());
+        let holder_gap_ms = self.gap_ms(impact.holder, impact.holder_gap_ms, |front| {
+            front.lease.fence(self.now_ms).is_some()
+        });
+        let owner_gap_ms = self.gap_ms(impact.owner, impact.owner_gap_ms, |front| {
+            front.owns(first, self.now_ms)
+        });
         let counts = &self.counts;
         let reads: u64 = counts.served.iter().chain(&counts.refused).sum();
         let reads = reads + counts.owner_reads;
@@ -48,8 +69,8 @@
             configuration: self.propagation(CONFIGURATION),
             draining: self.propagation(DRAINING),
             accepted_ms,
-            holder_gap_ms: self.fault_impact.holder_gap_ms,
-            owner_gap_ms: self.fault_impact.owner_gap_ms,
+            holder_gap_ms,
+            owner_gap_ms,
             takes: counts.takes,
             double_orders: counts.double_orders,
         }
