--- a/components/front/src/leave.rs
+++ b/components/front/src/leave.rs
@@ -12,7 +12,7 @@
 
 use crate::clock::now_ms;
 use crate::state::Front;
-use crate::{leader, member};
+use crate::{leader, member, peer_relay};
 
 /// How long the load balancer may still send requests after readiness went false, in
 /// milliseconds: it probes once per second and removes a front after two failed probes.
@@ -62,6 +62,8 @@
     front.drain.start(now_ms());
     log::info!(event = "leaving", work = front.drain.work_counter().count(); "");
     front.runner_wakeup.notify_one();
+    // Not awaited: retries until the record is removed, or the process ends.
+    tokio::spawn(peer_relay::withdraw(Arc::clone(front)));
     tokio::join!(leader::release_lease(front), release_shards(front));
     loop {
         match front.drain.next_action(now_ms()) {
--- a/components/front/src/lib.rs
+++ b/components/front/src/lib.rs
@@ -19,6 +19,7 @@
 mod meter;
 mod metrics;
 mod partial;
+mod peer_relay;
 mod peers;
 mod reload;
 mod reports;
--- /dev/null
+++ b/components/front/src/peer_relay/book.rs
@@ -0,0 +1,169 @@
+//! The address book: this front's record, and the peers that are known from the others' records.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use bytes::Bytes;
+use platform::store::{KeyedRecord, StoreError, encode_keyed};
+use relay::{
+    FRONTS_TOPIC, FrontRecord, RELAY_VERSION, RelayHello, Way, decode_record, encode_record,
+    is_active, rank_peers,
+};
+
+use crate::clock::now_ms;
+use crate::state::Front;
+use crate::writer::{APPEND_TIMEOUT_MS, WriteError, append_with_retry};
+
+/// Interval of checks whether enough replicas report their start, in milliseconds.
+const ACTIVE_POLL_MS: u64 = 500;
+/// Longest random pause before the record is written, and again before the others' records are
+/// read, in milliseconds. Spreads the calls of fronts that start together.
+const JITTER_MS: u64 = 1_000;
+/// Shortest interval between two reads of the address book, in milliseconds.
+const READ_MS_MIN: u64 = 2_000;
+/// Longest interval between reads while too few peers are known, in milliseconds.
+const READ_MS_MAX: u64 = 30_000;
+/// Timeout of a read of the address book, in milliseconds.
+const READ_TIMEOUT_MS: u64 = 1_350;
+
+/// Waits until more than half of the replicas that are not draining report their start.
+pub async fn wait_until_active(front: &Front) {
+    loop {
+        let (mut reporting, mut replicas) = (0, 0);
+        for member in front.replicas.load().iter() {
+            if !member.replica.draining {
+                replicas += 1;
+                reporting += usize::from(member.replica.started_ms.is_some());
+            }
+        }
+        if front.replicas_read.load(Ordering::Relaxed) > 0 && is_active(reporting, replicas) {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(ACTIVE_POLL_MS)).await;
+    }
+}
+
+/// The hello of this process.
+pub fn hello(front: &Front) -> RelayHello {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    let now_unix_ms = now.map_or(0, |now| now.as_millis() as u64);
+    let age_ms = now_ms().saturating_sub(front.started_ms);
+    RelayHello {
+        version: RELAY_VERSION,
+        node: front.settings.node.clone(),
+        started_unix_ms: now_unix_ms.saturating_sub(age_ms),
+    }
+}
+
+/// Writes this front's record, reads those of the others, and reads them again while too few peers
+/// are usable.
+pub async fn maintain(front: &Front) {
+    pause(rand::random::<u64>() % JITTER_MS).await;
+    if let Some(record) = own_record(front) {
+        write(front, &record).await;
+    }
+    pause(rand::random::<u64>() % JITTER_MS).await;
+    let mut interval_ms = READ_MS_MIN;
+    let mut way = front.storage.relay.way.subscribe();
+    read(front).await;
+    loop {
+        let jitter_ms = rand::random::<u64>() % (interval_ms / 4);
+        tokio::select! {
+            () = pause(interval_ms + jitter_ms) => {}
+            // The sender lives as long as the front, so `changed` cannot fail.
+            _ = way.changed() => pause(READ_MS_MIN).await,
+        }
+        match needs_read(front) {
+            true => {
+                read(front).await;
+                interval_ms = (interval_ms * 2).min(READ_MS_MAX);
+            }
+            false => interval_ms = READ_MS_MIN,
+        }
+    }
+}
+
+/// Removes this front's record when the front leaves.
+pub async fn withdraw(front: Arc<Front>) {
+    if front.storage.relay.identity.get().is_none() {
+        return;
+    }
+    match encode_keyed(&front.settings.node, None) {
+        Ok(tombstone) => write(&front, &tombstone).await,
+        Err(error) => log::error!(event = "front-record-malformed", error:% = error; ""),
+    }
+}
+
+async fn pause(pause_ms: u64) {
+    tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+}
+
+/// Whether too few peers are usable, and the store is likely to answer a read. While the store is
+/// down for all fronts, the read would only add to the calls.
+fn needs_read(front: &Front) -> bool {
+    let now_ms = now_ms();
+    let route = front.storage.relay.route();
+    let is_reachable = match route.way() {
+        Way::Direct => route.may_serve(),
+        Way::Peer => route.next_peer(&[], now_ms).is_some(),
+    };
+    is_reachable && route.needs_peers(now_ms)
+}
+
+fn own_record(front: &Front) -> Option<Bytes> {
+    let identity = front.storage.relay.identity.get()?;
+    let (domain, started) = (&front.settings.domain, identity.hello.started_unix_ms);
+    let record = encode_record(&FrontRecord::new(identity.address, domain, started));
+    let encoded = record
+        .map_err(|reason| StoreError::NotDone(reason.to_string()))
+        .and_then(|value| encode_keyed(&front.settings.node, Some(&value)));
+    match encoded {
+        Ok(record) => Some(record),
+        Err(error) => {
+            log::error!(event = "front-record-malformed", error:% = error; "");
+            None
+        }
+    }
+}
+
+async fn write(front: &Front, record: &Bytes) {
+    let timeout = Duration::from_millis(APPEND_TIMEOUT_MS);
+    let records = std::slice::from_ref(record);
+    append_with_retry(front, "front-record", || async {
+        let append = front.storage.append(FRONTS_TOPIC, 0, records, timeout);
+        append.await.map_err(WriteError::from)
+    })
+    .await;
+}
+
+async fn read(front: &Front) {
+    let timeout = Duration::from_millis(READ_TIMEOUT_MS);
+    match front.storage.read_newest(FRONTS_TOPIC, timeout).await {
+        Ok((records, _)) => set_peers(front, &records),
+        Err(error) => log::warn!(event = "fronts-not-read", error:% = error; ""),
+    }
+}
+
+fn set_peers(front: &Front, records: &[KeyedRecord]) {
+    let Some(identity) = front.storage.relay.identity.get() else {
+        return;
+    };
+    let own = identity.address;
+    let decoded = records.iter().filter_map(decode);
+    let fronts: Vec<FrontRecord> = decoded.collect();
+    let (node, domain) = (&front.settings.node, &front.settings.domain);
+    let peers: Vec<SocketAddr> = rank_peers(node, domain, own, fronts.iter());
+    log::debug!(event = "peers-known", peers = peers.len(); "");
+    front.storage.relay.route().set_peers(peers);
+}
+
+fn decode(record: &KeyedRecord) -> Option<FrontRecord> {
+    decode_record(&record.value)
+        .inspect_err(|error| {
+            let (topic, key) = (FRONTS_TOPIC, &record.key);
+            log::warn!(event = "record-malformed", topic, key, error:% = error; "");
+        })
+        .ok()
+}
--- a/components/front/src/storage.rs
+++ b/components/front/src/storage.rs
@@ -4,6 +4,7 @@
 //! succeeds after an outage, pauses end and calls from before the recovery are abandoned.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
@@ -13,6 +14,7 @@
 use reach::{Availability, Reachability};
 
 use crate::clock::now_ms;
+use crate::peer_relay::PeerRelay;
 use crate::store_calls::{GROUP, StoreCalls, TopicCalls};
 
 /// Start and limits of a read.
@@ -41,6 +43,8 @@
 /// Client of the store, with its availability and counts of its calls.
 pub struct Storage {
     store: Store,
+    /// Decides whether a call is made directly or through another front.
+    pub relay: Arc<PeerRelay>,
     reach: Reachability,
     /// Counts of calls by topic.
     pub calls: StoreCalls,
@@ -51,8 +55,14 @@
 impl Storage {
     /// Client of the store at `address`; connects with the first call.
     pub fn new(address: SocketAddr) -> Self {
+        let relay = Arc::new(PeerRelay::new(address));
+        let transport = Arc::clone(&relay);
         Self {
-            store: Store::new(address),
+            store: Store::with_transport(Box::new(move |call| {
+                let relay = Arc::clone(&transport);
+                Box::pin(async move { relay.call(call).await })
+            })),
+            relay,
             reach: Reachability::default(),
             calls: StoreCalls::default(),
             last_answer_ms: AtomicU64::new(now_ms()),
@@ -61,7 +71,7 @@
 
     /// Sets the store's address for the following calls; true if the address changed.
     pub fn set_address(&self, address: SocketAddr) -> bool {
-        self.store.set_address(address)
+        self.relay.set_store_address(address)
     }
 
     /// How often the store became available again after an outage.
@@ -107,6 +117,7 @@
             max_kb,
             wait_ms,
         } = from;
+        let wait_ms = self.relay.limit_wait_ms(wait_ms);
         let calls = self.calls.of(topic);
         calls.count_read();
         let read = self
--- a/components/front/src/store_calls.rs
+++ b/components/front/src/store_calls.rs
@@ -6,16 +6,18 @@
 use index::{DATA_TOPIC, INDEX_TOPIC, USAGE_TOPIC};
 use platform::records::{OPERATOR_TOPIC, REPLICA_TOPIC};
 use platform::store::StoreError;
+use relay::FRONTS_TOPIC;
 
 /// Label of calls that concern the group of fronts; takes the place of a topic.
 pub const GROUP: &str = "group";
 /// Topics that are counted separately.
-const TOPICS: [&str; 6] = [
+const TOPICS: [&str; 7] = [
     INDEX_TOPIC,
     DATA_TOPIC,
     USAGE_TOPIC,
     OPERATOR_TOPIC,
     REPLICA_TOPIC,
+    FRONTS_TOPIC,
     GROUP,
 ];
 
--- a/components/front/tests/front/common.rs
+++ b/components/front/tests/front/common.rs
@@ -322,6 +322,7 @@
             settle_ms: 1_000,
         },
         duties: None,
+        peer_ports: None,
     }
 }
 
--- /dev/null
+++ b/components/relay/src/book.rs
@@ -0,0 +1,79 @@
+//! The address book: which fronts relay calls, and in which order a front uses them.
+
+use std::net::SocketAddr;
+
+use derive::wire;
+use types::rendezvous;
+
+use crate::FrameError;
+
+/// Keyed topic of the address book; the key is the name of the front's node.
+pub const FRONTS_TOPIC: &str = "keyed.fronts";
+/// Version of [`FrontRecord`].
+const RECORD_VERSION: u16 = 1;
+
+/// Record of a front in the address book.
+#[wire]
+pub struct FrontRecord {
+    /// Format of the record.
+    pub version: u16,
+    /// Address at which the front relays calls.
+    pub address: SocketAddr,
+    /// Failure domain of the front.
+    pub domain: String,
+    /// When the front's process started, in milliseconds of UTC since the Unix epoch.
+    pub started_unix_ms: u64,
+}
+
+impl FrontRecord {
+    /// A record in the current format.
+    pub fn new(address: SocketAddr, domain: &str, started_unix_ms: u64) -> Self {
+        Self {
+            version: RECORD_VERSION,
+            address,
+            domain: domain.to_owned(),
+            started_unix_ms,
+        }
+    }
+}
+
+/// Encodes a record of the address book.
+pub fn encode_record(record: &FrontRecord) -> Result<Vec<u8>, FrameError> {
+    postcard::to_stdvec(record).map_err(FrameError::Encode)
+}
+
+/// Decodes a record of the address book.
+pub fn decode_record(value: &[u8]) -> Result<FrontRecord, FrameError> {
+    let record: FrontRecord = postcard::from_bytes(value).map_err(FrameError::Decode)?;
+    match record.version {
+        RECORD_VERSION => Ok(record),
+        version => Err(FrameError::Version(version)),
+    }
+}
+
+/// Whether fronts relay calls for each other: more than half of the replicas that are not draining
+/// report their start.
+pub fn is_active(reporting: usize, replicas: usize) -> bool {
+    reporting * 2 > replicas
+}
+
+/// Order in which the front `node` uses its peers: those of its own failure domain first, and
+/// within each part by rendezvous hashing, so that the calls of several fronts spread over all
+/// peers. `own` is the front's own address, which is left out.
+pub fn rank_peers<'a>(
+    node: &str,
+    domain: &str,
+    own: SocketAddr,
+    records: impl Iterator<Item = &'a FrontRecord>,
+) -> Vec<SocketAddr> {
+    let (near, far): (Vec<_>, Vec<_>) = records
+        .filter(|record| record.address != own)
+        .partition(|record| record.domain == domain);
+    let ranked = |records: Vec<&FrontRecord>| {
+        let addresses = records.into_iter().map(|record| record.address);
+        rendezvous::ranked(node.as_bytes(), addresses)
+    };
+    let mut order = ranked(near);
+    order.extend(ranked(far));
+    order
+}
--- a/dev/standins/src/fault.rs
+++ b/dev/standins/src/fault.rs
@@ -20,6 +20,8 @@
     Late,
     /// Neither processes nor answers the request; the connection stays open.
     Silent,
+    /// Closes the connection without processing the request.
+    Reset,
     /// Engine: answers a switch with 500 and keeps the serving version.
     SwapFails,
     /// Crashes when a request contains `text`. A service listens again after `delay_ms`, an engine
--- a/dev/standins/src/handle.rs
+++ b/dev/standins/src/handle.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
@@ -20,6 +21,8 @@
 pub(crate) struct Control {
     pub(crate) faults: Faults,
     pub(crate) crash: watch::Sender<Crash>,
+    /// Requests that arrived, including those that a fault affected.
+    pub(crate) requests: AtomicU64,
 }
 
 impl Control {
@@ -28,6 +31,7 @@
         Arc::new(Control {
             faults: Faults::default(),
             crash,
+            requests: AtomicU64::new(0),
         })
     }
 
@@ -36,6 +40,11 @@
         self.crash.borrow().number
     }
 
+    /// Number of requests that arrived, including those that a fault affected.
+    pub fn requests(&self) -> u64 {
+        self.control.requests.load(Ordering::Relaxed)
+    }
+
     /// Closes all connections and listens again after `down_ms`.
     pub(crate) fn crash(&self, down_ms: u64) {
         self.crash.send_modify(|crash| {
--- a/dev/standins/src/http.rs
+++ b/dev/standins/src/http.rs
@@ -3,6 +3,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -191,7 +192,11 @@
             true => call.path.clone(),
             false => format!("{}?{}", call.path, call.query),
         };
+        self.control.requests.fetch_add(1, Ordering::Relaxed);
         let faults = &self.control.faults;
+        if faults.trigger(FaultKind::Reset, &path).is_some() {
+            return Err(NoAnswer::Simulated);
+        }
         if faults.trigger(FaultKind::Silent, &path).is_some() {
             return std::future::pending().await;
         }
