--- a/dev/standins/src/handle.rs
+++ b/dev/standins/src/handle.rs
@@ -40,11 +40,6 @@
         self.crash.borrow().number
     }
 
-    /// Number of requests that arrived, including those that a fault affected.
-    pub fn requests(&self) -> u64 {
-        self.control.requests.load(Ordering::Relaxed)
-    }
-
     /// Closes all connections and listens again after `down_ms`.
     pub(crate) fn crash(&self, down_ms: u64) {
         self.crash.send_modify(|crash| {
@@ -73,6 +68,11 @@
         self.control.faults.clear();
     }
 
+    /// Number of requests that arrived, including those that a fault affected.
+    pub fn requests(&self) -> u64 {
+        self.control.requests.load(Ordering::Relaxed)
+    }
+
     /// Closes all connections and listens again after `down_ms`. Only an engine loses its state in
     /// a crash (see [`crate::engine`]).
     pub fn crash(&self, down_ms: u64) {
