--- a/components/front/src/peer_relay/counts.rs
+++ b/components/front/src/peer_relay/counts.rs
@@ -36,9 +36,9 @@
         self.served[index].fetch_add(1, Ordering::Relaxed);
     }
 
-    /// One line per series with a count, and the gauge of the way: 0 for direct calls, 1 for calls
-    /// through a peer.
-    pub fn text(&self, way: Way) -> String {
+    /// One line per series with a count, and two gauges: the way, which is 0 for direct calls and 1
+    /// for calls through a peer, and the number of known peers.
+    pub fn text(&self, way: Way, peers: usize) -> String {
         let mut text = String::new();
         let series = [
             ("front_store_relayed_total", &self.relayed),
@@ -55,6 +55,7 @@
         }
         let way = u64::from(way == Way::Peer);
         let _ = writeln!(text, "front_relay_way{{}} count={way}");
+        let _ = writeln!(text, "front_relay_peers{{}} count={peers}");
         text
     }
 }
--- a/components/front/src/peer_relay/mod.rs
+++ b/components/front/src/peer_relay/mod.rs
@@ -100,9 +100,13 @@
         }
     }
 
-    /// Lines for the metrics page.
+    /// Lines for the metrics page; none before relaying has started.
     pub fn text(&self) -> String {
-        self.counts.text(*self.way.borrow())
+        if self.identity.get().is_none() {
+            return String::new();
+        }
+        let peers = self.route().peer_count();
+        self.counts.text(*self.way.borrow(), peers)
     }
 
     /// Makes a call, directly or through a peer.
--- a/components/front/tests/front/common.rs
+++ b/components/front/tests/front/common.rs
@@ -19,6 +19,8 @@
 
 /// Timeout of every request and condition that a test waits for.
 pub const TEST_TIMEOUT: Duration = Duration::from_secs(20);
+/// Start of all replicas that report one.
+const STARTED_UNIX_MS: u64 = 1_700_000_000_000;
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 
 pub struct Replica {
@@ -170,6 +172,12 @@
     pub slots: u32,
     /// Duties in the settings of fronts that are started from now on.
     pub duties: Option<DutySettings>,
+    /// Ports for relaying in the settings of fronts that are started from now on.
+    pub peer_ports: Option<(u16, u16)>,
+    /// Failure domain of fronts that are started from now on.
+    pub domain: &'static str,
+    /// Whether the replicas report their start.
+    pub reports_start: bool,
 }
 
 impl Site {
@@ -186,6 +194,9 @@
             replicas: Vec::new(),
             slots: records::SLOTS,
             duties: None,
+            peer_ports: None,
+            domain: "zone-a",
+            reports_start: false,
         };
         site.store
             .put("keyed.op", "config", Some(&records::config(3)));
@@ -221,6 +232,10 @@
         let address = replica.handle.address;
         let record =
             records::replica_with_slots(replica.service, address, state, version, self.slots);
+        let record = match self.reports_start {
+            true => records::with_start(&record, STARTED_UNIX_MS),
+            false => record,
+        };
         self.store.put("keyed.servers", &replica.id, Some(&record));
     }
 
@@ -273,6 +288,8 @@
         let settings = FrontSettings {
             cpu_share_thousandths,
             duties: self.duties,
+            peer_ports: self.peer_ports,
+            domain: self.domain.to_owned(),
             ..settings(node, store_listener.address)
         };
         let bound = Bound::new(settings).await.expect("ports");
--- a/components/front/tests/front/main.rs
+++ b/components/front/tests/front/main.rs
@@ -4,6 +4,8 @@
 mod common;
 mod customers;
 mod orders;
+mod relay_peers;
+mod relayed;
 mod shards;
 mod steps;
 mod trainer;
--- a/dev/standins/src/fleet/records.rs
+++ b/dev/standins/src/fleet/records.rs
@@ -84,6 +84,13 @@
     .to_string()
 }
 
+/// Adds the start of the replica to its heartbeat record.
+pub fn with_start(record: &str, started_unix_ms: u64) -> String {
+    let mut record: Value = serde_json::from_str(record).unwrap_or_default();
+    record["born"] = started_unix_ms.into();
+    record.to_string()
+}
+
 /// Operator's record that names the newest version of the model.
 pub fn version(version: u64) -> String {
     json!({ "Model": MODEL, "Version": version }).to_string()
