--- a/components/front/src/member.rs
+++ b/components/front/src/member.rs
@@ -31,6 +31,9 @@
 /// group. A shard of 96 slots takes a twentieth of a core on average, and several times as much
 /// while steps start.
 const LARGE_CPU_THOUSANDTHS: u32 = 200;
+/// Pause after a failed join while calls go through a peer, in milliseconds. A peer that fails
+/// takes up to half a second of the membership's time to live, so the next one is used soon.
+const RELAYED_RETRY_MS: u64 = 100;
 /// Interval at which a small front on standby checks who owns partitions, in milliseconds.
 const STANDBY_POLL_MS: u64 = 1_000;
 /// Prefix of the member names of small fronts.
@@ -60,9 +63,12 @@
             continue;
         }
         let unwritable_ms = front.unwritable_ms(now_ms());
+        let mut join_failed = false;
         match ownership.next_action(unwritable_ms) {
             MembershipAction::Join { generation } => {
-                let changed = join(&front, &mut ownership, generation).await;
+                let joined = join(&front, &mut ownership, generation).await;
+                join_failed = joined.is_none();
+                let changed = joined.unwrap_or(false);
                 // A front without partitions has none to release or to wait for; in a large fleet
                 // that is true of most fronts.
                 if changed && !ownership.partitions().is_empty() {
@@ -75,8 +81,11 @@
             MembershipAction::Wait => {}
         }
         let rebalancing = now_ms() < rebalancing_until_ms;
-        let pause_ms = join_interval_ms(rebalancing);
-        front.storage.pause(pause_ms).await;
+        let pause_ms = match join_failed && front.storage.relay.uses_peers() {
+            true => RELAYED_RETRY_MS,
+            false => join_interval_ms(rebalancing),
+        };
+        front.storage.pause_unless_rerouted(pause_ms).await;
     }
 }
 
@@ -115,8 +124,9 @@
     }
 }
 
-/// Joins the group or renews the membership; true if the group's generation changed.
-async fn join(front: &Front, ownership: &mut Ownership, generation: u64) -> bool {
+/// Joins the group or renews the membership. Returns whether the group's generation changed; `None`
+/// if the join failed.
+async fn join(front: &Front, ownership: &mut Ownership, generation: u64) -> Option<bool> {
     let sent_ms = now_ms();
     let joined = front
         .storage
@@ -148,11 +158,11 @@
                 front.demand.refresh();
             }
             front.runner_wakeup.notify_one();
-            changed
+            Some(changed)
         }
         Err(error) => {
             log::warn!(event = "join-failed", generation, error:% = error; "");
-            false
+            None
         }
     }
 }
--- a/components/front/src/peer_relay/mod.rs
+++ b/components/front/src/peer_relay/mod.rs
@@ -100,6 +100,17 @@
         }
     }
 
+    /// Whether calls go through a peer.
+    pub fn uses_peers(&self) -> bool {
+        *self.way.borrow() == Way::Peer
+    }
+
+    /// Waits until calls take another way.
+    pub async fn wait_for_change(&self) {
+        // The sender lives as long as `self`, so `changed` cannot fail.
+        let _ = self.way.subscribe().changed().await;
+    }
+
     /// Lines for the metrics page; none before relaying has started.
     pub fn text(&self) -> String {
         if self.identity.get().is_none() {
--- a/components/front/src/storage.rs
+++ b/components/front/src/storage.rs
@@ -94,6 +94,14 @@
         self.reach.pause(Duration::from_millis(pause_ms)).await;
     }
 
+    /// Like [`Storage::pause`]; also ends if calls begin to take another way to the store.
+    pub async fn pause_unless_rerouted(&self, pause_ms: u64) {
+        tokio::select! {
+            () = self.pause(pause_ms) => {}
+            () = self.relay.wait_for_change() => {}
+        }
+    }
+
     /// Appends records to a partition; returns the offset of the first.
     pub async fn append(
         &self,
--- a/components/relay/src/route.rs
+++ b/components/relay/src/route.rs
@@ -31,6 +31,10 @@
 const THROTTLED_MS_MIN: u64 = 1_000;
 /// How long a peer is not used after it failed, in milliseconds.
 const PEER_PAUSE_MS: u64 = 1_000;
+/// How long a peer that failed comes after all others, in milliseconds. A peer that accepts calls
+/// and never answers would otherwise cost one call of each caller per second, and a membership
+/// does not survive the loss of several joins.
+const PEER_DOUBT_MS: u64 = 30_000;
 /// Peers that report a store out of reach before it counts as down for all fronts.
 const NOT_REACHED_MAX: usize = 3;
 /// Interval of direct probes while peers are used, in milliseconds.
@@ -128,6 +132,13 @@
     Peer(u64),
 }
 
+#[value]
+#[derive(Copy)]
+struct PeerFailure {
+    at_ms: u64,
+    outcome: PeerOutcome,
+}
+
 /// State of the choice for one front.
 #[derive(Debug)]
 pub struct Route {
@@ -138,8 +149,8 @@
     failures: u32,
     last_failure_ms: u64,
     last_served_ms: u64,
-    /// When each peer last failed or did not reach the store.
-    peer_failures_ms: HashMap<SocketAddr, u64>,
+    /// The last failure of each peer since its last answer.
+    peer_failures: HashMap<SocketAddr, PeerFailure>,
     /// Peers that did not reach the store since a peer last did.
     not_reached: Vec<SocketAddr>,
     /// When the next direct probe is due while peers are used, or the next trial of a peer while
@@ -156,7 +167,7 @@
             failures: 0,
             last_failure_ms: 0,
             last_served_ms: now_ms,
-            peer_failures_ms: HashMap::new(),
+            peer_failures: HashMap::new(),
             not_reached: Vec::new(),
             next_probe_ms: None,
         }
@@ -164,7 +175,7 @@
 
     /// Replaces the known peers, in order of preference. Failures of peers that stay are kept.
     pub fn set_peers(&mut self, peers: Vec<SocketAddr>) {
-        self.peer_failures_ms.retain(|peer, _| peers.contains(peer));
+        self.peer_failures.retain(|peer, _| peers.contains(peer));
         self.not_reached.retain(|peer| peers.contains(peer));
         self.peers = peers;
     }
@@ -194,10 +205,14 @@
         usable.count() < PEERS_MIN
     }
 
-    /// First usable peer that is not in `tried`.
+    /// First usable peer that is not in `tried`. Peers that failed since their last answer come
+    /// after the others, the longest ago first, so that trials reach all of them in turn.
     pub fn next_peer(&self, tried: &[SocketAddr], now_ms: u64) -> Option<SocketAddr> {
-        let untried = self.peers.iter().filter(|peer| !tried.contains(peer));
-        untried.copied().find(|peer| self.is_usable(peer, now_ms))
+        let usable = |peer: &&SocketAddr| !tried.contains(peer) && self.is_usable(peer, now_ms);
+        let usable = self.peers.iter().filter(usable);
+        usable
+            .min_by_key(|peer| self.doubt_since_ms(peer, now_ms))
+            .copied()
     }
 
     /// The call that is due next to find out whether the way should change.
@@ -266,7 +281,7 @@
     ) -> Option<WayChange> {
         match outcome {
             PeerOutcome::Answered => {
-                self.peer_failures_ms.remove(&peer);
+                self.peer_failures.remove(&peer);
                 self.not_reached.clear();
                 let is_trial = matches!(self.probe(), Probe::Peer(_));
                 return is_trial
@@ -277,7 +292,9 @@
             }
             PeerOutcome::NotReached | PeerOutcome::Busy | PeerOutcome::Failed => {}
         }
-        self.peer_failures_ms.insert(peer, now_ms);
+        let at_ms = now_ms;
+        self.peer_failures
+            .insert(peer, PeerFailure { at_ms, outcome });
         let limit = NOT_REACHED_MAX.min(self.peers.len());
         if self.way == Way::Peer && limit > 0 && self.not_reached.len() >= limit {
             self.next_probe_ms = Some(now_ms + jittered(TRIAL_MS, random));
@@ -343,8 +360,22 @@
 
     /// Whether a peer has not failed just now.
     pub fn is_usable(&self, peer: &SocketAddr, now_ms: u64) -> bool {
-        let failed_ms = self.peer_failures_ms.get(peer);
-        failed_ms.is_none_or(|failed_ms| now_ms.saturating_sub(*failed_ms) >= PEER_PAUSE_MS)
+        let failure = self.peer_failures.get(peer);
+        failure.is_none_or(|failure| now_ms.saturating_sub(failure.at_ms) >= PEER_PAUSE_MS)
+    }
+
+    /// Since when it is in doubt whether a peer answers; 0 if it is not. A peer that was at its
+    /// limits has answered.
+    fn doubt_since_ms(&self, peer: &SocketAddr, now_ms: u64) -> u64 {
+        match self.peer_failures.get(peer) {
+            Some(PeerFailure { at_ms, outcome })
+                if *outcome != PeerOutcome::Busy
+                    && now_ms.saturating_sub(*at_ms) < PEER_DOUBT_MS =>
+            {
+                *at_ms
+            }
+            _ => 0,
+        }
     }
 }
 
