--- a/components/front/src/peer_relay/mod.rs
+++ b/components/front/src/peer_relay/mod.rs
@@ -189,7 +189,13 @@
         let limit = Duration::from_millis(call.wait_ms + PEER_CALL_MS_MAX).min(call.within);
         let (outcome, result) = match self.exchange(peer, call, limit).await {
             Ok(RelayOutcome::Answered { status, body }) => {
-                (PeerOutcome::Answered, Ok(RawAnswer { status, body }))
+                let answer = RawAnswer { status, body };
+                // The store's rate limit holds for the peer: another one may have budget left.
+                let outcome = match answer.is_throttled() {
+                    true => PeerOutcome::Busy,
+                    false => PeerOutcome::Answered,
+                };
+                (outcome, Ok(answer))
             }
             Ok(RelayOutcome::NotReached { not_done }) => {
                 let reason = format!("peer {peer} does not reach the store");
@@ -268,6 +274,11 @@
         Ok(link)
     }
 
+    /// Closes the connections to peers. Calls in flight are still answered.
+    async fn close_links(&self) {
+        self.links.lock().await.clear();
+    }
+
     fn record_direct(&self, outcome: DirectOutcome) {
         let random = rand::random();
         let change = self.route().record_direct(outcome, now_ms(), random);
--- a/components/front/src/peer_relay/probes.rs
+++ b/components/front/src/peer_relay/probes.rs
@@ -17,8 +17,11 @@
     loop {
         let probe = relay.route().probe();
         match probe {
-            // The sender lives as long as `relay`, so `changed` cannot fail.
-            Probe::None => drop(way.changed().await),
+            Probe::None => {
+                relay.close_links().await;
+                // The sender lives as long as `relay`, so `changed` cannot fail.
+                let _ = way.changed().await;
+            }
             Probe::Direct(at_ms) => {
                 wait_until(at_ms).await;
                 if matches!(relay.route().probe(), Probe::Direct(_)) {
--- a/components/front/src/peer_relay/server.rs
+++ b/components/front/src/peer_relay/server.rs
@@ -31,6 +31,26 @@
 /// Pause after `accept` failed, in milliseconds. The usual cause is a lack of file descriptors.
 const ACCEPT_PAUSE_MS: u64 = 20;
 
+/// Time without a call after which a connection is closed, in milliseconds. Connections of VMs that
+/// lost their power would otherwise stay open.
+const IDLE_MS_MAX: u64 = 60_000;
+
+/// An admitted call, until its answer is written or dropped.
+struct InFlight {
+    server: Arc<Server>,
+    answer_bytes: usize,
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        lock(&self.server.quota).finish(self.answer_bytes);
+    }
+}
+
+/// An answer, and the admitted call that it ends; `None` if the call was refused. Unwritten answers
+/// count as calls in flight, which bounds the memory that they take.
+type Ended = (RelayAnswer, Option<InFlight>);
+
 /// State that all connections share.
 struct Server {
     relay: Arc<PeerRelay>,
@@ -116,13 +136,17 @@
 async fn read_calls(
     server: &Arc<Server>,
     mut reader: OwnedReadHalf,
-    answers: mpsc::Sender<RelayAnswer>,
+    answers: mpsc::Sender<Ended>,
 ) -> Result<(), WireError> {
     let RelayFrame::Hello(_) = in_time(read_frame(&mut reader)).await? else {
         return Err(WireError::Unexpected("the first frame is not a hello"));
     };
     loop {
-        let bytes = read_length(&mut reader).await?;
+        let idle = Duration::from_millis(IDLE_MS_MAX);
+        let Ok(length) = timeout(idle, read_length(&mut reader)).await else {
+            return Ok(());
+        };
+        let bytes = length?;
         // Waiting here instead of refusing keeps the frame out of memory until there is room.
         let held = Arc::clone(&server.held_bytes).acquire_many_owned(bytes as u32);
         let Ok(held) = held.await else {
@@ -137,16 +161,24 @@
         if !call.is_valid() {
             return Err(WireError::Unexpected("the path is not one of the store"));
         }
-        if let Some(outcome) = server.refusal(bytes) {
-            server.answer(&answers, RelayAnswer { id, outcome }).await;
-            continue;
+        match server.admit(bytes) {
+            Err(outcome) => {
+                let refused = RelayAnswer { id, outcome };
+                server.answer(&answers, (refused, None)).await;
+            }
+            Ok(mut in_flight) => {
+                let (server, answers) = (Arc::clone(server), answers.clone());
+                tokio::spawn(async move {
+                    let outcome = server.make_call(call).await;
+                    drop(held);
+                    if let RelayOutcome::Answered { body, .. } = &outcome {
+                        in_flight.answer_bytes = body.len();
+                    }
+                    let answer = RelayAnswer { id, outcome };
+                    server.answer(&answers, (answer, Some(in_flight))).await;
+                });
+            }
         }
-        let (server, answers) = (Arc::clone(server), answers.clone());
-        tokio::spawn(async move {
-            let outcome = server.make_call(call).await;
-            drop(held);
-            server.answer(&answers, RelayAnswer { id, outcome }).await;
-        });
     }
 }
 
@@ -154,54 +186,55 @@
 async fn write_answers(
     server: &Server,
     mut writer: OwnedWriteHalf,
-    mut queue: mpsc::Receiver<RelayAnswer>,
+    mut queue: mpsc::Receiver<Ended>,
 ) -> Result<(), WireError> {
     if let Some(identity) = server.relay.identity.get() {
         let hello = RelayFrame::Hello(identity.hello.clone());
         in_time(write_frame(&mut writer, &hello)).await?;
     }
-    while let Some(answer) = queue.recv().await {
+    while let Some((answer, in_flight)) = queue.recv().await {
         in_time(write_frame(&mut writer, &RelayFrame::Answer(answer))).await?;
+        drop(in_flight);
     }
     Ok(())
 }
 
 impl Server {
-    /// Admits a call of `bytes`, or returns the answer that refuses it.
-    fn refusal(&self, bytes: usize) -> Option<RelayOutcome> {
+    /// Admits a call of `bytes`, or returns the outcome that refuses it.
+    fn admit(self: &Arc<Self>, bytes: usize) -> Result<InFlight, RelayOutcome> {
         if !self.relay.route().may_serve() {
-            return Some(RelayOutcome::NotReached { not_done: true });
+            return Err(RelayOutcome::NotReached { not_done: true });
+        }
+        match lock(&self.quota).admit(bytes, now_ms()) {
+            true => Ok(InFlight {
+                server: Arc::clone(self),
+                answer_bytes: 0,
+            }),
+            false => Err(RelayOutcome::Busy),
         }
-        let admitted = lock(&self.quota).admit(bytes, now_ms());
-        (!admitted).then_some(RelayOutcome::Busy)
     }
 
     /// Makes an admitted call.
     async fn make_call(&self, call: RawCall) -> RelayOutcome {
-        let outcome = self.relay.call_direct(call, CONTENT_BYTES_MAX).await;
-        let (outcome, bytes) = match outcome {
-            // Exceeding the rate limit is passed on: the store serves this front.
-            Ok(answer) if answer.is_served() || answer.is_throttled() => {
-                let bytes = answer.body.len();
-                let (status, body) = (answer.status, answer.body);
-                (RelayOutcome::Answered { status, body }, bytes)
-            }
+        match self.relay.call_direct(call, CONTENT_BYTES_MAX).await {
+            // Exceeding the rate limit is passed on: the call has reached the store.
+            Ok(answer) if answer.is_served() || answer.is_throttled() => RelayOutcome::Answered {
+                status: answer.status,
+                body: answer.body,
+            },
             Ok(answer) => {
                 let not_done = answer.check().is_err_and(|error| error.is_not_done());
-                (RelayOutcome::NotReached { not_done }, 0)
+                RelayOutcome::NotReached { not_done }
             }
-            Err(error) => {
-                let not_done = error.is_not_done();
-                (RelayOutcome::NotReached { not_done }, 0)
-            }
-        };
-        lock(&self.quota).finish(bytes);
-        outcome
+            Err(error) => RelayOutcome::NotReached {
+                not_done: error.is_not_done(),
+            },
+        }
     }
 
-    async fn answer(&self, answers: &mpsc::Sender<RelayAnswer>, answer: RelayAnswer) {
-        self.relay.counts.count_served(&answer.outcome);
-        if answers.send(answer).await.is_err() {
+    async fn answer(&self, answers: &mpsc::Sender<Ended>, ended: Ended) {
+        self.relay.counts.count_served(&ended.0.outcome);
+        if answers.send(ended).await.is_err() {
             log::debug!(event = "relay-answer-dropped", why = "connection closed"; "");
         }
     }
--- a/components/relay/src/book.rs
+++ b/components/relay/src/book.rs
@@ -57,9 +57,10 @@
     reporting * 2 > replicas
 }
 
-/// Order in which the front `node` uses its peers: those of its own failure domain first, and
-/// within each part by rendezvous hashing, so that the calls of several fronts spread over all
-/// peers. `own` is the front's own address, which is left out.
+/// Order in which the front `node` uses its peers: by rendezvous hashing, so that the calls of
+/// several fronts spread over all peers, and alternately from the own failure domain and from the
+/// others. A store that refuses a whole domain then does not seem to be down for all fronts. `own`
+/// is the front's own address, which is left out.
 pub fn rank_peers<'a>(
     node: &str,
     domain: &str,
@@ -71,9 +72,29 @@
         .partition(|record| record.domain == domain);
     let ranked = |records: Vec<&FrontRecord>| {
         let addresses = records.into_iter().map(|record| record.address);
-        rendezvous::ranked(node.as_bytes(), addresses)
+        rendezvous::ranked(node.as_bytes(), addresses).into_iter()
     };
-    let mut order = ranked(near);
-    order.extend(ranked(far));
+    let (mut near, mut far) = (ranked(near), ranked(far));
+    let mut order = Vec::with_capacity(near.len() + far.len());
+    while near.len() + far.len() > 0 {
+        order.extend(near.next());
+        order.extend(far.next());
+    }
     order
 }
+
+/// Number of fronts that watch the process of a shard's owner.
+const WATCHERS: usize = 2;
+
+/// Whether the front at `own` watches the process of a shard's owner: it is one of the first
+/// members of the runners' group by rendezvous hashing for the shard, the owner left out.
+pub fn watches_owner(
+    shard: &str,
+    own: SocketAddr,
+    owner: SocketAddr,
+    members: impl Iterator<Item = SocketAddr>,
+) -> bool {
+    let others = members.filter(|member| *member != owner);
+    let ranked = rendezvous::ranked(shard.as_bytes(), others);
+    ranked.iter().take(WATCHERS).any(|member| *member == own)
+}
--- a/components/relay/src/lib.rs
+++ b/components/relay/src/lib.rs
@@ -13,7 +13,9 @@
 mod route;
 mod watch;
 
-pub use book::{FRONTS_TOPIC, FrontRecord, decode_record, encode_record, is_active, rank_peers};
+pub use book::{
+    FRONTS_TOPIC, FrontRecord, decode_record, encode_record, is_active, rank_peers, watches_owner,
+};
 pub use error::FrameError;
 pub use frame::{
     CONTENT_BYTES_MAX, FRAME_BYTES_MAX, LENGTH_BYTES, RELAY_VERSION, RelayAnswer, RelayCall,
--- a/components/relay/tests/messages.rs
+++ b/components/relay/tests/messages.rs
@@ -10,6 +10,7 @@
     IN_FLIGHT_MAX, LENGTH_BYTES, OwnerWatch, RELAY_VERSION, RelayAnswer, RelayCall, RelayFrame,
     RelayHello, RelayMethod, RelayOutcome, RelayQuota, WatchAction, WatchEvent, decode_frame,
     decode_record, encode_frame, encode_record, fits_frame, frame_length, is_active, rank_peers,
+    watches_owner,
 };
 
 fn call(body: usize) -> RelayFrame {
@@ -110,20 +111,45 @@
 }
 
 #[test]
-fn peers_of_the_own_domain_come_first_and_the_front_itself_never() {
-    // Guards against calls between failure domains without need, and against a front that relays
-    // to itself.
+fn peers_of_the_own_domain_and_of_others_alternate_and_the_front_itself_is_left_out() {
+    // Guards against calls between failure domains without need, against a front that takes the
+    // store for down because it refuses one domain, and against a front that relays to itself.
     let records: Vec<_> = (1..=4)
         .flat_map(|port| [record(1, port), record(2, port)])
         .collect();
     let order = rank_peers("front-1", "zone-1", address(1, 2), records.iter());
-    assert_eq!(order.len(), 7);
     assert!(!order.contains(&address(1, 2)));
-    assert!(
-        order[..3]
-            .iter()
-            .all(|peer| peer.ip() == address(1, 1).ip())
+    let near: Vec<bool> = order
+        .iter()
+        .map(|peer| peer.ip() == address(1, 1).ip())
+        .collect();
+    assert_eq!(near, [true, false, true, false, true, false, false]);
+}
+
+#[test]
+fn two_other_members_watch_the_owner_of_a_shard() {
+    // Guards against an owner whose death nobody notices, and against one that all fronts watch.
+    let members: Vec<_> = (1..=9).map(|port| address(1, port)).collect();
+    let watchers = |shard: &str, owner| {
+        let watches =
+            |own: &&SocketAddr| watches_owner(shard, **own, owner, members.iter().copied());
+        members.iter().filter(watches).copied().collect::<Vec<_>>()
+    };
+    for owner in &members {
+        let watching = watchers("pool/0", *owner);
+        assert_eq!(watching.len(), 2);
+        assert!(!watching.contains(owner));
+    }
+    let all = (0..20).flat_map(|shard| watchers(&format!("pool/{shard}"), members[0]));
+    let distinct: std::collections::BTreeSet<_> = all.collect();
+    assert!(distinct.len() >= 6, "the work spreads over the members");
+    let alone = watches_owner(
+        "pool/0",
+        members[0],
+        members[0],
+        members[..1].iter().copied(),
     );
+    assert!(!alone);
 }
 
 #[test]
