--- a/components/front/src/peer_relay/book.rs
+++ b/components/front/src/peer_relay/book.rs
@@ -12,6 +12,8 @@
     is_active, rank_peers,
 };
 
+use telemetry::Label;
+
 use crate::clock::now_ms;
 use crate::state::Front;
 use crate::writer::{APPEND_TIMEOUT_MS, WriteError, append_with_retry};
@@ -155,7 +157,10 @@
     let fronts: Vec<FrontRecord> = decoded.collect();
     let (node, domain) = (&front.settings.node, &front.settings.domain);
     let peers: Vec<SocketAddr> = rank_peers(node, domain, own, fronts.iter());
-    log::debug!(event = "peers-known", peers = peers.len(); "");
+    let count = peers.len() as u64;
+    front
+        .metrics
+        .set_gauge("front_relay_peers", Label::default(), count);
     front.storage.relay.route().set_peers(peers);
 }
 
--- a/components/front/src/peer_relay/counts.rs
+++ b/components/front/src/peer_relay/counts.rs
@@ -3,7 +3,7 @@
 use std::fmt::Write;
 use std::sync::atomic::{AtomicU64, Ordering};
 
-use relay::{PeerOutcome, RelayOutcome, Way};
+use relay::{PeerOutcome, RelayOutcome};
 
 const OUTCOMES: [&str; 4] = ["answered", "not-reached", "busy", "failed"];
 
@@ -36,9 +36,8 @@
         self.served[index].fetch_add(1, Ordering::Relaxed);
     }
 
-    /// One line per series with a count, and two gauges: the way, which is 0 for direct calls and 1
-    /// for calls through a peer, and the number of known peers.
-    pub fn text(&self, way: Way, peers: usize) -> String {
+    /// One line per series with a count.
+    pub fn text(&self) -> String {
         let mut text = String::new();
         let series = [
             ("front_store_relayed_total", &self.relayed),
@@ -53,9 +52,6 @@
                 }
             }
         }
-        let way = u64::from(way == Way::Peer);
-        let _ = writeln!(text, "front_relay_way{{}} count={way}");
-        let _ = writeln!(text, "front_relay_peers{{}} count={peers}");
         text
     }
 }
--- a/components/front/src/peer_relay/mod.rs
+++ b/components/front/src/peer_relay/mod.rs
@@ -25,6 +25,7 @@
     ANSWER_MS_MAX, DirectOutcome, PEER_ATTEMPTS_MAX, PEER_CALL_MS_MAX, PEER_WAIT_MS_MAX,
     PeerOutcome, RelayHello, RelayOutcome, Route, Way, WayChange,
 };
+use telemetry::Label;
 use tokio::sync::watch;
 use tokio::time::{Instant, timeout};
 
@@ -111,13 +112,9 @@
         let _ = self.way.subscribe().changed().await;
     }
 
-    /// Lines for the metrics page; none before relaying has started.
+    /// Lines for the metrics page; none before the first relayed call.
     pub fn text(&self) -> String {
-        if self.identity.get().is_none() {
-            return String::new();
-        }
-        let peers = self.route().peer_count();
-        self.counts.text(*self.way.borrow(), peers)
+        self.counts.text()
     }
 
     /// Makes a call, directly or through a peer.
@@ -330,5 +327,19 @@
         server::serve(Arc::clone(&front.storage.relay), listener),
         book::maintain(&front),
         probes::run(&front.storage.relay),
+        report_way(&front),
     );
 }
+
+/// Keeps the gauge of the way current: 0 for direct calls, 1 for calls through a peer.
+async fn report_way(front: &Front) {
+    let mut way = front.storage.relay.way.subscribe();
+    loop {
+        let uses_peers = u64::from(*way.borrow_and_update() == Way::Peer);
+        front
+            .metrics
+            .set_gauge("front_relay_way", Label::default(), uses_peers);
+        // The sender lives as long as the front, so `changed` cannot fail.
+        let _ = way.changed().await;
+    }
+}
--- a/components/front/src/peer_relay/server.rs
+++ b/components/front/src/peer_relay/server.rs
@@ -69,9 +69,8 @@
                 log::info!(event = "relay-listening", address:% = address; "");
                 let hello = book::hello(front);
                 let identity = Identity { hello, address };
-                if front.storage.relay.identity.set(identity).is_err() {
-                    log::error!(event = "relay-started-twice"; "");
-                }
+                // Set only here, once per process, so it cannot be set already.
+                let _ = front.storage.relay.identity.set(identity);
                 return Some(listener);
             }
             Err(error) => failure = Some(error),
--- a/components/front/tests/front/relayed.rs
+++ b/components/front/tests/front/relayed.rs
@@ -46,14 +46,14 @@
 
 pub async fn until_peers_known(front: &FrontHandle, peers: u64) {
     wait_until("the front has read the address book", || async {
-        metric(front, "front_relay_peers{}").await >= peers
+        metric(front, "front_relay_peers{class=\"\"}").await >= peers
     })
     .await;
 }
 
 pub async fn until_way(front: &FrontHandle, way: u64) {
     wait_until("the front's calls take the expected way", || async {
-        metric(front, "front_relay_way{}").await == way
+        metric(front, "front_relay_way{class=\"\"}").await == way
     })
     .await;
 }
@@ -132,7 +132,7 @@
         tokio::time::sleep_until(refused + OUTAGE).await;
     })
     .await;
-    assert_eq!(metric(&owner, "front_relay_way{}").await, 1);
+    assert_eq!(metric(&owner, "front_relay_way{class=\"\"}").await, 1);
     assert!(
         owner.is_ready().await,
         "relayed answers keep the front ready"
--- a/components/relay/src/route.rs
+++ b/components/relay/src/route.rs
@@ -185,11 +185,6 @@
         self.way
     }
 
-    /// Number of known peers.
-    pub fn peer_count(&self) -> usize {
-        self.peers.len()
-    }
-
     /// Whether this front may make calls for its peers. It may not once its own direct calls fail:
     /// the peer would wait in vain, and a store that is down would get more calls.
     pub fn may_serve(&self) -> bool {
