--- a/components/front/src/peer_relay/book.rs
+++ b/components/front/src/peer_relay/book.rs
@@ -27,6 +27,9 @@
 const READ_MS_MIN: u64 = 2_000;
 /// Longest interval between reads while too few peers are known, in milliseconds.
 const READ_MS_MAX: u64 = 30_000;
+/// When the address book is read for the second time, in milliseconds after the first. A front that
+/// starts together with the whole fleet finds only a few records at first.
+const SECOND_READ_MS: u64 = 30_000;
 /// Timeout of a read of the address book, in milliseconds.
 const READ_TIMEOUT_MS: u64 = 1_350;
 
@@ -70,6 +73,7 @@
     let mut interval_ms = READ_MS_MIN;
     let mut way = front.storage.relay.way.subscribe();
     read(front).await;
+    let mut second_read_ms = Some(now_ms() + SECOND_READ_MS);
     loop {
         let jitter_ms = rand::random::<u64>() % (interval_ms / 4);
         tokio::select! {
@@ -77,13 +81,17 @@
             // The sender lives as long as the front, so `changed` cannot fail.
             _ = way.changed() => pause(READ_MS_MIN).await,
         }
-        match needs_read(front) {
-            true => {
-                read(front).await;
-                interval_ms = (interval_ms * 2).min(READ_MS_MAX);
-            }
-            false => interval_ms = READ_MS_MIN,
+        if !can_read(front) {
+            continue;
+        }
+        let needs_peers = front.storage.relay.route().needs_peers(now_ms());
+        if second_read_ms.take_if(|at_ms| now_ms() >= *at_ms).is_some() || needs_peers {
+            read(front).await;
         }
+        interval_ms = match needs_peers {
+            true => (interval_ms * 2).min(READ_MS_MAX),
+            false => READ_MS_MIN,
+        };
     }
 }
 
@@ -102,16 +110,14 @@
     tokio::time::sleep(Duration::from_millis(pause_ms)).await;
 }
 
-/// Whether too few peers are usable, and the store is likely to answer a read. While the store is
-/// down for all fronts, the read would only add to the calls.
-fn needs_read(front: &Front) -> bool {
-    let now_ms = now_ms();
+/// Whether the store is likely to answer a read. While it is down for all fronts, the read would
+/// only add to the calls.
+fn can_read(front: &Front) -> bool {
     let route = front.storage.relay.route();
-    let is_reachable = match route.way() {
+    match route.way() {
         Way::Direct => route.may_serve(),
-        Way::Peer => route.next_peer(&[], now_ms).is_some(),
-    };
-    is_reachable && route.needs_peers(now_ms)
+        Way::Peer => route.next_peer(&[], now_ms()).is_some(),
+    }
 }
 
 fn own_record(front: &Front) -> Option<Bytes> {
