--- a/components/front/src/peer_relay/probes.rs
+++ b/components/front/src/peer_relay/probes.rs
@@ -4,6 +4,7 @@
 
 use platform::store::RawCall;
 use relay::{ANSWER_MS_MAX, FRONTS_TOPIC, Probe};
+use tokio::time::timeout;
 
 use super::{PeerRelay, direct_outcome};
 use crate::clock::now_ms;
@@ -22,27 +23,17 @@
                 // The sender lives as long as `relay`, so `changed` cannot fail.
                 let _ = way.changed().await;
             }
-            Probe::Direct(at_ms) => {
-                wait_until(at_ms).await;
-                if matches!(relay.route().probe(), Probe::Direct(_)) {
-                    probe_direct(relay).await;
-                }
-            }
-            Probe::Peer(at_ms) => {
-                wait_until(at_ms).await;
-                if matches!(relay.route().probe(), Probe::Peer(_)) {
-                    try_peer(relay).await;
-                }
+            Probe::Direct(at_ms) | Probe::Peer(at_ms) if at_ms > now_ms() => {
+                let left = Duration::from_millis(at_ms - now_ms().min(at_ms));
+                // Ends early if the way changes; another probe may then be due.
+                let _ = timeout(left, way.changed()).await;
             }
+            Probe::Direct(_) => probe_direct(relay).await,
+            Probe::Peer(_) => try_peer(relay).await,
         }
     }
 }
 
-async fn wait_until(at_ms: u64) {
-    let left_ms = at_ms.saturating_sub(now_ms());
-    tokio::time::sleep(Duration::from_millis(left_ms)).await;
-}
-
 async fn probe_direct(relay: &PeerRelay) {
     let outcome = relay.connections.call(probe_call(), ANSWER_BYTES_MAX).await;
     let (outcome, random) = (direct_outcome(&outcome), rand::random());
--- a/components/front/src/peer_relay/server.rs
+++ b/components/front/src/peer_relay/server.rs
@@ -16,7 +16,7 @@
 use tokio::task::JoinSet;
 use tokio::time::timeout;
 
-use super::wire::{WireError, read_content, read_frame, read_length, write_frame};
+use super::wire::{WireError, read_content, read_length, write_frame};
 use super::{Identity, PeerRelay, book};
 use crate::clock::now_ms;
 use crate::state::{Front, lock};
@@ -28,9 +28,10 @@
 const HELD_BYTES_MAX: usize = 2 * FRAME_BYTES_MAX;
 /// Timeout for reading or writing a frame, in milliseconds; the callers wait less for an answer.
 const FRAME_MS_MAX: u64 = 2_000;
+/// Size limit of a hello, which contains little besides the name of a node.
+const HELLO_BYTES_MAX: usize = 1_024;
 /// Pause after `accept` failed, in milliseconds. The usual cause is a lack of file descriptors.
 const ACCEPT_PAUSE_MS: u64 = 20;
-
 /// Time without a call after which a connection is closed, in milliseconds. Connections of VMs that
 /// lost their power would otherwise stay open.
 const IDLE_MS_MAX: u64 = 60_000;
@@ -137,9 +138,7 @@
     mut reader: OwnedReadHalf,
     answers: mpsc::Sender<Ended>,
 ) -> Result<(), WireError> {
-    let RelayFrame::Hello(_) = in_time(read_frame(&mut reader)).await? else {
-        return Err(WireError::Unexpected("the first frame is not a hello"));
-    };
+    in_time(read_hello(&mut reader)).await?;
     loop {
         let idle = Duration::from_millis(IDLE_MS_MAX);
         let Ok(length) = timeout(idle, read_length(&mut reader)).await else {
@@ -181,6 +180,17 @@
     }
 }
 
+/// Reads the first frame. A hello is small, so a larger frame is not read into memory.
+async fn read_hello(reader: &mut OwnedReadHalf) -> Result<(), WireError> {
+    let bytes = read_length(reader).await?;
+    if bytes <= HELLO_BYTES_MAX
+        && let RelayFrame::Hello(_) = read_content(reader, bytes).await?
+    {
+        return Ok(());
+    }
+    Err(WireError::Unexpected("the first frame is not a hello"))
+}
+
 /// Sends the hello and then answers until the connection ends.
 async fn write_answers(
     server: &Server,
--- a/components/front/tests/front/relay_peers.rs
+++ b/components/front/tests/front/relay_peers.rs
@@ -226,6 +226,17 @@
         let end = tokio::time::timeout(TEST_TIMEOUT, stream.read_u8()).await;
         assert!(end.expect("closed").is_err(), "{name}");
     }
+    let mut stream = TcpStream::connect(address).await.expect("accepted");
+    let first = encode_frame(&call(1, OWNERS)).expect("encoded");
+    stream.write_all(&first).await.expect("written");
+    let frames = async {
+        // The front's own hello may arrive before it closes the connection.
+        while let Some(frame) = read_frame(&mut stream).await {
+            assert!(matches!(frame, RelayFrame::Hello(_)), "{frame:?}");
+        }
+    };
+    let closed = tokio::time::timeout(TEST_TIMEOUT, frames).await;
+    assert!(closed.is_ok(), "a call before the hello");
     write_frame(&mut good, &call(7, OWNERS)).await;
     let answer = answer(&mut good).await;
     assert_eq!(answer.id, 7);
