--- a/components/front/tests/front/relayed.rs
+++ b/components/front/tests/front/relayed.rs
@@ -165,6 +165,27 @@
     list_while_refused(FaultKind::Silent).await;
 }
 
+#[tokio::test]
+async fn an_idle_owner_keeps_its_partitions_while_the_store_refuses_it() {
+    // Guards against an owner without work, whose few calls show too late that the store refuses
+    // it: its membership expires before a join goes through a peer.
+    let faults = [FaultKind::Outage, FaultKind::Reset, FaultKind::Silent];
+    let cases = faults.map(|fault| async move {
+        let site = relaying_site(4, 1).await;
+        let (owner, _peers) = owner_with_two_peers(&site).await;
+        for round in 0..3 {
+            println!("{fault:?} {round}");
+            owner.store_listener.inject_fault(Fault::new(fault));
+            while_owned_by(&site, "owner", tokio::time::sleep(OUTAGE)).await;
+            owner.store_listener.clear_faults();
+            until_way(&owner, 0).await;
+            // Another phase between the front's joins and the outage.
+            tokio::time::sleep(Duration::from_millis(500 + 130 * round)).await;
+        }
+    });
+    futures_util::future::join_all(cases).await;
+}
+
 /// Calls that a front has made for its peers.
 async fn served(front: &FrontHandle) -> u64 {
     metric(front, "front_relay_served_total{outcome=\"answered\"}").await
