--- a/components/front/src/serve.rs
+++ b/components/front/src/serve.rs
@@ -41,6 +41,7 @@
         metrics.set_gauge("front_held_bytes", Label::default(), held_bytes);
         let mut text = metrics::text(&metrics.rows().await);
         text.push_str(&front.storage.calls.text());
+        text.push_str(&front.storage.relay.text());
         text.push_str(&metrics::customers_text(&front.meter.series()));
         return ingress::success_response(StatusCode::OK, None, "text/plain", text.into());
     }
--- a/components/front/tests/front/main.rs
+++ b/components/front/tests/front/main.rs
@@ -5,6 +5,8 @@
 mod customers;
 mod held;
 mod orders;
+mod relay_peers;
+mod relayed;
 mod restarts;
 mod shards;
 mod steps;
