--- a/components/dispatch/src/items.rs
+++ b/components/dispatch/src/items.rs
@@ -77,6 +77,13 @@
         self.model_slots[model] -= 1;
         self.running += 1;
     }
+
+    /// Releases a slot that [`Engine::take_slot`] took for an item of the model.
+    pub fn release_slot(&mut self, model: usize) {
+        self.free_slots += 1;
+        self.model_slots[model] += 1;
+        self.running -= 1;
+    }
 }
 
 /// An item and the engine that it is placed on.
