--- a/components/critical_path/src/ends.rs
+++ b/components/critical_path/src/ends.rs
@@ -6,6 +6,10 @@
 use crate::cost::ReplicaCosts;
 use crate::{StepView, TextView};
 
+/// A group that is expected to end later than its step by less than this part of the step's time
+/// may still be needed, because lengths are uncertain. Its texts are not placed last.
+const DISPENSABLE_INVERSE: u64 = 2;
+
 /// Expected ends of texts and steps.
 #[derive(Debug)]
 pub(crate) struct StepEnds {
@@ -18,6 +22,8 @@
     end_us: u64,
     /// Whether the step needs the group, by number of the group.
     needed: Vec<bool>,
+    /// Whether the step surely does not need the group, by number of the group.
+    dispensable: Vec<bool>,
 }
 
 impl StepEnds {
@@ -56,6 +62,11 @@
     pub(crate) fn is_needed(&self, text: &TextView) -> bool {
         self.steps[text.step].needed[text.group]
     }
+
+    /// Whether the group of a text ends so much later than its step that the step hardly needs it.
+    pub(crate) fn is_dispensable(&self, text: &TextView) -> bool {
+        self.steps[text.step].dispensable[text.group]
+    }
 }
 
 fn step_end(step: &StepView, groups_us: &[u64]) -> StepEnd {
@@ -70,8 +81,12 @@
         needed[*group] = true;
     }
     let last = order[..wanted].last();
+    let end_us = last.map_or(0, |group| groups_us[*group]);
+    let surely_later_us = end_us + end_us / DISPENSABLE_INVERSE;
+    let is_dispensable = |(needed, group_us): (&bool, &u64)| !needed && *group_us > surely_later_us;
     StepEnd {
-        end_us: last.map_or(0, |group| groups_us[*group]),
+        end_us,
+        dispensable: needed.iter().zip(groups_us).map(is_dispensable).collect(),
         needed,
     }
 }
--- a/components/critical_path/src/placement.rs
+++ b/components/critical_path/src/placement.rs
@@ -51,7 +51,7 @@
         let text = &texts[*at];
         let key = &keys[text.step];
         let is_moved = text.planned.is_some();
-        let dispensable = !ends.is_needed(text);
+        let dispensable = ends.is_dispensable(text);
         let left = Reverse(text.left.mean);
         (
             !is_moved,
