Front: placement and moves by the critical path of steps

Pools whose replicas report their start are planned by critical_path; all others go on by the functions of dispatch. A run is stopped first and its item placed in a later pass, with the slot of the planned replica kept for it. Stride of the service's engine is decoded.

--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -21,6 +21,6 @@
 pub use items::{Engine, Placement, WaitingItem, has_lost_version, place, text_left_ms};
 pub use load::{InFlightCall, ReplicaLoad, TypicalDuration};
 pub use moves::{MoveCause, Run, runs_to_move, stall_threshold_ms};
-pub use registry::{Registry, RegistryChange, Replica, ReplicaId};
+pub use registry::{Registry, RegistryChange, Replica, ReplicaId, most_report_start};
 pub use retry::{AttemptOutcome, CallFailure, NextAction, next_action};
 pub use routes::{Limits, Route, RouteKind, Routes, Service, ServiceShare, WaitingRank};
--- a/components/dispatch/src/registry.rs
+++ b/components/dispatch/src/registry.rs
@@ -54,6 +54,18 @@
     }
 }
 
+/// Whether more than half of the replicas that are not draining report their start. State that is
+/// kept for the life of a replica is used only then, because a restart under the same id cannot be
+/// detected otherwise.
+pub fn most_report_start<'a>(replicas: impl Iterator<Item = &'a Replica>) -> bool {
+    let (mut all, mut reporting) = (0, 0);
+    for replica in replicas.filter(|replica| !replica.draining) {
+        all += 1;
+        reporting += usize::from(replica.started_ms.is_some());
+    }
+    2 * reporting > all
+}
+
 /// Effect of a record on the set of replicas.
 #[value]
 pub enum RegistryChange {
--- a/components/dispatch/src/routes.rs
+++ b/components/dispatch/src/routes.rs
@@ -121,10 +121,11 @@
 
 /// A service from the configuration.
 #[value]
-#[derive(Default)]
 pub struct Service {
     /// Models that the replicas serve; empty for a service without models.
     pub models: Vec<Arc<str>>,
+    /// Tokens in one event of a replica's stream; 1 if the configuration does not say.
+    pub tokens_per_event: u32,
 }
 
 /// Limits on clients' requests and connections.
--- a/components/front/src/lib.rs
+++ b/components/front/src/lib.rs
@@ -21,6 +21,7 @@
 mod partial;
 mod peers;
 mod reload;
+mod replica_pace;
 mod reports;
 mod results;
 mod reward;
--- a/components/front/src/run_item.rs
+++ b/components/front/src/run_item.rs
@@ -16,6 +16,7 @@
 use crate::clock::now_us;
 use crate::partial::{PartialText, SharedPartialText};
 use crate::peers::Member;
+use crate::replica_pace::SharedPace;
 use crate::state::lock;
 
 /// Timeout of the head of a replica's response. An engine queues up to 24 requests beyond those
@@ -45,6 +46,8 @@
     pub left_ms: u64,
     /// The replica's mean interval between events; each event of this run updates it.
     pub event_interval: Arc<EventInterval>,
+    /// The replica's pace; each event of this run updates it.
+    pub pace: Arc<SharedPace>,
     /// The replica's admission state for the model; each event marks it as accepting items.
     pub admission: Arc<Admission>,
     /// Stops the run when notified, so that the item can resume at another replica.
@@ -108,8 +111,10 @@
                     .store(now_us / 1_000, Ordering::Relaxed);
                 spec.admission.record_start(now_us / 1_000);
                 if let Some(previous_us) = last_event_us.replace(now_us) {
-                    spec.event_interval
-                        .record(now_us - previous_us, now_us / 1_000);
+                    let (interval_us, now_ms) = (now_us - previous_us, now_us / 1_000);
+                    spec.event_interval.record(interval_us, now_ms);
+                    spec.pace
+                        .record(&spec.member.replica.id, interval_us, now_ms);
                 }
             }
             Ok(None) if lock(shared).last_event == 0 => {
--- a/components/front/src/runner/engines.rs
+++ b/components/front/src/runner/engines.rs
@@ -1,7 +1,9 @@
 //! State of the model replicas that the runner places items on.
 
 use super::pool_queues::PoolQueue;
+use super::replica_pace::SharedPace;
 use super::*;
+use dispatch::MoveCause;
 
 /// What this front knows of a model replica.
 pub(super) struct EngineState {
@@ -10,6 +12,7 @@
     /// Number of items that this front runs at the replica.
     pub(super) running: Arc<AtomicU32>,
     pub(super) event_interval: Arc<EventInterval>,
+    pub(super) pace: Arc<SharedPace>,
     /// Whether the replica accepts items, by model.
     pub(super) admissions: HashMap<Arc<str>, Arc<Admission>>,
     /// Versions of the weights in the replica's last record, by model; 0 for none.
@@ -18,10 +21,12 @@
 
 impl EngineState {
     pub(super) fn new() -> Self {
+        let running = Arc::default();
         Self {
             started_ms: None,
-            running: Arc::default(),
             event_interval: Arc::default(),
+            pace: Arc::new(SharedPace::new(Arc::clone(&running))),
+            running,
             admissions: HashMap::new(),
             versions: HashMap::new(),
         }
@@ -63,11 +68,13 @@
 
 impl Runner {
     /// The placement's view of the replicas of a pool. The flag of a member says whether another
-    /// front owns the replica's shard.
+    /// front owns the replica's shard. `stalled_ms` is the silence after which a run counts as
+    /// stalled; `None` derives it from the replicas' mean intervals.
     pub(super) fn engines_for(
         &mut self,
         members: &[(Member, bool)],
         models: &[Arc<str>],
+        stalled_ms: Option<u64>,
         now_ms: u64,
     ) -> Vec<Engine> {
         for (member, _) in members {
@@ -81,8 +88,8 @@
         }
         let typical_interval_us = self.typical_interval_us(members);
         self.typical_interval_us = typical_interval_us;
-        let stalled =
-            self.replicas_with_stalled_runs(stall_threshold_ms(typical_interval_us), now_ms);
+        let stalled_ms = stalled_ms.unwrap_or_else(|| stall_threshold_ms(typical_interval_us));
+        let stalled = self.replicas_with_stalled_runs(stalled_ms, now_ms);
         members
             .iter()
             .map(|(member, foreign)| {
@@ -199,7 +206,12 @@
             })
             .unzip();
         for (run, cause) in runs_to_move(&runs, engines, threshold_ms) {
-            self.stop_run(keys[run], cause);
+            if cause == MoveCause::Slow
+                && let Some((partial, _)) = self.partials.get(&keys[run])
+            {
+                lock(partial).slow_moves += 1;
+            }
+            self.stop_run(keys[run], cause.as_str());
         }
     }
 
@@ -231,25 +243,21 @@
     }
 
     /// Stops a run, so that the item resumes at another replica.
-    fn stop_run(&mut self, key: ItemKey, cause: MoveCause) {
+    pub(super) fn stop_run(&mut self, key: ItemKey, cause: &'static str) {
         let run = self
             .running
             .get_mut(&key)
             .and_then(|running| running.replica_run.as_mut());
-        let (Some(run), Some((partial, _))) = (run, self.partials.get(&key)) else {
-            return;
-        };
-        if cause == MoveCause::Slow {
-            lock(partial).slow_moves += 1;
-        }
+        let Some(run) = run else { return };
         run.stop_cause = Some(cause);
         run.stop.notify_one();
+        self.front.moves.count(cause);
     }
 }
 
 impl ReplicaRun {
     /// Time since the run was sent or received its last event.
-    fn silent_ms(&self, now_ms: u64) -> u64 {
+    pub(super) fn silent_ms(&self, now_ms: u64) -> u64 {
         now_ms.saturating_sub(self.last_progress_ms.load(Ordering::Relaxed))
     }
 }
--- a/components/front/src/runner/finish.rs
+++ b/components/front/src/runner/finish.rs
@@ -21,6 +21,8 @@
         };
         let (front, data) = (Arc::clone(&self.front), Arc::clone(data));
         let customer = head.customer.clone();
+        let (events, runs) = (partial.last_event, self.timings.runs(key));
+        let last_texts = Arc::clone(&self.last_texts);
         let item_id = head.items[key.1 as usize].id.clone();
         self.hand_to_writer(key, async move {
             let score = match &data.scorer {
@@ -41,8 +43,9 @@
                 log::info!(event = "item-without-score", id = item_id, step = step.0, item, reward; "");
                 return ItemOutcome::Error(ErrorCause::Reward);
             };
+            last_texts.record_scored(step, now_ms());
             log::info!(
-                event = "item-scored", id = item_id, step = step.0, item, reward,
+                event = "item-scored", id = item_id, step = step.0, item, reward, events, runs,
                 versions:? = partial.versions; ""
             );
             ItemOutcome::Text {
--- a/components/front/src/runner/mod.rs
+++ b/components/front/src/runner/mod.rs
@@ -7,14 +7,20 @@
 //! over reads the steps from the index, restores the saved texts and runs all items that are not
 //! listed.
 
+mod critical;
 mod data;
 mod engines;
 mod finish;
 mod handover;
+mod item_moves;
+mod lengths;
 mod pool_queues;
 mod reconcile;
 mod timings;
 
+pub use item_moves::MoveCounts;
+
+use std::cell::Cell;
 use std::collections::{BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
@@ -22,9 +28,9 @@
 
 use bytes::Bytes;
 use dispatch::{
-    Admission, Engine, EventInterval, MoveCause, Placement, Replica, ReplicaId, Route, Routes, Run,
-    WaitingItem, WaitingRank, has_lost_version, place, runs_to_move, slowness, stall_threshold_ms,
-    text_left_ms,
+    Admission, Engine, EventInterval, Placement, Replica, ReplicaId, Route, Routes, Run,
+    WaitingItem, WaitingRank, has_lost_version, most_report_start, place, runs_to_move, slowness,
+    stall_threshold_ms, text_left_ms,
 };
 use leaving::WorkGuard;
 use ownership::{replica_shards, shard_partition};
@@ -38,14 +44,18 @@
 use crate::metrics;
 use crate::partial::{self, PartialText, SharedPartialText};
 use crate::peers::{Member, ReplicaTable};
+use crate::replica_pace;
 use crate::reward;
 use crate::run_item::{self, RunEnd, RunSpec};
 use crate::state::{Front, lock};
 use crate::writer::{EndedItem, ItemOutcome, record_failure};
 
+use critical::PoolState;
 use data::read_data;
 use engines::{EngineState, SlotGuard};
-use timings::ItemTimings;
+use item_moves::ItemMoves;
+use lengths::TextLengths;
+use timings::{ItemTimings, LastTexts};
 
 /// Longest time between two passes over the steps.
 const RECONCILE_INTERVAL_MS: u64 = 100;
@@ -97,8 +107,9 @@
 struct ReplicaRun {
     replica: ReplicaId,
     stop: Arc<Notify>,
-    /// Why the run is being moved to another replica; `None` while it need not stop.
-    stop_cause: Option<MoveCause>,
+    /// Name of the reason why the run is being moved to another replica; `None` while it need not
+    /// stop.
+    stop_cause: Option<&'static str>,
     /// Oldest version of the weights that may generate events.
     min_version: u64,
     /// Whether a single version must generate the whole text.
@@ -132,6 +143,16 @@
     /// Failed runs at this front.
     failed_runs: HashMap<ItemKey, u32>,
     timings: ItemTimings,
+    /// When the last text of each step was scored.
+    last_texts: Arc<LastTexts>,
+    /// Moves of items in pools whose replicas report their start.
+    moves: HashMap<ItemKey, ItemMoves>,
+    /// Lengths of texts in these pools.
+    lengths: TextLengths,
+    /// Paces of these pools, by their services.
+    pools: HashMap<Vec<Arc<str>>, PoolState>,
+    /// Number of replicas slower than their steady pace, as last reported.
+    slower: Cell<u64>,
     engines: HashMap<ReplicaId, EngineState>,
     /// The table that `engines` was last brought in line with.
     table: Arc<ReplicaTable>,
@@ -156,6 +177,11 @@
         is_saving: false,
         failed_runs: HashMap::new(),
         timings: ItemTimings::default(),
+        last_texts: Arc::default(),
+        moves: HashMap::new(),
+        lengths: TextLengths::default(),
+        pools: HashMap::new(),
+        slower: Cell::default(),
         engines: HashMap::new(),
         table: Arc::default(),
         typical_interval_us: 0,
@@ -210,6 +236,7 @@
         match end {
             RunEnd::Complete => {
                 self.timings.record_complete(&self.front, key, now_ms);
+                self.lengths.record_complete(&head, item, events);
                 let partial = self.partials.remove(&key).map(|entry| entry.0);
                 let text = partial.map(|partial| std::mem::take(&mut *lock(&partial)));
                 self.finish(
@@ -239,10 +266,7 @@
                 let stop_cause = running
                     .as_ref()
                     .and_then(|running| running.replica_run.as_ref()?.stop_cause);
-                let why = stop_cause.map_or("told", MoveCause::as_str);
-                log::info!(
-                    event = "item-moved", step = step.0, item, replica = &*replica, events, why; ""
-                );
+                self.log_move(key, &replica, events, stop_cause.unwrap_or("told"));
                 self.note_interrupted(key, replica);
             }
             RunEnd::Failed => {
@@ -261,6 +285,23 @@
         }
     }
 
+    fn log_move(&self, key: ItemKey, replica: &ReplicaId, events: u64, why: &str) {
+        let (step, item) = key;
+        let moves = self.moves.get(&key);
+        match moves.and_then(|moves| moves.planned.as_ref()) {
+            Some(planned) => log::info!(
+                event = "item-moved", step = step.0, item, replica = &**replica, events, why,
+                to = &*planned.to, interval_ms = planned.interval_ms,
+                interval_there_ms = planned.interval_there_ms,
+                events_left = planned.events_left, gain_ms = planned.gain_ms,
+                doubt_ms = planned.doubt_ms; ""
+            ),
+            None => log::info!(
+                event = "item-moved", step = step.0, item, replica = &**replica, events, why; ""
+            ),
+        }
+    }
+
     fn count_run(&self, end: &RunEnd) {
         let name = match end {
             RunEnd::Complete => "front_runs_whole_total",
--- a/components/front/src/runner/pool_queues.rs
+++ b/components/front/src/runner/pool_queues.rs
@@ -16,11 +16,11 @@
 
 /// Criteria that order the items of a step before the age of the step does.
 #[derive(Clone, Copy)]
-struct Precedence {
+pub(super) struct Precedence {
     /// Number of older steps of the same customer and model that have waiting items too.
-    turn: u32,
+    pub(super) turn: u32,
     /// Rank of the customer at the route.
-    rank: WaitingRank,
+    pub(super) rank: WaitingRank,
 }
 
 /// Waiting items of all models that compete for the replicas of one pool.
@@ -38,6 +38,8 @@
     /// Number of steps with waiting items that were added so far, by customer and model.
     turns: HashMap<(String, usize), u32>,
     pub(super) waiting: Vec<QueuedItem>,
+    /// Steps of which this front owns a shard, in the order of their age.
+    pub(super) steps: Vec<(StepId, Precedence)>,
 }
 
 impl PoolQueue {
@@ -50,9 +52,22 @@
             owned: BTreeSet::new(),
             turns: HashMap::new(),
             waiting: Vec::new(),
+            steps: Vec::new(),
         }
     }
 
+    /// Whether this front owns a shard of the pool.
+    pub(super) fn owns(&self, shard: u16) -> bool {
+        self.owned.contains(&shard)
+    }
+
+    /// Whether most replicas of the pool report their start.
+    pub(super) fn reports_start(&self, table: &ReplicaTable) -> bool {
+        let of_service = |service: &Arc<str>| table.of(service).iter();
+        let members = self.services.iter().flat_map(of_service);
+        most_report_start(members.map(|member| &*member.replica))
+    }
+
     /// Number of a model; `None` if no step of it was added.
     pub(super) fn model_number(&self, name: &str) -> Option<usize> {
         self.models.iter().position(|known| **known == *name)
@@ -217,6 +232,7 @@
         let customer = customer.and_then(|name| routes.customers.named(name));
         let rank = customer.map_or_else(WaitingRank::default, |known| route.waiting_rank(known));
         let precedence = Precedence { turn, rank };
+        queue.steps.push((step.id, precedence));
         let items = waiting
             .into_iter()
             .map(|key| self.queued_item(step, key, (model, precedence), left_ms));
@@ -273,7 +289,7 @@
     }
 
     /// Number of events of an item's text that this front has.
-    fn generated_events(&self, key: &ItemKey) -> u64 {
+    pub(super) fn generated_events(&self, key: &ItemKey) -> u64 {
         let partial = self.partials.get(key);
         partial.map_or(0, |(partial, _)| lock(partial).last_event)
     }
--- a/components/front/src/runner/reconcile.rs
+++ b/components/front/src/runner/reconcile.rs
@@ -25,7 +25,7 @@
             return;
         };
         for queue in self.pool_queues(&routes, now_ms) {
-            self.place_items(queue, now_ms);
+            self.place_items(queue, &routes, now_ms);
         }
     }
 
@@ -34,6 +34,7 @@
         let front = Arc::clone(&self.front);
         let must_stop_runs = self.must_stop_runs(now_ms);
         let superseded_items = self.superseded_items();
+        let mut censored: Vec<(ItemKey, u64)> = Vec::new();
         let index = front.index();
         let is_wanted = |key: &ItemKey, regardless_of_owner: bool| {
             index.ledger.get(key.0).is_some_and(|step| {
@@ -49,8 +50,21 @@
         self.running
             .retain(|key, running| is_wanted(key, running.replica_run.is_none()));
         // Texts of runs that were stopped by the shutdown still have to be saved.
-        self.partials
-            .retain(|key, _| is_wanted(key, must_stop_runs));
+        self.partials.retain(|key, (partial, _)| {
+            let is_kept = is_wanted(key, must_stop_runs);
+            let events = if is_kept { 0 } else { lock(partial).last_event };
+            if events > 0 {
+                censored.push((*key, events));
+            }
+            is_kept
+        });
+        for (key, events) in censored {
+            if let Some(step) = index.ledger.get(key.0) {
+                self.lengths.record_censored(&step.head, key.1, events);
+            }
+        }
+        self.moves.retain(|key, _| is_wanted(key, false));
+        self.last_texts.record_closed(&front, &index.ledger);
         self.failed_runs.retain(|key, _| is_wanted(key, false));
         self.timings
             .retain(&front, |key| is_wanted(key, true), now_ms);
@@ -60,11 +74,18 @@
 
     /// Starts runs of the queue's items on replicas with free slots, then moves runs away from
     /// stalled and slow replicas.
-    fn place_items(&mut self, queue: PoolQueue, now_ms: u64) {
+    fn place_items(&mut self, queue: PoolQueue, routes: &Routes, now_ms: u64) {
         let table = self.front.replicas.load_full();
         self.remove_gone(&table);
         let members = queue.members(&table, |replica| self.has_runs_at(replica));
-        let mut engines = self.engines_for(&members, &queue.models, now_ms);
+        if queue.reports_start(&table) {
+            let services = queue.services.iter();
+            let mut services = services.filter_map(|service| routes.services.get(service));
+            let tokens_per_event = services.next().map_or(1, |known| known.tokens_per_event);
+            self.plan_queue(&queue, &members, tokens_per_event, now_ms);
+            return;
+        }
+        let mut engines = self.engines_for(&members, &queue.models, None, now_ms);
         let waiting: Vec<WaitingItem> = queue
             .waiting
             .iter()
@@ -78,7 +99,7 @@
 
     /// The placement's view of a queued item. Adds the replica to avoid, at which the previous run
     /// broke off, and restarts a text whose version no replica has any more.
-    fn prepare_waiting(
+    pub(super) fn prepare_waiting(
         &mut self,
         item: &QueuedItem,
         members: &[(Member, bool)],
@@ -114,7 +135,7 @@
     }
 
     /// Starts a run of an item at a replica in a new task.
-    fn start_run(&mut self, item: &QueuedItem, member: &Member) {
+    pub(super) fn start_run(&mut self, item: &QueuedItem, member: &Member) {
         let (step, number) = item.key;
         let Some(data) = self
             .data
@@ -135,6 +156,9 @@
         let slot = SlotGuard(Arc::clone(&state.running));
         let entry = self.partials.entry(item.key).or_default();
         entry.1 = None;
+        if let Some(moves) = self.moves.get_mut(&item.key) {
+            moves.planned = None;
+        }
         let partial = Arc::clone(&entry.0);
         let known = self.front.index().ledger.get(step).map(|step| {
             let saved = step.pieces(number).to_vec();
@@ -155,6 +179,7 @@
             single_version: item.head.single_version,
             left_ms: item.left_ms,
             event_interval: Arc::clone(&state.event_interval),
+            pace: Arc::clone(&state.pace),
             admission,
             stop: Arc::new(Notify::new()),
             last_progress_ms: Arc::new(AtomicU64::new(now_ms())),
--- a/components/front/src/runner/timings.rs
+++ b/components/front/src/runner/timings.rs
@@ -1,6 +1,10 @@
 //! Measures the stages of an item: until it is sent to a replica, until its text is complete, and
 //! until it is listed.
 
+use std::sync::Mutex;
+
+use steps::Ledger;
+
 use super::*;
 
 /// Times of one item at this front, on the process's clock.
@@ -8,6 +12,8 @@
 pub(super) struct ItemTimes {
     sent_ms: u64,
     complete_ms: Option<u64>,
+    /// Number of runs that were sent.
+    runs: u32,
 }
 
 /// Times of the items that this front has sent to a replica.
@@ -24,14 +30,21 @@
         accepted_ms: u64,
         now_ms: u64,
     ) {
-        self.0.entry(key).or_insert_with(|| {
+        let times = self.0.entry(key).or_insert_with(|| {
             let (label, took_ms) = (metrics::item_label(), now_ms - accepted_ms);
             front.metrics.record("front_item_placed_ms", label, took_ms);
             ItemTimes {
                 sent_ms: now_ms,
                 complete_ms: None,
+                runs: 0,
             }
         });
+        times.runs += 1;
+    }
+
+    /// Number of runs of an item that this front has sent.
+    pub(super) fn runs(&self, key: ItemKey) -> u32 {
+        self.0.get(&key).map_or(0, |times| times.runs)
     }
 
     /// Records that the text of an item is complete.
@@ -60,3 +73,33 @@
         });
     }
 }
+
+/// When the last text of each open step was scored, on the process's clock.
+#[derive(Debug, Default)]
+pub(super) struct LastTexts(Mutex<HashMap<StepId, u64>>);
+
+impl LastTexts {
+    /// Records that a text of a step was scored.
+    pub(super) fn record_scored(&self, step: StepId, now_ms: u64) {
+        lock(&self.0).insert(step, now_ms);
+    }
+
+    /// Records the time from acceptance to the last text of steps that are not open any more.
+    pub(super) fn record_closed(&self, front: &Front, ledger: &Ledger) {
+        lock(&self.0).retain(|id, scored_ms| {
+            let Some(step) = ledger.get(*id) else {
+                return false;
+            };
+            if !step.is_open() {
+                let (label, took_ms) = (
+                    metrics::item_label(),
+                    scored_ms.saturating_sub(step.read_ms),
+                );
+                front
+                    .metrics
+                    .record("front_step_last_text_ms", label, took_ms);
+            }
+            step.is_open()
+        });
+    }
+}
--- a/components/front/src/serve.rs
+++ b/components/front/src/serve.rs
@@ -35,6 +35,7 @@
     if request.uri().path() == METRICS_PATH {
         let mut text = metrics::text(&front.metrics.rows().await);
         text.push_str(&front.storage.calls.text());
+        text.push_str(&front.moves.text());
         text.push_str(&metrics::customers_text(&front.meter.series()));
         return ingress::success_response(StatusCode::OK, None, "text/plain", text.into());
     }
--- a/components/front/src/state.rs
+++ b/components/front/src/state.rs
@@ -26,6 +26,7 @@
 use crate::member;
 use crate::meter::Meter;
 use crate::peers::ReplicaTable;
+use crate::runner::MoveCounts;
 use crate::storage::Storage;
 
 /// Assumed latency of a route without any completed call, in milliseconds.
@@ -87,6 +88,8 @@
     /// When the usage log was last read to its end; 0 if never.
     usage_current_ms: AtomicU64,
     pub meter: Meter,
+    /// Numbers of items that were moved between replicas.
+    pub moves: MoveCounts,
     pub drain: Drain,
     /// Turns true when idle connections of clients are to be closed.
     pub close_connections: watch::Sender<bool>,
@@ -123,6 +126,7 @@
             usage: Mutex::default(),
             usage_current_ms: AtomicU64::new(0),
             meter: Meter::new(report_windows(&settings)),
+            moves: MoveCounts::default(),
             drain,
             close_connections: watch::Sender::new(false),
             typical_durations: Mutex::default(),
