--- a/components/dispatch/tests/registry.rs
+++ b/components/dispatch/tests/registry.rs
@@ -1,6 +1,6 @@
 //! Which replicas accept work as their records appear, disappear and come back.
 
-use dispatch::{Registry, RegistryChange, Replica};
+use dispatch::{Registry, RegistryChange, Replica, most_report_start};
 
 fn replica(id: &str, draining: bool) -> Replica {
     Replica {
@@ -109,3 +109,45 @@
     );
     assert_eq!(ids(&registry), ["a", "c"]);
 }
+
+#[test]
+fn can_tell_whether_most_replicas_report_their_start() {
+    // Guards against estimates that are kept for the life of a replica although a restart cannot
+    // be detected, and against a pool that changes its rules because of draining replicas.
+    struct Case {
+        name: &'static str,
+        reporting: usize,
+        silent: usize,
+        draining_silent: usize,
+        expected: bool,
+    }
+    let case = |name, reporting, silent, draining_silent, expected| Case {
+        name,
+        reporting,
+        silent,
+        draining_silent,
+        expected,
+    };
+    for case in [
+        case("no replicas", 0, 0, 0, false),
+        case("none", 0, 3, 0, false),
+        case("half", 2, 2, 0, false),
+        case("more than half", 3, 2, 0, true),
+        case("all but draining ones", 1, 0, 5, true),
+    ] {
+        let started = |started_ms, draining| Replica {
+            started_ms,
+            ..replica("a", draining)
+        };
+        let mut replicas = vec![started(Some(1), false); case.reporting];
+        replicas.extend(vec![started(None, false); case.silent]);
+        replicas.extend(vec![started(None, true); case.draining_silent]);
+        let expected = case.expected;
+        assert_eq!(
+            most_report_start(replicas.iter()),
+            expected,
+            "{}",
+            case.name
+        );
+    }
+}
--- a/components/front/tests/front/common.rs
+++ b/components/front/tests/front/common.rs
@@ -19,6 +19,8 @@
 
 /// Timeout of every request and condition that a test waits for.
 pub const TEST_TIMEOUT: Duration = Duration::from_secs(20);
+/// Start of the replicas in their records, if [`Site::reports_start`].
+const STARTED_MS: u64 = 1_767_225_600_000;
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 
 pub struct Replica {
@@ -168,6 +170,8 @@
     pub replicas: Vec<Replica>,
     /// Slots that each replica reports in its record.
     pub slots: u32,
+    /// Whether the replicas' records say when the replica started.
+    pub reports_start: bool,
     /// Duties in the settings of fronts that are started from now on.
     pub duties: Option<DutySettings>,
 }
@@ -185,6 +189,7 @@
             store: Store::default(),
             replicas: Vec::new(),
             slots: records::SLOTS,
+            reports_start: false,
             duties: None,
         };
         site.store
@@ -198,7 +203,8 @@
         site
     }
 
-    async fn add(&mut self, id: &str, service: &'static str, events: u64, pause_ms: u64) {
+    /// Starts a replica and writes its record to the store.
+    pub async fn add(&mut self, id: &str, service: &'static str, events: u64, pause_ms: u64) {
         let settings = ReplicaSettings {
             id: id.to_owned(),
             events,
@@ -221,6 +227,11 @@
         let address = replica.handle.address;
         let record =
             records::replica_with_slots(replica.service, address, state, version, self.slots);
+        let mut record: Value = serde_json::from_str(&record).expect("a valid record");
+        if self.reports_start {
+            record["born"] = STARTED_MS.into();
+        }
+        let record = record.to_string();
         self.store.put("keyed.servers", &replica.id, Some(&record));
     }
 
--- a/components/front/tests/front/main.rs
+++ b/components/front/tests/front/main.rs
@@ -3,6 +3,7 @@
 mod calls;
 mod common;
 mod customers;
+mod moves;
 mod orders;
 mod shards;
 mod steps;
