--- a/components/lengths/src/classes.rs
+++ b/components/lengths/src/classes.rs
@@ -1,15 +1,17 @@
 //! Classes of hints and of lengths.
 
-/// Number of classes of hints: none, and half octaves from 2^4 to 2^16 tokens.
-pub(crate) const HINT_CLASSES: usize = 25;
+/// Number of classes of hints: none, and half octaves from 2^4 to 2^20 tokens, ten times the
+/// longest texts.
+pub(crate) const HINT_CLASSES: usize = 33;
 /// Class of texts without a hint.
 pub(crate) const NO_HINT: usize = 0;
 /// Logarithm to base 2 of the shortest hint with a class of its own.
 const HINT_MIN_LOG2: f64 = 4.0;
 const HALF_OCTAVES: f64 = 2.0;
 const QUARTER_OCTAVES: f64 = 4.0;
-/// Number of quarter octaves up to 2^16 events, the longest length with a class of its own.
-const LENGTH_QUARTER_OCTAVES: usize = 64;
+/// Number of quarter octaves up to 2^14 events, the longest length with a class of its own. More
+/// classes of lengths or hints would make a snapshot longer than 4 KB.
+const LENGTH_QUARTER_OCTAVES: usize = 56;
 
 /// Class of a hint; 0 means that there is none.
 pub(crate) fn hint_class(hint_tokens: u32) -> usize {
@@ -80,9 +82,10 @@
         self.widths[class]
     }
 
-    /// Length of a class relative to `hint_events`, in quarter octaves.
-    pub(crate) fn relative(&self, class: usize, hint_events: f64) -> f64 {
-        let middle = self.starts[class] as f64 + 0.5 * (self.end(class) - self.start(class)) as f64;
-        ((middle - 0.5) / hint_events).log2() * QUARTER_OCTAVES
+    /// Geometric mean of the lengths of a class. A text of n events has n - 1 to n events' worth of
+    /// tokens.
+    pub(crate) fn middle(&self, class: usize) -> f64 {
+        let (first, last) = (self.start(class) as f64, self.end(class) as f64 - 1.0);
+        (first * last).sqrt() - 0.5
     }
 }
--- a/components/lengths/src/counts.rs
+++ b/components/lengths/src/counts.rs
@@ -1,9 +1,5 @@
 //! Counts of the texts of one class of hints.
 
-/// Number of texts that a row remembers; beyond it all counts are halved, so that the model follows
-/// a change of the texts.
-const TEXTS_MAX: f64 = 2_000.0;
-
 /// Texts of one class of hints, by class of length.
 #[derive(Clone, Debug)]
 pub(crate) struct Row {
@@ -31,12 +27,10 @@
 
     pub(crate) fn add_ended(&mut self, class: usize) {
         self.ended[class] += 1.0;
-        self.forget();
     }
 
     pub(crate) fn add_censored(&mut self, class: usize) {
         self.censored[class] += 1.0;
-        self.forget();
     }
 
     pub(crate) fn texts(&self) -> f64 {
@@ -63,10 +57,8 @@
         cells
     }
 
-    fn forget(&mut self) {
-        if self.texts() <= TEXTS_MAX {
-            return;
-        }
+    /// Counts all texts as half a text.
+    pub(crate) fn halve(&mut self) {
         let counts = self.ended.iter_mut().chain(&mut self.censored);
         counts.for_each(|count| *count *= 0.5);
     }
--- a/components/lengths/src/model.rs
+++ b/components/lengths/src/model.rs
@@ -4,9 +4,9 @@
 
 use crate::classes::{HINT_CLASSES, LengthClasses, hint_class};
 use crate::counts::Row;
-use crate::hazards::{HintPrior, hazards};
+use crate::hazards::hazards;
 use crate::longest::Longest;
-use crate::prior;
+use crate::prior::Prior;
 use crate::snapshot::LengthSnapshot;
 use crate::table::LengthTable;
 
@@ -16,6 +16,10 @@
 /// Largest number of texts that the tables may lack.
 const REFRESH_TEXTS_MAX: u64 = 64;
 
+/// Number of texts that are remembered; beyond it all counts are halved, so that the model follows a
+/// change of the texts and its snapshot stays small.
+const TEXTS_MAX: u64 = 16_000;
+
 /// Events that a text is expected to take beyond those that it has; at least 1.
 #[value]
 #[derive(Copy)]
@@ -31,11 +35,12 @@
 pub struct LengthModel {
     tokens_per_event: u32,
     classes: LengthClasses,
-    priors: Vec<HintPrior>,
+    prior: Prior,
     rows: Vec<Row>,
     longest: Longest,
     /// One for each class of hints.
     tables: Vec<LengthTable>,
+    /// Texts in `rows`.
     recorded: u64,
     /// Texts that were recorded since the tables were computed.
     pending: u64,
@@ -52,13 +57,15 @@
     /// Records the length of a text that came to its end.
     pub fn record_complete(&mut self, hint_tokens: u32, events: u64) {
         self.rows[hint_class(hint_tokens)].add_ended(self.classes.of(events));
-        self.longest.add(events);
+        self.longest.add_complete(events);
         self.count_recorded();
     }
 
     /// Records a text that was dropped before its end.
     pub fn record_censored(&mut self, hint_tokens: u32, events: u64) {
-        self.rows[hint_class(hint_tokens)].add_censored(self.classes.of(events + 1));
+        let reached = events.saturating_add(1);
+        self.rows[hint_class(hint_tokens)].add_censored(self.classes.of(reached));
+        self.longest.add_dropped(reached);
         self.count_recorded();
     }
 
@@ -89,6 +96,7 @@
         model.longest = Longest {
             events: snapshot.longest_events,
             near: snapshot.near_longest,
+            dropped: snapshot.dropped_near_longest,
         };
         for saved in &snapshot.rows {
             if let Some(row) = model.rows.get_mut(usize::from(saved.hint_class)) {
@@ -103,20 +111,12 @@
     fn empty(tokens_per_event: u32) -> Self {
         let tokens_per_event = tokens_per_event.max(1);
         let classes = LengthClasses::new();
-        let priors = (0..HINT_CLASSES)
-            .map(|hint| {
-                let median_events = prior::median_events(hint, tokens_per_event);
-                HintPrior {
-                    median_events,
-                    hazards: prior::hazards(&classes, median_events),
-                }
-            })
-            .collect();
+        let prior = Prior::new(&classes, tokens_per_event);
         let rows = vec![Row::new(classes.count()); HINT_CLASSES];
         Self {
             tokens_per_event,
             classes,
-            priors,
+            prior,
             rows,
             longest: Longest::default(),
             tables: Vec::new(),
@@ -128,6 +128,10 @@
     fn count_recorded(&mut self) {
         self.recorded += 1;
         self.pending += 1;
+        if self.recorded > TEXTS_MAX {
+            self.recorded /= 2;
+            self.rows.iter_mut().for_each(Row::halve);
+        }
         if self.pending >= (self.recorded / REFRESH_INVERSE).clamp(1, REFRESH_TEXTS_MAX) {
             self.refresh();
         }
@@ -136,7 +140,7 @@
     fn refresh(&mut self) {
         self.pending = 0;
         let limit = self.longest.limit();
-        self.tables = hazards(&self.classes, &self.priors, &self.rows)
+        self.tables = hazards(&self.classes, &self.prior, &self.rows)
             .into_iter()
             .map(|hazards| LengthTable::new(&self.classes, hazards, limit))
             .collect();
--- a/components/lengths/src/snapshot.rs
+++ b/components/lengths/src/snapshot.rs
@@ -10,10 +10,12 @@
 pub struct LengthSnapshot {
     /// Tokens of an event.
     pub tokens_per_event: u32,
-    /// Length of the longest complete text, in events.
+    /// Length of the longest text, in events.
     pub longest_events: u64,
     /// Number of complete texts about as long as that.
     pub near_longest: u32,
+    /// Number of texts that were dropped at about that length.
+    pub dropped_near_longest: u32,
     /// Texts by class of hints, without empty classes.
     pub rows: Vec<RowSnapshot>,
 }
@@ -44,6 +46,7 @@
             tokens_per_event,
             longest_events: longest.events,
             near_longest: longest.near,
+            dropped_near_longest: longest.dropped,
             rows,
         }
     }
--- a/components/lengths/src/table.rs
+++ b/components/lengths/src/table.rs
@@ -58,8 +58,18 @@
 
     /// Expected length of a text that has at least `events` events.
     pub(crate) fn expect(&self, classes: &LengthClasses, events: u64) -> ExpectedLength {
+        // Texts in the last class, which has no end, are expected to take as long again as those
+        // that just reached it.
+        let beyond = events.saturating_sub(classes.start(classes.count() - 1));
+        let expected = self.expect_within(classes, events - beyond);
+        ExpectedLength {
+            mean: expected.mean + beyond as f64,
+            high: expected.high + beyond as f64,
+        }
+    }
+
+    fn expect_within(&self, classes: &LengthClasses, mut events: u64) -> ExpectedLength {
         let mut class = classes.of(events);
-        let mut events = events;
         if self.limit.is_some_and(|limit| events > limit)
             && events > self.last_length(classes, class)
         {
@@ -74,7 +84,7 @@
         let hazard = self.hazards[class];
         let surviving = 1.0 - hazard * passed;
         let ending = hazard * (1.0 - passed) / surviving;
-        let here = 0.5 * (events + last) as f64;
+        let here = 0.5 * (events as f64 + last as f64);
         let behind = self.mean.get(class + 1).copied().unwrap_or(here);
         let reached = self.survival[class] * surviving;
         ExpectedLength {
--- a/components/pace/src/replica.rs
+++ b/components/pace/src/replica.rs
@@ -16,6 +16,9 @@
 /// Difference from the pool's pace, as a logarithm (1.6 times), beyond which a replica was first
 /// observed in a slow period and not at its steady pace.
 const FIRST_DEVIATION_MIN: f64 = 0.47;
+/// Standard error below which the level of a replica is tested while its pool is not known; reached
+/// after four intervals. A first interval that is too short or too long would show a change.
+const TESTED_STANDARD_ERROR: f64 = 0.05;
 /// Residual from the steady pace up to which an interval tells the cost of a further run.
 const RUN_COST_RESIDUAL_MAX: f64 = 0.4;
 /// Follows the steady pace with a final gain of 2 %. Pauses and slow periods are rejected.
@@ -276,7 +279,10 @@
     fn follow(&mut self, observation: &Observation, per_run: f64) -> Option<LevelChange> {
         let Some(deviation) = &mut self.deviation else {
             self.steady.update(observation, per_run, &STEADY_RULE);
-            self.test.follow(&self.steady);
+            match self.has_prior || self.steady.standard_error() < TESTED_STANDARD_ERROR {
+                true => self.test.follow(&self.steady),
+                false => self.test = LevelTest::new(self.steady),
+            }
             return None;
         };
         deviation.follow(observation, per_run);
