--- a/components/critical_path/src/cost.rs
+++ b/components/critical_path/src/cost.rs
@@ -11,6 +11,9 @@
 /// Slowdown by each further run while the pool's own is not known, in thousandths. Without it, a
 /// replica would be filled before the next one gets its first text.
 const DEFAULT_PER_RUN_THOUSANDTHS: u64 = 10;
+/// Cost of a move: the event in progress is lost, the request travels to the other replica over a
+/// connection of its own, and that replica reads the text again.
+pub(crate) const MOVE_COST_US: u64 = 60_000;
 /// How long a deviation from the steady pace is expected to last from now on. Deviations of the
 /// deployments last 5 to 8 s, and a text does not always meet the beginning.
 const DEVIATION_LASTS_US: u64 = 4_000_000;
@@ -128,6 +131,12 @@
         }
     }
 
+    /// Time until a text is complete if it runs at a replica of typical speed.
+    pub(crate) fn reachable_us(&self, text: &TextView) -> u64 {
+        let move_us = text.run.as_ref().map_or(0, |_| MOVE_COST_US);
+        self.typical.duration_us(text.left.mean) + move_us
+    }
+
     /// Records the needed runs in progress, which a further run at their replica delays.
     pub(crate) fn add_needed_runs(&mut self, texts: &[TextView], ends: &StepEnds) {
         for (at, text) in texts.iter().enumerate() {
--- a/components/critical_path/src/ends.rs
+++ b/components/critical_path/src/ends.rs
@@ -1,7 +1,10 @@
 //! When steps end, and which of their groups are needed for that.
 //!
 //! A group ends with the latest of its texts. A step ends with the latest of the groups that the
-//! trainer waits for, which are those that end first. The other groups are dispensable.
+//! trainer waits for, which are those that can end first. The other groups are dispensable.
+//!
+//! Groups are compared by the ends that they can reach. With the present ends, a text at a replica
+//! that has become slower would make its group dispensable, and would not be moved any more.
 
 use crate::cost::ReplicaCosts;
 use crate::{StepView, TextView};
@@ -17,6 +20,14 @@
     steps: Vec<StepEnd>,
 }
 
+#[derive(Clone, Copy, Debug, Default)]
+struct GroupEnd {
+    /// End if its texts stay where they are.
+    end_us: u64,
+    /// End if its texts are moved.
+    reachable_us: u64,
+}
+
 #[derive(Debug)]
 struct StepEnd {
     end_us: u64,
@@ -30,18 +41,20 @@
     pub(crate) fn new(steps: &[StepView], texts: &[TextView], costs: &ReplicaCosts) -> Self {
         let text_us: Vec<u64> = texts.iter().map(|text| costs.end_us(text)).collect();
         // Complete groups, and groups whose texts are all complete and being scored, end at 0.
-        let mut groups_us: Vec<Vec<u64>> = steps
+        let mut groups: Vec<Vec<GroupEnd>> = steps
             .iter()
-            .map(|step| vec![0; step.groups.len()])
+            .map(|step| vec![GroupEnd::default(); step.groups.len()])
             .collect();
         for (text, end_us) in texts.iter().zip(&text_us) {
-            let group_us = &mut groups_us[text.step][text.group];
-            *group_us = (*group_us).max(*end_us);
+            let group = &mut groups[text.step][text.group];
+            group.end_us = group.end_us.max(*end_us);
+            let reachable_us = costs.reachable_us(text).min(*end_us);
+            group.reachable_us = group.reachable_us.max(reachable_us);
         }
         let ends = steps
             .iter()
-            .zip(&groups_us)
-            .map(|(step, groups_us)| step_end(step, groups_us));
+            .zip(&groups)
+            .map(|(step, groups)| step_end(step, groups));
         Self {
             steps: ends.collect(),
             text_us,
@@ -69,9 +82,9 @@
     }
 }
 
-fn step_end(step: &StepView, groups_us: &[u64]) -> StepEnd {
-    let mut order: Vec<usize> = (0..groups_us.len()).collect();
-    order.sort_by_key(|group| (!step.groups[*group].complete, groups_us[*group]));
+fn step_end(step: &StepView, groups: &[GroupEnd]) -> StepEnd {
+    let mut order: Vec<usize> = (0..groups.len()).collect();
+    order.sort_by_key(|group| (!step.groups[*group].complete, groups[*group].reachable_us));
     let wanted = match step.groups_wanted as usize {
         0 => order.len(),
         wanted => wanted.min(order.len()),
@@ -80,13 +93,15 @@
     for group in &order[..wanted] {
         needed[*group] = true;
     }
-    let last = order[..wanted].last();
-    let end_us = last.map_or(0, |group| groups_us[*group]);
-    let surely_later_us = end_us + end_us / DISPENSABLE_INVERSE;
-    let is_dispensable = |(needed, group_us): (&bool, &u64)| !needed && *group_us > surely_later_us;
+    let wanted = || order[..wanted].iter().map(|group| &groups[*group]);
+    let end_us = wanted().map(|group| group.end_us).max().unwrap_or(0);
+    let reachable_us = wanted().map(|group| group.reachable_us).max().unwrap_or(0);
+    let surely_later_us = reachable_us + reachable_us / DISPENSABLE_INVERSE;
+    let is_dispensable =
+        |(needed, group): (&bool, &GroupEnd)| !needed && group.reachable_us > surely_later_us;
     StepEnd {
         end_us,
-        dispensable: needed.iter().zip(groups_us).map(is_dispensable).collect(),
+        dispensable: needed.iter().zip(groups).map(is_dispensable).collect(),
         needed,
     }
 }
--- a/components/critical_path/src/moves.rs
+++ b/components/critical_path/src/moves.rs
@@ -10,19 +10,22 @@
 
 use dispatch::Placement;
 
-use crate::cost::ReplicaCosts;
+use crate::cost::{MOVE_COST_US, ReplicaCosts};
 use crate::ends::StepEnds;
 use crate::{Move, MoveCause, ReplicaView, RunView, TextView};
 
-/// Cost of a move: the event in progress is lost, the request travels to the other replica over a
-/// connection of its own, and that replica reads the text again.
-const MOVE_COST_US: u64 = 60_000;
 /// Smallest gain for which a text is moved.
 const GAIN_US_MIN: u64 = 300_000;
 /// Time between two moves of a text, unless its replica has begun to deviate in between.
 const MOVE_INTERVAL_MS: u64 = 1_000;
 /// Shortest time between two moves of a text for whatever reason.
 const MOVE_INTERVAL_MS_MIN: u64 = 500;
+/// Intervals at the replica's present pace within which a run does not count as stalled. The pool's
+/// threshold is shorter than this at replicas that are several times slower.
+const STALL_INTERVALS: u64 = 2;
+/// Time that a load of weights stops the runs of a replica, with a margin. A stalled run waits for
+/// its end if the only other replicas with a slot are slower than their steady pace.
+const LOAD_MS: u64 = 1_000;
 /// How long a text does not return to a replica that it was moved away from.
 const RETURN_MS: u64 = 5_000;
 
@@ -66,7 +69,8 @@
     stalled_ms: u64,
 ) -> Vec<Move> {
     let is_stalled = |run: &RunView| {
-        run.silent_ms >= stalled_ms
+        let interval_us = costs.of(run.replica).now.interval_us();
+        run.silent_ms >= stalled_ms.max(STALL_INTERVALS * interval_us / 1_000)
             && run
                 .moved_ms_ago
                 .is_none_or(|ms_ago| ms_ago >= MOVE_INTERVAL_MS_MIN)
@@ -84,6 +88,10 @@
         let Some(to) = target(text, text.left.mean, costs, replicas) else {
             continue;
         };
+        let silent_ms = text.run.as_ref().map_or(0, |run| run.silent_ms);
+        if costs.of(to).deviates_for_ms.is_some() && silent_ms < LOAD_MS {
+            continue;
+        }
         replicas[to].engine.take_slot(text.model);
         costs.add_run(to, text.left.mean, ends.is_needed(text));
         moves.push(Move {
@@ -108,17 +116,19 @@
     let mut needed: Vec<Vec<NeededText>> = Vec::new();
     needed.resize_with(steps, Vec::new);
     for (at, text) in texts.iter().enumerate() {
-        if !ends.is_needed(text) {
+        let run = text.run.as_ref().map(|run| costs.of(run.replica));
+        let deviating = run.filter(|here| here.deviates_for_ms.is_some());
+        if !ends.is_needed(text) && (deviating.is_none() || ends.is_dispensable(text)) {
             continue;
         }
-        // A text at a replica that deviates is judged by its high estimate: what it loses there
-        // cannot be made up for if it becomes long.
-        let (events, end_us) = match &text.run {
-            Some(run) if costs.of(run.replica).deviates_for_ms.is_some() => {
+        // A text at a replica that deviates is judged by a length that it hardly exceeds: what it
+        // loses there cannot be made up for if it becomes long.
+        let (events, end_us) = match deviating {
+            Some(here) => {
                 let events = text.left.high;
-                (events, costs.of(run.replica).now.duration_us(events))
+                (events, here.now.duration_us(events))
             }
-            _ => (text.left.mean, ends.text_us(at)),
+            None => (text.left.mean, ends.text_us(at)),
         };
         needed[text.step].push(NeededText {
             text: at,
--- a/components/critical_path/src/placement.rs
+++ b/components/critical_path/src/placement.rs
@@ -125,9 +125,11 @@
     match policy {
         Policy::EarliestFinish => Some(earliest),
         Policy::ReserveFast => {
-            let latest_us = earliest.start_us(events) + SHORT_LOSS_US;
+            // Judged by the high estimate, as few of the texts that go to slow replicas may become
+            // long there.
+            let latest_us = earliest.start_us(text.left.high) + SHORT_LOSS_US;
             let is_near = |candidate: &Candidate| {
-                !candidate.deviates && candidate.start_us(events) <= latest_us
+                !candidate.deviates && candidate.start_us(text.left.high) <= latest_us
             };
             let usable = usable(text.avoid);
             let slowest = list.slowest(|candidate| usable(candidate) && is_near(candidate));
@@ -136,7 +138,8 @@
     }
 }
 
-/// Fast slots that stay free for texts at slow replicas.
+/// Fast slots that stay free for texts at slow replicas, as long as other slots suffice for the
+/// texts that wait.
 #[derive(Debug, Default)]
 struct Reserve {
     is_fast: Vec<bool>,
@@ -164,6 +167,12 @@
             .sum()
         };
         let (all, free) = (slots(true), slots(false));
+        // A reserve while texts wait for slots would delay texts for an uncertain gain.
+        let waiting = texts.iter().filter(|text| text.run.is_none()).count() as u64;
+        let free_slots = replicas
+            .iter()
+            .map(|view| u64::from(view.engine.free_slots));
+        let spare = free_slots.sum::<u64>().saturating_sub(waiting);
         // The 90th percentile is exceeded by a tenth of the texts.
         let mut expected_tenths = 0;
         for text in texts {
@@ -184,7 +193,9 @@
         Self {
             is_fast,
             free,
-            reserved: (expected_tenths / 10_u64).min(all / RESERVED_DIVISOR),
+            reserved: (expected_tenths / 10_u64)
+                .min(all / RESERVED_DIVISOR)
+                .min(spare),
         }
     }
 
