--- a/components/pace/src/replica.rs
+++ b/components/pace/src/replica.rs
@@ -7,7 +7,7 @@
 use crate::snapshot::{DeviationSnapshot, FilterSnapshot, PaceSnapshot, RunCostSnapshot};
 use crate::{LevelChange, PaceEstimate, PoolPace};
 
-/// Shortest interval that counts. Events closer together were received in one read.
+/// Shortest interval that shows a pace. Events closer together were received in one read.
 const INTERVAL_MIN_US: u64 = 1_000;
 /// Inverse part of the steady pace and of the pool's below which an event was held back on its way
 /// and arrived together with the one before it. No level of a replica is that fast, also if the
@@ -56,11 +56,14 @@
         running: u32,
         now_ms: u64,
     ) -> Option<LevelChange> {
+        let per_run = pool.per_run();
+        let observation = Observation::new(interval_us.max(INTERVAL_MIN_US), running);
         if interval_us < INTERVAL_MIN_US {
+            if let Some(known) = &mut self.known {
+                known.test.add_held_back(&observation);
+            }
             return None;
         }
-        let per_run = pool.per_run();
-        let observation = Observation::new(interval_us, running);
         let silent_ms = now_ms.saturating_sub(self.last_event_ms);
         self.last_event_ms = now_ms;
         let known = self
--- a/dev/checks/src/lib.rs
+++ b/dev/checks/src/lib.rs
@@ -1,4 +1,4 @@
-//! Reproducible property-based tests.
+//! Reproducible property-based tests, and random numbers for them.
 //!
 //! Cases are generated from a fixed seed, so that a failure in CI can be reproduced anywhere.
 //! [`SEED_VARIABLE`] sets another seed to try other cases. Each test prints its seed, which the
@@ -20,6 +20,12 @@
         .unwrap_or(DEFAULT_SEED)
 }
 
+/// A standard normal random number, from uniform ones between 0 and 1 (Box and Muller).
+pub fn normal(mut uniform: impl FnMut() -> f64) -> f64 {
+    let radius = (-2.0 * (1.0 - uniform()).ln()).sqrt();
+    radius * (std::f64::consts::TAU * uniform()).cos()
+}
+
 /// Checks a property with cases generated from [`seed`]; panics if a case fails.
 pub fn check(property: impl Testable) {
     let seed = seed();
