--- a/components/critical_path/src/candidates.rs
+++ b/components/critical_path/src/candidates.rs
@@ -60,6 +60,8 @@
 struct Block {
     candidates: Vec<Candidate>,
     interval_us_min: u64,
+    steady_us_min: u64,
+    deviation_us_min: u64,
     presence_us_min: u64,
     running_min: u32,
     speed_class_max: u64,
@@ -70,6 +72,8 @@
         let mut block = Self {
             candidates,
             interval_us_min: 0,
+            steady_us_min: 0,
+            deviation_us_min: 0,
             presence_us_min: 0,
             running_min: 0,
             speed_class_max: 0,
@@ -79,23 +83,29 @@
     }
 
     fn update_bounds(&mut self) {
-        let candidates = || self.candidates.iter();
-        let interval_us =
-            |known: &Candidate| known.speed.steady_us().min(known.speed.interval_us());
         // Bounds of an empty block rule it out.
-        let interval_us_min = candidates().map(interval_us).min().unwrap_or(0);
-        let presence_us_min = candidates().map(|known| known.presence_us).min();
-        let running_min = candidates().map(|known| known.running).min();
-        let speed_class_max = candidates().map(Candidate::speed_class).max();
-        self.interval_us_min = interval_us_min;
-        self.presence_us_min = presence_us_min.unwrap_or(u64::MAX / 2);
-        self.running_min = running_min.unwrap_or(u32::MAX);
-        self.speed_class_max = speed_class_max.unwrap_or(0);
+        self.interval_us_min = u64::from(u32::MAX);
+        self.steady_us_min = u64::from(u32::MAX);
+        self.deviation_us_min = u64::from(u32::MAX);
+        self.presence_us_min = u64::MAX / 2;
+        self.running_min = u32::MAX;
+        self.speed_class_max = 0;
+        for known in &self.candidates {
+            let speed = &known.speed;
+            self.interval_us_min = self.interval_us_min.min(speed.interval_us());
+            self.steady_us_min = self.steady_us_min.min(speed.steady_us());
+            self.deviation_us_min = self.deviation_us_min.min(speed.whole_deviation_us());
+            self.presence_us_min = self.presence_us_min.min(known.presence_us);
+            self.running_min = self.running_min.min(known.running);
+            self.speed_class_max = self.speed_class_max.max(known.speed_class());
+        }
     }
 
     /// Lower bound of [`Candidate::start_us`].
     fn start_us_min(&self, events: u64) -> u64 {
-        events * self.interval_us_min + self.presence_us_min
+        let all_deviating_us = events * self.interval_us_min;
+        let then_steady_us = events * self.steady_us_min + self.deviation_us_min;
+        all_deviating_us.min(then_steady_us) + self.presence_us_min
     }
 }
 
--- a/components/critical_path/src/cost.rs
+++ b/components/critical_path/src/cost.rs
@@ -22,18 +22,19 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Speed {
     steady_us: u64,
-    /// Difference of the present interval to the steady one.
-    deviation_us: i64,
+    /// Difference of the present interval to the steady one. Replicas deviate to longer intervals
+    /// only.
+    deviation_us: u64,
     /// Number of events until the steady interval applies.
     deviating_events: u64,
 }
 
 impl Speed {
     fn new(interval_us: u64, steady_us: u64, deviates: bool) -> Self {
-        match deviates {
+        match deviates && interval_us > steady_us {
             true => Self {
                 steady_us,
-                deviation_us: interval_us as i64 - steady_us as i64,
+                deviation_us: interval_us - steady_us,
                 deviating_events: DEVIATION_LASTS_US / interval_us,
             },
             false => Self {
@@ -47,11 +48,16 @@
     /// Time to generate `events` events.
     pub(crate) fn duration_us(&self, events: u64) -> u64 {
         let deviating = events.min(self.deviating_events);
-        (events * self.steady_us).saturating_add_signed(deviating as i64 * self.deviation_us)
+        events * self.steady_us + deviating * self.deviation_us
+    }
+
+    /// Time that the whole deviation adds to a text.
+    pub(crate) fn whole_deviation_us(&self) -> u64 {
+        self.deviating_events * self.deviation_us
     }
 
     pub(crate) fn interval_us(&self) -> u64 {
-        self.steady_us.saturating_add_signed(self.deviation_us)
+        self.steady_us + self.deviation_us
     }
 
     pub(crate) fn steady_us(&self) -> u64 {
--- a/components/critical_path/tests/load/main.rs
+++ b/components/critical_path/tests/load/main.rs
@@ -189,7 +189,7 @@
         for period in 0..16 {
             let from_ms = period * 8_000 + at as u64 * 400;
             replica.loads.push((from_ms, from_ms + 900));
-            if (at as u64 + period) % 5 == 0 && period > 1 {
+            if (at as u64 + period).is_multiple_of(5) && period > 1 {
                 replica.slow.push((from_ms + 1_500, from_ms + 8_000, 3.0));
             }
         }
--- a/components/critical_path/tests/plan.rs
+++ b/components/critical_path/tests/plan.rs
@@ -605,7 +605,7 @@
         }
         for policy in POLICIES {
             let mut took: Vec<u128> = Vec::new();
-            for _ in 0..7 {
+            for _ in 0..15 {
                 let mut replicas = replicas.clone();
                 let started = Instant::now();
                 plan(policy, &POOL, &steps, &texts, &mut replicas, STALLED_MS);
