--- a/components/critical_path/tests/load/world.rs
+++ b/components/critical_path/tests/load/world.rs
@@ -1,6 +1,8 @@
 //! Steps, texts and replicas through time, without a network: each tick, running texts progress and
 //! their events are recorded as a front does it, and a planner places and moves texts.
 
+use std::ops::Range;
+
 use dispatch::{Engine, EventInterval, Run, WaitingItem, WaitingRank, slowness, text_left_ms};
 use lengths::LengthModel;
 use pace::{PoolPace, ReplicaPace};
@@ -154,7 +156,10 @@
     intervals: Vec<EventInterval>,
     steps: Vec<Step>,
     ended_us: Vec<Option<u64>>,
+    /// Texts in the order of their steps.
     texts: Vec<SimText>,
+    /// Range of the texts of each step.
+    texts_of: Vec<Range<usize>>,
     moves: Vec<Moved>,
     starts: Vec<(u64, usize)>,
     lengths: LengthModel,
@@ -228,8 +233,15 @@
                 slow_moves: 0,
             })
         });
+        let mut next = 0;
+        let range = |step: &Step| {
+            let from = next;
+            next += step.texts.len();
+            from..next
+        };
         Self {
             planner,
+            texts_of: steps.iter().map(range).collect(),
             intervals: replicas.iter().map(|_| EventInterval::default()).collect(),
             texts: texts.collect(),
             ended_us: vec![None; steps.len()],
@@ -259,13 +271,27 @@
         self.measured(from)
     }
 
+    /// Steps that were accepted and have not ended.
+    fn open_steps(&self) -> Vec<usize> {
+        let is_accepted = |at: usize| self.steps[at].accepted_ms * 1_000 <= self.now_us;
+        (0..self.steps.len())
+            .filter(|at| self.ended_us[*at].is_none() && is_accepted(*at))
+            .collect()
+    }
+
+    /// Numbers of the texts of open steps.
+    fn open_step_texts(&self) -> Vec<usize> {
+        let steps = self.open_steps().into_iter();
+        steps.flat_map(|at| self.texts_of[at].clone()).collect()
+    }
+
     fn running_at(&self) -> Vec<u32> {
         let mut running = vec![0; self.replicas.len()];
-        for text in self
-            .texts
-            .iter()
-            .filter(|text| text.state == State::Running)
-        {
+        let open = self.open_step_texts();
+        for text in open.iter().map(|at| &self.texts[*at]) {
+            if text.state != State::Running {
+                continue;
+            }
             running[text.replica] += 1;
         }
         running
@@ -274,7 +300,8 @@
     fn progress(&mut self) {
         let running = self.running_at();
         let now_us = self.now_us;
-        for text in &mut self.texts {
+        for at in self.open_step_texts() {
+            let text = &mut self.texts[at];
             if text.state != State::Running || now_us < text.begins_us {
                 continue;
             }
@@ -309,11 +336,12 @@
     }
 
     fn end_steps(&mut self) {
-        for at in 0..self.steps.len() {
-            if self.ended_us[at].is_none() && self.is_ended(at) {
+        for at in self.open_steps() {
+            if self.is_ended(at) {
                 self.ended_us[at] = Some(self.now_us);
-                let open = |text: &&mut SimText| text.step == at && text.state != State::Complete;
-                for text in self.texts.iter_mut().filter(open) {
+                let open = |text: &&mut SimText| text.state != State::Complete;
+                let texts = &mut self.texts[self.texts_of[at].clone()];
+                for text in texts.iter_mut().filter(open) {
                     text.state = State::Dropped;
                     if text.generated > 0 {
                         self.lengths
@@ -326,16 +354,13 @@
 
     fn complete_groups(&self, step: usize) -> Vec<bool> {
         let mut complete = vec![true; self.steps[step].groups];
-        for text in self.texts.iter().filter(|text| text.step == step) {
+        for text in &self.texts[self.texts_of[step].clone()] {
             complete[text.text.group] &= text.state == State::Complete;
         }
         complete
     }
 
     fn is_ended(&self, step: usize) -> bool {
-        if self.now_us < self.steps[step].accepted_ms * 1_000 {
-            return false;
-        }
         let complete = self.complete_groups(step);
         let count = complete.iter().filter(|complete| **complete).count();
         count as u32 >= self.steps[step].groups_wanted
@@ -348,7 +373,8 @@
             State::Running => true,
             State::Complete | State::Dropped => false,
         };
-        (0..self.texts.len()).filter(is_open).collect()
+        let texts = self.open_step_texts().into_iter();
+        texts.filter(is_open).collect()
     }
 
     fn engines(&self) -> Vec<Engine> {
