--- a/components/front/src/lib.rs
+++ b/components/front/src/lib.rs
@@ -24,6 +24,7 @@
 mod peer_relay;
 mod peers;
 mod reload;
+mod replica_pace;
 mod reports;
 mod results;
 mod reward;
--- a/components/front/src/serve.rs
+++ b/components/front/src/serve.rs
@@ -42,6 +42,7 @@
         let mut text = metrics::text(&metrics.rows().await);
         text.push_str(&front.storage.calls.text());
         text.push_str(&front.storage.relay.text());
+        text.push_str(&front.moves.text());
         text.push_str(&metrics::customers_text(&front.meter.series()));
         return ingress::success_response(StatusCode::OK, None, "text/plain", text.into());
     }
--- a/components/front/src/state.rs
+++ b/components/front/src/state.rs
@@ -27,6 +27,7 @@
 use crate::member;
 use crate::meter::Meter;
 use crate::peers::ReplicaTable;
+use crate::runner::MoveCounts;
 use crate::storage::Storage;
 
 /// Assumed latency of a route without any completed call, in milliseconds.
@@ -90,6 +91,8 @@
     pub meter: Meter,
     /// Data that is held for clients and replicas that read slowly.
     pub held: Arc<HeldBytes>,
+    /// Numbers of items that were moved between replicas.
+    pub moves: MoveCounts,
     pub drain: Drain,
     /// Turns true when idle connections of clients are to be closed.
     pub close_connections: watch::Sender<bool>,
@@ -127,6 +130,7 @@
             usage_current_ms: AtomicU64::new(0),
             meter: Meter::new(report_windows(&settings)),
             held: Arc::default(),
+            moves: MoveCounts::default(),
             drain,
             close_connections: watch::Sender::new(false),
             typical_durations: Mutex::default(),
--- a/components/front/tests/front/common.rs
+++ b/components/front/tests/front/common.rs
@@ -209,7 +209,8 @@
         site
     }
 
-    async fn add(&mut self, id: &str, service: &'static str, events: u64, pause_ms: u64) {
+    /// Starts a replica and writes its record to the store.
+    pub async fn add(&mut self, id: &str, service: &'static str, events: u64, pause_ms: u64) {
         let settings = ReplicaSettings {
             id: id.to_owned(),
             events,
--- a/components/front/tests/front/main.rs
+++ b/components/front/tests/front/main.rs
@@ -4,6 +4,7 @@
 mod common;
 mod customers;
 mod held;
+mod moves;
 mod orders;
 mod relay_peers;
 mod relayed;
