Add the package concurrency: limits, queue and retry budget of plain services

Without a queue every call is sent at once and, when refused, sent again up to three times and then by its caller, so the calls of a flood multiply and take the slots of all customers. ConcurrencyLimit learns how many calls of this process a replica takes; ServiceQueue (on limits::Admission and RetryBudget) orders the calls that find no room, refuses those that would wait too long and bounds retries. Admission can serve other classes while one is closed.

Customers share by time.

--- /dev/null
+++ b/components/concurrency/src/room.rs
@@ -0,0 +1,70 @@
+//! Which replicas of a service have room for a call.
+
+use derive::key;
+use limits::Capacity;
+use types::Class;
+
+/// Limit on this process's background calls in flight at one replica, which has six slots. Leaves
+/// a third of the slots to other calls while three processes send background calls.
+const BACKGROUND_MAX: u32 = 2;
+
+/// This process's use of one replica that accepts work.
+#[key]
+pub struct ReplicaUse {
+    /// Limit on calls in flight.
+    pub limit: u32,
+    /// Calls in flight.
+    pub calls: u32,
+    /// Calls in flight that belong to the background class.
+    pub background: u32,
+    /// Whether the replica is ejected after consecutive failures.
+    pub ejected: bool,
+}
+
+/// Whether the queue is active for a service: more than half of its replicas that are not draining
+/// report their start. What the limits have learnt refers to one life of a replica, and without the
+/// start a restart is not detected.
+pub fn is_active(replicas: impl Iterator<Item = (bool, Option<u64>)>) -> bool {
+    let (mut reporting, mut all) = (0, 0);
+    for (draining, started_ms) in replicas {
+        if !draining {
+            all += 1;
+            reporting += usize::from(started_ms.is_some());
+        }
+    }
+    reporting * 2 > all
+}
+
+/// Whether a replica has room for one more call of `class`.
+pub fn has_room(replica: &ReplicaUse, class: Class) -> bool {
+    let below_background_max = replica.background < BACKGROUND_MAX;
+    replica.calls < replica.limit && (class == Class::Interactive || below_background_max)
+}
+
+/// The replicas that calls may be sent to: those that are not ejected, or all if every one is.
+pub fn usable(replicas: &[ReplicaUse]) -> impl Iterator<Item = (usize, &ReplicaUse)> + Clone {
+    let all_ejected = replicas.iter().all(|replica| replica.ejected);
+    let replicas = replicas.iter().enumerate();
+    replicas.filter(move |(_, replica)| all_ejected || !replica.ejected)
+}
+
+/// Slots of the service and their use. A replica above its limit counts as full, so that it does
+/// not take away the free slots of the others.
+pub(crate) fn capacity(replicas: &[ReplicaUse], hold_ms: u32) -> Capacity {
+    let empty = Capacity {
+        in_progress: 0,
+        limit: 0,
+        hold_ms,
+    };
+    usable(replicas).fold(empty, |sum, (_, replica)| Capacity {
+        in_progress: sum.in_progress + replica.calls,
+        limit: sum.limit + replica.limit.max(replica.calls),
+        ..sum
+    })
+}
+
+/// Classes for which no replica has room.
+pub(crate) fn closed_classes(replicas: &[ReplicaUse]) -> Vec<Class> {
+    let is_closed = |class: &Class| !usable(replicas).any(|(_, replica)| has_room(replica, *class));
+    Class::ALL.into_iter().filter(is_closed).collect()
+}
--- a/components/concurrency/tests/load/sim.rs
+++ b/components/concurrency/tests/load/sim.rs
@@ -7,12 +7,18 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 
+use concurrency::{
+    Admitted, Arrival, Arrived, ConcurrencyLimit, RefusalReason, ReplicaUse, ServiceQueue,
+    has_room, usable,
+};
 use dispatch::{
     AttemptOutcome, CallFailure, Candidate, InFlightCall, NextAction, ReplicaLoad, TypicalDuration,
     choose_replica, next_action,
 };
-use types::Class;
+use limits::Ticket;
+use types::{Class, CustomerName};
 
+const SEEDS: std::ops::Range<u64> = 7..10;
 /// Calls that a replica runs at once, and calls that it queues beyond them.
 pub const SLOTS: usize = 6;
 const QUEUED_MAX: usize = 2;
@@ -50,13 +56,22 @@
     Silent,
 }
 
+/// How fronts admit calls.
+#[derive(Clone, Copy, PartialEq)]
+pub enum Mode {
+    /// Calls are sent at once, as where replicas do not report their start.
+    Unqueued,
+    /// Limits, queue and budget of this crate.
+    Queued,
+}
+
+#[derive(Clone)]
 pub struct Scenario {
     pub fronts: usize,
     pub replicas: usize,
     pub health: fn(usize, u64) -> Health,
     pub traffic: Vec<Traffic>,
     pub duration_ms: u64,
-    pub seed: u64,
 }
 
 /// How the calls of one `Traffic` ended.
@@ -75,6 +90,16 @@
 }
 
 impl Outcome {
+    fn add(&mut self, other: &Outcome) {
+        self.calls += other.calls;
+        self.answered += other.answered;
+        self.refused += other.refused;
+        self.timed_out += other.timed_out;
+        self.refusals += other.refusals;
+        self.sent += other.sent;
+        self.latencies_ms.extend(&other.latencies_ms);
+    }
+
     /// Time from the first arrival to the answer, in milliseconds; the quantile is in thousandths.
     pub fn latency_ms(&self, quantile: usize) -> u64 {
         let mut sorted = self.latencies_ms.clone();
@@ -132,17 +157,24 @@
     hedge_at_ms: u64,
     /// Whether the call waits for a replica.
     waiting: bool,
+    ticket: Option<Ticket>,
 }
 
 struct Front {
     loads: Vec<Arc<ReplicaLoad>>,
     /// Usual duration by traffic, as each is a route of its own.
     typical: Vec<TypicalDuration>,
+    limits: Vec<ConcurrencyLimit>,
+    queue: ServiceQueue,
+    waiting: BTreeMap<Ticket, CallId>,
 }
 
 struct Sim<'a> {
     scenario: &'a Scenario,
+    mode: Mode,
     now_ms: u64,
+    /// Arrivals have a sequence of their own, so that they are the same in both modes.
+    arrivals: RandomSequence,
     random: RandomSequence,
     replicas: Vec<Replica>,
     fronts: Vec<Front>,
@@ -153,8 +185,24 @@
     outcomes: Vec<Outcome>,
 }
 
-/// Runs a scenario and returns the outcome of each of its traffics.
-pub fn run(scenario: &Scenario) -> Vec<Outcome> {
+/// Runs a scenario once for each seed and returns the outcome of each of its traffics, because the
+/// quantiles of one run depend on a few calls.
+pub fn run(scenario: &Scenario, mode: Mode) -> Vec<Outcome> {
+    let mut sums: Vec<Outcome> = scenario
+        .traffic
+        .iter()
+        .map(|_| Outcome::default())
+        .collect();
+    for seed in SEEDS {
+        let outcomes = run_once(scenario, mode, seed);
+        sums.iter_mut()
+            .zip(&outcomes)
+            .for_each(|(sum, outcome)| sum.add(outcome));
+    }
+    sums
+}
+
+fn run_once(scenario: &Scenario, mode: Mode, seed: u64) -> Vec<Outcome> {
     let front = |_| Front {
         loads: (0..scenario.replicas).map(|_| Arc::default()).collect(),
         typical: scenario
@@ -162,11 +210,18 @@
             .iter()
             .map(|_| TypicalDuration::new(40))
             .collect(),
+        limits: (0..scenario.replicas)
+            .map(|_| ConcurrencyLimit::default())
+            .collect(),
+        queue: ServiceQueue::default(),
+        waiting: BTreeMap::new(),
     };
     let mut sim = Sim {
         scenario,
+        mode,
         now_ms: 0,
-        random: RandomSequence(scenario.seed),
+        arrivals: RandomSequence(seed),
+        random: RandomSequence(seed + 1_000),
         replicas: (0..scenario.replicas).map(|_| Replica::default()).collect(),
         fronts: (0..scenario.fronts).map(front).collect(),
         calls: BTreeMap::new(),
@@ -202,6 +257,9 @@
         for id in ids {
             self.advance(id);
         }
+        if self.mode == Mode::Queued {
+            (0..self.fronts.len()).for_each(|front| self.admit_waiting(front));
+        }
     }
 
     fn arrivals(&mut self) {
@@ -213,7 +271,7 @@
             // Up to four arrivals a millisecond, together at the traffic's rate.
             for _ in 0..4 {
                 let threshold = traffic.per_s / 4_000.0 * u64::MAX as f64;
-                if (self.random.next() as f64) < threshold {
+                if (self.arrivals.next() as f64) < threshold {
                     self.outcomes[at].calls += 1;
                     self.start(at, self.now_ms, self.now_ms + traffic.deadline_ms);
                 }
@@ -246,6 +304,7 @@
                 may_have_run: false,
                 hedge_at_ms: u64::MAX,
                 waiting: true,
+                ticket: None,
             },
         );
         self.send_next(id);
@@ -263,6 +322,12 @@
             .filter(|at| !call.tried.contains(at))
             .filter(|at| !with_room || front.loads[*at].background() < BACKGROUND_MAX)
             .collect();
+        self.choose_among(id, &left)
+    }
+
+    fn choose_among(&mut self, id: CallId, left: &[usize]) -> Option<usize> {
+        let call = &self.calls[&id];
+        let front = &self.fronts[call.front];
         let candidates: Vec<Candidate<'_>> = left
             .iter()
             .map(|at| Candidate {
@@ -277,6 +342,9 @@
 
     /// Sends the next attempt of a call that has none in flight.
     fn send_next(&mut self, id: CallId) {
+        if self.mode == Mode::Queued {
+            return self.ask(id);
+        }
         let background = self.is_background(&self.calls[&id]);
         if let Some(replica) = self.choose(id, background) {
             self.send(id, replica);
@@ -292,6 +360,107 @@
         }
     }
 
+    fn uses(&self, front: usize) -> Vec<ReplicaUse> {
+        let front = &self.fronts[front];
+        let replicas = front.loads.iter().zip(&front.limits);
+        let replica_use = |(load, limit): (&Arc<ReplicaLoad>, &ConcurrencyLimit)| ReplicaUse {
+            limit: limit.calls(SLOTS as u32, self.now_ms),
+            calls: load.calls(),
+            background: load.background(),
+            ejected: load.is_ejected(self.now_ms),
+        };
+        replicas.map(replica_use).collect()
+    }
+
+    /// Asks the queue of the front for a replica.
+    fn ask(&mut self, id: CallId) {
+        let call = &self.calls[&id];
+        let front = call.front;
+        let traffic = &self.scenario.traffic[call.traffic];
+        let typical_ms = self.fronts[front].typical[call.traffic].us() / 1_000;
+        let arrival = Arrival {
+            customer: CustomerName::new(traffic.customer).expect("a name"),
+            class: traffic.class,
+            typical_ms: typical_ms as u32,
+            deadline_ms: call.deadline_at_ms.saturating_sub(typical_ms),
+        };
+        let uses = self.uses(front);
+        let random = self.random.next();
+        let queue = &mut self.fronts[front].queue;
+        if call.tried.is_empty() {
+            queue.record_first_attempt();
+        }
+        match queue.arrive(&arrival, &uses, self.now_ms, random) {
+            Arrived::Free => self.place(id),
+            Arrived::Refused(refusal) => self.refuse(id, refusal.retry_after_ms),
+            Arrived::Waiting(ticket) => {
+                self.fronts[front].waiting.insert(ticket, id);
+                if let Some(call) = self.calls.get_mut(&id) {
+                    call.ticket = Some(ticket);
+                    call.waiting = true;
+                }
+                self.admit_waiting(front);
+            }
+        }
+    }
+
+    fn refuse(&mut self, id: CallId, retry_after_ms: u64) {
+        let failure = match self.calls[&id].may_have_run {
+            true => CallFailure::Unknown,
+            false => CallFailure::NotRun,
+        };
+        self.end_with(id, failure, retry_after_ms);
+    }
+
+    fn admit_waiting(&mut self, front: usize) {
+        loop {
+            let uses = self.uses(front);
+            let random = self.random.next();
+            let at = &mut self.fronts[front];
+            let Some(next) = at.queue.next(&uses, self.now_ms, random) else {
+                return;
+            };
+            let (Admitted::Send(ticket) | Admitted::Refuse(ticket, _)) = next;
+            let Some(id) = at.waiting.remove(&ticket) else {
+                continue;
+            };
+            match next {
+                Admitted::Send(_) => self.place(id),
+                Admitted::Refuse(_, refusal) => self.refuse(id, refusal.retry_after_ms),
+            }
+        }
+    }
+
+    /// Sends an admitted call to a replica with room that has not received it. A retry exceeds the
+    /// limit of a replica by one if only replicas that have received it have room.
+    fn place(&mut self, id: CallId) {
+        let class = self.scenario.traffic[self.calls[&id].traffic].class;
+        match self
+            .choose_open(id, class)
+            .or_else(|| self.choose(id, false))
+        {
+            Some(replica) => self.send(id, replica),
+            None => self.refuse_now(id, RefusalReason::NotTaken),
+        }
+    }
+
+    fn refuse_now(&mut self, id: CallId, reason: RefusalReason) {
+        let front = self.calls[&id].front;
+        let (uses, random) = (self.uses(front), self.random.next());
+        let refusal = self.fronts[front].queue.refusal(reason, &uses, random);
+        self.refuse(id, refusal.retry_after_ms);
+    }
+
+    fn choose_open(&mut self, id: CallId, class: Class) -> Option<usize> {
+        let call = &self.calls[&id];
+        let uses = self.uses(call.front);
+        let open: Vec<usize> = usable(&uses)
+            .filter(|(at, replica)| !call.tried.contains(at) && has_room(replica, class))
+            .map(|(at, _)| at)
+            .collect();
+        self.choose_among(id, &open)
+    }
+
     fn send(&mut self, id: CallId, replica: usize) {
         let now_ms = self.now_ms;
         let background = self.is_background(&self.calls[&id]);
@@ -336,6 +505,9 @@
         } else if at.queued.len() < QUEUED_MAX {
             at.queued.push_back(run);
         } else {
+            let front = &mut self.fronts[call.front];
+            let running = front.loads[replica].calls();
+            front.limits[replica].record_refusal(running, SLOTS as u32, now_ms, now_ms);
             self.attempt_ended(id, replica, AttemptOutcome::NotRun);
         }
     }
@@ -374,9 +546,13 @@
             return;
         };
         let attempt = call.attempts.swap_remove(at);
-        let front = &self.fronts[call.front];
+        let front = &mut self.fronts[call.front];
         if end == AttemptOutcome::Answered {
             let took_us = (now_ms - attempt.sent_ms).max(1) * 1_000;
+            let route = self.scenario.traffic[call.traffic].customer;
+            let limit = &mut front.limits[replica];
+            limit.record_answer(route, took_us, SLOTS as u32, attempt.sent_ms, now_ms);
+            front.queue.record_hold(took_us);
             front.loads[replica].record_success(&front.typical[call.traffic], took_us, now_ms);
         }
         drop(attempt);
@@ -395,7 +571,11 @@
         match action {
             NextAction::Deliver => self.answer(id),
             _ if !self.calls[&id].attempts.is_empty() => {}
-            NextAction::Retry => self.send_next(id),
+            NextAction::Retry if self.spend_retry(id) => self.send_next(id),
+            NextAction::Retry => self.refuse_now(id, RefusalReason::BudgetSpent),
+            NextAction::Finish(CallFailure::NotRun) if self.mode == Mode::Queued => {
+                self.refuse_now(id, RefusalReason::NotTaken);
+            }
             NextAction::Finish(failure) => self.end(id, failure),
         }
     }
@@ -413,8 +593,11 @@
             };
             return self.end(id, failure);
         }
+        if call.ticket.is_some() && call.waiting {
+            return;
+        }
         if call.waiting {
-            if now_ms % 10 == 0 {
+            if now_ms.is_multiple_of(10) {
                 self.send_next(id);
             }
             return;
@@ -425,12 +608,28 @@
         }
     }
 
+    fn spend_retry(&self, id: CallId) -> bool {
+        let front = &self.fronts[self.calls[&id].front];
+        self.mode == Mode::Unqueued || front.queue.try_spend_retry(self.now_ms)
+    }
+
     fn hedge(&mut self, id: CallId) {
         let call = &self.calls[&id];
         let (slow, front, traffic) = (call.tried[0], call.front, call.traffic);
-        let Some(next) = self.choose(id, false) else {
+        let sent_ms = call.attempts[0].sent_ms;
+        let next = match self.mode {
+            Mode::Unqueued => self.choose(id, false),
+            Mode::Queued if !self.fronts[front].queue.is_empty() => None,
+            // The limit on background calls does not bind hedged requests, which are few.
+            Mode::Queued => self.choose_open(id, Class::Interactive),
+        };
+        let Some(next) = next else {
             return;
         };
+        if !self.spend_retry(id) {
+            return;
+        }
+        self.fronts[front].limits[slow].record_late(SLOTS as u32, sent_ms, self.now_ms);
         let typical = &self.fronts[front].typical[traffic];
         let load = &self.fronts[front].loads[slow];
         load.record_hedge(typical, typical.us() * 3, self.now_ms);
@@ -477,7 +676,15 @@
     /// Removes a call and cancels its attempts at the replicas.
     fn remove(&mut self, id: CallId) -> Option<Call> {
         let call = self.calls.remove(&id)?;
+        let front = &mut self.fronts[call.front];
+        if let Some(ticket) = call.ticket.filter(|_| call.waiting) {
+            front.queue.cancel(ticket);
+            front.waiting.remove(&ticket);
+        }
         for attempt in &call.attempts {
+            front
+                .queue
+                .record_hold((self.now_ms - attempt.sent_ms) * 1_000);
             let at = &mut self.replicas[attempt.replica];
             at.running.retain(|run| run.call != id);
             at.queued.retain(|run| run.call != id);
--- /dev/null
+++ b/components/concurrency/tests/queue.rs
@@ -0,0 +1,306 @@
+//! Which calls wait for a replica, in which order they are sent, and which are refused.
+
+use concurrency::{
+    Admitted, Arrival, Arrived, Refusal, RefusalReason, ReplicaUse, ServiceQueue, has_room,
+    is_active,
+};
+use limits::Ticket;
+use types::{Class, CustomerName};
+
+const IDLE: ReplicaUse = ReplicaUse {
+    limit: 6,
+    calls: 0,
+    background: 0,
+    ejected: false,
+};
+const FULL: ReplicaUse = ReplicaUse { calls: 6, ..IDLE };
+
+fn arrival(customer: &str, class: Class) -> Arrival {
+    Arrival {
+        customer: CustomerName::new(customer).expect("a name"),
+        class,
+        typical_ms: 25,
+        deadline_ms: 2_000,
+    }
+}
+
+fn interactive(customer: &str) -> Arrival {
+    arrival(customer, Class::Interactive)
+}
+
+fn reward() -> Arrival {
+    arrival("trainer", Class::Background)
+}
+
+fn wait(queue: &mut ServiceQueue, arrival: &Arrival, replicas: &[ReplicaUse]) -> Ticket {
+    match queue.arrive(arrival, replicas, 0, 0) {
+        Arrived::Waiting(ticket) => ticket,
+        other => unreachable!("the call does not wait: {other:?}"),
+    }
+}
+
+fn refusal(queue: &mut ServiceQueue, arrival: &Arrival, random: u64) -> Option<Refusal> {
+    match queue.arrive(arrival, &[FULL], 0, random) {
+        Arrived::Refused(refusal) => Some(refusal),
+        _ => None,
+    }
+}
+
+/// Guards against a call that waits while a replica could take it, and against one that overtakes.
+#[test]
+fn a_call_waits_only_if_no_replica_has_room_for_it() {
+    struct Case {
+        name: &'static str,
+        replicas: Vec<ReplicaUse>,
+        class: Class,
+        free: bool,
+    }
+    let background = ReplicaUse {
+        calls: 2,
+        background: 2,
+        ..IDLE
+    };
+    // The limit fell while calls were in flight.
+    let over_limit = ReplicaUse { limit: 1, ..FULL };
+    let lowest = ReplicaUse { limit: 1, ..IDLE };
+    let ejected = |replica| ReplicaUse {
+        ejected: true,
+        ..replica
+    };
+    let (customers, rewards) = (Class::Interactive, Class::Background);
+    let case = |name, replicas, class, free| Case {
+        name,
+        replicas,
+        class,
+        free,
+    };
+    let cases = [
+        case("an idle replica", vec![FULL, IDLE], customers, true),
+        case("all replicas full", vec![FULL, FULL], customers, false),
+        case(
+            "an idle replica at the lowest limit beside one above its limit",
+            vec![over_limit, over_limit, lowest],
+            customers,
+            true,
+        ),
+        case(
+            "only an ejected one is idle",
+            vec![FULL, ejected(IDLE)],
+            customers,
+            false,
+        ),
+        case(
+            "all are ejected",
+            vec![ejected(FULL), ejected(IDLE)],
+            customers,
+            true,
+        ),
+        case(
+            "a customer's call beside reward calls",
+            vec![background],
+            customers,
+            true,
+        ),
+        case(
+            "a third reward call at a replica",
+            vec![background],
+            rewards,
+            false,
+        ),
+        case(
+            "a reward call at an idle replica",
+            vec![FULL, IDLE],
+            rewards,
+            true,
+        ),
+    ];
+    for case in cases {
+        let mut queue = ServiceQueue::default();
+        let arrived = queue.arrive(&arrival("a", case.class), &case.replicas, 0, 0);
+        assert_eq!(arrived == Arrived::Free, case.free, "{}", case.name);
+        // A call that waits is not admitted either while nothing changes.
+        assert_eq!(queue.next(&case.replicas, 0, 0), None, "{}", case.name);
+    }
+}
+
+/// Guards against reward calls that hold back customers' calls: they wait for the limit on
+/// background calls while a slot is free.
+#[test]
+fn a_customer_s_call_overtakes_waiting_reward_calls() {
+    let mut queue = ServiceQueue::default();
+    let background = ReplicaUse {
+        calls: 2,
+        background: 2,
+        ..IDLE
+    };
+    wait(&mut queue, &reward(), &[background]);
+    let arrived = queue.arrive(&interactive("a"), &[background], 0, 0);
+    assert_eq!(arrived, Arrived::Free);
+}
+
+/// Guards against a flood that delays the calls of others, and against reward calls that starve.
+#[test]
+fn free_slots_go_to_customers_in_turn_and_one_in_four_to_reward_calls() {
+    let mut queue = ServiceQueue::default();
+    let flood: Vec<Ticket> = (0..9)
+        .map(|_| wait(&mut queue, &interactive("flood"), &[FULL]))
+        .collect();
+    let small = wait(&mut queue, &interactive("small"), &[FULL]);
+    let rewards: Vec<Ticket> = (0..3)
+        .map(|_| wait(&mut queue, &reward(), &[FULL]))
+        .collect();
+    let one_free = ReplicaUse { calls: 5, ..IDLE };
+    let sent: Vec<Ticket> = (0..8)
+        .map_while(|_| match queue.next(&[one_free], 10, 0) {
+            Some(Admitted::Send(ticket)) => Some(ticket),
+            _ => None,
+        })
+        .collect();
+    let expected = [
+        flood[0], small, flood[1], rewards[0], flood[2], flood[3], flood[4], rewards[1],
+    ];
+    assert_eq!(sent, expected);
+}
+
+/// Guards against calls that wait for nothing, and against callers that return together.
+#[test]
+fn a_call_that_would_wait_past_its_deadline_is_refused_at_once() {
+    let mut queue = ServiceQueue::default();
+    (0..16).for_each(|_| queue.record_hold(1_000_000));
+    let mut waiting = 0;
+    let first = loop {
+        match refusal(&mut queue, &interactive("a"), 0) {
+            Some(refusal) => break refusal,
+            None => waiting += 1,
+        }
+    };
+    // Six slots, each held for some 0.65 s: 2 s are over after 18 calls.
+    assert!((12..24).contains(&waiting), "{waiting} calls wait");
+    assert_eq!(first.reason, RefusalReason::WaitTooLong);
+    assert_eq!(first.queued, waiting);
+    assert!(first.estimated_ms >= 2_000 && first.retry_after_ms >= first.estimated_ms);
+    let last = refusal(&mut queue, &interactive("a"), u64::MAX).expect("a refusal");
+    assert!(last.retry_after_ms >= first.retry_after_ms + 250, "spread");
+}
+
+/// Guards against a small customer that is refused because of another one's flood.
+#[test]
+fn a_full_queue_of_one_customer_refuses_only_that_customer() {
+    let mut queue = ServiceQueue::default();
+    (0..400).for_each(|_| queue.record_hold(1_000));
+    let refused = (0..200).find_map(|_| refusal(&mut queue, &interactive("flood"), 0));
+    assert_eq!(
+        refused.map(|refusal| refusal.reason),
+        Some(RefusalReason::QueueFull)
+    );
+    wait(&mut queue, &interactive("small"), &[FULL]);
+}
+
+/// Guards against a call that is sent after its caller has given up.
+#[test]
+fn a_call_whose_time_passes_in_the_queue_is_refused() {
+    let mut queue = ServiceQueue::default();
+    let ticket = wait(&mut queue, &interactive("a"), &[FULL]);
+    let next = queue.next(&[IDLE], 2_000, 0);
+    let Some(Admitted::Refuse(refused, refusal)) = next else {
+        unreachable!("not refused: {next:?}");
+    };
+    assert_eq!((refused, refusal.reason), (ticket, RefusalReason::Expired));
+    assert!(queue.is_empty());
+}
+
+/// Guards against a slot that goes to a client that is gone.
+#[test]
+fn a_cancelled_call_is_not_sent() {
+    let mut queue = ServiceQueue::default();
+    let gone = wait(&mut queue, &interactive("a"), &[FULL]);
+    let stays = wait(&mut queue, &interactive("a"), &[FULL]);
+    queue.cancel(gone);
+    assert_eq!(queue.next(&[IDLE], 1, 0), Some(Admitted::Send(stays)));
+    assert_eq!(queue.next(&[IDLE], 1, 0), None);
+}
+
+/// Guards against retries that multiply an overload, and against none at all with few calls.
+#[test]
+fn retries_are_a_tenth_of_the_calls_and_at_least_ten() {
+    let queue = ServiceQueue::default();
+    let spent = |now_ms| {
+        (0..1_000)
+            .take_while(|_| queue.try_spend_retry(now_ms))
+            .count()
+    };
+    assert_eq!(spent(100_000), 10);
+    (0..300).for_each(|_| queue.record_first_attempt());
+    assert_eq!(spent(100_000), 30);
+    (0..100_000).for_each(|_| queue.record_first_attempt());
+    assert!(spent(100_000) <= 50, "calls of long ago");
+    assert_eq!(spent(110_000), 10);
+}
+
+/// Guards against a queue whose knowledge outlives a replica that restarts under its id.
+#[test]
+fn the_queue_is_active_where_most_replicas_report_their_start() {
+    struct Case {
+        name: &'static str,
+        /// Whether the replica is draining, and its start.
+        replicas: &'static [(bool, Option<u64>)],
+        active: bool,
+    }
+    let cases = [
+        Case {
+            name: "no replicas",
+            replicas: &[],
+            active: false,
+        },
+        Case {
+            name: "none report it",
+            replicas: &[(false, None), (false, None)],
+            active: false,
+        },
+        Case {
+            name: "half report it",
+            replicas: &[(false, Some(1)), (false, None)],
+            active: false,
+        },
+        Case {
+            name: "two of three report it",
+            replicas: &[(false, Some(1)), (false, Some(2)), (false, None)],
+            active: true,
+        },
+        Case {
+            name: "draining ones do not count",
+            replicas: &[(true, None), (true, None), (false, Some(1))],
+            active: true,
+        },
+    ];
+    for case in cases {
+        let active = is_active(case.replicas.iter().copied());
+        assert_eq!(active, case.active, "{}", case.name);
+    }
+}
+
+checks::seeded! {
+    /// Guards against a call that is held back while an idle replica could take it, in any state.
+    fn an_idle_replica_takes_a_call(states: Vec<(u8, u8, bool)>, waiting: u8) -> bool {
+        let others = states.into_iter().map(|(limit, calls, ejected)| ReplicaUse {
+            limit: u32::from(limit % 6) + 1,
+            calls: u32::from(calls % 8),
+            background: u32::from(calls % 3),
+            ejected,
+        });
+        let before: Vec<ReplicaUse> = others.filter(|other| !has_room(other, Class::Interactive)).collect();
+        let mut queue = ServiceQueue::default();
+        (0..waiting % 8).for_each(|_| {
+            queue.arrive(&interactive("a"), &before, 0, 0);
+        });
+        // A replica becomes idle: every call that waits and every new one finds it.
+        let mut after = before;
+        after.push(ReplicaUse { limit: 1, ..IDLE });
+        while let Some(admitted) = queue.next(&after, 1, 0) {
+            if !matches!(admitted, Admitted::Send(_)) {
+                return false;
+            }
+        }
+        queue.is_empty() && queue.arrive(&interactive("b"), &after, 1, 0) == Arrived::Free
+    }
+}
--- a/components/limits/src/admission.rs
+++ b/components/limits/src/admission.rs
@@ -108,6 +108,17 @@
         self.waiting.is_empty()
     }
 
+    /// Number of waiting requests of `class` and of higher classes.
+    pub fn waiting_up_to(&self, class: Class) -> usize {
+        let served_before = self
+            .class_queues
+            .iter()
+            .filter(|class_queue| class_queue.class <= class);
+        served_before
+            .map(|class_queue| class_queue.queue.len())
+            .sum()
+    }
+
     /// Earliest deadline of a waiting request, in milliseconds.
     pub fn next_deadline_ms(&self) -> Option<u64> {
         self.deadlines.first().map(|&(deadline_ms, _)| deadline_ms)
@@ -173,6 +184,17 @@
 
     /// The next action for the owner of the queue; to be called until it returns `None`.
     pub fn next_action(&mut self, capacity: Capacity, now_ms: u64) -> Option<Action> {
+        self.next_action_without(&[], capacity, now_ms)
+    }
+
+    /// As [`Admission::next_action`], for a service whose free slots may not be used by the `closed`
+    /// classes now. Requests of other classes overtake those of a closed class.
+    pub fn next_action_without(
+        &mut self,
+        closed: &[Class],
+        capacity: Capacity,
+        now_ms: u64,
+    ) -> Option<Action> {
         // Deadlines come first: after a pause of the process, requests that expired during the
         // pause must not be run.
         if let Some(&(deadline_ms, ticket)) = self.deadlines.first()
@@ -182,7 +204,7 @@
             let failure = Failure::not_run(Cause::DeadlinePassed);
             return Some(Action::Expire(ticket, failure));
         }
-        self.admit(capacity).map(Action::Admit)
+        self.admit(closed, capacity).map(Action::Admit)
     }
 
     /// Removes a request whose caller has disconnected; false if it is no longer queued.
@@ -198,11 +220,11 @@
         true
     }
 
-    fn admit(&mut self, capacity: Capacity) -> Option<Ticket> {
+    fn admit(&mut self, closed: &[Class], capacity: Capacity) -> Option<Ticket> {
         if capacity.in_progress >= capacity.limit {
             return None;
         }
-        let class = self.next_class(capacity)?;
+        let class = self.next_class(closed, capacity)?;
         let lowest_total = self.lowest_total();
         let (ticket, request) = self.class_queue_mut(class).queue.pop()?;
         self.totals.add(&request, lowest_total);
@@ -222,12 +244,13 @@
 
     /// The class whose request is admitted next: the lowest class that was skipped too often, else
     /// the highest class whose next customer is not too far ahead of the other customers.
-    fn next_class(&self, capacity: Capacity) -> Option<Class> {
+    fn next_class(&self, closed: &[Class], capacity: Capacity) -> Option<Class> {
         let settings = &self.settings;
         let mut waiting = self
             .class_queues
             .iter()
-            .filter(|class_queue| !class_queue.queue.is_empty());
+            .filter(|class_queue| !class_queue.queue.is_empty())
+            .filter(|class_queue| !closed.contains(&class_queue.class));
         let is_overdue =
             |class_queue: &&ClassQueue| class_queue.skips >= settings.skips_max(class_queue.class);
         if let Some(overdue) = waiting.clone().rev().find(is_overdue) {
--- a/components/limits/tests/admission.rs
+++ b/components/limits/tests/admission.rs
@@ -333,6 +333,40 @@
     }
 }
 
+// Guards against a class that may not use the free slots and holds back the other classes, and
+// against one that stays behind once it may use them.
+#[test]
+fn other_classes_overtake_a_closed_class_until_it_opens() {
+    let mut admission = Admission::new(AdmissionSettings {
+        background_skips_max: 1,
+        ..AdmissionSettings::default()
+    });
+    let background = [Class::Background];
+    for (ticket, class) in [
+        (0, Class::Background),
+        (1, Class::Interactive),
+        (2, Class::Interactive),
+        (3, Class::Interactive),
+    ] {
+        let queued = arrival(ticket, "a", class);
+        admission.enqueue(&queued, FREE, 0, 0).unwrap();
+    }
+    let waiting =
+        [Class::Interactive, Class::Background].map(|class| admission.waiting_up_to(class));
+    assert_eq!(waiting, [3, 4]);
+    let admitted = |ticket| Some(Action::Admit(Ticket(ticket)));
+    for ticket in [1, 2] {
+        let next = admission.next_action_without(&background, FREE, 0);
+        assert_eq!(next, admitted(ticket));
+    }
+    assert_eq!(admission.next_action(FREE, 0), admitted(0));
+    assert_eq!(
+        admission.next_action_without(&background, FREE, 0),
+        admitted(3)
+    );
+    assert!(admission.is_empty());
+}
+
 checks::seeded! {
     // For random arrivals and cancellations each request is answered exactly once, and the queue is
     // empty in the end.
