Queue plain calls in the front where replicas report their start

Calls were sent at once to the replica with the least expected time and came back refused under overload. Where more than half of a service's replicas report their start, a call now takes a place at a replica below its limit or waits in the service's queue (call_queue.rs); what would wait too long is refused at once with 503 and a Retry-After from the drain rate. Retries and hedged requests are taken from a budget. Elsewhere calls go as before.

An answer with 408, 421, 429 or 503 that does not state that the call was not run ends as 502: these statuses promise the client that it never runs.

--- a/components/concurrency/src/queue.rs
+++ b/components/concurrency/src/queue.rs
@@ -149,6 +149,13 @@
         self.admission.is_empty()
     }
 
+    /// Whether a new call of `class` finds a replica with room and no call that is served before it
+    /// waits.
+    pub fn is_free(&self, class: Class, replicas: &[ReplicaUse]) -> bool {
+        let has_room = room::usable(replicas).any(|(_, replica)| room::has_room(replica, class));
+        has_room && self.admission.waiting_up_to(class) == 0
+    }
+
     /// Decides what becomes of a call. `random` spreads the time after which a refused caller
     /// returns. After [`Arrived::Waiting`] the caller calls [`ServiceQueue::next`].
     pub fn arrive(
@@ -158,24 +165,36 @@
         now_ms: u64,
         random: u64,
     ) -> Arrived {
-        let class = arrival.class;
-        let has_room = room::usable(replicas).any(|(_, replica)| room::has_room(replica, class));
-        if has_room && self.admission.waiting_up_to(class) == 0 {
+        if self.is_free(arrival.class, replicas) {
             return Arrived::Free;
         }
+        match self.enqueue(arrival, replicas, now_ms, random) {
+            Ok(ticket) => Arrived::Waiting(ticket),
+            Err(refusal) => Arrived::Refused(refusal),
+        }
+    }
+
+    /// Queues a call, or refuses it if it would wait too long.
+    pub fn enqueue(
+        &mut self,
+        arrival: &Arrival,
+        replicas: &[ReplicaUse],
+        now_ms: u64,
+        random: u64,
+    ) -> Result<Ticket, Refusal> {
         let ticket = Ticket(self.next_ticket);
         let queued = limits::Arrival {
             ticket,
             customer: arrival.customer.clone(),
             weight: 1,
-            class,
+            class: arrival.class,
             cost: arrival.typical_ms,
             deadline_ms: arrival.deadline_ms,
         };
         let capacity = room::capacity(replicas, self.hold_ms());
         let estimated_ms = self.admission.estimated_wait_ms(&queued, capacity);
         let waiting = self.admission.len();
-        let refuse = |reason| Arrived::Refused(refusal(reason, estimated_ms, waiting, random));
+        let refuse = |reason| Err(refusal(reason, estimated_ms, waiting, random));
         if now_ms.saturating_add(estimated_ms) >= arrival.deadline_ms {
             return refuse(RefusalReason::WaitTooLong);
         }
@@ -185,7 +204,7 @@
         match self.admission.enqueue(&queued, capacity, now_ms, random) {
             Ok(()) => {
                 self.next_ticket += 1;
-                Arrived::Waiting(ticket)
+                Ok(ticket)
             }
             Err(failure) if failure.cause == Cause::DeadlinePassed => {
                 refuse(RefusalReason::WaitTooLong)
--- a/components/front/src/calls.rs
+++ b/components/front/src/calls.rs
@@ -3,21 +3,28 @@
 //!
 //! An answer is read completely before any of it is forwarded. A truncated answer can therefore
 //! be retried, and the client never takes it for a complete one.
+//!
+//! Statuses 408, 421, 429 and 503 promise clients that a request has not run and never will. A call
+//! that may have run therefore ends with 502 or 504, also if a replica answers with one of these
+//! statuses and does not state that it did not run the request.
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
+use concurrency::{Refusal, RefusalReason};
 use dispatch::{
     AttemptOutcome, CallFailure, Candidate, NextAction, ReplicaId, Route, RouteKind,
     TypicalDuration, choose_replica, next_action,
 };
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
-use hyper::{HeaderMap, Method};
+use hyper::{HeaderMap, Method, StatusCode};
 use platform::replica::{self, ReplicaError, ReplicaResponse};
+use types::Class;
 
+use crate::call_queue::{self, Acquired, CallQueue, Slot, SlotRequest};
 use crate::clock::{now_ms, now_us};
 use crate::meter::{CountedRequest, SentAt};
 use crate::metrics;
@@ -53,6 +60,8 @@
     /// Whether no client waits for the answer, as with reward calls. Such a call waits until a
     /// replica has room.
     pub background: bool,
+    /// Whether a background call decides the end of a step. Such a call is queued like a client's.
+    pub decides_step: bool,
     /// When the call times out, in milliseconds of [`now_ms`].
     pub deadline_at_ms: u64,
 }
@@ -63,6 +72,8 @@
     Answer(Box<ReplicaResponse>),
     /// No answer; the text is the cause, for the log.
     Failed(CallFailure, String),
+    /// Refused by the queue: no replica has run the call, and none will.
+    Refused(Refusal),
 }
 
 struct Attempt {
@@ -93,6 +104,14 @@
         }
     }
 
+    /// Class of the call in the queue.
+    pub fn class(&self) -> Class {
+        match self.background && !self.decides_step {
+            true => Class::Background,
+            false => Class::Interactive,
+        }
+    }
+
     fn is_idempotent(&self) -> bool {
         matches!(self.route.kind, RouteKind::Idempotent)
     }
@@ -108,22 +127,30 @@
     let mut counted_request = CountedRequest::new(front, counted);
     let mut may_have_run = false;
     let mut failure: Option<Box<ReplicaResponse>> = None;
+    let mut waited_ms = 0;
     let outcome = loop {
         if attempts.is_empty() {
-            match select_replica(front, spec, &typical, &tried).await {
-                Some(member) => {
-                    tried.push(Arc::clone(&member.replica.id));
+            let asked_us = now_us();
+            let selected = select_replica(front, spec, &typical, &tried).await;
+            waited_ms += (now_us() - asked_us) / 1_000;
+            match selected {
+                Acquired::Slot(slot) => {
+                    tried.push(Arc::clone(&slot.member.replica.id));
                     let sent = counted_request.start_attempt();
-                    attempts.push(attempt(spec, member, Arc::clone(&typical), sent));
+                    attempts.push(attempt(spec, slot, Arc::clone(&typical), sent));
                 }
-                None => {
-                    let end = if may_have_run {
-                        CallFailure::Unknown
-                    } else {
-                        CallFailure::NotRun
-                    };
+                Acquired::NoReplica => {
+                    let end = failure_without_replica(may_have_run);
                     break CallOutcome::Failed(end, "no replica available".to_owned());
                 }
+                Acquired::Refused(refusal) => match failure.take() {
+                    Some(answer) => break CallOutcome::Answer(answer),
+                    None if may_have_run => {
+                        let why = format!("no retry: {}", refusal.reason.as_str());
+                        break CallOutcome::Failed(CallFailure::Unknown, why);
+                    }
+                    None => break CallOutcome::Refused(refusal),
+                },
             }
         }
         let hedge_delay = hedge_delay(spec, &typical, tried.len(), attempts.len());
@@ -155,12 +182,11 @@
                 }
             }
             () = tokio::time::sleep(hedge_delay.unwrap_or(left)), if hedge_delay.is_some_and(|delay| delay < left) => {
-                let next = choose_member(front, spec, &typical, &tried, false);
-                if let Some(member) = next {
+                if let Some(slot) = select_hedge(front, spec, &typical, &tried) {
                     record_hedge(front, spec, &typical, &tried);
-                    tried.push(Arc::clone(&member.replica.id));
+                    tried.push(Arc::clone(&slot.member.replica.id));
                     let sent = counted_request.start_attempt();
-                    attempts.push(attempt(spec, member, Arc::clone(&typical), sent));
+                    attempts.push(attempt(spec, slot, Arc::clone(&typical), sent));
                 }
             }
             () = tokio::time::sleep(left) => {
@@ -168,22 +194,73 @@
             }
         }
     };
+    let outcome = keep_promise(queued_refusal(front, spec, outcome));
     let took_ms = (now_us() - began_us) / 1_000;
-    count_call(front, spec, &outcome, tried.len(), took_ms);
+    count_call(front, spec, &outcome, tried.len(), took_ms, waited_ms);
     let replica = tried.last().map_or("none", |id| &**id);
     match &outcome {
         CallOutcome::Answer(answer) => log::info!(
             event = "call-answered", id = spec.request_id, route = &*spec.route.name,
-            status = answer.status.as_u16(), replica, sent = tried.len(), took_ms; ""
+            status = answer.status.as_u16(), replica, sent = tried.len(), took_ms, waited_ms; ""
         ),
         CallOutcome::Failed(end, reason) => log::warn!(
             event = "call-failed", id = spec.request_id, route = &*spec.route.name,
             end:? = end, replica, sent = tried.len(), took_ms, why = reason.as_str(); ""
         ),
+        CallOutcome::Refused(refusal) => log::info!(
+            event = "call-refused", id = spec.request_id, route = &*spec.route.name,
+            customer = spec.customer.unwrap_or("none"), waited_ms,
+            estimated_ms = refusal.estimated_ms, queue = refusal.queued,
+            why = refusal.reason.as_str(); ""
+        ),
     }
     outcome
 }
 
+fn failure_without_replica(may_have_run: bool) -> CallFailure {
+    match may_have_run {
+        true => CallFailure::Unknown,
+        false => CallFailure::NotRun,
+    }
+}
+
+/// Replaces the failure of a call that no replica has run by a refusal with a time to return, where
+/// the calls of the route are queued.
+fn queued_refusal(front: &Front, spec: &CallSpec<'_>, outcome: CallOutcome) -> CallOutcome {
+    if !matches!(outcome, CallOutcome::Failed(CallFailure::NotRun, _)) {
+        return outcome;
+    }
+    let table = front.replicas.load();
+    let mut queues = services(spec.route).filter_map(|name| front.call_queues.active(&table, name));
+    match queues.next() {
+        Some(queue) => CallOutcome::Refused(queue.refusal(front, RefusalReason::NotTaken)),
+        None => outcome,
+    }
+}
+
+/// Replaces an answer whose status would promise the client that the request has not run. The
+/// replica has not stated that: a refusal with that statement is no answer but a failed attempt.
+fn keep_promise(outcome: CallOutcome) -> CallOutcome {
+    match outcome {
+        CallOutcome::Answer(answer) if promises_not_run(answer.status) => {
+            let why = format!("answered with status {}", answer.status.as_u16());
+            CallOutcome::Failed(CallFailure::Unknown, why)
+        }
+        outcome => outcome,
+    }
+}
+
+/// Whether a status promises that the request has not run and never will.
+fn promises_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
 /// Updates the metrics for a call that ended.
 fn count_call(
     front: &Front,
@@ -191,7 +268,20 @@
     outcome: &CallOutcome,
     sent: usize,
     took_ms: u64,
+    waited_ms: u64,
 ) {
+    let route = ("route", &*spec.route.name);
+    let wait_label = metrics::tagged_call_label(spec.background, route);
+    front
+        .metrics
+        .record("front_call_wait_ms", wait_label, waited_ms);
+    if let CallOutcome::Refused(refusal) = outcome {
+        let reason = ("reason", refusal.reason.as_str());
+        let refused_label = metrics::tagged_call_label(spec.background, reason);
+        front
+            .metrics
+            .count("front_calls_refused_total", refused_label, 1);
+    }
     let label = metrics::call_label(spec.background);
     front.metrics.record("front_call_ms", label, took_ms);
     front
@@ -202,7 +292,9 @@
             "front_calls_failed_total"
         }
         CallOutcome::Answer(_) => "front_calls_answered_total",
-        CallOutcome::Failed(CallFailure::NotRun, _) => "front_calls_not_run_total",
+        CallOutcome::Failed(CallFailure::NotRun, _) | CallOutcome::Refused(_) => {
+            "front_calls_not_run_total"
+        }
         CallOutcome::Failed(CallFailure::TimedOut, _) => "front_calls_timed_out_total",
         CallOutcome::Failed(CallFailure::Unknown, _) => "front_calls_unknown_total",
     };
@@ -248,28 +340,84 @@
     route.shares.iter().map(|share| &*share.service)
 }
 
-fn accepts_work(member: &Member) -> bool {
+/// Whether a replica may receive new calls.
+pub fn accepts_work(member: &Member) -> bool {
     !member.replica.draining
 }
 
-/// Selects the replica for the next attempt; `None` if no untried replica is available. A
-/// background call waits until a replica has room for it.
-async fn select_replica(
-    front: &Front,
+/// Selects the replica for the next attempt. Waits for a place where the calls of the service are
+/// queued; elsewhere only a background call waits until a replica has room for it.
+async fn select_replica<'a>(
+    front: &'a Front,
     spec: &CallSpec<'_>,
     typical: &TypicalDuration,
     tried: &[ReplicaId],
-) -> Option<Member> {
+) -> Acquired<'a> {
+    let queues = queues(front, spec, tried);
+    if let Some((queue, others)) = queues.split_first() {
+        let request = SlotRequest {
+            spec,
+            typical,
+            tried,
+        };
+        return queue.acquire(front, &request, others).await;
+    }
+    let slot = |member| Slot::unqueued(front, member, typical.us(), spec.background);
     loop {
         let member = choose_member(front, spec, typical, tried, spec.background);
         let wait_for_room = spec.background && member.is_none() && spec.left_ms() > 0;
         if !wait_for_room || choose_member(front, spec, typical, tried, false).is_none() {
-            return member;
+            return member.map_or(Acquired::NoReplica, |member| Acquired::Slot(slot(member)));
         }
         tokio::time::sleep(Duration::from_millis(BACKGROUND_POLL_MS)).await;
     }
 }
 
+/// Selects the replica for a hedged request, if one may be sent now.
+fn select_hedge<'a>(
+    front: &'a Front,
+    spec: &CallSpec<'_>,
+    typical: &TypicalDuration,
+    tried: &[ReplicaId],
+) -> Option<Slot<'a>> {
+    let queues = queues(front, spec, tried);
+    if let Some(queue) = queues.first() {
+        let request = SlotRequest {
+            spec,
+            typical,
+            tried,
+        };
+        return queue.try_hedge(front, &request);
+    }
+    let member = choose_member(front, spec, typical, tried, false)?;
+    Some(Slot::unqueued(front, member, typical.us(), spec.background))
+}
+
+/// Queues of the route's services that have an untried replica: that of the drawn service first,
+/// then those of the services with a weight. Empty if the calls of the first service are not
+/// queued.
+fn queues(front: &Front, spec: &CallSpec<'_>, tried: &[ReplicaId]) -> Vec<Arc<CallQueue>> {
+    let table = front.replicas.load();
+    let has_untried = |service: &&str| {
+        let mut members = table.of(service).iter();
+        members.any(|member| accepts_work(member) && !tried.contains(&member.replica.id))
+    };
+    let drawn = spec.route.pick_service(rand::random()).map(|name| &**name);
+    let first = drawn
+        .into_iter()
+        .chain(services(spec.route))
+        .find(has_untried);
+    let Some(queue) = first.and_then(|service| front.call_queues.active(&table, service)) else {
+        return Vec::new();
+    };
+    let weighted = spec.route.services().map(|name| &**name);
+    let others = weighted
+        .filter(|service| Some(*service) != first)
+        .filter(has_untried)
+        .filter_map(|service| front.call_queues.active(&table, service));
+    std::iter::once(queue).chain(others).collect()
+}
+
 fn choose_member(
     front: &Front,
     spec: &CallSpec<'_>,
@@ -302,17 +450,30 @@
         .filter(|member| accepts_work(member) && !tried.contains(&member.replica.id))
         .filter(|member| !with_room || member.peer.load.background() < BACKGROUND_MAX)
         .collect();
+    let all = (0..members.len()).collect();
+    let chosen = choose_among(front, &members, all, typical.us())?;
+    Some(members[chosen].clone())
+}
+
+/// Index of the replica that is expected to answer first, among those of `members` at the indices
+/// `allowed`.
+pub fn choose_among(
+    front: &Front,
+    members: &[&Member],
+    allowed: Vec<usize>,
+    typical_us: u64,
+) -> Option<usize> {
     let now_ms = now_ms();
-    let candidates: Vec<Candidate<'_>> = members
-        .iter()
-        .map(|member| Candidate {
+    let candidate = |at: &usize| {
+        let member = members[*at];
+        Candidate {
             load: &member.peer.load,
             same_domain: *member.replica.domain == *front.settings.domain,
             connected: member.peer.is_connected(now_ms),
-        })
-        .collect();
-    let chosen = choose_replica(&candidates, typical.us(), rand::random(), now_ms)?;
-    Some(members[chosen].clone())
+        }
+    };
+    let candidates: Vec<Candidate<'_>> = allowed.iter().map(candidate).collect();
+    choose_replica(&candidates, typical_us, rand::random(), now_ms).map(|chosen| allowed[chosen])
 }
 
 /// Records in the slow replica's load estimate that a hedged request was sent because of it.
@@ -331,6 +492,8 @@
             .peer
             .load
             .record_hedge(typical, typical.us() * HEDGE_LATENCY_FACTOR, now_ms());
+        let waited_ms = typical.us() * HEDGE_LATENCY_FACTOR / 1_000;
+        call_queue::record_late(member, now_ms().saturating_sub(waited_ms));
         log::info!(
             event = "call-hedged", id = spec.request_id, route = &*spec.route.name,
             replica = &*member.replica.id, typical_us = typical.us(); ""
@@ -341,12 +504,12 @@
 /// Sends the call to one replica and updates the replica's load estimate by the outcome.
 async fn attempt(
     spec: &CallSpec<'_>,
-    member: Member,
+    mut slot: Slot<'_>,
     typical: Arc<TypicalDuration>,
     sent: SentAt,
 ) -> Attempt {
+    let member = slot.member.clone();
     let load = &member.peer.load;
-    let _in_flight = load.begin(typical.us(), spec.background);
     let failed = |end, reason| Attempt {
         end,
         answer: None,
@@ -357,6 +520,7 @@
         Ok(connection) => connection,
         Err(error) => {
             load.record_failure(now_ms());
+            slot.record_not_sent();
             return failed(AttemptOutcome::NotRun, error.to_string());
         }
     };
@@ -370,6 +534,9 @@
                     .peer
                     .return_connection(connection, answer.keep_alive_ms);
             }
+            if answer.status == StatusCode::SERVICE_UNAVAILABLE {
+                slot.record_refusal();
+            }
             if answer.status.is_server_error() {
                 let reason = format!("status {}", answer.status.as_u16());
                 let answer = Some(Box::new(answer));
@@ -380,6 +547,7 @@
                 };
             }
             load.record_success(&typical, now_us() - began_us, now_ms());
+            slot.record_answer(spec.route);
             let answer = Some(Box::new(answer));
             Attempt {
                 end: AttemptOutcome::Answered,
@@ -390,11 +558,16 @@
         Err(error) => {
             match error {
                 // The refusal was read completely, so the connection can be reused.
-                ReplicaError::NotRun(_) if connection.is_usable() => {
-                    member.peer.return_connection(connection, None);
+                ReplicaError::NotRun(_) => {
+                    slot.record_refusal();
+                    if connection.is_usable() {
+                        member.peer.return_connection(connection, None);
+                    }
                 }
-                ReplicaError::NotRun(_) => {}
                 _ => {
+                    if matches!(error, ReplicaError::Timeout(_)) {
+                        slot.record_late();
+                    }
                     load.record_failure(now_ms());
                     member.peer.close_idle();
                 }
--- a/components/front/src/lib.rs
+++ b/components/front/src/lib.rs
@@ -8,6 +8,7 @@
 //! this crate performs the I/O for them.
 
 mod access;
+mod call_queue;
 mod calls;
 mod clock;
 mod connections;
--- a/components/front/src/metrics.rs
+++ b/components/front/src/metrics.rs
@@ -26,15 +26,35 @@
         Class::Interactive
     };
     Label {
-        customer: None,
         class: Some(class),
+        ..Label::default()
     }
 }
 
 pub fn item_label() -> Label<'static> {
     Label {
-        customer: None,
         class: Some(Class::Sampling),
+        ..Label::default()
+    }
+}
+
+/// Label of calls with a further tag, such as their route.
+pub fn tagged_call_label<'a>(background: bool, tag: (&'static str, &'a str)) -> Label<'a> {
+    Label {
+        tag: Some(tag),
+        ..call_label(background)
+    }
+}
+
+/// Lines of gauges that are read when the metrics page is requested.
+#[derive(Default)]
+pub struct GaugeLines(pub String);
+
+impl GaugeLines {
+    /// Adds the line of one series.
+    pub fn set_gauge(&mut self, name: &'static str, (tag, of): (&str, &str), value: u64) {
+        // Writing to a `String` never fails.
+        let _ = writeln!(self.0, "{name}{{{tag}=\"{of}\"}} count={value}");
     }
 }
 
@@ -54,6 +74,7 @@
         let Row {
             name,
             class,
+            tag,
             count,
             p50,
             p99,
@@ -62,7 +83,11 @@
             ..
         } = row;
         // Writing to a `String` never fails.
-        let _ = write!(text, "{name}{{class=\"{class}\"}} count={count}");
+        let _ = write!(text, "{name}{{class=\"{class}\"");
+        if let Some((tag, value)) = tag {
+            let _ = write!(text, ",{tag}=\"{value}\"");
+        }
+        let _ = write!(text, "}} count={count}");
         if *max > 0 {
             let _ = write!(text, " p50={p50} p99={p99} p999={p999} max={max}");
         }
--- a/components/front/src/peers.rs
+++ b/components/front/src/peers.rs
@@ -4,6 +4,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use concurrency::ConcurrencyLimit;
 use dispatch::{Replica, ReplicaId, ReplicaLoad};
 use platform::{Connection, ExchangeError, connect};
 
@@ -32,6 +33,8 @@
 pub struct Peer {
     /// This process's calls in flight at the replica, and their latency.
     pub load: Arc<ReplicaLoad>,
+    /// Limit on this process's calls in flight at the replica.
+    pub limit: Mutex<ConcurrencyLimit>,
     idle: Mutex<Vec<Idle>>,
 }
 
--- a/components/front/src/reward.rs
+++ b/components/front/src/reward.rs
@@ -16,16 +16,21 @@
 const DEFAULT_TIMEOUT_MS: u64 = 3_000;
 /// Pause before the next attempt.
 const RETRY_PAUSE_MS: u64 = 50;
+/// Longest pause after the queue refused a call. Its own time to return may be seconds, in which
+/// the item would not be scored although a place became free.
+const REFUSED_PAUSE_MS_MAX: u64 = 300;
 
 /// Calls the scorer until it answers with a signature, and returns the signature. Returns `None`
 /// once as many calls as the route allows were answered with status 500, including the `failed`
 /// calls of earlier attempts, here or at other fronts. Other failures are retried without limit.
+/// Calls that decide the end of their step are queued like clients' calls.
 pub async fn score(
     front: &Arc<Front>,
     key: (StepId, u32),
     reward_call: &RewardCall,
     customer: Option<&str>,
     mut failed: u32,
+    decides_step: bool,
 ) -> Option<String> {
     loop {
         let routes = front.routes.load_full();
@@ -51,22 +56,32 @@
             customer,
             rank: None,
             background: true,
+            decides_step,
             deadline_at_ms: now_ms() + timeout_ms,
         };
-        if let CallOutcome::Answer(answer) = calls::perform(front, &spec).await {
-            if answer.is_success()
-                && let Some(stamp) = answer.stamp()
-            {
-                return Some(stamp.to_owned());
-            }
-            if answer.status.as_u16() == 500 {
-                failed += 1;
-                record_failure(front, key, FailedPart::Reward).await;
-                if failed >= route.attempts_max {
-                    return None;
+        let mut pause_ms = RETRY_PAUSE_MS;
+        match calls::perform(front, &spec).await {
+            CallOutcome::Answer(answer) => {
+                if answer.is_success()
+                    && let Some(stamp) = answer.stamp()
+                {
+                    return Some(stamp.to_owned());
+                }
+                if answer.status.as_u16() == 500 {
+                    failed += 1;
+                    record_failure(front, key, FailedPart::Reward).await;
+                    if failed >= route.attempts_max {
+                        return None;
+                    }
                 }
             }
+            CallOutcome::Refused(refusal) => {
+                pause_ms = refusal
+                    .retry_after_ms
+                    .clamp(RETRY_PAUSE_MS, REFUSED_PAUSE_MS_MAX);
+            }
+            CallOutcome::Failed(..) => {}
         }
-        tokio::time::sleep(Duration::from_millis(RETRY_PAUSE_MS)).await;
+        tokio::time::sleep(Duration::from_millis(pause_ms)).await;
     }
 }
--- a/components/front/src/runner/finish.rs
+++ b/components/front/src/runner/finish.rs
@@ -27,8 +27,17 @@
                 None => Some(String::new()),
                 Some(reward_call) => {
                     let (customer, started_ms) = (customer.as_deref(), now_ms());
-                    let score =
-                        reward::score(&front, key, reward_call, customer, failed_rewards).await;
+                    // Which texts decide the end of a step is not known here.
+                    let decides_step = false;
+                    let score = reward::score(
+                        &front,
+                        key,
+                        reward_call,
+                        customer,
+                        failed_rewards,
+                        decides_step,
+                    )
+                    .await;
                     let took_ms = now_ms() - started_ms;
                     let label = metrics::item_label();
                     front.metrics.record("front_item_score_ms", label, took_ms);
--- a/components/front/src/serve.rs
+++ b/components/front/src/serve.rs
@@ -35,6 +35,7 @@
     if request.uri().path() == METRICS_PATH {
         let mut text = metrics::text(&front.metrics.rows().await);
         text.push_str(&front.storage.calls.text());
+        text.push_str(&front.call_queues.text(&front.replicas.load()));
         text.push_str(&metrics::customers_text(&front.meter.series()));
         return ingress::success_response(StatusCode::OK, None, "text/plain", text.into());
     }
@@ -231,6 +232,7 @@
         customer: name_of(&customer),
         rank: rank(route, customer.as_deref()),
         background: false,
+        decides_step: false,
         deadline_at_ms: began_ms + timeout_ms,
     };
     perform_call(front, route, &spec, id).await
@@ -277,6 +279,11 @@
             response
         }
         CallOutcome::Failed(end, _) => failure_response(end, id),
+        CallOutcome::Refused(refusal) => {
+            let status = StatusCode::SERVICE_UNAVAILABLE;
+            let retry_after_ms = Some(refusal.retry_after_ms);
+            ingress::status_response(status, Some(id), retry_after_ms, refusal.reason.as_str())
+        }
     }
 }
 
--- a/components/front/src/state.rs
+++ b/components/front/src/state.rs
@@ -22,6 +22,7 @@
 use tokio::sync::{Notify, watch};
 use usage::{UsageLedger, WindowSettings};
 
+use crate::call_queue::CallQueues;
 use crate::clock::now_ms;
 use crate::member;
 use crate::meter::Meter;
@@ -90,6 +91,8 @@
     pub drain: Drain,
     /// Turns true when idle connections of clients are to be closed.
     pub close_connections: watch::Sender<bool>,
+    /// Calls that wait for a replica, by service.
+    pub call_queues: CallQueues,
     /// Typical latency by route.
     typical_durations: Mutex<HashMap<Arc<str>, Arc<TypicalDuration>>>,
 }
@@ -125,6 +128,7 @@
             meter: Meter::new(report_windows(&settings)),
             drain,
             close_connections: watch::Sender::new(false),
+            call_queues: CallQueues::default(),
             typical_durations: Mutex::default(),
             settings,
         }
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -73,6 +73,9 @@
     pub customer: Option<&'a CustomerName>,
     /// Request class, or `None` if the metric does not belong to a class.
     pub class: Option<Class>,
+    /// Name and value of a further label, or `None`. Its values must be few, such as the routes of
+    /// the configuration.
+    pub tag: Option<(&'static str, &'a str)>,
 }
 
 impl<'a> Label<'a> {
@@ -81,6 +84,7 @@
         Self {
             customer: Some(customer),
             class: Some(class),
+            tag: None,
         }
     }
 }
@@ -150,6 +154,7 @@
             .customer
             .map_or_else(String::new, |customer| customer.as_str().to_owned()),
         class: label.class.map_or("", Class::as_str),
+        tag: label.tag.map(|(name, value)| (name, value.to_owned())),
     }
 }
 
@@ -216,5 +221,8 @@
     if !series.class.is_empty() {
         metric = metric.with_tag("class", series.class);
     }
+    if let Some((name, value)) = &series.tag {
+        metric = metric.with_tag(name, value);
+    }
     metric
 }
--- a/components/telemetry/src/table.rs
+++ b/components/telemetry/src/table.rs
@@ -24,6 +24,7 @@
     pub(crate) name: &'static str,
     pub(crate) customer: String,
     pub(crate) class: &'static str,
+    pub(crate) tag: Option<(&'static str, String)>,
 }
 
 enum SeriesValue {
@@ -41,6 +42,9 @@
     pub customer: String,
     /// Request class, or empty if the metric does not belong to a class.
     pub class: &'static str,
+    /// Name and value of a further label, such as a route.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub tag: Option<(&'static str, String)>,
     /// Sum of a counter, last value of a gauge, or number of values in a histogram.
     pub count: u64,
     /// Median of the values in a histogram; 0 for counters and gauges.
@@ -86,8 +90,10 @@
         let is_known = self.rows.contains_key(&series);
         if !is_known && self.rows.len() >= SERIES_MAX {
             // There are few metric names and classes and their number is fixed, so only customers
-            // can fill the table. At most one series per name and class has the customer `other`.
+            // and tags can fill the table. At most one series per name and class has the customer
+            // `other` and no tag.
             series.customer = OTHER_CUSTOMERS.to_owned();
+            series.tag = None;
         }
         self.rows.entry(series).or_insert_with(fresh)
     }
@@ -116,6 +122,7 @@
         name: series.name,
         customer: series.customer.clone(),
         class: series.class,
+        tag: series.tag.clone(),
         count: 0,
         p50: 0,
         p99: 0,
