--- a/components/front/tests/front/common.rs
+++ b/components/front/tests/front/common.rs
@@ -168,6 +168,8 @@
     pub replicas: Vec<Replica>,
     /// Slots that each replica reports in its record.
     pub slots: u32,
+    /// Start that each replica reports in its record; calls are queued only if there is one.
+    pub born: Option<u64>,
     /// Duties in the settings of fronts that are started from now on.
     pub duties: Option<DutySettings>,
 }
@@ -185,6 +187,7 @@
             store: Store::default(),
             replicas: Vec::new(),
             slots: records::SLOTS,
+            born: None,
             duties: None,
         };
         site.store
@@ -198,6 +201,13 @@
         site
     }
 
+    /// Writes the records of all replicas again, with the start and the slots of the site.
+    pub fn write_heartbeats(&self) {
+        for replica in &self.replicas {
+            self.write_heartbeat(replica, "ready", 1);
+        }
+    }
+
     async fn add(&mut self, id: &str, service: &'static str, events: u64, pause_ms: u64) {
         let settings = ReplicaSettings {
             id: id.to_owned(),
@@ -221,6 +231,10 @@
         let address = replica.handle.address;
         let record =
             records::replica_with_slots(replica.service, address, state, version, self.slots);
+        let record = match self.born {
+            Some(born) => record.replacen('{', &format!("{{\"born\":{born},"), 1),
+            None => record,
+        };
         self.store.put("keyed.servers", &replica.id, Some(&record));
     }
 
--- a/components/front/tests/front/main.rs
+++ b/components/front/tests/front/main.rs
@@ -4,6 +4,7 @@
 mod common;
 mod customers;
 mod orders;
+mod queue;
 mod shards;
 mod steps;
 mod trainer;
