Streams keep the promise of 503 too; a waiting call ends when all replicas drain

A stream whose head has 408, 421, 429 or 503 without the statement that it was not run was relayed to the client as it came, which promises that it never ran. It ends as 502 now. A call that waits while all replicas begin to drain is refused at the next check instead of at its deadline.

--- a/components/concurrency/src/lib.rs
+++ b/components/concurrency/src/lib.rs
@@ -17,4 +17,4 @@
 
 pub use limit::ConcurrencyLimit;
 pub use queue::{Admitted, Arrival, Arrived, Refusal, RefusalReason, ServiceQueue};
-pub use room::{ReplicaUse, has_room, is_active, usable};
+pub use room::{BACKGROUND_MAX, ReplicaUse, has_room, is_active, usable};
--- a/components/concurrency/src/room.rs
+++ b/components/concurrency/src/room.rs
@@ -6,7 +6,7 @@
 
 /// Limit on this process's background calls in flight at one replica, which has six slots. Leaves
 /// a third of the slots to other calls while three processes send background calls.
-const BACKGROUND_MAX: u32 = 2;
+pub const BACKGROUND_MAX: u32 = 2;
 
 /// This process's use of one replica that accepts work.
 #[key]
--- a/components/concurrency/tests/load/sim.rs
+++ b/components/concurrency/tests/load/sim.rs
@@ -8,8 +8,8 @@
 use std::sync::Arc;
 
 use concurrency::{
-    Admitted, Arrival, Arrived, ConcurrencyLimit, RefusalReason, ReplicaUse, ServiceQueue,
-    has_room, usable,
+    Admitted, Arrival, Arrived, BACKGROUND_MAX, ConcurrencyLimit, RefusalReason, ReplicaUse,
+    ServiceQueue, has_room, usable,
 };
 use dispatch::{
     AttemptOutcome, CallFailure, Candidate, InFlightCall, NextAction, ReplicaLoad, TypicalDuration,
@@ -26,8 +26,6 @@
 const ATTEMPTS_MAX: u32 = 3;
 /// Retry-After of a call that no replica ran, without the queue.
 const BUSY_RETRY_AFTER_MS: u64 = 60;
-/// Calls of a front that no client waits for at one replica.
-const BACKGROUND_MAX: u32 = 2;
 
 /// Calls of one customer on one route.
 #[derive(Clone)]
--- a/components/front/src/call_queue.rs
+++ b/components/front/src/call_queue.rs
@@ -323,6 +323,9 @@
                 },
                 () = tokio::time::sleep(Duration::from_millis(WAIT_POLL_MS)) => {}
             }
+            if members_of(&front.replicas.load(), &self.service).is_empty() {
+                return Acquired::NoReplica;
+            }
             self.admit_waiting(front);
             let other = others
                 .iter()
--- a/components/front/src/calls.rs
+++ b/components/front/src/calls.rs
@@ -13,7 +13,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use concurrency::{Refusal, RefusalReason};
+use concurrency::{BACKGROUND_MAX, Refusal, RefusalReason};
 use dispatch::{
     AttemptOutcome, CallFailure, Candidate, NextAction, ReplicaId, Route, RouteKind,
     TypicalDuration, choose_replica, next_action,
@@ -36,9 +36,6 @@
 /// Shortest delay of a hedged request, in milliseconds. A second request that is sent earlier
 /// rarely finishes first.
 const HEDGE_DELAY_MS_MIN: u64 = 50;
-/// Limit on this front's background calls in flight at one replica, which has six slots. Meant to
-/// leave a third of the slots to interactive calls while three fronts send background calls.
-const BACKGROUND_MAX: u32 = 2;
 /// Interval at which a waiting background call looks for a replica with room, in milliseconds.
 const BACKGROUND_POLL_MS: u64 = 10;
 
@@ -197,23 +194,7 @@
     let outcome = keep_promise(queued_refusal(front, spec, outcome));
     let took_ms = (now_us() - began_us) / 1_000;
     count_call(front, spec, &outcome, tried.len(), took_ms, waited_ms);
-    let replica = tried.last().map_or("none", |id| &**id);
-    match &outcome {
-        CallOutcome::Answer(answer) => log::info!(
-            event = "call-answered", id = spec.request_id, route = &*spec.route.name,
-            status = answer.status.as_u16(), replica, sent = tried.len(), took_ms, waited_ms; ""
-        ),
-        CallOutcome::Failed(end, reason) => log::warn!(
-            event = "call-failed", id = spec.request_id, route = &*spec.route.name,
-            end:? = end, replica, sent = tried.len(), took_ms, why = reason.as_str(); ""
-        ),
-        CallOutcome::Refused(refusal) => log::info!(
-            event = "call-refused", id = spec.request_id, route = &*spec.route.name,
-            customer = spec.customer.unwrap_or("none"), waited_ms,
-            estimated_ms = refusal.estimated_ms, queue = refusal.queued,
-            why = refusal.reason.as_str(); ""
-        ),
-    }
+    log_outcome(spec, &outcome, &tried, took_ms, waited_ms);
     outcome
 }
 
@@ -251,7 +232,7 @@
 }
 
 /// Whether a status promises that the request has not run and never will.
-fn promises_not_run(status: StatusCode) -> bool {
+pub fn promises_not_run(status: StatusCode) -> bool {
     matches!(
         status,
         StatusCode::REQUEST_TIMEOUT
@@ -261,6 +242,33 @@
     )
 }
 
+/// Logs how a call ended.
+fn log_outcome(
+    spec: &CallSpec<'_>,
+    outcome: &CallOutcome,
+    tried: &[ReplicaId],
+    took_ms: u64,
+    waited_ms: u64,
+) {
+    let replica = tried.last().map_or("none", |id| &**id);
+    match outcome {
+        CallOutcome::Answer(answer) => log::info!(
+            event = "call-answered", id = spec.request_id, route = &*spec.route.name,
+            status = answer.status.as_u16(), replica, sent = tried.len(), took_ms, waited_ms; ""
+        ),
+        CallOutcome::Failed(end, reason) => log::warn!(
+            event = "call-failed", id = spec.request_id, route = &*spec.route.name,
+            end:? = end, replica, sent = tried.len(), took_ms, why = reason.as_str(); ""
+        ),
+        CallOutcome::Refused(refusal) => log::info!(
+            event = "call-refused", id = spec.request_id, route = &*spec.route.name,
+            customer = spec.customer.unwrap_or("none"), waited_ms,
+            estimated_ms = refusal.estimated_ms, queue = refusal.queued,
+            why = refusal.reason.as_str(); ""
+        ),
+    }
+}
+
 /// Updates the metrics for a call that ended.
 fn count_call(
     front: &Front,
--- a/components/front/src/stream.rs
+++ b/components/front/src/stream.rs
@@ -15,7 +15,7 @@
 use platform::{BodyError, ResponseBody};
 use tokio::sync::mpsc;
 
-use crate::calls::{CallSpec, choose_in_service};
+use crate::calls::{CallSpec, choose_in_service, promises_not_run};
 use crate::clock::now_ms;
 use crate::meter::CountedRequest;
 use crate::peers::Member;
@@ -86,6 +86,13 @@
             not_run: error.is_not_run(),
             reason: error.to_string(),
         })?;
+    if promises_not_run(stream.status) {
+        // The replica has not stated that it did not run the request.
+        return Err(NotStarted {
+            not_run: false,
+            reason: format!("answered with status {}", stream.status.as_u16()),
+        });
+    }
     let (frames, body) = mpsc::channel(BUFFERED_FRAMES_MAX);
     let mut response = Response::new(ResponseBody::Stream(body));
     *response.status_mut() = stream.status;
--- a/components/front/tests/front/queue.rs
+++ b/components/front/tests/front/queue.rs
@@ -227,6 +227,55 @@
     }
 }
 
+/// Guards against the same promise on a route whose answers are streams.
+#[tokio::test]
+async fn a_stream_that_does_not_state_that_it_did_not_run_never_ends_as_not_run() {
+    let site = start_site(5, BORN).await;
+    let config = records::config(4).replace("\"unsafe\"", "\"stream\"");
+    site.store.put("keyed.op", "config", Some(&config));
+    let front = site.front("a").await;
+    for status in [408, 429, 503] {
+        let id = format!("stream-{status}");
+        for replica in &site.replicas {
+            replica.seen.answer_with(&id, status);
+        }
+        let ended = call(&front, "/bids/x", &id, 2_000).await;
+        assert_eq!((ended.0, ended.1), (502, None), "{status}");
+        assert_eq!(site.runs(&id), [0], "{status}");
+    }
+}
+
+/// Guards against calls that wait for replicas that accept no more work.
+#[tokio::test]
+async fn a_waiting_call_ends_when_all_replicas_drain() {
+    let site = start_site(1_500, BORN).await;
+    let front = site.front("a").await;
+    let busy = async {
+        tokio::join!(
+            call(&front, "/bids/x", "b-1", 5_000),
+            call(&front, "/bids/x", "b-2", 5_000)
+        )
+    };
+    let waiting = async {
+        wait_until("both replicas are busy", || async {
+            active_runs(&site) == [1, 1]
+        })
+        .await;
+        let drain = async {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            for id in ["plain-1", "plain-2"] {
+                site.write_heartbeat(site.replica(id), "draining", 1);
+            }
+        };
+        tokio::join!(call(&front, "/bids/x", "waiting", 5_000), drain).0
+    };
+    let ((first, second), waiting) = tokio::join!(busy, waiting);
+    assert_eq!((first.0, second.0, waiting.0), (200, 200, 503));
+    assert!(waiting.1.is_some(), "Retry-After");
+    assert!(waiting.2 < Duration::from_millis(1_400), "{:?}", waiting.2);
+    assert!(site.runs("waiting").is_empty());
+}
+
 /// Guards against the promise that a call never ran where an earlier attempt may have run: its
 /// answer is lost, and the replica of the next attempt answers with such a status, cannot be
 /// reached, or the budget for retries is exhausted.
