--- a/components/front/tests/front/common.rs
+++ b/components/front/tests/front/common.rs
@@ -208,7 +208,8 @@
         }
     }
 
-    async fn add(&mut self, id: &str, service: &'static str, events: u64, pause_ms: u64) {
+    /// Starts a replica and writes its record.
+    pub async fn add(&mut self, id: &str, service: &'static str, events: u64, pause_ms: u64) {
         let settings = ReplicaSettings {
             id: id.to_owned(),
             events,
--- a/components/front/tests/front/queue.rs
+++ b/components/front/tests/front/queue.rs
@@ -142,6 +142,29 @@
     .await;
 }
 
+/// Guards against calls that wait for one service of a route while the replica of another one is
+/// idle, and against calls that go to a service without a weight because the others are full.
+#[tokio::test]
+async fn calls_of_a_full_service_go_to_the_idle_replicas_of_another_weighted_service() {
+    let mut site = start_site(300, BORN).await;
+    site.add("second-1", "second", 0, 300).await;
+    site.add("disabled-1", "disabled", 0, 300).await;
+    let backends = "\"Backends\":[{\"Service\":\"second\",\"Weight\":1},\
+                    {\"Service\":\"disabled\",\"Weight\":0}],\"Name\":\"bids\"";
+    let config = records::config(4).replace("\"Name\":\"bids\"", backends);
+    site.store.put("keyed.op", "config", Some(&config));
+    let front = site.front("a").await;
+    let ids: Vec<String> = (0..3).map(|number| format!("q-{number}")).collect();
+    let calls = ids.iter().map(|id| call(&front, "/bids/x", id, 2_000));
+    let ended = futures_util::future::join_all(calls).await;
+    assert!(ended.iter().all(|(status, _, _)| *status == 200));
+    // Three replicas with a place each: nobody waits.
+    let longest = ended.iter().map(|(_, _, took)| *took).max();
+    assert!(longest < Some(Duration::from_millis(550)), "{longest:?}");
+    assert_eq!(site.replica("second-1").seen.runs().len(), 1);
+    assert!(site.replica("disabled-1").seen.runs().is_empty());
+}
+
 /// Guards against a customer that pays for the flood of another one.
 #[tokio::test]
 async fn a_customer_s_call_overtakes_the_flood_of_another_customer() {
