--- a/components/front/tests/front/main.rs
+++ b/components/front/tests/front/main.rs
@@ -6,6 +6,7 @@
 mod held;
 mod moves;
 mod orders;
+mod queue;
 mod relay_peers;
 mod relayed;
 mod restarts;
