--- a/components/concurrency/src/limit.rs
+++ b/components/concurrency/src/limit.rs
@@ -3,9 +3,9 @@
 //!
 //! The limit begins at the number of the replica's slots, so that nothing waits before the replica
 //! shows that it is full. A refusal halves it and pauses the replica for a moment: where each of many
-//! processes has few calls in flight, their limits alone don't keep a replica from being full. Answers that take much longer than the shortest
-//! answers of the same route at this replica lower it by a fifth. Every other answer raises it.
-//! Several calls that were in flight together show the same state of the replica, so a call that
+//! processes has few calls in flight, their limits alone don't keep a replica from being full.
+//! Answers that take much longer than those of the same route at this replica under light load lower
+//! it by a fifth. Every other answer raises it. Several calls that were in flight together show the same state of the replica, so a call that
 //! was sent before the last decrease causes no further one.
 
 /// Pause after the first refusal in a row, in milliseconds; it doubles with each further one.
@@ -22,42 +22,66 @@
 /// once the replica is full, so a faster rise makes refusals about as frequent as answers under a
 /// flood.
 const ANSWERS_PER_INCREASE: u64 = 10;
-/// Mean duration of answers, relative to the shortest ones, above which the replica counts as
+/// Mean duration of answers, relative to those under light load, above which the replica counts as
 /// congested, in thousandths.
-const CONGESTED_THOUSANDTHS: u64 = 3_000;
+const CONGESTED_THOUSANDTHS: u64 = 2_000;
 /// Highest relative duration that one answer can show, in thousandths. A single slow answer does
 /// not reach [`CONGESTED_THOUSANDTHS`].
 const RATIO_MAX_THOUSANDTHS: u64 = 6_000;
 /// Weight of the newest answer in the moving average, in thousandths.
-const EWMA_WEIGHT_THOUSANDTHS: u64 = 300;
-/// Shorter durations count as this one: at a few milliseconds the network and the scheduler decide
+const EWMA_WEIGHT_THOUSANDTHS: u64 = 100;
+/// Shorter references count as this one: at a few milliseconds the network and the scheduler decide
 /// the ratio.
-const SHORTEST_US_MIN: u64 = 10_000;
-/// A route's shortest duration is that of the last one to two windows of this length.
+const REFERENCE_US_MIN: u64 = 10_000;
+/// Answers of which the mean is taken for the reference. The work of calls varies by half of its
+/// mean, so the lowest of many such means lies a quarter below the mean at most.
+const MEAN_ANSWERS: u64 = 10;
+/// Mean duration, relative to the shortest one, that varying work explains without load.
+const MEAN_OF_SHORTEST: u64 = 4;
+/// A route's reference is that of the last one to two windows of this length.
 const WINDOW_MS: u64 = 30_000;
-/// Routes whose shortest duration is kept for one replica.
+/// Routes whose reference is kept for one replica.
 const ROUTES_MAX: usize = 32;
 
+/// Duration of a route's answers at one replica while the replica is lightly loaded: the lowest
+/// mean of [`MEAN_ANSWERS`] answers in a row, but no more than a multiple of the shortest answer. The
+/// shortest alone would be no reference, because the work of calls varies; the mean alone would be
+/// none at a replica that was never lightly loaded.
 #[derive(Debug)]
-struct ShortestDuration {
+struct LightLoadDuration {
     route: Box<str>,
+    sum_us: u64,
+    answers: u64,
     window_began_ms: u64,
-    current_us: u64,
-    previous_us: u64,
+    current_us: Option<u64>,
+    previous_us: Option<u64>,
+    shortest_us: u64,
 }
 
-impl ShortestDuration {
+impl LightLoadDuration {
     fn record(&mut self, took_us: u64, now_ms: u64) {
         if now_ms >= self.window_began_ms + WINDOW_MS {
-            self.previous_us = self.current_us;
-            self.current_us = u64::MAX;
+            self.previous_us = self.current_us.take().or(self.previous_us);
             self.window_began_ms = now_ms;
+            self.shortest_us = u64::MAX;
+        }
+        self.shortest_us = self.shortest_us.min(took_us);
+        self.sum_us += took_us;
+        self.answers += 1;
+        if self.answers == MEAN_ANSWERS {
+            let mean_us = self.sum_us / MEAN_ANSWERS;
+            self.current_us = Some(self.current_us.map_or(mean_us, |us| us.min(mean_us)));
+            (self.sum_us, self.answers) = (0, 0);
         }
-        self.current_us = self.current_us.min(took_us);
     }
 
-    fn us(&self) -> u64 {
-        self.current_us.min(self.previous_us).max(SHORTEST_US_MIN)
+    /// `None` before the first mean.
+    fn us(&self) -> Option<u64> {
+        let known = self.current_us.into_iter().chain(self.previous_us);
+        let by_shortest_us = self.shortest_us.saturating_mul(MEAN_OF_SHORTEST);
+        known
+            .min()
+            .map(|us| us.min(by_shortest_us).max(REFERENCE_US_MIN))
     }
 }
 
@@ -73,7 +97,7 @@
     paused_until_ms: u64,
     /// Moving average of the relative duration of answers, in thousandths; 0 before the first.
     ratio: u64,
-    shortest: Vec<ShortestDuration>,
+    light_load: Vec<LightLoadDuration>,
 }
 
 impl ConcurrencyLimit {
@@ -164,26 +188,31 @@
         self.changed_ms = now_ms;
     }
 
-    /// Duration relative to the shortest one of the route, in thousandths.
+    /// Duration relative to the route's reference, in thousandths; that of an uncongested replica
+    /// while the reference is not known.
     fn ratio_of(&mut self, route: &str, took_us: u64, now_ms: u64) -> u64 {
         let known = self
-            .shortest
+            .light_load
             .iter()
             .position(|known| &*known.route == route);
         let at = known.unwrap_or_else(|| {
-            if self.shortest.len() == ROUTES_MAX {
-                self.shortest.remove(0);
+            if self.light_load.len() == ROUTES_MAX {
+                self.light_load.remove(0);
             }
-            self.shortest.push(ShortestDuration {
+            self.light_load.push(LightLoadDuration {
                 route: route.into(),
+                sum_us: 0,
+                answers: 0,
                 window_began_ms: now_ms,
-                current_us: u64::MAX,
-                previous_us: u64::MAX,
+                current_us: None,
+                previous_us: None,
+                shortest_us: u64::MAX,
             });
-            self.shortest.len() - 1
+            self.light_load.len() - 1
         });
-        let shortest = &mut self.shortest[at];
-        shortest.record(took_us, now_ms);
-        (took_us * 1_000 / shortest.us()).min(RATIO_MAX_THOUSANDTHS)
+        let light_load = &mut self.light_load[at];
+        light_load.record(took_us, now_ms);
+        let ratio = light_load.us().map(|us| took_us * 1_000 / us);
+        ratio.unwrap_or(1_000).min(RATIO_MAX_THOUSANDTHS)
     }
 }
--- a/components/concurrency/src/queue.rs
+++ b/components/concurrency/src/queue.rs
@@ -11,9 +11,12 @@
 
 /// Waiting calls of one customer in one class.
 const CUSTOMER_WAITING_MAX: u32 = 128;
+/// Waiting background calls of one customer. They are reward calls, at most one for each item that
+/// this process runs; a refused one only comes back a moment later.
+const BACKGROUND_WAITING_MAX: u32 = 2_048;
 /// Waiting calls of the service. The estimated wait usually refuses calls earlier; this bounds the
 /// memory where deadlines are long.
-const WAITING_MAX: usize = 1_024;
+const WAITING_MAX: usize = 4_096;
 /// Customers' calls that are admitted before a waiting background call: one in four slots that
 /// become free goes to background calls.
 const BACKGROUND_SKIPS_MAX: u32 = 3;
@@ -120,6 +123,7 @@
     fn default() -> Self {
         let settings = AdmissionSettings {
             waiting_max: CUSTOMER_WAITING_MAX,
+            background_waiting_max: BACKGROUND_WAITING_MAX,
             // The limit on background calls at each replica leaves slots free for other calls.
             headroom_permille: 0,
             background_skips_max: BACKGROUND_SKIPS_MAX,
--- a/components/concurrency/src/room.rs
+++ b/components/concurrency/src/room.rs
@@ -4,9 +4,12 @@
 use limits::Capacity;
 use types::Class;
 
-/// Limit on this process's background calls in flight at one replica, which has six slots. Leaves
-/// a third of the slots to other calls while three processes send background calls.
+/// Limit on this process's background calls in flight at one replica where calls are not queued.
+/// Leaves a third of six slots to other calls while three processes send background calls.
 pub const BACKGROUND_MAX: u32 = 2;
+/// Part of the limit of a replica that background calls may fill where calls are queued, in
+/// thousandths. The rest is free at once for a customer's call of this or another process.
+const BACKGROUND_THOUSANDTHS: u32 = 667;
 
 /// This process's use of one replica that accepts work.
 #[key]
@@ -39,7 +42,8 @@
 
 /// Whether a replica has room for one more call of `class`.
 pub fn has_room(replica: &ReplicaUse, class: Class) -> bool {
-    let below_background_max = replica.background < BACKGROUND_MAX;
+    let background_max = (replica.limit * BACKGROUND_THOUSANDTHS / 1_000).max(1);
+    let below_background_max = replica.background < background_max;
     let is_open = !replica.paused && replica.calls < replica.limit;
     is_open && (class == Class::Interactive || below_background_max)
 }
--- a/components/limits/src/admission.rs
+++ b/components/limits/src/admission.rs
@@ -138,10 +138,11 @@
             return Err(Failure::not_run(Cause::DeadlinePassed));
         }
         let wait_ms = self.estimated_wait_ms(arrival, capacity);
+        let waiting_max = self.settings.waiting_max(arrival.class);
         let class_queue = self.class_queue_mut(arrival.class);
         let own_waiting = class_queue.queue.waiting_count(&arrival.customer);
         let too_late = now_ms.saturating_add(wait_ms) >= arrival.deadline_ms;
-        if too_late || own_waiting >= self.settings.waiting_max {
+        if too_late || own_waiting >= waiting_max {
             let retry_ms = retry_after_ms(wait_ms, random);
             return Err(Failure::not_run(Cause::QueueFull).retry_after(retry_ms));
         }
--- a/components/limits/src/settings.rs
+++ b/components/limits/src/settings.rs
@@ -8,6 +8,8 @@
 pub struct AdmissionSettings {
     /// Maximum number of waiting requests of one customer in one class.
     pub waiting_max: u32,
+    /// The same for background requests.
+    pub background_waiting_max: u32,
     /// Slots that background requests leave free for interactive ones, in thousandths of the limit.
     /// Sampling requests leave twice as many free.
     pub headroom_permille: u32,
@@ -27,6 +29,7 @@
     fn default() -> Self {
         Self {
             waiting_max: 64,
+            background_waiting_max: 64,
             headroom_permille: 50,
             background_skips_max: 8,
             sampling_skips_max: 16,
@@ -50,6 +53,13 @@
         limit.saturating_sub(left_free as u32).max(1).min(limit)
     }
 
+    pub(crate) fn waiting_max(&self, class: Class) -> u32 {
+        match class {
+            Class::Background => self.background_waiting_max,
+            Class::Interactive | Class::Sampling => self.waiting_max,
+        }
+    }
+
     pub(crate) fn skips_max(&self, class: Class) -> u32 {
         match class {
             Class::Interactive => u32::MAX,
