--- a/components/front/tests/front/queue.rs
+++ b/components/front/tests/front/queue.rs
@@ -360,6 +360,44 @@
     .await;
 }
 
+/// Guards against waiting calls that are all sent to a full replica because none of this front's
+/// calls is in flight there.
+#[tokio::test]
+async fn waiting_calls_are_not_all_sent_to_a_replica_that_refuses_them() {
+    let site = start_site(20, BORN).await;
+    let front = site.front("a").await;
+    let first = &site.replica("plain-1").seen;
+    first.set_full(true);
+    let ids: Vec<String> = (0..40).map(|number| format!("q-{number}")).collect();
+    let calls = ids.iter().map(|id| call(&front, "/bids/x", id, 2_000));
+    let ended = futures_util::future::join_all(calls).await;
+    assert!(ended.iter().all(|(status, _, _)| *status == 200));
+    let refused = first.refused();
+    assert!((1..=16).contains(&refused), "{refused} of 40 calls refused");
+}
+
+/// Guards against calls that fail because a full replica refused them while the budget for retries
+/// is exhausted: they have not run, and go back to the queue.
+#[tokio::test]
+async fn a_call_that_a_full_replica_refuses_needs_no_budget() {
+    let site = start_site(20, BORN).await;
+    let front = site.front("a").await;
+    for number in 0..25 {
+        let id = format!("spend-{number}");
+        for replica in &site.replicas {
+            replica.seen.answer_with(&id, 500);
+        }
+        assert_eq!(call(&front, "/calls/x", &id, 2_000).await.0, 500);
+    }
+    assert_eq!(site.runs("spend-24"), [0], "the budget is exhausted");
+    site.replica("plain-1").seen.set_full(true);
+    let ids: Vec<String> = (0..20).map(|number| format!("q-{number}")).collect();
+    let calls = ids.iter().map(|id| call(&front, "/bids/x", id, 2_000));
+    let ended = futures_util::future::join_all(calls).await;
+    assert!(ended.iter().all(|(status, _, _)| *status == 200));
+    assert!(site.replica("plain-1").seen.refused() >= 2);
+}
+
 /// Guards against a call that is refused at once, or without a time to return, while all replicas
 /// are full with the calls of other fronts.
 #[tokio::test]
