--- a/components/critical_path/tests/plan.rs
+++ b/components/critical_path/tests/plan.rs
@@ -506,6 +506,36 @@
             slow_and_fast(),
             vec![(1, MoveCause::Stalled)],
         ),
+        case(
+            "a replica that has become slower, and a group that may be needed",
+            vec![running(1, 45, 0), running(0, 40, 1)],
+            pause_and_fast(),
+            vec![(0, MoveCause::Slower)],
+        ),
+        case(
+            "a replica that has become slower, and a dispensable group",
+            vec![running(1, 120, 0), running(0, 40, 1)],
+            pause_and_fast(),
+            vec![],
+        ),
+        case(
+            "silent for two thirds of an interval of its slow replica",
+            vec![with_run(running(0, 1, 0), |run| run.silent_ms = 260)],
+            vec![deviating(8, 400), replica(48_000, 3)],
+            vec![],
+        ),
+        case(
+            "silent for 0.9 s as during a load, and only a slower replica has a slot",
+            vec![silent(running(0, 30, 0))],
+            vec![replica(48_000, 3), deviating(3, 400)],
+            vec![],
+        ),
+        case(
+            "silent for longer than a load, and only a slower replica has a slot",
+            vec![with_run(running(0, 30, 0), |run| run.silent_ms = 1_100)],
+            vec![replica(48_000, 3), deviating(3, 400)],
+            vec![(0, MoveCause::Stalled)],
+        ),
         case(
             "silent, moved 0.4 s ago",
             vec![silent(moved(400))],
