--- a/components/concurrency/src/room.rs
+++ b/components/concurrency/src/room.rs
@@ -8,7 +8,8 @@
 /// Leaves a third of six slots to other calls while three processes send background calls.
 pub const BACKGROUND_MAX: u32 = 2;
 /// Part of the limit of a replica that background calls may fill where calls are queued, in
-/// thousandths. The rest is free at once for a customer's call of this or another process.
+/// thousandths, but [`BACKGROUND_MAX`] calls at least. The rest is free at once for a customer's
+/// call of this or another process.
 const BACKGROUND_THOUSANDTHS: u32 = 667;
 
 /// This process's use of one replica that accepts work.
@@ -42,7 +43,7 @@
 
 /// Whether a replica has room for one more call of `class`.
 pub fn has_room(replica: &ReplicaUse, class: Class) -> bool {
-    let background_max = (replica.limit * BACKGROUND_THOUSANDTHS / 1_000).max(1);
+    let background_max = (replica.limit * BACKGROUND_THOUSANDTHS / 1_000).max(BACKGROUND_MAX);
     let below_background_max = replica.background < background_max;
     let is_open = !replica.paused && replica.calls < replica.limit;
     is_open && (class == Class::Interactive || below_background_max)
--- a/components/front/src/call_queue.rs
+++ b/components/front/src/call_queue.rs
@@ -152,14 +152,18 @@
     }
 
     /// Records the replica's answer to a call of `route`.
-    pub fn record_answer(&self, route: &Route) {
+    pub fn record_answer(&self, route: &Route, background: bool) {
         if self.queue.is_none() {
             return;
         }
         let (now_us, slots) = (now_us(), self.member.replica.slots);
         let took_us = now_us - self.began_us;
         let (sent_ms, now_ms) = (self.began_us / 1_000, now_us / 1_000);
-        lock(&self.member.peer.limit).record_answer(&route.name, took_us, slots, sent_ms, now_ms);
+        let mut limit = lock(&self.member.peer.limit);
+        match background {
+            true => limit.record_background_answer(slots, now_ms),
+            false => limit.record_answer(&route.name, took_us, slots, sent_ms, now_ms),
+        }
     }
 
     /// Records that the replica refused the call because it is full.
--- a/components/front/src/calls.rs
+++ b/components/front/src/calls.rs
@@ -582,7 +582,7 @@
                 };
             }
             load.record_success(&typical, now_us() - began_us, now_ms());
-            slot.record_answer(spec.route);
+            slot.record_answer(spec.route, spec.background);
             let answer = Some(Box::new(answer));
             Attempt {
                 end: AttemptOutcome::Answered,
