--- a/components/front/tests/front/queue.rs
+++ b/components/front/tests/front/queue.rs
@@ -366,7 +366,7 @@
 /// calls is in flight there.
 #[tokio::test]
 async fn waiting_calls_are_not_all_sent_to_a_replica_that_refuses_them() {
-    let site = start_site(20, BORN).await;
+    let site = start_site(20, true).await;
     let front = site.front("a").await;
     let first = &site.replica("plain-1").seen;
     first.set_full(true);
@@ -382,7 +382,7 @@
 /// is exhausted: they have not run, and go back to the queue.
 #[tokio::test]
 async fn a_call_that_a_full_replica_refuses_needs_no_budget() {
-    let site = start_site(20, BORN).await;
+    let site = start_site(20, true).await;
     let front = site.front("a").await;
     for number in 0..25 {
         let id = format!("spend-{number}");
