--- a/components/front/src/lib.rs
+++ b/components/front/src/lib.rs
@@ -8,6 +8,7 @@
 //! this crate performs the I/O for them.
 
 mod access;
+mod call_queue;
 mod calls;
 mod client_io;
 mod clock;
@@ -24,6 +25,7 @@
 mod peer_relay;
 mod peers;
 mod reload;
+mod replica_pace;
 mod reports;
 mod results;
 mod reward;
--- a/components/front/src/peers.rs
+++ b/components/front/src/peers.rs
@@ -4,6 +4,7 @@
 use std::sync::{Arc, Mutex, Weak};
 use std::time::Duration;
 
+use concurrency::ConcurrencyLimit;
 use dispatch::{Replica, ReplicaId, ReplicaLoad};
 use platform::{Connection, ExchangeError, connect};
 use tokio::sync::watch;
@@ -41,6 +42,8 @@
 pub struct Peer {
     /// This process's calls in flight at the replica, and their latency.
     pub load: Arc<ReplicaLoad>,
+    /// Limit on this process's calls in flight at the replica.
+    pub limit: Mutex<ConcurrencyLimit>,
     idle: Mutex<Vec<Idle>>,
     /// Start of the next incarnation, in milliseconds of [`now_ms`]; `None` while none is known.
     next_started_ms: watch::Sender<Option<u64>>,
--- a/components/front/src/runner/finish.rs
+++ b/components/front/src/runner/finish.rs
@@ -21,14 +21,25 @@
         };
         let (front, data) = (Arc::clone(&self.front), Arc::clone(data));
         let customer = head.customer.clone();
+        let (events, runs) = (partial.last_event, self.timings.runs(key));
+        let last_texts = Arc::clone(&self.last_texts);
         let item_id = head.items[key.1 as usize].id.clone();
         self.hand_to_writer(key, async move {
             let score = match &data.scorer {
                 None => Some(String::new()),
                 Some(reward_call) => {
                     let (customer, started_ms) = (customer.as_deref(), now_ms());
-                    let score =
-                        reward::score(&front, key, reward_call, customer, failed_rewards).await;
+                    // Which texts decide the end of a step is not known here.
+                    let decides_step = false;
+                    let score = reward::score(
+                        &front,
+                        key,
+                        reward_call,
+                        customer,
+                        failed_rewards,
+                        decides_step,
+                    )
+                    .await;
                     let took_ms = now_ms() - started_ms;
                     let label = metrics::item_label();
                     front.metrics.record("front_item_score_ms", label, took_ms);
@@ -41,8 +52,9 @@
                 log::info!(event = "item-without-score", id = item_id, step = step.0, item, reward; "");
                 return ItemOutcome::Error(ErrorCause::Reward);
             };
+            last_texts.record_scored(step, now_ms());
             log::info!(
-                event = "item-scored", id = item_id, step = step.0, item, reward,
+                event = "item-scored", id = item_id, step = step.0, item, reward, events, runs,
                 versions:? = partial.versions; ""
             );
             ItemOutcome::Text {
--- a/components/front/src/state.rs
+++ b/components/front/src/state.rs
@@ -22,11 +22,13 @@
 use tokio::sync::{Notify, watch};
 use usage::{UsageLedger, WindowSettings};
 
+use crate::call_queue::CallQueues;
 use crate::clock::now_ms;
 use crate::held::HeldBytes;
 use crate::member;
 use crate::meter::Meter;
 use crate::peers::ReplicaTable;
+use crate::runner::MoveCounts;
 use crate::storage::Storage;
 
 /// Assumed latency of a route without any completed call, in milliseconds.
@@ -90,9 +92,13 @@
     pub meter: Meter,
     /// Data that is held for clients and replicas that read slowly.
     pub held: Arc<HeldBytes>,
+    /// Numbers of items that were moved between replicas.
+    pub moves: MoveCounts,
     pub drain: Drain,
     /// Turns true when idle connections of clients are to be closed.
     pub close_connections: watch::Sender<bool>,
+    /// Calls that wait for a replica, by service.
+    pub call_queues: CallQueues,
     /// Typical latency by route.
     typical_durations: Mutex<HashMap<Arc<str>, Arc<TypicalDuration>>>,
 }
@@ -127,8 +133,10 @@
             usage_current_ms: AtomicU64::new(0),
             meter: Meter::new(report_windows(&settings)),
             held: Arc::default(),
+            moves: MoveCounts::default(),
             drain,
             close_connections: watch::Sender::new(false),
+            call_queues: CallQueues::default(),
             typical_durations: Mutex::default(),
             settings,
         }
--- a/components/front/tests/front/common.rs
+++ b/components/front/tests/front/common.rs
@@ -209,7 +209,15 @@
         site
     }
 
-    async fn add(&mut self, id: &str, service: &'static str, events: u64, pause_ms: u64) {
+    /// Writes the records of all replicas again, with the start and the slots of the site.
+    pub fn write_heartbeats(&self) {
+        for replica in &self.replicas {
+            self.write_heartbeat(replica, "ready", 1);
+        }
+    }
+
+    /// Starts a replica and writes its record to the store.
+    pub async fn add(&mut self, id: &str, service: &'static str, events: u64, pause_ms: u64) {
         let settings = ReplicaSettings {
             id: id.to_owned(),
             events,
