--- a/components/concurrency/src/limit.rs
+++ b/components/concurrency/src/limit.rs
@@ -3,8 +3,9 @@
 //!
 //! The limit begins at the number of the replica's slots, so that nothing waits before the replica
 //! shows that it is full. A refusal halves it and pauses the replica for a moment: where each of many
-//! processes has few calls in flight, their limits alone don't keep a replica from being full. Answers that take much longer than the shortest
-//! answers of the same route at this replica lower it by a fifth. Every other answer raises it.
+//! processes has few calls in flight, their limits alone don't keep a replica from being full.
+//! Answers that take much longer than the shortest answers of the same route at this replica lower
+//! it by a fifth, unless they answer background calls. Every other answer raises it.
 //! Several calls that were in flight together show the same state of the replica, so a call that
 //! was sent before the last decrease causes no further one.
 
--- a/components/concurrency/src/queue.rs
+++ b/components/concurrency/src/queue.rs
@@ -68,7 +68,7 @@
     QueueFull,
     /// The time that the call had left passed in the queue.
     Expired,
-    /// A replica refused the call, and the budget for retries is exhausted.
+    /// An attempt failed without a refusal by the replica, and the budget for retries is exhausted.
     BudgetSpent,
     /// No replica has taken the call, and there is none left to try.
     NotTaken,
