--- a/components/pace/src/estimate.rs
+++ b/components/pace/src/estimate.rs
@@ -13,7 +13,7 @@
     pub steady_us: u64,
     /// Standard error of `interval_us`, in thousandths of it.
     pub doubt_thousandths: u64,
-    /// Since when the replica has been slower than its steady pace, if it is.
+    /// When it was detected that the replica is slower than its steady pace, if it is.
     pub deviates_since_ms: Option<u64>,
 }
 
