Peer relay: calls with little time left show nothing about the store

A relayed call is made with the time that its caller has left. A front recorded the timeout of a call of 30 ms as a failure of its own way to the store: it then refused its peers' calls until one of its own was served, and two such calls within 400 ms sent its own calls to peers. A call whose time ends before the store's longest answer time is no evidence now, unless it ended in another way than by its timeout.

--- a/components/front/src/peer_relay/mod.rs
+++ b/components/front/src/peer_relay/mod.rs
@@ -139,10 +139,16 @@
         answer_bytes_max: usize,
     ) -> Result<RawAnswer, StoreError> {
         let in_time = Duration::from_millis(call.wait_ms + ANSWER_MS_MAX);
+        let has_time = call.within >= in_time;
         let mut way = self.way.subscribe();
         let mut exchange = std::pin::pin!(self.connections.call(call, answer_bytes_max));
         if let Ok(outcome) = timeout(in_time, exchange.as_mut()).await {
-            self.record_direct(direct_outcome(&outcome));
+            // A call that had less time than the store may take for an answer shows nothing about
+            // the store. Calls of peers may arrive with little time left.
+            let was_cut_short = !has_time && matches!(outcome, Err(StoreError::Timeout(_)));
+            if !was_cut_short {
+                self.record_direct(direct_outcome(&outcome));
+            }
             return outcome;
         }
         self.record_direct(DirectOutcome::Failed);
--- a/components/front/tests/front/relay_peers.rs
+++ b/components/front/tests/front/relay_peers.rs
@@ -175,9 +175,13 @@
 }
 
 fn call(id: u64, path: &str) -> RelayFrame {
+    call_within(id, path, 500)
+}
+
+fn call_within(id: u64, path: &str, left_ms: u32) -> RelayFrame {
     RelayFrame::Call(RelayCall {
         id,
-        left_ms: 500,
+        left_ms,
         method: RelayMethod::Get,
         path: path.to_owned(),
         body: Bytes::new(),
@@ -282,6 +286,27 @@
     }
 }
 
+#[tokio::test]
+async fn calls_of_peers_with_little_time_left_do_not_count_against_the_store() {
+    // Guards against a front that takes the short time limits of its peers' calls for a store that
+    // refuses it, and then relays nothing and looks for peers itself.
+    let site = relaying_site(4, 1).await;
+    let (front, address) = relaying_front(&site, "a").await;
+    let mut stream = open(address).await;
+    let slow = Fault::new(FaultKind::Slow).on(OWNERS).delayed(200);
+    front.store_listener.inject_fault(slow);
+    let read = "/v1/log-read?Topic=keyed.fronts&part=0&From=0&MaxKb=1&WaitMs=0";
+    for id in 0..10 {
+        write_frame(&mut stream, &call_within(2 * id, OWNERS, 30)).await;
+        let late = RelayOutcome::NotReached { not_done: false };
+        assert_eq!(answer(&mut stream).await.outcome, late);
+        write_frame(&mut stream, &call(2 * id + 1, read)).await;
+        let outcome = answer(&mut stream).await.outcome;
+        let is_served = matches!(outcome, RelayOutcome::Answered { status: 200, .. });
+        assert!(is_served, "{outcome:?}");
+    }
+}
+
 #[tokio::test]
 async fn fronts_of_a_vm_take_the_first_free_ports_and_get_them_again() {
     // Guards against records whose address changes with each restart, and against records of
