Concurrency: any number of slots in a replica's record

The number of slots comes from another writer and is not checked. From 6.4 million slots on, the share of background calls overflowed, and the sum over replicas at u32::MAX: a panic of the calls of the service in debug builds, a wrong limit in release builds.

The new test fails before the change (multiply with overflow).

--- a/components/concurrency/src/room.rs
+++ b/components/concurrency/src/room.rs
@@ -10,7 +10,7 @@
 /// Part of the limit of a replica that background calls may fill where calls are queued, in
 /// thousandths, but [`BACKGROUND_MAX`] calls at least. The rest is free at once for a customer's
 /// call of this or another process.
-const BACKGROUND_THOUSANDTHS: u32 = 667;
+const BACKGROUND_THOUSANDTHS: u64 = 667;
 
 /// This process's use of one replica that accepts work.
 #[key]
@@ -43,8 +43,8 @@
 
 /// Whether a replica has room for one more call of `class`.
 pub fn has_room(replica: &ReplicaUse, class: Class) -> bool {
-    let background_max = (replica.limit * BACKGROUND_THOUSANDTHS / 1_000).max(BACKGROUND_MAX);
-    let below_background_max = replica.background < background_max;
+    let share = u64::from(replica.limit) * BACKGROUND_THOUSANDTHS / 1_000;
+    let below_background_max = u64::from(replica.background) < share.max(BACKGROUND_MAX.into());
     let is_open = !replica.paused && replica.calls < replica.limit;
     is_open && (class == Class::Interactive || below_background_max)
 }
@@ -83,8 +83,10 @@
         hold_ms,
     };
     usable(replicas).fold(empty, |sum, (_, replica)| Capacity {
-        in_progress: sum.in_progress + replica.calls,
-        limit: sum.limit + limit_of(replica).max(replica.calls),
+        in_progress: sum.in_progress.saturating_add(replica.calls),
+        limit: sum
+            .limit
+            .saturating_add(limit_of(replica).max(replica.calls)),
         ..sum
     })
 }
--- a/components/concurrency/tests/queue.rs
+++ b/components/concurrency/tests/queue.rs
@@ -278,6 +278,27 @@
     assert_eq!(spent(110_000), 10);
 }
 
+/// Guards against a record with an absurd number of slots, which stops the calls of the service.
+#[test]
+fn a_replica_may_report_any_number_of_slots() {
+    let huge = ReplicaUse {
+        limit: u32::MAX,
+        ..IDLE
+    };
+    let mut queue = ServiceQueue::default();
+    let replicas = [huge, huge, FULL];
+    for class in Class::ALL {
+        assert!(has_room(&huge, class), "{class:?}");
+    }
+    let arrived = queue.arrive(&reward(), &replicas, 0, 0);
+    assert_eq!(arrived, Arrived::Free);
+    let ticket = wait(&mut queue, &reward(), &[FULL]);
+    let next = queue.next(&replicas, 0, 0);
+    assert_eq!(next, Some(Admitted::Send(ticket)));
+    let refusal = queue.refusal(RefusalReason::NotTaken, &replicas, 0);
+    assert_eq!(refusal.estimated_ms, 0);
+}
+
 /// Guards against a queue whose knowledge outlives a replica that restarts under its id.
 #[test]
 fn the_queue_is_active_where_most_replicas_report_their_start() {
