Front: waiting calls share the checks of a service's replicas

Each waiting call read the state of all replicas of its service every 10 ms, to find limits that rose and pauses that ended: 100 checks a second for each call, each with a lock for every replica. One check an interval serves all of them now. Slots that become free are still handed over at once, and a call that arrives still checks by itself.

The interval is decided in concurrency; 300 waiting calls make 100 checks a second in the test.

--- a/components/concurrency/src/lib.rs
+++ b/components/concurrency/src/lib.rs
@@ -16,5 +16,7 @@
 mod room;
 
 pub use limit::ConcurrencyLimit;
-pub use queue::{Admitted, Arrival, Arrived, Refusal, RefusalReason, ServiceQueue};
+pub use queue::{
+    Admitted, Arrival, Arrived, CHECK_INTERVAL_MS, Refusal, RefusalReason, ServiceQueue,
+};
 pub use room::{BACKGROUND_MAX, ReplicaUse, has_room, is_active, usable};
--- a/components/concurrency/src/queue.rs
+++ b/components/concurrency/src/queue.rs
@@ -20,6 +20,10 @@
 /// Customers' calls that are admitted before a waiting background call: one in four slots that
 /// become free goes to background calls.
 const BACKGROUND_SKIPS_MAX: u32 = 3;
+/// Interval at which waiting calls look for a replica with room, in milliseconds. Slots that become
+/// free are handed over at once; this finds limits that rose, pauses that ended and replicas that
+/// came back.
+pub const CHECK_INTERVAL_MS: u64 = 10;
 /// Assumed duration of a call before any has ended.
 const INITIAL_HOLD_MS: u64 = 40;
 /// The newest duration has a weight of 1/16 in the moving average.
@@ -117,6 +121,8 @@
     /// Moving average of the time that a call is in flight, in microseconds.
     hold_us: u64,
     next_ticket: u64,
+    /// When a waiting call last checked the replicas.
+    checked_ms: u64,
 }
 
 impl Default for ServiceQueue {
@@ -140,6 +146,7 @@
             budget: RetryBudget::new(&budget),
             hold_us: INITIAL_HOLD_MS * 1_000,
             next_ticket: 0,
+            checked_ms: 0,
         }
     }
 }
@@ -239,6 +246,17 @@
         })
     }
 
+    /// Whether a waiting call is to check the replicas now; then takes it as done. Each waiting call
+    /// asks once in [`CHECK_INTERVAL_MS`], and one check serves all of them: a check reads the state
+    /// of all replicas of the service.
+    pub fn take_check(&mut self, now_ms: u64) -> bool {
+        let is_due = now_ms.saturating_sub(self.checked_ms) >= CHECK_INTERVAL_MS;
+        if is_due {
+            self.checked_ms = now_ms;
+        }
+        is_due
+    }
+
     /// Refusal of a call for `reason`, with the wait that a new call would have now.
     pub fn refusal(&self, reason: RefusalReason, replicas: &[ReplicaUse], random: u64) -> Refusal {
         let capacity = room::estimate_capacity(replicas, self.hold_ms());
--- a/components/concurrency/tests/queue.rs
+++ b/components/concurrency/tests/queue.rs
@@ -1,8 +1,8 @@
 //! Which calls wait for a replica, in which order they are sent, and which are refused.
 
 use concurrency::{
-    Admitted, Arrival, Arrived, Refusal, RefusalReason, ReplicaUse, ServiceQueue, has_room,
-    is_active,
+    Admitted, Arrival, Arrived, CHECK_INTERVAL_MS, Refusal, RefusalReason, ReplicaUse,
+    ServiceQueue, has_room, is_active,
 };
 use limits::Ticket;
 use types::{Class, CustomerName};
@@ -278,6 +278,26 @@
     assert_eq!(spent(110_000), 10);
 }
 
+/// Guards against checks of all replicas that grow with the number of waiting calls, and against a
+/// waiting call that is not served for longer than an interval.
+#[test]
+fn waiting_calls_share_the_checks_of_the_replicas() {
+    let mut queue = ServiceQueue::default();
+    let mut checks = 0;
+    let mut last_ms = 0;
+    // Three hundred calls check in turn, spread over each interval.
+    for now_ms in 100..1_100 {
+        for _ in 0..300 / CHECK_INTERVAL_MS {
+            if queue.take_check(now_ms) {
+                checks += 1;
+                assert!(last_ms == 0 || now_ms - last_ms == CHECK_INTERVAL_MS);
+                last_ms = now_ms;
+            }
+        }
+    }
+    assert_eq!(checks, 1_000 / CHECK_INTERVAL_MS);
+}
+
 /// Guards against a record with an absurd number of slots, which stops the calls of the service.
 #[test]
 fn a_replica_may_report_any_number_of_slots() {
--- a/components/front/src/call_queue.rs
+++ b/components/front/src/call_queue.rs
@@ -13,8 +13,8 @@
 use std::time::Duration;
 
 use concurrency::{
-    Admitted, Arrival, Refusal, RefusalReason, ReplicaUse, ServiceQueue, has_room, is_active,
-    usable,
+    Admitted, Arrival, CHECK_INTERVAL_MS, Refusal, RefusalReason, ReplicaUse, ServiceQueue,
+    has_room, is_active, usable,
 };
 use dispatch::{InFlightCall, Route, TypicalDuration};
 use limits::Ticket;
@@ -27,11 +27,6 @@
 use crate::peers::{Incarnation, Member, ReplicaTable, incarnation};
 use crate::state::{Front, lock};
 
-/// Interval at which a waiting call looks for a replica with room, in milliseconds. Slots that
-/// become free are handed over at once; this finds limits that rose, pauses that ended and replicas
-/// that came back.
-const WAIT_POLL_MS: u64 = 10;
-
 /// Queues by service.
 #[derive(Default)]
 pub struct CallQueues(Mutex<HashMap<Arc<str>, Arc<CallQueue>>>);
@@ -330,12 +325,20 @@
                     Ok(Grant::Refused(refusal)) => Acquired::Refused(refusal),
                     Ok(Grant::NoReplica) | Err(_) => Acquired::NoReplica,
                 },
-                () = tokio::time::sleep(Duration::from_millis(WAIT_POLL_MS)) => {}
+                () = tokio::time::sleep(Duration::from_millis(CHECK_INTERVAL_MS)) => {}
             }
-            if members_of(&front.replicas.load(), &self.service).is_empty() {
+            if !front
+                .replicas
+                .load()
+                .of(&self.service)
+                .iter()
+                .any(accepts_work)
+            {
                 return Acquired::NoReplica;
             }
-            self.admit_waiting(front);
+            if lock(&self.state).queue.take_check(now_ms()) {
+                self.admit_waiting(front);
+            }
             let other = others
                 .iter()
                 .find_map(|queue| queue.try_acquire(front, request, class));
