One function for whether most replicas report their start

The rule stood in dispatch, concurrency and relay, each with its own count. The front uses dispatch::most_report_start everywhere now. The two copies and their tests are gone; the cases of those tests (none, half, two of three, draining replicas, a single one) are in the table of dispatch/tests/registry.rs.

--- a/components/concurrency/src/lib.rs
+++ b/components/concurrency/src/lib.rs
@@ -19,4 +19,4 @@
 pub use queue::{
     Admitted, Arrival, Arrived, CHECK_INTERVAL_MS, Refusal, RefusalReason, ServiceQueue,
 };
-pub use room::{BACKGROUND_MAX, ReplicaUse, has_room, is_active, usable};
+pub use room::{BACKGROUND_MAX, ReplicaUse, has_room, usable};
--- a/components/concurrency/src/room.rs
+++ b/components/concurrency/src/room.rs
@@ -27,20 +27,6 @@
     pub ejected: bool,
 }
 
-/// Whether the queue is active for a service: more than half of its replicas that are not draining
-/// report their start. What the limits have learnt refers to one life of a replica, and without the
-/// start a restart is not detected.
-pub fn is_active(replicas: impl Iterator<Item = (bool, Option<u64>)>) -> bool {
-    let (mut reporting, mut all) = (0, 0);
-    for (draining, started_ms) in replicas {
-        if !draining {
-            all += 1;
-            reporting += usize::from(started_ms.is_some());
-        }
-    }
-    reporting * 2 > all
-}
-
 /// Whether a replica has room for one more call of `class`.
 pub fn has_room(replica: &ReplicaUse, class: Class) -> bool {
     let share = u64::from(replica.limit) * BACKGROUND_THOUSANDTHS / 1_000;
--- a/components/concurrency/tests/queue.rs
+++ b/components/concurrency/tests/queue.rs
@@ -2,7 +2,7 @@
 
 use concurrency::{
     Admitted, Arrival, Arrived, CHECK_INTERVAL_MS, Refusal, RefusalReason, ReplicaUse,
-    ServiceQueue, has_room, is_active,
+    ServiceQueue, has_room,
 };
 use limits::Ticket;
 use types::{Class, CustomerName};
@@ -319,48 +319,6 @@
     assert_eq!(refusal.estimated_ms, 0);
 }
 
-/// Guards against a queue whose knowledge outlives a replica that restarts under its id.
-#[test]
-fn the_queue_is_active_where_most_replicas_report_their_start() {
-    struct Case {
-        name: &'static str,
-        /// Whether the replica is draining, and its start.
-        replicas: &'static [(bool, Option<u64>)],
-        active: bool,
-    }
-    let cases = [
-        Case {
-            name: "no replicas",
-            replicas: &[],
-            active: false,
-        },
-        Case {
-            name: "none report it",
-            replicas: &[(false, None), (false, None)],
-            active: false,
-        },
-        Case {
-            name: "half report it",
-            replicas: &[(false, Some(1)), (false, None)],
-            active: false,
-        },
-        Case {
-            name: "two of three report it",
-            replicas: &[(false, Some(1)), (false, Some(2)), (false, None)],
-            active: true,
-        },
-        Case {
-            name: "draining ones do not count",
-            replicas: &[(true, None), (true, None), (false, Some(1))],
-            active: true,
-        },
-    ];
-    for case in cases {
-        let active = is_active(case.replicas.iter().copied());
-        assert_eq!(active, case.active, "{}", case.name);
-    }
-}
-
 checks::seeded! {
     /// Guards against a call that is held back while an idle replica could take it, in any state.
     fn an_idle_replica_takes_a_call(states: Vec<(u8, u8, bool)>, waiting: u8) -> bool {
--- a/components/dispatch/tests/registry.rs
+++ b/components/dispatch/tests/registry.rs
@@ -132,7 +132,9 @@
         case("no replicas", 0, 0, 0, false),
         case("none", 0, 3, 0, false),
         case("half", 2, 2, 0, false),
+        case("two of three", 2, 1, 0, true),
         case("more than half", 3, 2, 0, true),
+        case("a single one", 1, 0, 0, true),
         case("all but draining ones", 1, 0, 5, true),
     ] {
         let started = |started_ms, draining| Replica {
--- a/components/front/src/call_queue.rs
+++ b/components/front/src/call_queue.rs
@@ -14,9 +14,9 @@
 
 use concurrency::{
     Admitted, Arrival, CHECK_INTERVAL_MS, Refusal, RefusalReason, ReplicaUse, ServiceQueue,
-    has_room, is_active, usable,
+    has_room, usable,
 };
-use dispatch::{InFlightCall, Route, TypicalDuration};
+use dispatch::{InFlightCall, Route, TypicalDuration, most_report_start};
 use limits::Ticket;
 use tokio::sync::oneshot;
 use types::{Class, CustomerName};
@@ -101,9 +101,8 @@
 
     /// The queue of a service; `None` if calls to the service are not queued.
     pub fn active(&self, table: &ReplicaTable, service: &str) -> Option<Arc<CallQueue>> {
-        let replicas = table.of(service).iter().map(|member| &member.replica);
-        is_active(replicas.map(|replica| (replica.draining, replica.started_ms)))
-            .then(|| self.of(service))
+        let replicas = table.of(service).iter().map(|member| &*member.replica);
+        most_report_start(replicas).then(|| self.of(service))
     }
 
     /// Lines of the metrics page: waiting calls by service, and limits by replica.
--- a/components/front/src/peer_relay/book.rs
+++ b/components/front/src/peer_relay/book.rs
@@ -6,10 +6,11 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use bytes::Bytes;
+use dispatch::most_report_start;
 use platform::store::{KeyedRecord, StoreError, encode_keyed};
 use relay::{
     FRONTS_TOPIC, FrontRecord, RELAY_VERSION, RelayHello, Way, decode_record, encode_record,
-    is_active, rank_peers,
+    rank_peers,
 };
 
 use telemetry::Label;
@@ -36,14 +37,9 @@
 /// Waits until more than half of the replicas that are not draining report their start.
 pub async fn wait_until_active(front: &Front) {
     loop {
-        let (mut reporting, mut replicas) = (0, 0);
-        for member in front.replicas.load().iter() {
-            if !member.replica.draining {
-                replicas += 1;
-                reporting += usize::from(member.replica.started_ms.is_some());
-            }
-        }
-        if front.replicas_read.load(Ordering::Relaxed) > 0 && is_active(reporting, replicas) {
+        let table = front.replicas.load_full();
+        let replicas = table.iter().map(|member| &*member.replica);
+        if front.replicas_read.load(Ordering::Relaxed) > 0 && most_report_start(replicas) {
             return;
         }
         tokio::time::sleep(Duration::from_millis(ACTIVE_POLL_MS)).await;
--- a/components/relay/src/book.rs
+++ b/components/relay/src/book.rs
@@ -51,12 +51,6 @@
     }
 }
 
-/// Whether fronts relay calls for each other: more than half of the replicas that are not draining
-/// report their start.
-pub fn is_active(reporting: usize, replicas: usize) -> bool {
-    reporting * 2 > replicas
-}
-
 /// Order in which the front `node` uses its peers: by rendezvous hashing, so that the calls of
 /// several fronts spread over all peers, and alternately from the own failure domain and from the
 /// others. A store that refuses a whole domain then does not seem to be down for all fronts. `own`
--- a/components/relay/src/lib.rs
+++ b/components/relay/src/lib.rs
@@ -14,7 +14,7 @@
 mod watch;
 
 pub use book::{
-    FRONTS_TOPIC, FrontRecord, decode_record, encode_record, is_active, rank_peers, watches_owner,
+    FRONTS_TOPIC, FrontRecord, decode_record, encode_record, rank_peers, watches_owner,
 };
 pub use error::FrameError;
 pub use frame::{
--- a/components/relay/tests/messages.rs
+++ b/components/relay/tests/messages.rs
@@ -9,7 +9,7 @@
     BYTES_PER_S_MAX, CONTENT_BYTES_MAX, ConnectOutcome, FRAME_BYTES_MAX, FrameError, FrontRecord,
     IN_FLIGHT_MAX, LENGTH_BYTES, OwnerWatch, RELAY_VERSION, RelayAnswer, RelayCall, RelayFrame,
     RelayHello, RelayMethod, RelayOutcome, RelayQuota, WatchAction, WatchEvent, decode_frame,
-    decode_record, encode_frame, encode_record, fits_frame, frame_length, is_active, rank_peers,
+    decode_record, encode_frame, encode_record, fits_frame, frame_length, rank_peers,
     watches_owner,
 };
 
@@ -174,51 +174,6 @@
     );
 }
 
-#[test]
-fn relaying_starts_once_most_replicas_report_their_start() {
-    // Guards against anything new on a deployment whose replicas do not report their start.
-    struct Case {
-        name: &'static str,
-        reporting: usize,
-        replicas: usize,
-        active: bool,
-    }
-    let cases = [
-        Case {
-            name: "no replicas",
-            reporting: 0,
-            replicas: 0,
-            active: false,
-        },
-        Case {
-            name: "none reports",
-            reporting: 0,
-            replicas: 4,
-            active: false,
-        },
-        Case {
-            name: "half of them report",
-            reporting: 2,
-            replicas: 4,
-            active: false,
-        },
-        Case {
-            name: "more than half report",
-            reporting: 3,
-            replicas: 4,
-            active: true,
-        },
-    ];
-    for case in cases {
-        assert_eq!(
-            is_active(case.reporting, case.replicas),
-            case.active,
-            "{}",
-            case.name
-        );
-    }
-}
-
 #[test]
 fn a_relaying_front_makes_sixteen_calls_at_the_same_time() {
     // Guards against a front that others fill with their calls.
