Runner: passes of a pool's queues by their number of shards

Steps of one pool with different numbers of shards have queues of their own, but shared the time of the last pass and the pace of the pool. The queue of the older step took each pass, so texts of the other steps were not moved as long as that step was open, stalled runs included, and the pace of a queue without usable replicas (0) replaced the known one.

--- a/components/front/src/runner/critical.rs
+++ b/components/front/src/runner/critical.rs
@@ -124,7 +124,7 @@
         members: &[(Member, bool)],
         now_ms: u64,
     ) -> PoolPace {
-        let pool = self.pools.entry(queue.services.clone()).or_default();
+        let pool = self.pools.entry(queue.key()).or_default();
         if now_ms < pool.computed_ms + POOL_PACE_INTERVAL_MS {
             return pool.pace;
         }
@@ -168,7 +168,7 @@
 
     /// Whether an item could be placed, or runs have not been examined for a while.
     fn is_plan_due(&mut self, queue: &PoolQueue, engines: &[Engine], now_ms: u64) -> bool {
-        let pool = self.pools.entry(queue.services.clone()).or_default();
+        let pool = self.pools.entry(queue.key()).or_default();
         let may_place =
             !queue.waiting.is_empty() && engines.iter().any(|engine| engine.free_slots > 0);
         let is_due = may_place || now_ms >= pool.planned_ms + MOVES_INTERVAL_MS;
--- a/components/front/src/runner/mod.rs
+++ b/components/front/src/runner/mod.rs
@@ -55,6 +55,7 @@
 use engines::{EngineState, SlotGuard};
 use item_moves::ItemMoves;
 use lengths::TextLengths;
+use pool_queues::PoolKey;
 use timings::{ItemTimings, LastTexts};
 
 /// Longest time between two passes over the steps.
@@ -149,8 +150,8 @@
     moves: HashMap<ItemKey, ItemMoves>,
     /// Lengths of texts in these pools.
     lengths: TextLengths,
-    /// Paces of these pools, by their services.
-    pools: HashMap<Vec<Arc<str>>, PoolState>,
+    /// Paces and passes of the queues of these pools.
+    pools: HashMap<PoolKey, PoolState>,
     /// Number of replicas slower than their steady pace, as last reported.
     slower: Cell<u64>,
     engines: HashMap<ReplicaId, EngineState>,
--- a/components/front/src/runner/pool_queues.rs
+++ b/components/front/src/runner/pool_queues.rs
@@ -23,6 +23,9 @@
     pub(super) rank: WaitingRank,
 }
 
+/// Services of a pool and the number of shards into which its replicas are divided.
+pub(super) type PoolKey = (Vec<Arc<str>>, u16);
+
 /// Waiting items of all models that compete for the replicas of one pool.
 pub(super) struct PoolQueue {
     /// Services of the replicas, sorted.
@@ -56,6 +59,11 @@
         }
     }
 
+    /// What tells the queue from the others.
+    pub(super) fn key(&self) -> PoolKey {
+        (self.services.clone(), self.shards)
+    }
+
     /// Whether this front owns a shard of the pool.
     pub(super) fn owns(&self, shard: u16) -> bool {
         self.owned.contains(&shard)
