--- a/components/front/src/calls.rs
+++ b/components/front/src/calls.rs
@@ -238,7 +238,7 @@
 /// replica has not stated that: a refusal with that statement is no answer but a failed attempt.
 fn keep_promise(outcome: CallOutcome) -> CallOutcome {
     match outcome {
-        CallOutcome::Answer(answer) if promises_not_run(answer.status) => {
+        CallOutcome::Answer(answer) if answer.is_refusal() => {
             let why = format!("answered with status {}", answer.status.as_u16());
             CallOutcome::Failed(CallFailure::Unknown, why)
         }
@@ -246,17 +246,6 @@
     }
 }
 
-/// Whether a status promises that the request has not run and never will.
-pub fn promises_not_run(status: StatusCode) -> bool {
-    matches!(
-        status,
-        StatusCode::REQUEST_TIMEOUT
-            | StatusCode::MISDIRECTED_REQUEST
-            | StatusCode::TOO_MANY_REQUESTS
-            | StatusCode::SERVICE_UNAVAILABLE
-    )
-}
-
 /// Logs how a call ended.
 fn log_outcome(
     spec: &CallSpec<'_>,
--- a/components/front/src/stream.rs
+++ b/components/front/src/stream.rs
@@ -14,7 +14,7 @@
 use platform::{BodyError, ResponseBody};
 use tokio::sync::mpsc;
 
-use crate::calls::{CallSpec, choose_in_service, promises_not_run};
+use crate::calls::{CallSpec, choose_in_service};
 use crate::clock::now_ms;
 use crate::held::HeldGuard;
 use crate::meter::CountedRequest;
@@ -101,7 +101,7 @@
         not_run: error.is_not_run(),
         reason: error.to_string(),
     })?;
-    if promises_not_run(stream.status) {
+    if replica::promises_not_run(stream.status) {
         // The replica has not stated that it did not run the request.
         return Err(NotStarted {
             not_run: false,
