Front: hand the knowledge of a shard's owner to the next owner

An owner that takes a shard over started from priors, so it placed and moved items without the paces and lengths that the owner before knew.

The runner reads the newest record of a shard in a task when it becomes owner, and restores paces, refusals and lengths that this front has not observed itself. It hands its own knowledge to a task that writes it at most once a second. Nothing is written before the read has ended, as an empty record would replace the useful one. Active only for pools whose replicas report their start.

ShardRecord gets written_unix_ms, so that hornbeamrockctl store shards can show the age of each record.

Engine states get the replica's start when they are created: before, one created between two changes of the table had none, and a restart then kept its pace.

--- a/bin/ctl/src/cmd/store.rs
+++ b/bin/ctl/src/cmd/store.rs
@@ -1,5 +1,7 @@
 //! `store`: shows the contents of the store.
 
+use std::time::{SystemTime, UNIX_EPOCH};
+
 use clap::ArgMatches;
 use inspect::{
     CustomerRow, DutyRow, Inspector, LeaseRow, ReplicaRow, RouteRow, ShardRow, StepRow, UsageRow,
@@ -18,6 +20,11 @@
     routes: Vec<RouteRow>,
 }
 
+fn unix_ms() -> u64 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    now.map_or(0, |now| now.as_millis() as u64)
+}
+
 /// Reads the kind of contents that the subcommand names and prints it.
 pub async fn run(flags: &ArgMatches) -> Result<(), CommandError> {
     let Some((kind, flags)) = flags.subcommand() else {
@@ -37,7 +44,7 @@
             print_replicas(rows)
         }),
         "steps" => print(format, &inspector.steps().await?, |rows| print_steps(rows)),
-        "shards" => print(format, &inspector.shards().await?, |rows| {
+        "shards" => print(format, &inspector.shards(unix_ms()).await?, |rows| {
             print_shards(rows)
         }),
         "customers" => print(format, &inspector.customers().await?, |rows| {
@@ -150,10 +157,24 @@
         let front = row.front.clone().unwrap_or_else(|| "-".to_owned());
         let numbers = [row.shard.to_string(), row.items_open.to_string()];
         let [shard, items_open] = numbers;
-        [row.pool.clone(), shard, front, items_open]
+        let record = row.knowledge.as_ref();
+        let written_by = record.map_or_else(|| "-".to_owned(), |record| record.front.clone());
+        let age_ms = record.map_or_else(|| "-".to_owned(), |record| record.age_ms.to_string());
+        let [pool, front] = [row.pool.clone(), front];
+        [pool, shard, front, items_open, written_by, age_ms]
     };
     let rows: Vec<_> = rows.iter().map(row).collect();
-    print_table(["pool", "shard", "front", "items open"], &rows);
+    print_table(
+        [
+            "pool",
+            "shard",
+            "front",
+            "items open",
+            "record of",
+            "record age ms",
+        ],
+        &rows,
+    );
 }
 
 fn print_lease(lease: &LeaseRow) {
--- a/components/dispatch/src/admission.rs
+++ b/components/dispatch/src/admission.rs
@@ -42,11 +42,16 @@
         self.attempted_ms.fetch_max(now_ms, Ordering::Relaxed);
     }
 
+    /// Whether the replica has refused an item and has started none since.
+    pub fn is_refusing(&self) -> bool {
+        let refused_ms = self.refused_ms.load(Ordering::Relaxed);
+        refused_ms > 0 && self.started_ms.load(Ordering::Relaxed) <= refused_ms
+    }
+
     /// Number of the replica's `free` slots that may be used now: all of them, or after a refusal
     /// at most one per retry interval.
     pub fn usable_slots(&self, free: u32, now_ms: u64) -> u32 {
-        let refused_ms = self.refused_ms.load(Ordering::Relaxed);
-        if refused_ms == 0 || self.started_ms.load(Ordering::Relaxed) > refused_ms {
+        if !self.is_refusing() {
             return free;
         }
         let next_ms = self.attempted_ms.load(Ordering::Relaxed) + RETRY_INTERVAL_MS;
--- a/components/front/src/lib.rs
+++ b/components/front/src/lib.rs
@@ -32,6 +32,7 @@
 mod run_item;
 mod runner;
 mod serve;
+mod shard_knowledge;
 mod start;
 mod state;
 mod storage;
--- a/components/front/src/member.rs
+++ b/components/front/src/member.rs
@@ -50,7 +50,7 @@
 /// Keeps up the membership in the group until the process starts to leave.
 pub async fn maintain(front: Arc<Front>) {
     let mut ownership = Ownership::new(ownership_settings(&front.settings));
-    let mut standby = is_small(&front).then(Standby::default);
+    let mut standby = is_small(&front.settings).then(Standby::default);
     let mut rebalancing_until_ms = 0;
     while front.drain.is_ready() {
         if let Some(standby) = &mut standby
@@ -89,8 +89,9 @@
     }
 }
 
-fn is_small(front: &Front) -> bool {
-    front.settings.cpu_share_thousandths < LARGE_CPU_THOUSANDTHS
+/// Whether a front is too small to run shards while larger ones do.
+pub fn is_small(settings: &FrontSettings) -> bool {
+    settings.cpu_share_thousandths < LARGE_CPU_THOUSANDTHS
 }
 
 /// Whether a small front should be a member now, by the current owners of partitions. Also sets the
@@ -194,7 +195,7 @@
 
 fn member_name(front: &Front) -> String {
     let node = &front.settings.node;
-    match is_small(front) {
+    match is_small(&front.settings) {
         true => format!("{STANDBY_PREFIX}{node}"),
         false => node.clone(),
     }
--- a/components/front/src/peer_relay/mod.rs
+++ b/components/front/src/peer_relay/mod.rs
@@ -101,6 +101,11 @@
         }
     }
 
+    /// Address at which this front relays calls; `None` before relaying has started.
+    pub fn address(&self) -> Option<SocketAddr> {
+        Some(self.identity.get()?.address)
+    }
+
     /// Whether calls go through a peer.
     pub fn uses_peers(&self) -> bool {
         *self.way.borrow() == Way::Peer
--- a/components/front/src/replica_pace.rs
+++ b/components/front/src/replica_pace.rs
@@ -20,6 +20,8 @@
 pub struct PaceState {
     pub replica: ReplicaPace,
     pub pool: PoolPace,
+    /// Whether this front has observed the replica itself.
+    has_recorded: bool,
     /// When the replica became slower than its steady pace; `None` while it is not.
     slower_since_ms: Option<u64>,
     /// When the replica last returned to its steady pace; 0 if never.
@@ -51,11 +53,22 @@
         self.state().recovered_ms
     }
 
+    /// Continues from the pace that another front observed; false if this front has observed the
+    /// replica itself.
+    pub fn restore(&self, pace: ReplicaPace) -> bool {
+        let mut state = self.state();
+        if !state.has_recorded {
+            state.replica = pace;
+        }
+        !state.has_recorded
+    }
+
     /// Records the interval between two events of a run at the replica.
     pub fn record(&self, replica: &ReplicaId, interval_us: u64, now_ms: u64) {
         let running = self.running.load(Ordering::Relaxed).max(1);
         let mut state = self.state();
         let pool = state.pool;
+        state.has_recorded = true;
         let Some(change) = state.replica.record(&pool, interval_us, running, now_ms) else {
             return;
         };
--- a/components/front/src/runner/engines.rs
+++ b/components/front/src/runner/engines.rs
@@ -79,7 +79,8 @@
     ) -> Vec<Engine> {
         for (member, _) in members {
             let id = Arc::clone(&member.replica.id);
-            self.engines.entry(id).or_insert_with(EngineState::new);
+            let state = self.engines.entry(id).or_insert_with(EngineState::new);
+            state.started_ms = state.started_ms.or(member.replica.started_ms);
         }
         for (member, _) in members {
             if let Some(state) = self.engines.get_mut(&member.replica.id) {
--- a/components/front/src/runner/mod.rs
+++ b/components/front/src/runner/mod.rs
@@ -13,6 +13,7 @@
 mod finish;
 mod handover;
 mod item_moves;
+mod knowledge;
 mod lengths;
 mod pool_queues;
 mod reconcile;
@@ -54,6 +55,7 @@
 use data::read_data;
 use engines::{EngineState, SlotGuard};
 use item_moves::ItemMoves;
+use knowledge::{KeptShard, PriorKnowledge, ShardKey};
 use lengths::TextLengths;
 use timings::{ItemTimings, LastTexts};
 
@@ -90,6 +92,10 @@
     DataUnavailable(StepId),
     /// A run at a replica ended.
     RunEnded(ItemKey, ReplicaId, RunEnd),
+    /// The knowledge of a shard's owner before was read; `None` if there is none.
+    KnowledgeRead(ShardKey, PriorKnowledge),
+    /// A write of a shard's knowledge ended; true if it succeeded.
+    KnowledgeWritten(ShardKey, bool),
     /// A round of saving texts ended.
     TextsSaved,
 }
@@ -154,6 +160,8 @@
     /// Number of replicas slower than their steady pace, as last reported.
     slower: Cell<u64>,
     engines: HashMap<ReplicaId, EngineState>,
+    /// Shards whose knowledge is kept for the next owner.
+    kept_shards: HashMap<ShardKey, KeptShard>,
     /// The table that `engines` was last brought in line with.
     table: Arc<ReplicaTable>,
     /// Median of the replicas' mean intervals between events; 0 until it is known.
@@ -183,6 +191,7 @@
         pools: HashMap::new(),
         slower: Cell::default(),
         engines: HashMap::new(),
+        kept_shards: HashMap::new(),
         table: Arc::default(),
         typical_interval_us: 0,
         leaving_since_ms: None,
@@ -212,6 +221,12 @@
                 self.requested_data.remove(&step);
             }
             RunnerMessage::RunEnded(key, replica, end) => self.handle_run_end(key, replica, end),
+            RunnerMessage::KnowledgeRead(shard, prior) => {
+                self.handle_knowledge_read(&shard, prior);
+            }
+            RunnerMessage::KnowledgeWritten(shard, is_written) => {
+                self.handle_knowledge_written(&shard, is_written);
+            }
             RunnerMessage::TextsSaved => {
                 self.is_saving = false;
                 if self.front.drain.is_leaving() {
--- a/components/front/src/runner/reconcile.rs
+++ b/components/front/src/runner/reconcile.rs
@@ -24,6 +24,7 @@
         let Some(routes) = self.front.routes.load_full() else {
             return;
         };
+        self.keep_knowledge(&routes, now_ms);
         for queue in self.pool_queues(&routes, now_ms) {
             self.place_items(queue, &routes, now_ms);
         }
--- a/components/front/src/state.rs
+++ b/components/front/src/state.rs
@@ -5,6 +5,7 @@
 //! microseconds and never across an await.
 
 use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
@@ -147,6 +148,13 @@
         lock(&self.index)
     }
 
+    /// Address at which this front relays calls to the store; `None` if it relays none. A small
+    /// front takes no part in watching owners.
+    pub fn relay_address(&self) -> Option<SocketAddr> {
+        let address = self.storage.relay.address();
+        address.filter(|_| !member::is_small(&self.settings))
+    }
+
     /// Locks the usage of customers. The guard must not be held across an await.
     pub fn usage(&self) -> MutexGuard<'_, UsageLedger> {
         lock(&self.usage)
--- a/components/front/tests/front/common.rs
+++ b/components/front/tests/front/common.rs
@@ -20,7 +20,7 @@
 /// Timeout of every request and condition that a test waits for.
 pub const TEST_TIMEOUT: Duration = Duration::from_secs(20);
 /// Start of all replicas that report one.
-const STARTED_UNIX_MS: u64 = 1_700_000_000_000;
+pub const STARTED_UNIX_MS: u64 = 1_700_000_000_000;
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 
 pub struct Replica {
--- a/components/front/tests/front/main.rs
+++ b/components/front/tests/front/main.rs
@@ -4,6 +4,7 @@
 mod common;
 mod customers;
 mod held;
+mod knowledge;
 mod moves;
 mod orders;
 mod queue;
--- a/components/front/tests/front/relayed.rs
+++ b/components/front/tests/front/relayed.rs
@@ -10,7 +10,7 @@
 use tokio::time::Instant;
 
 /// Membership group of the fronts that run steps.
-const GROUP: &str = "fronts";
+pub const GROUP: &str = "fronts";
 /// Ports that one test may use.
 const PORTS: u16 = 16;
 /// Longer than the time to live of a membership plus the time until partitions are assigned anew.
@@ -58,7 +58,7 @@
     .await;
 }
 
-fn owners(site: &Site) -> BTreeSet<String> {
+pub fn owners(site: &Site) -> BTreeSet<String> {
     let owners = site.store.owners_of(GROUP);
     owners.into_iter().map(|(_, owner)| owner).collect()
 }
--- a/components/index/tests/index.rs
+++ b/components/index/tests/index.rs
@@ -40,6 +40,7 @@
             offset: 300,
             bytes: 5,
         },
+        written_unix_ms: 300,
     })
 }
 
@@ -70,7 +71,7 @@
         Case {
             name: "of a shard",
             record: shard_record(),
-            bytes: &[2, 1, b'a', 2, 1, b'b', 0, 3, 172, 2, 5],
+            bytes: &[2, 1, b'a', 2, 1, b'b', 0, 3, 172, 2, 5, 172, 2],
         },
     ];
     for case in cases {
--- a/components/inspect/src/lib.rs
+++ b/components/inspect/src/lib.rs
@@ -6,5 +6,6 @@
 
 pub use read::{InspectError, Inspector};
 pub use rows::{
-    CustomerRow, DutyRow, LeaseRow, ReplicaRow, RouteRow, ShardRow, StepRow, UsageRow, VersionRow,
+    CustomerRow, DutyRow, KnowledgeRow, LeaseRow, ReplicaRow, RouteRow, ShardRow, StepRow,
+    UsageRow, VersionRow,
 };
--- a/components/inspect/src/read.rs
+++ b/components/inspect/src/read.rs
@@ -17,8 +17,8 @@
 use usage::UsageLedger;
 
 use crate::rows::{
-    CustomerRow, DutyRow, LeaseRow, ReplicaRow, RouteRow, ShardRow, StepRow, UsageRow, VersionRow,
-    customer_rows,
+    CustomerRow, DutyRow, KnowledgeRow, LeaseRow, ReplicaRow, RouteRow, ShardRow, StepRow,
+    UsageRow, VersionRow, customer_rows,
 };
 
 /// Timeout of one call to the store. An operator waits for the result; a slow store answers within
@@ -172,8 +172,9 @@
         Ok(index.ledger.steps().map(StepRow::from).collect())
     }
 
-    /// Reads the shards of open steps and the fronts that run them.
-    pub async fn shards(&self) -> Result<Vec<ShardRow>, InspectError> {
+    /// Reads the shards of open steps, and those with a record of their owner's knowledge, with the
+    /// fronts that run them. `now_unix_ms` is the time that the ages of records are relative to.
+    pub async fn shards(&self, now_unix_ms: u64) -> Result<Vec<ShardRow>, InspectError> {
         let index = self.index().await?;
         let owners = self.store.owners(RUNNER_GROUP, call_timeout()).await?;
         let owners: BTreeMap<u32, String> = owners.into_iter().collect();
@@ -187,9 +188,15 @@
                 *open_items.entry(shard).or_default() += usize::from(!progress.listed);
             }
         }
+        for newest in index.shards.iter() {
+            let shard = (newest.record.pool.clone(), newest.record.shard);
+            open_items.entry(shard).or_default();
+        }
         let row = |((pool, shard), items_open): ((String, u16), usize)| {
             let partition = shard_partition(&pool, shard, partitions);
+            let newest = index.shards.newest(&pool, shard);
             ShardRow {
+                knowledge: newest.map(|newest| KnowledgeRow::new(&newest.record, now_unix_ms)),
                 front: owners.get(&partition).cloned(),
                 pool,
                 shard,
--- a/components/inspect/src/rows.rs
+++ b/components/inspect/src/rows.rs
@@ -1,9 +1,11 @@
 //! Rows of the tables for operators. `hornbeamrockctl` prints them as tables or as JSON.
 
 use std::collections::HashSet;
+use std::net::SocketAddr;
 
 use customers::Customers;
 use dispatch::{Replica, Route};
+use knowledge::ShardRecord;
 use serde::Serialize;
 use steps::{ResultState, Step};
 
@@ -66,6 +68,21 @@
     pub front: Option<String>,
     /// Number of items of open steps that have no result yet.
     pub items_open: usize,
+    /// Newest record of the knowledge of an owner; `None` if the index has none.
+    pub knowledge: Option<KnowledgeRow>,
+}
+
+/// Where the newest knowledge of a shard's owner is.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct KnowledgeRow {
+    /// Front that wrote it.
+    pub front: String,
+    /// Address at which that front relays calls; `None` if it relays none.
+    pub peer: Option<SocketAddr>,
+    /// Time since it was written, by the clocks of its front and of this machine, in milliseconds.
+    pub age_ms: u64,
+    /// Size in bytes.
+    pub bytes: u32,
 }
 
 /// Progress of an accepted step.
@@ -198,6 +215,18 @@
     }
 }
 
+impl KnowledgeRow {
+    /// The row of a record, with its age at `now_unix_ms`.
+    pub fn new(record: &ShardRecord, now_unix_ms: u64) -> Self {
+        Self {
+            front: record.node.clone(),
+            peer: record.peer,
+            age_ms: now_unix_ms.saturating_sub(record.written_unix_ms),
+            bytes: record.at.bytes,
+        }
+    }
+}
+
 impl From<&Step> for StepRow {
     fn from(step: &Step) -> Self {
         let results = step.results.iter();
--- a/components/inspect/tests/inspect.rs
+++ b/components/inspect/tests/inspect.rs
@@ -1,7 +1,8 @@
 //! The rows that an operator sees for the contents of a store.
 
 use index::{INDEX_TOPIC, LogRecord, USAGE_TOPIC, encode, encode_usage};
-use inspect::{Inspector, LeaseRow};
+use inspect::{Inspector, KnowledgeRow, LeaseRow, ShardRow};
+use knowledge::ShardRecord;
 use lease::LeaseRecord;
 use standins::fleet::records;
 use standins::fleet::store::Store;
@@ -260,3 +261,41 @@
         (None, &[7][..])
     );
 }
+
+#[tokio::test]
+async fn can_show_the_newest_record_of_each_shard_with_its_age() {
+    // Guards against operators who can't see whose knowledge the next owner of a shard will have,
+    // or how old it is; also while the pool has no open step.
+    let store = Store::default();
+    let record = |node: &str, written_unix_ms| {
+        LogRecord::Shard(ShardRecord {
+            pool: records::ENGINES.to_owned(),
+            shard: 1,
+            node: node.to_owned(),
+            peer: Some(([127, 0, 0, 1], 9_000).into()),
+            at: DataLocation {
+                partition: 3,
+                offset: 7,
+                bytes: 900,
+            },
+            written_unix_ms,
+        })
+    };
+    write_index(&store, &record("front-a", 10_000));
+    write_index(&store, &record("front-b", 12_000));
+    let (_listener, inspector) = inspector(&store).await;
+    let shards = inspector.shards(12_700).await.expect("the shards are read");
+    let expected = ShardRow {
+        pool: records::ENGINES.to_owned(),
+        shard: 1,
+        front: None,
+        items_open: 0,
+        knowledge: Some(KnowledgeRow {
+            front: "front-b".to_owned(),
+            peer: Some(([127, 0, 0, 1], 9_000).into()),
+            age_ms: 700,
+            bytes: 900,
+        }),
+    };
+    assert_eq!(shards, [expected]);
+}
--- a/components/knowledge/src/record.rs
+++ b/components/knowledge/src/record.rs
@@ -19,6 +19,9 @@
     pub peer: Option<SocketAddr>,
     /// Location of the [`crate::ShardKnowledge`].
     pub at: DataLocation,
+    /// When the owner wrote the record, by its clock, in milliseconds of UTC since the Unix epoch. Only
+    /// shown to operators: fronts count ages from when they read a record.
+    pub written_unix_ms: u64,
 }
 
 /// The newest record of a shard.
--- a/components/knowledge/tests/knowledge.rs
+++ b/components/knowledge/tests/knowledge.rs
@@ -95,6 +95,7 @@
         node: knowledge.node.clone(),
         peer: None,
         at: LOCATION,
+        written_unix_ms: 0,
     }
 }
 
@@ -437,6 +438,7 @@
             node: "node-a".into(),
             peer: None,
             at: LOCATION,
+            written_unix_ms: 0,
         };
         let _ = decode(&bytes, &expected);
         let at = at % changed.len();
