Front: end the membership of a dead owner of a shard at once

Two members of the runners' group, chosen by rendezvous, hold a connection to the relay of each shard's owner, whose address is in its ShardRecord. When it ends and the next attempt is refused or another process answers, they leave the group in the dead member's name. Silence proves nothing. Members and their addresses come from the group's owners (read when the generation changes, else every 5 s while there is an owner to watch) and the address book. The owner is left out of the rendezvous by its name too, as the book may have an old address of it: with the address alone, it took the place of a watcher.

--- a/components/front/src/lib.rs
+++ b/components/front/src/lib.rs
@@ -21,6 +21,7 @@
 mod member;
 mod meter;
 mod metrics;
+mod owner_watch;
 mod partial;
 mod peer_relay;
 mod peers;
--- a/components/front/src/member.rs
+++ b/components/front/src/member.rs
@@ -25,7 +25,7 @@
 /// milliseconds. Well above the 240 ms that a slow store takes to answer.
 const UNWRITABLE_MS_MAX: u64 = 800;
 /// Timeout of one call about the group, in milliseconds.
-const GROUP_TIMEOUT_MS: u64 = 700;
+pub const GROUP_TIMEOUT_MS: u64 = 700;
 
 /// CPU share, in thousandths of a core, from which a front counts as large and always joins the
 /// group. A shard of 96 slots takes a twentieth of a core on average, and several times as much
--- a/components/front/src/peer_relay/book.rs
+++ b/components/front/src/peer_relay/book.rs
@@ -1,5 +1,6 @@
 //! The address book: this front's record, and the peers that are known from the others' records.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -15,7 +16,7 @@
 use telemetry::Label;
 
 use crate::clock::now_ms;
-use crate::state::Front;
+use crate::state::{Front, lock};
 use crate::writer::{APPEND_TIMEOUT_MS, WriteError, append_with_retry};
 
 /// Interval of checks whether enough replicas report their start, in milliseconds.
@@ -159,15 +160,21 @@
         return;
     };
     let own = identity.address;
-    let decoded = records.iter().filter_map(decode);
-    let fronts: Vec<FrontRecord> = decoded.collect();
+    let decoded = records
+        .iter()
+        .filter_map(|record| Some((record.key.clone(), decode(record)?)));
+    let fronts: HashMap<String, FrontRecord> = decoded.collect();
     let (node, domain) = (&front.settings.node, &front.settings.domain);
-    let peers: Vec<SocketAddr> = rank_peers(node, domain, own, fronts.iter());
+    let peers: Vec<SocketAddr> = rank_peers(node, domain, own, fronts.values());
     let count = peers.len() as u64;
     front
         .metrics
         .set_gauge("front_relay_peers", Label::default(), count);
     front.storage.relay.route().set_peers(peers);
+    let addresses = fronts
+        .into_iter()
+        .map(|(node, front)| (node, front.address));
+    *lock(&front.storage.relay.addresses) = addresses.collect();
 }
 
 fn decode(record: &KeyedRecord) -> Option<FrontRecord> {
--- a/components/front/src/peer_relay/link.rs
+++ b/components/front/src/peer_relay/link.rs
@@ -1,6 +1,7 @@
 //! A connection to a peer that makes calls for this front.
 
 use std::collections::HashMap;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
@@ -42,6 +43,21 @@
     }
 }
 
+quick_error! {
+    /// Why no connection was opened.
+    #[derive(Debug)]
+    pub enum ConnectError {
+        /// No process listens at the address.
+        Refused {
+            display("connection refused")
+        }
+        /// There was no hello in time, or the attempt failed in another way.
+        NoAnswer(reason: String) {
+            display("{}", reason)
+        }
+    }
+}
+
 impl LinkError {
     /// Whether the peer certainly did not receive the call.
     pub fn is_not_sent(&self) -> bool {
@@ -80,12 +96,9 @@
 impl PeerLink {
     /// Connects to a peer and exchanges hellos.
     pub async fn open(peer: SocketAddr, hello: &RelayHello) -> Result<Self, LinkError> {
-        let opened = timeout(Duration::from_millis(OPEN_MS_MAX), connect(peer, hello)).await;
-        let stream = match opened {
-            Err(_) => return Err(LinkError::NotSent("no hello in time".to_owned())),
-            Ok(Err(error)) => return Err(LinkError::NotSent(error.to_string())),
-            Ok(Ok(stream)) => stream,
-        };
+        let within = Duration::from_millis(OPEN_MS_MAX);
+        let opened = connect(peer, hello, within).await;
+        let (stream, _) = opened.map_err(|error| LinkError::NotSent(error.to_string()))?;
         let (calls, queue) = mpsc::channel(IN_FLIGHT_MAX as usize);
         let pending = Pending::default();
         let task = tokio::spawn(drive(peer, stream, queue, Arc::clone(&pending)));
@@ -133,16 +146,43 @@
     }
 }
 
-async fn connect(peer: SocketAddr, hello: &RelayHello) -> Result<TcpStream, WireError> {
-    let mut stream = TcpStream::connect(peer).await?;
-    // Without this option, small frames wait until the peer has acknowledged earlier ones.
-    stream.set_nodelay(true)?;
-    write_frame(&mut stream, &RelayFrame::Hello(hello.clone())).await?;
-    match read_frame(&mut stream).await? {
-        RelayFrame::Hello(_) => Ok(stream),
-        RelayFrame::Call(_) | RelayFrame::Answer(_) => {
-            Err(WireError::Unexpected("the first frame is not a hello"))
+/// Connects to a peer and exchanges hellos; returns the hello of the peer too.
+pub async fn connect(
+    peer: SocketAddr,
+    hello: &RelayHello,
+    within: Duration,
+) -> Result<(TcpStream, RelayHello), ConnectError> {
+    match timeout(within, exchange_hellos(peer, hello)).await {
+        Err(_) => Err(ConnectError::NoAnswer("no hello in time".to_owned())),
+        Ok(outcome) => outcome,
+    }
+}
+
+async fn exchange_hellos(
+    peer: SocketAddr,
+    hello: &RelayHello,
+) -> Result<(TcpStream, RelayHello), ConnectError> {
+    let mut stream = TcpStream::connect(peer)
+        .await
+        .map_err(|error| match error.kind() {
+            ErrorKind::ConnectionRefused => ConnectError::Refused,
+            _ => ConnectError::NoAnswer(error.to_string()),
+        })?;
+    let exchanged = async {
+        // Without this option, small frames wait until the peer has acknowledged earlier ones.
+        stream.set_nodelay(true)?;
+        write_frame(&mut stream, &RelayFrame::Hello(hello.clone())).await?;
+        match read_frame(&mut stream).await? {
+            RelayFrame::Hello(hello) => Ok(hello),
+            RelayFrame::Call(_) | RelayFrame::Answer(_) => {
+                Err(WireError::Unexpected("the first frame is not a hello"))
+            }
         }
+    };
+    let exchanged: Result<RelayHello, WireError> = exchanged.await;
+    match exchanged {
+        Ok(hello) => Ok((stream, hello)),
+        Err(error) => Err(ConnectError::NoAnswer(error.to_string())),
     }
 }
 
--- a/components/front/src/peer_relay/mod.rs
+++ b/components/front/src/peer_relay/mod.rs
@@ -35,6 +35,7 @@
 use link::{LinkError, PeerLink};
 
 pub use book::withdraw;
+pub use link::{ConnectError, connect};
 
 /// Chooses the way of each call to the store, and makes the call.
 pub struct PeerRelay {
@@ -46,6 +47,8 @@
     /// concurrent calls share it.
     links: tokio::sync::Mutex<HashMap<SocketAddr, Arc<PeerLink>>>,
     counts: RelayCounts,
+    /// Addresses of the address book, by the names of nodes.
+    addresses: Mutex<HashMap<String, SocketAddr>>,
     /// Set once relaying has started.
     identity: OnceLock<Identity>,
 }
@@ -84,6 +87,7 @@
             way: watch::Sender::new(Way::Direct),
             links: tokio::sync::Mutex::default(),
             counts: RelayCounts::default(),
+            addresses: Mutex::default(),
             identity: OnceLock::new(),
         }
     }
@@ -106,6 +110,16 @@
         Some(self.identity.get()?.address)
     }
 
+    /// What this front tells its peers about itself; `None` before relaying has started.
+    pub fn hello(&self) -> Option<&RelayHello> {
+        Some(&self.identity.get()?.hello)
+    }
+
+    /// Address of another front, by the name of its node; `None` if the address book has none.
+    pub fn address_of(&self, node: &str) -> Option<SocketAddr> {
+        lock(&self.addresses).get(node).copied()
+    }
+
     /// Whether calls go through a peer.
     pub fn uses_peers(&self) -> bool {
         *self.way.borrow() == Way::Peer
--- a/components/front/src/start.rs
+++ b/components/front/src/start.rs
@@ -16,8 +16,8 @@
 use crate::clock::now_us;
 use crate::state::Front;
 use crate::{
-    connections, follow, leader, leave, member, meter, metrics, peer_relay, reload, reports,
-    runner, serve, writer,
+    connections, follow, leader, leave, member, meter, metrics, owner_watch, peer_relay, reload,
+    reports, runner, serve, writer,
 };
 
 quick_error! {
@@ -112,6 +112,7 @@
         tasks.spawn(follow::follow_index(Arc::clone(&front)));
         tasks.spawn(member::maintain(Arc::clone(&front)));
         tasks.spawn(peer_relay::run(Arc::clone(&front)));
+        tasks.spawn(owner_watch::run(Arc::clone(&front)));
         tasks.spawn(reports::follow_usage(Arc::clone(&front)));
         tasks.spawn(meter::sample_clock(Arc::clone(&front)));
         tasks.spawn(meter::write_counts(Arc::clone(&front)));
--- a/components/front/tests/front/main.rs
+++ b/components/front/tests/front/main.rs
@@ -7,6 +7,7 @@
 mod knowledge;
 mod moves;
 mod orders;
+mod owner_watch;
 mod queue;
 mod relay_peers;
 mod relayed;
--- a/components/front/tests/front/relay_peers.rs
+++ b/components/front/tests/front/relay_peers.rs
@@ -44,7 +44,7 @@
     }
 }
 
-async fn read_frame(stream: &mut TcpStream) -> Option<RelayFrame> {
+pub async fn read_frame(stream: &mut TcpStream) -> Option<RelayFrame> {
     let mut field = [0; LENGTH_BYTES];
     stream.read_exact(&mut field).await.ok()?;
     let mut content = vec![0; frame_length(field).ok()?];
@@ -60,7 +60,7 @@
     })
 }
 
-async fn write_frame(stream: &mut TcpStream, frame: &RelayFrame) {
+pub async fn write_frame(stream: &mut TcpStream, frame: &RelayFrame) {
     let encoded = encode_frame(frame).expect("encoded");
     // The other side may have closed the connection.
     let _ = stream.write_all(&encoded).await;
--- a/components/ownership/src/lib.rs
+++ b/components/ownership/src/lib.rs
@@ -130,6 +130,11 @@
         self.reassigned.append(&mut self.last_owned);
     }
 
+    /// Generation of the group by the last answer.
+    pub fn generation(&self) -> u64 {
+        self.generation
+    }
+
     /// TTL that a join requests, in milliseconds.
     pub fn ttl_ms(&self) -> u64 {
         self.settings.ttl_ms
