--- a/components/front/src/clock.rs
+++ b/components/front/src/clock.rs
@@ -1,4 +1,6 @@
-//! The monotonic clock of this process.
+//! The monotonic clock of this process, and the time of day.
+
+use std::time::{SystemTime, UNIX_EPOCH};
 
 use rustix::time::{ClockId, clock_gettime};
 
@@ -14,3 +16,9 @@
     let now = clock_gettime(ClockId::Boottime);
     now.tv_sec as u64 * 1_000_000 + now.tv_nsec as u64 / 1_000
 }
+
+/// Milliseconds of UTC since the Unix epoch, by the clock of this machine.
+pub fn unix_ms() -> u64 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    now.map_or(0, |now| now.as_millis() as u64)
+}
--- a/components/front/src/peer_relay/book.rs
+++ b/components/front/src/peer_relay/book.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use bytes::Bytes;
 use platform::store::{KeyedRecord, StoreError, encode_keyed};
@@ -15,7 +15,7 @@
 
 use telemetry::Label;
 
-use crate::clock::now_ms;
+use crate::clock::{now_ms, unix_ms};
 use crate::state::{Front, lock};
 use crate::writer::{APPEND_TIMEOUT_MS, WriteError, append_with_retry};
 
@@ -53,13 +53,11 @@
 
 /// The hello of this process.
 pub fn hello(front: &Front) -> RelayHello {
-    let now = SystemTime::now().duration_since(UNIX_EPOCH);
-    let now_unix_ms = now.map_or(0, |now| now.as_millis() as u64);
     let age_ms = now_ms().saturating_sub(front.started_ms);
     RelayHello {
         version: RELAY_VERSION,
         node: front.settings.node.clone(),
-        started_unix_ms: now_unix_ms.saturating_sub(age_ms),
+        started_unix_ms: unix_ms().saturating_sub(age_ms),
     }
 }
 
--- a/components/front/src/shard_knowledge.rs
+++ b/components/front/src/shard_knowledge.rs
@@ -4,7 +4,7 @@
 //! are hints that affect nothing but speed: a failed write is repeated with newer knowledge, and
 //! without a readable record the next owner works from priors.
 
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use bytes::Bytes;
 use index::{DATA_TOPIC, LogRecord};
@@ -16,6 +16,7 @@
 use steps::DataLocation;
 use telemetry::Label;
 
+use crate::clock::unix_ms;
 use crate::state::Front;
 use crate::writer::{APPEND_TIMEOUT_MS, WriteError, data_partition, write_index};
 
@@ -161,8 +162,3 @@
         }
     }
 }
-
-fn unix_ms() -> u64 {
-    let now = SystemTime::now().duration_since(UNIX_EPOCH);
-    now.map_or(0, |now| now.as_millis() as u64)
-}
