--- a/components/critical_path/src/placement.rs
+++ b/components/critical_path/src/placement.rs
@@ -21,7 +21,7 @@
 /// the others.
 const REMAINING_MS_MAX: i64 = 8_000;
 /// How much later than at the earliest replica a short text may end under [`Policy::ReserveFast`].
-/// It is the smallest gain of a move, so that no such text is moved back.
+/// Equal to the smallest gain of a move, so that no such text is moved back.
 const SHORT_LOSS_US: u64 = 300_000;
 /// Steady interval of replicas that count as fast, relative to the fastest one, in hundredths. It
 /// lies between the two speeds of the deployments, 1 and 1.3.
--- a/components/knowledge/src/restore.rs
+++ b/components/knowledge/src/restore.rs
@@ -29,7 +29,7 @@
 pub struct RestoredReplica {
     /// Id of the replica.
     pub id: String,
-    /// Its pace.
+    /// Pace of the replica in this life.
     pub pace: ReplicaPace,
     /// Models of which it refuses items.
     pub refused_models: Vec<String>,
--- a/components/knowledge/src/shard_knowledge.rs
+++ b/components/knowledge/src/shard_knowledge.rs
@@ -12,7 +12,7 @@
     pub id: String,
     /// Start of the replica's life, from its record.
     pub started_ms: u64,
-    /// Its pace.
+    /// Pace of the replica in this life.
     pub pace: PaceSnapshot,
     /// Models of which it refuses items.
     pub refused_models: Vec<String>,
