Front: log which replica an attempt ended at, and a digest of the request's content

Engineers could not tell from the logs whether a request that crashes replicas comes again under another id, nor whether a lost connection means that its replica ended.

attempt-failed has the digest, the replica, and whether the replica crashed: it refuses connections right after one was lost, or has restarted. The check opens one connection; if the replica accepts it, the connection is kept for later calls.

No decision is changed.

--- a/components/front/src/calls.rs
+++ b/components/front/src/calls.rs
@@ -15,13 +15,14 @@
 use bytes::Bytes;
 use concurrency::{BACKGROUND_MAX, Refusal, RefusalReason};
 use dispatch::{
-    AttemptOutcome, CallFailure, Candidate, NextAction, Route, RouteKind, TypicalDuration,
-    choose_replica, next_action,
+    AttemptOutcome, CallFailure, Candidate, NextAction, ReplicaId, Route, RouteKind,
+    TypicalDuration, choose_replica, next_action,
 };
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use hyper::{HeaderMap, Method, StatusCode};
 use platform::replica::{self, ReplicaError, ReplicaResponse};
+use quarantine::CallDigest;
 use types::Class;
 
 use crate::call_queue::{self, Acquired, CallQueue, Slot, SlotRequest};
@@ -79,9 +80,25 @@
     /// Whether a full replica refused the call without running it.
     refused: bool,
     reason: String,
+    replica: ReplicaId,
+    /// Whether the replica's process ended during the attempt.
+    crashed: bool,
 }
 
 impl CallSpec<'_> {
+    /// Identifies requests with the same content, which have different request ids.
+    pub fn digest(&self) -> CallDigest {
+        let customer = self.customer.unwrap_or_default();
+        let parts = [
+            customer.as_bytes(),
+            self.route.host.as_bytes(),
+            self.method.as_str().as_bytes(),
+            self.path.as_bytes(),
+            &*self.body,
+        ];
+        CallDigest::of_parts(&parts)
+    }
+
     /// Time until the deadline, in milliseconds.
     pub fn left_ms(&self) -> u64 {
         self.deadline_at_ms.saturating_sub(now_ms())
@@ -119,6 +136,7 @@
 /// Performs a call, with hedging and retries, until it has an answer or its deadline passes.
 pub async fn perform(front: &Front, spec: &CallSpec<'_>) -> CallOutcome {
     let began_us = now_us();
+    let digest = spec.digest();
     let typical = front.typical_duration(&spec.route.name);
     let mut attempts = FuturesUnordered::new();
     let mut tried: Vec<Incarnation> = Vec::new();
@@ -159,7 +177,7 @@
         let left = Duration::from_millis(spec.left_ms());
         tokio::select! {
             Some(done) = attempts.next() => {
-                let Attempt { end, answer, refused, reason } = done;
+                let Attempt { end, answer, refused, reason, replica, crashed } = done;
                 was_refused = refused;
                 let is_refusal = answer.as_ref().is_some_and(|answer| answer.is_refusal());
                 // The client must not receive a refusal while another attempt may run the request.
@@ -179,9 +197,9 @@
                     (_, None) => {}
                 }
                 log::info!(
-                    event = "attempt-failed", id = spec.request_id,
-                    route = &*spec.route.name, sent = tried.len(), left_ms = spec.left_ms(),
-                    why = reason.as_str(); ""
+                    event = "attempt-failed", id = spec.request_id, call:% = digest,
+                    route = &*spec.route.name, replica = &*replica, crashed, sent = tried.len(),
+                    left_ms = spec.left_ms(), why = reason.as_str(); ""
                 );
                 match action {
                     NextAction::Finish(end) if attempts.is_empty() => match failure.take() {
@@ -209,7 +227,7 @@
     let outcome = keep_promise(queued_refusal(front, spec, outcome));
     let took_ms = (now_us() - began_us) / 1_000;
     count_call(front, spec, &outcome, tried.len(), took_ms, waited_ms);
-    log_outcome(spec, &outcome, &tried, took_ms, waited_ms);
+    log_outcome(spec, digest, &outcome, &tried, took_ms, waited_ms);
     outcome
 }
 
@@ -249,6 +267,7 @@
 /// Logs how a call ended.
 fn log_outcome(
     spec: &CallSpec<'_>,
+    digest: CallDigest,
     outcome: &CallOutcome,
     tried: &[Incarnation],
     took_ms: u64,
@@ -261,8 +280,8 @@
             status = answer.status.as_u16(), replica, sent = tried.len(), took_ms, waited_ms; ""
         ),
         CallOutcome::Failed(end, reason) => log::warn!(
-            event = "call-failed", id = spec.request_id, route = &*spec.route.name,
-            end:? = end, replica, sent = tried.len(), took_ms, why = reason.as_str(); ""
+            event = "call-failed", id = spec.request_id, call:% = digest,
+            route = &*spec.route.name, end:? = end, replica, sent = tried.len(), took_ms, why = reason.as_str(); ""
         ),
         CallOutcome::Refused(refusal) => log::info!(
             event = "call-refused", id = spec.request_id, route = &*spec.route.name,
@@ -530,6 +549,8 @@
         answer: None,
         refused: false,
         reason,
+        replica: Arc::clone(&member.replica.id),
+        crashed: false,
     };
     let began_us = now_us();
     let mut connection = match member.peer.connection(&member.replica).await {
@@ -547,7 +568,10 @@
     let answered = tokio::select! {
         answered = replica::call(&mut connection, call, Duration::from_millis(left_ms)) => answered,
         () = member.peer.wait_for_restart(sent_ms) => {
-            return failed(AttemptOutcome::Unknown, "the replica restarted".to_owned());
+            return Attempt {
+                crashed: true,
+                ..failed(AttemptOutcome::Unknown, "the replica restarted".to_owned())
+            };
         }
     };
     match answered {
@@ -564,20 +588,16 @@
                 let reason = format!("status {}", answer.status.as_u16());
                 let answer = Some(Box::new(answer));
                 return Attempt {
-                    end: AttemptOutcome::Unknown,
                     answer,
-                    refused: false,
-                    reason,
+                    ..failed(AttemptOutcome::Unknown, reason)
                 };
             }
             load.record_success(&typical, now_us() - began_us, now_ms());
             slot.record_answer(spec.route, spec.background);
             let answer = Some(Box::new(answer));
             Attempt {
-                end: AttemptOutcome::Answered,
                 answer,
-                refused: false,
-                reason: String::new(),
+                ..failed(AttemptOutcome::Answered, String::new())
             }
         }
         Err(error) => {
@@ -604,8 +624,11 @@
                 }
                 false => AttemptOutcome::Unknown,
             };
+            let crashed = matches!(error, ReplicaError::OutcomeUnknown(_))
+                && member.peer.refuses_connections(&member.replica).await;
             Attempt {
                 refused: matches!(error, ReplicaError::NotRun(_)),
+                crashed,
                 ..failed(end, error.to_string())
             }
         }
--- a/components/front/src/peers.rs
+++ b/components/front/src/peers.rs
@@ -15,6 +15,9 @@
 /// Timeout for connecting to a replica, in milliseconds. The network takes less than 3 ms and the
 /// replica 1 ms; a replica that takes longer than the timeout is unreachable or overloaded.
 const CONNECT_TIMEOUT_MS: u64 = 250;
+/// Timeout for checking whether a replica still accepts connections, in milliseconds. The call that
+/// lost its connection waits for the check before it is retried.
+const CHECK_TIMEOUT_MS: u64 = 50;
 /// Limit on idle connections per replica: as many as the runner uses there at once.
 const IDLE_MAX: usize = 16;
 /// How long an idle connection is kept if the replica's answer states no time, in milliseconds.
@@ -60,6 +63,19 @@
         Ok(new)
     }
 
+    /// Whether the replica refuses connections, so that its process has ended. Called after a
+    /// connection was lost; one that the replica accepts is kept for later requests.
+    pub async fn refuses_connections(&self, replica: &Replica) -> bool {
+        let timeout = Duration::from_millis(CHECK_TIMEOUT_MS);
+        match connect(replica.address, timeout).await {
+            Ok(connection) => {
+                self.return_connection(connection, None);
+                false
+            }
+            Err(error) => matches!(error, ExchangeError::Refused(_)),
+        }
+    }
+
     /// Whether the pool has a usable idle connection.
     pub fn is_connected(&self, now_ms: u64) -> bool {
         let idle = lock(&self.idle);
--- a/components/quarantine/src/digest.rs
+++ b/components/quarantine/src/digest.rs
@@ -1,10 +1,14 @@
 //! Digest that identifies a call by its customer, service and content.
 
+use std::fmt;
+
 use derive::key;
 use sha2::{Digest, Sha256};
 use types::{CustomerName, ServiceName};
 
 const DIGEST_BYTES: usize = 16;
+/// Bytes of a digest that log lines show.
+const SHOWN_BYTES: usize = 8;
 
 /// First 16 bytes of the SHA-256 of customer, service and content. The customer is part of the
 /// digest so that no customer can cause the calls of another one to be refused.
@@ -16,8 +20,14 @@
     /// each submission of the call: method, path and body, but not its request ids.
     pub fn of(customer: &CustomerName, service: &ServiceName, content: &[&[u8]]) -> Self {
         let names = [customer.as_str().as_bytes(), service.as_str().as_bytes()];
+        Self::of_parts(names.iter().chain(content))
+    }
+
+    /// Computes the digest of parts in their order. The first parts have to name the customer and
+    /// the service or host.
+    pub fn of_parts<'a>(parts: impl IntoIterator<Item = &'a &'a [u8]>) -> Self {
         let mut hash = Sha256::new();
-        for part in names.iter().chain(content) {
+        for part in parts {
             hash.update((part.len() as u64).to_be_bytes());
             hash.update(part);
         }
@@ -27,3 +37,10 @@
         Self(digest)
     }
 }
+
+impl fmt::Display for CallDigest {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mut shown = self.0.iter().take(SHOWN_BYTES);
+        shown.try_for_each(|byte| write!(formatter, "{byte:02x}"))
+    }
+}
