Red tests: a repeated request crashes one replica after the other

One front alone shows the fault, so it is not a matter of what fronts tell each other only: nothing remembers the requests that were at a replica when it ended.

The replica stand-in takes the fault crash-on and counts its crashes.

--- a/components/front/tests/front/main.rs
+++ b/components/front/tests/front/main.rs
@@ -2,6 +2,7 @@
 
 mod calls;
 mod common;
+mod crashing;
 mod customers;
 mod held;
 mod knowledge;
--- a/dev/standins/src/fleet/replica.rs
+++ b/dev/standins/src/fleet/replica.rs
@@ -128,7 +128,9 @@
     }
 }
 
-/// Starts a replica on weight version 1. A request is cancelled when its caller disconnects.
+/// Starts a replica on weight version 1. A request is cancelled when its caller disconnects. With
+/// [`FaultKind::CrashOn`](crate::FaultKind::CrashOn), the replica crashes after `pause_ms` when it
+/// runs a request whose body contains the fault's text.
 pub async fn start(
     listen: SocketAddr,
     settings: ReplicaSettings,
@@ -136,15 +138,23 @@
     let control = ReplicaControl::default();
     control.set_version(1);
     let shared = control.clone();
-    let handle = http::serve(listen, Control::new(), true, move |call| {
+    let process = Control::new();
+    let crashing = Arc::clone(&process);
+    let handle = http::serve(listen, process, true, move |call| {
         let (settings, control) = (settings.clone(), shared.clone());
-        async move { answer(&settings, &control, call).await }
+        let process = Arc::clone(&crashing);
+        async move { answer(&settings, &control, &process, call).await }
     })
     .await?;
     Ok((handle, control))
 }
 
-async fn answer(settings: &ReplicaSettings, control: &ReplicaControl, call: Call) -> Reply {
+async fn answer(
+    settings: &ReplicaSettings,
+    control: &ReplicaControl,
+    process: &Control,
+    call: Call,
+) -> Reply {
     let expected = call.header("hornbeamrock-expect-instance");
     if expected.is_some_and(|expected| expected != settings.id) {
         return with_headers(
@@ -156,7 +166,7 @@
     match call.path.as_str() {
         "/v1/report" => report(control),
         "/v1/order" => order(control, &call),
-        _ => run(settings, control, &call).await,
+        _ => run(settings, control, process, &call).await,
     }
 }
 
@@ -192,7 +202,12 @@
     reply::json(202, &json!({}))
 }
 
-async fn run(settings: &ReplicaSettings, control: &ReplicaControl, call: &Call) -> Reply {
+async fn run(
+    settings: &ReplicaSettings,
+    control: &ReplicaControl,
+    process: &Control,
+    call: &Call,
+) -> Reply {
     let id = call
         .header("hornbeamrock-request-id")
         .unwrap_or_default()
@@ -215,6 +230,12 @@
         (state.version, state.answers.get(&id).copied())
     };
     let run_guard = control.begin_run();
+    let body = String::from_utf8_lossy(&call.body);
+    if let Some(fault) = process.faults.trigger_crash(&body) {
+        tokio::time::sleep(Duration::from_millis(settings.pause_ms)).await;
+        process.crash(fault.delay_ms);
+        return std::future::pending().await;
+    }
     let stamp = format!("stamp-{id}");
     if let Some(status) = status {
         return with_headers(
--- a/dev/standins/src/handle.rs
+++ b/dev/standins/src/handle.rs
@@ -73,6 +73,11 @@
         self.control.requests.load(Ordering::Relaxed)
     }
 
+    /// Number of crashes since the start.
+    pub fn crashes(&self) -> u64 {
+        self.control.crashes()
+    }
+
     /// Closes all connections and listens again after `down_ms`. Only an engine loses its state in
     /// a crash (see [`crate::engine`]).
     pub fn crash(&self, down_ms: u64) {
