Quarantine: endpoints of any type, and attempts that did not run

No behaviour changes for the entries. Suspects identifies endpoints by a type parameter, so that another caller can tell incarnations of a replica apart, which share an address. The time for which an ended attempt counts as present gets a setting of its own, apart from the time within which reports are about one crash.

record_not_run forgets an attempt that an endpoint provably did not run: it can't be the cause of a crash. New test: clears_a_call_that_the_crashed_endpoint_did_not_run.

--- a/components/gateway/src/suspects.rs
+++ b/components/gateway/src/suspects.rs
@@ -191,7 +191,7 @@
 fn handle(suspects: &mut Suspects, command: Command, now_ms: u64) {
     match command {
         Command::TryStart(digest, endpoint, copies, answer) => {
-            let entry = suspects.try_start(digest, endpoint, copies, now_ms);
+            let entry = suspects.try_start(digest, &endpoint, copies, now_ms);
             // The caller was cancelled before the answer arrived, so its attempt never started.
             if let Err(StartDecision::Start(id)) = answer.send(entry) {
                 suspects.record_end(id, now_ms);
--- a/components/quarantine/src/crashes.rs
+++ b/components/quarantine/src/crashes.rs
@@ -4,7 +4,6 @@
 //! same crash it knows every call that may have caused the crash.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddr;
 
 use derive::value;
 
@@ -14,23 +13,31 @@
 const CRASHES_MAX: usize = 4_096;
 
 #[value]
-struct Crash {
-    endpoint: SocketAddr,
+struct Crash<E> {
+    endpoint: E,
     at_ms: u64,
     in_flight: BTreeSet<CallDigest>,
     /// Processes whose calls are in `in_flight`; `None` is this process.
-    reported_by: BTreeSet<Option<SocketAddr>>,
+    reported_by: BTreeSet<Option<E>>,
 }
 
 /// Recent crashes by number; numbers increase.
 #[value]
-#[derive(Default)]
-pub(crate) struct Crashes {
-    crashes: BTreeMap<u64, Crash>,
+pub(crate) struct Crashes<E> {
+    crashes: BTreeMap<u64, Crash<E>>,
     next_number: u64,
 }
 
-impl Crashes {
+impl<E> Default for Crashes<E> {
+    fn default() -> Self {
+        Self {
+            crashes: BTreeMap::new(),
+            next_number: 0,
+        }
+    }
+}
+
+impl<E: Clone + Ord> Crashes<E> {
     /// Records the calls that one process had in flight at a crash, and returns the number of the
     /// crash. `reported_by` is `None` for this process. Reports about one endpoint within
     /// `same_crash_window_ms` are about the same crash, unless they come from the same process.
@@ -40,14 +47,14 @@
     /// verdict, but never misses the cause.
     pub fn record(
         &mut self,
-        reported_by: Option<SocketAddr>,
-        endpoint: SocketAddr,
+        reported_by: Option<E>,
+        endpoint: &E,
         in_flight: impl IntoIterator<Item = CallDigest>,
         now_ms: u64,
         same_crash_window_ms: u64,
     ) -> u64 {
-        let is_in_window = |crash: &Crash| {
-            crash.endpoint == endpoint && crash.at_ms + same_crash_window_ms > now_ms
+        let is_in_window = |crash: &Crash<E>| {
+            crash.endpoint == *endpoint && crash.at_ms + same_crash_window_ms > now_ms
         };
         let mut in_window = self.crashes.iter().rev().filter(|(_, c)| is_in_window(c));
         let known = in_window.find(|(_, crash)| !crash.reported_by.contains(&reported_by));
@@ -57,7 +64,7 @@
         let mut shared: BTreeSet<CallDigest> = in_flight.into_iter().collect();
         shared.extend(in_window.flat_map(|crash| &crash.in_flight));
         let crash = self.crashes.entry(number).or_insert_with(|| Crash {
-            endpoint,
+            endpoint: endpoint.clone(),
             at_ms: now_ms,
             in_flight: BTreeSet::new(),
             reported_by: BTreeSet::new(),
@@ -86,7 +93,7 @@
 
     /// Whether all of the crashes are so old that every process has reported them.
     pub fn are_settled(&self, numbers: &BTreeSet<u64>, now_ms: u64, settle_ms: u64) -> bool {
-        let settled = |crash: &Crash| crash.at_ms + settle_ms <= now_ms;
+        let settled = |crash: &Crash<E>| crash.at_ms + settle_ms <= now_ms;
         let known = numbers.iter().filter_map(|number| self.crashes.get(number));
         known.into_iter().all(settled)
     }
--- a/components/quarantine/src/in_flight.rs
+++ b/components/quarantine/src/in_flight.rs
@@ -1,7 +1,6 @@
 //! The calls that this process has at endpoints, or had there shortly before.
 
 use std::collections::{BTreeSet, HashMap, VecDeque};
-use std::net::SocketAddr;
 
 use derive::value;
 
@@ -9,49 +8,57 @@
 
 /// An attempt of a call at an endpoint.
 #[value]
-pub(crate) struct Attempt {
+pub(crate) struct Attempt<E> {
     pub(crate) digest: CallDigest,
-    pub(crate) endpoint: SocketAddr,
+    pub(crate) endpoint: E,
     /// Number of the crash that ended the attempt; `None` while it runs.
     pub(crate) crash: Option<u64>,
 }
 
-impl Attempt {
-    fn is_running_at(&self, endpoint: SocketAddr) -> bool {
-        self.endpoint == endpoint && self.crash.is_none()
+impl<E: PartialEq> Attempt<E> {
+    fn is_running_at(&self, endpoint: &E) -> bool {
+        self.endpoint == *endpoint && self.crash.is_none()
     }
 }
 
 /// An attempt that ended without an answer and without a known crash.
 #[value]
-struct RecentAttempt {
+struct RecentAttempt<E> {
     digest: CallDigest,
-    endpoint: SocketAddr,
+    endpoint: E,
     at_ms: u64,
 }
 
 /// Attempts of one call that run at the same time.
 #[value]
-#[derive(Default)]
-struct RunningCopies {
+struct RunningCopies<E> {
     /// Endpoint of each attempt; an endpoint with several attempts is listed several times.
-    endpoints: Vec<SocketAddr>,
+    endpoints: Vec<E>,
     /// Whether an attempt has succeeded since the first of them started.
     any_succeeded: bool,
 }
 
+impl<E> Default for RunningCopies<E> {
+    fn default() -> Self {
+        Self {
+            endpoints: Vec::new(),
+            any_succeeded: false,
+        }
+    }
+}
+
 /// The attempts of this process.
 #[derive(Clone, Debug)]
-pub(crate) struct InFlight {
+pub(crate) struct InFlight<E> {
     /// How long an ended attempt still counts as present at its endpoint, in milliseconds.
     recent_ms: u64,
-    attempts: HashMap<AttemptId, Attempt>,
-    copies: HashMap<CallDigest, RunningCopies>,
-    recent: VecDeque<RecentAttempt>,
+    attempts: HashMap<AttemptId, Attempt<E>>,
+    copies: HashMap<CallDigest, RunningCopies<E>>,
+    recent: VecDeque<RecentAttempt<E>>,
     next_number: u64,
 }
 
-impl InFlight {
+impl<E: Clone + Ord> InFlight<E> {
     /// No attempts. An attempt that ends still counts as present for `recent_ms`.
     pub(crate) fn new(recent_ms: u64) -> Self {
         Self {
@@ -64,12 +71,12 @@
     }
 
     /// Records an attempt that is sent to an endpoint.
-    pub(crate) fn start(&mut self, digest: CallDigest, endpoint: SocketAddr) -> AttemptId {
+    pub(crate) fn start(&mut self, digest: CallDigest, endpoint: E) -> AttemptId {
         self.next_number += 1;
         let attempt = AttemptId(self.next_number);
         let started = Attempt {
             digest,
-            endpoint,
+            endpoint: endpoint.clone(),
             crash: None,
         };
         self.attempts.insert(attempt, started);
@@ -78,15 +85,15 @@
         attempt
     }
 
-    pub(crate) fn attempt(&self, attempt: AttemptId) -> Option<&Attempt> {
+    pub(crate) fn attempt(&self, attempt: AttemptId) -> Option<&Attempt<E>> {
         self.attempts.get(&attempt)
     }
 
     /// Removes an attempt that has ended, and returns it.
-    pub(crate) fn remove(&mut self, attempt: AttemptId) -> Option<Attempt> {
+    pub(crate) fn remove(&mut self, attempt: AttemptId) -> Option<Attempt<E>> {
         let ended = self.attempts.remove(&attempt)?;
         if let Some(copies) = self.copies.get_mut(&ended.digest) {
-            let at = copies.endpoints.iter().position(|&e| e == ended.endpoint);
+            let at = copies.endpoints.iter().position(|e| *e == ended.endpoint);
             at.map(|at| copies.endpoints.swap_remove(at));
             if copies.endpoints.is_empty() {
                 self.copies.remove(&ended.digest);
@@ -121,8 +128,8 @@
     }
 
     /// Records that a crash ended all attempts at the endpoint.
-    pub(crate) fn mark_crashed(&mut self, endpoint: SocketAddr, crash: u64) {
-        self.recent.retain(|recent| recent.endpoint != endpoint);
+    pub(crate) fn mark_crashed(&mut self, endpoint: &E, crash: u64) {
+        self.recent.retain(|recent| recent.endpoint != *endpoint);
         let attempts = self.attempts.values_mut();
         for attempt in attempts.filter(|attempt| attempt.is_running_at(endpoint)) {
             attempt.crash = Some(crash);
@@ -138,38 +145,30 @@
 
     /// Endpoints that a call may crash: those where it runs or ran shortly before. Empty if one of
     /// the concurrent attempts has succeeded.
-    pub(crate) fn endpoints_at_risk(
-        &self,
-        digest: CallDigest,
-        now_ms: u64,
-    ) -> BTreeSet<SocketAddr> {
+    pub(crate) fn endpoints_at_risk(&self, digest: CallDigest, now_ms: u64) -> BTreeSet<&E> {
         let copies = self.copies.get(&digest);
         if copies.is_some_and(|copies| copies.any_succeeded) {
             return BTreeSet::new();
         }
-        let running = copies.into_iter().flat_map(|s| s.endpoints.iter().copied());
+        let running = copies.into_iter().flat_map(|s| s.endpoints.iter());
         let recent = self.recent.iter().filter(|recent| recent.digest == digest);
         let recent = recent.filter(|recent| recent.at_ms + self.recent_ms > now_ms);
         running
-            .chain(recent.map(|recent| recent.endpoint))
+            .chain(recent.map(|recent| &recent.endpoint))
             .collect()
     }
 
     /// Calls that run at the endpoint.
-    pub(crate) fn running_at(&self, endpoint: SocketAddr) -> impl Iterator<Item = CallDigest> {
+    pub(crate) fn running_at(&self, endpoint: &E) -> impl Iterator<Item = CallDigest> {
         let attempts = self.attempts.values();
         let running = attempts.filter(move |attempt| attempt.is_running_at(endpoint));
         running.map(|attempt| attempt.digest)
     }
 
     /// Calls that run at the endpoint or ran there shortly before.
-    pub(crate) fn running_or_recent_at(
-        &self,
-        endpoint: SocketAddr,
-        now_ms: u64,
-    ) -> BTreeSet<CallDigest> {
-        let is_there = |recent: &&RecentAttempt| {
-            recent.endpoint == endpoint && recent.at_ms + self.recent_ms > now_ms
+    pub(crate) fn running_or_recent_at(&self, endpoint: &E, now_ms: u64) -> BTreeSet<CallDigest> {
+        let is_there = |recent: &&RecentAttempt<E>| {
+            recent.endpoint == *endpoint && recent.at_ms + self.recent_ms > now_ms
         };
         let recent = self.recent.iter().filter(is_there);
         let running = self.running_at(endpoint);
--- a/components/quarantine/src/settings.rs
+++ b/components/quarantine/src/settings.rs
@@ -12,8 +12,11 @@
     /// No call is condemned for the crash before that.
     pub settle_ms: u64,
     /// Reports of several processes about one endpoint within this time are about the same crash,
-    /// in milliseconds. An attempt that ended also counts as present at its endpoint for this time.
+    /// in milliseconds.
     pub same_crash_window_ms: u64,
+    /// How long an attempt that ended without an answer still counts as present at its endpoint, in
+    /// milliseconds.
+    pub recent_attempt_ms: u64,
     /// How long a crash counts against the calls that were in flight, in milliseconds.
     pub suspect_retention_ms: u64,
     /// How long a condemned call is refused, in milliseconds.
@@ -31,6 +34,7 @@
             condemn_after_crashes: 2,
             settle_ms: 600,
             same_crash_window_ms: 1_000,
+            recent_attempt_ms: 1_000,
             suspect_retention_ms: 600_000,
             condemned_ms: 600_000,
             retry_wait_ms: 100,
--- a/components/quarantine/src/suspects.rs
+++ b/components/quarantine/src/suspects.rs
@@ -59,23 +59,24 @@
     last_ms: u64,
 }
 
-/// The calls in flight and the records of suspected and condemned calls.
+/// The calls in flight and the records of suspected and condemned calls. `E` identifies an endpoint
+/// or a process that reports crashes, by default by its address.
 #[derive(Clone, Debug)]
-pub struct Suspects {
+pub struct Suspects<E = SocketAddr> {
     settings: SuspectSettings,
-    in_flight: InFlight,
+    in_flight: InFlight<E>,
     records: BTreeMap<CallDigest, Record>,
-    crashes: Crashes,
+    crashes: Crashes<E>,
     condemned_to_send: Vec<CondemnedCall>,
-    crashes_to_send: Vec<EndpointCrash>,
+    crashes_to_send: Vec<EndpointCrash<E>>,
 }
 
-impl Suspects {
+impl<E: Clone + Ord> Suspects<E> {
     /// No calls in flight and no suspects.
     pub fn new(settings: SuspectSettings) -> Self {
         Self {
             settings,
-            in_flight: InFlight::new(settings.same_crash_window_ms),
+            in_flight: InFlight::new(settings.recent_attempt_ms),
             records: BTreeMap::new(),
             crashes: Crashes::default(),
             condemned_to_send: Vec::new(),
@@ -107,7 +108,7 @@
     pub fn try_start(
         &mut self,
         digest: CallDigest,
-        endpoint: SocketAddr,
+        endpoint: &E,
         copies: CopyPlacement,
         now_ms: u64,
     ) -> StartDecision {
@@ -128,13 +129,13 @@
             {
                 StartDecision::OtherEndpoint
             }
-            _ => StartDecision::Start(self.in_flight.start(digest, endpoint)),
+            _ => StartDecision::Start(self.in_flight.start(digest, endpoint.clone())),
         }
     }
 
     /// Whether the endpoint runs no suspect and may get new calls. For processes that queue calls
     /// before [`Suspects::try_start`].
-    pub fn accepts_new_calls(&self, endpoint: SocketAddr, now_ms: u64) -> bool {
+    pub fn accepts_new_calls(&self, endpoint: &E, now_ms: u64) -> bool {
         !self.runs_suspect(endpoint, now_ms)
     }
 
@@ -151,8 +152,14 @@
         }
     }
 
+    /// Records that the endpoint provably did not run an attempt, so that it cannot have caused a
+    /// crash.
+    pub fn record_not_run(&mut self, attempt: AttemptId) {
+        self.in_flight.remove(attempt);
+    }
+
     /// Records that an attempt was cancelled, refused, or failed without a known crash. It still
-    /// counts as in flight for `same_crash_window_ms`, because the report of a crash may be late:
+    /// counts as in flight for `recent_attempt_ms`, because the report of a crash may be late:
     /// without the call that caused the crash, an innocent call could be the only one in flight.
     pub fn record_end(&mut self, attempt: AttemptId, now_ms: u64) {
         self.in_flight.record_end(attempt, now_ms);
@@ -164,7 +171,7 @@
             return Verdict::Retry;
         };
         if ended.crash.is_none() {
-            self.record_local_crash(ended.endpoint, now_ms);
+            self.record_local_crash(&ended.endpoint, now_ms);
         }
         self.in_flight.remove(attempt);
         self.verdict(ended.digest, now_ms)
@@ -183,7 +190,7 @@
 
     /// Records the calls that the entry `from` had in flight at a crash. If this process has calls
     /// at the endpoint too, it records the crash for them and reports them.
-    pub fn record_peer_crash(&mut self, from: SocketAddr, crashed: &EndpointCrash, now_ms: u64) {
+    pub fn record_peer_crash(&mut self, from: E, crashed: &EndpointCrash<E>, now_ms: u64) {
         let EndpointCrash {
             endpoint,
             in_flight,
@@ -192,7 +199,7 @@
         let same_ms = self.settings.same_crash_window_ms;
         let crash = self
             .crashes
-            .record(Some(from), *endpoint, digests, now_ms, same_ms);
+            .record(Some(from), endpoint, digests, now_ms, same_ms);
         for &digest in in_flight {
             self.add_crash(digest, crash, now_ms);
         }
@@ -200,17 +207,17 @@
         if !self.crashes.is_reported_locally(crash)
             && !self
                 .in_flight
-                .running_or_recent_at(*endpoint, now_ms)
+                .running_or_recent_at(endpoint, now_ms)
                 .is_empty()
         {
-            self.record_local_crash(*endpoint, now_ms);
+            self.record_local_crash(endpoint, now_ms);
         }
         self.evict(now_ms);
     }
 
     /// Returns the crashes recorded since the last call of this method, to be sent to the other
     /// entries.
-    pub fn take_crashes(&mut self) -> Vec<EndpointCrash> {
+    pub fn take_crashes(&mut self) -> Vec<EndpointCrash<E>> {
         std::mem::take(&mut self.crashes_to_send)
     }
 
@@ -263,7 +270,10 @@
         });
     }
 
-    fn runs_suspect(&self, endpoint: SocketAddr, now_ms: u64) -> bool {
+    fn runs_suspect(&self, endpoint: &E, now_ms: u64) -> bool {
+        if self.records.is_empty() {
+            return false;
+        }
         let mut running = self.in_flight.running_at(endpoint);
         running.any(|digest| self.status(digest, now_ms) != DigestStatus::Clear)
     }
@@ -271,15 +281,15 @@
     /// Whether a copy at this endpoint would put more endpoints at risk than the number of crashes
     /// that condemns a call. Without this limit, copies that are submitted before the first crash
     /// is known could crash one endpoint each.
-    fn exceeds_copy_limit(&self, digest: CallDigest, endpoint: SocketAddr, now_ms: u64) -> bool {
+    fn exceeds_copy_limit(&self, digest: CallDigest, endpoint: &E, now_ms: u64) -> bool {
         let endpoints_at_risk = self.in_flight.endpoints_at_risk(digest, now_ms);
         endpoints_at_risk.len() >= self.settings.condemn_after_crashes
-            && !endpoints_at_risk.contains(&endpoint)
+            && !endpoints_at_risk.contains(endpoint)
     }
 
     /// Records one crash for all attempts in flight at the endpoint. The attempts report their ends
     /// one by one, and these reports must not count as separate crashes.
-    fn record_local_crash(&mut self, endpoint: SocketAddr, now_ms: u64) {
+    fn record_local_crash(&mut self, endpoint: &E, now_ms: u64) {
         let in_flight = self.in_flight.running_or_recent_at(endpoint, now_ms);
         let digests = in_flight.iter().copied();
         let same_ms = self.settings.same_crash_window_ms;
@@ -291,7 +301,7 @@
             self.add_crash(digest, crash, now_ms);
         }
         self.crashes_to_send.push(EndpointCrash {
-            endpoint,
+            endpoint: endpoint.clone(),
             in_flight: in_flight.into_iter().collect(),
         });
         self.evict(now_ms);
--- a/components/quarantine/src/verdict.rs
+++ b/components/quarantine/src/verdict.rs
@@ -67,9 +67,9 @@
 
 /// The calls that one process had in flight at a crash; sent to the other entries.
 #[value]
-pub struct EndpointCrash {
-    /// Address of the endpoint's agent.
-    pub endpoint: SocketAddr,
+pub struct EndpointCrash<E = SocketAddr> {
+    /// The endpoint, by default as the address of its agent.
+    pub endpoint: E,
     /// Calls of the process that ran at the endpoint at the crash or shortly before.
     pub in_flight: Vec<CallDigest>,
 }
--- a/components/quarantine/tests/suspects.rs
+++ b/components/quarantine/tests/suspects.rs
@@ -31,7 +31,7 @@
 }
 
 fn try_start(suspects: &mut Suspects, digest: u8, at: u8, now_ms: u64) -> StartDecision {
-    suspects.try_start(call(digest), endpoint(at), CopyPlacement::Limited, now_ms)
+    suspects.try_start(call(digest), &endpoint(at), CopyPlacement::Limited, now_ms)
 }
 
 /// Guards against condemning innocent calls. A bad call crashes an endpoint that runs two others.
@@ -53,7 +53,7 @@
         "an endpoint must not run two suspects"
     );
     assert!(
-        !suspects.accepts_new_calls(endpoint(2), 20),
+        !suspects.accepts_new_calls(&endpoint(2), 20),
         "an endpoint that runs a suspect must not get a new call"
     );
     let copy = try_start(&mut suspects, BAD, 3, 20);
@@ -160,7 +160,7 @@
         start(&mut suspects, BAD, 3, 1_010).is_some(),
         "an attempt that ended long ago must not count"
     );
-    let isolated = suspects.try_start(call(BAD), endpoint(4), CopyPlacement::Unlimited, 1_010);
+    let isolated = suspects.try_start(call(BAD), &endpoint(4), CopyPlacement::Unlimited, 1_010);
     assert!(
         matches!(isolated, StartDecision::Start(_)),
         "samples of a group must not be limited"
@@ -301,3 +301,21 @@
         true
     }
 }
+
+/// Guards against suspecting a call that was refused by an endpoint, or could not be sent to it,
+/// shortly before the endpoint crashed.
+#[test]
+fn clears_a_call_that_the_crashed_endpoint_did_not_run() {
+    let mut suspects = Suspects::new(SuspectSettings::default());
+    let bad = start(&mut suspects, BAD, 1, 0).unwrap();
+    let refused = start(&mut suspects, 1, 1, 0).unwrap();
+    let cancelled = start(&mut suspects, 2, 1, 0).unwrap();
+    suspects.record_not_run(refused);
+    suspects.record_end(cancelled, 5);
+    suspects.record_crash(bad, 10);
+    assert_eq!(suspects.status(call(1), 10), DigestStatus::Clear);
+    assert_eq!(
+        suspects.status(call(2), 10),
+        DigestStatus::Suspect { crashes: 1 }
+    );
+}
