Front: refuse requests that crash the replicas that run them

What callers saw: a lookup that crashes replicas came again and again, and each time every front sent it to as many replicas as its route allows. 20 and 22 replicas of the plain service ended in waves of up to 14 s; other lookups were refused and the trainer's reward calls failed while few replicas were left.

Cause: a front kept nothing about the calls that were at a replica when it crashed. The quarantine that decides this in the entries was not used in the front.

Now every attempt of a call asks the quarantine before it is sent. A replica counts as crashed if it closes a connection without an answer, refuses the next one, and was not to leave. The calls in flight there are written to the index, so all fronts, also those that start later, come to the same verdict: a call that was in flight at two crashes, as the only one at both, is refused for ten minutes with 503 and the time to come back. Before that a suspect runs apart from other calls, one copy at a time.

--- a/components/front/src/calls.rs
+++ b/components/front/src/calls.rs
@@ -31,14 +31,15 @@
 use crate::metrics;
 use crate::peers::{Incarnation, Member, ReplicaTable, incarnation};
 use crate::state::Front;
+use crate::suspects::{self, InFlightAttempt, StartPermission, SuspectRefusal};
 
 /// A hedged request is sent after this multiple of the route's typical latency.
 const HEDGE_LATENCY_FACTOR: u64 = 3;
 /// Shortest delay of a hedged request, in milliseconds. A second request that is sent earlier
 /// rarely finishes first.
 const HEDGE_DELAY_MS_MIN: u64 = 50;
-/// Interval at which a waiting background call looks for a replica with room, in milliseconds.
-const BACKGROUND_POLL_MS: u64 = 10;
+/// Interval at which a waiting call looks for a replica that may run it, in milliseconds.
+const POLL_MS: u64 = 10;
 
 /// A call of a route.
 pub struct CallSpec<'a> {
@@ -72,6 +73,18 @@
     Failed(CallFailure, String),
     /// Refused by the queue: no replica has run the call, and none will.
     Refused(Refusal),
+    /// Refused because the call crashes replicas or may do so: no replica has run it, and none will.
+    Suspected(SuspectRefusal),
+}
+
+/// A replica for the next attempt.
+enum Granted<'a> {
+    Place(Slot<'a>, InFlightAttempt),
+    NoReplica,
+    /// The queue refuses the call.
+    Refused(Refusal),
+    /// The call crashes replicas or may do so.
+    Suspected(SuspectRefusal),
 }
 
 struct Attempt {
@@ -81,7 +94,7 @@
     refused: bool,
     reason: String,
     replica: ReplicaId,
-    /// Whether the replica's process ended during the attempt.
+    /// Whether the replica's process ended during the attempt, on a machine that still runs.
     crashed: bool,
 }
 
@@ -151,27 +164,36 @@
     let outcome = loop {
         if attempts.is_empty() {
             let asked_us = now_us();
-            let selected = select_replica(front, spec, &typical, &tried, was_refused).await;
+            let granted = acquire(front, spec, digest, &typical, &tried, was_refused).await;
             waited_ms += (now_us() - asked_us) / 1_000;
-            match selected {
-                Acquired::Slot(slot) => {
+            let (refused, why) = match granted {
+                Granted::Place(slot, in_flight) => {
                     tried.push(incarnation(&slot.member.replica));
                     let sent = counted_request.start_attempt();
-                    attempts.push(attempt(spec, slot, Arc::clone(&typical), sent));
+                    let typical = Arc::clone(&typical);
+                    attempts.push(attempt(front, spec, slot, typical, sent, in_flight));
+                    continue;
                 }
-                Acquired::NoReplica => {
+                Granted::NoReplica => {
                     let end = failure_without_replica(may_have_run);
                     break CallOutcome::Failed(end, "no replica available".to_owned());
                 }
-                Acquired::Refused(refusal) => match failure.take() {
-                    Some(answer) => break CallOutcome::Answer(answer),
-                    None if may_have_run => {
-                        let why = format!("no retry: {}", refusal.reason.as_str());
-                        break CallOutcome::Failed(CallFailure::Unknown, why);
-                    }
-                    None => break CallOutcome::Refused(refusal),
-                },
-            }
+                Granted::Refused(refusal) => {
+                    let why = refusal.reason.as_str();
+                    (CallOutcome::Refused(refusal), why)
+                }
+                Granted::Suspected(refusal) => {
+                    let why = refusal.reason();
+                    (CallOutcome::Suspected(refusal), why)
+                }
+            };
+            break match failure.take() {
+                Some(answer) => CallOutcome::Answer(answer),
+                None if may_have_run => {
+                    CallOutcome::Failed(CallFailure::Unknown, format!("no retry: {why}"))
+                }
+                None => refused,
+            };
         }
         let hedge_delay = hedge_delay(spec, &typical, tried.len(), attempts.len());
         let left = Duration::from_millis(spec.left_ms());
@@ -212,11 +234,15 @@
                 }
             }
             () = tokio::time::sleep(hedge_delay.unwrap_or(left)), if hedge_delay.is_some_and(|delay| delay < left) => {
-                if let Some(slot) = select_hedge(front, spec, &typical, &tried) {
+                if let Some(slot) = select_hedge(front, spec, &typical, &tried)
+                    && let StartPermission::Start(in_flight) =
+                        front.suspects.try_start(digest, &slot.member.replica)
+                {
                     record_hedge(front, spec, &typical, &tried);
                     tried.push(incarnation(&slot.member.replica));
                     let sent = counted_request.start_attempt();
-                    attempts.push(attempt(spec, slot, Arc::clone(&typical), sent));
+                    let typical = Arc::clone(&typical);
+                    attempts.push(attempt(front, spec, slot, typical, sent, in_flight));
                 }
             }
             () = tokio::time::sleep(left) => {
@@ -289,6 +315,11 @@
             estimated_ms = refusal.estimated_ms, queue = refusal.queued,
             why = refusal.reason.as_str(); ""
         ),
+        CallOutcome::Suspected(refusal) => log::info!(
+            event = "call-quarantined", id = spec.request_id, call:% = digest,
+            route = &*spec.route.name, customer = spec.customer.unwrap_or("none"),
+            retry_after_ms = refusal.retry_after_ms, why = refusal.reason(); ""
+        ),
     }
 }
 
@@ -306,8 +337,13 @@
     front
         .metrics
         .record("front_call_wait_ms", wait_label, waited_ms);
-    if let CallOutcome::Refused(refusal) = outcome {
-        let reason = ("reason", refusal.reason.as_str());
+    let refused_for = match outcome {
+        CallOutcome::Refused(refusal) => Some(refusal.reason.as_str()),
+        CallOutcome::Suspected(refusal) => Some(refusal.reason()),
+        CallOutcome::Answer(_) | CallOutcome::Failed(..) => None,
+    };
+    if let Some(reason) = refused_for {
+        let reason = ("reason", reason);
         let refused_label = metrics::tagged_call_label(spec.background, reason);
         front
             .metrics
@@ -323,9 +359,9 @@
             "front_calls_failed_total"
         }
         CallOutcome::Answer(_) => "front_calls_answered_total",
-        CallOutcome::Failed(CallFailure::NotRun, _) | CallOutcome::Refused(_) => {
-            "front_calls_not_run_total"
-        }
+        CallOutcome::Failed(CallFailure::NotRun, _)
+        | CallOutcome::Refused(_)
+        | CallOutcome::Suspected(_) => "front_calls_not_run_total",
         CallOutcome::Failed(CallFailure::TimedOut, _) => "front_calls_timed_out_total",
         CallOutcome::Failed(CallFailure::Unknown, _) => "front_calls_unknown_total",
     };
@@ -376,6 +412,43 @@
     !member.replica.draining
 }
 
+/// A place for the next attempt, at a replica where the call may run. A call that crashes replicas
+/// or may do so is kept apart from other calls; it is refused before it takes a place.
+async fn acquire<'a>(
+    front: &'a Front,
+    spec: &CallSpec<'_>,
+    digest: CallDigest,
+    typical: &TypicalDuration,
+    tried: &[Incarnation],
+    was_refused: bool,
+) -> Granted<'a> {
+    let mut unavailable = tried.to_vec();
+    loop {
+        if let Some(refusal) = front.suspects.refusal(digest) {
+            return Granted::Suspected(refusal);
+        }
+        let is_kept_apart = unavailable.len() > tried.len();
+        let was_refused = was_refused || is_kept_apart;
+        let slot = match select_replica(front, spec, typical, &unavailable, was_refused).await {
+            Acquired::Slot(slot) => slot,
+            Acquired::Refused(refusal) => return Granted::Refused(refusal),
+            Acquired::NoReplica if is_kept_apart && spec.left_ms() > 0 => {
+                // Each replica left runs a suspect, or will be tried again after it.
+                unavailable.truncate(tried.len());
+                tokio::time::sleep(Duration::from_millis(POLL_MS)).await;
+                continue;
+            }
+            Acquired::NoReplica => return Granted::NoReplica,
+        };
+        let replica = &slot.member.replica;
+        match front.suspects.try_start(digest, replica) {
+            StartPermission::Start(in_flight) => return Granted::Place(slot, in_flight),
+            StartPermission::OtherReplica => unavailable.push(incarnation(replica)),
+            StartPermission::Refused(refusal) => return Granted::Suspected(refusal),
+        }
+    }
+}
+
 /// Selects the replica for the next attempt. Waits for a place where the calls of the service are
 /// queued; elsewhere only a background call waits until a replica has room for it.
 async fn select_replica<'a>(
@@ -402,7 +475,7 @@
         if !wait_for_room || choose_member(front, spec, typical, tried, false).is_none() {
             return member.map_or(Acquired::NoReplica, |member| Acquired::Slot(slot(member)));
         }
-        tokio::time::sleep(Duration::from_millis(BACKGROUND_POLL_MS)).await;
+        tokio::time::sleep(Duration::from_millis(POLL_MS)).await;
     }
 }
 
@@ -537,10 +610,12 @@
 
 /// Sends the call to one replica and updates the replica's load estimate by the outcome.
 async fn attempt(
+    front: &Front,
     spec: &CallSpec<'_>,
     mut slot: Slot<'_>,
     typical: Arc<TypicalDuration>,
     sent: SentAt,
+    in_flight: InFlightAttempt,
 ) -> Attempt {
     let member = slot.member.clone();
     let load = &member.peer.load;
@@ -558,6 +633,7 @@
         Err(error) => {
             load.record_failure(now_ms());
             slot.record_not_sent();
+            in_flight.record_not_run();
             return failed(AttemptOutcome::NotRun, error.to_string());
         }
     };
@@ -568,14 +644,12 @@
     let answered = tokio::select! {
         answered = replica::call(&mut connection, call, Duration::from_millis(left_ms)) => answered,
         () = member.peer.wait_for_restart(sent_ms) => {
-            return Attempt {
-                crashed: true,
-                ..failed(AttemptOutcome::Unknown, "the replica restarted".to_owned())
-            };
+            return failed(AttemptOutcome::Unknown, "the replica restarted".to_owned());
         }
     };
     match answered {
         Ok((answer, reusable)) => {
+            in_flight.record_answer();
             if reusable {
                 member
                     .peer
@@ -625,7 +699,12 @@
                 false => AttemptOutcome::Unknown,
             };
             let crashed = matches!(error, ReplicaError::OutcomeUnknown(_))
-                && member.peer.refuses_connections(&member.replica).await;
+                && suspects::has_crashed(front, &member).await;
+            if crashed {
+                in_flight.record_crash();
+            } else if error.is_not_run() {
+                in_flight.record_not_run();
+            }
             Attempt {
                 refused: matches!(error, ReplicaError::NotRun(_)),
                 crashed,
--- a/components/front/src/follow/index.rs
+++ b/components/front/src/follow/index.rs
@@ -50,12 +50,19 @@
 }
 
 fn apply(front: &Front, from: u64, records: &[Bytes], now_ms: u64) {
-    let mut index = front.index();
-    index.apply(from, records, now_ms, |offset, error| {
-        log::warn!(event = "record-malformed", topic = INDEX_TOPIC, offset, error:% = error; "");
-    });
-    let retention_ms = front.settings.bounds.job_readable_ms + RETENTION_SLACK_MS;
-    index.ledger.remove_older_than(retention_ms, now_ms);
+    let crash_reports = {
+        let mut index = front.index();
+        index.apply(from, records, now_ms, |offset, error| {
+            log::warn!(event = "record-malformed", topic = INDEX_TOPIC, offset, error:% = error; "");
+        });
+        let retention_ms = front.settings.bounds.job_readable_ms + RETENTION_SLACK_MS;
+        index.ledger.remove_older_than(retention_ms, now_ms);
+        index.take_crash_reports()
+    };
+    let utc_ms = front.meter.utc_ms(now_ms);
+    for report in &crash_reports {
+        front.suspects.apply(report, utc_ms);
+    }
 }
 
 /// Read barrier: waits until the index has been read to its end after this call. A front whose
--- a/components/front/src/lib.rs
+++ b/components/front/src/lib.rs
@@ -39,6 +39,7 @@
 mod storage;
 mod store_calls;
 mod stream;
+mod suspects;
 mod writer;
 
 pub use start::{Bound, FrontError, run};
--- a/components/front/src/reward.rs
+++ b/components/front/src/reward.rs
@@ -80,6 +80,10 @@
                     .retry_after_ms
                     .clamp(RETRY_PAUSE_MS, REFUSED_PAUSE_MS_MAX);
             }
+            CallOutcome::Suspected(refusal) => {
+                let retry_after_ms = u64::from(refusal.retry_after_ms);
+                pause_ms = retry_after_ms.min(REFUSED_PAUSE_MS_MAX);
+            }
             CallOutcome::Failed(..) => {}
         }
         tokio::time::sleep(Duration::from_millis(pause_ms)).await;
--- a/components/front/src/serve.rs
+++ b/components/front/src/serve.rs
@@ -17,6 +17,7 @@
 use crate::held::{self, HeldGuard};
 use crate::results::{self, ReadResult};
 use crate::state::Front;
+use crate::suspects::SuspectRefusal;
 use crate::{access, jobs, metrics, stream};
 
 /// Retry-After of a front that has not read a configuration yet, in milliseconds.
@@ -325,9 +326,17 @@
             let retry_after_ms = Some(refusal.retry_after_ms);
             ingress::status_response(status, Some(id), retry_after_ms, refusal.reason.as_str())
         }
+        CallOutcome::Suspected(refusal) => suspect_response(&refusal, id),
     }
 }
 
+/// Refuses a request that crashes replicas or may do so, and that none has run.
+fn suspect_response(refusal: &SuspectRefusal, id: &str) -> Response<ResponseBody> {
+    let status = StatusCode::SERVICE_UNAVAILABLE;
+    let retry_after_ms = Some(u64::from(refusal.retry_after_ms));
+    ingress::status_response(status, Some(id), retry_after_ms, refusal.reason())
+}
+
 fn failure_response(end: CallFailure, id: &str) -> Response<ResponseBody> {
     match end {
         CallFailure::NotRun => {
--- a/components/front/src/state.rs
+++ b/components/front/src/state.rs
@@ -31,6 +31,7 @@
 use crate::peers::ReplicaTable;
 use crate::runner::MoveCounts;
 use crate::storage::Storage;
+use crate::suspects::SuspectCalls;
 
 /// Assumed latency of a route without any completed call, in milliseconds.
 const INITIAL_LATENCY_MS: u64 = 40;
@@ -100,6 +101,8 @@
     pub close_connections: watch::Sender<bool>,
     /// Calls that wait for a replica, by service.
     pub call_queues: CallQueues,
+    /// Calls in flight, and those that crash replicas.
+    pub suspects: Arc<SuspectCalls>,
     /// Typical latency by route.
     typical_durations: Mutex<HashMap<Arc<str>, Arc<TypicalDuration>>>,
 }
@@ -138,6 +141,7 @@
             drain,
             close_connections: watch::Sender::new(false),
             call_queues: CallQueues::default(),
+            suspects: Arc::new(SuspectCalls::new(&settings.node, rand::random())),
             typical_durations: Mutex::default(),
             settings,
         }
--- /dev/null
+++ b/components/front/src/suspects.rs
@@ -0,0 +1,261 @@
+//! Keeps calls that crash replicas from crashing more of them.
+//!
+//! Every attempt asks [`SuspectCalls`] before it is sent, and reports how it ended. When a replica
+//! crashes, the calls that this front had there are written to the index. All fronts read the
+//! reports, also those that start later, and come to the same verdict about the call that was in
+//! flight at each of several crashes. The verdicts are decided in `quarantine`.
+//!
+//! A replica counts as crashed if it closes a connection without an answer and refuses the next one.
+//! The loss of a whole machine closes no connection, and makes no call a suspect.
+//!
+//! Without the store, each front knows only the crashes that it saw itself.
+
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use dispatch::Replica;
+use index::LogRecord;
+use quarantine::{
+    AttemptId, CallDigest, CopyPlacement, CrashReport, StartDecision, SuspectSettings, Suspects,
+};
+use tokio::sync::Notify;
+
+use crate::clock::now_ms;
+use crate::metrics;
+use crate::peers::{Member, incarnation};
+use crate::state::{Front, lock};
+use crate::writer::{append_with_retry, write_index};
+
+/// Time within which the reports of the other fronts about a crash arrive, in milliseconds: a front
+/// whose clients don't wait for records reads the index each half second.
+const SETTLE_MS: u64 = 1_000;
+/// Retry-After of a suspect whose other copy runs or whose reports are awaited, in milliseconds.
+const RETRY_AFTER_MS: u32 = 500;
+/// Interval at which expired records are removed, in milliseconds.
+const EXPIRE_INTERVAL_MS: u64 = 10_000;
+/// Number of calls that the log line about a crash names.
+const LOGGED_CALLS_MAX: usize = 8;
+
+/// The calls in flight of this front, and what all fronts know of crashes.
+pub struct SuspectCalls {
+    suspects: Mutex<Suspects<Arc<str>>>,
+    retention_ms: u64,
+    /// Name under which this process reports crashes. Another process of the same node has another
+    /// one, so that a front learns from its own reports of before a restart.
+    reporter: String,
+    /// Notified when there are crashes to report.
+    crashed: Notify,
+}
+
+/// Answer to an attempt that asks to start.
+pub enum StartPermission {
+    /// The attempt may start at the replica.
+    Start(InFlightAttempt),
+    /// Another replica may run the call.
+    OtherReplica,
+    /// No replica may run the call now.
+    Refused(SuspectRefusal),
+}
+
+/// Why no replica may run a call now.
+pub struct SuspectRefusal {
+    /// Whether the call is known to crash replicas; otherwise it is suspected.
+    pub condemned: bool,
+    pub retry_after_ms: u32,
+}
+
+impl SuspectRefusal {
+    /// Name of the reason in log lines and metrics.
+    pub fn reason(&self) -> &'static str {
+        match self.condemned {
+            true => "crashes-replicas",
+            false => "may-crash-replicas",
+        }
+    }
+}
+
+/// An attempt that counts as in flight. Dropping it records its end without an answer.
+pub struct InFlightAttempt {
+    id: Option<AttemptId>,
+    calls: Arc<SuspectCalls>,
+}
+
+impl SuspectCalls {
+    /// No known crashes. `node` names this front, and `random` its process.
+    pub fn new(node: &str, random: u64) -> Self {
+        let defaults = SuspectSettings::default();
+        let settings = SuspectSettings {
+            settle_ms: SETTLE_MS,
+            // An incarnation of a replica crashes once.
+            same_crash_window_ms: defaults.suspect_retention_ms,
+            retry_wait_ms: RETRY_AFTER_MS,
+            ..defaults
+        };
+        Self {
+            suspects: Mutex::new(Suspects::new(settings)),
+            retention_ms: defaults.suspect_retention_ms,
+            reporter: format!("{node}/{random:016x}"),
+            crashed: Notify::new(),
+        }
+    }
+
+    /// The refusal of a call that no replica may run now; `None` if some replica may.
+    pub fn refusal(&self, digest: CallDigest) -> Option<SuspectRefusal> {
+        let mut suspects = lock(&self.suspects);
+        let decision = suspects.decide_at_any_endpoint(digest, now_ms());
+        log_condemned(&mut suspects);
+        refusal_of(&decision?)
+    }
+
+    /// Asks for permission to send a call to a replica.
+    pub fn try_start(self: &Arc<Self>, digest: CallDigest, replica: &Replica) -> StartPermission {
+        let mut suspects = lock(&self.suspects);
+        let endpoint = endpoint_name(replica);
+        let copies = CopyPlacement::Unlimited;
+        let decision = suspects.try_start(digest, &endpoint, copies, now_ms());
+        log_condemned(&mut suspects);
+        match (refusal_of(&decision), decision) {
+            (Some(refusal), _) => StartPermission::Refused(refusal),
+            (None, StartDecision::Start(id)) => StartPermission::Start(InFlightAttempt {
+                id: Some(id),
+                calls: Arc::clone(self),
+            }),
+            (None, _) => StartPermission::OtherReplica,
+        }
+    }
+
+    /// Applies the report of a crash that was read from the index. `utc_ms` is the current time.
+    pub fn apply(&self, report: &CrashReport, utc_ms: u64) {
+        let is_old = report.noticed_unix_ms + self.retention_ms < utc_ms;
+        if is_old || report.reporter == self.reporter {
+            return;
+        }
+        log::info!(
+            event = "replica-crash-heard", replica = report.endpoint, front = report.reporter,
+            calls = names(&report.in_flight), in_flight = report.in_flight.len(); ""
+        );
+        let reporter = report.reporter.as_str().into();
+        lock(&self.suspects).record_peer_crash(reporter, &report.crash(), now_ms());
+        // A call of this front at the replica is reported too.
+        self.crashed.notify_one();
+    }
+
+    fn take_reports(&self, utc_ms: u64) -> Vec<CrashReport> {
+        let crashes = lock(&self.suspects).take_crashes();
+        let report = |crash| CrashReport::new(&self.reporter, crash, utc_ms);
+        crashes.into_iter().map(report).collect()
+    }
+}
+
+impl InFlightAttempt {
+    /// Records that the replica answered.
+    pub fn record_answer(mut self) {
+        if let Some(id) = self.id.take() {
+            lock(&self.calls.suspects).record_success(id);
+        }
+    }
+
+    /// Records that the replica provably did not run the call.
+    pub fn record_not_run(mut self) {
+        if let Some(id) = self.id.take() {
+            lock(&self.calls.suspects).record_not_run(id);
+        }
+    }
+
+    /// Records that the replica crashed during the attempt.
+    pub fn record_crash(mut self) {
+        if let Some(id) = self.id.take() {
+            // Whether the call may be retried is decided when the next attempt asks to start.
+            lock(&self.calls.suspects).record_crash(id, now_ms());
+            self.calls.crashed.notify_one();
+        }
+    }
+}
+
+impl Drop for InFlightAttempt {
+    fn drop(&mut self) {
+        if let Some(id) = self.id.take() {
+            lock(&self.calls.suspects).record_end(id, now_ms());
+        }
+    }
+}
+
+/// Whether a replica that lost a connection has crashed. The end of a replica that is draining or
+/// no longer listed was planned.
+pub async fn has_crashed(front: &Front, member: &Member) -> bool {
+    let is_expected_to_run = || {
+        let table = front.replicas.load();
+        let mut listed = table.of(&member.replica.service).iter();
+        listed.any(|other| {
+            incarnation(&other.replica) == incarnation(&member.replica) && !other.replica.draining
+        })
+    };
+    is_expected_to_run() && member.peer.refuses_connections(&member.replica).await
+}
+
+/// Writes reports of crashes to the index until the process ends.
+pub async fn write_reports(front: Arc<Front>) {
+    let interval = Duration::from_millis(EXPIRE_INTERVAL_MS);
+    loop {
+        tokio::select! {
+            () = front.suspects.crashed.notified() => {}
+            () = tokio::time::sleep(interval) => {
+                lock(&front.suspects.suspects).expire(now_ms());
+            }
+        }
+        let reports = front.suspects.take_reports(front.meter.utc_ms(now_ms()));
+        if reports.is_empty() {
+            continue;
+        }
+        for report in &reports {
+            log::warn!(
+                event = "replica-crashed", replica = report.endpoint,
+                calls = names(&report.in_flight), in_flight = report.in_flight.len(); ""
+            );
+            let label = metrics::call_label(false);
+            front.metrics.count("front_replica_crashes_total", label, 1);
+        }
+        let records: Vec<LogRecord> = reports.into_iter().map(LogRecord::Crash).collect();
+        append_with_retry(&front, "crash reports", || write_index(&front, &records)).await;
+    }
+}
+
+/// Name of a replica's incarnation, the same at all fronts.
+fn endpoint_name(replica: &Replica) -> Arc<str> {
+    match replica.started_ms {
+        Some(started_unix_ms) => format!("{}@{started_unix_ms}", replica.id).into(),
+        None => Arc::clone(&replica.id),
+    }
+}
+
+fn refusal_of(decision: &StartDecision) -> Option<SuspectRefusal> {
+    match decision {
+        StartDecision::Refuse(failure) => Some(SuspectRefusal {
+            condemned: true,
+            retry_after_ms: failure.retry_after_ms.unwrap_or(RETRY_AFTER_MS),
+        }),
+        StartDecision::Wait { wait_ms } => Some(SuspectRefusal {
+            condemned: false,
+            retry_after_ms: *wait_ms,
+        }),
+        StartDecision::Start(_) | StartDecision::OtherEndpoint => None,
+    }
+}
+
+fn log_condemned(suspects: &mut Suspects<Arc<str>>) {
+    for condemned in suspects.take_condemned() {
+        log::warn!(
+            event = "call-condemned", call:% = condemned.digest, left_ms = condemned.left_ms; ""
+        );
+    }
+}
+
+/// Names of calls, as [`LOGGED_CALLS_MAX`] of them appear in a log line.
+fn names(calls: &[CallDigest]) -> String {
+    let names: Vec<String> = calls
+        .iter()
+        .take(LOGGED_CALLS_MAX)
+        .map(CallDigest::to_string)
+        .collect();
+    names.join(",")
+}
--- a/components/front/tests/front/crashing.rs
+++ b/components/front/tests/front/crashing.rs
@@ -2,14 +2,18 @@
 
 use std::time::{Duration, Instant};
 
+use futures_util::future::join_all;
 use hyper::Method;
 use standins::fleet::records::PLAIN;
 use standins::{Fault, FaultKind};
+use tokio::time::sleep;
 
-use crate::common::{FrontHandle, Site};
+use crate::common::{FrontHandle, Replica, Site, wait_until};
 
 /// Body of the request that crashes replicas.
 const CRASHING: &str = "crashing";
+/// Time that a call takes.
+const CALL_MS: u64 = 10;
 /// Number of plain replicas.
 const REPLICAS: usize = 6;
 /// Time from a crash to the start of the next replica at another address.
@@ -20,6 +24,19 @@
 /// third crash.
 const LATE_RUNS_MAX: usize = 3;
 
+/// Number of crashes after which a request is refused.
+const CRASHES_MAX: usize = 2;
+/// Time after which the fronts have come to a verdict, with two reads of the index by a front whose
+/// clients wait for nothing.
+const VERDICT: Duration = Duration::from_millis(2_500);
+/// Deadline of a request.
+const DEADLINE: Duration = Duration::from_millis(1_500);
+/// A refusal must not take longer than this.
+const AT_ONCE: Duration = Duration::from_millis(250);
+
+/// Clients of other requests, enough for each replica to run one at each moment.
+const CLIENTS: usize = 12;
+
 /// Plain replicas that a request crashes. A crashed replica does not come back; another one, with
 /// another id, takes its place.
 struct Fleet {
@@ -35,7 +52,7 @@
 impl Fleet {
     async fn start() -> Self {
         let mut fleet = Self {
-            site: Site::start(3, 1).await,
+            site: Site::start_with(3, 1, CALL_MS).await,
             crashes: Vec::new(),
             to_replace: Vec::new(),
             started: 2,
@@ -59,7 +76,7 @@
     async fn add(&mut self) {
         self.started += 1;
         let id = format!("plain-{}", self.started);
-        self.site.add(&id, PLAIN, 0, 5).await;
+        self.site.add(&id, PLAIN, 0, CALL_MS).await;
         self.arm(&id);
     }
 
@@ -101,12 +118,50 @@
                 "a call without an answer ended with {status}"
             );
             self.observe().await;
-            tokio::time::sleep(Duration::from_millis(50)).await;
+            sleep(Duration::from_millis(50)).await;
             number += 1;
         }
     }
 }
 
+/// Sends a request with this body and a deadline of [`DEADLINE`]; returns the status and `Retry-After`.
+async fn send(front: &FrontHandle, id: &str, body: &str) -> (u16, Option<f64>) {
+    let deadline_ms = DEADLINE.as_millis().to_string();
+    let headers = [
+        ("hornbeamrock-request-id", id),
+        ("hornbeamrock-deadline-ms", deadline_ms.as_str()),
+    ];
+    let request = front.request(Method::POST, "/calls/x", &headers, body);
+    let (status, retry_after, _) = request.await;
+    (status, retry_after.and_then(|text| text.parse().ok()))
+}
+
+/// Sends a request to one front after the other, beginning with that of this number, as clients do
+/// that honour `Retry-After`. Panics if none has answered it by the request's deadline.
+async fn send_until_answered(fronts: &[FrontHandle], first: usize, id: &str, body: &str) {
+    let began = Instant::now();
+    for number in 0.. {
+        let front = &fronts[(first + number) % fronts.len()];
+        let (status, retry_after_s) = send(front, &format!("{id}-{number}"), body).await;
+        if status == 200 {
+            return;
+        }
+        sleep(Duration::from_secs_f64(retry_after_s.unwrap_or(0.0))).await;
+        let waited = began.elapsed();
+        assert!(waited < DEADLINE, "{body}: {status} after {waited:?}");
+    }
+}
+
+/// Checks that a front refuses the crashing request at once, with a time to come back that is
+/// longer than any deadline.
+async fn check_refusal(front: &FrontHandle, id: &str) {
+    let began = Instant::now();
+    let (status, retry_after_s) = send(front, id, CRASHING).await;
+    assert_eq!(status, 503);
+    assert!(retry_after_s.is_some_and(|wait_s| wait_s > 60.0));
+    assert!(began.elapsed() < AT_ONCE, "{:?}", began.elapsed());
+}
+
 /// Repeats the crashing request at this number of fronts, and checks how often it reached replicas
 /// once every front could know of it.
 async fn check_late_crashes(front_count: usize) {
@@ -141,3 +196,137 @@
 async fn bounds_the_replicas_that_a_request_repeated_at_several_fronts_crashes() {
     check_late_crashes(3).await;
 }
+
+/// Guards against losing replicas again after the fronts that saw the crashes have ended.
+#[tokio::test]
+async fn can_refuse_a_crashing_request_at_a_front_that_starts_later() {
+    let mut fleet = Fleet::start().await;
+    {
+        let fronts = [fleet.site.front("a").await];
+        fleet.repeat_crashing_request(&fronts, VERDICT).await;
+        check_refusal(&fronts[0], "crashing-at-a").await;
+    }
+    let front = fleet.site.front("b").await;
+    sleep(VERDICT).await;
+    check_refusal(&front, "crashing-at-b").await;
+    fleet.observe().await;
+    assert_eq!(fleet.crashes.len(), CRASHES_MAX);
+}
+
+/// Guards against losing all replicas while the fronts can't tell each other of crashes.
+#[tokio::test]
+async fn bounds_the_replicas_that_a_request_crashes_while_the_store_is_down() {
+    let mut fleet = Fleet::start().await;
+    let fronts = [fleet.site.front("a").await];
+    fronts[0]
+        .store_listener
+        .inject_fault(Fault::new(FaultKind::Outage));
+    fleet.repeat_crashing_request(&fronts, VERDICT).await;
+    check_refusal(&fronts[0], "crashing").await;
+    assert_eq!(fleet.crashes.len(), CRASHES_MAX);
+}
+
+/// Guards against refusing requests that ran beside the one that crashes replicas.
+#[tokio::test]
+async fn can_serve_requests_that_were_in_flight_at_a_crash() {
+    let mut fleet = Fleet::start().await;
+    let fronts = [fleet.site.front("a").await, fleet.site.front("b").await];
+    let began = Instant::now();
+    let client = async |client: usize| {
+        let mut number = 0;
+        while began.elapsed() < VERDICT {
+            let body = format!("client {client} sends {number}");
+            send_until_answered(&fronts, number, &format!("{client}-{number}"), &body).await;
+            number += 1;
+        }
+    };
+    let clients = join_all((0..CLIENTS).map(client));
+    tokio::join!(clients, fleet.repeat_crashing_request(&fronts, VERDICT));
+    assert!(fleet.crashes.len() >= CRASHES_MAX);
+}
+
+/// Guards against suspecting a request because its connections are reset while replicas run on.
+#[tokio::test]
+async fn can_serve_a_request_after_its_connections_were_reset() {
+    let site = Site::start(3, 1).await;
+    let front = site.front("a").await;
+    for id in ["plain-1", "plain-2"] {
+        let lost = Fault::new(FaultKind::AnswerLost).on("/calls/").times(3);
+        site.replica(id).handle.inject_fault(lost);
+    }
+    for number in 0..3 {
+        let (status, _) = send(&front, &format!("lost-{number}"), "body").await;
+        assert_eq!(status, 502);
+    }
+    assert_eq!(send(&front, "q-1", "body").await.0, 200);
+}
+
+/// Guards against suspecting a request because replicas ended that were to leave.
+#[tokio::test]
+async fn can_serve_a_request_that_ran_at_replicas_that_leave() {
+    let mut site = Site::start_with(3, 1, 200).await;
+    let front = site.front("a").await;
+    for number in 0..CRASHES_MAX {
+        let id = format!("left-{number}");
+        let request = front.call(&id, "/bids/x");
+        let leave = async {
+            wait_until("a replica runs the request", || async {
+                replica_of(&site, &id).is_some()
+            })
+            .await;
+            let replica = replica_of(&site, &id).expect("a replica runs the request");
+            site.write_heartbeat(replica, "draining", 1);
+            sleep(Duration::from_millis(100)).await;
+            replica.handle.crash(600_000);
+            site.store.put("keyed.servers", &replica.id, None);
+        };
+        let ((status, _), ()) = tokio::join!(request, leave);
+        assert_eq!(status, 502);
+        site.add(&format!("next-{number}"), PLAIN, 0, 5).await;
+    }
+    wait_until("the new replicas are known", || async {
+        send(&front, "other", "other").await.0 == 200
+    })
+    .await;
+    assert_eq!(front.call("q-1", "/bids/x").await.0, 200);
+}
+
+/// Guards against refusing a request because a suspect runs at the only replica that is left, and
+/// against losing it with that replica.
+#[tokio::test]
+async fn can_wait_for_a_suspect_at_the_only_replica() {
+    let site = Site::start_with(3, 1, 300).await;
+    let front = site.front("a").await;
+    let suspect = front.call("suspect", "/calls/suspect");
+    let crash = async {
+        wait_until("a replica runs the request", || async {
+            replica_of(&site, "suspect").is_some()
+        })
+        .await;
+        let first = replica_of(&site, "suspect").expect("a replica runs the request");
+        first.handle.crash(600_000);
+        site.store.put("keyed.servers", &first.id, None);
+        let second = site
+            .replicas
+            .iter()
+            .find(|other| other.service == PLAIN && other.id != first.id);
+        let second = second.expect("another replica");
+        wait_until("the other replica runs the suspect", || async {
+            second.seen.active_runs() > 0
+        })
+        .await;
+        let began = Instant::now();
+        let (status, _) = front.call("other", "/calls/other").await;
+        assert_eq!(status, 200);
+        // The suspect and the call take 300 ms each.
+        assert!(began.elapsed() > Duration::from_millis(400));
+    };
+    let ((status, _), ()) = tokio::join!(suspect, crash);
+    assert_eq!(status, 200);
+}
+
+/// The first replica that ran a request.
+fn replica_of<'a>(site: &'a Site, request_id: &str) -> Option<&'a Replica> {
+    let mut replicas = site.replicas.iter();
+    replicas.find(|replica| replica.seen.runs().contains_key(request_id))
+}
--- a/components/index/src/record.rs
+++ b/components/index/src/record.rs
@@ -4,6 +4,7 @@
 use derive::wire;
 use knowledge::ShardRecord;
 use lease::LeaseRecord;
+use quarantine::CrashReport;
 use quick_error::quick_error;
 use steps::StepRecord;
 use usage::UsageRecord;
@@ -49,6 +50,8 @@
     Lease(LeaseRecord),
     /// The owner of a shard has written its knowledge for the next owner.
     Shard(ShardRecord),
+    /// A replica crashed while a front had calls there.
+    Crash(CrashReport),
 }
 
 /// Encodes a record for the index topic.
--- a/components/index/src/view.rs
+++ b/components/index/src/view.rs
@@ -3,6 +3,7 @@
 use bytes::Bytes;
 use knowledge::ShardRecords;
 use lease::Lease;
+use quarantine::CrashReport;
 use steps::Ledger;
 
 use crate::record::{IndexError, LogRecord, decode};
@@ -15,6 +16,8 @@
     pub lease: Lease,
     /// Newest records of the owners of shards.
     pub shards: ShardRecords,
+    /// Reports that were read since [`Index::take_crash_reports`] was last called.
+    crash_reports: Vec<CrashReport>,
     /// Time since which the topic has been read without a gap, in milliseconds; 0 if it was read
     /// from its first record.
     pub read_since_ms: u64,
@@ -27,6 +30,7 @@
             ledger: Ledger::default(),
             lease,
             shards: ShardRecords::default(),
+            crash_reports: Vec::new(),
             read_since_ms: 0,
         }
     }
@@ -47,12 +51,19 @@
                 }
                 Ok(LogRecord::Lease(record)) => self.lease.apply(offset, &record, now_ms),
                 Ok(LogRecord::Shard(record)) => self.shards.apply(record, now_ms),
+                Ok(LogRecord::Crash(report)) => self.crash_reports.push(report),
                 Err(error) => on_malformed(offset, error),
             }
         }
         from + records.len() as u64
     }
 
+    /// Returns the reports of crashes that were read since the last call of this method, in the
+    /// order of the topic.
+    pub fn take_crash_reports(&mut self) -> Vec<CrashReport> {
+        std::mem::take(&mut self.crash_reports)
+    }
+
     /// Notes a gap: the store trimmed records before this process read them. The holder of the
     /// lease is unknown until its next record, steps may be missing, and the locations in the records
     /// of shards may be outdated.
--- a/components/index/tests/index.rs
+++ b/components/index/tests/index.rs
@@ -4,6 +4,7 @@
 use index::{Index, LogRecord, decode, encode};
 use knowledge::ShardRecord;
 use lease::{Lease, LeaseRecord, LeaseSettings};
+use quarantine::{CallDigest, CrashReport};
 use steps::{DataLocation, FailedPart, StepId, StepRecord, decode_item};
 
 fn index() -> Index {
@@ -73,6 +74,18 @@
             record: shard_record(),
             bytes: &[2, 1, b'a', 2, 1, b'b', 0, 3, 172, 2, 5, 172, 2],
         },
+        Case {
+            name: "of a crash",
+            record: LogRecord::Crash(CrashReport {
+                endpoint: "a".into(),
+                reporter: "b".into(),
+                noticed_unix_ms: 300,
+                in_flight: vec![CallDigest([7; 16])],
+            }),
+            bytes: &[
+                3, 1, b'a', 1, b'b', 172, 2, 1, 7, 7, 7, 7, 7, 7, 7, 7, 7, 7, 7, 7, 7, 7, 7, 7,
+            ],
+        },
     ];
     for case in cases {
         let encoded = encode(&case.record).expect("the record encodes");
--- a/components/quarantine/src/crashes.rs
+++ b/components/quarantine/src/crashes.rs
@@ -10,7 +10,7 @@
 use crate::CallDigest;
 
 /// Maximum number of crashes that are stored; the oldest are evicted first.
-const CRASHES_MAX: usize = 4_096;
+pub(crate) const CRASHES_MAX: usize = 4_096;
 
 #[value]
 struct Crash<E> {
--- a/components/quarantine/src/digest.rs
+++ b/components/quarantine/src/digest.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 
-use derive::key;
+use derive::wire_key;
 use sha2::{Digest, Sha256};
 use types::{CustomerName, ServiceName};
 
@@ -12,7 +12,7 @@
 
 /// First 16 bytes of the SHA-256 of customer, service and content. The customer is part of the
 /// digest so that no customer can cause the calls of another one to be refused.
-#[key]
+#[wire_key]
 pub struct CallDigest(pub [u8; DIGEST_BYTES]);
 
 impl CallDigest {
--- a/components/quarantine/src/lib.rs
+++ b/components/quarantine/src/lib.rs
@@ -6,11 +6,13 @@
 mod crashes;
 mod digest;
 mod in_flight;
+mod report;
 mod settings;
 mod suspects;
 mod verdict;
 
 pub use digest::CallDigest;
+pub use report::CrashReport;
 pub use settings::SuspectSettings;
 pub use suspects::Suspects;
 pub use verdict::{
--- a/components/quarantine/src/suspects.rs
+++ b/components/quarantine/src/suspects.rs
@@ -40,7 +40,7 @@
 use derive::value;
 use types::{Cause, Failure, RunState};
 
-use crate::crashes::Crashes;
+use crate::crashes::{CRASHES_MAX, Crashes};
 use crate::in_flight::InFlight;
 use crate::{
     AttemptId, CallDigest, CondemnedCall, CopyPlacement, DigestStatus, EndpointCrash,
@@ -112,24 +112,38 @@
         copies: CopyPlacement,
         now_ms: u64,
     ) -> StartDecision {
+        if let Some(decision) = self.decide_at_any_endpoint(digest, now_ms) {
+            return decision;
+        }
+        let exceeds_limit = || {
+            copies == CopyPlacement::Limited && self.exceeds_copy_limit(digest, endpoint, now_ms)
+        };
+        if self.runs_suspect(endpoint, now_ms) || exceeds_limit() {
+            return StartDecision::OtherEndpoint;
+        }
+        StartDecision::Start(self.in_flight.start(digest, endpoint.clone()))
+    }
+
+    /// The part of [`Suspects::try_start`] that is the same for all endpoints: whether the call has
+    /// to wait or is refused. `None` if an endpoint may run it. For processes that check a call
+    /// before they choose an endpoint.
+    pub fn decide_at_any_endpoint(
+        &mut self,
+        digest: CallDigest,
+        now_ms: u64,
+    ) -> Option<StartDecision> {
         self.condemn_if_sole_cause(digest, now_ms);
         match self.status(digest, now_ms) {
-            DigestStatus::Condemned { left_ms } => StartDecision::Refuse(refusal(left_ms)),
+            DigestStatus::Condemned { left_ms } => Some(StartDecision::Refuse(refusal(left_ms))),
             DigestStatus::Suspect { crashes }
                 if self.in_flight.is_running(digest)
                     || self.awaits_reports(digest, crashes, now_ms) =>
             {
-                StartDecision::Wait {
+                Some(StartDecision::Wait {
                     wait_ms: self.settings.retry_wait_ms,
-                }
+                })
             }
-            _ if self.runs_suspect(endpoint, now_ms) => StartDecision::OtherEndpoint,
-            _ if copies == CopyPlacement::Limited
-                && self.exceeds_copy_limit(digest, endpoint, now_ms) =>
-            {
-                StartDecision::OtherEndpoint
-            }
-            _ => StartDecision::Start(self.in_flight.start(digest, endpoint.clone())),
+            DigestStatus::Suspect { .. } | DigestStatus::Clear => None,
         }
     }
 
@@ -304,6 +318,9 @@
             endpoint: endpoint.clone(),
             in_flight: in_flight.into_iter().collect(),
         });
+        if self.crashes_to_send.len() > CRASHES_MAX {
+            self.crashes_to_send.remove(0);
+        }
         self.evict(now_ms);
     }
 
