Front: an item that crashes replicas runs again after a time that doubles

The same fault as with calls: nothing remembered that an item ended the replicas that began to run it, and its run was placed at the next one at once, until its time was up.

An item can't be refused like a call, as it must not be given up before its step ends. The crashes count by the item's content, in the record that calls use, so they are known to the next owner of the shard and when the item comes again in a later step. A run counts as in flight until its first event; a replica that generated text for an item was not crashed by it. After the second crash the next run waits 2 s, then 4 s, and so on.

--- a/components/front/src/run_item.rs
+++ b/components/front/src/run_item.rs
@@ -10,6 +10,7 @@
 use hyper::Method;
 use platform::replica::{self, Call, ItemEnd, ItemRun, ItemStart, ReplicaError};
 use platform::sse::Event;
+use quarantine::CallDigest;
 use steps::ItemData;
 use tokio::sync::Notify;
 
@@ -17,7 +18,8 @@
 use crate::partial::{PartialText, SharedPartialText};
 use crate::peers::Member;
 use crate::replica_pace::SharedPace;
-use crate::state::lock;
+use crate::state::{Front, lock};
+use crate::suspects::{self, InFlightAttempt};
 
 /// Timeout of the head of a replica's response. An engine queues up to 24 requests beyond those
 /// that it runs, and answers a queued request only once it has a free slot.
@@ -64,6 +66,8 @@
     NotRun(String),
     /// The stream broke off; another run may resume after the last event.
     Interrupted(String),
+    /// The replica crashed before the first event of the run.
+    Crashed(String),
     /// [`RunSpec::stop`] was notified.
     Stopped,
     /// Nothing was sent, because the saved pieces of the text could not be read.
@@ -75,7 +79,51 @@
 }
 
 /// Runs an item at one replica until the run ends; appends its events to `shared`.
-pub async fn run(spec: &RunSpec, shared: &SharedPartialText) -> RunEnd {
+pub async fn run(front: &Front, spec: &RunSpec, shared: &SharedPartialText) -> RunEnd {
+    let digest = item_digest(spec.customer.as_deref(), &spec.host, &spec.data);
+    let started = front.suspects.start_item(digest, &spec.member.replica);
+    let mut in_flight = Some(started);
+    let end = run_to_end(spec, shared, &mut in_flight).await;
+    let Some(in_flight) = in_flight else {
+        return end;
+    };
+    match end {
+        RunEnd::Interrupted(why) if suspects::has_crashed(front, &spec.member).await => {
+            in_flight.record_crash();
+            RunEnd::Crashed(why)
+        }
+        RunEnd::Complete | RunEnd::Failed | RunEnd::Impossible => {
+            in_flight.record_answer();
+            end
+        }
+        RunEnd::NotRun(_) => {
+            in_flight.record_not_run();
+            end
+        }
+        end => end,
+    }
+}
+
+/// Identifies items with the same content, also in several steps.
+pub fn item_digest(customer: Option<&str>, host: &str, data: &ItemData) -> CallDigest {
+    let customer = customer.unwrap_or_default();
+    let method = Method::POST;
+    let parts = [
+        customer.as_bytes(),
+        host.as_bytes(),
+        method.as_str().as_bytes(),
+        data.path.as_bytes(),
+        &*data.body,
+    ];
+    CallDigest::of_parts(&parts)
+}
+
+/// Runs an item until the run ends. Takes `in_flight` and records its answer at the first event.
+async fn run_to_end(
+    spec: &RunSpec,
+    shared: &SharedPartialText,
+    in_flight: &mut Option<InFlightAttempt>,
+) -> RunEnd {
     let last_event = lock(shared).last_event;
     let sent_ms = now_us() / 1_000;
     let restarted = spec.member.peer.wait_for_restart(sent_ms);
@@ -112,6 +160,9 @@
                 if let Err(end) = append_event(spec, &mut lock(shared), &item_run, &event) {
                     return end;
                 }
+                if let Some(in_flight) = in_flight.take() {
+                    in_flight.record_answer();
+                }
                 let now_us = now_us();
                 spec.last_progress_ms
                     .store(now_us / 1_000, Ordering::Relaxed);
--- a/components/front/src/runner/mod.rs
+++ b/components/front/src/runner/mod.rs
@@ -249,6 +249,7 @@
             .map_or(0, |entry| lock(&entry.0).last_event);
         let (step, item) = key;
         self.count_run(&end);
+        let crashed = matches!(end, RunEnd::Crashed(_));
         match end {
             RunEnd::Complete => {
                 self.timings.record_complete(&self.front, key, now_ms);
@@ -267,10 +268,10 @@
                 self.admission(&replica, &head.model).record_refusal(now_ms);
                 self.note_interrupted(key, replica);
             }
-            RunEnd::Interrupted(why) => {
+            RunEnd::Interrupted(why) | RunEnd::Crashed(why) => {
                 log::info!(
                     event = "item-broken", step = step.0, item, replica = &*replica,
-                    events, why; ""
+                    events, crashed, why; ""
                 );
                 self.admission(&replica, &head.model).record_refusal(now_ms);
                 self.note_interrupted(key, replica);
@@ -322,7 +323,7 @@
         let name = match end {
             RunEnd::Complete => "front_runs_whole_total",
             RunEnd::NotRun(_) => "front_runs_refused_total",
-            RunEnd::Interrupted(_) => "front_runs_broken_total",
+            RunEnd::Interrupted(_) | RunEnd::Crashed(_) => "front_runs_broken_total",
             RunEnd::PiecesUnreadable => "front_runs_unready_total",
             RunEnd::Stopped => "front_runs_moved_total",
             RunEnd::Failed | RunEnd::Impossible => "front_runs_failed_total",
--- a/components/front/src/runner/reconcile.rs
+++ b/components/front/src/runner/reconcile.rs
@@ -203,7 +203,7 @@
         let front = Arc::clone(&self.front);
         let task = tokio::spawn(async move {
             let end = match restore_saved_text(&front, &partial, &saved).await {
-                true => run_item::run(&spec, &partial).await,
+                true => run_item::run(&front, &spec, &partial).await,
                 false => RunEnd::PiecesUnreadable,
             };
             drop(slot);
--- a/components/front/src/suspects.rs
+++ b/components/front/src/suspects.rs
@@ -1,6 +1,8 @@
 //! Keeps calls that crash replicas from crashing more of them.
 //!
-//! Every attempt asks [`SuspectCalls`] before it is sent, and reports how it ended. When a replica
+//! Every attempt of a call asks [`SuspectCalls`] before it is sent, and reports how it ended. A run
+//! of an item does the same until its first event: an item that a replica generates text for has
+//! not crashed it. An item that crashed replicas runs again after a time that doubles. When a replica
 //! crashes, the calls that this front had there are written to the index. All fronts read the
 //! reports, also those that start later, and come to the same verdict about the call that was in
 //! flight at each of several crashes. The verdicts are decided in `quarantine`.
@@ -124,6 +126,28 @@
         }
     }
 
+    /// Whether any call is known to have been in flight at a crash.
+    pub fn is_empty(&self) -> bool {
+        lock(&self.suspects).is_empty()
+    }
+
+    /// Whether an item has to wait until it runs again, because its runs crashed replicas. An item
+    /// must not be given up before its step ends, so it is not refused like a call.
+    pub fn must_wait(&self, digest: CallDigest) -> bool {
+        let now_ms = now_ms();
+        let history = lock(&self.suspects).crash_history(digest, now_ms);
+        history.is_some_and(|history| now_ms < history.retry_at_ms())
+    }
+
+    /// Records that an item is sent to a replica.
+    pub fn start_item(self: &Arc<Self>, digest: CallDigest, replica: &Replica) -> InFlightAttempt {
+        let id = lock(&self.suspects).start(digest, endpoint_name(replica));
+        InFlightAttempt {
+            id: Some(id),
+            calls: Arc::clone(self),
+        }
+    }
+
     /// Applies the report of a crash that was read from the index. `utc_ms` is the current time.
     pub fn apply(&self, report: &CrashReport, utc_ms: u64) {
         let is_old = report.noticed_unix_ms + self.retention_ms < utc_ms;
--- a/components/front/tests/front/crashing.rs
+++ b/components/front/tests/front/crashing.rs
@@ -4,7 +4,7 @@
 
 use futures_util::future::join_all;
 use hyper::Method;
-use standins::fleet::records::PLAIN;
+use standins::fleet::records::{self, ENGINES, PLAIN};
 use standins::{Fault, FaultKind};
 use tokio::time::sleep;
 
@@ -12,8 +12,10 @@
 
 /// Body of the request that crashes replicas.
 const CRASHING: &str = "crashing";
-/// Time that a call takes.
+/// Time that a call takes, and an event of a text.
 const CALL_MS: u64 = 10;
+/// Events of a text.
+const EVENTS: u64 = 5;
 /// Number of plain replicas.
 const REPLICAS: usize = 6;
 /// Time from a crash to the start of the next replica at another address.
@@ -34,13 +36,18 @@
 /// A refusal must not take longer than this.
 const AT_ONCE: Duration = Duration::from_millis(250);
 
+/// Items of a step, one of which crashes replicas.
+const ITEMS: usize = 8;
+/// Time for which an item that crashes replicas is observed, about that for which a trainer waits.
+const ITEM_TIME: Duration = Duration::from_secs(10);
 /// Clients of other requests, enough for each replica to run one at each moment.
 const CLIENTS: usize = 12;
 
-/// Plain replicas that a request crashes. A crashed replica does not come back; another one, with
-/// another id, takes its place.
+/// Replicas of one service that a request crashes. A crashed replica does not come back; another
+/// one, with another id, takes its place.
 struct Fleet {
     site: Site,
+    service: &'static str,
     /// When each of the replicas crashed, the oldest first.
     crashes: Vec<Instant>,
     /// Crashed replicas that are to be replaced, with the time of the crash.
@@ -51,14 +58,24 @@
 
 impl Fleet {
     async fn start() -> Self {
+        Self::start_of(PLAIN).await
+    }
+
+    async fn start_of(service: &'static str) -> Self {
+        let site = Site::start_with(EVENTS, CALL_MS, CALL_MS).await;
+        let is_armed = |replica: &&Replica| replica.service == service;
+        let armed = site.replicas.iter().filter(is_armed);
+        let armed: Vec<String> = armed.map(|replica| replica.id.clone()).collect();
         let mut fleet = Self {
-            site: Site::start_with(3, 1, CALL_MS).await,
+            site,
+            service,
             crashes: Vec::new(),
             to_replace: Vec::new(),
-            started: 2,
+            started: armed.len(),
         };
-        fleet.arm("plain-1");
-        fleet.arm("plain-2");
+        for id in armed {
+            fleet.arm(&id);
+        }
         while fleet.started < REPLICAS {
             fleet.add().await;
         }
@@ -75,8 +92,9 @@
 
     async fn add(&mut self) {
         self.started += 1;
-        let id = format!("plain-{}", self.started);
-        self.site.add(&id, PLAIN, 0, CALL_MS).await;
+        let id = format!("{}-{}", self.service, self.started);
+        let events = if self.service == ENGINES { EVENTS } else { 0 };
+        self.site.add(&id, self.service, events, CALL_MS).await;
         self.arm(&id);
     }
 
@@ -100,6 +118,20 @@
         }
     }
 
+    /// Checks how often the request reached replicas once every front could know of it.
+    fn check_late_crashes(&self) {
+        let third = self.crashes.get(2);
+        let late = third.map_or(0, |third| {
+            let is_late = |at: &&Instant| **at > *third + STABLE;
+            self.crashes.iter().filter(is_late).count()
+        });
+        assert!(
+            late <= LATE_RUNS_MAX,
+            "{late} of {} replicas crashed later than {STABLE:?} after the third crash",
+            self.crashes.len()
+        );
+    }
+
     /// Sends the crashing request repeatedly, to one front after the other.
     async fn repeat_crashing_request(&mut self, fronts: &[FrontHandle], for_time: Duration) {
         let began = Instant::now();
@@ -162,8 +194,7 @@
     assert!(began.elapsed() < AT_ONCE, "{:?}", began.elapsed());
 }
 
-/// Repeats the crashing request at this number of fronts, and checks how often it reached replicas
-/// once every front could know of it.
+/// Repeats the crashing request at this number of fronts, and checks the crashes.
 async fn check_late_crashes(front_count: usize) {
     let mut fleet = Fleet::start().await;
     let mut fronts = Vec::new();
@@ -173,16 +204,7 @@
     fleet
         .repeat_crashing_request(&fronts, STABLE + Duration::from_secs(2))
         .await;
-    let crashes = &fleet.crashes;
-    let late = crashes.get(2).map_or(0, |third| {
-        let is_late = |at: &&Instant| **at > *third + STABLE;
-        crashes.iter().filter(is_late).count()
-    });
-    assert!(
-        late <= LATE_RUNS_MAX,
-        "{late} of {} replicas crashed later than {STABLE:?} after the third crash",
-        crashes.len()
-    );
+    fleet.check_late_crashes();
 }
 
 /// Guards against losing one replica after the other to a request that a client repeats.
@@ -325,6 +347,49 @@
     assert_eq!(status, 200);
 }
 
+/// Guards against losing one model replica after the other to an item that crashes those that begin
+/// to run it, and against losing the other items of its step.
+#[tokio::test]
+async fn bounds_the_model_replicas_that_an_item_crashes() {
+    let mut fleet = Fleet::start_of(ENGINES).await;
+    let front = fleet.site.front("a").await;
+    let step = with_crashing_body(&records::step(1, 1, ITEMS), "q80=");
+    assert_eq!(front.submit("step-1", &step).await.0, 202);
+    let observed = observe_for(&mut fleet, ITEM_TIME);
+    let (results, ()) = tokio::join!(front.all_results("step-1", ITEMS - 1), observed);
+    let is_whole = |result: &&serde_json::Value| result["State"] == "succeeded";
+    assert_eq!(results.iter().filter(is_whole).count(), ITEMS - 1);
+    assert!(fleet.crashes.len() >= CRASHES_MAX);
+    fleet.check_late_crashes();
+}
+
+/// Guards against losing one plain replica after the other to a reward call that crashes them.
+#[tokio::test]
+async fn bounds_the_replicas_that_a_reward_call_crashes() {
+    let mut fleet = Fleet::start().await;
+    let front = fleet.site.front("a").await;
+    let step = with_crashing_body(&records::step(1, 1, ITEMS), "AQI=");
+    assert_eq!(front.submit("step-1", &step).await.0, 202);
+    let observed = observe_for(&mut fleet, ITEM_TIME);
+    let (results, ()) = tokio::join!(front.all_results("step-1", ITEMS - 1), observed);
+    assert_eq!(results.len(), ITEMS - 1);
+    assert!(fleet.crashes.len() >= CRASHES_MAX);
+    fleet.check_late_crashes();
+}
+
+/// Replaces the first body of this content by one that crashes replicas.
+fn with_crashing_body(step: &str, body: &str) -> String {
+    step.replacen(&format!("\"{body}\""), "\"Y3Jhc2hpbmc=\"", 1)
+}
+
+async fn observe_for(fleet: &mut Fleet, time: Duration) {
+    let began = Instant::now();
+    while began.elapsed() < time {
+        fleet.observe().await;
+        sleep(Duration::from_millis(10)).await;
+    }
+}
+
 /// The first replica that ran a request.
 fn replica_of<'a>(site: &'a Site, request_id: &str) -> Option<&'a Replica> {
     let mut replicas = site.replicas.iter();
--- a/components/quarantine/src/lib.rs
+++ b/components/quarantine/src/lib.rs
@@ -16,5 +16,6 @@
 pub use settings::SuspectSettings;
 pub use suspects::Suspects;
 pub use verdict::{
-    AttemptId, CondemnedCall, CopyPlacement, DigestStatus, EndpointCrash, StartDecision, Verdict,
+    AttemptId, CondemnedCall, CopyPlacement, CrashHistory, DigestStatus, EndpointCrash,
+    StartDecision, Verdict,
 };
--- a/components/quarantine/src/suspects.rs
+++ b/components/quarantine/src/suspects.rs
@@ -43,7 +43,7 @@
 use crate::crashes::{CRASHES_MAX, Crashes};
 use crate::in_flight::InFlight;
 use crate::{
-    AttemptId, CallDigest, CondemnedCall, CopyPlacement, DigestStatus, EndpointCrash,
+    AttemptId, CallDigest, CondemnedCall, CopyPlacement, CrashHistory, DigestStatus, EndpointCrash,
     StartDecision, SuspectSettings, Verdict,
 };
 
@@ -147,6 +147,24 @@
         }
     }
 
+    /// Records an attempt of a call that the caller keeps from crashing more endpoints itself, by
+    /// [`Suspects::crash_history`].
+    pub fn start(&mut self, digest: CallDigest, endpoint: E) -> AttemptId {
+        self.in_flight.start(digest, endpoint)
+    }
+
+    /// The crashes that count against a call; `None` without any.
+    pub fn crash_history(&self, digest: CallDigest, now_ms: u64) -> Option<CrashHistory> {
+        if self.status(digest, now_ms) == DigestStatus::Clear {
+            return None;
+        }
+        let record = self.records.get(&digest)?;
+        Some(CrashHistory {
+            crashes: record.crashes.len(),
+            last_ms: record.last_ms,
+        })
+    }
+
     /// Whether the endpoint runs no suspect and may get new calls. For processes that queue calls
     /// before [`Suspects::try_start`].
     pub fn accepts_new_calls(&self, endpoint: &E, now_ms: u64) -> bool {
--- a/components/quarantine/src/verdict.rs
+++ b/components/quarantine/src/verdict.rs
@@ -7,6 +7,11 @@
 
 use crate::CallDigest;
 
+/// Time between the second crash of a call and its next run, in milliseconds.
+const BACKOFF_MS: u64 = 2_000;
+/// Limit on the doublings of that time; it is 17 minutes then.
+const BACKOFF_DOUBLINGS_MAX: usize = 9;
+
 /// Identifies an attempt of a call at an endpoint.
 #[key]
 pub struct AttemptId(pub(crate) u64);
@@ -38,6 +43,28 @@
     Unlimited,
 }
 
+/// The crashes that count against a call.
+#[key]
+pub struct CrashHistory {
+    /// Number of crashes at which the call was in flight, and that no other call has been condemned
+    /// for.
+    pub crashes: usize,
+    /// When the last of them was recorded, in milliseconds of the process's clock.
+    pub last_ms: u64,
+}
+
+impl CrashHistory {
+    /// When a call that must not be given up may run again, in milliseconds of the process's clock:
+    /// at once after the first crash, then after a time that doubles with each further crash.
+    pub fn retry_at_ms(&self) -> u64 {
+        let doublings = match self.crashes {
+            0 | 1 => return self.last_ms,
+            crashes => (crashes - 2).min(BACKOFF_DOUBLINGS_MAX),
+        };
+        self.last_ms + (BACKOFF_MS << doublings)
+    }
+}
+
 /// Whether a call may be sent to an endpoint now.
 #[value]
 pub enum StartDecision {
--- a/components/quarantine/tests/suspects.rs
+++ b/components/quarantine/tests/suspects.rs
@@ -4,8 +4,8 @@
 use std::net::SocketAddr;
 
 use quarantine::{
-    AttemptId, CallDigest, CopyPlacement, DigestStatus, StartDecision, SuspectSettings, Suspects,
-    Verdict,
+    AttemptId, CallDigest, CopyPlacement, CrashHistory, DigestStatus, StartDecision,
+    SuspectSettings, Suspects, Verdict,
 };
 use types::{Cause, CustomerName, RunState, ServiceName};
 
@@ -319,3 +319,47 @@
         DigestStatus::Suspect { crashes: 1 }
     );
 }
+
+/// Guards against crashing endpoints in quick succession with a call that must not be given up.
+#[test]
+fn doubles_the_time_between_the_runs_of_a_call_that_is_not_refused() {
+    struct Case {
+        crashes: usize,
+        wait_ms: u64,
+    }
+    let cases = [
+        (1, 0),
+        (2, 2_000),
+        (3, 4_000),
+        (4, 8_000),
+        (1_000, 1_024_000),
+    ];
+    for case in cases.map(|(crashes, wait_ms)| Case { crashes, wait_ms }) {
+        let history = CrashHistory {
+            crashes: case.crashes,
+            last_ms: 10,
+        };
+        assert_eq!(history.retry_at_ms(), 10 + case.wait_ms);
+    }
+}
+
+#[test]
+fn counts_the_crashes_of_a_call_until_one_of_its_runs_succeeds() {
+    let mut suspects = Suspects::new(SuspectSettings::default());
+    assert_eq!(suspects.crash_history(call(BAD), 0), None);
+    for at in 1..=3 {
+        let run = suspects.start(call(BAD), endpoint(at));
+        suspects.record_crash(run, u64::from(at) * 10);
+    }
+    let history = suspects.crash_history(call(BAD), 30);
+    assert_eq!(
+        history,
+        Some(CrashHistory {
+            crashes: 3,
+            last_ms: 30
+        })
+    );
+    let run = suspects.start(call(BAD), endpoint(4));
+    suspects.record_success(run);
+    assert_eq!(suspects.crash_history(call(BAD), 40), None);
+}
