Front: requests for streams that crash replicas are refused like calls

A request of a stream route went to one replica at a time and was answered with 502 when that crashed; each repeat crashed another one, as with calls. Streams are relayed by a path of their own, which did not ask the quarantine.

Now it asks before each attempt. The attempt counts as in flight until the first part of the stream: a replica that sends one was not crashed by the request.

--- a/components/front/src/calls.rs
+++ b/components/front/src/calls.rs
@@ -315,14 +315,19 @@
             estimated_ms = refusal.estimated_ms, queue = refusal.queued,
             why = refusal.reason.as_str(); ""
         ),
-        CallOutcome::Suspected(refusal) => log::info!(
-            event = "call-quarantined", id = spec.request_id, call:% = digest,
-            route = &*spec.route.name, customer = spec.customer.unwrap_or("none"),
-            retry_after_ms = refusal.retry_after_ms, why = refusal.reason(); ""
-        ),
+        CallOutcome::Suspected(refusal) => log_quarantined(spec, digest, refusal),
     }
 }
 
+/// Logs the refusal of a call that crashes replicas or may do so.
+pub fn log_quarantined(spec: &CallSpec<'_>, digest: CallDigest, refusal: &SuspectRefusal) {
+    log::info!(
+        event = "call-quarantined", id = spec.request_id, call:% = digest,
+        route = &*spec.route.name, customer = spec.customer.unwrap_or("none"),
+        retry_after_ms = refusal.retry_after_ms, why = refusal.reason(); ""
+    );
+}
+
 /// Updates the metrics for a call that ended.
 fn count_call(
     front: &Front,
--- a/components/front/src/serve.rs
+++ b/components/front/src/serve.rs
@@ -17,6 +17,7 @@
 use crate::held::{self, HeldGuard};
 use crate::results::{self, ReadResult};
 use crate::state::Front;
+use crate::stream::NotStarted;
 use crate::suspects::SuspectRefusal;
 use crate::{access, jobs, metrics, stream};
 
@@ -297,15 +298,19 @@
     if route.kind == RouteKind::Stream {
         return match stream::relay(front, spec, held).await {
             Ok(answer) => answer,
-            Err(failed) => {
-                log::warn!(event = "stream-failed", id, not_run = failed.not_run, why = failed.reason; "");
-                let end = if failed.not_run {
+            Err(NotStarted::Failed { not_run, reason }) => {
+                log::warn!(event = "stream-failed", id, not_run, why = reason; "");
+                let end = if not_run {
                     CallFailure::NotRun
                 } else {
                     CallFailure::Unknown
                 };
                 failure_response(end, id)
             }
+            Err(NotStarted::Suspected(refusal)) => {
+                calls::log_quarantined(spec, spec.digest(), &refusal);
+                suspect_response(&refusal, id)
+            }
         };
     }
     match calls::perform(front, spec).await {
--- a/components/front/src/stream.rs
+++ b/components/front/src/stream.rs
@@ -10,7 +10,7 @@
 
 use http_body_util::BodyExt;
 use hyper::Response;
-use platform::replica;
+use platform::replica::{self, ReplicaError};
 use platform::{BodyError, ResponseBody};
 use tokio::sync::mpsc;
 
@@ -20,6 +20,7 @@
 use crate::meter::CountedRequest;
 use crate::peers::{Incarnation, Member, incarnation};
 use crate::state::Front;
+use crate::suspects::{self, InFlightAttempt, StartPermission, SuspectRefusal};
 
 /// Frames of a stream that are buffered for a slow client, at most.
 const BUFFERED_FRAMES_MAX: usize = 8;
@@ -28,11 +29,32 @@
 const RESTARTED: &str = "the replica restarted";
 
 /// Why a stream did not begin.
-pub struct NotStarted {
-    /// Whether it is certain that no replica ran the request.
-    pub not_run: bool,
-    /// Error of the last attempt.
-    pub reason: String,
+pub enum NotStarted {
+    /// The last attempt failed.
+    Failed {
+        /// Whether it is certain that no replica ran the request.
+        not_run: bool,
+        /// Error of the last attempt.
+        reason: String,
+    },
+    /// No replica ran the request, because it crashes replicas or may do so.
+    Suspected(SuspectRefusal),
+}
+
+impl NotStarted {
+    fn not_run(reason: String) -> Self {
+        Self::Failed {
+            not_run: true,
+            reason,
+        }
+    }
+
+    fn may_have_run(reason: String) -> Self {
+        Self::Failed {
+            not_run: false,
+            reason,
+        }
+    }
 }
 
 /// Sends a request to a replica and relays its stream. Tries other replicas, up to the route's
@@ -42,19 +64,26 @@
     spec: &CallSpec<'_>,
     held: Arc<HeldGuard>,
 ) -> Result<Response<ResponseBody>, NotStarted> {
+    let digest = spec.digest();
     let mut tried: Vec<Incarnation> = Vec::new();
     let mut counted_request = CountedRequest::new(front, spec.customer);
-    let mut last_error = NotStarted {
-        not_run: true,
-        reason: "no replica is available".to_owned(),
-    };
-    while (tried.len() as u32) < spec.route.attempts_max && last_error.not_run {
+    let mut last_error = NotStarted::not_run("no replica is available".to_owned());
+    let mut sent_to = 0;
+    while sent_to < spec.route.attempts_max
+        && matches!(last_error, NotStarted::Failed { not_run: true, .. })
+    {
         let Some(member) = choose_untried(front, spec, &tried) else {
             break;
         };
         tried.push(incarnation(&member.replica));
+        let in_flight = match front.suspects.try_start(digest, &member.replica) {
+            StartPermission::Start(in_flight) => in_flight,
+            StartPermission::OtherReplica => continue,
+            StartPermission::Refused(refusal) => return Err(NotStarted::Suspected(refusal)),
+        };
+        sent_to += 1;
         let sent = counted_request.start_attempt();
-        match open(&member, spec, &held).await {
+        match open(front, &member, spec, &held, in_flight).await {
             Ok(response) => {
                 sent.store(now_ms(), Ordering::Relaxed);
                 return Ok(response);
@@ -73,19 +102,19 @@
 }
 
 async fn open(
+    front: &Arc<Front>,
     member: &Member,
     spec: &CallSpec<'_>,
     held: &Arc<HeldGuard>,
+    in_flight: InFlightAttempt,
 ) -> Result<Response<ResponseBody>, NotStarted> {
-    let not_run = |reason: String| NotStarted {
-        not_run: true,
-        reason,
+    let mut connection = match member.peer.connection(&member.replica).await {
+        Ok(connection) => connection,
+        Err(error) => {
+            in_flight.record_not_run();
+            return Err(NotStarted::not_run(error.to_string()));
+        }
     };
-    let mut connection = member
-        .peer
-        .connection(&member.replica)
-        .await
-        .map_err(|error| not_run(error.to_string()))?;
     let call = spec.replica_call(&member.replica);
     let timeout = Duration::from_millis(call.timeout_ms);
     let peer = Arc::clone(&member.peer);
@@ -93,20 +122,28 @@
     let opened = tokio::select! {
         opened = replica::open_stream(&mut connection, call, timeout) => opened,
         () = peer.wait_for_restart(sent_ms) => {
-            let reason = RESTARTED.to_owned();
-            return Err(NotStarted { not_run: false, reason });
+            return Err(NotStarted::may_have_run(RESTARTED.to_owned()));
+        }
+    };
+    let stream = match opened {
+        Ok(stream) => stream,
+        Err(error) if error.is_not_run() => {
+            in_flight.record_not_run();
+            return Err(NotStarted::not_run(error.to_string()));
+        }
+        Err(error) => {
+            let is_lost = matches!(error, ReplicaError::OutcomeUnknown(_));
+            if is_lost && suspects::has_crashed(front, member).await {
+                in_flight.record_crash();
+            }
+            return Err(NotStarted::may_have_run(error.to_string()));
         }
     };
-    let stream = opened.map_err(|error| NotStarted {
-        not_run: error.is_not_run(),
-        reason: error.to_string(),
-    })?;
     if replica::promises_not_run(stream.status) {
         // The replica has not stated that it did not run the request.
-        return Err(NotStarted {
-            not_run: false,
-            reason: format!("answered with status {}", stream.status.as_u16()),
-        });
+        in_flight.record_answer();
+        let reason = format!("answered with status {}", stream.status.as_u16());
+        return Err(NotStarted::may_have_run(reason));
     }
     let (frames, body) = mpsc::channel(BUFFERED_FRAMES_MAX);
     let mut response = Response::new(ResponseBody::Stream(body));
@@ -116,10 +153,13 @@
     response.extensions_mut().insert(Arc::clone(held));
     let held = Arc::clone(held);
     let mut replica_body = stream.body;
-    let in_flight = member.peer.load.begin(0, false);
+    let counted = member.peer.load.begin(0, false);
+    let (front, member) = (Arc::clone(front), member.clone());
     tokio::spawn(async move {
         // Dropping the connection when this task ends cancels the run at the replica.
-        let _held = (connection, in_flight);
+        let _held = (connection, counted);
+        // A replica that sends a part of the stream was not crashed by the request.
+        let mut in_flight = Some(in_flight);
         loop {
             let frame = tokio::select! {
                 () = frames.closed() => return,
@@ -131,6 +171,21 @@
                     return;
                 }
             };
+            match &frame {
+                Ok(None | Some(Ok(_))) => {
+                    if let Some(in_flight) = in_flight.take() {
+                        in_flight.record_answer();
+                    }
+                }
+                Ok(Some(Err(_))) => {
+                    if let Some(in_flight) = in_flight.take()
+                        && suspects::has_crashed(&front, &member).await
+                    {
+                        in_flight.record_crash();
+                    }
+                }
+                Err(_) => {}
+            }
             let relayed = match frame {
                 Ok(None) => return,
                 Ok(Some(Ok(frame))) => match frame.into_data() {
--- a/components/front/tests/front/crashing.rs
+++ b/components/front/tests/front/crashing.rs
@@ -377,6 +377,29 @@
     fleet.check_late_crashes();
 }
 
+/// Guards against losing one replica after the other to a request for a stream.
+#[tokio::test]
+async fn bounds_the_replicas_that_a_request_for_a_stream_crashes() {
+    let mut fleet = Fleet::start().await;
+    let fronts = [fleet.site.front("a").await, fleet.site.front("b").await];
+    let config = records::config(4)
+        .replacen(r#""Kind":"safe""#, r#""Kind":"stream""#, 1)
+        .replace("/bids/", "/former/");
+    fleet.site.store.put("keyed.op", "config", Some(&config));
+    for front in &fronts {
+        wait_until("the new configuration is active", || async {
+            front.call("bid", "/bids/x").await.0 == 404
+        })
+        .await;
+    }
+    fleet
+        .repeat_crashing_request(&fronts, STABLE + Duration::from_secs(2))
+        .await;
+    assert!(fleet.crashes.len() >= CRASHES_MAX);
+    fleet.check_late_crashes();
+    check_refusal(&fronts[0], "crashing-last").await;
+}
+
 /// Replaces the first body of this content by one that crashes replicas.
 fn with_crashing_body(step: &str, body: &str) -> String {
     step.replacen(&format!("\"{body}\""), "\"Y3Jhc2hpbmc=\"", 1)
