Front: a refused connection doesn't use up an attempt of a call

The record of a crashed replica stays listed for one to three seconds, and with two attempts a call had no third one for the live replica.

A replica that refuses the connection receives nothing, so the limit on replicas that a request is sent to is kept. As many refused connections as the route allows attempts don't count; the bound keeps a call from trying a whole fleet after a large failure.

--- a/components/front/src/calls.rs
+++ b/components/front/src/calls.rs
@@ -21,6 +21,7 @@
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use hyper::{HeaderMap, Method, StatusCode};
+use platform::ExchangeError;
 use platform::replica::{self, ReplicaError, ReplicaResponse};
 use quarantine::CallDigest;
 use types::Class;
@@ -92,6 +93,8 @@
     answer: Option<Box<ReplicaResponse>>,
     /// Whether a full replica refused the call without running it.
     refused: bool,
+    /// Whether the replica refused the connection, so that nothing was sent to it.
+    connection_refused: bool,
     reason: String,
     replica: ReplicaId,
     /// Whether the replica's process ended during the attempt, on a machine that still runs.
@@ -161,6 +164,7 @@
     let mut failure: Option<Box<ReplicaResponse>> = None;
     let mut waited_ms = 0;
     let mut was_refused = false;
+    let mut connections_refused = 0;
     let outcome = loop {
         if attempts.is_empty() {
             let asked_us = now_us();
@@ -195,12 +199,15 @@
                 None => refused,
             };
         }
-        let hedge_delay = hedge_delay(spec, &typical, tried.len(), attempts.len());
+        let sent = counted_attempts(spec, tried.len(), connections_refused);
+        let hedge_delay = hedge_delay(spec, &typical, sent, attempts.len());
         let left = Duration::from_millis(spec.left_ms());
         tokio::select! {
             Some(done) = attempts.next() => {
-                let Attempt { end, answer, refused, reason, replica, crashed } = done;
-                was_refused = refused;
+                let Attempt { end, answer, refused, connection_refused, reason, replica, crashed } = done;
+                was_refused = refused || connection_refused;
+                connections_refused += usize::from(connection_refused);
+                let sent = counted_attempts(spec, tried.len(), connections_refused);
                 let is_refusal = answer.as_ref().is_some_and(|answer| answer.is_refusal());
                 // The client must not receive a refusal while another attempt may run the request.
                 let (end, answer) = match is_refusal && (may_run_elsewhere || !attempts.is_empty()) {
@@ -208,7 +215,7 @@
                     false => (end, answer),
                 };
                 may_run_elsewhere |= end == AttemptOutcome::Unknown && !is_refusal;
-                let action = action_after_attempt(front, spec, end, may_have_run, &tried);
+                let action = action_after_attempt(front, spec, end, may_have_run, &tried, sent);
                 may_have_run |= end == AttemptOutcome::Unknown;
                 match (&action, answer) {
                     (NextAction::Deliver, Some(answer)) => break CallOutcome::Answer(answer),
@@ -385,6 +392,13 @@
     allowed.then(|| Duration::from_millis(delay_ms))
 }
 
+/// Number of attempts that count against the limit of the route. A replica that refuses the
+/// connection receives nothing; as many of them as the limit don't count, so that a call is not
+/// refused while the records of crashed replicas are still listed.
+fn counted_attempts(spec: &CallSpec<'_>, tried: usize, connections_refused: usize) -> usize {
+    tried - connections_refused.min(spec.route.attempts_max as usize)
+}
+
 /// What to do after an attempt ended with `end`.
 fn action_after_attempt(
     front: &Front,
@@ -392,6 +406,7 @@
     end: AttemptOutcome,
     may_have_run: bool,
     tried: &[Incarnation],
+    sent: usize,
 ) -> NextAction {
     let table = front.replicas.load();
     let untried = services(spec.route)
@@ -401,7 +416,7 @@
         end,
         spec.is_idempotent(),
         may_have_run,
-        tried.len() as u32,
+        sent as u32,
         spec.route.attempts_max,
         untried,
         spec.left_ms(),
@@ -628,6 +643,7 @@
         end,
         answer: None,
         refused: false,
+        connection_refused: false,
         reason,
         replica: Arc::clone(&member.replica.id),
         crashed: false,
@@ -639,7 +655,10 @@
             load.record_failure(now_ms());
             slot.record_not_sent();
             in_flight.record_not_run();
-            return failed(AttemptOutcome::NotRun, error.to_string());
+            return Attempt {
+                connection_refused: matches!(error, ExchangeError::Refused(_)),
+                ..failed(AttemptOutcome::NotRun, error.to_string())
+            };
         }
     };
     let call = spec.replica_call(&member.replica);
--- a/components/front/tests/front/crashing.rs
+++ b/components/front/tests/front/crashing.rs
@@ -400,6 +400,28 @@
     check_refusal(&fronts[0], "crashing-last").await;
 }
 
+/// Guards against refusing requests while the records of crashed replicas are still listed: a
+/// replica that refuses the connection receives nothing, so the request can go to another one.
+#[tokio::test]
+async fn can_reach_the_replica_that_is_left_when_others_crashed() {
+    let fleet = Fleet::start().await;
+    let mut fronts = Vec::new();
+    for number in 0..4 {
+        fronts.push(fleet.site.front(&format!("front-{number}")).await);
+    }
+    let replicas = fleet.site.replicas.iter();
+    let plain = replicas.filter(|replica| replica.service == PLAIN);
+    for replica in plain.take(REPLICAS - 1) {
+        replica.handle.crash(600_000);
+    }
+    for (number, front) in fronts.iter().enumerate() {
+        for request in 0..2 {
+            let id = format!("q-{number}-{request}");
+            assert_eq!(send(front, &id, &id).await.0, 200, "{id}");
+        }
+    }
+}
+
 /// Replaces the first body of this content by one that crashes replicas.
 fn with_crashing_body(step: &str, body: &str) -> String {
     step.replacen(&format!("\"{body}\""), "\"Y3Jhc2hpbmc=\"", 1)
