Front: copies of a suspect wait for one another

Callers of a request that comes often would have got 503 at each front for the time of one run after a crash: a suspect runs one copy at a time, and the others were refused. A copy waits now until the other one has ended, which takes a call's time; it is refused only while reports of crashes are awaited.

The search for a call that succeeded in the sets of all known crashes is left out for calls that are in none, and expired records are removed also while crashes are reported more often than every ten seconds.

--- a/components/front/src/calls.rs
+++ b/components/front/src/calls.rs
@@ -443,30 +443,40 @@
     was_refused: bool,
 ) -> Granted<'a> {
     let mut unavailable = tried.to_vec();
-    loop {
-        if let Some(refusal) = front.suspects.refusal(digest) {
-            return Granted::Suspected(refusal);
-        }
-        let is_kept_apart = unavailable.len() > tried.len();
-        let was_refused = was_refused || is_kept_apart;
-        let slot = match select_replica(front, spec, typical, &unavailable, was_refused).await {
-            Acquired::Slot(slot) => slot,
-            Acquired::Refused(refusal) => return Granted::Refused(refusal),
-            Acquired::NoReplica if is_kept_apart && spec.left_ms() > 0 => {
-                // Each replica left runs a suspect, or will be tried again after it.
-                unavailable.truncate(tried.len());
-                tokio::time::sleep(Duration::from_millis(POLL_MS)).await;
-                continue;
+    while spec.left_ms() > 0 {
+        let permission = match front.suspects.check(digest) {
+            Some(permission) => permission,
+            None => {
+                let is_kept_apart = unavailable.len() > tried.len();
+                let was_refused = was_refused || is_kept_apart;
+                let selected = select_replica(front, spec, typical, &unavailable, was_refused);
+                let slot = match selected.await {
+                    Acquired::Slot(slot) => slot,
+                    Acquired::Refused(refusal) => return Granted::Refused(refusal),
+                    Acquired::NoReplica if is_kept_apart => {
+                        // The replicas that are left run suspects, and are free after them.
+                        unavailable.truncate(tried.len());
+                        tokio::time::sleep(Duration::from_millis(POLL_MS)).await;
+                        continue;
+                    }
+                    Acquired::NoReplica => return Granted::NoReplica,
+                };
+                match front.suspects.try_start(digest, &slot.member.replica) {
+                    StartPermission::Start(in_flight) => return Granted::Place(slot, in_flight),
+                    StartPermission::OtherReplica => {
+                        unavailable.push(incarnation(&slot.member.replica));
+                        continue;
+                    }
+                    permission => permission,
+                }
             }
-            Acquired::NoReplica => return Granted::NoReplica,
         };
-        let replica = &slot.member.replica;
-        match front.suspects.try_start(digest, replica) {
-            StartPermission::Start(in_flight) => return Granted::Place(slot, in_flight),
-            StartPermission::OtherReplica => unavailable.push(incarnation(replica)),
-            StartPermission::Refused(refusal) => return Granted::Suspected(refusal),
+        if let StartPermission::Refused(refusal) = permission {
+            return Granted::Suspected(refusal);
         }
+        tokio::time::sleep(Duration::from_millis(POLL_MS)).await;
     }
+    Granted::NoReplica
 }
 
 /// Selects the replica for the next attempt. Waits for a place where the calls of the service are
--- a/components/front/src/stream.rs
+++ b/components/front/src/stream.rs
@@ -79,6 +79,7 @@
         let in_flight = match front.suspects.try_start(digest, &member.replica) {
             StartPermission::Start(in_flight) => in_flight,
             StartPermission::OtherReplica => continue,
+            StartPermission::AfterOtherCopy => break,
             StartPermission::Refused(refusal) => return Err(NotStarted::Suspected(refusal)),
         };
         sent_to += 1;
--- a/components/front/src/suspects.rs
+++ b/components/front/src/suspects.rs
@@ -31,7 +31,7 @@
 /// Time within which the reports of the other fronts about a crash arrive, in milliseconds: a front
 /// whose clients don't wait for records reads the index each half second.
 const SETTLE_MS: u64 = 1_000;
-/// Retry-After of a suspect whose other copy runs or whose reports are awaited, in milliseconds.
+/// Retry-After of a suspect whose reports are awaited, in milliseconds.
 const RETRY_AFTER_MS: u32 = 500;
 /// Interval at which expired records are removed, in milliseconds.
 const EXPIRE_INTERVAL_MS: u64 = 10_000;
@@ -55,6 +55,8 @@
     Start(InFlightAttempt),
     /// Another replica may run the call.
     OtherReplica,
+    /// The call may run once another copy of it has ended, as it is a suspect.
+    AfterOtherCopy,
     /// No replica may run the call now.
     Refused(SuspectRefusal),
 }
@@ -101,12 +103,12 @@
         }
     }
 
-    /// The refusal of a call that no replica may run now; `None` if some replica may.
-    pub fn refusal(&self, digest: CallDigest) -> Option<SuspectRefusal> {
+    /// Answer to a call that no replica may run now; `None` if some replica may.
+    pub fn check(self: &Arc<Self>, digest: CallDigest) -> Option<StartPermission> {
         let mut suspects = lock(&self.suspects);
         let decision = suspects.decide_at_any_endpoint(digest, now_ms());
         log_condemned(&mut suspects);
-        refusal_of(&decision?)
+        Some(self.permission(&suspects, digest, decision?))
     }
 
     /// Asks for permission to send a call to a replica.
@@ -116,13 +118,29 @@
         let copies = CopyPlacement::Unlimited;
         let decision = suspects.try_start(digest, &endpoint, copies, now_ms());
         log_condemned(&mut suspects);
-        match (refusal_of(&decision), decision) {
-            (Some(refusal), _) => StartPermission::Refused(refusal),
-            (None, StartDecision::Start(id)) => StartPermission::Start(InFlightAttempt {
-                id: Some(id),
-                calls: Arc::clone(self),
+        self.permission(&suspects, digest, decision)
+    }
+
+    fn permission(
+        self: &Arc<Self>,
+        suspects: &Suspects<Arc<str>>,
+        digest: CallDigest,
+        decision: StartDecision,
+    ) -> StartPermission {
+        match decision {
+            StartDecision::Start(id) => StartPermission::Start(self.in_flight_attempt(id)),
+            StartDecision::OtherEndpoint => StartPermission::OtherReplica,
+            StartDecision::Wait { .. } if suspects.is_running(digest) => {
+                StartPermission::AfterOtherCopy
+            }
+            StartDecision::Wait { wait_ms } => StartPermission::Refused(SuspectRefusal {
+                condemned: false,
+                retry_after_ms: wait_ms,
+            }),
+            StartDecision::Refuse(failure) => StartPermission::Refused(SuspectRefusal {
+                condemned: true,
+                retry_after_ms: failure.retry_after_ms.unwrap_or(RETRY_AFTER_MS),
             }),
-            (None, _) => StartPermission::OtherReplica,
         }
     }
 
@@ -142,6 +160,10 @@
     /// Records that an item is sent to a replica.
     pub fn start_item(self: &Arc<Self>, digest: CallDigest, replica: &Replica) -> InFlightAttempt {
         let id = lock(&self.suspects).start(digest, endpoint_name(replica));
+        self.in_flight_attempt(id)
+    }
+
+    fn in_flight_attempt(self: &Arc<Self>, id: AttemptId) -> InFlightAttempt {
         InFlightAttempt {
             id: Some(id),
             calls: Arc::clone(self),
@@ -219,13 +241,11 @@
 
 /// Writes reports of crashes to the index until the process ends.
 pub async fn write_reports(front: Arc<Front>) {
-    let interval = Duration::from_millis(EXPIRE_INTERVAL_MS);
+    let mut expiry = tokio::time::interval(Duration::from_millis(EXPIRE_INTERVAL_MS));
     loop {
         tokio::select! {
             () = front.suspects.crashed.notified() => {}
-            () = tokio::time::sleep(interval) => {
-                lock(&front.suspects.suspects).expire(now_ms());
-            }
+            _ = expiry.tick() => lock(&front.suspects.suspects).expire(now_ms()),
         }
         let reports = front.suspects.take_reports(front.meter.utc_ms(now_ms()));
         if reports.is_empty() {
@@ -252,20 +272,6 @@
     }
 }
 
-fn refusal_of(decision: &StartDecision) -> Option<SuspectRefusal> {
-    match decision {
-        StartDecision::Refuse(failure) => Some(SuspectRefusal {
-            condemned: true,
-            retry_after_ms: failure.retry_after_ms.unwrap_or(RETRY_AFTER_MS),
-        }),
-        StartDecision::Wait { wait_ms } => Some(SuspectRefusal {
-            condemned: false,
-            retry_after_ms: *wait_ms,
-        }),
-        StartDecision::Start(_) | StartDecision::OtherEndpoint => None,
-    }
-}
-
 fn log_condemned(suspects: &mut Suspects<Arc<str>>) {
     for condemned in suspects.take_condemned() {
         log::warn!(
--- a/components/front/tests/front/crashing.rs
+++ b/components/front/tests/front/crashing.rs
@@ -267,6 +267,46 @@
     assert!(fleet.crashes.len() >= CRASHES_MAX);
 }
 
+/// Guards against refusing copies of a request that runs often, as one of them was in flight at a
+/// crash.
+#[tokio::test]
+async fn can_serve_copies_of_a_request_that_was_in_flight_at_a_crash() {
+    let mut fleet = Fleet::start().await;
+    let front = fleet.site.front("a").await;
+    let began = Instant::now();
+    let client = async |client: usize| {
+        let mut number = 0;
+        while began.elapsed() < Duration::from_secs(1) {
+            let id = format!("{client}-{number}");
+            assert_eq!(send(&front, &id, "often").await.0, 200, "{id}");
+            number += 1;
+        }
+    };
+    let clients = join_all((0..CLIENTS).map(client));
+    let crash = async {
+        sleep(Duration::from_millis(300)).await;
+        fleet.site.replica("plain-1").handle.crash(600_000);
+    };
+    tokio::join!(clients, crash);
+    fleet.observe().await;
+    assert_eq!(fleet.crashes.len(), 1);
+}
+
+/// Guards against losing replicas where calls wait in a queue, as replicas report their start.
+#[tokio::test]
+async fn bounds_the_replicas_that_a_queued_request_crashes() {
+    let mut fleet = Fleet::start().await;
+    fleet.site.reports_start = true;
+    fleet.site.write_heartbeats();
+    let fronts = [fleet.site.front("a").await, fleet.site.front("b").await];
+    fleet
+        .repeat_crashing_request(&fronts, STABLE + Duration::from_secs(2))
+        .await;
+    assert!(fleet.crashes.len() >= CRASHES_MAX);
+    fleet.check_late_crashes();
+    check_refusal(&fronts[0], "crashing-last").await;
+}
+
 /// Guards against suspecting a request because its connections are reset while replicas run on.
 #[tokio::test]
 async fn can_serve_a_request_after_its_connections_were_reset() {
--- a/components/quarantine/src/crashes.rs
+++ b/components/quarantine/src/crashes.rs
@@ -3,7 +3,7 @@
 //! A process sees only its own calls. Together with the reports of the other entries about the
 //! same crash it knows every call that may have caused the crash.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashSet};
 
 use derive::value;
 
@@ -25,6 +25,9 @@
 #[value]
 pub(crate) struct Crashes<E> {
     crashes: BTreeMap<u64, Crash<E>>,
+    /// Calls that may be in flight at any of the crashes. Most calls that succeed are not, and the
+    /// crashes need not be searched for them.
+    calls: HashSet<CallDigest>,
     next_number: u64,
 }
 
@@ -32,6 +35,7 @@
     fn default() -> Self {
         Self {
             crashes: BTreeMap::new(),
+            calls: HashSet::new(),
             next_number: 0,
         }
     }
@@ -63,6 +67,7 @@
         let in_window = self.crashes.values().filter(|crash| is_in_window(crash));
         let mut shared: BTreeSet<CallDigest> = in_flight.into_iter().collect();
         shared.extend(in_window.flat_map(|crash| &crash.in_flight));
+        self.calls.extend(&shared);
         let crash = self.crashes.entry(number).or_insert_with(|| Crash {
             endpoint: endpoint.clone(),
             at_ms: now_ms,
@@ -110,6 +115,9 @@
 
     /// Removes a call from all crashes, after it completed and is therefore not their cause.
     pub fn remove_call(&mut self, digest: CallDigest) {
+        if !self.calls.remove(&digest) {
+            return;
+        }
         for crash in self.crashes.values_mut() {
             crash.in_flight.remove(&digest);
         }
@@ -119,5 +127,7 @@
     pub fn expire(&mut self, now_ms: u64, retention_ms: u64) {
         self.crashes
             .retain(|_, crash| crash.at_ms + retention_ms > now_ms);
+        let in_flight = self.crashes.values().flat_map(|crash| &crash.in_flight);
+        self.calls = in_flight.copied().collect();
     }
 }
--- a/components/quarantine/src/suspects.rs
+++ b/components/quarantine/src/suspects.rs
@@ -147,6 +147,11 @@
         }
     }
 
+    /// Whether this process has an attempt of the call in flight.
+    pub fn is_running(&self, digest: CallDigest) -> bool {
+        self.in_flight.is_running(digest)
+    }
+
     /// Records an attempt of a call that the caller keeps from crashing more endpoints itself, by
     /// [`Suspects::crash_history`].
     pub fn start(&mut self, digest: CallDigest, endpoint: E) -> AttemptId {
