Front: the connection that checks whether a replica crashed is closed

It was kept for later requests, with an assumed idle time: a replica that closes idle connections sooner could have lost a request that may run only once. Found by reading, not seen in a run. The check costs one connection each time a request lost its own. Tests of crashing requests: 14 passed.

--- a/components/front/src/peers.rs
+++ b/components/front/src/peers.rs
@@ -63,19 +63,6 @@
         Ok(new)
     }
 
-    /// Whether the replica refuses connections, so that its process has ended. Called after a
-    /// connection was lost; one that the replica accepts is kept for later requests.
-    pub async fn refuses_connections(&self, replica: &Replica) -> bool {
-        let timeout = Duration::from_millis(CHECK_TIMEOUT_MS);
-        match connect(replica.address, timeout).await {
-            Ok(connection) => {
-                self.return_connection(connection, None);
-                false
-            }
-            Err(error) => matches!(error, ExchangeError::Refused(_)),
-        }
-    }
-
     /// Whether the pool has a usable idle connection.
     pub fn is_connected(&self, now_ms: u64) -> bool {
         let idle = lock(&self.idle);
@@ -202,3 +189,11 @@
         self.by_service.values().flatten()
     }
 }
+
+/// Whether a replica refuses connections, so that its process has ended. A connection that it
+/// accepts is closed: how long the replica would keep it idle is not known.
+pub async fn refuses_connections(replica: &Replica) -> bool {
+    let timeout = Duration::from_millis(CHECK_TIMEOUT_MS);
+    let connected = connect(replica.address, timeout).await;
+    matches!(connected, Err(ExchangeError::Refused(_)))
+}
--- a/components/front/src/suspects.rs
+++ b/components/front/src/suspects.rs
@@ -24,7 +24,7 @@
 
 use crate::clock::now_ms;
 use crate::metrics;
-use crate::peers::{Member, incarnation};
+use crate::peers::{Member, incarnation, refuses_connections};
 use crate::state::{Front, lock};
 use crate::writer::{append_with_retry, write_index};
 
@@ -236,7 +236,7 @@
             incarnation(&other.replica) == incarnation(&member.replica) && !other.replica.draining
         })
     };
-    is_expected_to_run() && member.peer.refuses_connections(&member.replica).await
+    is_expected_to_run() && refuses_connections(&member.replica).await
 }
 
 /// Writes reports of crashes to the index until the process ends.
