--- a/components/front/src/calls.rs
+++ b/components/front/src/calls.rs
@@ -104,15 +104,8 @@
 impl CallSpec<'_> {
     /// Identifies requests with the same content, which have different request ids.
     pub fn digest(&self) -> CallDigest {
-        let customer = self.customer.unwrap_or_default();
-        let parts = [
-            customer.as_bytes(),
-            self.route.host.as_bytes(),
-            self.method.as_str().as_bytes(),
-            self.path.as_bytes(),
-            &*self.body,
-        ];
-        CallDigest::of_parts(&parts)
+        let Route { host, .. } = &**self.route;
+        suspects::content_digest(self.customer, host, &self.method, self.path, &self.body)
     }
 
     /// Time until the deadline, in milliseconds.
--- a/components/front/src/run_item.rs
+++ b/components/front/src/run_item.rs
@@ -106,16 +106,7 @@
 
 /// Identifies items with the same content, also in several steps.
 pub fn item_digest(customer: Option<&str>, host: &str, data: &ItemData) -> CallDigest {
-    let customer = customer.unwrap_or_default();
-    let method = Method::POST;
-    let parts = [
-        customer.as_bytes(),
-        host.as_bytes(),
-        method.as_str().as_bytes(),
-        data.path.as_bytes(),
-        &*data.body,
-    ];
-    CallDigest::of_parts(&parts)
+    suspects::content_digest(customer, host, &Method::POST, &data.path, &data.body)
 }
 
 /// Runs an item until the run ends. Takes `in_flight` and records its answer at the first event.
--- a/components/front/src/suspects.rs
+++ b/components/front/src/suspects.rs
@@ -16,6 +16,7 @@
 use std::time::Duration;
 
 use dispatch::Replica;
+use hyper::Method;
 use index::LogRecord;
 use quarantine::{
     AttemptId, CallDigest, CopyPlacement, CrashReport, StartDecision, SuspectSettings, Suspects,
@@ -226,6 +227,26 @@
     }
 }
 
+/// Identifies requests with the same content. The customer is a part of it, so that no customer can
+/// cause the requests of another one to be refused.
+pub fn content_digest(
+    customer: Option<&str>,
+    host: &str,
+    method: &Method,
+    path: &str,
+    body: &[u8],
+) -> CallDigest {
+    let customer = customer.unwrap_or_default();
+    let method = method.as_str();
+    CallDigest::of_parts(&[
+        customer.as_bytes(),
+        host.as_bytes(),
+        method.as_bytes(),
+        path.as_bytes(),
+        body,
+    ])
+}
+
 /// Whether a replica that lost a connection has crashed. The end of a replica that is draining or
 /// no longer listed was planned.
 pub async fn has_crashed(front: &Front, member: &Member) -> bool {
