Quarantine: an error doesn't clear a call that crashes endpoints

Callers saw: with one replica that answers errors among sound ones, a request that crashes replicas went on crashing them: two replicas, one of them answering 500, lost 15 replicas in 6 s, 5 of them later than three seconds after the third (3 are allowed). At the entries of the other frame a call crashed its endpoint four times or more, as long as another endpoint answered it with 503.

Cause: every complete answer cleared a call, as if the endpoint had run it.

Ruled out: that the crashes go unnoticed; replica-crashed was logged for each of them.

The fix: a 5xx, and a status that promises not to have run without saying so, ends the attempt without a word about the call. It can't have caused a later crash, and the earlier ones still count. The same at the entries, for reward calls, streams and items.

Tests, each failed before: front crashing::bounds_the_replicas_that_a_request_crashes_ while_another_one_answers_with_errors (5 of 15 later), gateway errors_when_a_call_has_ crashed_endpoints_and_others_answer_with_errors (4 crashes). The stand-in of a replica answers a status that it was told to give before it crashes.

--- a/components/front/src/calls.rs
+++ b/components/front/src/calls.rs
@@ -676,7 +676,7 @@
     };
     match answered {
         Ok((answer, reusable)) => {
-            in_flight.record_answer();
+            in_flight.record_answer(answer.status);
             if reusable {
                 member
                     .peer
--- a/components/front/src/run_item.rs
+++ b/components/front/src/run_item.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use dispatch::{Admission, EventInterval};
-use hyper::Method;
+use hyper::{Method, StatusCode};
 use platform::replica::{self, Call, ItemEnd, ItemRun, ItemStart, ReplicaError};
 use platform::sse::Event;
 use quarantine::CallDigest;
@@ -92,8 +92,12 @@
             in_flight.record_crash();
             RunEnd::Crashed(why)
         }
-        RunEnd::Complete | RunEnd::Failed | RunEnd::Impossible => {
-            in_flight.record_answer();
+        RunEnd::Complete | RunEnd::Impossible => {
+            in_flight.record_success();
+            end
+        }
+        RunEnd::Failed => {
+            in_flight.record_answer(StatusCode::INTERNAL_SERVER_ERROR);
             end
         }
         RunEnd::NotRun(_) => {
@@ -109,7 +113,7 @@
     suspects::content_digest(customer, host, &Method::POST, &data.path, &data.body)
 }
 
-/// Runs an item until the run ends. Takes `in_flight` and records its answer at the first event.
+/// Runs an item until the run ends. Takes `in_flight` and records its success at the first event.
 async fn run_to_end(
     spec: &RunSpec,
     shared: &SharedPartialText,
@@ -152,7 +156,7 @@
                     return end;
                 }
                 if let Some(in_flight) = in_flight.take() {
-                    in_flight.record_answer();
+                    in_flight.record_success();
                 }
                 let now_us = now_us();
                 spec.last_progress_ms
--- a/components/front/src/stream.rs
+++ b/components/front/src/stream.rs
@@ -142,13 +142,14 @@
     };
     if replica::promises_not_run(stream.status) {
         // The replica has not stated that it did not run the request.
-        in_flight.record_answer();
+        in_flight.record_answer(stream.status);
         let reason = format!("answered with status {}", stream.status.as_u16());
         return Err(NotStarted::may_have_run(reason));
     }
     let (frames, body) = mpsc::channel(BUFFERED_FRAMES_MAX);
     let mut response = Response::new(ResponseBody::Stream(body));
-    *response.status_mut() = stream.status;
+    let status = stream.status;
+    *response.status_mut() = status;
     *response.headers_mut() = stream.headers;
     held.release_all();
     response.extensions_mut().insert(Arc::clone(held));
@@ -175,7 +176,7 @@
             match &frame {
                 Ok(None | Some(Ok(_))) => {
                     if let Some(in_flight) = in_flight.take() {
-                        in_flight.record_answer();
+                        in_flight.record_answer(status);
                     }
                 }
                 Ok(Some(Err(_))) => {
--- a/components/front/src/suspects.rs
+++ b/components/front/src/suspects.rs
@@ -16,8 +16,9 @@
 use std::time::Duration;
 
 use dispatch::Replica;
-use hyper::Method;
+use hyper::{Method, StatusCode};
 use index::LogRecord;
+use platform::replica;
 use quarantine::{
     AttemptId, CallDigest, CopyPlacement, CrashReport, StartDecision, SuspectSettings, Suspects,
 };
@@ -195,13 +196,23 @@
 }
 
 impl InFlightAttempt {
-    /// Records that the replica answered.
-    pub fn record_answer(mut self) {
+    /// Records that the replica ran the call and answered.
+    pub fn record_success(mut self) {
         if let Some(id) = self.id.take() {
             lock(&self.calls.suspects).record_success(id);
         }
     }
 
+    /// Records that the replica answered with this status.
+    pub fn record_answer(mut self, status: StatusCode) {
+        if !status.is_server_error() && !replica::promises_not_run(status) {
+            return self.record_success();
+        }
+        if let Some(id) = self.id.take() {
+            lock(&self.calls.suspects).record_error(id);
+        }
+    }
+
     /// Records that the replica provably did not run the call.
     pub fn record_not_run(mut self) {
         if let Some(id) = self.id.take() {
--- a/components/front/tests/front/crashing.rs
+++ b/components/front/tests/front/crashing.rs
@@ -58,10 +58,10 @@
 
 impl Fleet {
     async fn start() -> Self {
-        Self::start_of(PLAIN).await
+        Self::start_of(PLAIN, REPLICAS).await
     }
 
-    async fn start_of(service: &'static str) -> Self {
+    async fn start_of(service: &'static str, replicas: usize) -> Self {
         let site = Site::start_with(EVENTS, CALL_MS, CALL_MS).await;
         let is_armed = |replica: &&Replica| replica.service == service;
         let armed = site.replicas.iter().filter(is_armed);
@@ -76,7 +76,7 @@
         for id in armed {
             fleet.arm(&id);
         }
-        while fleet.started < REPLICAS {
+        while fleet.started < replicas {
             fleet.add().await;
         }
         fleet
@@ -307,6 +307,21 @@
     check_refusal(&fronts[0], "crashing-last").await;
 }
 
+/// Guards against forgetting the crashes of a request as soon as another replica answers it with an
+/// error.
+#[tokio::test]
+async fn bounds_the_replicas_that_a_request_crashes_while_another_one_answers_with_errors() {
+    let mut fleet = Fleet::start_of(PLAIN, 2).await;
+    fleet.site.replica("plain-2").seen.answer_all_with(500);
+    let fronts = [fleet.site.front("a").await, fleet.site.front("b").await];
+    fleet
+        .repeat_crashing_request(&fronts, STABLE + Duration::from_secs(3))
+        .await;
+    assert!(fleet.crashes.len() >= CRASHES_MAX);
+    fleet.check_late_crashes();
+    check_refusal(&fronts[0], "crashing-last").await;
+}
+
 /// Guards against suspecting a request because its connections are reset while replicas run on.
 #[tokio::test]
 async fn can_serve_a_request_after_its_connections_were_reset() {
@@ -391,7 +406,7 @@
 /// to run it, and against losing the other items of its step.
 #[tokio::test]
 async fn bounds_the_model_replicas_that_an_item_crashes() {
-    let mut fleet = Fleet::start_of(ENGINES).await;
+    let mut fleet = Fleet::start_of(ENGINES, REPLICAS).await;
     let front = fleet.site.front("a").await;
     let step = with_crashing_body(&records::step(1, 1, ITEMS), "q80=");
     assert_eq!(front.submit("step-1", &step).await.0, 202);
--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -20,6 +20,8 @@
 /// Delay before the next choice when all remaining replicas are isolating a suspect call, in
 /// milliseconds.
 const ISOLATION_RETRY_MS: u64 = 100;
+/// Lowest status of the errors that an endpoint may answer with before it runs a call.
+const SERVER_ERROR_MIN: u16 = 500;
 
 /// Constraints on the replica of an attempt.
 #[derive(Clone, Debug, Default)]
@@ -35,6 +37,8 @@
 /// An attempt in progress. Dropping it before its last event cancels the call.
 pub struct Attempt {
     call: Call,
+    /// Status of the answer; `None` before its head has arrived.
+    status: Option<u16>,
     /// `None` once the attempt has ended.
     reservation: Option<Reservation>,
     table: Arc<Table>,
@@ -67,6 +71,7 @@
         );
         Ok(Attempt {
             call: links.call(node.address, open),
+            status: None,
             reservation: Some(reservation),
             table,
             node,
@@ -90,13 +95,19 @@
         match event {
             CallEvent::Accepted | CallEvent::Started => {}
             CallEvent::Head(_) | CallEvent::Chunk(_) => {
+                if let CallEvent::Head(head) = &event {
+                    self.status = Some(head.status);
+                }
                 if let Some(reservation) = &self.reservation {
                     reservation.choice.outstanding.record_answer_start();
                 }
             }
             CallEvent::End => {
-                if let Some(in_flight) = self.finish(Outcome::Answered) {
-                    in_flight.record_success();
+                let is_error = self.status.is_some_and(|status| status >= SERVER_ERROR_MIN);
+                match self.finish(Outcome::Answered) {
+                    Some(in_flight) if is_error => in_flight.record_error(),
+                    Some(in_flight) => in_flight.record_success(),
+                    None => {}
                 }
             }
             CallEvent::Failed(failure) => {
--- a/components/gateway/src/suspects.rs
+++ b/components/gateway/src/suspects.rs
@@ -24,6 +24,7 @@
         oneshot::Sender<StartDecision>,
     ),
     RecordSuccess(AttemptId),
+    RecordError(AttemptId),
     RecordEnd(AttemptId),
     RecordCrash(AttemptId, oneshot::Sender<Verdict>),
     RecordPeerVerdict(CallDigest, u32),
@@ -140,6 +141,13 @@
         }
     }
 
+    /// Records that the endpoint answered with an error.
+    pub fn record_error(mut self) {
+        if let Some(id) = self.id.take() {
+            let _ = self.commands.send(Command::RecordError(id));
+        }
+    }
+
     /// Records that the endpoint crashed during the attempt. Returns the failure if it is final.
     pub async fn record_crash(mut self) -> Option<Failure> {
         let id = self.id.take()?;
@@ -198,6 +206,7 @@
             }
         }
         Command::RecordSuccess(id) => suspects.record_success(id),
+        Command::RecordError(id) => suspects.record_error(id),
         Command::RecordEnd(id) => suspects.record_end(id, now_ms),
         Command::RecordCrash(id, answer) => {
             let _ = answer.send(suspects.record_crash(id, now_ms));
--- a/components/gateway/tests/requests.rs
+++ b/components/gateway/tests/requests.rs
@@ -2,6 +2,8 @@
 
 mod common;
 
+use std::time::Duration;
+
 use common::{OPERATOR, Site, SiteSettings, TRAINER, TestRequest, completion};
 use http::Method;
 use settings::Ceilings;
@@ -9,6 +11,8 @@
 
 const CONSULT: &str = "/v1/services/guichet/applicants/17";
 const SANCTION: &str = "/v1/services/guichet/sanctions";
+/// [`SANCTION`] as the endpoint receives it.
+const SANCTION_AT_ENDPOINT: &str = "/sanctions";
 const COMPLETIONS: &str = "/v1/completions";
 const TAG: &str = "x-request-tag";
 const KEY: &str = "idempotency-key";
@@ -336,6 +340,35 @@
     assert_eq!(harmless.status, 200, "{}", harmless.text());
 }
 
+// Guards against forgetting the crashes that a call caused as soon as another endpoint answers it
+// with an error. The entry can miss one crash report on a busy host.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn errors_when_a_call_has_crashed_endpoints_and_others_answer_with_errors() {
+    const CRASHES_MAX: u64 = 3;
+    let site = Site::start(SiteSettings {
+        engines: 0,
+        services: 2,
+        entries: 1,
+        ..SiteSettings::default()
+    })
+    .await;
+    let crash = Fault::new(FaultKind::CrashOn).with_text("poison");
+    site.services[0].inject_fault(crash.delayed(50));
+    site.services[1].inject_fault(Fault::new(FaultKind::Outage).on(SANCTION_AT_ENDPOINT));
+    let request = TestRequest::post(SANCTION, "poison");
+    for _ in 0..40 {
+        site.send(0, &request).await;
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    let crashes = site.services[0].crashes();
+    assert!((2..=CRASHES_MAX).contains(&crashes), "{crashes} crashes");
+    let (status, outcome, cause) = site.send(0, &request).await.problem();
+    assert_eq!(
+        (status, outcome.as_str(), cause.as_str()),
+        (422, "not-run", "quarantined")
+    );
+}
+
 // Guards against interrupting a request when its entry drains: the entry must end only after the
 // complete answer was sent.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
--- a/components/quarantine/src/suspects.rs
+++ b/components/quarantine/src/suspects.rs
@@ -3,7 +3,8 @@
 //! When an endpoint crashes, every call that was in flight there becomes a suspect: the calls of
 //! this process, and those that the other entries report. A suspect is retried in isolation: an
 //! endpoint runs at most one suspect of this process, gets no new call of this process meanwhile,
-//! and only one attempt of each suspect runs at a time. A call that completes is cleared.
+//! and only one attempt of each suspect runs at a time. A call that completes is cleared; an error doesn't
+//! clear it, as an endpoint can give one before it runs the call.
 //!
 //! A call with `condemn_after_crashes` crashes is condemned if no other call was in flight at all
 //! of them. The decision is made `settle_ms` after the last of its crashes, when the reports of
@@ -176,8 +177,8 @@
         !self.runs_suspect(endpoint, now_ms)
     }
 
-    /// Records that an attempt got its complete answer. The call is cleared, unless another process
-    /// has condemned it.
+    /// Records that an attempt got its complete answer, which shows that the endpoint ran the call.
+    /// The call is cleared, unless another process has condemned it.
     pub fn record_success(&mut self, attempt: AttemptId) {
         let Some(digest) = self.in_flight.record_success(attempt) else {
             return;
@@ -189,6 +190,12 @@
         }
     }
 
+    /// Records that an attempt got an error as its complete answer. The endpoint may have given it
+    /// before it ran the call, so the crashes of other attempts still count.
+    pub fn record_error(&mut self, attempt: AttemptId) {
+        self.in_flight.remove(attempt);
+    }
+
     /// Records that the endpoint provably did not run an attempt, so that it cannot have caused a
     /// crash.
     pub fn record_not_run(&mut self, attempt: AttemptId) {
--- a/components/quarantine/tests/suspects.rs
+++ b/components/quarantine/tests/suspects.rs
@@ -99,6 +99,25 @@
     assert!(suspects.is_empty());
 }
 
+/// Guards against clearing a call that crashes endpoints because another endpoint answers it with an
+/// error before it runs the call.
+#[test]
+fn counts_the_crashes_of_a_call_that_other_endpoints_answer_with_errors() {
+    let mut suspects = Suspects::new(SuspectSettings::default());
+    let run = start(&mut suspects, BAD, 1, 0).unwrap();
+    assert_eq!(suspects.record_crash(run, 10), Verdict::Retry);
+    let run = start(&mut suspects, BAD, 2, 20).unwrap();
+    suspects.record_error(run);
+    assert_eq!(
+        suspects.status(call(BAD), 30),
+        DigestStatus::Suspect { crashes: 1 }
+    );
+    let run = start(&mut suspects, BAD, 3, 40).unwrap();
+    assert_eq!(suspects.record_crash(run, 50), Verdict::Retry);
+    let decision = try_start(&mut suspects, BAD, 2, 650);
+    assert!(matches!(decision, StartDecision::Refuse(_)), "{decision:?}");
+}
+
 /// Guards against losing more endpoints through several entries. A caller submits one call
 /// repeatedly through two entries. With crash reports two endpoints crash; without them each entry
 /// learns from its own crashes until it receives the verdict of the other, so at most four do.
--- a/dev/standins/src/fleet/replica.rs
+++ b/dev/standins/src/fleet/replica.rs
@@ -46,6 +46,7 @@
     keys: usize,
     orders: Vec<ReceivedOrder>,
     answers: BTreeMap<String, u16>,
+    answer_status: Option<u16>,
     answer_bytes: Option<usize>,
     active_runs: usize,
     full: bool,
@@ -118,6 +119,11 @@
         self.lock().answers.insert(request_id.to_owned(), status);
     }
 
+    /// Answers all later requests with an error of this status.
+    pub fn answer_all_with(&self, status: u16) {
+        self.lock().answer_status = Some(status);
+    }
+
     /// Answers later plain calls with a body of this length.
     pub fn answer_with_bytes(&self, bytes: usize) {
         self.lock().answer_bytes = Some(bytes);
@@ -130,7 +136,7 @@
 
 /// Starts a replica on weight version 1. A request is cancelled when its caller disconnects. With
 /// [`FaultKind::CrashOn`](crate::FaultKind::CrashOn), the replica crashes after `pause_ms` when it
-/// runs a request whose body contains the fault's text.
+/// runs a request whose body contains the fault's text, unless it answers the request with an error.
 pub async fn start(
     listen: SocketAddr,
     settings: ReplicaSettings,
@@ -227,15 +233,10 @@
         let named = state.customers.entry(id.clone()).or_default();
         named.insert(customer.to_owned());
         state.keys += usize::from(call.header("hornbeamrock-key").is_some());
-        (state.version, state.answers.get(&id).copied())
+        let status = state.answers.get(&id).copied().or(state.answer_status);
+        (state.version, status)
     };
     let run_guard = control.begin_run();
-    let body = String::from_utf8_lossy(&call.body);
-    if let Some(fault) = process.faults.trigger_crash(&body) {
-        tokio::time::sleep(Duration::from_millis(settings.pause_ms)).await;
-        process.crash(fault.delay_ms);
-        return std::future::pending().await;
-    }
     let stamp = format!("stamp-{id}");
     if let Some(status) = status {
         return with_headers(
@@ -244,6 +245,12 @@
             &[("server-stamp", &stamp)],
         );
     }
+    let body = String::from_utf8_lossy(&call.body);
+    if let Some(fault) = process.faults.trigger_crash(&body) {
+        tokio::time::sleep(Duration::from_millis(settings.pause_ms)).await;
+        process.crash(fault.delay_ms);
+        return std::future::pending().await;
+    }
     if settings.events == 0 {
         tokio::time::sleep(Duration::from_millis(settings.pause_ms)).await;
         let bytes = control.lock().answer_bytes;
