Recovery: an attempt that lost its endpoint doesn't use up a request's attempts

Callers saw: a stream beside a prompt that crashes engines ended with 502 endpoint-lost.

Cause: a request has three attempts. One that happened to run at three engines which the prompt crashed, or was refused by an agent whose engine was down, had none left, though nothing was wrong with it. Its own entry keeps it apart from the prompt, the other one doesn't know it.

The fix: an attempt whose endpoint crashed, or whose agent says that it is down, does not count, up to as many as the limit. Calls that crash endpoints are bounded by the quarantine, retry storms by the customer's budget; both stay.

Tests: recovery can_decide_whether_to_retry, case "third endpoint lost", failed before.

--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -44,6 +45,8 @@
     table: Arc<Table>,
     node: NodeId,
     life: EndpointLife,
+    /// [`Job::lost_endpoints`].
+    lost_endpoints: Arc<AtomicU32>,
 }
 
 /// Resources of an attempt in progress.
@@ -76,6 +79,7 @@
             table,
             node,
             life,
+            lost_endpoints: Arc::clone(&job.lost_endpoints),
         })
     }
 
@@ -119,11 +123,17 @@
 
     async fn handle_failure(&mut self, failure: Failure) -> Failure {
         let in_flight = self.finish(replica_outcome(failure));
-        let lost = failure.cause == Cause::EndpointLost && failure.run != RunState::NotRun;
-        let Some(in_flight) = in_flight.filter(|_| lost) else {
+        let is_lost = failure.cause == Cause::EndpointLost;
+        if is_lost && failure.run == RunState::NotRun {
+            // The agent knows that its endpoint is down.
+            self.lost_endpoints.fetch_add(1, Ordering::Relaxed);
+            return failure;
+        }
+        let Some(in_flight) = in_flight.filter(|_| is_lost) else {
             return failure;
         };
         if self.life.has_ended().await {
+            self.lost_endpoints.fetch_add(1, Ordering::Relaxed);
             return in_flight.record_crash().await.unwrap_or(failure);
         }
         // The crash report may arrive after the wait above. An ignored crash would let a call that
--- a/components/gateway/src/job.rs
+++ b/components/gateway/src/job.rs
@@ -1,6 +1,7 @@
 //! A validated request that is to be sent to an endpoint.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
 
 use bytes::Bytes;
 use config::Service;
@@ -28,6 +29,8 @@
     pub path: String,
     /// Headers sent to the endpoint.
     pub headers: Vec<(String, String)>,
+    /// Number of attempts whose endpoint crashed or was down.
+    pub lost_endpoints: Arc<AtomicU32>,
     /// Estimated size, used for the choice of a replica and for limits.
     pub work: routing::Work,
 }
--- a/components/gateway/src/request_context.rs
+++ b/components/gateway/src/request_context.rs
@@ -97,6 +97,7 @@
             method: method.to_owned(),
             path,
             headers: endpoint_headers(&self.parts.headers, &self.request_id)?,
+            lost_endpoints: Arc::default(),
             work,
         })
     }
--- a/components/gateway/src/retried_call.rs
+++ b/components/gateway/src/retried_call.rs
@@ -3,6 +3,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -75,6 +76,7 @@
             idempotent: self.job.idempotent,
             delivered,
             endpoints: &self.endpoints,
+            lost_endpoints: self.job.lost_endpoints.load(Ordering::Relaxed),
             deadline_left_ms: self.job.left_ms(now_ms),
         };
         let budget = || self.account.retry_budget.try_spend(now_ms);
--- a/components/gateway/src/training/run.rs
+++ b/components/gateway/src/training/run.rs
@@ -126,6 +126,7 @@
                 ("content-type".to_owned(), "application/json".to_owned()),
                 (REQUEST_ID.to_owned(), request_id.clone()),
             ],
+            lost_endpoints: Arc::default(),
             work,
             request_id,
         };
--- a/components/gateway/src/training/score.rs
+++ b/components/gateway/src/training/score.rs
@@ -107,6 +107,7 @@
                 ("content-type".to_owned(), "application/json".to_owned()),
                 (REQUEST_ID.to_owned(), request_id.clone()),
             ],
+            lost_endpoints: Arc::default(),
             work: Work::default(),
             request_id,
         };
--- a/components/recovery/src/retry.rs
+++ b/components/recovery/src/retry.rs
@@ -12,7 +12,8 @@
 /// Limits of retries.
 #[derive(Clone, Copy, Debug)]
 pub struct RetrySettings {
-    /// Maximum number of attempts for one request, including the first.
+    /// Maximum number of attempts for one request, including the first. As many attempts that lost
+    /// their endpoint don't count.
     pub attempts_max: u32,
     /// Delay before the second attempt if the first may have run, in milliseconds. Doubles
     /// with each further attempt.
@@ -53,6 +54,9 @@
     pub delivered: Delivered,
     /// Endpoint of each attempt so far, including this one.
     pub endpoints: &'a [SocketAddr],
+    /// Number of these attempts whose endpoint crashed or was down. They say nothing about the
+    /// request: one that runs beside a call that crashes endpoints can lose several.
+    pub lost_endpoints: u32,
     /// Time until the caller's deadline, in milliseconds.
     pub deadline_left_ms: u64,
 }
@@ -95,11 +99,12 @@
 ) -> RetryDecision {
     let failure = consistent_failure(attempt);
     let attempts = u32::try_from(attempt.endpoints.len()).unwrap_or(u32::MAX);
+    let uncounted = attempt.lost_endpoints.min(settings.attempts_max);
     let after_ms = backoff_ms(settings, failure.run, attempts, random);
     let allowed = may_run_again(attempt.idempotent, failure.run)
         && is_retriable(failure.cause)
         && attempt.delivered != Delivered::Bytes
-        && attempts < settings.attempts_max
+        && attempts.saturating_sub(uncounted) < settings.attempts_max
         && after_ms + settings.attempt_ms_min <= attempt.deadline_left_ms;
     if !allowed {
         return RetryDecision::Final(failure);
--- a/components/recovery/tests/retry.rs
+++ b/components/recovery/tests/retry.rs
@@ -14,6 +14,7 @@
     idempotent: bool,
     delivered: Delivered,
     attempts: usize,
+    lost_endpoints: u32,
     deadline_left_ms: u64,
     budget: bool,
     expected: Result<Resume, Failure>,
@@ -31,6 +32,7 @@
         idempotent: true,
         delivered: Delivered::Nothing,
         attempts: 1,
+        lost_endpoints: 0,
         deadline_left_ms: 1_000,
         budget: true,
         expected: Ok(Resume::FromStart),
@@ -98,6 +100,21 @@
             case.attempts = 3;
             case.expected = Err(case.failure);
         }),
+        // A completion runs beside a call that crashes its engines one after the other.
+        case("third endpoint lost", |case| {
+            case.attempts = 3;
+            case.lost_endpoints = 3;
+        }),
+        case("last attempt after two lost endpoints", |case| {
+            case.attempts = 5;
+            case.lost_endpoints = 2;
+            case.expected = Err(case.failure);
+        }),
+        case("more lost endpoints than attempts allowed", |case| {
+            case.attempts = 6;
+            case.lost_endpoints = 6;
+            case.expected = Err(case.failure);
+        }),
         case("too little time left", |case| {
             case.deadline_left_ms = 9;
             case.expected = Err(case.failure);
@@ -125,6 +142,7 @@
         idempotent: case.idempotent,
         delivered: case.delivered,
         endpoints: &endpoints(case.attempts),
+        lost_endpoints: case.lost_endpoints,
         deadline_left_ms: case.deadline_left_ms,
     };
     let mut budget_used = false;
