Quarantine: a report that is written twice counts as one crash

Callers saw: after a single crash of a replica, a request that had been in flight there was refused with 503 for ten minutes, at all fronts but the one that it came through.

Cause: an append without an answer is made again, so the report of a crash can stand in the index twice. Two reports of one process on one endpoint counted as two crashes, as at the entries, where an endpoint is an address at which it crashes again and again. The fronts name an incarnation, which crashes once.

Evidence: with the store's answers to one front's appends lost, the other front refused the request after one crash (left: 503, right: 200). Ruled out: that a second crash took place; the stand-ins counted one.

The fix: the settings say what an endpoint's name stands for. Reports on one incarnation are about one crash, whoever sends them and however often.

Tests, both failed before: front can_serve_a_request_after_a_crash_that_was_reported_ repeatedly; quarantine counts_a_crash_of_an_incarnation_once_however_often_it_is_reported (did not compile: there was no such setting).

--- a/components/front/src/suspects.rs
+++ b/components/front/src/suspects.rs
@@ -20,7 +20,8 @@
 use index::LogRecord;
 use platform::replica;
 use quarantine::{
-    AttemptId, CallDigest, CopyPlacement, CrashReport, StartDecision, SuspectSettings, Suspects,
+    AttemptId, CallDigest, CopyPlacement, CrashReport, EndpointNames, StartDecision,
+    SuspectSettings, Suspects,
 };
 use tokio::sync::Notify;
 
@@ -92,8 +93,7 @@
         let defaults = SuspectSettings::default();
         let settings = SuspectSettings {
             settle_ms: SETTLE_MS,
-            // An incarnation of a replica crashes once.
-            same_crash_window_ms: defaults.suspect_retention_ms,
+            endpoint_names: EndpointNames::Incarnations,
             retry_wait_ms: RETRY_AFTER_MS,
             ..defaults
         };
--- a/components/front/tests/front/crashing.rs
+++ b/components/front/tests/front/crashing.rs
@@ -338,6 +338,33 @@
     assert_eq!(send(&front, "q-1", "body").await.0, 200);
 }
 
+/// Guards against refusing a request after a single crash, because the report of it is written again
+/// when the answer of the store is lost.
+#[tokio::test]
+async fn can_serve_a_request_after_a_crash_that_was_reported_repeatedly() {
+    let site = Site::start_with(3, 1, 300).await;
+    let fronts = [site.front("a").await, site.front("b").await];
+    let store = &fronts[0].store_listener;
+    store.inject_fault(Fault::new(FaultKind::AnswerLost).on("/v1/log-append"));
+    let request = fronts[0].call("q-1", "/calls/x");
+    let crash = async {
+        wait_until("a replica runs the request", || async {
+            replica_of(&site, "q-1").is_some()
+        })
+        .await;
+        let replica = replica_of(&site, "q-1").expect("a replica runs the request");
+        replica.handle.crash(600_000);
+        site.store.put("keyed.servers", &replica.id, None);
+    };
+    let ((status, _), ()) = tokio::join!(request, crash);
+    assert_eq!(status, 200);
+    sleep(VERDICT).await;
+    store.clear_faults();
+    for front in &fronts {
+        assert_eq!(front.call("q-2", "/calls/x").await.0, 200);
+    }
+}
+
 /// Guards against suspecting a request because replicas ended that were to leave.
 #[tokio::test]
 async fn can_serve_a_request_that_ran_at_replicas_that_leave() {
--- a/components/quarantine/src/crashes.rs
+++ b/components/quarantine/src/crashes.rs
@@ -7,7 +7,7 @@
 
 use derive::value;
 
-use crate::CallDigest;
+use crate::{CallDigest, EndpointNames};
 
 /// Maximum number of crashes that are stored; the oldest are evicted first.
 pub(crate) const CRASHES_MAX: usize = 4_096;
@@ -43,10 +43,10 @@
 
 impl<E: Clone + Ord> Crashes<E> {
     /// Records the calls that one process had in flight at a crash, and returns the number of the
-    /// crash. `reported_by` is `None` for this process. Reports about one endpoint within
-    /// `same_crash_window_ms` are about the same crash, unless they come from the same process.
+    /// crash. `reported_by` is `None` for this process. Where an endpoint is named by its address,
+    /// reports within the window are about the same crash, unless they come from the same process.
     ///
-    /// If an endpoint crashes twice within that time, it is unknown which crash a report is about.
+    /// If an endpoint crashes twice within the window, it is unknown which crash a report is about.
     /// Such crashes therefore share the calls in flight at either of them. This can delay a
     /// verdict, but never misses the cause.
     pub fn record(
@@ -55,13 +55,22 @@
         endpoint: &E,
         in_flight: impl IntoIterator<Item = CallDigest>,
         now_ms: u64,
-        same_crash_window_ms: u64,
+        names: EndpointNames,
     ) -> u64 {
         let is_in_window = |crash: &Crash<E>| {
-            crash.endpoint == *endpoint && crash.at_ms + same_crash_window_ms > now_ms
+            let in_time = match names {
+                EndpointNames::Addresses {
+                    same_crash_window_ms,
+                } => crash.at_ms + same_crash_window_ms > now_ms,
+                EndpointNames::Incarnations => true,
+            };
+            crash.endpoint == *endpoint && in_time
         };
         let mut in_window = self.crashes.iter().rev().filter(|(_, c)| is_in_window(c));
-        let known = in_window.find(|(_, crash)| !crash.reported_by.contains(&reported_by));
+        let known = in_window.find(|(_, crash)| {
+            matches!(names, EndpointNames::Incarnations)
+                || !crash.reported_by.contains(&reported_by)
+        });
         let number = known.map_or(self.next_number, |(&number, _)| number);
         self.next_number = self.next_number.max(number + 1);
         let in_window = self.crashes.values().filter(|crash| is_in_window(crash));
--- a/components/quarantine/src/lib.rs
+++ b/components/quarantine/src/lib.rs
@@ -13,7 +13,7 @@
 
 pub use digest::CallDigest;
 pub use report::CrashReport;
-pub use settings::SuspectSettings;
+pub use settings::{EndpointNames, SuspectSettings};
 pub use suspects::Suspects;
 pub use verdict::{
     AttemptId, CondemnedCall, CopyPlacement, CrashHistory, DigestStatus, EndpointCrash,
--- a/components/quarantine/src/settings.rs
+++ b/components/quarantine/src/settings.rs
@@ -2,6 +2,20 @@
 
 use derive::value;
 
+/// What the name of an endpoint stands for.
+#[value]
+#[derive(Copy)]
+pub enum EndpointNames {
+    /// An address, at which an endpoint crashes repeatedly.
+    Addresses {
+        /// Reports of several processes within this time are about the same crash, in milliseconds.
+        same_crash_window_ms: u64,
+    },
+    /// An incarnation, which crashes once: all reports about it are about the same crash, also
+    /// repeated ones of the same process.
+    Incarnations,
+}
+
 /// Settings of [`crate::Suspects`].
 #[value]
 #[derive(Copy)]
@@ -11,9 +25,8 @@
     /// Time within which the reports of the other entries about a crash arrive, in milliseconds.
     /// No call is condemned for the crash before that.
     pub settle_ms: u64,
-    /// Reports of several processes about one endpoint within this time are about the same crash,
-    /// in milliseconds.
-    pub same_crash_window_ms: u64,
+    /// What the name of an endpoint stands for; decides which reports are about the same crash.
+    pub endpoint_names: EndpointNames,
     /// How long an attempt that ended without an answer still counts as present at its endpoint, in
     /// milliseconds.
     pub recent_attempt_ms: u64,
@@ -33,7 +46,9 @@
         Self {
             condemn_after_crashes: 2,
             settle_ms: 600,
-            same_crash_window_ms: 1_000,
+            endpoint_names: EndpointNames::Addresses {
+                same_crash_window_ms: 1_000,
+            },
             recent_attempt_ms: 1_000,
             suspect_retention_ms: 600_000,
             condemned_ms: 600_000,
--- a/components/quarantine/src/suspects.rs
+++ b/components/quarantine/src/suspects.rs
@@ -240,10 +240,10 @@
             in_flight,
         } = crashed;
         let digests = in_flight.iter().copied();
-        let same_ms = self.settings.same_crash_window_ms;
+        let names = self.settings.endpoint_names;
         let crash = self
             .crashes
-            .record(Some(from), endpoint, digests, now_ms, same_ms);
+            .record(Some(from), endpoint, digests, now_ms, names);
         for &digest in in_flight {
             self.add_crash(digest, crash, now_ms);
         }
@@ -336,10 +336,8 @@
     fn record_local_crash(&mut self, endpoint: &E, now_ms: u64) {
         let in_flight = self.in_flight.running_or_recent_at(endpoint, now_ms);
         let digests = in_flight.iter().copied();
-        let same_ms = self.settings.same_crash_window_ms;
-        let crash = self
-            .crashes
-            .record(None, endpoint, digests, now_ms, same_ms);
+        let names = self.settings.endpoint_names;
+        let crash = self.crashes.record(None, endpoint, digests, now_ms, names);
         self.in_flight.mark_crashed(endpoint, crash);
         for &digest in &in_flight {
             self.add_crash(digest, crash, now_ms);
--- a/components/quarantine/tests/suspects.rs
+++ b/components/quarantine/tests/suspects.rs
@@ -4,8 +4,8 @@
 use std::net::SocketAddr;
 
 use quarantine::{
-    AttemptId, CallDigest, CopyPlacement, CrashHistory, DigestStatus, StartDecision,
-    SuspectSettings, Suspects, Verdict,
+    AttemptId, CallDigest, CopyPlacement, CrashHistory, DigestStatus, EndpointCrash, EndpointNames,
+    StartDecision, SuspectSettings, Suspects, Verdict,
 };
 use types::{Cause, CustomerName, RunState, ServiceName};
 
@@ -99,6 +99,24 @@
     assert!(suspects.is_empty());
 }
 
+/// Guards against counting one crash twice, because the report of it arrives again.
+#[test]
+fn counts_a_crash_of_an_incarnation_once_however_often_it_is_reported() {
+    let mut suspects = Suspects::new(SuspectSettings {
+        endpoint_names: EndpointNames::Incarnations,
+        ..SuspectSettings::default()
+    });
+    let crash = EndpointCrash {
+        endpoint: endpoint(1),
+        in_flight: vec![call(1)],
+    };
+    for now_ms in [0, 10, 5_000] {
+        suspects.record_peer_crash(address(1), &crash, now_ms);
+    }
+    let crashes = DigestStatus::Suspect { crashes: 1 };
+    assert_eq!(suspects.status(call(1), 10_000), crashes);
+}
+
 /// Guards against clearing a call that crashes endpoints because another endpoint answers it with an
 /// error before it runs the call.
 #[test]
