Front: a refused connection shows a crash that no call was in flight at

Callers saw: a request whose client disconnects before it crashes its replica crashed one replica after the other, and was never refused.

Cause: a crash is noticed by a call that loses its connection. The next call found the connection refused and went elsewhere without a word.

The fix: a replica that refuses a connection, is listed and was not to leave has crashed if a call of this front ended there without an answer in the last second. Calls that only found it down don't count. A call that no other one follows to that replica within the second still goes unnoticed.

Tests: front crashing::bounds_the_replicas_that_a_request_of_a_client_that_disconnects_crashes failed before; quarantine counts_the_crash_of_an_endpoint_that_is_down_... is new with the method. The stand-in goes on with a request that crashes it when the caller has disconnected.

--- a/components/front/src/calls.rs
+++ b/components/front/src/calls.rs
@@ -658,8 +658,12 @@
             load.record_failure(now_ms());
             slot.record_not_sent();
             in_flight.record_not_run();
+            let connection_refused = matches!(error, ExchangeError::Refused(_));
+            if connection_refused {
+                suspects::record_refused_connection(front, &member);
+            }
             return Attempt {
-                connection_refused: matches!(error, ExchangeError::Refused(_)),
+                connection_refused,
                 ..failed(AttemptOutcome::NotRun, error.to_string())
             };
         }
--- a/components/front/src/stream.rs
+++ b/components/front/src/stream.rs
@@ -11,7 +11,7 @@
 use http_body_util::BodyExt;
 use hyper::Response;
 use platform::replica::{self, ReplicaError};
-use platform::{BodyError, ResponseBody};
+use platform::{BodyError, ExchangeError, ResponseBody};
 use tokio::sync::mpsc;
 
 use crate::calls::{CallSpec, choose_in_service};
@@ -113,6 +113,9 @@
         Ok(connection) => connection,
         Err(error) => {
             in_flight.record_not_run();
+            if matches!(error, ExchangeError::Refused(_)) {
+                suspects::record_refused_connection(front, member);
+            }
             return Err(NotStarted::not_run(error.to_string()));
         }
     };
--- a/components/front/src/suspects.rs
+++ b/components/front/src/suspects.rs
@@ -7,7 +7,8 @@
 //! reports, also those that start later, and come to the same verdict about the call that was in
 //! flight at each of several crashes. The verdicts are decided in `quarantine`.
 //!
-//! A replica counts as crashed if it closes a connection without an answer and refuses the next one.
+//! A replica counts as crashed if it closes a connection without an answer and refuses the next one,
+//! or refuses one shortly after a call there ended without an answer.
 //! The loss of a whole machine closes no connection, and makes no call a suspect.
 //!
 //! Without the store, each front knows only the crashes that it saw itself.
@@ -258,17 +259,28 @@
     ])
 }
 
-/// Whether a replica that lost a connection has crashed. The end of a replica that is draining or
-/// no longer listed was planned.
+/// Whether a replica that lost a connection has crashed.
 pub async fn has_crashed(front: &Front, member: &Member) -> bool {
-    let is_expected_to_run = || {
-        let table = front.replicas.load();
-        let mut listed = table.of(&member.replica.service).iter();
-        listed.any(|other| {
-            incarnation(&other.replica) == incarnation(&member.replica) && !other.replica.draining
-        })
-    };
-    is_expected_to_run() && refuses_connections(&member.replica).await
+    is_expected_to_run(front, member) && refuses_connections(&member.replica).await
+}
+
+/// Records that a replica refused a connection. Without this, the crash of a replica by a request
+/// whose client has disconnected would go unnoticed.
+pub fn record_refused_connection(front: &Front, member: &Member) {
+    if is_expected_to_run(front, member) {
+        let endpoint = endpoint_name(&member.replica);
+        lock(&front.suspects.suspects).record_endpoint_down(&endpoint, now_ms());
+        front.suspects.crashed.notify_one();
+    }
+}
+
+/// Whether the end of a replica is not planned: it is listed and not draining.
+fn is_expected_to_run(front: &Front, member: &Member) -> bool {
+    let table = front.replicas.load();
+    let mut listed = table.of(&member.replica.service).iter();
+    listed.any(|other| {
+        incarnation(&other.replica) == incarnation(&member.replica) && !other.replica.draining
+    })
 }
 
 /// Writes reports of crashes to the index until the process ends.
--- a/components/front/tests/front/crashing.rs
+++ b/components/front/tests/front/crashing.rs
@@ -322,6 +322,31 @@
     check_refusal(&fronts[0], "crashing-last").await;
 }
 
+/// Guards against losing one replica after the other to a request whose client disconnects before
+/// each crash, so that no call of a front is in flight at it.
+#[tokio::test]
+async fn bounds_the_replicas_that_a_request_of_a_client_that_disconnects_crashes() {
+    let mut fleet = Fleet::start().await;
+    let front = fleet.site.front("a").await;
+    let began = Instant::now();
+    let mut number = 0;
+    while began.elapsed() < STABLE + Duration::from_secs(3) {
+        let id = format!("crashing-{number}");
+        let crashing = send(&front, &id, CRASHING);
+        // An error means that the client waits no longer.
+        let _ = tokio::time::timeout(Duration::from_millis(CALL_MS / 2), crashing).await;
+        sleep(Duration::from_millis(2 * CALL_MS)).await;
+        for other in 0..CLIENTS {
+            let id = format!("other-{number}-{other}");
+            send(&front, &id, &id).await;
+        }
+        fleet.observe().await;
+        number += 1;
+    }
+    assert!(fleet.crashes.len() >= CRASHES_MAX);
+    fleet.check_late_crashes();
+}
+
 /// Guards against suspecting a request because its connections are reset while replicas run on.
 #[tokio::test]
 async fn can_serve_a_request_after_its_connections_were_reset() {
--- a/components/quarantine/src/in_flight.rs
+++ b/components/quarantine/src/in_flight.rs
@@ -167,12 +167,22 @@
 
     /// Calls that run at the endpoint or ran there shortly before.
     pub(crate) fn running_or_recent_at(&self, endpoint: &E, now_ms: u64) -> BTreeSet<CallDigest> {
-        let is_there = |recent: &&RecentAttempt<E>| {
+        let running = self.running_at(endpoint);
+        running.chain(self.recent_at(endpoint, now_ms)).collect()
+    }
+
+    /// Whether a call ended at the endpoint shortly before, without an answer and without a known
+    /// crash.
+    pub(crate) fn is_recent_at(&self, endpoint: &E, now_ms: u64) -> bool {
+        self.recent_at(endpoint, now_ms).next().is_some()
+    }
+
+    fn recent_at(&self, endpoint: &E, now_ms: u64) -> impl Iterator<Item = CallDigest> {
+        let is_there = move |recent: &&RecentAttempt<E>| {
             recent.endpoint == *endpoint && recent.at_ms + self.recent_ms > now_ms
         };
         let recent = self.recent.iter().filter(is_there);
-        let running = self.running_at(endpoint);
-        running.chain(recent.map(|recent| recent.digest)).collect()
+        recent.map(|recent| recent.digest)
     }
 
     fn remove_expired(&mut self, now_ms: u64) {
--- a/components/quarantine/src/suspects.rs
+++ b/components/quarantine/src/suspects.rs
@@ -221,6 +221,14 @@
         self.verdict(ended.digest, now_ms)
     }
 
+    /// Records that an endpoint is down. It has crashed if a call of this process ended there shortly
+    /// before without an answer, such as one whose caller disconnected before the crash.
+    pub fn record_endpoint_down(&mut self, endpoint: &E, now_ms: u64) {
+        if self.in_flight.is_recent_at(endpoint, now_ms) {
+            self.record_local_crash(endpoint, now_ms);
+        }
+    }
+
     /// Records that another process has condemned a digest.
     pub fn record_peer_verdict(&mut self, digest: CallDigest, left_ms: u32, now_ms: u64) {
         let until_ms = now_ms + u64::from(left_ms.min(self.settings.condemned_ms));
--- a/components/quarantine/tests/suspects.rs
+++ b/components/quarantine/tests/suspects.rs
@@ -99,6 +99,24 @@
     assert!(suspects.is_empty());
 }
 
+/// Guards against missing a crash by a call whose caller disconnected before, and against suspecting
+/// calls that found the endpoint down.
+#[test]
+fn counts_the_crash_of_an_endpoint_that_is_down_against_calls_that_ended_there_without_an_answer() {
+    let mut suspects = Suspects::new(SuspectSettings::default());
+    let cancelled = start(&mut suspects, BAD, 1, 0).unwrap();
+    suspects.record_end(cancelled, 10);
+    let refused = start(&mut suspects, 1, 1, 20).unwrap();
+    suspects.record_not_run(refused);
+    suspects.record_endpoint_down(&endpoint(1), 20);
+    suspects.record_endpoint_down(&endpoint(1), 30);
+    suspects.record_endpoint_down(&endpoint(2), 30);
+    let suspect = DigestStatus::Suspect { crashes: 1 };
+    assert_eq!(suspects.status(call(BAD), 40), suspect);
+    assert_eq!(suspects.status(call(1), 40), DigestStatus::Clear);
+    assert_eq!(suspects.take_crashes().len(), 1);
+}
+
 /// Guards against counting one crash twice, because the report of it arrives again.
 #[test]
 fn counts_a_crash_of_an_incarnation_once_however_often_it_is_reported() {
--- a/dev/standins/src/fleet/replica.rs
+++ b/dev/standins/src/fleet/replica.rs
@@ -136,7 +136,8 @@
 
 /// Starts a replica on weight version 1. A request is cancelled when its caller disconnects. With
 /// [`FaultKind::CrashOn`](crate::FaultKind::CrashOn), the replica crashes after `pause_ms` when it
-/// runs a request whose body contains the fault's text, unless it answers the request with an error.
+/// runs a request whose body contains the fault's text, also if its caller has disconnected by then,
+/// unless it answers the request with an error.
 pub async fn start(
     listen: SocketAddr,
     settings: ReplicaSettings,
@@ -158,7 +159,7 @@
 async fn answer(
     settings: &ReplicaSettings,
     control: &ReplicaControl,
-    process: &Control,
+    process: &Arc<Control>,
     call: Call,
 ) -> Reply {
     let expected = call.header("hornbeamrock-expect-instance");
@@ -211,7 +212,7 @@
 async fn run(
     settings: &ReplicaSettings,
     control: &ReplicaControl,
-    process: &Control,
+    process: &Arc<Control>,
     call: &Call,
 ) -> Reply {
     let id = call
@@ -247,8 +248,11 @@
     }
     let body = String::from_utf8_lossy(&call.body);
     if let Some(fault) = process.faults.trigger_crash(&body) {
-        tokio::time::sleep(Duration::from_millis(settings.pause_ms)).await;
-        process.crash(fault.delay_ms);
+        let (process, pause_ms) = (Arc::clone(process), settings.pause_ms);
+        tokio::spawn(async move {
+            tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+            process.crash(fault.delay_ms);
+        });
         return std::future::pending().await;
     }
     if settings.events == 0 {
