Front: reports of crashes are written again before the store drops them

Callers saw: a front that started more than five minutes after a request had crashed replicas let it crash two more, while all other fronts refused it.

Evidence: with a retention of 4 s and the reports dropped, the new front crashed replicas (left: 502, right: 503).

The fix: each front keeps the reports that it reads, and writes one again when it has not seen it for half of the retention and a random part of a quarter. Whoever comes first writes, the others read it and wait anew; no front has this task. A report keeps its reporter and its time, so it expires ten minutes after the crash everywhere.

Weighed: a keyed record for each verdict, which stays for good, costs each front one more topic to read and has to be removed by somebody.

Tests: front crashing::can_refuse_a_crashing_request_after_the_store_dropped_the_reports failed before; quarantine keeps_a_report_in_the_log_until_it_expires (eight processes, five writes at most in ten minutes).

--- a/components/front/src/state.rs
+++ b/components/front/src/state.rs
@@ -141,7 +141,11 @@
             drain,
             close_connections: watch::Sender::new(false),
             call_queues: CallQueues::default(),
-            suspects: Arc::new(SuspectCalls::new(&settings.node, rand::random())),
+            suspects: Arc::new(SuspectCalls::new(
+                &settings.node,
+                rand::random(),
+                settings.store.retention_ms,
+            )),
             typical_durations: Mutex::default(),
             settings,
         }
--- a/components/front/src/suspects.rs
+++ b/components/front/src/suspects.rs
@@ -21,7 +21,7 @@
 use index::LogRecord;
 use platform::replica;
 use quarantine::{
-    AttemptId, CallDigest, CopyPlacement, CrashReport, EndpointNames, StartDecision,
+    AttemptId, CallDigest, CopyPlacement, CrashReport, EndpointNames, KeptReports, StartDecision,
     SuspectSettings, Suspects,
 };
 use tokio::sync::Notify;
@@ -37,15 +37,16 @@
 const SETTLE_MS: u64 = 1_000;
 /// Retry-After of a suspect whose reports are awaited, in milliseconds.
 const RETRY_AFTER_MS: u32 = 500;
-/// Interval at which expired records are removed, in milliseconds.
-const EXPIRE_INTERVAL_MS: u64 = 10_000;
+/// Longest time between two removals of expired records, in milliseconds.
+const UPKEEP_MS_MAX: u64 = 10_000;
 /// Number of calls that the log line about a crash names.
 const LOGGED_CALLS_MAX: usize = 8;
 
 /// The calls in flight of this front, and what all fronts know of crashes.
 pub struct SuspectCalls {
     suspects: Mutex<Suspects<Arc<str>>>,
-    retention_ms: u64,
+    /// Reports that stand in the index.
+    kept: Mutex<KeptReports>,
     /// Name under which this process reports crashes. Another process of the same node has another
     /// one, so that a front learns from its own reports of before a restart.
     reporter: String,
@@ -89,8 +90,9 @@
 }
 
 impl SuspectCalls {
-    /// No known crashes. `node` names this front, and `random` its process.
-    pub fn new(node: &str, random: u64) -> Self {
+    /// No known crashes. `node` names this front, and `random` its process. The index keeps its
+    /// records for `log_retention_ms`.
+    pub fn new(node: &str, random: u64, log_retention_ms: u64) -> Self {
         let defaults = SuspectSettings::default();
         let settings = SuspectSettings {
             settle_ms: SETTLE_MS,
@@ -100,7 +102,10 @@
         };
         Self {
             suspects: Mutex::new(Suspects::new(settings)),
-            retention_ms: defaults.suspect_retention_ms,
+            kept: Mutex::new(KeptReports::new(
+                log_retention_ms,
+                defaults.suspect_retention_ms,
+            )),
             reporter: format!("{node}/{random:016x}"),
             crashed: Notify::new(),
         }
@@ -175,8 +180,13 @@
 
     /// Applies the report of a crash that was read from the index. `utc_ms` is the current time.
     pub fn apply(&self, report: &CrashReport, utc_ms: u64) {
-        let is_old = report.noticed_unix_ms + self.retention_ms < utc_ms;
-        if is_old || report.reporter == self.reporter {
+        let mut kept = lock(&self.kept);
+        if kept.is_expired(report, utc_ms) {
+            return;
+        }
+        kept.record(report, now_ms(), rand::random());
+        drop(kept);
+        if report.reporter == self.reporter {
             return;
         }
         log::info!(
@@ -189,6 +199,19 @@
         self.crashed.notify_one();
     }
 
+    /// Time until [`Self::upkeep`] is due.
+    fn next_upkeep_in(&self, now_ms: u64) -> Duration {
+        let due_ms = lock(&self.kept).next_due_ms();
+        let due_in_ms = due_ms.map(|due_ms| due_ms.saturating_sub(now_ms));
+        Duration::from_millis(due_in_ms.unwrap_or(UPKEEP_MS_MAX).min(UPKEEP_MS_MAX))
+    }
+
+    /// Removes expired records. Returns the reports that have to be written to the index again.
+    fn upkeep(&self, now_ms: u64, utc_ms: u64) -> Vec<CrashReport> {
+        lock(&self.suspects).expire(now_ms);
+        lock(&self.kept).take_due(now_ms, utc_ms, rand::random())
+    }
+
     fn take_reports(&self, utc_ms: u64) -> Vec<CrashReport> {
         let crashes = lock(&self.suspects).take_crashes();
         let report = |crash| CrashReport::new(&self.reporter, crash, utc_ms);
@@ -283,18 +306,18 @@
     })
 }
 
-/// Writes reports of crashes to the index until the process ends.
+/// Writes reports of crashes to the index until the process ends, and writes those again that the
+/// index would lose before they expire.
 pub async fn write_reports(front: Arc<Front>) {
-    let mut expiry = tokio::time::interval(Duration::from_millis(EXPIRE_INTERVAL_MS));
     loop {
+        let upkeep_in = front.suspects.next_upkeep_in(now_ms());
         tokio::select! {
             () = front.suspects.crashed.notified() => {}
-            _ = expiry.tick() => lock(&front.suspects.suspects).expire(now_ms()),
-        }
-        let reports = front.suspects.take_reports(front.meter.utc_ms(now_ms()));
-        if reports.is_empty() {
-            continue;
+            () = tokio::time::sleep(upkeep_in) => {}
         }
+        let now_ms = now_ms();
+        let utc_ms = front.meter.utc_ms(now_ms);
+        let reports = front.suspects.take_reports(utc_ms);
         for report in &reports {
             log::warn!(
                 event = "replica-crashed", replica = report.endpoint,
@@ -303,7 +326,17 @@
             let label = metrics::call_label(false);
             front.metrics.count("front_replica_crashes_total", label, 1);
         }
-        let records: Vec<LogRecord> = reports.into_iter().map(LogRecord::Crash).collect();
+        let repeated = front.suspects.upkeep(now_ms, utc_ms);
+        for report in &repeated {
+            log::info!(
+                event = "crash-report-repeated", replica = report.endpoint, front = report.reporter; ""
+            );
+        }
+        let all = reports.into_iter().chain(repeated);
+        let records: Vec<LogRecord> = all.map(LogRecord::Crash).collect();
+        if records.is_empty() {
+            continue;
+        }
         append_with_retry(&front, "crash reports", || write_index(&front, &records)).await;
     }
 }
--- a/components/front/tests/front/common.rs
+++ b/components/front/tests/front/common.rs
@@ -21,6 +21,7 @@
 pub const TEST_TIMEOUT: Duration = Duration::from_secs(20);
 /// Start of all replicas that report one.
 pub const STARTED_UNIX_MS: u64 = 1_700_000_000_000;
+const STORE_RETENTION_MS: u64 = 300_000;
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 
 pub struct Replica {
@@ -176,6 +177,8 @@
     pub peer_ports: Option<(u16, u16)>,
     /// Failure domain of fronts that are started from now on.
     pub domain: &'static str,
+    /// How long the store keeps records, in the settings of fronts that are started from now on.
+    pub store_retention_ms: u64,
     /// Whether the replicas report their start.
     pub reports_start: bool,
 }
@@ -196,6 +199,7 @@
             duties: None,
             peer_ports: None,
             domain: "zone-a",
+            store_retention_ms: STORE_RETENTION_MS,
             reports_start: false,
         };
         site.store
@@ -293,13 +297,14 @@
             .listen(([127, 0, 0, 1], 0).into())
             .await
             .expect("a port");
-        let settings = FrontSettings {
+        let mut settings = FrontSettings {
             cpu_share_thousandths,
             duties: self.duties,
             peer_ports: self.peer_ports,
             domain: self.domain.to_owned(),
             ..settings(node, store_listener.address)
         };
+        settings.store.retention_ms = self.store_retention_ms;
         let bound = Bound::new(settings).await.expect("ports");
         let (client_address, readiness_address) = (
             bound.client_address().expect("bound"),
@@ -334,7 +339,7 @@
         cpu_share_thousandths: 500,
         store: StoreSettings {
             address: store,
-            retention_ms: 300_000,
+            retention_ms: STORE_RETENTION_MS,
             record_bytes_max: 262_144,
             append_bytes_max: 2_097_152,
             partitions: 24,
--- a/components/front/tests/front/crashing.rs
+++ b/components/front/tests/front/crashing.rs
@@ -10,6 +10,7 @@
 
 use crate::common::{FrontHandle, Replica, Site, wait_until};
 
+const INDEX_TOPIC: &str = "index";
 /// Body of the request that crashes replicas.
 const CRASHING: &str = "crashing";
 /// Time that a call takes, and an event of a text.
@@ -235,6 +236,25 @@
     assert_eq!(fleet.crashes.len(), CRASHES_MAX);
 }
 
+/// Guards against losing replicas again at a front that starts when the store has dropped the reports
+/// of the crashes, while the other fronts still refuse the request.
+#[tokio::test]
+async fn can_refuse_a_crashing_request_after_the_store_dropped_the_reports() {
+    let mut fleet = Fleet::start().await;
+    fleet.site.store_retention_ms = 4_000;
+    let fronts = [fleet.site.front("a").await, fleet.site.front("b").await];
+    fleet.repeat_crashing_request(&fronts, VERDICT).await;
+    let crashes = fleet.crashes.len();
+    let end = fleet.site.store.end(INDEX_TOPIC, 0);
+    sleep(Duration::from_millis(fleet.site.store_retention_ms)).await;
+    fleet.site.store.trim_before(INDEX_TOPIC, 0, end);
+    let front = fleet.site.front("c").await;
+    sleep(VERDICT).await;
+    check_refusal(&front, "crashing-at-c").await;
+    fleet.observe().await;
+    assert_eq!(fleet.crashes.len(), crashes);
+}
+
 /// Guards against losing all replicas while the fronts can't tell each other of crashes.
 #[tokio::test]
 async fn bounds_the_replicas_that_a_request_crashes_while_the_store_is_down() {
--- a/components/quarantine/src/crashes.rs
+++ b/components/quarantine/src/crashes.rs
@@ -99,6 +99,12 @@
         number
     }
 
+    /// Whether a process has reported a crash of the endpoint.
+    pub fn has_report(&self, reported_by: &Option<E>, endpoint: &E) -> bool {
+        let mut crashes = self.crashes.values();
+        crashes.any(|c| c.endpoint == *endpoint && c.reported_by.contains(reported_by))
+    }
+
     /// Whether this process has reported its calls in flight at the crash.
     pub fn is_reported_locally(&self, number: u64) -> bool {
         let crash = self.crashes.get(&number);
--- a/components/quarantine/src/lib.rs
+++ b/components/quarantine/src/lib.rs
@@ -6,12 +6,14 @@
 mod crashes;
 mod digest;
 mod in_flight;
+mod kept_reports;
 mod report;
 mod settings;
 mod suspects;
 mod verdict;
 
 pub use digest::CallDigest;
+pub use kept_reports::KeptReports;
 pub use report::CrashReport;
 pub use settings::{EndpointNames, SuspectSettings};
 pub use suspects::Suspects;
--- a/components/quarantine/src/suspects.rs
+++ b/components/quarantine/src/suspects.rs
@@ -45,7 +45,7 @@
 use crate::in_flight::InFlight;
 use crate::{
     AttemptId, CallDigest, CondemnedCall, CopyPlacement, CrashHistory, DigestStatus, EndpointCrash,
-    StartDecision, SuspectSettings, Verdict,
+    EndpointNames, StartDecision, SuspectSettings, Verdict,
 };
 
 /// Crashes and condemnation of one digest.
@@ -247,11 +247,14 @@
             endpoint,
             in_flight,
         } = crashed;
-        let digests = in_flight.iter().copied();
         let names = self.settings.endpoint_names;
-        let crash = self
-            .crashes
-            .record(Some(from), endpoint, digests, now_ms, names);
+        let from = Some(from);
+        // A repeated report would make suspects again of calls that were cleared since.
+        if names == EndpointNames::Incarnations && self.crashes.has_report(&from, endpoint) {
+            return;
+        }
+        let digests = in_flight.iter().copied();
+        let crash = self.crashes.record(from, endpoint, digests, now_ms, names);
         for &digest in in_flight {
             self.add_crash(digest, crash, now_ms);
         }
--- a/components/quarantine/tests/suspects.rs
+++ b/components/quarantine/tests/suspects.rs
@@ -133,6 +133,10 @@
     }
     let crashes = DigestStatus::Suspect { crashes: 1 };
     assert_eq!(suspects.status(call(1), 10_000), crashes);
+    let run = start(&mut suspects, 1, 2, 10_000).unwrap();
+    suspects.record_success(run);
+    suspects.record_peer_crash(address(1), &crash, 10_010);
+    assert_eq!(suspects.status(call(1), 10_020), DigestStatus::Clear);
 }
 
 /// Guards against clearing a call that crashes endpoints because another endpoint answers it with an
--- a/dev/standins/src/fleet/store.rs
+++ b/dev/standins/src/fleet/store.rs
@@ -101,10 +101,16 @@
 
     /// Trims all records of a partition. The newest record of each key stays readable.
     pub fn trim(&self, topic: &str, partition: u32) {
+        self.trim_before(topic, partition, u64::MAX);
+    }
+
+    /// Trims the records of a partition before an offset. The newest record of each key stays
+    /// readable.
+    pub fn trim_before(&self, topic: &str, partition: u32, offset: u64) {
         let mut state = self.lock();
         if let Some(partition_log) = state.partitions.get_mut(&(topic.to_owned(), partition)) {
             let end = partition_log.end();
-            partition_log.trim(end);
+            partition_log.trim(end.min(offset));
         }
         drop(state);
         self.changes.send_modify(|count| *count += 1);
