Runner: digests of waiting items only while one can have to wait

While any call was known to have been in flight at a crash, up to ten minutes behind each, every pass computed the digest of every waiting item (1.3 us a KiB). An item has to wait only after two crashes, so the pass asks first whether any call has as many. Not measured by itself; the tests of crashing items and of the runner pass.

--- a/components/front/src/runner/pool_queues.rs
+++ b/components/front/src/runner/pool_queues.rs
@@ -266,7 +266,7 @@
 
     /// Whether an item crashed replicas and may not run again yet.
     fn must_wait_after_crashes(&self, step: &Step, (id, item): ItemKey) -> bool {
-        if self.front.suspects.is_empty() {
+        if !self.front.suspects.any_must_wait() {
             return false;
         }
         let data = self.data.get(&id).and_then(|data| data.get(item as usize));
--- a/components/front/src/suspects.rs
+++ b/components/front/src/suspects.rs
@@ -152,9 +152,9 @@
         }
     }
 
-    /// Whether any call is known to have been in flight at a crash.
-    pub fn is_empty(&self) -> bool {
-        lock(&self.suspects).is_empty()
+    /// Whether [`Self::must_wait`] can hold for any item. Spares most passes the digests of all items.
+    pub fn any_must_wait(&self) -> bool {
+        lock(&self.suspects).any_delayed()
     }
 
     /// Whether an item has to wait until it runs again, because its runs crashed replicas. An item
--- a/components/quarantine/src/suspects.rs
+++ b/components/quarantine/src/suspects.rs
@@ -171,6 +171,11 @@
         })
     }
 
+    /// Whether any call has so many crashes that [`CrashHistory::retry_at_ms`] can delay it.
+    pub fn any_delayed(&self) -> bool {
+        self.records.values().any(|record| record.crashes.len() > 1)
+    }
+
     /// Whether the endpoint runs no suspect and may get new calls. For processes that queue calls
     /// before [`Suspects::try_start`].
     pub fn accepts_new_calls(&self, endpoint: &E, now_ms: u64) -> bool {
