Front: the choice of a call's replica in a module of its own

What selects the replica of an attempt, and refuses or keeps apart calls that crash replicas, is moved without a change.

--- a/components/front/src/call_queue.rs
+++ b/components/front/src/call_queue.rs
@@ -21,7 +21,8 @@
 use tokio::sync::oneshot;
 use types::{Class, CustomerName};
 
-use crate::calls::{CallSpec, accepts_work, choose_among};
+use crate::call_replica::{accepts_work, choose_among};
+use crate::calls::CallSpec;
 use crate::clock::{now_ms, now_us};
 use crate::metrics::GaugeLines;
 use crate::peers::{Incarnation, Member, ReplicaTable, incarnation};
--- a/components/front/src/lib.rs
+++ b/components/front/src/lib.rs
@@ -9,6 +9,7 @@
 
 mod access;
 mod call_queue;
+mod call_replica;
 mod calls;
 mod client_io;
 mod clock;
--- a/components/front/src/stream.rs
+++ b/components/front/src/stream.rs
@@ -14,7 +14,8 @@
 use platform::{BodyError, ExchangeError, ResponseBody};
 use tokio::sync::mpsc;
 
-use crate::calls::{CallSpec, choose_in_service};
+use crate::call_replica::choose_in_service;
+use crate::calls::CallSpec;
 use crate::clock::now_ms;
 use crate::held::HeldGuard;
 use crate::meter::CountedRequest;
