Front: a refused connection doesn't use up an attempt of a request for a stream

Callers saw: 503 for a request for a stream while a replica was left, as the records of crashed replicas stay listed for one to three seconds.

Evidence: with five of six replicas crashed the first request got 503.

The fix: the same function counts the attempts of both.

Test: front crashing::can_stream_from_the_replica_that_is_left_when_others_crashed failed before (left: 503, right: 200); it shares its check with the one for calls.

--- a/components/front/src/calls.rs
+++ b/components/front/src/calls.rs
@@ -181,7 +181,7 @@
                 None => refused,
             };
         }
-        let sent = counted_attempts(spec, tried.len(), connections_refused);
+        let sent = counted_attempts(spec.route, tried.len(), connections_refused);
         let hedge_delay = hedge_delay(spec, &typical, sent, attempts.len());
         let left = Duration::from_millis(spec.left_ms());
         tokio::select! {
@@ -189,7 +189,7 @@
                 let Attempt { end, answer, refused, connection_refused, reason, replica, crashed } = done;
                 was_refused = refused || connection_refused;
                 connections_refused += usize::from(connection_refused);
-                let sent = counted_attempts(spec, tried.len(), connections_refused);
+                let sent = counted_attempts(spec.route, tried.len(), connections_refused);
                 let is_refusal = answer.as_ref().is_some_and(|answer| answer.is_refusal());
                 // The client must not receive a refusal while another attempt may run the request.
                 let (end, answer) = match is_refusal && (may_run_elsewhere || !attempts.is_empty()) {
@@ -377,8 +377,8 @@
 /// Number of attempts that count against the limit of the route. A replica that refuses the
 /// connection receives nothing; as many of them as the limit don't count, so that a call is not
 /// refused while the records of crashed replicas are still listed.
-fn counted_attempts(spec: &CallSpec<'_>, tried: usize, connections_refused: usize) -> usize {
-    tried - connections_refused.min(spec.route.attempts_max as usize)
+pub fn counted_attempts(route: &Route, tried: usize, connections_refused: usize) -> usize {
+    tried - connections_refused.min(route.attempts_max as usize)
 }
 
 /// What to do after an attempt ended with `end`.
--- a/components/front/src/stream.rs
+++ b/components/front/src/stream.rs
@@ -15,7 +15,7 @@
 use tokio::sync::mpsc;
 
 use crate::call_replica::choose_in_service;
-use crate::calls::CallSpec;
+use crate::calls::{CallSpec, counted_attempts};
 use crate::clock::now_ms;
 use crate::held::HeldGuard;
 use crate::meter::CountedRequest;
@@ -42,17 +42,28 @@
     Suspected(SuspectRefusal),
 }
 
-impl NotStarted {
+/// Why an attempt opened no stream.
+struct OpenFailure {
+    /// Whether it is certain that the replica did not run the request.
+    not_run: bool,
+    /// Whether the replica refused the connection.
+    connection_refused: bool,
+    reason: String,
+}
+
+impl OpenFailure {
     fn not_run(reason: String) -> Self {
-        Self::Failed {
+        Self {
             not_run: true,
+            connection_refused: false,
             reason,
         }
     }
 
     fn may_have_run(reason: String) -> Self {
-        Self::Failed {
+        Self {
             not_run: false,
+            connection_refused: false,
             reason,
         }
     }
@@ -68,10 +79,12 @@
     let digest = spec.digest();
     let mut tried: Vec<Incarnation> = Vec::new();
     let mut counted_request = CountedRequest::new(front, spec.customer);
-    let mut last_error = NotStarted::not_run("no replica is available".to_owned());
+    let mut last_failure = OpenFailure::not_run("no replica is available".to_owned());
     let mut sent_to = 0;
-    while sent_to < spec.route.attempts_max
-        && matches!(last_error, NotStarted::Failed { not_run: true, .. })
+    let mut connections_refused = 0;
+    while counted_attempts(spec.route, sent_to, connections_refused)
+        < spec.route.attempts_max as usize
+        && last_failure.not_run
     {
         let Some(member) = choose_untried(front, spec, &tried) else {
             break;
@@ -90,10 +103,16 @@
                 sent.store(now_ms(), Ordering::Relaxed);
                 return Ok(response);
             }
-            Err(not_started) => last_error = not_started,
+            Err(failure) => {
+                connections_refused += usize::from(failure.connection_refused);
+                last_failure = failure;
+            }
         }
     }
-    Err(last_error)
+    Err(NotStarted::Failed {
+        not_run: last_failure.not_run,
+        reason: last_failure.reason,
+    })
 }
 
 fn choose_untried(front: &Front, spec: &CallSpec<'_>, tried: &[Incarnation]) -> Option<Member> {
@@ -109,15 +128,19 @@
     spec: &CallSpec<'_>,
     held: &Arc<HeldGuard>,
     in_flight: InFlightAttempt,
-) -> Result<Response<ResponseBody>, NotStarted> {
+) -> Result<Response<ResponseBody>, OpenFailure> {
     let mut connection = match member.peer.connection(&member.replica).await {
         Ok(connection) => connection,
         Err(error) => {
             in_flight.record_not_run();
-            if matches!(error, ExchangeError::Refused(_)) {
+            let connection_refused = matches!(error, ExchangeError::Refused(_));
+            if connection_refused {
                 suspects::record_refused_connection(front, member);
             }
-            return Err(NotStarted::not_run(error.to_string()));
+            return Err(OpenFailure {
+                connection_refused,
+                ..OpenFailure::not_run(error.to_string())
+            });
         }
     };
     let call = spec.replica_call(&member.replica);
@@ -127,28 +150,28 @@
     let opened = tokio::select! {
         opened = replica::open_stream(&mut connection, call, timeout) => opened,
         () = peer.wait_for_restart(sent_ms) => {
-            return Err(NotStarted::may_have_run(RESTARTED.to_owned()));
+            return Err(OpenFailure::may_have_run(RESTARTED.to_owned()));
         }
     };
     let stream = match opened {
         Ok(stream) => stream,
         Err(error) if error.is_not_run() => {
             in_flight.record_not_run();
-            return Err(NotStarted::not_run(error.to_string()));
+            return Err(OpenFailure::not_run(error.to_string()));
         }
         Err(error) => {
             let is_lost = matches!(error, ReplicaError::OutcomeUnknown(_));
             if is_lost && suspects::has_crashed(front, member).await {
                 in_flight.record_crash();
             }
-            return Err(NotStarted::may_have_run(error.to_string()));
+            return Err(OpenFailure::may_have_run(error.to_string()));
         }
     };
     if replica::promises_not_run(stream.status) {
         // The replica has not stated that it did not run the request.
         in_flight.record_answer(stream.status);
         let reason = format!("answered with status {}", stream.status.as_u16());
-        return Err(NotStarted::may_have_run(reason));
+        return Err(OpenFailure::may_have_run(reason));
     }
     let (frames, body) = mpsc::channel(BUFFERED_FRAMES_MAX);
     let mut response = Response::new(ResponseBody::Stream(body));
--- a/components/front/tests/front/crashing.rs
+++ b/components/front/tests/front/crashing.rs
@@ -509,16 +509,7 @@
 async fn bounds_the_replicas_that_a_request_for_a_stream_crashes() {
     let mut fleet = Fleet::start().await;
     let fronts = [fleet.site.front("a").await, fleet.site.front("b").await];
-    let config = records::config(4)
-        .replacen(r#""Kind":"safe""#, r#""Kind":"stream""#, 1)
-        .replace("/bids/", "/former/");
-    fleet.site.store.put("keyed.op", "config", Some(&config));
-    for front in &fronts {
-        wait_until("the new configuration is active", || async {
-            front.call("bid", "/bids/x").await.0 == 404
-        })
-        .await;
-    }
+    serve_calls_as_streams(&fleet.site, &fronts).await;
     fleet
         .repeat_crashing_request(&fronts, STABLE + Duration::from_secs(2))
         .await;
@@ -532,12 +523,30 @@
 #[tokio::test]
 async fn can_reach_the_replica_that_is_left_when_others_crashed() {
     let fleet = Fleet::start().await;
+    let fronts = start_fronts(&fleet.site).await;
+    check_service_by_the_last_replica(&fleet.site, &fronts).await;
+}
+
+/// Guards against refusing requests for streams in the same case.
+#[tokio::test]
+async fn can_stream_from_the_replica_that_is_left_when_others_crashed() {
+    let fleet = Fleet::start().await;
+    let fronts = start_fronts(&fleet.site).await;
+    serve_calls_as_streams(&fleet.site, &fronts).await;
+    check_service_by_the_last_replica(&fleet.site, &fronts).await;
+}
+
+async fn start_fronts(site: &Site) -> Vec<FrontHandle> {
     let mut fronts = Vec::new();
     for number in 0..4 {
-        fronts.push(fleet.site.front(&format!("front-{number}")).await);
+        fronts.push(site.front(&format!("front-{number}")).await);
     }
-    let replicas = fleet.site.replicas.iter();
-    let plain = replicas.filter(|replica| replica.service == PLAIN);
+    fronts
+}
+
+/// Crashes all plain replicas but one, and checks that each front is served by it.
+async fn check_service_by_the_last_replica(site: &Site, fronts: &[FrontHandle]) {
+    let plain = site.replicas.iter().filter(|r| r.service == PLAIN);
     for replica in plain.take(REPLICAS - 1) {
         replica.handle.crash(600_000);
     }
@@ -549,6 +558,20 @@
     }
 }
 
+/// Makes the route of plain calls one for streams.
+async fn serve_calls_as_streams(site: &Site, fronts: &[FrontHandle]) {
+    let config = records::config(4)
+        .replacen(r#""Kind":"safe""#, r#""Kind":"stream""#, 1)
+        .replace("/bids/", "/former/");
+    site.store.put("keyed.op", "config", Some(&config));
+    for front in fronts {
+        wait_until("the new configuration is active", || async {
+            front.call("bid", "/bids/x").await.0 == 404
+        })
+        .await;
+    }
+}
+
 /// Replaces the first body of this content by one that crashes replicas.
 fn with_crashing_body(step: &str, body: &str) -> String {
     step.replacen(&format!("\"{body}\""), "\"Y3Jhc2hpbmc=\"", 1)
