--- a/components/front/src/call_replica.rs
+++ b/components/front/src/call_replica.rs
@@ -21,7 +21,9 @@
 
 /// A replica for the next attempt.
 pub enum Granted<'a> {
+    /// A place at a replica, where the attempt counts as in flight.
     Place(Slot<'a>, InFlightAttempt),
+    /// No untried replica is left, or the deadline has passed.
     NoReplica,
     /// The queue refuses the call.
     Refused(Refusal),
@@ -29,6 +31,7 @@
     Suspected(SuspectRefusal),
 }
 
+/// Names of the route's services, those without a weight among them.
 pub fn services(route: &Route) -> impl Iterator<Item = &str> {
     route.shares.iter().map(|share| &*share.service)
 }
