--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,105 +1,134 @@
-"""A front that gets SIGTERM breaks the streams that it relays, seconds before its grace is over."""
+"""A front with several cores lists empty texts as succeeded, when it loses its shard of the work
+while texts end."""
 
 import asyncio
 import os
-import signal
 import sys
 import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "standins"))
 import deployment as d
+from steps import MODEL, SCORER, config, end, read_all, rollout, step, submit
 
-STREAMS = 6
-EVENTS, PAUSE_S = 24, 0.2
-GRACE_S = 8.0
+# On some days, a machine exposes several cores.
+CORES = 2
+# As many as the replicas and slots of orldb-rennes and mdac-lots.
+REPLICAS, SLOTS, GROUP_ITEMS = 9, 8, 4
+ITEMS = REPLICAS * SLOTS
+EVENTS, PAUSE_S = 24, 0.1
+TEXT = "\n".join(f"word-{number}" for number in range(1, EVENTS + 1))
+# When the store turns the front away, and for how long: longer than a membership lasts (1.3 s).
+REFUSE_AT_S, REFUSE_S = 0.8, 1.9
+# The ends of the texts arrive one after the other, not at once.
+BETWEEN_ENDS_S = 60e-6
+# How many of them arrive before the answer to the front's next join, step by step; the others
+# arrive right after it.
+BEFORE_JOIN = [36, 12, 24]
+# How long results are read after that; the other front that has the work by then needs longer.
+READ_S = 1.5
+LAST_START_S = 80.0
 
-CONFIG = {
-    "Version": 3,
-    "Routes": [
-        {"Name": "r-stream", "Host": d.HOST, "PathPrefix": "/lohu930/", "Kind": "stream",
-         "TimeoutMs": 10000, "GoalMs": 400, "Priority": 1, "Service": "huvo11a",
-         "MaxAttempts": 2, "Sticky": True},
-    ],
-    "Services": [
-        {"Name": "huvo11a", "HealthPath": "/health", "MaxConns": 150, "Protocol": "h1",
-         "Tls": False, "Engine": {"Slots": 8, "KvCapacity": 47681, "Stride": 49,
-                                  "Models": [{"Name": "daka510000"}]}},
-    ],
-    "Limits": d.LIMITS,
-}
 
+def write_ends(waiting):
+    """Writes the ends of the given streams, one after the other."""
+    began = time.perf_counter()
+    for number, writer in enumerate(waiting):
+        while time.perf_counter() < began + number * BETWEEN_ENDS_S:
+            pass
+        if not writer.transport.is_closing():
+            writer.write(b"0\r\n\r\n")
 
-async def stream(front, record, name):
-    """Sends one request and reads its stream. Returns the events and whether the end came."""
-    reader, writer = await asyncio.open_connection(*front.address)
-    headers = {
-        "Hornbeamrock-Request-Id": name, "Hornbeamrock-Deadline-Ms": "10000",
-        "Hornbeamrock-Model": "daka510000", "Hornbeamrock-Token-Usage": "271,1200",
-        "Hornbeamrock-Prompt-Prefix": f"9c2e41:255,{name}:16",
-    }
-    writer.write(d.request_bytes("POST", f"/lohu930/{name}", headers, b"prompt"))
-    await writer.drain()
-    record(f"client: sent {name} to {front.name}")
-    events, status = [], None
-    try:
-        head = await d.read_head(reader)
-        if head is None:
-            record(f"client: {name} got no answer")
-            return events, False
-        status = int(head[0].split(" ")[1])
-        async for chunk in d.read_chunks(reader):
-            events += [line for line in chunk.decode().splitlines() if line.startswith("id: ")]
-    except (ConnectionError, asyncio.IncompleteReadError) as reason:
-        record(f"client: {name} status {status}, BROKEN after {len(events)} events: {reason}")
-        return events, False
-    finally:
-        writer.close()
-    record(f"client: {name} status {status}, complete with {len(events)} events")
-    return events, status == 200
 
+async def play(deployment, record, number, trouble):
+    """One step of the trainer. Returns the results that are wrong."""
+    name = f"{number:02x}aa"
+    waiting = []
+    for replica in deployment.replicas:
+        replica.waiting_ends = waiting
+    began = time.monotonic()
+    body = step(number, "/pule252/", name, ITEMS // GROUP_ITEMS, GROUP_ITEMS)
+    fronts = deployment.fronts
+    if await submit(fronts[number % len(fronts)], record, name, f"/pule252/{name}", body) != 202:
+        raise d.CannotRun("a step was not accepted")
+    await asyncio.sleep(0.3)
+    owners = [front for front in fronts if front.logged("event=step-taken", f"id={name}")]
+    if not owners:
+        raise d.CannotRun("no front runs the step")
+    owner = owners[0]
+    reader = next(front for front in fronts if front is not owner)
 
-async def case(deployment, record, trouble):
-    await deployment.configure(CONFIG)
-    for name in ["i-7f3a91c2", "i-02d9e6b4"]:
-        await deployment.replica(name, "huvo11a", model="daka510000", events=EVENTS,
-                                 pause_s=PAUSE_S)
-    fronts = [await deployment.front(name) for name in ["front-a-1", "front-a-2"]]
-    await deployment.wait_ready()
-    # The machines are in touch StableMs after their start.
-    await asyncio.sleep(3.5)
-    streams = [
-        asyncio.ensure_future(stream(fronts[0], record, f"5tream{number}"))
-        for number in range(STREAMS)
-    ]
-    await asyncio.sleep(1.0)
-    stopped = time.monotonic()
-    if trouble:
-        fronts[0].send_signal(signal.SIGTERM)
+    def is_join(request):
+        return request.path == "/v1/log-join" and not owner.store.refuses and waiting
 
-    async def kill_after_grace():
-        await asyncio.sleep(GRACE_S)
-        if fronts[0].process.returncode is None:
-            fronts[0].send_signal(signal.SIGKILL)
+    def on_answering(request):
+        if is_join(request):
+            before = BEFORE_JOIN[number % len(BEFORE_JOIN)]
+            write_ends(waiting[:before])
+            del waiting[:before]
 
-    async def watch_exit():
-        code = await fronts[0].process.wait()
-        record(f"{fronts[0].name} exited with {code}, {time.monotonic() - stopped:.2f} s after the signal")
+    def on_answered(request):
+        if is_join(request):
+            owner.store.on_answering = owner.store.on_answered = lambda request: None
+            write_ends(waiting)
+            waiting.clear()
 
-    tasks = [asyncio.ensure_future(watch_exit())]
+    await asyncio.sleep(began + REFUSE_AT_S - time.monotonic())
     if trouble:
-        tasks.append(asyncio.ensure_future(kill_after_grace()))
-    results = await asyncio.gather(*streams)
-    ended = time.monotonic() - stopped
+        record(f"the store turns {owner.name} away, which runs the items")
+        owner.store.refuses = True
+    await asyncio.sleep(REFUSE_S)
     if trouble:
-        await asyncio.wait({tasks[0]}, timeout=GRACE_S)
-    for task in tasks:
-        task.cancel()
-    whole = sum(1 for events, complete in results if complete and len(events) == EVENTS)
-    record(f"{whole} of {STREAMS} streams came whole; the last ended {ended:.2f} s after the signal")
-    # A replica would have been done long before the last sixth of GraceS.
-    if 1.0 + GRACE_S * 5 / 6 <= EVENTS * PAUSE_S:
-        raise d.CannotRun("the streams are too long for the rule")
-    return d.HELD if whole == STREAMS else d.BROKEN
+        owner.store.refuses = False
+        record(f"the store serves {owner.name} again")
+    record(f"{len(waiting)} of {ITEMS} texts are whole but for the end of their streams")
+    owner.store.on_answering, owner.store.on_answered = on_answering, on_answered
+    results = await read_all(reader, lambda text: None, name, READ_S)
+    owner.store.on_answering = owner.store.on_answered = lambda request: None
+    waiting.clear()
+    for replica in deployment.replicas:
+        replica.waiting_ends = None
+    wrong = []
+    for result in results:
+        if result["State"] == "succeeded" and (result["Text"], result["Versions"]) != (TEXT, [1]):
+            wrong.append(result)
+            record(f"trainer: {name} lists {result['Id']} as succeeded with the text "
+                   f"{result['Text']!r} and the versions {result['Versions']}")
+            for replica in deployment.replicas:
+                for resumed in replica.resumed.get(result["Id"], []):
+                    record(f"replica {replica.id}: ran {result['Id']} from event {resumed + 1} on")
+            for front in fronts:
+                for line in front.logged("event=item-scored", f"id={result['Id']}"):
+                    record(f"log of {front.name}: {line.partition('event=')[2]}")
+    runs = sum(run.startswith(name) for replica in deployment.replicas for run in replica.runs)
+    record(f"replicas: {runs} runs of the items of {name}")
+    scored = len(owner.logged("event=item-scored", f"id={name}"))
+    record(f"{owner.name} has scored {scored} texts")
+    record(f"trainer: {name} has {len(results)} results, {len(wrong)} of them wrong")
+    await end(reader, record, name)
+    return wrong
+
+
+async def case(deployment, record, trouble):
+    quiet = lambda text: None
+    await deployment.configure(config(3, [rollout("r-old", "/pule252/"), SCORER]))
+    for number in range(REPLICAS):
+        replica = await deployment.replica(f"i-7f{number:02}", "huvo11a", model=MODEL,
+                                           events=EVENTS, pause_s=PAUSE_S)
+        replica.record = quiet
+    for name in ["i-aa01", "i-aa02"]:
+        (await deployment.replica(name, "wuno96b", work_s=0.02)).record = quiet
+    for number in (1, 2, 3):
+        await deployment.front(f"front-a-{number}", CORES)
+    await deployment.wait_ready()
+    await asyncio.sleep(3.5)
+    began, number = time.monotonic(), 0
+    while time.monotonic() < began + LAST_START_S:
+        if await play(deployment, record, number, trouble):
+            return d.BROKEN
+        number += 1
+        await asyncio.sleep(0.3)
+    record(f"{number} steps, no wrong result")
+    return d.HELD
 
 
 d.run_case(os.path.dirname(os.path.abspath(__file__)), case)
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -295,6 +295,10 @@
 class StoreListener:
     def __init__(self, store, name):
         self.store, self.name, self.connections = store, name, set()
+        # Whether the store turns this front away, with 503.
+        self.refuses = False
+        # Called with each request before and after its answer is written.
+        self.on_answering = self.on_answered = lambda request: None
 
     async def serve(self, reader, writer):
         connection = StoreConnection()
@@ -308,14 +312,19 @@
                     await asyncio.sleep(60)
                     break
                 connection.call, connection.since = request, time.monotonic()
-                answer = await self.store.answer(request)
+                if self.refuses:
+                    answer = answer_bytes(503, {})
+                else:
+                    answer = await self.store.answer(request)
                 connection.call = None
                 if connection.silent:
                     # No answer, and no close either, as long as the test runs.
                     await asyncio.sleep(60)
                     break
                 await asyncio.sleep(0.004)
+                self.on_answering(request)
                 writer.write(answer)
+                self.on_answered(request)
                 await writer.drain()
         except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass  # The caller has gone, or the test ends.
@@ -335,7 +344,9 @@
         self.record, self.id, self.service = record, name, service
         self.work_s, self.events, self.pause_s = work_s, events, pause_s
         self.model, self.orders = None, 0
-        self.runs = []
+        self.runs, self.resumed = [], {}
+        # While set, streams that were not resumed wait here before their end; it gets their writers.
+        self.waiting_ends = None
 
     async def start(self, store):
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
@@ -368,8 +379,10 @@
         except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass  # The caller has gone, or the test ends.
         finally:
-            if work is not None:
+            if work is not None and not work.done():
                 work.cancel()
+            if work is not None:
+                await asyncio.gather(work, return_exceptions=True)
             writer.close()
 
     async def answer(self, request, writer):
@@ -394,6 +407,7 @@
     async def run(self, request, writer, own):
         resumed = int(request.headers.get("last-event-id", "0"))
         self.runs.append(request_id(request))
+        self.resumed.setdefault(request_id(request), []).append(resumed)
         self.record(
             f"replica {self.id}: runs {request_id(request)} {request.path}"
             + (f" after event {resumed}" if resumed else "")
@@ -412,6 +426,12 @@
             event = f"id: {number}\ndata: word-{number}\n\n".encode()
             writer.write(b"%x\r\n%s\r\n" % (len(event), event))
             await writer.drain()
+        if self.waiting_ends is not None and not resumed:
+            # The test writes the end.
+            self.waiting_ends.append(writer)
+            while not writer.transport.is_closing() and writer in self.waiting_ends:
+                await asyncio.sleep(0.05)
+            return
         writer.write(b"0\r\n\r\n")
         await writer.drain()
         self.record(f"replica {self.id}: finished {request_id(request)}")
@@ -433,8 +453,8 @@
 class Front:
     """A process of the program, started with the command of the deploy file."""
 
-    def __init__(self, deployment, name):
-        self.deployment, self.name, self.lines = deployment, name, []
+    def __init__(self, deployment, name, cores=1):
+        self.deployment, self.name, self.lines, self.cores = deployment, name, [], cores
 
     async def start(self):
         self.store = await self.deployment.store.listen(self.name)
@@ -445,7 +465,7 @@
             "Ip": "127.0.0.1", "Zone": "zone-a", "Region": "region", "Zones": {"zone-a": "region"},
             "Listen": {"Front": f"127.0.0.1:{front}", "Ready": f"127.0.0.1:{ready}"},
             "Seeds": [], "Bootstrap": True, "CountsAsLoss": False,
-            "Limits": {"CpuShare": 0.5, "Cpus": 1, "MemoryMb": 300, "MaxFds": 8200,
+            "Limits": {"CpuShare": 0.5, "Cpus": self.cores, "MemoryMb": 300, "MaxFds": 8200,
                        "LinkMbps": 1000.0, "DiskMb": 0},
             "DataDir": None, "Discovery": "platform", "Entry": "vip", "HeartbeatMs": 1200,
             "Contracts": ["base", "drain", "config", "cost", "recover", "samples", "stream",
@@ -511,8 +531,8 @@
         self.replicas.append(replica)
         return replica
 
-    async def front(self, name):
-        front = Front(self, name)
+    async def front(self, name, cores=1):
+        front = Front(self, name, cores)
         self.fronts.append(front)
         await front.start()
         return front
