--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -21,6 +21,8 @@
 PROGRAM = os.path.join(ROOT, "target", "release", "hornbeamrock")
 HOST = "ficu95.example"
 PARTITIONS = 24
+# Limits of the store, as in the settings.
+RECORD_BYTES, CALL_BYTES = 262144, 2097152
 
 HELD, BROKEN, CANNOT_RUN = 0, 1, 2
 
@@ -238,6 +240,11 @@
                 (length,) = struct.unpack(">I", body[:4])
                 records.append(body[4 : 4 + length])
                 body = body[4 + length :]
+            largest = max((len(record) for record in records), default=0)
+            if largest > RECORD_BYTES or sum(map(len, records)) > CALL_BYTES:
+                # Records are appended all or nothing.
+                self.record(f"store: refused an append to {topic} with a record of {largest} bytes")
+                return answer_bytes(400, {"Error": "a record is too long"})
             log = self.log(topic, part)
             offset = log.append(topic.startswith("keyed."), records)
             async with self.changed:
@@ -344,6 +351,9 @@
         self.record, self.id, self.service = record, name, service
         self.work_s, self.events, self.pause_s = work_s, events, pause_s
         self.model, self.orders = None, 0
+        # Data of an event, by request id and number.
+        self.event_data = lambda request, number: f"word-{number}"
+        self.event_count = lambda request: self.events
         self.runs, self.resumed = [], {}
         # While set, streams that were not resumed wait here before their end; it gets their writers.
         self.waiting_ends = None
@@ -421,15 +431,17 @@
         own["Content-Type"] = "text/event-stream"
         own["Transfer-Encoding"] = "chunked"
         writer.write(head_bytes(200, own))
-        for number in range(resumed + 1, self.events + 1):
+        for number in range(resumed + 1, self.event_count(request_id(request)) + 1):
             await asyncio.sleep(self.pause_s)
-            event = f"id: {number}\ndata: word-{number}\n\n".encode()
+            data = self.event_data(request_id(request), number)
+            event = f"id: {number}\ndata: {data}\n\n".encode()
             writer.write(b"%x\r\n%s\r\n" % (len(event), event))
             await writer.drain()
         if self.waiting_ends is not None and not resumed:
             # The test writes the end.
-            self.waiting_ends.append(writer)
-            while not writer.transport.is_closing() and writer in self.waiting_ends:
+            waiting = self.waiting_ends
+            waiting.append(writer)
+            while not writer.transport.is_closing() and writer in waiting:
                 await asyncio.sleep(0.05)
             return
         writer.write(b"0\r\n\r\n")
@@ -481,7 +493,7 @@
             "Provider": {"Address": "%s:%d" % self.store.address, "form": "log",
                          "WritesPerS": 800, "ReadsPerS": 2000, "parts": PARTITIONS,
                          "AppendMs": 1.0, "PartMbS": 20.0, "ReadMbS": 80.0,
-                         "RecordBytes": 262144, "CallBytes": 2097152, "RetentionS": 300,
+                         "RecordBytes": RECORD_BYTES, "CallBytes": CALL_BYTES, "RetentionS": 300,
                          "PartMb": 200, "TtlMinMs": 1000},
         }
         path = os.path.join(self.deployment.folder, f"{self.name}.json")
