--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -304,6 +304,8 @@
         self.store, self.name, self.connections = store, name, set()
         # Whether the store turns this front away, with 503.
         self.refuses = False
+        # When the last join of the group was answered.
+        self.joined = 0.0
         # Called with each request before and after its answer is written.
         self.on_answering = self.on_answered = lambda request: None
 
@@ -329,6 +331,8 @@
                     await asyncio.sleep(60)
                     break
                 await asyncio.sleep(0.004)
+                if request.path == "/v1/log-join":
+                    self.joined = time.monotonic()
                 self.on_answering(request)
                 writer.write(answer)
                 self.on_answered(request)
