--- a/review/2/case.py
+++ b/review/2/case.py
@@ -20,10 +20,10 @@
 # When the store turns the front away, and for how long: longer than a membership lasts (1.3 s).
 REFUSE_AT_S, REFUSE_S = 0.8, 1.9
 # The ends of the texts arrive one after the other, not at once.
-BETWEEN_ENDS_S = 60e-6
+BETWEEN_ENDS_S = 5e-6
 # How many of them arrive before the answer to the front's next join, step by step; the others
 # arrive right after it.
-BEFORE_JOIN = [36, 12, 24]
+BEFORE_JOIN = [36, 24, 48]
 # How long results are read after that; the other front that has the work by then needs longer.
 READ_S = 1.5
 LAST_START_S = 80.0
