Front: logs tell what a replica's address does after a lost connection

attempt-failed had crashed=false for a replica that runs on, for one whose address accepts and resets, and for one that doesn't respond; an attempt that was given up left no line with the replica, and a restart none at all. New: address in attempt-failed, attempt-unanswered, replica-restarted. No decision changed.

--- a/components/front/src/calls.rs
+++ b/components/front/src/calls.rs
@@ -33,7 +33,7 @@
 use crate::metrics;
 use crate::peers::{Incarnation, incarnation};
 use crate::state::Front;
-use crate::suspects::{self, InFlightAttempt, StartPermission, SuspectRefusal};
+use crate::suspects::{self, InFlightAttempt, LossCheck, StartPermission, SuspectRefusal};
 
 /// A hedged request is sent after this multiple of the route's typical latency.
 const HEDGE_LATENCY_FACTOR: u64 = 3;
@@ -86,8 +86,8 @@
     connection_refused: bool,
     reason: String,
     replica: ReplicaId,
-    /// Whether the replica's process ended during the attempt, on a machine that still runs.
-    crashed: bool,
+    /// What is known of a replica that closed the connection without an answer.
+    loss: Option<LossCheck>,
 }
 
 impl CallSpec<'_> {
@@ -186,7 +186,7 @@
         let left = Duration::from_millis(spec.left_ms());
         tokio::select! {
             Some(done) = attempts.next() => {
-                let Attempt { end, answer, refused, connection_refused, reason, replica, crashed } = done;
+                let Attempt { end, answer, refused, connection_refused, reason, replica, loss } = done;
                 was_refused = refused || connection_refused;
                 connections_refused += usize::from(connection_refused);
                 let sent = counted_attempts(spec.route, tried.len(), connections_refused);
@@ -209,7 +209,9 @@
                 }
                 log::info!(
                     event = "attempt-failed", id = spec.request_id, call:% = digest,
-                    route = &*spec.route.name, replica = &*replica, crashed, sent = tried.len(),
+                    route = &*spec.route.name, replica = &*replica,
+                    crashed = loss == Some(LossCheck::Crashed),
+                    address = loss.map_or("unchecked", LossCheck::as_str), sent = tried.len(),
                     left_ms = spec.left_ms(), why = reason.as_str(); ""
                 );
                 match action {
@@ -448,7 +450,7 @@
         connection_refused: false,
         reason,
         replica: Arc::clone(&member.replica.id),
-        crashed: false,
+        loss: None,
     };
     let began_us = now_us();
     let mut connection = match member.peer.connection(&member.replica).await {
@@ -528,16 +530,20 @@
                 }
                 false => AttemptOutcome::Unknown,
             };
-            let crashed = matches!(error, ReplicaError::OutcomeUnknown(_))
-                && suspects::has_crashed(front, &member).await;
-            if crashed {
+            let loss = match error {
+                ReplicaError::OutcomeUnknown(_) => {
+                    Some(suspects::check_after_loss(front, &member).await)
+                }
+                _ => None,
+            };
+            if loss == Some(LossCheck::Crashed) {
                 in_flight.record_crash();
             } else if error.is_not_run() {
                 in_flight.record_not_run();
             }
             Attempt {
                 refused: matches!(error, ReplicaError::NotRun(_)),
-                crashed,
+                loss,
                 ..failed(end, error.to_string())
             }
         }
--- a/components/front/src/follow/replicas.rs
+++ b/components/front/src/follow/replicas.rs
@@ -10,6 +10,7 @@
 
 use super::keyed::{KeyedUpdate, follow};
 use crate::clock::now_ms;
+use crate::peers::Member;
 use crate::state::Front;
 
 /// Limit on the number of ids whose malformed records are logged, each of them once.
@@ -48,8 +49,14 @@
                     let local_ms =
                         |unix_ms: u64| now_ms.saturating_add(unix_ms).saturating_sub(utc_ms);
                     let table = front.replicas.load();
-                    let next = table.rebuild(registry.replicas(), local_ms);
+                    let (next, restarted) = table.rebuild(registry.replicas(), local_ms);
                     front.replicas.store(Arc::new(next));
+                    for Member { replica, .. } in &restarted {
+                        log::info!(
+                            event = "replica-restarted", replica = &*replica.id,
+                            former_started_ms = replica.started_ms, draining = replica.draining; ""
+                        );
+                    }
                     front.runner_wakeup.notify_one();
                     front.leader_wakeup.notify_one();
                 }
--- a/components/front/src/peers.rs
+++ b/components/front/src/peers.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use concurrency::ConcurrencyLimit;
+use derive::key;
 use dispatch::{Replica, ReplicaId, ReplicaLoad};
 use platform::{Connection, ExchangeError, connect};
 use tokio::sync::watch;
@@ -135,12 +136,13 @@
 impl ReplicaTable {
     /// A table of `replicas`. Replicas with the same id and start time keep their connections and
     /// load estimates. Requests in flight at a replica whose start time has changed end; `local_ms`
-    /// converts a start time to milliseconds of [`now_ms`].
+    /// converts a start time to milliseconds of [`now_ms`]. Returns the former incarnations of the
+    /// replicas that restarted, too.
     pub fn rebuild<'a>(
         &self,
         replicas: impl Iterator<Item = &'a Arc<Replica>>,
         local_ms: impl Fn(u64) -> u64,
-    ) -> Self {
+    ) -> (Self, Vec<Member>) {
         let mut known = self.known_peers();
         let mut started_ms: HashMap<ReplicaId, u64> = HashMap::new();
         let mut by_service: HashMap<Arc<str>, Vec<Member>> = HashMap::new();
@@ -167,7 +169,12 @@
             }
             former.insert((id, former_started_ms), Arc::downgrade(&peer));
         }
-        Self { by_service, former }
+        let has_restarted = |member: &&Member| {
+            let next = started_ms.get(&member.replica.id);
+            member.replica.started_ms.is_some() && next.copied() > member.replica.started_ms
+        };
+        let restarted = self.iter().filter(has_restarted).cloned().collect();
+        (Self { by_service, former }, restarted)
     }
 
     /// Peers of the listed replicas, and of former incarnations with requests in flight.
@@ -190,10 +197,24 @@
     }
 }
 
-/// Whether a replica refuses connections, so that its process has ended. A connection that it
-/// accepts is closed: how long the replica would keep it idle is not known.
-pub async fn refuses_connections(replica: &Replica) -> bool {
+/// What the address of a replica does with a new connection.
+#[key]
+pub enum AddressState {
+    /// It accepts the connection.
+    Accepts,
+    /// Nothing listens there.
+    Refuses,
+    /// It does not respond within the timeout.
+    Unreachable,
+}
+
+/// Opens a connection to a replica and closes it: how long the replica would keep it idle is not
+/// known.
+pub async fn check_address(replica: &Replica) -> AddressState {
     let timeout = Duration::from_millis(CHECK_TIMEOUT_MS);
-    let connected = connect(replica.address, timeout).await;
-    matches!(connected, Err(ExchangeError::Refused(_)))
+    match connect(replica.address, timeout).await {
+        Ok(_) => AddressState::Accepts,
+        Err(ExchangeError::Refused(_)) => AddressState::Refuses,
+        Err(_) => AddressState::Unreachable,
+    }
 }
--- a/components/front/src/suspects.rs
+++ b/components/front/src/suspects.rs
@@ -16,6 +16,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use derive::key;
 use dispatch::Replica;
 use hyper::{Method, StatusCode};
 use index::LogRecord;
@@ -28,7 +29,7 @@
 
 use crate::clock::now_ms;
 use crate::metrics;
-use crate::peers::{Member, incarnation, refuses_connections};
+use crate::peers::{AddressState, Member, check_address, incarnation};
 use crate::state::{Front, lock};
 use crate::writer::{append_with_retry, write_index};
 
@@ -87,6 +88,10 @@
 pub struct InFlightAttempt {
     id: Option<AttemptId>,
     calls: Arc<SuspectCalls>,
+    digest: CallDigest,
+    /// Name of the replica's incarnation.
+    replica: Arc<str>,
+    began_ms: u64,
 }
 
 impl SuspectCalls {
@@ -116,7 +121,7 @@
         let mut suspects = lock(&self.suspects);
         let decision = suspects.decide_at_any_endpoint(digest, now_ms());
         log_condemned(&mut suspects);
-        Some(self.permission(&suspects, digest, decision?))
+        Some(self.denial(&suspects, digest, decision?))
     }
 
     /// Asks for permission to send a call to a replica.
@@ -126,18 +131,20 @@
         let copies = CopyPlacement::Unlimited;
         let decision = suspects.try_start(digest, &endpoint, copies, now_ms());
         log_condemned(&mut suspects);
-        self.permission(&suspects, digest, decision)
+        if let StartDecision::Start(id) = decision {
+            return StartPermission::Start(self.in_flight_attempt(id, digest, endpoint));
+        }
+        self.denial(&suspects, digest, decision)
     }
 
-    fn permission(
-        self: &Arc<Self>,
+    fn denial(
+        &self,
         suspects: &Suspects<Arc<str>>,
         digest: CallDigest,
         decision: StartDecision,
     ) -> StartPermission {
         match decision {
-            StartDecision::Start(id) => StartPermission::Start(self.in_flight_attempt(id)),
-            StartDecision::OtherEndpoint => StartPermission::OtherReplica,
+            StartDecision::Start(_) | StartDecision::OtherEndpoint => StartPermission::OtherReplica,
             StartDecision::Wait { .. } if suspects.is_running(digest) => {
                 StartPermission::AfterOtherCopy
             }
@@ -167,14 +174,23 @@
 
     /// Records that an item is sent to a replica.
     pub fn start_item(self: &Arc<Self>, digest: CallDigest, replica: &Replica) -> InFlightAttempt {
-        let id = lock(&self.suspects).start(digest, endpoint_name(replica));
-        self.in_flight_attempt(id)
+        let endpoint = endpoint_name(replica);
+        let id = lock(&self.suspects).start(digest, Arc::clone(&endpoint));
+        self.in_flight_attempt(id, digest, endpoint)
     }
 
-    fn in_flight_attempt(self: &Arc<Self>, id: AttemptId) -> InFlightAttempt {
+    fn in_flight_attempt(
+        self: &Arc<Self>,
+        id: AttemptId,
+        digest: CallDigest,
+        replica: Arc<str>,
+    ) -> InFlightAttempt {
         InFlightAttempt {
             id: Some(id),
             calls: Arc::clone(self),
+            digest,
+            replica,
+            began_ms: now_ms(),
         }
     }
 
@@ -257,7 +273,12 @@
 impl Drop for InFlightAttempt {
     fn drop(&mut self) {
         if let Some(id) = self.id.take() {
-            lock(&self.calls.suspects).record_end(id, now_ms());
+            let now_ms = now_ms();
+            log::info!(
+                event = "attempt-unanswered", call:% = self.digest, replica = &*self.replica,
+                after_ms = now_ms - self.began_ms; ""
+            );
+            lock(&self.calls.suspects).record_end(id, now_ms);
         }
     }
 }
@@ -282,9 +303,46 @@
     ])
 }
 
+/// What is known of a replica after it closed a connection without an answer.
+#[key]
+pub enum LossCheck {
+    /// Its process has ended, and was not to end.
+    Crashed,
+    /// It accepts connections.
+    Accepts,
+    /// It does not respond.
+    Unreachable,
+    /// It is draining or no longer listed.
+    Leaving,
+}
+
+impl LossCheck {
+    /// Name in log lines.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Crashed => "refuses",
+            Self::Accepts => "accepts",
+            Self::Unreachable => "unreachable",
+            Self::Leaving => "leaving",
+        }
+    }
+}
+
+/// Checks a replica that closed a connection without an answer.
+pub async fn check_after_loss(front: &Front, member: &Member) -> LossCheck {
+    if !is_expected_to_run(front, member) {
+        return LossCheck::Leaving;
+    }
+    match check_address(&member.replica).await {
+        AddressState::Refuses => LossCheck::Crashed,
+        AddressState::Accepts => LossCheck::Accepts,
+        AddressState::Unreachable => LossCheck::Unreachable,
+    }
+}
+
 /// Whether a replica that lost a connection has crashed.
 pub async fn has_crashed(front: &Front, member: &Member) -> bool {
-    is_expected_to_run(front, member) && refuses_connections(&member.replica).await
+    check_after_loss(front, member).await == LossCheck::Crashed
 }
 
 /// Records that a replica refused a connection. Without this, the crash of a replica by a request
