--- a/components/front/tests/front/main.rs
+++ b/components/front/tests/front/main.rs
@@ -2,6 +2,7 @@
 
 mod calls;
 mod common;
+mod crash_fleet;
 mod crashing;
 mod crashing_mix;
 mod customers;
@@ -17,4 +18,5 @@
 mod shards;
 mod steps;
 mod trainer;
+mod unnoticed_crashes;
 mod usage;
--- a/dev/standins/src/fault.rs
+++ b/dev/standins/src/fault.rs
@@ -58,6 +58,9 @@
     /// Text in a request that triggers [`FaultKind::CrashOn`].
     #[serde(default)]
     pub text: String,
+    /// Whether the address of a crashed service goes on accepting connections, which are closed.
+    #[serde(default)]
+    pub accepts: bool,
     /// Chunks that a truncated or cut stream sends.
     #[serde(default)]
     pub after: u64,
@@ -76,6 +79,7 @@
             delay_ms: 0,
             path: String::new(),
             text: String::new(),
+            accepts: false,
             after: 0,
             per_s: 0,
         }
@@ -102,6 +106,14 @@
         Fault { delay_ms, ..self }
     }
 
+    /// Makes the address of a crashed service accept connections and close them.
+    pub fn accepting(self) -> Fault {
+        Fault {
+            accepts: true,
+            ..self
+        }
+    }
+
     /// Sets the text that triggers [`FaultKind::CrashOn`].
     pub fn with_text(self, text: impl Into<String>) -> Fault {
         Fault {
--- a/dev/standins/src/fleet/replica.rs
+++ b/dev/standins/src/fleet/replica.rs
@@ -176,6 +176,11 @@
         );
     }
     match call.path.as_str() {
+        "/health" => with_headers(
+            reply::json(200, &json!({})),
+            &call,
+            &[("replica-id", &settings.id)],
+        ),
         "/v1/report" => report(control),
         "/v1/order" => order(control, &call),
         _ => run(settings, control, process, &call).await,
@@ -256,7 +261,7 @@
         let (process, pause_ms) = (Arc::clone(process), settings.pause_ms);
         tokio::spawn(async move {
             tokio::time::sleep(Duration::from_millis(pause_ms)).await;
-            process.crash(fault.delay_ms);
+            process.crash_with_address(fault.delay_ms, fault.accepts);
         });
         return std::future::pending().await;
     }
--- a/dev/standins/src/handle.rs
+++ b/dev/standins/src/handle.rs
@@ -9,12 +9,15 @@
 
 use crate::fault::{Fault, Faults};
 
-/// A simulated crash: all connections close, and the stand-in listens again after `down_ms`.
+/// A simulated crash: all connections close, and the stand-in serves again after `down_ms`.
 #[derive(Clone, Copy, Default)]
 pub(crate) struct Crash {
     /// Number of the crash; 0 until the first one.
     pub(crate) number: u64,
     pub(crate) down_ms: u64,
+    /// Whether the address accepts connections in the meantime and closes them, instead of refusing
+    /// them.
+    pub(crate) accepts: bool,
 }
 
 /// Faults and crashes of a stand-in, shared by its tasks.
@@ -42,9 +45,16 @@
 
     /// Closes all connections and listens again after `down_ms`.
     pub(crate) fn crash(&self, down_ms: u64) {
+        self.crash_with_address(down_ms, false);
+    }
+
+    /// Like [`Control::crash`]; with `accepts`, the address goes on accepting connections and closes
+    /// them.
+    pub(crate) fn crash_with_address(&self, down_ms: u64, accepts: bool) {
         self.crash.send_modify(|crash| {
             crash.number += 1;
             crash.down_ms = down_ms;
+            crash.accepts = accepts;
         });
     }
 }
