Front: crashes of replicas are found without a refused connection

On loopback 64 sends, 52 of them later than three seconds after the third crash, where addresses of crashed replicas accept connections and reset them; 15 and 34 sends, 9 and 28 late, where clients leave before the crash. Other requests failed with them: 122 of 261 with 502.

Cause: a replica counted as crashed only if a connection to it was refused right after a lost one, or within a second after another call had ended there. Everything else was taken for life: an address that accepts, a connection that nobody happened to open, a record with a later start. Class: the evidence of a failure is accepted in one form and at one moment only.

Now: an attempt that ends without an answer is remembered for ten seconds, until a heartbeat shows that its replica ran on. The replica is asked for its health, at once where it closed the connection, a second later where the caller left. It has ended if its address refuses, another replica answers, or it closes each connection while no heartbeat is read for as long as one would take. A record with a later start counts too. Not counted: attempts that timed out, silent addresses (a lost machine), replicas that are to leave, replicas that close connections while their heartbeats go on (overload), and calls that were sent after the crash.

Why it works: each crash leaves at least one of these signs, and the attempts are still known when it is seen.

Evidence: attempt-failed address=accepts in 358 of 358 lost attempts; attempt-unanswered followed by replica-restarted and no replica-crashed.

--- a/components/dispatch/src/routes.rs
+++ b/components/dispatch/src/routes.rs
@@ -126,6 +126,8 @@
     pub models: Vec<Arc<str>>,
     /// Tokens in one event of a replica's stream; 1 if the configuration does not say.
     pub tokens_per_event: u32,
+    /// Path of the replicas' health check; `None` if the configuration names none.
+    pub health_path: Option<Arc<str>>,
 }
 
 /// Limits on clients' requests and connections.
--- a/components/front/src/call_replica.rs
+++ b/components/front/src/call_replica.rs
@@ -70,7 +70,8 @@
                     }
                     Acquired::NoReplica => return Granted::NoReplica,
                 };
-                match front.suspects.try_start(digest, &slot.member.replica) {
+                let deadline_ms = spec.deadline_at_ms;
+                match front.suspects.try_start(digest, &slot.member, deadline_ms) {
                     StartPermission::Start(in_flight) => return Granted::Place(slot, in_flight),
                     StartPermission::OtherReplica => {
                         unavailable.push(incarnation(&slot.member.replica));
--- a/components/front/src/calls.rs
+++ b/components/front/src/calls.rs
@@ -227,7 +227,7 @@
             () = tokio::time::sleep(hedge_delay.unwrap_or(left)), if hedge_delay.is_some_and(|delay| delay < left) => {
                 if let Some(slot) = select_hedge(front, spec, &typical, &tried)
                     && let StartPermission::Start(in_flight) =
-                        front.suspects.try_start(digest, &slot.member.replica)
+                        front.suspects.try_start(digest, &slot.member, spec.deadline_at_ms)
                 {
                     record_hedge(front, spec, &typical, &tried);
                     tried.push(incarnation(&slot.member.replica));
@@ -476,6 +476,7 @@
     let answered = tokio::select! {
         answered = replica::call(&mut connection, call, Duration::from_millis(left_ms)) => answered,
         () = member.peer.wait_for_restart(sent_ms) => {
+            in_flight.record_timeout();
             return failed(AttemptOutcome::Unknown, "the replica restarted".to_owned());
         }
     };
@@ -532,15 +533,17 @@
             };
             let loss = match error {
                 ReplicaError::OutcomeUnknown(_) => {
-                    Some(suspects::check_after_loss(front, &member).await)
+                    Some(suspects::record_loss(front, &member, in_flight).await)
+                }
+                ReplicaError::Timeout(_) => {
+                    in_flight.record_timeout();
+                    None
+                }
+                ReplicaError::NotRun(_) | ReplicaError::WrongReplica => {
+                    in_flight.record_not_run();
+                    None
                 }
-                _ => None,
             };
-            if loss == Some(LossCheck::Crashed) {
-                in_flight.record_crash();
-            } else if error.is_not_run() {
-                in_flight.record_not_run();
-            }
             Attempt {
                 refused: matches!(error, ReplicaError::NotRun(_)),
                 loss,
--- a/components/front/src/follow/replicas.rs
+++ b/components/front/src/follow/replicas.rs
@@ -10,7 +10,7 @@
 
 use super::keyed::{KeyedUpdate, follow};
 use crate::clock::now_ms;
-use crate::peers::Member;
+use crate::peers::Restart;
 use crate::state::Front;
 
 /// Limit on the number of ids whose malformed records are logged, each of them once.
@@ -27,6 +27,7 @@
             KeyedUpdate::Key(id, value) => {
                 registry.record_store_answer(now_ms);
                 changed |= apply_replica_record(
+                    &front,
                     &mut registry,
                     &mut malformed,
                     &id,
@@ -41,6 +42,7 @@
             KeyedUpdate::ReadFailed => registry.record_store_failure(),
             KeyedUpdate::BatchEnd { .. } => {
                 registry.record_store_answer(now_ms);
+                front.suspects.checks.record_reading(now_ms);
                 changed |= registry.expire(now_ms) == RegistryChange::Changed;
                 front.replicas_read.store(1, Ordering::Relaxed);
                 if std::mem::take(&mut changed) {
@@ -49,13 +51,14 @@
                     let local_ms =
                         |unix_ms: u64| now_ms.saturating_add(unix_ms).saturating_sub(utc_ms);
                     let table = front.replicas.load();
-                    let (next, restarted) = table.rebuild(registry.replicas(), local_ms);
+                    let (next, restarts) = table.rebuild(registry.replicas(), local_ms);
                     front.replicas.store(Arc::new(next));
-                    for Member { replica, .. } in &restarted {
+                    for Restart { former, started_ms } in &restarts {
                         log::info!(
-                            event = "replica-restarted", replica = &*replica.id,
-                            former_started_ms = replica.started_ms, draining = replica.draining; ""
+                            event = "replica-restarted", replica = &*former.id,
+                            former_started_ms = former.started_ms, draining = former.draining; ""
                         );
+                        front.suspects.record_restart(former, *started_ms);
                     }
                     front.runner_wakeup.notify_one();
                     front.leader_wakeup.notify_one();
@@ -70,6 +73,7 @@
 /// replica: it usually comes from another program, which may write it repeatedly, so it is logged
 /// only once until the key has a valid record or is deleted.
 fn apply_replica_record(
+    front: &Front,
     registry: &mut Registry,
     malformed: &mut HashSet<String>,
     id: &str,
@@ -88,6 +92,7 @@
                 if replica.draining {
                     log::info!(event = "replica-draining", replica = id; "");
                 }
+                front.suspects.record_heartbeat(&replica, now_ms);
                 put_replica(registry, replica)
             }
             Err(error) => {
--- a/components/front/src/lib.rs
+++ b/components/front/src/lib.rs
@@ -27,6 +27,7 @@
 mod peer_relay;
 mod peers;
 mod reload;
+mod replica_checks;
 mod replica_pace;
 mod reports;
 mod results;
--- a/components/front/src/peers.rs
+++ b/components/front/src/peers.rs
@@ -125,6 +125,14 @@
     pub peer: Arc<Peer>,
 }
 
+/// A restart of a replica under its id.
+pub struct Restart {
+    /// Last record before the restart.
+    pub former: Arc<Replica>,
+    /// Start of the next incarnation, in milliseconds of [`now_ms`].
+    pub started_ms: u64,
+}
+
 /// Snapshot of all replicas with a valid record, by service.
 #[derive(Default)]
 pub struct ReplicaTable {
@@ -136,13 +144,13 @@
 impl ReplicaTable {
     /// A table of `replicas`. Replicas with the same id and start time keep their connections and
     /// load estimates. Requests in flight at a replica whose start time has changed end; `local_ms`
-    /// converts a start time to milliseconds of [`now_ms`]. Returns the former incarnations of the
-    /// replicas that restarted, too.
+    /// converts a start time to milliseconds of [`now_ms`]. Returns the restarts
+    /// that the records show, too.
     pub fn rebuild<'a>(
         &self,
         replicas: impl Iterator<Item = &'a Arc<Replica>>,
         local_ms: impl Fn(u64) -> u64,
-    ) -> (Self, Vec<Member>) {
+    ) -> (Self, Vec<Restart>) {
         let mut known = self.known_peers();
         let mut started_ms: HashMap<ReplicaId, u64> = HashMap::new();
         let mut by_service: HashMap<Arc<str>, Vec<Member>> = HashMap::new();
@@ -169,12 +177,16 @@
             }
             former.insert((id, former_started_ms), Arc::downgrade(&peer));
         }
-        let has_restarted = |member: &&Member| {
-            let next = started_ms.get(&member.replica.id);
-            member.replica.started_ms.is_some() && next.copied() > member.replica.started_ms
+        let restart = |former: &Member| {
+            let next_ms = *started_ms.get(&former.replica.id)?;
+            let has_restarted = next_ms > former.replica.started_ms?;
+            has_restarted.then(|| Restart {
+                former: Arc::clone(&former.replica),
+                started_ms: local_ms(next_ms),
+            })
         };
-        let restarted = self.iter().filter(has_restarted).cloned().collect();
-        (Self { by_service, former }, restarted)
+        let restarts = self.iter().filter_map(restart).collect();
+        (Self { by_service, former }, restarts)
     }
 
     /// Peers of the listed replicas, and of former incarnations with requests in flight.
--- a/components/front/src/run_item.rs
+++ b/components/front/src/run_item.rs
@@ -19,7 +19,7 @@
 use crate::peers::Member;
 use crate::replica_pace::SharedPace;
 use crate::state::{Front, lock};
-use crate::suspects::{self, InFlightAttempt};
+use crate::suspects::{self, InFlightAttempt, LossCheck};
 
 /// Timeout of the head of a replica's response. An engine queues up to 24 requests beyond those
 /// that it runs, and answers a queued request only once it has a free slot.
@@ -66,6 +66,8 @@
     NotRun(String),
     /// The stream broke off; another run may resume after the last event.
     Interrupted(String),
+    /// The replica stayed silent, or its machine was lost; another run may resume likewise.
+    Silent(String),
     /// The replica crashed before the first event of the run.
     Crashed(String),
     /// [`RunSpec::stop`] was notified.
@@ -81,16 +83,19 @@
 /// Runs an item at one replica until the run ends; appends its events to `shared`.
 pub async fn run(front: &Front, spec: &RunSpec, shared: &SharedPartialText) -> RunEnd {
     let digest = item_digest(spec.customer.as_deref(), &spec.host, &spec.data);
-    let started = front.suspects.start_item(digest, &spec.member.replica);
+    let started = front.suspects.start_item(digest, &spec.member);
     let mut in_flight = Some(started);
     let end = run_to_end(spec, shared, &mut in_flight).await;
     let Some(in_flight) = in_flight else {
         return end;
     };
     match end {
-        RunEnd::Interrupted(why) if suspects::has_crashed(front, &spec.member).await => {
-            in_flight.record_crash();
-            RunEnd::Crashed(why)
+        RunEnd::Interrupted(why) => {
+            let loss = suspects::record_loss(front, &spec.member, in_flight).await;
+            match loss {
+                LossCheck::Crashed => RunEnd::Crashed(why),
+                _ => RunEnd::Interrupted(why),
+            }
         }
         RunEnd::Complete | RunEnd::Impossible => {
             in_flight.record_success();
@@ -104,6 +109,10 @@
             in_flight.record_not_run();
             end
         }
+        RunEnd::Silent(_) => {
+            in_flight.record_timeout();
+            end
+        }
         end => end,
     }
 }
@@ -123,11 +132,11 @@
     let sent_ms = now_us() / 1_000;
     let restarted = spec.member.peer.wait_for_restart(sent_ms);
     let mut restarted = std::pin::pin!(restarted);
-    let interrupted = || RunEnd::Interrupted("the replica restarted".to_owned());
+    let restarted_end = || RunEnd::Silent("the replica restarted".to_owned());
     let started = tokio::select! {
         started = start(spec, last_event) => started,
         () = spec.stop.notified() => return RunEnd::Stopped,
-        () = restarted.as_mut() => return interrupted(),
+        () = restarted.as_mut() => return restarted_end(),
     };
     let mut item_run = match started {
         Ok(ItemStart::Running(run)) => run,
@@ -148,7 +157,7 @@
         let next = tokio::select! {
             next = item_run.next(Duration::from_millis(EVENT_TIMEOUT_MS)) => next,
             () = spec.stop.notified() => return RunEnd::Stopped,
-            () = restarted.as_mut() => return interrupted(),
+            () = restarted.as_mut() => return restarted_end(),
         };
         match next {
             Ok(Some(event)) => {
@@ -250,8 +259,9 @@
 }
 
 fn end_for_error(error: ReplicaError) -> RunEnd {
-    match error.is_not_run() {
-        true => RunEnd::NotRun(error.to_string()),
-        false => RunEnd::Interrupted(error.to_string()),
+    match error {
+        _ if error.is_not_run() => RunEnd::NotRun(error.to_string()),
+        ReplicaError::Timeout(_) => RunEnd::Silent(error.to_string()),
+        _ => RunEnd::Interrupted(error.to_string()),
     }
 }
--- a/components/front/src/runner/mod.rs
+++ b/components/front/src/runner/mod.rs
@@ -268,7 +268,7 @@
                 self.admission(&replica, &head.model).record_refusal(now_ms);
                 self.note_interrupted(key, replica);
             }
-            RunEnd::Interrupted(why) | RunEnd::Crashed(why) => {
+            RunEnd::Interrupted(why) | RunEnd::Silent(why) | RunEnd::Crashed(why) => {
                 log::info!(
                     event = "item-broken", step = step.0, item, replica = &*replica,
                     events, crashed, why; ""
@@ -323,7 +323,9 @@
         let name = match end {
             RunEnd::Complete => "front_runs_whole_total",
             RunEnd::NotRun(_) => "front_runs_refused_total",
-            RunEnd::Interrupted(_) | RunEnd::Crashed(_) => "front_runs_broken_total",
+            RunEnd::Interrupted(_) | RunEnd::Silent(_) | RunEnd::Crashed(_) => {
+                "front_runs_broken_total"
+            }
             RunEnd::PiecesUnreadable => "front_runs_unready_total",
             RunEnd::Stopped => "front_runs_moved_total",
             RunEnd::Failed | RunEnd::Impossible => "front_runs_failed_total",
--- a/components/front/src/start.rs
+++ b/components/front/src/start.rs
@@ -17,7 +17,7 @@
 use crate::state::Front;
 use crate::{
     connections, follow, leader, leave, member, meter, metrics, owner_watch, peer_relay, reload,
-    reports, runner, serve, suspects, writer,
+    replica_checks, reports, runner, serve, suspects, writer,
 };
 
 quick_error! {
@@ -117,6 +117,7 @@
         tasks.spawn(meter::sample_clock(Arc::clone(&front)));
         tasks.spawn(meter::write_counts(Arc::clone(&front)));
         tasks.spawn(suspects::write_reports(Arc::clone(&front)));
+        tasks.spawn(replica_checks::run(Arc::clone(&front)));
         tasks.spawn(leader::lead(Arc::clone(&front)));
         tasks.spawn(writer::write_results(Arc::clone(&front), results));
         tasks.spawn(runner::run(Arc::clone(&front), ended_items));
--- a/components/front/src/state.rs
+++ b/components/front/src/state.rs
@@ -145,6 +145,7 @@
                 &settings.node,
                 rand::random(),
                 settings.store.retention_ms,
+                settings.heartbeat_ms,
             )),
             typical_durations: Mutex::default(),
             settings,
--- a/components/front/src/stream.rs
+++ b/components/front/src/stream.rs
@@ -90,7 +90,10 @@
             break;
         };
         tried.push(incarnation(&member.replica));
-        let in_flight = match front.suspects.try_start(digest, &member.replica) {
+        let in_flight = match front
+            .suspects
+            .try_start(digest, &member, spec.deadline_at_ms)
+        {
             StartPermission::Start(in_flight) => in_flight,
             StartPermission::OtherReplica => continue,
             StartPermission::AfterOtherCopy => break,
@@ -150,6 +153,7 @@
     let opened = tokio::select! {
         opened = replica::open_stream(&mut connection, call, timeout) => opened,
         () = peer.wait_for_restart(sent_ms) => {
+            in_flight.record_timeout();
             return Err(OpenFailure::may_have_run(RESTARTED.to_owned()));
         }
     };
@@ -160,9 +164,11 @@
             return Err(OpenFailure::not_run(error.to_string()));
         }
         Err(error) => {
-            let is_lost = matches!(error, ReplicaError::OutcomeUnknown(_));
-            if is_lost && suspects::has_crashed(front, member).await {
-                in_flight.record_crash();
+            match error {
+                ReplicaError::OutcomeUnknown(_) => {
+                    suspects::record_loss(front, member, in_flight).await;
+                }
+                _ => in_flight.record_timeout(),
             }
             return Err(OpenFailure::may_have_run(error.to_string()));
         }
@@ -195,6 +201,9 @@
                 frame = tokio::time::timeout(timeout, replica_body.frame()) => frame,
                 () = peer.wait_for_restart(sent_ms) => {
                     let error = BodyError::Interrupted(RESTARTED.to_owned());
+                    if let Some(in_flight) = in_flight.take() {
+                        in_flight.record_timeout();
+                    }
                     // Fails only if the client is gone.
                     let _ = frames.send(Err(error)).await;
                     return;
@@ -207,13 +216,15 @@
                     }
                 }
                 Ok(Some(Err(_))) => {
-                    if let Some(in_flight) = in_flight.take()
-                        && suspects::has_crashed(&front, &member).await
-                    {
-                        in_flight.record_crash();
+                    if let Some(in_flight) = in_flight.take() {
+                        suspects::record_loss(&front, &member, in_flight).await;
+                    }
+                }
+                Err(_) => {
+                    if let Some(in_flight) = in_flight.take() {
+                        in_flight.record_timeout();
                     }
                 }
-                Err(_) => {}
             }
             let relayed = match frame {
                 Ok(None) => return,
--- a/components/front/src/suspects.rs
+++ b/components/front/src/suspects.rs
@@ -8,8 +8,9 @@
 //! flight at each of several crashes. The verdicts are decided in `quarantine`.
 //!
 //! A replica counts as crashed if it closes a connection without an answer and refuses the next one,
-//! or refuses one shortly after a call there ended without an answer.
-//! The loss of a whole machine closes no connection, and makes no call a suspect.
+//! if a check after an unanswered call shows that it has ended ([`crate::replica_checks`]), or if its
+//! record shows a later start. The loss of a whole machine closes no connection, and makes no call
+//! a suspect.
 //!
 //! Without the store, each front knows only the crashes that it saw itself.
 
@@ -30,12 +31,22 @@
 use crate::clock::now_ms;
 use crate::metrics;
 use crate::peers::{AddressState, Member, check_address, incarnation};
+use crate::replica_checks::ReplicaChecks;
 use crate::state::{Front, lock};
 use crate::writer::{append_with_retry, write_index};
 
 /// Time within which the reports of the other fronts about a crash arrive, in milliseconds: a front
 /// whose clients don't wait for records reads the index each half second.
 const SETTLE_MS: u64 = 1_000;
+/// Longest time until a record of the store is read, in milliseconds.
+const READ_LAG_MS: u64 = 1_000;
+/// How long an attempt without an answer is remembered, in milliseconds. The crash of its replica
+/// becomes known within three heartbeats and the time to read their absence.
+const UNANSWERED_RETENTION_MS: u64 = 10_000;
+/// A caller that gives up so shortly before the deadline, in milliseconds, has waited for it.
+const DEADLINE_MARGIN_MS: u64 = 50;
+/// By how much the clocks of a replica's machine and of this one may differ, in milliseconds.
+const CLOCK_SKEW_MS: u64 = 500;
 /// Retry-After of a suspect whose reports are awaited, in milliseconds.
 const RETRY_AFTER_MS: u32 = 500;
 /// Longest time between two removals of expired records, in milliseconds.
@@ -53,6 +64,10 @@
     reporter: String,
     /// Notified when there are crashes to report.
     crashed: Notify,
+    /// Health checks of replicas that left calls without an answer.
+    pub checks: ReplicaChecks,
+    /// How long a replica may go on with a call whose caller has left, in milliseconds.
+    recent_attempt_ms: u64,
 }
 
 /// Answer to an attempt that asks to start.
@@ -84,24 +99,52 @@
     }
 }
 
+/// How an attempt ended that has neither an answer nor a known crash.
+#[key]
+enum Unanswered {
+    /// Its caller gave it up before the deadline.
+    Abandoned,
+    /// The replica closed the connection.
+    Lost,
+    /// The replica stayed silent.
+    TimedOut,
+}
+
+impl Unanswered {
+    /// Name in log lines.
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::Abandoned => "abandoned",
+            Self::Lost => "lost",
+            Self::TimedOut => "timed-out",
+        }
+    }
+}
+
 /// An attempt that counts as in flight. Dropping it records its end without an answer.
 pub struct InFlightAttempt {
     id: Option<AttemptId>,
     calls: Arc<SuspectCalls>,
     digest: CallDigest,
+    member: Member,
     /// Name of the replica's incarnation.
-    replica: Arc<str>,
+    endpoint: Arc<str>,
     began_ms: u64,
+    /// When the replica stops work on it, in milliseconds of [`now_ms`].
+    deadline_ms: u64,
+    /// How it ended, if that is known already.
+    unanswered: Option<Unanswered>,
 }
 
 impl SuspectCalls {
     /// No known crashes. `node` names this front, and `random` its process. The index keeps its
-    /// records for `log_retention_ms`.
-    pub fn new(node: &str, random: u64, log_retention_ms: u64) -> Self {
+    /// records for `log_retention_ms`, and replicas write theirs each `heartbeat_ms`.
+    pub fn new(node: &str, random: u64, log_retention_ms: u64, heartbeat_ms: u64) -> Self {
         let defaults = SuspectSettings::default();
         let settings = SuspectSettings {
             settle_ms: SETTLE_MS,
             endpoint_names: EndpointNames::Incarnations,
+            unanswered_retention_ms: UNANSWERED_RETENTION_MS,
             retry_wait_ms: RETRY_AFTER_MS,
             ..defaults
         };
@@ -113,6 +156,8 @@
             )),
             reporter: format!("{node}/{random:016x}"),
             crashed: Notify::new(),
+            checks: ReplicaChecks::new(heartbeat_ms + READ_LAG_MS),
+            recent_attempt_ms: defaults.recent_attempt_ms,
         }
     }
 
@@ -124,15 +169,26 @@
         Some(self.denial(&suspects, digest, decision?))
     }
 
-    /// Asks for permission to send a call to a replica.
-    pub fn try_start(self: &Arc<Self>, digest: CallDigest, replica: &Replica) -> StartPermission {
+    /// Asks for permission to send a call to a replica, which stops work on it at `deadline_ms`.
+    pub fn try_start(
+        self: &Arc<Self>,
+        digest: CallDigest,
+        member: &Member,
+        deadline_ms: u64,
+    ) -> StartPermission {
         let mut suspects = lock(&self.suspects);
-        let endpoint = endpoint_name(replica);
+        let endpoint = endpoint_name(&member.replica);
         let copies = CopyPlacement::Unlimited;
         let decision = suspects.try_start(digest, &endpoint, copies, now_ms());
         log_condemned(&mut suspects);
         if let StartDecision::Start(id) = decision {
-            return StartPermission::Start(self.in_flight_attempt(id, digest, endpoint));
+            return StartPermission::Start(self.in_flight_attempt(
+                id,
+                digest,
+                member,
+                endpoint,
+                deadline_ms,
+            ));
         }
         self.denial(&suspects, digest, decision)
     }
@@ -173,27 +229,63 @@
     }
 
     /// Records that an item is sent to a replica.
-    pub fn start_item(self: &Arc<Self>, digest: CallDigest, replica: &Replica) -> InFlightAttempt {
-        let endpoint = endpoint_name(replica);
-        let id = lock(&self.suspects).start(digest, Arc::clone(&endpoint));
-        self.in_flight_attempt(id, digest, endpoint)
+    pub fn start_item(self: &Arc<Self>, digest: CallDigest, member: &Member) -> InFlightAttempt {
+        let endpoint = endpoint_name(&member.replica);
+        let id = lock(&self.suspects).start(digest, Arc::clone(&endpoint), now_ms());
+        self.in_flight_attempt(id, digest, member, endpoint, u64::MAX)
     }
 
     fn in_flight_attempt(
         self: &Arc<Self>,
         id: AttemptId,
         digest: CallDigest,
-        replica: Arc<str>,
+        member: &Member,
+        endpoint: Arc<str>,
+        deadline_ms: u64,
     ) -> InFlightAttempt {
         InFlightAttempt {
             id: Some(id),
             calls: Arc::clone(self),
             digest,
-            replica,
+            member: member.clone(),
+            endpoint,
             began_ms: now_ms(),
+            deadline_ms,
+            unanswered: None,
         }
     }
 
+    /// Records that a heartbeat of a replica was read.
+    pub fn record_heartbeat(&self, replica: &Replica, now_ms: u64) {
+        let endpoint = endpoint_name(replica);
+        self.checks.record_heartbeat(&endpoint, now_ms);
+        let written_ms = now_ms.saturating_sub(READ_LAG_MS);
+        lock(&self.suspects).record_running(&endpoint, written_ms);
+    }
+
+    /// Whether calls ended at a replica without an answer while it is not known whether it crashed.
+    pub fn has_unanswered_at(&self, endpoint: &Arc<str>) -> bool {
+        lock(&self.suspects).has_unanswered_at(endpoint, now_ms())
+    }
+
+    /// Records that a replica that was to run on has ended, at `by_ms` at the latest.
+    pub fn record_down(&self, endpoint: &Arc<str>, by_ms: u64) {
+        lock(&self.suspects).record_endpoint_down(endpoint, by_ms, now_ms());
+        self.crashed.notify_one();
+    }
+
+    /// Records that a replica has restarted under its id, at `started_ms`. A draining one was to end.
+    pub fn record_restart(&self, former: &Replica, started_ms: u64) {
+        if former.draining {
+            return;
+        }
+        let now_ms = now_ms();
+        let ended_by_ms = now_ms.min(started_ms + CLOCK_SKEW_MS);
+        let endpoint = endpoint_name(former);
+        lock(&self.suspects).record_restart(&endpoint, ended_by_ms, now_ms);
+        self.crashed.notify_one();
+    }
+
     /// Applies the report of a crash that was read from the index. `utc_ms` is the current time.
     pub fn apply(&self, report: &CrashReport, utc_ms: u64) {
         let mut kept = lock(&self.kept);
@@ -260,6 +352,24 @@
         }
     }
 
+    /// Records that the replica closed the connection without an answer, and has it checked at once.
+    pub fn record_lost(mut self) {
+        self.unanswered = Some(Unanswered::Lost);
+    }
+
+    /// Records that the replica stayed silent. Nothing shows that it has crashed.
+    pub fn record_timeout(mut self) {
+        self.unanswered = Some(Unanswered::TimedOut);
+    }
+
+    fn end_without_answer(&self, now_ms: u64) -> Unanswered {
+        let is_before_deadline = now_ms + DEADLINE_MARGIN_MS < self.deadline_ms;
+        self.unanswered.unwrap_or(match is_before_deadline {
+            true => Unanswered::Abandoned,
+            false => Unanswered::TimedOut,
+        })
+    }
+
     /// Records that the replica crashed during the attempt.
     pub fn record_crash(mut self) {
         if let Some(id) = self.id.take() {
@@ -274,11 +384,22 @@
     fn drop(&mut self) {
         if let Some(id) = self.id.take() {
             let now_ms = now_ms();
+            let end = self.end_without_answer(now_ms);
             log::info!(
-                event = "attempt-unanswered", call:% = self.digest, replica = &*self.replica,
-                after_ms = now_ms - self.began_ms; ""
+                event = "attempt-unanswered", call:% = self.digest, replica = &*self.endpoint,
+                after_ms = now_ms - self.began_ms, why = end.as_str(); ""
             );
+            let check_ms = match end {
+                Unanswered::TimedOut => {
+                    lock(&self.calls.suspects).record_timeout(id, now_ms);
+                    return;
+                }
+                Unanswered::Lost => now_ms,
+                // The replica may go on with the call for a while.
+                Unanswered::Abandoned => now_ms + self.calls.recent_attempt_ms,
+            };
             lock(&self.calls.suspects).record_end(id, now_ms);
+            self.calls.checks.request(self.member.clone(), check_ms);
         }
     }
 }
@@ -329,7 +450,7 @@
 }
 
 /// Checks a replica that closed a connection without an answer.
-pub async fn check_after_loss(front: &Front, member: &Member) -> LossCheck {
+async fn check_after_loss(front: &Front, member: &Member) -> LossCheck {
     if !is_expected_to_run(front, member) {
         return LossCheck::Leaving;
     }
@@ -340,9 +461,15 @@
     }
 }
 
-/// Whether a replica that lost a connection has crashed.
-pub async fn has_crashed(front: &Front, member: &Member) -> bool {
-    check_after_loss(front, member).await == LossCheck::Crashed
+/// Records for an attempt that its replica closed the connection without an answer. Returns whether
+/// the replica has crashed.
+pub async fn record_loss(front: &Front, member: &Member, attempt: InFlightAttempt) -> LossCheck {
+    let check = check_after_loss(front, member).await;
+    match check {
+        LossCheck::Crashed => attempt.record_crash(),
+        _ => attempt.record_lost(),
+    }
+    check
 }
 
 /// Records that a replica refused a connection. Without this, the crash of a replica by a request
@@ -350,18 +477,26 @@
 pub fn record_refused_connection(front: &Front, member: &Member) {
     if is_expected_to_run(front, member) {
         let endpoint = endpoint_name(&member.replica);
-        lock(&front.suspects.suspects).record_endpoint_down(&endpoint, now_ms());
-        front.suspects.crashed.notify_one();
+        front.suspects.record_down(&endpoint, now_ms());
     }
 }
 
 /// Whether the end of a replica is not planned: it is listed and not draining.
-fn is_expected_to_run(front: &Front, member: &Member) -> bool {
+pub fn is_expected_to_run(front: &Front, member: &Member) -> bool {
+    listed_state(front, member) == Some(false)
+}
+
+/// Whether a replica's record says that it is about to end.
+pub fn is_draining(front: &Front, member: &Member) -> bool {
+    listed_state(front, member) == Some(true)
+}
+
+/// Whether the listed record of the same incarnation says that it is draining; `None` without one.
+fn listed_state(front: &Front, member: &Member) -> Option<bool> {
     let table = front.replicas.load();
     let mut listed = table.of(&member.replica.service).iter();
-    listed.any(|other| {
-        incarnation(&other.replica) == incarnation(&member.replica) && !other.replica.draining
-    })
+    let same = |other: &&Member| incarnation(&other.replica) == incarnation(&member.replica);
+    Some(listed.find(same)?.replica.draining)
 }
 
 /// Writes reports of crashes to the index until the process ends, and writes those again that the
@@ -400,7 +535,7 @@
 }
 
 /// Name of a replica's incarnation, the same at all fronts.
-fn endpoint_name(replica: &Replica) -> Arc<str> {
+pub fn endpoint_name(replica: &Replica) -> Arc<str> {
     match replica.started_ms {
         Some(started_unix_ms) => format!("{}@{started_unix_ms}", replica.id).into(),
         None => Arc::clone(&replica.id),
--- a/components/front/tests/front/common.rs
+++ b/components/front/tests/front/common.rs
@@ -351,6 +351,7 @@
             job_readable_ms: 120_000,
             settle_ms: 1_000,
         },
+        heartbeat_ms: 1_200,
         duties: None,
         peer_ports: None,
     }
--- a/components/front/tests/front/unnoticed_crashes.rs
+++ b/components/front/tests/front/unnoticed_crashes.rs
@@ -147,6 +147,38 @@
     }
 }
 
+/// Guards against refusing a request because the machines that it was sent to were lost: its
+/// connections stay open, and the replicas are back under their ids later.
+#[tokio::test]
+async fn can_serve_a_request_after_the_machines_of_its_replicas_were_lost() {
+    let site = Site::start_with(1, CALL_MS, CALL_MS).await;
+    let plain = |replica: &&Replica| replica.service == PLAIN;
+    for replica in site.replicas.iter().filter(plain) {
+        write_life(&site, replica, Some(1_000), 8);
+    }
+    let fronts = two_fronts(&site).await;
+    for replica in site.replicas.iter().filter(plain) {
+        let silent = Fault::new(FaultKind::Silent);
+        replica.handle.inject_fault(silent);
+    }
+    for (number, front) in fronts.iter().enumerate() {
+        let (status, _) = send(front, &format!("lost-{number}"), "body").await;
+        assert_eq!(status, 504);
+    }
+    for replica in site.replicas.iter().filter(plain) {
+        replica.handle.clear_faults();
+        write_life(&site, replica, Some(unix_ms()), 8);
+    }
+    let began = Instant::now();
+    let mut number = 0;
+    while began.elapsed() < VERDICT {
+        let front = &fronts[number % 2];
+        assert_eq!(send(front, &format!("q-{number}"), "body").await.0, 200);
+        sleep(PAUSE).await;
+        number += 1;
+    }
+}
+
 /// Guards against refusing a request because replicas ended that were to leave: their records were
 /// removed, and they served on for the time that the platform grants.
 #[tokio::test]
--- a/components/quarantine/src/crashes.rs
+++ b/components/quarantine/src/crashes.rs
@@ -15,7 +15,10 @@
 #[value]
 struct Crash<E> {
     endpoint: E,
+    /// When it was last reported.
     at_ms: u64,
+    /// When it had happened at the latest, as far as this process knows.
+    ended_by_ms: u64,
     in_flight: BTreeSet<CallDigest>,
     /// Processes whose calls are in `in_flight`; `None` is this process.
     reported_by: BTreeSet<Option<E>>,
@@ -43,7 +46,7 @@
 
 impl<E: Clone + Ord> Crashes<E> {
     /// Records the calls that one process had in flight at a crash, and returns the number of the
-    /// crash. `reported_by` is `None` for this process. Where an endpoint is named by its address,
+    /// crash, which had happened at `ended_by_ms`. `reported_by` is `None` for this process. Where an endpoint is named by its address,
     /// reports within the window are about the same crash, unless they come from the same process.
     ///
     /// If an endpoint crashes twice within the window, it is unknown which crash a report is about.
@@ -54,6 +57,7 @@
         reported_by: Option<E>,
         endpoint: &E,
         in_flight: impl IntoIterator<Item = CallDigest>,
+        ended_by_ms: u64,
         now_ms: u64,
         names: EndpointNames,
     ) -> u64 {
@@ -80,10 +84,12 @@
         let crash = self.crashes.entry(number).or_insert_with(|| Crash {
             endpoint: endpoint.clone(),
             at_ms: now_ms,
+            ended_by_ms,
             in_flight: BTreeSet::new(),
             reported_by: BTreeSet::new(),
         });
         crash.reported_by.insert(reported_by);
+        crash.ended_by_ms = crash.ended_by_ms.min(ended_by_ms);
         // The window for further reports about the same crash starts anew with each report.
         crash.at_ms = now_ms;
         for crash in self
@@ -99,6 +105,13 @@
         number
     }
 
+    /// When the incarnation `endpoint` had crashed at the latest; `None` if no crash is known.
+    pub fn ended_by_ms(&self, endpoint: &E) -> Option<u64> {
+        let mut crashes = self.crashes.values();
+        let crash = crashes.find(|crash| crash.endpoint == *endpoint)?;
+        Some(crash.ended_by_ms)
+    }
+
     /// Whether a process has reported a crash of the endpoint.
     pub fn has_report(&self, reported_by: &Option<E>, endpoint: &E) -> bool {
         let mut crashes = self.crashes.values();
--- a/components/quarantine/src/lib.rs
+++ b/components/quarantine/src/lib.rs
@@ -3,6 +3,7 @@
 //! The crate does no I/O: the caller passes in events with the time `now_ms` of the process's
 //! monotonic clock, and gets verdicts about the calls.
 
+mod checks;
 mod crashes;
 mod digest;
 mod in_flight;
@@ -12,6 +13,7 @@
 mod suspects;
 mod verdict;
 
+pub use checks::{CheckOutcome, CheckVerdict, EndpointChecks};
 pub use digest::CallDigest;
 pub use kept_reports::KeptReports;
 pub use report::CrashReport;
--- a/components/quarantine/src/settings.rs
+++ b/components/quarantine/src/settings.rs
@@ -27,9 +27,12 @@
     pub settle_ms: u64,
     /// What the name of an endpoint stands for; decides which reports are about the same crash.
     pub endpoint_names: EndpointNames,
-    /// How long an attempt that ended without an answer still counts as present at its endpoint, in
-    /// milliseconds.
+    /// How long an endpoint may go on with an attempt that ended without an answer, in milliseconds.
+    /// A crash later than that has another cause.
     pub recent_attempt_ms: u64,
+    /// How long such an attempt is remembered, in milliseconds, unless the endpoint is known to have
+    /// run on for `recent_attempt_ms`: the time after which a crash can still become known.
+    pub unanswered_retention_ms: u64,
     /// How long a crash counts against the calls that were in flight, in milliseconds.
     pub suspect_retention_ms: u64,
     /// How long a condemned call is refused, in milliseconds.
@@ -50,6 +53,7 @@
                 same_crash_window_ms: 1_000,
             },
             recent_attempt_ms: 1_000,
+            unanswered_retention_ms: 1_000,
             suspect_retention_ms: 600_000,
             condemned_ms: 600_000,
             retry_wait_ms: 100,
--- a/components/quarantine/src/suspects.rs
+++ b/components/quarantine/src/suspects.rs
@@ -77,7 +77,7 @@
     pub fn new(settings: SuspectSettings) -> Self {
         Self {
             settings,
-            in_flight: InFlight::new(settings.recent_attempt_ms),
+            in_flight: InFlight::new(settings.recent_attempt_ms, settings.unanswered_retention_ms),
             records: BTreeMap::new(),
             crashes: Crashes::default(),
             condemned_to_send: Vec::new(),
@@ -122,7 +122,7 @@
         if self.runs_suspect(endpoint, now_ms) || exceeds_limit() {
             return StartDecision::OtherEndpoint;
         }
-        StartDecision::Start(self.in_flight.start(digest, endpoint.clone()))
+        StartDecision::Start(self.in_flight.start(digest, endpoint.clone(), now_ms))
     }
 
     /// The part of [`Suspects::try_start`] that is the same for all endpoints: whether the call has
@@ -155,8 +155,8 @@
 
     /// Records an attempt of a call that the caller keeps from crashing more endpoints itself, by
     /// [`Suspects::crash_history`].
-    pub fn start(&mut self, digest: CallDigest, endpoint: E) -> AttemptId {
-        self.in_flight.start(digest, endpoint)
+    pub fn start(&mut self, digest: CallDigest, endpoint: E, now_ms: u64) -> AttemptId {
+        self.in_flight.start(digest, endpoint, now_ms)
     }
 
     /// The crashes that count against a call; `None` without any.
@@ -208,32 +208,63 @@
     }
 
     /// Records that an attempt was cancelled, refused, or failed without a known crash. It still
-    /// counts as in flight for `recent_attempt_ms`, because the report of a crash may be late:
-    /// without the call that caused the crash, an innocent call could be the only one in flight.
+    /// counts as in flight for `unanswered_retention_ms`, because a crash may become known late:
+    /// without the call that caused the crash, an innocent call could be the only one in flight. It
+    /// no longer does once [`Suspects::record_running`] shows that the endpoint ran on.
     pub fn record_end(&mut self, attempt: AttemptId, now_ms: u64) {
         self.in_flight.record_end(attempt, now_ms);
     }
 
+    /// Records that an attempt ended because its endpoint stayed silent until the deadline. That is no
+    /// sign of a crash: the machine may be lost, or cut off.
+    pub fn record_timeout(&mut self, attempt: AttemptId, now_ms: u64) {
+        self.in_flight.record_timeout(attempt, now_ms);
+    }
+
     /// Records that an attempt ended because its endpoint crashed.
     pub fn record_crash(&mut self, attempt: AttemptId, now_ms: u64) -> Verdict {
         let Some(ended) = self.in_flight.attempt(attempt).cloned() else {
             return Verdict::Retry;
         };
         if ended.crash.is_none() {
-            self.record_local_crash(&ended.endpoint, now_ms);
+            self.record_local_crash(&ended.endpoint, now_ms, now_ms);
         }
         self.in_flight.remove(attempt);
         self.verdict(ended.digest, now_ms)
     }
 
-    /// Records that an endpoint is down. It has crashed if a call of this process ended there shortly
-    /// before without an answer, such as one whose caller disconnected before the crash.
-    pub fn record_endpoint_down(&mut self, endpoint: &E, now_ms: u64) {
-        if self.in_flight.is_recent_at(endpoint, now_ms) {
-            self.record_local_crash(endpoint, now_ms);
+    /// Records that an endpoint was running at `at_ms`.
+    pub fn record_running(&mut self, endpoint: &E, at_ms: u64) {
+        self.in_flight.record_running(endpoint, at_ms);
+    }
+
+    /// Whether a call ended at the endpoint without an answer while it is not known whether a crash
+    /// ended it.
+    pub fn has_unanswered_at(&self, endpoint: &E, now_ms: u64) -> bool {
+        let mut unanswered = self.in_flight.unanswered_at(endpoint, now_ms, now_ms);
+        unanswered.next().is_some()
+    }
+
+    /// Records that an endpoint is down, since `ended_by_ms` at the latest. It has crashed if a call
+    /// of this process ended there before without an answer, such as one whose caller disconnected
+    /// before the crash.
+    pub fn record_endpoint_down(&mut self, endpoint: &E, ended_by_ms: u64, now_ms: u64) {
+        let mut unanswered = self.in_flight.unanswered_at(endpoint, ended_by_ms, now_ms);
+        if unanswered.next().is_some() {
+            drop(unanswered);
+            self.record_local_crash(endpoint, ended_by_ms, now_ms);
         }
     }
 
+    /// Records that the incarnation `endpoint` ended at `ended_by_ms` at the latest, as the next one
+    /// has started. Calls that wait for its answer, or did so until their deadline, don't count as in
+    /// flight: the machine was lost, and not the process alone, as no connection of theirs ended.
+    pub fn record_restart(&mut self, endpoint: &E, ended_by_ms: u64, now_ms: u64) {
+        let lost = self.in_flight.lost_at(endpoint, ended_by_ms, now_ms);
+        let lost = lost.collect();
+        self.record_crash_of(endpoint, lost, ended_by_ms, now_ms);
+    }
+
     /// Records that another process has condemned a digest.
     pub fn record_peer_verdict(&mut self, digest: CallDigest, left_ms: u32, now_ms: u64) {
         let until_ms = now_ms + u64::from(left_ms.min(self.settings.condemned_ms));
@@ -259,18 +290,15 @@
             return;
         }
         let digests = in_flight.iter().copied();
-        let crash = self.crashes.record(from, endpoint, digests, now_ms, names);
+        let crash = self
+            .crashes
+            .record(from, endpoint, digests, now_ms, now_ms, names);
         for &digest in in_flight {
             self.add_crash(digest, crash, now_ms);
         }
         // The attempts of this process may end later, or without any sign of the crash.
-        if !self.crashes.is_reported_locally(crash)
-            && !self
-                .in_flight
-                .running_or_recent_at(endpoint, now_ms)
-                .is_empty()
-        {
-            self.record_local_crash(endpoint, now_ms);
+        if !self.crashes.is_reported_locally(crash) {
+            self.record_local_crash(endpoint, now_ms, now_ms);
         }
         self.evict(now_ms);
     }
@@ -349,11 +377,38 @@
 
     /// Records one crash for all attempts in flight at the endpoint. The attempts report their ends
     /// one by one, and these reports must not count as separate crashes.
-    fn record_local_crash(&mut self, endpoint: &E, now_ms: u64) {
-        let in_flight = self.in_flight.running_or_recent_at(endpoint, now_ms);
+    fn record_local_crash(&mut self, endpoint: &E, ended_by_ms: u64, now_ms: u64) {
+        let ended_by_ms = match self.settings.endpoint_names {
+            EndpointNames::Addresses { .. } => ended_by_ms,
+            // What was sent after the crash reached nobody, although the address may accept
+            // connections.
+            EndpointNames::Incarnations => {
+                let known = self.crashes.ended_by_ms(endpoint);
+                known.map_or(ended_by_ms, |known| known.min(ended_by_ms))
+            }
+        };
+        let running = self.in_flight.sent_to(endpoint, ended_by_ms);
+        let unanswered = self.in_flight.unanswered_at(endpoint, ended_by_ms, now_ms);
+        let in_flight = running.chain(unanswered).collect();
+        self.record_crash_of(endpoint, in_flight, ended_by_ms, now_ms);
+    }
+
+    /// Records a crash at which these calls were in flight; no crash if there were none.
+    fn record_crash_of(
+        &mut self,
+        endpoint: &E,
+        in_flight: BTreeSet<CallDigest>,
+        ended_by_ms: u64,
+        now_ms: u64,
+    ) {
+        if in_flight.is_empty() {
+            return;
+        }
         let digests = in_flight.iter().copied();
         let names = self.settings.endpoint_names;
-        let crash = self.crashes.record(None, endpoint, digests, now_ms, names);
+        let crash = self
+            .crashes
+            .record(None, endpoint, digests, ended_by_ms, now_ms, names);
         self.in_flight.mark_crashed(endpoint, crash);
         for &digest in &in_flight {
             self.add_crash(digest, crash, now_ms);
--- a/components/quarantine/tests/suspects.rs
+++ b/components/quarantine/tests/suspects.rs
@@ -108,15 +108,122 @@
     suspects.record_end(cancelled, 10);
     let refused = start(&mut suspects, 1, 1, 20).unwrap();
     suspects.record_not_run(refused);
-    suspects.record_endpoint_down(&endpoint(1), 20);
-    suspects.record_endpoint_down(&endpoint(1), 30);
-    suspects.record_endpoint_down(&endpoint(2), 30);
+    suspects.record_endpoint_down(&endpoint(1), 20, 20);
+    suspects.record_endpoint_down(&endpoint(1), 30, 30);
+    suspects.record_endpoint_down(&endpoint(2), 30, 30);
     let suspect = DigestStatus::Suspect { crashes: 1 };
     assert_eq!(suspects.status(call(BAD), 40), suspect);
     assert_eq!(suspects.status(call(1), 40), DigestStatus::Clear);
     assert_eq!(suspects.take_crashes().len(), 1);
 }
 
+/// Suspects that name incarnations and remember unanswered attempts.
+fn suspects_of_incarnations() -> Suspects {
+    Suspects::new(SuspectSettings {
+        endpoint_names: EndpointNames::Incarnations,
+        unanswered_retention_ms: 10_000,
+        ..SuspectSettings::default()
+    })
+}
+
+/// Guards against forgetting the call that crashed an endpoint before the crash becomes known, and
+/// against counting a crash against calls that the endpoint survived.
+#[test]
+fn remembers_unanswered_calls_until_their_endpoint_is_known_to_have_run_on() {
+    struct Case {
+        name: &'static str,
+        /// A time at which the endpoint was still running.
+        running_ms: Option<u64>,
+        down_ms: u64,
+        status: DigestStatus,
+    }
+    let suspect = DigestStatus::Suspect { crashes: 1 };
+    let cases = [
+        Case {
+            name: "nothing is known until the crash is",
+            running_ms: None,
+            down_ms: 5_000,
+            status: suspect,
+        },
+        Case {
+            name: "the endpoint may still work on the call",
+            running_ms: Some(1_000),
+            down_ms: 5_000,
+            status: suspect,
+        },
+        Case {
+            name: "the endpoint ran on",
+            running_ms: Some(1_100),
+            down_ms: 5_000,
+            status: DigestStatus::Clear,
+        },
+        Case {
+            name: "the crash becomes known too late",
+            running_ms: None,
+            down_ms: 10_100,
+            status: DigestStatus::Clear,
+        },
+    ];
+    for case in &cases {
+        let mut suspects = suspects_of_incarnations();
+        let cancelled = start(&mut suspects, BAD, 1, 0).unwrap();
+        suspects.record_end(cancelled, 100);
+        if let Some(running_ms) = case.running_ms {
+            suspects.record_running(&endpoint(1), running_ms);
+        }
+        suspects.record_endpoint_down(&endpoint(1), case.down_ms, case.down_ms);
+        let status = suspects.status(call(BAD), case.down_ms);
+        assert_eq!(status, case.status, "{}", case.name);
+    }
+}
+
+/// Guards against suspecting calls that were sent to an address whose endpoint had crashed before.
+#[test]
+fn does_not_count_a_crash_against_calls_that_were_sent_after_it() {
+    let mut suspects = suspects_of_incarnations();
+    let bad = start(&mut suspects, BAD, 1, 0).unwrap();
+    suspects.record_end(bad, 100);
+    let late = start(&mut suspects, 1, 1, 200).unwrap();
+    suspects.record_end(late, 210);
+    suspects.record_endpoint_down(&endpoint(1), 100, 2_000);
+    let later = start(&mut suspects, 2, 1, 2_100).unwrap();
+    suspects.record_end(later, 2_110);
+    suspects.record_endpoint_down(&endpoint(1), 2_200, 2_200);
+    let suspect = DigestStatus::Suspect { crashes: 1 };
+    assert_eq!(suspects.status(call(BAD), 2_300), suspect);
+    for innocent in [1, 2] {
+        assert_eq!(suspects.status(call(innocent), 2_300), DigestStatus::Clear);
+    }
+}
+
+/// Guards against suspecting calls because their machine was lost: it closes no connection.
+#[test]
+fn a_restart_counts_against_calls_that_ended_and_not_against_silent_ones() {
+    let mut suspects = suspects_of_incarnations();
+    let cancelled = start(&mut suspects, BAD, 1, 0).unwrap();
+    suspects.record_end(cancelled, 100);
+    let timed_out = start(&mut suspects, 1, 1, 0).unwrap();
+    suspects.record_timeout(timed_out, 1_500);
+    start(&mut suspects, 2, 1, 0).unwrap();
+    suspects.record_restart(&endpoint(1), 1_600, 1_600);
+    let suspect = DigestStatus::Suspect { crashes: 1 };
+    assert_eq!(suspects.status(call(BAD), 1_600), suspect);
+    for silent in [1, 2] {
+        assert_eq!(suspects.status(call(silent), 1_600), DigestStatus::Clear);
+    }
+}
+
+/// Guards against checking or suspecting the slow endpoint of a hedged call whose copy succeeded.
+#[test]
+fn forgets_an_attempt_that_ends_after_a_copy_of_its_call_succeeded() {
+    let mut suspects = suspects_of_incarnations();
+    let slow = start(&mut suspects, 1, 1, 0).unwrap();
+    let hedged = start(&mut suspects, 1, 2, 10).unwrap();
+    suspects.record_success(hedged);
+    suspects.record_end(slow, 30);
+    assert!(!suspects.has_unanswered_at(&endpoint(1), 40));
+}
+
 /// Guards against counting one crash twice, because the report of it arrives again.
 #[test]
 fn counts_a_crash_of_an_incarnation_once_however_often_it_is_reported() {
@@ -407,7 +514,7 @@
     let mut suspects = Suspects::new(SuspectSettings::default());
     assert_eq!(suspects.crash_history(call(BAD), 0), None);
     for at in 1..=3 {
-        let run = suspects.start(call(BAD), endpoint(at));
+        let run = suspects.start(call(BAD), endpoint(at), 0);
         suspects.record_crash(run, u64::from(at) * 10);
     }
     let history = suspects.crash_history(call(BAD), 30);
@@ -418,7 +525,7 @@
             last_ms: 30
         })
     );
-    let run = suspects.start(call(BAD), endpoint(4));
+    let run = suspects.start(call(BAD), endpoint(4), 30);
     suspects.record_success(run);
     assert_eq!(suspects.crash_history(call(BAD), 40), None);
 }
