Front: the seeded mix of troubles also plays addresses that accept connections

The mix drew troubles beside replicas whose addresses refuse connections only. The same troubles now run where crashed addresses accept connections and close them for three seconds; replicas write their records each 1.2 s in both.

--- a/components/front/tests/front/crashing_mix.rs
+++ b/components/front/tests/front/crashing_mix.rs
@@ -14,6 +14,7 @@
 use tokio::time::sleep;
 
 use crate::common::{FrontHandle, Site, wait_until};
+use crate::crash_fleet::HEARTBEAT;
 
 /// Body of the request that crashes replicas.
 const CRASHING: &str = "crashing";
@@ -27,6 +28,8 @@
 const CALL_MS: u64 = 20;
 /// Time from a crash to the start of the next replica.
 const RESTART: Duration = Duration::from_millis(300);
+/// The same where the address of the crashed one accepts connections in the meantime.
+const ACCEPTING_RESTART: Duration = Duration::from_secs(3);
 /// How long the request is repeated, and the pause before each repetition.
 const REPEATED: Duration = Duration::from_secs(14);
 const PAUSE: Duration = Duration::from_millis(400);
@@ -102,6 +105,10 @@
 
 struct Mix {
     site: Site,
+    /// Whether the addresses of crashed replicas accept connections and close them.
+    addresses_accept: bool,
+    /// When the replicas last wrote their records.
+    heartbeat_at: Instant,
     fronts: Vec<Option<FrontHandle>>,
     plan: Vec<Planned>,
     began: Instant,
@@ -111,10 +118,12 @@
 }
 
 impl Mix {
-    async fn start(random: &mut StdRng) -> Self {
+    async fn start(random: &mut StdRng, addresses_accept: bool) -> Self {
         let site = Site::start_with(1, CALL_MS, CALL_MS).await;
         let mut mix = Self {
             site,
+            addresses_accept,
+            heartbeat_at: Instant::now(),
             fronts: Vec::new(),
             plan: (0..TROUBLES).map(|_| Planned::draw(random)).collect(),
             began: Instant::now(),
@@ -139,6 +148,10 @@
     /// Makes a replica crash when it runs the request.
     fn arm(&self, id: &str) {
         let fault = Fault::new(FaultKind::CrashOn).with_text(CRASHING);
+        let fault = match self.addresses_accept {
+            true => fault.accepting(),
+            false => fault,
+        };
         let replica = self.site.replica(id);
         replica.handle.inject_fault(fault.delayed(600_000));
     }
@@ -192,8 +205,20 @@
         }
     }
 
-    /// Notes the replicas that crashed, and replaces those that crashed [`RESTART`] ago.
+    /// Notes the replicas that crashed, and replaces those that crashed long enough ago. The others
+    /// write their records each [`HEARTBEAT`].
     async fn observe(&mut self) {
+        if self.heartbeat_at.elapsed() >= HEARTBEAT {
+            self.heartbeat_at = Instant::now();
+            let live = self
+                .site
+                .replicas
+                .iter()
+                .filter(|r| r.handle.crashes() == 0);
+            for replica in live {
+                self.site.write_heartbeat(replica, "ready", 1);
+            }
+        }
         for replica in &self.site.replicas {
             let is_known = self.crashed.iter().any(|(id, _)| *id == replica.id);
             if replica.handle.crashes() == 0 || is_known {
@@ -207,7 +232,11 @@
             }
             self.crashed.push((replica.id.clone(), Instant::now()));
         }
-        let is_due = |(_, at): &(String, Instant)| at.elapsed() >= RESTART;
+        let restart = match self.addresses_accept {
+            true => ACCEPTING_RESTART,
+            false => RESTART,
+        };
+        let is_due = |(_, at): &(String, Instant)| at.elapsed() >= restart;
         let due: Vec<(String, Instant)> = self.crashed.extract_if(.., |r| is_due(r)).collect();
         for (id, _) in due {
             self.site.store.put("keyed.servers", &id, None);
@@ -267,9 +296,20 @@
 /// answers, replicas answer errors and clients disconnect.
 #[tokio::test]
 async fn bounds_the_replicas_that_a_request_crashes_beside_other_troubles() {
+    check_late_runs(false).await;
+}
+
+/// Guards against the same where the addresses of crashed replicas accept connections.
+#[tokio::test]
+async fn bounds_the_replicas_that_a_request_crashes_beside_troubles_where_addresses_accept() {
+    check_late_runs(true).await;
+}
+
+/// Repeats the request beside drawn troubles, and checks how often it reaches replicas late.
+async fn check_late_runs(addresses_accept: bool) {
     let seed = seed();
     let random = &mut StdRng::seed_from_u64(seed);
-    let mut mix = Mix::start(random).await;
+    let mut mix = Mix::start(random, addresses_accept).await;
     let mut switches: Vec<(Duration, Trouble, bool)> = Vec::new();
     for planned in &mix.plan {
         switches.push((planned.at, planned.trouble, true));
