--- a/components/front/tests/front/crash_fleet.rs
+++ b/components/front/tests/front/crash_fleet.rs
@@ -19,6 +19,8 @@
 pub const REPLICAS: usize = 6;
 /// Usual time from a crash to the start of the next replica at another address.
 const RESTART: Duration = Duration::from_millis(300);
+/// The same where the address of the crashed one accepts connections in the meantime.
+const ACCEPTING_RESTART: Duration = Duration::from_secs(3);
 /// Interval at which replicas write their records.
 pub const HEARTBEAT: Duration = Duration::from_millis(1_200);
 /// Time after which every front that reaches the store knows what the others have seen.
@@ -45,7 +47,7 @@
     /// Whether the address of a crashed replica accepts connections and closes them.
     addresses_accept: bool,
     /// Time from a crash to the start of the next replica at another address.
-    pub restart: Duration,
+    restart: Duration,
     /// When the replicas last wrote their records.
     heartbeat_at: Instant,
 }
@@ -82,6 +84,7 @@
     /// Makes the addresses of crashed replicas accept connections and close them.
     pub fn accept_at_crashed_addresses(&mut self) {
         self.addresses_accept = true;
+        self.restart = ACCEPTING_RESTART;
         for replica in self
             .site
             .replicas
@@ -113,7 +116,7 @@
     }
 
     /// Counts the replicas that crashed since the last call, and replaces those that crashed
-    /// [`Fleet::restart`] ago. The others write their records each [`HEARTBEAT`].
+    /// `restart` ago. The others write their records each [`HEARTBEAT`].
     pub async fn observe(&mut self) {
         let now = Instant::now();
         if self.heartbeat_at + HEARTBEAT <= now {
--- a/components/front/tests/front/crashing.rs
+++ b/components/front/tests/front/crashing.rs
@@ -326,9 +326,23 @@
 /// to run it, and against losing the other items of its step.
 #[tokio::test]
 async fn bounds_the_model_replicas_that_an_item_crashes() {
+    let fleet = Fleet::start_of(ENGINES, REPLICAS).await;
+    check_crashing_item(fleet, "q80=").await;
+}
+
+/// Guards against the same where the addresses of crashed replicas accept connections.
+#[tokio::test]
+async fn bounds_the_model_replicas_that_an_item_crashes_whose_addresses_accept_connections() {
     let mut fleet = Fleet::start_of(ENGINES, REPLICAS).await;
+    fleet.accept_at_crashed_addresses();
+    check_crashing_item(fleet, "q80=").await;
+}
+
+/// Runs a step in which the first item or reward call with this body crashes replicas. Checks that
+/// the other items succeed, and the crashes.
+async fn check_crashing_item(mut fleet: Fleet, body: &str) {
     let front = fleet.site.front("a").await;
-    let step = with_crashing_body(&records::step(1, 1, ITEMS), "q80=");
+    let step = with_crashing_body(&records::step(1, 1, ITEMS), body);
     assert_eq!(front.submit("step-1", &step).await.0, 202);
     let observed = observe_for(&mut fleet, ITEM_TIME);
     let (results, ()) = tokio::join!(front.all_results("step-1", ITEMS - 1), observed);
@@ -341,21 +355,34 @@
 /// Guards against losing one plain replica after the other to a reward call that crashes them.
 #[tokio::test]
 async fn bounds_the_replicas_that_a_reward_call_crashes() {
+    let fleet = Fleet::start().await;
+    check_crashing_item(fleet, "AQI=").await;
+}
+
+/// Guards against the same where the addresses of crashed replicas accept connections.
+#[tokio::test]
+async fn bounds_the_replicas_that_a_reward_call_crashes_whose_addresses_accept_connections() {
     let mut fleet = Fleet::start().await;
-    let front = fleet.site.front("a").await;
-    let step = with_crashing_body(&records::step(1, 1, ITEMS), "AQI=");
-    assert_eq!(front.submit("step-1", &step).await.0, 202);
-    let observed = observe_for(&mut fleet, ITEM_TIME);
-    let (results, ()) = tokio::join!(front.all_results("step-1", ITEMS - 1), observed);
-    assert_eq!(results.len(), ITEMS - 1);
-    assert!(fleet.crashes.len() >= CRASHES_MAX);
-    fleet.check_late_crashes();
+    fleet.accept_at_crashed_addresses();
+    check_crashing_item(fleet, "AQI=").await;
 }
 
 /// Guards against losing one replica after the other to a request for a stream.
 #[tokio::test]
 async fn bounds_the_replicas_that_a_request_for_a_stream_crashes() {
+    let fleet = Fleet::start().await;
+    check_crashing_stream(fleet).await;
+}
+
+/// Guards against the same where the addresses of crashed replicas accept connections.
+#[tokio::test]
+async fn bounds_the_replicas_that_a_stream_crashes_whose_addresses_accept_connections() {
     let mut fleet = Fleet::start().await;
+    fleet.accept_at_crashed_addresses();
+    check_crashing_stream(fleet).await;
+}
+
+async fn check_crashing_stream(mut fleet: Fleet) {
     let fronts = [fleet.site.front("a").await, fleet.site.front("b").await];
     serve_calls_as_streams(&fleet.site, &fronts).await;
     fleet
--- a/components/front/tests/front/unnoticed_crashes.rs
+++ b/components/front/tests/front/unnoticed_crashes.rs
@@ -20,8 +20,6 @@
 const PAUSE: Duration = Duration::from_millis(400);
 /// Time after which fronts have come to their verdicts about the requests of these tests.
 const VERDICT: Duration = Duration::from_secs(4);
-/// How long a crashed replica's address is in use before another one takes its place.
-const DOWN: Duration = Duration::from_secs(3);
 /// How long a replica that is to end serves on after its record was removed.
 const DRAIN: Duration = Duration::from_millis(2_000);
 
@@ -41,7 +39,6 @@
 async fn bounds_the_replicas_that_a_request_crashes_whose_addresses_accept_connections() {
     let mut fleet = Fleet::start().await;
     fleet.accept_at_crashed_addresses();
-    fleet.restart = DOWN;
     let fronts = two_fronts(&fleet.site).await;
     fleet.repeat_crashing_request(&fronts, REPEATED).await;
     fleet.check_late_crashes();
@@ -118,6 +115,29 @@
     }
 }
 
+/// Guards against refusing a request for crashes that came long after its clients had left.
+#[tokio::test]
+async fn can_serve_a_request_whose_replicas_crashed_long_after_its_clients_left() {
+    let mut site = Site::start_with(1, CALL_MS, CALL_MS).await;
+    let front = site.front("a").await;
+    for number in 0..8 {
+        send_and_leave(&front, &format!("left-{number}"), "body").await;
+    }
+    let began = Instant::now();
+    while began.elapsed() < VERDICT {
+        sleep(HEARTBEAT).await;
+        site.write_heartbeats();
+    }
+    for id in ["plain-1", "plain-2"] {
+        site.replica(id).handle.crash(600_000);
+    }
+    // Connections to both are refused.
+    assert_ne!(send(&front, "other", "other").await.0, 200);
+    site.add("plain-3", PLAIN, 0, CALL_MS).await;
+    sleep(HEARTBEAT).await;
+    assert_eq!(send(&front, "q", "body").await.0, 200);
+}
+
 /// Guards against taking an overloaded replica, which closes new connections, for a crashed one.
 #[tokio::test]
 async fn can_serve_a_request_after_replicas_closed_new_connections() {
