Quarantine: an endpoint that answered a check is not asked again within half a second

What callers saw: nothing yet.

After a check without a verdict the next one of the same endpoint waits half a second. A crash in between is found that much later.

an_endpoint_that_answered_is_not_asked_again_at_once fails without it.

--- a/components/quarantine/src/checks.rs
+++ b/components/quarantine/src/checks.rs
@@ -13,6 +13,9 @@
 
 use derive::{key, value};
 
+/// Shortest time from a check without a verdict to the next one of the same endpoint, in milliseconds.
+/// A check takes one of its slots, and where many connections are lost each of them would ask.
+const INTERVAL_MS_MIN: u64 = 500;
 /// Time between the first two requests for an endpoint's health, in milliseconds.
 const RETRY_MS: u64 = 200;
 /// Longest time between two of them.
@@ -83,7 +86,10 @@
     /// Time within which the announcement of a running endpoint is read, in milliseconds.
     silence_ms: u64,
     checks: BTreeMap<E, Check>,
+    /// When each endpoint was last heard of.
     heard_ms: BTreeMap<E, u64>,
+    /// When the last check of an endpoint ended without a verdict.
+    dismissed_ms: BTreeMap<E, u64>,
     /// Since when the announcements have been read without a gap.
     reading_since_ms: u64,
     read_ms: Option<u64>,
@@ -97,6 +103,7 @@
             silence_ms,
             checks: BTreeMap::new(),
             heard_ms: BTreeMap::new(),
+            dismissed_ms: BTreeMap::new(),
             reading_since_ms: 0,
             read_ms: None,
         }
@@ -116,8 +123,11 @@
         self.heard_ms.insert(endpoint.clone(), now_ms);
     }
 
-    /// Has the endpoint asked for its health at `due_ms`, unless it is asked earlier.
+    /// Has the endpoint asked for its health at `due_ms`, unless it is asked earlier. It is asked later
+    /// if a check of it ended shortly before.
     pub fn schedule(&mut self, endpoint: &E, due_ms: u64) {
+        let dismissed_ms = self.dismissed_ms.get(endpoint);
+        let due_ms = dismissed_ms.map_or(due_ms, |at_ms| due_ms.max(at_ms + INTERVAL_MS_MIN));
         let check = self.checks.entry(endpoint.clone()).or_insert(Check {
             due_ms,
             first_closed_ms: None,
@@ -183,6 +193,9 @@
         if verdict != CheckVerdict::Open {
             self.checks.remove(endpoint);
         }
+        if verdict == CheckVerdict::Dismissed {
+            self.dismissed_ms.insert(endpoint.clone(), now_ms);
+        }
         verdict
     }
 
@@ -190,6 +203,8 @@
     pub fn expire(&mut self, now_ms: u64) {
         self.heard_ms
             .retain(|_, heard_ms| *heard_ms + HEARD_RETENTION_MS > now_ms);
+        self.dismissed_ms
+            .retain(|_, at_ms| *at_ms + INTERVAL_MS_MIN > now_ms);
     }
 
     /// Whether an announcement of the endpoint would have been read if it ran.
--- a/components/quarantine/tests/checks.rs
+++ b/components/quarantine/tests/checks.rs
@@ -154,6 +154,22 @@
     }
 }
 
+/// Guards against asking an endpoint that answers again for each connection that it loses.
+#[test]
+fn an_endpoint_that_answered_is_not_asked_again_at_once() {
+    let mut checks = EndpointChecks::new(SILENCE_MS);
+    let mut asked = 0;
+    for now_ms in (0..2_000).step_by(10) {
+        checks.schedule(&ENDPOINT, now_ms);
+        for endpoint in checks.take_due(now_ms, TIMEOUT_MS) {
+            asked += 1;
+            let verdict = checks.record(&endpoint, CheckOutcome::Answered, now_ms, now_ms);
+            assert_eq!(verdict, CheckVerdict::Dismissed);
+        }
+    }
+    assert_eq!(asked, 4);
+}
+
 /// Guards against asking an endpoint once for each of many unanswered attempts.
 #[test]
 fn an_endpoint_is_asked_once_at_the_earliest_time() {
