--- a/components/front/src/suspects.rs
+++ b/components/front/src/suspects.rs
@@ -181,18 +181,19 @@
         let copies = CopyPlacement::Unlimited;
         let decision = suspects.try_start(digest, &endpoint, copies, now_ms());
         log_condemned(&mut suspects);
-        if let StartDecision::Start(id) = decision {
-            return StartPermission::Start(self.in_flight_attempt(
+        match decision {
+            StartDecision::Start(id) => StartPermission::Start(self.in_flight_attempt(
                 id,
                 digest,
                 member,
                 endpoint,
                 deadline_ms,
-            ));
+            )),
+            denied => self.denial(&suspects, digest, denied),
         }
-        self.denial(&suspects, digest, decision)
     }
 
+    /// Answer to an attempt that may not start.
     fn denial(
         &self,
         suspects: &Suspects<Arc<str>>,
