--- a/components/front/src/runner/pool_queues.rs
+++ b/components/front/src/runner/pool_queues.rs
@@ -221,11 +221,13 @@
         }
         let waiting = self.waiting_keys(step, &owned, now_ms);
         let Some(route) = routes.find_exact(&step.head.host, &step.head.prefix) else {
+            self.log_abandoned(step, &waiting, "route not configured", routes, now_ms);
             scan.abandoned.extend(waiting);
             return;
         };
         let left_ms = left_ms(step, now_ms);
         let Some(left_ms) = left_ms else {
+            self.log_abandoned(step, &waiting, "retention time over", routes, now_ms);
             scan.abandoned.extend(waiting);
             return;
         };
@@ -248,6 +250,26 @@
         queue.waiting.extend(items);
     }
 
+    /// Logs why items of a step are abandoned, with the configuration that decided it.
+    fn log_abandoned(
+        &self,
+        step: &Step,
+        items: &[ItemKey],
+        why: &str,
+        routes: &Routes,
+        now_ms: u64,
+    ) {
+        if items.is_empty() {
+            return;
+        }
+        log::warn!(
+            event = "step-abandoned", id = step.head.id, step = step.id.0, items = items.len(), why,
+            prefix = step.head.prefix, routes_version = routes.version,
+            routes_age_ms = self.front.operator_records_age_ms(now_ms),
+            step_age_ms = now_ms.saturating_sub(step.read_ms); ""
+        );
+    }
+
     /// Items of the owned shards that are not listed, do not run here and are not reserved by
     /// another front.
     fn waiting_keys(&self, step: &Step, owned: &BTreeSet<u16>, now_ms: u64) -> Vec<ItemKey> {
