Front: what is final is decided only by records that were read after the question

Callers saw: an operator adds a rollout route, a step on it is accepted with 202 by one front, and 1.1 s later another front lists all its items as errored.

Cause: the front that owns the shard reads the index and the operator's records independently. With its connections to the store silent it read the step 0.3 s before the route and took the missing route for a removed one. The answers 401, 404 and 400 had the same cause: they relied on a configuration of up to 1 s (400: any age), counted from the return of the read, not from its sending; 404 for a step likewise on the index. A configuration that cannot be decoded left the one before it counting as the newest. DELETE of a step that was read meanwhile got a page of results and ended nothing.

Evidence: step-abandoned why="route not configured" routes_version=3 routes_age_ms=1101 step_age_ms=5, for a step accepted under version 9. Ruled out: an age limit, as 401 and 404 had it: with one silent connection the age is 20 ms.

Why this works: the accepting front has read the route before it writes the step. A read of the operator's records that is sent after the step was read therefore brings the route or its removal, however earlier reads failed; until then the items wait. The other answers wait for a read that is sent after the request, 0.7 s at most, and are 503 without one. Such reads do not wait at the store and are 100 ms apart at least.

--- a/components/front/src/access.rs
+++ b/components/front/src/access.rs
@@ -2,9 +2,9 @@
 //! configuration.
 //!
 //! Clients treat 401 and 404 as final and don't retry. A front therefore answers that a key is
-//! unknown or that no route matches only while its configuration is current. While it is stale,
-//! the front answers 503 with Retry-After instead, since a newer version may contain the key or
-//! the route.
+//! unknown or that no route matches only by a version of the configuration that it has read after
+//! the request arrived. If it cannot read one, it answers 503 with Retry-After instead, since a newer
+//! version may contain the key or the route.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -12,17 +12,14 @@
 use customers::{Customer, PresentedKey, Refusal};
 use dispatch::{Route, Routes};
 use hyper::body::Incoming;
-use hyper::{HeaderMap, Response, StatusCode};
+use hyper::{HeaderMap, Response, StatusCode, Uri};
 use platform::{ResponseBody, discard, ingress};
 
 use crate::clock::now_ms;
 use crate::metrics;
-use crate::results;
+use crate::results::{self, Lookup};
 use crate::state::Front;
 
-/// Age of the last complete read of the operator's records at which the configuration counts as
-/// stale, in milliseconds. A long poll that finds nothing new returns twice within this time.
-const STALE_MS: u64 = 1_000;
 /// Retry-After of a refusal that is based on a stale configuration, in milliseconds.
 const STALE_RETRY_AFTER_MS: u64 = 300;
 /// Time limit for reading the rest of a refused request's body, in milliseconds.
@@ -59,14 +56,64 @@
     }
 }
 
-/// Authenticates a call of a route. `None` for a public route, which needs no key.
-pub fn authenticate_call(
-    routes: &Routes,
-    route: &Route,
+/// Refusal of a request.
+#[derive(Clone, Copy)]
+pub struct Denial {
+    why: Refused,
+    /// Whether the front had read the newest records. The client must retry otherwise.
+    is_final: bool,
+}
+
+/// A call that a route accepts.
+pub struct AuthorizedCall {
+    /// Version of the configuration that the route belongs to.
+    pub routes: Arc<Routes>,
+    pub route: Arc<Route>,
+    /// `None` on a public route, which needs no key.
+    pub customer: Option<Arc<Customer>>,
+}
+
+/// The configuration that was in force when this was called, or a newer one; `None` if the front
+/// cannot read it.
+pub async fn current_routes(front: &Front) -> Option<Arc<Routes>> {
+    let is_current = front.operator_copy.wait_until_current().await;
+    front.routes.load_full().filter(|_| is_current)
+}
+
+/// Finds the route of a call and authenticates the caller, by the active configuration `routes` or,
+/// if it would refuse the call, by the newest one.
+pub async fn authorize_call(
+    front: &Front,
+    routes: Arc<Routes>,
+    uri: &Uri,
+    headers: &HeaderMap,
+) -> Result<AuthorizedCall, Denial> {
+    let why = match authorize_by(routes, uri, headers) {
+        Ok(call) => return Ok(call),
+        Err(why) => why,
+    };
+    let denied = |why, is_final| Denial { why, is_final };
+    match current_routes(front).await {
+        Some(routes) => authorize_by(routes, uri, headers).map_err(|why| denied(why, true)),
+        None => Err(denied(why, false)),
+    }
+}
+
+fn authorize_by(
+    routes: Arc<Routes>,
+    uri: &Uri,
     headers: &HeaderMap,
-) -> Result<Option<Arc<Customer>>, Refused> {
+) -> Result<AuthorizedCall, Refused> {
+    let host = ingress::host(uri, headers).unwrap_or_default();
+    let route = routes.find(host, uri.path()).ok_or(Refused::NoRoute)?;
     let shown = ingress::api_key(headers);
-    routes.customer(route, shown).map_err(Refused::Key)
+    let customer = routes.customer(route, shown).map_err(Refused::Key)?;
+    let route = Arc::clone(route);
+    Ok(AuthorizedCall {
+        routes,
+        route,
+        customer,
+    })
 }
 
 /// Authenticates a request that reads or ends a step. Without a valid key, only a step that was
@@ -76,17 +123,30 @@
     routes: &Routes,
     headers: &HeaderMap,
     step: &str,
-) -> Result<Option<Arc<Customer>>, Refused> {
-    let refusal = match routes.customers.authenticate(ingress::api_key(headers)) {
+) -> Result<Option<Arc<Customer>>, Denial> {
+    let shown = || ingress::api_key(headers);
+    let refusal = match routes.customers.authenticate(shown()) {
         Ok(holder) => return Ok(holder.cloned()),
         Err(refusal) => refusal,
     };
     let anonymous_step = results::find_in_index(front, |index| {
         index.ledger.find(None, step).map(|step| step.id)
     });
-    match anonymous_step.await {
-        Some(_) => Ok(None),
-        None => Err(Refused::Key(refusal)),
+    let has_read_index = match anonymous_step.await {
+        Lookup::Found(_) => return Ok(None),
+        Lookup::Absent => true,
+        Lookup::Unknown => false,
+    };
+    let denied = |refusal, is_final| Denial {
+        why: Refused::Key(refusal),
+        is_final,
+    };
+    match current_routes(front).await {
+        Some(routes) => match routes.customers.authenticate(shown()) {
+            Ok(holder) => Ok(holder.cloned()),
+            Err(refusal) => Err(denied(refusal, has_read_index)),
+        },
+        None => Err(denied(refusal, false)),
     }
 }
 
@@ -99,17 +159,17 @@
     headers: &HeaderMap,
     body: Incoming,
     id: Option<&str>,
-    refused: Refused,
+    denial: Denial,
 ) -> Response<ResponseBody> {
-    let age_ms = front.operator_records_age_ms(now_ms());
-    let is_stale = age_ms >= STALE_MS;
+    let Denial { why, is_final } = denial;
+    let behind_ms = now_ms().saturating_sub(front.operator_copy.as_of_ms());
     let key = match ingress::api_key(headers) {
         PresentedKey::One(key) => front.key_marks.of(key),
         PresentedKey::Nothing | PresentedKey::Malformed => String::new(),
     };
     log::info!(
-        event = "refused", id = id.unwrap_or_default(), why = refused.as_str(), key,
-        behind = is_stale, behind_ms = age_ms, routes_version = routes.version; ""
+        event = "refused", id = id.unwrap_or_default(), why = why.as_str(), key,
+        behind = !is_final, behind_ms, routes_version = routes.version; ""
     );
     front.metrics.count(
         "front_requests_refused_total",
@@ -118,9 +178,9 @@
     );
     let rest = discard(body, routes.limits.body_bytes_max);
     let read = tokio::time::timeout(Duration::from_millis(DISCARD_MS), rest).await;
-    let mut answer = match is_stale {
-        false => ingress::status_response(refused.status(), id, None, refused.message()),
-        true => {
+    let mut answer = match is_final {
+        true => ingress::status_response(why.status(), id, None, why.message()),
+        false => {
             let status = StatusCode::SERVICE_UNAVAILABLE;
             let message = "the configuration was not read lately";
             ingress::status_response(status, id, Some(STALE_RETRY_AFTER_MS), message)
--- a/components/front/src/follow/index.rs
+++ b/components/front/src/follow/index.rs
@@ -1,13 +1,10 @@
 //! Follower of the index: the log of steps, results and the lease.
 
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
-use std::time::Duration;
 
 use bytes::Bytes;
 use index::{INDEX_PARTITION, INDEX_TOPIC};
 use pacing::LOG_PACE;
-use tokio::time::{Instant, timeout_at};
 
 use super::{Batch, Follower};
 use crate::clock::now_ms;
@@ -15,27 +12,24 @@
 
 /// How long steps stay in memory beyond the time in which clients can read them, in milliseconds.
 const RETENTION_SLACK_MS: u64 = 5_000;
-/// Timeout of the read barrier, in milliseconds; an idle long poll in progress returns within it.
-const BARRIER_TIMEOUT_MS: u64 = 700;
 
 /// Applies the records of the index to the front's state, until the process ends.
 pub async fn follow_index(front: Arc<Front>) {
-    let mut follower = Follower::new(&front, INDEX_TOPIC, INDEX_PARTITION, LOG_PACE);
+    let copy = &front.index_copy;
+    let mut follower = Follower::new(&front, copy, INDEX_TOPIC, INDEX_PARTITION, LOG_PACE);
     loop {
-        let batch = follower.read().await;
-        let failed = matches!(batch, Batch::Failed);
-        front.index_failing.store(failed, Ordering::Relaxed);
-        match batch {
+        match follower.read().await {
             Batch::Records {
+                read,
                 from,
                 records,
                 current,
             } => {
                 let now_ms = now_ms();
                 apply(&front, from, &records, now_ms);
-                let first = front.index_current_ms() == 0;
+                let first = copy.current_ms() == 0;
                 if current {
-                    front.mark_index_current(now_ms);
+                    copy.record_current(read, now_ms);
                 }
                 if first || !records.is_empty() {
                     front.index_changes.send_modify(|count| *count += 1);
@@ -65,25 +59,11 @@
     }
 }
 
-/// Read barrier: waits until the index has been read to its end after this call. A front whose
-/// clients don't wait for records polls slowly and may be half a second behind, so a step that it
-/// does not know may just have been accepted by another front. Returns early if the store does not
-/// answer within the timeout, and at once if the last read of the index failed: the client is then
-/// told to retry and may reach a front that is current.
-pub async fn wait_until_index_current(front: &Front) {
-    if front.index_failing.load(Ordering::Relaxed) {
-        return;
-    }
+/// Read barrier: waits until the index has been read to its end by a read that was sent after this
+/// call; false if that is not certain. A front whose clients don't wait for records polls slowly and
+/// may be half a second behind, so a step that it does not know may just have been accepted by
+/// another front.
+pub async fn wait_until_index_current(front: &Front) -> bool {
     let _waiting = front.demand.begin_wait();
-    let called_ms = now_ms();
-    let deadline = Instant::now() + Duration::from_millis(BARRIER_TIMEOUT_MS);
-    loop {
-        let read = front.index_read.notified();
-        if front.index_current_ms() > called_ms {
-            return;
-        }
-        if timeout_at(deadline, read).await.is_err() {
-            return;
-        }
-    }
+    front.index_copy.wait_until_current().await
 }
--- a/components/front/src/follow/keyed.rs
+++ b/components/front/src/follow/keyed.rs
@@ -7,17 +7,20 @@
 use pacing::TopicPace;
 use platform::store::decode_keyed;
 
-use super::{Batch, Follower};
+use super::{Batch, Follower, SentRead, TopicCopy};
 use crate::state::Front;
 
 /// An update of a keyed topic.
 pub enum KeyedUpdate {
     /// The key's new value; `None` if the key was deleted.
     Key(String, Option<Bytes>),
+    /// The newest record of this key cannot be decoded.
+    Malformed(String),
     /// All keys that have a value; every other key was deleted.
     AllKeys(Vec<ReplicaId>),
-    /// End of a batch of updates; `current` if the batch reached the end of the log.
-    BatchEnd { current: bool },
+    /// End of a batch of updates; `current` if the batch reached the end of the log. The reader of
+    /// the updates then calls [`TopicCopy::record_current`].
+    BatchEnd { read: SentRead, current: bool },
     /// A read of the topic failed.
     ReadFailed,
 }
@@ -25,19 +28,23 @@
 /// Follows a keyed topic and passes its updates to `on_update` in order, until the process ends.
 pub async fn follow(
     front: &Front,
+    copy: &TopicCopy,
     topic: &'static str,
     pace: TopicPace,
     mut on_update: impl FnMut(KeyedUpdate),
 ) {
-    let mut follower = Follower::new(front, topic, 0, pace);
+    let mut follower = Follower::new(front, copy, topic, 0, pace);
     let mut offsets: HashMap<String, u64> = HashMap::new();
     loop {
-        let Some(newest) = follower.read_newest().await else {
+        let Some((read, newest)) = follower.read_newest().await else {
             on_update(KeyedUpdate::ReadFailed);
             continue;
         };
-        let mut keys = Vec::with_capacity(newest.len());
-        for record in newest {
+        for key in newest.malformed_keys {
+            on_update(KeyedUpdate::Malformed(key));
+        }
+        let mut keys = Vec::with_capacity(newest.records.len());
+        for record in newest.records {
             keys.push(ReplicaId::from(record.key.as_str()));
             if offsets
                 .get(&record.key)
@@ -48,10 +55,12 @@
             }
         }
         on_update(KeyedUpdate::AllKeys(keys));
-        on_update(KeyedUpdate::BatchEnd { current: true });
+        let current = true;
+        on_update(KeyedUpdate::BatchEnd { read, current });
         loop {
             match follower.read().await {
                 Batch::Records {
+                    read,
                     from,
                     records,
                     current,
@@ -59,7 +68,7 @@
                     for (offset, record) in (from..).zip(records) {
                         apply_record(topic, offset, record, &mut offsets, &mut on_update);
                     }
-                    on_update(KeyedUpdate::BatchEnd { current });
+                    on_update(KeyedUpdate::BatchEnd { read, current });
                 }
                 Batch::Trimmed => break,
                 Batch::Failed => on_update(KeyedUpdate::ReadFailed),
--- a/components/front/src/follow/mod.rs
+++ b/components/front/src/follow/mod.rs
@@ -5,6 +5,7 @@
 //! for one, reads them as they are written. All other fronts poll at longer intervals and read
 //! the accumulated records, which keeps the load on the store low.
 
+mod copy;
 mod index;
 mod keyed;
 mod operator;
@@ -14,10 +15,11 @@
 
 use bytes::Bytes;
 use pacing::{Pacer, ReadOutcome, TopicPace};
-use platform::store::StoreError;
+use platform::store::{NewestRecords, StoreError};
 use reach::{ReadTimeout, read_timeout};
 use telemetry::Label;
 
+pub use self::copy::{SentRead, TopicCopy};
 pub use self::index::{follow_index, wait_until_index_current};
 pub use operator::follow_operator;
 pub use replicas::follow_replicas;
@@ -36,8 +38,10 @@
 
 /// Result of a read.
 pub enum Batch {
-    /// Records from offset `from` on; `current` if they reach the end of the log.
+    /// Records from offset `from` on; `current` if they reach the end of the log. The reader
+    /// applies them and then calls [`TopicCopy::record_current`].
     Records {
+        read: SentRead,
         from: u64,
         records: Vec<Bytes>,
         current: bool,
@@ -51,6 +55,7 @@
 /// Reads one partition of a topic in order.
 pub struct Follower<'a> {
     front: &'a Front,
+    copy: &'a TopicCopy,
     topic: &'static str,
     partition: u32,
     next: u64,
@@ -60,9 +65,16 @@
 
 impl<'a> Follower<'a> {
     /// Starts at offset 0, with the first read made without a pause.
-    pub fn new(front: &'a Front, topic: &'static str, partition: u32, pace: TopicPace) -> Self {
+    pub fn new(
+        front: &'a Front,
+        copy: &'a TopicCopy,
+        topic: &'static str,
+        partition: u32,
+        pace: TopicPace,
+    ) -> Self {
         Self {
             front,
+            copy,
             topic,
             partition,
             next: 0,
@@ -78,6 +90,7 @@
             // More records are known to exist, or this is the first read, which must not wait:
             // a front that starts needs the answer that the log is empty.
             ReadOutcome::MoreAvailable => 0,
+            _ if self.copy.is_wanted() => 0,
             _ => self.pacer.wait_ms(self.front.demand.urgency()),
         };
         let ReadTimeout { wait_ms, timeout } =
@@ -89,6 +102,7 @@
             max_kb: READ_KB_MAX,
             wait_ms,
         };
+        let read = self.copy.begin_read();
         match self.front.storage.read(from, timeout).await {
             Ok(page) => {
                 let from = self.next;
@@ -100,6 +114,7 @@
                     (true, true) => ReadOutcome::Empty,
                 });
                 Batch::Records {
+                    read,
                     from,
                     records: page.records,
                     current,
@@ -120,14 +135,15 @@
 
     /// Reads the newest record of each key of a keyed topic; the next [`Follower::read`] continues
     /// behind them. `None` if the read failed.
-    pub async fn read_newest(&mut self) -> Option<Vec<platform::store::KeyedRecord>> {
+    pub async fn read_newest(&mut self) -> Option<(SentRead, NewestRecords)> {
         self.pause().await;
         let timeout = Duration::from_millis(NEWEST_TIMEOUT_MS);
+        let read = self.copy.begin_read();
         match self.front.storage.read_newest(self.topic, timeout).await {
-            Ok((records, end)) => {
-                self.next = end;
+            Ok(newest) => {
+                self.next = newest.end;
                 self.record_outcome(ReadOutcome::MoreAvailable);
-                Some(records)
+                Some((read, newest))
             }
             Err(error) => {
                 self.record_failure(&error);
@@ -136,17 +152,22 @@
         }
     }
 
-    /// Waits for the read interval; ends early when demand rises or the store is back.
+    /// Waits for the read interval; ends early when demand rises, a read barrier waits or the store
+    /// is back.
     async fn pause(&self) {
         let demand = &self.front.demand;
         let raised = demand.raised();
         let interval_ms =
             self.pacer
                 .interval_ms(self.last_outcome, demand.urgency(), rand::random());
-        if interval_ms > 0 {
+        if interval_ms == 0 && self.last_outcome == ReadOutcome::Empty && self.copy.is_wanted() {
+            // The last read may not have waited either.
+            self.copy.wait_until_wanted().await;
+        } else if interval_ms > 0 {
             tokio::select! {
                 () = self.front.storage.pause(interval_ms) => {}
                 () = raised => {}
+                () = self.copy.wait_until_wanted() => {}
             }
         }
     }
@@ -157,6 +178,12 @@
         {
             log::info!(event = "store-regained", topic = self.topic, next = self.next; "");
         }
+        match end {
+            ReadOutcome::Throttled | ReadOutcome::Failed => self.copy.record_failure(),
+            ReadOutcome::MoreAvailable => self.copy.record_progress(),
+            // Recorded once the records are applied.
+            ReadOutcome::Records | ReadOutcome::Empty => {}
+        }
         self.last_outcome = end;
         self.pacer.record_outcome(end);
     }
--- a/components/front/src/follow/operator.rs
+++ b/components/front/src/follow/operator.rs
@@ -12,16 +12,40 @@
 use crate::state::{Front, lock};
 
 /// Applies the operator's records to the front's state, until the process ends.
+///
+/// The copy does not count as current while the newest configuration is malformed: the active one
+/// then says nothing about what is configured now.
 pub async fn follow_operator(front: Arc<Front>) {
-    follow(&front, OPERATOR_TOPIC, LOG_PACE, |update| match update {
-        KeyedUpdate::Key(key, Some(value)) => apply_record(&front, &key, &value),
-        KeyedUpdate::BatchEnd { current: true } => front.mark_operator_records_current(now_ms()),
-        _ => {}
-    })
+    let copy = &front.operator_copy;
+    let mut is_config_readable = true;
+    follow(
+        &front,
+        copy,
+        OPERATOR_TOPIC,
+        LOG_PACE,
+        |update| match update {
+            KeyedUpdate::Key(key, Some(value)) => {
+                let is_readable = apply_record(&front, &key, &value);
+                if records::is_config(&key) {
+                    is_config_readable = is_readable;
+                }
+            }
+            KeyedUpdate::Malformed(key) if records::is_config(&key) => is_config_readable = false,
+            KeyedUpdate::BatchEnd {
+                read,
+                current: true,
+            } => match is_config_readable {
+                true => copy.record_current(read, now_ms()),
+                false => copy.record_failure(),
+            },
+            _ => {}
+        },
+    )
     .await;
 }
 
-fn apply_record(front: &Front, key: &str, value: &Bytes) {
+/// Applies one record; false if it is malformed.
+fn apply_record(front: &Front, key: &str, value: &Bytes) -> bool {
     match records::parse_operator_record(key, value) {
         Ok(OperatorRecord::Routes(routes)) => {
             let active = front.routes.load();
@@ -35,6 +59,7 @@
                     keys = routes.customers.key_count(); ""
                 );
                 front.routes.store(Some(routes));
+                front.runner_wakeup.notify_one();
             }
         }
         Ok(OperatorRecord::VersionNamed { model, version }) => {
@@ -43,8 +68,10 @@
         Ok(OperatorRecord::Other) => {}
         Err(error) => {
             log::warn!(event = "record-malformed", topic = OPERATOR_TOPIC, error:% = error; "");
+            return false;
         }
     }
+    true
 }
 
 fn apply_named_version(front: &Front, model: Arc<str>, version: u64) {
--- a/components/front/src/follow/replicas.rs
+++ b/components/front/src/follow/replicas.rs
@@ -21,7 +21,8 @@
     let mut registry = Registry::default();
     let mut malformed = HashSet::new();
     let mut changed = false;
-    follow(&front, REPLICA_TOPIC, REPLICA_PACE, |update| {
+    let copy = &front.replica_copy;
+    follow(&front, copy, REPLICA_TOPIC, REPLICA_PACE, |update| {
         let now_ms = now_ms();
         match update {
             KeyedUpdate::Key(id, value) => {
@@ -40,7 +41,12 @@
                 changed |= registry.retain_listed(&ids, now_ms) == RegistryChange::Changed;
             }
             KeyedUpdate::ReadFailed => registry.record_store_failure(),
-            KeyedUpdate::BatchEnd { .. } => {
+            // The replica is not among the listed keys that follow.
+            KeyedUpdate::Malformed(_) => {}
+            KeyedUpdate::BatchEnd { read, current } => {
+                if current {
+                    copy.record_current(read, now_ms);
+                }
                 registry.record_store_answer(now_ms);
                 front.suspects.checks.record_reading(now_ms);
                 changed |= registry.expire(now_ms) == RegistryChange::Changed;
--- a/components/front/src/jobs/mod.rs
+++ b/components/front/src/jobs/mod.rs
@@ -13,7 +13,7 @@
 use std::sync::atomic::Ordering;
 
 use bytes::Bytes;
-use dispatch::{Route, Routes};
+use dispatch::{Route, RouteKind, Routes};
 use hyper::StatusCode;
 use index::LogRecord;
 use orders::SLOTS_PER_ITEM;
@@ -22,6 +22,7 @@
 
 use self::append::{AppendOutcome, PendingAppend};
 use self::data::DataRefusal;
+use crate::access;
 use crate::clock::now_ms;
 use crate::metrics;
 use crate::state::Front;
@@ -73,11 +74,7 @@
     submitted: &Submitted<'_>,
     body: Bytes,
 ) -> StepReply {
-    let &Submitted {
-        route,
-        customer,
-        id,
-    } = submitted;
+    let &Submitted { customer, id, .. } = submitted;
     let began_ms = now_ms();
     let submission = match jobs::parse_submission(&body) {
         Ok(submission) => submission,
@@ -87,10 +84,18 @@
         }
     };
     drop(body);
-    if !serves_model(routes, route, &submission.model) {
-        log::info!(event = "step-refused", id, model = submission.model.as_str(); "");
-        return StepReply::new(StatusCode::BAD_REQUEST, "no replica serves this model");
-    }
+    let route = match route_for_model(front, routes, submitted.route, &submission.model).await {
+        Ok(route) => route,
+        Err(reply) => {
+            let (model, status) = (submission.model.as_str(), reply.status.as_u16());
+            log::info!(event = "step-refused", id, model, status, why = reply.message; "");
+            return reply;
+        }
+    };
+    let submitted = &Submitted {
+        route: &route,
+        ..*submitted
+    };
     if let Some(reply) = reply_if_known(front, submitted, &submission.digest) {
         return reply;
     }
@@ -106,6 +111,29 @@
     reply
 }
 
+/// The route of a submitted step, if it leads to a service with the step's model. Clients treat 400
+/// as final, so only the newest configuration decides that there is none.
+async fn route_for_model(
+    front: &Front,
+    routes: &Routes,
+    route: &Arc<Route>,
+    model: &str,
+) -> Result<Arc<Route>, StepReply> {
+    if serves_model(routes, route, model) {
+        return Ok(Arc::clone(route));
+    }
+    let Some(routes) = access::current_routes(front).await else {
+        let message = "the configuration was not read lately";
+        return Err(StepReply::unavailable(message));
+    };
+    let is_suitable = |route: &&Arc<Route>| {
+        route.kind == RouteKind::Rollout && serves_model(&routes, route, model)
+    };
+    let route = routes.find_exact(&route.host, &route.prefix);
+    let no_replica = || StepReply::new(StatusCode::BAD_REQUEST, "no replica serves this model");
+    route.filter(is_suitable).cloned().ok_or_else(no_replica)
+}
+
 fn serves_model(routes: &Routes, route: &Route, model: &str) -> bool {
     route
         .shares
--- a/components/front/src/leader.rs
+++ b/components/front/src/leader.rs
@@ -95,7 +95,7 @@
             return;
         }
         let read_since_ms = index.read_since_ms;
-        match front.index_age_ms(now_ms) {
+        match front.index_copy.age_ms(now_ms) {
             // Only a front with a current index knows whether the lease is free.
             Some(age_ms) if age_ms < INDEX_AGE_MS_MAX => {
                 index.lease.next_record(read_since_ms, wants_orders, now_ms)
--- a/components/front/src/peer_relay/book.rs
+++ b/components/front/src/peer_relay/book.rs
@@ -144,7 +144,7 @@
 async fn read(front: &Front) {
     let timeout = Duration::from_millis(READ_TIMEOUT_MS);
     match front.storage.read_newest(FRONTS_TOPIC, timeout).await {
-        Ok((records, _)) => set_peers(front, &records),
+        Ok(newest) => set_peers(front, &newest.records),
         Err(error) => log::warn!(event = "fronts-not-read", error:% = error; ""),
     }
 }
--- a/components/front/src/reports.rs
+++ b/components/front/src/reports.rs
@@ -43,7 +43,8 @@
     if front.meter.windows().is_none() {
         return;
     }
-    let mut follower = Follower::new(&front, USAGE_TOPIC, INDEX_PARTITION, LOG_PACE);
+    let copy = &front.usage_copy;
+    let mut follower = Follower::new(&front, copy, USAGE_TOPIC, INDEX_PARTITION, LOG_PACE);
     loop {
         if !front.index().lease.is_held_here() {
             tokio::time::sleep(Duration::from_millis(IDLE_POLL_MS)).await;
@@ -51,13 +52,14 @@
         }
         match follower.read().await {
             Batch::Records {
+                read,
                 from,
                 records,
                 current,
             } => {
                 apply(&front, from, &records);
                 if current {
-                    front.mark_usage_current(now_ms());
+                    copy.record_current(read, now_ms());
                 }
                 front.leader_wakeup.notify_one();
             }
@@ -129,7 +131,8 @@
         if std::mem::replace(&mut self.recoveries, recoveries) != recoveries {
             self.recovered_ms = now_ms;
         }
-        if front.usage_age_ms(now_ms) >= USAGE_AGE_MS_MAX {
+        let usage_age_ms = front.usage_copy.age_ms(now_ms);
+        if usage_age_ms.is_none_or(|age_ms| age_ms >= USAGE_AGE_MS_MAX) {
             return None;
         }
         let utc_ms = front.meter.utc_ms(now_ms);
--- a/components/front/src/results.rs
+++ b/components/front/src/results.rs
@@ -1,11 +1,10 @@
 //! Reads of a step's results and of the bodies of its items.
 //!
 //! Every front answers reads of every step, including steps that other fronts accepted. It answers
-//! that a step or an item does not exist only if it has read the index to its end more recently
-//! than the settle time, within which every front must know of an accepted step.
+//! that a step or an item does not exist only if a read of the index that was sent after the request
+//! arrived has reached the end of the index.
 
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -56,29 +55,45 @@
     }
 }
 
-/// Whether this front has read the index recently enough to know every step that is older than the
-/// settle time, with a margin of 100 ms.
+/// Whether this front has read the index recently enough to answer that a step has no new results,
+/// which the trainer checks again with its next read.
 fn is_index_fresh(front: &Front) -> bool {
-    let age_ms = front.index_age_ms(now_ms());
+    let age_ms = front.index_copy.age_ms(now_ms());
     age_ms.is_some_and(|age_ms| age_ms + 100 < front.settings.bounds.settle_ms)
 }
 
-fn not_found(front: &Front) -> ReadResult {
-    match is_index_fresh(front) {
-        true => ReadResult::NotFound,
-        false => ReadResult::Unavailable("the log was not read lately"),
+/// Result of a lookup in the index.
+pub enum Lookup<T> {
+    Found(T),
+    /// The index did not contain it when the lookup began.
+    Absent,
+    /// This front's copy of the index does not contain it, but may be out of date.
+    Unknown,
+}
+
+impl<T> Lookup<T> {
+    /// The answer to a read that found nothing.
+    pub fn or_read_result(self) -> Result<T, ReadResult> {
+        match self {
+            Lookup::Found(found) => Ok(found),
+            Lookup::Absent => Err(ReadResult::NotFound),
+            Lookup::Unknown => Err(ReadResult::Unavailable("the log was not read lately")),
+        }
     }
 }
 
 /// Looks something up in the local copy of the index. If `lookup` finds nothing, brings the copy
 /// up to date (a read barrier) and tries once more.
-pub async fn find_in_index<T>(front: &Front, lookup: impl Fn(&Index) -> Option<T>) -> Option<T> {
-    let known = lookup(&front.index());
-    if known.is_some() {
-        return known;
+pub async fn find_in_index<T>(front: &Front, lookup: impl Fn(&Index) -> Option<T>) -> Lookup<T> {
+    if let Some(found) = lookup(&front.index()) {
+        return Lookup::Found(found);
+    }
+    let is_current = follow::wait_until_index_current(front).await;
+    match (lookup(&front.index()), is_current) {
+        (Some(found), _) => Lookup::Found(found),
+        (None, true) => Lookup::Absent,
+        (None, false) => Lookup::Unknown,
     }
-    follow::wait_until_index_current(front).await;
-    lookup(&front.index())
 }
 
 /// Results of a step that are listed after the position that a trainer has read up to.
@@ -123,13 +138,14 @@
     let found = loop {
         index_changes.mark_unchanged();
         let found = find_in_index(front, |index| unread_results(index, customer, id, after)).await;
-        let Some(found) = found else {
-            return not_found(front);
+        let found = match found.or_read_result() {
+            Ok(found) => found,
+            Err(answer) => return answer,
         };
         if found.enough {
             break found;
         }
-        if front.index_failing.load(Ordering::Relaxed) && !is_index_fresh(front) {
+        if front.index_copy.is_failing() && !is_index_fresh(front) {
             // Answer at once: another front may still reach the store, and the trainer can retry
             // there without waiting here first.
             break found;
@@ -261,8 +277,9 @@
         let step = index.ledger.find_visible(customer, id)?;
         step.head.data_location(step.item_number(item)?)
     });
-    let Some((partition, offset)) = location.await else {
-        return not_found(front);
+    let (partition, offset) = match location.await.or_read_result() {
+        Ok(location) => location,
+        Err(answer) => return answer,
     };
     let timeout = Duration::from_millis(READ_TIMEOUT_MS);
     let record = front
--- a/components/front/src/runner/mod.rs
+++ b/components/front/src/runner/mod.rs
@@ -140,6 +140,8 @@
     ended: mpsc::Sender<EndedItem>,
     data: HashMap<StepId, Vec<Arc<ItemData>>>,
     requested_data: HashSet<StepId>,
+    /// Steps that wait for their route.
+    unrouted: Vec<StepId>,
     running: HashMap<ItemKey, RunningItem>,
     /// Incomplete texts, each with the replica at which its last run broke off, to be avoided by
     /// the next run.
@@ -180,6 +182,7 @@
         ended,
         data: HashMap::new(),
         requested_data: HashSet::new(),
+        unrouted: Vec::new(),
         running: HashMap::new(),
         partials: HashMap::new(),
         last_save_ms: 0,
--- a/components/front/src/runner/pool_queues.rs
+++ b/components/front/src/runner/pool_queues.rs
@@ -152,6 +152,8 @@
     owns_steps: bool,
     /// Steps whose items' data this front has not read yet.
     missing_data: Vec<(StepId, Arc<StepHead>)>,
+    /// Steps without a route in this front's configuration, which may be older than the step.
+    unrouted: Vec<StepId>,
     /// Items whose time is up, or whose route is no longer configured.
     abandoned: Vec<ItemKey>,
 }
@@ -199,6 +201,7 @@
         for (step, head) in scan.missing_data {
             self.request_data(step, head);
         }
+        self.note_unrouted(scan.unrouted, routes);
         for key in scan.abandoned {
             self.fail_item(key, ErrorCause::GivenUp);
         }
@@ -220,14 +223,17 @@
             return;
         }
         let waiting = self.waiting_keys(step, &owned, now_ms);
-        let Some(route) = routes.find_exact(&step.head.host, &step.head.prefix) else {
-            self.log_abandoned(step, &waiting, "route not configured", routes, now_ms);
+        let Some(left_ms) = left_ms(step, now_ms) else {
+            self.log_abandoned(step, &waiting, "retention time over", routes, now_ms);
             scan.abandoned.extend(waiting);
             return;
         };
-        let left_ms = left_ms(step, now_ms);
-        let Some(left_ms) = left_ms else {
-            self.log_abandoned(step, &waiting, "retention time over", routes, now_ms);
+        let Some(route) = routes.find_exact(&step.head.host, &step.head.prefix) else {
+            if self.may_lack_route(step) {
+                scan.unrouted.push(step.id);
+                return;
+            }
+            self.log_abandoned(step, &waiting, "route not configured", routes, now_ms);
             scan.abandoned.extend(waiting);
             return;
         };
@@ -250,6 +256,22 @@
         queue.waiting.extend(items);
     }
 
+    /// Whether a step may have been accepted under a newer configuration than this front's. The
+    /// index and the operator's records are read independently, but the accepting front had read the
+    /// route before it wrote the step, so a read of the operator's records that was sent after the
+    /// step was read brings the route or its removal.
+    fn may_lack_route(&self, step: &Step) -> bool {
+        self.front.operator_copy.as_of_ms() <= step.read_ms
+    }
+
+    /// Logs the steps that began to wait for their route, each once.
+    fn note_unrouted(&mut self, steps: Vec<StepId>, routes: &Routes) {
+        for step in steps.iter().filter(|step| !self.unrouted.contains(step)) {
+            log::info!(event = "step-unrouted", step = step.0, routes_version = routes.version; "");
+        }
+        self.unrouted = steps;
+    }
+
     /// Logs why items of a step are abandoned, with the configuration that decided it.
     fn log_abandoned(
         &self,
@@ -265,7 +287,7 @@
         log::warn!(
             event = "step-abandoned", id = step.head.id, step = step.id.0, items = items.len(), why,
             prefix = step.head.prefix, routes_version = routes.version,
-            routes_age_ms = self.front.operator_records_age_ms(now_ms),
+            routes_age_ms = now_ms.saturating_sub(self.front.operator_copy.as_of_ms()),
             step_age_ms = now_ms.saturating_sub(step.read_ms); ""
         );
     }
--- a/components/front/src/runner/reconcile.rs
+++ b/components/front/src/runner/reconcile.rs
@@ -17,7 +17,7 @@
         if self.front.drain.is_leaving() {
             return;
         }
-        let index_age_ms = self.front.index_age_ms(now_ms);
+        let index_age_ms = self.front.index_copy.age_ms(now_ms);
         if index_age_ms.is_none_or(|age_ms| age_ms >= INDEX_AGE_MS_MAX) {
             return;
         }
--- a/components/front/src/serve.rs
+++ b/components/front/src/serve.rs
@@ -11,7 +11,7 @@
 use platform::{BodyError, ResponseBody, collect};
 use telemetry::Label;
 
-use crate::access::Refused;
+use crate::access::AuthorizedCall;
 use crate::calls::{self, CallOutcome, CallSpec};
 use crate::clock::now_ms;
 use crate::held::{self, HeldGuard};
@@ -96,14 +96,14 @@
     };
     let operation = ingress::parse_operation(request.method(), request.uri(), request.headers());
     let Some(step) = operation.step() else {
-        return route_call(front, &routes, request, id).await;
+        return route_call(front, routes, request, id).await;
     };
     let customer =
         match access::authenticate_step_access(front, &routes, request.headers(), step).await {
             Ok(customer) => customer,
-            Err(refused) => {
+            Err(denial) => {
                 let (parts, body) = request.into_parts();
-                return access::refuse(front, &routes, &parts.headers, body, id, refused).await;
+                return access::refuse(front, &routes, &parts.headers, body, id, denial).await;
             }
         };
     let Some(held) = front.held.admit(0) else {
@@ -164,9 +164,9 @@
     let lookup = results::find_in_index(front, |index| {
         index.ledger.find_visible(customer, name).cloned()
     });
-    let Some(step) = lookup.await else {
-        let read = results::read_results(front, customer, name, 0, std::time::Duration::ZERO).await;
-        return read_response(id, read, "application/json");
+    let step = match lookup.await.or_read_result() {
+        Ok(step) => step,
+        Err(answer) => return read_response(id, answer, "application/json"),
     };
     if step.ended {
         return ingress::status_response(StatusCode::OK, id, None, "ended before");
@@ -182,23 +182,24 @@
 /// Serves a call of a configured route.
 async fn route_call(
     front: &Arc<Front>,
-    routes: &Routes,
+    active_routes: Arc<Routes>,
     request: Request<Incoming>,
     id: Option<&str>,
 ) -> Response<ResponseBody> {
     let began_ms = now_ms();
     let (parts, body) = request.into_parts();
-    let host = ingress::host(&parts.uri, &parts.headers).unwrap_or_default();
-    let Some(route) = routes.find(host, parts.uri.path()) else {
-        let refused = Refused::NoRoute;
-        return access::refuse(front, routes, &parts.headers, body, id, refused).await;
-    };
-    let customer = match access::authenticate_call(routes, route, &parts.headers) {
-        Ok(customer) => customer,
-        Err(refused) => {
-            return access::refuse(front, routes, &parts.headers, body, id, refused).await;
+    let (routes, headers) = (Arc::clone(&active_routes), &parts.headers);
+    let AuthorizedCall {
+        routes,
+        route,
+        customer,
+    } = match access::authorize_call(front, routes, &parts.uri, headers).await {
+        Ok(call) => call,
+        Err(denial) => {
+            return access::refuse(front, &active_routes, headers, body, id, denial).await;
         }
     };
+    let route = &route;
     let Some(id) = id else {
         return ingress::status_response(StatusCode::BAD_REQUEST, None, None, "no request id");
     };
@@ -234,7 +235,7 @@
             customer: name_of(&customer),
             id,
         };
-        let reply = jobs::submit(front, routes, &submitted, body).await;
+        let reply = jobs::submit(front, &routes, &submitted, body).await;
         return ingress::status_response(
             reply.status,
             Some(id),
--- a/components/front/src/state.rs
+++ b/components/front/src/state.rs
@@ -25,6 +25,7 @@
 
 use crate::call_queue::CallQueues;
 use crate::clock::now_ms;
+use crate::follow::TopicCopy;
 use crate::held::HeldBytes;
 use crate::member;
 use crate::meter::Meter;
@@ -51,8 +52,8 @@
     pub metrics: Metrics,
     /// Active configuration; `None` before the first was read.
     pub routes: ArcSwapOption<Routes>,
-    /// When the operator's records were last read to their end; 0 if never.
-    operator_records_current_ms: AtomicU64,
+    /// How current the configuration and the named versions are.
+    pub operator_copy: TopicCopy,
     /// Hashes refused keys for the log, with a salt that is drawn for each process.
     pub key_marks: KeyMarks,
     /// Snapshot of the replicas' records.
@@ -62,14 +63,10 @@
     index: Mutex<Index>,
     /// Number of changes of the index; subscribers wake on each.
     pub index_changes: watch::Sender<u64>,
-    /// When the index was last read to its end; 0 if never.
-    index_current_ms: AtomicU64,
-    /// Whether the last read of the index failed.
-    pub index_failing: AtomicBool,
-    /// Notified each time the index has been read to its end.
-    pub index_read: Notify,
+    pub index_copy: TopicCopy,
     /// Tasks and clients that need the newest records; sets the pace of reads.
     pub demand: Demand,
+    pub replica_copy: TopicCopy,
     /// 1 once the replicas' records have been read, 0 before.
     pub replicas_read: AtomicU64,
     /// Since when appends of results fail; 0 while they succeed.
@@ -89,8 +86,7 @@
     pub leader_wakeup: Notify,
     /// Usage of customers; maintained only while this front holds the lease.
     usage: Mutex<UsageLedger>,
-    /// When the usage log was last read to its end; 0 if never.
-    usage_current_ms: AtomicU64,
+    pub usage_copy: TopicCopy,
     pub meter: Meter,
     /// Data that is held for clients and replicas that read slowly.
     pub held: Arc<HeldBytes>,
@@ -115,16 +111,15 @@
             storage: Storage::new(settings.store.address),
             metrics,
             routes: ArcSwapOption::empty(),
-            operator_records_current_ms: AtomicU64::new(0),
+            operator_copy: TopicCopy::default(),
             key_marks: KeyMarks::new(rand::random()),
             replicas: ArcSwap::default(),
             named_versions: Mutex::default(),
             index: Mutex::new(Index::new(lease)),
             index_changes: watch::Sender::new(0),
-            index_current_ms: AtomicU64::new(0),
-            index_failing: AtomicBool::new(false),
-            index_read: Notify::new(),
+            index_copy: TopicCopy::default(),
             demand: Demand::default(),
+            replica_copy: TopicCopy::default(),
             replicas_read: AtomicU64::new(0),
             unwritable_since_ms: AtomicU64::new(0),
             ownership: ArcSwap::from_pointee(Ownership::new(member::ownership_settings(&settings))),
@@ -134,7 +129,7 @@
             texts_saved: watch::Sender::new(false),
             leader_wakeup: Notify::new(),
             usage: Mutex::default(),
-            usage_current_ms: AtomicU64::new(0),
+            usage_copy: TopicCopy::default(),
             meter: Meter::new(report_windows(&settings)),
             held: Arc::default(),
             moves: MoveCounts::default(),
@@ -169,46 +164,6 @@
         lock(&self.usage)
     }
 
-    /// Records that the usage log was read to its end at `now_ms`.
-    pub fn mark_usage_current(&self, now_ms: u64) {
-        self.usage_current_ms.store(now_ms, Ordering::Relaxed);
-    }
-
-    /// Time since the usage log was last read to its end, in milliseconds.
-    pub fn usage_age_ms(&self, now_ms: u64) -> u64 {
-        now_ms.saturating_sub(self.usage_current_ms.load(Ordering::Relaxed))
-    }
-
-    /// Records that the operator's records were read to their end at `now_ms`.
-    pub fn mark_operator_records_current(&self, now_ms: u64) {
-        self.operator_records_current_ms
-            .store(now_ms, Ordering::Relaxed);
-    }
-
-    /// Time since the operator's records were last read to their end, in milliseconds.
-    pub fn operator_records_age_ms(&self, now_ms: u64) -> u64 {
-        now_ms.saturating_sub(self.operator_records_current_ms.load(Ordering::Relaxed))
-    }
-
-    /// Records that the index was read to its end at `now_ms`, and wakes read barriers.
-    pub fn mark_index_current(&self, now_ms: u64) {
-        self.index_current_ms.store(now_ms, Ordering::Relaxed);
-        self.index_read.notify_waiters();
-    }
-
-    /// When the index was last read to its end; 0 if never.
-    pub fn index_current_ms(&self) -> u64 {
-        self.index_current_ms.load(Ordering::Relaxed)
-    }
-
-    /// Time since the index was last read to its end, in milliseconds; `None` if it never was.
-    pub fn index_age_ms(&self, now_ms: u64) -> Option<u64> {
-        match self.index_current_ms() {
-            0 => None,
-            current_ms => Some(now_ms.saturating_sub(current_ms)),
-        }
-    }
-
     /// How long appends of results have failed, in milliseconds; 0 while they succeed.
     pub fn unwritable_ms(&self, now_ms: u64) -> u64 {
         match self.unwritable_since_ms.load(Ordering::Relaxed) {
@@ -226,7 +181,7 @@
         let now_ms = now_ms();
         self.routes.load().is_some()
             && self.replicas_read.load(Ordering::Relaxed) > 0
-            && self.index_age_ms(now_ms).is_some()
+            && self.index_copy.age_ms(now_ms).is_some()
             && self.storage.silent_ms(now_ms) < READY_SILENCE_MS_MAX
             && self.drain.is_ready()
     }
--- a/components/front/src/storage.rs
+++ b/components/front/src/storage.rs
@@ -10,7 +10,7 @@
 
 use bytes::Bytes;
 use index::DATA_TOPIC;
-use platform::store::{KeyedRecord, Membership, Page, Store, StoreError};
+use platform::store::{Membership, NewestRecords, Page, Store, StoreError};
 use reach::{Availability, Reachability};
 
 use crate::clock::now_ms;
@@ -151,17 +151,17 @@
         first.ok_or_else(|| StoreError::Malformed(format!("no record at {offset}")))
     }
 
-    /// Reads the newest record of each key of a keyed topic, and the offset to continue from.
+    /// Reads the newest record of each key of a keyed topic.
     pub async fn read_newest(
         &self,
         topic: &str,
         timeout: Duration,
-    ) -> Result<(Vec<KeyedRecord>, u64), StoreError> {
+    ) -> Result<NewestRecords, StoreError> {
         let calls = self.calls.of(topic);
         calls.count_read();
-        let (records, end) = self.call(calls, self.store.newest(topic, timeout)).await?;
-        calls.count_records(records.iter().map(|record| &record.value[..]));
-        Ok((records, end))
+        let newest = self.call(calls, self.store.newest(topic, timeout)).await?;
+        calls.count_records(newest.records.iter().map(|record| &record.value[..]));
+        Ok(newest)
     }
 
     /// Joins a group, or renews the membership.
--- a/components/front/tests/front/main.rs
+++ b/components/front/tests/front/main.rs
@@ -19,4 +19,5 @@
 mod steps;
 mod trainer;
 mod unnoticed_crashes;
+mod unread_records;
 mod usage;
--- a/components/front/tests/front/relay_peers.rs
+++ b/components/front/tests/front/relay_peers.rs
@@ -106,12 +106,9 @@
     let listener = site.store.listen(([127, 0, 0, 1], 0).into()).await;
     let listener = listener.expect("a port");
     let store = Store::new(listener.address);
-    let (records, _) = store
-        .newest(FRONTS_TOPIC, TEST_TIMEOUT)
-        .await
-        .expect("read");
+    let newest = store.newest(FRONTS_TOPIC, TEST_TIMEOUT).await;
     let decode = |value: &[u8]| decode_record(value).expect("a record");
-    let records = records.into_iter();
+    let records = newest.expect("read").records.into_iter();
     records
         .map(|record| (record.key, decode(&record.value)))
         .collect()
--- a/components/inspect/src/read.rs
+++ b/components/inspect/src/read.rs
@@ -62,7 +62,11 @@
     /// Reads the active configuration: its version, and its routes sorted by host and prefix.
     /// Returns version 0 without routes if the store has no configuration.
     pub async fn routes(&self) -> Result<(u64, Vec<RouteRow>), InspectError> {
-        let (newest, _) = self.store.newest(OPERATOR_TOPIC, call_timeout()).await?;
+        let newest = self
+            .store
+            .newest(OPERATOR_TOPIC, call_timeout())
+            .await?
+            .records;
         let mut configuration = (0, Vec::new());
         for record in newest {
             if let OperatorRecord::Routes(routes) =
@@ -77,7 +81,11 @@
 
     /// Reads the customers of the active configuration, sorted by name.
     pub async fn customers(&self) -> Result<Vec<CustomerRow>, InspectError> {
-        let (newest, _) = self.store.newest(OPERATOR_TOPIC, call_timeout()).await?;
+        let newest = self
+            .store
+            .newest(OPERATOR_TOPIC, call_timeout())
+            .await?
+            .records;
         let mut rows = Vec::new();
         for record in newest {
             if let OperatorRecord::Routes(routes) =
@@ -135,7 +143,11 @@
 
     /// Reads the newest named version of each model, sorted by model.
     pub async fn versions(&self) -> Result<Vec<VersionRow>, InspectError> {
-        let (newest, _) = self.store.newest(OPERATOR_TOPIC, call_timeout()).await?;
+        let newest = self
+            .store
+            .newest(OPERATOR_TOPIC, call_timeout())
+            .await?
+            .records;
         let mut named: BTreeMap<String, u64> = BTreeMap::new();
         for record in newest {
             if let OperatorRecord::VersionNamed { model, version } =
@@ -237,7 +249,11 @@
     }
 
     async fn replica_records(&self) -> Result<Vec<Replica>, InspectError> {
-        let (newest, _) = self.store.newest(REPLICA_TOPIC, call_timeout()).await?;
+        let newest = self
+            .store
+            .newest(REPLICA_TOPIC, call_timeout())
+            .await?
+            .records;
         let mut replicas = Vec::with_capacity(newest.len());
         for record in newest {
             match records::parse_replica_record(&record.key, &record.value) {
--- a/dev/standins/src/fault.rs
+++ b/dev/standins/src/fault.rs
@@ -16,6 +16,8 @@
     Slow,
     /// Processes the request, then closes the connection without an answer.
     AnswerLost,
+    /// Processes the request and answers `delay_ms` later.
+    AnswerLate,
     /// Closes the connection without an answer and processes the request `delay_ms` later.
     Late,
     /// Neither processes nor answers the request; the connection stays open.
--- a/dev/standins/src/http.rs
+++ b/dev/standins/src/http.rs
@@ -222,12 +222,16 @@
         }
         let slow = faults.trigger(FaultKind::Slow, &path);
         let lost = faults.trigger(FaultKind::AnswerLost, &path).is_some();
+        let answer_late = faults.trigger(FaultKind::AnswerLate, &path);
         let truncated = faults.trigger(FaultKind::Truncate, &path);
         let cut = faults.trigger(FaultKind::Cut, &path);
         let reply = self.run_handler(call, slow).await?;
         if lost {
             return Err(NoAnswer::Simulated);
         }
+        if let Some(fault) = answer_late {
+            sleep(Duration::from_millis(fault.delay_ms)).await;
+        }
         Ok(match (truncated, cut) {
             (Some(fault), _) => reply::shorten(reply, &fault, true),
             (None, Some(fault)) => reply::shorten(reply, &fault, false),
