Front: an answer is in progress until its last byte is passed to the socket

SIGINT ended the process at once.

Cause: a request counted as work only until the head of its answer was there, so the drain found no work as soon as requests were refused.

Evidence: the log of the case has 'leaving work=0' with six streams open, and 'left cut_off=0'.

Why this works: the count now belongs to the body that the connection writes. When the body ends, the connection takes the count over and drops it with its next flush, for which hyper's own buffer is empty, or when it is closed. A relayed call counts until its answer is written, and none is admitted once requests are refused.

--- a/components/front/src/client_io.rs
+++ b/components/front/src/client_io.rs
@@ -1,8 +1,10 @@
-//! Connection of a client that is cut off when it takes no data.
+//! Connection of a client that is cut off when it takes no data, and that ends the answers whose
+//! bytes have been passed to the socket.
 
 use std::future::Future;
 use std::io::{Error, ErrorKind, IoSlice, Result};
 use std::pin::Pin;
+use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 
@@ -10,6 +12,8 @@
 use tokio::net::TcpStream;
 use tokio::time::Sleep;
 
+use crate::answers::BufferedAnswers;
+
 /// How long a client may take no data while some waits for it, in milliseconds. Longer than the
 /// few seconds for which a client's machine may be frozen.
 const STALL_MS_MAX: u64 = 10_000;
@@ -19,14 +23,16 @@
     stream: TcpStream,
     /// Runs while a write waits for the client.
     stalled: Option<Pin<Box<Sleep>>>,
+    buffered: Arc<BufferedAnswers>,
 }
 
 impl ClientIo {
     /// Wraps an accepted connection.
-    pub fn new(stream: TcpStream) -> Self {
+    pub fn new(stream: TcpStream, buffered: Arc<BufferedAnswers>) -> Self {
         Self {
             stream,
             stalled: None,
+            buffered,
         }
     }
 
@@ -87,7 +93,12 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+        let flushed = Pin::new(&mut self.stream).poll_flush(cx);
+        // hyper flushes the connection only once its own buffer is empty.
+        if let Poll::Ready(Ok(())) = flushed {
+            self.buffered.end();
+        }
+        flushed
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<()>> {
--- a/components/front/src/connections.rs
+++ b/components/front/src/connections.rs
@@ -11,6 +11,7 @@
 use platform::ResponseBody;
 use tokio::net::{TcpListener, TcpStream};
 
+use crate::answers::{AnswerGuard, BufferedAnswers};
 use crate::client_io::ClientIo;
 use crate::held::HeldBody;
 use crate::state::Front;
@@ -64,16 +65,20 @@
     let idle_ms = limits.map_or(DEFAULT_IDLE_MS, |limits| limits.idle_timeout_ms) + IDLE_SLACK_MS;
     let head_bytes = limits.map_or(DEFAULT_HEADER_BYTES, |limits| limits.header_bytes_max);
     let mut closing = front.close_connections.subscribe();
+    let buffered: Arc<BufferedAnswers> = Arc::default();
+    let io = ClientIo::new(stream, Arc::clone(&buffered));
     let service = service_fn(move |request| {
+        // Begins before the request is admitted or refused, see `Drain::check`.
+        let in_progress = AnswerGuard::begin(front.drain.work_counter(), &buffered);
         let answer = answer(Arc::clone(&front), request);
-        async move { Ok::<_, std::convert::Infallible>(HeldBody::wrap(answer.await)) }
+        async move { Ok::<_, std::convert::Infallible>(HeldBody::wrap(answer.await, in_progress)) }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         // hyper counts this time from the last answer, so it also limits the idle time.
         .header_read_timeout(Duration::from_millis(idle_ms))
         .max_buf_size(head_bytes.max(HEADER_BYTES_MIN))
-        .serve_connection(TokioIo::new(ClientIo::new(stream)), service);
+        .serve_connection(TokioIo::new(io), service);
     let mut connection = std::pin::pin!(connection);
     let closed = tokio::select! {
         closed = connection.as_mut() => closed,
--- a/components/front/src/held.rs
+++ b/components/front/src/held.rs
@@ -15,6 +15,8 @@
 use hyper::body::{Body, Frame, SizeHint};
 use platform::{BodyError, ResponseBody};
 
+use crate::answers::AnswerGuard;
+
 /// Limit on the data that is held for all requests. The smallest fronts have 160 MB of memory.
 const HELD_BYTES_MAX: u64 = 64 * 1024 * 1024;
 /// New requests are refused from here on. The rest is left for answers of requests that run.
@@ -101,14 +103,19 @@
 pub struct HeldBody {
     body: ResponseBody,
     guard: Option<Arc<HeldGuard>>,
+    _in_progress: AnswerGuard,
 }
 
 impl HeldBody {
     /// Wraps the body of an answer. Its count is the [`HeldGuard`] in the extensions of the answer;
     /// an answer without one has a status and a short text, and is not counted.
-    pub fn wrap(mut answer: Response<ResponseBody>) -> Response<Self> {
+    pub fn wrap(mut answer: Response<ResponseBody>, in_progress: AnswerGuard) -> Response<Self> {
         let guard = answer.extensions_mut().remove::<Arc<HeldGuard>>();
-        answer.map(|body| Self { body, guard })
+        answer.map(|body| Self {
+            body,
+            guard,
+            _in_progress: in_progress,
+        })
     }
 }
 
--- a/components/front/src/lib.rs
+++ b/components/front/src/lib.rs
@@ -8,6 +8,7 @@
 //! this crate performs the I/O for them.
 
 mod access;
+mod answers;
 mod call_queue;
 mod call_replica;
 mod calls;
--- a/components/front/src/peer_relay/mod.rs
+++ b/components/front/src/peer_relay/mod.rs
@@ -349,7 +349,7 @@
         return;
     };
     tokio::join!(
-        server::serve(Arc::clone(&front.storage.relay), listener),
+        server::serve(Arc::clone(&front), listener),
         book::maintain(&front),
         probes::run(&front.storage.relay),
         report_way(&front),
--- a/components/front/src/peer_relay/server.rs
+++ b/components/front/src/peer_relay/server.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use hyper::Method;
+use leaving::WorkGuard;
 use platform::store::RawCall;
 use relay::{
     CONTENT_BYTES_MAX, FRAME_BYTES_MAX, IN_FLIGHT_MAX, PEER_CALL_MS_MAX, PEER_WAIT_MS_MAX,
@@ -40,6 +41,8 @@
 struct InFlight {
     server: Arc<Server>,
     answer_bytes: usize,
+    /// Keeps a process that shuts down alive until the peer has its answer.
+    _working: WorkGuard,
 }
 
 impl Drop for InFlight {
@@ -54,7 +57,7 @@
 
 /// State that all connections share.
 struct Server {
-    relay: Arc<PeerRelay>,
+    front: Arc<Front>,
     quota: Mutex<RelayQuota>,
     held_bytes: Arc<Semaphore>,
 }
@@ -82,9 +85,9 @@
 }
 
 /// Accepts peers' connections. All connections close when the returned future is dropped.
-pub async fn serve(relay: Arc<PeerRelay>, listener: TcpListener) {
+pub async fn serve(front: Arc<Front>, listener: TcpListener) {
     let server = Arc::new(Server {
-        relay,
+        front,
         quota: Mutex::new(RelayQuota::new(now_ms())),
         held_bytes: Arc::new(Semaphore::new(HELD_BYTES_MAX)),
     });
@@ -197,7 +200,7 @@
     mut writer: OwnedWriteHalf,
     mut queue: mpsc::Receiver<Ended>,
 ) -> Result<(), WireError> {
-    if let Some(identity) = server.relay.identity.get() {
+    if let Some(identity) = server.relay().identity.get() {
         let hello = RelayFrame::Hello(identity.hello.clone());
         in_time(write_frame(&mut writer, &hello)).await?;
     }
@@ -209,15 +212,23 @@
 }
 
 impl Server {
+    fn relay(&self) -> &PeerRelay {
+        &self.front.storage.relay
+    }
+
     /// Admits a call of `bytes`, or returns the outcome that refuses it.
     fn admit(self: &Arc<Self>, bytes: usize) -> Result<InFlight, RelayOutcome> {
-        if !self.relay.route().may_serve() {
-            return Err(RelayOutcome::NotReached { not_done: true });
+        let working = self.front.drain.admit(now_ms());
+        let not_reached = RelayOutcome::NotReached { not_done: true };
+        let working = working.map_err(|_| not_reached.clone())?;
+        if !self.relay().route().may_serve() {
+            return Err(not_reached);
         }
         match lock(&self.quota).admit(bytes, now_ms()) {
             true => Ok(InFlight {
                 server: Arc::clone(self),
                 answer_bytes: 0,
+                _working: working,
             }),
             false => Err(RelayOutcome::Busy),
         }
@@ -225,7 +236,7 @@
 
     /// Makes an admitted call.
     async fn make_call(&self, call: RawCall) -> RelayOutcome {
-        match self.relay.call_direct(call, CONTENT_BYTES_MAX).await {
+        match self.relay().call_direct(call, CONTENT_BYTES_MAX).await {
             // Exceeding the rate limit is passed on: the call has reached the store.
             Ok(answer) if answer.is_served() || answer.is_throttled() => RelayOutcome::Answered {
                 status: answer.status,
@@ -242,7 +253,7 @@
     }
 
     async fn answer(&self, answers: &mpsc::Sender<Ended>, ended: Ended) {
-        self.relay.counts.count_served(&ended.0.outcome);
+        self.relay().counts.count_served(&ended.0.outcome);
         if answers.send(ended).await.is_err() {
             log::debug!(event = "relay-answer-dropped", why = "connection closed"; "");
         }
--- a/components/front/src/serve.rs
+++ b/components/front/src/serve.rs
@@ -62,12 +62,8 @@
 /// is over.
 pub async fn serve_client(front: Arc<Front>, request: Request<Incoming>) -> Response<ResponseBody> {
     let id = ingress::request_id(request.headers()).map(str::to_owned);
-    let mut answer = match front.drain.admit(now_ms()) {
-        Ok(work_guard) => {
-            let answer = serve_admitted(&front, request, id.as_deref()).await;
-            drop(work_guard);
-            answer
-        }
+    let mut answer = match front.drain.check(now_ms()) {
+        Ok(()) => serve_admitted(&front, request, id.as_deref()).await,
         Err(refusal) => {
             let retry_after_ms = refusal.retry_after_ms.map(u64::from);
             let status = StatusCode::SERVICE_UNAVAILABLE;
--- a/components/front/src/start.rs
+++ b/components/front/src/start.rs
@@ -126,15 +126,19 @@
     }
 }
 
-/// Runs a front until SIGTERM and the end of its drain. `path` is the settings file, which is
-/// reloaded on changes and on SIGHUP.
+/// Runs a front until SIGTERM or SIGINT and the end of its drain, which further signals do not cut
+/// short. `path` is the settings file, which is reloaded on changes and on SIGHUP.
 pub async fn run(settings: FrontSettings, path: &Path) -> Result<(), FrontError> {
-    let mut stop = signal(SignalKind::terminate()).map_err(FrontError::Signals)?;
+    let mut terminate = signal(SignalKind::terminate()).map_err(FrontError::Signals)?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(FrontError::Signals)?;
     let hangup = signal(SignalKind::hangup()).map_err(FrontError::Signals)?;
     let bound = Bound::new(settings).await?;
     let front = Arc::clone(&bound.front);
     let stop = async move {
-        stop.recv().await;
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+        }
     };
     tokio::select! {
         () = bound.run(stop) => Ok(()),
--- a/components/front/tests/front/relay_peers.rs
+++ b/components/front/tests/front/relay_peers.rs
@@ -101,6 +101,56 @@
     (address, Running(task.abort_handle()))
 }
 
+/// Guards against calls of a peer that end without an answer because the front that makes them
+/// leaves. The peer cannot know then whether an append took effect.
+#[tokio::test]
+async fn can_answer_the_calls_of_a_peer_in_progress_before_leaving() {
+    let site = relaying_site(3, 1).await;
+    let mut front = site.front("a").await;
+    let record = until_in_address_book(&site, "a").await;
+    let mut stream = TcpStream::connect(record.address).await.expect("connected");
+    write_frame(&mut stream, &hello("peer")).await;
+    assert!(matches!(
+        read_frame(&mut stream).await,
+        Some(RelayFrame::Hello(_))
+    ));
+    front.stop();
+    let stopped = tokio::time::Instant::now();
+    // Each read waits a second at the store, so one is in progress when the front stops admitting.
+    let mut answered = 0;
+    let refused_after = loop {
+        let call = RelayCall {
+            id: answered,
+            method: RelayMethod::Get,
+            path: "/v1/log-read?Topic=t&part=0&From=0&MaxKb=1&WaitMs=1000".to_owned(),
+            body: Bytes::new(),
+            left_ms: 1_350,
+        };
+        write_frame(&mut stream, &RelayFrame::Call(call)).await;
+        let sent = tokio::time::Instant::now();
+        match read_frame(&mut stream).await {
+            Some(RelayFrame::Answer(RelayAnswer {
+                outcome: RelayOutcome::Answered { status: 200, .. },
+                ..
+            })) => answered += 1,
+            Some(RelayFrame::Answer(RelayAnswer {
+                outcome: RelayOutcome::NotReached { not_done: true },
+                ..
+            })) => break stopped.elapsed(),
+            // The front left before it read this call.
+            None if sent.elapsed() < Duration::from_millis(100) => break stopped.elapsed(),
+            other => panic!("call {answered} ended with {other:?}"),
+        }
+    };
+    assert!(answered >= 2, "{answered} calls were answered");
+    assert!(
+        refused_after > Duration::from_millis(2_600),
+        "{refused_after:?}"
+    );
+    let left = tokio::time::timeout(Duration::from_millis(500), &mut front.task).await;
+    assert!(left.is_ok(), "the front leaves soon after the last answer");
+}
+
 /// The address book as a front reads it.
 async fn address_book(site: &Site) -> Vec<(String, FrontRecord)> {
     let listener = site.store.listen(([127, 0, 0, 1], 0).into()).await;
--- a/components/leaving/src/drain.rs
+++ b/components/leaving/src/drain.rs
@@ -140,8 +140,14 @@
         // would exit during a request that it had already admitted; the caller would see a cut
         // connection.
         let working = self.work.begin();
+        self.check(now_ms).map(|()| working)
+    }
+
+    /// Like [`Drain::admit`], for work that the caller has already counted with
+    /// [`Drain::work_counter`].
+    pub fn check(&self, now_ms: u64) -> Result<(), Failure> {
         match self.phase(now_ms) {
-            Phase::Serving | Phase::Settling => Ok(working),
+            Phase::Serving | Phase::Settling => Ok(()),
             Phase::Finishing => Err(self.refusal()),
         }
     }
