Front: 413 is decided by the newest configuration

errors_with_503_for_a_body_that_an_unread_configuration_may_allow failed before (413 in place of 503).

--- a/components/front/src/serve.rs
+++ b/components/front/src/serve.rs
@@ -14,7 +14,7 @@
 use crate::access::AuthorizedCall;
 use crate::calls::{self, CallOutcome, CallSpec};
 use crate::clock::now_ms;
-use crate::follow::find_in_index;
+use crate::follow::{Lookup, find_in_index};
 use crate::held::{self, HeldGuard};
 use crate::results::{self, ReadResult};
 use crate::state::Front;
@@ -22,7 +22,8 @@
 use crate::suspects::SuspectRefusal;
 use crate::{access, jobs, metrics, stream};
 
-/// Retry-After of a front that has not read a configuration yet, in milliseconds.
+/// Retry-After of a front that has not read a configuration yet, or not the newest one, in
+/// milliseconds.
 const UNCONFIGURED_RETRY_AFTER_MS: u64 = 300;
 /// Retry-After when all replicas are busy, in milliseconds: half the duration of a call.
 const BUSY_RETRY_AFTER_MS: u64 = 60;
@@ -203,14 +204,14 @@
     let limit_bytes = routes.limits.body_bytes_max;
     let content_length = ingress::content_length(&parts.headers).unwrap_or(0);
     if content_length > limit_bytes as u64 {
-        return too_large_response(id);
+        return refuse_long_body(front, id, limit_bytes).await;
     }
     let Some(held) = front.held.admit(content_length) else {
         return overfull_response(Some(id), front.held.bytes());
     };
     let body = match collect(body, limit_bytes).await {
         Ok(body) => body,
-        Err(BodyError::TooLarge(_)) => return too_large_response(id),
+        Err(BodyError::TooLarge(_)) => return refuse_long_body(front, id, limit_bytes).await,
         Err(error) => {
             log::info!(event = "body-broken", id, error:% = error; "");
             return ingress::status_response(
@@ -279,6 +280,23 @@
     supported.then(|| route.rank_for(customer)).flatten()
 }
 
+/// Refuses a body that is longer than the active configuration allows. The client may retry if a
+/// newer one allows more, or if this front cannot read it.
+async fn refuse_long_body(front: &Front, id: &str, limit_bytes: usize) -> Response<ResponseBody> {
+    let has_higher_limit =
+        |routes: Arc<Routes>| (routes.limits.body_bytes_max > limit_bytes).then_some(());
+    let found = access::find_in_routes(front, has_higher_limit).await;
+    if let Lookup::Absent = found {
+        return too_large_response(id);
+    }
+    let status = StatusCode::SERVICE_UNAVAILABLE;
+    let retry_after_ms = Some(UNCONFIGURED_RETRY_AFTER_MS);
+    let message = "the configuration was not read lately";
+    let mut answer = ingress::status_response(status, Some(id), retry_after_ms, message);
+    ingress::set_connection_close(&mut answer);
+    answer
+}
+
 fn too_large_response(id: &str) -> Response<ResponseBody> {
     let status = StatusCode::PAYLOAD_TOO_LARGE;
     let mut answer = ingress::status_response(status, Some(id), None, "the body is too long");
--- a/components/front/tests/front/unread_records.rs
+++ b/components/front/tests/front/unread_records.rs
@@ -6,6 +6,8 @@
 use serde_json::{Value, json};
 use standins::fleet::records;
 use standins::{Fault, FaultKind};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 
 use crate::common::{FrontHandle, Site, wait_until};
 
@@ -15,6 +17,8 @@
 const POLL: Duration = Duration::from_millis(600);
 /// What no longer exists is answered and ended within this time.
 const SOON: Duration = Duration::from_secs(2);
+/// Limit of the older configuration on the length of a body.
+const BODY_BYTES_MAX: usize = 1_048_576;
 /// A route that only the newer configuration has.
 const NEW_STEPS: &str = "/new-steps/";
 
@@ -56,6 +60,7 @@
     route["Name"] = "new-steps".into();
     route["PathPrefix"] = NEW_STEPS.into();
     config["Routes"].as_array_mut().expect("routes").push(route);
+    config["Limits"]["MaxBodyBytes"] = (2 * BODY_BYTES_MAX).into();
     config["Services"][1]["Engine"]["Models"] =
         json!([{ "Name": "model-a" }, { "Name": "model-b" }]);
     config.to_string()
@@ -245,6 +250,48 @@
     }
 }
 
+/// Announces a call with a body of `bytes` and returns the status with which it is refused before any
+/// of the body arrived.
+async fn announce(front: &FrontHandle, bytes: usize) -> String {
+    let mut stream = TcpStream::connect(front.client_address)
+        .await
+        .expect("connected");
+    let request = format!(
+        "POST /calls/x HTTP/1.1\r\nhost: {}\r\nhornbeamrock-request-id: q-1\r\n\
+         hornbeamrock-key: key-anna\r\ncontent-length: {bytes}\r\n\r\n",
+        records::HOST
+    );
+    stream.write_all(request.as_bytes()).await.expect("written");
+    let mut answer = String::new();
+    let read = stream.read_to_string(&mut answer);
+    let read = tokio::time::timeout(SOON, read).await;
+    read.expect("an answer in time").expect("an answer");
+    answer.split(' ').nth(1).unwrap_or_default().to_owned()
+}
+
+/// Guards against 413, which clients take as final, from a front that has not read that the limit was
+/// raised.
+#[tokio::test]
+async fn errors_with_503_for_a_body_that_an_unread_configuration_may_allow() {
+    for case in READ_FAULTS {
+        let site = Site::start(3, 1).await;
+        put_config(&site, &older_config(4));
+        let front = site.front("a").await;
+        assert_eq!(announce(&front, BODY_BYTES_MAX + 1).await, "413");
+        let fault = (case.fault)();
+        front.store_listener.inject_fault(fault.on(OPERATOR_READS));
+        tokio::time::sleep(POLL).await;
+        put_config(&site, &newer_config(9));
+        let status = announce(&front, BODY_BYTES_MAX + 1).await;
+        assert_eq!(status, "503", "{}", case.name);
+        front.store_listener.clear_faults();
+        wait_until("a longer body is refused for good", || async {
+            announce(&front, 2 * BODY_BYTES_MAX + 1).await == "413"
+        })
+        .await;
+    }
+}
+
 /// Guards against 404 by an older configuration while the newest one cannot be decoded.
 #[tokio::test]
 async fn errors_with_503_while_the_newest_configuration_is_malformed() {
