Front: the end of a run counts for that run only, and brings its text

Cause: the runner kept the text of a run by its item, and the run's task reported its end in a message. Dropping the item aborts the task, but on several cores the task may be past its last wait and still send the message. The runner found no text then and took an empty one for the whole. A late end also removed the item's current run, and all runs of an item at a front shared one text, which a stopped run could still change.

Evidence: 'item-scored events=0 versions=[]' of the front that had lost the shard 0.1 ms before, in the record of the case. One core (current_thread) is not affected: there the abort always comes first.

Why this works: each run has a number, and the end of a run that is no longer current changes nothing, unless it brings a whole text or a replica's 500 or 422 for an item that is still to be listed. The whole text is taken when its stream ends and comes with the message, so no other run can change it, and each run has a text of its own, moved to it from the run before.

The stand-ins can hold the ends of streams and tell a test when a member joins.

--- a/components/front/src/partial.rs
+++ b/components/front/src/partial.rs
@@ -50,6 +50,16 @@
     bytes: usize,
 }
 
+/// The whole text of an item.
+pub struct CompleteText {
+    /// Data of all events, joined by line feeds.
+    pub text: Vec<u8>,
+    /// Number of events.
+    pub events: u64,
+    /// Versions of the weights that generated the text, ascending.
+    pub versions: Vec<u64>,
+}
+
 /// A partial text that the task of a run and the runner share.
 pub type SharedPartialText = Arc<Mutex<PartialText>>;
 
@@ -74,6 +84,18 @@
         };
     }
 
+    /// Takes the text of a run that has reached its end; `None` if the text has no events. Later
+    /// events of another run of the item do not fit what is left, so that run breaks off.
+    pub fn take_complete(&mut self) -> Option<CompleteText> {
+        let events = std::mem::take(&mut self.last_event);
+        let complete = CompleteText {
+            text: std::mem::take(&mut self.text),
+            events,
+            versions: std::mem::take(&mut self.versions),
+        };
+        (events > 0).then_some(complete)
+    }
+
     /// Whether the newest piece in the index (0 if there is none) comes from another run, which
     /// means that another front generates this text too.
     pub fn is_superseded(&self, newest_piece: u64) -> bool {
--- a/components/front/src/run_item.rs
+++ b/components/front/src/run_item.rs
@@ -15,7 +15,7 @@
 use tokio::sync::Notify;
 
 use crate::clock::now_us;
-use crate::partial::{PartialText, SharedPartialText};
+use crate::partial::{CompleteText, PartialText, SharedPartialText};
 use crate::peers::Member;
 use crate::replica_pace::SharedPace;
 use crate::state::{Front, lock};
@@ -60,8 +60,9 @@
 
 /// How a run ended.
 pub enum RunEnd {
-    /// The text is complete.
-    Complete,
+    /// The text is complete. It comes with the end: the runner may have dropped the item meanwhile,
+    /// or have begun its text anew.
+    Complete(CompleteText),
     /// The replica did not run the request, or its version is too old for the step.
     NotRun(String),
     /// The stream broke off; another run may resume after the last event.
@@ -97,7 +98,7 @@
                 _ => RunEnd::Interrupted(why),
             }
         }
-        RunEnd::Complete | RunEnd::Impossible => {
+        RunEnd::Complete(_) | RunEnd::Impossible => {
             in_flight.record_success();
             end
         }
@@ -178,17 +179,17 @@
                         .record(&spec.member.replica.id, interval_us, now_ms);
                 }
             }
-            Ok(None) if lock(shared).last_event == 0 => {
-                return RunEnd::Interrupted("the stream ended without events".to_owned());
-            }
             // Also complete if this run had no events: the previous run may have broken between
             // the last event of the text and the end of its stream. If such a run counted as
             // interrupted, the item would run again and again until its time is up.
             Ok(None) => {
+                let Some(complete) = lock(shared).take_complete() else {
+                    return RunEnd::Interrupted("the stream ended without events".to_owned());
+                };
                 if let Some((connection, keep_ms)) = item_run.finish().await {
                     spec.member.peer.return_connection(connection, keep_ms);
                 }
-                return RunEnd::Complete;
+                return RunEnd::Complete(complete);
             }
             Err(error) => return end_for_error(error),
         }
--- a/components/front/src/runner/finish.rs
+++ b/components/front/src/runner/finish.rs
@@ -13,7 +13,7 @@
         &mut self,
         key: ItemKey,
         head: &StepHead,
-        partial: PartialText,
+        complete: CompleteText,
         failed_rewards: u32,
     ) {
         let Some(data) = self
@@ -25,7 +25,7 @@
         };
         let (front, data) = (Arc::clone(&self.front), Arc::clone(data));
         let customer = head.customer.clone();
-        let (events, runs) = (partial.last_event, self.timings.runs(key));
+        let (events, runs) = (complete.events, self.timings.runs(key));
         let last_texts = Arc::clone(&self.last_texts);
         let item_id = head.items[key.1 as usize].id.clone();
         let decides_step = self.decides_step(key.0);
@@ -58,11 +58,11 @@
             last_texts.record_scored(step, now_ms());
             log::info!(
                 event = "item-scored", id = item_id, step = step.0, item, reward, events, runs,
-                versions:? = partial.versions; ""
+                versions:? = complete.versions; ""
             );
             ItemOutcome::Text {
-                text: Bytes::from(partial.text),
-                versions: partial.versions,
+                text: Bytes::from(complete.text),
+                versions: complete.versions,
                 score,
             }
         });
--- a/components/front/src/runner/mod.rs
+++ b/components/front/src/runner/mod.rs
@@ -23,8 +23,8 @@
 
 use std::cell::Cell;
 use std::collections::{BTreeSet, HashMap, HashSet};
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -43,7 +43,7 @@
 use crate::clock::now_ms;
 use crate::leave;
 use crate::metrics;
-use crate::partial::{self, PartialText, SharedPartialText};
+use crate::partial::{self, CompleteText, SharedPartialText};
 use crate::peers::{Member, ReplicaTable};
 use crate::replica_pace;
 use crate::reward;
@@ -92,7 +92,7 @@
     /// The data of a step's items could not be read; the runner requests it again.
     DataUnavailable(StepId),
     /// A run at a replica ended.
-    RunEnded(ItemKey, ReplicaId, RunEnd),
+    RunEnded(EndedRun),
     /// The knowledge of a shard's owner before was read; `None` if there is none.
     KnowledgeRead(ShardKey, PriorKnowledge),
     /// A write of a shard's knowledge ended; true if it succeeded.
@@ -101,6 +101,18 @@
     TextsSaved,
 }
 
+/// Distinguishes the runs of an item at this front.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct RunNumber(u64);
+
+/// A run that has ended.
+struct EndedRun {
+    key: ItemKey,
+    number: RunNumber,
+    replica: ReplicaId,
+    end: RunEnd,
+}
+
 /// An item in progress: it runs at a replica, or its complete text is scored and written. Dropping
 /// it aborts its task.
 struct RunningItem {
@@ -112,6 +124,7 @@
 }
 
 struct ReplicaRun {
+    number: RunNumber,
     replica: ReplicaId,
     stop: Arc<Notify>,
     /// Name of the reason why the run is being moved to another replica; `None` while it need not
@@ -143,6 +156,8 @@
     /// Steps that wait for their route.
     unrouted: Vec<StepId>,
     running: HashMap<ItemKey, RunningItem>,
+    /// Number of runs that were started.
+    runs_started: u64,
     /// Incomplete texts, each with the replica at which its last run broke off, to be avoided by
     /// the next run.
     partials: HashMap<ItemKey, (SharedPartialText, Option<ReplicaId>)>,
@@ -184,6 +199,7 @@
         requested_data: HashSet::new(),
         unrouted: Vec::new(),
         running: HashMap::new(),
+        runs_started: 0,
         partials: HashMap::new(),
         last_save_ms: 0,
         is_saving: false,
@@ -224,7 +240,7 @@
             RunnerMessage::DataUnavailable(step) => {
                 self.requested_data.remove(&step);
             }
-            RunnerMessage::RunEnded(key, replica, end) => self.handle_run_end(key, replica, end),
+            RunnerMessage::RunEnded(ended) => self.handle_run_end(ended),
             RunnerMessage::KnowledgeRead(shard, prior) => {
                 self.handle_knowledge_read(&shard, prior);
             }
@@ -240,12 +256,33 @@
         }
     }
 
-    fn handle_run_end(&mut self, key: ItemKey, replica: ReplicaId, end: RunEnd) {
-        let running = self.running.remove(&key);
+    /// Handles the end of a run. On several cores it may arrive after the item was dropped or runs
+    /// again, as stopping a run takes effect only when its task waits. What such a run has found out
+    /// is still true.
+    fn handle_run_end(&mut self, ended: EndedRun) {
+        let EndedRun {
+            key,
+            number,
+            replica,
+            end,
+        } = ended;
+        let is_current = |running: &RunningItem| {
+            let run = running.replica_run.as_ref();
+            run.is_some_and(|run| run.number == number)
+        };
+        let running = match self.running.get(&key).is_some_and(is_current) {
+            true => self.running.remove(&key),
+            false => None,
+        };
+        let is_late = running.is_none();
         let now_ms = now_ms();
         let Some((head, progress)) = self.head_and_progress(key) else {
             return;
         };
+        if is_late && !self.accepts_late(key, &end) {
+            log::debug!(event = "item-run-late", step = key.0.0, item = key.1, replica = &*replica; "");
+            return;
+        }
         let events = self
             .partials
             .get(&key)
@@ -254,17 +291,11 @@
         self.count_run(&end);
         let crashed = matches!(end, RunEnd::Crashed(_));
         match end {
-            RunEnd::Complete => {
+            RunEnd::Complete(text) => {
                 self.timings.record_complete(&self.front, key, now_ms);
-                self.lengths.record_complete(&head, item, events);
-                let partial = self.partials.remove(&key).map(|entry| entry.0);
-                let text = partial.map(|partial| std::mem::take(&mut *lock(&partial)));
-                self.finish(
-                    key,
-                    &head,
-                    text.unwrap_or_default(),
-                    progress.failed_rewards,
-                );
+                self.lengths.record_complete(&head, item, text.events);
+                self.partials.remove(&key);
+                self.finish(key, &head, text, progress.failed_rewards);
             }
             RunEnd::NotRun(why) => {
                 log::debug!(event = "item-not-run", step = step.0, item, replica = &*replica, why; "");
@@ -305,6 +336,23 @@
         }
     }
 
+    /// Whether the end of a run that is no longer the item's counts: its text is whole, or the replica
+    /// has answered, and the item is still to be listed and not being finished.
+    fn accepts_late(&self, key: ItemKey, end: &RunEnd) -> bool {
+        let is_answer = matches!(
+            end,
+            RunEnd::Complete(_) | RunEnd::Failed | RunEnd::Impossible
+        );
+        let index = self.front.index();
+        let is_open = index.ledger.get(key.0).is_some_and(|step| {
+            let progress = step.progress.get(key.1 as usize);
+            step.is_open() && progress.is_some_and(|progress| !progress.listed)
+        });
+        let running = self.running.get(&key);
+        let is_finishing = running.is_some_and(|running| running.replica_run.is_none());
+        is_answer && is_open && !is_finishing
+    }
+
     fn log_move(&self, key: ItemKey, replica: &ReplicaId, events: u64, why: &str) {
         let (step, item) = key;
         let moves = self.moves.get(&key);
@@ -324,7 +372,7 @@
 
     fn count_run(&self, end: &RunEnd) {
         let name = match end {
-            RunEnd::Complete => "front_runs_whole_total",
+            RunEnd::Complete(_) => "front_runs_whole_total",
             RunEnd::NotRun(_) => "front_runs_refused_total",
             RunEnd::Interrupted(_) | RunEnd::Silent(_) | RunEnd::Crashed(_) => {
                 "front_runs_broken_total"
--- a/components/front/src/runner/reconcile.rs
+++ b/components/front/src/runner/reconcile.rs
@@ -157,6 +157,10 @@
         let slot = SlotGuard(Arc::clone(&state.running));
         let entry = self.partials.entry(item.key).or_default();
         entry.1 = None;
+        // A run of the item that was stopped may not have noticed yet, on another thread. Its last
+        // events must not reach the text of this one.
+        let text = std::mem::take(&mut *lock(&entry.0));
+        entry.0 = Arc::new(Mutex::new(text));
         if let Some(moves) = self.moves.get_mut(&item.key) {
             moves.planned = None;
         }
@@ -185,7 +189,10 @@
             stop: Arc::new(Notify::new()),
             last_progress_ms: Arc::new(AtomicU64::new(now_ms())),
         };
+        self.runs_started += 1;
+        let run_number = RunNumber(self.runs_started);
         let replica_run = ReplicaRun {
+            number: run_number,
             replica: Arc::clone(&replica),
             stop: Arc::clone(&spec.stop),
             stop_cause: None,
@@ -208,7 +215,12 @@
             };
             drop(slot);
             // Fails only if the process ends, as the runner runs until then.
-            let _ = messages.send(RunnerMessage::RunEnded(key, replica, end));
+            let _ = messages.send(RunnerMessage::RunEnded(EndedRun {
+                key,
+                number: run_number,
+                replica,
+                end,
+            }));
         });
         self.running.insert(
             key,
--- a/components/front/tests/front/main.rs
+++ b/components/front/tests/front/main.rs
@@ -15,6 +15,7 @@
 mod relay_peers;
 mod relayed;
 mod restarts;
+mod several_cores;
 mod shards;
 mod steps;
 mod trainer;
--- a/dev/standins/src/fleet/replica.rs
+++ b/dev/standins/src/fleet/replica.rs
@@ -7,6 +7,7 @@
 
 use bytes::Bytes;
 use serde_json::{Value, json};
+use tokio::sync::Semaphore;
 
 use super::records::MODEL;
 use crate::error::StandinError;
@@ -51,6 +52,7 @@
     active_runs: usize,
     full: bool,
     refused: usize,
+    end_gate: Option<Arc<Semaphore>>,
 }
 
 /// Counts a run as active until it is dropped.
@@ -104,6 +106,12 @@
         self.lock().refused
     }
 
+    /// Lets each later stream that was not resumed wait for a permit before it ends, after its last
+    /// event. Several replicas can share the permits.
+    pub fn hold_ends(&self, permits: &Arc<Semaphore>) {
+        self.lock().end_gate = Some(Arc::clone(permits));
+    }
+
     fn begin_run(&self) -> RunGuard {
         self.lock().active_runs += 1;
         RunGuard(self.clone())
@@ -274,6 +282,7 @@
         };
         return with_headers(reply::bytes(200, body), call, &[("server-stamp", &stamp)]);
     }
+    let end_gate = control.lock().end_gate.clone().filter(|_| last_event == 0);
     let (chunks, answer) = reply::stream();
     let (events, pause_ms) = (settings.events, settings.pause_ms);
     tokio::spawn(async move {
@@ -285,6 +294,11 @@
                 return;
             }
         }
+        if let Some(gate) = end_gate
+            && let Ok(permit) = gate.acquire().await
+        {
+            permit.forget();
+        }
     });
     let version = version.to_string();
     with_headers(
--- a/dev/standins/src/fleet/store.rs
+++ b/dev/standins/src/fleet/store.rs
@@ -39,13 +39,19 @@
     state: Arc<Mutex<State>>,
     /// Counts changes, which wakes the reads that wait for records.
     changes: watch::Sender<u64>,
+    /// Called with the name of each member that joins a group, before the answer is sent.
+    on_join: Arc<Mutex<Option<JoinHook>>>,
 }
 
+/// What a test does when a member joins.
+type JoinHook = Box<dyn Fn(&str) + Send>;
+
 impl Default for Store {
     fn default() -> Self {
         Self {
             state: Arc::default(),
             changes: watch::Sender::new(0),
+            on_join: Arc::default(),
         }
     }
 }
@@ -131,6 +137,11 @@
             .for_each(Group::reassign_partitions);
     }
 
+    /// Calls `hook` with the name of each member that joins a group, before the answer is sent.
+    pub fn on_join(&self, hook: impl Fn(&str) + Send + 'static) {
+        *lock(&self.on_join) = Some(Box::new(hook));
+    }
+
     /// Offset of the next record of a partition.
     pub fn end(&self, topic: &str, partition: u32) -> u64 {
         let state = self.lock();
@@ -235,6 +246,10 @@
         let mut state = self.lock();
         let group = state.groups.entry(join.group).or_default();
         let (generation, own) = group.join(&join.member, join.ttl_ms, PARTITIONS);
+        drop(state);
+        if let Some(hook) = &*lock(&self.on_join) {
+            hook(&join.member);
+        }
         let topic = join.topics.first().cloned().unwrap_or_default();
         let rows: Vec<_> = own
             .into_iter()
@@ -274,10 +289,14 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.state)
     }
 }
 
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 fn topic_and_partition(call: &Call) -> (String, u32) {
     let partition = call.query_u64("part").unwrap_or(0);
     (
