--- a/bin/hornbeamrock/tests/drain.rs
+++ b/bin/hornbeamrock/tests/drain.rs
@@ -37,6 +37,7 @@
 const LEAVES_WITHIN: Duration = Duration::from_millis(500);
 
 /// Signals to a process, each with its time after the first one.
+#[derive(Clone, Copy)]
 struct Case {
     name: &'static str,
     signals: &'static [(u64, Signal)],
@@ -149,13 +150,13 @@
 }
 
 impl Process {
-    fn start(site: &Site, number: usize) -> Self {
-        let name = format!("hornbeamrock-drain-{}-{number}", std::process::id());
+    fn start(site: &Site, cores: usize) -> Self {
+        let (clients, readiness) = (free_address(), free_address());
+        let name = format!("hornbeamrock-drain-{}", clients.port());
         let folder = std::env::temp_dir().join(name);
         fs::create_dir_all(&folder).expect("a folder");
-        let (clients, readiness) = (free_address(), free_address());
         let settings = json!({
-            "Node": "front-1", "Zone": "zone-a", "Ip": "127.0.0.1", "Limits": { "Cpus": 1 },
+            "Node": "front-1", "Zone": "zone-a", "Ip": "127.0.0.1", "Limits": { "Cpus": cores },
             "Listen": { "Front": clients, "Ready": readiness },
             "Provider": { "Address": site.store_listener.address },
             "Bounds": { "GraceS": 8 }
@@ -177,14 +178,22 @@
         }
     }
 
-    async fn wait_until_ready(&self) {
-        let ready = async {
-            while !is_ready(self.readiness).await {
-                sleep(Duration::from_millis(20)).await;
+    /// Starts a process and waits until it is ready. Another program may take a port that was free,
+    /// so a process that ends at once is started again with other ports.
+    async fn start_ready(site: &Site, cores: usize) -> Self {
+        let start = async {
+            loop {
+                let mut process = Self::start(site, cores);
+                while process.child.try_wait().expect("a child").is_none() {
+                    if is_ready(process.readiness).await {
+                        return process;
+                    }
+                    sleep(Duration::from_millis(20)).await;
+                }
             }
         };
-        let ready = tokio::time::timeout(TIMEOUT, ready).await;
-        ready.expect("the process is ready before the timeout");
+        let started = tokio::time::timeout(TIMEOUT, start).await;
+        started.expect("the process is ready before the timeout")
     }
 
     fn signal(&self, signal: Signal) {
@@ -293,18 +302,19 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn can_complete_answers_in_progress_before_the_process_leaves() {
     let mut cases = JoinSet::new();
-    for (number, case) in CASES.into_iter().enumerate() {
-        cases.spawn(complete_answers(number, case));
+    for case in CASES {
+        for cores in [1, 2] {
+            cases.spawn(complete_answers(case, cores));
+        }
     }
     while let Some(done) = cases.join_next().await {
         done.expect("the case holds");
     }
 }
 
-async fn complete_answers(number: usize, case: Case) {
+async fn complete_answers(case: Case, cores: usize) {
     let site = Site::start().await;
-    let mut process = Process::start(&site, number);
-    process.wait_until_ready().await;
+    let mut process = Process::start_ready(&site, cores).await;
     let clients = process.clients;
     let mut streams = JoinSet::new();
     let signals_at_ms = 500;
