Front: connections that are opened while it leaves get a refusal

Callers saw: a request on a connection that was opened after a leaving front has begun to refuse requests ends with a closed connection and no answer, so a client can't know that it has not run.

Cause: closing idle connections is signalled by a value that each connection also checked when it was opened, and a connection without a request yet counts as idle.

Why this works: a connection now reacts to the change of the value only. One that is opened later gets 503 with a time to come back and 'connection: close' for its first request, as one does that was open before.

errors_with_503_on_connections_opened_while_the_process_leaves failed before (an empty answer).

--- a/bin/hornbeamrock/tests/drain.rs
+++ b/bin/hornbeamrock/tests/drain.rs
@@ -28,6 +28,8 @@
 /// Later than a process that was told to end still accepts requests, and well before its end.
 const LATE_HEAD_MS: u64 = 3_600;
 const LATE_EVENTS: u64 = 5;
+/// A process that was told to end refuses requests from then on.
+const REFUSES_AFTER: Duration = Duration::from_millis(2_800);
 /// Longer than the buffers of the sockets hold.
 const LONG_ANSWER_BYTES: usize = 8 * 1024 * 1024;
 const RECEIVE_BUFFER_BYTES: u32 = 8 * 1024;
@@ -238,19 +240,21 @@
     asked && stream.read_to_string(&mut answer).await.is_ok() && answer.starts_with("HTTP/1.1 200")
 }
 
-/// Sends a request on a new connection with a small receive buffer.
-async fn send(clients: SocketAddr, path: &str) -> TcpStream {
+/// Opens a connection with a small receive buffer.
+async fn connect(clients: SocketAddr) -> TcpStream {
     let socket = TcpSocket::new_v4().expect("a socket");
     socket
         .set_recv_buffer_size(RECEIVE_BUFFER_BYTES)
         .expect("set");
-    let mut stream = socket.connect(clients).await.expect("connected");
+    socket.connect(clients).await.expect("connected")
+}
+
+async fn send(stream: &mut TcpStream, path: &str) {
     let request = format!(
         "POST {path}x HTTP/1.1\r\nhost: {HOST}\r\nhornbeamrock-request-id: q-1\r\n\
          hornbeamrock-deadline-ms: 10000\r\ncontent-length: 0\r\n\r\n"
     );
     stream.write_all(request.as_bytes()).await.expect("written");
-    stream
 }
 
 /// Reads an answer until it is complete or broken off; returns all of it.
@@ -274,7 +278,8 @@
 /// Sends a request for a stream and reads it; returns the events and whether the end came.
 async fn stream(clients: SocketAddr, path: &'static str, delay_ms: u64) -> (usize, bool) {
     sleep(Duration::from_millis(delay_ms)).await;
-    let client = send(clients, path).await;
+    let mut client = connect(clients).await;
+    send(&mut client, path).await;
     let end = b"\r\n0\r\n\r\n";
     let answer = read(client, |answer| answer.ends_with(end)).await;
     let events = String::from_utf8_lossy(&answer).matches("data: ").count();
@@ -283,7 +288,8 @@
 
 /// Sends a call, reads its long answer after a pause, and returns the length of the body.
 async fn long_answer(clients: SocketAddr) -> usize {
-    let client = send(clients, "/calls/").await;
+    let mut client = connect(clients).await;
+    send(&mut client, "/calls/").await;
     sleep(CLIENT_PAUSE).await;
     let body_bytes = |answer: &[u8]| {
         let end = answer.windows(4).position(|bytes| bytes == b"\r\n\r\n");
@@ -312,6 +318,30 @@
     }
 }
 
+/// Guards against connections that are closed without an answer while the process waits for its last
+/// answers: a client cannot know then whether its request ran.
+#[tokio::test(flavor = "multi_thread")]
+async fn errors_with_503_on_connections_opened_while_the_process_leaves() {
+    let site = Site::start().await;
+    let mut process = Process::start_ready(&site, 1).await;
+    let clients = process.clients;
+    let last = tokio::spawn(stream(clients, "/streams/", 0));
+    sleep(Duration::from_millis(500)).await;
+    process.signal(Signal::TERM);
+    sleep(REFUSES_AFTER).await;
+    for _ in 0..3 {
+        let mut client = connect(clients).await;
+        sleep(Duration::from_millis(50)).await;
+        send(&mut client, "/calls/").await;
+        let answer = read(client, |_| false).await;
+        let answer = String::from_utf8_lossy(&answer);
+        assert!(answer.starts_with("HTTP/1.1 503"), "{answer:?}");
+        assert!(answer.contains("retry-after"), "{answer:?}");
+    }
+    assert_eq!(last.await.expect("read"), (EVENTS as usize, true));
+    assert_eq!(process.wait_for_exit().await.code(), Some(0));
+}
+
 async fn complete_answers(case: Case, cores: usize) {
     let site = Site::start().await;
     let mut process = Process::start_ready(&site, cores).await;
--- a/components/front/src/connections.rs
+++ b/components/front/src/connections.rs
@@ -47,10 +47,11 @@
     }
 }
 
-/// Returns once idle connections are to be closed.
+/// Returns when idle connections begin to be closed. A connection that is opened later is not closed
+/// before its first request is refused.
 async fn wait_until_closing(closing: &mut tokio::sync::watch::Receiver<bool>) {
-    // `wait_for` fails only if the sender is dropped, and the sender lives as long as the process.
-    let _ = closing.wait_for(|closing| *closing).await;
+    // Fails only if the sender is dropped, and the sender lives as long as the process.
+    let _ = closing.changed().await;
 }
 
 async fn serve<F, A>(front: Arc<Front>, stream: TcpStream, answer: A)
