Front: a whole text is taken after the last wait of its run

By reading, in: the text was taken before the run waited for its connection to become reusable. A run dropped in that moment took the text with it, so that its item was restored from its saved pieces, and the runner saw a text without events meanwhile. Now the text is taken after that wait, together with the end of the run. A stream that ends without events closes its connection again, as before.

--- a/components/front/src/run_item.rs
+++ b/components/front/src/run_item.rs
@@ -179,17 +179,20 @@
                         .record(&spec.member.replica.id, interval_us, now_ms);
                 }
             }
+            Ok(None) if lock(shared).last_event == 0 => {
+                return RunEnd::Interrupted("the stream ended without events".to_owned());
+            }
             // Also complete if this run had no events: the previous run may have broken between
             // the last event of the text and the end of its stream. If such a run counted as
             // interrupted, the item would run again and again until its time is up.
             Ok(None) => {
-                let Some(complete) = lock(shared).take_complete() else {
-                    return RunEnd::Interrupted("the stream ended without events".to_owned());
-                };
                 if let Some((connection, keep_ms)) = item_run.finish().await {
                     spec.member.peer.return_connection(connection, keep_ms);
                 }
-                return RunEnd::Complete(complete);
+                // Taken after the last wait, at which the task may be aborted.
+                let complete = lock(shared).take_complete();
+                let taken_over = || RunEnd::Interrupted("another run has the text".to_owned());
+                return complete.map_or_else(taken_over, RunEnd::Complete);
             }
             Err(error) => return end_for_error(error),
         }
