Test of watched owners: releases are counted from the moment that the case is about

The case before ends by closing its listener while a watcher may have connected to it again; the refused connection then proves its death, rightly, and the release was counted for the next case, as the count began before the next listener was watched.

The count now begins once both fronts watch the listener of the case, right before it changes. Both have dropped the watch before by then, and with it a release in progress.

--- a/components/front/tests/front/owner_watch.rs
+++ b/components/front/tests/front/owner_watch.rs
@@ -185,7 +185,6 @@
     let (owner, fronts) = owner_and_watchers(&site).await;
     for case in cases {
         println!("{}", case.name);
-        let before = releases(&fronts).await;
         wait_until("the owner has its shard again", || async {
             shard_owner(&site).as_ref() == Some(&owner)
         })
@@ -199,6 +198,8 @@
             opened.load(Ordering::Relaxed) == 2
         })
         .await;
+        // Both watch the listener of this case only, so no release of the case before is pending.
+        let before = releases(&fronts).await;
         state.send_replace(case.then);
         tokio::time::sleep(OBSERVED).await;
         let released = releases(&fronts).await > before;
