--- a/review/harness2/world.py
+++ b/review/harness2/world.py
@@ -169,14 +169,19 @@
         return self.generation, mine
 
 
+# Longest page of newest records: "at most 500 or 1 MB".
+PAGE_KEYS = 500
+PAGE_BYTES = 1 << 20
+
+
 class Store:
-    def __init__(self, record, page_keys=500):
+    def __init__(self, record):
         self.record = record
         self.logs = {}
         self.newest = {}
         self.groups = {}
         self.changed = asyncio.Condition()
-        self.page_keys = page_keys
+        self.calls = {}  # number of calls by name
         self.refuse = None  # a function (caller's address, method, path) -> status or None
 
     async def start(self, host="127.0.0.1"):
@@ -229,6 +234,7 @@
         query = dict(field.partition("=")[::2] for field in text.split("&") if field)
         name = path.rpartition("/")[2]
         topic, part = query.get("Topic", ""), int(query.get("part", 0))
+        self.calls[name] = self.calls.get(name, 0) + 1
         if name == "log-append":
             records, rest = [], body
             while rest:
@@ -262,16 +268,16 @@
             keys = self.newest.setdefault((topic, part), {})
             after = query.get("After", "").encode()
             later = sorted(key for key in keys if key > after)
-            entries = [
-                {
-                    "Key": key.decode(errors="replace"),
-                    "Value": base64.b64encode(keys[key][1]).decode(),
-                    "Offset": keys[key][0],
-                }
-                for key in later[: self.page_keys]
-            ]
+            entries, size = [], 0
+            for key in later[:PAGE_KEYS]:
+                offset, value = keys[key]
+                size += len(value) * 4 // 3
+                if entries and size > PAGE_BYTES:
+                    break
+                entries.append({"Key": key.decode(), "Value": base64.b64encode(value).decode(),
+                                "Offset": offset})
             end = len(self.logs.setdefault((topic, part), []))
-            more = len(later) > self.page_keys
+            more = len(later) > len(entries)
             return of(200, {"Entries": entries, "More": more, "End": end})
         if name == "log-join":
             call = json.loads(body)
@@ -627,12 +633,12 @@
 class World:
     """A small deployment, and the end of all that it started."""
 
-    def __init__(self, folder, page_keys=500):
+    def __init__(self, folder):
         self.case = folder
         self.record = Record(folder)
         self.temporary = tempfile.TemporaryDirectory(prefix="review-")
         self.folder = os.environ.get("KEEP_LOGS") or self.temporary.name
-        self.store = Store(self.record, page_keys)
+        self.store = Store(self.record)
         self.fronts, self.replicas, self.runs = [], [], []
 
     async def configure(self, version, routes, services):
