--- a/review/harness2/world.py
+++ b/review/harness2/world.py
@@ -172,6 +172,10 @@
 # Longest page of newest records: "at most 500 or 1 MB".
 PAGE_KEYS = 500
 PAGE_BYTES = 1 << 20
+# "When 400 MB are stored in total, appends receive 507"; PartMb and PartMbS of the settings.
+TOTAL_BYTES = 400_000_000
+PART_BYTES = 200_000_000
+PART_BYTES_PER_S = 20_000_000
 
 
 class Store:
@@ -181,6 +185,10 @@
         self.newest = {}
         self.groups = {}
         self.changed = asyncio.Condition()
+        self.stored = 0
+        self.full_since = None
+        self.first = {}  # first offset that is kept, by topic and partition
+        self.part_bytes = {}
         self.calls = {}  # number of calls by name
         self.refuse = None  # a function (caller's address, method, path) -> status or None
 
@@ -192,6 +200,11 @@
         log = self.logs.setdefault((topic, part), [])
         first = len(log)
         log.extend(records)
+        if not topic.startswith("keyed."):
+            size = sum(map(len, records))
+            self.stored += size
+            self.part_bytes[topic, part] = self.part_bytes.get((topic, part), 0) + size
+            self.expire(topic, part)
         if topic.startswith("keyed."):
             keys = self.newest.setdefault((topic, part), {})
             for offset, one in enumerate(records, first):
@@ -203,6 +216,17 @@
             self.changed.notify_all()
         return first, len(log)
 
+    def expire(self, topic, part):
+        """Drops the oldest records of a partition that holds more than PartMb. No case runs for as
+        long as RetentionS."""
+        log, at = self.logs[topic, part], self.first.get((topic, part), 0)
+        while self.part_bytes[topic, part] > PART_BYTES:
+            self.part_bytes[topic, part] -= len(log[at])
+            self.stored -= len(log[at])
+            log[at] = None
+            at += 1
+        self.first[topic, part] = at
+
     async def put(self, topic, key, value):
         raw = key.encode()
         text = b"" if value is None else json.dumps(value).encode()
@@ -241,11 +265,21 @@
                 size = struct.unpack(">I", rest[:4])[0]
                 records.append(rest[4 : 4 + size])
                 rest = rest[4 + size :]
+            size = sum(map(len, records))
+            if self.stored + size > TOTAL_BYTES and not topic.startswith("keyed."):
+                if self.full_since is None:
+                    self.full_since = time.monotonic()
+                    self.record(f"the store is full: {self.stored} bytes, appends get 507")
+                return of(507, {})
+            await asyncio.sleep(0.001 + size / PART_BYTES_PER_S)
             first, end = await self.append(topic, part, records)
             return of(200, {"Offset": first, "End": end})
         if name == "log-read":
             start, most = int(query.get("From", 0)), int(query.get("MaxKb", 1024)) * 1024
             deadline = time.monotonic() + int(query.get("WaitMs", 0)) / 1e3
+            kept = self.first.get((topic, part), 0)
+            if start < kept:
+                return of(410, {"First": kept})
             while True:
                 log = self.logs.setdefault((topic, part), [])
                 left = deadline - time.monotonic()
@@ -256,7 +290,7 @@
                         await asyncio.wait_for(self.changed.wait(), left)
                     except asyncio.TimeoutError:
                         pass
-            page = [struct.pack(">QQ", len(log), 0)]
+            page = [struct.pack(">QQ", len(log), kept)]
             size = 0
             for one in log[start:]:
                 if size and size + len(one) > most:
@@ -307,6 +341,7 @@
         self.id, self.began, self.after, self.replica = request_id, began, after, replica
         self.ended = None
         self.whole = False
+        self.status = 200
 
 
 class Replica:
@@ -322,6 +357,7 @@
         self.zone = options.get("zone", "zone-a")
         self.reports_born = options.get("reports_born", True)
         self.unframed = options.get("unframed", False)
+        self.padding = "." * options.get("padding", 0)
         self.fail = options.get("fail")  # id -> status of an answer that counts as run
         self.state = "ready"
         self.born = int(time.time() * 1000)
@@ -466,7 +502,7 @@
             stamp = f"stamp-{self.id}-{request_id}"
             status = self.fail(request_id) if self.fail else None
             if status:
-                run.whole = True
+                run.whole, run.status = True, status
                 return await send(status, {"Hornbeamrock-Server-Stamp": stamp}, b"failed")
             if self.events:
                 return await self.stream(writer, run, common, stamp)
@@ -488,7 +524,7 @@
         total, pause = self.events(run.id), self.pause
         for number in range(run.after + 1, total + 1):
             await asyncio.sleep(pause)
-            data = f"id: {number}\ndata: {run.id}-{number}\n\n".encode()
+            data = f"id: {number}\ndata: {run.id}-{number}{self.padding}\n\n".encode()
             writer.write(data if self.unframed else b"%x\r\n%s\r\n" % (len(data), data))
             await writer.drain()
         if not self.unframed:
