--- a/review/harness2/world.py
+++ b/review/harness2/world.py
@@ -367,6 +367,7 @@
         self.orders = []
         self.connections = 0
         self.beating = True
+        self.dark = False
 
     async def start(self, host="127.0.0.1", port=0):
         self.server = await asyncio.start_server(self.serve, host, port, limit=1 << 24)
@@ -397,6 +398,24 @@
             entry["born"] = self.born
         await self.world.store.put("keyed.servers", self.id, entry)
 
+    async def go_dark(self, down):
+        """The machine is down for `down` seconds: nothing is sent, no connection is closed, new ones
+        are not answered. Then the process is back under its id, and knows nothing of before."""
+        self.world.record(f"replica {self.id} goes dark")
+        self.beating = False
+        self.dark = True
+        self.silence()
+        await asyncio.sleep(down)
+        for writer in list(self.silenced):
+            writer.transport.abort()
+        self.silenced.clear()
+        self.dark = False
+        self.born = int(time.time() * 1000)
+        self.orders = []
+        self.beating = True
+        await self.beat()
+        self.world.record(f"replica {self.id} is back")
+
     async def crash(self, down):
         """The process ends and is back after `down` seconds under its id. Its connections are
         reset, and its address refuses new ones meanwhile."""
@@ -424,6 +443,9 @@
         self.connections += 1
         task = asyncio.ensure_future(self.converse(reader, writer))
         self.open[writer] = task
+        if self.dark:
+            self.silenced.add(writer)
+            task.cancel()
         try:
             await task
         except asyncio.CancelledError:
