--- a/components/front/src/follow/keyed.rs
+++ b/components/front/src/follow/keyed.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use dispatch::ReplicaId;
 use pacing::TopicPace;
-use platform::store::decode_keyed;
+use platform::store::{NewestPage, decode_keyed};
 
 use super::{Batch, Follower, SentRead, TopicCopy};
 use crate::state::Front;
@@ -36,24 +36,12 @@
     let mut follower = Follower::new(front, copy, topic, 0, pace);
     let mut offsets: HashMap<String, u64> = HashMap::new();
     loop {
-        let Some((read, newest)) = follower.read_newest().await else {
+        let mut keys = Vec::new();
+        let on_page = |page| apply_page(page, &mut keys, &mut offsets, &mut on_update);
+        let Some(read) = follower.read_newest(on_page).await else {
             on_update(KeyedUpdate::ReadFailed);
             continue;
         };
-        for key in newest.malformed_keys {
-            on_update(KeyedUpdate::Malformed(key));
-        }
-        let mut keys = Vec::with_capacity(newest.records.len());
-        for record in newest.records {
-            keys.push(ReplicaId::from(record.key.as_str()));
-            if offsets
-                .get(&record.key)
-                .is_none_or(|known| *known < record.offset)
-            {
-                offsets.insert(record.key.clone(), record.offset);
-                on_update(KeyedUpdate::Key(record.key, Some(record.value)));
-            }
-        }
         on_update(KeyedUpdate::AllKeys(keys));
         let current = true;
         on_update(KeyedUpdate::BatchEnd { read, current });
@@ -77,6 +65,29 @@
     }
 }
 
+/// Passes the records of a page on, except those that were passed on before, and adds their keys to
+/// `keys`.
+fn apply_page(
+    page: NewestPage,
+    keys: &mut Vec<ReplicaId>,
+    offsets: &mut HashMap<String, u64>,
+    on_update: &mut impl FnMut(KeyedUpdate),
+) {
+    for key in page.malformed_keys {
+        on_update(KeyedUpdate::Malformed(key));
+    }
+    for record in page.records {
+        keys.push(ReplicaId::from(record.key.as_str()));
+        if offsets
+            .get(&record.key)
+            .is_none_or(|known| *known < record.offset)
+        {
+            offsets.insert(record.key.clone(), record.offset);
+            on_update(KeyedUpdate::Key(record.key, Some(record.value)));
+        }
+    }
+}
+
 /// Passes a record on unless a newer record of its key was already passed on: after the store has
 /// lost history, the log may be read again from an older offset.
 fn apply_record(
--- a/components/front/src/follow/mod.rs
+++ b/components/front/src/follow/mod.rs
@@ -15,7 +15,7 @@
 
 use bytes::Bytes;
 use pacing::{Pacer, ReadOutcome, TopicPace};
-use platform::store::{NewestRecords, StoreError};
+use platform::store::{NewestPage, StoreError};
 use reach::{ReadTimeout, read_timeout};
 use telemetry::Label;
 
@@ -30,7 +30,7 @@
 /// Added to the wait time of a long poll to get its timeout, in milliseconds; allows for a slow
 /// store.
 const READ_SLACK_MS: u64 = 900;
-/// Timeout for reading the newest records of all keys, in milliseconds.
+/// Timeout for reading a page of the newest records of all keys, in milliseconds.
 const NEWEST_TIMEOUT_MS: u64 = 1_350;
 /// Size limit of one read in kibibytes. A larger limit means fewer calls after a start, but a
 /// higher memory peak.
@@ -133,17 +133,19 @@
         }
     }
 
-    /// Reads the newest record of each key of a keyed topic; the next [`Follower::read`] continues
-    /// behind them. `None` if the read failed.
-    pub async fn read_newest(&mut self) -> Option<(SentRead, NewestRecords)> {
+    /// Reads the newest record of each key of a keyed topic and passes the pages to `on_page`; the
+    /// next [`Follower::read`] continues behind them. `None` if the read failed, possibly after some
+    /// pages.
+    pub async fn read_newest(&mut self, on_page: impl FnMut(NewestPage)) -> Option<SentRead> {
         self.pause().await;
         let timeout = Duration::from_millis(NEWEST_TIMEOUT_MS);
         let read = self.copy.begin_read();
-        match self.front.storage.read_newest(self.topic, timeout).await {
-            Ok(newest) => {
-                self.next = newest.end;
+        let storage = &self.front.storage;
+        match storage.read_newest(self.topic, timeout, on_page).await {
+            Ok(end) => {
+                self.next = end;
                 self.record_outcome(ReadOutcome::MoreAvailable);
-                Some((read, newest))
+                Some(read)
             }
             Err(error) => {
                 self.record_failure(&error);
--- a/components/front/src/peer_relay/book.rs
+++ b/components/front/src/peer_relay/book.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use dispatch::most_report_start;
-use platform::store::{KeyedRecord, StoreError, encode_keyed};
+use platform::store::{KeyedRecord, NewestPage, StoreError, encode_keyed};
 use relay::{
     FRONTS_TOPIC, FrontRecord, RELAY_VERSION, RelayHello, Way, decode_record, encode_record,
     rank_peers,
@@ -149,21 +149,20 @@
 
 async fn read(front: &Front) {
     let timeout = Duration::from_millis(READ_TIMEOUT_MS);
-    match front.storage.read_newest(FRONTS_TOPIC, timeout).await {
-        Ok(newest) => set_peers(front, &newest.records),
+    let mut fronts = HashMap::new();
+    let on_page = |page: NewestPage| fronts.extend(page.records.iter().filter_map(decode));
+    let read = front.storage.read_newest(FRONTS_TOPIC, timeout, on_page);
+    match read.await {
+        Ok(_) => set_peers(front, fronts),
         Err(error) => log::warn!(event = "fronts-not-read", error:% = error; ""),
     }
 }
 
-fn set_peers(front: &Front, records: &[KeyedRecord]) {
+fn set_peers(front: &Front, fronts: HashMap<String, FrontRecord>) {
     let Some(identity) = front.storage.relay.identity.get() else {
         return;
     };
     let own = identity.address;
-    let decoded = records
-        .iter()
-        .filter_map(|record| Some((record.key.clone(), decode(record)?)));
-    let fronts: HashMap<String, FrontRecord> = decoded.collect();
     let (node, domain) = (&front.settings.node, &front.settings.domain);
     let peers: Vec<SocketAddr> = rank_peers(node, domain, own, fronts.values());
     let count = peers.len() as u64;
@@ -177,11 +176,13 @@
     *lock(&front.storage.relay.addresses) = addresses.collect();
 }
 
-fn decode(record: &KeyedRecord) -> Option<FrontRecord> {
-    decode_record(&record.value)
-        .inspect_err(|error| {
+fn decode(record: &KeyedRecord) -> Option<(String, FrontRecord)> {
+    match decode_record(&record.value) {
+        Ok(front) => Some((record.key.clone(), front)),
+        Err(error) => {
             let (topic, key) = (FRONTS_TOPIC, &record.key);
             log::warn!(event = "record-malformed", topic, key, error:% = error; "");
-        })
-        .ok()
+            None
+        }
+    }
 }
--- a/components/front/src/storage.rs
+++ b/components/front/src/storage.rs
@@ -10,7 +10,7 @@
 
 use bytes::Bytes;
 use index::DATA_TOPIC;
-use platform::store::{Membership, NewestRecords, Page, Store, StoreError};
+use platform::store::{Membership, NewestPage, Page, Store, StoreError};
 use reach::{Availability, Reachability};
 
 use crate::clock::now_ms;
@@ -151,17 +151,23 @@
         first.ok_or_else(|| StoreError::Malformed(format!("no record at {offset}")))
     }
 
-    /// Reads the newest record of each key of a keyed topic.
+    /// Reads the newest record of each key of a keyed topic and passes the pages to `on_page`. Returns
+    /// the offset from which reading continues without missing a change. `timeout` is that of a page.
     pub async fn read_newest(
         &self,
         topic: &str,
         timeout: Duration,
-    ) -> Result<NewestRecords, StoreError> {
+        mut on_page: impl FnMut(NewestPage),
+    ) -> Result<u64, StoreError> {
         let calls = self.calls.of(topic);
-        calls.count_read();
-        let newest = self.call(calls, self.store.newest(topic, timeout)).await?;
-        calls.count_records(newest.records.iter().map(|record| &record.value[..]));
-        Ok(newest)
+        let mut pages = self.store.newest_pages(topic, timeout);
+        while !pages.is_complete() {
+            calls.count_read();
+            let page = self.call(calls, pages.next()).await?;
+            calls.count_records(page.records.iter().map(|record| &record.value[..]));
+            on_page(page);
+        }
+        Ok(pages.end())
     }
 
     /// Joins a group, or renews the membership.
--- a/components/front/tests/front/main.rs
+++ b/components/front/tests/front/main.rs
@@ -7,6 +7,7 @@
 mod crashing;
 mod crashing_mix;
 mod customers;
+mod foreign_records;
 mod held;
 mod knowledge;
 mod long_texts;
--- a/dev/standins/src/fleet/store.rs
+++ b/dev/standins/src/fleet/store.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use percent_encoding::percent_decode_str;
 use serde::Deserialize;
 use serde_json::json;
 use tokio::sync::watch;
@@ -24,6 +25,8 @@
 const PARTITIONS: u32 = 24;
 /// Keys per page of newest records.
 const PAGE_KEYS: usize = 500;
+/// Size of the values of a page of newest records, which has one record at least.
+const PAGE_BYTES: usize = 1_000_000;
 /// Size of a page of records if the reader states none.
 const PAGE_KB: u64 = 1_024;
 
@@ -280,10 +283,16 @@
             .entry(topic_and_partition(call))
             .or_default();
         let entries = partition_log.newest(&after, PAGE_KEYS + 1);
-        let more = entries.len() > PAGE_KEYS;
+        let mut bytes = 0;
+        let fits = entries.iter().take(PAGE_KEYS).take_while(|entry| {
+            bytes += entry.2.len();
+            bytes <= PAGE_BYTES
+        });
+        let count = fits.count().max(1);
+        let more = entries.len() > count;
         let entries: Vec<_> = entries
             .into_iter()
-            .take(PAGE_KEYS)
+            .take(count)
             .map(|(key, offset, value)| {
                 json!({ "Key": key, "Value": base64(value), "Offset": offset })
             })
@@ -367,7 +376,8 @@
         .split('&')
         .filter_map(|field| field.split_once('='));
     let mut values = fields.filter(|(field, _)| *field == name);
-    values.next().map(|(_, value)| value.to_owned())
+    let value = values.next()?.1.replace('+', " ");
+    Some(percent_decode_str(&value).decode_utf8_lossy().into_owned())
 }
 
 fn base64(value: &[u8]) -> String {
