--- a/components/front/src/suspects.rs
+++ b/components/front/src/suspects.rs
@@ -273,7 +273,7 @@
             return;
         }
         let now_ms = now_ms();
-        let ended_by_ms = now_ms.min(started_ms + CLOCK_SKEW_MS);
+        let ended_by_ms = now_ms.min(started_ms.saturating_add(CLOCK_SKEW_MS));
         let endpoint = endpoint_name(former);
         lock(&self.suspects).record_restart(&endpoint, ended_by_ms, now_ms);
         self.crashed.notify_one();
--- a/components/front/tests/front/calls.rs
+++ b/components/front/tests/front/calls.rs
@@ -322,8 +322,23 @@
         record[field] = value;
         text(record)
     };
+    let without = |field: &str| {
+        let mut record = valid.clone();
+        record.as_object_mut().expect("an object").remove(field);
+        text(record)
+    };
+    let nested = format!("{}{}", "[".repeat(100_000), "]".repeat(100_000)).into_bytes();
+    let port = |port: u32| with("Address", format!("127.0.0.1:{port}").into());
     vec![
         (b"no-fields".to_vec(), b"{}".to_vec()),
+        (b"nested".to_vec(), nested),
+        (b"large-slots".to_vec(), with("Slots", u32::MAX.into())),
+        (b"large-start".to_vec(), with("born", 1e300.into())),
+        (b"large-number".to_vec(), b"1e999".to_vec()),
+        (b"large-port".to_vec(), port(70_000)),
+        (b"port-0".to_vec(), port(0)),
+        (b"no-slots".to_vec(), without("Slots")),
+        (b"no-domain".to_vec(), without("Zone")),
         (b"unreadable".to_vec(), vec![0xff, 0x00, 0xfe]),
         (vec![0xff, 0xfe], b"{}".to_vec()),
         (
