--- a/components/front/tests/front/truncated_answers.rs
+++ b/components/front/tests/front/truncated_answers.rs
@@ -3,18 +3,13 @@
 use std::net::SocketAddr;
 
 use bytes::Bytes;
-use http_body_util::Full;
-use hyper::{Method, Request};
-use platform::{collect, connect};
-use serde_json::{Value, json};
 use standins::fleet::records;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
 
-use crate::common::{FrontHandle, Site, TEST_TIMEOUT};
+use crate::common::Site;
+use crate::raw_replicas::{path_number, read_request, request_id, site_with_writer, stream_body};
 
-/// Service of the replica that answers with given bytes.
-const WRITERS: &str = "writers";
 const EVENT: &str = "id: 1\ndata: word\n\n";
 
 /// How a replica frames the body of its answer.
@@ -46,33 +41,6 @@
     )
 }
 
-/// Reads the head of a request; `None` at the end of the connection. Its body is short enough to
-/// arrive with the head.
-async fn read_request(stream: &mut TcpStream) -> Option<String> {
-    let mut bytes = vec![0; 4_096];
-    let read = stream
-        .read(&mut bytes)
-        .await
-        .ok()
-        .filter(|read| *read > 0)?;
-    Some(String::from_utf8_lossy(&bytes[..read]).into_owned())
-}
-
-/// Number at the end of a request's path.
-fn path_number(head: &str) -> usize {
-    let path = head.split(' ').nth(1).unwrap_or_default();
-    let number = path.rsplit('/').next().unwrap_or_default();
-    number.parse().unwrap_or_default()
-}
-
-/// Id of a request.
-fn request_id(head: &str) -> &str {
-    let mut lines = head.lines();
-    lines
-        .find_map(|line| line.strip_prefix("hornbeamrock-request-id: "))
-        .unwrap_or_default()
-}
-
 /// Starts a replica that answers each request with the body of this number and closes the
 /// connection.
 async fn start_writer(framing: Framing, bodies: Vec<&'static str>) -> SocketAddr {
@@ -108,40 +76,6 @@
     address
 }
 
-/// A site whose calls go to the replica at this address.
-async fn site_with_writer(kind: &str, address: SocketAddr) -> Site {
-    let site = Site::start(3, 1).await;
-    let mut config: Value = serde_json::from_str(&records::config(4)).expect("a configuration");
-    config["Routes"][0]["Kind"] = kind.into();
-    config["Routes"][0]["Service"] = WRITERS.into();
-    let services = config["Services"].as_array_mut().expect("services");
-    services.push(json!({ "Name": WRITERS, "HealthPath": "/health", "MaxConns": 100 }));
-    let config = config.to_string();
-    site.store.put("keyed.op", "config", Some(&config));
-    let record = records::replica(WRITERS, address, "ready", 1);
-    site.store.put("keyed.servers", "writer-1", Some(&record));
-    site
-}
-
-/// The complete body of a stream; `None` if it broke.
-async fn stream_body(front: &FrontHandle, path: &str) -> Option<Bytes> {
-    let mut connection = connect(front.client_address, TEST_TIMEOUT)
-        .await
-        .expect("a connection");
-    let request = Request::builder()
-        .method(Method::POST)
-        .uri(path)
-        .header("host", records::HOST)
-        .header("hornbeamrock-request-id", "s-1")
-        .header("hornbeamrock-deadline-ms", "2000")
-        .body(Full::new(Bytes::new()))
-        .expect("a request");
-    let answer = connection.send(request, TEST_TIMEOUT).await;
-    collect(answer.expect("an answer").into_body(), 1 << 20)
-        .await
-        .ok()
-}
-
 // Guards against streams that end as complete although their replica ended within an event.
 #[tokio::test(crate = "crate::cores")]
 async fn breaks_a_stream_that_ends_within_an_event() {
