Start: a list of records that is longer than the memory is read page by page (test)

Process::start_ready takes the site and the memory, so that the test of floods and this one share it.

--- a/bin/hornbeamrock/tests/memory.rs
+++ b/bin/hornbeamrock/tests/memory.rs
@@ -1,4 +1,4 @@
-//! Runs the program as a child process that clients flood with long bodies.
+//! Runs the program as a child process whose peers send it more than its memory holds.
 
 use std::fs::{self, File};
 use std::net::{SocketAddr, TcpListener};
@@ -77,38 +77,52 @@
     listener.local_addr().expect("bound")
 }
 
+/// Site with two replicas for calls, and with the replica of the small calls.
+async fn flooded_site(small_replica: SocketAddr) -> (Store, Vec<(Handle, ReplicaControl)>) {
+    let store = Store::default();
+    let mut config: Value = serde_json::from_str(&records::config(3)).expect("JSON");
+    config["Limits"]["MaxBodyBytes"] = BODY_BYTES_MAX.into();
+    config["Routes"][0]["TimeoutMs"] = 10_000.into();
+    put_config(&store, config, small_replica);
+    let mut replicas = Vec::new();
+    for id in ["plain-1", "plain-2"] {
+        let settings = ReplicaSettings {
+            id: id.to_owned(),
+            events: 0,
+            pause_ms: 1,
+        };
+        let (handle, seen) = replica::start(any_port(), settings).await.expect("a port");
+        let record = records::replica(PLAIN, handle.address, "ready", 1);
+        store.put("keyed.servers", id, Some(&record));
+        replicas.push((handle, seen));
+    }
+    (store, replicas)
+}
+
+/// Writes the configuration, in which the replica of the small calls serves a route of its own.
+fn put_config(store: &Store, mut config: Value, small_replica: SocketAddr) {
+    config["Routes"][2]["Service"] = SMALL.into();
+    let small = json!({ "Name": SMALL, "HealthPath": "/health", "MaxConns": 100 });
+    let services = config["Services"].as_array_mut();
+    services.expect("services").push(small);
+    let record = records::replica(SMALL, small_replica, "ready", 1);
+    store.put("keyed.servers", "small-1", Some(&record));
+    store.put("keyed.op", "config", Some(&config.to_string()));
+}
+
 impl Process {
-    async fn start_ready(small_replica: SocketAddr) -> Self {
-        let store = Store::default();
-        let mut config: Value = serde_json::from_str(&records::config(3)).expect("JSON");
-        config["Limits"]["MaxBodyBytes"] = BODY_BYTES_MAX.into();
-        config["Routes"][0]["TimeoutMs"] = 10_000.into();
-        config["Routes"][2]["Service"] = SMALL.into();
-        let small = json!({ "Name": SMALL, "HealthPath": "/health", "MaxConns": 100 });
-        let services = config["Services"].as_array_mut();
-        services.expect("services").push(small);
-        let record = records::replica(SMALL, small_replica, "ready", 1);
-        store.put("keyed.servers", "small-1", Some(&record));
-        store.put("keyed.op", "config", Some(&config.to_string()));
-        let mut replicas = Vec::new();
-        for id in ["plain-1", "plain-2"] {
-            let settings = ReplicaSettings {
-                id: id.to_owned(),
-                events: 0,
-                pause_ms: 1,
-            };
-            let (handle, seen) = replica::start(any_port(), settings).await.expect("a port");
-            let record = records::replica(PLAIN, handle.address, "ready", 1);
-            store.put("keyed.servers", id, Some(&record));
-            replicas.push((handle, seen));
-        }
+    async fn start_ready(
+        store: &Store,
+        replicas: Vec<(Handle, ReplicaControl)>,
+        memory_mb: u64,
+    ) -> Self {
         let listener = store.listen(any_port()).await.expect("a port");
         let (clients, readiness) = (free_address(), free_address());
         let folder = std::env::temp_dir().join(format!("hornbeamrock-memory-{}", clients.port()));
         fs::create_dir_all(&folder).expect("a folder");
         let settings = json!({
             "Node": "front-1", "Zone": "zone-a", "Ip": "127.0.0.1",
-            "Limits": { "Cpus": 2, "MemoryMb": MEMORY_MB },
+            "Limits": { "Cpus": 2, "MemoryMb": memory_mb },
             "Listen": { "Front": clients, "Ready": readiness },
             "Provider": { "Address": listener.address }, "Bounds": { "GraceS": 8 }
         });
@@ -332,7 +346,8 @@
 
 async fn flood(case: Case) {
     let small = SmallCaller::start();
-    let process = Process::start_ready(small.replica).await;
+    let (store, replicas) = flooded_site(small.replica).await;
+    let process = Process::start_ready(&store, replicas, MEMORY_MB).await;
     let address = process.clients;
     small.begin(address);
     let mut flood = JoinSet::new();
@@ -390,3 +405,29 @@
         }
     }
 }
+
+/// Records of another writer among those of the replicas, in all longer than the memory of the
+/// process that reads them.
+const FOREIGN_RECORDS: usize = 400;
+const FOREIGN_RECORD_BYTES: usize = 200_000;
+const READER_MEMORY_MB: u64 = 64;
+
+/// Guards against a process that is killed for its memory when it starts, because it keeps a list that
+/// is longer than its memory.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_long_list_of_foreign_records_stays_within_the_memory_of_the_process() {
+    let small = SmallCaller::start();
+    let (store, replicas) = flooded_site(small.replica).await;
+    let value = "x".repeat(FOREIGN_RECORD_BYTES);
+    for number in 0..FOREIGN_RECORDS {
+        let key = format!("foreign-{number}");
+        store.put("keyed.servers", &key, Some(&value));
+    }
+    store.trim("keyed.servers", 0);
+    let process = Process::start_ready(&store, replicas, READER_MEMORY_MB).await;
+    small.begin(process.clients);
+    let small = small.end();
+    let peak_mb = process.peak_mb();
+    println!("peak {peak_mb} MB, {} small calls", small.before.len());
+    assert!(peak_mb <= READER_MEMORY_MB, "peak {peak_mb} MB");
+}
