Memory: answers and texts are counted while they arrive

What callers saw, on other systems: a faulty replica sent bytes without end until the caller closed; the machine that had called it kept them all and ran out of memory, with the requests of all other clients. Here: 24 calls whose answers had no end took a front, whose settings say 300 MB, to 476 MB; 24 items whose events had no end took it to 654 MB in 8 s.

Cause: a call read up to 8 MiB of its answer, and counted it against the front's memory only when it was whole. A run of an item kept every event, and every line of an event that did not end.

Fix: the body of an answer is counted in HeldBytes before it is read, by its declared length, or as the longest one once it is no small one any more, as bodies of requests are. Long answers leave room for small requests and answers. As an answer that waits has run already, a request whose route lately had long answers is refused (503, not run) while the next one would not fit. Long texts of items are counted as they grow; one that does not fit, or is longer than 8 MiB, is dropped and begun anew elsewhere.

--- a/components/front/src/calls.rs
+++ b/components/front/src/calls.rs
@@ -22,13 +22,15 @@
 use futures_util::stream::FuturesUnordered;
 use hyper::{HeaderMap, Method, StatusCode};
 use platform::ExchangeError;
-use platform::replica::{self, ReplicaError, ReplicaResponse};
+use platform::replica::{self, RESPONSE_BYTES_MAX, ReplicaError, ReplicaResponse};
 use quarantine::CallDigest;
 use types::Class;
 
 use crate::call_queue::{self, Slot};
 use crate::call_replica::{Granted, accepts_work, acquire, select_hedge, services};
 use crate::clock::{now_ms, now_us};
+use crate::held::HeldGuard;
+use crate::held_body;
 use crate::meter::{CountedRequest, SentAt};
 use crate::metrics;
 use crate::peers::{Incarnation, incarnation};
@@ -69,10 +71,17 @@
     pub deadline_at_ms: u64,
 }
 
+/// A replica's complete answer.
+pub struct Answer {
+    pub response: ReplicaResponse,
+    /// Counts the body.
+    pub held: HeldGuard,
+}
+
 /// How a call ended.
 pub enum CallOutcome {
     /// A replica's complete answer, which may be an error status.
-    Answer(Box<ReplicaResponse>),
+    Answer(Box<Answer>),
     /// No answer; the text is the cause, for the log.
     Failed(CallFailure, String),
     /// Refused by the queue: no replica has run the call, and none will.
@@ -83,7 +92,7 @@
 
 struct Attempt {
     end: AttemptOutcome,
-    answer: Option<Box<ReplicaResponse>>,
+    answer: Option<Box<Answer>>,
     /// Whether a full replica refused the call without running it.
     refused: bool,
     /// Whether the replica refused the connection, so that nothing was sent to it.
@@ -147,7 +156,7 @@
     let mut may_have_run = false;
     // Whether an attempt that no replica answered with a refusal may have run.
     let mut may_run_elsewhere = false;
-    let mut failure: Option<Box<ReplicaResponse>> = None;
+    let mut failure: Option<Box<Answer>> = None;
     let mut waited_ms = 0;
     let mut was_refused = false;
     let mut connections_refused = 0;
@@ -194,7 +203,7 @@
                 was_refused = refused || connection_refused;
                 connections_refused += usize::from(connection_refused);
                 let sent = counted_attempts(spec.route, tried.len(), connections_refused);
-                let is_refusal = answer.as_ref().is_some_and(|answer| answer.is_refusal());
+                let is_refusal = answer.as_ref().is_some_and(|answer| answer.response.is_refusal());
                 // The client must not receive a refusal while another attempt may run the request.
                 let (end, answer) = match is_refusal && (may_run_elsewhere || !attempts.is_empty()) {
                     true => (AttemptOutcome::NotRun, None),
@@ -220,7 +229,7 @@
                 );
                 match action {
                     NextAction::Finish(end) if attempts.is_empty() => match failure.take() {
-                        Some(answer) if !(answer.is_refusal() && may_run_elsewhere) => {
+                        Some(answer) if !(answer.response.is_refusal() && may_run_elsewhere) => {
                             break CallOutcome::Answer(answer);
                         }
                         _ => break CallOutcome::Failed(end, reason),
@@ -279,8 +288,8 @@
 /// replica has not stated that: a refusal with that statement is no answer but a failed attempt.
 fn keep_promise(outcome: CallOutcome) -> CallOutcome {
     match outcome {
-        CallOutcome::Answer(answer) if answer.is_refusal() => {
-            let why = format!("answered with status {}", answer.status.as_u16());
+        CallOutcome::Answer(answer) if answer.response.is_refusal() => {
+            let why = format!("answered with status {}", answer.response.status.as_u16());
             CallOutcome::Failed(CallFailure::Unknown, why)
         }
         outcome => outcome,
@@ -300,7 +309,7 @@
     match outcome {
         CallOutcome::Answer(answer) => log::info!(
             event = "call-answered", id = spec.request_id, route = &*spec.route.name,
-            status = answer.status.as_u16(), replica, sent = tried.len(), took_ms, waited_ms; ""
+            status = answer.response.status.as_u16(), replica, sent = tried.len(), took_ms, waited_ms; ""
         ),
         CallOutcome::Failed(end, reason) => log::warn!(
             event = "call-failed", id = spec.request_id, call:% = digest,
@@ -357,7 +366,7 @@
         .metrics
         .count("front_attempts_total", label, sent as u64);
     let end = match outcome {
-        CallOutcome::Answer(answer) if answer.status.is_server_error() => {
+        CallOutcome::Answer(answer) if answer.response.status.is_server_error() => {
             "front_calls_failed_total"
         }
         CallOutcome::Answer(_) => "front_calls_answered_total",
@@ -484,8 +493,11 @@
     let sent_ms = now_ms();
     sent.store(sent_ms, Ordering::Relaxed);
     let mut silence = SilenceWatch::start(&member);
+    let within = Duration::from_millis(left_ms);
+    let held = front.held.guard();
+    let read_body = |body| held_body::read_answer(body, RESPONSE_BYTES_MAX, &held);
     let answered = tokio::select! {
-        answered = replica::call(&mut connection, call, Duration::from_millis(left_ms)) => answered,
+        answered = replica::call(&mut connection, call, within, read_body) => answered,
         () = member.peer.wait_for_restart(sent_ms) => {
             in_flight.record_timeout();
             return failed(AttemptOutcome::Unknown, "the replica restarted".to_owned());
@@ -516,15 +528,23 @@
             }
             if answer.status.is_server_error() {
                 let reason = format!("status {}", answer.status.as_u16());
-                let answer = Some(Box::new(answer));
+                let answer = Some(Box::new(Answer {
+                    response: answer,
+                    held,
+                }));
                 return Attempt {
                     answer,
                     ..failed(AttemptOutcome::Unknown, reason)
                 };
             }
+            let body_bytes = answer.body.len() as u64;
+            front.answer_lengths.record(&spec.route.name, body_bytes);
             load.record_success(&typical, now_us() - began_us, now_ms());
             slot.record_answer(spec.route, spec.background);
-            let answer = Some(Box::new(answer));
+            let answer = Some(Box::new(Answer {
+                response: answer,
+                held,
+            }));
             Attempt {
                 answer,
                 ..failed(AttemptOutcome::Answered, String::new())
--- a/components/front/src/held.rs
+++ b/components/front/src/held.rs
@@ -17,7 +17,7 @@
 use hyper::body::{Body, Frame, SizeHint};
 use platform::{BodyError, ResponseBody};
 use tokio::sync::Notify;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::timeout;
 
 use crate::answers::AnswerGuard;
 
@@ -34,7 +34,7 @@
 #[value]
 #[derive(Copy)]
 pub struct HeldLimits {
-    /// For bodies of large requests.
+    /// For bodies of large requests, large answers that are still arriving, and long texts of items.
     pub large_requests: u64,
     /// For bodies of small requests, which are admitted while large ones are refused.
     pub small_requests: u64,
@@ -54,6 +54,14 @@
         }
     }
 
+    /// An answer that is still arriving leaves room for small requests if it is a long one.
+    fn of_arriving_answer(&self, bytes: u64) -> u64 {
+        match bytes <= SMALL_BYTES_MAX {
+            true => self.answers,
+            false => self.large_requests,
+        }
+    }
+
     fn of_request(&self, bytes: u64) -> u64 {
         match bytes <= SMALL_BYTES_MAX {
             true => self.small_requests,
@@ -88,13 +96,28 @@
 
     /// Starts the count of a request whose body has `bytes`; `None` if the front holds too much.
     pub fn admit(self: &Arc<Self>, bytes: u64) -> Option<Arc<HeldGuard>> {
-        let guard = Arc::new(HeldGuard {
-            held: Arc::clone(self),
-            bytes: AtomicU64::new(0),
-        });
+        let guard = Arc::new(self.guard());
         let limit = self.limits.of_request(bytes);
         guard.try_add(bytes, limit).then_some(guard)
     }
+
+    /// Starts the count of a call whose answer has probably `answer_bytes`; `None` if the front holds
+    /// too much already for one that is long. It would run in vain.
+    pub fn admit_call(self: &Arc<Self>, answer_bytes: u64) -> Option<Arc<HeldGuard>> {
+        let guard = self.admit(0)?;
+        let is_small = answer_bytes <= SMALL_BYTES_MAX;
+        let limit = self.limits.large_requests;
+        let would_hold = self.bytes() + answer_bytes.min(limit);
+        (is_small || would_hold <= limit).then_some(guard)
+    }
+
+    /// Starts a count of nothing.
+    pub fn guard(self: &Arc<Self>) -> HeldGuard {
+        HeldGuard {
+            held: Arc::clone(self),
+            bytes: AtomicU64::new(0),
+        }
+    }
 }
 
 /// Counts the body of a complete answer and passes the count on with it; false if the front would
@@ -119,16 +142,35 @@
         self.try_add(bytes, self.held.limits.answers)
     }
 
-    /// Counts a body of unknown length, of which `bytes` have arrived. A body that is no small one
-    /// any more counts with the longest length that it may have: two bodies that each hold a part
-    /// would wait for each other.
+    /// Counts the text of an item, which takes `bytes` in all, if it is a long one; false if the front
+    /// would hold too much.
+    pub fn try_hold_text(&self, bytes: u64) -> bool {
+        let missing = bytes.saturating_sub(self.bytes.load(Ordering::Relaxed));
+        bytes <= SMALL_BYTES_MAX || self.try_add(missing, self.held.limits.large_requests)
+    }
+
+    /// Counts the body of a request of unknown length, of which `bytes` have arrived. A body that is no
+    /// small one any more counts with the longest length that it may have: two bodies that each hold a
+    /// part would wait for each other.
     pub async fn hold_undeclared(&self, bytes: u64, limit_bytes: u64) -> bool {
+        let missing = self.missing_of_undeclared(bytes, limit_bytes);
+        missing == 0 || self.hold_request(missing).await
+    }
+
+    /// Like [`HeldGuard::hold_undeclared`], for the body of an answer; waits until it may be held.
+    pub async fn hold_undeclared_answer(&self, bytes: u64, limit_bytes: u64) {
+        let missing = self.missing_of_undeclared(bytes, limit_bytes);
+        if missing > 0 {
+            self.hold_answer(missing).await;
+        }
+    }
+
+    fn missing_of_undeclared(&self, bytes: u64, limit_bytes: u64) -> u64 {
         let wanted = match bytes <= SMALL_BYTES_MAX {
             true => bytes,
             false => limit_bytes.max(bytes),
         };
-        let counted = self.bytes.load(Ordering::Relaxed);
-        wanted <= counted || self.hold_request(wanted - counted).await
+        wanted.saturating_sub(self.bytes.load(Ordering::Relaxed))
     }
 
     /// Releases what is counted beyond `bytes`.
@@ -144,15 +186,24 @@
         let total = self.bytes.load(Ordering::Relaxed) + bytes;
         let limit = limits.of_request(total);
         let wait_ms = WAIT_MS.start + rand::random::<u64>() % (WAIT_MS.end - WAIT_MS.start);
-        let deadline = Instant::now() + Duration::from_millis(wait_ms);
+        let wait = Duration::from_millis(wait_ms);
+        timeout(wait, self.wait_and_add(bytes, limit)).await.is_ok()
+    }
+
+    /// Counts `bytes` more of an answer that arrives from a replica, once the front may hold them.
+    pub async fn hold_answer(&self, bytes: u64) {
+        let total = self.bytes.load(Ordering::Relaxed) + bytes;
+        let limit = self.held.limits.of_arriving_answer(total);
+        self.wait_and_add(bytes, limit).await;
+    }
+
+    async fn wait_and_add(&self, bytes: u64, limit: u64) {
         loop {
             let released = self.held.released.notified();
             if self.try_add(bytes, limit) {
-                return true;
-            }
-            if timeout_at(deadline, released).await.is_err() {
-                return false;
+                return;
             }
+            released.await;
         }
     }
 
--- a/components/front/src/request_body.rs
+++ b/components/front/src/held_body.rs
@@ -1,4 +1,4 @@
-//! Reads the bodies of requests into memory that is counted while they arrive.
+//! Reads the bodies of requests and of replicas' answers into memory that is counted while they arrive.
 
 use std::time::Duration;
 
@@ -36,25 +36,56 @@
     }
 }
 
-/// Reads a body of `declared_bytes`, which are counted in `held` already, or of a length that is not
-/// known, which is counted as it arrives. Data that does not fit is left unread.
-pub async fn read(
+/// Reads the body of a request of `declared_bytes`, which are counted in `held` already, or of a
+/// length that is not known, which is counted as it arrives. Data that does not fit is left unread.
+pub async fn read_request(
     body: Incoming,
     limit_bytes: usize,
     declared_bytes: Option<u64>,
     held: &HeldGuard,
     within: Duration,
 ) -> Result<Bytes, RequestBodyError> {
-    let reading = read_frames(body, limit_bytes, declared_bytes, held);
+    let reading = read_frames(body, limit_bytes, declared_bytes, held, Sender::Client);
     let read = timeout(within, reading).await;
     read.unwrap_or(Err(RequestBodyError::Late))
 }
 
+/// Reads the body of a replica's answer and counts it in `held`. Waits until the front may hold it;
+/// the caller limits the time.
+pub async fn read_answer(
+    body: Incoming,
+    limit_bytes: usize,
+    held: &HeldGuard,
+) -> Result<Bytes, BodyError> {
+    let declared_bytes = body.size_hint().exact();
+    if declared_bytes.is_some_and(|bytes| bytes > limit_bytes as u64) {
+        return Err(BodyError::TooLarge(limit_bytes));
+    }
+    if let Some(bytes) = declared_bytes {
+        held.hold_answer(bytes).await;
+    }
+    let read = read_frames(body, limit_bytes, declared_bytes, held, Sender::Replica);
+    read.await.map_err(|error| match error {
+        RequestBodyError::Body(error) => error,
+        other => BodyError::Interrupted(other.to_string()),
+    })
+}
+
+/// Who sends a body.
+#[derive(Clone, Copy)]
+enum Sender {
+    /// Its request is refused if the front holds too much.
+    Client,
+    /// Its answer waits until the front may hold it.
+    Replica,
+}
+
 async fn read_frames(
     mut body: Incoming,
     limit_bytes: usize,
     declared_bytes: Option<u64>,
     held: &HeldGuard,
+    sender: Sender,
 ) -> Result<Bytes, RequestBodyError> {
     let mut gathered = Segments::default();
     while let Some(frame) = body.frame().await {
@@ -65,11 +96,13 @@
         if gathered.bytes + data.len() > limit_bytes {
             return Err(BodyError::TooLarge(limit_bytes).into());
         }
-        if declared_bytes.is_none() {
-            let bytes = (gathered.bytes + data.len()) as u64;
-            if !held.hold_undeclared(bytes, limit_bytes as u64).await {
-                return Err(RequestBodyError::Overfull);
-            }
+        let bytes = (gathered.bytes + data.len()) as u64;
+        let longest = limit_bytes as u64;
+        match sender {
+            _ if declared_bytes.is_some() => {}
+            Sender::Client if held.hold_undeclared(bytes, longest).await => {}
+            Sender::Client => return Err(RequestBodyError::Overfull),
+            Sender::Replica => held.hold_undeclared_answer(bytes, longest).await,
         }
         if gathered.bytes == 0 && body.is_end_stream() {
             held.shrink_to(data.len() as u64);
--- a/components/front/src/lib.rs
+++ b/components/front/src/lib.rs
@@ -8,6 +8,7 @@
 //! this crate performs the I/O for them.
 
 mod access;
+mod answer_lengths;
 mod answers;
 mod call_queue;
 mod call_replica;
@@ -17,6 +18,7 @@
 mod connections;
 mod follow;
 mod held;
+mod held_body;
 mod jobs;
 mod leader;
 mod leave;
@@ -31,7 +33,6 @@
 mod replica_checks;
 mod replica_pace;
 mod reports;
-mod request_body;
 mod result_writer;
 mod results;
 mod reward;
--- a/components/front/src/partial.rs
+++ b/components/front/src/partial.rs
@@ -9,9 +9,11 @@
 
 use bytes::Bytes;
 use index::{DATA_TOPIC, LogRecord};
+use platform::replica::RESPONSE_BYTES_MAX;
 use platform::store::StoreError;
 use steps::{DataLocation, SavedPiece, StepId, StepRecord};
 
+use crate::held::HeldGuard;
 use crate::state::{Front, lock};
 use crate::writer::{APPEND_TIMEOUT_MS, WriteError, append_limits, data_partition, write_index};
 
@@ -19,6 +21,8 @@
 const READ_TIMEOUT_MS: u64 = 800;
 /// Kibibytes added to a read of a piece for the length prefix of its record and for rounding.
 const READ_EXTRA_KB: u32 = 1;
+/// Size limit of a text. A replica that sends events without end would otherwise fill the memory.
+const TEXT_BYTES_MAX: usize = RESPONSE_BYTES_MAX;
 /// Fewer new events than this are not saved as a piece yet.
 const PIECE_EVENTS_MIN: u64 = 4;
 
@@ -38,6 +42,8 @@
     /// Whether the next run opens a connection, because the replica of the last one was silent at
     /// its end. The idle connections of other replicas may be silent for the same reason.
     pub needs_new_connection: bool,
+    /// Counts the text if it is a long one.
+    held: Option<HeldGuard>,
     /// The part whose pieces the index is known to contain.
     saved: SavedPart,
     /// The part including the piece that was written last, until the index shows that piece.
@@ -67,6 +73,23 @@
 pub type SharedPartialText = Arc<Mutex<PartialText>>;
 
 impl PartialText {
+    /// Makes room for `bytes` more; false if the text would be longer than a text may be, or if the
+    /// front would hold too much.
+    pub fn try_reserve(&mut self, front: &Front, bytes: usize) -> bool {
+        // An event's data follows a line feed.
+        let needed = self.text.len() + bytes + 1;
+        let capacity = match needed <= self.text.capacity() {
+            true => self.text.capacity(),
+            false => needed.max(2 * self.text.capacity()),
+        };
+        let held = self.held.get_or_insert_with(|| front.held.guard());
+        let fits = needed <= TEXT_BYTES_MAX && held.try_hold_text(capacity as u64);
+        if fits {
+            self.text.reserve_exact(capacity - self.text.len());
+        }
+        fits
+    }
+
     /// Appends an event's data.
     pub fn push(&mut self, data: &[u8], id: u64, version: u64) {
         if self.last_event > 0 {
@@ -91,6 +114,7 @@
     /// Takes the text of a run that has reached its end; `None` if the text has no events. Later
     /// events of another run of the item do not fit what is left, so that run breaks off.
     pub fn take_complete(&mut self) -> Option<CompleteText> {
+        self.held = None;
         let events = std::mem::take(&mut self.last_event);
         let complete = CompleteText {
             text: std::mem::take(&mut self.text),
@@ -160,6 +184,7 @@
             discarded: false,
             slow_moves: 0,
             needs_new_connection: false,
+            held: None,
             saved,
             unconfirmed: None,
         })
--- a/components/front/src/reward.rs
+++ b/components/front/src/reward.rs
@@ -62,6 +62,7 @@
         let mut pause_ms = RETRY_PAUSE_MS;
         match calls::perform(front, &spec).await {
             CallOutcome::Answer(answer) => {
+                let answer = &answer.response;
                 if answer.is_success()
                     && let Some(stamp) = answer.stamp()
                 {
--- a/components/front/src/run_item.rs
+++ b/components/front/src/run_item.rs
@@ -169,7 +169,7 @@
         silence.record_outcome(&next);
         match next {
             Ok(Some(event)) => {
-                if let Err(end) = append_event(spec, &mut lock(shared), &item_run, &event) {
+                if let Err(end) = append_event(front, spec, &mut lock(shared), &item_run, &event) {
                     return end;
                 }
                 let now_us = now_us();
@@ -211,6 +211,7 @@
 
 /// Appends an event to the text, if it is the next one and of a version that the item may use.
 fn append_event(
+    front: &Front,
     spec: &RunSpec,
     partial: &mut PartialText,
     run: &ItemRun,
@@ -224,6 +225,10 @@
         )));
     }
     let version = check_version(spec, partial, run)?;
+    if !partial.try_reserve(front, event.data.len()) {
+        partial.discard();
+        return Err(RunEnd::Interrupted("the text is too long".to_owned()));
+    }
     partial.push(&event.data, event.id, version);
     Ok(())
 }
--- a/components/front/src/serve.rs
+++ b/components/front/src/serve.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use customers::Customer;
 use dispatch::{CallFailure, Route, RouteKind, Routes};
 use hyper::body::Incoming;
@@ -13,11 +12,11 @@
 use telemetry::Label;
 
 use crate::access::AuthorizedCall;
-use crate::calls::{self, CallOutcome, CallSpec};
+use crate::calls::{self, Answer, CallOutcome, CallSpec};
 use crate::clock::now_ms;
 use crate::follow::{Lookup, find_in_index};
 use crate::held::{self, HeldGuard};
-use crate::request_body::{self, RequestBodyError};
+use crate::held_body::{self, RequestBodyError};
 use crate::results::{self, ReadResult};
 use crate::state::Front;
 use crate::stream::NotStarted;
@@ -208,7 +207,8 @@
     if content_length.is_some_and(|bytes| bytes > limit_bytes as u64) {
         return refuse_long_body(front, id, limit_bytes).await;
     }
-    let Some(held) = front.held.admit(0) else {
+    let answer_bytes = front.answer_lengths.expected(&route.name);
+    let Some(held) = front.held.admit_call(answer_bytes) else {
         return overfull_response(Some(id), front.held.bytes());
     };
     if !held.hold_request(content_length.unwrap_or(0)).await {
@@ -216,7 +216,7 @@
     }
     let timeout_ms = ingress::deadline_ms(&parts.headers).unwrap_or(DEFAULT_TIMEOUT_MS);
     let within = Duration::from_millis(timeout_ms);
-    let read = request_body::read(body, limit_bytes, content_length, &held, within).await;
+    let read = held_body::read_request(body, limit_bytes, content_length, &held, within).await;
     let body = match read {
         Ok(body) => body,
         Err(RequestBodyError::Body(BodyError::TooLarge(_))) => {
@@ -351,15 +351,20 @@
     }
     match calls::perform(front, spec).await {
         CallOutcome::Answer(answer) => {
-            let mut response = Response::new(ResponseBody::Full(Bytes::clone(&answer.body)));
-            *response.status_mut() = answer.status;
-            *response.headers_mut() = answer.headers;
-            if !held::try_hold_answer(&mut response, held) {
+            let Answer {
+                response,
+                held: arrived,
+            } = *answer;
+            let mut answer = Response::new(ResponseBody::Full(response.body));
+            *answer.status_mut() = response.status;
+            *answer.headers_mut() = response.headers;
+            drop(arrived);
+            if !held::try_hold_answer(&mut answer, held) {
                 let held_bytes = front.held.bytes();
                 log::warn!(event = "answer-dropped", id, held_bytes; "");
                 return failure_response(CallFailure::Unknown, id);
             }
-            response
+            answer
         }
         CallOutcome::Failed(end, _) => failure_response(end, id),
         CallOutcome::Refused(refusal) => {
--- a/components/front/src/state.rs
+++ b/components/front/src/state.rs
@@ -23,6 +23,7 @@
 use tokio::sync::{Notify, watch};
 use usage::{UsageLedger, WindowSettings};
 
+use crate::answer_lengths::AnswerLengths;
 use crate::call_queue::CallQueues;
 use crate::clock::now_ms;
 use crate::follow::TopicCopy;
@@ -101,6 +102,8 @@
     pub call_queues: CallQueues,
     /// Calls in flight, and those that crash replicas.
     pub suspects: Arc<SuspectCalls>,
+    /// Expected lengths of answers by route.
+    pub answer_lengths: AnswerLengths,
     /// Typical latency by route.
     typical_durations: Mutex<HashMap<Arc<str>, Arc<TypicalDuration>>>,
 }
@@ -145,6 +148,7 @@
                 settings.store.retention_ms,
                 settings.heartbeat_ms,
             )),
+            answer_lengths: AnswerLengths::default(),
             typical_durations: Mutex::default(),
             settings,
         }
