Shutdown: requests that can't be answered before the exit get an answer

Cause: a front refuses requests from 2.6 s after the signal on, but decided that when the head arrived. A request whose body came later was passed on at any time up to the exit, 7.1 s after the signal. Whatever had no answer then lost its connection.

Fix: a body that is not whole when the front begins to refuse requests is refused (503 with Retry-After): no replica has seen the request. 300 ms before the exit, which lies in the last sixth of the grace, calls that wait for a place are refused, and calls, streams without a head and submissions in progress are answered with 502 or 504, which promise nothing.

Evidence: can_answer_every_request_before_the_process_ends (real process, safe, unsafe and stream routes; sent before the signal, body sent 4 s after it, body never sent) fails on the code before: "/slow-calls/ sent before the signal:" with an empty answer. It passes now. Handled already, with tests: requests on new connections and with heads that come later are refused, and idle connections are closed.

--- a/bin/hornbeamrock/tests/drain.rs
+++ b/bin/hornbeamrock/tests/drain.rs
@@ -30,6 +30,13 @@
 const LATE_EVENTS: u64 = 5;
 /// A process that was told to end refuses requests from then on.
 const REFUSES_AFTER: Duration = Duration::from_millis(2_800);
+/// When requests are sent, before the signal.
+const BEFORE_SIGNAL: Duration = Duration::from_millis(500);
+/// Service of a replica whose answers take longer than a process has to end.
+const SLOW: &str = "slow";
+const SLOW_MS: u64 = 9_000;
+/// When the rest of a late body arrives, after the signal.
+const LATE_BODY: Duration = Duration::from_millis(4_000);
 /// Longer than the buffers of the sockets hold.
 const LONG_ANSWER_BYTES: usize = 8 * 1024 * 1024;
 const RECEIVE_BUFFER_BYTES: u32 = 8 * 1024;
@@ -89,6 +96,7 @@
             ("plain-1", PLAIN, 0, 5),
             ("engine-1", ENGINES, EVENTS, PAUSE_MS),
             ("late-1", LATE, LATE_EVENTS, PAUSE_MS),
+            ("slow-1", SLOW, 0, SLOW_MS),
         ] {
             let settings = ReplicaSettings {
                 id: id.to_owned(),
@@ -135,8 +143,11 @@
             route("calls", "safe", PLAIN),
             route("streams", "stream", ENGINES),
             route("late", "stream", LATE),
+            route("slow-calls", "safe", SLOW),
+            route("slow-bids", "unsafe", SLOW),
+            route("slow-streams", "stream", SLOW),
         ],
-        "Services": [service(PLAIN), service(ENGINES), service(LATE)],
+        "Services": [service(PLAIN), service(ENGINES), service(LATE), service(SLOW)],
         "Limits": { "MaxHeaderBytes": 16_384, "MaxBodyBytes": 1_048_576,
                     "HeaderTimeoutMs": 3_000, "IdleTimeoutMs": 15_000 }
     })
@@ -342,6 +353,104 @@
     assert_eq!(process.wait_for_exit().await.code(), Some(0));
 }
 
+/// A request that a process cannot answer with what a replica says, because it has to end before.
+struct Unanswerable {
+    name: &'static str,
+    path: &'static str,
+    /// When the rest of the body is sent, after the signal; `None` if the body was sent before.
+    body_after: Option<Duration>,
+}
+
+/// Guards against connections that are closed without an answer at the end of the process: of
+/// requests whose bodies arrive when requests are refused already, and which were passed on then, and
+/// of requests that replicas still run or have not begun to answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn can_answer_every_request_before_the_process_ends() {
+    let mut cases = Vec::new();
+    for path in ["/slow-calls/", "/slow-bids/", "/slow-streams/"] {
+        for (name, body_after) in [
+            ("sent before the signal", None),
+            ("body sent after requests are refused", Some(LATE_BODY)),
+            ("body never sent", Some(TIMEOUT)),
+        ] {
+            cases.push(Unanswerable {
+                name,
+                path,
+                body_after,
+            });
+        }
+    }
+    let site = Site::start().await;
+    let mut process = Process::start_ready(&site, 1).await;
+    let clients = process.clients;
+    let mut requests = JoinSet::new();
+    for (number, case) in cases.into_iter().enumerate() {
+        requests.spawn(async move {
+            let id = format!("slow-{number}");
+            let answer = unanswerable(clients, &id, &case).await;
+            (id, case, answer)
+        });
+    }
+    sleep(BEFORE_SIGNAL).await;
+    process.signal(Signal::TERM);
+    let exit = tokio::spawn(async move { (process.wait_for_exit().await.code(), process) });
+    while let Some(ended) = requests.join_next().await {
+        let (id, case, answer) = ended.expect("read");
+        let (status, case_name) = (answer.get(9..12).unwrap_or("none"), case.name);
+        let runs = site.replicas[3].1.runs().remove(&id).unwrap_or_default();
+        match case.body_after {
+            // The request may have run.
+            None => assert!(
+                ["502", "504"].contains(&status),
+                "{} {case_name}: {answer}",
+                case.path
+            ),
+            Some(_) => {
+                assert_eq!(status, "503", "{} {case_name}: {answer}", case.path);
+                assert!(
+                    answer.contains("retry-after"),
+                    "{} {case_name}: {answer}",
+                    case.path
+                );
+                assert!(runs.is_empty(), "{} {case_name}", case.path);
+            }
+        }
+    }
+    let (code, _process) = exit.await.expect("no panic");
+    assert_eq!(code, Some(0));
+}
+
+/// Sends a request in two parts and returns the whole answer.
+async fn unanswerable(clients: SocketAddr, id: &str, case: &Unanswerable) -> String {
+    let stream = connect(clients).await;
+    let (reader, mut writer) = stream.into_split();
+    let request = format!(
+        "POST {}x HTTP/1.1\r\nhost: {HOST}\r\nhornbeamrock-request-id: {id}\r\n\
+         hornbeamrock-deadline-ms: 10000\r\ncontent-length: 4\r\n\r\nbo",
+        case.path
+    );
+    writer.write_all(request.as_bytes()).await.expect("written");
+    let wait = case
+        .body_after
+        .map_or(Duration::ZERO, |after| BEFORE_SIGNAL + after);
+    tokio::spawn(async move {
+        sleep(wait).await;
+        // Fails if the process has answered and closed the connection.
+        let _ = writer.write_all(b"dy").await;
+        sleep(TIMEOUT).await;
+    });
+    let mut answer = Vec::new();
+    let mut reader = reader;
+    let read = tokio::time::timeout(TIMEOUT, reader.read_to_end(&mut answer)).await;
+    assert!(
+        read.is_ok(),
+        "{} {}: the connection stays open",
+        case.path,
+        case.name
+    );
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
 async fn complete_answers(case: Case, cores: usize) {
     let site = Site::start().await;
     let mut process = Process::start_ready(&site, cores).await;
--- a/components/front/src/calls.rs
+++ b/components/front/src/calls.rs
@@ -47,6 +47,9 @@
 /// Error of an answer that ended with the connection when its replica crashed.
 pub const CRASHED_AT_END: &str = "the replica crashed, so the answer may be truncated";
 
+/// Error of a call that has no answer yet when the front exits.
+pub const LEAVING: &str = "no answer before the front left";
+
 /// A call of a route.
 pub struct CallSpec<'a> {
     pub route: &'a Arc<Route>,
@@ -163,7 +166,13 @@
     let outcome = loop {
         if attempts.is_empty() {
             let asked_us = now_us();
-            let granted = acquire(front, spec, digest, &typical, &tried, was_refused).await;
+            let granted = tokio::select! {
+                granted = acquire(front, spec, digest, &typical, &tried, was_refused) => granted,
+                () = front.wait_until_ending() => {
+                    let end = failure_without_replica(may_have_run);
+                    break CallOutcome::Failed(end, LEAVING.to_owned());
+                }
+            };
             waited_ms += (now_us() - asked_us) / 1_000;
             let (refused, why) = match granted {
                 Granted::Place(slot, in_flight) => {
@@ -251,6 +260,9 @@
                     attempts.push(attempt(front, spec, slot, typical, sent, in_flight));
                 }
             }
+            () = front.wait_until_ending() => {
+                break CallOutcome::Failed(CallFailure::TimedOut, LEAVING.to_owned());
+            }
             () = tokio::time::sleep(left) => {
                 break CallOutcome::Failed(CallFailure::TimedOut, "no answer before the deadline".to_owned());
             }
--- a/components/front/src/held_body.rs
+++ b/components/front/src/held_body.rs
@@ -29,6 +29,10 @@
         Overfull {
             display("too much data is held")
         }
+        /// The client did not send the whole of it before the front refuses requests because it leaves.
+        Leaving {
+            display("the body did not arrive before the front leaves")
+        }
         /// The client did not send the whole of it before the deadline of the request.
         Late {
             display("the body did not arrive before the deadline")
--- a/components/front/src/leave.rs
+++ b/components/front/src/leave.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use leaving::{DrainAction, DrainSettings};
+use tokio::sync::watch;
 
 use crate::clock::now_ms;
 use crate::state::Front;
@@ -19,6 +20,8 @@
 const SETTLE_MS: u64 = 2_600;
 /// Safety margin between the last work and the platform's kill, in milliseconds.
 const KILL_MARGIN_MS: u64 = 900;
+/// How long before the exit the requests in progress are answered with an error, in milliseconds.
+const FINAL_ANSWERS_MS: u64 = 300;
 /// Retry-After of a request that is refused because the front is leaving, in milliseconds.
 const RETRY_AFTER_MS: u32 = 50;
 /// Timeout for saving partial texts, in milliseconds: enough for two appends to a slow store.
@@ -73,14 +76,19 @@
                 return;
             }
             DrainAction::WaitUntil { .. } | DrainAction::Serve => {
-                let closing = front.drain.phase(now_ms()) == leaving::Phase::Finishing;
-                front.close_connections.send_if_modified(|known| {
-                    let changed = *known != closing;
-                    *known = closing;
-                    changed
-                });
+                let now_ms = now_ms();
+                let is_refusing = front.drain.phase(now_ms) == leaving::Phase::Finishing;
+                set(&front.close_connections, is_refusing);
+                let last_ms = front.drain.last_ms();
+                let is_ending = last_ms.is_some_and(|at_ms| now_ms + FINAL_ANSWERS_MS >= at_ms);
+                set(&front.ending, is_ending);
                 tokio::time::sleep(Duration::from_millis(POLL_MS)).await;
             }
         }
     }
 }
+
+/// Sets a flag and wakes those who wait for it if it changed.
+fn set(flag: &watch::Sender<bool>, value: bool) {
+    flag.send_if_modified(|known| std::mem::replace(known, value) != value);
+}
--- a/components/front/src/serve.rs
+++ b/components/front/src/serve.rs
@@ -216,7 +216,11 @@
     }
     let timeout_ms = ingress::deadline_ms(&parts.headers).unwrap_or(DEFAULT_TIMEOUT_MS);
     let within = Duration::from_millis(timeout_ms);
-    let read = held_body::read_request(body, limit_bytes, content_length, &held, within).await;
+    let reading = held_body::read_request(body, limit_bytes, content_length, &held, within);
+    let read = tokio::select! {
+        read = reading => read,
+        () = front.wait_until_refusing() => Err(RequestBodyError::Leaving),
+    };
     let body = match read {
         Ok(body) => body,
         Err(RequestBodyError::Body(BodyError::TooLarge(_))) => {
@@ -225,7 +229,7 @@
         Err(RequestBodyError::Overfull) => {
             return overfull_response(Some(id), front.held.bytes());
         }
-        Err(error @ RequestBodyError::Late) => {
+        Err(error @ (RequestBodyError::Late | RequestBodyError::Leaving)) => {
             log::info!(event = "body-broken", id, error:% = error; "");
             return unread_body_response(Some(id), BUSY_RETRY_AFTER_MS, "not run");
         }
@@ -249,7 +253,10 @@
             customer: name_of(&customer),
             id,
         };
-        let reply = jobs::submit(front, &routes, &submitted, body).await;
+        let reply = tokio::select! {
+            reply = jobs::submit(front, &routes, &submitted, body) => reply,
+            () = front.wait_until_ending() => return failure_response(CallFailure::Unknown, id),
+        };
         return ingress::status_response(
             reply.status,
             Some(id),
@@ -332,7 +339,14 @@
 ) -> Response<ResponseBody> {
     let id = spec.request_id;
     if route.kind == RouteKind::Stream {
-        return match stream::relay(front, spec, held).await {
+        let relayed = tokio::select! {
+            relayed = stream::relay(front, spec, held) => relayed,
+            () = front.wait_until_ending() => Err(NotStarted::Failed {
+                not_run: false,
+                reason: calls::LEAVING.to_owned(),
+            }),
+        };
+        return match relayed {
             Ok(answer) => answer,
             Err(NotStarted::Failed { not_run, reason }) => {
                 log::warn!(event = "stream-failed", id, not_run, why = reason; "");
--- a/components/front/src/state.rs
+++ b/components/front/src/state.rs
@@ -96,8 +96,11 @@
     /// Numbers of items that were moved between replicas.
     pub moves: MoveCounts,
     pub drain: Drain,
-    /// Turns true when idle connections of clients are to be closed.
+    /// Turns true when requests are refused and idle connections of clients are to be closed.
     pub close_connections: watch::Sender<bool>,
+    /// Turns true shortly before the process exits. What can't be answered until then is answered with
+    /// an error.
+    pub ending: watch::Sender<bool>,
     /// Calls that wait for a replica, by service.
     pub call_queues: CallQueues,
     /// Calls in flight, and those that crash replicas.
@@ -141,6 +144,7 @@
             moves: MoveCounts::default(),
             drain,
             close_connections: watch::Sender::new(false),
+            ending: watch::Sender::new(false),
             call_queues: CallQueues::default(),
             suspects: Arc::new(SuspectCalls::new(
                 &settings.node,
@@ -193,6 +197,16 @@
             && self.drain.is_ready()
     }
 
+    /// Waits until a leaving front refuses requests.
+    pub async fn wait_until_refusing(&self) {
+        wait_until_true(&self.close_connections).await;
+    }
+
+    /// Waits until the front is about to exit.
+    pub async fn wait_until_ending(&self) {
+        wait_until_true(&self.ending).await;
+    }
+
     /// Estimate of the latency of a route's calls, shared by all calls of the route.
     pub fn typical_duration(&self, route: &Arc<str>) -> Arc<TypicalDuration> {
         let mut typical = lock(&self.typical_durations);
@@ -243,3 +257,8 @@
 pub fn lock<T>(lock: &Mutex<T>) -> MutexGuard<'_, T> {
     lock.lock().unwrap_or_else(PoisonError::into_inner)
 }
+
+async fn wait_until_true(flag: &watch::Sender<bool>) {
+    // Fails only if the sender is dropped, which the caller borrows.
+    let _ = flag.subscribe().wait_for(|is_set| *is_set).await;
+}
--- a/components/leaving/src/drain.rs
+++ b/components/leaving/src/drain.rs
@@ -174,6 +174,14 @@
         }
     }
 
+    /// When the process exits at the latest; `None` before the first notice.
+    pub fn last_ms(&self) -> Option<u64> {
+        let started_ms = self.started_ms.load(Ordering::SeqCst);
+        let settings = &self.settings;
+        let drain_ms = settings.settle_ms.saturating_add(settings.finish_ms_max);
+        (started_ms != NOT_STARTED).then(|| started_ms.saturating_add(drain_ms))
+    }
+
     fn finish(&self, settled_ms: u64, now_ms: u64) -> DrainAction {
         // A request may be admitted with a time that was read before the process was suspended.
         // Once `closed` is set, `admit` refuses work whatever time the caller passes. The count is
