--- a/components/inspect/src/read.rs
+++ b/components/inspect/src/read.rs
@@ -62,16 +62,9 @@
     /// Reads the active configuration: its version, and its routes sorted by host and prefix.
     /// Returns version 0 without routes if the store has no configuration.
     pub async fn routes(&self) -> Result<(u64, Vec<RouteRow>), InspectError> {
-        let newest = self
-            .store
-            .newest(OPERATOR_TOPIC, call_timeout())
-            .await?
-            .records;
         let mut configuration = (0, Vec::new());
-        for record in newest {
-            if let OperatorRecord::Routes(routes) =
-                parse_operator_record(&record.key, &record.value)?
-            {
+        for record in self.operator_records().await? {
+            if let OperatorRecord::Routes(routes) = record {
                 let rows = routes.sorted().into_iter().map(RouteRow::from);
                 configuration = (routes.version, rows.collect());
             }
@@ -81,16 +74,9 @@
 
     /// Reads the customers of the active configuration, sorted by name.
     pub async fn customers(&self) -> Result<Vec<CustomerRow>, InspectError> {
-        let newest = self
-            .store
-            .newest(OPERATOR_TOPIC, call_timeout())
-            .await?
-            .records;
         let mut rows = Vec::new();
-        for record in newest {
-            if let OperatorRecord::Routes(routes) =
-                parse_operator_record(&record.key, &record.value)?
-            {
+        for record in self.operator_records().await? {
+            if let OperatorRecord::Routes(routes) = record {
                 rows = customer_rows(&routes.customers);
             }
         }
@@ -143,16 +129,9 @@
 
     /// Reads the newest named version of each model, sorted by model.
     pub async fn versions(&self) -> Result<Vec<VersionRow>, InspectError> {
-        let newest = self
-            .store
-            .newest(OPERATOR_TOPIC, call_timeout())
-            .await?
-            .records;
         let mut named: BTreeMap<String, u64> = BTreeMap::new();
-        for record in newest {
-            if let OperatorRecord::VersionNamed { model, version } =
-                parse_operator_record(&record.key, &record.value)?
-            {
+        for record in self.operator_records().await? {
+            if let OperatorRecord::VersionNamed { model, version } = record {
                 named.insert(model.to_string(), version);
             }
         }
@@ -248,6 +227,23 @@
         Ok(usage)
     }
 
+    /// Records of the operator and of trainers. A malformed configuration is an error; other malformed
+    /// records are left out.
+    async fn operator_records(&self) -> Result<Vec<OperatorRecord>, InspectError> {
+        let newest = self.store.newest(OPERATOR_TOPIC, call_timeout()).await?;
+        let mut decoded = Vec::with_capacity(newest.records.len());
+        for record in newest.records {
+            match parse_operator_record(&record.key, &record.value) {
+                Ok(record) => decoded.push(record),
+                Err(error) if records::is_config(&record.key) => return Err(error.into()),
+                Err(error) => log::warn!(
+                    event = "record-malformed", topic = OPERATOR_TOPIC, error:% = error; ""
+                ),
+            }
+        }
+        Ok(decoded)
+    }
+
     async fn replica_records(&self) -> Result<Vec<Replica>, InspectError> {
         let newest = self
             .store
--- a/components/inspect/tests/inspect.rs
+++ b/components/inspect/tests/inspect.rs
@@ -105,6 +105,9 @@
         Some(&heartbeat(records::ENGINES, "draining", 4)),
     );
     store.put("keyed.servers", "malformed", Some("{"));
+    store.put("keyed.servers", "odd#&+% ", Some("{}"));
+    store.put("keyed.op", "version/malformed", Some("[[[["));
+    store.put("keyed.op", "odd#&+% ", Some("{"));
     let (_listener, inspector) = inspector(&store).await;
     let (version, routes) = inspector.routes().await.expect("the routes are read");
     let prefixes: Vec<_> = routes.iter().map(|route| route.prefix.as_str()).collect();
