Shards: a front starts items of a gained partition only after it has read the index

What callers saw: nothing; items ran twice, which costs a run.

When the store deals it a partition, its copy may be older than the former owner's reservation of the items it goes on with. A gain within a generation asked for no read either.

Fix: a membership keeps, for each gained partition, the number of the last read of the index that was sent before. While reads of the index fail, items are started as before, since nobody can write a reservation either.

--- a/components/front/src/follow/copy.rs
+++ b/components/front/src/follow/copy.rs
@@ -97,6 +97,16 @@
         self.read.notify_waiters();
     }
 
+    /// Number of the last read that was sent.
+    pub fn reads_sent(&self) -> u64 {
+        self.sent.load(Ordering::SeqCst)
+    }
+
+    /// Number of the last read that reached the end of the topic; 0 if none did.
+    pub fn current_read(&self) -> u64 {
+        self.current_read.load(Ordering::SeqCst)
+    }
+
     /// Whether the last read failed.
     pub fn is_failing(&self) -> bool {
         self.failing.load(Ordering::Relaxed)
--- a/components/front/src/member.rs
+++ b/components/front/src/member.rs
@@ -12,13 +12,14 @@
 
 use index::{RUNNER_GROUP, RUNNER_TOPIC};
 use ownership::{
-    LARGE_SHARD_SLOTS, MEMBER_TTL_MS, MembershipAction, Ownership, OwnershipSettings, REBALANCE_MS,
-    SMALL_SHARD_SLOTS, Standby, join_interval_ms,
+    JoinChange, LARGE_SHARD_SLOTS, MEMBER_TTL_MS, MembershipAction, Ownership, OwnershipSettings,
+    REBALANCE_MS, SMALL_SHARD_SLOTS, Standby, join_interval_ms,
 };
 use pacing::Activity;
 use platform::settings::FrontSettings;
 
 use crate::clock::now_ms;
+use crate::follow::Lookup;
 use crate::state::Front;
 
 /// How long appends of results may fail before the front gives its shards to other fronts, in
@@ -127,7 +128,7 @@
 
 /// Joins the group or renews the membership. Returns whether the group's generation changed; `None`
 /// if the join failed.
-async fn join(front: &Front, ownership: &mut Ownership, generation: u64) -> Option<bool> {
+async fn join(front: &Arc<Front>, ownership: &mut Ownership, generation: u64) -> Option<bool> {
     let _joining = front.joining.lock().await;
     if front.drain.is_leaving() {
         return None;
@@ -146,8 +147,12 @@
         .await;
     match joined {
         Ok(joined) => {
-            let changed = ownership.record_join(sent_ms, joined.generation, joined.partitions);
-            if changed {
+            let reads_sent = front.index_copy.reads_sent();
+            let JoinChange {
+                is_new_generation: changed,
+                has_gained,
+            } = ownership.record_join(sent_ms, joined.generation, joined.partitions, reads_sent);
+            if changed || has_gained {
                 log::info!(
                     event = "partitions-dealt", generation = joined.generation,
                     partitions:? = ownership.partitions(); ""
@@ -162,6 +167,9 @@
                 front.partitions_moved.store(true, Ordering::Relaxed);
                 front.demand.refresh();
             }
+            if has_gained {
+                tokio::spawn(read_index_of_gained(Arc::clone(front)));
+            }
             front.runner_wakeup.notify_one();
             Some(changed)
         }
@@ -172,6 +180,12 @@
     }
 }
 
+/// Reads the index anew, without which the items of gained partitions are not started.
+async fn read_index_of_gained(front: Arc<Front>) {
+    let _: Lookup<()> = front.index_copy.look_up(|| None).await;
+    front.runner_wakeup.notify_one();
+}
+
 /// Releases all partitions when the front shuts down. Until the store has processed the leave,
 /// nobody runs the partitions; their time to live may not expire while the store is down. The leave
 /// is therefore retried until it succeeds.
--- a/components/front/src/state.rs
+++ b/components/front/src/state.rs
@@ -218,11 +218,15 @@
         new
     }
 
-    /// Whether this front may start runs of a shard's items now.
+    /// Whether this front may start runs of a shard's items now. It must know which items the former
+    /// owner goes on with, unless the index cannot be read.
     pub fn owns_shard(&self, head: &StepHead, shard: u16, now_ms: u64) -> bool {
-        self.ownership
-            .load()
-            .owns(self.partition(head, shard), now_ms)
+        let partition = self.partition(head, shard);
+        let ownership = self.ownership.load();
+        let index = &self.index_copy;
+        ownership.owns(partition, now_ms)
+            && (ownership.has_read_since_gain(partition, index.current_read())
+                || index.is_failing())
     }
 
     /// Whether runs of a shard's items that were started here may continue.
--- a/components/ownership/src/lib.rs
+++ b/components/ownership/src/lib.rs
@@ -17,7 +17,7 @@
 mod standby;
 mod times;
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 pub use partition::partition_of;
 pub use shard::{
@@ -51,6 +51,15 @@
     Wait,
 }
 
+/// What the answer to a join changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct JoinChange {
+    /// Whether the group has another generation than by the answer before.
+    pub is_new_generation: bool,
+    /// Whether the member owns a partition that it did not own before.
+    pub has_gained: bool,
+}
+
 /// The membership, as the member derives it from the answers to its joins.
 #[derive(Clone, Debug)]
 pub struct Ownership {
@@ -59,6 +68,9 @@
     partitions: BTreeSet<u32>,
     /// Last owned partitions that, as far as this member knows, were not reassigned.
     last_owned: BTreeSet<u32>,
+    /// Partitions that were gained, with the number of the last read of the records that was sent
+    /// before. Their former owner has written what work it goes on with.
+    gained: BTreeMap<u32, u64>,
     /// Partitions that were reassigned without a lapse of the membership, so that no other member
     /// acted for them in the meantime.
     reassigned: BTreeSet<u32>,
@@ -75,6 +87,7 @@
             generation: 0,
             partitions: BTreeSet::new(),
             last_owned: BTreeSet::new(),
+            gained: BTreeMap::new(),
             reassigned: BTreeSet::new(),
             until_ms: 0,
             stepped_down: false,
@@ -92,19 +105,27 @@
         }
     }
 
-    /// Records the answer to a join that was sent at `sent_ms`; returns whether the group's
-    /// generation changed.
+    /// Records the answer to a join that was sent at `sent_ms`. `reads_sent` is the number of the last
+    /// read of the records that was sent before the answer arrived.
     pub fn record_join(
         &mut self,
         sent_ms: u64,
         generation: u64,
         partitions: impl IntoIterator<Item = u32>,
-    ) -> bool {
-        let changed = generation != self.generation;
+        reads_sent: u64,
+    ) -> JoinChange {
+        let is_new_generation = generation != self.generation;
         self.stepped_down = false;
         self.generation = generation;
-        self.partitions = partitions.into_iter().collect();
-        if self.until_ms > 0 && sent_ms >= self.until_ms {
+        let before = std::mem::replace(&mut self.partitions, partitions.into_iter().collect());
+        let has_lapsed = self.until_ms > 0 && sent_ms >= self.until_ms;
+        let is_gained = |partition: &&u32| has_lapsed || !before.contains(partition);
+        let gained: Vec<u32> = self.partitions.iter().filter(is_gained).copied().collect();
+        self.gained
+            .retain(|partition, _| self.partitions.contains(partition));
+        self.gained
+            .extend(gained.iter().map(|partition| (*partition, reads_sent)));
+        if has_lapsed {
             self.reassigned.clear();
         } else {
             self.reassigned.append(&mut self.last_owned);
@@ -112,7 +133,10 @@
         self.reassigned = &self.reassigned - &self.partitions;
         self.last_owned.clone_from(&self.partitions);
         self.until_ms = sent_ms + self.settings.ttl_ms;
-        changed
+        JoinChange {
+            is_new_generation,
+            has_gained: !gained.is_empty(),
+        }
     }
 
     /// Gives up all partitions immediately, before the store is notified.
@@ -168,6 +192,15 @@
         self.reassigned.contains(&partition)
     }
 
+    /// Whether the records were read after the member gained a partition. `read` is the number of the
+    /// last read that reached their end. A copy from before may lack what the former owner wrote about
+    /// the work that it goes on with, and that work would be done twice.
+    pub fn has_read_since_gain(&self, partition: u32, read: u64) -> bool {
+        self.gained
+            .get(&partition)
+            .is_none_or(|reads_sent| read > *reads_sent)
+    }
+
     /// Whether the member owns a partition and its TTL has not passed.
     pub fn owns(&self, partition: u32, now_ms: u64) -> bool {
         now_ms < self.until_ms && self.partitions.contains(&partition)
--- a/components/ownership/tests/ownership.rs
+++ b/components/ownership/tests/ownership.rs
@@ -189,7 +189,7 @@
             if let Some((generation, partitions)) = last.answer.take() {
                 member
                     .ownership
-                    .record_join(last.sent_ms, generation, partitions);
+                    .record_join(last.sent_ms, generation, partitions, 0);
                 member.next_ms = now_ms + JOIN_MS;
             }
         }
@@ -283,7 +283,7 @@
     /// it must give up all partitions and join again only when writes succeed.
     fn a_member_whose_writes_fail_leaves_the_group(unwritable_ms: u64) -> bool {
         let mut ownership = Ownership::new(SETTINGS);
-        ownership.record_join(1_000, 7, [1, 2]);
+        ownership.record_join(1_000, 7, [1, 2], 0);
         if ownership.next_action(unwritable_ms) != MembershipAction::StepDown {
             return unwritable_ms <= SETTINGS.unwritable_ms_max;
         }
@@ -300,11 +300,11 @@
     // A join is answered late, and the member freezes afterwards. The store counts the TTL from the
     // arrival of the join and the member from its sending, so the member must stop first.
     let mut ownership = Ownership::new(SETTINGS);
-    assert!(ownership.record_join(1_000, 1, [3]));
+    assert!(ownership.record_join(1_000, 1, [3], 0).is_new_generation);
     assert!(ownership.owns(3, 2_299) && !ownership.owns(2, 2_299));
     assert!(!ownership.owns(3, 2_300));
     assert!(
-        !ownership.record_join(2_000, 1, [3]),
+        !ownership.record_join(2_000, 1, [3], 0).is_new_generation,
         "the generation did not change"
     );
     assert!(ownership.owns(3, 3_299));
@@ -363,37 +363,37 @@
             event: |ownership| {
                 ownership.step_down();
                 ownership.record_leave();
-                ownership.record_join(3_000, 3, [4]);
+                ownership.record_join(3_000, 3, [4], 0);
             },
             continues: true,
         },
         Case {
             name: "the partition was reassigned after the membership lapsed",
             event: |ownership| {
-                ownership.record_join(3_000, 2, [4]);
+                ownership.record_join(3_000, 2, [4], 0);
             },
             continues: false,
         },
         Case {
             name: "the partition was reassigned without a lapse",
             event: |ownership| {
-                ownership.record_join(1_300, 2, [4]);
-                ownership.record_join(1_600, 2, [4]);
+                ownership.record_join(1_300, 2, [4], 0);
+                ownership.record_join(1_600, 2, [4], 0);
             },
             continues: true,
         },
         Case {
             name: "the partition was reassigned without a lapse, and the membership lapsed later",
             event: |ownership| {
-                ownership.record_join(1_300, 2, [4]);
-                ownership.record_join(9_000, 2, [4]);
+                ownership.record_join(1_300, 2, [4], 0);
+                ownership.record_join(9_000, 2, [4], 0);
             },
             continues: false,
         },
     ];
     for case in cases {
         let mut ownership = Ownership::new(SETTINGS);
-        ownership.record_join(1_000, 1, [3]);
+        ownership.record_join(1_000, 1, [3], 0);
         (case.event)(&mut ownership);
         assert_eq!(ownership.may_finish(3), case.continues, "{}", case.name);
         assert!(!ownership.owns(3, 4_000), "{}", case.name);
@@ -454,3 +454,24 @@
         );
     }
 }
+
+/// Guards against a member that starts what the former owner goes on with, because its copy of the
+/// records is older than its gain of the partition.
+#[test]
+fn knows_a_gained_partition_only_by_a_later_read() {
+    let mut ownership = Ownership::new(SETTINGS);
+    assert!(ownership.record_join(1_000, 1, [3], 5).has_gained);
+    assert!(!ownership.has_read_since_gain(3, 5));
+    assert!(ownership.has_read_since_gain(3, 6));
+    // A renewal is no gain, and one within the same generation is.
+    assert!(!ownership.record_join(1_300, 1, [3], 7).has_gained);
+    assert!(ownership.has_read_since_gain(3, 6));
+    assert!(ownership.record_join(1_600, 1, [3, 4], 8).has_gained);
+    assert!(ownership.has_read_since_gain(3, 6) && !ownership.has_read_since_gain(4, 8));
+    // A partition that was lost, or whose membership has lapsed, is gained again.
+    ownership.record_join(1_900, 2, [4], 9);
+    assert!(ownership.record_join(2_200, 3, [3, 4], 10).has_gained);
+    assert!(!ownership.has_read_since_gain(3, 10) && ownership.has_read_since_gain(4, 9));
+    assert!(ownership.record_join(60_000, 3, [3, 4], 11).has_gained);
+    assert!(!ownership.has_read_since_gain(4, 11));
+}
--- a/dev/sim/src/fleet/membership.rs
+++ b/dev/sim/src/fleet/membership.rs
@@ -64,7 +64,8 @@
         partitions: Vec<u32>,
     ) {
         let ownership = &mut self.fronts[front].ownership;
-        let changed = ownership.record_join(sent_ms, generation, partitions);
+        let joined = ownership.record_join(sent_ms, generation, partitions, 0);
+        let changed = joined.is_new_generation;
         if changed && !ownership.partitions().is_empty() {
             self.rebalancing_until_ms[front] = self.now_ms + REBALANCE_MS;
         }
