--- a/components/front/src/calls.rs
+++ b/components/front/src/calls.rs
@@ -168,10 +168,13 @@
             let asked_us = now_us();
             let granted = tokio::select! {
                 granted = acquire(front, spec, digest, &typical, &tried, was_refused) => granted,
-                () = front.wait_until_ending() => {
-                    let end = failure_without_replica(may_have_run);
-                    break CallOutcome::Failed(end, LEAVING.to_owned());
-                }
+                () = front.wait_until_ending() => break match failure.take() {
+                    Some(answer) => CallOutcome::Answer(answer),
+                    None => {
+                        let end = failure_without_replica(may_have_run);
+                        CallOutcome::Failed(end, LEAVING.to_owned())
+                    }
+                },
             };
             waited_ms += (now_us() - asked_us) / 1_000;
             let (refused, why) = match granted {
